--- /dev/null
+++ b/.ci/layers/main.go
@@ -0,0 +1,71 @@
+// Command layers fails when a package imports one of a higher layer.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+)
+
+const module = "geraniumstack.org/geraniumstack/"
+
+// order lists the layers from the lowest up; a package may import its own
+// layer and lower ones. Packages outside these (daemon, bench, cmd) may import
+// all.
+var order = []string{"state", "coordination", "protocol", "transport"}
+
+func rank(path string) int {
+	top, _, _ := strings.Cut(strings.TrimPrefix(path, module), "/")
+	for i, layer := range order {
+		if top == layer {
+			return i
+		}
+	}
+	return len(order)
+}
+
+type listed struct {
+	ImportPath string
+	Imports    []string
+}
+
+func main() {
+	out, err := exec.Command("go", "list", "-json=ImportPath,Imports", "./...").Output()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "go list:", err)
+		os.Exit(1)
+	}
+	bad := 0
+	dec := json.NewDecoder(strings.NewReader(string(out)))
+	for {
+		var p listed
+		if err := dec.Decode(&p); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			fmt.Fprintln(os.Stderr, "decode:", err)
+			os.Exit(1)
+		}
+		bad += report(p)
+	}
+	if bad > 0 {
+		os.Exit(1)
+	}
+}
+
+func report(p listed) int {
+	bad := 0
+	for _, imp := range p.Imports {
+		if strings.HasPrefix(imp, module+"gen/") || !strings.HasPrefix(imp, module) {
+			continue
+		}
+		if rank(imp) > rank(p.ImportPath) {
+			fmt.Printf("%s imports %s of a higher layer\n", p.ImportPath, imp)
+			bad++
+		}
+	}
+	return bad
+}
--- /dev/null
+++ b/state/document/document.go
@@ -0,0 +1,145 @@
+// Package document reads JSON settings and manifests strictly: unknown fields,
+// wrong types, missing and contradictory values are all reported at once, each
+// with its JSON path.
+package document
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/invopop/jsonschema"
+	checker "github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// Problem is one fault of a document.
+type Problem struct {
+	// Path is a JSON pointer to the value at fault; empty for the whole.
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
+}
+
+// InvalidError lists every fault that was found in a document.
+type InvalidError struct{ Problems []Problem }
+
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, fmt.Sprintf("%s: %s", displayPath(p.Path), p.Reason))
+	}
+	return "invalid document: " + strings.Join(lines, "; ")
+}
+
+func displayPath(path string) string {
+	if path == "" {
+		return "/"
+	}
+	return path
+}
+
+// Checker is a document with rules that span several fields.
+type Checker interface {
+	// Check returns every contradiction in the value.
+	Check() []Problem
+}
+
+// Decode reads data into v, a pointer to a struct with json tags. The error is
+// an *InvalidError where the document is at fault.
+func Decode(data []byte, v any) error {
+	problems, err := structural(data, v)
+	if err != nil {
+		return err
+	}
+	if len(problems) > 0 {
+		return &InvalidError{Problems: problems}
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return &InvalidError{Problems: []Problem{{Reason: err.Error()}}}
+	}
+	if c, ok := v.(Checker); ok {
+		if problems := c.Check(); len(problems) > 0 {
+			return &InvalidError{Problems: problems}
+		}
+	}
+	return nil
+}
+
+// Schema returns the JSON Schema that Decode checks v's type against.
+func Schema(v any) ([]byte, error) {
+	r := &jsonschema.Reflector{Anonymous: true}
+	data, err := json.MarshalIndent(r.Reflect(v), "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("marshal schema of %T: %w", v, err)
+	}
+	return data, nil
+}
+
+var compiled sync.Map // reflect.Type -> *checker.Schema
+
+func schemaFor(v any) (*checker.Schema, error) {
+	t := reflect.TypeOf(v)
+	if s, ok := compiled.Load(t); ok {
+		return s.(*checker.Schema), nil
+	}
+	data, err := Schema(v)
+	if err != nil {
+		return nil, err
+	}
+	doc, err := checker.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("read schema of %T: %w", v, err)
+	}
+	c := checker.NewCompiler()
+	if err := c.AddResource("document.json", doc); err != nil {
+		return nil, fmt.Errorf("add schema of %T: %w", v, err)
+	}
+	s, err := c.Compile("document.json")
+	if err != nil {
+		return nil, fmt.Errorf("compile schema of %T: %w", v, err)
+	}
+	compiled.Store(t, s)
+	return s, nil
+}
+
+func structural(data []byte, v any) ([]Problem, error) {
+	s, err := schemaFor(v)
+	if err != nil {
+		return nil, err
+	}
+	value, err := checker.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return []Problem{{Reason: err.Error()}}, nil
+	}
+	err = s.Validate(value)
+	if err == nil {
+		return nil, nil
+	}
+	invalid, ok := err.(*checker.ValidationError)
+	if !ok {
+		return nil, fmt.Errorf("validate %T: %w", v, err)
+	}
+	problems := leaves(invalid, nil)
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
+	return problems, nil
+}
+
+func leaves(e *checker.ValidationError, into []Problem) []Problem {
+	if len(e.Causes) > 0 {
+		for _, cause := range e.Causes {
+			into = leaves(cause, into)
+		}
+		return into
+	}
+	path := ""
+	for _, part := range e.InstanceLocation {
+		path += "/" + part
+	}
+	reason := e.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+	return append(into, Problem{Path: path, Reason: reason})
+}
