--- /dev/null
+++ b/cmd/geraniumctl/main.go
@@ -0,0 +1,27 @@
+// Command geraniumctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"path"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"geraniumstack.org/geraniumstack/ctl"
+)
+
+func main() {
+	flags := flag.NewFlagSet(path.Base(os.Args[0]), flag.ExitOnError)
+	commander := subcommands.NewCommander(flags, flags.Name())
+	ctl.Register(commander, os.Stdout, os.Stderr)
+	// ExitOnError: a wrong flag has ended the process by now.
+	_ = flags.Parse(os.Args[1:])
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := commander.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
--- /dev/null
+++ b/coordination/fleet/fleet.go
@@ -0,0 +1,327 @@
+// Package fleet decides which VMs to ask the cloud for: in which failure
+// domain and class, so that the cost is least while the target holds with any
+// one failure domain lost; what to do where starts are refused; and when to
+// let a VM go.
+//
+// The choice is exact for one service. With at most m VMs in any failure domain
+// the service needs wanted+m of them to keep wanted after the worst loss. For
+// each m the cheapest filling takes the cheapest failure domains first, m each;
+// the planner tries every m. On-demand VMs count as lost with their failure
+// domain too, since a failure takes all of it.
+//
+// A planner does no I/O and reads no clock. It is not safe for concurrent use.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// Pool is where a VM can be had: a failure domain and a VM class.
+type Pool struct {
+	FailureDomain ident.FailureDomain
+	Class         string
+}
+
+// Offer is a pool with its price now.
+type Offer struct {
+	Pool
+	Reclaimable  bool
+	PricePerHour float64
+}
+
+// VM is one VM of the service, as the list and the ledger know it.
+type VM struct {
+	ID   string
+	Pool Pool
+	// Token is the start's token where the VM is not in the list yet.
+	Token string
+	// Leaving ones count for nothing any more.
+	Leaving bool
+	// Starting ones are paid for but don't serve yet.
+	Starting bool
+	Since    time.Duration
+}
+
+// Wanted is what a service needs.
+type Wanted struct {
+	// Runners that must serve at the target.
+	Runners int
+	// SurviveLoss asks for Runners to be left when any one failure domain goes.
+	SurviveLoss bool
+	// MaxCostPerHour bounds the price; zero is no bound. Spare VMs for the loss
+	// of a failure domain go first, then runners.
+	MaxCostPerHour float64
+}
+
+// Limits tunes the planner.
+type Limits struct {
+	// FirstBackoff of a pool after a refused start; it doubles to MaxBackoff.
+	FirstBackoff, MaxBackoff time.Duration
+	// ReclaimCost is the price, in hours of the VM, of one reclaim: a new start,
+	// weights loaded, work computed again.
+	ReclaimCost float64
+	// HazardHalfLife is how fast a pool's past reclaims lose weight.
+	HazardHalfLife time.Duration
+	// SurplusHold is how long a VM must be superfluous before it is let go.
+	SurplusHold time.Duration
+	// MoveGain is the share of the cost that a cheaper plan must save before
+	// running VMs are moved to it.
+	MoveGain float64
+	// MaxMoves bounds the VMs that are replaced for their price at once.
+	MaxMoves int
+}
+
+// DefaultLimits suits starts of a minute or two.
+func DefaultLimits() Limits {
+	return Limits{
+		FirstBackoff:   10 * time.Second,
+		MaxBackoff:     5 * time.Minute,
+		ReclaimCost:    0.25,
+		HazardHalfLife: 6 * time.Hour,
+		SurplusHold:    5 * time.Minute,
+		MoveGain:       0.1,
+		MaxMoves:       2,
+	}
+}
+
+// Start asks for one VM in a pool.
+type Start struct{ Pool Pool }
+
+// Decision is what to do now.
+type Decision struct {
+	Starts []Start
+	// Stops are VMs to be let go, by graceful shutdown of their runners.
+	Stops []string
+	// Short is the number of runners that no pool gives now.
+	Short int
+	// CostPerHour of the plan aimed at.
+	CostPerHour float64
+}
+
+type poolState struct {
+	refusals int
+	until    time.Duration
+	// hazard is reclaims seen, decayed; per VM hours in exposure.
+	reclaims float64
+	exposure float64
+	decayed  time.Duration
+}
+
+// Planner plans for one service.
+type Planner struct {
+	limits       Limits
+	pools        map[Pool]*poolState
+	surplusSince time.Duration
+	hasSurplus   bool
+	movesFrom    time.Duration
+	hasMoves     bool
+}
+
+// New returns a planner that knows of no refusals or reclaims.
+func New(l Limits) *Planner { return &Planner{limits: l, pools: map[Pool]*poolState{}} }
+
+func (p *Planner) pool(id Pool) *poolState {
+	s, ok := p.pools[id]
+	if !ok {
+		s = &poolState{}
+		p.pools[id] = s
+	}
+	return s
+}
+
+// Refused tells that the cloud refused a start in the pool.
+func (p *Planner) Refused(now time.Duration, id Pool) {
+	s := p.pool(id)
+	wait := min(p.limits.FirstBackoff<<min(s.refusals, 16), p.limits.MaxBackoff)
+	s.refusals++
+	s.until = now + wait
+}
+
+// Started tells that the cloud gave a VM in the pool.
+func (p *Planner) Started(id Pool) { p.pool(id).refusals = 0 }
+
+// Reclaimed tells that n VMs of the pool were given notice.
+func (p *Planner) Reclaimed(now time.Duration, id Pool, n int) {
+	s := p.pool(id)
+	p.decay(now, s)
+	s.reclaims += float64(n)
+}
+
+// Exposed tells that n VMs of the pool have run for d without notice.
+func (p *Planner) Exposed(now time.Duration, id Pool, n int, d time.Duration) {
+	s := p.pool(id)
+	p.decay(now, s)
+	s.exposure += float64(n) * d.Hours()
+}
+
+func (p *Planner) decay(now time.Duration, s *poolState) {
+	elapsed := now - s.decayed
+	if elapsed < time.Minute {
+		return
+	}
+	keep := halve(float64(elapsed) / float64(p.limits.HazardHalfLife))
+	s.reclaims *= keep
+	s.exposure *= keep
+	s.decayed = now
+}
+
+// priorExposure in VM hours keeps one reclaim in a new pool from ruling it out.
+const priorExposure = 20
+
+// Hazard is the expected number of reclaims of one VM of the pool in an hour.
+func (p *Planner) Hazard(id Pool) float64 {
+	s, ok := p.pools[id]
+	if !ok {
+		return 0
+	}
+	return s.reclaims / (s.exposure + priorExposure)
+}
+
+// price is what a VM of the offer costs in an hour, reclaims included.
+func (p *Planner) price(o Offer) float64 {
+	if !o.Reclaimable {
+		return o.PricePerHour
+	}
+	return o.PricePerHour * (1 + p.Hazard(o.Pool)*p.limits.ReclaimCost)
+}
+
+// Decide compares the VMs with the cheapest plan and returns the changes to
+// make now.
+func (p *Planner) Decide(now time.Duration, w Wanted, offers []Offer, vms []VM) Decision {
+	have := countPools(vms)
+	open := p.open(now, offers, have)
+	plan, short := p.cheapest(w, open)
+	d := Decision{Short: short, CostPerHour: cost(plan, offers)}
+	d.Starts = missing(plan, have)
+	if len(d.Starts) > 0 || short > 0 {
+		p.hasSurplus = false
+		return p.limitMoves(now, w, d, plan, offers, vms)
+	}
+	p.hasMoves = false
+	d.Stops = p.surplus(now, w, offers, vms)
+	return d
+}
+
+func countPools(vms []VM) map[Pool]int {
+	have := map[Pool]int{}
+	for _, v := range vms {
+		if !v.Leaving {
+			have[v.Pool]++
+		}
+	}
+	return have
+}
+
+// choice is an offer with how many VMs it can hold in a plan.
+type choice struct {
+	Offer
+	price float64
+	limit int
+}
+
+// open lists the offers, cheapest first. A pool in backoff holds what it has.
+func (p *Planner) open(now time.Duration, offers []Offer, have map[Pool]int) []choice {
+	out := make([]choice, 0, len(offers))
+	for _, o := range offers {
+		c := choice{Offer: o, price: p.price(o), limit: unlimited}
+		if s, ok := p.pools[o.Pool]; ok && now < s.until {
+			c.limit = have[o.Pool]
+		}
+		out = append(out, c)
+	}
+	slices.SortStableFunc(out, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Class, b.Class))
+	})
+	return out
+}
+
+const unlimited = int(^uint(0) >> 1)
+
+// cheapest is the plan of least cost; short is what it lacks.
+func (p *Planner) cheapest(w Wanted, open []choice) (map[Pool]int, int) {
+	if !w.SurviveLoss {
+		plan, got, _ := fill(open, w.Runners, w.Runners, w.MaxCostPerHour)
+		return plan, w.Runners - got
+	}
+	var best map[Pool]int
+	bestShort, bestCost := unlimited, 0.0
+	for m := 1; m <= w.Runners; m++ {
+		plan, got, total := fill(open, w.Runners+m, m, w.MaxCostPerHour)
+		short := max(w.Runners-(got-worst(plan)), 0)
+		if short < bestShort || short == bestShort && total < bestCost {
+			best, bestShort, bestCost = plan, short, total
+		}
+	}
+	if bestShort > 0 {
+		return p.degraded(w, open)
+	}
+	return best, 0
+}
+
+// degraded gives up the spare for a lost failure domain where pools or money
+// don't reach: runners that serve now go before runners that would be left.
+func (p *Planner) degraded(w Wanted, open []choice) (map[Pool]int, int) {
+	spread := (w.Runners + countDomains(open) - 1) / max(countDomains(open), 1)
+	var best map[Pool]int
+	bestGot, bestCost := -1, 0.0
+	for m := max(spread, 1); m <= w.Runners+spread; m++ {
+		plan, got, total := fill(open, w.Runners+spread, m, w.MaxCostPerHour)
+		if got > bestGot || got == bestGot && total < bestCost {
+			best, bestGot, bestCost = plan, got, total
+		}
+	}
+	return best, max(w.Runners-bestGot, 0)
+}
+
+func countDomains(open []choice) int {
+	seen := map[ident.FailureDomain]bool{}
+	for _, c := range open {
+		seen[c.FailureDomain] = true
+	}
+	return len(seen)
+}
+
+// fill takes total VMs from the cheapest choices, at most perDomain in one
+// failure domain and maxCost an hour in all.
+func fill(open []choice, total, perDomain int, maxCost float64) (map[Pool]int, int, float64) {
+	plan := map[Pool]int{}
+	domains := map[ident.FailureDomain]int{}
+	got, price := 0, 0.0
+	for _, c := range open {
+		n := min(total-got, perDomain-domains[c.FailureDomain], c.limit)
+		if maxCost > 0 {
+			n = min(n, int((maxCost-price)/c.PricePerHour))
+		}
+		if n <= 0 {
+			continue
+		}
+		plan[c.Pool] += n
+		domains[c.FailureDomain] += n
+		got += n
+		price += float64(n) * c.price
+	}
+	return plan, got, price
+}
+
+// worst is the number of VMs in the fullest failure domain.
+func worst(plan map[Pool]int) int {
+	domains := map[ident.FailureDomain]int{}
+	most := 0
+	for id, n := range plan {
+		domains[id.FailureDomain] += n
+		most = max(most, domains[id.FailureDomain])
+	}
+	return most
+}
+
+func cost(plan map[Pool]int, offers []Offer) float64 {
+	sum := 0.0
+	for _, o := range offers {
+		sum += float64(plan[o.Pool]) * o.PricePerHour
+	}
+	return sum
+}
--- /dev/null
+++ b/coordination/fleet/fleet_test.go
@@ -0,0 +1,155 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/coordination/fleet"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+func offer(domain ident.FailureDomain, class string, price float64, reclaimable bool) fleet.Offer {
+	return fleet.Offer{Pool: fleet.Pool{FailureDomain: domain, Class: class}, PricePerHour: price, Reclaimable: reclaimable}
+}
+
+func start(d fleet.Decision, vms []fleet.VM) []fleet.VM {
+	for _, s := range d.Starts {
+		vms = append(vms, fleet.VM{ID: fmt.Sprintf("vm%d", len(vms)), Pool: s.Pool})
+	}
+	return vms
+}
+
+func left(vms []fleet.VM, lost ident.FailureDomain) int {
+	n := 0
+	for _, v := range vms {
+		if v.Pool.FailureDomain != lost && !v.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// A whole failure domain goes. Whatever the prices and refusals were when the
+// fleet was planned, the runners left must hold the target.
+func TestPlanSurvivesLossOfAnyFailureDomain(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		domains := []ident.FailureDomain{"a", "b", "c", "d"}[:rapid.IntRange(2, 4).Draw(rt, "domains")]
+		var offers []fleet.Offer
+		for _, d := range domains {
+			offers = append(offers,
+				offer(d, "spot", rapid.Float64Range(0.2, 2).Draw(rt, "spot"), true),
+				offer(d, "on-demand", rapid.Float64Range(1, 4).Draw(rt, "on-demand"), false))
+		}
+		p := fleet.New(fleet.DefaultLimits())
+		for _, o := range offers {
+			if o.Reclaimable && rapid.Bool().Draw(rt, "refused") {
+				p.Refused(0, o.Pool)
+			}
+		}
+		w := fleet.Wanted{Runners: rapid.IntRange(1, 20).Draw(rt, "runners"), SurviveLoss: true}
+		d := p.Decide(time.Second, w, offers, nil)
+		vms := start(d, nil)
+		for _, lost := range domains {
+			if left(vms, lost) < w.Runners {
+				rt.Fatalf("%d left of %d after %s", left(vms, lost), w.Runners, lost)
+			}
+		}
+	})
+}
+
+func TestPlanTakesCheapestMix(t *testing.T) {
+	is := is.New(t)
+	offers := []fleet.Offer{
+		offer("a", "spot", 1, true), offer("b", "spot", 1, true),
+		offer("c", "spot", 1, true), offer("d", "spot", 10, true),
+	}
+	p := fleet.New(fleet.DefaultLimits())
+	d := p.Decide(0, fleet.Wanted{Runners: 12, SurviveLoss: true}, offers, nil)
+	is.Equal(len(d.Starts), 18) // 6 in each of three beats 4 in each of four
+	is.Equal(d.CostPerHour, 18.0)
+}
+
+// A wave takes a failure domain and the cloud refuses reclaimable starts just
+// then. The planner must go on to the next class at once and come back later.
+func TestRefusedStartMovesToNextPool(t *testing.T) {
+	is := is.New(t)
+	spot, dear := offer("a", "spot", 1, true), offer("a", "on-demand", 3, false)
+	offers := []fleet.Offer{spot, dear}
+	p := fleet.New(fleet.DefaultLimits())
+	w := fleet.Wanted{Runners: 1}
+	is.Equal(p.Decide(0, w, offers, nil).Starts[0].Pool, spot.Pool)
+	p.Refused(0, spot.Pool)
+	is.Equal(p.Decide(time.Second, w, offers, nil).Starts[0].Pool, dear.Pool)
+	is.Equal(p.Decide(time.Minute, w, offers, nil).Starts[0].Pool, spot.Pool)
+}
+
+// Prices swing every minute. Without a hold the fleet would be rebuilt each
+// time, and each rebuild loads weights and moves requests.
+func TestSwingingPricesDoNotMoveTheFleet(t *testing.T) {
+	is := is.New(t)
+	p := fleet.New(fleet.DefaultLimits())
+	w := fleet.Wanted{Runners: 4}
+	var vms []fleet.VM
+	starts, stops := 0, 0
+	for minute := range 120 {
+		a, b := 1.0, 1.5
+		if minute%2 == 1 {
+			a, b = b, a
+		}
+		d := p.Decide(time.Duration(minute)*time.Minute, w, []fleet.Offer{offer("a", "spot", a, true), offer("b", "spot", b, true)}, vms)
+		vms = start(d, vms)
+		starts += len(d.Starts)
+		stops += len(d.Stops)
+	}
+	is.Equal(starts, 4)
+	is.Equal(stops, 0)
+}
+
+// A replacement is still starting when the VM that it stands in for is let go.
+// If the start then fails, the target is missed, so only serving VMs count.
+func TestStartingVMReplacesNothingYet(t *testing.T) {
+	is := is.New(t)
+	p := fleet.New(fleet.DefaultLimits())
+	offers := []fleet.Offer{offer("a", "spot", 1, true), offer("b", "spot", 5, true)}
+	vms := []fleet.VM{
+		{ID: "old", Pool: offers[1].Pool},
+		{ID: "new", Pool: offers[0].Pool, Starting: true},
+	}
+	w := fleet.Wanted{Runners: 1}
+	for minute := range 20 {
+		is.Equal(len(p.Decide(time.Duration(minute)*time.Minute, w, offers, vms).Stops), 0)
+	}
+	vms[1].Starting = false
+	var stops []string
+	for minute := range 10 {
+		stops = append(stops, p.Decide(time.Duration(20+minute)*time.Minute, w, offers, vms).Stops...)
+	}
+	is.Equal(stops[0], "old")
+}
+
+func TestHazardRaisesPrice(t *testing.T) {
+	is := is.New(t)
+	p := fleet.New(fleet.DefaultLimits())
+	risky, calm := offer("a", "spot", 1, true), offer("b", "spot", 1.05, true)
+	w := fleet.Wanted{Runners: 1}
+	is.Equal(p.Decide(0, w, []fleet.Offer{risky, calm}, nil).Starts[0].Pool, risky.Pool)
+	p.Reclaimed(0, risky.Pool, 10)
+	is.Equal(p.Decide(0, w, []fleet.Offer{risky, calm}, nil).Starts[0].Pool, calm.Pool)
+}
+
+func TestCostBoundCutsSpareBeforeRunners(t *testing.T) {
+	is := is.New(t)
+	p := fleet.New(fleet.DefaultLimits())
+	offers := []fleet.Offer{offer("a", "spot", 1, true), offer("b", "spot", 1, true)}
+	d := p.Decide(0, fleet.Wanted{Runners: 4, SurviveLoss: true, MaxCostPerHour: 5}, offers, nil)
+	is.Equal(len(d.Starts), 5) // all runners and the spare that the money reaches
+	is.Equal(d.Short, 0)
+	d = p.Decide(0, fleet.Wanted{Runners: 4, SurviveLoss: true, MaxCostPerHour: 3}, offers, nil)
+	is.Equal(len(d.Starts), 3)
+	is.Equal(d.Short, 1)
+}
--- /dev/null
+++ b/coordination/lease/lease_test.go
@@ -0,0 +1,206 @@
+package lease_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/coordination/lease"
+)
+
+// service is the key-value service's part: one key under a lease that lapses.
+type service struct {
+	leases   uint64
+	holder   uint64
+	expires  time.Duration
+	revision uint64
+}
+
+func (s *service) do(now time.Duration, e lease.Effect, ttl time.Duration) lease.Result {
+	if s.holder != 0 && now >= s.expires {
+		s.holder = 0
+	}
+	r := lease.Result{Attempt: e.Attempt, Outcome: lease.Done}
+	switch e.Kind {
+	case lease.Grant:
+		s.leases++
+		r.Lease = s.leases
+	case lease.Create:
+		if s.holder != 0 {
+			r.Outcome = lease.Refused
+			return r
+		}
+		s.revision++
+		s.holder, s.expires, r.Revision = e.Lease, now+ttl, s.revision
+	case lease.ReadBack:
+		r.FoundLease, r.Revision = s.holder, s.revision
+	case lease.Renew:
+		if s.holder != e.Lease {
+			r.Outcome = lease.Refused
+			return r
+		}
+		s.expires = now + ttl
+	case lease.Revoke:
+		if s.holder == e.Lease {
+			s.holder = 0
+		}
+	}
+	return r
+}
+
+type order struct {
+	token   uint64
+	arrival time.Duration
+}
+
+// candidate is one daemon: its machine, its pauses, and an order that it had
+// decided on when a pause began.
+type candidate struct {
+	m           *lease.Machine
+	pausedUntil time.Duration
+	decided     uint64
+}
+
+const step = 100 * time.Millisecond
+
+type run struct {
+	rng        *rand.Rand
+	timing     lease.Timing
+	service    service
+	candidates []*candidate
+	orders     []order
+	quarantine bool
+}
+
+func (r *run) effects(now time.Duration, c *candidate, effects []lease.Effect) {
+	for len(effects) > 0 {
+		e := effects[0]
+		effects = effects[1:]
+		result := r.service.do(now, e, r.timing.TTL)
+		if r.rng.IntN(20) == 0 {
+			result = lease.Result{Attempt: e.Attempt, Outcome: lease.Lost}
+		}
+		effects = append(effects, c.m.Step(now, result)...)
+	}
+}
+
+// act lets a daemon order, or pause between its check and its order, which is
+// the interleaving that a fencing token exists for.
+func (r *run) act(now time.Duration, c *candidate) {
+	if now < c.pausedUntil {
+		return
+	}
+	if c.decided != 0 {
+		r.send(now, c.decided)
+		c.decided = 0
+	}
+	r.effects(now, c, c.m.Tick(now, true))
+	if !c.m.MayOrder(now, !r.quarantine) {
+		return
+	}
+	if r.rng.IntN(40) == 0 {
+		c.decided = c.m.Token()
+		c.pausedUntil = now + time.Duration(r.rng.Int64N(int64(r.timing.MaxPause)))
+		return
+	}
+	r.send(now, c.m.Token())
+}
+
+func (r *run) send(now time.Duration, token uint64) {
+	r.orders = append(r.orders, order{token: token, arrival: now + time.Duration(r.rng.Int64N(int64(r.timing.MaxOrder)))})
+}
+
+// staleAfterNewer counts orders that reach a runner after one of a later holder.
+func (r *run) staleAfterNewer() int {
+	stale := 0
+	for _, a := range r.orders {
+		for _, b := range r.orders {
+			if b.token > a.token && b.arrival < a.arrival {
+				stale++
+				break
+			}
+		}
+	}
+	return stale
+}
+
+func simulate(seed uint64, quarantine bool) *run {
+	r := &run{rng: rand.New(rand.NewPCG(seed, 1)), timing: lease.DefaultTiming(), quarantine: quarantine}
+	for range 3 {
+		r.candidates = append(r.candidates, &candidate{m: lease.New(r.timing)})
+	}
+	for now := time.Duration(0); now < 3*time.Minute; now += step {
+		for _, c := range r.candidates {
+			r.act(now, c)
+		}
+	}
+	return r
+}
+
+// A holder decides on an order, is paused past its lease while another takes
+// over and orders, then wakes and sends. A runner that doesn't check fencing
+// tokens would obey both, newest first. With the new holder's quarantine the
+// late order comes before the new holder's first one.
+func TestStaleOrderNeverFollowsNewHoldersOrder(t *testing.T) {
+	is := is.New(t)
+	takeovers := uint64(0)
+	for seed := range uint64(60) {
+		r := simulate(seed, true)
+		is.Equal(r.staleAfterNewer(), 0) // seed
+		takeovers += r.service.revision
+	}
+	is.True(takeovers > 120) // the run must bring take-overs about
+}
+
+// The same run without the quarantine must be caught, or the check above
+// proves nothing.
+func TestCheckSeesMissingQuarantine(t *testing.T) {
+	is := is.New(t)
+	stale := 0
+	for seed := range uint64(60) {
+		stale += simulate(seed, false).staleAfterNewer()
+	}
+	is.True(stale > 0)
+}
+
+// The key-value service is away for longer than the lease. The holder must
+// stop by its own clock, since it can't learn that the lease has lapsed.
+func TestHolderStopsWhenServiceIsAway(t *testing.T) {
+	is := is.New(t)
+	timing := lease.DefaultTiming()
+	m := lease.New(timing)
+	var s service
+	for _, e := range m.Tick(0, true) {
+		for _, e := range m.Step(0, s.do(0, e, timing.TTL)) {
+			m.Step(0, s.do(0, e, timing.TTL))
+		}
+	}
+	is.Equal(m.State(), lease.Holding)
+	is.True(m.MayOrder(time.Second, true))
+	for now := timing.Renew; now < timing.TTL; now += step {
+		for _, e := range m.Tick(now, true) {
+			m.Step(now, lease.Result{Attempt: e.Attempt, Outcome: lease.Lost})
+		}
+	}
+	is.True(!m.MayOrder(timing.TTL-timing.MaxOrder, true))
+	m.Tick(timing.TTL, true)
+	is.True(m.State() != lease.Holding)
+}
+
+// The answer to the create is lost after it took effect. Without the read-back
+// nobody would hold the responsibility until the lease lapses.
+func TestLostCreateIsSettledByReadBack(t *testing.T) {
+	is := is.New(t)
+	timing := lease.DefaultTiming()
+	m := lease.New(timing)
+	var s service
+	grant := m.Tick(0, true)[0]
+	create := m.Step(0, s.do(0, grant, timing.TTL))[0]
+	s.do(0, create, timing.TTL)
+	readBack := m.Step(0, lease.Result{Attempt: create.Attempt, Outcome: lease.Lost})[0]
+	is.Equal(readBack.Kind, lease.ReadBack)
+	m.Step(0, s.do(0, readBack, timing.TTL))
+	is.Equal(m.State(), lease.Holding)
+}
--- /dev/null
+++ b/coordination/rollout/rollout_test.go
@@ -0,0 +1,154 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/coordination/rollout"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+)
+
+// fleet obeys orders: a load takes some seconds and may fail.
+type fleet struct {
+	loaded  map[ident.RunnerID][]rollout.Loaded
+	loading map[rollout.Order]time.Duration
+	ids     []ident.RunnerID
+}
+
+func newFleet(n int, version string) *fleet {
+	f := &fleet{loaded: map[ident.RunnerID][]rollout.Loaded{}, loading: map[rollout.Order]time.Duration{}}
+	for i := range n {
+		id := ident.RunnerID(fmt.Sprintf("r%02d", i))
+		f.ids = append(f.ids, id)
+		if version != "" {
+			f.loaded[id] = []rollout.Loaded{{Model: "m", Version: version}}
+		}
+	}
+	return f
+}
+
+func (f *fleet) report() []rollout.Runner {
+	var out []rollout.Runner
+	for _, id := range f.ids {
+		r := rollout.Runner{ID: id, Loaded: append([]rollout.Loaded{}, f.loaded[id]...)}
+		for o := range f.loading {
+			if o.Runner == id {
+				r.Loaded = append(r.Loaded, rollout.Loaded{Model: o.Model, Version: o.Version, Loading: true})
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func (f *fleet) obey(now time.Duration, o rollout.Order) {
+	if o.Kind == rollout.Load {
+		f.loading[o] = now + 10*time.Second
+		return
+	}
+	var kept []rollout.Loaded
+	for _, l := range f.loaded[o.Runner] {
+		if l.Model != o.Model || l.Version != o.Version {
+			kept = append(kept, l)
+		}
+	}
+	f.loaded[o.Runner] = kept
+}
+
+func (f *fleet) advance(now time.Duration) {
+	for o, done := range f.loading {
+		if now >= done {
+			delete(f.loading, o)
+			f.loaded[o.Runner] = append(f.loaded[o.Runner], rollout.Loaded{Model: o.Model, Version: o.Version})
+		}
+	}
+}
+
+func (f *fleet) serving(version string) int {
+	n := 0
+	for _, list := range f.loaded {
+		for _, l := range list {
+			if l.Version == version {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// An operator changes a model's version. Callers must not see capacity fall:
+// at most a quarter of the runners load at once, and each keeps the old version
+// until it serves the new one.
+func TestRollingUpdateKeepsCapacity(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 30).Draw(rt, "runners")
+		f := newFleet(n, "1")
+		p := rollout.New(rollout.DefaultLimits())
+		models := []manifest.Model{{Name: "m", Version: "2"}}
+		for now := time.Second; now < 30*time.Minute; now += 5 * time.Second {
+			f.advance(now)
+			for _, o := range p.Plan(now, models, f.report()) {
+				if rapid.IntRange(0, 9).Draw(rt, "fails") == 0 {
+					p.Failed(now, o)
+					continue
+				}
+				f.obey(now, o)
+			}
+			if len(f.loading) > max(1, n/4) {
+				rt.Fatalf("%d of %d runners load at once", len(f.loading), n)
+			}
+			for _, id := range f.ids {
+				if len(f.loaded[id]) == 0 {
+					rt.Fatalf("runner %s serves nothing", id)
+				}
+			}
+		}
+		if f.serving("2") != n || f.serving("1") != 0 {
+			rt.Fatalf("at the end %d serve the new version, %d the old", f.serving("2"), f.serving("1"))
+		}
+	})
+}
+
+func TestCanaryShareStaysPut(t *testing.T) {
+	is := is.New(t)
+	m := &manifest.Model{Name: "m", Version: "1", Canary: &manifest.Canary{Version: "2", Share: 0.25}}
+	f := newFleet(12, "")
+	chosen := map[ident.RunnerID]bool{}
+	for _, id := range f.ids {
+		if rollout.TargetVersion(m, f.ids, id) == "2" {
+			chosen[id] = true
+		}
+	}
+	is.Equal(len(chosen), 3)
+	moved := 0
+	for _, id := range f.ids[1:] {
+		if (rollout.TargetVersion(m, f.ids[1:], id) == "2") != chosen[id] {
+			moved++
+		}
+	}
+	is.True(moved <= 1) // one runner less moves at most one canary
+}
+
+// A version that no runner can load is ordered again and again. The weight
+// store is shared, so the waits must grow.
+func TestFailedLoadBacksOff(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, "1")
+	p := rollout.New(rollout.DefaultLimits())
+	models := []manifest.Model{{Name: "m", Version: "broken"}}
+	tries := 0
+	for now := time.Second; now < time.Hour; now += time.Second {
+		for _, o := range p.Plan(now, models, f.report()) {
+			tries++
+			p.Failed(now, o)
+		}
+	}
+	is.True(tries >= 10 && tries <= 20)
+	is.Equal(f.serving("1"), 1)
+}
--- /dev/null
+++ b/ctl/admin.go
@@ -0,0 +1,284 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/subcommands"
+
+	adminv1 "geraniumstack.org/geraniumstack/gen/geranium/admin/v1"
+	"geraniumstack.org/geraniumstack/gen/geranium/admin/v1/adminv1connect"
+	"geraniumstack.org/geraniumstack/state/document"
+	"geraniumstack.org/geraniumstack/state/manifest"
+)
+
+const submissionIDBytes = 16
+
+// readManifest reads and checks a manifest before it is sent anywhere.
+func readManifest(f *flag.FlagSet) ([]byte, error) {
+	if f.NArg() != 1 {
+		return nil, &UsageError{Want: "one manifest file, or - for standard input"}
+	}
+	data, err := readFile(f.Arg(0))
+	if err != nil {
+		return nil, err
+	}
+	var m manifest.Manifest
+	if err := document.Decode(data, &m); err != nil {
+		return nil, fmt.Errorf("manifest %s: %w", f.Arg(0), err)
+	}
+	return data, nil
+}
+
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		data, err := io.ReadAll(os.Stdin)
+		if err != nil {
+			return nil, fmt.Errorf("read standard input: %w", err)
+		}
+		return data, nil
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("read file: %w", err)
+	}
+	return data, nil
+}
+
+// UsageError says what a command wanted on its command line.
+type UsageError struct{ Want string }
+
+func (e *UsageError) Error() string { return "usage: " + e.Want }
+
+type applyCmd struct {
+	common
+	expected   int64
+	submission string
+	wait       time.Duration
+}
+
+func (*applyCmd) Name() string     { return "apply" }
+func (*applyCmd) Synopsis() string { return "submit a manifest and wait until it is in force" }
+func (*applyCmd) Usage() string {
+	return "apply [flags] FILE\n  Submits a manifest. Status 3: another operator came first; 5: accepted, not yet in force everywhere.\n"
+}
+func (p *applyCmd) SetFlags(f *flag.FlagSet) {
+	p.setAdminFlags(f)
+	f.Int64Var(&p.expected, "expect", -1, "the generation that this manifest replaces; -1 is any")
+	f.StringVar(&p.submission, "submission", "", "id that makes the call repeatable; random by default")
+	f.DurationVar(&p.wait, "wait", 12*time.Second, "how long to wait until it is in force in every failure domain")
+}
+
+func (p *applyCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	data, err := readManifest(f)
+	if err != nil {
+		return p.fail(err)
+	}
+	if p.submission == "" {
+		p.submission = newSubmissionID()
+	}
+	p.timeout += p.wait
+	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.ApplyResponse], error) {
+		return c.Apply(ctx, connect.NewRequest(&adminv1.ApplyRequest{
+			Manifest: data, ExpectedGeneration: p.expected,
+			SubmissionId: p.submission, WaitMs: p.wait.Milliseconds(),
+		}))
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.print(resp, func(w io.Writer) {
+		fmt.Fprintf(w, "accepted as generation %d\n", resp.Generation)
+		writeDomains(w, resp.Domains)
+	})
+	if !resp.InForceEverywhere {
+		return ExitNotInForce
+	}
+	return subcommands.ExitSuccess
+}
+
+func newSubmissionID() string {
+	var b [submissionIDBytes]byte
+	// crypto/rand.Read never fails: it ends the program instead.
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func writeDomains(w io.Writer, domains []*adminv1.DomainStatus) {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "FAILURE DOMAIN\tGENERATION\tDAEMONS\tBEHIND")
+	for _, d := range domains {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", d.FailureDomain, d.Generation, d.Daemons, d.DaemonsBehind)
+	}
+	t.Flush()
+}
+
+type diffCmd struct{ common }
+
+func (*diffCmd) Name() string               { return "diff" }
+func (*diffCmd) Synopsis() string           { return "show what a manifest would change" }
+func (*diffCmd) Usage() string              { return "diff [flags] FILE\n  Status 1 if there is a difference.\n" }
+func (p *diffCmd) SetFlags(f *flag.FlagSet) { p.setAdminFlags(f) }
+
+func (p *diffCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	data, err := readManifest(f)
+	if err != nil {
+		return p.fail(err)
+	}
+	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.DiffResponse], error) {
+		return c.Diff(ctx, connect.NewRequest(&adminv1.DiffRequest{Manifest: data}))
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.print(resp, func(w io.Writer) {
+		fmt.Fprintf(w, "against generation %d\n", resp.Generation)
+		for _, ch := range resp.Changes {
+			fmt.Fprintf(w, "%s: %s -> %s\n", ch.Path, ch.Before, ch.After)
+		}
+	})
+	if len(resp.Changes) > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+type statusCmd struct{ common }
+
+func (*statusCmd) Name() string { return "status" }
+func (*statusCmd) Synopsis() string {
+	return "show the configuration in force, the daemons and the runners"
+}
+func (*statusCmd) Usage() string              { return "status [flags]\n" }
+func (p *statusCmd) SetFlags(f *flag.FlagSet) { p.setAdminFlags(f) }
+
+func (p *statusCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.StatusResponse], error) {
+		return c.Status(ctx, connect.NewRequest(&adminv1.StatusRequest{}))
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.print(resp, func(w io.Writer) { writeStatus(w, resp) })
+	return subcommands.ExitSuccess
+}
+
+func writeStatus(w io.Writer, s *adminv1.StatusResponse) {
+	reach := "reachable"
+	if !s.KeyValueServiceUp {
+		reach = "not reachable; going on with what is known"
+	}
+	fmt.Fprintf(w, "generation %d; key-value service %s\n\n", s.Generation, reach)
+	writeDomains(w, s.Domains)
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "\nDAEMON\tFAILURE DOMAIN\tADDRESS\tSTATE\tGENERATION\tHEARD")
+	for _, d := range s.Daemons {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%dms ago\n", d.Id, d.FailureDomain, d.CallerAddress, d.State, d.Generation, d.HeardMsAgo)
+	}
+	fmt.Fprintln(t, "\nRUNNER\tSERVICE\tFAILURE DOMAIN\tADDRESS\tSTATE\tDETAIL")
+	for _, r := range s.Runners {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\n", r.Id, r.Service, r.FailureDomain, r.Address, r.State, r.Detail)
+	}
+	t.Flush()
+}
+
+type historyCmd struct {
+	common
+	limit int
+}
+
+func (*historyCmd) Name() string     { return "history" }
+func (*historyCmd) Synopsis() string { return "list accepted configurations, newest first" }
+func (*historyCmd) Usage() string    { return "history [flags]\n" }
+func (p *historyCmd) SetFlags(f *flag.FlagSet) {
+	p.setAdminFlags(f)
+	f.IntVar(&p.limit, "n", 20, "how many")
+}
+
+func (p *historyCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.HistoryResponse], error) {
+		return c.History(ctx, connect.NewRequest(&adminv1.HistoryRequest{Limit: int32(p.limit)}))
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.print(resp, func(w io.Writer) {
+		t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+		fmt.Fprintln(t, "GENERATION\tACCEPTED\tBY\tSUBMISSION")
+		for _, e := range resp.Entries {
+			fmt.Fprintf(t, "%d\t%s\t%s\t%s\n", e.Generation, time.UnixMilli(e.AcceptedUnixMs).UTC().Format(time.RFC3339), e.Author, e.SubmissionId)
+		}
+		t.Flush()
+	})
+	return subcommands.ExitSuccess
+}
+
+type usageCmd struct{ common }
+
+func (*usageCmd) Name() string               { return "usage" }
+func (*usageCmd) Synopsis() string           { return "show each workspace's use and refusals at one daemon" }
+func (*usageCmd) Usage() string              { return "usage [flags]\n" }
+func (p *usageCmd) SetFlags(f *flag.FlagSet) { p.setAdminFlags(f) }
+
+func (p *usageCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.UsageResponse], error) {
+		return c.Usage(ctx, connect.NewRequest(&adminv1.UsageRequest{}))
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.print(resp, func(w io.Writer) { writeUsage(w, resp.Workspaces) })
+	return subcommands.ExitSuccess
+}
+
+func writeUsage(w io.Writer, list []*adminv1.WorkspaceUsage) {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "WORKSPACE\tACCEPTED\tANSWERED\tTOKENS\tREFUSED")
+	for _, u := range list {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%s\n", u.Workspace, u.Accepted, u.Answered, u.GeneratedTokens, joinCounts(u.Refused))
+	}
+	t.Flush()
+}
+
+func joinCounts(counts map[string]int64) string {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	text := ""
+	for _, name := range names {
+		text += fmt.Sprintf("%s=%d ", name, counts[name])
+	}
+	return text
+}
+
+type drainCmd struct{ common }
+
+func (*drainCmd) Name() string               { return "drain" }
+func (*drainCmd) Synopsis() string           { return "make a daemon or a runner take no new work" }
+func (*drainCmd) Usage() string              { return "drain [flags] ID\n" }
+func (p *drainCmd) SetFlags(f *flag.FlagSet) { p.setAdminFlags(f) }
+
+func (p *drainCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		return p.fail(&UsageError{Want: "the id of a daemon or a runner"})
+	}
+	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.DrainResponse], error) {
+		return c.Drain(ctx, connect.NewRequest(&adminv1.DrainRequest{Target: f.Arg(0)}))
+	})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.print(resp, func(w io.Writer) { fmt.Fprintln(w, "draining") })
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/ctl/bench.go
@@ -0,0 +1,124 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"geraniumstack.org/geraniumstack/bench"
+	"geraniumstack.org/geraniumstack/bench/plot"
+)
+
+type benchCmd struct {
+	common
+	seeds  string
+	arms   string
+	rounds int
+	plots  string
+	format string
+}
+
+func (*benchCmd) Name() string     { return "bench" }
+func (*benchCmd) Synopsis() string { return "run an experiment, its arms side by side" }
+func (*benchCmd) Usage() string {
+	text := "bench [flags] EXPERIMENT\n  Experiments:\n"
+	for _, e := range experiments() {
+		text += fmt.Sprintf("    %-10s %s\n", e.Name(), e.Synopsis())
+	}
+	return text
+}
+
+func (p *benchCmd) SetFlags(f *flag.FlagSet) {
+	p.setFlags(f)
+	f.StringVar(&p.seeds, "seeds", "1,2,3", "seeds, separated by commas; A-B is a range")
+	f.StringVar(&p.arms, "arms", "", "arms to run, separated by commas; all by default")
+	f.IntVar(&p.rounds, "rounds", 1, "rounds of each seed")
+	f.StringVar(&p.plots, "plots", "", "directory to draw the figures into")
+	f.StringVar(&p.format, "plot_format", "svg", "svg or png")
+}
+
+func (p *benchCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	experiment, err := find(f)
+	if err != nil {
+		return p.usage(err)
+	}
+	options, err := p.options()
+	if err != nil {
+		return p.usage(err)
+	}
+	report, err := experiment.Run(ctx, options)
+	if err != nil {
+		return p.fail(fmt.Errorf("experiment %s: %w", experiment.Name(), err))
+	}
+	p.print(report, func(w io.Writer) {
+		if err := report.WriteTable(w); err != nil {
+			fmt.Fprintln(p.errs, err)
+		}
+	})
+	return p.draw(report)
+}
+
+func (p *benchCmd) usage(err error) subcommands.ExitStatus {
+	fmt.Fprintln(p.errs, err)
+	return subcommands.ExitUsageError
+}
+
+func (p *benchCmd) draw(report bench.Report) subcommands.ExitStatus {
+	if p.plots == "" {
+		return subcommands.ExitSuccess
+	}
+	files, err := plot.Write(report, p.plots, p.format)
+	if err != nil {
+		return p.fail(err)
+	}
+	fmt.Fprintf(p.errs, "%d plots in %s\n", len(files), p.plots)
+	return subcommands.ExitSuccess
+}
+
+func find(f *flag.FlagSet) (bench.Experiment, error) {
+	for _, e := range experiments() {
+		if f.NArg() == 1 && e.Name() == f.Arg(0) {
+			return e, nil
+		}
+	}
+	return nil, &UsageError{Want: "the name of one experiment; see help bench"}
+}
+
+func (p *benchCmd) options() (bench.Options, error) {
+	seeds, err := parseSeeds(p.seeds)
+	if err != nil {
+		return bench.Options{}, err
+	}
+	options := bench.Options{Seeds: seeds, Rounds: p.rounds, Progress: p.errs}
+	if p.arms != "" {
+		options.Arms = strings.Split(p.arms, ",")
+	}
+	return options, nil
+}
+
+func parseSeeds(text string) ([]uint64, error) {
+	var seeds []uint64
+	for _, part := range strings.Split(text, ",") {
+		low, high, isRange := strings.Cut(part, "-")
+		if !isRange {
+			high = low
+		}
+		from, err := strconv.ParseUint(low, 10, 64)
+		if err != nil {
+			return nil, &UsageError{Want: "seeds like 1,2,5-9"}
+		}
+		to, err := strconv.ParseUint(high, 10, 64)
+		if err != nil || to < from {
+			return nil, &UsageError{Want: "seeds like 1,2,5-9"}
+		}
+		for s := from; s <= to; s++ {
+			seeds = append(seeds, s)
+		}
+	}
+	return seeds, nil
+}
--- /dev/null
+++ b/ctl/ctl.go
@@ -0,0 +1,169 @@
+// Package ctl holds the subcommands of geraniumctl.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/subcommands"
+
+	"geraniumstack.org/geraniumstack/gen/geranium/admin/v1/adminv1connect"
+	"geraniumstack.org/geraniumstack/state/document"
+)
+
+// Exit statuses beyond those of package subcommands (0 success, 1 failure, 2
+// usage). docs/operators/geraniumctl.md lists them.
+const (
+	// ExitInvalid says that a document is at fault.
+	ExitInvalid = subcommands.ExitUsageError
+	// ExitConflict says that another operator's manifest came first.
+	ExitConflict subcommands.ExitStatus = 3
+	// ExitUnavailable says that no daemon answered.
+	ExitUnavailable subcommands.ExitStatus = 4
+	// ExitNotInForce says that a manifest was accepted but is not yet in force
+	// in every failure domain.
+	ExitNotInForce subcommands.ExitStatus = 5
+)
+
+const (
+	outputJSON = "json"
+	outputText = "text"
+	keyEnv     = "GERANIUM_ADMIN_KEY"
+	adminEnv   = "GERANIUM_ADMIN"
+	adminURL   = "http://127.0.0.1:7003"
+	groupAdmin = "administration"
+	groupLocal = "offline"
+)
+
+// Register adds every subcommand to a commander.
+func Register(c *subcommands.Commander, out, errs io.Writer) {
+	base := common{out: out, errs: errs}
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	c.Register(c.CommandsCommand(), "")
+	c.Register(&applyCmd{common: base}, groupAdmin)
+	c.Register(&diffCmd{common: base}, groupAdmin)
+	c.Register(&statusCmd{common: base}, groupAdmin)
+	c.Register(&historyCmd{common: base}, groupAdmin)
+	c.Register(&usageCmd{common: base}, groupAdmin)
+	c.Register(&drainCmd{common: base}, groupAdmin)
+	c.Register(&gatewaysCmd{common: base}, groupAdmin)
+	c.Register(&checkCmd{common: base}, groupLocal)
+	c.Register(&schemaCmd{common: base}, groupLocal)
+	c.Register(&benchCmd{common: base}, groupLocal)
+}
+
+// common holds the flags that most commands share.
+type common struct {
+	out, errs io.Writer
+	admin     string
+	key       string
+	output    string
+	timeout   time.Duration
+}
+
+func (c *common) setFlags(f *flag.FlagSet) {
+	f.StringVar(&c.output, "o", outputText, "output: text or json")
+}
+
+func (c *common) setAdminFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.StringVar(&c.admin, "admin", envOr(adminEnv, adminURL), "admin listeners' base URLs, separated by commas; the first that answers is used")
+	f.StringVar(&c.key, "key", os.Getenv(keyEnv), "the operator's bearer key; "+keyEnv+" is the default")
+	f.DurationVar(&c.timeout, "timeout", 15*time.Second, "bound on each call")
+}
+
+func envOr(name, fallback string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return fallback
+}
+
+// print writes v as JSON, or text as it is.
+func (c *common) print(v any, text func(io.Writer)) {
+	if c.output != outputJSON {
+		text(c.out)
+		return
+	}
+	enc := json.NewEncoder(c.out)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		fmt.Fprintln(c.errs, "write output:", err)
+	}
+}
+
+func (c *common) fail(err error) subcommands.ExitStatus {
+	var invalid *document.InvalidError
+	if errors.As(err, &invalid) {
+		c.printProblems(invalid.Problems)
+		return ExitInvalid
+	}
+	fmt.Fprintln(c.errs, "error:", err)
+	return statusOf(err)
+}
+
+func (c *common) printProblems(problems []document.Problem) {
+	if c.output == outputJSON {
+		c.print(map[string]any{"problems": problems}, nil)
+		return
+	}
+	for _, p := range problems {
+		path := p.Path
+		if path == "" {
+			path = "/"
+		}
+		fmt.Fprintf(c.errs, "%s: %s\n", path, p.Reason)
+	}
+}
+
+func statusOf(err error) subcommands.ExitStatus {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument:
+		return ExitInvalid
+	case connect.CodeAborted, connect.CodeFailedPrecondition, connect.CodeAlreadyExists:
+		return ExitConflict
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded:
+		return ExitUnavailable
+	}
+	return subcommands.ExitFailure
+}
+
+// call runs one admin call against the first daemon that answers. A call that
+// may have reached a daemon goes on to the next one only if that is safe: all
+// admin calls are repeatable, Apply by its submission id.
+func call[Resp any](ctx context.Context, c *common, do func(context.Context, adminv1connect.AdminServiceClient) (*connect.Response[Resp], error)) (*Resp, error) {
+	var last error
+	for _, base := range strings.Split(c.admin, ",") {
+		client := adminv1connect.NewAdminServiceClient(http.DefaultClient, strings.TrimSpace(base), connect.WithInterceptors(bearer(c.key)))
+		callCtx, cancel := context.WithTimeout(ctx, c.timeout)
+		resp, err := do(callCtx, client)
+		cancel()
+		if err == nil {
+			return resp.Msg, nil
+		}
+		last = err
+		if statusOf(err) != ExitUnavailable {
+			break
+		}
+	}
+	return nil, fmt.Errorf("admin call: %w", last)
+}
+
+func bearer(key string) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			r.Header().Set("Authorization", "Bearer "+key)
+			return next(ctx, r)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/settings/settings.go
@@ -0,0 +1,218 @@
+// Package settings reads a daemon's JSON settings. All faults are reported at
+// once, each with its JSON path.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/document"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// Settings is what one daemon needs to know before it can ask anybody.
+type Settings struct {
+	// ID names this entry VM's place; a replacement keeps it.
+	ID            ident.DaemonID      `json:"id" jsonschema:"minLength=1"`
+	FailureDomain ident.FailureDomain `json:"failure_domain" jsonschema:"minLength=1"`
+	Listen        Listen              `json:"listen"`
+	// Seeds are peers' addresses to begin with; its own may be among them.
+	Seeds    []string `json:"seeds"`
+	Platform Platform `json:"platform"`
+	Limits   Limits   `json:"limits,omitempty"`
+	Shutdown Shutdown `json:"shutdown,omitempty"`
+	Admin    Admin    `json:"admin,omitempty"`
+	TLS      *TLS     `json:"tls,omitempty"`
+}
+
+// Listen holds the addresses, IP and port, of the three listeners. Port 0 is
+// chosen by the system.
+type Listen struct {
+	Callers string `json:"callers" jsonschema:"minLength=1"`
+	Peers   string `json:"peers" jsonschema:"minLength=1"`
+	Admin   string `json:"admin" jsonschema:"minLength=1"`
+}
+
+// Platform holds the base URLs of the platform's services.
+type Platform struct {
+	KeyValue string `json:"key_value" jsonschema:"minLength=1"`
+	VMList   string `json:"vm_list" jsonschema:"minLength=1"`
+	Cloud    string `json:"cloud" jsonschema:"minLength=1"`
+	Weights  string `json:"weights,omitempty"`
+}
+
+// Limits bounds what one caller can take; zero is the default.
+type Limits struct {
+	MaxBodyBytes            int64 `json:"max_body_bytes,omitempty" jsonschema:"minimum=0"`
+	MaxHeaderBytes          int   `json:"max_header_bytes,omitempty" jsonschema:"minimum=0"`
+	ReadTimeoutMillis       int   `json:"read_timeout_ms,omitempty" jsonschema:"minimum=0"`
+	WriteTimeoutMillis      int   `json:"write_timeout_ms,omitempty" jsonschema:"minimum=0"`
+	MaxConcurrent           int   `json:"max_concurrent,omitempty" jsonschema:"minimum=0"`
+	GatewaysLifetimeMillis  int   `json:"gateways_lifetime_ms,omitempty" jsonschema:"minimum=0"`
+	CallerHeartbeatMillis   int   `json:"caller_heartbeat_ms,omitempty" jsonschema:"minimum=0"`
+	MaxServiceTimeoutMillis int   `json:"max_service_timeout_ms,omitempty" jsonschema:"minimum=0"`
+}
+
+// Shutdown bounds a graceful shutdown.
+type Shutdown struct {
+	GraceMillis int `json:"grace_ms,omitempty" jsonschema:"minimum=0"`
+}
+
+// Admin holds the operators' credentials.
+type Admin struct {
+	Credentials []Credential `json:"credentials,omitempty"`
+}
+
+// Credential lets the holder of a key act in a role.
+type Credential struct {
+	Name string `json:"name" jsonschema:"minLength=1"`
+	Role string `json:"role" jsonschema:"enum=viewer,enum=operator"`
+	// KeyHash is the SHA-256 hash, in hex, of the bearer key.
+	KeyHash string `json:"key_hash" jsonschema:"pattern=^[0-9a-f]{64}$"`
+}
+
+// TLS names the files of the peers' and the admin listener's keys; they are
+// read again when they change.
+type TLS struct {
+	CertFile string `json:"cert_file" jsonschema:"minLength=1"`
+	KeyFile  string `json:"key_file" jsonschema:"minLength=1"`
+	CAFile   string `json:"ca_file" jsonschema:"minLength=1"`
+}
+
+// Defaults of the bounds.
+const (
+	DefaultMaxBodyBytes      = 4 << 20
+	DefaultMaxHeaderBytes    = 64 << 10
+	DefaultReadTimeout       = 10 * time.Second
+	DefaultWriteTimeout      = 10 * time.Second
+	DefaultMaxConcurrent     = 4096
+	DefaultGatewaysLifetime  = 2 * time.Second
+	DefaultCallerHeartbeat   = 5 * time.Second
+	DefaultMaxServiceTimeout = 30 * time.Second
+	DefaultGrace             = 20 * time.Second
+)
+
+// Load reads and checks a settings file. Faults of its content are an
+// *document.InvalidError.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(data)
+}
+
+// Parse checks settings and fills in the defaults.
+func Parse(data []byte) (*Settings, error) {
+	var s Settings
+	if err := document.Decode(data, &s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s.fillDefaults()
+	return &s, nil
+}
+
+func (s *Settings) fillDefaults() {
+	l := &s.Limits
+	setInt64(&l.MaxBodyBytes, DefaultMaxBodyBytes)
+	setInt(&l.MaxHeaderBytes, DefaultMaxHeaderBytes)
+	setMillis(&l.ReadTimeoutMillis, DefaultReadTimeout)
+	setMillis(&l.WriteTimeoutMillis, DefaultWriteTimeout)
+	setInt(&l.MaxConcurrent, DefaultMaxConcurrent)
+	setMillis(&l.GatewaysLifetimeMillis, DefaultGatewaysLifetime)
+	setMillis(&l.CallerHeartbeatMillis, DefaultCallerHeartbeat)
+	setMillis(&l.MaxServiceTimeoutMillis, DefaultMaxServiceTimeout)
+	setMillis(&s.Shutdown.GraceMillis, DefaultGrace)
+}
+
+func setInt(v *int, d int) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func setInt64(v *int64, d int64) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+func setMillis(v *int, d time.Duration) { setInt(v, int(d.Milliseconds())) }
+
+// Millis turns a setting in milliseconds into a duration.
+func Millis(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// Check finds addresses that are not IP and port, URLs that name no IP, and
+// listeners that clash.
+func (s *Settings) Check() []document.Problem {
+	var c checks
+	c.address("/listen/callers", s.Listen.Callers)
+	c.address("/listen/peers", s.Listen.Peers)
+	c.address("/listen/admin", s.Listen.Admin)
+	for i, seed := range s.Seeds {
+		c.address(fmt.Sprintf("/seeds/%d", i), seed)
+	}
+	c.baseURL("/platform/key_value", s.Platform.KeyValue)
+	c.baseURL("/platform/vm_list", s.Platform.VMList)
+	c.baseURL("/platform/cloud", s.Platform.Cloud)
+	if s.Platform.Weights != "" {
+		c.baseURL("/platform/weights", s.Platform.Weights)
+	}
+	c.distinct(s.Listen)
+	c.credentials(s.Admin.Credentials)
+	return c.found
+}
+
+type checks struct{ found []document.Problem }
+
+func (c *checks) add(path, format string, args ...any) {
+	c.found = append(c.found, document.Problem{Path: path, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (c *checks) address(path, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(path, "must be an IP address and a port: %v", err)
+	}
+}
+
+func (c *checks) baseURL(path, value string) {
+	u, err := url.Parse(value)
+	if err != nil {
+		c.add(path, "must be a URL: %v", err)
+		return
+	}
+	if u.Scheme != "http" && u.Scheme != "https" {
+		c.add(path, "must begin with http:// or https://")
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		c.add(path, "must name its host by IP address")
+	}
+}
+
+func (c *checks) distinct(l Listen) {
+	seen := map[string]string{}
+	for _, entry := range []struct{ path, address string }{
+		{"/listen/callers", l.Callers}, {"/listen/peers", l.Peers}, {"/listen/admin", l.Admin},
+	} {
+		if ap, err := netip.ParseAddrPort(entry.address); err != nil || ap.Port() == 0 {
+			continue
+		}
+		if first, ok := seen[entry.address]; ok {
+			c.add(entry.path, "is the same as %s", first)
+		}
+		seen[entry.address] = entry.path
+	}
+}
+
+func (c *checks) credentials(list []Credential) {
+	seen := map[string]int{}
+	for i, cred := range list {
+		if first, ok := seen[cred.KeyHash]; ok {
+			c.add(fmt.Sprintf("/admin/credentials/%d/key_hash", i), "is the same as that of credential %d", first)
+		}
+		seen[cred.KeyHash] = i
+	}
+}
--- /dev/null
+++ b/state/usage/usage.go
@@ -0,0 +1,75 @@
+// Package usage counts, per workspace, what was accepted, answered, generated
+// and refused by this daemon since it started.
+package usage
+
+import (
+	"maps"
+	"sync"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// Counts is one workspace's use.
+type Counts struct {
+	Accepted        int64
+	Answered        int64
+	GeneratedTokens int64
+	Refused         map[refusal.Reason]int64
+}
+
+// Table holds the counts of all workspaces. It is safe for concurrent use. Its
+// keys come from the manifest only, so a caller can't make it grow.
+type Table struct {
+	mu     sync.Mutex
+	counts map[ident.Workspace]*Counts
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{counts: map[ident.Workspace]*Counts{}} }
+
+// at needs t.mu held.
+func (t *Table) at(ws ident.Workspace) *Counts {
+	c, ok := t.counts[ws]
+	if !ok {
+		c = &Counts{Refused: map[refusal.Reason]int64{}}
+		t.counts[ws] = c
+	}
+	return c
+}
+
+// Accepted counts a request that was taken on.
+func (t *Table) Accepted(ws ident.Workspace) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.at(ws).Accepted++
+}
+
+// Answered counts a whole answer and its generated tokens.
+func (t *Table) Answered(ws ident.Workspace, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.at(ws)
+	c.Answered++
+	c.GeneratedTokens += int64(tokens)
+}
+
+// Refused counts a refusal.
+func (t *Table) Refused(ws ident.Workspace, reason refusal.Reason) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.at(ws).Refused[reason]++
+}
+
+// Snapshot copies the counts.
+func (t *Table) Snapshot() map[ident.Workspace]Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[ident.Workspace]Counts, len(t.counts))
+	for ws, c := range t.counts {
+		copied := *c
+		copied.Refused = maps.Clone(c.Refused)
+		out[ws] = copied
+	}
+	return out
+}
--- /dev/null
+++ b/transport/gateway/errors.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// ErrorBody is the JSON form of a refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail tells a caller why, whether anything ran and when to come back.
+type ErrorDetail struct {
+	Code     refusal.Reason   `json:"code"`
+	Message  string           `json:"message"`
+	Type     string           `json:"type"`
+	Executed refusal.Executed `json:"executed"`
+	// RetryAfterMillis is left out where a retry would be refused again.
+	RetryAfterMillis int64 `json:"retry_after_ms,omitempty"`
+}
+
+const errorType = "refusal"
+
+var statuses = map[refusal.Reason]int{
+	refusal.BadRequest:           http.StatusBadRequest,
+	refusal.BodyTooLarge:         http.StatusRequestEntityTooLarge,
+	refusal.UnsupportedMethod:    http.StatusMethodNotAllowed,
+	refusal.UnknownModel:         http.StatusNotFound,
+	refusal.UnknownService:       http.StatusNotFound,
+	refusal.UnknownRoute:         http.StatusNotFound,
+	refusal.UnknownRequest:       http.StatusNotFound,
+	refusal.Unauthenticated:      http.StatusUnauthorized,
+	refusal.WorkspaceLimit:       http.StatusTooManyRequests,
+	refusal.DeadlineExceeded:     http.StatusGatewayTimeout,
+	refusal.KeyRequired:          http.StatusBadRequest,
+	refusal.KeyMalformed:         http.StatusBadRequest,
+	refusal.KeyExpired:           http.StatusGone,
+	refusal.KeyReused:            http.StatusUnprocessableEntity,
+	refusal.OutcomeUnknown:       http.StatusBadGateway,
+	refusal.RunnerFailed:         http.StatusBadGateway,
+	refusal.RetryBudgetExhausted: http.StatusServiceUnavailable,
+	refusal.Internal:             http.StatusInternalServerError,
+}
+
+func statusOf(reason refusal.Reason) int {
+	if s, ok := statuses[reason]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
+
+func bodyOf(r *refusal.Refusal) ErrorBody {
+	return ErrorBody{Error: ErrorDetail{
+		Code:             r.Reason,
+		Message:          r.Detail,
+		Type:             errorType,
+		Executed:         r.Executed,
+		RetryAfterMillis: r.RetryAfter.Milliseconds(),
+	}}
+}
+
+// writeError is the one place where a refusal leaves the gateway; it counts
+// each by its reason.
+func (g *Gateway) writeError(c *echo.Context, err error) {
+	r := refusalOf(err)
+	g.countRefusal(c, r)
+	if r.Reason == refusal.Internal {
+		klog.ErrorS(err, "Request failed", "method", c.Request().Method, "path", c.Request().URL.Path)
+	}
+	if res, e := echo.UnwrapResponse(c.Response()); e == nil && res.Committed {
+		return
+	}
+	if r.RetryAfter > 0 {
+		c.Response().Header().Set("Retry-After", retryAfterSeconds(r.RetryAfter))
+	}
+	// The caller has gone when this fails; there is nobody to tell.
+	_ = c.JSON(statusOf(r.Reason), bodyOf(r))
+}
+
+func (g *Gateway) countRefusal(c *echo.Context, r *refusal.Refusal) {
+	g.count("refused." + string(r.Reason))
+	if ws, ok := c.Get(workspaceKey).(ident.Workspace); ok {
+		g.Usage.Refused(ws, r.Reason)
+	}
+}
+
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// refusalOf maps the router's and the body reader's errors; all of these come
+// before anything was dispatched.
+func refusalOf(err error) *refusal.Refusal {
+	var known *refusal.Refusal
+	if errors.As(err, &known) {
+		return known
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refusal.New(refusal.BodyTooLarge, "the body is over %d bytes", tooLarge.Limit)
+	}
+	switch status := echo.StatusCode(err); status {
+	case http.StatusNotFound:
+		return refusal.New(refusal.UnknownRoute, "no such path")
+	case http.StatusMethodNotAllowed:
+		return refusal.New(refusal.UnsupportedMethod, "this path has no such method")
+	}
+	return refusal.From(err)
+}
+
+// BodyError says that a request's body could not be read or understood.
+type BodyError struct{ Err error }
+
+func (e *BodyError) Error() string { return fmt.Sprintf("body: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *BodyError) Unwrap() error { return e.Err }
+
+func readBody(c *echo.Context) ([]byte, error) {
+	data, err := io.ReadAll(c.Request().Body)
+	if err == nil {
+		return data, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &BodyError{Err: err}
+	}
+	return nil, refusal.New(refusal.BadRequest, "the body ended early: %v", err)
+}
--- /dev/null
+++ b/transport/gateway/gateway.go
@@ -0,0 +1,100 @@
+// Package gateway is the callers' HTTP interface: the OpenAI-style model API,
+// plain services, the list of gateways and the outcome of earlier calls. It
+// holds no policy; the interfaces of package call decide.
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/state/usage"
+)
+
+// Config holds what the interface works with. All fields are required.
+type Config struct {
+	Configuration view.Config
+	Directory     view.Directory
+	Models        call.Models
+	Actions       call.Actions
+	Services      call.Services
+	// NewRequestID makes the name of a request accepted here.
+	NewRequestID func() ident.RequestID
+	Usage        *usage.Table
+	Metrics      metrics.Registry
+	Limits       Limits
+}
+
+// Limits bounds what callers can take.
+type Limits struct {
+	MaxBodyBytes      int64
+	MaxConcurrent     int
+	WriteTimeout      time.Duration
+	Heartbeat         time.Duration
+	GatewaysLifetime  time.Duration
+	MaxServiceTimeout time.Duration
+}
+
+// Gateway serves callers. It is safe for concurrent use.
+type Gateway struct {
+	Config
+	echo        *echo.Echo
+	credentials credentials
+	inProgress  atomic.Int64
+	draining    atomic.Bool
+}
+
+// New makes a gateway.
+func New(c Config) *Gateway {
+	g := &Gateway{Config: c, echo: echo.New()}
+	g.echo.HTTPErrorHandler = g.writeError
+	g.routes()
+	return g
+}
+
+// ServeHTTP serves one caller's request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.echo.ServeHTTP(w, r) }
+
+// StopAccepting refuses all new work from now on. Requests already accepted
+// can still be read.
+func (g *Gateway) StopAccepting() { g.draining.Store(true) }
+
+func (g *Gateway) routes() {
+	g.echo.GET("/v1/gateways", g.listGateways)
+	g.echo.GET("/v1/models", g.listModels)
+	g.echo.POST("/v1/chat/completions", g.chatCompletions, g.bounded)
+	g.echo.POST("/v1/completions", g.completions, g.bounded)
+	g.echo.GET("/v1/requests/:id", g.readRequest)
+	g.echo.DELETE("/v1/requests/:id", g.cancelRequest)
+	g.echo.GET("/v1/actions/:key", g.readOutcome)
+	g.echo.Any("/v1/services/:service/*", g.callService, g.bounded)
+}
+
+// bounded refuses new work at the bound of concurrent requests or while
+// draining, and limits the body that a handler can read.
+func (g *Gateway) bounded(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		if g.draining.Load() {
+			return refusal.New(refusal.Draining, "this gateway takes no new work; ask /v1/gateways of another").After(time.Second)
+		}
+		if g.inProgress.Add(1) > int64(g.Limits.MaxConcurrent) {
+			g.inProgress.Add(-1)
+			return refusal.New(refusal.Overloaded, "too many requests in progress at this gateway").After(time.Second)
+		}
+		defer g.inProgress.Add(-1)
+		r := c.Request()
+		r.Body = http.MaxBytesReader(c.Response(), r.Body, g.Limits.MaxBodyBytes)
+		return next(c)
+	}
+}
+
+func (g *Gateway) count(name string) {
+	metrics.GetOrRegisterCounter(name, g.Metrics).Inc(1)
+}
--- /dev/null
+++ b/transport/gateway/requests.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v5"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+const lastEventID = "Last-Event-ID"
+
+// readRequest gives the output of an accepted request, from the event after
+// Last-Event-ID on if it is streamed.
+func (g *Gateway) readRequest(c *echo.Context) error {
+	_, ws, err := g.authenticate(c)
+	if err != nil {
+		return err
+	}
+	a := answer{object: objectChat, id: ident.RequestID(c.Param("id")), workspace: ws}
+	offset, resumed, err := resumeOffset(c)
+	if err != nil {
+		return err
+	}
+	if resumed || strings.Contains(c.Request().Header.Get("Accept"), "text/event-stream") {
+		return g.stream(c, a, offset)
+	}
+	return g.whole(c, a)
+}
+
+func resumeOffset(c *echo.Context) (offset int, resumed bool, err error) {
+	text := c.Request().Header.Get(lastEventID)
+	if text == "" {
+		return 0, false, nil
+	}
+	offset, err = strconv.Atoi(text)
+	if err != nil || offset < 0 {
+		return 0, false, refusal.New(refusal.BadRequest, "%s must be the id of an event", lastEventID)
+	}
+	return offset, true, nil
+}
+
+func (g *Gateway) cancelRequest(c *echo.Context) error {
+	_, ws, err := g.authenticate(c)
+	if err != nil {
+		return err
+	}
+	if err := g.Models.Cancel(c.Request().Context(), ws, ident.RequestID(c.Param("id"))); err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/transport/gateway/services.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+const (
+	idempotencyKey = "Idempotency-Key"
+	executedHeader = "X-Executed"
+	pendingRetry   = 200 * time.Millisecond
+)
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1) or are ours.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Proxy-Connection": true, "Authorization": true, idempotencyKey: true, timeoutHeader: true,
+}
+
+// callService passes a call to a plain service: by the action path unless the
+// manifest says that the call may run twice.
+func (g *Gateway) callService(c *echo.Context) error {
+	m, ws, err := g.authenticate(c)
+	if err != nil {
+		return err
+	}
+	sc, route, err := g.serviceCall(c, m, ws)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(c.Request().Context(), sc.Deadline)
+	defer cancel()
+	answer, err := g.dispatchService(ctx, sc, route)
+	if err != nil {
+		return err
+	}
+	g.count("answered_whole.service")
+	g.Usage.Answered(ws, 0)
+	return writeAnswer(c, answer)
+}
+
+func (g *Gateway) dispatchService(ctx context.Context, sc call.ServiceCall, route *manifest.Route) (call.Answer, error) {
+	g.count("accepted.service")
+	g.Usage.Accepted(sc.Workspace)
+	if route.Repeatable {
+		return g.Services.Call(ctx, sc)
+	}
+	if sc.Key == "" {
+		return call.Answer{}, refusal.New(refusal.KeyRequired,
+			"this call may not be repeated: send an %s made of the key_token of /v1/gateways and a suffix of your own", idempotencyKey)
+	}
+	return g.Actions.Execute(ctx, sc)
+}
+
+func (g *Gateway) serviceCall(c *echo.Context, m *manifest.Manifest, ws ident.Workspace) (call.ServiceCall, *manifest.Route, error) {
+	var none call.ServiceCall
+	service := m.ServiceNamed(c.Param("service"))
+	if service == nil || service.Kind != manifest.KindPlain {
+		return none, nil, refusal.New(refusal.UnknownService, "no plain service %q", c.Param("service"))
+	}
+	r := c.Request()
+	path := "/" + c.Param("*")
+	route := service.RouteFor(r.Method, path)
+	if route == nil {
+		return none, nil, refusal.New(refusal.UnknownRoute, "service %q has no route for %s %s", service.Name, r.Method, path)
+	}
+	body, err := readBody(c)
+	if err != nil {
+		return none, nil, err
+	}
+	deadline, err := deadlineOf(c, g.Limits.MaxServiceTimeout)
+	if err != nil {
+		return none, nil, err
+	}
+	return call.ServiceCall{
+		Workspace: ws, Service: service.Name,
+		Key: r.Header.Get(idempotencyKey), Method: r.Method, Path: withQuery(path, r.URL),
+		Headers: endToEnd(r.Header), Body: body, Deadline: deadline,
+	}, route, nil
+}
+
+func withQuery(path string, u *url.URL) string {
+	if u.RawQuery == "" {
+		return path
+	}
+	return path + "?" + u.RawQuery
+}
+
+func endToEnd(h http.Header) []call.Header {
+	out := []call.Header{}
+	dropped := strings.ToLower(h.Get("Connection"))
+	for name, values := range h {
+		if hopHeaders[name] || strings.Contains(dropped, strings.ToLower(name)) {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, call.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func writeAnswer(c *echo.Context, a call.Answer) error {
+	h := c.Response().Header()
+	contentType := ""
+	for _, f := range a.Headers {
+		name := http.CanonicalHeaderKey(f.Name)
+		if hopHeaders[name] {
+			continue
+		}
+		if name == "Content-Type" {
+			contentType = f.Value
+			continue
+		}
+		h.Add(name, f.Value)
+	}
+	h.Set(executedHeader, string(refusal.ExecutedYes))
+	return c.Blob(a.Status, contentType, a.Body)
+}
+
+// readOutcome tells what became of an earlier call that may not be repeated.
+func (g *Gateway) readOutcome(c *echo.Context) error {
+	_, ws, err := g.authenticate(c)
+	if err != nil {
+		return err
+	}
+	key, err := url.PathUnescape(c.Param("key"))
+	if err != nil {
+		return refusal.New(refusal.KeyMalformed, "the key is not a path segment: %v", err).Unknown()
+	}
+	answer, pending, err := g.Actions.Outcome(c.Request().Context(), ws, key)
+	if err != nil {
+		return err
+	}
+	if pending {
+		c.Response().Header().Set("Retry-After", retryAfterSeconds(pendingRetry))
+		return c.NoContent(http.StatusAccepted)
+	}
+	return writeAnswer(c, answer)
+}
