--- a/ctl/experiments.go
+++ b/ctl/experiments.go
@@ -2,9 +2,12 @@
 
 import (
 	"geraniumstack.org/geraniumstack/bench"
+	"geraniumstack.org/geraniumstack/bench/fleet"
 )
 
 // experiments lists what the bench command can run.
 func experiments() []bench.Experiment {
-	return []bench.Experiment{}
+	return []bench.Experiment{
+		fleet.Experiment{},
+	}
 }
