--- /dev/null
+++ b/daemon/orders/ledger.go
@@ -0,0 +1,112 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/fleet"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+const ledgerPrefix = "fleet/"
+
+// slot is a start that was decided on. It stands in the ledger before the cloud
+// is asked and until the VM shows in the list or the cloud refuses.
+type slot struct {
+	Token string     `json:"token"`
+	Pool  fleet.Pool `json:"pool"`
+	// VM is the cloud's answer; empty until it is known.
+	VM          string `json:"vm,omitempty"`
+	AddedUnixMS int64  `json:"added_unix_ms"`
+}
+
+// stop is a graceful stop in progress.
+type stop struct {
+	VM         string `json:"vm"`
+	Address    string `json:"address"`
+	DueUnixMS  int64  `json:"due_unix_ms"`
+	Dispatched bool   `json:"dispatched,omitempty"`
+}
+
+// ledgerState is the value in the key-value service.
+type ledgerState struct {
+	// Holder is the fencing token of the tenure that wrote last.
+	Holder uint64 `json:"holder"`
+	Slots  []slot `json:"slots,omitempty"`
+	Stops  []stop `json:"stops,omitempty"`
+}
+
+// ledger is the holder's copy. Every change is a compare-and-swap against the
+// revision that the copy was read at. A new holder's first act is such a write,
+// so a paused predecessor's next write fails and it starts or stops nothing.
+type ledger struct {
+	store    kv.Store
+	key      string
+	state    ledgerState
+	revision kv.Revision
+}
+
+// LedgerLostError says that another holder has written the ledger, or that it
+// is not known whether a write took effect; it must be read again.
+type LedgerLostError struct{ Err error }
+
+func (e *LedgerLostError) Error() string { return fmt.Sprintf("ledger lost: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *LedgerLostError) Unwrap() error { return e.Err }
+
+// openLedger reads the ledger and claims it for a tenure.
+func openLedger(ctx context.Context, store kv.Store, service string, held uint64) (*ledger, error) {
+	l := &ledger{store: store, key: ledgerPrefix + service}
+	entry, err := store.Get(ctx, l.key)
+	if err != nil {
+		return nil, fmt.Errorf("read ledger: %w", err)
+	}
+	l.revision = entry.Revision
+	if entry.Revision != 0 {
+		if err := json.Unmarshal(entry.Value, &l.state); err != nil {
+			return nil, fmt.Errorf("ledger of %s: %w", service, err)
+		}
+	}
+	if l.state.Holder > held {
+		return nil, &LedgerLostError{Err: &NotHeldError{Responsibility: l.key}}
+	}
+	l.state.Holder = held
+	return l, l.write(ctx)
+}
+
+func (l *ledger) write(ctx context.Context) error {
+	data, err := json.Marshal(l.state)
+	if err != nil {
+		return fmt.Errorf("marshal ledger: %w", err)
+	}
+	revision, err := l.store.CompareAndSwap(ctx, l.key, l.revision, data, 0)
+	if err != nil {
+		return &LedgerLostError{Err: err}
+	}
+	l.revision = revision
+	return nil
+}
+
+func (l *ledger) addSlots(ctx context.Context, starts []fleet.Start, now time.Time) error {
+	if len(starts) == 0 {
+		return nil
+	}
+	for i, s := range starts {
+		// Unique for all time: a revision is never given twice.
+		token := fmt.Sprintf("%s/%d/%d", l.key, l.revision, i)
+		l.state.Slots = append(l.state.Slots, slot{Token: token, Pool: s.Pool, AddedUnixMS: now.UnixMilli()})
+	}
+	return l.write(ctx)
+}
+
+func (l *ledger) dropSlots(tokens []string) {
+	l.state.Slots = slices.DeleteFunc(l.state.Slots, func(s slot) bool { return slices.Contains(tokens, s.Token) })
+}
+
+func (l *ledger) stopping(vm string) bool {
+	return slices.ContainsFunc(l.state.Stops, func(s stop) bool { return s.VM == vm })
+}
