--- /dev/null
+++ b/daemon/models/config.go
@@ -0,0 +1,150 @@
+package models
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/gen/geranium/request/v1/requestv1connect"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/protocol/request"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
+)
+
+// Engines reaches model engines by their address.
+type Engines interface {
+	// Generate runs an attempt until its stream ends, passing each line on. An
+	// error that has a method NotStarted() bool returning true promises that
+	// the attempt did not start.
+	Generate(ctx context.Context, address string, r engineapi.GenerateRequest, sink func(engineapi.GenerateEvent) error) error
+	Cancel(ctx context.Context, address string, r engineapi.CancelRequest) error
+	Export(ctx context.Context, address string, r engineapi.ExportRequest) (engineapi.ExportResponse, error)
+	Import(ctx context.Context, address string, r engineapi.ImportRequest) (engineapi.ImportResponse, error)
+}
+
+// Peers reaches other daemons by their peer address.
+type Peers interface {
+	Requests(address string) requestv1connect.RequestServiceClient
+}
+
+// Job is what a runner is to be picked for.
+type Job struct {
+	Request call.ModelRequest
+	Service string
+	// Offset is the number of tokens emitted so far.
+	Offset int
+	// Emitted are these tokens; shared, not to be changed.
+	Emitted []string
+	Exclude []ident.RunnerID
+	// After is why an earlier attempt ended; empty for the first.
+	After request.Cause
+}
+
+// Choice is a picked runner.
+type Choice struct {
+	Runner  ident.RunnerID
+	Address string
+}
+
+// Attempt is one attempt's end as the picker learns it.
+type Attempt struct {
+	Runner  ident.RunnerID
+	Address string
+	// Answered attempts ended with the whole answer.
+	Answered bool
+	// Cause is why it ended otherwise; empty if nothing is wrong with the
+	// runner.
+	Cause request.Cause
+	// Tokens were emitted by this attempt; CachedTokens of the prompt were
+	// not computed anew.
+	Tokens, CachedTokens int
+}
+
+// Picker admits requests and picks runners. Errors are or wrap
+// *refusal.Refusal.
+type Picker interface {
+	// Acquire admits a request, or refuses it; release ends its share.
+	Acquire(ctx context.Context, r call.ModelRequest) (release func(), err error)
+	// Pick chooses a runner for an attempt.
+	Pick(ctx context.Context, j Job) (Choice, error)
+	// Started and Ended tell of each attempt.
+	Started(j Job, c Choice)
+	Ended(j Job, a Attempt)
+}
+
+// Config is what Models works with.
+type Config struct {
+	Self      ident.Incarnation
+	Directory view.Directory
+	Config    view.Config
+	Engines   Engines
+	Peers     Peers
+	// Picker defaults to RoundRobin over Directory.
+	Picker  Picker
+	Metrics metrics.Registry
+	Limits  Limits
+}
+
+// Limits bound what Models keeps and waits for; zero fields get defaults.
+type Limits struct {
+	Request request.Limits
+	// Live bounds the requests in progress.
+	Live int
+	// Finished bounds the ended requests kept for late readers, Retention
+	// for how long.
+	Finished  int
+	Retention time.Duration
+	// MaxTokens applies where a request names no limit of its own.
+	MaxTokens int
+	// Heartbeat is how often an idle stream shows that it is alive; Silence
+	// is how long a peer's stream may carry nothing.
+	Heartbeat, Silence time.Duration
+	// Renew is how often progress of recorded requests goes to their keepers.
+	Renew time.Duration
+	// OwnerGone is how long an owner must be missing from the directory,
+	// and must not have renewed its records, before they are adopted.
+	OwnerGone time.Duration
+	// Lookup bounds the search for a request's owner.
+	Lookup time.Duration
+	// DrainAccept is how long after a notice new requests are still taken.
+	DrainAccept time.Duration
+	// ReclaimMargin is kept free before a runner's VM goes.
+	ReclaimMargin time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.Request == (request.Limits{}) {
+		l.Request = request.DefaultLimits()
+	}
+	setDefault(&l.Live, 10_000)
+	setDefault(&l.Finished, 10_000)
+	setDefault(&l.MaxTokens, 4096)
+	setDefault(&l.Retention, 10*time.Minute)
+	setDefault(&l.Heartbeat, time.Second)
+	setDefault(&l.Silence, 3*time.Second)
+	setDefault(&l.Renew, 2*time.Second)
+	setDefault(&l.OwnerGone, 5*time.Second)
+	setDefault(&l.Lookup, 30*time.Second)
+	setDefault(&l.DrainAccept, 2*time.Second)
+	setDefault(&l.ReclaimMargin, 2*time.Second)
+	return l
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// HTTPPeers reaches peers over plain HTTP.
+type HTTPPeers struct{ Client *http.Client }
+
+// Requests returns a client for the daemon at the address (host:port).
+func (p HTTPPeers) Requests(address string) requestv1connect.RequestServiceClient {
+	return requestv1connect.NewRequestServiceClient(p.Client, "http://"+address)
+}
--- /dev/null
+++ b/protocol/request/request.go
@@ -0,0 +1,406 @@
+// Package request is the life of one accepted model request as a pure state
+// machine: attempts at runners, silence, resumption at the offset, moves off
+// leaving runners, retries, and the one final answer. Inputs come with the
+// time; effects are for the driver.
+package request
+
+import (
+	"fmt"
+	"time"
+
+	"geraniumstack.org/geraniumstack/protocol/stream"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// Limits bound how long and how often a request tries.
+type Limits struct {
+	// Silence is how long an engine's connection may carry nothing. Engines
+	// send a heartbeat each second.
+	Silence time.Duration
+	// Reopens is how often a connection is opened anew to the same runner
+	// without progress before the runner is given up on.
+	Reopens int
+	// Failures is how many runners may fail a request without progress; a
+	// deferrable one is not bound by it.
+	Failures int
+	// BackoffMin and BackoffMax bound the wait for capacity.
+	BackoffMin, BackoffMax time.Duration
+	// RetryAfter is told to callers whose request was given up on.
+	RetryAfter time.Duration
+}
+
+// DefaultLimits fit engines that send a heartbeat each second.
+func DefaultLimits() Limits {
+	return Limits{
+		Silence:    3 * time.Second,
+		Reopens:    2,
+		Failures:   4,
+		BackoffMin: 100 * time.Millisecond,
+		BackoffMax: 5 * time.Second,
+		RetryAfter: 2 * time.Second,
+	}
+}
+
+// Spec is what the machine must know of a request.
+type Spec struct {
+	ID        ident.RequestID
+	Epoch     uint64
+	MaxTokens int
+	// Deadline is when the answer is of no more use; zero is never.
+	Deadline time.Time
+	// Deferrable requests wait for capacity until their deadline.
+	Deferrable bool
+	// Emitted are the tokens that an earlier owner is known to have emitted.
+	Emitted []string
+	// MayHaveRun says that an earlier owner may have started it.
+	MayHaveRun bool
+}
+
+type phase int
+
+const (
+	idle phase = iota
+	picking
+	running
+	waiting
+	over
+)
+
+// Machine is one request. It is not safe for concurrent use.
+type Machine struct {
+	spec   Spec
+	limits Limits
+	answer *stream.Splice
+	phase  phase
+
+	attempts int
+	attempt  ident.AttemptID
+	runner   ident.RunnerID
+	heard    time.Time
+	// started counts the attempts that may have run.
+	started  int
+	reopens  int
+	failures int
+	excluded []ident.RunnerID
+	leaving  map[ident.RunnerID]bool
+	// target is where the current attempt's KV cache is being moved.
+	target  ident.RunnerID
+	wake    time.Time
+	backoff time.Duration
+	final   *refusal.Refusal
+
+	out []Effect
+}
+
+// New returns a machine that waits for Start.
+func New(spec Spec, limits Limits) *Machine {
+	m := &Machine{
+		spec:    spec,
+		limits:  limits,
+		answer:  stream.Restore(spec.ID, spec.MaxTokens, spec.Emitted),
+		leaving: map[ident.RunnerID]bool{},
+	}
+	if spec.MayHaveRun {
+		m.started = 1
+	}
+	return m
+}
+
+// Answer is the output so far.
+func (m *Machine) Answer() *stream.Splice { return m.answer }
+
+// Over tells whether the request has its final answer or is run elsewhere.
+func (m *Machine) Over() bool { return m.phase == over }
+
+// Refusal is why the request was given up on; nil if it was not.
+func (m *Machine) Refusal() *refusal.Refusal { return m.final }
+
+// Runner is where the current attempt runs; empty if none does.
+func (m *Machine) Runner() ident.RunnerID {
+	if m.phase != running {
+		return ""
+	}
+	return m.runner
+}
+
+// Attempt is the current attempt; empty if there is none.
+func (m *Machine) Attempt() ident.AttemptID {
+	if m.phase != running {
+		return ""
+	}
+	return m.attempt
+}
+
+// Moving is where the KV cache is being moved; empty if it is not.
+func (m *Machine) Moving() ident.RunnerID { return m.target }
+
+// Step takes one input and returns what is to be done. Inputs after the final
+// answer have no effect.
+func (m *Machine) Step(now time.Time, in Input) []Effect {
+	m.out = nil
+	if m.phase == over {
+		return nil
+	}
+	switch in := in.(type) {
+	case Start:
+		m.pick("")
+	case Picked:
+		m.picked(now, in.Runner)
+	case PickRefused:
+		m.pickRefused(now, in.Refusal)
+	case Arrived:
+		m.arrived(now, in.Event)
+	case Closed:
+		m.closed(now, in)
+	case Relocate:
+		m.relocate(now, in)
+	case Exported:
+		m.exported(now, in)
+	case RunnerLeaving:
+		m.leaving[in.Runner] = true
+	case Tick:
+		m.tick(now)
+	case Cancel:
+		m.giveUp(refusal.New(refusal.Cancelled, "cancelled by the caller"))
+	case Superseded:
+		m.end()
+		m.emit(Yielded{})
+	}
+	if m.phase != over {
+		m.emit(WakeAt{m.nextWake(now)})
+	}
+	return m.out
+}
+
+func (m *Machine) emit(e Effect) { m.out = append(m.out, e) }
+
+func (m *Machine) nextWake(now time.Time) time.Time {
+	next := now.Add(time.Minute)
+	switch m.phase {
+	case running:
+		next = m.heard.Add(m.limits.Silence)
+	case waiting:
+		next = m.wake
+	}
+	if d := m.spec.Deadline; !d.IsZero() && d.Before(next) {
+		return d
+	}
+	return next
+}
+
+func (m *Machine) pick(after Cause) {
+	m.phase = picking
+	m.target = ""
+	m.emit(Pick{Exclude: m.avoid(), After: after})
+}
+
+func (m *Machine) avoid() []ident.RunnerID {
+	avoid := append([]ident.RunnerID(nil), m.excluded...)
+	for r := range m.leaving {
+		avoid = append(avoid, r)
+	}
+	return avoid
+}
+
+func (m *Machine) picked(now time.Time, runner ident.RunnerID) {
+	if m.phase != picking {
+		return
+	}
+	m.generate(now, runner, "")
+}
+
+func (m *Machine) generate(now time.Time, runner ident.RunnerID, handle string) {
+	m.attempts++
+	m.attempt = ident.AttemptID(fmt.Sprintf("%s.%d.%d", m.spec.ID, m.spec.Epoch, m.attempts))
+	m.runner = runner
+	m.target = ""
+	m.heard = now
+	m.phase = running
+	m.started++
+	m.answer.Begin(m.attempt)
+	m.emit(Generate{Attempt: m.attempt, Runner: runner, Handle: handle})
+}
+
+// hopeless refusals stay the same however long the request waits.
+func hopeless(r refusal.Reason) bool {
+	switch r {
+	case refusal.BadRequest, refusal.UnknownModel, refusal.Unauthenticated, refusal.Cancelled:
+		return true
+	}
+	return false
+}
+
+// pickRefused waits or ends the request. An accepted deferrable request was
+// promised its answer: dropping it because a wave of reclaims left no capacity
+// would break the promise, so it waits until its deadline. Any other is told
+// at once, so that its caller can go elsewhere.
+func (m *Machine) pickRefused(now time.Time, r *refusal.Refusal) {
+	if m.phase != picking {
+		return
+	}
+	m.failures++
+	if hopeless(r.Reason) || (!m.spec.Deferrable && m.mustGiveUp()) {
+		m.giveUp(r)
+		return
+	}
+	m.wait(now, r.RetryAfter)
+}
+
+// mustGiveUp bounds the tries of requests that don't wait. One without any
+// output is told of a lack of capacity at once.
+func (m *Machine) mustGiveUp() bool {
+	return m.answer.Offset() == 0 || m.failures >= m.limits.Failures
+}
+
+func (m *Machine) wait(now time.Time, atLeast time.Duration) {
+	m.backoff = min(max(m.backoff*2, m.limits.BackoffMin), m.limits.BackoffMax)
+	m.phase = waiting
+	m.wake = now.Add(min(max(m.backoff, atLeast), m.limits.BackoffMax))
+	// A runner that failed before the wait may be well after it.
+	m.excluded = nil
+}
+
+func (m *Machine) arrived(now time.Time, e stream.Event) {
+	v := m.answer.Apply(e)
+	if v.Dropped != "" {
+		m.emit(Dropped{v.Dropped})
+	}
+	if v.Alive {
+		m.heard = now
+	}
+	if v.Emitted {
+		m.reopens, m.failures, m.backoff = 0, 0, 0
+		m.emit(Emitted{})
+	}
+	if v.Ended {
+		m.phase = over
+		m.emit(Answered{})
+	}
+	if v.Broken {
+		m.attemptFailed(now, Malformed)
+	}
+}
+
+func (m *Machine) closed(now time.Time, in Closed) {
+	if m.phase != running || in.Attempt != m.attempt {
+		return
+	}
+	if !in.NotStarted {
+		m.attemptFailed(now, in.Cause)
+		return
+	}
+	m.started--
+	m.answer.Stop()
+	m.runnerFailed(now, in.Cause)
+}
+
+// attemptFailed opens a new connection to the same runner, a bounded number of
+// times: something between the two ends can lose track of a connection while
+// the runner is well and holds the request's KV cache, and going elsewhere
+// would compute it all again.
+func (m *Machine) attemptFailed(now time.Time, cause Cause) {
+	m.emit(Abandon{Attempt: m.attempt, Runner: m.runner, Cause: cause})
+	m.answer.Stop()
+	if m.target != "" {
+		m.generate(now, m.target, "")
+		return
+	}
+	if m.reopens < m.limits.Reopens && !m.leaving[m.runner] && cause != EngineError {
+		m.reopens++
+		m.generate(now, m.runner, "")
+		return
+	}
+	m.runnerFailed(now, cause)
+}
+
+func (m *Machine) runnerFailed(now time.Time, cause Cause) {
+	m.reopens = 0
+	m.excluded = append(m.excluded, m.runner)
+	if m.target != "" {
+		m.generate(now, m.target, "")
+		return
+	}
+	if cause != Preempted && !m.leaving[m.runner] {
+		m.failures++
+	}
+	if m.failures < m.limits.Failures {
+		m.pick(cause)
+		return
+	}
+	if m.spec.Deferrable {
+		m.wait(now, 0)
+		return
+	}
+	m.giveUp(refusal.New(refusal.RunnerFailed, "%d runners failed, the last one: %s", m.failures, cause))
+}
+
+func (m *Machine) relocate(now time.Time, in Relocate) {
+	if m.phase != running || in.Target == m.runner {
+		return
+	}
+	m.leaving[m.runner] = true
+	delete(m.leaving, in.Target)
+	if in.Export {
+		m.target = in.Target
+		m.emit(ExportCache{Attempt: m.attempt, From: m.runner, To: in.Target})
+		return
+	}
+	m.switchTo(now, in.Target, "", Preempted)
+}
+
+// exported switches to the target, with or without the KV cache. An answer to
+// an export that a later plan replaced, or whose attempt is over, is ignored.
+func (m *Machine) exported(now time.Time, in Exported) {
+	if m.phase != running || in.Attempt != m.attempt || in.Target != m.target {
+		return
+	}
+	cause := Preempted
+	if in.Handle == "" {
+		cause = ExportFailed
+	}
+	m.switchTo(now, in.Target, in.Handle, cause)
+}
+
+func (m *Machine) switchTo(now time.Time, target ident.RunnerID, handle string, cause Cause) {
+	m.emit(Abandon{Attempt: m.attempt, Runner: m.runner, Cause: cause})
+	m.reopens = 0
+	m.generate(now, target, handle)
+}
+
+func (m *Machine) tick(now time.Time) {
+	if d := m.spec.Deadline; !d.IsZero() && !now.Before(d) {
+		m.giveUp(refusal.New(refusal.DeadlineExceeded, "not answered by its deadline"))
+		return
+	}
+	switch {
+	case m.phase == waiting && !now.Before(m.wake):
+		m.pick(NoCapacity)
+	case m.phase == running && !now.Before(m.heard.Add(m.limits.Silence)):
+		m.attemptFailed(now, Silent)
+	}
+}
+
+// giveUp ends the request now: a refusal that is held back until some later
+// step would leave the caller waiting for nothing. It says executed "no" only
+// if no attempt can have reached a runner.
+func (m *Machine) giveUp(r *refusal.Refusal) {
+	final := *r
+	if m.started > 0 {
+		final.Executed = refusal.ExecutedUnknown
+	}
+	if final.RetryAfter == 0 && !hopeless(final.Reason) {
+		final.RetryAfter = m.limits.RetryAfter
+	}
+	m.end()
+	m.final = &final
+	m.emit(GivenUp{&final})
+}
+
+func (m *Machine) end() {
+	if m.phase == running {
+		m.emit(Abandon{Attempt: m.attempt, Runner: m.runner})
+	}
+	m.answer.Stop()
+	m.phase = over
+}
--- /dev/null
+++ b/state/ident/request.go
@@ -0,0 +1,31 @@
+package ident
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+const requestSeparator = "."
+
+// NewRequestID joins the daemon incarnation that accepts the request with
+// random bytes, so that any gateway knows whom to ask for it first.
+func NewRequestID(owner Incarnation, random []byte) RequestID {
+	return RequestID(string(owner) + requestSeparator + hex.EncodeToString(random))
+}
+
+// Owner returns the incarnation that accepted the request.
+func (r RequestID) Owner() (Incarnation, error) {
+	i := strings.LastIndex(string(r), requestSeparator)
+	if i <= 0 {
+		return "", &MalformedRequestIDError{Value: string(r)}
+	}
+	return Incarnation(r[:i]), nil
+}
+
+// MalformedRequestIDError says that a text is not a request's ID.
+type MalformedRequestIDError struct{ Value string }
+
+func (e *MalformedRequestIDError) Error() string {
+	return fmt.Sprintf("malformed request ID %q", e.Value)
+}
