Drive model requests: engine streams, readers at any gateway, records, drain

Cause: the request machine needs engines, timers, peers and readers. Change: daemon/models implements call.Models over small interfaces; records of long requests go to a daemon in another failure domain before they are accepted; a draining daemon passes live requests on; peers adopt those whose owner is gone with a higher epoch; readers follow and hand over what they have, so that no answer is spliced of two.

--- /dev/null
+++ b/daemon/models/drain.go
@@ -0,0 +1,138 @@
+package models
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	requestv1 "geraniumstack.org/geraniumstack/gen/geranium/request/v1"
+	"geraniumstack.org/geraniumstack/protocol/handoff"
+	"geraniumstack.org/geraniumstack/protocol/request"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+const (
+	drainStep    = 100 * time.Millisecond
+	adoptTimeout = 2 * time.Second
+)
+
+func (m *Models) accepting() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.drain == nil || m.drain.Accepting(time.Now())
+}
+
+// Drain passes every request on to peers in other failure domains, and returns
+// when none is left or ctx is done. New requests are taken for a few seconds
+// more, as long as callers keep the gateways' list. Readers are sent on by
+// their stream until Run ends.
+func (m *Models) Drain(ctx context.Context) error {
+	m.mu.Lock()
+	if m.drain == nil {
+		m.drain = handoff.NewDrain(m.c.Directory.Self(), time.Now().Add(m.c.Limits.DrainAccept))
+	}
+	m.mu.Unlock()
+	step := time.NewTicker(drainStep)
+	defer step.Stop()
+	for {
+		left := m.passOn(ctx)
+		if left == 0 && !m.accepting() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &DrainIncompleteError{Left: left}
+		case <-step.C:
+		}
+	}
+}
+
+// DrainIncompleteError says how many requests could not be passed on.
+type DrainIncompleteError struct{ Left int }
+
+func (e *DrainIncompleteError) Error() string { return "requests were not passed on in time" }
+
+// passOn starts the passing of what is due and returns what is left.
+func (m *Models) passOn(ctx context.Context) int {
+	daemons := m.c.Directory.Daemons()
+	m.mu.Lock()
+	for id, l := range m.live {
+		if l.passable() {
+			m.drain.Add(id, l.spec.Epoch)
+		} else {
+			m.drain.Remove(id)
+		}
+	}
+	byPeer := map[ident.Incarnation][]handoff.Passing{}
+	for _, p := range m.drain.Next(daemons) {
+		byPeer[p.Peer.Incarnation] = append(byPeer[p.Peer.Incarnation], p)
+	}
+	left := m.drain.Left()
+	m.mu.Unlock()
+	for _, batch := range byPeer {
+		m.spawn(func() { m.passBatch(ctx, batch, daemons) })
+	}
+	return left
+}
+
+// passable requests are in progress here, or ended here with an answer.
+func (l *live) passable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.movedTo == "" && l.machine.Refusal() == nil
+}
+
+// passBatch stops the requests first: what an attempt emits while its record
+// is under way would reach readers here, and be computed again, perhaps
+// otherwise, at the peer.
+func (m *Models) passBatch(ctx context.Context, batch []handoff.Passing, daemons []view.Daemon) {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	req := &requestv1.AdoptRequest{From: string(m.c.Self)}
+	for _, p := range batch {
+		l := m.find(p.ID)
+		if l == nil {
+			continue
+		}
+		l.step(request.Suspend{})
+		r := l.record(0)
+		r.Epoch = p.Epoch
+		req.Records = append(req.Records, r)
+	}
+	resp, err := m.c.Peers.Requests(batch[0].Peer.PeerAddress).Adopt(ctx, connect.NewRequest(req))
+	accepted := map[ident.RequestID]bool{}
+	if err == nil {
+		for _, id := range resp.Msg.AcceptedIds {
+			accepted[ident.RequestID(id)] = true
+		}
+	}
+	for _, p := range batch {
+		m.passed(p, accepted[p.ID], err, daemons)
+	}
+}
+
+func (m *Models) passed(p handoff.Passing, accepted bool, err error, daemons []view.Daemon) {
+	l := m.find(p.ID)
+	m.mu.Lock()
+	switch {
+	case accepted:
+		m.drain.Remove(p.ID)
+	case err != nil:
+		m.drain.Failed(p.ID)
+	default:
+		m.drain.Refused(p.ID, daemons)
+	}
+	m.mu.Unlock()
+	if l == nil {
+		return
+	}
+	if accepted {
+		m.count("requests.passed_on")
+		l.moveTo(p.Peer.Incarnation)
+		return
+	}
+	m.count("requests.pass_failed")
+	l.step(request.Resume{})
+}
--- /dev/null
+++ b/daemon/models/models.go
@@ -0,0 +1,233 @@
+// Package models serves model requests: it drives each request's state machine
+// with engine streams and timers, serves readers here and at other gateways,
+// keeps records of other daemons' requests, and carries requests over the
+// reclaim of runners and of this VM.
+package models
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/protocol/handoff"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+const (
+	recordLimit      = 50_000
+	overloadedRetry  = time.Second
+	drainingRetry    = time.Second
+	notReadyRetry    = time.Second
+	putTimeout       = time.Second
+	housekeepingStep = 500 * time.Millisecond
+)
+
+// Models implements call.Models. It is safe for concurrent use.
+type Models struct {
+	c      Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// spawning orders the start of goroutines before the wait for their end.
+	spawning sync.Mutex
+
+	mu     sync.Mutex
+	live   map[ident.RequestID]*live
+	ended  []*live // oldest first
+	keeper *handoff.Keeper
+	outbox *handoff.Outbox
+	drain  *handoff.Drain
+	// renewing has the keepers that a renewal is under way to.
+	renewing map[ident.Incarnation]bool
+	renewed  time.Time
+}
+
+var _ call.Models = (*Models)(nil)
+
+// New returns Models; requests can be submitted at once, but reclaims and
+// records are only looked after while Run runs.
+func New(c Config) *Models {
+	c.Limits = c.Limits.withDefaults()
+	if c.Picker == nil {
+		c.Picker = &RoundRobin{Directory: c.Directory}
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Models{
+		c:      c,
+		ctx:    ctx,
+		cancel: cancel,
+		live:   map[ident.RequestID]*live{},
+		keeper: handoff.NewKeeper(recordLimit),
+		outbox: handoff.NewOutbox(),
+
+		renewing: map[ident.Incarnation]bool{},
+	}
+}
+
+// Run watches the directory, renews records and adopts those whose owner is
+// gone, until ctx is done. Then it ends all that it started.
+func (m *Models) Run(ctx context.Context) error {
+	defer m.stop()
+	tick := time.NewTicker(housekeepingStep)
+	defer tick.Stop()
+	for {
+		changed := m.c.Directory.Changed()
+		m.reclaim()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-tick.C:
+			m.housekeep()
+		}
+	}
+}
+
+// spawn runs f unless Models has ended: timers may still fire then.
+func (m *Models) spawn(f func()) {
+	m.spawning.Lock()
+	defer m.spawning.Unlock()
+	if m.ctx.Err() == nil {
+		m.wg.Go(f)
+	}
+}
+
+func (m *Models) stop() {
+	m.spawning.Lock()
+	m.cancel()
+	m.spawning.Unlock()
+	m.wg.Wait()
+}
+
+func (m *Models) count(name string) {
+	metrics.GetOrRegisterCounter(name, m.c.Metrics).Inc(1)
+}
+
+// Submit implements call.Models. Submitting the same ID again is accepted and
+// changes nothing, so that a caller whose answer was lost may repeat it.
+func (m *Models) Submit(ctx context.Context, r call.ModelRequest) error {
+	l, err := m.prepare(r)
+	if err != nil {
+		return m.refused(err)
+	}
+	if existing := m.find(r.ID); existing != nil {
+		return m.repeated(existing, r)
+	}
+	if !l.spec.Deferrable {
+		if l.release, err = m.c.Picker.Acquire(ctx, l.req); err != nil {
+			return m.refused(err)
+		}
+	}
+	if err := m.accept(ctx, l); err != nil {
+		l.free()
+		return m.refused(err)
+	}
+	m.count("requests.accepted." + l.req.Class)
+	m.start(l)
+	return nil
+}
+
+func (m *Models) refused(err error) error {
+	m.count("requests.refused." + string(refusal.From(err).Reason))
+	return err
+}
+
+func (m *Models) repeated(l *live, r call.ModelRequest) error {
+	if l.req.Workspace != r.Workspace {
+		return m.refused(refusal.New(refusal.BadRequest, "request ID is in use"))
+	}
+	return nil
+}
+
+// prepare checks the request against the configuration in force.
+func (m *Models) prepare(r call.ModelRequest) (*live, error) {
+	if !m.accepting() {
+		return nil, refusal.New(refusal.Draining, "this gateway is leaving").After(drainingRetry)
+	}
+	conf, _ := m.c.Config.Current()
+	if conf == nil {
+		return nil, refusal.New(refusal.NotReady, "no configuration in force yet").After(notReadyRetry)
+	}
+	if r.ID == "" {
+		return nil, refusal.New(refusal.BadRequest, "request without ID")
+	}
+	model, ok := findModel(conf, r.Model)
+	if !ok {
+		return nil, refusal.New(refusal.UnknownModel, "no model %q", r.Model)
+	}
+	class, ok := findClass(conf, r.Class)
+	if !ok {
+		return nil, refusal.New(refusal.BadRequest, "no class %q", r.Class)
+	}
+	if r.MaxTokens <= 0 || r.MaxTokens > m.c.Limits.MaxTokens {
+		r.MaxTokens = m.c.Limits.MaxTokens
+	}
+	if r.Deadline.IsZero() && class.DeadlineMillis > 0 {
+		r.Deadline = time.Now().Add(time.Duration(class.DeadlineMillis) * time.Millisecond)
+	}
+	return m.newLive(r, model.Service, class), nil
+}
+
+func findModel(conf *manifest.Manifest, name string) (manifest.Model, bool) {
+	for _, model := range conf.Models {
+		if model.Name == name {
+			return model, true
+		}
+	}
+	return manifest.Model{}, false
+}
+
+func findClass(conf *manifest.Manifest, name string) (manifest.Class, bool) {
+	for _, class := range conf.Classes {
+		if class.Name == name {
+			return class, true
+		}
+	}
+	return manifest.Class{}, false
+}
+
+func (m *Models) find(id ident.RequestID) *live {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.live[id]
+}
+
+// accept enters the request, and its record at a second daemon if it is of a
+// long class: from then on no single process that dies takes it along.
+func (m *Models) accept(ctx context.Context, l *live) error {
+	m.mu.Lock()
+	if len(m.live)-len(m.ended) >= m.c.Limits.Live {
+		m.mu.Unlock()
+		return refusal.New(refusal.Overloaded, "too many requests in progress").After(overloadedRetry)
+	}
+	m.live[l.req.ID] = l
+	if l.recorded {
+		m.outbox.Track(l.req.ID)
+	}
+	m.mu.Unlock()
+	if !l.recorded {
+		return nil
+	}
+	if err := m.putFirst(ctx, l); err != nil {
+		m.remove(l)
+		return err
+	}
+	return nil
+}
+
+func (m *Models) remove(l *live) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.live[l.req.ID] == l {
+		delete(m.live, l.req.ID)
+	}
+	m.outbox.Untrack(l.req.ID)
+}
--- /dev/null
+++ b/daemon/models/models_test.go
@@ -0,0 +1,136 @@
+package models_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+func TestAnyGatewayReadsARequest(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second := c.start(0), c.start(1)
+		r := first.request("chat", 40)
+		is.NoErr(first.Submit(t.Context(), r))
+		readAll(t, second, r.ID, 7, 40)
+		readAll(t, first, r.ID, 0, 40)
+		readAll(t, second, r.ID, 40, 40)
+	})
+}
+
+func TestAnotherWorkspaceSeesNothing(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second := c.start(0), c.start(1)
+		r := first.request("chat", 4)
+		is.NoErr(first.Submit(t.Context(), r))
+		for _, g := range []*gateway{first, second} {
+			err := g.Read(t.Context(), "other", r.ID, 0, func(call.Event) error {
+				t.Error("event of another workspace's request")
+				return nil
+			})
+			is.Equal(refusal.From(err).Reason, refusal.UnknownRequest)
+		}
+	})
+}
+
+// The caller's connection would hang for good: an engine's connection carries
+// two tokens and then nothing, because something between the two ends has lost
+// track of it. The runner is well, so it is asked again and keeps the request.
+func TestSilentEngineConnectionIsReopenedAtTheSameRunner(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		c.engines.silent["runner-0:80"] = 1
+		r := g.request("chat", 10)
+		is.NoErr(g.Submit(t.Context(), r))
+		began := time.Now()
+		readAll(t, g, r.ID, 0, 10)
+		is.True(time.Since(began) < 4*time.Second)
+		is.Equal(c.engines.at, []string{"runner-0:80", "runner-0:80"})
+		is.Equal(len(c.engines.started[1].Emitted), 2)
+		is.Equal(g.counter("attempts.abandoned.silent"), int64(1))
+	})
+}
+
+// The caller would lose a half-read answer: its runner dies after some tokens.
+// Another runner goes on after the tokens that the caller has.
+func TestDeadRunnersRequestGoesOnElsewhere(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		r := g.request("chat", 20)
+		is.NoErr(g.Submit(t.Context(), r))
+		time.Sleep(10*tokenTime + tokenTime/2)
+		c.engines.mu.Lock()
+		c.engines.dead["runner-0:80"] = true
+		c.engines.mu.Unlock()
+		readAll(t, g, r.ID, 0, 20)
+		is.Equal(c.engines.at, []string{"runner-0:80", "runner-1:80"})
+	})
+}
+
+// A caller would be told that nothing ran while an attempt may have: only
+// refusals before the first line count as not run.
+func TestRefusedEverywhereMeansNotRun(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		c.engines.refuse["runner-0:80"] = true
+		c.engines.refuse["runner-1:80"] = true
+		r := g.request("chat", 5)
+		is.NoErr(g.Submit(t.Context(), r))
+		err := g.Read(t.Context(), workspace, r.ID, 0, func(call.Event) error { return nil })
+		final := refusal.From(err)
+		is.Equal(final.Reason, refusal.RunnerFailed)
+		is.Equal(final.Executed, refusal.ExecutedNo)
+		is.True(final.RetryAfter > 0)
+	})
+}
+
+// An accepted bulletin would be lost: its gateway's process dies at once after
+// it was accepted, with no hand-off. The daemon that has its record runs it.
+func TestKilledGatewayLosesNoLongRequest(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second, _ := c.start(0), c.start(1), c.start(2)
+		r := first.request("bulletin", 200)
+		is.NoErr(first.Submit(t.Context(), r))
+		time.Sleep(time.Second)
+		c.kill(first)
+		c.gone(first)
+		readAll(t, second, r.ID, 30, 200)
+	})
+}
+
+// Readers would see an answer stop for good when their gateway's VM is
+// reclaimed: live requests of every class go to peers, and the readers there
+// follow.
+func TestDrainPassesRequestsOn(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second, _ := c.start(0), c.start(1), c.start(2)
+		chat, bulletin := first.request("chat", 300), first.request("bulletin", 300)
+		is.NoErr(first.Submit(t.Context(), chat))
+		is.NoErr(first.Submit(t.Context(), bulletin))
+		read := make(chan struct{})
+		go func() {
+			defer close(read)
+			readAll(t, first, chat.ID, 0, 300)
+		}()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		is.NoErr(first.Drain(ctx))
+		err := first.Submit(t.Context(), first.request("chat", 1))
+		is.Equal(refusal.From(err).Reason, refusal.Draining)
+		readAll(t, second, bulletin.ID, 50, 300)
+		<-read
+		is.Equal(first.counter("requests.passed_on"), int64(2))
+	})
+}
--- /dev/null
+++ b/daemon/models/records.go
@@ -0,0 +1,356 @@
+package models
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	requestv1 "geraniumstack.org/geraniumstack/gen/geranium/request/v1"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/protocol/handoff"
+	"geraniumstack.org/geraniumstack/protocol/request"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+const (
+	// putCandidates bounds the daemons that are asked to keep a new record.
+	putCandidates = 3
+	// lookupCandidates bounds the daemons that are asked for a request.
+	lookupCandidates = 8
+	// minDeadlineLeft keeps a deadline that has passed from reading as none.
+	minDeadlineLeft = time.Millisecond
+)
+
+func (m *Models) daemon(i ident.Incarnation) (view.Daemon, bool) {
+	for _, d := range m.c.Directory.Daemons() {
+		if d.Incarnation == i {
+			return d, true
+		}
+	}
+	return view.Daemon{}, false
+}
+
+func (m *Models) movedTo(id ident.RequestID) ident.Incarnation {
+	l := m.find(id)
+	if l == nil {
+		return ""
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.movedTo
+}
+
+// candidates lists who may run a request: the owner last heard of, the one
+// that accepted it, and those that may keep its record.
+func (m *Models) candidates(id ident.RequestID, hint ident.Incarnation) []view.Daemon {
+	var list []view.Daemon
+	seen := map[ident.Incarnation]bool{m.c.Self: true}
+	add := func(d view.Daemon) {
+		if !seen[d.Incarnation] && len(list) < lookupCandidates {
+			seen[d.Incarnation] = true
+			list = append(list, d)
+		}
+	}
+	owner, _ := id.Owner()
+	for _, i := range []ident.Incarnation{hint, owner} {
+		if d, ok := m.daemon(i); ok {
+			add(d)
+		}
+	}
+	for _, d := range handoff.Keepers(id, view.Daemon{}, m.c.Directory.Daemons()) {
+		add(d)
+	}
+	return list
+}
+
+// record returns what a second daemon must know, with the tokens from an
+// offset on; from zero on it is whole.
+func (l *live) record(from int) *requestv1.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answer := l.machine.Answer()
+	r := &requestv1.Record{
+		RequestId:    string(l.req.ID),
+		Owner:        string(l.m.c.Self),
+		Epoch:        l.spec.Epoch,
+		EmittedFrom:  int32(from),
+		Emitted:      answer.From(from),
+		Runner:       string(l.machine.LastRunner()),
+		MayHaveRun:   l.machine.MayHaveRun(),
+		Done:         answer.Done(),
+		FinishReason: answer.FinishReason(),
+	}
+	if from > 0 {
+		return r
+	}
+	r.Workspace = string(l.req.Workspace)
+	r.Class = l.req.Class
+	r.Model = l.req.Model
+	r.Adapter = l.req.Adapter
+	r.Prompt = l.req.Prompt
+	r.MaxTokens = int32(l.req.MaxTokens)
+	r.Async = l.req.Async
+	if d := l.req.Deadline; !d.IsZero() {
+		r.DeadlineLeftMs = max(time.Until(d), minDeadlineLeft).Milliseconds()
+	}
+	return r
+}
+
+func (l *live) progress() handoff.Progress {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answer := l.machine.Answer()
+	return handoff.Progress{Offset: answer.Offset(), Done: answer.Done()}
+}
+
+// putFirst stores the record of a request that is being accepted. With no
+// other live daemon there is nobody to keep it, and it is accepted without.
+func (m *Models) putFirst(ctx context.Context, l *live) error {
+	self := m.c.Directory.Self()
+	keepers := handoff.Keepers(l.req.ID, self, m.c.Directory.Daemons())
+	if len(keepers) == 0 {
+		m.count("records.no_keeper")
+		return nil
+	}
+	for _, k := range keepers[:min(putCandidates, len(keepers))] {
+		if m.put(ctx, k, []handoff.Renewal{{ID: l.req.ID, Keeper: k}}) == nil {
+			return nil
+		}
+		m.count("records.put_failed")
+	}
+	return refusal.New(refusal.NotReady, "no other gateway could be reached to keep the request's record").After(notReadyRetry)
+}
+
+// put sends renewals to one keeper and notes its answer.
+func (m *Models) put(ctx context.Context, keeper view.Daemon, renewals []handoff.Renewal) error {
+	ctx, cancel := context.WithTimeout(ctx, putTimeout)
+	defer cancel()
+	req := &requestv1.PutRequest{}
+	sent := map[ident.RequestID]handoff.Progress{}
+	for _, r := range renewals {
+		l := m.find(r.ID)
+		if l == nil {
+			continue
+		}
+		p := l.record(r.From)
+		sent[r.ID] = handoff.Progress{Offset: r.From + len(p.Emitted), Done: p.Done}
+		req.Records = append(req.Records, p)
+	}
+	resp, err := m.c.Peers.Requests(keeper.PeerAddress).Put(ctx, connect.NewRequest(req))
+	if err != nil {
+		return err
+	}
+	m.noteStored(keeper.Incarnation, sent, resp.Msg)
+	return nil
+}
+
+func (m *Models) noteStored(keeper ident.Incarnation, sent map[ident.RequestID]handoff.Progress, resp *requestv1.PutResponse) {
+	m.mu.Lock()
+	for id, p := range sent {
+		m.outbox.Stored(id, keeper, p)
+	}
+	for _, id := range resp.IncompleteIds {
+		m.outbox.Lost(ident.RequestID(id))
+	}
+	m.mu.Unlock()
+	for _, s := range resp.Superseded {
+		if l := m.find(ident.RequestID(s.RequestId)); l != nil {
+			m.count("requests.superseded")
+			l.moveTo(ident.Incarnation(s.Owner))
+		}
+	}
+}
+
+// moveTo ends the request here in favour of another daemon.
+func (l *live) moveTo(owner ident.Incarnation) {
+	l.mu.Lock()
+	l.movedTo = owner
+	l.wakeReaders()
+	l.mu.Unlock()
+	l.step(request.Superseded{})
+}
+
+// housekeep renews records, adopts orphans and forgets what is old.
+func (m *Models) housekeep() {
+	m.renew()
+	m.adoptOrphans()
+	m.forgetOld()
+}
+
+func (m *Models) renew() {
+	m.mu.Lock()
+	if time.Since(m.renewed) < m.c.Limits.Renew {
+		m.mu.Unlock()
+		return
+	}
+	m.renewed = time.Now()
+	due := m.outbox.Due(m.c.Directory.Self(), m.c.Directory.Daemons(), func(id ident.RequestID) handoff.Progress {
+		if l := m.live[id]; l != nil {
+			return l.progress()
+		}
+		return handoff.Progress{}
+	})
+	batches := map[ident.Incarnation][]handoff.Renewal{}
+	for _, r := range due {
+		if !m.renewing[r.Keeper.Incarnation] {
+			batches[r.Keeper.Incarnation] = append(batches[r.Keeper.Incarnation], r)
+		}
+	}
+	for k := range batches {
+		m.renewing[k] = true
+	}
+	m.mu.Unlock()
+	for _, batch := range batches {
+		m.spawn(func() { m.renewBatch(batch) })
+	}
+}
+
+func (m *Models) renewBatch(batch []handoff.Renewal) {
+	keeper := batch[0].Keeper
+	if err := m.put(m.ctx, keeper, batch); err != nil {
+		m.count("records.renewal_failed")
+	}
+	m.mu.Lock()
+	delete(m.renewing, keeper.Incarnation)
+	m.mu.Unlock()
+}
+
+func (m *Models) adoptOrphans() {
+	listed := map[ident.Incarnation]bool{}
+	for _, d := range m.c.Directory.Daemons() {
+		listed[d.Incarnation] = true
+	}
+	m.mu.Lock()
+	orphans := m.keeper.Adopt(time.Now(), m.c.Self, m.c.Limits.OwnerGone, func(i ident.Incarnation) bool {
+		return listed[i]
+	})
+	m.mu.Unlock()
+	for _, r := range orphans {
+		m.count("requests.adopted.owner_gone")
+		m.adopt(r)
+	}
+}
+
+// adopt runs another daemon's request from now on. It reports false where this
+// daemon can't.
+func (m *Models) adopt(r handoff.Record) bool {
+	conf, _ := m.c.Config.Current()
+	if conf == nil {
+		return false
+	}
+	l := m.liveFrom(conf, r)
+	m.mu.Lock()
+	if old := m.live[r.ID]; old != nil && old.spec.Epoch >= r.Epoch {
+		m.mu.Unlock()
+		return old.spec.Epoch == r.Epoch
+	}
+	m.live[r.ID] = l
+	m.keeper.Forget(r.ID)
+	m.keeper.Claim(r.ID, handoff.Claim{Owner: m.c.Self, Epoch: r.Epoch})
+	m.outbox.Untrack(r.ID)
+	m.outbox.Track(r.ID)
+	m.mu.Unlock()
+	if r.Done {
+		l.ended = time.Now()
+		m.retire(l)
+		return true
+	}
+	m.start(l)
+	return true
+}
+
+func (m *Models) liveFrom(conf *manifest.Manifest, r handoff.Record) *live {
+	model, _ := findModel(conf, r.Model)
+	class, _ := findClass(conf, r.Class)
+	l := m.newLive(call.ModelRequest{
+		ID:        r.ID,
+		Workspace: r.Workspace,
+		Class:     r.Class,
+		Model:     r.Model,
+		Adapter:   r.Adapter,
+		Prompt:    r.Prompt,
+		MaxTokens: r.MaxTokens,
+		Deadline:  r.Deadline,
+		Async:     r.Async,
+	}, model.Service, class)
+	l.recorded = true
+	l.spec.Epoch = r.Epoch
+	l.spec.Emitted = r.Emitted
+	l.spec.MayHaveRun = r.MayHaveRun
+	l.spec.Runner = r.Runner
+	l.machine = request.New(l.spec, m.c.Limits.Request)
+	if r.Done {
+		l.machine = request.NewFinished(l.spec, r.FinishReason)
+	}
+	return l
+}
+
+// retire keeps an ended request for late readers, as long as there is room.
+func (m *Models) retire(l *live) {
+	l.mu.Lock()
+	refused, moved := l.machine.Refusal() != nil, l.movedTo != ""
+	l.mu.Unlock()
+	m.mu.Lock()
+	m.ended = append(m.ended, l)
+	var drop []*live
+	for len(m.ended) > m.c.Limits.Finished {
+		drop = append(drop, m.ended[0])
+		m.ended = m.ended[1:]
+	}
+	m.mu.Unlock()
+	if refused || moved {
+		m.dropRecord(l, refused)
+	}
+	for _, old := range drop {
+		m.forget(old)
+	}
+}
+
+func (m *Models) forgetOld() {
+	var old []*live
+	m.mu.Lock()
+	for len(m.ended) > 0 && time.Since(m.ended[0].ended) > m.c.Limits.Retention {
+		old = append(old, m.ended[0])
+		m.ended = m.ended[1:]
+	}
+	m.mu.Unlock()
+	for _, l := range old {
+		m.forget(l)
+	}
+}
+
+func (m *Models) forget(l *live) {
+	m.dropRecord(l, true)
+	m.remove(l)
+}
+
+// dropRecord stops renewing a request's record; with remove its keeper forgets
+// it too, so that nobody adopts a request that has its final answer.
+func (m *Models) dropRecord(l *live, remove bool) {
+	m.mu.Lock()
+	if m.live[l.req.ID] != l {
+		m.mu.Unlock()
+		return
+	}
+	keeper := m.outbox.Untrack(l.req.ID)
+	m.mu.Unlock()
+	d, ok := m.daemon(keeper)
+	if !ok || !remove {
+		return
+	}
+	m.spawn(func() {
+		ctx, cancel := context.WithTimeout(m.ctx, putTimeout)
+		defer cancel()
+		_, err := m.c.Peers.Requests(d.PeerAddress).Delete(ctx, connect.NewRequest(&requestv1.DeleteRequest{
+			RequestIds: []string{string(l.req.ID)},
+			Owner:      string(m.c.Self),
+		}))
+		if err != nil {
+			m.count("records.delete_failed")
+		}
+	})
+}
--- a/gen/geranium/request/v1/requestv1connect/request.connect.go
+++ b/gen/geranium/request/v1/requestv1connect/request.connect.go
@@ -44,6 +44,8 @@
 	RequestServiceAdoptProcedure = "/geranium.request.v1.RequestService/Adopt"
 	// RequestServiceReadProcedure is the fully-qualified name of the RequestService's Read RPC.
 	RequestServiceReadProcedure = "/geranium.request.v1.RequestService/Read"
+	// RequestServiceCancelProcedure is the fully-qualified name of the RequestService's Cancel RPC.
+	RequestServiceCancelProcedure = "/geranium.request.v1.RequestService/Cancel"
 )
 
 // RequestServiceClient is a client for the geranium.request.v1.RequestService service.
@@ -56,6 +58,8 @@
 	Adopt(context.Context, *connect.Request[v1.AdoptRequest]) (*connect.Response[v1.AdoptResponse], error)
 	// Read streams a request's output from an offset.
 	Read(context.Context, *connect.Request[v1.ReadRequest]) (*connect.ServerStreamForClient[v1.ReadResponse], error)
+	// Cancel ends a request at its owner.
+	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
 }
 
 // NewRequestServiceClient constructs a client for the geranium.request.v1.RequestService service.
@@ -93,6 +97,12 @@
 			connect.WithSchema(requestServiceMethods.ByName("Read")),
 			connect.WithClientOptions(opts...),
 		),
+		cancel: connect.NewClient[v1.CancelRequest, v1.CancelResponse](
+			httpClient,
+			baseURL+RequestServiceCancelProcedure,
+			connect.WithSchema(requestServiceMethods.ByName("Cancel")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -102,6 +112,7 @@
 	delete *connect.Client[v1.DeleteRequest, v1.DeleteResponse]
 	adopt  *connect.Client[v1.AdoptRequest, v1.AdoptResponse]
 	read   *connect.Client[v1.ReadRequest, v1.ReadResponse]
+	cancel *connect.Client[v1.CancelRequest, v1.CancelResponse]
 }
 
 // Put calls geranium.request.v1.RequestService.Put.
@@ -124,6 +135,11 @@
 	return c.read.CallServerStream(ctx, req)
 }
 
+// Cancel calls geranium.request.v1.RequestService.Cancel.
+func (c *requestServiceClient) Cancel(ctx context.Context, req *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error) {
+	return c.cancel.CallUnary(ctx, req)
+}
+
 // RequestServiceHandler is an implementation of the geranium.request.v1.RequestService service.
 type RequestServiceHandler interface {
 	// Put stores or renews records at a peer.
@@ -134,6 +150,8 @@
 	Adopt(context.Context, *connect.Request[v1.AdoptRequest]) (*connect.Response[v1.AdoptResponse], error)
 	// Read streams a request's output from an offset.
 	Read(context.Context, *connect.Request[v1.ReadRequest], *connect.ServerStream[v1.ReadResponse]) error
+	// Cancel ends a request at its owner.
+	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
 }
 
 // NewRequestServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -167,6 +185,12 @@
 		connect.WithSchema(requestServiceMethods.ByName("Read")),
 		connect.WithHandlerOptions(opts...),
 	)
+	requestServiceCancelHandler := connect.NewUnaryHandler(
+		RequestServiceCancelProcedure,
+		svc.Cancel,
+		connect.WithSchema(requestServiceMethods.ByName("Cancel")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/geranium.request.v1.RequestService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RequestServicePutProcedure:
@@ -177,6 +201,8 @@
 			requestServiceAdoptHandler.ServeHTTP(w, r)
 		case RequestServiceReadProcedure:
 			requestServiceReadHandler.ServeHTTP(w, r)
+		case RequestServiceCancelProcedure:
+			requestServiceCancelHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -201,3 +227,7 @@
 func (UnimplementedRequestServiceHandler) Read(context.Context, *connect.Request[v1.ReadRequest], *connect.ServerStream[v1.ReadResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("geranium.request.v1.RequestService.Read is not implemented"))
 }
+
+func (UnimplementedRequestServiceHandler) Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("geranium.request.v1.RequestService.Cancel is not implemented"))
+}
--- a/protocol/request/messages.go
+++ b/protocol/request/messages.go
@@ -61,6 +61,13 @@
 // Superseded says that a daemon with a higher epoch runs the request.
 type Superseded struct{}
 
+// Suspend ends the current attempt and starts no other until Resume: the
+// request is being passed to another daemon.
+type Suspend struct{}
+
+// Resume goes on after Suspend, at the same runner if it can.
+type Resume struct{}
+
 func (Start) input()         {}
 func (Picked) input()        {}
 func (PickRefused) input()   {}
@@ -72,6 +79,8 @@
 func (Tick) input()          {}
 func (Cancel) input()        {}
 func (Superseded) input()    {}
+func (Suspend) input()       {}
+func (Resume) input()        {}
 
 // Cause is why an attempt was given up or a runner is asked anew; each has a
 // counter.
--- a/protocol/request/request.go
+++ b/protocol/request/request.go
@@ -55,6 +55,8 @@
 	Emitted []string
 	// MayHaveRun says that an earlier owner may have started it.
 	MayHaveRun bool
+	// Runner is where an earlier owner ran it: its KV cache may be there.
+	Runner ident.RunnerID
 }
 
 type phase int
@@ -64,6 +66,7 @@
 	picking
 	running
 	waiting
+	suspended
 	over
 )
 
@@ -107,6 +110,14 @@
 	return m
 }
 
+// NewFinished returns the machine of a request whose whole answer is known.
+func NewFinished(spec Spec, finishReason string) *Machine {
+	m := New(spec, Limits{})
+	m.answer.Finish(finishReason)
+	m.phase = over
+	return m
+}
+
 // Answer is the output so far.
 func (m *Machine) Answer() *stream.Splice { return m.answer }
 
@@ -132,6 +143,17 @@
 	return m.attempt
 }
 
+// LastRunner is where the latest attempt ran; empty if there was none.
+func (m *Machine) LastRunner() ident.RunnerID {
+	if m.runner == "" {
+		return m.spec.Runner
+	}
+	return m.runner
+}
+
+// MayHaveRun tells whether an attempt can have reached a runner.
+func (m *Machine) MayHaveRun() bool { return m.started > 0 }
+
 // Moving is where the KV cache is being moved; empty if it is not.
 func (m *Machine) Moving() ident.RunnerID { return m.target }
 
@@ -144,7 +166,7 @@
 	}
 	switch in := in.(type) {
 	case Start:
-		m.pick("")
+		m.start(now)
 	case Picked:
 		m.picked(now, in.Runner)
 	case PickRefused:
@@ -163,6 +185,10 @@
 		m.tick(now)
 	case Cancel:
 		m.giveUp(refusal.New(refusal.Cancelled, "cancelled by the caller"))
+	case Suspend:
+		m.suspend()
+	case Resume:
+		m.resume(now)
 	case Superseded:
 		m.end()
 		m.emit(Yielded{})
@@ -195,6 +221,39 @@
 	m.emit(Pick{Exclude: m.avoid(), After: after})
 }
 
+// start goes first to the runner of an earlier owner, which may still hold the
+// request's KV cache.
+func (m *Machine) start(now time.Time) {
+	if m.phase != idle {
+		return
+	}
+	if m.spec.Runner != "" {
+		m.generate(now, m.spec.Runner, "")
+		return
+	}
+	m.pick("")
+}
+
+func (m *Machine) suspend() {
+	if m.phase == running {
+		m.emit(Abandon{Attempt: m.attempt, Runner: m.runner})
+	}
+	m.answer.Stop()
+	m.target = ""
+	m.phase = suspended
+}
+
+func (m *Machine) resume(now time.Time) {
+	if m.phase != suspended {
+		return
+	}
+	if m.runner != "" && !m.leaving[m.runner] {
+		m.generate(now, m.runner, "")
+		return
+	}
+	m.pick("")
+}
+
 func (m *Machine) avoid() []ident.RunnerID {
 	avoid := append([]ident.RunnerID(nil), m.excluded...)
 	for r := range m.leaving {
--- a/protocol/stream/stream.go
+++ b/protocol/stream/stream.go
@@ -87,6 +87,12 @@
 	return s
 }
 
+// Finish ends an answer whose tokens were restored whole.
+func (s *Splice) Finish(reason string) {
+	s.done = true
+	s.finish = reason
+}
+
 // Begin makes an attempt the current one; events of all others are dropped
 // from now on.
 func (s *Splice) Begin(attempt ident.AttemptID) { s.attempt = attempt }
