--- /dev/null
+++ b/protocol/request/request_test.go
@@ -0,0 +1,237 @@
+package request_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/protocol/request"
+	"geraniumstack.org/geraniumstack/protocol/stream"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+const id = ident.RequestID("r1")
+
+func epoch() time.Time { return time.Unix(1_000_000, 0) }
+
+// driver answers the machine as a fleet would and keeps what it was told.
+type driver struct {
+	m        *request.Machine
+	now      time.Time
+	attempt  ident.AttemptID
+	runner   ident.RunnerID
+	picks    int
+	answered int
+	refusals []*refusal.Refusal
+	wake     time.Time
+	exports  []request.ExportCache
+}
+
+func newDriver(s request.Spec) *driver {
+	s.ID, s.Epoch = id, 1
+	if s.MaxTokens == 0 {
+		s.MaxTokens = 8
+	}
+	return &driver{m: request.New(s, request.DefaultLimits()), now: epoch()}
+}
+
+func (d *driver) step(in request.Input) {
+	for _, e := range d.m.Step(d.now, in) {
+		switch e := e.(type) {
+		case request.Pick:
+			d.picks++
+		case request.Generate:
+			d.attempt, d.runner = e.Attempt, e.Runner
+		case request.ExportCache:
+			d.exports = append(d.exports, e)
+		case request.Answered:
+			d.answered++
+		case request.GivenUp:
+			d.refusals = append(d.refusals, e.Refusal)
+		case request.WakeAt:
+			d.wake = e.Time
+		}
+	}
+}
+
+func (d *driver) token() {
+	d.step(request.Arrived{Event: stream.Event{Request: id, Attempt: d.attempt, Offset: d.m.Answer().Offset(), Token: "w"}})
+}
+
+func (d *driver) sleep() {
+	d.now = d.wake
+	d.step(request.Tick{})
+}
+
+func (d *driver) run(runner ident.RunnerID) {
+	d.step(request.Start{})
+	d.step(request.Picked{Runner: runner})
+}
+
+// A reader waits for a stream whose connection went silent. The runner still
+// holds the KV cache, so the connection is opened anew there first; a runner
+// that stays silent is given up on.
+func TestSilenceReopensBeforeTheRunnerIsGivenUpOn(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(request.Spec{})
+	d.run("a")
+	d.token()
+	for range request.DefaultLimits().Reopens {
+		d.sleep()
+		is.Equal(d.runner, ident.RunnerID("a"))
+		is.Equal(d.picks, 1)
+	}
+	d.sleep()
+	is.Equal(d.picks, 2)
+}
+
+// A caller would wait for nothing: its request was given up on, but the refusal
+// comes only with a later event. It comes in the same step, with a time to come
+// back.
+func TestGivenUpIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(request.Spec{})
+	d.step(request.Start{})
+	d.step(request.PickRefused{Refusal: refusal.New(refusal.NoRunner, "none")})
+	is.Equal(len(d.refusals), 1)
+	is.Equal(d.refusals[0].Executed, refusal.ExecutedNo)
+	is.True(d.refusals[0].RetryAfter > 0)
+}
+
+// An accepted bulletin would be dropped: a wave took every runner for minutes.
+// It waits, is tried again, and completes when there is capacity.
+func TestDeferrableRequestOutlastsAWave(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(request.Spec{Deferrable: true, Deadline: epoch().Add(time.Hour), MaxTokens: 1})
+	d.step(request.Start{})
+	for d.now.Before(epoch().Add(10 * time.Minute)) {
+		d.step(request.PickRefused{Refusal: refusal.New(refusal.NoRunner, "none")})
+		is.Equal(len(d.refusals), 0)
+		d.sleep()
+	}
+	d.step(request.Picked{Runner: "a"})
+	d.token()
+	d.step(request.Arrived{Event: stream.Event{Request: id, Attempt: d.attempt, Offset: 1, Done: true}})
+	is.Equal(d.answered, 1)
+}
+
+func TestDeadlineEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(request.Spec{Deferrable: true, Deadline: epoch().Add(time.Minute)})
+	d.step(request.Start{})
+	for len(d.refusals) == 0 {
+		d.step(request.PickRefused{Refusal: refusal.New(refusal.NoRunner, "none")})
+		d.sleep()
+	}
+	is.Equal(d.refusals[0].Reason, refusal.DeadlineExceeded)
+	is.Equal(d.now, epoch().Add(time.Minute))
+}
+
+// The runner dies while its KV cache is under way: the answer goes on at the
+// target that the plan chose, by the tokens, and the late export is ignored.
+func TestRunnerDiesDuringTheMove(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(request.Spec{})
+	d.run("a")
+	d.token()
+	old := d.attempt
+	d.step(request.Relocate{Target: "b", Export: true})
+	is.Equal(len(d.exports), 1)
+	d.token() // the old attempt goes on meanwhile
+	d.step(request.Closed{Attempt: old, Cause: request.Truncated})
+	is.Equal(d.runner, ident.RunnerID("b"))
+	current := d.attempt
+	d.step(request.Exported{Attempt: old, Target: "b", Handle: "late"})
+	is.Equal(d.attempt, current)
+	is.Equal(d.m.Answer().Offset(), 2)
+}
+
+// A second notice hits the target of a move under way: the stream goes to the
+// new target, and what the first export brings is not used.
+func TestSecondNoticeHitsTheTarget(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(request.Spec{})
+	d.run("a")
+	d.step(request.Relocate{Target: "b", Export: true})
+	d.step(request.Relocate{Target: "c", Export: true})
+	d.step(request.Exported{Attempt: d.attempt, Target: "b", Handle: "h"})
+	is.Equal(d.runner, ident.RunnerID("a"))
+	d.step(request.Exported{Attempt: d.attempt, Target: "c", Handle: "h"})
+	is.Equal(d.runner, ident.RunnerID("c"))
+}
+
+func TestFailedExportResumesAtTheTarget(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(request.Spec{})
+	d.run("a")
+	d.step(request.Relocate{Target: "b", Export: true})
+	d.step(request.Exported{Attempt: d.attempt, Target: "b"})
+	is.Equal(d.runner, ident.RunnerID("b"))
+}
+
+// Whatever happens in whatever order, a request ends once at most, never
+// without a whole answer or a refusal, and says executed "no" only if every
+// attempt was refused before it started.
+func TestOneTruthfulEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDriver(request.Spec{
+			MaxTokens:  3,
+			Deferrable: rapid.Bool().Draw(t, "deferrable"),
+			Deadline:   epoch().Add(time.Minute),
+		})
+		generated, notStarted := map[ident.AttemptID]bool{}, map[ident.AttemptID]bool{}
+		d.step(request.Start{})
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			d.step(draw(t, d, notStarted))
+			if d.attempt != "" {
+				generated[d.attempt] = true
+			}
+			d.now = d.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+		}
+		d.now = epoch().Add(time.Minute)
+		d.step(request.Tick{})
+		if d.answered+len(d.refusals) != 1 {
+			t.Fatalf("%d answers and %d refusals", d.answered, len(d.refusals))
+		}
+		if d.answered == 1 && d.m.Answer().Offset() != 3 {
+			t.Fatalf("answered at %d of 3", d.m.Answer().Offset())
+		}
+		if len(d.refusals) == 1 && d.refusals[0].Executed == refusal.ExecutedNo && len(generated) > len(notStarted) {
+			t.Fatalf("executed no after %v, of which not started: %v", generated, notStarted)
+		}
+	})
+}
+
+func draw(t *rapid.T, d *driver, notStarted map[ident.AttemptID]bool) request.Input {
+	runner := ident.RunnerID(fmt.Sprintf("n%d", rapid.IntRange(0, 3).Draw(t, "runner")))
+	switch rapid.IntRange(0, 9).Draw(t, "input") {
+	case 0:
+		return request.PickRefused{Refusal: refusal.New(refusal.Overloaded, "full")}
+	case 1:
+		if d.m.Attempt() == d.attempt && d.attempt != "" && d.m.Answer().Offset() == 0 {
+			notStarted[d.attempt] = true
+			return request.Closed{Attempt: d.attempt, NotStarted: true, Cause: request.Refused}
+		}
+		return request.Tick{}
+	case 2:
+		return request.Closed{Attempt: d.attempt, Cause: request.Truncated}
+	case 3:
+		return request.Relocate{Target: runner, Export: rapid.Bool().Draw(t, "export")}
+	case 4:
+		return request.Exported{Attempt: d.attempt, Target: d.m.Moving(), Handle: rapid.SampledFrom([]string{"", "h"}).Draw(t, "handle")}
+	case 5:
+		return request.Tick{}
+	case 6:
+		n := rapid.IntRange(0, 3).Draw(t, "end")
+		return request.Arrived{Event: stream.Event{Request: id, Attempt: d.attempt, Offset: n, Done: n == 3}}
+	case 7:
+		return rapid.SampledFrom([]request.Input{request.Suspend{}, request.Resume{}}).Draw(t, "pause")
+	case 8:
+		return request.Picked{Runner: runner}
+	}
+	return request.Arrived{Event: stream.Event{Request: id, Attempt: d.attempt, Offset: d.m.Answer().Offset(), Token: "w"}}
+}
