--- /dev/null
+++ b/coordination/routing/pick.go
@@ -0,0 +1,255 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"math/bits"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/prefix"
+)
+
+// Request is what a choice depends on.
+type Request struct {
+	Model   string
+	Adapter string
+	// Prefix is the hashes of the prompt's whole blocks.
+	Prefix       []prefix.Hash
+	PromptTokens int
+	// OutputTokens is how many are expected.
+	OutputTokens int
+	// Long work goes where a reclaim is least likely, as long as its first
+	// token comes at most Slack later than at the fastest runner.
+	Long  bool
+	Slack time.Duration
+	// Exclude are runners not to choose; see Table.Exclude.
+	Exclude prefix.Set
+}
+
+// Choice is the runner that a request should go to.
+type Choice struct {
+	Runner  ident.RunnerID
+	Address string
+	// Estimate is the expected time to first token.
+	Estimate time.Duration
+	// CachedBlocks is how much of the prefix the runner is thought to hold.
+	CachedBlocks int
+	// Uncached is the prompt tokens that are to be computed.
+	Uncached int
+	slot     int
+	epoch    uint32
+}
+
+// NoRunnerError says that no runner can take a request.
+type NoRunnerError struct{ Cause Cause }
+
+// Cause tells why no runner can take a request.
+type Cause string
+
+// Causes of NoRunnerError.
+const (
+	NoneLive  Cause = "none_live"
+	NotLoaded Cause = "not_loaded"
+	AllTried  Cause = "all_tried"
+)
+
+func (e *NoRunnerError) Error() string { return fmt.Sprintf("no runner: %s", e.Cause) }
+
+var (
+	errNoneLive  = &NoRunnerError{NoneLive}
+	errNotLoaded = &NoRunnerError{NotLoaded}
+	errAllTried  = &NoRunnerError{AllTried}
+)
+
+// Exclude returns the set of the given runners.
+func (t *Table) Exclude(ids ...ident.RunnerID) prefix.Set {
+	var s prefix.Set
+	for _, id := range ids {
+		if i, ok := t.byID[id]; ok {
+			s = s.With(i)
+		}
+	}
+	return s
+}
+
+// Pick chooses the runner for a request. It allocates nothing. Errors are
+// *NoRunnerError.
+func (t *Table) Pick(_ time.Time, r *Request) (Choice, error) {
+	eligible, err := t.eligible(r)
+	if err != nil {
+		return Choice{}, err
+	}
+	t.match(r)
+	candidates := t.bound(t.sample(eligible))
+	var estimates [MaxRunners]float64
+	best := t.fastest(candidates, r, &estimates)
+	if r.Long && !t.cfg.IgnoreRisk {
+		best = t.safest(candidates, r, &estimates, estimates[best]+r.Slack.Seconds())
+	}
+	return t.choice(best, r, estimates[best]), nil
+}
+
+func (t *Table) choice(i int, r *Request, estimate float64) Choice {
+	s := &t.slots[i]
+	return Choice{
+		Runner:       s.runner.ID,
+		Address:      s.runner.Address,
+		Estimate:     time.Duration(estimate * float64(time.Second)),
+		CachedBlocks: t.cachedBlocks(i),
+		Uncached:     t.uncached(i, r),
+		slot:         i,
+		epoch:        s.epoch,
+	}
+}
+
+// eligible returns the slots that may serve the request: live ones that have
+// the wanted version, else any version, else ones that have not reported yet.
+// Suspect and ejected runners are used only where no other is left: the caller
+// is better served by a try, which the retry budget bounds, than by a refusal.
+func (t *Table) eligible(r *Request) (prefix.Set, error) {
+	usable := t.live | t.suspect
+	if usable == 0 {
+		return 0, errNoneLive
+	}
+	if usable&^r.Exclude == 0 {
+		return 0, errAllTried
+	}
+	p := t.placed[placement{r.Model, r.Adapter}]
+	for _, states := range [...]prefix.Set{t.live &^ t.ejected, usable} {
+		states &^= r.Exclude
+		for _, loaded := range [...]prefix.Set{p.wanted, p.other, ^t.reported} {
+			if found := states & loaded; found != 0 {
+				return found, nil
+			}
+		}
+	}
+	if usable&(p.wanted|p.other) != 0 {
+		return 0, errAllTried
+	}
+	return 0, errNotLoaded
+}
+
+func (t *Table) match(r *Request) {
+	t.depths.Held, t.depths.Deepest = 0, 0
+	if !t.cfg.IgnorePrefix {
+		t.index.Match(r.Prefix, &t.depths)
+	}
+}
+
+// sample keeps the runners with the longest cached prefix and a few random
+// ones. Were all gateways to take the best of all by the same lagging reports,
+// they would all send to the same runner until its next report.
+func (t *Table) sample(from prefix.Set) prefix.Set {
+	if t.cfg.Samples <= 0 || from.Len() <= t.cfg.Samples {
+		return from
+	}
+	chosen := from & t.depths.Deepest
+	rest := from &^ chosen
+	for n := t.cfg.Samples; n > 0 && rest != 0; n-- {
+		i := t.random(rest)
+		chosen = chosen.With(i)
+		rest = rest.Without(i)
+	}
+	return chosen
+}
+
+func (t *Table) random(from prefix.Set) int {
+	for skip := t.rng.IntN(from.Len()); skip > 0; skip-- {
+		from &= from - 1
+	}
+	return from.First()
+}
+
+// bound leaves out runners that have far more of this gateway's requests than
+// the mean, whatever their reports say: a report that lags or lies would draw
+// all work to one runner.
+func (t *Table) bound(from prefix.Set) prefix.Set {
+	if t.cfg.LoadBound <= 0 {
+		return from
+	}
+	total := 0
+	for s := from; s != 0; s &= s - 1 {
+		total += t.scores[s.First()].inFlight
+	}
+	limit := int(math.Ceil(t.cfg.LoadBound * float64(total+1) / float64(from.Len())))
+	within := from
+	for s := from; s != 0; s &= s - 1 {
+		if i := s.First(); t.scores[i].inFlight >= limit {
+			within = within.Without(i)
+		}
+	}
+	if within == 0 {
+		return from
+	}
+	return within
+}
+
+// fastest fills in the candidates' estimates and returns the least one. The
+// search starts at a random slot so that gateways differ among equals.
+func (t *Table) fastest(candidates prefix.Set, r *Request, estimates *[MaxRunners]float64) int {
+	turn := int(t.rng.Uint64() % MaxRunners)
+	best := -1
+	for s := bits.RotateLeft64(uint64(candidates), -turn); s != 0; s &= s - 1 {
+		i := (bits.TrailingZeros64(s) + turn) % MaxRunners
+		estimates[i] = t.estimate(i, r)
+		if best < 0 || estimates[i] < estimates[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// estimate is the expected time to first token in seconds: the tokens queued
+// ahead and the own uncached ones at the prefill rate, the wait for room in the
+// KV cache at the rate at which the batch frees it, and the way there.
+func (t *Table) estimate(i int, r *Request) float64 {
+	s := &t.scores[i]
+	seconds := s.remote + (s.ahead+float64(t.uncached(i, r)))*s.perToken
+	if missing := float64(r.PromptTokens+r.OutputTokens) - s.free; missing > 0 {
+		seconds += missing * s.perOutput
+	}
+	return seconds
+}
+
+func (t *Table) cachedBlocks(i int) int {
+	if !t.depths.Held.Has(i) {
+		return 0
+	}
+	return int(t.depths.Blocks[i])
+}
+
+// uncached is at least one token: an engine computes the last one anew.
+func (t *Table) uncached(i int, r *Request) int {
+	return max(1, r.PromptTokens-t.cachedBlocks(i)*prefix.BlockTokens)
+}
+
+// safest returns the candidate with the least expected cost of a reclaim and
+// of its price among those whose estimate is within the limit.
+func (t *Table) safest(candidates prefix.Set, r *Request, estimates *[MaxRunners]float64, limit float64) int {
+	best, bestCost := -1, math.Inf(1)
+	for s := candidates; s != 0; s &= s - 1 {
+		i := s.First()
+		if estimates[i] > limit {
+			continue
+		}
+		cost := t.risk(i, r)
+		if cost < bestCost || cost == bestCost && estimates[i] < estimates[best] {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// risk is the probability of a reclaim while the request runs, plus the price
+// in the same unit.
+func (t *Table) risk(i int, r *Request) float64 {
+	s := &t.slots[i]
+	perRequest := s.decode / float64(max(1, s.report.Running, t.scores[i].inFlight))
+	seconds := float64(r.OutputTokens) / perRequest
+	risk := s.hazard * seconds
+	if t.maxPrice > 0 {
+		risk += t.cfg.PriceWeight * s.runner.PricePerHour / t.maxPrice
+	}
+	return risk
+}
--- /dev/null
+++ b/coordination/routing/routing_test.go
@@ -0,0 +1,260 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/load"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/prefix"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func runners(n int) []view.Runner {
+	list := make([]view.Runner, n)
+	for i := range list {
+		list[i] = view.Runner{
+			ID:            ident.RunnerID(fmt.Sprintf("r%05d", i)),
+			Address:       fmt.Sprintf("10.0.0.%d:80", i),
+			FailureDomain: ident.FailureDomain(fmt.Sprintf("d%d", i%4)),
+			VMClass:       "spot",
+			Reclaimable:   true,
+			PricePerHour:  1,
+			State:         view.Live,
+		}
+	}
+	return list
+}
+
+func report(at time.Time, queued int) load.Report {
+	return load.Report{
+		AsOf:          at,
+		QueuedTokens:  queued,
+		KVBlocksTotal: 10000,
+		KVBlocksFree:  10000,
+		PrefillRate:   10000,
+		DecodeRate:    1000,
+		Models:        []load.Model{{Name: "m", Version: "1", Adapters: []string{"a"}}},
+	}
+}
+
+func table(n int) *Table {
+	cfg := Default("g1", "d0")
+	cfg.Samples = 0
+	cfg.LoadBound = 0
+	t := New(cfg)
+	t.SetModels([]manifest.Model{{Name: "m", Version: "1"}})
+	t.SetRunners(start, runners(n))
+	for _, r := range runners(n) {
+		t.Report(start, r.ID, report(start, 0))
+	}
+	return t
+}
+
+func TestEstimateCorrectsALaggingReport(t *testing.T) {
+	is := is.New(t)
+	tb := table(1)
+	r := &Request{Model: "m", PromptTokens: 5000, OutputTokens: 10}
+	c, err := tb.Pick(start, r)
+	is.NoErr(err)
+	is.Equal(c.Estimate, 500*time.Millisecond)
+	k := tb.Dispatch(start.Add(time.Second), c, r)
+	// A report drawn up before the dispatch does not know of it.
+	tb.Report(start.Add(2*time.Second), "r00000", report(start.Add(500*time.Millisecond), 1000))
+	c, _ = tb.Pick(start, r)
+	is.Equal(c.Estimate, 1100*time.Millisecond)
+	// One drawn up after it counts it among the queued.
+	tb.Report(start.Add(3*time.Second), "r00000", report(start.Add(2*time.Second), 6000))
+	c, _ = tb.Pick(start, r)
+	is.Equal(c.Estimate, 1100*time.Millisecond)
+	tb.FirstToken(start.Add(4*time.Second), &k)
+	c, _ = tb.Pick(start, r)
+	is.Equal(c.Estimate, 600*time.Millisecond)
+	tb.Finished(start.Add(5*time.Second), &k)
+	tb.Finished(start.Add(5*time.Second), &k)
+	is.Equal(tb.scores[0].inFlight, 0)
+	is.Equal(tb.slots[0].pendingKV, 0.0)
+}
+
+func TestPrefixDrawsUntilTheQueueIsLonger(t *testing.T) {
+	is := is.New(t)
+	tb := table(4)
+	chain := make([]prefix.Hash, 100)
+	for i := range chain {
+		chain[i] = prefix.Hash(i + 1)
+	}
+	r := &Request{Model: "m", Adapter: "a", Prefix: chain, PromptTokens: 1600, OutputTokens: 10}
+	first, err := tb.Pick(start, r)
+	is.NoErr(err)
+	is.Equal(first.Runner, ident.RunnerID("r00000")) // the own failure domain among equals
+	k := tb.Dispatch(start, first, r)
+	tb.FirstToken(start, &k)
+	again, _ := tb.Pick(start, r)
+	is.Equal(again.Runner, first.Runner)
+	is.Equal(again.CachedBlocks, 100)
+	tb.Report(start, first.Runner, report(start.Add(time.Second), 3000))
+	moved, _ := tb.Pick(start, r)
+	is.True(moved.Runner != first.Runner)
+}
+
+func TestPlacementByVersionAndAdapter(t *testing.T) {
+	is := is.New(t)
+	tb := table(2)
+	old := report(start.Add(time.Second), 0)
+	old.Models = []load.Model{{Name: "m", Version: "0"}}
+	tb.Report(start, "r00000", old)
+	for range 20 {
+		c, err := tb.Pick(start, &Request{Model: "m", PromptTokens: 1})
+		is.NoErr(err)
+		is.Equal(c.Runner, ident.RunnerID("r00001"))
+	}
+	c, err := tb.Pick(start, &Request{Model: "m", PromptTokens: 1, Exclude: tb.Exclude("r00001")})
+	is.NoErr(err)
+	is.Equal(c.Runner, ident.RunnerID("r00000")) // an old version rather than none
+	_, err = tb.Pick(start, &Request{Model: "m", Adapter: "b", PromptTokens: 1})
+	var none *NoRunnerError
+	is.True(errors.As(err, &none))
+	is.Equal(none.Cause, NotLoaded)
+}
+
+// A long review is cut off half way and its deposit window is lost. VMs of one
+// failure domain were being reclaimed all day, yet the review went there since
+// its queue was a little shorter.
+func TestLongWorkKeepsOffReclaims(t *testing.T) {
+	is := is.New(t)
+	tb := table(8)
+	list := runners(8)
+	list[0].State = view.Leaving
+	tb.SetRunners(start.Add(time.Minute), list)
+	short := &Request{Model: "m", PromptTokens: 100, OutputTokens: 10}
+	c, err := tb.Pick(start, short)
+	is.NoErr(err)
+	is.Equal(c.Runner, ident.RunnerID("r00004")) // d0, the own failure domain
+	long := &Request{Model: "m", PromptTokens: 100, OutputTokens: 3000, Long: true, Slack: time.Second}
+	c, err = tb.Pick(start, long)
+	is.NoErr(err)
+	is.True(c.Runner != "r00004")
+	long.Slack = 0
+	c, err = tb.Pick(start, long)
+	is.NoErr(err)
+	is.Equal(c.Runner, ident.RunnerID("r00004")) // no slack, no choice
+}
+
+// A caller's request breaks off again and again although other runners are
+// free. A VM has its notice; the list, which lags, still calls it live.
+func TestLeavingIsNeverPicked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 70).Draw(t, "runners")
+		list := runners(n)
+		tb := table(n)
+		left := map[ident.RunnerID]bool{}
+		now := start
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			i := rapid.IntRange(0, n-1).Draw(t, "runner")
+			id := list[i].ID
+			switch rapid.IntRange(0, 3).Draw(t, "call") {
+			case 0:
+				list[i].State = view.Leaving
+				tb.SetRunners(now, list)
+				left[id] = true
+			case 1:
+				r := report(now, 0)
+				r.Leaving = true
+				_, known := tb.byID[id]
+				tb.Report(now, id, r)
+				tb.Report(now, id, report(now, 0))
+				if known {
+					left[id] = true
+				}
+			case 2:
+				tb.SetEjected(id, rapid.Bool().Draw(t, "ejected"))
+			case 3:
+				tb.SetRunners(now, list)
+			}
+			long := rapid.Bool().Draw(t, "long")
+			c, err := tb.Pick(now, &Request{Model: "m", PromptTokens: 10, OutputTokens: 10, Long: long, Slack: time.Second})
+			if err == nil && left[c.Runner] {
+				t.Fatalf("picked %s, which leaves", c.Runner)
+			}
+			if err != nil && tb.live|tb.suspect != 0 {
+				t.Fatalf("%v with runners left", err)
+			}
+		}
+	})
+}
+
+func TestSubsetIsStableAndSpread(t *testing.T) {
+	is := is.New(t)
+	all := runners(1000)
+	before := Subset("g7", all, 64)
+	is.Equal(len(before), 64)
+	perDomain := map[ident.FailureDomain]int{}
+	for _, r := range before {
+		perDomain[r.FailureDomain]++
+	}
+	is.Equal(len(perDomain), 4)
+	is.Equal(perDomain["d0"], 16)
+	gone := before[10].ID
+	var rest []view.Runner
+	for _, r := range all {
+		if r.ID != gone {
+			rest = append(rest, r)
+		}
+	}
+	kept := map[ident.RunnerID]bool{}
+	for _, r := range before {
+		kept[r.ID] = true
+	}
+	changed := 0
+	for _, r := range Subset("g7", rest, 64) {
+		if !kept[r.ID] {
+			changed++
+		}
+	}
+	is.Equal(changed, 1)
+}
+
+func full(samples int) (*Table, *Request) {
+	tb := table(MaxRunners)
+	tb.cfg.Samples = samples
+	tb.cfg.LoadBound = 2
+	chain := make([]prefix.Hash, 250)
+	for i := range chain {
+		chain[i] = prefix.Hash(i + 1)
+	}
+	for i := range MaxRunners {
+		tb.index.Assume(i, chain[:i*3])
+	}
+	return tb, &Request{Model: "m", Adapter: "a", Prefix: chain, PromptTokens: 4000, OutputTokens: 100, Long: true, Slack: time.Second}
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	tb, r := full(0)
+	is.Equal(testing.AllocsPerRun(1000, func() {
+		c, _ := tb.Pick(start, r)
+		k := tb.Dispatch(start, c, r)
+		tb.Finished(start, &k)
+	}), 0.0)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, samples := range []int{0, 4} {
+		b.Run(fmt.Sprintf("samples=%d", samples), func(b *testing.B) {
+			tb, r := full(samples)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, _ = tb.Pick(start, r)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coordination/routing/table.go
@@ -0,0 +1,422 @@
+// Package routing decides which runner of one model service gets a request.
+//
+// It is pure: it reads no clock and does no I/O. The table learns of runners
+// from the directory, of their load from reports that lag, and of their prefix
+// caches from events that are late and gappy; it corrects all three by what
+// this gateway itself has dispatched and seen completed since.
+package routing
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/load"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/prefix"
+)
+
+// MaxRunners is the most runners that one table deals with.
+const MaxRunners = prefix.Slots
+
+// Config sets a table's policy.
+type Config struct {
+	// Self names the gateway; it decides which runners of a long list are its.
+	Self ident.DaemonID
+	// FailureDomain is the gateway's own.
+	FailureDomain ident.FailureDomain
+	// Samples is how many random candidates a choice looks at besides the
+	// runners with the longest cached prefix; zero looks at all.
+	Samples int
+	// IgnorePrefix leaves the prefix index out of the choice.
+	IgnorePrefix bool
+	// IgnoreRisk places long work as any other.
+	IgnoreRisk bool
+	// LoadBound excludes a runner on which this gateway has more than this
+	// many times the mean of requests in progress; zero is no bound.
+	LoadBound float64
+	// RemotePenalty is what a runner in another failure domain adds to the
+	// time to first token.
+	RemotePenalty time.Duration
+	// PriceWeight is the probability of a reclaim that a long request accepts
+	// to run at no price instead of at the highest in the table.
+	PriceWeight float64
+	// PrefillRate and DecodeRate, in tokens per second, stand in until a
+	// runner reports its own.
+	PrefillRate float64
+	DecodeRate  float64
+	// PrefixCapacity bounds the prefix index, in blocks.
+	PrefixCapacity int
+	Hazard         HazardConfig
+	Seed           uint64
+}
+
+// Default returns the policy in use; docs/design/routing.md gives the reasons.
+func Default(self ident.DaemonID, domain ident.FailureDomain) Config {
+	return Config{
+		Self:           self,
+		FailureDomain:  domain,
+		Samples:        4,
+		LoadBound:      2,
+		RemotePenalty:  4 * time.Millisecond,
+		PriceWeight:    0.02,
+		PrefillRate:    8000,
+		DecodeRate:     1000,
+		PrefixCapacity: 1 << 16,
+		Hazard:         DefaultHazard(),
+	}
+}
+
+// changes bounds the own dispatches and completions that are remembered for
+// the correction of a report; older ones are taken as reported.
+const changes = 128
+
+// change is what one own dispatch or completion did to a runner.
+type change struct {
+	at      time.Time
+	prefill float64
+	kv      float64
+}
+
+// changeLog is a ring of the last own changes.
+type changeLog struct {
+	entries [changes]change
+	next    int
+}
+
+// score is what a choice reads of a slot; it is kept apart and small because
+// every choice reads all candidates' scores.
+type score struct {
+	// remote is the way there in seconds.
+	remote float64
+	// perToken is seconds of prefill per token, perOutput seconds until the
+	// batch frees room for one token in the KV cache.
+	perToken  float64
+	perOutput float64
+	// ahead is the prompt tokens queued, free the room in the KV cache in
+	// tokens, own changes since the report included.
+	ahead    float64
+	free     float64
+	inFlight int
+}
+
+type slot struct {
+	used     bool
+	epoch    uint32
+	runner   view.Runner
+	reported bool
+	report   load.Report
+	prefill  float64
+	decode   float64
+	free     float64
+	// pendingPrefill and pendingKV count own work in progress.
+	pendingPrefill float64
+	pendingKV      float64
+	// sincePrefill and sinceKV sum the changes after the last report.
+	sincePrefill float64
+	sinceKV      float64
+	hazard       float64
+}
+
+type placement struct{ model, adapter string }
+
+type placed struct{ wanted, other prefix.Set }
+
+// Table routes the requests of one service. It is not safe for concurrent use.
+type Table struct {
+	cfg      Config
+	slots    [MaxRunners]slot
+	scores   [MaxRunners]score
+	logs     [MaxRunners]changeLog
+	byID     map[ident.RunnerID]int
+	index    *prefix.Index
+	hazard   *Hazard
+	rng      *rand.Rand
+	models   []manifest.Model
+	placed   map[placement]placed
+	used     prefix.Set
+	live     prefix.Set
+	suspect  prefix.Set
+	ejected  prefix.Set
+	reported prefix.Set
+	maxPrice float64
+	depths   prefix.Depths
+}
+
+// New returns a table without runners.
+func New(cfg Config) *Table {
+	return &Table{
+		cfg:    cfg,
+		byID:   map[ident.RunnerID]int{},
+		index:  prefix.NewIndex(cfg.PrefixCapacity),
+		hazard: NewHazard(cfg.Hazard),
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),
+		placed: map[placement]placed{},
+	}
+}
+
+// SetModels tells the versions that should serve from now on.
+func (t *Table) SetModels(models []manifest.Model) {
+	t.models = models
+	t.place()
+}
+
+// SetRunners replaces the list of the service's runners, of which the table
+// deals with a Subset. One that is leaving, gone or no longer listed gets no
+// request from this call on.
+func (t *Table) SetRunners(now time.Time, runners []view.Runner) {
+	t.hazard.observe(now, runners)
+	subset := Subset(t.cfg.Self, runners, MaxRunners)
+	t.removeUnlisted(subset)
+	for i := range subset {
+		t.set(subset[i])
+	}
+	t.refresh(now)
+}
+
+func (t *Table) removeUnlisted(runners []view.Runner) {
+	listed := make(map[ident.RunnerID]bool, len(runners))
+	for i := range runners {
+		if runners[i].State != view.Gone {
+			listed[runners[i].ID] = true
+		}
+	}
+	for id, i := range t.byID {
+		if listed[id] {
+			continue
+		}
+		t.index.Clear(i)
+		t.slots[i] = slot{epoch: t.slots[i].epoch + 1}
+		t.scores[i] = score{}
+		t.logs[i] = changeLog{}
+		t.used = t.used.Without(i)
+		t.ejected = t.ejected.Without(i)
+		t.reported = t.reported.Without(i)
+		delete(t.byID, id)
+	}
+}
+
+func (t *Table) set(r view.Runner) {
+	if r.State == view.Gone {
+		return
+	}
+	i, ok := t.byID[r.ID]
+	if !ok {
+		i = (^t.used).First()
+		t.byID[r.ID] = i
+		t.used = t.used.With(i)
+		t.slots[i] = slot{used: true, epoch: t.slots[i].epoch + 1, prefill: t.cfg.PrefillRate, decode: t.cfg.DecodeRate}
+	}
+	s := &t.slots[i]
+	if s.runner.State == view.Leaving {
+		// A lagging list may still call it live; leaving is final.
+		r.State = view.Leaving
+	}
+	s.runner = r
+	t.scores[i].remote = 0
+	if r.FailureDomain != t.cfg.FailureDomain {
+		t.scores[i].remote = t.cfg.RemotePenalty.Seconds()
+	}
+	t.rescore(i)
+}
+
+// refresh derives from the slots what choices read.
+func (t *Table) refresh(now time.Time) {
+	t.live, t.suspect, t.maxPrice = 0, 0, 0
+	for u := t.used; u != 0; u &= u - 1 {
+		i := u.First()
+		s := &t.slots[i]
+		t.maxPrice = max(t.maxPrice, s.runner.PricePerHour)
+		s.hazard = 0
+		if s.runner.Reclaimable {
+			s.hazard = t.hazard.PerHour(now, s.runner.FailureDomain, s.runner.VMClass) / time.Hour.Seconds()
+		}
+		switch {
+		case s.runner.State == view.Live:
+			t.live = t.live.With(i)
+		case s.runner.State == view.Suspect:
+			t.suspect = t.suspect.With(i)
+		}
+	}
+	t.place()
+}
+
+// place derives which slots serve which model and adapter.
+func (t *Table) place() {
+	clear(t.placed)
+	for u := t.reported; u != 0; u &= u - 1 {
+		i := u.First()
+		for j := range t.slots[i].report.Models {
+			t.placeModel(i, &t.slots[i].report.Models[j])
+		}
+	}
+}
+
+func (t *Table) placeModel(i int, m *load.Model) {
+	if m.Loading {
+		return
+	}
+	wanted := t.wants(m.Name, m.Version)
+	t.placeOne(i, placement{m.Name, ""}, wanted)
+	for _, a := range m.Adapters {
+		t.placeOne(i, placement{m.Name, a}, wanted)
+	}
+}
+
+func (t *Table) placeOne(i int, p placement, wanted bool) {
+	at := t.placed[p]
+	if wanted {
+		at.wanted = at.wanted.With(i)
+	} else {
+		at.other = at.other.With(i)
+	}
+	t.placed[p] = at
+}
+
+func (t *Table) wants(name, version string) bool {
+	for i := range t.models {
+		m := &t.models[i]
+		if m.Name != name {
+			continue
+		}
+		return m.Version == version || m.Canary != nil && m.Canary.Version == version
+	}
+	return false
+}
+
+// SetEjected takes a runner out of the choice or back in.
+func (t *Table) SetEjected(id ident.RunnerID, ejected bool) {
+	i, ok := t.byID[id]
+	switch {
+	case !ok:
+	case ejected:
+		t.ejected = t.ejected.With(i)
+	default:
+		t.ejected = t.ejected.Without(i)
+	}
+}
+
+// Report takes in what a runner published, corrected by own changes since.
+func (t *Table) Report(now time.Time, id ident.RunnerID, r load.Report) {
+	i, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	s := &t.slots[i]
+	if s.reported && r.AsOf.Before(s.report.AsOf) {
+		return
+	}
+	replaced := !s.reported || !sameModels(s.report.Models, r.Models) || r.Leaving != s.report.Leaving
+	s.reported, s.report = true, r
+	t.reported = t.reported.With(i)
+	if r.Leaving {
+		s.runner.State = view.Leaving
+	}
+	if r.PrefillRate > 0 {
+		s.prefill = r.PrefillRate
+	}
+	if r.DecodeRate > 0 {
+		s.decode = r.DecodeRate
+	}
+	s.free = float64(max(r.KVBlocksFree*prefix.BlockTokens, r.KVBlocksTotal*prefix.BlockTokens-r.RunningTokens))
+	t.sumSince(i)
+	t.rescore(i)
+	if replaced {
+		t.refresh(now)
+	}
+}
+
+func sameModels(a, b []load.Model) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Name != b[i].Name || a[i].Version != b[i].Version || a[i].Loading != b[i].Loading || !sameNames(a[i].Adapters, b[i].Adapters) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameNames(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Table) sumSince(i int) {
+	s := &t.slots[i]
+	s.sincePrefill, s.sinceKV = 0, 0
+	log := &t.logs[i].entries
+	for j := range log {
+		if log[j].at.After(s.report.AsOf) {
+			s.sincePrefill += log[j].prefill
+			s.sinceKV += log[j].kv
+		}
+	}
+}
+
+func (t *Table) note(now time.Time, i int, prefill, kv float64) {
+	log := &t.logs[i]
+	log.entries[log.next] = change{now, prefill, kv}
+	log.next = (log.next + 1) % changes
+	s := &t.slots[i]
+	s.sincePrefill += prefill
+	s.sinceKV += kv
+	s.pendingPrefill += prefill
+	s.pendingKV += kv
+	t.rescore(i)
+}
+
+// rescore derives what choices read from the last report and own changes.
+func (t *Table) rescore(i int) {
+	s, c := &t.slots[i], &t.scores[i]
+	c.perToken = 1 / s.prefill
+	c.perOutput = 1 / s.decode
+	c.ahead = max(s.pendingPrefill, float64(s.report.QueuedTokens)+s.sincePrefill)
+	c.free = math.Inf(1)
+	if s.reported && s.report.KVBlocksTotal > 0 {
+		c.free = s.free - s.sinceKV
+	}
+}
+
+// CacheEvents takes in a page of a runner's cache events; see prefix.Index.
+func (t *Table) CacheEvents(id ident.RunnerID, p prefix.Page) error {
+	i, ok := t.byID[id]
+	if !ok {
+		return nil
+	}
+	if err := t.index.Apply(i, p); err != nil {
+		return fmt.Errorf("cache events of %s: %w", id, err)
+	}
+	return nil
+}
+
+// Cursor is the sequence number from which to read a runner's cache events.
+func (t *Table) Cursor(id ident.RunnerID) uint64 {
+	i, ok := t.byID[id]
+	if !ok {
+		return 0
+	}
+	return t.index.Cursor(i)
+}
+
+// PrefixBlocks is the number of blocks in the prefix index.
+func (t *Table) PrefixBlocks() int { return t.index.Len() }
+
+// Runners appends the listed runners that are not leaving to dst.
+func (t *Table) Runners(dst []view.Runner) []view.Runner {
+	for s := t.live | t.suspect; s != 0; s &= s - 1 {
+		dst = append(dst, t.slots[s.First()].runner)
+	}
+	return dst
+}
--- /dev/null
+++ b/coordination/routing/ticket.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/prefix"
+)
+
+type phase uint8
+
+const (
+	phaseNone phase = iota
+	phasePrefill
+	phaseDecode
+)
+
+// Ticket follows one dispatch through the table's counts. The zero value is
+// not dispatched; calls out of order change nothing.
+type Ticket struct {
+	slot     int
+	epoch    uint32
+	phase    phase
+	uncached int
+	kv       int
+	kept     int
+}
+
+// Dispatch counts the request at the chosen runner and assumes that it will
+// hold the request's prefix.
+func (t *Table) Dispatch(now time.Time, c Choice, r *Request) Ticket {
+	s := &t.slots[c.slot]
+	if s.epoch != c.epoch {
+		return Ticket{}
+	}
+	t.scores[c.slot].inFlight++
+	k := Ticket{slot: c.slot, epoch: c.epoch, phase: phasePrefill, uncached: c.Uncached, kv: r.PromptTokens + r.OutputTokens, kept: c.CachedBlocks}
+	t.note(now, k.slot, float64(k.uncached), float64(k.kv))
+	t.index.Assume(c.slot, r.Prefix)
+	return k
+}
+
+// FirstToken counts the prefill as done.
+func (t *Table) FirstToken(now time.Time, k *Ticket) {
+	s := t.ticketSlot(k)
+	if s == nil || k.phase != phasePrefill {
+		return
+	}
+	k.phase = phaseDecode
+	t.note(now, k.slot, -float64(k.uncached), 0)
+}
+
+// Finished counts the request out.
+func (t *Table) Finished(now time.Time, k *Ticket) {
+	t.FirstToken(now, k)
+	s := t.ticketSlot(k)
+	if s == nil || k.phase != phaseDecode {
+		return
+	}
+	k.phase = phaseNone
+	t.scores[k.slot].inFlight--
+	t.note(now, k.slot, 0, -float64(k.kv))
+}
+
+// NotStarted counts a request out that the runner did not start, and takes the
+// assumption of its prefix back.
+func (t *Table) NotStarted(now time.Time, k *Ticket, chain []prefix.Hash) {
+	if t.ticketSlot(k) == nil || k.phase == phaseNone {
+		return
+	}
+	t.index.Withdraw(k.slot, chain, k.kept)
+	t.Finished(now, k)
+}
+
+func (t *Table) ticketSlot(k *Ticket) *slot {
+	s := &t.slots[k.slot]
+	if !s.used || s.epoch != k.epoch {
+		return nil
+	}
+	return s
+}
--- /dev/null
+++ b/state/prefix/index.go
@@ -0,0 +1,236 @@
+// Package prefix keeps an approximate index of the prompt prefixes that runners
+// hold in their caches. Prefixes are named as package prefixhash does: one hash
+// stands for the whole prefix up to the end of its block.
+package prefix
+
+import (
+	"fmt"
+	"math/bits"
+
+	"geraniumstack.org/geraniumstack/state/prefixhash"
+)
+
+// BlockTokens is the number of tokens in a block.
+const BlockTokens = prefixhash.BlockTokens
+
+// Hash stands for a prefix that ends with a whole block.
+type Hash = uint64
+
+// Slots is the most runners that one index can tell apart.
+const Slots = 64
+
+// Set is a set of slots, one bit each.
+type Set uint64
+
+// Has tells whether the slot is in the set.
+func (s Set) Has(slot int) bool { return s&(1<<slot) != 0 }
+
+// With returns the set and the slot.
+func (s Set) With(slot int) Set { return s | 1<<slot }
+
+// Without returns the set less the slot.
+func (s Set) Without(slot int) Set { return s &^ (1 << slot) }
+
+// Len counts the slots in the set.
+func (s Set) Len() int { return bits.OnesCount64(uint64(s)) }
+
+// First returns the lowest slot; the set must not be empty.
+func (s Set) First() int { return bits.TrailingZeros64(uint64(s)) }
+
+// Event is one change of a runner's cache.
+type Event struct {
+	Sequence uint64
+	Block    Hash
+	Stored   bool
+}
+
+// Page is one answer to a read of a runner's cache events.
+type Page struct {
+	// First is the oldest sequence number that the runner still keeps.
+	First uint64
+	// Next is the sequence number to read from next.
+	Next   uint64
+	Events []Event
+}
+
+// GapError says that cache events between two sequence numbers were lost and
+// that the slot was cleared for it.
+type GapError struct{ Wanted, First uint64 }
+
+func (e *GapError) Error() string {
+	return fmt.Sprintf("cache events from %d on lost, first kept is %d", e.Wanted, e.First)
+}
+
+type entry struct {
+	hash Hash
+	set  Set
+	// newer and older link the entries by the time of their last change.
+	newer, older int32
+}
+
+const none = int32(-1)
+
+// Index maps prefixes to the slots that are thought to hold them. It keeps at
+// most its capacity of prefixes and drops the longest unchanged one first. It
+// is approximate: events come late, and what own routing will lead to is
+// written down before it happened. It is not safe for concurrent use.
+type Index struct {
+	at      map[Hash]int32
+	entries []entry
+	newest  int32
+	oldest  int32
+	free    int32
+	cursor  [Slots]uint64
+}
+
+// NewIndex returns an empty index for at most capacity prefixes.
+func NewIndex(capacity int) *Index {
+	return &Index{
+		at:      make(map[Hash]int32, capacity),
+		entries: make([]entry, 0, max(capacity, 1)),
+		newest:  none,
+		oldest:  none,
+		free:    none,
+	}
+}
+
+// Len is the number of prefixes in the index.
+func (x *Index) Len() int { return len(x.at) }
+
+// Holders returns the slots that are thought to hold the prefix.
+func (x *Index) Holders(h Hash) Set {
+	i, ok := x.at[h]
+	if !ok {
+		return 0
+	}
+	return x.entries[i].set
+}
+
+// Cursor is the sequence number from which to read the slot's events.
+func (x *Index) Cursor(slot int) uint64 { return x.cursor[slot] }
+
+// Apply takes a page of the slot's events in. Events that were seen before are
+// ignored. After a gap the slot is cleared first and GapError returned: lost
+// evictions would otherwise leave prefixes that send work to the wrong runner
+// for as long as nothing corrects them, while lost stores only cost a hit.
+func (x *Index) Apply(slot int, p Page) error {
+	var gap error
+	if wanted := x.cursor[slot]; p.First > wanted && wanted > 0 || p.Next < wanted {
+		gap = &GapError{Wanted: wanted, First: p.First}
+		x.Clear(slot)
+		x.cursor[slot] = p.First
+	}
+	for _, e := range p.Events {
+		if e.Sequence < x.cursor[slot] {
+			continue
+		}
+		x.cursor[slot] = e.Sequence + 1
+		if e.Stored {
+			x.store(slot, e.Block)
+		} else {
+			x.evict(slot, e.Block)
+		}
+	}
+	x.cursor[slot] = max(x.cursor[slot], p.Next)
+	return gap
+}
+
+// Assume notes that the slot is about to compute the chain.
+func (x *Index) Assume(slot int, chain []Hash) {
+	// From the far end, so that the shared beginnings are changed last and
+	// dropped last.
+	for i := len(chain) - 1; i >= 0; i-- {
+		x.store(slot, chain[i])
+	}
+}
+
+// Withdraw takes back what was assumed of the slot beyond the first kept blocks
+// of the chain, where the work did not start.
+func (x *Index) Withdraw(slot int, chain []Hash, kept int) {
+	for _, h := range chain[min(kept, len(chain)):] {
+		x.evict(slot, h)
+	}
+}
+
+// Clear forgets all of a slot, as when its runner is replaced.
+func (x *Index) Clear(slot int) {
+	for i := x.oldest; i != none; {
+		next := x.entries[i].newer
+		x.drop(i, slot)
+		i = next
+	}
+	x.cursor[slot] = 0
+}
+
+func (x *Index) store(slot int, h Hash) {
+	i, ok := x.at[h]
+	if !ok {
+		i = x.take(h)
+	} else {
+		x.unlink(i)
+	}
+	x.entries[i].set = x.entries[i].set.With(slot)
+	x.link(i)
+}
+
+func (x *Index) evict(slot int, h Hash) {
+	if i, ok := x.at[h]; ok {
+		x.drop(i, slot)
+	}
+}
+
+func (x *Index) drop(i int32, slot int) {
+	e := &x.entries[i]
+	e.set = e.set.Without(slot)
+	if e.set == 0 {
+		x.remove(i)
+	}
+}
+
+func (x *Index) take(h Hash) int32 {
+	if x.free == none && len(x.entries) == cap(x.entries) {
+		x.remove(x.oldest)
+	}
+	i := x.free
+	if i == none {
+		i = int32(len(x.entries))
+		x.entries = append(x.entries, entry{})
+	} else {
+		x.free = x.entries[i].newer
+	}
+	x.entries[i] = entry{hash: h}
+	x.at[h] = i
+	return i
+}
+
+func (x *Index) remove(i int32) {
+	x.unlink(i)
+	delete(x.at, x.entries[i].hash)
+	x.entries[i] = entry{newer: x.free}
+	x.free = i
+}
+
+func (x *Index) link(i int32) {
+	e := &x.entries[i]
+	e.newer, e.older = none, x.newest
+	if x.newest != none {
+		x.entries[x.newest].newer = i
+	} else {
+		x.oldest = i
+	}
+	x.newest = i
+}
+
+func (x *Index) unlink(i int32) {
+	e := &x.entries[i]
+	if e.newer != none {
+		x.entries[e.newer].older = e.older
+	} else {
+		x.newest = e.older
+	}
+	if e.older != none {
+		x.entries[e.older].newer = e.newer
+	} else {
+		x.oldest = e.newer
+	}
+}
--- /dev/null
+++ b/state/prefix/index_test.go
@@ -0,0 +1,96 @@
+package prefix
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func chainOf(blocks int) []Hash {
+	chain := make([]Hash, blocks)
+	for i := range chain {
+		chain[i] = Hash(100 + i)
+	}
+	return chain
+}
+
+func TestMatchFindsEachSlotsDepth(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(100)
+	chain := chainOf(10)
+	x.Assume(3, chain[:2])
+	x.Assume(5, chain[:7])
+	x.Assume(9, chain[:7])
+	var d Depths
+	x.Match(chain, &d)
+	is.Equal(d.Deepest, Set(0).With(5).With(9))
+	is.Equal(d.Held, Set(0).With(3).With(5).With(9))
+	is.Equal(d.Blocks[3], uint16(2))
+	is.Equal(d.Blocks[5], uint16(7))
+	x.Withdraw(5, chain, 1)
+	x.Match(chain, &d)
+	is.Equal(d.Blocks[5], uint16(1))
+}
+
+// A caller's follow-up goes to a runner that dropped the conversation long
+// ago, and waits for a prefill that another runner would have spared. First the
+// reader of cache events falls behind, then the runner evicts, and its event
+// log wraps before the eviction is read: the loss is a gap in the sequence.
+func TestGapClearsTheSlotAndGoesOn(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(100)
+	is.NoErr(x.Apply(2, Page{Next: 2, Events: []Event{{0, 11, true}, {1, 12, true}}}))
+	x.Assume(4, []Hash{11})
+	err := x.Apply(2, Page{First: 9, Next: 11, Events: []Event{{9, 13, true}, {10, 13, false}}})
+	var gap *GapError
+	is.True(errors.As(err, &gap))
+	is.Equal(gap.Wanted, uint64(2))
+	is.Equal(x.Holders(11), Set(0).With(4))
+	is.Equal(x.Holders(12), Set(0))
+	is.Equal(x.Cursor(2), uint64(11))
+	is.NoErr(x.Apply(2, Page{First: 9, Next: 12, Events: []Event{{10, 14, true}, {11, 12, true}}}))
+	is.Equal(x.Holders(14), Set(0)) // an event read twice changes nothing
+	is.Equal(x.Holders(12), Set(0).With(2))
+}
+
+// TestIndexIsBounded drives the index with any calls and compares it, while it
+// is below its capacity, with a plain map.
+func TestIndexIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 12).Draw(t, "capacity")
+		x := NewIndex(capacity)
+		want := map[Hash]Set{}
+		hash := rapid.Custom(func(t *rapid.T) Hash { return Hash(rapid.IntRange(1, 20).Draw(t, "hash")) })
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			slot := rapid.IntRange(0, 3).Draw(t, "slot")
+			chain := rapid.SliceOfN(hash, 1, 4).Draw(t, "chain")
+			switch rapid.IntRange(0, 2).Draw(t, "call") {
+			case 0:
+				x.Assume(slot, chain)
+				for _, h := range chain {
+					want[h] = want[h].With(slot)
+				}
+			case 1:
+				x.Withdraw(slot, chain, 0)
+				for _, h := range chain {
+					want[h] = want[h].Without(slot)
+				}
+			case 2:
+				x.Clear(slot)
+				for h := range want {
+					want[h] = want[h].Without(slot)
+				}
+			}
+			if x.Len() > capacity || len(x.entries) > capacity {
+				t.Fatalf("%d prefixes in %d entries, capacity %d", x.Len(), len(x.entries), capacity)
+			}
+			for h, set := range want {
+				if got := x.Holders(h); got&^set != 0 || capacity >= 20 && got != set {
+					t.Fatalf("holders of %d: %b, want %b", h, got, set)
+				}
+			}
+		}
+	})
+}
