--- /dev/null
+++ b/protocol/retry/retry_test.go
@@ -0,0 +1,83 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestNeverWhatMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	p := New(Default())
+	is.Equal(p.Decide(start, Failure{Reason: Broken, MayHaveRun: true, Attempts: 1}).Verdict, StopMayHaveRun)
+	is.Equal(p.Decide(start, Failure{Reason: Broken, MayHaveRun: true, Repeatable: true, Attempts: 1}).Verdict, Again)
+	is.Equal(p.Decide(start, Failure{Reason: ConnectFailed, Attempts: 1}).Verdict, Again)
+	is.Equal(p.Decide(start, Failure{Reason: ConnectFailed, Attempts: 4}).Verdict, StopAttempts)
+	d := p.Decide(start, Failure{Reason: Busy, Attempts: 1, RetryAfter: 3 * time.Second, Deadline: start.Add(time.Second)})
+	is.Equal(d.Verdict, StopDeadline)
+	d = p.Decide(start, Failure{Reason: Busy, Attempts: 1, RetryAfter: 3 * time.Second})
+	is.True(d.Wait >= 3*time.Second)
+}
+
+// TestBudgetIsNeverExceeded makes any sequence of first attempts and failures.
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Default()
+		cfg.Ratio = rapid.Float64Range(0, 1).Draw(t, "ratio")
+		cfg.Burst = float64(rapid.IntRange(0, 20).Draw(t, "burst"))
+		p := New(cfg)
+		first, again, now := 0, 0, start
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				p.FirstAttempt(now)
+				first++
+				continue
+			}
+			f := Failure{
+				Reason:     rapid.SampledFrom([]Reason{ConnectFailed, Busy, Leaving, Broken, Silent}).Draw(t, "reason"),
+				Accepted:   rapid.Bool().Draw(t, "accepted"),
+				Repeatable: true,
+				Attempts:   rapid.IntRange(1, 6).Draw(t, "attempts"),
+			}
+			if p.Decide(now, f).Verdict == Again {
+				again++
+			}
+			paid := cfg.Ratio*float64(first) + cfg.PerSecond*now.Sub(start).Seconds()
+			if float64(again) > cfg.Burst+paid+1e-6 {
+				t.Fatalf("%d retries of %d first attempts", again, first)
+			}
+		}
+	})
+}
+
+// Callers in the healthy failure domains wait and time out although their own
+// runners work. A failure domain with a quarter of the runners has gone, every
+// call to it fails at once, and the repeats take the rest of the capacity.
+func TestNoStormWhenAFailureDomainGoes(t *testing.T) {
+	is := is.New(t)
+	p := New(Default())
+	attempts, answered := 0, 0
+	const firsts = 10000
+	for i := range firsts {
+		p.FirstAttempt(start)
+		for n := 1; ; n++ {
+			attempts++
+			if (i+n)%4 != 0 {
+				answered++
+				break
+			}
+			d := p.Decide(start, Failure{Reason: ConnectFailed, Attempts: n})
+			if d.Verdict != Again {
+				break
+			}
+		}
+	}
+	is.True(float64(attempts) <= 1.1*firsts+Default().Burst)
+	is.True(answered > firsts*3/4)
+	t.Logf("attempts/first attempts %.3f, answered %.3f", float64(attempts)/firsts, float64(answered)/firsts)
+}
