Admit by class and fair shares, refuse at once what comes too late

Cause: a large workspace must not starve a small one, and urgent work must not wait behind bulletins. Change: protocol/admission: start-time fair queuing of token cost per class, priority with a small share for lower classes, a reserve that deferrable work leaves, workspace limits, bounded queue, expected wait and typed refusals with retry_after, a concurrency limit that adapts to latencies and capacity.

--- /dev/null
+++ b/protocol/admission/admission.go
@@ -0,0 +1,380 @@
+// Package admission decides which requests of one service go to runners now,
+// which wait and which are refused.
+//
+// Classes go by priority. Within a class the workspaces share by weight
+// (start-time fair queuing over the cost in tokens); what one doesn't use, the
+// others borrow. Work that can't meet its target is refused at once. The
+// package is pure: time comes with each call and effects are returned.
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// ID names an item for its life in one controller.
+type ID uint64
+
+// Item is a request for admission.
+type Item struct {
+	ID        ID
+	Workspace ident.Workspace
+	Class     string
+	// Cost is in output tokens; prompt tokens count as the part of one that
+	// their prefill takes. See Cost.
+	Cost float64
+	// Bytes is the memory that the item holds while it waits.
+	Bytes int
+	// FirstToken is the expected time to first token once admitted, Service
+	// the expected time to the last one.
+	FirstToken time.Duration
+	Service    time.Duration
+	// Deadline is when the answer is of no more use; zero is never.
+	Deadline time.Time
+}
+
+// Cost is the cost of a request whose prefill and output run at the given
+// rates in tokens per second.
+func Cost(uncached, output int, prefillRate, decodeRate float64) float64 {
+	return float64(output) + float64(uncached)*decodeRate/prefillRate
+}
+
+// Kind is what became of an item.
+type Kind string
+
+// Kinds of effects.
+const (
+	Admit  Kind = "admit"
+	Refuse Kind = "refuse"
+)
+
+// Effect tells what became of an item that was offered.
+type Effect struct {
+	Kind Kind
+	ID   ID
+	// Refusal is set for Refuse; nothing ran.
+	Refusal *refusal.Refusal
+	// Waited is how long the item was queued.
+	Waited time.Duration
+}
+
+// Config sets a controller's policy.
+type Config struct {
+	Limiter LimiterConfig
+	// MaxQueued and MaxQueuedBytes bound the items that wait.
+	MaxQueued      int
+	MaxQueuedBytes int
+	// LowerShare is the share of admitted cost that a class with work waiting
+	// gets whatever the classes above it have: without it an overload of
+	// urgent work would hold accepted long work up for ever.
+	LowerShare float64
+	// Reserve is the share of the limit that deferrable work leaves free:
+	// urgent work that comes finds room without waiting for a long answer.
+	Reserve float64
+	// RateBurst is how long a workspace may run ahead of its tokens per second.
+	RateBurst time.Duration
+	// MaxRetryAfter bounds what refusals ask for.
+	MaxRetryAfter time.Duration
+	// Count is called for every refusal; nil is allowed.
+	Count func(refusal.Reason, ident.Workspace, string)
+}
+
+// Default returns the policy in use; docs/design/limits.md gives the reasons.
+func Default() Config {
+	return Config{
+		Limiter:        DefaultLimiter(),
+		MaxQueued:      4096,
+		MaxQueuedBytes: 16 << 20,
+		LowerShare:     0.05,
+		Reserve:        0.1,
+		RateBurst:      2 * time.Second,
+		MaxRetryAfter:  30 * time.Second,
+	}
+}
+
+type entry struct {
+	Item
+	flow    *flow
+	offered time.Time
+	// expires is when it is too late to admit it; zero is never.
+	expires  time.Time
+	admitted bool
+}
+
+// flow is the work of one workspace in one class.
+type flow struct {
+	workspace *workspace
+	class     *class
+	items     []*entry
+	cost      float64
+	// start is the virtual time at which the next item starts.
+	start float64
+}
+
+type class struct {
+	manifest.Class
+	flows   map[ident.Workspace]*flow
+	active  []*flow
+	virtual float64
+	cost    float64
+	// credit is the cost to be admitted before higher classes.
+	credit   float64
+	admitted meter
+	refused  meter
+}
+
+type workspace struct {
+	manifest.Workspace
+	running int
+	queued  int
+	tokens  bucket
+}
+
+// Controller admits the requests of one service at one gateway. It is not safe
+// for concurrent use.
+type Controller struct {
+	cfg        Config
+	limiter    *Limiter
+	classes    map[string]*class
+	order      []*class
+	workspaces map[ident.Workspace]*workspace
+	weights    float64
+	entries    map[ID]*entry
+	running    int
+	queued     int
+	bytes      int
+	rate       rate
+}
+
+// New returns a controller that knows no class and no workspace.
+func New(cfg Config) *Controller {
+	return &Controller{
+		cfg:        cfg,
+		limiter:    NewLimiter(cfg.Limiter),
+		classes:    map[string]*class{},
+		workspaces: map[ident.Workspace]*workspace{},
+		entries:    map[ID]*entry{},
+	}
+}
+
+// SetLimits takes in the workspaces and classes in force. Work of a workspace
+// that is no longer listed ends under its old limits; then it is forgotten.
+func (c *Controller) SetLimits(workspaces []manifest.Workspace, classes []manifest.Class) {
+	c.weights = 0
+	for _, w := range workspaces {
+		c.weights += w.Weight
+		if known, ok := c.workspaces[w.Name]; ok {
+			known.Workspace = w
+			continue
+		}
+		c.workspaces[w.Name] = &workspace{Workspace: w}
+	}
+	for _, k := range classes {
+		if known, ok := c.classes[k.Name]; ok {
+			known.Class = k
+			continue
+		}
+		c.classes[k.Name] = &class{Class: k, flows: map[ident.Workspace]*flow{}}
+	}
+	c.forget(workspaces)
+	c.order = c.order[:0]
+	for _, k := range c.classes {
+		c.order = append(c.order, k)
+	}
+	slices.SortFunc(c.order, func(a, b *class) int {
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+func (c *Controller) forget(listed []manifest.Workspace) {
+	for name, w := range c.workspaces {
+		if w.running > 0 || w.queued > 0 || slices.ContainsFunc(listed, func(l manifest.Workspace) bool { return l.Name == name }) {
+			continue
+		}
+		delete(c.workspaces, name)
+		for _, k := range c.classes {
+			delete(k.flows, name)
+		}
+	}
+}
+
+// SetCapacity tells what this gateway's share of the runners carries by their
+// own reports: requests at a time and cost per second.
+func (c *Controller) SetCapacity(requests, costPerSecond float64) {
+	c.limiter.SetHint(requests)
+	c.rate.hint(costPerSecond)
+}
+
+// Limit is the number of requests that may be in progress now.
+func (c *Controller) Limit() int { return c.limiter.Limit() }
+
+// Running and Queued count the requests admitted and waiting.
+func (c *Controller) Running() int { return c.running }
+
+// Queued counts the requests that wait.
+func (c *Controller) Queued() int { return c.queued }
+
+// Offer asks for admission and appends what became of it and of others to dst.
+// An item without an effect waits.
+func (c *Controller) Offer(now time.Time, it Item, dst []Effect) []Effect {
+	k, ok := c.classes[it.Class]
+	w, known := c.workspaces[it.Workspace]
+	if !ok || !known {
+		return c.refuse(dst, it, 0, refusal.New(refusal.BadRequest, "unknown class %q or workspace", it.Class))
+	}
+	e := &entry{Item: it, flow: c.flowOf(k, w), offered: now, expires: expiry(now, k, it)}
+	if r := c.check(now, e); r != nil {
+		k.refused.add(now, it.Cost)
+		return c.refuse(dst, it, 0, r)
+	}
+	c.enqueue(e)
+	return c.admit(now, dst)
+}
+
+// minSlack is the part of its target that an item may wait even if its own
+// prompt takes longer than the target: it would be refused for ever otherwise.
+const minSlack = 4
+
+// expiry is when it is too late for the item to keep its target.
+func expiry(now time.Time, k *class, it Item) time.Time {
+	var at time.Time
+	if !k.Deferrable {
+		at = now.Add(max(k.target()/minSlack, k.target()-it.FirstToken))
+	}
+	if it.Deadline.IsZero() {
+		return at
+	}
+	if last := it.Deadline.Add(-it.Service); at.IsZero() || last.Before(at) {
+		return last
+	}
+	return at
+}
+
+func (k *class) target() time.Duration { return time.Duration(k.TTFTMillis) * time.Millisecond }
+
+func (c *Controller) flowOf(k *class, w *workspace) *flow {
+	f, ok := k.flows[w.Name]
+	if !ok {
+		f = &flow{workspace: w, class: k}
+		k.flows[w.Name] = f
+	}
+	return f
+}
+
+// check returns the refusal of an item that can't be served, or nil.
+func (c *Controller) check(now time.Time, e *entry) *refusal.Refusal {
+	k, w := e.flow.class, e.flow.workspace
+	if !k.Deferrable {
+		if r := w.over(now, c.cfg.RateBurst); r != nil {
+			return r
+		}
+	}
+	if c.queued >= c.mayQueue(w) || c.bytes+e.Bytes > c.cfg.MaxQueuedBytes {
+		return refusal.New(refusal.Overloaded, "too much work waits").After(c.retryAfter(now, k, 0))
+	}
+	wait := c.wait(now, e)
+	at := now.Add(wait)
+	if !e.Deadline.IsZero() && at.Add(e.Service).After(e.Deadline) {
+		return refusal.New(refusal.DeadlineUnreachable, "the answer would take %s", (wait + e.Service).Round(time.Millisecond)).After(c.retryAfter(now, k, wait))
+	}
+	if !e.expires.IsZero() && at.After(e.expires) {
+		return refusal.New(refusal.Overloaded, "the first token would take %s", (wait + e.FirstToken).Round(time.Millisecond)).After(c.retryAfter(now, k, at.Sub(e.expires)))
+	}
+	return nil
+}
+
+// mayQueue bounds what waits in all before an item of the workspace is
+// refused. Up to half of the room is anyone's; of the rest a workspace that
+// already has more than its share waiting gets nothing.
+func (c *Controller) mayQueue(w *workspace) int {
+	if float64(w.queued) < float64(c.cfg.MaxQueued)*w.Weight/c.weights {
+		return c.cfg.MaxQueued
+	}
+	return c.cfg.MaxQueued / 2
+}
+
+// retryAfter is when a request like the refused one may find room: the excess
+// and, as long as much is refused, a multiple of the target, so that callers
+// that come back don't keep the overload up.
+func (c *Controller) retryAfter(now time.Time, k *class, excess time.Duration) time.Duration {
+	admitted, refused := k.admitted.perSecond(now), k.refused.perSecond(now)
+	times := 1.0
+	if refused > 0 {
+		times += min(10, refused/max(admitted, 1))
+	}
+	after := excess + time.Duration(times*float64(k.target()))
+	return min(max(after, 100*time.Millisecond), c.cfg.MaxRetryAfter)
+}
+
+// wait is the expected time until the item is admitted.
+func (c *Controller) wait(now time.Time, e *entry) time.Duration {
+	k := e.flow.class
+	if c.room(k) && !c.anyWaits(k) {
+		return 0
+	}
+	perSecond := c.rate.perSecond
+	if perSecond <= 0 {
+		return 0
+	}
+	higher, taken := 0.0, 0.0
+	for _, o := range c.order {
+		if o.Priority > k.Priority {
+			higher += o.cost
+			taken += o.admitted.perSecond(now)
+		}
+	}
+	perSecond = max(perSecond-taken, c.cfg.LowerShare*perSecond)
+	own := e.flow.cost * c.activeWeight(k, e.flow) / e.flow.workspace.Weight
+	seconds := (higher + min(own, k.cost) + c.meanCost()) / perSecond
+	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
+}
+
+// meanCost is the mean cost of the finished requests: over the rate, the time
+// until the next one finishes.
+func (c *Controller) meanCost() float64 {
+	if c.rate.finished == 0 {
+		return 0
+	}
+	return c.rate.total / float64(c.rate.finished)
+}
+
+func (c *Controller) anyWaits(k *class) bool {
+	for _, o := range c.order {
+		if o.Priority >= k.Priority && len(o.active) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) activeWeight(k *class, own *flow) float64 {
+	sum := own.workspace.Weight
+	for _, f := range k.active {
+		if f != own {
+			sum += f.workspace.Weight
+		}
+	}
+	return sum
+}
+
+// room tells whether the limit lets an item of the class in.
+func (c *Controller) room(k *class) bool {
+	limit := float64(c.limiter.Limit())
+	if k.Deferrable {
+		limit = max(1, math.Floor(limit*(1-c.cfg.Reserve)))
+	}
+	return float64(c.running) < limit
+}
+
+func (c *Controller) refuse(dst []Effect, it Item, waited time.Duration, r *refusal.Refusal) []Effect {
+	if c.cfg.Count != nil {
+		c.cfg.Count(r.Reason, it.Workspace, it.Class)
+	}
+	return append(dst, Effect{Kind: Refuse, ID: it.ID, Refusal: r, Waited: waited})
+}
--- /dev/null
+++ b/protocol/admission/admission_test.go
@@ -0,0 +1,243 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var classes = []manifest.Class{
+	{Name: "chat", Priority: 10, TTFTMillis: 500, TBTMillis: 50},
+	{Name: "review", Priority: 5, TTFTMillis: 5000, TBTMillis: 100},
+	{Name: "bulletin", Priority: 1, TTFTMillis: 60000, TBTMillis: 200, Deferrable: true},
+}
+
+func controller(limit float64, workspaces ...manifest.Workspace) *Controller {
+	cfg := Default()
+	cfg.Limiter.Max = limit
+	cfg.Limiter.Min = limit
+	c := New(cfg)
+	c.SetLimits(workspaces, classes)
+	c.SetCapacity(limit, 1000)
+	return c
+}
+
+func item(id ID, ws ident.Workspace, class string) Item {
+	return Item{ID: id, Workspace: ws, Class: class, Cost: 100, FirstToken: 100 * time.Millisecond, Service: time.Second}
+}
+
+func TestUrgentBeforeDeferrable(t *testing.T) {
+	is := is.New(t)
+	c := controller(2, manifest.Workspace{Name: "a", Weight: 1})
+	is.Equal(len(c.Offer(start, item(1, "a", "bulletin"), nil)), 1)
+	is.Equal(len(c.Offer(start, item(2, "a", "bulletin"), nil)), 0) // the reserve
+	is.Equal(len(c.Offer(start, item(3, "a", "chat"), nil)), 1)
+	is.Equal(len(c.Offer(start, item(4, "a", "chat"), nil)), 0)
+	effects := c.Finish(start.Add(50*time.Millisecond), 1, 100, nil)
+	is.Equal(len(effects), 1)
+	is.Equal(effects[0].ID, ID(4))
+}
+
+// A caller waits for seconds only to be told that there was no room. The queue
+// ahead of it was known to be too long when it came.
+func TestRefusedAtOnceWhatCannotBeInTime(t *testing.T) {
+	is := is.New(t)
+	counted := map[refusal.Reason]int{}
+	c := controller(1, manifest.Workspace{Name: "a", Weight: 1})
+	c.cfg.Count = func(r refusal.Reason, _ ident.Workspace, _ string) { counted[r]++ }
+	for i := range 6 {
+		c.Offer(start, item(ID(i), "a", "chat"), nil)
+	}
+	effects := c.Offer(start, item(9, "a", "chat"), nil)
+	is.Equal(len(effects), 1)
+	is.Equal(effects[0].Refusal.Reason, refusal.Overloaded)
+	is.Equal(effects[0].Refusal.Executed, refusal.ExecutedNo)
+	is.True(effects[0].Refusal.RetryAfter > 0)
+	late := item(10, "a", "bulletin")
+	late.Deadline = start.Add(time.Second)
+	effects = c.Offer(start, late, nil)
+	is.Equal(effects[0].Refusal.Reason, refusal.DeadlineUnreachable)
+	// What waits in vain is refused when its time is over.
+	effects = c.Tick(start.Add(time.Second), nil)
+	is.Equal(len(effects), 5)
+	is.Equal(counted[refusal.Overloaded], 6)
+	is.Equal(counted[refusal.DeadlineUnreachable], 1)
+}
+
+func TestWorkspaceLimits(t *testing.T) {
+	is := is.New(t)
+	c := controller(100, manifest.Workspace{Name: "a", Weight: 1, MaxConcurrent: 1}, manifest.Workspace{Name: "b", Weight: 1, TokensPerSecond: 50})
+	c.Offer(start, item(1, "a", "chat"), nil)
+	effects := c.Offer(start, item(2, "a", "chat"), nil)
+	is.Equal(effects[0].Refusal.Reason, refusal.WorkspaceLimit)
+	is.Equal(len(c.Offer(start, item(3, "a", "bulletin"), nil)), 0) // waits for the first to end
+	is.Equal(c.Finish(start, 1, 100, nil)[0].ID, ID(3))
+	is.Equal(c.Offer(start, item(4, "b", "chat"), nil)[0].Kind, Admit)
+	is.Equal(c.Offer(start, item(5, "b", "chat"), nil)[0].Refusal.Reason, refusal.WorkspaceLimit)
+	is.Equal(len(c.Offer(start, item(6, "b", "bulletin"), nil)), 0)
+	is.Equal(c.Tick(start.Add(100*time.Millisecond), nil)[0].ID, ID(6))
+	c.Finish(start.Add(time.Second), 4, 10, nil) // it cost less than was charged
+	is.Equal(len(c.Cancel(start, 6, nil)), 0)
+	is.Equal(c.Running(), 1)
+}
+
+// TestSharesConvergeToWeights keeps all workspaces backlogged.
+func TestSharesConvergeToWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 5).Draw(t, "workspaces")
+		var list []manifest.Workspace
+		total := 0.0
+		for i := range n {
+			w := float64(rapid.IntRange(1, 8).Draw(t, "weight"))
+			total += w
+			list = append(list, manifest.Workspace{Name: ident.Workspace(fmt.Sprint(i)), Weight: w})
+		}
+		c := controller(4, list...)
+		costs := rapid.IntRange(1, 50)
+		served := make([]float64, n)
+		owner, cost := map[ID]int{}, map[ID]float64{}
+		var running []ID
+		next := ID(0)
+		offer := func(w int) {
+			next++
+			it := item(next, list[w].Name, "bulletin")
+			it.Cost = float64(costs.Draw(t, "cost"))
+			owner[next], cost[next] = w, it.Cost
+			running = take(t, running, c.Offer(start, it, nil))
+		}
+		for w := range n {
+			for range 6 {
+				offer(w)
+			}
+		}
+		for range 400 {
+			id := running[0]
+			running = running[1:]
+			served[owner[id]] += cost[id]
+			running = take(t, running, c.Finish(start, id, cost[id], nil))
+			offer(owner[id])
+		}
+		sum := 0.0
+		for _, s := range served {
+			sum += s
+		}
+		for w := range n {
+			want := sum * list[w].Weight / total
+			if d := served[w] - want; d > 400 || d < -400 {
+				t.Fatalf("workspace %d with weight %g of %g served %g of %g", w, list[w].Weight, total, served[w], sum)
+			}
+		}
+	})
+}
+
+func take(t *rapid.T, running []ID, effects []Effect) []ID {
+	for _, e := range effects {
+		if e.Kind != Admit {
+			t.Fatalf("refused: %v", e.Refusal)
+		}
+		running = append(running, e.ID)
+	}
+	return running
+}
+
+// TestWorkConserving makes any sequence of calls: no class waits while the
+// limit has room for it, every offered item has one outcome, and the counts
+// and bounds hold.
+func TestWorkConserving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 6).Draw(t, "limit")
+		c := controller(float64(limit), manifest.Workspace{Name: "a", Weight: 1}, manifest.Workspace{Name: "b", Weight: 3})
+		c.cfg.MaxQueued = 8
+		waiting, running := map[ID]bool{}, map[ID]bool{}
+		now := start
+		for id := ID(1); id < 80; id++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			var effects []Effect
+			switch call := rapid.IntRange(0, 5).Draw(t, "call"); {
+			case call <= 2:
+				waiting[id] = true
+				ws := rapid.SampledFrom([]ident.Workspace{"a", "b"}).Draw(t, "workspace")
+				k := rapid.SampledFrom(classes).Draw(t, "class")
+				effects = c.Offer(now, item(id, ws, k.Name), nil)
+			case call == 3:
+				effects = c.Tick(now, nil)
+			case call == 4:
+				victim := ID(rapid.IntRange(1, int(id)).Draw(t, "victim"))
+				delete(waiting, victim)
+				delete(running, victim)
+				effects = c.Cancel(now, victim, nil)
+			default:
+				victim := ID(rapid.IntRange(1, int(id)).Draw(t, "victim"))
+				delete(running, victim)
+				effects = c.Finish(now, victim, 50, nil)
+			}
+			for _, e := range effects {
+				if !waiting[e.ID] {
+					t.Fatalf("%s of %d, which does not wait", e.Kind, e.ID)
+				}
+				delete(waiting, e.ID)
+				if e.Kind == Admit {
+					running[e.ID] = true
+				}
+			}
+			if c.Queued() != len(waiting) || c.Running() != len(running) || len(running) > limit || len(waiting) > 8 {
+				t.Fatalf("queued %d of %d, running %d of %d", c.Queued(), len(waiting), c.Running(), len(running))
+			}
+			for _, k := range c.order {
+				if len(k.active) > 0 && c.room(k) {
+					t.Fatalf("class %s waits with room left", k.Name)
+				}
+			}
+		}
+	})
+}
+
+func TestLowerClassesAreNotStarved(t *testing.T) {
+	is := is.New(t)
+	c := controller(1, manifest.Workspace{Name: "a", Weight: 1})
+	c.Offer(start, item(1, "a", "chat"), nil)
+	c.Offer(start, item(2, "a", "bulletin"), nil)
+	served := 0
+	running := ID(1)
+	for id := ID(3); id < 100 && served == 0; id++ {
+		c.Offer(start, item(id, "a", "chat"), nil)
+		for _, e := range c.Finish(start, running, 100, nil) {
+			running = e.ID
+			if e.ID == 2 {
+				served = int(id)
+			}
+		}
+	}
+	is.True(served > 15 && served < 30) // after 20 of the same cost
+}
+
+func TestLimiterFollowsCapacity(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter(DefaultLimiter())
+	l.SetHint(100)
+	now := start
+	step := func(ratio float64) {
+		now = now.Add(time.Second)
+		l.Reached(now.Add(-time.Millisecond))
+		l.Sample(now, ratio)
+	}
+	step(0.5)
+	step(0.5)
+	is.True(l.Limit() > 100)
+	for range 10 {
+		step(2)
+	}
+	is.True(l.Limit() < 50)
+	before := l.Limit()
+	l.SetHint(50) // half of the runners are gone
+	is.True(l.Limit() <= before/2+1)
+}
