--- /dev/null
+++ b/standin/kvserver/lease.go
@@ -0,0 +1,120 @@
+package kvserver
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+// Grant implements kv.Store. IDs only grow.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
+	if err := s.enter(ctx, CallGrant); err != nil {
+		return 0, err
+	}
+	id := s.grant(ttl)
+	return id, s.leave(ctx, "")
+}
+
+func (s *Store) grant(ttl time.Duration) kv.LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	l := &lease{id: s.lastLease, ttl: ttl, expires: time.Now().Add(ttl), keys: map[string]struct{}{}}
+	l.timer = time.AfterFunc(ttl, func() { s.lapse(l) })
+	s.leases[l.id] = l
+	return l.id
+}
+
+// KeepAlive implements kv.Store.
+func (s *Store) KeepAlive(ctx context.Context, id kv.LeaseID) error {
+	if err := s.enter(ctx, CallKeepAlive); err != nil {
+		return err
+	}
+	if err := s.renew(id); err != nil {
+		return err
+	}
+	return s.leave(ctx, "")
+}
+
+func (s *Store) renew(id kv.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return &kv.LeaseExpiredError{Lease: id}
+	}
+	l.expires = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+// Revoke implements kv.Store.
+func (s *Store) Revoke(ctx context.Context, id kv.LeaseID) error {
+	if err := s.enter(ctx, CallRevoke); err != nil {
+		return err
+	}
+	if !s.Expire(id) {
+		return &kv.LeaseExpiredError{Lease: id}
+	}
+	return s.leave(ctx, "")
+}
+
+// Expire ends a lease now, as if its time were over, and reports whether it
+// was there. It is the fault switch for a lease that lapses early.
+func (s *Store) Expire(id kv.LeaseID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return false
+	}
+	s.end(l)
+	return true
+}
+
+// Leases lists the live leases, oldest first.
+func (s *Store) Leases() []kv.LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]kv.LeaseID, 0, len(s.leases))
+	for id := range s.leases {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// lapse runs when a lease's timer fires. A renewal can win the lock between
+// the firing and this call; the expiry time tells.
+func (s *Store) lapse(l *lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[l.id] != l || time.Now().Before(l.expires) {
+		return
+	}
+	s.end(l)
+}
+
+func (s *Store) end(l *lease) {
+	l.timer.Stop()
+	delete(s.leases, l.id)
+	keys := make([]string, 0, len(l.keys))
+	for key := range l.keys {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		s.remove(s.entries[key])
+	}
+}
+
+// Close stops the leases' timers.
+func (s *Store) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.timer.Stop()
+	}
+}
--- /dev/null
+++ b/standin/kvserver/store.go
@@ -0,0 +1,270 @@
+// Package kvserver is a stand-in for the platform's key-value service: an
+// in-memory store with compare-and-swap, leases and watches, an HTTP server
+// around it, and switches for its faults. docs/protocols/kv.md describes it.
+package kvserver
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+// MaxValueBytes is the largest value that the service holds.
+const MaxValueBytes = 1 << 20
+
+// DefaultHistory is how many changes are kept for watches that lag.
+const DefaultHistory = 4096
+
+// Store is the service's state. It is safe for concurrent use and implements
+// kv.Store, so a test can use it without HTTP. Leases run on the time package,
+// and so on virtual time inside a testing/synctest bubble.
+type Store struct {
+	mu        sync.Mutex
+	revision  kv.Revision
+	entries   map[string]kv.Entry
+	leases    map[kv.LeaseID]*lease
+	lastLease kv.LeaseID
+	history   []kv.Event
+	keep      int
+	compacted kv.Revision
+	watchers  map[*watcher]struct{}
+	calls     Calls
+	faults    Faults
+}
+
+var _ kv.Store = (*Store)(nil)
+
+type lease struct {
+	id      kv.LeaseID
+	ttl     time.Duration
+	expires time.Time
+	timer   *time.Timer
+	keys    map[string]struct{}
+}
+
+type watcher struct {
+	prefix string
+	wake   chan struct{}
+}
+
+// New returns an empty store without faults that keeps DefaultHistory changes.
+func New() *Store { return NewWithHistory(DefaultHistory) }
+
+// NewWithHistory returns an empty store that keeps the given number of changes
+// for watches; a watch from an earlier revision gets a *kv.CompactedError.
+func NewWithHistory(keep int) *Store {
+	return &Store{
+		entries:  map[string]kv.Entry{},
+		leases:   map[kv.LeaseID]*lease{},
+		keep:     keep,
+		watchers: map[*watcher]struct{}{},
+	}
+}
+
+// Get implements kv.Store.
+func (s *Store) Get(ctx context.Context, key string) (kv.Entry, error) {
+	if err := s.enter(ctx, CallGet); err != nil {
+		return kv.Entry{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current(key), nil
+}
+
+// List implements kv.Store.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]kv.Entry, error) {
+	if err := s.enter(ctx, CallList); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []kv.Entry
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, e)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	if limit > 0 && len(found) > limit {
+		found = found[:limit]
+	}
+	return found, nil
+}
+
+// CompareAndSwap implements kv.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expected kv.Revision, value []byte, id kv.LeaseID) (kv.Revision, error) {
+	if err := s.enter(ctx, CallCompareAndSwap); err != nil {
+		return 0, err
+	}
+	if len(value) > MaxValueBytes {
+		return 0, &kv.TooLargeError{Size: len(value), Limit: MaxValueBytes}
+	}
+	revision, err := s.compareAndSwap(key, expected, value, id)
+	if err != nil {
+		return 0, err
+	}
+	return revision, s.leave(ctx, key)
+}
+
+func (s *Store) compareAndSwap(key string, expected kv.Revision, value []byte, id kv.LeaseID) (kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	holder := s.leases[id]
+	if id != 0 && holder == nil {
+		return 0, &kv.LeaseExpiredError{Lease: id}
+	}
+	current := s.current(key)
+	if current.Revision != expected {
+		return 0, &kv.ConflictError{Current: current}
+	}
+	s.detach(current)
+	s.revision++
+	e := kv.Entry{Key: key, Value: append([]byte(nil), value...), Revision: s.revision, Lease: id}
+	s.entries[key] = e
+	if holder != nil {
+		holder.keys[key] = struct{}{}
+	}
+	s.publish(kv.Event{Entry: e})
+	return s.revision, nil
+}
+
+// Delete implements kv.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected kv.Revision) error {
+	if err := s.enter(ctx, CallDelete); err != nil {
+		return err
+	}
+	if err := s.deleteExpected(key, expected); err != nil {
+		return err
+	}
+	return s.leave(ctx, key)
+}
+
+func (s *Store) deleteExpected(key string, expected kv.Revision) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.current(key)
+	if current.Revision != expected {
+		return &kv.ConflictError{Current: current}
+	}
+	if current.Revision != 0 {
+		s.remove(current)
+	}
+	return nil
+}
+
+// Watch implements kv.Store. A waiting watch counts as one call.
+func (s *Store) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) ([]kv.Event, kv.Revision, error) {
+	if err := s.enter(ctx, CallWatch); err != nil {
+		return nil, after, err
+	}
+	if err := s.silence(ctx); err != nil {
+		return nil, after, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	w := &watcher{prefix: prefix, wake: make(chan struct{}, 1)}
+	defer s.forget(w)
+	for {
+		events, revision, err := s.changes(w, after)
+		if err != nil || len(events) > 0 {
+			return events, revision, err
+		}
+		select {
+		case <-w.wake:
+			if err := s.silence(ctx); err != nil {
+				return nil, after, err
+			}
+		case <-timer.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, after, &kv.UnavailableError{Err: ctx.Err()}
+		}
+		if err := s.outage(); err != nil {
+			return nil, after, err
+		}
+	}
+}
+
+// changes returns the events under the watcher's prefix later than after and
+// registers the watcher for the next one.
+func (s *Store) changes(w *watcher, after kv.Revision) ([]kv.Event, kv.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watchers[w] = struct{}{}
+	if after < s.compacted {
+		return nil, after, &kv.CompactedError{Oldest: s.compacted, Current: s.revision}
+	}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+	var events []kv.Event
+	for _, e := range s.history[first:] {
+		if strings.HasPrefix(e.Key, w.prefix) {
+			events = append(events, e)
+		}
+	}
+	return events, max(after, s.revision), nil
+}
+
+func (s *Store) forget(w *watcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.watchers, w)
+}
+
+// current returns a zero revision where the key is absent.
+func (s *Store) current(key string) kv.Entry {
+	if e, ok := s.entries[key]; ok {
+		return e
+	}
+	return kv.Entry{Key: key}
+}
+
+func (s *Store) detach(e kv.Entry) {
+	if holder := s.leases[e.Lease]; holder != nil {
+		delete(holder.keys, e.Key)
+	}
+}
+
+func (s *Store) remove(e kv.Entry) {
+	s.detach(e)
+	delete(s.entries, e.Key)
+	s.revision++
+	s.publish(kv.Event{Entry: kv.Entry{Key: e.Key, Revision: s.revision}, Deleted: true})
+}
+
+func (s *Store) publish(e kv.Event) {
+	s.history = append(s.history, e)
+	if len(s.history) > 2*s.keep {
+		s.compact(len(s.history) - s.keep)
+	}
+	for w := range s.watchers {
+		if strings.HasPrefix(e.Key, w.prefix) {
+			w.notify()
+		}
+	}
+}
+
+func (s *Store) compact(n int) {
+	s.compacted = s.history[n-1].Revision
+	s.history = append([]kv.Event(nil), s.history[n:]...)
+}
+
+// Compact forgets all changes so far, so that a watch from an earlier revision
+// gets a *kv.CompactedError.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.history) > 0 {
+		s.compact(len(s.history))
+	}
+}
+
+func (w *watcher) notify() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
--- a/transport/kv/kv.go
+++ b/transport/kv/kv.go
@@ -51,7 +51,9 @@
 	// Revoke ends a lease and removes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
 	// Watch waits at most wait for changes under prefix later than after and
-	// returns them with the revision to go on from; none is no error.
+	// returns them with the revision to go on from; none is no error. Where
+	// the service no longer has all of them it is a *CompactedError: the
+	// caller lists the prefix again and watches from the error's Current.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error)
 }
 
@@ -68,6 +70,20 @@
 
 func (e *LeaseExpiredError) Error() string { return fmt.Sprintf("lease %d expired", e.Lease) }
 
+// CompactedError says that the changes that a watch asked for are no longer
+// all kept.
+type CompactedError struct {
+	// Oldest is the last revision whose change is gone.
+	Oldest Revision
+	// Current is the store's revision at the time of the answer. A list made
+	// after it and a watch from it miss nothing between them.
+	Current Revision
+}
+
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("changes up to revision %d are compacted", e.Oldest)
+}
+
 // UnavailableError says that no answer came. A write may have taken effect.
 type UnavailableError struct{ Err error }
 
