--- /dev/null
+++ b/daemon/actions/actions.go
@@ -0,0 +1,478 @@
+// Package actions runs the owner of actions in a daemon: it forwards calls to
+// the owners that their keys name, writes the journal, sends to runners, and
+// speaks for owners that have ended.
+package actions
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/singleflight"
+
+	"geraniumstack.org/geraniumstack/coordination/journal"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/action"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/state/actionkey"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+// Dispatcher sends a call to one runner, once.
+type Dispatcher interface {
+	Send(ctx context.Context, address string, id actionkey.ID, c call.ServiceCall) action.Result
+}
+
+// Config holds what the service works with. Zero times take their defaults.
+type Config struct {
+	Self       ident.Incarnation
+	Directory  view.Directory
+	Config     view.Config
+	Store      kv.Store
+	Dispatcher Dispatcher
+	// Peers calls other daemons; nil is a client of its own over TCP.
+	Peers   *http.Client
+	Metrics metrics.Registry
+	// Owner returns an owner's bounds; nil is action.DefaultConfig.
+	Owner func(ident.Incarnation) action.Config
+	Times Times
+	// RequireToken refuses every key without a token instead of claiming it.
+	RequireToken bool
+}
+
+// Times bounds how long the parts of an action may take.
+type Times struct {
+	// Store bounds a call of the key-value service.
+	Store time.Duration
+	// Dispatch bounds a runner's answer.
+	Dispatch time.Duration
+	// Poll is how long an owner may keep a forwarded call waiting.
+	Poll time.Duration
+	// Slack is how much later than Poll a connection counts as silent.
+	Slack time.Duration
+	// Call bounds calls without a deadline of their own.
+	Call time.Duration
+	// Settle is how long after its start a daemon doesn't conclude from its
+	// directory that an owner is gone.
+	Settle time.Duration
+	// Seal is how long a drain waits for its seal.
+	Seal time.Duration
+	// Retry is the pause before a peer or the service is tried again.
+	Retry time.Duration
+}
+
+// DefaultTimes suits failure domains a few milliseconds apart.
+func DefaultTimes() Times {
+	return Times{
+		Store:    time.Second,
+		Dispatch: 30 * time.Second,
+		Poll:     time.Second,
+		Slack:    500 * time.Millisecond,
+		Call:     30 * time.Second,
+		Settle:   5 * time.Second,
+		Seal:     2 * time.Second,
+		Retry:    200 * time.Millisecond,
+	}
+}
+
+// Service implements call.Actions.
+type Service struct {
+	cfg      Config
+	start    time.Time
+	counters *counters
+	logs     logCache
+	sealing  singleflight.Group
+	claims   claimLease
+	draining drainOnce
+
+	ctx   context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
+	wake  chan struct{}
+
+	mu         sync.Mutex
+	current    *action.Owner
+	epoch      int
+	owners     map[ident.Incarnation]*action.Owner
+	adopted    map[ident.Incarnation]*action.Adopted
+	waiters    map[action.Waiter]chan action.Result
+	nextWaiter action.Waiter
+	closed     bool
+}
+
+var _ call.Actions = (*Service)(nil)
+
+// New returns a service that owns actions from now on; Run must be running
+// for it to make progress.
+func New(cfg Config) *Service {
+	if cfg.Times == (Times{}) {
+		cfg.Times = DefaultTimes()
+	}
+	if cfg.Owner == nil {
+		cfg.Owner = action.DefaultConfig
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	if cfg.Peers == nil {
+		cfg.Peers = &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}
+	}
+	s := &Service{
+		cfg:      cfg,
+		start:    time.Now(),
+		counters: &counters{registry: cfg.Metrics},
+		wake:     make(chan struct{}, 1),
+		owners:   map[ident.Incarnation]*action.Owner{},
+		adopted:  map[ident.Incarnation]*action.Adopted{},
+		waiters:  map[action.Waiter]chan action.Result{},
+	}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.open()
+	return s
+}
+
+// now is the owner's clock: wall time at the start, then monotonic, so that a
+// step of the wall clock can neither revive nor end a key.
+func (s *Service) now() time.Time { return s.start.Round(0).Add(time.Since(s.start)) }
+
+// open starts the next owner of this daemon. The first bears the daemon's
+// incarnation; one whose log another daemon sealed by mistake is followed by
+// one with a new name, since a sealed log is over for good.
+func (s *Service) open() {
+	name := s.cfg.Self
+	if s.epoch > 0 {
+		name = ident.Incarnation(fmt.Sprintf("%s%s%d", s.cfg.Self, epochSeparator, s.epoch))
+	}
+	s.epoch++
+	s.current = action.NewOwner(s.now(), s.cfg.Owner(name))
+	s.owners[name] = s.current
+}
+
+const epochSeparator = "+"
+
+// Run drives the owners until ctx ends, then waits for what it started.
+func (s *Service) Run(ctx context.Context) error {
+	defer s.tasks.Wait()
+	defer s.stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.close()
+			return nil
+		case <-timer.C:
+		case <-s.wake:
+		}
+		timer.Reset(s.tick())
+	}
+}
+
+// close keeps go from starting tasks while Run waits for them.
+func (s *Service) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+}
+
+// spawn runs a task that Run waits for; s.mu must be held.
+func (s *Service) spawn(task func()) {
+	if !s.closed {
+		s.tasks.Go(task)
+	}
+}
+
+const (
+	idleTick = 10 * time.Second
+	minTick  = time.Millisecond
+)
+
+// tick lets time pass in all owners and returns how long until the next.
+func (s *Service) tick() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	wait := idleTick
+	for name, o := range s.owners {
+		s.apply(o, o.Tick(now))
+		if o.Ended() && o.Len() == 0 && o != s.current {
+			delete(s.owners, name)
+			continue
+		}
+		if due := o.Due(now); !due.IsZero() {
+			wait = min(wait, max(minTick, due.Sub(now)))
+		}
+	}
+	for name, a := range s.adopted {
+		if a.Expired(now, s.cfg.Owner(name).TokenLifetime) {
+			delete(s.adopted, name)
+		}
+	}
+	return wait
+}
+
+func (s *Service) nudge() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// apply carries effects out; s.mu must be held.
+func (s *Service) apply(o *action.Owner, effects []action.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case *action.Reply:
+			s.deliver(e)
+		case *action.Dispatch:
+			s.countDispatch(e)
+			s.spawn(func() { s.dispatch(o, e) })
+		case *action.Write:
+			s.spawn(func() { s.write(o, e.Write) })
+		case *action.Collect:
+			s.spawn(func() { s.collect(o, e.Collect) })
+		case *action.Ended:
+			s.ended(o)
+		}
+	}
+	s.nudge()
+}
+
+func (s *Service) deliver(r *action.Reply) {
+	ch, ok := s.waiters[r.Waiter]
+	if !ok {
+		return
+	}
+	delete(s.waiters, r.Waiter)
+	ch <- r.Result // of capacity one, and each waiter gets one reply
+}
+
+func (s *Service) countDispatch(d *action.Dispatch) {
+	if d.Journaled {
+		s.counters.inc(dispatchedJournaled)
+		return
+	}
+	s.counters.inc(dispatchedUnjournaled)
+}
+
+func (s *Service) ended(o *action.Owner) {
+	s.counters.inc(ownerSealed)
+	if o == s.current && !s.draining.begun() {
+		s.open()
+	}
+}
+
+// dispatch sends an action and takes its result in.
+func (s *Service) dispatch(o *action.Owner, d *action.Dispatch) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.Times.Dispatch)
+	defer cancel()
+	result := s.send(ctx, d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(o, o.Finished(s.now(), d.ID, result))
+}
+
+// write creates a journal entry. An error other than a conflict leaves it open
+// whether the entry stands; the writer sends it again under the same index.
+func (s *Service) write(o *action.Owner, w journal.Write) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.Times.Store)
+	defer cancel()
+	key := journal.EntryKey(o.Incarnation(), w.Index)
+	s.counters.inc(journalWrites)
+	revision, err := s.cfg.Store.CompareAndSwap(ctx, key, 0, w.Value, 0)
+	written := journal.Written{Index: w.Index, Revision: uint64(revision)}
+	if err != nil {
+		written = s.failedWrite(w, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(o, o.Written(s.now(), written))
+}
+
+func (s *Service) collect(o *action.Owner, c journal.Collect) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.Times.Store)
+	defer cancel()
+	s.counters.inc(journalDeletes)
+	key := journal.EntryKey(o.Incarnation(), c.Index)
+	if err := s.cfg.Store.Delete(ctx, key, kv.Revision(c.Revision)); err != nil {
+		s.counters.inc(journalDeleteFailed)
+	}
+	s.nudge()
+}
+
+// Token returns a token of this daemon's owner.
+func (s *Service) Token() (string, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.current.Token(s.now())
+	return t.String(), t.Lifetime
+}
+
+// Execute runs the call at most once for its workspace and key.
+func (s *Service) Execute(ctx context.Context, c call.ServiceCall) (call.Answer, error) {
+	ctx, cancel := s.bound(ctx, c.Deadline)
+	defer cancel()
+	result := s.execute(ctx, c)
+	s.counters.result(result)
+	if result.Refusal != nil {
+		return call.Answer{}, result.Refusal
+	}
+	return result.Answer, nil
+}
+
+func (s *Service) bound(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithTimeout(ctx, s.cfg.Times.Call)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+func (s *Service) execute(ctx context.Context, c call.ServiceCall) action.Result {
+	if c.Key == "" {
+		return refused(refusal.New(refusal.KeyRequired,
+			"send an Idempotency-Key made of a token from /v1/gateways and a suffix of your own"))
+	}
+	key, refusedKey := s.resolveKey(ctx, c.Workspace, c.Key)
+	if refusedKey != nil {
+		return refused(refusedKey)
+	}
+	c.Key = key
+	parsed, err := actionkey.Parse(key)
+	if err != nil {
+		return refused(refusal.New(refusal.KeyMalformed, "%v", err))
+	}
+	id := actionkey.ID{Workspace: c.Workspace, Key: key}
+	if s.owns(parsed.Owner) {
+		result, _ := s.run(ctx, parsed.Owner, id, c, 0)
+		return result
+	}
+	return s.forward(ctx, parsed.Owner, id, c)
+}
+
+func refused(r *refusal.Refusal) action.Result { return action.Result{Refusal: r} }
+
+func (s *Service) owns(owner ident.Incarnation) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.owners[owner]
+	return ok
+}
+
+// run submits a call to an owner of this daemon and waits for its result. With
+// a positive poll it waits no longer than that and may return pending.
+func (s *Service) run(ctx context.Context, owner ident.Incarnation, id actionkey.ID, c call.ServiceCall,
+	poll time.Duration) (r action.Result, pending bool) {
+	o, w, ch := s.submit(owner, id, c)
+	if o == nil {
+		return refused(refusal.New(refusal.OwnerGone, "owner has ended").Unknown()), false
+	}
+	var polled <-chan time.Time
+	if poll > 0 {
+		timer := time.NewTimer(poll)
+		defer timer.Stop()
+		polled = timer.C
+	}
+	select {
+	case r := <-ch:
+		return r, false
+	case <-polled:
+		return s.detach(o, id, w, ch)
+	case <-ctx.Done():
+		return s.abandon(o, id, w, ch), false
+	}
+}
+
+func (s *Service) submit(owner ident.Incarnation, id actionkey.ID, c call.ServiceCall) (
+	*action.Owner, action.Waiter, chan action.Result) {
+	request := action.Request{ID: id, BodyHash: bodyHash(c), Call: c}
+	request.Policy, request.Inadmissible = s.admit(c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.owners[owner]
+	if !ok {
+		return nil, 0, nil
+	}
+	s.nextWaiter++
+	request.Waiter = s.nextWaiter
+	ch := make(chan action.Result, 1)
+	s.waiters[request.Waiter] = ch
+	s.apply(o, o.Submit(s.now(), request))
+	return o, request.Waiter, ch
+}
+
+func (s *Service) detach(o *action.Owner, id actionkey.ID, w action.Waiter, ch chan action.Result) (
+	action.Result, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case r := <-ch:
+		return r, false
+	default:
+	}
+	o.Detach(id, w)
+	delete(s.waiters, w)
+	return action.Result{}, true
+}
+
+func (s *Service) abandon(o *action.Owner, id actionkey.ID, w action.Waiter, ch chan action.Result) action.Result {
+	s.mu.Lock()
+	s.apply(o, o.Abandon(s.now(), id, w))
+	delete(s.waiters, w)
+	s.mu.Unlock()
+	select {
+	case r := <-ch:
+		return r
+	default:
+		return refused(refusal.New(refusal.DeadlineExceeded, "no result in time").Unknown())
+	}
+}
+
+// Outcome tells what is known of an earlier call without running it.
+func (s *Service) Outcome(ctx context.Context, ws ident.Workspace, key string) (call.Answer, bool, error) {
+	ctx, cancel := s.bound(ctx, time.Time{})
+	defer cancel()
+	result, pending := s.outcome(ctx, ws, key)
+	if pending {
+		return call.Answer{}, true, nil
+	}
+	if result.Refusal != nil {
+		return call.Answer{}, false, result.Refusal
+	}
+	return result.Answer, false, nil
+}
+
+func (s *Service) outcome(ctx context.Context, ws ident.Workspace, key string) (action.Result, bool) {
+	key, refusedKey := s.lookUpKey(ctx, ws, key)
+	if refusedKey != nil {
+		return refused(refusedKey), false
+	}
+	parsed, err := actionkey.Parse(key)
+	if err != nil {
+		return refused(refusal.New(refusal.KeyMalformed, "%v", err)), false
+	}
+	id := actionkey.ID{Workspace: ws, Key: key}
+	if result, pending, ok := s.ask(parsed.Owner, id, ""); ok {
+		return result, pending
+	}
+	return s.forwardOutcome(ctx, parsed.Owner, id)
+}
+
+// ask answers from the tables of this daemon, if it has one of the owner.
+func (s *Service) ask(owner ident.Incarnation, id actionkey.ID, hash string) (r action.Result, pending, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, found := s.owners[owner]; found {
+		r, pending = o.Ask(id)
+		return r, pending, true
+	}
+	if a, found := s.adopted[owner]; found {
+		r, ok = a.Answer(id, hash)
+		return r, false, ok
+	}
+	return action.Result{}, false, false
+}
--- /dev/null
+++ b/daemon/actions/claim.go
@@ -0,0 +1,151 @@
+package actions
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/actionkey"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+const (
+	claimPrefix = "claim/"
+	// claimLifetime is at least how long a key without a token is remembered.
+	claimLifetime = 24 * time.Hour
+	// claimRenewal is after how long claims go under a new lease.
+	claimRenewal = time.Hour
+	claimTries   = 3
+)
+
+// claim is what stands in the key-value service for a key without a token: the
+// key with a token in its place, by which it goes on like any other.
+type claim struct {
+	Key string `json:"key"`
+}
+
+// claimLease is the lease under which this daemon's claims stand, so that they
+// vanish some time after their keys are over.
+type claimLease struct {
+	mu    sync.Mutex
+	lease kv.LeaseID
+	until time.Time
+}
+
+func claimName(ws ident.Workspace, key string) string {
+	sum := sha256.Sum256([]byte(string(ws) + "\x00" + key))
+	return hex.EncodeToString(sum[:])
+}
+
+// resolveKey returns the key by which a call is known to its owner.
+func (s *Service) resolveKey(ctx context.Context, ws ident.Workspace, key string) (string, *refusal.Refusal) {
+	if actionkey.HasToken(key) {
+		return key, nil
+	}
+	if s.cfg.RequireToken {
+		return "", refusal.New(refusal.KeyRequired,
+			"start the Idempotency-Key with a token from /v1/gateways")
+	}
+	if len(key) > actionkey.MaxLength {
+		return "", refusal.New(refusal.KeyMalformed, "key is over %d bytes", actionkey.MaxLength)
+	}
+	claimed, err := s.claim(ctx, ws, key)
+	if err != nil {
+		s.counters.inc(claimsFailed)
+		// Not "no": a copy of this call may have claimed the key elsewhere.
+		return "", refusal.New(refusal.ClaimUnavailable,
+			"key without a token can't be claimed now; start it with a token from /v1/gateways: %v", err).
+			Unknown().After(time.Second)
+	}
+	return claimed, nil
+}
+
+// claim names this daemon's owner as the key's, unless the key has one.
+func (s *Service) claim(ctx context.Context, ws ident.Workspace, key string) (string, error) {
+	lease, err := s.claimLease(ctx)
+	if err != nil {
+		return "", err
+	}
+	name := claimName(ws, key)
+	token, _ := s.Token()
+	mine := token + name
+	value, err := json.Marshal(claim{Key: mine})
+	if err != nil {
+		return "", fmt.Errorf("encode claim: %w", err)
+	}
+	for try := 1; ; try++ {
+		err = s.createClaim(ctx, name, value, lease)
+		var conflict *kv.ConflictError
+		switch {
+		case err == nil:
+			s.counters.inc(claimsMade)
+			return mine, nil
+		case errors.As(err, &conflict):
+			// Perhaps its own, if the answer to it was lost.
+			s.counters.inc(claimsFound)
+			return decodeClaim(conflict.Current.Value)
+		case try == claimTries || ctx.Err() != nil:
+			return "", fmt.Errorf("create claim: %w", err)
+		}
+	}
+}
+
+func (s *Service) createClaim(ctx context.Context, name string, value []byte, lease kv.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Times.Store)
+	defer cancel()
+	_, err := s.cfg.Store.CompareAndSwap(ctx, claimPrefix+name, 0, value, lease)
+	return err
+}
+
+func (s *Service) claimLease(ctx context.Context) (kv.LeaseID, error) {
+	s.claims.mu.Lock()
+	defer s.claims.mu.Unlock()
+	if s.claims.lease != 0 && time.Now().Before(s.claims.until) {
+		return s.claims.lease, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Times.Store)
+	defer cancel()
+	lease, err := s.cfg.Store.Grant(ctx, claimLifetime+claimRenewal)
+	if err != nil {
+		return 0, fmt.Errorf("grant lease of claims: %w", err)
+	}
+	s.claims.lease = lease
+	s.claims.until = time.Now().Add(claimRenewal)
+	return lease, nil
+}
+
+func decodeClaim(value []byte) (string, error) {
+	var c claim
+	if err := json.Unmarshal(value, &c); err != nil {
+		return "", fmt.Errorf("decode claim: %w", err)
+	}
+	return c.Key, nil
+}
+
+// lookUpKey is resolveKey without making a claim.
+func (s *Service) lookUpKey(ctx context.Context, ws ident.Workspace, key string) (string, *refusal.Refusal) {
+	if actionkey.HasToken(key) {
+		return key, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Times.Store)
+	defer cancel()
+	entry, err := s.cfg.Store.Get(ctx, claimPrefix+claimName(ws, key))
+	if err != nil {
+		return "", refusal.New(refusal.ClaimUnavailable, "look up claim: %v", err).Unknown().After(time.Second)
+	}
+	if entry.Revision == 0 {
+		return "", refusal.New(refusal.UnknownRequest, "nothing is known of this key").Unknown()
+	}
+	claimed, err := decodeClaim(entry.Value)
+	if err != nil {
+		return "", refusal.From(err)
+	}
+	return claimed, nil
+}
--- /dev/null
+++ b/daemon/actions/runners.go
@@ -0,0 +1,139 @@
+package actions
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"strings"
+
+	"geraniumstack.org/geraniumstack/coordination/journal"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/action"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+const (
+	hashBytes  = 16
+	maxRunners = 3
+)
+
+// bodyHash tells calls under the same key apart. Headers don't count: proxies
+// on the callers' side may change them.
+func bodyHash(c call.ServiceCall) string {
+	h := sha256.New()
+	for _, part := range []string{c.Service, c.Method, c.Path} {
+		_ = binary.Write(h, binary.BigEndian, uint64(len(part)))
+		_, _ = io.WriteString(h, part)
+	}
+	_, _ = h.Write(c.Body)
+	return hex.EncodeToString(h.Sum(nil)[:hashBytes])
+}
+
+// admit finds the call's route, or tells why there is none.
+func (s *Service) admit(c call.ServiceCall) (manifest.OutagePolicy, *refusal.Refusal) {
+	m, _ := s.cfg.Config.Current()
+	if m == nil {
+		return "", refusal.New(refusal.NotReady, "no configuration yet").After(s.cfg.Times.Settle)
+	}
+	for i := range m.Services {
+		if m.Services[i].Name == c.Service {
+			return admitRoute(&m.Services[i], c)
+		}
+	}
+	return "", refusal.New(refusal.UnknownService, "no service %q", c.Service)
+}
+
+// admitRoute takes the longest path that fits.
+func admitRoute(svc *manifest.Service, c call.ServiceCall) (manifest.OutagePolicy, *refusal.Refusal) {
+	var best *manifest.Route
+	for i := range svc.Routes {
+		r := &svc.Routes[i]
+		if r.Method != c.Method || !underPath(c.Path, r.Path) {
+			continue
+		}
+		if best == nil || len(r.Path) > len(best.Path) {
+			best = r
+		}
+	}
+	if best == nil {
+		return "", refusal.New(refusal.UnknownRoute, "no route %s %s", c.Method, c.Path)
+	}
+	return best.OutagePolicy, nil
+}
+
+func underPath(path, prefix string) bool {
+	path, _, _ = strings.Cut(path, "?")
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+// send tries a few runners one after the other, and goes on to the next only
+// where it is certain that nothing ran.
+func (s *Service) send(ctx context.Context, d *action.Dispatch) action.Result {
+	result := refused(refusal.New(refusal.NoRunner, "no runner of %q takes work", d.Call.Service).After(s.cfg.Times.Retry))
+	for i, r := range s.runners(d.Call.Service) {
+		if i == maxRunners || ctx.Err() != nil {
+			return result
+		}
+		if i > 0 {
+			s.counters.inc(dispatchNextRunner)
+		}
+		result = s.cfg.Dispatcher.Send(ctx, r.Address, d.ID, d.Call)
+		if result.Executed() != refusal.ExecutedNo {
+			return result
+		}
+	}
+	return result
+}
+
+// runners lists a service's live runners in random order, this failure domain
+// first, then the suspect ones; never a leaving one.
+func (s *Service) runners(service string) []view.Runner {
+	domain := s.cfg.Directory.Self().FailureDomain
+	var near, far, suspect []view.Runner
+	for _, r := range s.cfg.Directory.Runners(service) {
+		switch {
+		case r.State == view.Suspect:
+			suspect = append(suspect, r)
+		case r.State != view.Live:
+		case r.FailureDomain == domain:
+			near = append(near, r)
+		default:
+			far = append(far, r)
+		}
+	}
+	for _, list := range [][]view.Runner{near, far, suspect} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return append(append(near, far...), suspect...)
+}
+
+// failedWrite tells the writer what an error proves.
+func (s *Service) failedWrite(w journal.Write, err error) journal.Written {
+	var conflict *kv.ConflictError
+	if !errors.As(err, &conflict) {
+		s.counters.inc(journalDoubtful)
+		return journal.Written{Index: w.Index, Status: journal.Doubtful}
+	}
+	s.counters.inc(journalConflict)
+	standing, decodeErr := journal.Decode(conflict.Current.Key, conflict.Current.Value)
+	if decodeErr != nil {
+		// Whatever it is, it isn't this owner's entry: the log has ended.
+		standing = journal.Entry{}
+	}
+	return journal.Written{
+		Index:    w.Index,
+		Status:   journal.Conflict,
+		Standing: standing,
+		Revision: uint64(conflict.Current.Revision),
+	}
+}
--- /dev/null
+++ b/protocol/action/owner.go
@@ -0,0 +1,460 @@
+package action
+
+import (
+	"container/heap"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/journal"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/state/actionkey"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+type record struct {
+	id        actionkey.ID
+	bodyHash  string
+	state     State
+	expires   time.Time
+	journaled bool // the token's promise
+	durable   bool
+	policy    manifest.OutagePolicy
+	call      call.ServiceCall
+	result    Result
+	notKept   bool
+	bytes     int
+	waiters   []Waiter
+}
+
+// Owner is the table of the actions that one incarnation alone may dispatch.
+// It is not safe for concurrent use.
+type Owner struct {
+	cfg     Config
+	writer  *journal.Writer
+	records map[actionkey.ID]*record
+	expiry  expiryQueue
+	// received lists actions that wait for the journal, oldest first.
+	received   []*record
+	dispatched int
+	bytes      int
+	tombstones tombstones
+	closing    bool
+	ended      bool
+	effects    []Effect
+}
+
+// NewOwner returns an owner with an empty table.
+func NewOwner(now time.Time, cfg Config) *Owner {
+	return &Owner{
+		cfg:        cfg,
+		writer:     journal.NewWriter(now, cfg.Journal),
+		records:    map[actionkey.ID]*record{},
+		tombstones: newTombstones(cfg.MaxTombstones),
+	}
+}
+
+// Incarnation names the owner.
+func (o *Owner) Incarnation() ident.Incarnation { return o.cfg.Owner }
+
+// Token returns a token of this owner. While the journal can't be written it
+// doesn't promise that its keys are journaled before they are dispatched.
+func (o *Owner) Token(now time.Time) actionkey.Token {
+	return actionkey.Token{
+		Owner:     o.cfg.Owner,
+		Issued:    now.Truncate(time.Millisecond),
+		Lifetime:  o.cfg.TokenLifetime,
+		Journaled: !o.writer.Unavailable(now),
+	}
+}
+
+// Ended tells whether the owner dispatches nothing any more.
+func (o *Owner) Ended() bool { return o.ended }
+
+// Busy tells how many actions are dispatched without a result.
+func (o *Owner) Busy() int { return o.dispatched }
+
+// Len tells how many actions the table holds.
+func (o *Owner) Len() int { return len(o.records) }
+
+// Submit takes a caller's request in.
+func (o *Owner) Submit(now time.Time, r Request) []Effect {
+	if rec, ok := o.records[r.ID]; ok {
+		o.join(rec, r)
+		return o.flush(now)
+	}
+	if refused := o.refuse(now, r); refused != nil {
+		o.reply(r.Waiter, Result{Refusal: refused})
+		return o.flush(now)
+	}
+	o.accept(r)
+	return o.flush(now)
+}
+
+// join attaches a duplicate to the one execution.
+func (o *Owner) join(rec *record, r Request) {
+	if rec.bodyHash != r.BodyHash {
+		// Unknown, not "no": its caller may take it for a repetition of the
+		// call that holds the key, and that one may have run.
+		o.reply(r.Waiter, Result{Refusal: refusal.New(refusal.KeyReused,
+			"another call holds this key; use a new suffix").Unknown()})
+		return
+	}
+	if rec.state.final() {
+		o.reply(r.Waiter, rec.kept())
+		return
+	}
+	rec.waiters = append(rec.waiters, r.Waiter)
+}
+
+// kept is the result as far as it was kept.
+func (r *record) kept() Result {
+	if r.notKept {
+		refused := refusal.New(refusal.AnswerNotKept, "it ran; its answer was too large to keep")
+		refused.Executed = refusal.ExecutedYes
+		return Result{Refusal: refused}
+	}
+	return r.result
+}
+
+// refuse returns why a key that is not in the table can't be accepted, or nil.
+// Whatever is refused with executed "no" is remembered or can never be
+// accepted later: a copy of the same request may still be under way through
+// another gateway, and it must not run after this one's caller was told "no".
+func (o *Owner) refuse(now time.Time, r Request) *refusal.Refusal {
+	key, err := actionkey.Parse(r.ID.Key)
+	if err != nil {
+		return refusal.New(refusal.KeyMalformed, "%v", err)
+	}
+	if key.Owner != o.cfg.Owner {
+		return refusal.New(refusal.OwnerGone, "not the key's owner").Unknown()
+	}
+	if key.Issued.After(now) || key.Lifetime > o.cfg.TokenLifetime {
+		// Not "no": time could make the same key good.
+		return refusal.New(refusal.KeyMalformed, "token was not issued here").Unknown()
+	}
+	if !now.Before(key.Expires()) {
+		return o.refuseExpired()
+	}
+	if o.tombstones.has(r.ID) {
+		return refusal.New(refusal.ActionTableFull, "refused before").After(shortRetry)
+	}
+	if o.full(r) {
+		return o.refuseFull(r.ID, key)
+	}
+	return nil
+}
+
+// refuseExpired doesn't say "no": an expired key's record may have been
+// dropped after the action ran.
+func (o *Owner) refuseExpired() *refusal.Refusal {
+	expired := refusal.New(refusal.KeyExpired, "key is over; nothing is known of it")
+	if o.cfg.Fault == FaultExpiredNo {
+		return expired
+	}
+	return expired.Unknown()
+}
+
+func (o *Owner) full(r Request) bool {
+	return len(o.records) >= o.cfg.MaxRecords ||
+		o.bytes+len(r.Call.Body)+o.cfg.AnswerReserve > o.cfg.MaxBytes
+}
+
+// shortRetry is when a caller may come back with a new key.
+const shortRetry = time.Second
+
+func (o *Owner) refuseFull(id actionkey.ID, key actionkey.Key) *refusal.Refusal {
+	refused := refusal.New(refusal.ActionTableFull, "too many actions").After(shortRetry)
+	if o.cfg.Fault == FaultForgetRefused || o.tombstones.add(id, key.Expires()) {
+		return refused
+	}
+	return refused.Unknown()
+}
+
+func (o *Owner) accept(r Request) {
+	key, err := actionkey.Parse(r.ID.Key)
+	if err != nil {
+		return // refuse has looked at it
+	}
+	rec := &record{
+		id:        r.ID,
+		bodyHash:  r.BodyHash,
+		state:     Received,
+		expires:   key.Expires(),
+		journaled: key.Journaled,
+		policy:    r.Policy,
+		call:      r.Call,
+		bytes:     len(r.Call.Body) + o.cfg.AnswerReserve,
+		waiters:   []Waiter{r.Waiter},
+	}
+	o.bytes += rec.bytes
+	o.records[r.ID] = rec
+	heap.Push(&o.expiry, expiring{id: rec.id, at: rec.expires.Add(o.cfg.Grace)})
+	if refused := o.inadmissible(r); refused != nil {
+		o.settle(rec, NotExecuted, Result{Refusal: refused})
+		return
+	}
+	o.received = append(o.received, rec)
+	o.writer.Intend(journal.Intent{ID: rec.id, BodyHash: rec.bodyHash})
+	if o.cfg.Fault == FaultDispatchFirst {
+		o.dispatch(rec)
+	}
+}
+
+func (o *Owner) inadmissible(r Request) *refusal.Refusal {
+	switch {
+	case r.Inadmissible != nil:
+		return r.Inadmissible
+	case o.ended:
+		return refusal.New(refusal.OwnerGone, "owner has ended; take a new token").After(shortRetry)
+	case o.closing:
+		return refusal.New(refusal.Draining, "VM is leaving; take a new token").After(shortRetry)
+	}
+	return nil
+}
+
+// Finished takes the end of a dispatch in.
+func (o *Owner) Finished(now time.Time, id actionkey.ID, r Result) []Effect {
+	rec, ok := o.records[id]
+	if !ok || rec.state != Dispatched {
+		return nil
+	}
+	o.dispatched--
+	o.settle(rec, stateOf(r), r)
+	o.writer.Record(now, outcomeOf(rec))
+	o.keep(rec)
+	return o.flush(now)
+}
+
+// Abandon ends the wait of a caller. An action that was not dispatched and
+// that nobody else waits for never runs.
+func (o *Owner) Abandon(now time.Time, id actionkey.ID, w Waiter) []Effect {
+	rec, ok := o.records[id]
+	if !ok || rec.state.final() {
+		return nil
+	}
+	rec.drop(w)
+	if rec.state != Received || len(rec.waiters) > 0 {
+		o.reply(w, Result{Refusal: refusal.New(refusal.DeadlineExceeded,
+			"still in progress; ask for its outcome").Unknown()})
+		return o.flush(now)
+	}
+	rec.waiters = append(rec.waiters, w)
+	o.settle(rec, NotExecuted, Result{Refusal: refusal.New(refusal.DeadlineExceeded,
+		"not dispatched in time")})
+	return o.flush(now)
+}
+
+func (r *record) drop(w Waiter) {
+	for i := range r.waiters {
+		if r.waiters[i] == w {
+			r.waiters = append(r.waiters[:i], r.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// Ask tells what is known of an action, without running it.
+func (o *Owner) Ask(id actionkey.ID) (r Result, pending bool) {
+	if rec, ok := o.records[id]; ok {
+		return rec.kept(), !rec.state.final()
+	}
+	if o.tombstones.has(id) {
+		return Result{Refusal: refusal.New(refusal.ActionTableFull, "refused before")}, false
+	}
+	// A key that is not in the table may still be on its way here.
+	return Result{Refusal: refusal.New(refusal.UnknownRequest, "nothing is known of this key").Unknown()}, false
+}
+
+// Written takes the result of a journal write in.
+func (o *Owner) Written(now time.Time, w journal.Written) []Effect {
+	progress := o.writer.Done(now, w)
+	for _, id := range progress.Durable {
+		if rec, ok := o.records[id]; ok {
+			rec.durable = true
+			o.dispatch(rec)
+		}
+	}
+	if progress.Sealed {
+		o.end()
+	}
+	o.compact()
+	return o.flush(now)
+}
+
+// Tick lets time pass.
+func (o *Owner) Tick(now time.Time) []Effect {
+	o.expire(now)
+	return o.flush(now)
+}
+
+// Close stops the acceptance of new actions. End follows when Busy is zero or
+// time is short.
+func (o *Owner) Close() { o.closing = true }
+
+// End seals the log, naming the successor that will get the table; Ended
+// follows when the seal stands.
+func (o *Owner) End(now time.Time, successor ident.Incarnation) []Effect {
+	o.closing = true
+	o.writer.End(successor)
+	return o.flush(now)
+}
+
+// Due returns when Tick is to be called next; zero is never.
+func (o *Owner) Due(now time.Time) time.Time {
+	due := o.writer.Due(now)
+	if len(o.received) > 0 && !o.writer.Unavailable(now) {
+		due = earlier(due, o.writer.UnavailableAt())
+	}
+	if len(o.expiry) > 0 {
+		due = earlier(due, o.expiry[0].at)
+	}
+	return due
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Quit ends the owner without its seal, when the service is down or time is
+// over: it dispatches nothing any more.
+func (o *Owner) Quit(now time.Time) []Effect {
+	o.end()
+	return o.flush(now)
+}
+
+// Detach drops a waiter that asks again later; the action goes on.
+func (o *Owner) Detach(id actionkey.ID, w Waiter) {
+	if rec, ok := o.records[id]; ok {
+		rec.drop(w)
+	}
+}
+
+// Unavailable tells whether the journal can't be written for the time being.
+func (o *Owner) Unavailable(now time.Time) bool { return o.writer.Unavailable(now) }
+
+// flush applies the outage policies, then hands out the effects.
+func (o *Owner) flush(now time.Time) []Effect {
+	if !o.ended && o.writer.Unavailable(now) {
+		o.serveWithoutJournal(now)
+	}
+	if write, ok := o.writer.Flush(now); ok {
+		o.effects = append(o.effects, &Write{write})
+	}
+	if collect, ok := o.writer.CollectNext(now); ok {
+		o.effects = append(o.effects, &Collect{collect})
+	}
+	effects := o.effects
+	o.effects = nil
+	return effects
+}
+
+// serveWithoutJournal ends the wait of every received action while the
+// journal can't be written. What carries the token's promise never runs
+// unjournaled: a gateway that seals the log would tell its caller "no". If the
+// entry in flight takes effect after all, its keys are intents without an
+// outcome, and the gateway says "unknown".
+func (o *Owner) serveWithoutJournal(now time.Time) {
+	for _, rec := range o.received {
+		if rec.state != Received {
+			continue
+		}
+		if rec.policy == manifest.OutageRun && !rec.journaled {
+			o.dispatch(rec)
+			continue
+		}
+		o.settle(rec, NotExecuted, Result{Refusal: refusal.New(refusal.JournalUnavailable,
+			"journal is unavailable; take a new token").After(shortRetry)})
+	}
+	clear(o.received)
+	o.received = o.received[:0]
+	o.writer.Withdraw()
+}
+
+func (o *Owner) dispatch(rec *record) {
+	if rec.state != Received || o.ended {
+		return
+	}
+	rec.state = Dispatched
+	o.dispatched++
+	o.effects = append(o.effects, &Dispatch{ID: rec.id, Call: rec.call, Journaled: rec.durable})
+	o.bytes -= len(rec.call.Body)
+	rec.bytes -= len(rec.call.Body)
+	rec.call = call.ServiceCall{}
+}
+
+// end settles what was not dispatched: nobody else can dispatch it.
+func (o *Owner) end() {
+	if o.ended {
+		return
+	}
+	o.ended = true
+	for _, rec := range o.received {
+		if rec.state == Received {
+			o.settle(rec, NotExecuted, Result{Refusal: refusal.New(refusal.OwnerGone,
+				"owner was sealed; take a new token").After(shortRetry)})
+		}
+	}
+	o.received = nil
+	o.effects = append(o.effects, &Ended{Owner: o.cfg.Owner})
+}
+
+func (o *Owner) settle(rec *record, s State, r Result) {
+	rec.state = s
+	rec.result = r
+	for _, w := range rec.waiters {
+		o.reply(w, r)
+	}
+	rec.waiters = nil
+	o.bytes -= len(rec.call.Body)
+	rec.bytes -= len(rec.call.Body)
+	rec.call = call.ServiceCall{}
+}
+
+// keep accounts for the answer, or drops one over the reserve.
+func (o *Owner) keep(rec *record) {
+	size := answerSize(rec.result.Answer)
+	if size > o.cfg.AnswerReserve && o.bytes+size-rec.bytes > o.cfg.MaxBytes {
+		rec.result = Result{}
+		rec.notKept = true
+		size = 0
+	}
+	o.bytes += size - rec.bytes
+	rec.bytes = size
+}
+
+func (o *Owner) reply(w Waiter, r Result) {
+	o.effects = append(o.effects, &Reply{Waiter: w, Result: r})
+}
+
+// compact drops what no longer waits for the journal from the list.
+func (o *Owner) compact() {
+	waiting := o.received[:0]
+	for _, rec := range o.received {
+		if rec.state == Received {
+			waiting = append(waiting, rec)
+		}
+	}
+	clear(o.received[len(waiting):])
+	o.received = waiting
+}
+
+func (o *Owner) expire(now time.Time) {
+	o.tombstones.expire(now)
+	for len(o.expiry) > 0 && !now.Before(o.expiry[0].at) {
+		e := heap.Pop(&o.expiry).(expiring)
+		rec, ok := o.records[e.id]
+		if !ok {
+			continue
+		}
+		if !rec.state.final() {
+			heap.Push(&o.expiry, expiring{id: e.id, at: now.Add(o.cfg.Grace)})
+			continue
+		}
+		o.bytes -= rec.bytes
+		delete(o.records, e.id)
+	}
+}
--- /dev/null
+++ b/protocol/action/record.go
@@ -0,0 +1,124 @@
+package action
+
+import (
+	"container/heap"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/journal"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/state/actionkey"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+func stateOf(r Result) State {
+	switch r.Executed() {
+	case refusal.ExecutedYes:
+		return Executed
+	case refusal.ExecutedNo:
+		return NotExecuted
+	default:
+		return Unknown
+	}
+}
+
+func outcomeOf(rec *record) journal.Outcome {
+	out := journal.Outcome{ID: rec.id, BodyHash: rec.bodyHash, Executed: rec.result.Executed()}
+	if refused := rec.result.Refusal; refused != nil {
+		out.Reason = refused.Reason
+		out.Detail = refused.Detail
+		return out
+	}
+	out.Status = rec.result.Answer.Status
+	out.Body = rec.result.Answer.Body
+	for _, h := range rec.result.Answer.Headers {
+		out.Headers = append(out.Headers, journal.Header{Name: h.Name, Value: h.Value})
+	}
+	return out
+}
+
+// FromVerdict is what a caller gets by the verdict of a sealed log.
+func FromVerdict(v journal.Verdict) Result {
+	o := v.Outcome
+	if o == nil {
+		return Result{Refusal: &refusal.Refusal{Reason: v.Reason, Executed: v.Executed,
+			Detail: "owner has ended; by its journal"}}
+	}
+	if o.Executed != refusal.ExecutedYes {
+		return Result{Refusal: &refusal.Refusal{Reason: o.Reason, Executed: o.Executed, Detail: o.Detail}}
+	}
+	if o.NotKept {
+		return Result{Refusal: &refusal.Refusal{Reason: refusal.AnswerNotKept, Executed: refusal.ExecutedYes,
+			Detail: "it ran; its answer was too large for the journal"}}
+	}
+	answer := call.Answer{Status: o.Status, Body: o.Body}
+	for _, h := range o.Headers {
+		answer.Headers = append(answer.Headers, call.Header{Name: h.Name, Value: h.Value})
+	}
+	return Result{Answer: answer}
+}
+
+func answerSize(a call.Answer) int {
+	size := len(a.Body)
+	for _, h := range a.Headers {
+		size += len(h.Name) + len(h.Value)
+	}
+	return size
+}
+
+// expiring is an action with the time at which its record may be dropped.
+type expiring struct {
+	id actionkey.ID
+	at time.Time
+}
+
+// expiryQueue is a heap by time.
+type expiryQueue []expiring
+
+func (q expiryQueue) Len() int           { return len(q) }
+func (q expiryQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q expiryQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+
+// Push is for container/heap.
+func (q *expiryQueue) Push(x any) { *q = append(*q, x.(expiring)) }
+
+// Pop is for container/heap.
+func (q *expiryQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// tombstones remember refused keys for little memory, up to a bound.
+type tombstones struct {
+	limit  int
+	ids    map[actionkey.ID]struct{}
+	expiry expiryQueue
+}
+
+func newTombstones(limit int) tombstones {
+	return tombstones{limit: limit, ids: map[actionkey.ID]struct{}{}}
+}
+
+func (t *tombstones) has(id actionkey.ID) bool {
+	_, ok := t.ids[id]
+	return ok
+}
+
+// add tells whether the key is remembered.
+func (t *tombstones) add(id actionkey.ID, expires time.Time) bool {
+	if len(t.ids) >= t.limit {
+		return false
+	}
+	t.ids[id] = struct{}{}
+	heap.Push(&t.expiry, expiring{id: id, at: expires})
+	return true
+}
+
+// expire drops keys that would be refused as expired.
+func (t *tombstones) expire(now time.Time) {
+	for len(t.expiry) > 0 && !now.Before(t.expiry[0].at) {
+		e := heap.Pop(&t.expiry).(expiring)
+		delete(t.ids, e.id)
+	}
+}
--- a/state/refusal/refusal.go
+++ b/state/refusal/refusal.go
@@ -60,6 +60,7 @@
 	ActionTableFull    Reason = "action_table_full"
 	JournalUnavailable Reason = "journal_unavailable"
 	ClaimUnavailable   Reason = "claim_unavailable"
+	AnswerNotKept      Reason = "answer_not_kept"
 )
 
 // Refusal is the typed final answer to a request that is not answered in full.
--- /dev/null
+++ b/transport/dispatch/dispatch_test.go
@@ -0,0 +1,195 @@
+package dispatch_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/protocol/action"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/state/actionkey"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/dispatch"
+)
+
+// breakingRunner counts the requests that it has read whole; the first on each
+// connection is answered, the second breaks the connection.
+type breakingRunner struct {
+	listener net.Listener
+	read     atomic.Int32
+	// breakFirst breaks the connection at the first request already.
+	breakFirst bool
+}
+
+func newBreakingRunner(t *testing.T, breakFirst bool) *breakingRunner {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &breakingRunner{listener: l, breakFirst: breakFirst}
+	t.Cleanup(func() { _ = l.Close() })
+	go r.serve()
+	return r
+}
+
+func (r *breakingRunner) address() string { return r.listener.Addr().String() }
+
+func (r *breakingRunner) serve() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serveConn(conn)
+	}
+}
+
+func (r *breakingRunner) serveConn(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		r.read.Add(1)
+		if !first || r.breakFirst {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func id(suffix string) actionkey.ID { return actionkey.ID{Workspace: "huaman", Key: suffix} }
+
+func send(s *dispatch.Sender, address, key string, body []byte) action.Result {
+	c := call.ServiceCall{Service: "casos", Method: http.MethodPost, Path: "/pledges", Body: body}
+	return s.Send(context.Background(), address, id(key), c)
+}
+
+// Story: a finder pledges a bounty once and is charged twice. The runner read
+// the pledge, ran it, and its connection broke before the answer. The
+// connection had been used before, so the transport took it for one that the
+// server had closed while idle, and sent the pledge again.
+func TestBrokenConnectionRunsActionOnce(t *testing.T) {
+	for _, body := range [][]byte{nil, []byte("pledge")} {
+		is := is.New(t)
+		runner := newBreakingRunner(t, false)
+		s := dispatch.New(dispatch.DefaultConfig())
+
+		first := send(s, runner.address(), "one", body)
+		second := send(s, runner.address(), "two", body)
+
+		is.Equal(first.Executed(), refusal.ExecutedYes)
+		is.Equal(second.Executed(), refusal.ExecutedYes) // a connection of its own
+		is.Equal(runner.read.Load(), int32(2))
+	}
+}
+
+// Story: a slot is booked and the caller is told "not run", so that it books
+// another. The connection broke after the runner had read the booking.
+func TestBrokenConnectionIsUnknown(t *testing.T) {
+	is := is.New(t)
+	runner := newBreakingRunner(t, true)
+
+	got := send(dispatch.New(dispatch.DefaultConfig()), runner.address(), "one", nil)
+
+	is.Equal(got.Executed(), refusal.ExecutedUnknown)
+	is.Equal(runner.read.Load(), int32(1))
+}
+
+// With the guard broken on purpose, the same runner reads the action twice:
+// the test above can fail.
+func TestReusedConnectionRepeatsAction(t *testing.T) {
+	is := is.New(t)
+	runner := newBreakingRunner(t, false)
+	cfg := dispatch.DefaultConfig()
+	cfg.ReuseConnections = true
+	s := dispatch.New(cfg)
+
+	send(s, runner.address(), "one", nil)
+	send(s, runner.address(), "two", nil)
+
+	is.Equal(runner.read.Load(), int32(3)) // "two" was read on the old connection and on a new one
+}
+
+// Story: a caller is told "unknown" and rings the desk, though its booking
+// never left the gateway: the runner's VM was gone and refused connections.
+func TestRefusedDialIsNotExecuted(t *testing.T) {
+	is := is.New(t)
+	runner := newBreakingRunner(t, false)
+	is.NoErr(runner.listener.Close())
+
+	got := send(dispatch.New(dispatch.DefaultConfig()), runner.address(), "one", nil)
+
+	is.Equal(got.Executed(), refusal.ExecutedNo)
+	is.Equal(got.Refusal.Reason, refusal.NoRunner)
+}
+
+// serveHTTP runs a handler on a loopback port and returns its address.
+func serveHTTP(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// Story: a booking runs at two services. The first answered 307 and the
+// sender repeated the call at the address that the answer named.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int32
+	address := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		is.Equal(r.Header.Get(dispatch.HeaderAction), "huaman/one")
+		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+	})
+
+	got := send(dispatch.New(dispatch.DefaultConfig()), address, "one", nil)
+
+	is.Equal(got.Answer.Status, http.StatusTemporaryRedirect)
+	is.Equal(calls.Load(), int32(1))
+}
+
+func TestRunnersOwnRefusalIsNotExecuted(t *testing.T) {
+	is := is.New(t)
+	address := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(dispatch.HeaderNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+
+	got := send(dispatch.New(dispatch.DefaultConfig()), address, "one", nil)
+
+	is.Equal(got.Executed(), refusal.ExecutedNo)
+	is.Equal(got.Refusal.Reason, refusal.RunnerRefused)
+}
+
+// Story: a caller gets half an answer as if it were whole. The runner's
+// connection broke in the middle of the body.
+func TestHalfAnswerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	address := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+	})
+
+	got := send(dispatch.New(dispatch.DefaultConfig()), address, "one", nil)
+
+	is.Equal(got.Executed(), refusal.ExecutedUnknown)
+	is.Equal(got.Refusal.Reason, refusal.RunnerFailed)
+}
