Add the model engine stand-in, its client and a network in memory

Cause: requests, routing and reclaim need engines whose faults are switches. Change: standin/engine: a pure core (continuous batching by priority, block cache with LRU, resume, KV cache export and import, orders, lagging load and cache events), an HTTP server with stream faults, a ledger of recomputed tokens; transport/engine: the client with typed errors that say whether an attempt can have started, and a silence bound; standin/pipe: net.Pipe network for synctest whose connections can go silent. engineapi gains PathExported and codes in ErrorBody.

--- /dev/null
+++ b/standin/engine/core_test.go
@@ -0,0 +1,240 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/transport/engineapi"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func prompt(word string, n int) string { return strings.Repeat(word+" ", n) }
+
+func request(id, text string, maxTokens int) engineapi.GenerateRequest {
+	return engineapi.GenerateRequest{RequestID: id, AttemptID: id + "/1", Model: "m", Prompt: text, MaxTokens: maxTokens}
+}
+
+// drain steps a core until nothing is due and returns all that came about.
+func drain(c *Core) Result {
+	all := Result{}
+	for next, ok := c.Next(); ok; next, ok = c.Next() {
+		r := c.Step(next)
+		all.Lines = append(all.Lines, r.Lines...)
+		all.Work = append(all.Work, r.Work...)
+	}
+	return all
+}
+
+func TestAnswerTimeAndPrefixCache(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig("r", "m", "1")
+	cfg.PrefillRate, cfg.StepTime, cfg.ChunkTokens = 1000, 10*time.Millisecond, 1000
+	c := NewCore(cfg, epoch)
+	text := prompt("a", 160)
+	is.NoErr(c.Submit(epoch, NewAttempt(request("x", text, 3))))
+	lines := drain(c).Lines
+	is.Equal(len(lines), 4)
+	is.Equal(lines[0].At.Sub(epoch), 160*time.Millisecond)
+	is.Equal(lines[2].At.Sub(epoch), 180*time.Millisecond)
+	is.Equal(lines[2].Event.Token, Token("m", text, 2))
+	is.Equal(lines[3].Event.Offset, 3)
+
+	now := lines[3].At
+	is.NoErr(c.Submit(now, NewAttempt(request("y", text+"b", 1))))
+	first := drain(c).Lines[0]
+	is.Equal(first.Event.CachedTokens, 160)
+	is.Equal(first.Event.ComputedTokens, 1)
+	is.Equal(first.At.Sub(now), time.Millisecond)
+}
+
+func TestPriorityPreemptsRunning(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig("r", "m", "1")
+	cfg.MaxBatch, cfg.PreemptRunning = 1, true
+	c := NewCore(cfg, epoch)
+	is.NoErr(c.Submit(epoch, NewAttempt(request("long", prompt("a", 32), 50))))
+	c.Step(epoch.Add(100 * time.Millisecond))
+	urgent := request("urgent", prompt("b", 32), 2)
+	urgent.Priority = 5
+	is.NoErr(c.Submit(epoch.Add(100*time.Millisecond), NewAttempt(urgent)))
+	var finished []string
+	tokens := 0
+	for _, line := range drain(c).Lines {
+		if line.Event.Done {
+			finished = append(finished, line.Event.RequestID)
+		}
+		if line.Event.RequestID == "long" && line.Event.Token != "" {
+			tokens++
+		}
+	}
+	is.Equal(finished, []string{"urgent", "long"})
+	is.Equal(c.Counters().Preempted, 1)
+	is.Equal(c.Counters().DecodedTokens, 52) // no output token is made twice
+}
+
+func TestResumeCountsRecomputedTokens(t *testing.T) {
+	is := is.New(t)
+	ledger := NewLedger()
+	text := prompt("a", 100)
+	first := NewCore(DefaultConfig("r1", "m", "1"), epoch)
+	is.NoErr(first.Submit(epoch, NewAttempt(request("x", text, 40))))
+	r := first.Step(epoch.Add(200 * time.Millisecond))
+	ledger.Add(r.Work)
+	emitted := len(r.Lines)
+	is.True(emitted > 0 && emitted < 40)
+	is.Equal(ledger.Totals().Recomputed, 0)
+
+	resume := request("x", text, 40)
+	resume.AttemptID, resume.Emitted = "x/2", Tokens("m", text, emitted)
+	second := NewCore(DefaultConfig("r2", "m", "1"), epoch)
+	is.NoErr(second.Submit(epoch, NewAttempt(resume)))
+	rest := drain(second)
+	ledger.Add(rest.Work)
+	is.Equal(rest.Lines[0].Event.Offset, emitted)
+	is.Equal(ledger.Totals(), Totals{Computed: 2*(100+emitted) + 40 - emitted, Recomputed: 100 + emitted, Attempts: 2})
+}
+
+func TestImportedCacheIsNotRecomputed(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig("r1", "m", "1")
+	cfg.BytesPerToken, cfg.ExportBandwidth = 1000, 1e6
+	source := NewCore(cfg, epoch)
+	text := prompt("a", 100)
+	is.NoErr(source.Submit(epoch, NewAttempt(request("x", text, 40))))
+	now := epoch.Add(200 * time.Millisecond)
+	emitted := len(source.Step(now).Lines)
+	offer, err := source.Export(now, "x/1")
+	is.NoErr(err)
+	is.Equal(offer.Tokens, 100+emitted)
+	exported, arrives, err := source.Fetch(now, offer.Handle)
+	is.NoErr(err)
+	is.Equal(arrives.Sub(now), time.Duration(offer.Tokens)*time.Millisecond)
+
+	target := NewCore(DefaultConfig("r2", "m", "1"), epoch)
+	imported := target.Import(arrives, exported)
+	is.Equal(imported.Tokens, offer.Tokens)
+	resume := request("x", text, 40)
+	resume.AttemptID, resume.Emitted, resume.ImportedHandle = "x/2", Tokens("m", text, emitted), imported.Handle
+	is.NoErr(target.Submit(arrives, NewAttempt(resume)))
+	drain(target)
+	is.Equal(target.Counters().ComputedTokens, 1) // the last one, for its output
+	is.Equal(target.cache.private, 0)
+}
+
+func TestOrdersAndFencing(t *testing.T) {
+	is := is.New(t)
+	for _, checks := range []bool{true, false} {
+		cfg := DefaultConfig("r", "m", "1")
+		cfg.ChecksFencing = checks
+		c := NewCore(cfg, epoch)
+		is.NoErr(c.Order(epoch, engineapi.Order{Kind: engineapi.OrderLoad, Fencing: 7, Model: "n", Version: "2"}))
+		attempt := NewAttempt(engineapi.GenerateRequest{AttemptID: "a", Model: "n", Prompt: "p", MaxTokens: 1})
+		is.True(c.Submit(epoch, attempt) != nil) // still loading
+		now := epoch.Add(cfg.OrderTime)
+		is.NoErr(c.Submit(now, attempt))
+		err := c.Order(now, engineapi.Order{Kind: engineapi.OrderUnload, Fencing: 6, Model: "n", Version: "2"})
+		is.Equal(err != nil, checks)
+		is.Equal(c.Counters().StaleOrders, map[bool]int{true: 0, false: 1}[checks])
+	}
+}
+
+func TestLoadReportAndCacheEventsLag(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig("r", "m", "1")
+	cfg.EventGap = 3
+	c := NewCore(cfg, epoch)
+	is.NoErr(c.Submit(epoch, NewAttempt(request("x", prompt("a", 80), 100))))
+	now := epoch.Add(300 * time.Millisecond)
+	is.Equal(c.Load(now).Running, 0)
+	is.Equal(c.Load(now).AgeMillis, int64(300))
+	is.Equal(len(c.CacheEvents(now, 0, 0).Events), 0)
+	now = epoch.Add(1500 * time.Millisecond)
+	is.Equal(c.Load(now).Running, 1)
+	var numbers []uint64
+	for _, e := range c.CacheEvents(now, 0, 4).Events {
+		numbers = append(numbers, e.Sequence)
+	}
+	is.Equal(numbers, []uint64{1, 2, 4, 5})
+}
+
+func TestNoticeEndsEngineAtDeadline(t *testing.T) {
+	is := is.New(t)
+	c := NewCore(DefaultConfig("r", "m", "1"), epoch)
+	is.NoErr(c.Submit(epoch, NewAttempt(request("x", prompt("a", 16), 1000))))
+	c.Notice(epoch, epoch.Add(time.Second))
+	is.NoErr(c.Submit(epoch.Add(500*time.Millisecond), NewAttempt(request("y", "a", 1))))
+	is.Equal(c.Counters().LastAfterNotice, 500*time.Millisecond)
+	is.True(c.Load(epoch.Add(600 * time.Millisecond)).Leaving)
+	for _, line := range drain(c).Lines {
+		is.True(!line.At.After(epoch.Add(time.Second)))
+	}
+	is.True(c.Dead())
+}
+
+// Property: whatever is submitted, cancelled and moved, each attempt gets its
+// own tokens in order and one last line, and no memory is lost.
+func TestCoreProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig("r", "m", "1")
+		cfg.KVBlocks = rapid.IntRange(8, 40).Draw(t, "blocks")
+		cfg.MaxBatch = rapid.IntRange(1, 4).Draw(t, "batch")
+		cfg.PreemptRunning = rapid.Bool().Draw(t, "preempt")
+		cfg.HandleLifetime = time.Second
+		c := NewCore(cfg, epoch)
+		now := epoch
+		next := map[string]int{}
+		done := map[string]int{}
+		texts := map[string]string{}
+		read := func(r Result) {
+			for _, line := range r.Lines {
+				id := line.Event.AttemptID
+				if line.Event.Done {
+					done[id]++
+					continue
+				}
+				if want := Token("m", texts[id], next[id]); line.Event.Offset != next[id] || line.Event.Token != want {
+					t.Fatalf("%s: got token %d %q, want %d %q", id, line.Event.Offset, line.Event.Token, next[id], want)
+				}
+				next[id]++
+			}
+		}
+		for i := range rapid.IntRange(1, 30).Draw(t, "calls") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			read(c.Step(now))
+			switch rapid.IntRange(0, 4).Draw(t, "call") {
+			case 0:
+				c.Cancel(now, fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "victim")))
+			case 1:
+				if offer, err := c.Export(now, fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "export"))); err == nil {
+					exported, _, _ := c.Fetch(now, offer.Handle)
+					c.Import(now, exported)
+				}
+			default:
+				id := fmt.Sprint(i)
+				text := prompt(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "word"), rapid.IntRange(0, 120).Draw(t, "words"))
+				max := rapid.IntRange(0, 40).Draw(t, "max")
+				emitted := rapid.IntRange(0, max).Draw(t, "emitted")
+				a := NewAttempt(engineapi.GenerateRequest{RequestID: id, AttemptID: id, Model: "m", Prompt: text, Emitted: Tokens("m", text, emitted), MaxTokens: max, Priority: rapid.IntRange(0, 2).Draw(t, "priority")})
+				if c.Submit(now, a) == nil {
+					texts[id], next[id] = text, emitted
+				}
+			}
+		}
+		read(drain(c))
+		for id := range texts {
+			if done[id] != 1 {
+				t.Fatalf("%s: %d last lines", id, done[id])
+			}
+		}
+		c.Step(c.now.Add(2 * time.Second))
+		if c.cache.free() != cfg.KVBlocks || c.cache.private != 0 {
+			t.Fatalf("memory lost: %d of %d free, %d private", c.cache.free(), cfg.KVBlocks, c.cache.private)
+		}
+	})
+}
--- /dev/null
+++ b/standin/engine/http.go
@@ -0,0 +1,354 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"geraniumstack.org/geraniumstack/standin/jsonhttp"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
+)
+
+// Admin paths of the stand-in.
+const (
+	// PathFaults takes GET for the switches and PUT to replace them.
+	PathFaults = "/faults"
+	// PathNotice takes POST with a NoticeRequest.
+	PathNotice = "/faults/notice"
+	// PathDie takes POST and ends the engine at once.
+	PathDie = "/faults/die"
+	// PathCounters takes GET.
+	PathCounters = "/counters"
+)
+
+const (
+	maxBodyBytes = 16 << 20
+	lineType     = "application/x-ndjson"
+)
+
+// NoticeRequest is the body of PathNotice.
+type NoticeRequest struct {
+	LeftMillis int64 `json:"left_ms"`
+}
+
+// Handler serves the engine's HTTP interface and the admin paths.
+func (e *Engine) Handler() http.Handler {
+	api := http.NewServeMux()
+	api.HandleFunc("POST "+engineapi.PathGenerate, e.serveGenerate)
+	api.HandleFunc("GET "+engineapi.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, http.StatusOK, e.Load())
+	})
+	api.HandleFunc("GET "+engineapi.PathCacheEvents, func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.ParseUint(r.FormValue("from"), 10, 64)
+		limit, _ := strconv.Atoi(r.FormValue("limit"))
+		jsonhttp.Write(w, http.StatusOK, e.cacheEvents(from, limit))
+	})
+	api.HandleFunc("GET "+engineapi.PathExported, e.serveExported)
+	post(api, engineapi.PathCancel, func(_ context.Context, r engineapi.CancelRequest) (jsonhttp.Empty, error) {
+		if !e.Cancel(r.AttemptID) {
+			return jsonhttp.Empty{}, &UnknownAttemptError{AttemptID: r.AttemptID}
+		}
+		return jsonhttp.Empty{}, nil
+	})
+	post(api, engineapi.PathExport, func(_ context.Context, r engineapi.ExportRequest) (engineapi.ExportResponse, error) {
+		return e.export(r.AttemptID)
+	})
+	post(api, engineapi.PathImport, e.fetch)
+	post(api, engineapi.PathOrder, func(_ context.Context, o engineapi.Order) (jsonhttp.Empty, error) {
+		return jsonhttp.Empty{}, e.Order(o)
+	})
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", e.gate(api))
+	e.handleAdmin(mux)
+	return mux
+}
+
+func (e *Engine) handleAdmin(mux *http.ServeMux) {
+	jsonhttp.Switches(mux, PathFaults, e.Faults, e.SetFaults)
+	mux.HandleFunc("POST "+PathNotice, func(w http.ResponseWriter, r *http.Request) {
+		var notice NoticeRequest
+		if !jsonhttp.Read(w, r, maxBodyBytes, &notice) {
+			return
+		}
+		e.Notice(time.Duration(notice.LeftMillis) * time.Millisecond)
+		jsonhttp.Write(w, http.StatusOK, jsonhttp.Empty{})
+	})
+	mux.HandleFunc("POST "+PathDie, func(w http.ResponseWriter, _ *http.Request) {
+		e.Die()
+		jsonhttp.Write(w, http.StatusOK, jsonhttp.Empty{})
+	})
+	mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, http.StatusOK, e.Counters())
+	})
+}
+
+// gate breaks connections to a dead engine and leaves those to a hanging one
+// without an answer.
+func (e *Engine) gate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-e.died:
+			panic(http.ErrAbortHandler)
+		default:
+		}
+		if e.Faults().Hang {
+			e.hang(r.Context())
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// hang waits until the caller gives up or the engine dies, and then breaks the
+// connection.
+func (e *Engine) hang(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-e.died:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var request engineapi.GenerateRequest
+	if !readBody(w, r, &request) {
+		return
+	}
+	s, err := e.submit(request)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", lineType)
+	w.WriteHeader(http.StatusOK)
+	writer := &lineWriter{engine: e, stream: s, enc: json.NewEncoder(w), flush: http.NewResponseController(w).Flush, ctx: r.Context()}
+	writer.run()
+}
+
+// lineWriter writes one stream and brings its faults about.
+type lineWriter struct {
+	engine    *Engine
+	stream    *stream
+	enc       *json.Encoder
+	flush     func() error
+	ctx       context.Context
+	written   int
+	duplicate bool
+	ended     bool
+}
+
+func (w *lineWriter) run() {
+	heartbeat := time.NewTicker(DefaultHeartbeat)
+	defer heartbeat.Stop()
+	for {
+		for _, line := range w.take() {
+			w.line(line)
+			if w.ended {
+				return
+			}
+		}
+		if err := w.flush(); err != nil {
+			w.engine.abandon(w.stream)
+			return
+		}
+		select {
+		case <-w.stream.wake:
+		case <-heartbeat.C:
+			w.heartbeat()
+		case <-w.ctx.Done():
+			w.engine.abandon(w.stream)
+			return
+		case <-w.engine.died:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (w *lineWriter) take() []engineapi.GenerateEvent {
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	lines := w.stream.lines
+	w.stream.lines = nil
+	return lines
+}
+
+func (w *lineWriter) heartbeat() {
+	if w.engine.Faults().Hang {
+		w.engine.hang(w.ctx)
+	}
+	beat := w.stream.last
+	beat = engineapi.GenerateEvent{RequestID: beat.RequestID, AttemptID: beat.AttemptID, Offset: beat.Offset, Heartbeat: true}
+	w.write(beat)
+}
+
+func (w *lineWriter) line(line engineapi.GenerateEvent) {
+	if w.befall(w.engine.claim(w.written)) {
+		return
+	}
+	w.write(line)
+	if w.duplicate {
+		w.write(line)
+	}
+	w.ended = line.Done
+	if line.Token == "" {
+		return
+	}
+	w.written++
+	w.engine.countLate(w.stream)
+}
+
+// befall brings a fault about and reports whether the line is lost by it.
+func (w *lineWriter) befall(fault StreamFault) bool {
+	switch fault {
+	case StreamStall:
+		_ = w.flush()
+		w.engine.hang(w.ctx)
+	case StreamTruncate:
+		w.engine.abandon(w.stream)
+		w.ended = true
+		return true
+	case StreamBreak:
+		_ = w.flush()
+		w.engine.abandon(w.stream)
+		panic(http.ErrAbortHandler)
+	case StreamDuplicate:
+		w.duplicate = true
+	case StreamCross:
+		w.write(w.engine.crossed(w.stream))
+	case StreamGap:
+		w.written++
+		return true
+	}
+	return false
+}
+
+// write leaves a failed write to the next flush, which reports it.
+func (w *lineWriter) write(line engineapi.GenerateEvent) { _ = w.enc.Encode(line) }
+
+// countLate cancels an attempt in the core once its late lines are written.
+func (e *Engine) countLate(s *stream) {
+	defer e.wakeUp()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.late == noCancel {
+		return
+	}
+	s.late--
+	if s.late <= 0 && e.streams[s.attemptID] == s {
+		e.core.Cancel(time.Now(), s.attemptID)
+	}
+}
+
+func (e *Engine) serveExported(w http.ResponseWriter, r *http.Request) {
+	exported, err := e.transfer(r.Context(), r.FormValue("handle"))
+	if injected := (*InjectedError)(nil); errors.As(err, &injected) {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, exported)
+}
+
+// fetch gets an exported cache from its source and imports it.
+func (e *Engine) fetch(ctx context.Context, r engineapi.ImportRequest) (engineapi.ImportResponse, error) {
+	exported, err := e.download(ctx, r)
+	if err != nil {
+		return engineapi.ImportResponse{}, &TransferError{Source: r.Source, Err: err}
+	}
+	return e.accept(exported), nil
+}
+
+func (e *Engine) download(ctx context.Context, r engineapi.ImportRequest) (Exported, error) {
+	base := r.Source
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+engineapi.PathExported, nil)
+	if err != nil {
+		return Exported{}, err
+	}
+	query := request.URL.Query()
+	query.Set("handle", r.Handle)
+	request.URL.RawQuery = query.Encode()
+	response, err := e.client.Do(request)
+	if err != nil {
+		return Exported{}, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Exported{}, &UnknownHandleError{Handle: r.Handle}
+	}
+	var exported Exported
+	err = json.NewDecoder(response.Body).Decode(&exported)
+	return exported, err
+}
+
+func post[Request, Response any](mux *http.ServeMux, path string, call func(context.Context, Request) (Response, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		var request Request
+		if !readBody(w, r, &request) {
+			return
+		}
+		response, err := call(r.Context(), request)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		jsonhttp.Write(w, http.StatusOK, response)
+	})
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(v); err != nil {
+		jsonhttp.Write(w, http.StatusBadRequest, engineapi.ErrorBody{Error: err.Error(), Code: engineapi.CodeMalformed})
+		return false
+	}
+	return true
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status, body := errorBody(err)
+	body.Error = err.Error()
+	jsonhttp.Write(w, status, body)
+}
+
+func errorBody(err error) (int, engineapi.ErrorBody) {
+	var stale *StaleFencingError
+	if errors.As(err, &stale) {
+		return http.StatusConflict, engineapi.ErrorBody{Code: engineapi.CodeStaleFencing, Fencing: stale.Seen}
+	}
+	for _, known := range refusals {
+		if known.is(err) {
+			return known.status, engineapi.ErrorBody{Code: known.code}
+		}
+	}
+	return http.StatusServiceUnavailable, engineapi.ErrorBody{Code: engineapi.CodeUnavailable}
+}
+
+type refusal struct {
+	is     func(error) bool
+	status int
+	code   engineapi.Code
+}
+
+func matches[T error](err error) bool {
+	var target T
+	return errors.As(err, &target)
+}
+
+var refusals = []refusal{
+	{matches[*NotLoadedError], http.StatusNotFound, engineapi.CodeNotLoaded},
+	{matches[*LeavingError], http.StatusServiceUnavailable, engineapi.CodeLeaving},
+	{matches[*QueueFullError], http.StatusTooManyRequests, engineapi.CodeQueueFull},
+	{matches[*TooLongError], http.StatusRequestEntityTooLarge, engineapi.CodeTooLong},
+	{matches[*DuplicateAttemptError], http.StatusConflict, engineapi.CodeDuplicateAttempt},
+	{matches[*UnknownAttemptError], http.StatusNotFound, engineapi.CodeUnknownAttempt},
+	{matches[*TransferError], http.StatusBadGateway, engineapi.CodeTransferFailed},
+	{matches[*UnknownHandleError], http.StatusNotFound, engineapi.CodeUnknownHandle},
+	{matches[*UnknownOrderError], http.StatusBadRequest, engineapi.CodeMalformed},
+}
--- a/transport/engineapi/engineapi.go
+++ b/transport/engineapi/engineapi.go
@@ -11,7 +11,9 @@
 	PathCacheEvents = "/v1/cache-events"
 	PathExport      = "/v1/kv-cache/export"
 	PathImport      = "/v1/kv-cache/import"
-	PathOrder       = "/v1/orders"
+	// PathExported is where an importing engine fetches from the exporting one.
+	PathExported = "/v1/kv-cache/exported"
+	PathOrder    = "/v1/orders"
 )
 
 // BlockTokens is the number of tokens that one prefix cache block covers.
@@ -151,9 +153,28 @@
 	Role    string    `json:"role,omitempty"`
 }
 
+// Code tells an engine's refusals apart.
+type Code string
+
+// Codes of an ErrorBody.
+const (
+	CodeMalformed        Code = "malformed"
+	CodeNotLoaded        Code = "not_loaded"
+	CodeLeaving          Code = "leaving"
+	CodeQueueFull        Code = "queue_full"
+	CodeTooLong          Code = "too_long"
+	CodeDuplicateAttempt Code = "duplicate_attempt"
+	CodeUnknownAttempt   Code = "unknown_attempt"
+	CodeUnknownHandle    Code = "unknown_handle"
+	CodeStaleFencing     Code = "stale_fencing"
+	CodeTransferFailed   Code = "transfer_failed"
+	CodeUnavailable      Code = "unavailable"
+)
+
 // ErrorBody is the JSON body of an engine's refusal. A refusal before the
 // stream's first line means that the attempt was not started.
 type ErrorBody struct {
 	Error   string `json:"error"`
+	Code    Code   `json:"code,omitempty"`
 	Fencing uint64 `json:"fencing,omitempty"`
 }
