--- /dev/null
+++ b/caller/action.go
@@ -0,0 +1,127 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// Call is one call of a plain service.
+type Call struct {
+	Service string
+	Method  string
+	Path    string
+	Header  http.Header
+	Body    []byte
+	// Key makes the call run at most once; see NewKey. Empty for calls that the
+	// manifest calls repeatable.
+	Key string
+}
+
+// Answer is a runner's answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+const (
+	keySuffixBytes = 8
+	pollPause      = 200 * time.Millisecond
+)
+
+// NewKey makes an idempotency key that names its owner.
+func (c *Client) NewKey(ctx context.Context) (string, error) {
+	list, err := c.Gateways(ctx)
+	if err != nil {
+		return "", err
+	}
+	var b [keySuffixBytes]byte
+	// crypto/rand.Read never fails: it ends the program instead.
+	_, _ = rand.Read(b[:])
+	return list.KeyToken + hex.EncodeToString(b[:]), nil
+}
+
+// Do sends a call. With a key it is repeated under that same key until its
+// outcome is known or the system says that it can't be; a call without a key is
+// repeated only where the system says that nothing ran.
+func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
+	until := time.Now().Add(c.c.Patience)
+	for {
+		answer, err := c.once(ctx, call)
+		if err == nil || ctx.Err() != nil || !c.again(call, err) || time.Now().After(until) {
+			return answer, err
+		}
+		pause(ctx, waitAfter(err))
+	}
+}
+
+func (c *Client) again(call Call, err error) bool {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused.Executed == refusal.ExecutedNo && refused.RetryAfterMillis > 0
+	}
+	c.forget()
+	return call.Key != ""
+}
+
+func waitAfter(err error) time.Duration {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return max(time.Duration(refused.RetryAfterMillis)*time.Millisecond, retryPause)
+	}
+	return retryPause
+}
+
+func (c *Client) once(ctx context.Context, call Call) (Answer, error) {
+	base, err := c.choose(ctx)
+	if err != nil {
+		return Answer{}, err
+	}
+	header := call.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	if call.Key != "" {
+		header.Set("Idempotency-Key", call.Key)
+	}
+	resp, err := c.do(ctx, call.Method, base+"/v1/services/"+call.Service+call.Path, header, call.Body)
+	return readAnswer(resp, err)
+}
+
+func readAnswer(resp *http.Response, err error) (Answer, error) {
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return Answer{}, &BrokenError{Err: err}
+	}
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+// Outcome asks what became of an earlier call, until it is no longer pending.
+func (c *Client) Outcome(ctx context.Context, key string) (Answer, error) {
+	for {
+		base, err := c.choose(ctx)
+		if err != nil {
+			return Answer{}, err
+		}
+		answer, err := readAnswer(c.do(ctx, http.MethodGet, base+"/v1/actions/"+url.PathEscape(key), nil, nil))
+		if err != nil || answer.Status != http.StatusAccepted {
+			return answer, err
+		}
+		pause(ctx, pollPause)
+		if ctx.Err() != nil {
+			return Answer{}, &BrokenError{Err: ctx.Err()}
+		}
+	}
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,213 @@
+// Package caller is a client of geraniumstack's callers' interface. It asks
+// which gateways to use and keeps the answer for as long as it is good, goes on
+// at another gateway when a connection breaks or falls silent, and never repeats
+// a call that may not be repeated under another key.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/gateway"
+)
+
+// Config says who calls and where to begin.
+type Config struct {
+	// Gateways are base URLs to ask first, such as "http://127.0.0.1:7001".
+	Gateways      []string
+	Key           string
+	FailureDomain ident.FailureDomain
+	// HTTP is used for all calls; it must have no timeout of its own.
+	HTTP *http.Client
+	// Silence is how long a stream may carry nothing, heartbeats included.
+	Silence time.Duration
+	// Patience bounds the search for a gateway that answers.
+	Patience time.Duration
+}
+
+const (
+	defaultSilence  = 15 * time.Second
+	defaultPatience = 30 * time.Second
+	retryPause      = 100 * time.Millisecond
+	attemptTimeout  = 2 * time.Second
+	maxAnswerBytes  = 16 << 20
+)
+
+// Client is safe for concurrent use.
+type Client struct {
+	c       Config
+	mu      sync.Mutex
+	list    gateway.GatewayList
+	expires time.Time
+	bases   []string
+}
+
+// New makes a client; it connects at the first call.
+func New(c Config) *Client {
+	if c.Silence == 0 {
+		c.Silence = defaultSilence
+	}
+	if c.Patience == 0 {
+		c.Patience = defaultPatience
+	}
+	if c.HTTP == nil {
+		c.HTTP = &http.Client{}
+	}
+	return &Client{c: c, bases: c.Gateways}
+}
+
+// RefusedError is a typed refusal by the system.
+type RefusedError struct {
+	Status int
+	gateway.ErrorDetail
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused: %s (executed: %s): %s", e.Code, e.Executed, e.Message)
+}
+
+// BrokenError says that no whole answer came over a connection.
+type BrokenError struct{ Err error }
+
+func (e *BrokenError) Error() string { return fmt.Sprintf("connection broken: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Err }
+
+// NoGatewayError says that no gateway answered in time.
+type NoGatewayError struct{ Err error }
+
+func (e *NoGatewayError) Error() string { return fmt.Sprintf("no gateway answered: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *NoGatewayError) Unwrap() error { return e.Err }
+
+// Gateways returns the list in force, asking anew when it is no longer good.
+func (c *Client) Gateways(ctx context.Context) (gateway.GatewayList, error) {
+	c.mu.Lock()
+	list, fresh := c.list, time.Now().Before(c.expires)
+	bases := c.bases
+	c.mu.Unlock()
+	if fresh {
+		return list, nil
+	}
+	var last error
+	for _, i := range rand.Perm(len(bases)) {
+		list, err := c.ask(ctx, bases[i])
+		if err == nil {
+			c.keep(list)
+			return list, nil
+		}
+		last = err
+	}
+	return gateway.GatewayList{}, &NoGatewayError{Err: last}
+}
+
+func (c *Client) ask(ctx context.Context, base string) (gateway.GatewayList, error) {
+	var list gateway.GatewayList
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	resp, err := c.do(ctx, http.MethodGet, base+"/v1/gateways?failure_domain="+url.QueryEscape(string(c.c.FailureDomain)), nil, nil)
+	if err != nil {
+		return list, err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return list, &BrokenError{Err: err}
+	}
+	return list, nil
+}
+
+// keep remembers the list; the addresses in it are asked next time, beside
+// those to begin with, since all five VMs may have been replaced by then.
+func (c *Client) keep(list gateway.GatewayList) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list = list
+	c.expires = time.Now().Add(time.Duration(list.LifetimeMillis) * time.Millisecond)
+	c.bases = append([]string{}, c.c.Gateways...)
+	for _, g := range list.Gateways {
+		c.bases = append(c.bases, "http://"+g.Address)
+	}
+}
+
+// forget makes the next call ask for gateways anew.
+func (c *Client) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expires = time.Time{}
+}
+
+// choose draws a gateway by weight.
+func (c *Client) choose(ctx context.Context) (string, error) {
+	list, err := c.Gateways(ctx)
+	if err != nil {
+		return "", err
+	}
+	total := 0
+	for _, g := range list.Gateways {
+		total += g.Weight
+	}
+	if total == 0 {
+		c.forget()
+		return "", &NoGatewayError{}
+	}
+	draw := rand.IntN(total)
+	for _, g := range list.Gateways {
+		draw -= g.Weight
+		if draw < 0 {
+			return "http://" + g.Address, nil
+		}
+	}
+	return "", &NoGatewayError{}
+}
+
+func (c *Client) do(ctx context.Context, method, target string, header http.Header, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("make request: %w", err)
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+c.c.Key)
+	resp, err := c.c.HTTP.Do(req)
+	if err != nil {
+		return nil, &BrokenError{Err: err}
+	}
+	if resp.StatusCode >= http.StatusBadRequest && resp.Header.Get("X-Executed") == "" {
+		defer resp.Body.Close()
+		return nil, readRefusal(resp)
+	}
+	return resp, nil
+}
+
+func readRefusal(resp *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return &BrokenError{Err: err}
+	}
+	var body gateway.ErrorBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return &BrokenError{Err: fmt.Errorf("refusal with status %d: %w", resp.StatusCode, err)}
+	}
+	return &RefusedError{Status: resp.StatusCode, ErrorDetail: body.Error}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/caller/stream.go
@@ -0,0 +1,184 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"geraniumstack.org/geraniumstack/transport/gateway"
+)
+
+// Result is a whole answer.
+type Result struct {
+	RequestID string
+	Tokens    []string
+	// FirstToken is the time from the call to the first token.
+	FirstToken time.Duration
+	// LongestGap is the longest time between two tokens.
+	LongestGap time.Duration
+	// Resumed counts connections after the first.
+	Resumed      int
+	FinishReason string
+}
+
+// stream is one request's progress over however many connections it takes.
+type stream struct {
+	c       *Client
+	result  Result
+	began   time.Time
+	last    time.Time
+	timeout time.Duration
+	body    []byte
+}
+
+// Stream sends a chat completion request and collects its streamed answer,
+// going on at another gateway where a connection breaks. A refusal is a
+// *RefusedError.
+func (c *Client) Stream(ctx context.Context, r gateway.CompletionRequest) (Result, error) {
+	r.Stream = true
+	body, err := json.Marshal(r)
+	if err != nil {
+		return Result{}, fmt.Errorf("marshal request: %w", err)
+	}
+	s := &stream{c: c, body: body, began: time.Now()}
+	err = s.run(ctx)
+	return s.result, err
+}
+
+func (s *stream) run(ctx context.Context) error {
+	progress := time.Now()
+	for {
+		before := len(s.result.Tokens)
+		err := s.connect(ctx)
+		var refused *RefusedError
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if errors.As(err, &refused) && !goesElsewhere(refused) {
+			return err
+		}
+		s.c.forget()
+		if len(s.result.Tokens) > before {
+			progress = time.Now()
+		}
+		if time.Since(progress) > s.c.c.Patience {
+			return &NoGatewayError{Err: err}
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+// goesElsewhere are refusals that concern one gateway only.
+func goesElsewhere(r *RefusedError) bool { return r.Code == "draining" || r.Code == "not_ready" }
+
+// connect sends the request, or goes on with one that was accepted before.
+func (s *stream) connect(ctx context.Context) error {
+	base, err := s.c.choose(ctx)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A connection that something between the ends has lost track of carries
+	// nothing for good, without an error.
+	silence := time.AfterFunc(s.c.c.Silence, cancel)
+	defer silence.Stop()
+	resp, err := s.send(ctx, base)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	s.result.RequestID = resp.Header.Get("X-Request-Id")
+	return s.read(resp, func() { silence.Reset(s.c.c.Silence) })
+}
+
+func (s *stream) send(ctx context.Context, base string) (*http.Response, error) {
+	if s.result.RequestID == "" {
+		return s.c.do(ctx, http.MethodPost, base+"/v1/chat/completions", nil, s.body)
+	}
+	s.result.Resumed++
+	header := http.Header{
+		"Accept":        {"text/event-stream"},
+		"Last-Event-Id": {strconv.Itoa(len(s.result.Tokens))},
+	}
+	return s.c.do(ctx, http.MethodGet, base+"/v1/requests/"+s.result.RequestID, header, nil)
+}
+
+func (s *stream) read(resp *http.Response, heard func()) error {
+	scanner := bufio.NewScanner(resp.Body)
+	scanner.Buffer(nil, maxAnswerBytes)
+	event, id := "", ""
+	for scanner.Scan() {
+		heard()
+		line := scanner.Text()
+		name, value, _ := strings.Cut(line, ": ")
+		switch name {
+		case "event":
+			event = value
+		case "id":
+			id = value
+		case "data":
+			done, err := s.data(event, id, value)
+			if done || err != nil {
+				return err
+			}
+			event, id = "", ""
+		}
+	}
+	err := scanner.Err()
+	return &BrokenError{Err: err}
+}
+
+func (s *stream) data(event, id, value string) (done bool, err error) {
+	if event == "error" {
+		var body gateway.ErrorBody
+		if err := json.Unmarshal([]byte(value), &body); err != nil {
+			return false, &BrokenError{Err: err}
+		}
+		return true, &RefusedError{ErrorDetail: body.Error}
+	}
+	if value == "[DONE]" {
+		return true, nil
+	}
+	var chunk gateway.Completion
+	if err := json.Unmarshal([]byte(value), &chunk); err != nil || len(chunk.Choices) != 1 {
+		return false, &BrokenError{Err: err}
+	}
+	return false, s.chunk(id, chunk.Choices[0])
+}
+
+// OffsetError says that an event does not follow the last one.
+type OffsetError struct {
+	Got  string
+	Want int
+}
+
+func (e *OffsetError) Error() string { return fmt.Sprintf("event %s where %d was due", e.Got, e.Want) }
+
+func (s *stream) chunk(id string, choice gateway.CompletionChoice) error {
+	if choice.FinishReason != nil {
+		s.result.FinishReason = *choice.FinishReason
+		return nil
+	}
+	if choice.Delta == nil {
+		return nil
+	}
+	if id != strconv.Itoa(len(s.result.Tokens)+1) {
+		return &OffsetError{Got: id, Want: len(s.result.Tokens) + 1}
+	}
+	now := time.Now()
+	if len(s.result.Tokens) == 0 {
+		s.result.FirstToken = now.Sub(s.began)
+	} else {
+		s.result.LongestGap = max(s.result.LongestGap, now.Sub(s.last))
+	}
+	s.last = now
+	s.result.Tokens = append(s.result.Tokens, choice.Delta.Content)
+	return nil
+}
--- /dev/null
+++ b/cmd/geraniumd/main.go
@@ -0,0 +1,66 @@
+// Command geraniumd is the daemon of one entry VM.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/daemon"
+	"geraniumstack.org/geraniumstack/daemon/settings"
+	"geraniumstack.org/geraniumstack/state/document"
+)
+
+// Exit statuses.
+const (
+	exitFailure = 1
+	exitInvalid = 2
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	klog.InitFlags(nil)
+	path := flag.String("settings", "", "the settings file (JSON)")
+	flag.Parse()
+	defer klog.Flush()
+	s, err := settings.Load(*path)
+	if err != nil {
+		return report(err)
+	}
+	d, err := daemon.New(s, daemon.TCP{})
+	if err != nil {
+		klog.ErrorS(err, "Daemon not started")
+		return exitFailure
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		klog.ErrorS(err, "Daemon failed")
+		return exitFailure
+	}
+	return 0
+}
+
+// report prints every fault of the settings with its path.
+func report(err error) int {
+	var invalid *document.InvalidError
+	if !errors.As(err, &invalid) {
+		fmt.Fprintln(os.Stderr, err)
+		return exitInvalid
+	}
+	for _, p := range invalid.Problems {
+		path := p.Path
+		if path == "" {
+			path = "/"
+		}
+		fmt.Fprintf(os.Stderr, "%s: %s\n", path, p.Reason)
+	}
+	return exitInvalid
+}
--- /dev/null
+++ b/daemon/admin.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"net/http"
+	"net/http/pprof"
+
+	"geraniumstack.org/geraniumstack/transport/exposition"
+)
+
+// adminHandler serves the operators' listener: health, readiness, metrics,
+// profiles and the administration API.
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", d.health)
+	mux.HandleFunc("GET /readyz", d.ready)
+	mux.Handle("GET /metrics", exposition.Handler(d.metrics))
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	mux.Handle(d.adminAPI())
+	return mux
+}
+
+// health says that the process answers.
+func (d *Daemon) health(w http.ResponseWriter, _ *http.Request) { answerProbe(w, true, "ok") }
+
+// ready says whether callers should be sent here: a configuration is in force
+// and no shutdown has begun.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request) {
+	select {
+	case <-d.draining:
+		answerProbe(w, false, "draining")
+		return
+	default:
+	}
+	if m, _ := d.control.Current(); m == nil {
+		answerProbe(w, false, "no configuration in force")
+		return
+	}
+	answerProbe(w, true, "ready")
+}
+
+func answerProbe(w http.ResponseWriter, good bool, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if !good {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	// The prober has gone when this fails; there is nobody to tell.
+	_, _ = w.Write([]byte(text + "\n"))
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,266 @@
+// Package daemon wires one entry VM's process: three listeners (callers, other
+// daemons, operators) over the drivers of configuration and membership, model
+// requests, actions, plain services and orders.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/coordination/lease"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/actions"
+	"geraniumstack.org/geraniumstack/daemon/control"
+	"geraniumstack.org/geraniumstack/daemon/models"
+	"geraniumstack.org/geraniumstack/daemon/orders"
+	"geraniumstack.org/geraniumstack/daemon/settings"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/usage"
+	"geraniumstack.org/geraniumstack/transport/dispatch"
+	"geraniumstack.org/geraniumstack/transport/gateway"
+	"geraniumstack.org/geraniumstack/transport/kv"
+	"geraniumstack.org/geraniumstack/transport/platform"
+)
+
+const (
+	incarnationBytes = 8
+	requestIDBytes   = 12
+	engineSilence    = 3 * time.Second
+	ordersEvery      = time.Second
+	stopGrace        = 30 * time.Second
+	shutdownMargin   = 2 * time.Second
+)
+
+// Daemon is one process of the system.
+type Daemon struct {
+	settings *settings.Settings
+	self     view.Daemon
+	metrics  metrics.Registry
+	usage    *usage.Table
+
+	callers, peers, admin net.Listener
+
+	control  *control.Control
+	models   *models.Models
+	actions  *actions.Service
+	picker   *picker
+	orders   *orders.Driver
+	gateway  *gateway.Gateway
+	drained  chan struct{}
+	draining chan struct{}
+}
+
+// New binds the listeners and builds the drivers; nothing runs yet.
+func New(s *settings.Settings, n Network) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		metrics:  metrics.NewRegistry(),
+		usage:    usage.NewTable(),
+		drained:  make(chan struct{}),
+		draining: make(chan struct{}),
+	}
+	if err := d.listen(n); err != nil {
+		return nil, err
+	}
+	d.self = view.Daemon{
+		ID:            s.ID,
+		Incarnation:   newIncarnation(s.ID),
+		FailureDomain: s.FailureDomain,
+		CallerAddress: d.callers.Addr().String(),
+		PeerAddress:   d.peers.Addr().String(),
+		State:         view.Live,
+	}
+	d.build(n)
+	return d, nil
+}
+
+func newIncarnation(id ident.DaemonID) ident.Incarnation {
+	var b [incarnationBytes]byte
+	// crypto/rand.Read never fails: it ends the program instead.
+	_, _ = rand.Read(b[:])
+	return ident.NewIncarnation(id, b[:])
+}
+
+func (d *Daemon) listen(n Network) error {
+	var err error
+	if d.callers, err = n.Listen(d.settings.Listen.Callers); err != nil {
+		return fmt.Errorf("callers' listener: %w", err)
+	}
+	if d.peers, err = n.Listen(d.settings.Listen.Peers); err != nil {
+		return fmt.Errorf("peers' listener: %w", err)
+	}
+	if d.admin, err = n.Listen(d.settings.Listen.Admin); err != nil {
+		return fmt.Errorf("admin listener: %w", err)
+	}
+	return nil
+}
+
+func (d *Daemon) build(n Network) {
+	client := newHTTPClient(n)
+	p := d.settings.Platform
+	store := kv.NewHTTPClient(p.KeyValue, client)
+	cloud := platform.NewHTTPCloud(p.Cloud, client)
+	lister := platform.NewHTTPLister(p.VMList, client)
+	engines := newEngines(client, engineSilence)
+	d.control = control.New(control.Config{
+		Self: d.self, Seeds: d.settings.Seeds, Store: store,
+		Lister: lister, Cloud: cloud, HTTPClient: client, Metrics: d.metrics,
+	})
+	configuration := d.control.ConfigView()
+	d.picker = newPicker(d.control, configuration, engines, n, d.metrics)
+	d.models = models.New(models.Config{
+		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
+		Engines: engines, Peers: models.HTTPPeers{Client: client},
+		Picker: d.picker, Metrics: d.metrics,
+	})
+	sender := dispatch.DefaultConfig()
+	sender.Dial = n.Dial
+	d.actions = actions.New(actions.Config{
+		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
+		Store: store, Dispatcher: dispatch.New(sender), Peers: client, Metrics: d.metrics,
+	})
+	d.orders = orders.New(orders.Config{
+		Self: d.self.Incarnation, Configuration: configuration, Directory: d.control,
+		Store: store, Cloud: cloud, Lister: lister, Weights: weights(p.Weights, client),
+		Engines: engines, Timing: lease.DefaultTiming(), Metrics: d.metrics,
+		Every: ordersEvery, StopGrace: stopGrace,
+	})
+	d.gateway = gateway.New(gateway.Config{
+		Configuration: configuration, Directory: d.control, Models: d.models,
+		Actions: d.actions, Services: d.picker.services, NewRequestID: d.newRequestID,
+		Usage: d.usage, Metrics: d.metrics, Limits: d.limits(),
+	})
+}
+
+func weights(base string, client *http.Client) platform.Weights {
+	if base == "" {
+		return nil
+	}
+	return platform.NewHTTPWeights(base, client)
+}
+
+func (d *Daemon) limits() gateway.Limits {
+	l := d.settings.Limits
+	return gateway.Limits{
+		MaxBodyBytes:      l.MaxBodyBytes,
+		MaxConcurrent:     l.MaxConcurrent,
+		ReadTimeout:       settings.Millis(l.ReadTimeoutMillis),
+		WriteTimeout:      settings.Millis(l.WriteTimeoutMillis),
+		Heartbeat:         settings.Millis(l.CallerHeartbeatMillis),
+		GatewaysLifetime:  settings.Millis(l.GatewaysLifetimeMillis),
+		MaxServiceTimeout: settings.Millis(l.MaxServiceTimeoutMillis),
+	}
+}
+
+// newRequestID names the daemon that accepts a request, so that any gateway
+// knows where to look for it.
+func (d *Daemon) newRequestID() ident.RequestID {
+	var b [requestIDBytes]byte
+	_, _ = rand.Read(b[:])
+	return ident.NewRequestID(d.self.Incarnation, b[:])
+}
+
+// Self tells the daemon's addresses, also those of ports that the system chose.
+func (d *Daemon) Self() view.Daemon { return d.self }
+
+// AdminAddress is the admin listener's.
+func (d *Daemon) AdminAddress() string { return d.admin.Addr().String() }
+
+// Metrics returns the daemon's counters.
+func (d *Daemon) Metrics() metrics.Registry { return d.metrics }
+
+// Run serves until ctx ends or the VM's notice is over, then shuts down
+// gracefully within the settings' bound.
+func (d *Daemon) Run(ctx context.Context) error {
+	// The drivers outlive ctx by the graceful shutdown.
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	g, work := errgroup.WithContext(work)
+	for name, run := range map[string]func(context.Context) error{
+		"control": d.control.Run, "models": d.models.Run, "actions": d.actions.Run,
+		"dispatch": d.picker.Run, "orders": d.orders.Run,
+	} {
+		g.Go(func() error { return named(name, run(work)) })
+	}
+	servers := d.servers()
+	for _, s := range servers {
+		g.Go(func() error { return s.serve() })
+	}
+	klog.InfoS("Daemon started", "incarnation", d.self.Incarnation, "callers", d.self.CallerAddress,
+		"peers", d.self.PeerAddress, "admin", d.AdminAddress())
+	g.Go(func() error {
+		defer stopWork()
+		d.waitForEnd(ctx, work)
+		d.closeServers(servers)
+		return nil
+	})
+	return g.Wait()
+}
+
+func named(name string, err error) error {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", name, err)
+}
+
+type server struct {
+	*http.Server
+	listener net.Listener
+}
+
+func (s server) serve() error {
+	err := s.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
+}
+
+func (d *Daemon) servers() []server {
+	return []server{
+		{d.newServer(d.gateway), d.callers},
+		{d.newServer(d.peerHandler()), d.peers},
+		{d.newServer(d.adminHandler()), d.admin},
+	}
+}
+
+// newServer bounds what a connection can take before a handler sees it. Bodies
+// and answers have bounds of their own: a timeout here would end long streams.
+func (d *Daemon) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: settings.Millis(d.settings.Limits.ReadTimeoutMillis),
+		IdleTimeout:       2 * idleConnTimeout,
+		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
+	}
+}
+
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(d.control.Handler())
+	mux.Handle(d.models.Handler())
+	mux.Handle(d.actions.Handler())
+	return mux
+}
+
+func (d *Daemon) closeServers(servers []server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownMargin)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			// Connections that don't end in time are cut; their callers come
+			// back to another gateway.
+			_ = s.Close()
+		}
+	}
+}
--- /dev/null
+++ b/daemon/engines.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"geraniumstack.org/geraniumstack/transport/engine"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
+)
+
+// engines keeps a client for each engine address that is in use.
+type engines struct {
+	http    *http.Client
+	silence time.Duration
+	clients sync.Map // string -> *engine.Client
+}
+
+func newEngines(c *http.Client, silence time.Duration) *engines {
+	return &engines{http: c, silence: silence}
+}
+
+func (e *engines) at(address string) *engine.Client {
+	if c, ok := e.clients.Load(address); ok {
+		return c.(*engine.Client)
+	}
+	c, _ := e.clients.LoadOrStore(address, engine.New(address, e.http))
+	return c.(*engine.Client)
+}
+
+// notStartedError marks errors after which the attempt has certainly not begun.
+type notStartedError struct{ error }
+
+// NotStarted promises that the engine did not begin the attempt.
+func (notStartedError) NotStarted() bool { return true }
+
+// Unwrap returns the cause.
+func (e notStartedError) Unwrap() error { return e.error }
+
+// Generate implements models.Engines.
+func (e *engines) Generate(ctx context.Context, address string, r engineapi.GenerateRequest, sink func(engineapi.GenerateEvent) error) error {
+	err := e.at(address).Generate(ctx, r, e.silence, sink)
+	if err != nil && !engine.MayHaveStarted(err) {
+		return notStartedError{err}
+	}
+	return err
+}
+
+// Cancel implements models.Engines.
+func (e *engines) Cancel(ctx context.Context, address string, r engineapi.CancelRequest) error {
+	return e.at(address).Cancel(ctx, r.AttemptID)
+}
+
+// Export implements models.Engines.
+func (e *engines) Export(ctx context.Context, address string, r engineapi.ExportRequest) (engineapi.ExportResponse, error) {
+	return e.at(address).Export(ctx, r.AttemptID)
+}
+
+// Import implements models.Engines.
+func (e *engines) Import(ctx context.Context, address string, r engineapi.ImportRequest) (engineapi.ImportResponse, error) {
+	return e.at(address).Import(ctx, r)
+}
+
+// Load implements orders.Engines.
+func (e *engines) Load(ctx context.Context, address string) (engineapi.Load, error) {
+	return e.at(address).Load(ctx)
+}
+
+// Order implements orders.Engines.
+func (e *engines) Order(ctx context.Context, address string, o engineapi.Order) error {
+	return e.at(address).Order(ctx, o)
+}
+
+// CacheEvents reads an engine's prefix cache changes from a sequence number on.
+func (e *engines) CacheEvents(ctx context.Context, address string, from uint64, limit int) (engineapi.CacheEvents, error) {
+	return e.at(address).CacheEvents(ctx, from, limit)
+}
--- /dev/null
+++ b/daemon/network.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Network opens listeners and connections. Tests pass one in memory.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the Network of a real daemon.
+type TCP struct{}
+
+const (
+	dialTimeout     = time.Second
+	keepAlive       = 5 * time.Second
+	idleConnTimeout = 30 * time.Second
+	idlePerHost     = 64
+)
+
+// Listen opens a TCP listener at an IP address and port.
+func (TCP) Listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return l, nil
+}
+
+// Dial opens a TCP connection.
+func (TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	return conn, nil
+}
+
+// newHTTPClient makes a client for the daemon's own calls. Streams have no
+// bound in time, so calls bring their own contexts.
+func newHTTPClient(n Network) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         n.Dial,
+		IdleConnTimeout:     idleConnTimeout,
+		MaxIdleConnsPerHost: idlePerHost,
+	}}
+}
--- /dev/null
+++ b/daemon/shutdown.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/settings"
+)
+
+// waitForEnd returns when the daemon has been told to stop and has shut down
+// gracefully. It is told by ctx (SIGTERM), by the platform's notice for its VM,
+// or by an operator's drain, which both show as its own state in the directory.
+func (d *Daemon) waitForEnd(ctx, work context.Context) {
+	for {
+		changed := d.control.Changed()
+		self := d.control.Self()
+		if self.State == view.Leaving {
+			d.shutDown(work, self.LeavesAt)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			d.shutDown(work, time.Time{})
+			return
+		case <-work.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// shutDown is a graceful shutdown: it tells everybody, takes new work for as
+// long as callers may keep an answer that names this gateway, then hands over
+// what is in progress, all within the grace or before the VM goes.
+func (d *Daemon) shutDown(work context.Context, leavesAt time.Time) {
+	grace := settings.Millis(d.settings.Shutdown.GraceMillis)
+	end := time.Now().Add(grace)
+	if !leavesAt.IsZero() && leavesAt.Add(-shutdownMargin).Before(end) {
+		end = leavesAt.Add(-shutdownMargin)
+	}
+	close(d.draining)
+	klog.InfoS("Graceful shutdown begins", "end", end)
+	d.control.Drain(end)
+	ctx, cancel := context.WithDeadline(work, end)
+	defer cancel()
+	lifetime := min(settings.Millis(d.settings.Limits.GatewaysLifetimeMillis), time.Until(end)/2)
+	sleep(ctx, lifetime)
+	d.gateway.StopAccepting()
+	d.handOver(ctx)
+	close(d.drained)
+	klog.InfoS("Graceful shutdown done")
+}
+
+func (d *Daemon) handOver(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := d.models.Drain(ctx); err != nil {
+			klog.ErrorS(err, "Model requests not handed over in full")
+		}
+	})
+	wg.Go(func() {
+		if err := d.actions.Drain(ctx); err != nil {
+			klog.ErrorS(err, "Actions not handed over in full")
+		}
+	})
+	wg.Wait()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/transport/gateway/errors.go
+++ b/transport/gateway/errors.go
@@ -128,8 +128,18 @@
 // Unwrap returns the cause.
 func (e *BodyError) Unwrap() error { return e.Err }
 
-func readBody(c *echo.Context) ([]byte, error) {
+// readBody bounds the time that a slow caller can take for its body, and lifts
+// the bound afterwards: a read deadline that passes while the answer is streamed
+// would end the request's context.
+func (g *Gateway) readBody(c *echo.Context) ([]byte, error) {
+	controller := http.NewResponseController(c.Response())
+	if err := controller.SetReadDeadline(time.Now().Add(g.Limits.ReadTimeout)); err != nil {
+		return nil, fmt.Errorf("set read deadline: %w", err)
+	}
 	data, err := io.ReadAll(c.Request().Body)
+	if err == nil {
+		err = controller.SetReadDeadline(time.Time{})
+	}
 	if err == nil {
 		return data, nil
 	}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -36,6 +36,7 @@
 type Limits struct {
 	MaxBodyBytes      int64
 	MaxConcurrent     int
+	ReadTimeout       time.Duration
 	WriteTimeout      time.Duration
 	Heartbeat         time.Duration
 	GatewaysLifetime  time.Duration
--- a/transport/gateway/models.go
+++ b/transport/gateway/models.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := readCompletion(c, object)
+	body, err := g.readCompletion(c, object)
 	if err != nil {
 		return err
 	}
@@ -110,9 +110,9 @@
 
 func requestPath(id ident.RequestID) string { return "/v1/requests/" + string(id) }
 
-func readCompletion(c *echo.Context, object string) (CompletionRequest, error) {
+func (g *Gateway) readCompletion(c *echo.Context, object string) (CompletionRequest, error) {
 	var body CompletionRequest
-	data, err := readBody(c)
+	data, err := g.readBody(c)
 	if err != nil {
 		return body, err
 	}
--- a/transport/gateway/services.go
+++ b/transport/gateway/services.go
@@ -76,7 +76,7 @@
 	if route == nil {
 		return none, nil, refusal.New(refusal.UnknownRoute, "service %q has no route for %s %s", service.Name, r.Method, path)
 	}
-	body, err := readBody(c)
+	body, err := g.readBody(c)
 	if err != nil {
 		return none, nil, err
 	}
