Draft the configuration register, membership and spread as pure machines

Cause: daemons need one accepted configuration, one view of each other and a bounded way to spread both.

--- /dev/null
+++ b/coordination/config/follower.go
@@ -0,0 +1,200 @@
+package config
+
+import (
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+)
+
+// StoreSource names the key-value service as the place to fetch from; every
+// other source is a peer's address.
+const StoreSource = ""
+
+const (
+	// fetchTimeout is when a fetch counts as unanswered.
+	fetchTimeout = 2 * time.Second
+	// fetchRetry is when the next source is asked after one that answered
+	// without the sections.
+	fetchRetry = 200 * time.Millisecond
+	// maxSources bounds the peers remembered as having the wanted generation.
+	maxSources = 8
+)
+
+// Effect is what the driver of a Follower has to carry out: *Fetch, *Enforce
+// or *Reject.
+type Effect interface{ effect() }
+
+// Fetch asks for sections by hash. Answer with Supply, or not at all: Tick
+// asks the next source.
+type Fetch struct {
+	Source string
+	Hashes []manifest.Hash
+}
+
+// Enforce says that a higher generation is in force from now on.
+type Enforce struct {
+	Head     Accepted
+	Manifest *manifest.Manifest
+}
+
+// Reject says that an accepted configuration can't be read by this program; a
+// lower generation stays in force.
+type Reject struct {
+	Head Accepted
+	Err  error
+}
+
+func (*Fetch) effect()   {}
+func (*Enforce) effect() {}
+func (*Reject) effect()  {}
+
+// Follower is one daemon's side of the register. The generation in force only
+// grows for the life of the process; a new process takes the highest that the
+// key-value service or any peer has. It is not safe for concurrent use.
+type Follower struct {
+	inForce  Accepted
+	manifest *manifest.Manifest
+	wanted   Accepted
+	rejected ident.Generation
+	sections map[manifest.Hash][]byte
+
+	sources []string
+	turn    int
+	askedAt time.Time
+}
+
+// NewFollower returns one that has nothing in force.
+func NewFollower() *Follower {
+	return &Follower{sections: map[manifest.Hash][]byte{}}
+}
+
+// InForce returns the configuration in force; nil and a zero generation until
+// there is one.
+func (f *Follower) InForce() (Accepted, *manifest.Manifest) { return f.inForce, f.manifest }
+
+// Learn takes in an accepted configuration heard of from the key-value service
+// or a peer. Guards against reverting: a delayed answer, a peer that was
+// paused or a service restored from an older state names a lower generation;
+// such heads are ignored, so the order of arrival cannot matter.
+func (f *Follower) Learn(now time.Time, head Accepted, source string) []Effect {
+	if head.Generation <= f.inForce.Generation || head.Generation <= f.rejected {
+		return nil
+	}
+	switch {
+	case head.Generation < f.wanted.Generation:
+		return nil
+	case head.Generation == f.wanted.Generation:
+		f.addSource(source)
+		return f.Tick(now)
+	}
+	f.wanted = head
+	f.sources = nil
+	f.turn = 0
+	f.askedAt = time.Time{}
+	f.addSource(source)
+	return f.advance(now)
+}
+
+func (f *Follower) addSource(source string) {
+	for _, known := range f.sources {
+		if known == source {
+			return
+		}
+	}
+	if len(f.sources) < maxSources {
+		f.sources = append(f.sources, source)
+	}
+}
+
+// Supply takes in a fetch's answer, nil where it failed; sections that are not
+// wanted or that do not fit their hash are dropped.
+func (f *Follower) Supply(now time.Time, fetched map[manifest.Hash][]byte) []Effect {
+	for _, hash := range f.wanted.Sections {
+		data, ok := fetched[hash]
+		if ok && manifest.HashOf(data) == hash {
+			f.sections[hash] = data
+		}
+	}
+	f.askedAt = now.Add(fetchRetry - fetchTimeout)
+	return f.advance(now)
+}
+
+// Tick asks the next source when the last one has not answered in time. The
+// key-value service has its turn among the peers, so neither an outage of it
+// nor the end of a peer stops the fetch.
+func (f *Follower) Tick(now time.Time) []Effect {
+	if f.wanted.Generation <= f.inForce.Generation {
+		return nil
+	}
+	if now.Sub(f.askedAt) < fetchTimeout {
+		return nil
+	}
+	return f.advance(now)
+}
+
+func (f *Follower) advance(now time.Time) []Effect {
+	if f.wanted.Generation <= f.inForce.Generation {
+		return nil
+	}
+	missing := manifest.Missing(f.wanted.Sections, f.sections)
+	if len(missing) == 0 {
+		return f.enforce()
+	}
+	if now.Sub(f.askedAt) < fetchTimeout {
+		return nil
+	}
+	f.askedAt = now
+	return []Effect{&Fetch{Source: f.nextSource(), Hashes: missing}}
+}
+
+func (f *Follower) nextSource() string {
+	choices := f.sources
+	if f.turn > 0 {
+		choices = append([]string{StoreSource}, f.sources...)
+	}
+	source := choices[f.turn%len(choices)]
+	f.turn++
+	return source
+}
+
+func (f *Follower) enforce() []Effect {
+	head := f.wanted
+	m, err := manifest.Join(head.Sections, f.sections)
+	if err != nil {
+		f.rejected = head.Generation
+		f.wanted = Accepted{}
+		f.prune()
+		return []Effect{&Reject{Head: head, Err: err}}
+	}
+	f.inForce = head
+	f.manifest = m
+	f.wanted = Accepted{}
+	f.prune()
+	return []Effect{&Enforce{Head: head, Manifest: m}}
+}
+
+// prune forgets the sections of earlier generations.
+func (f *Follower) prune() {
+	keep := map[manifest.Hash]bool{}
+	for _, hash := range f.inForce.Sections {
+		keep[hash] = true
+	}
+	for hash := range f.sections {
+		if !keep[hash] {
+			delete(f.sections, hash)
+		}
+	}
+}
+
+// Sections returns those of the asked sections that this daemon has, for a
+// peer's fetch.
+func (f *Follower) Sections(hashes []manifest.Hash) map[manifest.Hash][]byte {
+	found := map[manifest.Hash][]byte{}
+	for _, hash := range hashes {
+		if data, ok := f.sections[hash]; ok {
+			found[hash] = data
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/coordination/membership/evidence.go
@@ -0,0 +1,267 @@
+package membership
+
+import (
+	"net"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// finality orders the states that cannot be undone.
+func finality(s view.State) int {
+	switch s {
+	case view.Gone:
+		return 2
+	case view.Leaving:
+		return 1
+	}
+	return 0
+}
+
+// mergeMember takes in a report of a daemon that came from a peer, a
+// registration ("") or the daemon itself.
+func (t *Table) mergeMember(now time.Time, m Member, from ident.Incarnation) {
+	if m.Incarnation == t.self.Incarnation {
+		t.hearOfSelf(now, m)
+		return
+	}
+	key := memberKey(m.Incarnation)
+	r, known := t.log.records[key]
+	if !known {
+		t.addMember(now, m, from)
+		return
+	}
+	if !supersedes(m, *r.member) {
+		r.member.Generation = max(r.member.Generation, m.Generation)
+		return
+	}
+	merged := m
+	merged.Version = max(m.Version, r.member.Version)
+	merged.Generation = max(m.Generation, r.member.Generation)
+	if r.member.Heard.After(m.Heard) {
+		merged.Heard = r.member.Heard
+	}
+	*r.member = merged
+	t.changed(key, from)
+}
+
+func (t *Table) addMember(now time.Time, m Member, from ident.Incarnation) {
+	old := now.Sub(m.Since) > ForgetAfter
+	if old && (m.State == view.Suspect || m.State == view.Gone) {
+		return
+	}
+	key := memberKey(m.Incarnation)
+	t.log.records[key] = &record{member: &m}
+	t.firstKnown[m.Incarnation] = now
+	t.changed(key, from)
+}
+
+// supersedes orders two reports of one incarnation, the same at every daemon:
+// by finality, then by version, then suspicion before none.
+func supersedes(report, known Member) bool {
+	a, b := finality(report.State), finality(known.State)
+	if a != b {
+		return a > b
+	}
+	if report.State == view.Leaving {
+		return known.LeavesAt.IsZero() && !report.LeavesAt.IsZero()
+	}
+	if report.Version != known.Version {
+		return report.Version > known.Version
+	}
+	return report.State == view.Suspect && known.State == view.Live
+}
+
+// hearOfSelf answers what others say of this daemon. Guards against a false
+// suspicion (a pause, a cut link): by a version above the suspected one, the
+// suspicion ends wherever the new version arrives, in any order.
+func (t *Table) hearOfSelf(now time.Time, m Member) {
+	if finality(m.State) > 0 {
+		t.Drain(now, m.LeavesAt)
+		return
+	}
+	if m.State == view.Suspect && m.Version >= t.self.Version && t.self.State != view.Gone {
+		t.self.Version = m.Version + 1
+		t.refuted++
+		t.changed(memberKey(t.self.Incarnation), "")
+	}
+}
+
+// heard notes a daemon's own word.
+func (t *Table) heard(now time.Time, m Member) {
+	m.Heard = now
+	t.mergeMember(now, m, m.Incarnation)
+	r, ok := t.log.records[memberKey(m.Incarnation)]
+	if !ok || r.member == t.self {
+		return
+	}
+	r.failures = 0
+	r.member.Heard = now
+	if m.Generation > r.member.Generation {
+		r.member.Generation = m.Generation
+		t.revision.Members++
+	}
+	t.raiseInForce(m.FailureDomain, m.Generation)
+}
+
+// ProbeFailed notes that a call to a daemon was not answered.
+func (t *Table) ProbeFailed(now time.Time, i ident.Incarnation) {
+	key := memberKey(i)
+	r, ok := t.log.records[key]
+	if !ok || r.member == t.self {
+		return
+	}
+	r.failures++
+	switch {
+	case r.member.State == view.Live && r.failures >= ProbeFailures:
+		t.conclude(now, key, view.Suspect)
+	case r.member.State == view.Leaving && now.Sub(r.member.Heard) > goneAfterLeaving && r.failures >= ProbeFailures:
+		t.conclude(now, key, view.Gone)
+	}
+}
+
+// answered concludes that former incarnations at an address are over because
+// another one answered a call made to it. Guards against a replaced entry VM:
+// its former incarnation would stay suspect, and be tried, until forgotten.
+// An incarnation first heard of after the call was made is spared: the answer
+// may be older than it.
+func (t *Table) answered(now, asked time.Time, by Member) {
+	for key, r := range t.log.records {
+		m := r.member
+		if m == nil || m == t.self || m.Incarnation == by.Incarnation || m.State == view.Gone {
+			continue
+		}
+		if m.PeerAddress == by.PeerAddress && t.firstKnown[m.Incarnation].Before(asked) {
+			t.conclude(now, key, view.Gone)
+		}
+	}
+}
+
+// Registered takes in the daemons that are registered in the key-value service.
+func (t *Table) Registered(now time.Time, members []Member) {
+	for _, m := range members {
+		m.State = view.Live
+		m.Since = now
+		m.Heard = time.Time{}
+		t.mergeMember(now, m, "")
+	}
+}
+
+// Listed takes in a whole VM list as this daemon read it.
+func (t *Table) Listed(now time.Time, vms []VM) {
+	present := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		present[vmKey(vm.ID)] = true
+		vm.Since = now
+		t.mergeVM(now, vm, "")
+		if r, ok := t.log.records[vmKey(vm.ID)]; ok {
+			r.missed = 0
+		}
+	}
+	for key, r := range t.log.records {
+		if r.vm == nil || r.missed < 0 || present[key] || r.vm.State == VMGone {
+			continue
+		}
+		r.missed++
+		if r.missed >= missedLists {
+			r.vm.State = VMGone
+			r.vm.Since = now
+			t.changed(key, "")
+		}
+	}
+}
+
+func (t *Table) mergeVM(now time.Time, vm VM, from ident.Incarnation) {
+	key := vmKey(vm.ID)
+	r, known := t.log.records[key]
+	if !known {
+		if vm.State >= VMLeaving && now.Sub(vm.Since) > ForgetAfter {
+			return
+		}
+		t.log.records[key] = &record{vm: &vm, missed: -1}
+		t.changed(key, from)
+		return
+	}
+	old := *r.vm
+	if vm.Service != "" || old.Service == "" {
+		state, leavesAt, since := old.State, old.LeavesAt, old.Since
+		*r.vm = vm
+		r.vm.State, r.vm.LeavesAt, r.vm.Since = state, leavesAt, since
+	}
+	if vm.State > old.State {
+		r.vm.State = vm.State
+		r.vm.Since = vm.Since
+	}
+	if r.vm.LeavesAt.IsZero() {
+		r.vm.LeavesAt = vm.LeavesAt
+	}
+	if r.vm.State != old.State || r.vm.Service != old.Service || r.vm.LeavesAt != old.LeavesAt {
+		t.changed(key, from)
+	}
+}
+
+// Noticed takes in that a VM is leaving, from any source. It returns whether
+// this daemon itself is meant.
+func (t *Table) Noticed(now time.Time, n Notice) bool {
+	leavesAt := now.Add(n.Left)
+	for _, id := range t.vmsOf(n) {
+		t.mergeVM(now, VM{
+			ID: id, Address: n.Address, State: VMLeaving, LeavesAt: leavesAt, Since: now,
+		}, "")
+	}
+	for key, r := range t.log.records {
+		m := r.member
+		if m == nil || !n.concerns(*m) {
+			continue
+		}
+		if m == t.self {
+			t.Drain(now, leavesAt)
+			continue
+		}
+		if finality(m.State) == 0 {
+			m.LeavesAt = leavesAt
+			t.conclude(now, key, view.Leaving)
+		}
+	}
+	return t.self.State != view.Live && n.concerns(*t.self)
+}
+
+// vmsOf names the VMs that a notice means. By address alone it can only mean
+// VMs that are known now, never one that takes the address over later.
+func (t *Table) vmsOf(n Notice) []string {
+	if n.VM != "" {
+		return []string{n.VM}
+	}
+	var ids []string
+	for _, r := range t.log.records {
+		if r.vm != nil && r.vm.State != VMGone && r.vm.Address == n.Address {
+			ids = append(ids, r.vm.ID)
+		}
+	}
+	return ids
+}
+
+// concerns tells whether the notice means the daemon. Guards against a late
+// notice of a VM that was replaced at the same address: a daemon that knows its
+// VM's ID is matched by that only, and a notice whose time is over never by
+// address.
+func (n Notice) concerns(m Member) bool {
+	if m.VM != "" && n.VM != "" {
+		return m.VM == n.VM
+	}
+	if n.Left <= 0 || n.Address == "" {
+		return false
+	}
+	return sameAddress(n.Address, m.PeerAddress) || sameAddress(n.Address, m.CallerAddress)
+}
+
+// sameAddress compares with host and port, or by host alone where the notice
+// has no port.
+func sameAddress(notice, address string) bool {
+	if notice == address {
+		return true
+	}
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && notice == host
+}
--- /dev/null
+++ b/coordination/membership/exchange.go
@@ -0,0 +1,126 @@
+package membership
+
+import (
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// NoPeer stands for a receiver whose incarnation is not known yet.
+const NoPeer ident.Incarnation = ""
+
+func (t *Table) peer(i ident.Incarnation) *peerState {
+	p, ok := t.peers[i]
+	if !ok {
+		p = &peerState{}
+		t.peers[i] = p
+	}
+	return p
+}
+
+// Compose returns the message for one peer: what changed since the last that
+// it acknowledged. To NoPeer it carries no changes.
+func (t *Table) Compose(to ident.Incarnation) Message {
+	m := Message{From: *t.self, Last: t.log.seq, Digest: t.log.digest, InForce: t.InForce()}
+	if to == NoPeer {
+		return m
+	}
+	p := t.peer(to)
+	records, reached := t.log.after(p.acked, to, MaxChanges)
+	m.Ack = p.received
+	m.Seq = reached
+	for _, r := range records {
+		m.Changes = append(m.Changes, r.change())
+	}
+	m.Changes = t.withSuspicion(m.Changes, to)
+	return m
+}
+
+// withSuspicion adds the receiver's own record if it is suspect here, whatever
+// the log says, so that it can end a false suspicion by the next message.
+func (t *Table) withSuspicion(changes []Change, to ident.Incarnation) []Change {
+	r, ok := t.log.records[memberKey(to)]
+	if !ok || r.member.State != view.Suspect {
+		return changes
+	}
+	return append(changes, r.change())
+}
+
+// change copies the record for a message.
+func (r *record) change() Change {
+	if r.member != nil {
+		m := *r.member
+		return Change{Member: &m}
+	}
+	vm := *r.vm
+	return Change{VM: &vm}
+}
+
+// Receive takes in a peer's call and tells whether there was news in it.
+func (t *Table) Receive(now time.Time, m Message) bool {
+	before := t.revision
+	t.take(now, m)
+	return t.revision != before
+}
+
+// ReceiveAnswer takes in the answer to a call made at the time asked and tells
+// whether there was news in it.
+func (t *Table) ReceiveAnswer(now, asked time.Time, m Message) bool {
+	before := t.revision
+	t.take(now, m)
+	t.answered(now, asked, m.From)
+	return t.revision != before
+}
+
+func (t *Table) take(now time.Time, m Message) {
+	if m.From.Incarnation == t.self.Incarnation {
+		return
+	}
+	t.heard(now, m.From)
+	for _, c := range m.Changes {
+		switch {
+		case c.Member != nil:
+			t.mergeMember(now, *c.Member, m.From.Incarnation)
+		case c.VM != nil:
+			t.mergeVM(now, *c.VM, m.From.Incarnation)
+		}
+	}
+	for domain, g := range m.InForce {
+		t.raiseInForce(domain, g)
+	}
+	t.acknowledge(now, m)
+}
+
+// acknowledge moves both logs' positions. Positions are assigned, not raised:
+// after messages that crossed they may fall, which only repeats changes.
+func (t *Table) acknowledge(now time.Time, m Message) {
+	p := t.peer(m.From.Incarnation)
+	p.acked = m.Ack
+	p.received = m.Seq
+	if m.Digest == t.log.digest {
+		p.acked = t.log.seq
+		p.received = m.Last
+		p.differSince = time.Time{}
+		return
+	}
+	t.resync(now, p)
+}
+
+// resync starts the peer's log anew when the tables stay different although
+// every change was acknowledged. Guards against records that one side forgot
+// or never logged: they would stay different for good.
+func (t *Table) resync(now time.Time, p *peerState) {
+	if p.acked < t.log.seq {
+		p.differSince = time.Time{}
+		return
+	}
+	if p.differSince.IsZero() {
+		p.differSince = now
+		return
+	}
+	if now.Sub(p.differSince) > resyncAfter {
+		p.acked = 0
+		p.differSince = time.Time{}
+	}
+}
--- /dev/null
+++ b/coordination/membership/table.go
@@ -0,0 +1,239 @@
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// Table is one daemon's knowledge of all daemons and VMs. It is not safe for
+// concurrent use.
+type Table struct {
+	self    *Member
+	log     *changeLog
+	peers   map[ident.Incarnation]*peerState
+	inForce map[ident.FailureDomain]ident.Generation
+	// firstKnown is when an incarnation was first heard of here.
+	firstKnown map[ident.Incarnation]time.Time
+	revision   Revision
+	refuted    uint64
+}
+
+// Revision grows with every change of what the table returns; its parts tell
+// what changed.
+type Revision struct {
+	Members uint64
+	VMs     uint64
+	InForce uint64
+}
+
+// peerState is how far the logs of two daemons have been exchanged.
+type peerState struct {
+	acked       uint64
+	received    uint64
+	differSince time.Time
+}
+
+const (
+	memberPrefix = "d/"
+	vmPrefix     = "v/"
+)
+
+func memberKey(i ident.Incarnation) string { return memberPrefix + string(i) }
+func vmKey(id string) string               { return vmPrefix + id }
+
+// New returns a table that knows its own daemon only.
+func New(now time.Time, self Member) *Table {
+	t := &Table{
+		log:        newChangeLog(),
+		peers:      map[ident.Incarnation]*peerState{},
+		inForce:    map[ident.FailureDomain]ident.Generation{},
+		firstKnown: map[ident.Incarnation]time.Time{},
+	}
+	self.State = view.Live
+	self.Version = 1
+	self.Since = now
+	t.self = &self
+	t.log.records[memberKey(self.Incarnation)] = &record{member: t.self}
+	t.changed(memberKey(self.Incarnation), "")
+	return t
+}
+
+// Revision tells whether anything changed.
+func (t *Table) Revision() Revision { return t.revision }
+
+// Digest changes with the states of daemons and VMs.
+func (t *Table) Digest() uint64 { return t.log.digest }
+
+// Size is the number of records.
+func (t *Table) Size() int { return len(t.log.records) }
+
+// Refuted counts the false suspicions of this daemon that it ended.
+func (t *Table) Refuted() uint64 { return t.refuted }
+
+// Self is this daemon as it tells others.
+func (t *Table) Self() Member { return *t.self }
+
+func (t *Table) changed(key string, from ident.Incarnation) {
+	isVM := t.log.records[key].vm != nil
+	t.log.touch(key, from)
+	t.bump(isVM)
+}
+
+func (t *Table) bump(isVM bool) {
+	if isVM {
+		t.revision.VMs++
+		return
+	}
+	t.revision.Members++
+}
+
+// SetGeneration notes the generation in force here.
+func (t *Table) SetGeneration(g ident.Generation) {
+	if g <= t.self.Generation {
+		return
+	}
+	t.self.Generation = g
+	t.revision.Members++
+	t.raiseInForce(t.self.FailureDomain, g)
+}
+
+func (t *Table) raiseInForce(domain ident.FailureDomain, g ident.Generation) {
+	if g > t.inForce[domain] {
+		t.inForce[domain] = g
+		t.revision.InForce++
+	}
+}
+
+// InForce returns the highest generation that some daemon of each failure
+// domain has in force.
+func (t *Table) InForce() map[ident.FailureDomain]ident.Generation {
+	all := make(map[ident.FailureDomain]ident.Generation, len(t.inForce))
+	for domain, g := range t.inForce {
+		all[domain] = g
+	}
+	return all
+}
+
+// Drain makes this daemon leaving, for good.
+func (t *Table) Drain(now, leavesAt time.Time) {
+	if t.self.State != view.Live {
+		return
+	}
+	t.self.State = view.Leaving
+	t.self.LeavesAt = leavesAt
+	t.self.Since = now
+	t.self.Version++
+	t.changed(memberKey(t.self.Incarnation), "")
+}
+
+// Left makes this daemon gone: its last word before the process ends.
+func (t *Table) Left(now time.Time) {
+	t.self.State = view.Gone
+	t.self.Since = now
+	t.self.Version++
+	t.changed(memberKey(t.self.Incarnation), "")
+}
+
+// Members lists all daemons but the gone, this one included, by ID.
+func (t *Table) Members() []Member {
+	var all []Member
+	for _, r := range t.log.records {
+		if r.member != nil && r.member.State != view.Gone {
+			all = append(all, *r.member)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].ID != all[j].ID {
+			return all[i].ID < all[j].ID
+		}
+		return all[i].Incarnation < all[j].Incarnation
+	})
+	return all
+}
+
+// VMs lists all VMs but the gone, by ID.
+func (t *Table) VMs() []VM {
+	var all []VM
+	for _, r := range t.log.records {
+		if r.vm != nil && r.vm.State != VMGone {
+			all = append(all, *r.vm)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+// Runners lists a service's runners that have started and are not gone, by ID.
+func (t *Table) Runners(service string) []view.Runner {
+	return RunnersOf(t.VMs(), service)
+}
+
+// RunnersOf picks a service's runners out of VMs.
+func RunnersOf(vms []VM, service string) []view.Runner {
+	var runners []view.Runner
+	for _, vm := range vms {
+		if vm.Service != service || vm.State == VMStarting {
+			continue
+		}
+		runner := view.Runner{
+			ID: ident.RunnerID(vm.ID), Address: vm.Address, Service: vm.Service,
+			FailureDomain: vm.FailureDomain, VMClass: vm.Class, Reclaimable: vm.Reclaimable,
+			PricePerHour: vm.PricePerHour, State: view.Live, LeavesAt: vm.LeavesAt,
+		}
+		if vm.State == VMLeaving {
+			runner.State = view.Leaving
+		}
+		runners = append(runners, runner)
+	}
+	return runners
+}
+
+// Tick drops what is too old and ends leaving daemons whose time is over.
+func (t *Table) Tick(now time.Time) {
+	for key, r := range t.log.records {
+		switch {
+		case r.member != nil && r.member != t.self:
+			t.ageMember(now, key, r.member)
+		case r.vm != nil && r.vm.State >= VMLeaving && now.Sub(r.vm.Since) > ForgetAfter:
+			t.ageVM(now, key, r)
+		}
+	}
+}
+
+func (t *Table) ageMember(now time.Time, key string, m *Member) {
+	switch m.State {
+	case view.Leaving:
+		if !m.LeavesAt.IsZero() && now.Sub(m.LeavesAt) > goneAfterLeaving {
+			t.conclude(now, key, view.Gone)
+		}
+	case view.Suspect, view.Gone:
+		if now.Sub(m.Since) > ForgetAfter {
+			t.log.remove(key)
+			delete(t.peers, m.Incarnation)
+			delete(t.firstKnown, m.Incarnation)
+			t.revision.Members++
+		}
+	}
+}
+
+// ageVM ends a leaving VM that the list never dropped, and forgets a gone one.
+func (t *Table) ageVM(now time.Time, key string, r *record) {
+	if r.vm.State == VMGone {
+		t.log.remove(key)
+		return
+	}
+	r.vm.State = VMGone
+	r.vm.Since = now
+	t.changed(key, "")
+}
+
+// conclude sets the state of another daemon from evidence found here.
+func (t *Table) conclude(now time.Time, key string, state view.State) {
+	m := t.log.records[key].member
+	m.State = state
+	m.Since = now
+	t.changed(key, "")
+}
--- /dev/null
+++ b/coordination/spread/tree.go
@@ -0,0 +1,232 @@
+package spread
+
+import (
+	"math/bits"
+	"sort"
+	"time"
+)
+
+// treeInterval is the time between two rounds of tests; with the eleven
+// clusters of 1,800 members it costs about as much as OutDegree links at
+// HeartbeatInterval.
+const treeInterval = 3 * time.Second
+
+// HierarchicalTree is the reliable broadcast of Jeanneau, Rodrigues, Arantes
+// and Duarte over VCube ("An autonomic hierarchical reliable broadcast
+// protocol for asynchronous distributed systems with failure detection"). A
+// member groups the others in clusters of doubling size and sends a Tree
+// message to the first correct one of each, which forwards it into its smaller
+// clusters; suspected ones before it get a Deliver message, which is not
+// forwarded. As versions only grow, the newest stands for all earlier ones.
+type HierarchicalTree struct {
+	self    int
+	members []string
+	index   map[string]int
+	suspect map[int]bool
+
+	version uint64
+	source  string
+	// pending holds the children that have not acknowledged the current version.
+	pending map[int]pendingAck
+	// sent holds the members that were sent the current version.
+	sent map[int]bool
+}
+
+// pendingAck is a child that owes an acknowledgement on behalf of parent.
+type pendingAck struct{ parent int }
+
+// noParent stands for a broadcast that started here.
+const noParent = -1
+
+var _ Strategy = (*HierarchicalTree)(nil)
+
+// NewHierarchicalTree returns the machine of one member. Members is the whole
+// sorted list, the same everywhere; only suspicion changes.
+func NewHierarchicalTree(self string, members []string) *HierarchicalTree {
+	t := &HierarchicalTree{members: members, index: map[string]int{}, suspect: map[int]bool{}}
+	for i, id := range members {
+		t.index[id] = i
+	}
+	t.self = t.index[self]
+	t.reset()
+	return t
+}
+
+func (t *HierarchicalTree) reset() {
+	t.pending = map[int]pendingAck{}
+	t.sent = map[int]bool{}
+}
+
+// cluster lists c(i,s) of the paper: the first member is i with bit s-1
+// inverted, then that member's own clusters below s.
+func cluster(i, s int, into []int) []int {
+	first := i ^ (1 << (s - 1))
+	into = append(into, first)
+	for k := 1; k < s; k++ {
+		into = cluster(first, k, into)
+	}
+	return into
+}
+
+// clusterOf returns the s for which c(i,s) contains j.
+func clusterOf(i, j int) int { return bits.Len(uint(i ^ j)) }
+
+func (t *HierarchicalTree) dimensions() int { return bits.Len(uint(len(t.members) - 1)) }
+
+// SetMembers takes in the suspicions. What a newly suspected member had to
+// forward is sent to the next of its cluster, and the broadcast of a newly
+// suspected source is started anew from here.
+func (t *HierarchicalTree) SetMembers(_ time.Time, peers []Peer) []Send {
+	before := t.suspect
+	t.suspect = map[int]bool{}
+	var fresh []int
+	for _, p := range peers {
+		if !p.Suspect {
+			continue
+		}
+		j, ok := t.index[p.ID]
+		if !ok {
+			continue
+		}
+		t.suspect[j] = true
+		if !before[j] {
+			fresh = append(fresh, j)
+		}
+	}
+	sort.Ints(fresh)
+	var sends []Send
+	for _, j := range fresh {
+		sends = append(sends, t.crashed(j)...)
+	}
+	return sends
+}
+
+func (t *HierarchicalTree) crashed(j int) []Send {
+	var sends []Send
+	if ack, ok := t.pending[j]; ok {
+		delete(t.pending, j)
+		sends = append(sends, t.broadcastCluster(clusterOf(t.self, j), ack.parent)...)
+		sends = append(sends, t.checkAcks(ack.parent)...)
+	}
+	if t.version > 0 && t.members[j] == t.source {
+		sends = append(sends, t.broadcastTree(t.dimensions(), noParent)...)
+	}
+	return sends
+}
+
+// Publish starts a broadcast from here.
+func (t *HierarchicalTree) Publish(_ time.Time, version uint64) []Send {
+	if version <= t.version {
+		return nil
+	}
+	t.version = version
+	t.source = t.members[t.self]
+	t.reset()
+	return t.broadcastTree(t.dimensions(), noParent)
+}
+
+// Receive follows the paper's three messages; Push and Reply are tests.
+func (t *HierarchicalTree) Receive(_ time.Time, from string, m Message) []Send {
+	j := t.index[from]
+	switch m.Kind {
+	case Push:
+		return []Send{{To: from, Message: Message{Kind: Reply, Version: t.version}}}
+	case Deliver:
+		return t.handle(m)
+	case Tree:
+		sends := t.handle(m)
+		sends = append(sends, t.broadcastTree(clusterOf(t.self, j)-1, j)...)
+		return append(sends, t.checkAcks(j)...)
+	case Ack:
+		ack, ok := t.pending[j]
+		if !ok || m.Version != t.version {
+			return nil
+		}
+		delete(t.pending, j)
+		return t.checkAcks(ack.parent)
+	}
+	return nil
+}
+
+// handle delivers a version once and takes over the broadcast of a source that
+// is suspected.
+func (t *HierarchicalTree) handle(m Message) []Send {
+	if m.Version <= t.version {
+		return nil
+	}
+	t.version = m.Version
+	t.source = m.Source
+	t.reset()
+	if t.suspect[t.index[m.Source]] {
+		return t.broadcastTree(t.dimensions(), noParent)
+	}
+	return nil
+}
+
+func (t *HierarchicalTree) broadcastTree(height, parent int) []Send {
+	var sends []Send
+	for s := 1; s <= height; s++ {
+		sends = append(sends, t.broadcastCluster(s, parent)...)
+	}
+	return sends
+}
+
+func (t *HierarchicalTree) broadcastCluster(s, parent int) []Send {
+	var sends []Send
+	for _, k := range cluster(t.self, s, nil) {
+		if k >= len(t.members) {
+			continue
+		}
+		kind := Tree
+		if t.suspect[k] {
+			kind = Deliver
+		}
+		if !t.sent[k] {
+			t.sent[k] = true
+			sends = append(sends, t.send(k, kind))
+			if kind == Tree {
+				t.pending[k] = pendingAck{parent: parent}
+			}
+		}
+		if kind == Tree {
+			return sends
+		}
+	}
+	return sends
+}
+
+func (t *HierarchicalTree) checkAcks(parent int) []Send {
+	if parent == noParent {
+		return nil
+	}
+	for _, ack := range t.pending {
+		if ack.parent == parent {
+			return nil
+		}
+	}
+	return []Send{t.send(parent, Ack)}
+}
+
+func (t *HierarchicalTree) send(to int, kind Kind) Send {
+	return Send{To: t.members[to], Message: Message{Kind: kind, Version: t.version, Source: t.source}}
+}
+
+// Tick tests the first correct member of each cluster.
+func (t *HierarchicalTree) Tick(time.Time) []Send {
+	var sends []Send
+	for s := 1; s <= t.dimensions(); s++ {
+		for _, k := range cluster(t.self, s, nil) {
+			if k < len(t.members) && !t.suspect[k] {
+				sends = append(sends, Send{To: t.members[k], Message: Message{Kind: Push, Version: t.version}})
+				break
+			}
+		}
+	}
+	return sends
+}
+
+// Interval is the time between two rounds of tests.
+func (t *HierarchicalTree) Interval() time.Duration { return treeInterval }
+
+// Version is the highest known.
+func (t *HierarchicalTree) Version() uint64 { return t.version }
--- a/gen/geranium/admin/v1/adminv1connect/admin.connect.go
+++ b/gen/geranium/admin/v1/adminv1connect/admin.connect.go
@@ -43,6 +43,8 @@
 	AdminServiceStatusProcedure = "/geranium.admin.v1.AdminService/Status"
 	// AdminServiceHistoryProcedure is the fully-qualified name of the AdminService's History RPC.
 	AdminServiceHistoryProcedure = "/geranium.admin.v1.AdminService/History"
+	// AdminServiceRollbackProcedure is the fully-qualified name of the AdminService's Rollback RPC.
+	AdminServiceRollbackProcedure = "/geranium.admin.v1.AdminService/Rollback"
 	// AdminServiceDrainProcedure is the fully-qualified name of the AdminService's Drain RPC.
 	AdminServiceDrainProcedure = "/geranium.admin.v1.AdminService/Drain"
 	// AdminServiceUsageProcedure is the fully-qualified name of the AdminService's Usage RPC.
@@ -60,6 +62,8 @@
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 	// History lists accepted configurations, newest first.
 	History(context.Context, *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error)
+	// Rollback submits the content of an earlier generation as a new one.
+	Rollback(context.Context, *connect.Request[v1.RollbackRequest]) (*connect.Response[v1.RollbackResponse], error)
 	// Drain makes a daemon or runner take no new work.
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
 	// Usage tells requests, tokens and refusals per workspace.
@@ -101,6 +105,12 @@
 			connect.WithSchema(adminServiceMethods.ByName("History")),
 			connect.WithClientOptions(opts...),
 		),
+		rollback: connect.NewClient[v1.RollbackRequest, v1.RollbackResponse](
+			httpClient,
+			baseURL+AdminServiceRollbackProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("Rollback")),
+			connect.WithClientOptions(opts...),
+		),
 		drain: connect.NewClient[v1.DrainRequest, v1.DrainResponse](
 			httpClient,
 			baseURL+AdminServiceDrainProcedure,
@@ -118,12 +128,13 @@
 
 // adminServiceClient implements AdminServiceClient.
 type adminServiceClient struct {
-	apply   *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
-	diff    *connect.Client[v1.DiffRequest, v1.DiffResponse]
-	status  *connect.Client[v1.StatusRequest, v1.StatusResponse]
-	history *connect.Client[v1.HistoryRequest, v1.HistoryResponse]
-	drain   *connect.Client[v1.DrainRequest, v1.DrainResponse]
-	usage   *connect.Client[v1.UsageRequest, v1.UsageResponse]
+	apply    *connect.Client[v1.ApplyRequest, v1.ApplyResponse]
+	diff     *connect.Client[v1.DiffRequest, v1.DiffResponse]
+	status   *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	history  *connect.Client[v1.HistoryRequest, v1.HistoryResponse]
+	rollback *connect.Client[v1.RollbackRequest, v1.RollbackResponse]
+	drain    *connect.Client[v1.DrainRequest, v1.DrainResponse]
+	usage    *connect.Client[v1.UsageRequest, v1.UsageResponse]
 }
 
 // Apply calls geranium.admin.v1.AdminService.Apply.
@@ -146,6 +157,11 @@
 	return c.history.CallUnary(ctx, req)
 }
 
+// Rollback calls geranium.admin.v1.AdminService.Rollback.
+func (c *adminServiceClient) Rollback(ctx context.Context, req *connect.Request[v1.RollbackRequest]) (*connect.Response[v1.RollbackResponse], error) {
+	return c.rollback.CallUnary(ctx, req)
+}
+
 // Drain calls geranium.admin.v1.AdminService.Drain.
 func (c *adminServiceClient) Drain(ctx context.Context, req *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error) {
 	return c.drain.CallUnary(ctx, req)
@@ -167,6 +183,8 @@
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
 	// History lists accepted configurations, newest first.
 	History(context.Context, *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error)
+	// Rollback submits the content of an earlier generation as a new one.
+	Rollback(context.Context, *connect.Request[v1.RollbackRequest]) (*connect.Response[v1.RollbackResponse], error)
 	// Drain makes a daemon or runner take no new work.
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
 	// Usage tells requests, tokens and refusals per workspace.
@@ -204,6 +222,12 @@
 		connect.WithSchema(adminServiceMethods.ByName("History")),
 		connect.WithHandlerOptions(opts...),
 	)
+	adminServiceRollbackHandler := connect.NewUnaryHandler(
+		AdminServiceRollbackProcedure,
+		svc.Rollback,
+		connect.WithSchema(adminServiceMethods.ByName("Rollback")),
+		connect.WithHandlerOptions(opts...),
+	)
 	adminServiceDrainHandler := connect.NewUnaryHandler(
 		AdminServiceDrainProcedure,
 		svc.Drain,
@@ -226,6 +250,8 @@
 			adminServiceStatusHandler.ServeHTTP(w, r)
 		case AdminServiceHistoryProcedure:
 			adminServiceHistoryHandler.ServeHTTP(w, r)
+		case AdminServiceRollbackProcedure:
+			adminServiceRollbackHandler.ServeHTTP(w, r)
 		case AdminServiceDrainProcedure:
 			adminServiceDrainHandler.ServeHTTP(w, r)
 		case AdminServiceUsageProcedure:
@@ -255,6 +281,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("geranium.admin.v1.AdminService.History is not implemented"))
 }
 
+func (UnimplementedAdminServiceHandler) Rollback(context.Context, *connect.Request[v1.RollbackRequest]) (*connect.Response[v1.RollbackResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("geranium.admin.v1.AdminService.Rollback is not implemented"))
+}
+
 func (UnimplementedAdminServiceHandler) Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("geranium.admin.v1.AdminService.Drain is not implemented"))
 }
