--- a/coordination/config/follower.go
+++ b/coordination/config/follower.go
@@ -88,12 +88,29 @@
 		f.addSource(source)
 		return f.Tick(now)
 	}
+	f.want(head)
+	f.addSource(source)
+	return f.advance(now)
+}
+
+func (f *Follower) want(head Accepted) {
 	f.wanted = head
 	f.sources = nil
 	f.turn = 0
 	f.askedAt = time.Time{}
-	f.addSource(source)
-	return f.advance(now)
+}
+
+// Adopt is Learn and Supply in one, for the daemon that had the configuration
+// accepted and need not fetch it.
+func (f *Follower) Adopt(now time.Time, head Accepted, sections map[manifest.Hash][]byte) []Effect {
+	known := max(f.inForce.Generation, f.rejected)
+	if head.Generation <= known || head.Generation < f.wanted.Generation {
+		return nil
+	}
+	if head.Generation > f.wanted.Generation {
+		f.want(head)
+	}
+	return f.Supply(now, sections)
 }
 
 func (f *Follower) addSource(source string) {
@@ -150,7 +167,7 @@
 
 func (f *Follower) nextSource() string {
 	choices := f.sources
-	if f.turn > 0 {
+	if f.turn > 0 || len(choices) == 0 {
 		choices = append([]string{StoreSource}, f.sources...)
 	}
 	source := choices[f.turn%len(choices)]
--- a/coordination/config/submission.go
+++ b/coordination/config/submission.go
@@ -60,18 +60,30 @@
 
 // NewSubmission starts with reading the head. The expected generation is the
 // one to replace, or AnyGeneration. Floor is the generation in force at the
-// submitter.
+// submitter. A manifest that daemons could not read back is refused with
+// manifest.Join's error: once accepted it would block every daemon.
 func NewSubmission(m *manifest.Manifest, author, id string, expected int64, floor ident.Generation) (*Submission, error) {
 	sections, err := manifest.Split(m)
 	if err != nil {
 		return nil, err
 	}
+	if _, err := manifest.Join(manifest.Hashes(sections), contents(sections)); err != nil {
+		return nil, err
+	}
 	return &Submission{
 		id: id, author: author, expected: expected, floor: floor,
 		sections: sections, next: &ReadHead{},
 	}, nil
 }
 
+func contents(sections []manifest.Section) map[manifest.Hash][]byte {
+	data := make(map[manifest.Hash][]byte, len(sections))
+	for _, section := range sections {
+		data[section.Hash] = section.Data
+	}
+	return data
+}
+
 // Step returns what to do now; repeating it while no answer was given is safe.
 func (s *Submission) Step() Step { return s.next }
 
--- a/coordination/membership/evidence.go
+++ b/coordination/membership/evidence.go
@@ -105,18 +105,39 @@
 	t.raiseInForce(m.FailureDomain, m.Generation)
 }
 
-// ProbeFailed notes that a call to a daemon was not answered.
-func (t *Table) ProbeFailed(now time.Time, i ident.Incarnation) {
+// ProbeFailed notes that a call to a daemon was not answered. It returns whether
+// there were enough in a row to ask others to try, and to call Unreachable if
+// they fail, too.
+func (t *Table) ProbeFailed(i ident.Incarnation) bool {
+	r, ok := t.log.records[memberKey(i)]
+	if !ok || r.member == t.self {
+		return false
+	}
+	r.failures++
+	return r.member.State != view.Suspect && r.failures >= ProbeFailures
+}
+
+// ReachedByOther notes that another daemon could call one that this one could
+// not. Guards against a cut between two daemons that both reach the rest: by
+// their own failed calls each would take the other out of service everywhere.
+func (t *Table) ReachedByOther(i ident.Incarnation) {
+	if r, ok := t.log.records[memberKey(i)]; ok {
+		r.failures = 0
+	}
+}
+
+// Unreachable notes that neither this daemon nor any asked one could call a
+// daemon: a live one is suspect, a leaving one that was silent for long is gone.
+func (t *Table) Unreachable(now time.Time, i ident.Incarnation) {
 	key := memberKey(i)
 	r, ok := t.log.records[key]
-	if !ok || r.member == t.self {
+	if !ok || r.member == t.self || r.failures < ProbeFailures {
 		return
 	}
-	r.failures++
 	switch {
-	case r.member.State == view.Live && r.failures >= ProbeFailures:
+	case r.member.State == view.Live:
 		t.conclude(now, key, view.Suspect)
-	case r.member.State == view.Leaving && now.Sub(r.member.Heard) > goneAfterLeaving && r.failures >= ProbeFailures:
+	case r.member.State == view.Leaving && now.Sub(r.member.Heard) > goneAfterLeaving:
 		t.conclude(now, key, view.Gone)
 	}
 }
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -100,6 +100,15 @@
 	t.raiseInForce(t.self.FailureDomain, g)
 }
 
+// GenerationOf returns what a daemon last said to have in force.
+func (t *Table) GenerationOf(i ident.Incarnation) ident.Generation {
+	r, ok := t.log.records[memberKey(i)]
+	if !ok {
+		return 0
+	}
+	return r.member.Generation
+}
+
 func (t *Table) raiseInForce(domain ident.FailureDomain, g ident.Generation) {
 	if g > t.inForce[domain] {
 		t.inForce[domain] = g
--- a/coordination/membership/types.go
+++ b/coordination/membership/types.go
@@ -6,8 +6,9 @@
 //     never ends one: a lease that lapsed may only mean an outage.
 //   - A heartbeat from a daemon itself is its own word: live or leaving, with a
 //     version that only it raises.
-//   - Calls to a daemon that fail in a row make it suspect. A suspect that hears
-//     of it raises its version, which ends the suspicion everywhere.
+//   - Calls to a daemon that fail in a row, here and for every other daemon that
+//     was asked to try, make it suspect. A suspect that hears of it raises its
+//     version, which ends the suspicion everywhere.
 //   - An answer of another incarnation from a daemon's address makes the former
 //     one gone, for its process cannot be listening there any more.
 //   - The cloud's notice, the VM list's "leaving", a runner's own word or refusal
--- /dev/null
+++ b/daemon/control/apply.go
@@ -0,0 +1,370 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/coordination/config"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+const (
+	// submissionBound is when a submission is given up.
+	submissionBound = 15 * time.Second
+	// stepRetry is the pause before a step that failed is tried again.
+	stepRetry = 100 * time.Millisecond
+	// collectEvery is the number of generations between two collections of
+	// unreferenced sections.
+	collectEvery = 64
+	collectPage  = 16
+)
+
+// Submission asks for a manifest to be accepted.
+type Submission struct {
+	Manifest *manifest.Manifest
+	Author   string
+	// ID makes the submission repeatable; it must be unique for all time.
+	ID string
+	// Expected is the generation to replace, or config.AnyGeneration.
+	Expected int64
+	// Wait is how long to wait until it is in force in every failure domain.
+	Wait time.Duration
+}
+
+// DomainStatus is how far one failure domain is.
+type DomainStatus struct {
+	FailureDomain ident.FailureDomain
+	// Generation is the highest that some daemon of it has in force.
+	Generation ident.Generation
+	// Daemons counts the known ones but the gone; DaemonsBehind those of them
+	// that were last heard to have a lower generation than this daemon.
+	Daemons       int
+	DaemonsBehind int
+}
+
+// Outcome is what became of an accepted submission.
+type Outcome struct {
+	Accepted config.Accepted
+	Domains  []DomainStatus
+	// InForceEverywhere says that every failure domain with a known daemon has
+	// the accepted generation, or a higher one, in force.
+	InForceEverywhere bool
+}
+
+// Apply brings a manifest to acceptance and waits until it is in force. The
+// errors are *config.ConflictError, *config.NotAcceptedError (nothing
+// happened), *config.OutcomeUnknownError (send the same ID again) and
+// *kv.TooLargeError.
+func (c *Control) Apply(ctx context.Context, s Submission) (Outcome, error) {
+	c.counters.submissions.Inc(1)
+	accepted, err := c.submit(ctx, s)
+	if err != nil {
+		c.countFailure(err)
+		return Outcome{}, err
+	}
+	klog.InfoS("Configuration accepted", "generation", accepted.Generation, "author", accepted.Author, "submission", accepted.SubmissionID)
+	c.adopt(accepted, s.Manifest)
+	c.collectSections(accepted.Generation)
+	return c.waitInForce(ctx, accepted, s.Wait), nil
+}
+
+func (c *Control) countFailure(err error) {
+	var conflict *config.ConflictError
+	var unknown *config.OutcomeUnknownError
+	switch {
+	case errors.As(err, &conflict):
+		c.counters.conflicts.Inc(1)
+	case errors.As(err, &unknown):
+		c.counters.outcomesUnknown.Inc(1)
+	}
+}
+
+func (c *Control) submit(ctx context.Context, s Submission) (config.Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, submissionBound)
+	defer cancel()
+	_, floor := c.Current()
+	machine, err := config.NewSubmission(s.Manifest, s.Author, s.ID, s.Expected, floor)
+	if err != nil {
+		return config.Accepted{}, err
+	}
+	for {
+		switch step := machine.Step().(type) {
+		case *config.Done:
+			return step.Accepted, nil
+		case *config.Failed:
+			return config.Accepted{}, step.Err
+		default:
+			err = c.takeStep(ctx, machine, step)
+		}
+		if permanent(err) {
+			return config.Accepted{}, err
+		}
+		if err != nil && !sleep(ctx, jittered(stepRetry)) {
+			return config.Accepted{}, machine.GaveUp(err)
+		}
+	}
+}
+
+// permanent tells the errors that trying again cannot mend. None of them comes
+// from a swap that may have taken effect.
+func permanent(err error) bool {
+	var large *kv.TooLargeError
+	var malformed *config.MalformedHeadError
+	return errors.As(err, &large) || errors.As(err, &malformed)
+}
+
+// takeStep carries out one step; after an error the machine is still at it, or
+// reads the head again.
+func (c *Control) takeStep(ctx context.Context, machine *config.Submission, step config.Step) error {
+	switch step := step.(type) {
+	case *config.ReadHead:
+		head, revision, err := c.readHead(ctx)
+		if err != nil {
+			return err
+		}
+		machine.HeadRead(time.Now(), head, uint64(revision))
+	case *config.StoreSections:
+		for _, section := range step.Sections {
+			if err := c.storeSection(ctx, section); err != nil {
+				return err
+			}
+		}
+		machine.SectionsStored()
+	case *config.SwapHead:
+		return c.swapHead(ctx, machine, step)
+	}
+	return nil
+}
+
+func (c *Control) swapHead(ctx context.Context, machine *config.Submission, step *config.SwapHead) error {
+	value, err := config.EncodeHead(step.Head)
+	if err != nil {
+		return err
+	}
+	_, err = c.compareAndSwap(ctx, headKey, kv.Revision(step.Expected), value)
+	var conflict *kv.ConflictError
+	var large *kv.TooLargeError
+	switch {
+	case err == nil:
+		machine.Swapped()
+		return nil
+	case errors.As(err, &conflict):
+		machine.SwapConflict()
+		return nil
+	case errors.As(err, &large):
+		return err
+	}
+	machine.SwapLost()
+	return err
+}
+
+func (c *Control) compareAndSwap(ctx context.Context, key string, expected kv.Revision, value []byte) (kv.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	var revision kv.Revision
+	err := c.write(func() (err error) {
+		revision, err = c.cfg.Store.CompareAndSwap(ctx, key, expected, value, 0)
+		return err
+	})
+	return revision, err
+}
+
+// storeSection writes a section unless a recent writing of it is there. Guards
+// against the collection of unreferenced sections: one that was referenced long
+// ago may be deleted between this look and the swap of the head, which would
+// then name a section that is nowhere. Only sections older than
+// sectionKeepAtLeast are deleted, and only if unchanged since; so an old one is
+// written again, which makes it young.
+func (c *Control) storeSection(ctx context.Context, section manifest.Section) error {
+	value := encodeSection(time.Now(), section.Data)
+	_, err := c.compareAndSwap(ctx, sectionKey(section.Hash), 0, value)
+	var conflict *kv.ConflictError
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	written, _, err := decodeSection(conflict.Current.Key, conflict.Current.Value)
+	if err == nil && time.Since(written) < sectionRefreshAfter {
+		return nil
+	}
+	_, err = c.compareAndSwap(ctx, sectionKey(section.Hash), conflict.Current.Revision, value)
+	return err
+}
+
+// adopt brings an accepted configuration into force here without a fetch.
+func (c *Control) adopt(accepted config.Accepted, m *manifest.Manifest) {
+	sections, err := manifest.Split(m)
+	if err != nil {
+		return
+	}
+	data := map[manifest.Hash][]byte{}
+	for _, section := range sections {
+		data[section.Hash] = section.Data
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carryOutLocked(c.follower.Adopt(time.Now(), accepted, data))
+	c.afterLocked()
+}
+
+// waitInForce waits until every failure domain has the generation.
+func (c *Control) waitInForce(ctx context.Context, accepted config.Accepted, wait time.Duration) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		changed := c.Changed()
+		outcome := c.outcome(accepted)
+		if outcome.InForceEverywhere || ctx.Err() != nil {
+			return outcome
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *Control) outcome(accepted config.Accepted) Outcome {
+	o := Outcome{Accepted: accepted, Domains: c.Domains(), InForceEverywhere: true}
+	for _, d := range o.Domains {
+		if d.Daemons > 0 && d.Generation < accepted.Generation {
+			o.InForceEverywhere = false
+		}
+	}
+	return o
+}
+
+// Domains tells how far each failure domain of the manifest in force or of a
+// known daemon is, by name.
+func (c *Control) Domains() []DomainStatus {
+	m, generation := c.Current()
+	byDomain := map[ident.FailureDomain]*DomainStatus{}
+	status := func(domain ident.FailureDomain) *DomainStatus {
+		if byDomain[domain] == nil {
+			byDomain[domain] = &DomainStatus{FailureDomain: domain}
+		}
+		return byDomain[domain]
+	}
+	if m != nil {
+		for _, domain := range m.Fleet.FailureDomains {
+			status(domain)
+		}
+	}
+	for _, member := range c.Members() {
+		d := status(member.FailureDomain)
+		d.Daemons++
+		if member.Generation < generation && member.State != view.Leaving {
+			d.DaemonsBehind++
+		}
+	}
+	for domain, g := range c.InForce() {
+		status(domain).Generation = g
+	}
+	all := make([]DomainStatus, 0, len(byDomain))
+	for _, d := range byDomain {
+		all = append(all, *d)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].FailureDomain < all[j].FailureDomain })
+	return all
+}
+
+// History lists accepted configurations, newest first: from the key-value
+// service, or during its outage what this daemon last read of it.
+func (c *Control) History(ctx context.Context) []config.Accepted {
+	head, _, err := c.readHead(ctx)
+	if err == nil {
+		c.learnHead(head)
+		return head.History()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if inForce, _ := c.follower.InForce(); inForce.Generation > c.newest.Generation {
+		return []config.Accepted{inForce}
+	}
+	return c.newest.History()
+}
+
+// Content returns the manifest of a generation that the history still has. The
+// errors are *UnknownGenerationError, the key-value service's and those of
+// manifest.Join.
+func (c *Control) Content(ctx context.Context, generation ident.Generation) (*manifest.Manifest, error) {
+	for _, accepted := range c.History(ctx) {
+		if accepted.Generation != generation {
+			continue
+		}
+		sections, err := c.fetchFromStore(ctx, accepted.Sections)
+		if err != nil {
+			return nil, err
+		}
+		return manifest.Join(accepted.Sections, sections)
+	}
+	return nil, &UnknownGenerationError{Generation: generation}
+}
+
+// UnknownGenerationError says that the history does not have a generation.
+type UnknownGenerationError struct{ Generation ident.Generation }
+
+func (e *UnknownGenerationError) Error() string {
+	return fmt.Sprintf("generation %d is not in the history", e.Generation)
+}
+
+// collectSections deletes, now and then, old sections that no remembered
+// configuration names.
+func (c *Control) collectSections(generation ident.Generation) {
+	if generation%collectEvery != 0 {
+		return
+	}
+	c.spawn(func(ctx context.Context) {
+		if err := c.collect(ctx); err != nil {
+			klog.V(1).InfoS("Collection of sections ended early", "err", err)
+		}
+	})
+}
+
+func (c *Control) collect(ctx context.Context) error {
+	after := sectionPrefix
+	for {
+		page, err := c.listPage(ctx, sectionPrefix, after, collectPage)
+		if err != nil || len(page) == 0 {
+			return err
+		}
+		after = page[len(page)-1].Key
+		// The head is read after the list, so a section that it names by now is
+		// not taken for unreferenced.
+		head, _, err := c.readHead(ctx)
+		if err != nil {
+			return err
+		}
+		if err := c.deleteUnreferenced(ctx, page, head); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Control) deleteUnreferenced(ctx context.Context, page []kv.Entry, head config.Head) error {
+	named := map[string]bool{}
+	for _, accepted := range head.History() {
+		for _, hash := range accepted.Sections {
+			named[sectionKey(hash)] = true
+		}
+	}
+	for _, entry := range page {
+		written, _, err := decodeSection(entry.Key, entry.Value)
+		if named[entry.Key] || (err == nil && time.Since(written) < sectionKeepAtLeast) {
+			continue
+		}
+		err = c.write(func() error { return c.cfg.Store.Delete(ctx, entry.Key, entry.Revision) })
+		var conflict *kv.ConflictError
+		if err != nil && !errors.As(err, &conflict) {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/control/counters.go
@@ -0,0 +1,47 @@
+package control
+
+import "github.com/rcrowley/go-metrics"
+
+// counters are the control side's own figures.
+type counters struct {
+	heartbeats       metrics.Counter
+	heartbeatsFailed metrics.Counter
+	probes           metrics.Counter
+	fetches          metrics.Counter
+	fetchesFailed    metrics.Counter
+	enforced         metrics.Counter
+	rejected         metrics.Counter
+	storeReads       metrics.Counter
+	storeWrites      metrics.Counter
+	storeFailed      metrics.Counter
+	watchesSilent    metrics.Counter
+	lists            metrics.Counter
+	notices          metrics.Counter
+	submissions      metrics.Counter
+	conflicts        metrics.Counter
+	outcomesUnknown  metrics.Counter
+}
+
+func newCounters(r metrics.Registry) counters {
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("control."+name, r)
+	}
+	return counters{
+		heartbeats:       counter("heartbeats"),
+		heartbeatsFailed: counter("heartbeats_failed"),
+		probes:           counter("probes_asked"),
+		fetches:          counter("config_fetches"),
+		fetchesFailed:    counter("config_fetches_failed"),
+		enforced:         counter("config_enforced"),
+		rejected:         counter("config_rejected"),
+		storeReads:       counter("store_reads"),
+		storeWrites:      counter("store_writes"),
+		storeFailed:      counter("store_failed"),
+		watchesSilent:    counter("store_watches_silent"),
+		lists:            counter("vm_lists"),
+		notices:          counter("notices"),
+		submissions:      counter("submissions"),
+		conflicts:        counter("submission_conflicts"),
+		outcomesUnknown:  counter("submission_outcomes_unknown"),
+	}
+}
--- /dev/null
+++ b/daemon/control/follow.go
@@ -0,0 +1,204 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/coordination/config"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+const (
+	// watchWait is how long one watch waits in the service.
+	watchWait = 20 * time.Second
+	// watchSlack is how much later than watchWait an answer may come before the
+	// watch counts as silent.
+	watchSlack = 3 * time.Second
+	// storeTimeout bounds every other call to the service.
+	storeTimeout = 2 * time.Second
+	// storeRetry is the pause after a failed call, up to twice that.
+	storeRetry = time.Second
+	// storeUpFor is how long one answer counts as a sign of life; every daemon
+	// reads the head at least that often.
+	storeUpFor = rereadFar + rereadNear
+	// rereadNear is the time between two reads of the head on a watching
+	// daemon, or on one that has no configuration yet or no peer.
+	rereadNear = 10 * time.Second
+	// rereadFar is the same on the others, which learn from their peers.
+	rereadFar = 5 * time.Minute
+	// dutyRecheck is how often a daemon without a duty looks whether it has one.
+	dutyRecheck = 5 * time.Second
+	fetchBound  = 2 * time.Second
+)
+
+// carryOutLocked starts the follower's effects.
+func (c *Control) carryOutLocked(effects []config.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case *config.Fetch:
+			c.spawnLocked(func(ctx context.Context) { c.fetch(ctx, e) })
+		case *config.Enforce:
+			c.enforceLocked(e)
+		case *config.Reject:
+			c.counters.rejected.Inc(1)
+			klog.ErrorS(e.Err, "Accepted configuration can't be read; the former stays in force", "generation", e.Head.Generation)
+		}
+	}
+}
+
+func (c *Control) enforceLocked(e *config.Enforce) {
+	c.counters.enforced.Inc(1)
+	klog.InfoS("Configuration in force", "generation", e.Head.Generation, "author", e.Head.Author)
+	c.table.SetGeneration(e.Head.Generation)
+	close(c.configChanged)
+	c.configChanged = make(chan struct{})
+}
+
+func (c *Control) fetch(ctx context.Context, f *config.Fetch) {
+	c.counters.fetches.Inc(1)
+	ctx, cancel := context.WithTimeout(ctx, fetchBound)
+	defer cancel()
+	var sections map[manifest.Hash][]byte
+	var err error
+	if f.Source == config.StoreSource {
+		sections, err = c.fetchFromStore(ctx, f.Hashes)
+	} else {
+		sections, err = c.fetchFromPeer(ctx, f.Source, f.Hashes)
+	}
+	if err != nil {
+		c.counters.fetchesFailed.Inc(1)
+		klog.V(1).InfoS("Fetch of sections failed", "source", f.Source, "err", err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carryOutLocked(c.follower.Supply(time.Now(), sections))
+	c.afterLocked()
+}
+
+// readHead reads the register; revision zero says that there is none.
+func (c *Control) readHead(ctx context.Context) (config.Head, kv.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	c.counters.storeReads.Inc(1)
+	entry, err := c.cfg.Store.Get(ctx, headKey)
+	c.noteStore(err)
+	if err != nil || entry.Revision == 0 {
+		return config.Head{}, 0, err
+	}
+	head, err := config.DecodeHead(entry.Value)
+	return head, entry.Revision, err
+}
+
+func (c *Control) noteStore(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var conflict *kv.ConflictError
+	var expired *kv.LeaseExpiredError
+	var compacted *kv.CompactedError
+	if err == nil || errors.As(err, &conflict) || errors.As(err, &expired) || errors.As(err, &compacted) {
+		c.storeOK = time.Now()
+		return
+	}
+	c.counters.storeFailed.Inc(1)
+}
+
+// learnHead takes in a head as it stands in the service.
+func (c *Control) learnHead(head config.Head) {
+	if head.Generation == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if head.Generation > c.newest.Generation {
+		c.newest = head
+	}
+	c.carryOutLocked(c.follower.Learn(time.Now(), head.Accepted, config.StoreSource))
+	c.afterLocked()
+}
+
+// watchLoop waits for changes of the head while the daemon has that duty.
+func (c *Control) watchLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !c.onDuty(fixedSlot) {
+			sleep(ctx, dutyRecheck)
+			continue
+		}
+		if err := c.watchHead(ctx); err != nil {
+			sleep(ctx, jittered(storeRetry))
+		}
+	}
+}
+
+// watchHead reads the head and watches it until a call fails. Guards against a
+// watch that went silent: it is given up watchSlack after it had to answer, and
+// reading the head before the next one catches what came in between.
+func (c *Control) watchHead(ctx context.Context) error {
+	head, after, err := c.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	c.learnHead(head)
+	for ctx.Err() == nil && c.onDuty(fixedSlot) {
+		events, next, err := c.watchOnce(ctx, after)
+		if err != nil {
+			return err
+		}
+		after = next
+		for _, event := range events {
+			c.learnEvent(event)
+		}
+	}
+	return nil
+}
+
+func (c *Control) watchOnce(ctx context.Context, after kv.Revision) ([]kv.Event, kv.Revision, error) {
+	bounded, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	c.counters.storeReads.Inc(1)
+	events, next, err := c.cfg.Store.Watch(bounded, headKey, after, watchWait)
+	if bounded.Err() != nil && ctx.Err() == nil {
+		c.counters.watchesSilent.Inc(1)
+	}
+	c.noteStore(err)
+	return events, next, err
+}
+
+func (c *Control) learnEvent(event kv.Event) {
+	if event.Deleted || event.Key != headKey {
+		return
+	}
+	head, err := config.DecodeHead(event.Value)
+	if err != nil {
+		klog.ErrorS(err, "Head can't be read", "revision", event.Revision)
+		return
+	}
+	c.learnHead(head)
+}
+
+// rereadLoop reads the head now and then, whatever the watch says.
+func (c *Control) rereadLoop(ctx context.Context) {
+	for {
+		if head, _, err := c.readHead(ctx); err == nil {
+			c.learnHead(head)
+		}
+		if !sleep(ctx, jittered(c.rereadInterval())) {
+			return
+		}
+	}
+}
+
+func (c *Control) rereadInterval() time.Duration {
+	_, generation := c.Current()
+	alone := len(c.Members()) < 2
+	switch {
+	case generation == 0 && alone:
+		return storeRetry
+	case generation == 0 || alone || c.onDuty(fixedSlot):
+		return rereadNear
+	}
+	return rereadFar
+}
--- /dev/null
+++ b/daemon/control/mesh.go
@@ -0,0 +1,372 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/coordination/config"
+	"geraniumstack.org/geraniumstack/coordination/membership"
+	"geraniumstack.org/geraniumstack/coordination/spread"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	meshv1 "geraniumstack.org/geraniumstack/gen/geranium/mesh/v1"
+	"geraniumstack.org/geraniumstack/gen/geranium/mesh/v1/meshv1connect"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+)
+
+const (
+	// heartbeatTimeout is when a call counts as failed. A connection that went
+	// silent ends with it, and the next call makes a new one.
+	heartbeatTimeout = time.Second
+	// probeTimeout bounds the wait for others' tries; they take heartbeatTimeout
+	// and the way there and back.
+	probeTimeout = heartbeatTimeout + 500*time.Millisecond
+	// pushGap is the least time between two exchanges over one link; news that
+	// comes closer together shares a message.
+	pushGap = 100 * time.Millisecond
+	// maxMessageBytes bounds a peer's message.
+	maxMessageBytes = 32 << 20
+	// seedInterval is the time between two tries of a seed.
+	seedInterval = time.Second
+	// seedsPerTurn bounds the seeds tried at a time.
+	seedsPerTurn = 4
+)
+
+// meshService is the peers' side of a Control.
+type meshService Control
+
+var _ meshv1connect.MeshServiceHandler = (*meshService)(nil)
+
+// MissingSenderError says that an exchange does not say who sent it.
+type MissingSenderError struct{}
+
+func (*MissingSenderError) Error() string { return "exchange without a sender" }
+
+// Heartbeat answers a peer's exchange.
+func (s *meshService) Heartbeat(_ context.Context, r *connect.Request[meshv1.HeartbeatRequest]) (*connect.Response[meshv1.HeartbeatResponse], error) {
+	c := (*Control)(s)
+	exchange := r.Msg.GetExchange()
+	if exchange.GetFrom().GetIncarnation() == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, &MissingSenderError{})
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := decodeExchange(now, exchange)
+	c.table.Receive(now, m)
+	c.learnFromPeerLocked(now, exchange)
+	reply := c.composeLocked(now, m.From.Incarnation, m.From.Generation)
+	c.afterLocked()
+	return connect.NewResponse(&meshv1.HeartbeatResponse{Exchange: reply}), nil
+}
+
+// Probe calls another daemon on behalf of one that could not.
+func (s *meshService) Probe(ctx context.Context, r *connect.Request[meshv1.ProbeRequest]) (*connect.Response[meshv1.ProbeResponse], error) {
+	c := (*Control)(s)
+	wanted := ident.Incarnation(r.Msg.GetIncarnation())
+	answered, err := c.exchange(ctx, r.Msg.GetAddress(), wanted, c.generationOf(wanted))
+	reached := err == nil && answered == wanted
+	return connect.NewResponse(&meshv1.ProbeResponse{Reached: reached}), nil
+}
+
+// FetchConfig answers with those of the asked sections that are here.
+func (s *meshService) FetchConfig(_ context.Context, r *connect.Request[meshv1.FetchConfigRequest]) (*connect.Response[meshv1.FetchConfigResponse], error) {
+	c := (*Control)(s)
+	var hashes []manifest.Hash
+	for _, hash := range r.Msg.GetSectionHashes() {
+		hashes = append(hashes, manifest.Hash(hash))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	response := &meshv1.FetchConfigResponse{Sections: map[string][]byte{}}
+	for hash, data := range c.follower.Sections(hashes) {
+		response.Sections[string(hash)] = data
+	}
+	return connect.NewResponse(response), nil
+}
+
+func (c *Control) composeLocked(now time.Time, to ident.Incarnation, theirs ident.Generation) *meshv1.Exchange {
+	var head *config.Accepted
+	if inForce, _ := c.follower.InForce(); inForce.Generation > theirs {
+		head = &inForce
+	}
+	return encodeExchange(now, c.table.Compose(to), head)
+}
+
+func (c *Control) learnFromPeerLocked(now time.Time, x *meshv1.Exchange) {
+	if x.GetHead() == nil {
+		return
+	}
+	c.carryOutLocked(c.follower.Learn(now, decodeHead(x.GetHead()), x.GetFrom().GetPeerAddress()))
+}
+
+func (c *Control) client(address string) meshv1connect.MeshServiceClient {
+	return meshv1connect.NewMeshServiceClient(c.cfg.HTTPClient, c.cfg.Scheme+"://"+address,
+		connect.WithReadMaxBytes(maxMessageBytes))
+}
+
+// exchange calls one peer; to is NoPeer where only the address is known. It
+// returns the incarnation that answered.
+func (c *Control) exchange(ctx context.Context, address string, to ident.Incarnation, theirs ident.Generation) (ident.Incarnation, error) {
+	asked := time.Now()
+	c.mu.Lock()
+	request := &meshv1.HeartbeatRequest{Exchange: c.composeLocked(asked, to, theirs)}
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	c.counters.heartbeats.Inc(1)
+	response, err := c.client(address).Heartbeat(ctx, connect.NewRequest(request))
+	if err != nil {
+		c.counters.heartbeatsFailed.Inc(1)
+		return membership.NoPeer, fmt.Errorf("heartbeat to %s: %w", address, err)
+	}
+	now := time.Now()
+	answer := response.Msg.GetExchange()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.ReceiveAnswer(now, asked, decodeExchange(now, answer))
+	c.learnFromPeerLocked(now, answer)
+	c.afterLocked()
+	return ident.Incarnation(answer.GetFrom().GetIncarnation()), nil
+}
+
+// heartbeat exchanges with a known peer and draws the conclusion of a failure.
+func (c *Control) heartbeat(ctx context.Context, m membership.Member) {
+	_, err := c.exchange(ctx, m.PeerAddress, m.Incarnation, c.generationOf(m.Incarnation))
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	c.mu.Lock()
+	askOthers := c.table.ProbeFailed(m.Incarnation)
+	c.mu.Unlock()
+	if !askOthers {
+		return
+	}
+	reached := c.reachedByOthers(ctx, m)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reached {
+		c.table.ReachedByOther(m.Incarnation)
+		return
+	}
+	c.table.Unreachable(time.Now(), m.Incarnation)
+	c.afterLocked()
+}
+
+// reachedByOthers asks the other links to call a peer; one success is enough.
+func (c *Control) reachedByOthers(ctx context.Context, m membership.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	helpers := c.linkedPeers(m.Incarnation)
+	answers := make(chan bool, len(helpers))
+	request := &meshv1.ProbeRequest{Address: m.PeerAddress, Incarnation: string(m.Incarnation)}
+	for _, helper := range helpers {
+		go func() {
+			c.counters.probes.Inc(1)
+			response, err := c.client(helper.PeerAddress).Probe(ctx, connect.NewRequest(request))
+			answers <- err == nil && response.Msg.GetReached()
+		}()
+	}
+	reached := false
+	for range helpers {
+		reached = <-answers || reached
+	}
+	return reached
+}
+
+func (c *Control) linkedPeers(except ident.Incarnation) []membership.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var peers []membership.Member
+	for _, l := range c.links {
+		if l.peer.Incarnation != except {
+			peers = append(peers, l.peer)
+		}
+	}
+	return peers
+}
+
+// link is one neighbour that this daemon calls by itself.
+type link struct {
+	peer membership.Member
+	kick chan struct{}
+	stop context.CancelFunc
+}
+
+// wake asks for an exchange soon; it never blocks.
+func (l *link) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// relinkLocked follows the strategy's choice of neighbours.
+func (c *Control) relinkLocked() {
+	members := map[string]membership.Member{}
+	var peers []spread.Peer
+	for _, m := range c.membersLocked() {
+		if m.Incarnation == c.cfg.Self.Incarnation {
+			continue
+		}
+		id := string(m.Incarnation)
+		members[id] = m
+		peers = append(peers, spread.Peer{ID: id, Suspect: m.State == view.Suspect})
+	}
+	c.strategy.SetMembers(time.Now(), peers)
+	wanted := map[ident.Incarnation]bool{}
+	for _, id := range c.strategy.Links() {
+		wanted[ident.Incarnation(id)] = true
+		c.linkLocked(members[id])
+	}
+	for id, l := range c.links {
+		if !wanted[id] {
+			l.stop()
+			delete(c.links, id)
+		}
+	}
+}
+
+func (c *Control) linkLocked(m membership.Member) {
+	if _, ok := c.links[m.Incarnation]; ok || c.run == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(c.run)
+	l := &link{peer: m, kick: make(chan struct{}, 1), stop: cancel}
+	c.links[m.Incarnation] = l
+	c.spawnLocked(func(context.Context) {
+		defer cancel()
+		c.linkLoop(ctx, l)
+	})
+}
+
+func (c *Control) linkLoop(ctx context.Context, l *link) {
+	for ctx.Err() == nil {
+		c.heartbeat(ctx, l.peer)
+		if !sleep(ctx, pushGap) {
+			return
+		}
+		rest := c.strategy.Interval() - pushGap
+		timer := time.NewTimer(rest*9/10 + rand.N(rest/5))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-l.kick:
+		}
+		timer.Stop()
+	}
+}
+
+// generationOf returns what a peer last said to have in force.
+func (c *Control) generationOf(i ident.Incarnation) ident.Generation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.GenerationOf(i)
+}
+
+// seedLoop tries the addresses of the settings that no daemon known as live
+// has, and one suspect at a time.
+func (c *Control) seedLoop(ctx context.Context) {
+	turn := 0
+	for {
+		for _, address := range c.seedTargets(turn) {
+			c.spawn(func(ctx context.Context) { c.try(ctx, address, membership.NoPeer) })
+		}
+		for _, m := range c.suspectTarget(turn) {
+			c.spawn(func(ctx context.Context) { c.try(ctx, m.PeerAddress, m.Incarnation) })
+		}
+		turn++
+		if !sleep(ctx, seedInterval) {
+			return
+		}
+	}
+}
+
+// try exchanges with an address of which nothing is concluded if it fails.
+func (c *Control) try(ctx context.Context, address string, to ident.Incarnation) {
+	if _, err := c.exchange(ctx, address, to, 0); err != nil {
+		klog.V(2).InfoS("Nobody answers", "address", address, "err", err)
+	}
+}
+
+func (c *Control) spawn(work func(context.Context)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.spawnLocked(work)
+}
+
+func (c *Control) seedTargets(turn int) []string {
+	known := map[string]bool{c.cfg.Self.PeerAddress: true}
+	for _, m := range c.Members() {
+		if m.State != view.Suspect {
+			known[m.PeerAddress] = true
+		}
+	}
+	var unknown []string
+	for _, address := range c.cfg.Seeds {
+		if !known[address] {
+			unknown = append(unknown, address)
+		}
+	}
+	if len(unknown) <= seedsPerTurn {
+		return unknown
+	}
+	start := turn * seedsPerTurn % len(unknown)
+	doubled := append(unknown, unknown...)
+	return doubled[start : start+seedsPerTurn]
+}
+
+func (c *Control) suspectTarget(turn int) []membership.Member {
+	var suspects []membership.Member
+	for _, m := range c.Members() {
+		if m.State == view.Suspect {
+			suspects = append(suspects, m)
+		}
+	}
+	if len(suspects) == 0 {
+		return nil
+	}
+	return suspects[turn%len(suspects):][:1]
+}
+
+// leave tells the linked peers, after Run, that this incarnation is over.
+func (c *Control) leave() {
+	c.mu.Lock()
+	c.table.Left(time.Now())
+	c.mu.Unlock()
+	peers := c.linkedPeers(membership.NoPeer)
+	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
+	defer cancel()
+	done := make(chan struct{})
+	for _, m := range peers {
+		go func() {
+			c.try(ctx, m.PeerAddress, m.Incarnation)
+			done <- struct{}{}
+		}()
+	}
+	for range peers {
+		<-done
+	}
+}
+
+// fetchFromPeer reads sections from a peer; the error is connect's.
+func (c *Control) fetchFromPeer(ctx context.Context, address string, hashes []manifest.Hash) (map[manifest.Hash][]byte, error) {
+	request := &meshv1.FetchConfigRequest{}
+	for _, hash := range hashes {
+		request.SectionHashes = append(request.SectionHashes, string(hash))
+	}
+	response, err := c.client(address).FetchConfig(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, fmt.Errorf("fetch sections from %s: %w", address, err)
+	}
+	sections := map[manifest.Hash][]byte{}
+	for hash, data := range response.Msg.GetSections() {
+		sections[manifest.Hash(hash)] = data
+	}
+	return sections, nil
+}
--- /dev/null
+++ b/daemon/control/network_test.go
@@ -0,0 +1,304 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/control"
+	"geraniumstack.org/geraniumstack/standin/kvserver"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/transport/kv"
+	"geraniumstack.org/geraniumstack/transport/platform"
+)
+
+// network carries HTTP calls between daemons in one process and virtual time.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	delay    time.Duration
+	paused   map[string]bool
+	cut      map[[2]string]bool
+	bytes    int64
+	calls    int64
+}
+
+func newNetwork() *network {
+	return &network{
+		handlers: map[string]http.Handler{}, delay: time.Millisecond,
+		paused: map[string]bool{}, cut: map[[2]string]bool{},
+	}
+}
+
+// unreachableError is what a call to nobody or over a cut link meets.
+type unreachableError struct{ address string }
+
+func (e *unreachableError) Error() string { return "unreachable: " + e.address }
+
+// from returns the transport of the daemon at an address.
+func (n *network) from(address string) http.RoundTripper { return &edge{n, address} }
+
+type edge struct {
+	network *network
+	from    string
+}
+
+// RoundTrip waits out the delay and any pause of either end, then calls the
+// other end's handler.
+func (e *edge) RoundTrip(r *http.Request) (*http.Response, error) {
+	n := e.network
+	for {
+		if !wait(r.Context(), n.delay) {
+			return nil, r.Context().Err()
+		}
+		n.mu.Lock()
+		handler, ok := n.handlers[r.URL.Host]
+		held := n.paused[r.URL.Host] || n.paused[e.from]
+		cut := n.cut[[2]string{e.from, r.URL.Host}]
+		n.mu.Unlock()
+		if !ok || cut {
+			return nil, &unreachableError{r.URL.Host}
+		}
+		if held {
+			wait(r.Context(), 10*time.Millisecond)
+			continue
+		}
+		return n.serve(handler, r)
+	}
+}
+
+func (n *network) serve(handler http.Handler, r *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, r)
+	n.mu.Lock()
+	n.calls++
+	n.bytes += max(0, r.ContentLength) + int64(recorder.Body.Len())
+	n.mu.Unlock()
+	if !wait(r.Context(), n.delay) {
+		return nil, r.Context().Err()
+	}
+	response := recorder.Result()
+	response.Body = io.NopCloser(recorder.Body)
+	return response, nil
+}
+
+func (n *network) set(change func(*network)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(n)
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// cloud is a VM list and a source of notices.
+type cloud struct {
+	platform.Cloud
+	mu      sync.Mutex
+	vms     []platform.VM
+	notices []platform.Notice
+	wake    chan struct{}
+}
+
+func newCloud() *cloud { return &cloud{wake: make(chan struct{})} }
+
+func (c *cloud) List(context.Context) ([]platform.VM, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]platform.VM{}, c.vms...), nil
+}
+
+func (c *cloud) notice(vm, address string, left time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.notices = append(c.notices, platform.Notice{
+		Sequence: uint64(len(c.notices) + 1), VM: vm, Address: address, LeftMillis: left.Milliseconds(),
+	})
+	close(c.wake)
+	c.wake = make(chan struct{})
+}
+
+func (c *cloud) Notices(ctx context.Context, after uint64, d time.Duration) ([]platform.Notice, error) {
+	deadline := time.After(d)
+	for {
+		c.mu.Lock()
+		notices, wake := c.notices, c.wake
+		c.mu.Unlock()
+		if uint64(len(notices)) > after {
+			return notices[after:], nil
+		}
+		select {
+		case <-wake:
+		case <-deadline:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// fleet is five daemons in four failure domains with their stand-ins.
+type fleet struct {
+	t       *testing.T
+	network *network
+	store   *kvserver.Store
+	cloud   *cloud
+	daemons []*daemon
+	starts  int
+}
+
+type daemon struct {
+	*control.Control
+	address string
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+var domains = []ident.FailureDomain{"lima-norte", "lima-sur", "lima-este", "lima-callao"}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, network: newNetwork(), store: kvserver.New(), cloud: newCloud()}
+	for i := range 5 {
+		f.daemons = append(f.daemons, f.start(i))
+	}
+	return f
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i+1) }
+
+// start runs a new incarnation of the daemon at a place.
+func (f *fleet) start(i int) *daemon {
+	f.starts++
+	id := ident.DaemonID(fmt.Sprintf("entry-%d", i))
+	d := &daemon{address: address(i), done: make(chan struct{})}
+	d.Control = control.New(control.Config{
+		Self: view.Daemon{
+			ID: id, Incarnation: ident.NewIncarnation(id, []byte{byte(f.starts)}),
+			FailureDomain: domains[i%len(domains)],
+			CallerAddress: fmt.Sprintf("10.0.0.%d:8000", i+1), PeerAddress: d.address,
+		},
+		Seeds: []string{address(0), address(1)},
+		Store: f.store, Lister: f.cloud, Cloud: f.cloud,
+		HTTPClient: &http.Client{Transport: f.network.from(d.address)},
+	})
+	_, handler := d.Handler()
+	f.network.set(func(n *network) { n.handlers[d.address] = handler })
+	ctx, cancel := context.WithCancel(f.t.Context())
+	d.cancel = cancel
+	go func() {
+		defer close(d.done)
+		if err := d.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	return d
+}
+
+// crash ends a daemon without its last word.
+func (f *fleet) crash(i int) {
+	f.network.set(func(n *network) {
+		delete(n.handlers, address(i))
+		for j := range f.daemons {
+			n.cut[[2]string{address(i), address(j)}] = true
+		}
+	})
+	f.daemons[i].cancel()
+	<-f.daemons[i].done
+}
+
+// restart runs a new incarnation at the place of a crashed one.
+func (f *fleet) restart(i int) {
+	f.network.set(func(n *network) {
+		for j := range f.daemons {
+			delete(n.cut, [2]string{address(i), address(j)})
+		}
+	})
+	f.daemons[i] = f.start(i)
+}
+
+func (f *fleet) stop() {
+	for _, d := range f.daemons {
+		d.cancel()
+	}
+	for _, d := range f.daemons {
+		<-d.done
+	}
+	f.store.Close()
+}
+
+// until waits in virtual time for a condition and returns how long it took.
+func (f *fleet) until(limit time.Duration, what string, condition func() bool) time.Duration {
+	f.t.Helper()
+	begin := time.Now()
+	for !condition() {
+		if time.Since(begin) > limit {
+			f.t.Fatalf("not within %s: %s", limit, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+func (f *fleet) inForce(generation ident.Generation) func() bool {
+	return func() bool {
+		for _, d := range f.daemons {
+			if _, g := d.Current(); g < generation {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (f *fleet) acquainted() bool {
+	for _, d := range f.daemons {
+		live := 0
+		for _, other := range d.Daemons() {
+			if other.State == view.Live {
+				live++
+			}
+		}
+		if live != len(f.daemons) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) apply(i int, runners int, id string) (control.Outcome, error) {
+	return f.daemons[i].Apply(f.t.Context(), control.Submission{
+		Manifest: sample(runners), Author: "pipeline", ID: id, Expected: -1, Wait: 10 * time.Second,
+	})
+}
+
+func sample(runners int) *manifest.Manifest {
+	return &manifest.Manifest{
+		Format:   manifest.Format,
+		Models:   []manifest.Model{},
+		Services: []manifest.Service{{Name: "casos", Kind: manifest.KindPlain, Runners: runners}},
+		Workspaces: []manifest.Workspace{{
+			Name: "owners", Weight: 1,
+			KeyHashes: []string{"7f83b1657ff1fc53b92dc18148a1d65dfc2d4b1fa3d677284addd200126d9069"},
+		}},
+		Classes: []manifest.Class{{Name: "chat", TTFTMillis: 500, TBTMillis: 40}},
+		Fleet: manifest.Fleet{
+			FailureDomains: domains,
+			VMClasses:      []manifest.VMClass{{Name: "small", PricePerHour: 1}},
+		},
+	}
+}
+
+var _ kv.Store = (*kvserver.Store)(nil)
--- /dev/null
+++ b/daemon/control/platform.go
@@ -0,0 +1,109 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/coordination/membership"
+	"geraniumstack.org/geraniumstack/transport/platform"
+)
+
+const (
+	// listLeast and listPerRecord make the interval of reading the VM list,
+	// which grows with the list's length.
+	listLeast     = 2 * time.Second
+	listPerRecord = time.Millisecond
+	// listTimeout bounds one read of the list.
+	listTimeout = 5 * time.Second
+	// noticeWait is how long one call waits for notices.
+	noticeWait = 20 * time.Second
+	// noticeSlack is how much later an answer may come.
+	noticeSlack = 3 * time.Second
+	// platformRetry is the pause after a failed call.
+	platformRetry = time.Second
+)
+
+// listLoop reads the VM list while the daemon has that duty.
+func (c *Control) listLoop(ctx context.Context) {
+	for {
+		rest := dutyRecheck
+		if c.onDuty(turnSlot(time.Now())) {
+			rest = c.readList(ctx)
+		}
+		if !sleep(ctx, rest) {
+			return
+		}
+	}
+}
+
+func (c *Control) readList(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	c.counters.lists.Inc(1)
+	listed, err := c.cfg.Lister.List(ctx)
+	if err != nil {
+		klog.V(1).InfoS("VM list can't be read", "err", err)
+		return platformRetry
+	}
+	vms := make([]membership.VM, 0, len(listed))
+	for _, vm := range listed {
+		vms = append(vms, fromPlatform(vm))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Listed(time.Now(), vms)
+	c.afterLocked()
+	return max(listLeast, time.Duration(len(vms))*listPerRecord)
+}
+
+func fromPlatform(vm platform.VM) membership.VM {
+	states := map[platform.VMState]membership.VMState{
+		platform.VMStarting: membership.VMStarting,
+		platform.VMLive:     membership.VMLive,
+		platform.VMLeaving:  membership.VMLeaving,
+	}
+	return membership.VM{
+		ID: vm.ID, Address: vm.Address, FailureDomain: vm.FailureDomain, Class: vm.Class,
+		Reclaimable: vm.Reclaimable, PricePerHour: vm.PricePerHour, Service: vm.Service,
+		State: states[vm.State],
+	}
+}
+
+// noticeLoop waits for the cloud's notices while the daemon has that duty.
+func (c *Control) noticeLoop(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		if !c.onDuty(fixedSlot) {
+			sleep(ctx, dutyRecheck)
+			continue
+		}
+		next, err := c.readNotices(ctx, after)
+		after = next
+		if err != nil {
+			klog.V(1).InfoS("Notices can't be read", "err", err)
+			sleep(ctx, jittered(platformRetry))
+		}
+	}
+}
+
+// readNotices gives a call up that is silent for longer than it was to wait.
+func (c *Control) readNotices(ctx context.Context, after uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, noticeWait+noticeSlack)
+	defer cancel()
+	notices, err := c.cfg.Cloud.Notices(ctx, after, noticeWait)
+	if err != nil {
+		return after, err
+	}
+	heard := make([]membership.Notice, 0, len(notices))
+	for _, n := range notices {
+		c.counters.notices.Inc(1)
+		after = max(after, n.Sequence)
+		heard = append(heard, membership.Notice{
+			VM: n.VM, Address: n.Address, Left: time.Duration(n.LeftMillis) * time.Millisecond,
+		})
+	}
+	c.noticed(heard)
+	return after, nil
+}
--- /dev/null
+++ b/daemon/control/register.go
@@ -0,0 +1,219 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/coordination/membership"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+const (
+	// keepAliveLeast and keepAlivePerMember make the interval of keep-alives;
+	// all daemons together write at most ten a second.
+	keepAliveLeast     = 10 * time.Second
+	keepAlivePerMember = 100 * time.Millisecond
+	// leaseIntervals is the lease's length in keep-alive intervals. It may be
+	// long: a registration makes a daemon known and says nothing of its life.
+	leaseIntervals = 3
+	// readLeast and readPerMember make the interval of reading all
+	// registrations, on the daemons with that duty.
+	readLeast     = 30 * time.Second
+	readPerMember = 330 * time.Millisecond
+	readPage      = 500
+)
+
+// registration is the stored form.
+type registration struct {
+	ID            ident.DaemonID      `json:"id"`
+	Incarnation   ident.Incarnation   `json:"incarnation"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	CallerAddress string              `json:"caller_address"`
+	PeerAddress   string              `json:"peer_address"`
+	VM            string              `json:"vm,omitempty"`
+	Version       uint64              `json:"version"`
+}
+
+func (r registration) member() membership.Member {
+	return membership.Member{
+		Daemon: view.Daemon{
+			ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain,
+			CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress,
+		},
+		VM: r.VM, Version: r.Version,
+	}
+}
+
+func (c *Control) registration() registration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	self := c.table.Self()
+	return registration{
+		ID: self.ID, Incarnation: self.Incarnation, FailureDomain: self.FailureDomain,
+		CallerAddress: self.CallerAddress, PeerAddress: self.PeerAddress,
+		VM: self.VM, Version: self.Version,
+	}
+}
+
+// registerLoop keeps the daemon registered while it is live and takes the
+// registration back at the end.
+func (c *Control) registerLoop(ctx context.Context) {
+	var lease kv.LeaseID
+	for ctx.Err() == nil && c.Self().State == view.Live {
+		interval := scaled(keepAliveLeast, keepAlivePerMember, c.Members())
+		granted, err := c.keepRegistered(ctx, lease, interval*leaseIntervals)
+		lease = granted
+		if err != nil {
+			klog.V(1).InfoS("Registration failed", "err", err)
+			interval = storeRetry
+		}
+		c.restUntilLeaving(ctx, jittered(interval))
+	}
+	c.revoke(lease)
+}
+
+// restUntilLeaving waits, shorter if this daemon starts to leave.
+func (c *Control) restUntilLeaving(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for ctx.Err() == nil && c.Self().State == view.Live {
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			return
+		case <-c.Changed():
+		}
+	}
+}
+
+// keepRegistered renews the lease, or makes one with the registration on it.
+func (c *Control) keepRegistered(ctx context.Context, lease kv.LeaseID, ttl time.Duration) (kv.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if lease != 0 {
+		err := c.write(func() error { return c.cfg.Store.KeepAlive(ctx, lease) })
+		var expired *kv.LeaseExpiredError
+		if !errors.As(err, &expired) {
+			return lease, err
+		}
+	}
+	err := c.write(func() (err error) {
+		lease, err = c.cfg.Store.Grant(ctx, ttl)
+		return err
+	})
+	if err != nil {
+		return 0, err
+	}
+	if err := c.register(ctx, lease); err != nil {
+		return 0, err
+	}
+	return lease, nil
+}
+
+func (c *Control) register(ctx context.Context, lease kv.LeaseID) error {
+	value, err := json.Marshal(c.registration())
+	if err != nil {
+		return err
+	}
+	key := registrationKey(c.cfg.Self.ID)
+	c.counters.storeReads.Inc(1)
+	entry, err := c.cfg.Store.Get(ctx, key)
+	c.noteStore(err)
+	if err != nil {
+		return err
+	}
+	return c.write(func() error {
+		_, err := c.cfg.Store.CompareAndSwap(ctx, key, entry.Revision, value, lease)
+		return err
+	})
+}
+
+func (c *Control) write(call func() error) error {
+	c.counters.storeWrites.Inc(1)
+	err := call()
+	c.noteStore(err)
+	return err
+}
+
+func (c *Control) revoke(lease kv.LeaseID) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := c.write(func() error { return c.cfg.Store.Revoke(ctx, lease) }); err != nil {
+		klog.V(1).InfoS("Registration ends with its lease only", "err", err)
+	}
+}
+
+// readRegistrationsLoop reads who is registered: at once, often while no peer
+// is known, and now and then on the daemons with that duty, so that groups of
+// daemons that lost sight of each other meet again.
+func (c *Control) readRegistrationsLoop(ctx context.Context) {
+	for {
+		members, err := c.readRegistrations(ctx)
+		if err == nil {
+			c.mu.Lock()
+			c.table.Registered(time.Now(), members)
+			c.afterLocked()
+			c.mu.Unlock()
+		}
+		if !c.restBeforeReading(ctx, err) {
+			return
+		}
+	}
+}
+
+func (c *Control) restBeforeReading(ctx context.Context, failed error) bool {
+	rest := scaled(readLeast, readPerMember, c.Members())
+	if failed != nil || len(c.Members()) < 2 {
+		return sleep(ctx, jittered(storeRetry))
+	}
+	if !sleep(ctx, jittered(rest)) {
+		return false
+	}
+	for !c.onDuty(fixedSlot) && len(c.Members()) > 1 {
+		if !sleep(ctx, dutyRecheck) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Control) readRegistrations(ctx context.Context) ([]membership.Member, error) {
+	var members []membership.Member
+	after := ""
+	for {
+		page, err := c.listPage(ctx, registrationPrefix, after, readPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, entry := range page {
+			after = entry.Key
+			var r registration
+			if err := json.Unmarshal(entry.Value, &r); err != nil {
+				klog.ErrorS(err, "Registration can't be read", "key", entry.Key)
+				continue
+			}
+			members = append(members, r.member())
+		}
+		if len(page) < readPage {
+			return members, nil
+		}
+	}
+}
+
+func (c *Control) listPage(ctx context.Context, prefix, after string, limit int) ([]kv.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	c.counters.storeReads.Inc(1)
+	page, err := c.cfg.Store.List(ctx, prefix, after, limit)
+	c.noteStore(err)
+	return page, err
+}
--- /dev/null
+++ b/daemon/control/store.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+)
+
+// Keys of the control side in the key-value service.
+const (
+	headKey             = "config/head"
+	sectionPrefix       = "config/sections/"
+	registrationPrefix  = "daemons/"
+	sectionHeaderEnd    = '\n'
+	sectionKeepAtLeast  = 24 * time.Hour
+	sectionRefreshAfter = time.Hour
+)
+
+func sectionKey(hash manifest.Hash) string { return sectionPrefix + string(hash) }
+
+func registrationKey(id ident.DaemonID) string { return registrationPrefix + string(id) }
+
+// encodeSection puts the time of writing before a section's bytes, so that an
+// unreferenced one can be told from one that a submission has just written.
+func encodeSection(now time.Time, data []byte) []byte {
+	header := strconv.FormatInt(now.UnixMilli(), 10) + string(sectionHeaderEnd)
+	return append([]byte(header), data...)
+}
+
+// decodeSection returns the time of writing and the bytes.
+func decodeSection(key string, value []byte) (time.Time, []byte, error) {
+	header, data, found := bytes.Cut(value, []byte{sectionHeaderEnd})
+	millis, err := strconv.ParseInt(string(header), 10, 64)
+	if !found || err != nil {
+		return time.Time{}, nil, &MalformedSectionError{Key: key}
+	}
+	return time.UnixMilli(millis), data, nil
+}
+
+// MalformedSectionError says that a stored section can't be read.
+type MalformedSectionError struct{ Key string }
+
+func (e *MalformedSectionError) Error() string { return fmt.Sprintf("malformed section at %q", e.Key) }
+
+// fetchFromStore reads sections; those that are not there are left out.
+func (c *Control) fetchFromStore(ctx context.Context, hashes []manifest.Hash) (map[manifest.Hash][]byte, error) {
+	sections := map[manifest.Hash][]byte{}
+	for _, hash := range hashes {
+		c.counters.storeReads.Inc(1)
+		entry, err := c.cfg.Store.Get(ctx, sectionKey(hash))
+		c.noteStore(err)
+		if err != nil {
+			return sections, fmt.Errorf("read section %s: %w", hash, err)
+		}
+		if entry.Revision == 0 {
+			continue
+		}
+		_, data, err := decodeSection(entry.Key, entry.Value)
+		if err != nil {
+			return sections, err
+		}
+		sections[hash] = data
+	}
+	return sections, nil
+}
--- a/gen/geranium/mesh/v1/meshv1connect/mesh.connect.go
+++ b/gen/geranium/mesh/v1/meshv1connect/mesh.connect.go
@@ -38,6 +38,8 @@
 const (
 	// MeshServiceHeartbeatProcedure is the fully-qualified name of the MeshService's Heartbeat RPC.
 	MeshServiceHeartbeatProcedure = "/geranium.mesh.v1.MeshService/Heartbeat"
+	// MeshServiceProbeProcedure is the fully-qualified name of the MeshService's Probe RPC.
+	MeshServiceProbeProcedure = "/geranium.mesh.v1.MeshService/Probe"
 	// MeshServiceFetchConfigProcedure is the fully-qualified name of the MeshService's FetchConfig RPC.
 	MeshServiceFetchConfigProcedure = "/geranium.mesh.v1.MeshService/FetchConfig"
 )
@@ -46,6 +48,8 @@
 type MeshServiceClient interface {
 	// Heartbeat exchanges what two daemons know.
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
+	// Probe asks a daemon to call another one that the asker could not reach.
+	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
 	// FetchConfig reads sections of a configuration by content hash.
 	FetchConfig(context.Context, *connect.Request[v1.FetchConfigRequest]) (*connect.Response[v1.FetchConfigResponse], error)
 }
@@ -67,6 +71,12 @@
 			connect.WithSchema(meshServiceMethods.ByName("Heartbeat")),
 			connect.WithClientOptions(opts...),
 		),
+		probe: connect.NewClient[v1.ProbeRequest, v1.ProbeResponse](
+			httpClient,
+			baseURL+MeshServiceProbeProcedure,
+			connect.WithSchema(meshServiceMethods.ByName("Probe")),
+			connect.WithClientOptions(opts...),
+		),
 		fetchConfig: connect.NewClient[v1.FetchConfigRequest, v1.FetchConfigResponse](
 			httpClient,
 			baseURL+MeshServiceFetchConfigProcedure,
@@ -79,6 +89,7 @@
 // meshServiceClient implements MeshServiceClient.
 type meshServiceClient struct {
 	heartbeat   *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
+	probe       *connect.Client[v1.ProbeRequest, v1.ProbeResponse]
 	fetchConfig *connect.Client[v1.FetchConfigRequest, v1.FetchConfigResponse]
 }
 
@@ -87,6 +98,11 @@
 	return c.heartbeat.CallUnary(ctx, req)
 }
 
+// Probe calls geranium.mesh.v1.MeshService.Probe.
+func (c *meshServiceClient) Probe(ctx context.Context, req *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
+	return c.probe.CallUnary(ctx, req)
+}
+
 // FetchConfig calls geranium.mesh.v1.MeshService.FetchConfig.
 func (c *meshServiceClient) FetchConfig(ctx context.Context, req *connect.Request[v1.FetchConfigRequest]) (*connect.Response[v1.FetchConfigResponse], error) {
 	return c.fetchConfig.CallUnary(ctx, req)
@@ -96,6 +112,8 @@
 type MeshServiceHandler interface {
 	// Heartbeat exchanges what two daemons know.
 	Heartbeat(context.Context, *connect.Request[v1.HeartbeatRequest]) (*connect.Response[v1.HeartbeatResponse], error)
+	// Probe asks a daemon to call another one that the asker could not reach.
+	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
 	// FetchConfig reads sections of a configuration by content hash.
 	FetchConfig(context.Context, *connect.Request[v1.FetchConfigRequest]) (*connect.Response[v1.FetchConfigResponse], error)
 }
@@ -113,6 +131,12 @@
 		connect.WithSchema(meshServiceMethods.ByName("Heartbeat")),
 		connect.WithHandlerOptions(opts...),
 	)
+	meshServiceProbeHandler := connect.NewUnaryHandler(
+		MeshServiceProbeProcedure,
+		svc.Probe,
+		connect.WithSchema(meshServiceMethods.ByName("Probe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	meshServiceFetchConfigHandler := connect.NewUnaryHandler(
 		MeshServiceFetchConfigProcedure,
 		svc.FetchConfig,
@@ -123,6 +147,8 @@
 		switch r.URL.Path {
 		case MeshServiceHeartbeatProcedure:
 			meshServiceHeartbeatHandler.ServeHTTP(w, r)
+		case MeshServiceProbeProcedure:
+			meshServiceProbeHandler.ServeHTTP(w, r)
 		case MeshServiceFetchConfigProcedure:
 			meshServiceFetchConfigHandler.ServeHTTP(w, r)
 		default:
@@ -138,6 +164,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("geranium.mesh.v1.MeshService.Heartbeat is not implemented"))
 }
 
+func (UnimplementedMeshServiceHandler) Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("geranium.mesh.v1.MeshService.Probe is not implemented"))
+}
+
 func (UnimplementedMeshServiceHandler) FetchConfig(context.Context, *connect.Request[v1.FetchConfigRequest]) (*connect.Response[v1.FetchConfigResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("geranium.mesh.v1.MeshService.FetchConfig is not implemented"))
 }
--- a/state/document/document.go
+++ b/state/document/document.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"path"
 	"reflect"
 	"sort"
 	"strings"
@@ -72,7 +73,7 @@
 
 // Schema returns the JSON Schema that Decode checks v's type against.
 func Schema(v any) ([]byte, error) {
-	r := &jsonschema.Reflector{Anonymous: true}
+	r := &jsonschema.Reflector{Anonymous: true, Namer: qualifiedName}
 	data, err := json.MarshalIndent(r.Reflect(v), "", "  ")
 	if err != nil {
 		return nil, fmt.Errorf("marshal schema of %T: %w", v, err)
@@ -80,6 +81,16 @@
 	return data, nil
 }
 
+// qualifiedName names a type's definition with its package. Guards against two
+// types of one name (ident.Workspace and manifest.Workspace): by the bare name
+// they share one definition, and values of one are checked against the other.
+func qualifiedName(t reflect.Type) string {
+	if t.Name() == "" {
+		return ""
+	}
+	return path.Base(t.PkgPath()) + "." + t.Name()
+}
+
 var compiled sync.Map // reflect.Type -> *checker.Schema
 
 func schemaFor(v any) (*checker.Schema, error) {
@@ -136,10 +147,10 @@
 		}
 		return into
 	}
-	path := ""
+	pointer := ""
 	for _, part := range e.InstanceLocation {
-		path += "/" + part
+		pointer += "/" + part
 	}
 	reason := e.ErrorKind.LocalizedString(message.NewPrinter(language.English))
-	return append(into, Problem{Path: path, Reason: reason})
+	return append(into, Problem{Path: pointer, Reason: reason})
 }
