--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -124,7 +124,14 @@
 	}
 	w.Header().Set("Content-Type", lineType)
 	w.WriteHeader(http.StatusOK)
-	writer := &lineWriter{engine: e, stream: s, enc: json.NewEncoder(w), flush: http.NewResponseController(w).Flush, ctx: r.Context()}
+	writer := &lineWriter{
+		engine: e,
+		stream: s,
+		enc:    json.NewEncoder(w),
+		flush:  http.NewResponseController(w).Flush,
+		ctx:    r.Context(),
+		last:   engineapi.GenerateEvent{RequestID: request.RequestID, AttemptID: request.AttemptID, Offset: len(request.Emitted)},
+	}
 	writer.run()
 }
 
@@ -135,6 +142,7 @@
 	enc       *json.Encoder
 	flush     func() error
 	ctx       context.Context
+	last      engineapi.GenerateEvent
 	written   int
 	duplicate bool
 	ended     bool
@@ -179,9 +187,8 @@
 	if w.engine.Faults().Hang {
 		w.engine.hang(w.ctx)
 	}
-	beat := w.stream.last
-	beat = engineapi.GenerateEvent{RequestID: beat.RequestID, AttemptID: beat.AttemptID, Offset: beat.Offset, Heartbeat: true}
-	w.write(beat)
+	beat := w.last
+	w.write(engineapi.GenerateEvent{RequestID: beat.RequestID, AttemptID: beat.AttemptID, Offset: beat.Offset, Heartbeat: true})
 }
 
 func (w *lineWriter) line(line engineapi.GenerateEvent) {
@@ -192,6 +199,7 @@
 	if w.duplicate {
 		w.write(line)
 	}
+	w.last = line
 	w.ended = line.Done
 	if line.Token == "" {
 		return
--- a/standin/engine/server_test.go
+++ b/standin/engine/server_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,20 +18,42 @@
 
 const silence = 2 * time.Second
 
-// fast is an engine that answers without much waiting on the real clock.
-func fast(id string) Config {
-	cfg := DefaultConfig(id, "m", "1")
-	cfg.PrefillRate, cfg.StepTime = 1e6, 200*time.Microsecond
-	return cfg
+// world is a network in a bubble with engines that end with the test.
+type world struct {
+	t       *testing.T
+	network *pipe.Network
+	cleanup []func()
 }
 
-func serve(t *testing.T, cfg Config, options ...Option) (*Engine, *client.Client, string) {
-	t.Helper()
-	e := New(cfg, options...)
-	server := httptest.NewServer(e.Handler())
-	t.Cleanup(server.Close)
-	t.Cleanup(e.Close)
-	return e, client.New(server.URL, &http.Client{Transport: &http.Transport{}}), server.URL
+// bubble runs a test in virtual time.
+func bubble(t *testing.T, test func(is *is.I, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, network: pipe.NewNetwork()}
+		test(is.New(t), w)
+		for _, f := range w.cleanup {
+			f()
+		}
+	})
+}
+
+func (w *world) client() *http.Client {
+	c := w.network.Client()
+	w.cleanup = append(w.cleanup, c.CloseIdleConnections)
+	return c
+}
+
+// serve starts an engine at its runner ID, port 80.
+func (w *world) serve(cfg Config) (*Engine, *client.Client) {
+	address := cfg.RunnerID + ":80"
+	l, err := w.network.Listen(address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	e := New(cfg, WithClient(w.client()))
+	server := &http.Server{Handler: e.Handler()}
+	go server.Serve(l)
+	w.cleanup = append(w.cleanup, e.Close, func() { server.Close() })
+	return e, client.New(address, w.client())
 }
 
 func collect(c *client.Client, r engineapi.GenerateRequest, silent time.Duration) ([]engineapi.GenerateEvent, error) {
@@ -47,25 +68,26 @@
 }
 
 func TestGenerateOverHTTP(t *testing.T) {
-	is := is.New(t)
-	e, c, _ := serve(t, fast("r"))
-	text := prompt("a", 20)
-	events, err := collect(c, request("x", text, 5), silence)
-	is.NoErr(err)
-	is.Equal(len(events), 6)
-	for i, want := range Tokens("m", text, 5) {
-		is.Equal(events[i].Token, want)
-	}
-	is.Equal(events[5].FinishReason, FinishLength)
-	is.Equal(e.Counters().Finished, 1)
-
-	unknown := request("y", text, 5)
-	unknown.Model = "n"
-	_, err = collect(c, unknown, silence)
-	var refused *client.RefusedError
-	is.True(errors.As(err, &refused))
-	is.Equal(refused.Body.Code, engineapi.CodeNotLoaded)
-	is.True(!client.MayHaveStarted(err))
+	bubble(t, func(is *is.I, w *world) {
+		e, c := w.serve(DefaultConfig("r", "m", "1"))
+		text := prompt("a", 20)
+		events, err := collect(c, request("x", text, 5), silence)
+		is.NoErr(err)
+		is.Equal(len(events), 6)
+		for i, want := range Tokens("m", text, 5) {
+			is.Equal(events[i].Token, want)
+		}
+		is.Equal(events[5].FinishReason, FinishLength)
+		is.Equal(e.Counters().Finished, 1)
+
+		unknown := request("y", text, 5)
+		unknown.Model = "n"
+		_, err = collect(c, unknown, silence)
+		var refused *client.RefusedError
+		is.True(errors.As(err, &refused))
+		is.Equal(refused.Body.Code, engineapi.CodeNotLoaded)
+		is.True(!client.MayHaveStarted(err))
+	})
 }
 
 // A caller's answer stops in the middle and its connection stays open. Nothing
@@ -73,122 +95,119 @@
 // The client ends the stream after its bound and the attempt can be cancelled
 // over a new connection.
 func TestStalledStreamIsSilent(t *testing.T) {
-	is := is.New(t)
-	e, c, _ := serve(t, fast("r"))
-	e.SetFaults(Faults{Stream: StreamStall, Streams: 1, AfterTokens: 2})
-	events, err := collect(c, request("x", "a b", 16000), 100*time.Millisecond)
-	var silent *client.SilentError
-	is.True(errors.As(err, &silent))
-	is.True(client.MayHaveStarted(err))
-	is.Equal(len(events), 2)
-	is.NoErr(c.Cancel(context.Background(), "x/1"))
+	bubble(t, func(is *is.I, w *world) {
+		e, c := w.serve(DefaultConfig("r", "m", "1"))
+		e.SetFaults(Faults{Stream: StreamStall, Streams: 1, AfterTokens: 2})
+		events, err := collect(c, request("x", "a b", 16000), silence)
+		var silent *client.SilentError
+		is.True(errors.As(err, &silent))
+		is.True(client.MayHaveStarted(err))
+		is.Equal(len(events), 2)
+		is.NoErr(c.Cancel(context.Background(), "x/1"))
+	})
 }
 
 // A caller must not take an answer for whole that only ended early, twice, in
 // a mix with another's, or with a token missing: each shows in the lines.
 func TestStreamFaults(t *testing.T) {
-	is := is.New(t)
-	e, c, _ := serve(t, fast("r"))
-	run := func(id string, fault StreamFault) ([]engineapi.GenerateEvent, error) {
-		e.SetFaults(Faults{Stream: fault, Streams: 1, AfterTokens: 2})
-		return collect(c, request(id, "a b", 4), silence)
-	}
-	events, err := run("truncate", StreamTruncate)
-	var truncated *client.TruncatedError
-	is.True(errors.As(err, &truncated))
-	is.Equal(len(events), 2)
-	events, err = run("break", StreamBreak)
-	var broken *client.BrokenError
-	is.True(errors.As(err, &broken))
-	is.Equal(len(events), 2)
-	events, err = run("duplicate", StreamDuplicate)
-	is.NoErr(err)
-	is.Equal(len(events), 7) // two tokens, two twice, the last line once
-	events, err = run("cross", StreamCross)
-	is.NoErr(err)
-	is.Equal(events[2].AttemptID, StrayAttemptID)
-	events, err = run("gap", StreamGap)
-	is.NoErr(err)
-	is.Equal(events[2].Offset, 3)
+	bubble(t, func(is *is.I, w *world) {
+		e, c := w.serve(DefaultConfig("r", "m", "1"))
+		run := func(id string, fault StreamFault) ([]engineapi.GenerateEvent, error) {
+			e.SetFaults(Faults{Stream: fault, Streams: 1, AfterTokens: 2})
+			return collect(c, request(id, "a b", 4), silence)
+		}
+		events, err := run("truncate", StreamTruncate)
+		var truncated *client.TruncatedError
+		is.True(errors.As(err, &truncated))
+		is.Equal(len(events), 2)
+		events, err = run("break", StreamBreak)
+		var broken *client.BrokenError
+		is.True(errors.As(err, &broken))
+		is.Equal(len(events), 2)
+		events, err = run("duplicate", StreamDuplicate)
+		is.NoErr(err)
+		is.Equal(len(events), 7) // two tokens, two twice, the last line once
+		events, err = run("cross", StreamCross)
+		is.NoErr(err)
+		is.Equal(events[2].AttemptID, StrayAttemptID)
+		events, err = run("gap", StreamGap)
+		is.NoErr(err)
+		is.Equal(events[2].Offset, 3)
+	})
 }
 
 // A stream that its caller cancelled still brings lines. They were on their
 // way when the cancel came; then the stream ends.
 func TestLateLinesAfterCancel(t *testing.T) {
-	is := is.New(t)
-	e, c, _ := serve(t, fast("r"))
-	e.SetFaults(Faults{LateLines: 3})
-	cancelled, after := false, 0
-	err := c.Generate(context.Background(), request("x", "a b", 16000), silence, func(ev engineapi.GenerateEvent) error {
-		if cancelled && ev.Token != "" {
-			after++
-		}
-		if !cancelled {
-			cancelled = true
-			return c.Cancel(context.Background(), "x/1")
-		}
-		return nil
+	bubble(t, func(is *is.I, w *world) {
+		e, c := w.serve(DefaultConfig("r", "m", "1"))
+		e.SetFaults(Faults{LateLines: 3})
+		cancelled, after := false, 0
+		err := c.Generate(context.Background(), request("x", "a b", 16000), silence, func(ev engineapi.GenerateEvent) error {
+			if cancelled && ev.Token != "" {
+				after++
+			}
+			if !cancelled {
+				cancelled = true
+				return c.Cancel(context.Background(), "x/1")
+			}
+			return nil
+		})
+		is.NoErr(err)
+		is.True(after >= 2)
+		is.Equal(e.Counters().Cancelled, 1)
 	})
-	is.NoErr(err)
-	is.True(after >= 2)
-	is.Equal(e.Counters().Cancelled, 1)
 }
 
 func TestExportAndImportOverHTTP(t *testing.T) {
-	is := is.New(t)
-	source, from, address := serve(t, fast("r1"))
-	_, to, _ := serve(t, fast("r2"), WithClient(&http.Client{Transport: &http.Transport{}}))
-	ctx := context.Background()
-	streaming := make(chan struct{})
-	ended := make(chan error)
-	go func() {
-		started := false
-		ended <- from.Generate(ctx, request("x", prompt("a", 64), 16000), silence, func(engineapi.GenerateEvent) error {
-			if !started {
-				started = true
-				close(streaming)
-			}
-			return nil
-		})
-	}()
-	<-streaming
-	offer, err := from.Export(ctx, "x/1")
-	is.NoErr(err)
-	is.True(offer.Tokens >= 65)
-
-	// The first transfer breaks half way: nothing arrives. The second is whole.
-	source.SetFaults(Faults{FailExports: 1})
-	order := engineapi.ImportRequest{Source: address, Handle: offer.Handle}
-	_, err = to.Import(ctx, order)
-	var refused *client.RefusedError
-	is.True(errors.As(err, &refused))
-	is.Equal(refused.Body.Code, engineapi.CodeTransferFailed)
-	imported, err := to.Import(ctx, order)
-	is.NoErr(err)
-	is.Equal(imported.Tokens, offer.Tokens)
-
-	source.Die()
-	err = <-ended
-	var broken *client.BrokenError
-	is.True(errors.As(err, &broken))
-	_, err = from.Load(ctx)
-	is.True(err != nil)
+	bubble(t, func(is *is.I, w *world) {
+		source, from := w.serve(DefaultConfig("r1", "m", "1"))
+		_, to := w.serve(DefaultConfig("r2", "m", "1"))
+		ctx := context.Background()
+		streaming := make(chan struct{})
+		ended := make(chan error)
+		go func() {
+			started := false
+			ended <- from.Generate(ctx, request("x", prompt("a", 64), 16000), silence, func(engineapi.GenerateEvent) error {
+				if !started {
+					started = true
+					close(streaming)
+				}
+				return nil
+			})
+		}()
+		<-streaming
+		offer, err := from.Export(ctx, "x/1")
+		is.NoErr(err)
+		is.True(offer.Tokens >= 65)
+
+		// The first transfer breaks half way: nothing arrives. The second is whole.
+		source.SetFaults(Faults{FailExports: 1})
+		order := engineapi.ImportRequest{Source: "r1:80", Handle: offer.Handle}
+		_, err = to.Import(ctx, order)
+		var refused *client.RefusedError
+		is.True(errors.As(err, &refused))
+		is.Equal(refused.Body.Code, engineapi.CodeTransferFailed)
+		imported, err := to.Import(ctx, order)
+		is.NoErr(err)
+		is.Equal(imported.Tokens, offer.Tokens)
+
+		source.Die()
+		err = <-ended
+		var broken *client.BrokenError
+		is.True(errors.As(err, &broken))
+		_, err = from.Load(ctx)
+		is.True(err != nil)
+	})
 }
 
 func TestHeartbeatsWhileWaiting(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		n := pipe.NewNetwork()
-		l, err := n.Listen("r:80")
-		is.NoErr(err)
+	bubble(t, func(is *is.I, w *world) {
 		cfg := DefaultConfig("r", "m", "1")
 		cfg.PrefillRate = 10 // the prompt takes 100 s
-		e := New(cfg)
-		server := &http.Server{Handler: e.Handler()}
-		go server.Serve(l)
-		connections := n.Client()
+		_, c := w.serve(cfg)
 		beats := 0
-		err = client.New("r:80", connections).Generate(context.Background(), request("x", prompt("a", 1000), 1), silence, func(e engineapi.GenerateEvent) error {
+		err := c.Generate(context.Background(), request("x", prompt("a", 1000), 1), silence, func(e engineapi.GenerateEvent) error {
 			if e.Heartbeat {
 				beats++
 			}
@@ -196,8 +215,5 @@
 		})
 		is.NoErr(err)
 		is.True(beats >= 198 && beats <= 200)
-		connections.CloseIdleConnections()
-		e.Close()
-		server.Close()
 	})
 }
