Estimate the wait for a place in the batch

Cause: short prompts wait for a place though few tokens are queued, so that the queue of tokens alone said nothing of it. Change: engineapi.Load gains waiting and max_running (added fields, the stand-in fills them in); routing adds the wait for a place.

--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -201,11 +201,11 @@
 }
 
 // estimate is the expected time to first token in seconds: the tokens queued
-// ahead and the own uncached ones at the prefill rate, the wait for room in the
-// KV cache at the rate at which the batch frees it, and the way there.
+// ahead and the own uncached ones at the prefill rate, the wait for a place in
+// the batch and for room in the KV cache, and the way there.
 func (t *Table) estimate(i int, r *Request) float64 {
 	s := &t.scores[i]
-	seconds := s.remote + (s.ahead+float64(t.uncached(i, r)))*s.perToken
+	seconds := s.remote + s.place + (s.ahead+float64(t.uncached(i, r)))*s.perToken
 	if missing := float64(r.PromptTokens+r.OutputTokens) - s.free; missing > 0 {
 		seconds += missing * s.perOutput
 	}
@@ -245,8 +245,7 @@
 // in the same unit.
 func (t *Table) risk(i int, r *Request) float64 {
 	s := &t.slots[i]
-	perRequest := s.decode / float64(max(1, s.report.Running, t.scores[i].inFlight))
-	seconds := float64(r.OutputTokens) / perRequest
+	seconds := float64(r.OutputTokens) / s.decode
 	risk := s.hazard * seconds
 	if t.maxPrice > 0 {
 		risk += t.cfg.PriceWeight * s.runner.PricePerHour / t.maxPrice
--- /dev/null
+++ b/coordination/routing/score.go
@@ -0,0 +1,138 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+// firstOutput is the mean output taken for granted at first, outputGain the
+// weight of each answer's length after that.
+const (
+	firstOutput = 200
+	outputGain  = 0.02
+)
+
+// changes bounds the own dispatches and completions that are remembered for
+// the correction of a report; older ones are taken as reported.
+const changes = 128
+
+// change is what one own dispatch or completion did to a runner.
+type change struct {
+	at       time.Time
+	prefill  float64
+	kv       float64
+	requests int
+}
+
+// changeLog is a ring of the last own changes.
+type changeLog struct {
+	entries [changes]change
+	next    int
+}
+
+// score is what a choice reads of a slot; it is kept apart and small because
+// every choice reads all candidates' scores.
+type score struct {
+	// remote is the way there in seconds.
+	remote float64
+	// perToken is seconds of prefill per token, perOutput seconds until the
+	// batch frees room for one token in the KV cache.
+	perToken  float64
+	perOutput float64
+	// ahead is the prompt tokens queued, free the room in the KV cache in
+	// tokens, own changes since the report included.
+	ahead float64
+	free  float64
+	// place is the seconds until a place in the batch is free.
+	place    float64
+	inFlight int
+}
+
+func (t *Table) sumSince(i int) {
+	s := &t.slots[i]
+	s.sincePrefill, s.sinceKV, s.sinceRequests = 0, 0, 0
+	log := &t.logs[i].entries
+	for j := range log {
+		if log[j].at.After(s.report.AsOf) {
+			s.sincePrefill += log[j].prefill
+			s.sinceKV += log[j].kv
+			s.sinceRequests += log[j].requests
+		}
+	}
+}
+
+func (t *Table) note(i int, c change) {
+	log := &t.logs[i]
+	log.entries[log.next] = c
+	log.next = (log.next + 1) % changes
+	s := &t.slots[i]
+	s.sincePrefill += c.prefill
+	s.sinceKV += c.kv
+	s.sinceRequests += c.requests
+	s.pendingPrefill += c.prefill
+	s.pendingKV += c.kv
+	t.scores[i].inFlight += c.requests
+	t.rescore(i)
+}
+
+// rescore derives what choices read from the last report and own changes.
+func (t *Table) rescore(i int) {
+	s, c := &t.slots[i], &t.scores[i]
+	c.perToken = 1 / s.prefill
+	c.perOutput = 1 / (s.decode * float64(max(1, s.report.Running)))
+	c.ahead = max(s.pendingPrefill, float64(s.report.QueuedTokens)+s.sincePrefill)
+	c.free = math.Inf(1)
+	if s.reported && s.report.KVBlocksTotal > 0 {
+		c.free = s.free - s.sinceKV
+	}
+	c.place = t.placeWait(s, c.inFlight)
+}
+
+// placeWait is the seconds until a request that comes now has a place in the
+// batch. Prompts may be short and their tokens few, so that the queue of tokens
+// says nothing of it. Places fall free as the batch's answers end.
+func (t *Table) placeWait(s *slot, own int) float64 {
+	places := s.report.MaxRunning
+	if places == 0 {
+		places = t.cfg.Batch
+	}
+	present := max(own, s.report.Running+s.report.Waiting+s.sinceRequests)
+	ahead := present - places + 1
+	if ahead <= 0 {
+		return 0
+	}
+	perSecond := float64(places) * s.decode / t.output
+	return float64(ahead) / perSecond
+}
+
+// Capacity is what the runners in use carry by their reports.
+type Capacity struct {
+	Runners int
+	// Batch is the requests that run at a time, DecodeRate the output tokens
+	// per second, both in all.
+	Batch      int
+	DecodeRate float64
+	// PromptCost is how many output tokens one uncached prompt token costs.
+	PromptCost float64
+}
+
+// Capacity sums up the runners that are live and not ejected.
+func (t *Table) Capacity() Capacity {
+	var c Capacity
+	prefill := 0.0
+	for u := t.live &^ t.ejected; u != 0; u &= u - 1 {
+		s := &t.slots[u.First()]
+		places := s.report.MaxRunning
+		if places == 0 {
+			places = t.cfg.Batch
+		}
+		c.Runners++
+		c.Batch += places
+		c.DecodeRate += float64(places) * s.decode
+		prefill += s.prefill
+	}
+	if prefill > 0 {
+		c.PromptCost = c.DecodeRate / prefill
+	}
+	return c
+}
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -8,7 +8,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -48,6 +47,8 @@
 	// runner reports its own.
 	PrefillRate float64
 	DecodeRate  float64
+	// Batch is the places in a runner's batch until it reports them.
+	Batch int
 	// PrefixCapacity bounds the prefix index, in blocks.
 	PrefixCapacity int
 	Hazard         HazardConfig
@@ -64,45 +65,13 @@
 		RemotePenalty:  4 * time.Millisecond,
 		PriceWeight:    0.02,
 		PrefillRate:    8000,
-		DecodeRate:     1000,
+		DecodeRate:     50,
+		Batch:          16,
 		PrefixCapacity: 1 << 16,
 		Hazard:         DefaultHazard(),
 	}
 }
 
-// changes bounds the own dispatches and completions that are remembered for
-// the correction of a report; older ones are taken as reported.
-const changes = 128
-
-// change is what one own dispatch or completion did to a runner.
-type change struct {
-	at      time.Time
-	prefill float64
-	kv      float64
-}
-
-// changeLog is a ring of the last own changes.
-type changeLog struct {
-	entries [changes]change
-	next    int
-}
-
-// score is what a choice reads of a slot; it is kept apart and small because
-// every choice reads all candidates' scores.
-type score struct {
-	// remote is the way there in seconds.
-	remote float64
-	// perToken is seconds of prefill per token, perOutput seconds until the
-	// batch frees room for one token in the KV cache.
-	perToken  float64
-	perOutput float64
-	// ahead is the prompt tokens queued, free the room in the KV cache in
-	// tokens, own changes since the report included.
-	ahead    float64
-	free     float64
-	inFlight int
-}
-
 type slot struct {
 	used     bool
 	epoch    uint32
@@ -115,10 +84,11 @@
 	// pendingPrefill and pendingKV count own work in progress.
 	pendingPrefill float64
 	pendingKV      float64
-	// sincePrefill and sinceKV sum the changes after the last report.
-	sincePrefill float64
-	sinceKV      float64
-	hazard       float64
+	// sincePrefill and the others sum the changes after the last report.
+	sincePrefill  float64
+	sinceKV       float64
+	sinceRequests int
+	hazard        float64
 }
 
 type placement struct{ model, adapter string }
@@ -143,7 +113,9 @@
 	ejected  prefix.Set
 	reported prefix.Set
 	maxPrice float64
-	depths   prefix.Depths
+	// output is the mean output tokens of a request.
+	output float64
+	depths prefix.Depths
 }
 
 // New returns a table without runners.
@@ -155,6 +127,7 @@
 		hazard: NewHazard(cfg.Hazard),
 		rng:    rand.New(rand.NewPCG(cfg.Seed, 1)),
 		placed: map[placement]placed{},
+		output: firstOutput,
 	}
 }
 
@@ -353,42 +326,6 @@
 	return true
 }
 
-func (t *Table) sumSince(i int) {
-	s := &t.slots[i]
-	s.sincePrefill, s.sinceKV = 0, 0
-	log := &t.logs[i].entries
-	for j := range log {
-		if log[j].at.After(s.report.AsOf) {
-			s.sincePrefill += log[j].prefill
-			s.sinceKV += log[j].kv
-		}
-	}
-}
-
-func (t *Table) note(now time.Time, i int, prefill, kv float64) {
-	log := &t.logs[i]
-	log.entries[log.next] = change{now, prefill, kv}
-	log.next = (log.next + 1) % changes
-	s := &t.slots[i]
-	s.sincePrefill += prefill
-	s.sinceKV += kv
-	s.pendingPrefill += prefill
-	s.pendingKV += kv
-	t.rescore(i)
-}
-
-// rescore derives what choices read from the last report and own changes.
-func (t *Table) rescore(i int) {
-	s, c := &t.slots[i], &t.scores[i]
-	c.perToken = 1 / s.prefill
-	c.perOutput = 1 / s.decode
-	c.ahead = max(s.pendingPrefill, float64(s.report.QueuedTokens)+s.sincePrefill)
-	c.free = math.Inf(1)
-	if s.reported && s.report.KVBlocksTotal > 0 {
-		c.free = s.free - s.sinceKV
-	}
-}
-
 // CacheEvents takes in a page of a runner's cache events; see prefix.Index.
 func (t *Table) CacheEvents(id ident.RunnerID, p prefix.Page) error {
 	i, ok := t.byID[id]
--- a/coordination/routing/ticket.go
+++ b/coordination/routing/ticket.go
@@ -32,9 +32,8 @@
 	if s.epoch != c.epoch {
 		return Ticket{}
 	}
-	t.scores[c.slot].inFlight++
 	k := Ticket{slot: c.slot, epoch: c.epoch, phase: phasePrefill, uncached: c.Uncached, kv: r.PromptTokens + r.OutputTokens, kept: c.CachedBlocks}
-	t.note(now, k.slot, float64(k.uncached), float64(k.kv))
+	t.note(k.slot, change{now, float64(k.uncached), float64(k.kv), 1})
 	t.index.Assume(c.slot, r.Prefix)
 	return k
 }
@@ -46,7 +45,7 @@
 		return
 	}
 	k.phase = phaseDecode
-	t.note(now, k.slot, -float64(k.uncached), 0)
+	t.note(k.slot, change{at: now, prefill: -float64(k.uncached)})
 }
 
 // Finished counts the request out.
@@ -57,8 +56,12 @@
 		return
 	}
 	k.phase = phaseNone
-	t.scores[k.slot].inFlight--
-	t.note(now, k.slot, 0, -float64(k.kv))
+	t.note(k.slot, change{at: now, kv: -float64(k.kv), requests: -1})
+}
+
+// Answered takes in the length of a whole answer.
+func (t *Table) Answered(tokens int) {
+	t.output = max(1, t.output+outputGain*(float64(tokens)-t.output))
 }
 
 // NotStarted counts a request out that the runner did not start, and takes the
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -180,6 +180,8 @@
 	l := engineapi.Load{
 		RunnerID:      c.cfg.RunnerID,
 		Running:       len(c.running),
+		Waiting:       len(c.queue),
+		MaxRunning:    c.cfg.MaxBatch,
 		KVBlocksTotal: c.cfg.KVBlocks,
 		KVBlocksFree:  c.cache.free(),
 		PrefillRate:   c.cfg.PrefillRate,
--- a/state/load/load.go
+++ b/state/load/load.go
@@ -19,6 +19,10 @@
 	AsOf time.Time
 	// Running is the number of requests in the batch.
 	Running int
+	// Waiting is the number of requests that wait for a place in the batch,
+	// MaxRunning the number of places; zero is not known.
+	Waiting    int
+	MaxRunning int
 	// QueuedTokens is the prompt tokens that wait for their prefill.
 	QueuedTokens int
 	// RunningTokens is the tokens in the KV cache of the batch.
@@ -28,7 +32,7 @@
 	KVBlocksFree  int
 	// PrefillRate is prompt tokens per second; zero is not known.
 	PrefillRate float64
-	// DecodeRate is output tokens per second over the whole batch.
+	// DecodeRate is output tokens per second of one request.
 	DecodeRate float64
 	Models     []Model
 	// Leaving says that the VM has been told to go, Left in how long.
--- a/transport/engineapi/engineapi.go
+++ b/transport/engineapi/engineapi.go
@@ -66,16 +66,21 @@
 type Load struct {
 	RunnerID string `json:"runner_id"`
 	// AgeMillis is how old the report was when it was served.
-	AgeMillis     int64    `json:"age_ms"`
-	Running       int      `json:"running"`
-	QueuedTokens  int      `json:"queued_tokens"`
-	RunningTokens int      `json:"running_tokens"`
-	KVBlocksTotal int      `json:"kv_blocks_total"`
-	KVBlocksFree  int      `json:"kv_blocks_free"`
-	PrefillRate   float64  `json:"prefill_tokens_per_second"`
-	DecodeRate    float64  `json:"decode_tokens_per_second"`
-	Models        []Loaded `json:"models"`
-	Role          string   `json:"role,omitempty"`
+	AgeMillis int64 `json:"age_ms"`
+	Running   int   `json:"running"`
+	// Waiting is the number of requests that wait for a place in the batch,
+	// MaxRunning the number of places; zero is not known.
+	Waiting       int     `json:"waiting,omitempty"`
+	MaxRunning    int     `json:"max_running,omitempty"`
+	QueuedTokens  int     `json:"queued_tokens"`
+	RunningTokens int     `json:"running_tokens"`
+	KVBlocksTotal int     `json:"kv_blocks_total"`
+	KVBlocksFree  int     `json:"kv_blocks_free"`
+	PrefillRate   float64 `json:"prefill_tokens_per_second"`
+	// DecodeRate is of one sequence.
+	DecodeRate float64  `json:"decode_tokens_per_second"`
+	Models     []Loaded `json:"models"`
+	Role       string   `json:"role,omitempty"`
 	// Leaving says that the VM has been told to go.
 	Leaving bool `json:"leaving,omitempty"`
 	// DeadlineMillis is the time left until then; meaningless unless Leaving.
