--- /dev/null
+++ b/standin/platform/cloud.go
@@ -0,0 +1,420 @@
+// Package platform is a stand-in for the cloud around the system: the cloud
+// API with reclaim notices and refused starts, the lagging VM list and the
+// rate-limited weight store. docs/protocols/platform.md describes them.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/platform"
+)
+
+// Class is a kind of VM that the cloud sells in every failure domain.
+type Class struct {
+	Name         string
+	Reclaimable  bool
+	PricePerHour float64
+}
+
+// Settings are a cloud's size and habits.
+type Settings struct {
+	FailureDomains []ident.FailureDomain
+	Classes        []Class
+	// Seed makes the prices.
+	Seed uint64
+	// PriceSpread is how far a price moves from the list price, as a share of
+	// it: 0.3 is up to 30 percent up and down.
+	PriceSpread float64
+	// PricePeriod is how long a price stays; zero is for good.
+	PricePeriod time.Duration
+	// StartTime is between a start and the VM being live.
+	StartTime time.Duration
+	// ListLag is how old the VM list is.
+	ListLag time.Duration
+	// ChecksFencing refuses starts and stops with an older fencing number than
+	// one seen.
+	ChecksFencing bool
+	// Hooks run what the VMs hold.
+	Hooks Hooks
+}
+
+// Hooks are told of what happens to a VM; nil ones are left out. They are
+// called without the cloud's lock.
+type Hooks struct {
+	// Launch runs a started VM's process and returns its address.
+	Launch func(platform.VM) (address string, err error)
+	// Noticed tells that the VM goes after left.
+	Noticed func(vm platform.VM, left time.Duration)
+	// Removed tells that the VM is gone.
+	Removed func(platform.VM)
+}
+
+// Cloud is the state behind the cloud API and the VM list. It is safe for
+// concurrent use, implements platform.Cloud and platform.Lister, and works
+// inside a testing/synctest bubble.
+type Cloud struct {
+	settings Settings
+	started  time.Time
+
+	mu      sync.Mutex
+	vms     map[string]*vm
+	order   []*vm
+	tokens  map[string]*vm
+	lastID  int
+	fencing uint64
+	notices []notice
+	changed chan struct{} // closed at the next notice or change of faults
+	faults  Faults
+	refused int
+}
+
+// vm keeps when a VM's state changed, so that the list can tell what it was.
+type vm struct {
+	platform.VM
+	born, live, noticed, deadline, gone time.Time
+}
+
+type notice struct {
+	platform.Notice
+	deadline time.Time
+}
+
+var (
+	_ platform.Cloud  = (*Cloud)(nil)
+	_ platform.Lister = (*Cloud)(nil)
+)
+
+// New returns a cloud without VMs.
+func New(s Settings) *Cloud {
+	return &Cloud{
+		settings: s,
+		started:  time.Now(),
+		vms:      map[string]*vm{},
+		tokens:   map[string]*vm{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// Start implements platform.Cloud.
+func (c *Cloud) Start(ctx context.Context, r platform.StartRequest) (platform.VM, error) {
+	if err := c.enter(ctx); err != nil {
+		return platform.VM{}, err
+	}
+	v, fresh, err := c.start(r)
+	if err != nil {
+		return platform.VM{}, err
+	}
+	if fresh && c.settings.Hooks.Launch != nil {
+		if err := c.launch(v); err != nil {
+			return platform.VM{}, err
+		}
+	}
+	if c.losesAnswer() {
+		return platform.VM{}, &platform.UnavailableError{Err: &LostAnswerError{}}
+	}
+	return c.Describe(v.ID)
+}
+
+func (c *Cloud) start(r platform.StartRequest) (started *vm, fresh bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.fence(r.Fencing); err != nil {
+		return nil, false, err
+	}
+	if v := c.tokens[r.Token]; v != nil {
+		return v, false, nil
+	}
+	class, ok := c.class(r.Class)
+	if !ok || !c.has(r.FailureDomain) {
+		return nil, false, &platform.NotFoundError{What: fmt.Sprintf("class %q in %q", r.Class, r.FailureDomain)}
+	}
+	if reason := c.refuses(r); reason != "" {
+		c.refused++
+		return nil, false, &platform.StartRefusedError{Reason: reason}
+	}
+	now := time.Now()
+	v := c.add(platform.VM{
+		FailureDomain: r.FailureDomain,
+		Class:         r.Class,
+		Reclaimable:   class.Reclaimable,
+		PricePerHour:  c.price(r.FailureDomain, class, now),
+		Service:       r.Service,
+	}, now, now.Add(c.settings.StartTime))
+	c.tokens[r.Token] = v
+	return v, true, nil
+}
+
+// launch runs the VM's process. One that fails leaves a VM that is gone.
+func (c *Cloud) launch(v *vm) error {
+	address, err := c.settings.Hooks.Launch(v.VM)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		v.gone = time.Now()
+		return &platform.UnavailableError{Err: fmt.Errorf("launch %s: %w", v.ID, err)}
+	}
+	v.Address = address
+	return nil
+}
+
+func (c *Cloud) fence(fencing uint64) error {
+	if c.settings.ChecksFencing && fencing < c.fencing {
+		return &platform.StaleFencingError{Seen: c.fencing}
+	}
+	c.fencing = max(c.fencing, fencing)
+	return nil
+}
+
+func (c *Cloud) add(described platform.VM, born, live time.Time) *vm {
+	c.lastID++
+	if described.ID == "" {
+		described.ID = fmt.Sprintf("vm-%s-%d", described.FailureDomain, c.lastID)
+	}
+	v := &vm{VM: described, born: born, live: live}
+	c.vms[v.ID] = v
+	c.order = append(c.order, v)
+	return v
+}
+
+// Register enters a VM that runs already, such as an entry VM or a runner of
+// the first set. An empty ID is filled in.
+func (c *Cloud) Register(described platform.VM) platform.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	v := c.add(described, now.Add(-c.settings.ListLag), now.Add(-c.settings.ListLag))
+	return v.at(now)
+}
+
+// Stop implements platform.Cloud. Stopping a VM that is gone succeeds.
+func (c *Cloud) Stop(ctx context.Context, id string, fencing uint64) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	if err := c.stoppable(id, fencing); err != nil {
+		return err
+	}
+	c.Kill(id)
+	return nil
+}
+
+func (c *Cloud) stoppable(id string, fencing uint64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.fence(fencing); err != nil {
+		return err
+	}
+	if c.vms[id] == nil {
+		return &platform.NotFoundError{What: id}
+	}
+	return nil
+}
+
+// Kill ends a VM at once, without notice, and reports whether it was there.
+func (c *Cloud) Kill(id string) bool {
+	c.mu.Lock()
+	v := c.vms[id]
+	if v == nil || !v.gone.IsZero() {
+		c.mu.Unlock()
+		return false
+	}
+	v.gone = time.Now()
+	described := v.VM
+	c.mu.Unlock()
+	if removed := c.settings.Hooks.Removed; removed != nil {
+		removed(described)
+	}
+	return true
+}
+
+// Reclaim gives notice to one VM; it is gone after left. It reports whether
+// the VM was there without an earlier notice.
+func (c *Cloud) Reclaim(id string, left time.Duration) bool {
+	c.mu.Lock()
+	v := c.vms[id]
+	if v == nil || !v.gone.IsZero() || !v.noticed.IsZero() {
+		c.mu.Unlock()
+		return false
+	}
+	v.noticed = time.Now()
+	v.deadline = v.noticed.Add(left)
+	if !c.faults.DropNotices {
+		c.notices = append(c.notices, notice{
+			Notice:   platform.Notice{Sequence: uint64(len(c.notices) + 1), VM: id, Address: v.Address},
+			deadline: v.deadline,
+		})
+		c.wake()
+	}
+	described := v.VM
+	c.mu.Unlock()
+	if noticed := c.settings.Hooks.Noticed; noticed != nil {
+		noticed(described, left)
+	}
+	time.AfterFunc(left, func() { c.Kill(id) })
+	return true
+}
+
+// ReclaimDomain gives notice to all reclaimable VMs of a failure domain and
+// returns their IDs.
+func (c *Cloud) ReclaimDomain(domain ident.FailureDomain, left time.Duration) []string {
+	var reclaimed []string
+	for _, v := range c.VMs() {
+		if v.FailureDomain == domain && v.Reclaimable && c.Reclaim(v.ID, left) {
+			reclaimed = append(reclaimed, v.ID)
+		}
+	}
+	return reclaimed
+}
+
+// Notices implements platform.Cloud.
+func (c *Cloud) Notices(ctx context.Context, after uint64, wait time.Duration) ([]platform.Notice, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		found, changed, silent := c.noticesAfter(after)
+		if silent {
+			<-ctx.Done()
+			return nil, &platform.UnavailableError{Err: ctx.Err()}
+		}
+		if len(found) > 0 {
+			return found, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, &platform.UnavailableError{Err: ctx.Err()}
+		}
+	}
+}
+
+func (c *Cloud) noticesAfter(after uint64) (found []platform.Notice, changed <-chan struct{}, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.notices[min(after, uint64(len(c.notices))):] {
+		n.LeftMillis = max(time.Until(n.deadline), 0).Milliseconds()
+		found = append(found, n.Notice)
+	}
+	return found, c.changed, c.faults.SilentNotices
+}
+
+// Quotes implements platform.Cloud.
+func (c *Cloud) Quotes(ctx context.Context) ([]platform.Quote, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	var quotes []platform.Quote
+	for _, domain := range c.settings.FailureDomains {
+		for _, class := range c.settings.Classes {
+			quotes = append(quotes, platform.Quote{FailureDomain: domain, Class: class.Name, PricePerHour: c.price(domain, class, now)})
+		}
+	}
+	return quotes, nil
+}
+
+// price depends on the seed, the domain, the class and the period alone.
+func (c *Cloud) price(domain ident.FailureDomain, class Class, now time.Time) float64 {
+	period := uint64(0)
+	if c.settings.PricePeriod > 0 {
+		period = uint64(now.Sub(c.started) / c.settings.PricePeriod)
+	}
+	random := rand.New(rand.NewPCG(c.settings.Seed^period, hash(string(domain)+"/"+class.Name)))
+	return class.PricePerHour * (1 + c.settings.PriceSpread*(2*random.Float64()-1))
+}
+
+func (c *Cloud) class(name string) (Class, bool) {
+	for _, class := range c.settings.Classes {
+		if class.Name == name {
+			return class, true
+		}
+	}
+	return Class{}, false
+}
+
+func (c *Cloud) has(domain ident.FailureDomain) bool {
+	for _, d := range c.settings.FailureDomains {
+		if d == domain {
+			return true
+		}
+	}
+	return false
+}
+
+// List implements platform.Lister: the VMs as they were a ListLag ago.
+func (c *Cloud) List(ctx context.Context) ([]platform.VM, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, err
+	}
+	return c.asOf(time.Now().Add(-c.settings.ListLag)), nil
+}
+
+// VMs lists the VMs as they are now, by ID.
+func (c *Cloud) VMs() []platform.VM { return c.asOf(time.Now()) }
+
+func (c *Cloud) asOf(t time.Time) []platform.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var listed []platform.VM
+	for _, v := range c.order {
+		if described := v.at(t); described.State != "" {
+			listed = append(listed, described)
+		}
+	}
+	sort.Slice(listed, func(i, j int) bool { return listed[i].ID < listed[j].ID })
+	return listed
+}
+
+// Describe returns a VM that is there now.
+func (c *Cloud) Describe(id string) (platform.VM, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if v := c.vms[id]; v != nil {
+		if described := v.at(time.Now()); described.State != "" {
+			return described, nil
+		}
+	}
+	return platform.VM{}, &platform.NotFoundError{What: id}
+}
+
+// at is the VM as it was at t, with an empty state if it was not there.
+func (v *vm) at(t time.Time) platform.VM {
+	described := v.VM
+	switch {
+	case t.Before(v.born), !v.gone.IsZero() && !t.Before(v.gone):
+		described.State = ""
+	case !v.noticed.IsZero() && !t.Before(v.noticed):
+		described.State = platform.VMLeaving
+	case t.Before(v.live):
+		described.State = platform.VMStarting
+	default:
+		described.State = platform.VMLive
+	}
+	return described
+}
+
+// Cost is what all VMs have cost until now, at the price of their start.
+func (c *Cloud) Cost() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	cost := 0.0
+	for _, v := range c.order {
+		end := now
+		if !v.gone.IsZero() {
+			end = v.gone
+		}
+		cost += v.PricePerHour * end.Sub(v.born).Hours()
+	}
+	return cost
+}
--- /dev/null
+++ b/standin/platform/faults.go
@@ -0,0 +1,119 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/platform"
+)
+
+// Faults are the switches of the cloud API and the VM list; the zero value is
+// a healthy cloud.
+type Faults struct {
+	// Outage makes every call fail at once without effect.
+	Outage bool `json:"outage,omitempty"`
+	// DelayMillis is waited before each call takes effect.
+	DelayMillis int64 `json:"delay_ms,omitempty"`
+	// RefuseStarts refuses the next starts.
+	RefuseStarts int `json:"refuse_starts,omitempty"`
+	// RefuseDomains and RefuseClasses refuse all starts in or of them.
+	RefuseDomains []ident.FailureDomain `json:"refuse_domains,omitempty"`
+	RefuseClasses []string              `json:"refuse_classes,omitempty"`
+	// LoseAnswers is how many of the next starts take effect and lose their
+	// answer.
+	LoseAnswers int `json:"lose_answers,omitempty"`
+	// SilentNotices keeps waits for notices from ever answering.
+	SilentNotices bool `json:"silent_notices,omitempty"`
+	// DropNotices gives no notice through the API; the VM and the list still
+	// tell.
+	DropNotices bool `json:"drop_notices,omitempty"`
+}
+
+// OutageError says that the service was down and the call had no effect.
+type OutageError struct{}
+
+func (*OutageError) Error() string { return "service is down" }
+
+// LostAnswerError says that a start took effect and its answer was lost.
+type LostAnswerError struct{}
+
+func (*LostAnswerError) Error() string { return "answer lost after the effect" }
+
+// SetFaults replaces all switches.
+func (c *Cloud) SetFaults(f Faults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = f
+	c.wake()
+}
+
+// Faults returns the switches as they stand.
+func (c *Cloud) Faults() Faults {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.faults
+}
+
+// RefusedStarts is how many starts were refused so far.
+func (c *Cloud) RefusedStarts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refused
+}
+
+func (c *Cloud) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *Cloud) enter(ctx context.Context) error {
+	return pass(ctx, c.Faults().Outage, c.Faults().DelayMillis)
+}
+
+// pass applies the faults that come before a call's effect.
+func pass(ctx context.Context, outage bool, delayMillis int64) error {
+	if outage {
+		return &platform.UnavailableError{Err: &OutageError{}}
+	}
+	timer := time.NewTimer(time.Duration(delayMillis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return &platform.UnavailableError{Err: ctx.Err()}
+	}
+}
+
+// refuses returns why a start is refused, or nothing.
+func (c *Cloud) refuses(r platform.StartRequest) string {
+	f := &c.faults
+	switch {
+	case slices.Contains(f.RefuseDomains, r.FailureDomain):
+		return fmt.Sprintf("no capacity in %s", r.FailureDomain)
+	case slices.Contains(f.RefuseClasses, r.Class):
+		return fmt.Sprintf("no capacity of class %s", r.Class)
+	case f.RefuseStarts > 0:
+		f.RefuseStarts--
+		return "no capacity"
+	default:
+		return ""
+	}
+}
+
+func (c *Cloud) losesAnswer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults.LoseAnswers <= 0 {
+		return false
+	}
+	c.faults.LoseAnswers--
+	return true
+}
+
+func hash(s string) uint64 { return xxhash.Sum64String(s) }
--- /dev/null
+++ b/standin/platform/http.go
@@ -0,0 +1,177 @@
+package platform
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"geraniumstack.org/geraniumstack/standin/jsonhttp"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/platform"
+)
+
+// Admin paths of the stand-ins.
+const (
+	// PathFaults takes GET for the switches and PUT to replace them.
+	PathFaults = "/faults"
+	// PathReclaim takes POST with a ReclaimRequest; the answer is a
+	// ReclaimResponse.
+	PathReclaim = "/faults/reclaim"
+	// PathKill takes POST with a KillRequest.
+	PathKill = "/faults/kill"
+)
+
+const maxBodyBytes = 1 << 20
+
+// ReclaimRequest gives notice to one VM, or to the reclaimable ones of a
+// failure domain.
+type ReclaimRequest struct {
+	VM            string              `json:"vm,omitempty"`
+	FailureDomain ident.FailureDomain `json:"failure_domain,omitempty"`
+	LeftMillis    int64               `json:"left_ms"`
+}
+
+// ReclaimResponse lists the VMs that got a notice.
+type ReclaimResponse struct {
+	VMs []string `json:"vms"`
+}
+
+// KillRequest ends a VM without notice.
+type KillRequest struct {
+	VM string `json:"vm"`
+}
+
+// Handler serves the cloud API, the VM list and the admin paths.
+func (c *Cloud) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathStart, c.serveStart)
+	mux.HandleFunc("POST "+platform.PathStop, c.serveStop)
+	mux.HandleFunc("GET "+platform.PathQuotes, func(w http.ResponseWriter, r *http.Request) {
+		quotes, err := c.Quotes(r.Context())
+		write(w, platform.QuotesResponse{Quotes: quotes}, err)
+	})
+	mux.HandleFunc("GET "+platform.PathNotices, c.serveNotices)
+	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		vms, err := c.List(r.Context())
+		write(w, platform.ListResponse{VMs: vms}, err)
+	})
+	jsonhttp.Switches(mux, PathFaults, c.Faults, c.SetFaults)
+	mux.HandleFunc("POST "+PathReclaim, c.serveReclaim)
+	mux.HandleFunc("POST "+PathKill, c.serveKill)
+	return mux
+}
+
+func (c *Cloud) serveStart(w http.ResponseWriter, r *http.Request) {
+	var request platform.StartRequest
+	if !jsonhttp.Read(w, r, maxBodyBytes, &request) {
+		return
+	}
+	vm, err := c.Start(r.Context(), request)
+	write(w, vm, err)
+}
+
+func (c *Cloud) serveStop(w http.ResponseWriter, r *http.Request) {
+	var request platform.StopRequest
+	if !jsonhttp.Read(w, r, maxBodyBytes, &request) {
+		return
+	}
+	write(w, jsonhttp.Empty{}, c.Stop(r.Context(), request.ID, request.Fencing))
+}
+
+func (c *Cloud) serveNotices(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue(platform.ParamAfter), 10, 64)
+	if err != nil {
+		malformed(w, err)
+		return
+	}
+	wait, err := strconv.ParseInt(r.FormValue(platform.ParamWait), 10, 64)
+	if err != nil {
+		malformed(w, err)
+		return
+	}
+	notices, err := c.Notices(r.Context(), after, time.Duration(wait)*time.Millisecond)
+	write(w, platform.NoticesResponse{Notices: notices}, err)
+}
+
+func (c *Cloud) serveReclaim(w http.ResponseWriter, r *http.Request) {
+	var request ReclaimRequest
+	if !jsonhttp.Read(w, r, maxBodyBytes, &request) {
+		return
+	}
+	left := time.Duration(request.LeftMillis) * time.Millisecond
+	var response ReclaimResponse
+	if request.VM != "" && c.Reclaim(request.VM, left) {
+		response.VMs = append(response.VMs, request.VM)
+	}
+	if request.FailureDomain != "" {
+		response.VMs = append(response.VMs, c.ReclaimDomain(request.FailureDomain, left)...)
+	}
+	write(w, response, nil)
+}
+
+func (c *Cloud) serveKill(w http.ResponseWriter, r *http.Request) {
+	var request KillRequest
+	if !jsonhttp.Read(w, r, maxBodyBytes, &request) {
+		return
+	}
+	if !c.Kill(request.VM) {
+		write(w, nil, &platform.NotFoundError{What: request.VM})
+		return
+	}
+	write(w, jsonhttp.Empty{}, nil)
+}
+
+// Handler serves the weight store and its admin path.
+func (w *Weights) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathWeights, func(rw http.ResponseWriter, r *http.Request) {
+		weight, err := w.Stat(r.Context(), r.FormValue(platform.ParamName), r.FormValue(platform.ParamVersion))
+		write(rw, weight, err)
+	})
+	jsonhttp.Switches(mux, PathFaults, w.Faults, w.SetFaults)
+	return mux
+}
+
+func malformed(w http.ResponseWriter, err error) {
+	jsonhttp.Write(w, http.StatusBadRequest, platform.ErrorBody{Code: platform.CodeMalformed, Message: err.Error()})
+}
+
+// write answers, or breaks the connection where the answer is lost.
+func write(w http.ResponseWriter, answer any, err error) {
+	if err == nil {
+		jsonhttp.Write(w, http.StatusOK, answer)
+		return
+	}
+	if lost := (*LostAnswerError)(nil); errors.As(err, &lost) {
+		panic(http.ErrAbortHandler)
+	}
+	status, body := errorBody(err)
+	jsonhttp.Write(w, status, body)
+}
+
+func errorBody(err error) (int, platform.ErrorBody) {
+	var (
+		refused *platform.StartRefusedError
+		absent  *platform.NotFoundError
+		limited *platform.RateLimitedError
+		stale   *platform.StaleFencingError
+	)
+	switch {
+	case errors.As(err, &refused):
+		return http.StatusConflict, platform.ErrorBody{Code: platform.CodeStartRefused, Message: refused.Reason}
+	case errors.As(err, &absent):
+		return http.StatusNotFound, platform.ErrorBody{Code: platform.CodeNotFound, Message: absent.What}
+	case errors.As(err, &limited):
+		return http.StatusTooManyRequests, platform.ErrorBody{Code: platform.CodeRateLimited, Message: err.Error(), RetryAfterMillis: ceilMillis(limited.RetryAfter)}
+	case errors.As(err, &stale):
+		return http.StatusConflict, platform.ErrorBody{Code: platform.CodeStaleFencing, Message: err.Error(), Fencing: stale.Seen}
+	default:
+		return http.StatusServiceUnavailable, platform.ErrorBody{Code: platform.CodeUnavailable, Message: err.Error()}
+	}
+}
+
+// ceilMillis rounds up, so that a caller that waits so long is not too early.
+func ceilMillis(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
+}
--- /dev/null
+++ b/standin/platform/weights.go
@@ -0,0 +1,105 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"geraniumstack.org/geraniumstack/transport/platform"
+)
+
+// WeightFaults are the switches of the weight store.
+type WeightFaults struct {
+	// Outage makes every call fail at once.
+	Outage bool `json:"outage,omitempty"`
+	// DelayMillis is waited before each answer.
+	DelayMillis int64 `json:"delay_ms,omitempty"`
+}
+
+// Weights is a weight store with a limit on its calls. It is safe for
+// concurrent use and implements platform.Weights.
+type Weights struct {
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	weights map[string]platform.Weight
+	faults  WeightFaults
+	calls   int
+	limited int
+}
+
+var _ platform.Weights = (*Weights)(nil)
+
+// NewWeights returns a store that answers perSecond calls a second and burst
+// at once.
+func NewWeights(perSecond float64, burst int, weights ...platform.Weight) *Weights {
+	w := &Weights{limiter: rate.NewLimiter(rate.Limit(perSecond), burst), weights: map[string]platform.Weight{}}
+	for _, weight := range weights {
+		w.Add(weight)
+	}
+	return w
+}
+
+// Add puts a version into the store.
+func (w *Weights) Add(weight platform.Weight) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.weights[weightKey(weight.Name, weight.Version)] = weight
+}
+
+func weightKey(name, version string) string { return name + "\x00" + version }
+
+// Stat implements platform.Weights.
+func (w *Weights) Stat(ctx context.Context, name, version string) (platform.Weight, error) {
+	f := w.Faults()
+	if err := pass(ctx, f.Outage, f.DelayMillis); err != nil {
+		return platform.Weight{}, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls++
+	now := time.Now()
+	if wait := w.reserve(now); wait > 0 {
+		w.limited++
+		return platform.Weight{}, &platform.RateLimitedError{RetryAfter: wait}
+	}
+	weight, ok := w.weights[weightKey(name, version)]
+	if !ok {
+		return platform.Weight{}, &platform.NotFoundError{What: fmt.Sprintf("%s version %s", name, version)}
+	}
+	return weight, nil
+}
+
+// reserve takes a call out of the limit, or returns how long there is none.
+func (w *Weights) reserve(now time.Time) time.Duration {
+	reservation := w.limiter.ReserveN(now, 1)
+	wait := reservation.DelayFrom(now)
+	if wait > 0 {
+		reservation.CancelAt(now)
+	}
+	return wait
+}
+
+// Calls is how many calls came, and how many of them were over the limit.
+func (w *Weights) Calls() (all, limited int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls, w.limited
+}
+
+// SetFaults replaces all switches.
+func (w *Weights) SetFaults(f WeightFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+// Faults returns the switches as they stand.
+func (w *Weights) Faults() WeightFaults {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faults
+}
--- a/transport/platform/platform.go
+++ b/transport/platform/platform.go
@@ -102,6 +102,13 @@
 
 func (e *RateLimitedError) Error() string { return fmt.Sprintf("rate limited for %s", e.RetryAfter) }
 
+// StaleFencingError says that the cloud has seen a newer fencing number.
+type StaleFencingError struct{ Seen uint64 }
+
+func (e *StaleFencingError) Error() string {
+	return fmt.Sprintf("fencing number is older than %d", e.Seen)
+}
+
 // UnavailableError says that no answer came; a start may have taken effect.
 type UnavailableError struct{ Err error }
 
