--- a/daemon/actions/claim.go
+++ b/daemon/actions/claim.go
@@ -83,7 +83,11 @@
 	for try := 1; ; try++ {
 		err = s.createClaim(ctx, name, value, lease)
 		var conflict *kv.ConflictError
+		var expired *kv.LeaseExpiredError
 		switch {
+		case errors.As(err, &expired):
+			s.claims.forget(lease)
+			return "", fmt.Errorf("create claim: %w", err)
 		case err == nil:
 			s.counters.inc(claimsMade)
 			return mine, nil
@@ -121,6 +125,15 @@
 	return lease, nil
 }
 
+// forget makes the next claim grant a lease of its own.
+func (l *claimLease) forget(lease kv.LeaseID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lease == lease {
+		l.lease = 0
+	}
+}
+
 func decodeClaim(value []byte) (string, error) {
 	var c claim
 	if err := json.Unmarshal(value, &c); err != nil {
--- a/protocol/action/owner.go
+++ b/protocol/action/owner.go
@@ -362,7 +362,8 @@
 		if rec.state != Received {
 			continue
 		}
-		if rec.policy == manifest.OutageRun && !rec.journaled {
+		promised := rec.journaled && o.cfg.Fault != FaultBreakPromise
+		if rec.policy == manifest.OutageRun && !promised {
 			o.dispatch(rec)
 			continue
 		}
--- a/protocol/action/types.go
+++ b/protocol/action/types.go
@@ -127,6 +127,9 @@
 	FaultDispatchFirst Fault = "dispatch_before_journal"
 	// FaultExpiredNo tells the caller of an expired key "not executed".
 	FaultExpiredNo Fault = "expired_is_no"
+	// FaultBreakPromise dispatches unjournaled what the token promises to
+	// journal.
+	FaultBreakPromise Fault = "run_promised_unjournaled"
 	// FaultForgetRefused remembers no refused keys.
 	FaultForgetRefused Fault = "forget_refused"
 )
