--- a/transport/engineapi/engineapi.go
+++ b/transport/engineapi/engineapi.go
@@ -11,7 +11,9 @@
 	PathCacheEvents = "/v1/cache-events"
 	PathExport      = "/v1/kv-cache/export"
 	PathImport      = "/v1/kv-cache/import"
-	PathOrder       = "/v1/orders"
+	// PathExported is where an importing engine fetches from the exporting one.
+	PathExported = "/v1/kv-cache/exported"
+	PathOrder    = "/v1/orders"
 )
 
 // BlockTokens is the number of tokens that one prefix cache block covers.
@@ -64,16 +66,21 @@
 type Load struct {
 	RunnerID string `json:"runner_id"`
 	// AgeMillis is how old the report was when it was served.
-	AgeMillis     int64    `json:"age_ms"`
-	Running       int      `json:"running"`
-	QueuedTokens  int      `json:"queued_tokens"`
-	RunningTokens int      `json:"running_tokens"`
-	KVBlocksTotal int      `json:"kv_blocks_total"`
-	KVBlocksFree  int      `json:"kv_blocks_free"`
-	PrefillRate   float64  `json:"prefill_tokens_per_second"`
-	DecodeRate    float64  `json:"decode_tokens_per_second"`
-	Models        []Loaded `json:"models"`
-	Role          string   `json:"role,omitempty"`
+	AgeMillis int64 `json:"age_ms"`
+	Running   int   `json:"running"`
+	// Waiting is the number of requests that wait for a place in the batch,
+	// MaxRunning the number of places; zero is not known.
+	Waiting       int     `json:"waiting,omitempty"`
+	MaxRunning    int     `json:"max_running,omitempty"`
+	QueuedTokens  int     `json:"queued_tokens"`
+	RunningTokens int     `json:"running_tokens"`
+	KVBlocksTotal int     `json:"kv_blocks_total"`
+	KVBlocksFree  int     `json:"kv_blocks_free"`
+	PrefillRate   float64 `json:"prefill_tokens_per_second"`
+	// DecodeRate is of one sequence.
+	DecodeRate float64  `json:"decode_tokens_per_second"`
+	Models     []Loaded `json:"models"`
+	Role       string   `json:"role,omitempty"`
 	// Leaving says that the VM has been told to go.
 	Leaving bool `json:"leaving,omitempty"`
 	// DeadlineMillis is the time left until then; meaningless unless Leaving.
@@ -151,9 +158,28 @@
 	Role    string    `json:"role,omitempty"`
 }
 
+// Code tells an engine's refusals apart.
+type Code string
+
+// Codes of an ErrorBody.
+const (
+	CodeMalformed        Code = "malformed"
+	CodeNotLoaded        Code = "not_loaded"
+	CodeLeaving          Code = "leaving"
+	CodeQueueFull        Code = "queue_full"
+	CodeTooLong          Code = "too_long"
+	CodeDuplicateAttempt Code = "duplicate_attempt"
+	CodeUnknownAttempt   Code = "unknown_attempt"
+	CodeUnknownHandle    Code = "unknown_handle"
+	CodeStaleFencing     Code = "stale_fencing"
+	CodeTransferFailed   Code = "transfer_failed"
+	CodeUnavailable      Code = "unavailable"
+)
+
 // ErrorBody is the JSON body of an engine's refusal. A refusal before the
 // stream's first line means that the attempt was not started.
 type ErrorBody struct {
 	Error   string `json:"error"`
+	Code    Code   `json:"code,omitempty"`
 	Fencing uint64 `json:"fencing,omitempty"`
 }
