--- a/state/document/document_test.go
+++ b/state/document/document_test.go
@@ -35,3 +35,18 @@
 	is.NoErr(document.Decode([]byte(`{"name":"a","count":2,"inner":{"on":true}}`), &s))
 	is.Equal(s.Count, 2)
 }
+
+type named struct {
+	Label document.Problem `json:"label"`
+	Inner Problem          `json:"inner"`
+}
+
+// Problem has the name of another package's type.
+type Problem string
+
+func TestTypesOfOneNameAreKeptApart(t *testing.T) {
+	is := is.New(t)
+	var v named
+	is.NoErr(document.Decode([]byte(`{"label":{"path":"/a","reason":"b"},"inner":"c"}`), &v))
+	is.Equal(v.Inner, Problem("c"))
+}
