Serve the whole path end to end: demo over five gateways and stand-ins

Change: geraniumctl demo: five gateways, stand-ins at a fleet's sizes, a mix of chat, long drafts, pledges with duplicates and reads; a failure domain's model runners and one gateway reclaimed, the key-value service out for 8 s; what callers saw is compared with what the runners did.

--- a/caller/stream.go
+++ b/caller/stream.go
@@ -29,12 +29,11 @@
 
 // stream is one request's progress over however many connections it takes.
 type stream struct {
-	c       *Client
-	result  Result
-	began   time.Time
-	last    time.Time
-	timeout time.Duration
-	body    []byte
+	c      *Client
+	result Result
+	began  time.Time
+	last   time.Time
+	body   []byte
 }
 
 // Stream sends a chat completion request and collects its streamed answer,
--- /dev/null
+++ b/ctl/demo.go
@@ -0,0 +1,48 @@
+package ctl
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"geraniumstack.org/geraniumstack/demo"
+)
+
+type demoCmd struct {
+	common
+	fleet string
+	seed  uint64
+}
+
+func (*demoCmd) Name() string { return "demo" }
+func (*demoCmd) Synopsis() string {
+	return "run the whole system on loopback through reclaims and an outage"
+}
+func (*demoCmd) Usage() string {
+	return "demo [flags]\n  Status 1 if a promise was broken.\n"
+}
+func (p *demoCmd) SetFlags(f *flag.FlagSet) {
+	p.setFlags(f)
+	f.StringVar(&p.fleet, "fleet", demo.Fleets[0], "fleet: "+strings.Join(demo.Fleets, " or "))
+	f.Uint64Var(&p.seed, "seed", 1, "seed of the load")
+}
+
+func (p *demoCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	summary, err := demo.Run(ctx, demo.Options{Fleet: p.fleet, Seed: p.seed, Progress: p.errs})
+	if err != nil {
+		return p.fail(err)
+	}
+	p.print(summary, func(w io.Writer) {
+		if err := summary.Write(w); err != nil {
+			fmt.Fprintln(p.errs, err)
+		}
+	})
+	if !summary.PromisesKept {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -264,3 +264,6 @@
 		}
 	}
 }
+
+// Control is the daemon's configuration and membership.
+func (d *Daemon) Control() *control.Control { return d.control }
--- a/daemon/orders/orders.go
+++ b/daemon/orders/orders.go
@@ -44,10 +44,10 @@
 	Cloud         platform.Cloud
 	Lister        platform.Lister
 	// Weights is asked before a load; nil is no weight store to ask.
-	Weights       platform.Weights
-	Engines       Engines
-	Timing        lease.Timing
-	Metrics       metrics.Registry
+	Weights platform.Weights
+	Engines Engines
+	Timing  lease.Timing
+	Metrics metrics.Registry
 	// Every is the time between two looks at a responsibility.
 	Every time.Duration
 	// StopGrace is how long a runner that is to be stopped finishes its work.
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -111,11 +111,12 @@
 	if err := document.Decode(data, &s); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	s.fillDefaults()
+	s.FillDefaults()
 	return &s, nil
 }
 
-func (s *Settings) fillDefaults() {
+// FillDefaults replaces zero bounds by their defaults.
+func (s *Settings) FillDefaults() {
 	l := &s.Limits
 	setInt64(&l.MaxBodyBytes, DefaultMaxBodyBytes)
 	setInt(&l.MaxHeaderBytes, DefaultMaxHeaderBytes)
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,227 @@
+// Package demo runs the whole system in one process on loopback: small
+// stand-ins for the platform and the runners, five gateways, a mix of callers'
+// work, a reclaim of one failure domain's runners, a reclaim of one gateway and
+// an outage of the key-value service. It checks what callers saw.
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/config"
+	"geraniumstack.org/geraniumstack/daemon/control"
+	"geraniumstack.org/geraniumstack/daemon/settings"
+	"geraniumstack.org/geraniumstack/standin/kvserver"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+const operatorKey = "demo-operator"
+
+// The scenario, counted from the first request.
+const (
+	reclaimRunnersAt = 4 * time.Second
+	runnerNotice     = 6 * time.Second
+	outageAt         = 8 * time.Second
+	outageFor        = 8 * time.Second
+	reclaimGatewayAt = 10 * time.Second
+	gatewayNotice    = 8 * time.Second
+	sendFor          = 20 * time.Second
+	finishFor        = 25 * time.Second
+	applyWait        = 10 * time.Second
+)
+
+// Options of a run.
+type Options struct {
+	Fleet string
+	Seed  uint64
+	// Progress gets a line for each event; never nil.
+	Progress io.Writer
+}
+
+func operator() settings.Credential {
+	sum := sha256.Sum256([]byte(operatorKey))
+	return settings.Credential{Name: "demo", Role: "operator", KeyHash: hex.EncodeToString(sum[:])}
+}
+
+// Run plays the scenario and returns what it found.
+func Run(ctx context.Context, o Options) (Summary, error) {
+	f, err := FleetNamed(o.Fleet)
+	if err != nil {
+		return Summary{}, err
+	}
+	began := time.Now()
+	e, err := newEnv(f, o.Seed)
+	if err != nil {
+		return Summary{}, err
+	}
+	defer e.stop()
+	if err := e.startGateways(ctx); err != nil {
+		return Summary{}, err
+	}
+	d := &show{env: e, fleet: f, options: o, began: began, tally: newTally()}
+	if err := d.apply(ctx); err != nil {
+		return Summary{}, err
+	}
+	d.play(ctx)
+	d.check()
+	s := d.tally.summary()
+	s.Fleet = f.Name
+	s.Seconds = time.Since(began).Seconds()
+	return s, nil
+}
+
+type show struct {
+	env     *env
+	fleet   *Fleet
+	options Options
+	began   time.Time
+	tally   *tally
+}
+
+func (d *show) say(format string, args ...any) {
+	fmt.Fprintf(d.options.Progress, "%5.1fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (d *show) apply(ctx context.Context) error {
+	d.say("%d gateways, %d runners; applying the manifest of %s", gateways, len(d.env.servers), d.fleet.Name)
+	outcome, err := d.env.daemons[0].Control().Apply(ctx, control.Submission{
+		Manifest: d.fleet.Manifest, Author: "demo", ID: fmt.Sprintf("demo-%d", d.options.Seed),
+		Expected: config.AnyGeneration, Wait: applyWait,
+	})
+	if err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	d.say("generation %d accepted; in force everywhere: %v", outcome.Accepted.Generation, outcome.InForceEverywhere)
+	return nil
+}
+
+func (d *show) play(ctx context.Context) {
+	sending, stopSending := context.WithTimeout(ctx, sendFor)
+	defer stopSending()
+	working, stopWorking := context.WithTimeout(ctx, sendFor+finishFor)
+	defer stopWorking()
+	l := newLoad(d.fleet, d.tally, d.bases(), d.options.Seed)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.run(sending, working)
+	}()
+	go d.events(sending)
+	progress := time.NewTicker(2 * time.Second)
+	defer progress.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-progress.C:
+			s := d.tally.summary()
+			d.say("accepted %d, answered whole %d, refused %s, recomputed %d tokens",
+				s.Accepted, s.AnsweredWhole, refusedText(s), d.env.ledger.Totals().Recomputed)
+		}
+	}
+}
+
+func refusedText(s Summary) string {
+	parts := []string{}
+	for _, reason := range sortedKeys(s.Refused) {
+		parts = append(parts, fmt.Sprintf("%s=%d", reason, s.Refused[reason]))
+	}
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, " ")
+}
+
+func (d *show) bases() []string {
+	var out []string
+	for _, r := range d.env.daemons {
+		out = append(out, "http://"+r.Self().CallerAddress)
+	}
+	return out
+}
+
+// events brings the faults about.
+func (d *show) events(ctx context.Context) {
+	start := time.Now()
+	for _, ev := range []struct {
+		at time.Duration
+		do func()
+	}{
+		{reclaimRunnersAt, d.reclaimDomain},
+		{outageAt, d.outage},
+		{reclaimGatewayAt, d.reclaimGateway},
+		{outageAt + outageFor, d.endOutage},
+	} {
+		t := time.NewTimer(time.Until(start.Add(ev.at)))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+			ev.do()
+		}
+	}
+}
+
+func (d *show) reclaimDomain() {
+	domain := d.fleet.Manifest.Fleet.FailureDomains[1]
+	n := 0
+	for _, vm := range d.env.cloud.VMs() {
+		if vm.FailureDomain == domain && vm.Service == d.fleet.modelService() && d.env.cloud.Reclaim(vm.ID, runnerNotice) {
+			n++
+		}
+	}
+	d.say("%d model runners of %s get %v of notice", n, domain, runnerNotice)
+}
+
+func (d *show) outage() {
+	d.say("the key-value service goes down for %v", outageFor)
+	d.env.store.SetFaults(kvserver.Faults{Outage: true})
+}
+
+func (d *show) endOutage() {
+	d.say("the key-value service is back")
+	d.env.store.SetFaults(kvserver.Faults{})
+}
+
+func (d *show) reclaimGateway() {
+	last := d.env.daemons[len(d.env.daemons)-1]
+	d.say("%s gets %v of notice", last.vm, gatewayNotice)
+	d.env.cloud.Reclaim(last.vm, gatewayNotice)
+}
+
+// check compares what callers were told with what the runners did.
+func (d *show) check() {
+	totals := d.env.ledger.Totals()
+	counts := d.env.actions.Counts()
+	d.tally.update(func(s *Summary) {
+		s.Computed = totals.Computed
+		s.Recomputed = totals.Recomputed
+		s.ActionsRunTwice = len(d.env.actions.RunTwice())
+		s.Generations = d.generations()
+		for key := range d.tally.toldNotRun {
+			for action, n := range counts {
+				if n > 0 && strings.HasSuffix(action, "/"+key) {
+					s.FalseNotRun++
+				}
+			}
+		}
+	})
+}
+
+func (d *show) generations() map[ident.FailureDomain]ident.Generation {
+	out := map[ident.FailureDomain]ident.Generation{}
+	for _, r := range d.env.daemons[:gateways-1] {
+		_, g := r.Control().Current()
+		domain := r.Self().FailureDomain
+		if before, ok := out[domain]; !ok || g < before {
+			out[domain] = g
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/demo/load.go
@@ -0,0 +1,194 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"geraniumstack.org/geraniumstack/caller"
+	"geraniumstack.org/geraniumstack/standin/engine"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/gateway"
+)
+
+// The mix that callers send.
+const (
+	chatEvery    = 60 * time.Millisecond
+	longEvery    = 300 * time.Millisecond
+	actionEvery  = 50 * time.Millisecond
+	readEvery    = 100 * time.Millisecond
+	chatTokens   = 40
+	longTokens   = 500
+	caseWords    = 600
+	cases        = 12
+	duplicateOne = 3 // one action in so many is sent twice at once
+	patience     = 40 * time.Second
+)
+
+// load sends the mix until ctx ends and then waits for what is in progress.
+type load struct {
+	fleet   *Fleet
+	tally   *tally
+	clients []*caller.Client
+	rng     *rand.Rand
+	wg      sync.WaitGroup
+	n       int
+}
+
+func newLoad(f *Fleet, t *tally, bases []string, seed uint64) *load {
+	l := &load{fleet: f, tally: t, rng: rand.New(rand.NewPCG(seed, 7))}
+	for i, ws := range f.Manifest.Workspaces {
+		l.clients = append(l.clients, caller.New(caller.Config{
+			Gateways: bases, Key: f.key(ws.Name), FailureDomain: f.gatewayDomain(i), Patience: patience,
+		}))
+	}
+	return l
+}
+
+func (l *load) run(sending, working context.Context) {
+	chat := time.NewTicker(chatEvery)
+	long := time.NewTicker(longEvery)
+	action := time.NewTicker(actionEvery)
+	read := time.NewTicker(readEvery)
+	for _, t := range []*time.Ticker{chat, long, action, read} {
+		defer t.Stop()
+	}
+	for {
+		c := l.clients[l.rng.IntN(len(l.clients))]
+		l.n++
+		n := l.n
+		select {
+		case <-sending.Done():
+			l.wg.Wait()
+			return
+		case <-chat.C:
+			l.wg.Go(func() { l.model(working, c, l.fleet.interactive, fmt.Sprintf("where is my case %d", n), chatTokens) })
+		case <-long.C:
+			prompt := casePrompt(l.rng.IntN(cases)) + fmt.Sprintf(" draft %d", n)
+			l.wg.Go(func() { l.model(working, c, l.fleet.long, prompt, longTokens) })
+		case <-action.C:
+			l.action(working, c, n)
+		case <-read.C:
+			l.wg.Go(func() { l.read(working, c) })
+		}
+	}
+}
+
+// casePrompt is a long file that several drafts share as their prefix.
+func casePrompt(n int) string {
+	text := fmt.Sprintf("case file %d:", n)
+	for i := range caseWords {
+		text += fmt.Sprintf(" c%dw%d", n, i)
+	}
+	return text
+}
+
+func (l *load) model(ctx context.Context, c *caller.Client, class, prompt string, tokens int) {
+	l.tally.update(func(s *Summary) { s.Sent++ })
+	result, err := c.Stream(ctx, gateway.CompletionRequest{
+		Model: l.fleet.model, Messages: []gateway.Message{{Role: "user", Content: prompt}},
+		MaxTokens: tokens, ServiceTier: class,
+	})
+	accepted := result.RequestID != ""
+	l.tally.update(func(s *Summary) {
+		s.Resumed += result.Resumed
+		if accepted {
+			s.Accepted++
+		}
+	})
+	if err != nil {
+		l.failed(accepted, err)
+		return
+	}
+	if !slices.Equal(result.Tokens, engine.Tokens(l.fleet.model, "user: "+prompt, tokens)) {
+		l.tally.update(func(s *Summary) { s.AnswersMixed++ })
+		return
+	}
+	l.tally.update(func(s *Summary) { s.AnsweredWhole++ })
+	l.tally.latency(result.FirstToken, result.LongestGap)
+}
+
+// failed sorts an error: a typed refusal is an answer, anything else after
+// acceptance is a request lost.
+func (l *load) failed(accepted bool, err error) {
+	var refused *caller.RefusedError
+	l.tally.update(func(s *Summary) {
+		switch {
+		case errors.As(err, &refused):
+			s.Refused[refused.Code]++
+		case accepted:
+			s.LostAccepted++
+			s.Errors[err.Error()]++
+		default:
+			s.Errors[err.Error()]++
+		}
+	})
+}
+
+func (l *load) action(ctx context.Context, c *caller.Client, n int) {
+	copies := 1
+	if l.rng.IntN(duplicateOne) == 0 {
+		copies = 2
+	}
+	l.wg.Go(func() {
+		key, err := c.NewKey(ctx)
+		if err != nil {
+			l.failed(false, err)
+			return
+		}
+		l.tally.update(func(s *Summary) { s.Sent++; s.Actions++; s.Accepted++ })
+		var wg sync.WaitGroup
+		answers := make([]caller.Answer, copies)
+		errs := make([]error, copies)
+		for i := range copies {
+			wg.Go(func() {
+				answers[i], errs[i] = c.Do(ctx, caller.Call{
+					Service: l.fleet.plainService, Method: http.MethodPost, Path: l.fleet.actionPath,
+					Body: fmt.Appendf(nil, `{"amount":%d}`, n), Key: key,
+				})
+			})
+		}
+		wg.Wait()
+		l.judge(key, answers, errs)
+	})
+}
+
+func (l *load) judge(key string, answers []caller.Answer, errs []error) {
+	if len(answers) == 2 && errs[0] == nil && errs[1] == nil && string(answers[0].Body) != string(answers[1].Body) {
+		l.tally.update(func(s *Summary) { s.AnswersMixed++ })
+	}
+	if errs[0] == nil {
+		l.tally.update(func(s *Summary) { s.AnsweredWhole++ })
+		return
+	}
+	l.failed(true, errs[0])
+	var refused *caller.RefusedError
+	if !errors.As(errs[0], &refused) {
+		return
+	}
+	l.tally.update(func(s *Summary) {
+		if refused.Executed != refusal.ExecutedNo {
+			s.UnknownOutcomes++
+		}
+	})
+	if refused.Executed == refusal.ExecutedNo {
+		l.tally.mu.Lock()
+		l.tally.toldNotRun[key] = true
+		l.tally.mu.Unlock()
+	}
+}
+
+func (l *load) read(ctx context.Context, c *caller.Client) {
+	l.tally.update(func(s *Summary) { s.Sent++; s.Accepted++ })
+	_, err := c.Do(ctx, caller.Call{Service: l.fleet.plainService, Method: http.MethodGet, Path: l.fleet.readPath})
+	if err != nil {
+		l.failed(true, err)
+		return
+	}
+	l.tally.update(func(s *Summary) { s.AnsweredWhole++ })
+}
