--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -138,6 +138,39 @@
 	t.changed(memberKey(t.self.Incarnation), "")
 }
 
+// Leave makes another daemon leaving on an operator's word. The daemon hears of
+// it through the others. It returns false for one that is not known.
+func (t *Table) Leave(now, leavesAt time.Time, i ident.Incarnation) bool {
+	key := memberKey(i)
+	r, ok := t.log.records[key]
+	if !ok {
+		return false
+	}
+	if r.member == t.self {
+		t.Drain(now, leavesAt)
+		return true
+	}
+	if finality(r.member.State) == 0 {
+		r.member.LeavesAt = leavesAt
+		t.conclude(now, key, view.Leaving)
+	}
+	return true
+}
+
+// LeaveVM makes a VM leaving on an operator's word; when it ends is not known.
+// It returns false for one that is not known.
+func (t *Table) LeaveVM(now time.Time, id string) bool {
+	r, ok := t.log.records[vmKey(id)]
+	if !ok {
+		return false
+	}
+	leaving := *r.vm
+	leaving.State = VMLeaving
+	leaving.Since = now
+	t.mergeVM(now, leaving, "")
+	return true
+}
+
 // Left makes this daemon gone: its last word before the process ends.
 func (t *Table) Left(now time.Time) {
 	t.self.State = view.Gone
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -254,6 +255,32 @@
 	c.afterLocked()
 }
 
+// DrainTarget makes a daemon or the runner of a VM leaving for good, wherever it
+// is. The error is an *UnknownTargetError.
+func (c *Control) DrainTarget(target string) error {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer c.afterLocked()
+	found := c.table.LeaveVM(now, target)
+	for _, m := range c.membersLocked() {
+		if string(m.ID) == target || string(m.Incarnation) == target {
+			found = c.table.Leave(now, time.Time{}, m.Incarnation) || found
+		}
+	}
+	if !found {
+		return &UnknownTargetError{Target: target}
+	}
+	return nil
+}
+
+// UnknownTargetError says that there is no such daemon or runner.
+type UnknownTargetError struct{ Target string }
+
+func (e *UnknownTargetError) Error() string {
+	return fmt.Sprintf("no daemon or runner %q is known", e.Target)
+}
+
 // InForce returns the highest generation in force in each failure domain, as
 // far as this daemon has heard.
 func (c *Control) InForce() map[ident.FailureDomain]ident.Generation {
--- /dev/null
+++ b/transport/tlsreload/tlsreload.go
@@ -0,0 +1,155 @@
+// Package tlsreload serves TLS with a certificate that can be replaced while
+// the listener runs: from files that are read again when they change, or from
+// PEM blocks in the settings.
+package tlsreload
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// DefaultInterval is the time between two looks at the files.
+const DefaultInterval = 10 * time.Second
+
+// Source says where the certificate chain and its key come from: files, or PEM
+// in the settings of a VM without files.
+type Source struct {
+	CertificateFile string `json:"certificate_file,omitempty"`
+	KeyFile         string `json:"key_file,omitempty"`
+	CertificatePEM  string `json:"certificate_pem,omitempty"`
+	KeyPEM          string `json:"key_pem,omitempty"`
+	// AuthoritiesPEM verifies the other end; empty is the system's roots for
+	// clients and no client certificates for servers.
+	AuthoritiesPEM string `json:"authorities_pem,omitempty"`
+}
+
+// SourceError says that a certificate or key can't be used.
+type SourceError struct {
+	What string
+	Err  error
+}
+
+func (e *SourceError) Error() string { return fmt.Sprintf("TLS %s: %v", e.What, e.Err) }
+
+// Unwrap returns the cause; nil where there is nothing to read.
+func (e *SourceError) Unwrap() error { return e.Err }
+
+// Reloader holds the certificate in use. It is safe for concurrent use.
+type Reloader struct {
+	source      Source
+	authorities *x509.CertPool
+	current     atomic.Pointer[loaded]
+}
+
+type loaded struct {
+	certificatePEM []byte
+	keyPEM         []byte
+	certificate    tls.Certificate
+}
+
+// New loads the certificate; the error is a *SourceError.
+func New(source Source) (*Reloader, error) {
+	r := &Reloader{source: source}
+	if source.AuthoritiesPEM != "" {
+		r.authorities = x509.NewCertPool()
+		if !r.authorities.AppendCertsFromPEM([]byte(source.AuthoritiesPEM)) {
+			return nil, &SourceError{What: "authorities: no certificate in the PEM"}
+		}
+	}
+	if _, err := r.Reload(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Reload reads the source again and tells whether the certificate changed.
+// After an error (*SourceError) the former stays in use. Guards against files
+// that are replaced one after the other: a certificate without its key is
+// refused here and read again at the next look.
+func (r *Reloader) Reload() (bool, error) {
+	certificatePEM, err := read(r.source.CertificateFile, r.source.CertificatePEM, "certificate")
+	if err != nil {
+		return false, err
+	}
+	keyPEM, err := read(r.source.KeyFile, r.source.KeyPEM, "key")
+	if err != nil {
+		return false, err
+	}
+	former := r.current.Load()
+	if former != nil && bytes.Equal(former.certificatePEM, certificatePEM) && bytes.Equal(former.keyPEM, keyPEM) {
+		return false, nil
+	}
+	certificate, err := tls.X509KeyPair(certificatePEM, keyPEM)
+	if err != nil {
+		return false, &SourceError{What: "key pair", Err: err}
+	}
+	r.current.Store(&loaded{certificatePEM, keyPEM, certificate})
+	return true, nil
+}
+
+func read(file, inline, what string) ([]byte, error) {
+	if file == "" {
+		return []byte(inline), nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &SourceError{What: what, Err: err}
+	}
+	return data, nil
+}
+
+// Run reloads at every interval until the context ends.
+func (r *Reloader) Run(ctx context.Context, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		changed, err := r.Reload()
+		if err != nil {
+			klog.ErrorS(err, "The former TLS certificate stays in use")
+		}
+		if changed {
+			klog.InfoS("TLS certificate replaced")
+		}
+	}
+}
+
+// ServerConfig is for a listener. With authorities it asks for and verifies
+// client certificates.
+func (r *Reloader) ServerConfig() *tls.Config {
+	cfg := &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &r.current.Load().certificate, nil
+		},
+	}
+	if r.authorities != nil {
+		cfg.ClientCAs = r.authorities
+		cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return cfg
+}
+
+// ClientConfig is for calls to other daemons; it shows the certificate where
+// the server asks for one.
+func (r *Reloader) ClientConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		RootCAs:    r.authorities,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &r.current.Load().certificate, nil
+		},
+	}
+}
