Name the platform clients as the daemon calls them

Cause: the daemon's wiring calls NewHTTPCloud, NewHTTPLister and NewHTTPWeights, and its Network wants Dial. Change: these constructors beside NewClient; pipe.Network.Dial in place of DialContext, so that it satisfies daemon.Network.

--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -79,9 +79,9 @@
 	return l, nil
 }
 
-// DialContext connects to a listener of the network. Its signature is that of
-// http.Transport's field.
-func (n *Network) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+// Dial connects to a listener of the network. Its signature is that of
+// http.Transport's DialContext.
+func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	a := Address(address)
 	n.mu.Lock()
 	l := n.listeners[a]
@@ -106,7 +106,7 @@
 // Client returns an HTTP client that dials in the network. Its idle
 // connections have to be closed before a bubble ends.
 func (n *Network) Client() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: n.DialContext}}
+	return &http.Client{Transport: &http.Transport{DialContext: n.Dial}}
 }
 
 func (n *Network) relay(l *link) {
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -52,6 +52,15 @@
 	return &Client{base: base, http: client, timeout: DefaultCallTimeout}
 }
 
+// NewHTTPCloud returns a client of the cloud API at base.
+func NewHTTPCloud(base string, client *http.Client) Cloud { return NewClient(base, client) }
+
+// NewHTTPLister returns a client of the VM list at base.
+func NewHTTPLister(base string, client *http.Client) Lister { return NewClient(base, client) }
+
+// NewHTTPWeights returns a client of the weight store at base.
+func NewHTTPWeights(base string, client *http.Client) Weights { return NewClient(base, client) }
+
 // Start implements Cloud.
 func (c *Client) Start(ctx context.Context, r StartRequest) (VM, error) {
 	var vm VM
