Run whole sets of stand-ins; drop idle connections gone silent

Cause: the demo, the tests and trials by hand need a set at each user's sizes; a client whose idle connections all went silent waited its timeout once for each of them. Conclusion: the whole path has its other ends.

--- /dev/null
+++ b/cmd/standins/main.go
@@ -0,0 +1,95 @@
+// Command standins runs a whole set of stand-ins for the platform and the
+// runners: the key-value service, the cloud API with the VM list, the weight
+// store, model engines and plain services. It is for tests and trials only. It
+// prints one line of JSON with the base URLs of the platform's services, as a
+// daemon's settings name them, and runs until SIGTERM or an interrupt.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/standin/fleet"
+	"geraniumstack.org/geraniumstack/state/document"
+)
+
+// Exit statuses.
+const (
+	exitFailure = 1
+	exitInvalid = 2
+)
+
+// Names of the built-in sets.
+const (
+	setHuaman      = "huaman"
+	setAspenCoulee = "aspen-coulee"
+)
+
+// UnknownSetError says that no built-in set has the name.
+type UnknownSetError struct{ Name string }
+
+func (e *UnknownSetError) Error() string { return fmt.Sprintf("unknown set %q", e.Name) }
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	klog.InitFlags(nil)
+	path := flag.String("settings", "", "the settings file (JSON); overrides -set")
+	set := flag.String("set", setHuaman, "a built-in set: "+setHuaman+" or "+setAspenCoulee)
+	flag.Parse()
+	defer klog.Flush()
+	s, err := load(*path, *set)
+	if err != nil {
+		report(err)
+		return exitInvalid
+	}
+	f, err := fleet.Start(s, fleet.Options{})
+	if err != nil {
+		klog.ErrorS(err, "Stand-ins not started")
+		return exitFailure
+	}
+	defer f.Close()
+	if err := json.NewEncoder(os.Stdout).Encode(f.Addresses()); err != nil {
+		klog.ErrorS(err, "Addresses not printed")
+		return exitFailure
+	}
+	klog.InfoS("Stand-ins started", "runners", len(f.Runners()), "keyValue", f.Addresses().KeyValue)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	<-ctx.Done()
+	klog.InfoS("Stand-ins stopped")
+	return 0
+}
+
+func load(path, set string) (fleet.Settings, error) {
+	switch {
+	case path != "":
+		return fleet.Load(path)
+	case set == setHuaman:
+		return fleet.Huaman()
+	case set == setAspenCoulee:
+		return fleet.AspenCoulee()
+	default:
+		return fleet.Settings{}, &UnknownSetError{Name: set}
+	}
+}
+
+// report prints every fault of the settings with its path.
+func report(err error) {
+	var invalid *document.InvalidError
+	if !errors.As(err, &invalid) {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	for _, p := range invalid.Problems {
+		fmt.Fprintf(os.Stderr, "%s: %s\n", p.Path, p.Reason)
+	}
+}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -32,6 +32,8 @@
 	closed chan struct{}
 	done   chan struct{}
 
+	closeOnce sync.Once
+
 	mu      sync.Mutex
 	core    *Core
 	streams map[string]*stream
@@ -69,10 +71,11 @@
 	return e
 }
 
-// Close ends the engine as Die does and waits for its goroutine.
+// Close ends the engine as Die does and waits for its goroutine. A second call
+// does nothing.
 func (e *Engine) Close() {
 	e.Die()
-	close(e.closed)
+	e.closeOnce.Do(func() { close(e.closed) })
 	<-e.done
 }
 
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,332 @@
+// Package fleet runs a whole set of stand-ins: the key-value service, the cloud
+// API with the VM list, the weight store, and runners that come and go with
+// their VMs.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/standin/engine"
+	"geraniumstack.org/geraniumstack/standin/kvserver"
+	"geraniumstack.org/geraniumstack/standin/platform"
+	"geraniumstack.org/geraniumstack/standin/service"
+	"geraniumstack.org/geraniumstack/state/manifest"
+
+	api "geraniumstack.org/geraniumstack/transport/platform"
+)
+
+// Network opens listeners and connections; pipe.Network is one in memory.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the Network of the machine.
+type TCP struct{}
+
+// Listen opens a TCP listener at an IP address and port.
+func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+// Dial opens a TCP connection.
+func (TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// UnknownServiceError says that a start asked for a service that the settings
+// don't have.
+type UnknownServiceError struct{ Service string }
+
+func (e *UnknownServiceError) Error() string { return fmt.Sprintf("unknown service %q", e.Service) }
+
+// Options connect a set to what runs beside it; all are optional.
+type Options struct {
+	// Network is TCP{} if nil.
+	Network Network
+	// EntryNoticed and EntryRemoved tell of reclaims of entry VMs.
+	EntryNoticed func(vm api.VM, left time.Duration)
+	EntryRemoved func(vm api.VM)
+}
+
+// Fleet is a running set.
+type Fleet struct {
+	// KV, Cloud and Weights are the platform's services.
+	KV      *kvserver.Store
+	Cloud   *platform.Cloud
+	Weights *platform.Weights
+	// Executions is shared by all runners of plain services, Ledger by all
+	// engines.
+	Executions *service.Log
+	Ledger     *engine.Ledger
+
+	settings Settings
+	options  Options
+	client   *http.Client
+	urls     Addresses
+	servers  []*http.Server
+
+	mu      sync.Mutex
+	runners map[string]*Runner
+}
+
+// Addresses are the base URLs of the platform's services, named as a daemon's
+// settings name them.
+type Addresses struct {
+	KeyValue string `json:"key_value"`
+	VMList   string `json:"vm_list"`
+	Cloud    string `json:"cloud"`
+	Weights  string `json:"weights"`
+}
+
+// Runner is the process of one VM. One of Engine and Service is set.
+type Runner struct {
+	VM      api.VM
+	Engine  *engine.Engine
+	Service *service.Service
+	server  *http.Server
+}
+
+// Start runs a set. The caller closes it.
+func Start(s Settings, options Options) (*Fleet, error) {
+	if options.Network == nil {
+		options.Network = TCP{}
+	}
+	f := &Fleet{
+		KV:         kvserver.New(),
+		Executions: service.NewLog(),
+		Ledger:     engine.NewLedger(),
+		settings:   s,
+		options:    options,
+		client:     &http.Client{Transport: &http.Transport{DialContext: options.Network.Dial}},
+		runners:    map[string]*Runner{},
+	}
+	f.Cloud = platform.New(f.cloudSettings())
+	f.Weights = f.weights()
+	if err := f.startPlatform(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if err := f.startRunners(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) cloudSettings() platform.Settings {
+	c := f.settings.Cloud
+	s := platform.Settings{
+		FailureDomains: f.settings.FailureDomains,
+		Seed:           c.Seed,
+		PriceSpread:    c.PriceSpread,
+		PricePeriod:    millis(c.PricePeriodMillis),
+		StartTime:      millis(c.StartMillis),
+		ListLag:        millis(c.ListLagMillis),
+		ChecksFencing:  c.ChecksFencing,
+		Hooks:          platform.Hooks{Launch: f.launch, Noticed: f.noticed, Removed: f.removed},
+	}
+	for _, class := range f.settings.VMClasses {
+		s.Classes = append(s.Classes, platform.Class{Name: class.Name, Reclaimable: class.Reclaimable, PricePerHour: class.PricePerHour})
+	}
+	return s
+}
+
+func (f *Fleet) weights() *platform.Weights {
+	calls, burst := float64(DefaultWeightCalls), DefaultWeightBurst
+	set(&calls, f.settings.Weights.CallsPerSecond)
+	set(&burst, f.settings.Weights.Burst)
+	w := platform.NewWeights(calls, burst)
+	for _, s := range f.settings.Services {
+		for _, m := range s.Models {
+			w.Add(api.Weight{Name: m.Name, Version: m.Version, Bytes: m.Bytes})
+		}
+	}
+	return w
+}
+
+func (f *Fleet) startPlatform() error {
+	var err error
+	if f.urls.KeyValue, err = f.serve(f.settings.Listen.KeyValue, f.KV.Handler()); err != nil {
+		return err
+	}
+	if f.urls.Cloud, err = f.serve(f.settings.Listen.Cloud, f.Cloud.Handler()); err != nil {
+		return err
+	}
+	f.urls.VMList = f.urls.Cloud
+	f.urls.Weights, err = f.serve(f.settings.Listen.Weights, f.Weights.Handler())
+	return err
+}
+
+func (f *Fleet) serve(address string, handler http.Handler) (url string, err error) {
+	server, bound, err := f.listen(address, handler)
+	if err != nil {
+		return "", err
+	}
+	f.servers = append(f.servers, server)
+	return "http://" + bound, nil
+}
+
+func (f *Fleet) listen(address string, handler http.Handler) (*http.Server, string, error) {
+	l, err := f.options.Network.Listen(address)
+	if err != nil {
+		return nil, "", fmt.Errorf("listen at %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler}
+	go server.Serve(l)
+	return server, l.Addr().String(), nil
+}
+
+func (f *Fleet) startRunners() error {
+	for _, vm := range f.settings.EntryVMs {
+		f.Cloud.Register(f.describe(vm.ID, "", vm.VMClass, vm.Address, f.domainIndex(vm)))
+	}
+	for _, s := range f.settings.Services {
+		for i := range s.Runners {
+			vm := f.describe(fmt.Sprintf("%s-%02d", s.Name, i+1), s.Name, s.VMClass, "", i)
+			address, err := f.launch(vm)
+			if err != nil {
+				return err
+			}
+			vm.Address = address
+			f.Cloud.Register(vm)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) domainIndex(vm EntryVM) int {
+	for i, domain := range f.settings.FailureDomains {
+		if domain == vm.FailureDomain {
+			return i
+		}
+	}
+	return 0
+}
+
+func (f *Fleet) describe(id, serviceName, className, address string, i int) api.VM {
+	class := f.settings.class(className)
+	domains := f.settings.FailureDomains
+	return api.VM{
+		ID:            id,
+		Address:       address,
+		FailureDomain: domains[i%len(domains)],
+		Class:         class.Name,
+		Reclaimable:   class.Reclaimable,
+		PricePerHour:  class.PricePerHour,
+		Service:       serviceName,
+	}
+}
+
+// launch runs the process of a VM.
+func (f *Fleet) launch(vm api.VM) (string, error) {
+	s, ok := f.settings.service(vm.Service)
+	if !ok {
+		return "", &UnknownServiceError{Service: vm.Service}
+	}
+	r := &Runner{VM: vm}
+	var handler http.Handler
+	if s.Kind == manifest.KindModel {
+		r.Engine = engine.New(f.settings.engineConfig(vm.ID, s), engine.WithLedger(f.Ledger), engine.WithClient(f.client))
+		handler = r.Engine.Handler()
+	} else {
+		r.Service = service.New(vm.ID, f.Executions)
+		handler = r.Service.Handler()
+	}
+	server, address, err := f.listen(net.JoinHostPort(f.settings.Listen.RunnerHost, "0"), handler)
+	if err != nil {
+		r.close()
+		return "", err
+	}
+	r.server = server
+	r.VM.Address = address
+	f.mu.Lock()
+	f.runners[vm.ID] = r
+	f.mu.Unlock()
+	klog.V(1).InfoS("Runner started", "vm", vm.ID, "service", vm.Service, "failureDomain", vm.FailureDomain, "address", address)
+	return address, nil
+}
+
+func (f *Fleet) noticed(vm api.VM, left time.Duration) {
+	klog.InfoS("VM is going to be reclaimed", "vm", vm.ID, "failureDomain", vm.FailureDomain, "left", left)
+	r := f.Runner(vm.ID)
+	switch {
+	case r == nil && f.options.EntryNoticed != nil:
+		f.options.EntryNoticed(vm, left)
+	case r == nil:
+	case r.Engine != nil:
+		r.Engine.Notice(left)
+	default:
+		r.Service.Notice()
+	}
+}
+
+func (f *Fleet) removed(vm api.VM) {
+	klog.InfoS("VM is gone", "vm", vm.ID, "failureDomain", vm.FailureDomain)
+	f.mu.Lock()
+	r := f.runners[vm.ID]
+	f.mu.Unlock()
+	if r != nil {
+		r.close()
+	} else if f.options.EntryRemoved != nil {
+		f.options.EntryRemoved(vm)
+	}
+}
+
+// close breaks the runner's connections. A second call does nothing.
+func (r *Runner) close() {
+	if r.Engine != nil {
+		r.Engine.Close()
+	} else {
+		r.Service.Die()
+	}
+	if r.server != nil {
+		r.server.Close()
+	}
+}
+
+// Runner returns the process of a VM, also of one that is gone; nil for entry
+// VMs and unknown ones.
+func (f *Fleet) Runner(vm string) *Runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runners[vm]
+}
+
+// Runners lists all runners there ever were, by VM.
+func (f *Fleet) Runners() []*Runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	runners := make([]*Runner, 0, len(f.runners))
+	for _, r := range f.runners {
+		runners = append(runners, r)
+	}
+	sort.Slice(runners, func(i, j int) bool { return runners[i].VM.ID < runners[j].VM.ID })
+	return runners
+}
+
+// Addresses returns the base URLs of the platform's services.
+func (f *Fleet) Addresses() Addresses { return f.urls }
+
+// Settings returns what the set was started with.
+func (f *Fleet) Settings() Settings { return f.settings }
+
+// Close ends all stand-ins at once.
+func (f *Fleet) Close() {
+	for _, r := range f.Runners() {
+		r.close()
+	}
+	for _, server := range f.servers {
+		server.Close()
+	}
+	f.KV.Close()
+	f.Cloud.Close()
+	f.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/standin/fleet/fleet_test.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/standin/engine"
+	"geraniumstack.org/geraniumstack/standin/pipe"
+	"geraniumstack.org/geraniumstack/state/document"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
+
+	client "geraniumstack.org/geraniumstack/transport/engine"
+	api "geraniumstack.org/geraniumstack/transport/platform"
+)
+
+func TestBuiltInSets(t *testing.T) {
+	is := is.New(t)
+	h, err := Huaman()
+	is.NoErr(err)
+	is.Equal(h.Services[0].Runners+h.Services[1].Runners, 16)
+	a, err := AspenCoulee()
+	is.NoErr(err)
+	is.Equal(a.Services[0].Runners+a.Services[1].Runners, 22)
+}
+
+func TestSettingsFaultsAreToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte(`{
+		"listen": {"key_value": "x", "cloud": "x", "weights": "x", "runner_host": "x"},
+		"failure_domains": ["a"],
+		"vm_classes": [{"name": "c", "reclaimable": true, "price_per_hour": 1}],
+		"services": [{"name": "s", "kind": "model", "runners": 1, "vm_class": "d"}],
+		"entry_vms": [{"id": "e", "address": "x", "failure_domain": "b", "vm_class": "c"}]
+	}`))
+	var invalid *document.InvalidError
+	is.True(errors.As(err, &invalid))
+	is.Equal(len(invalid.Problems), 3)
+}
+
+// A whole set runs in a bubble: a failure domain is reclaimed, its runners are
+// gone when the notice is over, and a replacement started through the cloud API
+// serves a model.
+func TestReclaimAndReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s, err := Huaman()
+		is.NoErr(err)
+		n := pipe.NewNetwork()
+		f, err := Start(s, Options{Network: n})
+		is.NoErr(err)
+		connections := n.Client()
+		cloud := api.NewHTTPCloud(f.Addresses().Cloud, connections)
+		ctx := context.Background()
+		is.Equal(len(f.Cloud.ReclaimDomain("lima-norte", 30*time.Second)), 4)
+		notices, err := cloud.Notices(ctx, 0, time.Second)
+		is.NoErr(err)
+		is.Equal(len(notices), 4)
+		time.Sleep(time.Minute)
+		<-f.Runner("asistente-01").Engine.Died()
+		vm, err := cloud.Start(ctx, api.StartRequest{Token: "t", FailureDomain: "lima-sur", Class: "gpu-on-demand", Service: "asistente"})
+		is.NoErr(err)
+		tokens := 0
+		err = client.New(vm.Address, connections).Generate(ctx, engineapi.GenerateRequest{
+			RequestID: "r", AttemptID: "r/1", Model: "asistente", Prompt: "hola", MaxTokens: 3,
+		}, 2*time.Second, func(e engineapi.GenerateEvent) error {
+			if e.Token != "" {
+				is.Equal(e.Token, engine.Token("asistente", "hola", tokens))
+				tokens++
+			}
+			return nil
+		})
+		is.NoErr(err)
+		is.Equal(tokens, 3)
+		is.Equal(f.Ledger.Totals().Recomputed, 0)
+		connections.CloseIdleConnections()
+		f.Close()
+	})
+}
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -8,11 +8,16 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
 
-const bufferBytes = 32 << 10
+const (
+	bufferBytes = 32 << 10
+	anyPort     = "0"
+	firstPort   = 40000
+)
 
 // past is a deadline that is over on every clock, virtual ones too.
 var past = time.Unix(1, 0)
@@ -41,11 +46,12 @@
 	mu        sync.Mutex
 	listeners map[Address]*listener
 	links     map[*link]struct{}
+	lastPort  int
 }
 
 // NewNetwork returns a network without listeners.
 func NewNetwork() *Network {
-	return &Network{listeners: map[Address]*listener{}, links: map[*link]struct{}{}}
+	return &Network{listeners: map[Address]*listener{}, links: map[*link]struct{}{}, lastPort: firstPort - 1}
 }
 
 type listener struct {
@@ -66,10 +72,15 @@
 	silent bool
 }
 
-// Listen makes address reachable until the listener is closed.
+// Listen makes address reachable until the listener is closed. Port 0 is
+// replaced by one that was never used.
 func (n *Network) Listen(address string) (net.Listener, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if host, port, err := net.SplitHostPort(address); err == nil && port == anyPort {
+		n.lastPort++
+		address = net.JoinHostPort(host, strconv.Itoa(n.lastPort))
+	}
 	a := Address(address)
 	if n.listeners[a] != nil {
 		return nil, &net.OpError{Op: "listen", Net: a.Network(), Addr: a, Err: &InUseError{Address: address}}
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -72,6 +72,8 @@
 	changed chan struct{} // closed at the next notice or change of faults
 	faults  Faults
 	refused int
+	timers  []*time.Timer
+	closed  bool
 }
 
 // vm keeps when a VM's state changed, so that the list can tell what it was.
@@ -256,10 +258,29 @@
 	if noticed := c.settings.Hooks.Noticed; noticed != nil {
 		noticed(described, left)
 	}
-	time.AfterFunc(left, func() { c.Kill(id) })
+	c.killAfter(id, left)
 	return true
 }
 
+func (c *Cloud) killAfter(id string, left time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.timers = append(c.timers, time.AfterFunc(left, func() { c.Kill(id) }))
+}
+
+// Close keeps the VMs that have a notice from being killed later.
+func (c *Cloud) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, timer := range c.timers {
+		timer.Stop()
+	}
+}
+
 // ReclaimDomain gives notice to all reclaimable VMs of a failure domain and
 // returns their IDs.
 func (c *Cloud) ReclaimDomain(domain ident.FailureDomain, left time.Duration) []string {
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -81,7 +81,21 @@
 		return cause(ctx, refused(response))
 	}
 	heard := func() { deadline.Reset(silence) }
-	return cause(ctx, readLines(response.Body, heard, sink))
+	err = readLines(response.Body, heard, sink)
+	c.forget(ctx)
+	return cause(ctx, err)
+}
+
+// forget closes the idle connections after a call that ran out of time.
+// Open connections can go silent for good while new ones work, often all of
+// them at once; it shows in nothing but calls that get no answer. The call's
+// own connection is closed by its context, and this closes those that the next
+// calls would wait on in vain.
+func (c *Client) forget(ctx context.Context) {
+	silent := (*SilentError)(nil)
+	if errors.As(context.Cause(ctx), &silent) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
 }
 
 // cause returns why the call was ended on this side, if it was.
@@ -227,6 +241,7 @@
 	}
 	response, err := c.http.Do(r)
 	if err != nil {
+		c.forget(ctx)
 		return nil, sendError(err)
 	}
 	return response, nil
--- a/transport/kv/client.go
+++ b/transport/kv/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -120,11 +121,13 @@
 	r.Header.Set("Content-Type", contentTypeJSON)
 	response, err := c.http.Do(r)
 	if err != nil {
+		c.forget(ctx)
 		return &UnavailableError{Err: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
+		c.forget(ctx)
 		return &UnavailableError{Err: err}
 	}
 	if response.StatusCode != http.StatusOK {
@@ -139,6 +142,17 @@
 	return nil
 }
 
+// forget closes the idle connections after a call that ran out of time. Open
+// connections can go silent for good while new ones work, often all of them at
+// once; it shows in nothing but calls that get no answer. The call's own
+// connection is closed by its context, and this closes those that the next
+// calls would wait on in vain.
+func (c *httpClient) forget(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+}
+
 func failure(path string, status int, data []byte) error {
 	var body ErrorBody
 	if json.Unmarshal(data, &body) == nil {
