Reclaim runners by plan and test streams through the real stand-in engine

Cause: notices, half-way exports, second notices and early deaths were not carried out by the driver, and tests ran on an engine fake. Change: daemon/models plans on each change of the directory, follows the plan by timers, reaches engines through transport/engine; tests run daemons and stand-in engines on standin/pipe in synctest bubbles. Conclusion: wave, hand-off and stream faults are covered.

--- a/daemon/models/config.go
+++ b/daemon/models/config.go
@@ -18,7 +18,7 @@
 // Engines reaches model engines by their address.
 type Engines interface {
 	// Generate runs an attempt until its stream ends, passing each line on. An
-	// error that has a method NotStarted() bool returning true promises that
+	// error with a method MayHaveStarted() bool returning false promises that
 	// the attempt did not start.
 	Generate(ctx context.Context, address string, r engineapi.GenerateRequest, sink func(engineapi.GenerateEvent) error) error
 	Cancel(ctx context.Context, address string, r engineapi.CancelRequest) error
@@ -87,6 +87,8 @@
 	Picker  Picker
 	Metrics metrics.Registry
 	Limits  Limits
+	// Transfer is what moving KV caches costs.
+	Transfer Transfer
 }
 
 // Limits bound what Models keeps and waits for; zero fields get defaults.
--- a/daemon/models/harness_test.go
+++ b/daemon/models/harness_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,15 +18,18 @@
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/models"
 	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/standin/engine"
+	"geraniumstack.org/geraniumstack/standin/pipe"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
-	"geraniumstack.org/geraniumstack/transport/engineapi"
 )
 
 const (
 	workspace = ident.Workspace("huaman")
 	model     = "asistente"
+	// tokenTime is one decode step of the stand-in engine.
 	tokenTime = 20 * time.Millisecond
+	silence   = 3 * time.Second
 )
 
 func testManifest() *manifest.Manifest {
@@ -44,39 +47,61 @@
 func (fixedConfig) Current() (*manifest.Manifest, ident.Generation) { return testManifest(), 1 }
 func (fixedConfig) Changed() <-chan struct{}                        { return nil }
 
-// cluster is a set of daemons and runners that reach each other by pipes.
+// cluster is a set of daemons and engines on a network in memory.
 type cluster struct {
-	mu       sync.Mutex
-	daemons  []view.Daemon
-	runners  []view.Runner
-	changed  chan struct{}
-	handlers map[string]http.Handler
-	cut      map[string]bool
-	conns    map[string][]net.Conn
-	engines  *engines
-	wg       sync.WaitGroup
-	cancels  map[ident.Incarnation]context.CancelFunc
+	*pipe.Network
+	ledger  *engine.Ledger
+	engines []*engine.Engine
+
+	mu      sync.Mutex
+	daemons []view.Daemon
+	runners []view.Runner
+	changed chan struct{}
+	stops   []func()
 }
 
 func newCluster(runners int) *cluster {
-	c := &cluster{
-		changed:  make(chan struct{}),
-		handlers: map[string]http.Handler{},
-		cut:      map[string]bool{},
-		conns:    map[string][]net.Conn{},
-		engines:  newEngines(),
-		cancels:  map[ident.Incarnation]context.CancelFunc{},
-	}
+	c := &cluster{Network: pipe.NewNetwork(), ledger: engine.NewLedger(), changed: make(chan struct{})}
 	for i := range runners {
 		id := ident.RunnerID(fmt.Sprintf("runner-%d", i))
+		cfg := engine.DefaultConfig(string(id), model, "1")
+		cfg.BytesPerToken = 1 << 20 // so that an export takes a while
+		client := c.Client()
+		e := engine.New(cfg, engine.WithLedger(c.ledger), engine.WithClient(client))
+		c.serve(address(i), e.Handler(), client)
+		c.stops = append(c.stops, e.Close)
+		c.engines = append(c.engines, e)
 		c.runners = append(c.runners, view.Runner{
-			ID: id, Address: string(id) + ":80", Service: model,
+			ID: id, Address: address(i), Service: model,
 			FailureDomain: domain(i), State: view.Live,
 		})
 	}
 	return c
 }
 
+func address(runner int) string { return fmt.Sprintf("runner-%d:80", runner) }
+
+// serve listens until the cluster stops or the address is taken down.
+func (c *cluster) serve(address string, h http.Handler, client *http.Client) *http.Server {
+	l, err := c.Listen(address)
+	if err != nil {
+		panic(err)
+	}
+	server := &http.Server{Handler: h}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(l)
+	}()
+	c.stops = append(c.stops, func() {
+		client.CloseIdleConnections()
+		c.Break(address)
+		server.Close()
+		<-done
+	})
+	return server
+}
+
 func domain(i int) ident.FailureDomain { return ident.FailureDomain(fmt.Sprintf("d%d", i%4)) }
 
 // change edits the directory that all daemons see.
@@ -128,9 +153,13 @@
 type gateway struct {
 	*models.Models
 	self    ident.Incarnation
+	address string
 	metrics metrics.Registry
-	c       *cluster
+	server  *http.Server
+	end     context.CancelFunc
 	next    int
+	// isolated daemons can open no connection.
+	isolated atomic.Bool
 }
 
 func (g *gateway) counter(name string) int64 {
@@ -139,38 +168,52 @@
 
 func (c *cluster) start(n int) *gateway {
 	id := ident.DaemonID(fmt.Sprintf("gw-%d", n))
-	self := ident.NewIncarnation(id, []byte{byte(n)})
-	address := string(id) + ":7000"
-	g := &gateway{self: self, metrics: metrics.NewRegistry(), c: c}
-	client := &http.Client{Transport: &http.Transport{DialContext: c.dial}}
+	g := &gateway{
+		self:    ident.NewIncarnation(id, []byte{byte(n)}),
+		address: string(id) + ":7000",
+		metrics: metrics.NewRegistry(),
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, to string) (net.Conn, error) {
+		if g.isolated.Load() {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: &pipe.RefusedError{Address: to}}
+		}
+		return c.DialContext(ctx, network, to)
+	}}}
+	d := directory{c, g.self}
 	g.Models = models.New(models.Config{
-		Self: self, Directory: directory{c, self}, Config: fixedConfig{}, Engines: c.engines,
-		Peers: models.HTTPPeers{Client: client}, Metrics: g.metrics,
+		Self: g.self, Directory: d, Config: fixedConfig{}, Metrics: g.metrics,
+		Engines:  models.HTTPEngines{Client: client, Silence: silence, Directory: d},
+		Peers:    models.HTTPPeers{Client: client},
+		Transfer: models.Transfer{BytesPerToken: 1 << 20},
 	})
 	_, handler := g.Handler()
+	g.server = c.serve(g.address, handler, client)
 	c.change(func() {
 		c.daemons = append(c.daemons, view.Daemon{
-			ID: id, Incarnation: self, FailureDomain: domain(n), PeerAddress: address, State: view.Live,
+			ID: id, Incarnation: g.self, FailureDomain: domain(n), PeerAddress: g.address, State: view.Live,
 		})
-		c.handlers[address] = handler
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	c.cancels[self] = cancel
-	c.wg.Go(func() { _ = g.Run(ctx) })
+	g.end = cancel
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = g.Run(ctx)
+	}()
+	c.stops = append(c.stops, func() {
+		cancel()
+		client.CloseIdleConnections()
+		<-done
+	})
 	return g
 }
 
 // kill ends a daemon without a word: its connections break, and its process
 // does nothing more.
 func (c *cluster) kill(g *gateway) {
-	address := string(must(g.self.Daemon())) + ":7000"
-	c.mu.Lock()
-	c.cut[address] = true
-	for _, conn := range c.conns[address] {
-		conn.Close()
-	}
-	c.mu.Unlock()
-	c.cancels[g.self]()
+	g.end()
+	c.Break(g.address)
+	g.server.Close()
 }
 
 // gone makes every daemon conclude that a killed one is gone.
@@ -180,145 +223,23 @@
 	})
 }
 
-func (c *cluster) stop() {
-	for _, cancel := range c.cancels {
-		cancel()
-	}
-	c.mu.Lock()
-	for _, conns := range c.conns {
-		for _, conn := range conns {
-			conn.Close()
-		}
-	}
-	c.mu.Unlock()
-	c.wg.Wait()
-}
-
-type cutError struct{ address string }
-
-func (e *cutError) Error() string { return "cannot connect to " + e.address }
-
-type oneConn struct {
-	conn net.Conn
-	done chan struct{}
-	once sync.Once
-}
-
-func (l *oneConn) Accept() (net.Conn, error) {
-	if conn := l.conn; conn != nil {
-		l.conn = nil
-		return conn, nil
-	}
-	<-l.done
-	return nil, net.ErrClosed
-}
-func (l *oneConn) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
-func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
-
-func (c *cluster) dial(_ context.Context, _, address string) (net.Conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	handler := c.handlers[address]
-	if handler == nil || c.cut[address] {
-		return nil, &cutError{address}
+// notice tells everyone that runners go in a while, and ends them then.
+func (c *cluster) notice(left time.Duration, runners ...int) {
+	for _, i := range runners {
+		c.engines[i].Notice(left)
 	}
-	near, far := net.Pipe()
-	c.conns[address] = append(c.conns[address], near, far)
-	l := &oneConn{conn: far, done: make(chan struct{})}
-	server := &http.Server{Handler: handler, ConnState: func(_ net.Conn, s http.ConnState) {
-		if s == http.StateClosed {
-			l.Close()
+	c.change(func() {
+		for _, i := range runners {
+			c.runners[i].State = view.Leaving
+			c.runners[i].LeavesAt = time.Now().Add(left)
 		}
-	}}
-	c.wg.Go(func() { _ = server.Serve(l) })
-	return near, nil
-}
-
-func must[T any](v T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return v
-}
-
-// engines is every engine of the cluster: each request's token at an offset is
-// a function of both, so that a wrong splice shows.
-type engines struct {
-	mu       sync.Mutex
-	dead     map[string]bool
-	refuse   map[string]bool
-	silent   map[string]int // attempts that go silent after two tokens
-	computed int            // prompt and emitted tokens computed
-	started  []engineapi.GenerateRequest
-	at       []string
-}
-
-func newEngines() *engines {
-	return &engines{dead: map[string]bool{}, refuse: map[string]bool{}, silent: map[string]int{}}
-}
-
-type refusedError struct{}
-
-func (refusedError) Error() string    { return "engine refused" }
-func (refusedError) NotStarted() bool { return true }
-
-var errReset = errors.New("connection reset")
-
-func wordAt(id ident.RequestID, offset int) string {
-	return fmt.Sprintf("%s/%d", id, offset)
+	})
 }
 
-func (e *engines) Generate(ctx context.Context, address string, r engineapi.GenerateRequest, sink func(engineapi.GenerateEvent) error) error {
-	e.mu.Lock()
-	if e.refuse[address] || e.dead[address] {
-		e.mu.Unlock()
-		return refusedError{}
-	}
-	e.started = append(e.started, r)
-	e.at = append(e.at, address)
-	e.computed += len(strings.Fields(r.Prompt)) + len(r.Emitted)
-	silent := e.silent[address] > 0
-	if silent {
-		e.silent[address]--
-	}
-	e.mu.Unlock()
-	event := engineapi.GenerateEvent{RequestID: r.RequestID, AttemptID: r.AttemptID}
-	for offset := len(r.Emitted); offset < r.MaxTokens; offset++ {
-		if silent && offset >= len(r.Emitted)+2 {
-			<-ctx.Done()
-			return ctx.Err()
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(tokenTime):
-		}
-		if e.isDead(address) {
-			return errReset
-		}
-		event.Offset, event.Token = offset, wordAt(ident.RequestID(r.RequestID), offset)
-		if err := sink(event); err != nil {
-			return err
-		}
+func (c *cluster) stop() {
+	for _, stop := range slices.Backward(c.stops) {
+		stop()
 	}
-	event.Offset, event.Token, event.Done, event.FinishReason = r.MaxTokens, "", true, "length"
-	return sink(event)
-}
-
-func (e *engines) isDead(address string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.dead[address]
-}
-
-func (e *engines) Cancel(context.Context, string, engineapi.CancelRequest) error { return nil }
-
-func (e *engines) Export(context.Context, string, engineapi.ExportRequest) (engineapi.ExportResponse, error) {
-	return engineapi.ExportResponse{Handle: "h"}, nil
-}
-
-func (e *engines) Import(context.Context, string, engineapi.ImportRequest) (engineapi.ImportResponse, error) {
-	return engineapi.ImportResponse{Handle: "i"}, nil
 }
 
 func (g *gateway) request(class string, tokens int) call.ModelRequest {
@@ -326,31 +247,38 @@
 	return call.ModelRequest{
 		ID:        ident.NewRequestID(g.self, []byte{byte(g.next)}),
 		Workspace: workspace, Class: class, Model: model,
-		Prompt: strings.Repeat("owner case ", 50), MaxTokens: tokens,
+		Prompt:    fmt.Sprintf("case %s %d ", g.self, g.next) + strings.Repeat("owner file ", 50),
+		MaxTokens: tokens,
 	}
 }
 
-// readAll reads from an offset to the end and checks every offset on the way.
-func readAll(t *testing.T, g *gateway, id ident.RequestID, from, total int) {
+// readAll reads from an offset to the end, checks every token on the way and
+// returns the longest time without one.
+func readAll(t *testing.T, g *gateway, r call.ModelRequest, from int) (longest time.Duration) {
 	t.Helper()
-	next := from
-	err := g.Read(t.Context(), workspace, id, from, func(e call.Event) error {
+	want := engine.Tokens(r.Model, r.Prompt, r.MaxTokens)
+	next, last := from, time.Now()
+	err := g.Read(t.Context(), workspace, r.ID, from, func(e call.Event) error {
 		switch {
 		case e.Heartbeat:
+			return nil
 		case e.Done:
-			if e.Offset != total || next != total {
-				t.Errorf("ended at %d with %d read, want %d", e.Offset, next, total)
+			if e.Offset != r.MaxTokens || next != r.MaxTokens {
+				t.Errorf("ended at %d with %d read, want %d", e.Offset, next, r.MaxTokens)
 			}
-		case e.Offset != next || e.Token != wordAt(id, next):
-			t.Errorf("got offset %d %q, want %d", e.Offset, e.Token, next)
+		case e.Offset != next || e.Token != want[next]:
+			t.Errorf("got offset %d %q, want %d %q", e.Offset, e.Token, next, want[next])
 		default:
 			next++
 		}
+		longest = max(longest, time.Since(last))
+		last = time.Now()
 		return nil
 	})
 	if err != nil {
-		t.Errorf("read: %v", err)
+		t.Errorf("read %s: %v", r.ID, err)
 	}
+	return longest
 }
 
 func bubble(t *testing.T, runners int, run func(t *testing.T, c *cluster)) {
--- a/daemon/models/live.go
+++ b/daemon/models/live.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -51,6 +50,9 @@
 	// movedTo runs the request instead of this daemon.
 	movedTo ident.Incarnation
 	ended   time.Time
+	// plan is what a reclaim's plan decided, follows the timer to do it.
+	plan    planned
+	follows *time.Timer
 }
 
 func (m *Models) newLive(r call.ModelRequest, service string, class manifest.Class) *live {
@@ -131,7 +133,7 @@
 	over := l.machine.Over() && l.ended.IsZero()
 	if over {
 		l.ended = time.Now()
-		l.stopTimer()
+		l.stopTimers()
 		l.cancel()
 	}
 	l.mu.Unlock()
@@ -141,9 +143,11 @@
 	}
 }
 
-func (l *live) stopTimer() {
-	if l.timer != nil {
-		l.timer.Stop()
+func (l *live) stopTimers() {
+	for _, t := range []*time.Timer{l.timer, l.follows} {
+		if t != nil {
+			t.Stop()
+		}
 	}
 }
 
@@ -184,7 +188,9 @@
 }
 
 func (l *live) wakeAt(t time.Time) {
-	l.stopTimer()
+	if l.timer != nil {
+		l.timer.Stop()
+	}
 	l.timer = time.AfterFunc(time.Until(t), func() { l.step(request.Tick{}) })
 }
 
@@ -257,8 +263,8 @@
 
 func (e *UnknownAddressError) Error() string { return fmt.Sprintf("no address of runner %q", e.Runner) }
 
-// NotStarted tells that nothing was sent.
-func (e *UnknownAddressError) NotStarted() bool { return true }
+// MayHaveStarted tells that nothing was sent.
+func (e *UnknownAddressError) MayHaveStarted() bool { return false }
 
 func (l *live) run(ctx context.Context, id ident.AttemptID, choice Choice, req engineapi.GenerateRequest) {
 	err := error(&UnknownAddressError{Runner: choice.Runner})
@@ -300,22 +306,6 @@
 	return nil
 }
 
-func notStarted(err error) bool {
-	var n interface{ NotStarted() bool }
-	return errors.As(err, &n) && n.NotStarted()
-}
-
-func closedBy(err error) request.Cause {
-	var failed *EngineFailedError
-	switch {
-	case errors.As(err, &failed):
-		return request.EngineError
-	case notStarted(err):
-		return request.Refused
-	}
-	return request.Truncated
-}
-
 func (l *live) answeredAttempt() ident.AttemptID {
 	return l.machine.Answer().Attempt()
 }
--- a/daemon/models/models.go
+++ b/daemon/models/models.go
@@ -53,6 +53,7 @@
 // records are only looked after while Run runs.
 func New(c Config) *Models {
 	c.Limits = c.Limits.withDefaults()
+	c.Transfer = c.Transfer.withDefaults()
 	if c.Picker == nil {
 		c.Picker = &RoundRobin{Directory: c.Directory}
 	}
--- a/daemon/models/models_test.go
+++ b/daemon/models/models_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/standin/engine"
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
@@ -17,9 +18,9 @@
 		first, second := c.start(0), c.start(1)
 		r := first.request("chat", 40)
 		is.NoErr(first.Submit(t.Context(), r))
-		readAll(t, second, r.ID, 7, 40)
-		readAll(t, first, r.ID, 0, 40)
-		readAll(t, second, r.ID, 40, 40)
+		readAll(t, second, r, 7)
+		readAll(t, first, r, 0)
+		readAll(t, second, r, 40)
 	})
 }
 
@@ -46,14 +47,13 @@
 	bubble(t, 2, func(t *testing.T, c *cluster) {
 		is := is.New(t)
 		g := c.start(0)
-		c.engines.silent["runner-0:80"] = 1
+		c.engines[0].SetFaults(engine.Faults{Stream: engine.StreamStall, Streams: 1, AfterTokens: 2})
 		r := g.request("chat", 10)
 		is.NoErr(g.Submit(t.Context(), r))
 		began := time.Now()
-		readAll(t, g, r.ID, 0, 10)
+		readAll(t, g, r, 0)
 		is.True(time.Since(began) < 4*time.Second)
-		is.Equal(c.engines.at, []string{"runner-0:80", "runner-0:80"})
-		is.Equal(len(c.engines.started[1].Emitted), 2)
+		is.Equal(c.engines[1].Counters().Accepted, 0)
 		is.Equal(g.counter("attempts.abandoned.silent"), int64(1))
 	})
 }
@@ -67,11 +67,9 @@
 		r := g.request("chat", 20)
 		is.NoErr(g.Submit(t.Context(), r))
 		time.Sleep(10*tokenTime + tokenTime/2)
-		c.engines.mu.Lock()
-		c.engines.dead["runner-0:80"] = true
-		c.engines.mu.Unlock()
-		readAll(t, g, r.ID, 0, 20)
-		is.Equal(c.engines.at, []string{"runner-0:80", "runner-1:80"})
+		c.engines[0].Die()
+		readAll(t, g, r, 0)
+		is.Equal(c.engines[1].Counters().Accepted, 1)
 	})
 }
 
@@ -81,8 +79,8 @@
 	bubble(t, 2, func(t *testing.T, c *cluster) {
 		is := is.New(t)
 		g := c.start(0)
-		c.engines.refuse["runner-0:80"] = true
-		c.engines.refuse["runner-1:80"] = true
+		c.engines[0].SetFaults(engine.Faults{Refuse: true})
+		c.engines[1].SetFaults(engine.Faults{Refuse: true})
 		r := g.request("chat", 5)
 		is.NoErr(g.Submit(t.Context(), r))
 		err := g.Read(t.Context(), workspace, r.ID, 0, func(call.Event) error { return nil })
@@ -104,7 +102,7 @@
 		time.Sleep(time.Second)
 		c.kill(first)
 		c.gone(first)
-		readAll(t, second, r.ID, 30, 200)
+		readAll(t, second, r, 30)
 	})
 }
 
@@ -121,7 +119,7 @@
 		read := make(chan struct{})
 		go func() {
 			defer close(read)
-			readAll(t, first, chat.ID, 0, 300)
+			readAll(t, first, chat, 0)
 		}()
 		time.Sleep(time.Second)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
@@ -129,7 +127,7 @@
 		is.NoErr(first.Drain(ctx))
 		err := first.Submit(t.Context(), first.request("chat", 1))
 		is.Equal(refusal.From(err).Reason, refusal.Draining)
-		readAll(t, second, bulletin.ID, 50, 300)
+		readAll(t, second, bulletin, 50)
 		<-read
 		is.Equal(first.counter("requests.passed_on"), int64(2))
 	})
--- /dev/null
+++ b/daemon/models/reclaim_test.go
@@ -0,0 +1,181 @@
+package models_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/standin/engine"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// begin submits a bulletin that runs at runner 0 and lets it emit some tokens.
+func begin(t *testing.T, g *gateway, tokens int) call.ModelRequest {
+	t.Helper()
+	r := g.request("bulletin", tokens)
+	if err := g.Submit(t.Context(), r); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	return r
+}
+
+func TestNoticeMovesTheCache(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		r := begin(t, g, 2000)
+		c.notice(20*time.Second, 0)
+		is.True(readAll(t, g, r, 0) < time.Second)
+		is.Equal(g.counter("reclaim.planned.move"), int64(1))
+		is.True(c.ledger.Totals().Recomputed < 20) // what was emitted during the transfer
+	})
+}
+
+func TestShortAnswerFinishesInPlace(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		r := begin(t, g, 150)
+		c.notice(20*time.Second, 0)
+		readAll(t, g, r, 0)
+		is.Equal(g.counter("reclaim.planned.finish"), int64(1))
+		is.Equal(c.ledger.Totals().Recomputed, 0)
+	})
+}
+
+// The move of a KV cache breaks half way. The caller sees the answer go on at
+// the target all the same, computed anew.
+func TestExportThatFailsHalfWay(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		c.engines[0].SetFaults(engine.Faults{FailExports: 1})
+		r := begin(t, g, 2000)
+		c.notice(20*time.Second, 0)
+		is.True(readAll(t, g, r, 0) < time.Second)
+		is.Equal(g.counter("attempts.abandoned.export_failed"), int64(1))
+	})
+}
+
+// A second notice takes the target of a move under way. The stream goes to a
+// third runner instead; nothing is lost.
+func TestSecondNoticeHitsTheTargetOfAMove(t *testing.T) {
+	bubble(t, 3, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		r := begin(t, g, 3000)
+		c.notice(30*time.Second, 0)
+		time.Sleep(20 * time.Millisecond)
+		first := 1
+		if c.engines[2].Load().Running > 0 {
+			first = 2
+		}
+		c.notice(10*time.Second, first)
+		readAll(t, g, r, 0)
+		is.True(g.counter("reclaim.planned.move") >= 2)
+		is.True(c.engines[3-first].Counters().Accepted > 0)
+	})
+}
+
+// The VM goes long before its notice is over, in the middle of a move. The
+// answer goes on at the target by its tokens.
+func TestRunnerDiesBeforeItsNoticeIsOver(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		r := begin(t, g, 2000)
+		c.notice(20*time.Second, 0)
+		time.Sleep(50 * time.Millisecond)
+		c.engines[0].Die()
+		is.True(readAll(t, g, r, 0) < time.Second)
+		is.True(c.engines[1].Counters().ComputedTokens > 100)
+	})
+}
+
+// A wave takes every runner. The accepted bulletin would be dropped; it waits
+// until there is a runner again, minutes later.
+func TestBulletinOutlastsAWaveThatTakesAll(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		g := c.start(0)
+		r := begin(t, g, 3000)
+		c.notice(5*time.Second, 0, 1)
+		time.Sleep(5 * time.Minute)
+		cfg := engine.DefaultConfig("runner-9", model, "1")
+		client := c.Client()
+		e := engine.New(cfg, engine.WithLedger(c.ledger), engine.WithClient(client))
+		c.stops = append(c.stops, e.Close)
+		c.serve("runner-9:80", e.Handler(), client)
+		c.change(func() {
+			c.runners = []view.Runner{{ID: "runner-9", Address: "runner-9:80", Service: model, State: view.Live}}
+		})
+		readAll(t, g, r, 0)
+	})
+}
+
+// A gateway gets its notice, begins to pass its requests on and dies in the
+// middle: its adopters may have got some, and nobody heard of the rest. The
+// keepers of the records run those; no accepted bulletin is lost.
+func TestGatewayDiesInTheMiddleOfTheHandOff(t *testing.T) {
+	bubble(t, 4, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second, _ := c.start(0), c.start(1), c.start(2)
+		var all []call.ModelRequest
+		for range 12 {
+			r := first.request("bulletin", 400)
+			is.NoErr(first.Submit(t.Context(), r))
+			all = append(all, r)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		go func() { _ = first.Drain(context.Background()) }()
+		time.Sleep(time.Microsecond)
+		c.kill(first)
+		time.Sleep(3 * time.Second)
+		c.gone(first)
+		for _, r := range all {
+			readAll(t, second, r, 10)
+		}
+		is.Equal(c.ledger.Totals().Recomputed < 12*400, true)
+	})
+}
+
+// Two daemons would both run a request, and its readers get one's words here
+// and the other's there: its owner is only cut off, is taken for gone, and
+// comes back. On its next renewal it learns of the higher epoch and stops.
+func TestCutOffOwnerYieldsToItsAdopter(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second, third := c.start(0), c.start(1), c.start(2)
+		r := first.request("bulletin", 3000)
+		is.NoErr(first.Submit(t.Context(), r))
+		time.Sleep(3 * time.Second)
+		first.isolated.Store(true)
+		c.gone(first) // wrongly
+		d := view.Daemon{ID: "gw-0", Incarnation: first.self, FailureDomain: domain(0), PeerAddress: first.address, State: view.Live}
+		for _, a := range []*gateway{first, second, third} {
+			c.Silence(a.address)
+		}
+		time.Sleep(20 * time.Second)
+		first.isolated.Store(false)
+		c.change(func() { c.daemons = append(c.daemons, d) })
+		readAll(t, first, r, 0)
+		is.Equal(first.counter("requests.superseded")+second.counter("requests.superseded")+third.counter("requests.superseded"), int64(1))
+	})
+}
+
+// A daemon that never existed, or forgot the request, is not waited for.
+func TestUnknownRequestIsToldAtOnce(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second := c.start(0), c.start(1)
+		r := first.request("chat", 10)
+		began := time.Now()
+		err := second.Read(t.Context(), workspace, r.ID, 0, func(call.Event) error { return nil })
+		is.Equal(refusal.From(err).Reason, refusal.UnknownRequest)
+		is.True(time.Since(began) < time.Second)
+	})
+}
--- /dev/null
+++ b/daemon/models/streams_test.go
@@ -0,0 +1,97 @@
+package models_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/standin/engine"
+)
+
+// A caller would read words twice, words of another caller, or an answer with
+// a hole or without its end. An engine's stream repeats lines, carries a line
+// of the other request, leaves a token out, ends early or breaks, in turn, and
+// the cause lies with the runner or the way there each time.
+func TestFaultyStreamsDoNotReachTheCaller(t *testing.T) {
+	for _, f := range []struct {
+		fault   engine.StreamFault
+		counter string
+	}{
+		{engine.StreamDuplicate, "stream.dropped.duplicate"},
+		{engine.StreamCross, "stream.dropped.other_request"},
+		{engine.StreamGap, "stream.dropped.gap"},
+		{engine.StreamTruncate, "attempts.abandoned.truncated"},
+		{engine.StreamBreak, "attempts.abandoned.truncated"},
+		{engine.StreamStall, "attempts.abandoned.silent"},
+	} {
+		t.Run(string(f.fault), func(t *testing.T) {
+			bubble(t, 1, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				g := c.start(0)
+				c.engines[0].SetFaults(engine.Faults{Stream: f.fault, Streams: 2, AfterTokens: 5})
+				requests := []call.ModelRequest{g.request("chat", 40), g.request("chat", 40)}
+				for _, r := range requests {
+					is.NoErr(g.Submit(t.Context(), r))
+				}
+				for _, r := range requests {
+					is.True(readAll(t, g, r, 0) < silence+time.Second)
+				}
+				is.True(g.counter(f.counter) > 0)
+			})
+		})
+	}
+}
+
+// A caller would read the end of its answer twice: the first runner's
+// connection goes silent, a second attempt begins, and the first goes on
+// sending after it was cancelled.
+func TestLateLinesOfACancelledAttempt(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		c.engines[0].SetFaults(engine.Faults{LateLines: 20})
+		r := g.request("chat", 200)
+		is.NoErr(g.Submit(t.Context(), r))
+		time.Sleep(10 * tokenTime)
+		c.notice(time.Second, 0)
+		readAll(t, g, r, 0)
+		is.True(c.engines[1].Counters().Accepted > 0)
+	})
+}
+
+// Readers at another gateway would wait for good: the connection between the
+// two daemons goes silent. The reader's gateway opens a new one; the request's
+// owner is well and goes on.
+func TestSilentPeerConnectionIsReopened(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		owner, other := c.start(0), c.start(1)
+		r := owner.request("chat", 300)
+		is.NoErr(owner.Submit(t.Context(), r))
+		go func() {
+			time.Sleep(time.Second)
+			c.Silence(owner.address)
+		}()
+		is.True(readAll(t, other, r, 0) < silence+time.Second)
+		is.Equal(other.counter("peers.reopened"), int64(1))
+		is.Equal(c.engines[0].Counters().Accepted, 1)
+	})
+}
+
+// Every request at a runner would fail: all its connections go silent at once,
+// while new ones work. The requests stay there and keep their KV cache.
+func TestSilentEngineConnectionsKeepTheirRunner(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		r := g.request("chat", 300)
+		is.NoErr(g.Submit(t.Context(), r))
+		time.Sleep(time.Second)
+		is.True(c.Silence(address(0)) > 0)
+		is.True(readAll(t, g, r, 0) <= silence+time.Second)
+		is.Equal(c.engines[1].Counters().Accepted, 0)
+		is.True(c.engines[0].Counters().CachedTokens > 0)
+	})
+}
--- a/protocol/request/messages.go
+++ b/protocol/request/messages.go
@@ -35,12 +35,18 @@
 
 // Relocate moves the request off its runner as the reclaim's plan decided.
 type Relocate struct {
+	// Attempt is the one that the plan was made for; a later one stays.
+	Attempt ident.AttemptID
 	Target ident.RunnerID
 	// Export takes the KV cache along; without it the target computes the
 	// prompt and the emitted tokens anew.
 	Export bool
 }
 
+// Evict takes the request off its leaving runner without a target: routing
+// picks one, or the request waits.
+type Evict struct{ Attempt ident.AttemptID }
+
 // Exported answers ExportCache.
 type Exported struct {
 	Attempt ident.AttemptID
@@ -74,6 +80,7 @@
 func (Arrived) input()       {}
 func (Closed) input()        {}
 func (Relocate) input()      {}
+func (Evict) input()         {}
 func (Exported) input()      {}
 func (RunnerLeaving) input() {}
 func (Tick) input()          {}
--- a/protocol/request/request.go
+++ b/protocol/request/request.go
@@ -177,6 +177,8 @@
 		m.closed(now, in)
 	case Relocate:
 		m.relocate(now, in)
+	case Evict:
+		m.evict(in)
 	case Exported:
 		m.exported(now, in)
 	case RunnerLeaving:
@@ -395,7 +397,7 @@
 }
 
 func (m *Machine) relocate(now time.Time, in Relocate) {
-	if m.phase != running || in.Target == m.runner {
+	if m.phase != running || in.Attempt != m.attempt || in.Target == m.runner {
 		return
 	}
 	m.leaving[m.runner] = true
@@ -408,6 +410,16 @@
 	m.switchTo(now, in.Target, "", Preempted)
 }
 
+func (m *Machine) evict(in Evict) {
+	if m.phase != running || in.Attempt != m.attempt {
+		return
+	}
+	m.emit(Abandon{Attempt: m.attempt, Runner: m.runner, Cause: Preempted})
+	m.answer.Stop()
+	m.leaving[m.runner] = true
+	m.pick(Preempted)
+}
+
 // exported switches to the target, with or without the KV cache. An answer to
 // an export that a later plan replaced, or whose attempt is over, is ignored.
 func (m *Machine) exported(now time.Time, in Exported) {
--- a/protocol/request/request_test.go
+++ b/protocol/request/request_test.go
@@ -139,7 +139,7 @@
 	d.run("a")
 	d.token()
 	old := d.attempt
-	d.step(request.Relocate{Target: "b", Export: true})
+	d.step(request.Relocate{Attempt: d.attempt, Target: "b", Export: true})
 	is.Equal(len(d.exports), 1)
 	d.token() // the old attempt goes on meanwhile
 	d.step(request.Closed{Attempt: old, Cause: request.Truncated})
@@ -156,8 +156,8 @@
 	is := is.New(t)
 	d := newDriver(request.Spec{})
 	d.run("a")
-	d.step(request.Relocate{Target: "b", Export: true})
-	d.step(request.Relocate{Target: "c", Export: true})
+	d.step(request.Relocate{Attempt: d.attempt, Target: "b", Export: true})
+	d.step(request.Relocate{Attempt: d.attempt, Target: "c", Export: true})
 	d.step(request.Exported{Attempt: d.attempt, Target: "b", Handle: "h"})
 	is.Equal(d.runner, ident.RunnerID("a"))
 	d.step(request.Exported{Attempt: d.attempt, Target: "c", Handle: "h"})
@@ -168,7 +168,7 @@
 	is := is.New(t)
 	d := newDriver(request.Spec{})
 	d.run("a")
-	d.step(request.Relocate{Target: "b", Export: true})
+	d.step(request.Relocate{Attempt: d.attempt, Target: "b", Export: true})
 	d.step(request.Exported{Attempt: d.attempt, Target: "b"})
 	is.Equal(d.runner, ident.RunnerID("b"))
 }
@@ -220,11 +220,11 @@
 	case 2:
 		return request.Closed{Attempt: d.attempt, Cause: request.Truncated}
 	case 3:
-		return request.Relocate{Target: runner, Export: rapid.Bool().Draw(t, "export")}
+		return request.Relocate{Attempt: d.attempt, Target: runner, Export: rapid.Bool().Draw(t, "export")}
 	case 4:
 		return request.Exported{Attempt: d.attempt, Target: d.m.Moving(), Handle: rapid.SampledFrom([]string{"", "h"}).Draw(t, "handle")}
 	case 5:
-		return request.Tick{}
+		return request.Evict{Attempt: d.attempt}
 	case 6:
 		n := rapid.IntRange(0, 3).Draw(t, "end")
 		return request.Arrived{Event: stream.Event{Request: id, Attempt: d.attempt, Offset: n, Done: n == 3}}
