Take one engine client for all; believe an engine's word that it leaves

Cause: the daemon has its own engine clients; models' copy stood twice. Change: the copy is gone, tests have a small one; a refusal with code leaving goes to the directory. Conclusion: one client.

--- a/daemon/models/engines.go
+++ b/daemon/models/engines.go
@@ -1,52 +1,13 @@
 package models
 
 import (
-	"context"
 	"errors"
-	"net/http"
-	"time"
 
-	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/protocol/request"
 	"geraniumstack.org/geraniumstack/transport/engine"
 	"geraniumstack.org/geraniumstack/transport/engineapi"
 )
 
-// HTTPEngines reaches engines over HTTP.
-type HTTPEngines struct {
-	// Client has no timeout of its own.
-	Client *http.Client
-	// Silence bounds a stream without any line, heartbeats included.
-	Silence time.Duration
-	// Directory hears of engines that refuse because they are leaving.
-	Directory view.Directory
-}
-
-// Generate implements Engines.
-func (h HTTPEngines) Generate(ctx context.Context, address string, r engineapi.GenerateRequest, sink func(engineapi.GenerateEvent) error) error {
-	err := engine.New(address, h.Client).Generate(ctx, r, h.Silence, sink)
-	var refused *engine.RefusedError
-	if errors.As(err, &refused) && refused.Body.Code == engineapi.CodeLeaving && h.Directory != nil {
-		h.Directory.NoteLeaving(address, 0)
-	}
-	return err
-}
-
-// Cancel implements Engines.
-func (h HTTPEngines) Cancel(ctx context.Context, address string, r engineapi.CancelRequest) error {
-	return engine.New(address, h.Client).Cancel(ctx, r.AttemptID)
-}
-
-// Export implements Engines.
-func (h HTTPEngines) Export(ctx context.Context, address string, r engineapi.ExportRequest) (engineapi.ExportResponse, error) {
-	return engine.New(address, h.Client).Export(ctx, r.AttemptID)
-}
-
-// Import implements Engines.
-func (h HTTPEngines) Import(ctx context.Context, address string, r engineapi.ImportRequest) (engineapi.ImportResponse, error) {
-	return engine.New(address, h.Client).Import(ctx, r)
-}
-
 // notStarted tells whether no work can have been done for the attempt.
 func notStarted(err error) bool { return err != nil && !engine.MayHaveStarted(err) }
 
@@ -72,3 +33,9 @@
 	}
 	return request.Truncated
 }
+
+// leaving tells whether the engine refused because its VM is going.
+func leaving(err error) bool {
+	var refused *engine.RefusedError
+	return errors.As(err, &refused) && refused.Body.Code == engineapi.CodeLeaving
+}
--- a/daemon/models/harness_test.go
+++ b/daemon/models/harness_test.go
@@ -22,6 +22,8 @@
 	"geraniumstack.org/geraniumstack/standin/pipe"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
+	transport "geraniumstack.org/geraniumstack/transport/engine"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
 )
 
 const (
@@ -182,7 +184,7 @@
 	d := directory{c, g.self}
 	g.Models = models.New(models.Config{
 		Self: g.self, Directory: d, Config: fixedConfig{}, Metrics: g.metrics,
-		Engines:  models.HTTPEngines{Client: client, Silence: silence, Directory: d},
+		Engines:  engineClients{client},
 		Peers:    models.HTTPPeers{Client: client},
 		Transfer: models.Transfer{BytesPerToken: 1 << 20},
 	})
@@ -208,6 +210,25 @@
 	return g
 }
 
+// engineClients implements models.Engines.
+type engineClients struct{ client *http.Client }
+
+func (e engineClients) Generate(ctx context.Context, address string, r engineapi.GenerateRequest, sink func(engineapi.GenerateEvent) error) error {
+	return transport.New(address, e.client).Generate(ctx, r, silence, sink)
+}
+
+func (e engineClients) Cancel(ctx context.Context, address string, r engineapi.CancelRequest) error {
+	return transport.New(address, e.client).Cancel(ctx, r.AttemptID)
+}
+
+func (e engineClients) Export(ctx context.Context, address string, r engineapi.ExportRequest) (engineapi.ExportResponse, error) {
+	return transport.New(address, e.client).Export(ctx, r.AttemptID)
+}
+
+func (e engineClients) Import(ctx context.Context, address string, r engineapi.ImportRequest) (engineapi.ImportResponse, error) {
+	return transport.New(address, e.client).Import(ctx, r)
+}
+
 // kill ends a daemon without a word: its connections break, and its process
 // does nothing more.
 func (c *cluster) kill(g *gateway) {
--- a/daemon/models/live.go
+++ b/daemon/models/live.go
@@ -276,6 +276,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if leaving(err) {
+		l.m.c.Directory.NoteLeaving(choice.Address, 0)
+	}
 	in := request.Closed{Attempt: id, Cause: closedBy(err), NotStarted: notStarted(err)}
 	l.mu.Lock()
 	l.endAttempt(id, false, in.Cause)
