--- /dev/null
+++ b/bench/overload/fairness.go
@@ -0,0 +1,74 @@
+package overload
+
+import "time"
+
+// fairness is Jain's index of what each workspace got over its fair share:
+// 1 where all got the same part of it, 1/n where one got all.
+func fairness(all []*request) float64 {
+	list := tenants()
+	got := make([]float64, len(list))
+	demand := make([]float64, len(list))
+	total := 0.0
+	for _, q := range all {
+		demand[q.tenant] += q.kind.cost() * float64(q.output) / float64(q.kind.output)
+		if q.first.IsZero() || q.first.After(epoch.Add(loadTime)) {
+			continue
+		}
+		w := q.workUntil(epoch.Add(loadTime))
+		got[q.tenant] += w
+		total += w
+	}
+	fair := maxMin(list, demand, total)
+	sum, squares := 0.0, 0.0
+	for i := range got {
+		x := got[i] / fair[i]
+		sum += x
+		squares += x * x
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (float64(len(got)) * squares)
+}
+
+// workUntil is the engine time that a request took before the end.
+func (q *request) workUntil(end time.Time) float64 {
+	w := q.work()
+	if q.done.IsZero() || q.done.After(end) {
+		whole := time.Duration(q.tokens) * step
+		if part := end.Sub(q.first); part < whole {
+			w *= part.Seconds() / whole.Seconds()
+		}
+	}
+	return w
+}
+
+// maxMin shares what was served by weight; who asks for less than that gets
+// what it asks for, and the rest is shared again.
+func maxMin(list []tenant, demand []float64, total float64) []float64 {
+	fair := make([]float64, len(list))
+	settled := make([]bool, len(list))
+	for {
+		weight, left := 0.0, total
+		for i := range list {
+			if settled[i] {
+				left -= fair[i]
+			} else {
+				weight += list[i].Weight
+			}
+		}
+		changed := false
+		for i := range list {
+			if settled[i] {
+				continue
+			}
+			fair[i] = left * list[i].Weight / weight
+			if demand[i] <= fair[i] {
+				fair[i], settled[i], changed = demand[i], true, true
+			}
+		}
+		if !changed {
+			return fair
+		}
+	}
+}
--- /dev/null
+++ b/bench/overload/gateway.go
@@ -0,0 +1,211 @@
+package overload
+
+import (
+	"fmt"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/routing"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/admission"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/load"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/prefix"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
+)
+
+// arm is one way to deal with the load.
+type arm struct {
+	name string
+	// admits says whether there is any admission control.
+	admits bool
+	// roundRobin takes the engines in turn instead of by a routing table.
+	roundRobin bool
+	// priorities passes the classes' priorities on to the engines.
+	priorities bool
+	routing    func(*routing.Config)
+	admission  func(*admission.Config)
+	// equal gives all classes the same priority at the gateway.
+	equal bool
+}
+
+func arms() []arm {
+	leastLoaded := func(c *routing.Config) { c.IgnorePrefix, c.IgnoreRisk, c.Samples, c.LoadBound = true, true, 0, 0 }
+	return []arm{
+		{name: "policy", admits: true, priorities: true},
+		{name: "fifo", roundRobin: true},
+		{name: "least_loaded", priorities: true, routing: leastLoaded},
+		{name: "policy_no_prefix", admits: true, priorities: true, routing: func(c *routing.Config) { c.IgnorePrefix = true }},
+		{name: "policy_best_of_all", admits: true, priorities: true, routing: func(c *routing.Config) { c.Samples = 0 }},
+		{name: "policy_best_of_2", admits: true, priorities: true, routing: func(c *routing.Config) { c.Samples = 2 }},
+	}
+}
+
+// gateway is one entry VM's decisions.
+type gateway struct {
+	arm       arm
+	table     *routing.Table
+	admission *admission.Controller
+	tickets   map[int]*routing.Ticket
+	turn      int
+	effects   []admission.Effect
+	cursors   [engines]uint64
+}
+
+func newGateway(a arm, self int, seed uint64) *gateway {
+	g := &gateway{arm: a, tickets: map[int]*routing.Ticket{}, turn: self}
+	cfg := routing.Default(ident.DaemonID(fmt.Sprint("gateway", self)), domain(self))
+	cfg.Seed = seed*gateways + uint64(self)
+	if a.routing != nil {
+		a.routing(&cfg)
+	}
+	g.table = routing.New(cfg)
+	g.table.SetModels([]manifest.Model{{Name: model, Version: version}})
+	g.table.SetRunners(epoch, runners())
+	g.admission = newAdmission(a)
+	return g
+}
+
+func newAdmission(a arm) *admission.Controller {
+	if !a.admits {
+		return nil
+	}
+	cfg := admission.Default()
+	if a.admission != nil {
+		a.admission(&cfg)
+	}
+	c := admission.New(cfg)
+	var workspaces []manifest.Workspace
+	for _, t := range tenants() {
+		workspaces = append(workspaces, t.Workspace)
+	}
+	c.SetLimits(workspaces, classes)
+	return c
+}
+
+func domain(i int) ident.FailureDomain { return ident.FailureDomain(fmt.Sprint("domain", i%4)) }
+
+func runners() []view.Runner {
+	list := make([]view.Runner, engines)
+	for i := range list {
+		list[i] = view.Runner{
+			ID:            runnerID(i),
+			Address:       fmt.Sprint(i),
+			FailureDomain: domain(i),
+			VMClass:       "standard",
+			Reclaimable:   true,
+			PricePerHour:  1,
+			State:         view.Live,
+		}
+	}
+	return list
+}
+
+func runnerID(i int) ident.RunnerID { return ident.RunnerID(fmt.Sprint("runner", i)) }
+
+// report takes in what an engine published.
+func (g *gateway) report(now time.Time, i int, l engineapi.Load, events engineapi.CacheEvents) {
+	r := load.Report{
+		AsOf:          now.Add(-time.Duration(l.AgeMillis) * time.Millisecond),
+		Running:       l.Running,
+		Waiting:       l.Waiting,
+		MaxRunning:    l.MaxRunning,
+		QueuedTokens:  l.QueuedTokens,
+		RunningTokens: l.RunningTokens,
+		KVBlocksTotal: l.KVBlocksTotal,
+		KVBlocksFree:  l.KVBlocksFree,
+		PrefillRate:   l.PrefillRate,
+		DecodeRate:    l.DecodeRate,
+		Models:        []load.Model{{Name: model, Version: version}},
+	}
+	g.table.Report(now, runnerID(i), r)
+	page := prefix.Page{First: events.First, Next: events.Next}
+	for _, e := range events.Events {
+		page.Events = append(page.Events, prefix.Event{Sequence: e.Sequence, Block: e.Block, Stored: e.Stored})
+	}
+	_ = g.table.CacheEvents(runnerID(i), page) // a gap is mended by the index
+	if g.admission != nil {
+		c := g.table.Capacity()
+		g.admission.SetCapacity(float64(c.Batch)/gateways, c.DecodeRate/gateways)
+	}
+}
+
+func (g *gateway) request(r *request) routing.Request {
+	long := r.kind.class != urgent
+	return routing.Request{
+		Model:        model,
+		Prefix:       r.blocks,
+		PromptTokens: r.promptTokens(),
+		OutputTokens: r.output,
+		Long:         long,
+	}
+}
+
+// offer asks for admission.
+func (g *gateway) offer(now time.Time, r *request) []admission.Effect {
+	rr := g.request(r)
+	choice, err := g.table.Pick(now, &rr)
+	if err != nil {
+		panic(fmt.Errorf("pick for an estimate: %w", err)) // all runners live for ever
+	}
+	it := admission.Item{
+		ID:         admission.ID(r.id),
+		Workspace:  tenants()[r.tenant].Name,
+		Class:      r.kind.class,
+		Cost:       g.cost(choice.Uncached, r.output),
+		FirstToken: choice.Estimate,
+		Service:    choice.Estimate + time.Duration(r.output)*2*step,
+	}
+	return g.admission.Offer(now, it, g.effects[:0])
+}
+
+func (g *gateway) cost(uncached, output int) float64 {
+	return float64(output) + float64(uncached)*g.table.Capacity().PromptCost
+}
+
+// pick returns the engine for an admitted request.
+func (g *gateway) pick(now time.Time, r *request) int {
+	if g.arm.roundRobin {
+		g.turn = (g.turn + 1) % engines
+		return g.turn
+	}
+	rr := g.request(r)
+	choice, err := g.table.Pick(now, &rr)
+	if err != nil {
+		panic(fmt.Errorf("pick: %w", err)) // all runners live for ever
+	}
+	ticket := g.table.Dispatch(now, choice, &rr)
+	g.tickets[r.id] = &ticket
+	for i := range engines {
+		if runnerID(i) == choice.Runner {
+			return i
+		}
+	}
+	return 0
+}
+
+func (g *gateway) firstToken(now time.Time, r *request) {
+	if t, ok := g.tickets[r.id]; ok {
+		g.table.FirstToken(now, t)
+	}
+	if g.admission != nil {
+		g.admission.FirstToken(now, admission.ID(r.id), now.Sub(r.admitted))
+	}
+}
+
+// finished returns what may go now.
+func (g *gateway) finished(now time.Time, r *request) []admission.Effect {
+	if t, ok := g.tickets[r.id]; ok {
+		g.table.Finished(now, t)
+		g.table.Answered(r.output)
+		delete(g.tickets, r.id)
+	}
+	if g.admission == nil {
+		return nil
+	}
+	id := admission.ID(r.id)
+	if r.output > 1 {
+		g.admission.BetweenTokens(now, id, now.Sub(r.first)/time.Duration(r.output-1))
+	}
+	return g.admission.Finish(now, id, g.cost(r.promptTokens()-r.cached, r.output), g.effects[:0])
+}
--- /dev/null
+++ b/bench/overload/run.go
@@ -0,0 +1,202 @@
+package overload
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"geraniumstack.org/geraniumstack/protocol/admission"
+	"geraniumstack.org/geraniumstack/standin/engine"
+)
+
+// Sizes of the run.
+const (
+	engines     = 12
+	gateways    = 5
+	batch       = 16
+	prefillRate = 8000
+	step        = 20 * time.Millisecond
+	model       = "m"
+	version     = "1"
+	// loadTime is how long requests come, warmUp the part that is not
+	// measured, drainTime the time to finish after it.
+	loadTime  = 60 * time.Second
+	warmUp    = 15 * time.Second
+	drainTime = 60 * time.Second
+	tick      = 20 * time.Millisecond
+	poll      = 500 * time.Millisecond
+	// eventLimit is the cache events that one poll reads.
+	eventLimit = 512
+	// oneWay is the time between a gateway and an engine.
+	oneWay = time.Millisecond
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// run is one arm under one load.
+type run struct {
+	arm      arm
+	now      time.Time
+	requests []*request
+	next     int
+	gateways []*gateway
+	cores    []*engine.Core
+	nextTick time.Time
+	nextPoll time.Time
+}
+
+func newRun(a arm, seed uint64, requests []*request) *run {
+	r := &run{arm: a, now: epoch, requests: requests, nextTick: epoch, nextPoll: epoch}
+	for i := range gateways {
+		r.gateways = append(r.gateways, newGateway(a, i, seed))
+	}
+	for i := range engines {
+		cfg := engine.DefaultConfig(string(runnerID(i)), model, version)
+		cfg.PrefillRate = prefillRate
+		cfg.StepTime = step
+		cfg.MaxBatch = batch
+		r.cores = append(r.cores, engine.NewCore(cfg, epoch))
+	}
+	return r
+}
+
+// play runs until all is done or the drain time is over.
+func (r *run) play() {
+	end := epoch.Add(loadTime + drainTime)
+	for {
+		r.now = r.nextEvent()
+		if r.now.After(end) {
+			return
+		}
+		r.stepEngines()
+		r.poll()
+		r.tick()
+		r.arrive()
+	}
+}
+
+func (r *run) nextEvent() time.Time {
+	at := r.nextTick
+	if r.nextPoll.Before(at) {
+		at = r.nextPoll
+	}
+	if r.next < len(r.requests) && r.requests[r.next].at.Before(at) {
+		at = r.requests[r.next].at
+	}
+	for _, c := range r.cores {
+		if next, ok := c.Next(); ok && next.Before(at) {
+			at = next
+		}
+	}
+	return at
+}
+
+func (r *run) stepEngines() {
+	for _, c := range r.cores {
+		for _, line := range c.Step(r.now).Lines {
+			r.take(line)
+		}
+	}
+}
+
+func (r *run) take(line engine.Line) {
+	id, err := strconv.Atoi(line.Event.AttemptID)
+	if err != nil {
+		panic(fmt.Errorf("attempt of this run: %w", err)) // all IDs are made in submit
+	}
+	q := r.requests[id]
+	g := r.gateways[q.gateway]
+	if line.Event.Done {
+		q.done = line.At
+		r.follow(q.gateway, g.finished(r.now, q))
+		return
+	}
+	q.tokens++
+	if q.tokens == 1 {
+		q.first = line.At
+		q.cached = line.Event.CachedTokens
+		g.firstToken(r.now, q)
+	}
+}
+
+func (r *run) poll() {
+	if r.now.Before(r.nextPoll) {
+		return
+	}
+	r.nextPoll = r.nextPoll.Add(poll)
+	for i, c := range r.cores {
+		load := c.Load(r.now)
+		for _, g := range r.gateways {
+			events := c.CacheEvents(r.now, g.cursors[i], eventLimit)
+			g.cursors[i] = events.Next
+			g.report(r.now, i, load, events)
+		}
+	}
+}
+
+func (r *run) tick() {
+	if r.now.Before(r.nextTick) {
+		return
+	}
+	r.nextTick = r.nextTick.Add(tick)
+	for i, g := range r.gateways {
+		if g.admission != nil {
+			r.follow(i, g.admission.Tick(r.now, g.effects[:0]))
+		}
+	}
+}
+
+func (r *run) arrive() {
+	for r.next < len(r.requests) && !r.requests[r.next].at.After(r.now) {
+		q := r.requests[r.next]
+		r.next++
+		g := r.gateways[q.gateway]
+		if g.admission == nil {
+			r.submit(q)
+			continue
+		}
+		r.follow(q.gateway, g.offer(r.now, q))
+	}
+}
+
+func (r *run) follow(_ int, effects []admission.Effect) {
+	for _, e := range effects {
+		q := r.requests[int(e.ID)]
+		if e.Kind == admission.Refuse {
+			q.refused = r.now
+			continue
+		}
+		r.submit(q)
+	}
+}
+
+func (r *run) submit(q *request) {
+	q.admitted = r.now
+	q.engine = r.gateways[q.gateway].pick(r.now, q)
+	priority := 0
+	if r.arm.priorities {
+		priority = priorityOf(q.kind.class)
+	}
+	attempt := engine.Attempt{
+		RequestID:    strconv.Itoa(q.id),
+		AttemptID:    strconv.Itoa(q.id),
+		Model:        model,
+		Seed:         uint64(q.id),
+		PromptTokens: q.promptTokens(),
+		Blocks:       q.blocks,
+		MaxTokens:    q.output,
+		Priority:     priority,
+	}
+	if err := r.cores[q.engine].Submit(r.now, attempt); err != nil {
+		panic(fmt.Errorf("submit: %w", err)) // the queue has no bound
+	}
+}
+
+func priorityOf(class string) int {
+	for i := range classes {
+		if classes[i].Name == class {
+			return classes[i].Priority
+		}
+	}
+	return 0
+}
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"geraniumstack.org/geraniumstack/coordination/view"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/load"
 	"geraniumstack.org/geraniumstack/state/manifest"
--- a/ctl/experiments.go
+++ b/ctl/experiments.go
@@ -3,11 +3,13 @@
 import (
 	"geraniumstack.org/geraniumstack/bench"
 	"geraniumstack.org/geraniumstack/bench/fleet"
+	"geraniumstack.org/geraniumstack/bench/overload"
 )
 
 // experiments lists what the bench command can run.
 func experiments() []bench.Experiment {
 	return []bench.Experiment{
 		fleet.Experiment{},
+		overload.Experiment{},
 	}
 }
--- a/protocol/admission/admission_test.go
+++ b/protocol/admission/admission_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
 	"geraniumstack.org/geraniumstack/state/refusal"
--- a/protocol/retry/retry_test.go
+++ b/protocol/retry/retry_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/state/prefix/index.go
+++ b/state/prefix/index.go
@@ -53,13 +53,14 @@
 	Events []Event
 }
 
-// GapError says that cache events between two sequence numbers were lost and
-// that the slot was cleared for it.
-type GapError struct{ Wanted, First uint64 }
+// GapError says that so many cache events were lost that the slot was cleared.
+type GapError struct{ Lost uint64 }
 
-func (e *GapError) Error() string {
-	return fmt.Sprintf("cache events from %d on lost, first kept is %d", e.Wanted, e.First)
-}
+func (e *GapError) Error() string { return fmt.Sprintf("%d cache events lost", e.Lost) }
+
+// maxLost is how many of a slot's events may be lost before it is cleared. Few
+// of them are evictions that matter, and clearing costs many hits.
+const maxLost = 64
 
 type entry struct {
 	hash Hash
@@ -81,6 +82,7 @@
 	oldest  int32
 	free    int32
 	cursor  [Slots]uint64
+	lost    [Slots]uint64
 }
 
 // NewIndex returns an empty index for at most capacity prefixes.
@@ -110,20 +112,22 @@
 func (x *Index) Cursor(slot int) uint64 { return x.cursor[slot] }
 
 // Apply takes a page of the slot's events in. Events that were seen before are
-// ignored. After a gap the slot is cleared first and GapError returned: lost
-// evictions would otherwise leave prefixes that send work to the wrong runner
-// for as long as nothing corrects them, while lost stores only cost a hit.
+// ignored. When too many were lost, or the runner's numbers began anew, the slot
+// is cleared before the rest of the page and GapError returned: lost evictions
+// would otherwise leave prefixes that send work to the wrong runner for as long
+// as nothing corrects them, while lost stores only cost a hit.
 func (x *Index) Apply(slot int, p Page) error {
 	var gap error
-	if wanted := x.cursor[slot]; p.First > wanted && wanted > 0 || p.Next < wanted {
-		gap = &GapError{Wanted: wanted, First: p.First}
-		x.Clear(slot)
-		x.cursor[slot] = p.First
+	if p.Next < x.cursor[slot] {
+		gap = x.resync(slot, p.First, x.cursor[slot]-p.Next)
 	}
 	for _, e := range p.Events {
 		if e.Sequence < x.cursor[slot] {
 			continue
 		}
+		if lost := x.skip(slot, e.Sequence); lost > maxLost {
+			gap = x.resync(slot, e.Sequence, lost)
+		}
 		x.cursor[slot] = e.Sequence + 1
 		if e.Stored {
 			x.store(slot, e.Block)
@@ -131,10 +135,30 @@
 			x.evict(slot, e.Block)
 		}
 	}
-	x.cursor[slot] = max(x.cursor[slot], p.Next)
+	if lost := x.skip(slot, p.Next); lost > maxLost {
+		gap = x.resync(slot, p.Next, lost)
+	}
 	return gap
 }
 
+// skip moves the slot's cursor up to the sequence number and returns how many
+// events were lost since the slot was last cleared. Of a slot that was never
+// read nothing is lost.
+func (x *Index) skip(slot int, to uint64) uint64 {
+	from := x.cursor[slot]
+	x.cursor[slot] = max(from, to)
+	if from > 0 && to > from {
+		x.lost[slot] += to - from
+	}
+	return x.lost[slot]
+}
+
+func (x *Index) resync(slot int, cursor, lost uint64) error {
+	x.Clear(slot)
+	x.cursor[slot] = cursor
+	return &GapError{Lost: lost}
+}
+
 // Assume notes that the slot is about to compute the chain.
 func (x *Index) Assume(slot int, chain []Hash) {
 	// From the far end, so that the shared beginnings are changed last and
@@ -159,7 +183,7 @@
 		x.drop(i, slot)
 		i = next
 	}
-	x.cursor[slot] = 0
+	x.cursor[slot], x.lost[slot] = 0, 0
 }
 
 func (x *Index) store(slot int, h Hash) {
