--- a/ctl/demo.go
+++ b/ctl/demo.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/subcommands"
 
+	"geraniumstack.org/geraniumstack/daemon"
 	"geraniumstack.org/geraniumstack/demo"
 )
 
@@ -32,7 +33,7 @@
 }
 
 func (p *demoCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	summary, err := demo.Run(ctx, demo.Options{Fleet: p.fleet, Seed: p.seed, Progress: p.errs})
+	summary, err := demo.Run(ctx, demo.Options{Fleet: p.fleet, Seed: p.seed, Progress: p.errs, Network: daemon.TCP{}})
 	if err != nil {
 		return p.fail(err)
 	}
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -3,12 +3,15 @@
 import (
 	"net/http"
 	"net/http/pprof"
+	"slices"
+	"strings"
 
+	"geraniumstack.org/geraniumstack/daemon/adminapi"
 	"geraniumstack.org/geraniumstack/transport/exposition"
 )
 
-// adminHandler serves the operators' listener: health, readiness, metrics
-// and profiles.
+// adminHandler serves the operators' listener: health, readiness, metrics,
+// profiles and the administration API.
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", d.health)
@@ -19,9 +22,36 @@
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	mux.Handle(d.adminAPI())
 	return mux
 }
 
+func (d *Daemon) adminAPI() (string, http.Handler) {
+	var credentials []adminapi.Credential
+	for _, c := range d.settings.Admin.Credentials {
+		credentials = append(credentials, adminapi.Credential{Name: c.Name, KeyHash: c.KeyHash, Role: adminapi.Role(c.Role)})
+	}
+	return adminapi.NewHandler(adminapi.Config{
+		Control: d.control, Store: d.store, Credentials: credentials, Usage: d.usageList,
+	})
+}
+
+func (d *Daemon) usageList() []adminapi.Usage {
+	var out []adminapi.Usage
+	for ws, c := range d.usage.Snapshot() {
+		refused := map[string]int64{}
+		for reason, n := range c.Refused {
+			refused[string(reason)] = n
+		}
+		out = append(out, adminapi.Usage{
+			Workspace: string(ws), Accepted: c.Accepted, Answered: c.Answered,
+			GeneratedTokens: c.GeneratedTokens, Refused: refused,
+		})
+	}
+	slices.SortFunc(out, func(a, b adminapi.Usage) int { return strings.Compare(a.Workspace, b.Workspace) })
+	return out
+}
+
 // health says that the process answers.
 func (d *Daemon) health(w http.ResponseWriter, _ *http.Request) { answerProbe(w, true, "ok") }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,6 +49,7 @@
 
 	callers, peers, admin net.Listener
 
+	store    kv.Store
 	control  *control.Control
 	models   *models.Models
 	actions  *actions.Service
@@ -107,12 +108,12 @@
 func (d *Daemon) build(n Network) {
 	client := newHTTPClient(n)
 	p := d.settings.Platform
-	store := kv.NewHTTPClient(p.KeyValue, client)
+	d.store = kv.NewHTTPClient(p.KeyValue, client)
 	cloud := platform.NewClient(p.Cloud, client)
 	lister := platform.NewClient(p.VMList, client)
 	engines := newEngines(client, engineSilence)
 	d.control = control.New(control.Config{
-		Self: d.self, Seeds: d.settings.Seeds, Store: store,
+		Self: d.self, Seeds: d.settings.Seeds, Store: d.store,
 		Lister: lister, Cloud: cloud, HTTPClient: client, Metrics: d.metrics,
 	})
 	configuration := d.control.ConfigView()
@@ -126,11 +127,11 @@
 	})
 	d.actions = actions.New(actions.Config{
 		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
-		Store: store, Dispatcher: dispatch.New(sender), Peers: client, Metrics: d.metrics,
+		Store: d.store, Dispatcher: dispatch.New(sender), Peers: client, Metrics: d.metrics,
 	})
 	d.orders = orders.New(orders.Config{
 		Self: d.self.Incarnation, Configuration: configuration, Directory: d.control,
-		Store: store, Cloud: cloud, Lister: lister, Weights: weights(p.Weights, client),
+		Store: d.store, Cloud: cloud, Lister: lister, Weights: weights(p.Weights, client),
 		Engines: engines, Timing: lease.DefaultTiming(), Metrics: d.metrics,
 		Every: ordersEvery, StopGrace: stopGrace,
 	})
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -10,12 +10,18 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"time"
 
+	"connectrpc.com/connect"
+
+	"geraniumstack.org/geraniumstack/caller"
 	"geraniumstack.org/geraniumstack/coordination/config"
-	"geraniumstack.org/geraniumstack/daemon/control"
+	"geraniumstack.org/geraniumstack/daemon"
 	"geraniumstack.org/geraniumstack/daemon/settings"
+	adminv1 "geraniumstack.org/geraniumstack/gen/geranium/admin/v1"
+	"geraniumstack.org/geraniumstack/gen/geranium/admin/v1/adminv1connect"
 	"geraniumstack.org/geraniumstack/standin/kvserver"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
@@ -41,8 +47,16 @@
 	Seed  uint64
 	// Progress gets a line for each event; never nil.
 	Progress io.Writer
+	// Network is TCP on loopback, or one in memory.
+	Network daemon.Network
+}
+
+func newHTTPClient(n daemon.Network) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: n.Dial, MaxIdleConnsPerHost: idlePerHost}}
 }
 
+const idlePerHost = 64
+
 func operator() settings.Credential {
 	sum := sha256.Sum256([]byte(operatorKey))
 	return settings.Credential{Name: "demo", Role: "operator", KeyHash: hex.EncodeToString(sum[:])}
@@ -55,7 +69,7 @@
 		return Summary{}, err
 	}
 	began := time.Now()
-	e, err := newEnv(f, o.Seed)
+	e, err := newEnv(f, o.Network, o.Seed)
 	if err != nil {
 		return Summary{}, err
 	}
@@ -88,15 +102,18 @@
 }
 
 func (d *show) apply(ctx context.Context) error {
-	d.say("%d gateways, %d runners; applying the manifest of %s", gateways, len(d.env.servers), d.fleet.Name)
-	outcome, err := d.env.daemons[0].Control().Apply(ctx, control.Submission{
-		Manifest: d.fleet.Manifest, Author: "demo", ID: fmt.Sprintf("demo-%d", d.options.Seed),
-		Expected: config.AnyGeneration, Wait: applyWait,
+	d.say("%d gateways, %d runners; applying the manifest of %s", gateways, len(d.env.standins.Runners()), d.fleet.Name)
+	client := adminv1connect.NewAdminServiceClient(newHTTPClient(d.options.Network), "http://"+d.env.daemons[0].AdminAddress())
+	request := connect.NewRequest(&adminv1.ApplyRequest{
+		Manifest: d.fleet.Data, ExpectedGeneration: config.AnyGeneration,
+		SubmissionId: fmt.Sprintf("demo-%d", d.options.Seed), WaitMs: applyWait.Milliseconds(),
 	})
+	request.Header().Set("Authorization", "Bearer "+operatorKey)
+	resp, err := client.Apply(ctx, request)
 	if err != nil {
 		return fmt.Errorf("apply: %w", err)
 	}
-	d.say("generation %d accepted; in force everywhere: %v", outcome.Accepted.Generation, outcome.InForceEverywhere)
+	d.say("generation %d accepted; in force everywhere: %v", resp.Msg.Generation, resp.Msg.InForceEverywhere)
 	return nil
 }
 
@@ -105,7 +122,9 @@
 	defer stopSending()
 	working, stopWorking := context.WithTimeout(ctx, sendFor+finishFor)
 	defer stopWorking()
-	l := newLoad(d.fleet, d.tally, d.bases(), d.options.Seed)
+	l := newLoad(d.fleet, d.tally, caller.Config{
+		Gateways: d.bases(), HTTP: newHTTPClient(d.options.Network), Patience: patience,
+	}, d.options.Seed)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -121,7 +140,7 @@
 		case <-progress.C:
 			s := d.tally.summary()
 			d.say("accepted %d, answered whole %d, refused %s, recomputed %d tokens",
-				s.Accepted, s.AnsweredWhole, refusedText(s), d.env.ledger.Totals().Recomputed)
+				s.Accepted, s.AnsweredWhole, refusedText(s), d.env.standins.Ledger.Totals().Recomputed)
 		}
 	}
 }
@@ -171,8 +190,8 @@
 func (d *show) reclaimDomain() {
 	domain := d.fleet.Manifest.Fleet.FailureDomains[1]
 	n := 0
-	for _, vm := range d.env.cloud.VMs() {
-		if vm.FailureDomain == domain && vm.Service == d.fleet.modelService() && d.env.cloud.Reclaim(vm.ID, runnerNotice) {
+	for _, vm := range d.env.standins.Cloud.VMs() {
+		if vm.FailureDomain == domain && vm.Service == d.fleet.modelService() && d.env.standins.Cloud.Reclaim(vm.ID, runnerNotice) {
 			n++
 		}
 	}
@@ -181,28 +200,28 @@
 
 func (d *show) outage() {
 	d.say("the key-value service goes down for %v", outageFor)
-	d.env.store.SetFaults(kvserver.Faults{Outage: true})
+	d.env.standins.KV.SetFaults(kvserver.Faults{Outage: true})
 }
 
 func (d *show) endOutage() {
 	d.say("the key-value service is back")
-	d.env.store.SetFaults(kvserver.Faults{})
+	d.env.standins.KV.SetFaults(kvserver.Faults{})
 }
 
 func (d *show) reclaimGateway() {
 	last := d.env.daemons[len(d.env.daemons)-1]
 	d.say("%s gets %v of notice", last.vm, gatewayNotice)
-	d.env.cloud.Reclaim(last.vm, gatewayNotice)
+	d.env.standins.Cloud.Reclaim(last.vm, gatewayNotice)
 }
 
 // check compares what callers were told with what the runners did.
 func (d *show) check() {
-	totals := d.env.ledger.Totals()
-	counts := d.env.actions.Counts()
+	totals := d.env.standins.Ledger.Totals()
+	counts := d.env.standins.Executions.Counts()
 	d.tally.update(func(s *Summary) {
 		s.Computed = totals.Computed
 		s.Recomputed = totals.Recomputed
-		s.ActionsRunTwice = len(d.env.actions.RunTwice())
+		s.ActionsRunTwice = runTwice(counts)
 		s.Generations = d.generations()
 		for key := range d.tally.toldNotRun {
 			for action, n := range counts {
@@ -225,3 +244,14 @@
 	}
 	return out
 }
+
+// runTwice leaves out calls without a key, which may be repeated.
+func runTwice(counts map[string]int) int {
+	twice := 0
+	for action, n := range counts {
+		if n > 1 && action != "" && !strings.HasSuffix(action, "/") {
+			twice++
+		}
+	}
+	return twice
+}
--- a/demo/load.go
+++ b/demo/load.go
@@ -40,12 +40,12 @@
 	n       int
 }
 
-func newLoad(f *Fleet, t *tally, bases []string, seed uint64) *load {
+func newLoad(f *Fleet, t *tally, c caller.Config, seed uint64) *load {
 	l := &load{fleet: f, tally: t, rng: rand.New(rand.NewPCG(seed, 7))}
 	for i, ws := range f.Manifest.Workspaces {
-		l.clients = append(l.clients, caller.New(caller.Config{
-			Gateways: bases, Key: f.key(ws.Name), FailureDomain: f.gatewayDomain(i), Patience: patience,
-		}))
+		c.Key = f.key(ws.Name)
+		c.FailureDomain = f.gatewayDomain(i)
+		l.clients = append(l.clients, caller.New(c))
 	}
 	return l
 }
