--- a/caller/action.go
+++ b/caller/action.go
@@ -63,13 +63,46 @@
 	}
 }
 
+// again tells whether the same call may and should be sent again. A key that
+// its owner refused with executed "no" stays refused, so it is not.
 func (c *Client) again(call Call, err error) bool {
 	var refused *RefusedError
-	if errors.As(err, &refused) {
-		return refused.Executed == refusal.ExecutedNo && refused.RetryAfterMillis > 0
+	if !errors.As(err, &refused) {
+		c.forget()
+		return call.Key != ""
+	}
+	if goesElsewhere(refused) {
+		c.forget()
+		return true
+	}
+	return call.Key == "" && refused.Executed == refusal.ExecutedNo && refused.RetryAfterMillis > 0
+}
+
+// Act runs a call that may not be repeated, under a key of its own. Where the
+// system says that nothing ran and when to come back, it comes back with a new
+// token, which a refused key can't be used with.
+func (c *Client) Act(ctx context.Context, call Call) (Answer, error) {
+	until := time.Now().Add(c.c.Patience)
+	for {
+		key, err := c.NewKey(ctx)
+		if err != nil {
+			return Answer{}, err
+		}
+		call.Key = key
+		answer, err := c.Do(ctx, call)
+		if err == nil || !Renewable(err) || ctx.Err() != nil || time.Now().After(until) {
+			return answer, err
+		}
+		c.forget()
+		pause(ctx, waitAfter(err))
 	}
-	c.forget()
-	return call.Key != ""
+}
+
+// Renewable tells whether a refused action may be asked for again under a new
+// key: nothing ran, and nothing will under the old one.
+func Renewable(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.Executed == refusal.ExecutedNo && refused.RetryAfterMillis > 0
 }
 
 func waitAfter(err error) time.Duration {
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -93,7 +93,9 @@
 		return err
 	}
 	defer resp.Body.Close()
-	s.result.RequestID = resp.Header.Get("X-Request-Id")
+	if id := resp.Header.Get("X-Request-Id"); id != "" {
+		s.result.RequestID = id
+	}
 	return s.read(resp, func() { silence.Reset(s.c.c.Silence) })
 }
 
--- a/demo/load.go
+++ b/demo/load.go
@@ -136,53 +136,62 @@
 		copies = 2
 	}
 	l.wg.Go(func() {
-		key, err := c.NewKey(ctx)
-		if err != nil {
-			l.failed(false, err)
-			return
-		}
 		l.tally.update(func(s *Summary) { s.Sent++; s.Actions++; s.Accepted++ })
-		var wg sync.WaitGroup
-		answers := make([]caller.Answer, copies)
-		errs := make([]error, copies)
-		for i := range copies {
-			wg.Go(func() {
-				answers[i], errs[i] = c.Do(ctx, caller.Call{
-					Service: l.fleet.plainService, Method: http.MethodPost, Path: l.fleet.actionPath,
-					Body: fmt.Appendf(nil, `{"amount":%d}`, n), Key: key,
-				})
-			})
+		until := time.Now().Add(patience)
+		for l.tryAction(ctx, c, n, copies) && time.Now().Before(until) {
+			l.tally.update(func(s *Summary) { s.Retaken++ })
 		}
-		wg.Wait()
-		l.judge(key, answers, errs)
 	})
 }
 
-func (l *load) judge(key string, answers []caller.Answer, errs []error) {
+// tryAction sends one key, perhaps twice at once, and tells whether the action
+// is to be asked for again under a new one.
+func (l *load) tryAction(ctx context.Context, c *caller.Client, n, copies int) bool {
+	key, err := c.NewKey(ctx)
+	if err != nil {
+		l.failed(true, err)
+		return false
+	}
+	var wg sync.WaitGroup
+	answers := make([]caller.Answer, copies)
+	errs := make([]error, copies)
+	for i := range copies {
+		wg.Go(func() {
+			answers[i], errs[i] = c.Do(ctx, caller.Call{
+				Service: l.fleet.plainService, Method: http.MethodPost, Path: l.fleet.actionPath,
+				Body: fmt.Appendf(nil, `{"amount":%d}`, n), Key: key,
+			})
+		})
+	}
+	wg.Wait()
+	return l.judge(key, answers, errs)
+}
+
+func (l *load) judge(key string, answers []caller.Answer, errs []error) (again bool) {
 	if len(answers) == 2 && errs[0] == nil && errs[1] == nil && string(answers[0].Body) != string(answers[1].Body) {
 		l.tally.update(func(s *Summary) { s.AnswersMixed++ })
 	}
 	if errs[0] == nil {
 		l.tally.update(func(s *Summary) { s.AnsweredWhole++ })
-		return
+		return false
 	}
-	l.failed(true, errs[0])
 	var refused *caller.RefusedError
-	if !errors.As(errs[0], &refused) {
-		return
+	if errors.As(errs[0], &refused) && refused.Executed == refusal.ExecutedNo {
+		l.tally.noteNotRun(key)
 	}
-	l.tally.update(func(s *Summary) {
-		if refused.Executed != refusal.ExecutedNo {
-			s.UnknownOutcomes++
-		}
-	})
-	if refused.Executed == refusal.ExecutedNo {
-		l.tally.mu.Lock()
-		l.tally.toldNotRun[key] = true
-		l.tally.mu.Unlock()
+	if caller.Renewable(errs[0]) {
+		pauseFor(refused.RetryAfterMillis)
+		return true
+	}
+	l.failed(true, errs[0])
+	if refused != nil && refused.Executed != refusal.ExecutedNo {
+		l.tally.update(func(s *Summary) { s.UnknownOutcomes++ })
 	}
+	return false
 }
 
+func pauseFor(millis int64) { time.Sleep(time.Duration(millis) * time.Millisecond) }
+
 func (l *load) read(ctx context.Context, c *caller.Client) {
 	l.tally.update(func(s *Summary) { s.Sent++; s.Accepted++ })
 	_, err := c.Do(ctx, caller.Call{Service: l.fleet.plainService, Method: http.MethodGet, Path: l.fleet.readPath})
--- a/demo/tally.go
+++ b/demo/tally.go
@@ -28,6 +28,7 @@
 	ActionsRunTwice int                                      `json:"actions_run_twice"`
 	FalseNotRun     int                                      `json:"false_not_executed"`
 	UnknownOutcomes int                                      `json:"unknown_outcomes"`
+	Retaken         int                                      `json:"actions_asked_again"`
 	Resumed         int                                      `json:"resumed_by_callers"`
 	Recomputed      int                                      `json:"recomputed_tokens"`
 	Computed        int                                      `json:"computed_tokens"`
@@ -77,6 +78,12 @@
 	_ = t.gap.RecordValue(min(gap.Microseconds(), histogramMax))
 }
 
+func (t *tally) noteNotRun(key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.toldNotRun[key] = true
+}
+
 func seconds(h *hdrhistogram.Histogram, q float64) float64 {
 	return float64(h.ValueAtQuantile(q)) / 1e6
 }
@@ -120,6 +127,7 @@
 	row("actions", s.Actions)
 	row("actions run twice (must be 0)", s.ActionsRunTwice)
 	row("told \"not run\" but run (must be 0)", s.FalseNotRun)
+	row("actions asked for again under a new key", s.Retaken)
 	row("actions with unknown outcome", s.UnknownOutcomes)
 	row("connections resumed by callers", s.Resumed)
 	row("tokens computed", s.Computed)
