Match the built-in sets to the example manifests; start empty VMs

Cause: the sets named other models and VM classes than examples/; VMs that the cloud API started held models nobody had ordered; requests name an adapter by its name, load reports by name@version, and the engine refused the former. Change: sets, FromManifest and cmd/standins -manifest; started VMs are empty; the engine takes an adapter's name for any loaded version of it; a dead engine's goroutine ends; malformed platform bodies have the protocol's error. Figures: TestBuiltInSetsAgreeWithExamples compares both sets with examples/. Conclusion: the same manifest serves demo, daemon and stand-ins. Found beside: coordination/routing places adapters by the reported name@version, and requests ask by name alone, so a request with an adapter finds no runner there.

--- a/cmd/standins/main.go
+++ b/cmd/standins/main.go
@@ -19,6 +19,7 @@
 
 	"geraniumstack.org/geraniumstack/standin/fleet"
 	"geraniumstack.org/geraniumstack/state/document"
+	"geraniumstack.org/geraniumstack/state/manifest"
 )
 
 // Exit statuses.
@@ -43,10 +44,11 @@
 func run() int {
 	klog.InitFlags(nil)
 	path := flag.String("settings", "", "the settings file (JSON); overrides -set")
+	manifestPath := flag.String("manifest", "", "run what this manifest asks for; overrides -set")
 	set := flag.String("set", setHuaman, "a built-in set: "+setHuaman+" or "+setAspenCoulee)
 	flag.Parse()
 	defer klog.Flush()
-	s, err := load(*path, *set)
+	s, err := load(*path, *manifestPath, *set)
 	if err != nil {
 		report(err)
 		return exitInvalid
@@ -69,10 +71,12 @@
 	return 0
 }
 
-func load(path, set string) (fleet.Settings, error) {
+func load(path, manifestPath, set string) (fleet.Settings, error) {
 	switch {
 	case path != "":
 		return fleet.Load(path)
+	case manifestPath != "":
+		return fromManifest(manifestPath)
 	case set == setHuaman:
 		return fleet.Huaman()
 	case set == setAspenCoulee:
@@ -82,6 +86,18 @@
 	}
 }
 
+func fromManifest(path string) (fleet.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fleet.Settings{}, fmt.Errorf("read manifest: %w", err)
+	}
+	var m manifest.Manifest
+	if err := document.Decode(data, &m); err != nil {
+		return fleet.Settings{}, fmt.Errorf("manifest: %w", err)
+	}
+	return fleet.FromManifest(&m), nil
+}
+
 // report prints every fault of the settings with its path.
 func report(err error) {
 	var invalid *document.InvalidError
--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -3,11 +3,15 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"geraniumstack.org/geraniumstack/transport/engineapi"
 )
 
+// versionSeparator stands between an adapter's name and its version.
+const versionSeparator = "@"
+
 // control is what orders and notices change.
 type control struct {
 	models   []engineapi.Loaded
@@ -87,13 +91,20 @@
 		if m.Model != model || m.Loading {
 			continue
 		}
-		if adapter == "" || slices.Contains(m.Adapters, adapter) {
+		if adapter == "" || slices.ContainsFunc(m.Adapters, func(loaded string) bool { return names(adapter, loaded) }) {
 			return true
 		}
 	}
 	return false
 }
 
+// names reports whether a request's adapter means the loaded one: its whole
+// name, or the part before its version.
+func names(adapter, loaded string) bool {
+	name, _, _ := strings.Cut(loaded, versionSeparator)
+	return adapter == loaded || adapter == name
+}
+
 func (c *control) load(o engineapi.Order, ready time.Time) {
 	loaded := c.find(o.Model, o.Version)
 	if loaded != nil && (o.Adapter == "" || slices.Contains(loaded.Adapters, o.Adapter)) {
--- a/standin/engine/core_test.go
+++ b/standin/engine/core_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/transport/engineapi"
 )
 
@@ -144,6 +145,17 @@
 	}
 }
 
+func TestAdapterByNameOrWithVersion(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig("r", "m", "1")
+	cfg.Models[0].Adapters = []string{"reviews@12"}
+	c := NewCore(cfg, epoch)
+	for adapter, served := range map[string]bool{"reviews": true, "reviews@12": true, "reviews@11": false, "rev": false} {
+		err := c.Submit(epoch, NewAttempt(engineapi.GenerateRequest{AttemptID: adapter, Model: "m", Adapter: adapter, Prompt: "p", MaxTokens: 1}))
+		is.Equal(err == nil, served)
+	}
+}
+
 func TestLoadReportAndCacheEventsLag(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultConfig("r", "m", "1")
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -90,10 +90,8 @@
 // without an answer.
 func (e *Engine) gate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-e.died:
+		if e.isDead() {
 			panic(http.ErrAbortHandler)
-		default:
 		}
 		if e.Faults().Hang {
 			e.hang(r.Context())
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -22,18 +22,15 @@
 func WithClient(c *http.Client) Option { return func(e *Engine) { e.client = c } }
 
 // Engine runs a Core on the time package and serves it over HTTP. It is safe
-// for concurrent use and works inside a testing/synctest bubble; Close ends
-// its goroutine.
+// for concurrent use and works inside a testing/synctest bubble; its goroutine
+// ends when it dies.
 type Engine struct {
 	client *http.Client
 	ledger *Ledger
 	poke   chan struct{}
 	died   chan struct{}
-	closed chan struct{}
 	done   chan struct{}
 
-	closeOnce sync.Once
-
 	mu      sync.Mutex
 	core    *Core
 	streams map[string]*stream
@@ -59,7 +56,6 @@
 		ledger:  NewLedger(),
 		poke:    make(chan struct{}, 1),
 		died:    make(chan struct{}),
-		closed:  make(chan struct{}),
 		done:    make(chan struct{}),
 		core:    NewCore(cfg, time.Now()),
 		streams: map[string]*stream{},
@@ -71,18 +67,28 @@
 	return e
 }
 
-// Close ends the engine as Die does and waits for its goroutine. A second call
-// does nothing.
+// Close ends the engine as Die does and waits for its goroutine.
 func (e *Engine) Close() {
 	e.Die()
-	e.closeOnce.Do(func() { close(e.closed) })
 	<-e.done
 }
 
+func (e *Engine) isDead() bool {
+	select {
+	case <-e.died:
+		return true
+	default:
+		return false
+	}
+}
+
 func (e *Engine) run() {
 	defer close(e.done)
 	for {
 		wait, ok := e.step()
+		if e.isDead() {
+			return
+		}
 		var timer <-chan time.Time
 		if ok {
 			timer = time.After(wait)
@@ -90,7 +96,7 @@
 		select {
 		case <-timer:
 		case <-e.poke:
-		case <-e.closed:
+		case <-e.died:
 			return
 		}
 	}
@@ -129,9 +135,7 @@
 }
 
 func (e *Engine) announceDeath() {
-	select {
-	case <-e.died:
-	default:
+	if !e.isDead() {
 		close(e.died)
 	}
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -131,7 +131,7 @@
 		StartTime:      millis(c.StartMillis),
 		ListLag:        millis(c.ListLagMillis),
 		ChecksFencing:  c.ChecksFencing,
-		Hooks:          platform.Hooks{Launch: f.launch, Noticed: f.noticed, Removed: f.removed},
+		Hooks:          platform.Hooks{Launch: f.launchEmpty, Noticed: f.noticed, Removed: f.removed},
 	}
 	for _, class := range f.settings.VMClasses {
 		s.Classes = append(s.Classes, platform.Class{Name: class.Name, Reclaimable: class.Reclaimable, PricePerHour: class.PricePerHour})
@@ -191,7 +191,7 @@
 	for _, s := range f.settings.Services {
 		for i := range s.Runners {
 			vm := f.describe(fmt.Sprintf("%s-%02d", s.Name, i+1), s.Name, s.VMClass, "", i)
-			address, err := f.launch(vm)
+			address, err := f.launch(vm, s.Models)
 			if err != nil {
 				return err
 			}
@@ -225,8 +225,10 @@
 	}
 }
 
-// launch runs the process of a VM.
-func (f *Fleet) launch(vm api.VM) (string, error) {
+func (f *Fleet) launchEmpty(vm api.VM) (string, error) { return f.launch(vm, nil) }
+
+// launch runs the process of a VM with models loaded.
+func (f *Fleet) launch(vm api.VM, models []Model) (string, error) {
 	s, ok := f.settings.service(vm.Service)
 	if !ok {
 		return "", &UnknownServiceError{Service: vm.Service}
@@ -234,7 +236,7 @@
 	r := &Runner{VM: vm}
 	var handler http.Handler
 	if s.Kind == manifest.KindModel {
-		r.Engine = engine.New(f.settings.engineConfig(vm.ID, s), engine.WithLedger(f.Ledger), engine.WithClient(f.client))
+		r.Engine = engine.New(f.settings.engineConfig(vm.ID, s, models), engine.WithLedger(f.Ledger), engine.WithClient(f.client))
 		handler = r.Engine.Handler()
 	} else {
 		r.Service = service.New(vm.ID, f.Executions)
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,20 +13,31 @@
 	"geraniumstack.org/geraniumstack/standin/engine"
 	"geraniumstack.org/geraniumstack/standin/pipe"
 	"geraniumstack.org/geraniumstack/state/document"
+	"geraniumstack.org/geraniumstack/state/manifest"
 	"geraniumstack.org/geraniumstack/transport/engineapi"
 
 	client "geraniumstack.org/geraniumstack/transport/engine"
 	api "geraniumstack.org/geraniumstack/transport/platform"
 )
 
-func TestBuiltInSets(t *testing.T) {
+// The built-in sets run what the example manifests ask for.
+func TestBuiltInSetsAgreeWithExamples(t *testing.T) {
 	is := is.New(t)
-	h, err := Huaman()
-	is.NoErr(err)
-	is.Equal(h.Services[0].Runners+h.Services[1].Runners, 16)
-	a, err := AspenCoulee()
-	is.NoErr(err)
-	is.Equal(a.Services[0].Runners+a.Services[1].Runners, 22)
+	for path, set := range map[string]func() (Settings, error){
+		"../../examples/huaman.json":       Huaman,
+		"../../examples/aspen-coulee.json": AspenCoulee,
+	} {
+		data, err := os.ReadFile(path)
+		is.NoErr(err)
+		var m manifest.Manifest
+		is.NoErr(document.Decode(data, &m))
+		s, err := set()
+		is.NoErr(err)
+		derived := FromManifest(&m)
+		is.Equal(s.FailureDomains, derived.FailureDomains)
+		is.Equal(s.VMClasses, derived.VMClasses)
+		is.Equal(s.Services, derived.Services)
+	}
 }
 
 func TestSettingsFaultsAreToldAtOnce(t *testing.T) {
@@ -44,7 +56,7 @@
 
 // A whole set runs in a bubble: a failure domain is reclaimed, its runners are
 // gone when the notice is over, and a replacement started through the cloud API
-// serves a model.
+// serves a model once it is ordered to load it.
 func TestReclaimAndReplacement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -62,10 +74,13 @@
 		is.Equal(len(notices), 4)
 		time.Sleep(time.Minute)
 		<-f.Runner("asistente-01").Engine.Died()
-		vm, err := cloud.Start(ctx, api.StartRequest{Token: "t", FailureDomain: "lima-sur", Class: "gpu-on-demand", Service: "asistente"})
+		vm, err := cloud.Start(ctx, api.StartRequest{Token: "t", FailureDomain: "lima-sur", Class: "accelerator-on-demand", Service: "asistente"})
 		is.NoErr(err)
+		runner := client.New(vm.Address, connections)
+		is.NoErr(runner.Order(ctx, engineapi.Order{Kind: engineapi.OrderLoad, Model: "asistente", Version: "2026-10"}))
+		time.Sleep(10 * time.Second)
 		tokens := 0
-		err = client.New(vm.Address, connections).Generate(ctx, engineapi.GenerateRequest{
+		err = runner.Generate(ctx, engineapi.GenerateRequest{
 			RequestID: "r", AttemptID: "r/1", Model: "asistente", Prompt: "hola", MaxTokens: 3,
 		}, 2*time.Second, func(e engineapi.GenerateEvent) error {
 			if e.Token != "" {
--- /dev/null
+++ b/standin/fleet/manifest.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"slices"
+
+	"geraniumstack.org/geraniumstack/state/manifest"
+)
+
+// loopback is where everything listens, on ports that the system chooses.
+const (
+	loopback     = "127.0.0.1"
+	loopbackPort = loopback + ":0"
+)
+
+const defaultWeightBytes = 16_000_000_000
+
+// FromManifest returns a set with what a manifest asks for already running, on
+// reclaimable VMs where it has such a class for the service. Everything listens
+// on loopback.
+func FromManifest(m *manifest.Manifest) Settings {
+	s := Settings{
+		Listen:         Listen{KeyValue: loopbackPort, Cloud: loopbackPort, Weights: loopbackPort, RunnerHost: loopback},
+		FailureDomains: m.Fleet.FailureDomains,
+	}
+	for _, c := range m.Fleet.VMClasses {
+		s.VMClasses = append(s.VMClasses, VMClass{Name: c.Name, Reclaimable: c.Reclaimable, PricePerHour: c.PricePerHour})
+	}
+	for _, service := range m.Services {
+		s.Services = append(s.Services, Service{
+			Name:          service.Name,
+			Kind:          service.Kind,
+			Runners:       service.Runners,
+			VMClass:       classFor(m, service.Name),
+			Models:        modelsFor(m, service.Name),
+			ChecksFencing: service.ChecksFencing,
+		})
+	}
+	return s
+}
+
+func classFor(m *manifest.Manifest, service string) string {
+	chosen := ""
+	for _, c := range m.Fleet.VMClasses {
+		if len(c.Services) > 0 && !slices.Contains(c.Services, service) {
+			continue
+		}
+		if chosen == "" || c.Reclaimable {
+			chosen = c.Name
+		}
+	}
+	return chosen
+}
+
+func modelsFor(m *manifest.Manifest, service string) []Model {
+	var models []Model
+	for _, model := range m.Models {
+		if model.Service != service {
+			continue
+		}
+		loaded := Model{Name: model.Name, Version: model.Version, Bytes: defaultWeightBytes}
+		for _, a := range model.Adapters {
+			loaded.Adapters = append(loaded.Adapters, a.Name+"@"+a.Version)
+		}
+		models = append(models, loaded)
+	}
+	return models
+}
--- a/standin/fleet/settings.go
+++ b/standin/fleet/settings.go
@@ -54,15 +54,17 @@
 	// Runners run from the start.
 	Runners int    `json:"runners" jsonschema:"minimum=0"`
 	VMClass string `json:"vm_class" jsonschema:"minLength=1"`
-	// Models are loaded on runners from the start and on started ones too.
+	// Models are loaded on the runners from the start. Those that the cloud
+	// API starts are empty until they are ordered to load.
 	Models        []Model `json:"models,omitempty"`
 	ChecksFencing bool    `json:"checks_fencing,omitempty"`
 }
 
 // Model is a model that runners of a service hold.
 type Model struct {
-	Name     string   `json:"name" jsonschema:"minLength=1"`
-	Version  string   `json:"version" jsonschema:"minLength=1"`
+	Name    string `json:"name" jsonschema:"minLength=1"`
+	Version string `json:"version" jsonschema:"minLength=1"`
+	// Adapters are as the load report names them: name@version.
 	Adapters []string `json:"adapters,omitempty"`
 	// Bytes is its size in the weight store.
 	Bytes int64 `json:"bytes,omitempty" jsonschema:"minimum=0"`
@@ -198,10 +200,10 @@
 }
 
 // engineConfig is what a runner of the service is made with.
-func (s *Settings) engineConfig(runnerID string, service Service) engine.Config {
+func (s *Settings) engineConfig(runnerID string, service Service, models []Model) engine.Config {
 	cfg := engine.DefaultConfig(runnerID, "", "")
 	cfg.Models = nil
-	for _, m := range service.Models {
+	for _, m := range models {
 		cfg.Models = append(cfg.Models, engineapi.Loaded{Model: m.Name, Version: m.Version, Adapters: m.Adapters})
 	}
 	e := s.Engine
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
@@ -64,7 +65,7 @@
 
 func (c *Cloud) serveStart(w http.ResponseWriter, r *http.Request) {
 	var request platform.StartRequest
-	if !jsonhttp.Read(w, r, maxBodyBytes, &request) {
+	if !read(w, r, &request) {
 		return
 	}
 	vm, err := c.Start(r.Context(), request)
@@ -73,7 +74,7 @@
 
 func (c *Cloud) serveStop(w http.ResponseWriter, r *http.Request) {
 	var request platform.StopRequest
-	if !jsonhttp.Read(w, r, maxBodyBytes, &request) {
+	if !read(w, r, &request) {
 		return
 	}
 	write(w, jsonhttp.Empty{}, c.Stop(r.Context(), request.ID, request.Fencing))
@@ -96,7 +97,7 @@
 
 func (c *Cloud) serveReclaim(w http.ResponseWriter, r *http.Request) {
 	var request ReclaimRequest
-	if !jsonhttp.Read(w, r, maxBodyBytes, &request) {
+	if !read(w, r, &request) {
 		return
 	}
 	left := time.Duration(request.LeftMillis) * time.Millisecond
@@ -112,7 +113,7 @@
 
 func (c *Cloud) serveKill(w http.ResponseWriter, r *http.Request) {
 	var request KillRequest
-	if !jsonhttp.Read(w, r, maxBodyBytes, &request) {
+	if !read(w, r, &request) {
 		return
 	}
 	if !c.Kill(request.VM) {
@@ -133,6 +134,14 @@
 	return mux
 }
 
+func read(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(v); err != nil {
+		malformed(w, err)
+		return false
+	}
+	return true
+}
+
 func malformed(w http.ResponseWriter, err error) {
 	jsonhttp.Write(w, http.StatusBadRequest, platform.ErrorBody{Code: platform.CodeMalformed, Message: err.Error()})
 }
