Check histories of the key-value client and the engine client's errors

Cause: the promise that an open outcome is told as open, and that a silent connection is not taken for a dead engine, had no test at the clients. Change: porcupine histories of four racing clients through outages, slowness with late effects, lost answers and silent connections; the engine client against silence, broken, foreign and empty answers; BenchmarkCore; a hanging engine reads the request first, so that it sees its caller go.

--- a/standin/engine/core_test.go
+++ b/standin/engine/core_test.go
@@ -250,3 +250,25 @@
 		}
 	})
 }
+
+// BenchmarkCore is the cost of a generated token: 300 engines in virtual time
+// with full batches and prompts that share half their prefix.
+func BenchmarkCore(b *testing.B) {
+	const engines = 300
+	shared := prompt("shared", 512)
+	tokens := 0
+	for b.Loop() {
+		for i := range engines {
+			c := NewCore(DefaultConfig(fmt.Sprint(i), "m", "1"), epoch)
+			for j := range 32 {
+				if err := c.Submit(epoch, NewAttempt(request(fmt.Sprint(j), shared+prompt(fmt.Sprint(j), 512), 128))); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for next, ok := c.Next(); ok; next, ok = c.Next() {
+				tokens += len(c.Step(next).Lines)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(tokens), "ns/token")
+}
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -94,6 +95,8 @@
 			panic(http.ErrAbortHandler)
 		}
 		if e.Faults().Hang {
+			// net/http sees that a caller has gone only once its body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			e.hang(r.Context())
 		}
 		next.ServeHTTP(w, r)
--- /dev/null
+++ b/transport/engine/client_test.go
@@ -0,0 +1,127 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/standin/pipe"
+	"geraniumstack.org/geraniumstack/transport/engine"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
+
+	standin "geraniumstack.org/geraniumstack/standin/engine"
+)
+
+const (
+	address = "10.0.0.1:80"
+	silence = 2 * time.Second
+)
+
+// bubble runs a test in virtual time with a client of a handler.
+func bubble(t *testing.T, handler http.Handler, test func(is *is.I, n *pipe.Network, c *engine.Client)) {
+	is := is.New(t)
+	n := pipe.NewNetwork()
+	l, err := n.Listen(address)
+	is.NoErr(err)
+	server := &http.Server{Handler: handler}
+	go server.Serve(l)
+	connections := n.Client()
+	test(is, n, engine.New(address, connections))
+	connections.CloseIdleConnections()
+	server.Close()
+}
+
+func generate(c *engine.Client, maxTokens int, sink func(engineapi.GenerateEvent) error) error {
+	r := engineapi.GenerateRequest{RequestID: "r", AttemptID: "a", Model: "m", Prompt: "p", MaxTokens: maxTokens}
+	return c.Generate(context.Background(), r, silence, sink)
+}
+
+func ignore(engineapi.GenerateEvent) error { return nil }
+
+// A caller's answer stops in the middle. The connection to the engine went
+// silent for good while the engine is well: the client ends the stream after
+// its bound, and the next attempt goes through on a new connection at once.
+func TestSilentConnectionEndsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := standin.New(standin.DefaultConfig("r", "m", "1"))
+		bubble(t, e.Handler(), func(is *is.I, n *pipe.Network, c *engine.Client) {
+			var last time.Time
+			err := generate(c, 1000, func(ev engineapi.GenerateEvent) error {
+				last = time.Now()
+				if ev.Offset == 100 {
+					n.Silence(address)
+				}
+				return nil
+			})
+			var silent *engine.SilentError
+			is.True(errors.As(err, &silent))
+			is.Equal(time.Since(last), silence)
+			is.True(engine.MayHaveStarted(err))
+			start := time.Now()
+			is.NoErr(c.Cancel(context.Background(), "a"))
+			is.NoErr(generate(c, 1, ignore))
+			is.True(time.Since(start) < silence)
+			is.Equal(e.Counters().Cancelled, 1)
+		})
+		e.Close()
+	})
+}
+
+func TestNothingListensMeansNotStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		err := generate(engine.New("10.0.0.2:80", pipe.NewNetwork().Client()), 1, ignore)
+		var connect *engine.ConnectError
+		is.True(errors.As(err, &connect))
+		is.True(!engine.MayHaveStarted(err))
+	})
+}
+
+// A gateway must not tell a caller that nothing ran because something answered
+// with an error: here the engine's VM is gone in the middle, and a proxy's
+// page, which is none of the protocol's refusals, comes in place of the stream.
+func TestOpenOutcomesMayHaveStarted(t *testing.T) {
+	handlers := map[string]http.HandlerFunc{
+		"page":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(502); io.WriteString(w, "<html>") },
+		"broken":  func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"silent":  func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body); <-r.Context().Done() },
+		"garbage": func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "{\n") },
+		"empty":   func(http.ResponseWriter, *http.Request) {},
+		"failed":  func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, `{"error":"out of memory"}`) },
+	}
+	for name, handler := range handlers {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				bubble(t, handler, func(is *is.I, _ *pipe.Network, c *engine.Client) {
+					err := generate(c, 1, ignore)
+					is.True(err != nil)
+					is.True(engine.MayHaveStarted(err))
+				})
+			})
+		})
+	}
+}
+
+// stop is what a sink returns to end a stream.
+type stop struct{}
+
+func (*stop) Error() string { return "stop" }
+
+func TestSinkErrorComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := standin.New(standin.DefaultConfig("r", "m", "1"))
+		bubble(t, e.Handler(), func(is *is.I, _ *pipe.Network, c *engine.Client) {
+			err := generate(c, 100, func(engineapi.GenerateEvent) error { return &stop{} })
+			is.Equal(err, &stop{})
+			time.Sleep(time.Second)
+			is.Equal(e.Counters().Cancelled, 1) // the engine hears of it
+		})
+		e.Close()
+	})
+}
--- /dev/null
+++ b/transport/kv/history_test.go
@@ -0,0 +1,158 @@
+package kv_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/standin/kvserver"
+	"geraniumstack.org/geraniumstack/standin/pipe"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+// swap is one call on a key: from and to are values, each written once.
+// A read has an empty to.
+type swap struct{ key, from, to string }
+
+// result is what the caller was told.
+type result struct {
+	value string
+	open  bool
+}
+
+// register is a key with compare-and-swap. An open outcome that never took
+// effect is placed after all others, where its from no longer stands or nobody
+// looks.
+var register = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(swap).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		stands, call, told := state.(string), input.(swap), output.(result)
+		after := stands
+		if call.to != "" && call.from == stands {
+			after = call.to
+		}
+		return told.open || told.value == after, after
+	},
+}
+
+// history records calls with the order in which they began and ended.
+type history struct {
+	clock atomic.Int64
+	mu    sync.Mutex
+	ops   []porcupine.Operation
+	open  int
+}
+
+func (h *history) do(client int, call swap, run func() (string, error)) {
+	op := porcupine.Operation{ClientId: client, Input: call, Call: h.clock.Add(1)}
+	value, err := run()
+	op.Return = h.clock.Add(1)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		if call.to == "" {
+			return
+		}
+		h.open++
+		op.Return = math.MaxInt64
+	}
+	op.Output = result{value: value, open: err != nil}
+	h.ops = append(h.ops, op)
+}
+
+// write swaps what a client last read for a value of its own.
+func write(ctx context.Context, c kv.Store, stands kv.Entry, value string) (string, error) {
+	_, err := c.CompareAndSwap(ctx, stands.Key, stands.Revision, []byte(value), 0)
+	var conflict *kv.ConflictError
+	if errors.As(err, &conflict) {
+		return string(conflict.Current.Value), nil
+	}
+	return value, err
+}
+
+func work(h *history, c kv.Store, client int, seed uint64) {
+	ctx := context.Background()
+	random := rand.New(rand.NewPCG(seed, uint64(client)))
+	for i := range 40 {
+		key := fmt.Sprint("k", random.IntN(2))
+		var stands kv.Entry
+		h.do(client, swap{key: key}, func() (string, error) {
+			var err error
+			stands, err = c.Get(ctx, key)
+			return string(stands.Value), err
+		})
+		time.Sleep(time.Duration(random.IntN(50)) * time.Millisecond)
+		if stands.Key == "" {
+			continue
+		}
+		value := fmt.Sprintf("%d.%d", client, i)
+		h.do(client, swap{key: key, from: string(stands.Value), to: value}, func() (string, error) {
+			return write(ctx, c, stands, value)
+		})
+	}
+}
+
+// disturb switches faults on and off while clients work.
+func disturb(s *kvserver.Store, n *pipe.Network, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, math.MaxUint64))
+	for range 30 {
+		time.Sleep(200 * time.Millisecond)
+		switch random.IntN(5) {
+		case 0:
+			s.SetFaults(kvserver.Faults{Outage: true})
+		case 1:
+			s.SetFaults(kvserver.Faults{LoseAnswers: 3})
+		case 2:
+			s.SetFaults(kvserver.Faults{DelayMillis: 3000, LateEffects: true})
+		case 3:
+			n.Silence(address)
+		default:
+			s.SetFaults(kvserver.Faults{})
+		}
+	}
+	s.SetFaults(kvserver.Faults{})
+}
+
+// Clients that race for two keys through outages, slowness, lost answers and
+// silent connections are told nothing that a single register could not tell.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	open := 0
+	for seed := range uint64(8) {
+		bubble(t, func(is *is.I, n *pipe.Network, s *kvserver.Store, c kv.Store) {
+			h := &history{}
+			var all sync.WaitGroup
+			all.Go(func() { disturb(s, n, seed) })
+			for client := range 4 {
+				all.Go(func() { work(h, c, client, seed) })
+			}
+			all.Wait()
+			time.Sleep(10 * time.Second)
+			is.True(porcupine.CheckOperations(register, h.ops))
+			open += h.open
+		})
+	}
+	if open == 0 {
+		t.Fatal("no write had an open outcome: the faults were not met")
+	}
+}
