Refuse starts after a reclaim; share the weight store's bandwidth

Cause: starts are refused just when replacements are needed, and loads in a wave slow one another; neither could be brought about. The key-value stand-in kept up to 8,192 values of a megabyte for lagging watches. Change: RefuseAfterReclaim and refuse_after_reclaim_ms; Weights.Transfer, engine.Config.Transfer and weights.bytes_per_second; the history is bounded at 64 MiB of values. Conclusion: both are settings of a set, off by default.

--- a/standin/engine/control.go
+++ b/standin/engine/control.go
@@ -47,7 +47,7 @@
 	c.control.fencing = max(c.control.fencing, o.Fencing)
 	switch o.Kind {
 	case engineapi.OrderLoad:
-		c.control.load(o, now.Add(c.cfg.OrderTime))
+		c.load(now, o)
 	case engineapi.OrderUnload:
 		c.control.unload(o)
 	case engineapi.OrderRole:
@@ -105,21 +105,31 @@
 	return adapter == loaded || adapter == name
 }
 
-func (c *control) load(o engineapi.Order, ready time.Time) {
-	loaded := c.find(o.Model, o.Version)
-	if loaded != nil && (o.Adapter == "" || slices.Contains(loaded.Adapters, o.Adapter)) {
+// load begins what an order asks for, unless it is there or has begun.
+func (c *Core) load(now time.Time, o engineapi.Order) {
+	if c.control.holds(o) {
 		return
 	}
-	l := load{model: o.Model, version: o.Version, adapter: o.Adapter, ready: ready}
-	for _, other := range c.loads {
-		if other.model == l.model && other.version == l.version && other.adapter == l.adapter {
-			return
-		}
+	ready := now.Add(c.cfg.OrderTime)
+	if c.cfg.Transfer != nil {
+		ready = ready.Add(c.cfg.Transfer(now, o))
 	}
-	if loaded == nil {
-		c.models = append(c.models, engineapi.Loaded{Model: o.Model, Version: o.Version, Loading: true})
+	if c.control.find(o.Model, o.Version) == nil {
+		c.control.models = append(c.control.models, engineapi.Loaded{Model: o.Model, Version: o.Version, Loading: true})
+	}
+	c.control.loads = append(c.control.loads, load{model: o.Model, version: o.Version, adapter: o.Adapter, ready: ready})
+}
+
+// holds reports whether an order asks for nothing that is not there or on its
+// way.
+func (c *control) holds(o engineapi.Order) bool {
+	loaded := c.find(o.Model, o.Version)
+	if loaded != nil && (o.Adapter == "" || slices.Contains(loaded.Adapters, o.Adapter)) {
+		return true
 	}
-	c.loads = append(c.loads, l)
+	return slices.ContainsFunc(c.loads, func(l load) bool {
+		return l.model == o.Model && l.version == o.Version && l.adapter == o.Adapter
+	})
 }
 
 func (c *control) unload(o engineapi.Order) {
--- a/standin/engine/core.go
+++ b/standin/engine/core.go
@@ -46,6 +46,9 @@
 	EventsKept int
 	// OrderTime is how long loading a model or adapter takes.
 	OrderTime time.Duration
+	// Transfer, if set, is how long the weights of an order that begins at now
+	// take to arrive, before OrderTime.
+	Transfer func(now time.Time, o engineapi.Order) time.Duration
 	// ChecksFencing refuses orders with an older fencing number than one seen.
 	ChecksFencing bool
 	// RefuseWhenLeaving refuses new attempts once a notice has come.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"geraniumstack.org/geraniumstack/standin/platform"
 	"geraniumstack.org/geraniumstack/standin/service"
 	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
 
 	api "geraniumstack.org/geraniumstack/transport/platform"
 )
@@ -131,7 +132,10 @@
 		StartTime:      millis(c.StartMillis),
 		ListLag:        millis(c.ListLagMillis),
 		ChecksFencing:  c.ChecksFencing,
-		Hooks:          platform.Hooks{Launch: f.launchEmpty, Noticed: f.noticed, Removed: f.removed},
+
+		RefuseAfterReclaim: millis(c.RefuseAfterReclaimMillis),
+
+		Hooks: platform.Hooks{Launch: f.launchEmpty, Noticed: f.noticed, Removed: f.removed},
 	}
 	for _, class := range f.settings.VMClasses {
 		s.Classes = append(s.Classes, platform.Class{Name: class.Name, Reclaimable: class.Reclaimable, PricePerHour: class.PricePerHour})
@@ -144,6 +148,7 @@
 	set(&calls, f.settings.Weights.CallsPerSecond)
 	set(&burst, f.settings.Weights.Burst)
 	w := platform.NewWeights(calls, burst)
+	w.LimitTransfers(f.settings.Weights.BytesPerSecond)
 	for _, s := range f.settings.Services {
 		for _, m := range s.Models {
 			w.Add(api.Weight{Name: m.Name, Version: m.Version, Bytes: m.Bytes})
@@ -236,7 +241,9 @@
 	r := &Runner{VM: vm}
 	var handler http.Handler
 	if s.Kind == manifest.KindModel {
-		r.Engine = engine.New(f.settings.engineConfig(vm.ID, s, models), engine.WithLedger(f.Ledger), engine.WithClient(f.client))
+		cfg := f.settings.engineConfig(vm.ID, s, models)
+		cfg.Transfer = f.transfer
+		r.Engine = engine.New(cfg, engine.WithLedger(f.Ledger), engine.WithClient(f.client))
 		handler = r.Engine.Handler()
 	} else {
 		r.Service = service.New(vm.ID, f.Executions)
@@ -256,6 +263,14 @@
 	return address, nil
 }
 
+// transfer is how long a model's weights take; adapters are small.
+func (f *Fleet) transfer(now time.Time, o engineapi.Order) time.Duration {
+	if o.Adapter != "" {
+		return 0
+	}
+	return f.Weights.Transfer(now, o.Model, o.Version)
+}
+
 func (f *Fleet) noticed(vm api.VM, left time.Duration) {
 	klog.InfoS("VM is going to be reclaimed", "vm", vm.ID, "failureDomain", vm.FailureDomain, "left", left)
 	r := f.Runner(vm.ID)
--- a/standin/fleet/settings.go
+++ b/standin/fleet/settings.go
@@ -97,18 +97,21 @@
 
 // Cloud changes the cloud API and the VM list.
 type Cloud struct {
-	Seed              uint64  `json:"seed,omitempty"`
-	PriceSpread       float64 `json:"price_spread,omitempty" jsonschema:"minimum=0,maximum=1"`
-	PricePeriodMillis int     `json:"price_period_ms,omitempty" jsonschema:"minimum=0"`
-	StartMillis       int     `json:"start_ms,omitempty" jsonschema:"minimum=0"`
-	ListLagMillis     int     `json:"list_lag_ms,omitempty" jsonschema:"minimum=0"`
-	ChecksFencing     bool    `json:"checks_fencing,omitempty"`
+	Seed                     uint64  `json:"seed,omitempty"`
+	PriceSpread              float64 `json:"price_spread,omitempty" jsonschema:"minimum=0,maximum=1"`
+	PricePeriodMillis        int     `json:"price_period_ms,omitempty" jsonschema:"minimum=0"`
+	StartMillis              int     `json:"start_ms,omitempty" jsonschema:"minimum=0"`
+	ListLagMillis            int     `json:"list_lag_ms,omitempty" jsonschema:"minimum=0"`
+	RefuseAfterReclaimMillis int     `json:"refuse_after_reclaim_ms,omitempty" jsonschema:"minimum=0"`
+	ChecksFencing            bool    `json:"checks_fencing,omitempty"`
 }
 
 // Weights limits the weight store; zero is its default.
 type Weights struct {
 	CallsPerSecond float64 `json:"calls_per_second,omitempty" jsonschema:"minimum=0"`
 	Burst          int     `json:"burst,omitempty" jsonschema:"minimum=0"`
+	// BytesPerSecond is shared by all loads; zero is no bound.
+	BytesPerSecond float64 `json:"bytes_per_second,omitempty" jsonschema:"minimum=0"`
 }
 
 // Defaults of the weight store's limit.
--- a/standin/kvserver/store.go
+++ b/standin/kvserver/store.go
@@ -16,8 +16,12 @@
 // MaxValueBytes is the largest value that the service holds.
 const MaxValueBytes = 1 << 20
 
-// DefaultHistory is how many changes are kept for watches that lag.
-const DefaultHistory = 4096
+// DefaultHistory is how many changes are kept for watches that lag, and
+// maxHistoryBytes how much of their values.
+const (
+	DefaultHistory  = 4096
+	maxHistoryBytes = 64 << 20
+)
 
 // Store is the service's state. It is safe for concurrent use and implements
 // kv.Store, so a test can use it without HTTP. Leases run on the time package,
@@ -29,6 +33,7 @@
 	leases    map[kv.LeaseID]*lease
 	lastLease kv.LeaseID
 	history   []kv.Event
+	kept      int // bytes of values in history
 	keep      int
 	compacted kv.Revision
 	watchers  map[*watcher]struct{}
@@ -237,9 +242,13 @@
 
 func (s *Store) publish(e kv.Event) {
 	s.history = append(s.history, e)
+	s.kept += len(e.Value)
 	if len(s.history) > 2*s.keep {
 		s.compact(len(s.history) - s.keep)
 	}
+	if s.kept > maxHistoryBytes {
+		s.compact((len(s.history) + 1) / 2)
+	}
 	for w := range s.watchers {
 		if strings.HasPrefix(e.Key, w.prefix) {
 			w.notify()
@@ -249,6 +258,9 @@
 
 func (s *Store) compact(n int) {
 	s.compacted = s.history[n-1].Revision
+	for _, e := range s.history[:n] {
+		s.kept -= len(e.Value)
+	}
 	s.history = append([]kv.Event(nil), s.history[n:]...)
 }
 
--- a/standin/kvserver/store_test.go
+++ b/standin/kvserver/store_test.go
@@ -157,3 +157,19 @@
 		is.Equal(time.Since(start), 700*time.Millisecond)
 	})
 }
+
+func TestHistoryIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	value := make([]byte, MaxValueBytes)
+	revision := kv.Revision(0)
+	var err error
+	for range 2 * maxHistoryBytes / MaxValueBytes {
+		revision, err = s.CompareAndSwap(context.Background(), "a", revision, value, 0)
+		is.NoErr(err)
+	}
+	is.True(s.kept <= maxHistoryBytes)
+	_, _, err = s.Watch(context.Background(), "", 0, 0)
+	var compacted *kv.CompactedError
+	is.True(errors.As(err, &compacted))
+}
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -37,6 +37,9 @@
 	StartTime time.Duration
 	// ListLag is how old the VM list is.
 	ListLag time.Duration
+	// RefuseAfterReclaim refuses starts of reclaimable classes in a failure
+	// domain for that long after a notice there.
+	RefuseAfterReclaim time.Duration
 	// ChecksFencing refuses starts and stops with an older fencing number than
 	// one seen.
 	ChecksFencing bool
@@ -72,8 +75,10 @@
 	changed chan struct{} // closed at the next notice or change of faults
 	faults  Faults
 	refused int
-	timers  []*time.Timer
-	closed  bool
+	// reclaimed is when a failure domain last had a notice.
+	reclaimed map[ident.FailureDomain]time.Time
+	timers    []*time.Timer
+	closed    bool
 }
 
 // vm keeps when a VM's state changed, so that the list can tell what it was.
@@ -100,6 +105,8 @@
 		vms:      map[string]*vm{},
 		tokens:   map[string]*vm{},
 		changed:  make(chan struct{}),
+
+		reclaimed: map[ident.FailureDomain]time.Time{},
 	}
 }
 
@@ -136,7 +143,7 @@
 	if !ok || !c.has(r.FailureDomain) {
 		return nil, false, &platform.NotFoundError{What: fmt.Sprintf("class %q in %q", r.Class, r.FailureDomain)}
 	}
-	if reason := c.refuses(r); reason != "" {
+	if reason := c.refuses(r, class); reason != "" {
 		c.refused++
 		return nil, false, &platform.StartRefusedError{Reason: reason}
 	}
@@ -246,6 +253,7 @@
 	}
 	v.noticed = time.Now()
 	v.deadline = v.noticed.Add(left)
+	c.reclaimed[v.FailureDomain] = v.noticed
 	if !c.faults.DropNotices {
 		c.notices = append(c.notices, notice{
 			Notice:   platform.Notice{Sequence: uint64(len(c.notices) + 1), VM: id, Address: v.Address},
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -91,9 +91,11 @@
 }
 
 // refuses returns why a start is refused, or nothing.
-func (c *Cloud) refuses(r platform.StartRequest) string {
+func (c *Cloud) refuses(r platform.StartRequest, class Class) string {
 	f := &c.faults
 	switch {
+	case class.Reclaimable && time.Since(c.reclaimed[r.FailureDomain]) < c.settings.RefuseAfterReclaim:
+		return fmt.Sprintf("no reclaimable capacity in %s", r.FailureDomain)
 	case slices.Contains(f.RefuseDomains, r.FailureDomain):
 		return fmt.Sprintf("no capacity in %s", r.FailureDomain)
 	case slices.Contains(f.RefuseClasses, r.Class):
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -79,6 +79,39 @@
 	})
 }
 
+// Starts are refused just when replacements are needed: the reclaim that took
+// the VMs shows that the failure domain has none to give.
+func TestRefusedAfterReclaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := settings()
+		s.RefuseAfterReclaim = time.Minute
+		cloud := New(s)
+		ctx := context.Background()
+		cloud.Register(platform.VM{ID: "r1", FailureDomain: "a", Reclaimable: true})
+		cloud.ReclaimDomain("a", time.Second)
+		start := func(token, class string) error {
+			_, err := cloud.Start(ctx, platform.StartRequest{Token: token, FailureDomain: "a", Class: class})
+			return err
+		}
+		is.True(start("t1", "spot") != nil)
+		is.NoErr(start("t2", "fixed"))
+		time.Sleep(time.Minute)
+		is.NoErr(start("t1", "spot"))
+	})
+}
+
+func TestWeightTransfersShareBandwidth(t *testing.T) {
+	is := is.New(t)
+	w := NewWeights(1, 1, platform.Weight{Name: "m", Version: "1", Bytes: 100})
+	now := time.Now()
+	is.Equal(w.Transfer(now, "m", "1"), time.Duration(0))
+	w.LimitTransfers(10)
+	is.Equal(w.Transfer(now, "m", "1"), 10*time.Second)
+	is.Equal(w.Transfer(now, "m", "1"), 20*time.Second)
+	is.Equal(w.Transfer(now.Add(time.Minute), "m", "1"), 10*time.Second)
+}
+
 func TestNoticeListLagAndRemoval(t *testing.T) {
 	var cloud *Cloud
 	removed := 0
--- a/standin/platform/weights.go
+++ b/standin/platform/weights.go
@@ -26,9 +26,12 @@
 
 	mu      sync.Mutex
 	weights map[string]platform.Weight
-	faults  WeightFaults
-	calls   int
-	limited int
+	// bandwidth is in bytes per second over all transfers; zero is no bound.
+	bandwidth float64
+	linkFree  time.Time
+	faults    WeightFaults
+	calls     int
+	limited   int
 }
 
 var _ platform.Weights = (*Weights)(nil)
@@ -83,6 +86,29 @@
 	return wait
 }
 
+// LimitTransfers makes transfers share a bandwidth in bytes per second.
+func (w *Weights) LimitTransfers(bandwidth float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bandwidth = bandwidth
+}
+
+// Transfer is how long a runner that begins to load a version at now has to
+// wait for it: transfers share the store's bandwidth one after another.
+func (w *Weights) Transfer(now time.Time, name, version string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.bandwidth <= 0 {
+		return 0
+	}
+	if w.linkFree.Before(now) {
+		w.linkFree = now
+	}
+	bytes := w.weights[weightKey(name, version)].Bytes
+	w.linkFree = w.linkFree.Add(time.Duration(float64(bytes) / w.bandwidth * float64(time.Second)))
+	return w.linkFree.Sub(now)
+}
+
 // Calls is how many calls came, and how many of them were over the limit.
 func (w *Weights) Calls() (all, limited int) {
 	w.mu.Lock()
