Limit the key-value stand-in's rates and tell its peak

Cause: the platform's service takes several hundred writes and about two thousand reads a second; the stand-in took any number, and nothing told the most that came in one second. Figures: 110 writes at 100 a second take 1 s of virtual time with ten free (TestLimitsMakeCallsWait). Conclusion: what a fleet costs the service can be measured and felt.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -109,6 +109,7 @@
 		client:     &http.Client{Transport: &http.Transport{DialContext: options.Network.Dial}},
 		runners:    map[string]*Runner{},
 	}
+	f.KV.SetLimits(s.KeyValue)
 	f.Cloud = platform.New(f.cloudSettings())
 	f.Weights = f.weights()
 	if err := f.startPlatform(); err != nil {
--- a/standin/fleet/settings.go
+++ b/standin/fleet/settings.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/standin/engine"
+	"geraniumstack.org/geraniumstack/standin/kvserver"
 	"geraniumstack.org/geraniumstack/state/document"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
@@ -24,9 +25,11 @@
 	Services       []Service             `json:"services" jsonschema:"minItems=1"`
 	// EntryVMs are put into the VM list; the set does not run them.
 	EntryVMs []EntryVM `json:"entry_vms,omitempty"`
-	Engine   Engine    `json:"engine,omitempty"`
-	Cloud    Cloud     `json:"cloud,omitempty"`
-	Weights  Weights   `json:"weights,omitempty"`
+	// KeyValue limits the key-value service.
+	KeyValue kvserver.Limits `json:"key_value,omitempty"`
+	Engine   Engine          `json:"engine,omitempty"`
+	Cloud    Cloud           `json:"cloud,omitempty"`
+	Weights  Weights         `json:"weights,omitempty"`
 }
 
 // Listen holds the addresses, IP and port, of the platform's services. Port 0
--- a/standin/kvserver/faults.go
+++ b/standin/kvserver/faults.go
@@ -28,11 +28,23 @@
 
 // Writes is the number of calls that change the store.
 func (c Calls) Writes() int {
-	return c[CallCompareAndSwap] + c[CallDelete] + c[CallGrant] + c[CallKeepAlive] + c[CallRevoke]
+	writes := 0
+	for kind, n := range c {
+		if kind.write() {
+			writes += n
+		}
+	}
+	return writes
 }
 
 // Reads is the number of calls that do not; a waiting watch is one.
-func (c Calls) Reads() int { return c[CallGet] + c[CallList] + c[CallWatch] }
+func (c Calls) Reads() int {
+	all := 0
+	for _, n := range c {
+		all += n
+	}
+	return all - c.Writes()
+}
 
 // Faults are the switches of the service; the zero value is a healthy one.
 type Faults struct {
@@ -97,11 +109,12 @@
 	return counts
 }
 
-// ResetCalls sets all counts to zero.
+// ResetCalls sets all counts and the peak to zero.
 func (s *Store) ResetCalls() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls = nil
+	s.meter = meter{}
 }
 
 // enter counts a call and applies the faults that come before its effect.
@@ -111,11 +124,18 @@
 		s.calls = Calls{}
 	}
 	s.calls[kind]++
-	f := s.faults
+	s.meter.count(kind, time.Now())
+	f, limit := s.faults, s.reads
+	if kind.write() {
+		limit = s.writes
+	}
 	s.mu.Unlock()
 	if f.Outage {
 		return &kv.UnavailableError{Err: &OutageError{}}
 	}
+	if err := s.turn(ctx, limit); err != nil {
+		return err
+	}
 	if f.DelayMillis > 0 {
 		if f.LateEffects {
 			ctx = context.WithoutCancel(ctx)
--- a/standin/kvserver/http.go
+++ b/standin/kvserver/http.go
@@ -21,6 +21,8 @@
 	PathCompact = "/faults/compact"
 	// PathCalls takes GET for the counts and DELETE to reset them.
 	PathCalls = "/calls"
+	// PathPeak takes GET for the most calls in one second.
+	PathPeak = "/calls/peak"
 )
 
 // maxBodyBytes leaves room for the largest value in base64.
@@ -80,6 +82,9 @@
 	mux.HandleFunc("GET "+PathCalls, func(w http.ResponseWriter, _ *http.Request) {
 		jsonhttp.Write(w, http.StatusOK, s.Calls())
 	})
+	mux.HandleFunc("GET "+PathPeak, func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, http.StatusOK, s.Peak())
+	})
 	mux.HandleFunc("DELETE "+PathCalls, func(w http.ResponseWriter, _ *http.Request) {
 		s.ResetCalls()
 		jsonhttp.Write(w, http.StatusOK, jsonhttp.Empty{})
--- /dev/null
+++ b/standin/kvserver/limits.go
@@ -0,0 +1,85 @@
+package kvserver
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+// Limits are the rates that the service takes, in calls a second; zero is no
+// bound. Calls above them wait for their turn.
+type Limits struct {
+	WritesPerSecond float64 `json:"writes_per_second,omitempty"`
+	ReadsPerSecond  float64 `json:"reads_per_second,omitempty"`
+}
+
+// Peak is the most calls that came in one second.
+type Peak struct {
+	Writes int `json:"writes"`
+	Reads  int `json:"reads"`
+}
+
+// meter counts the calls of the present second.
+type meter struct {
+	second int64
+	now    Peak
+	peak   Peak
+}
+
+func (m *meter) count(kind CallKind, now time.Time) {
+	if second := now.Unix(); second != m.second {
+		m.second, m.now = second, Peak{}
+	}
+	if kind.write() {
+		m.now.Writes++
+	} else {
+		m.now.Reads++
+	}
+	m.peak.Writes = max(m.peak.Writes, m.now.Writes)
+	m.peak.Reads = max(m.peak.Reads, m.now.Reads)
+}
+
+// write tells the calls that change the store from the others.
+func (k CallKind) write() bool {
+	switch k {
+	case CallGet, CallList, CallWatch:
+		return false
+	default:
+		return true
+	}
+}
+
+// SetLimits replaces the limits; a burst of a tenth of a second is free.
+func (s *Store) SetLimits(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes, s.reads = limiter(l.WritesPerSecond), limiter(l.ReadsPerSecond)
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+}
+
+// Peak returns the most calls that came in one second of the clock.
+func (s *Store) Peak() Peak {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meter.peak
+}
+
+// turn waits until the limit lets a call in.
+func (s *Store) turn(ctx context.Context, l *rate.Limiter) error {
+	if l == nil {
+		return nil
+	}
+	if err := l.Wait(ctx); err != nil {
+		return &kv.UnavailableError{Err: err}
+	}
+	return s.outage()
+}
--- a/standin/kvserver/store.go
+++ b/standin/kvserver/store.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
@@ -39,6 +41,9 @@
 	watchers  map[*watcher]struct{}
 	calls     Calls
 	faults    Faults
+	meter     meter
+	writes    *rate.Limiter // nil is no limit
+	reads     *rate.Limiter
 }
 
 var _ kv.Store = (*Store)(nil)
--- a/standin/kvserver/store_test.go
+++ b/standin/kvserver/store_test.go
@@ -173,3 +173,23 @@
 	var compacted *kv.CompactedError
 	is.True(errors.As(err, &compacted))
 }
+
+func TestLimitsMakeCallsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := New()
+		s.SetLimits(Limits{WritesPerSecond: 100})
+		ctx := context.Background()
+		start := time.Now()
+		for i := range 110 {
+			_, err := s.CompareAndSwap(ctx, "a", kv.Revision(i), nil, 0)
+			is.NoErr(err)
+			_, err = s.Get(ctx, "a")
+			is.NoErr(err)
+		}
+		took := time.Since(start)
+		is.True(took >= 990*time.Millisecond && took <= 1010*time.Millisecond) // ten are free
+		is.True(s.Peak().Writes >= 100)
+		is.Equal(s.Calls().Reads(), 110)
+	})
+}
