--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -90,12 +91,12 @@
 // without an answer.
 func (e *Engine) gate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-e.died:
+		if e.isDead() {
 			panic(http.ErrAbortHandler)
-		default:
 		}
 		if e.Faults().Hang {
+			// net/http sees that a caller has gone only once its body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			e.hang(r.Context())
 		}
 		next.ServeHTTP(w, r)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"geraniumstack.org/geraniumstack/standin/platform"
 	"geraniumstack.org/geraniumstack/standin/service"
 	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
 
 	api "geraniumstack.org/geraniumstack/transport/platform"
 )
@@ -108,6 +109,7 @@
 		client:     &http.Client{Transport: &http.Transport{DialContext: options.Network.Dial}},
 		runners:    map[string]*Runner{},
 	}
+	f.KV.SetLimits(s.KeyValue)
 	f.Cloud = platform.New(f.cloudSettings())
 	f.Weights = f.weights()
 	if err := f.startPlatform(); err != nil {
@@ -131,7 +133,10 @@
 		StartTime:      millis(c.StartMillis),
 		ListLag:        millis(c.ListLagMillis),
 		ChecksFencing:  c.ChecksFencing,
-		Hooks:          platform.Hooks{Launch: f.launch, Noticed: f.noticed, Removed: f.removed},
+
+		RefuseAfterReclaim: millis(c.RefuseAfterReclaimMillis),
+
+		Hooks: platform.Hooks{Launch: f.launchEmpty, Noticed: f.noticed, Removed: f.removed},
 	}
 	for _, class := range f.settings.VMClasses {
 		s.Classes = append(s.Classes, platform.Class{Name: class.Name, Reclaimable: class.Reclaimable, PricePerHour: class.PricePerHour})
@@ -144,6 +149,7 @@
 	set(&calls, f.settings.Weights.CallsPerSecond)
 	set(&burst, f.settings.Weights.Burst)
 	w := platform.NewWeights(calls, burst)
+	w.LimitTransfers(f.settings.Weights.BytesPerSecond)
 	for _, s := range f.settings.Services {
 		for _, m := range s.Models {
 			w.Add(api.Weight{Name: m.Name, Version: m.Version, Bytes: m.Bytes})
@@ -191,7 +197,7 @@
 	for _, s := range f.settings.Services {
 		for i := range s.Runners {
 			vm := f.describe(fmt.Sprintf("%s-%02d", s.Name, i+1), s.Name, s.VMClass, "", i)
-			address, err := f.launch(vm)
+			address, err := f.launch(vm, s.Models)
 			if err != nil {
 				return err
 			}
@@ -225,8 +231,10 @@
 	}
 }
 
-// launch runs the process of a VM.
-func (f *Fleet) launch(vm api.VM) (string, error) {
+func (f *Fleet) launchEmpty(vm api.VM) (string, error) { return f.launch(vm, nil) }
+
+// launch runs the process of a VM with models loaded.
+func (f *Fleet) launch(vm api.VM, models []Model) (string, error) {
 	s, ok := f.settings.service(vm.Service)
 	if !ok {
 		return "", &UnknownServiceError{Service: vm.Service}
@@ -234,7 +242,9 @@
 	r := &Runner{VM: vm}
 	var handler http.Handler
 	if s.Kind == manifest.KindModel {
-		r.Engine = engine.New(f.settings.engineConfig(vm.ID, s), engine.WithLedger(f.Ledger), engine.WithClient(f.client))
+		cfg := f.settings.engineConfig(vm.ID, s, models)
+		cfg.Transfer = f.transfer
+		r.Engine = engine.New(cfg, engine.WithLedger(f.Ledger), engine.WithClient(f.client))
 		handler = r.Engine.Handler()
 	} else {
 		r.Service = service.New(vm.ID, f.Executions)
@@ -254,6 +264,14 @@
 	return address, nil
 }
 
+// transfer is how long a model's weights take; adapters are small.
+func (f *Fleet) transfer(now time.Time, o engineapi.Order) time.Duration {
+	if o.Adapter != "" {
+		return 0
+	}
+	return f.Weights.Transfer(now, o.Model, o.Version)
+}
+
 func (f *Fleet) noticed(vm api.VM, left time.Duration) {
 	klog.InfoS("VM is going to be reclaimed", "vm", vm.ID, "failureDomain", vm.FailureDomain, "left", left)
 	r := f.Runner(vm.ID)
