--- a/coordination/membership/gateways.go
+++ b/coordination/membership/gateways.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/view"
@@ -32,47 +31,49 @@
 // own domain's first, never a leaving one, suspects only if there is no other.
 // The seed draws a different choice for each caller where there are many.
 func Gateways(daemons []view.Daemon, domain ident.FailureDomain, seed uint64) []Gateway {
-	chosen := withState(daemons, view.Live)
-	if len(chosen) == 0 {
-		chosen = withState(daemons, view.Suspect)
+	near, far := split(daemons, domain, view.Live)
+	if len(near)+len(far) == 0 {
+		near, far = split(daemons, domain, view.Suspect)
 	}
+	// A quarter is kept for other failure domains, so that the loss of the
+	// caller's own leaves it with an address.
+	kept := min(len(near), MaxGateways-min(len(far), MaxGateways/4))
 	random := rand.New(rand.NewPCG(seed, seed))
-	random.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
-	sort.SliceStable(chosen, func(i, j int) bool {
-		return chosen[i].FailureDomain == domain && chosen[j].FailureDomain != domain
-	})
-	chosen = reserveFar(chosen, domain)
-	gateways := make([]Gateway, 0, len(chosen))
-	for _, d := range chosen {
-		weight := farWeight
-		if d.FailureDomain == domain {
-			weight = nearWeight
-		}
-		gateways = append(gateways, Gateway{d.CallerAddress, d.FailureDomain, weight})
+	gateways := make([]Gateway, 0, MaxGateways)
+	for _, i := range sample(random, near, kept) {
+		gateways = append(gateways, gatewayOf(daemons[i], nearWeight))
+	}
+	for _, i := range sample(random, far, min(len(far), MaxGateways-kept)) {
+		gateways = append(gateways, gatewayOf(daemons[i], farWeight))
 	}
 	return gateways
 }
 
-// reserveFar bounds the answer but keeps a quarter for other failure domains,
-// so that the loss of the caller's own leaves it with an address.
-func reserveFar(sorted []view.Daemon, domain ident.FailureDomain) []view.Daemon {
-	if len(sorted) <= MaxGateways {
-		return sorted
-	}
-	near := sort.Search(len(sorted), func(i int) bool { return sorted[i].FailureDomain != domain })
-	far := min(len(sorted)-near, MaxGateways/4)
-	near = min(near, MaxGateways-far)
-	kept := append([]view.Daemon{}, sorted[:near]...)
-	rest := sort.Search(len(sorted), func(i int) bool { return sorted[i].FailureDomain != domain })
-	return append(kept, sorted[rest:min(len(sorted), rest+MaxGateways-near)]...)
+func gatewayOf(d view.Daemon, weight int) Gateway {
+	return Gateway{Address: d.CallerAddress, FailureDomain: d.FailureDomain, Weight: weight}
 }
 
-func withState(daemons []view.Daemon, state view.State) []view.Daemon {
-	var chosen []view.Daemon
-	for _, d := range daemons {
-		if d.State == state && d.CallerAddress != "" {
-			chosen = append(chosen, d)
+// split returns the indexes of the daemons of a state within and outside of a
+// failure domain.
+func split(daemons []view.Daemon, domain ident.FailureDomain, state view.State) (near, far []int) {
+	for i := range daemons {
+		d := &daemons[i]
+		switch {
+		case d.State != state || d.CallerAddress == "":
+		case d.FailureDomain == domain:
+			near = append(near, i)
+		default:
+			far = append(far, i)
 		}
 	}
-	return chosen
+	return near, far
+}
+
+// sample draws n of the elements, in random order; it reorders all.
+func sample(random *rand.Rand, all []int, n int) []int {
+	for i := range n {
+		j := i + random.IntN(len(all)-i)
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:n]
 }
--- a/coordination/spread/antientropy.go
+++ b/coordination/spread/antientropy.go
@@ -53,8 +53,8 @@
 	return sends
 }
 
-// Interval is HeartbeatInterval.
-func (a *AntiEntropy) Interval() time.Duration { return HeartbeatInterval }
+// Interval is SmallInterval.
+func (a *AntiEntropy) Interval() time.Duration { return SmallInterval }
 
 // Version is the highest known.
 func (a *AntiEntropy) Version() uint64 { return a.version }
--- a/coordination/spread/flat.go
+++ b/coordination/spread/flat.go
@@ -49,8 +49,8 @@
 	return sends
 }
 
-// Interval is HeartbeatInterval.
-func (f *Flat) Interval() time.Duration { return HeartbeatInterval }
+// Interval is SmallInterval.
+func (f *Flat) Interval() time.Duration { return SmallInterval }
 
 // Version is the highest known.
 func (f *Flat) Version() uint64 { return f.version }
--- a/coordination/spread/neighbours.go
+++ b/coordination/spread/neighbours.go
@@ -11,8 +11,13 @@
 	// OutDegree is the number of members that each contacts by itself. As
 	// many contact it, so the overlay is a random graph of twice the degree.
 	OutDegree = 4
-	// HeartbeatInterval is the time between two exchanges with a neighbour.
-	HeartbeatInterval = time.Second
+	// HeartbeatInterval is the time between two exchanges with a neighbour. With
+	// OutDegree links, as many incoming and 953 bytes an exchange it comes to
+	// 3.8 KB/s.
+	HeartbeatInterval = 2 * time.Second
+	// SmallInterval is the same where OutDegree links reach everybody: a small
+	// fleet finds out sooner that a daemon is down.
+	SmallInterval = time.Second
 )
 
 // Neighbours spreads over a random graph that stays the same while the members
@@ -26,6 +31,7 @@
 	links    []string
 	suspects []string
 	turn     int
+	small    bool
 }
 
 var _ Strategy = (*Neighbours)(nil)
@@ -50,6 +56,7 @@
 		candidates = append(candidates, ranked{p.ID, xxhash.Sum64String(n.self + "\x00" + p.ID)})
 	}
 	sort.Slice(candidates, func(i, j int) bool { return candidates[i].rank < candidates[j].rank })
+	n.small = len(peers) <= OutDegree
 	n.links = n.links[:0]
 	for _, c := range candidates[:min(OutDegree, len(candidates))] {
 		n.links = append(n.links, c.id)
@@ -87,8 +94,13 @@
 	return sends
 }
 
-// Interval is HeartbeatInterval.
-func (n *Neighbours) Interval() time.Duration { return HeartbeatInterval }
+// Interval depends on whether the links reach everybody.
+func (n *Neighbours) Interval() time.Duration {
+	if n.small {
+		return SmallInterval
+	}
+	return HeartbeatInterval
+}
 
 // Version is the highest known.
 func (n *Neighbours) Version() uint64 { return n.version }
--- a/coordination/spread/tree.go
+++ b/coordination/spread/tree.go
@@ -9,7 +9,7 @@
 // treeInterval is the time between two rounds of tests; with the eleven
 // clusters of 1,800 members it costs about as much as OutDegree links at
 // HeartbeatInterval.
-const treeInterval = 3 * time.Second
+const treeInterval = 5 * time.Second
 
 // HierarchicalTree is the reliable broadcast of Jeanneau, Rodrigues, Arantes
 // and Duarte over VCube ("An autonomic hierarchical reliable broadcast
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -67,6 +67,7 @@
 	configChanged    chan struct{}
 	directoryChanged chan struct{}
 	members          cached[[]membership.Member]
+	daemons          cached[[]view.Daemon]
 	vms              cached[map[string][]view.Runner]
 
 	// run is the context of Run; work started by handlers ends with it.
@@ -217,11 +218,18 @@
 
 // Daemons implements view.Directory.
 func (c *Control) Daemons() []view.Daemon {
-	members := c.Members()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	revision := c.table.Revision().Members
+	if c.daemons.revision == revision {
+		return c.daemons.value
+	}
+	members := c.membersLocked()
 	daemons := make([]view.Daemon, 0, len(members))
 	for _, m := range members {
 		daemons = append(daemons, m.Daemon)
 	}
+	c.daemons = cached[[]view.Daemon]{revision, daemons}
 	return daemons
 }
 
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -216,3 +216,19 @@
 		is.True(live > 500)
 	})
 }
+
+// The control traffic of daemons that have no news must stay what the heartbeats
+// cost: news that is sent back and forth for ever would fill the network.
+func TestQuietFleetSendsHeartbeatsOnly(t *testing.T) {
+	inBubble(t, func(is *is.I, f *fleet) {
+		_, err := f.apply(0, 4, "first")
+		is.NoErr(err)
+		time.Sleep(10 * time.Second)
+		var calls, bytes int64
+		f.network.set(func(n *network) { calls, bytes = n.calls, n.bytes })
+		time.Sleep(time.Minute)
+		f.network.set(func(n *network) { calls, bytes = n.calls-calls, n.bytes-bytes })
+		f.t.Logf("%.1f calls/s, %.0f body bytes a call", float64(calls)/60, float64(bytes)/float64(calls))
+		is.True(calls < 60*5*5) // five daemons with four links each, once a second
+	})
+}
--- a/daemon/control/mesh.go
+++ b/daemon/control/mesh.go
@@ -251,7 +251,7 @@
 		if !sleep(ctx, pushGap) {
 			return
 		}
-		rest := c.strategy.Interval() - pushGap
+		rest := c.interval() - pushGap
 		timer := time.NewTimer(rest*9/10 + rand.N(rest/5))
 		select {
 		case <-ctx.Done():
@@ -262,6 +262,12 @@
 	}
 }
 
+func (c *Control) interval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.strategy.Interval()
+}
+
 // generationOf returns what a peer last said to have in force.
 func (c *Control) generationOf(i ident.Incarnation) ident.Generation {
 	c.mu.Lock()
