--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -49,10 +49,11 @@
 
 	callers, peers, admin net.Listener
 
+	store    kv.Store
 	control  *control.Control
 	models   *models.Models
 	actions  *actions.Service
-	picker   *picker
+	services *services
 	orders   *orders.Driver
 	gateway  *gateway.Gateway
 	drained  chan struct{}
@@ -107,36 +108,36 @@
 func (d *Daemon) build(n Network) {
 	client := newHTTPClient(n)
 	p := d.settings.Platform
-	store := kv.NewHTTPClient(p.KeyValue, client)
-	cloud := platform.NewHTTPCloud(p.Cloud, client)
-	lister := platform.NewHTTPLister(p.VMList, client)
+	d.store = kv.NewHTTPClient(p.KeyValue, client)
+	cloud := platform.NewClient(p.Cloud, client)
+	lister := platform.NewClient(p.VMList, client)
 	engines := newEngines(client, engineSilence)
 	d.control = control.New(control.Config{
-		Self: d.self, Seeds: d.settings.Seeds, Store: store,
+		Self: d.self, Seeds: d.settings.Seeds, Store: d.store,
 		Lister: lister, Cloud: cloud, HTTPClient: client, Metrics: d.metrics,
 	})
 	configuration := d.control.ConfigView()
-	d.picker = newPicker(d.control, configuration, engines, n, d.metrics)
+	sender := dispatch.DefaultConfig()
+	sender.Dial = n.Dial
+	d.services = &services{directory: d.control, sender: dispatch.New(sender)}
 	d.models = models.New(models.Config{
 		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
 		Engines: engines, Peers: models.HTTPPeers{Client: client},
-		Picker: d.picker, Metrics: d.metrics,
+		Metrics: d.metrics,
 	})
-	sender := dispatch.DefaultConfig()
-	sender.Dial = n.Dial
 	d.actions = actions.New(actions.Config{
 		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
-		Store: store, Dispatcher: dispatch.New(sender), Peers: client, Metrics: d.metrics,
+		Store: d.store, Dispatcher: dispatch.New(sender), Peers: client, Metrics: d.metrics,
 	})
 	d.orders = orders.New(orders.Config{
 		Self: d.self.Incarnation, Configuration: configuration, Directory: d.control,
-		Store: store, Cloud: cloud, Lister: lister, Weights: weights(p.Weights, client),
+		Store: d.store, Cloud: cloud, Lister: lister, Weights: weights(p.Weights, client),
 		Engines: engines, Timing: lease.DefaultTiming(), Metrics: d.metrics,
 		Every: ordersEvery, StopGrace: stopGrace,
 	})
 	d.gateway = gateway.New(gateway.Config{
 		Configuration: configuration, Directory: d.control, Models: d.models,
-		Actions: d.actions, Services: d.picker.services, NewRequestID: d.newRequestID,
+		Actions: d.actions, Services: d.services, NewRequestID: d.newRequestID,
 		Usage: d.usage, Metrics: d.metrics, Limits: d.limits(),
 	})
 }
@@ -145,7 +146,7 @@
 	if base == "" {
 		return nil
 	}
-	return platform.NewHTTPWeights(base, client)
+	return platform.NewClient(base, client)
 }
 
 func (d *Daemon) limits() gateway.Limits {
@@ -187,7 +188,7 @@
 	g, work := errgroup.WithContext(work)
 	for name, run := range map[string]func(context.Context) error{
 		"control": d.control.Run, "models": d.models.Run, "actions": d.actions.Run,
-		"dispatch": d.picker.Run, "orders": d.orders.Run,
+		"orders": d.orders.Run,
 	} {
 		g.Go(func() error { return named(name, run(work)) })
 	}
@@ -264,3 +265,6 @@
 		}
 	}
 }
+
+// Control is the daemon's configuration and membership.
+func (d *Daemon) Control() *control.Control { return d.control }
