Test membership and spread: lost, crossed and late messages, false suspicion

Cause: both machines had tests through the driver only. Change: rapid sequences over several tables and over the strategies' messages, focused tests of late notices, lagging lists and delayed answers.

--- /dev/null
+++ b/coordination/membership/membership_test.go
@@ -0,0 +1,275 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/coordination/membership"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+func member(i, run int) membership.Member {
+	id := ident.DaemonID(fmt.Sprintf("entry-%d", i))
+	return membership.Member{Daemon: view.Daemon{
+		ID: id, Incarnation: ident.NewIncarnation(id, []byte{byte(run)}), FailureDomain: "lima-norte",
+		CallerAddress: fmt.Sprintf("10.0.0.%d:8000", i), PeerAddress: fmt.Sprintf("10.0.0.%d:7000", i),
+	}}
+}
+
+// group is some daemons' tables with messages under way between them.
+type group struct {
+	now    time.Time
+	tables []*membership.Table
+	// final holds the state that each table has concluded for good.
+	final []map[ident.Incarnation]view.State
+	under []delivery
+}
+
+type delivery struct {
+	to int
+	membership.Message
+}
+
+func newGroup(n int) *group {
+	g := &group{now: time.Unix(100000, 0)}
+	for i := range n {
+		g.tables = append(g.tables, membership.New(g.now, member(i, 1)))
+		g.final = append(g.final, map[ident.Incarnation]view.State{})
+	}
+	return g
+}
+
+func (g *group) incarnation(i int) ident.Incarnation { return g.tables[i].Self().Incarnation }
+
+// pair draws two different daemons.
+func (g *group) pair(t *rapid.T) (int, int) {
+	a := rapid.IntRange(0, len(g.tables)-1).Draw(t, "a")
+	b := rapid.IntRange(0, len(g.tables)-2).Draw(t, "b")
+	if b >= a {
+		b++
+	}
+	return a, b
+}
+
+func (g *group) exchange(a, b int) {
+	asked := g.now
+	g.tables[b].Receive(g.now, g.tables[a].Compose(g.incarnation(b)))
+	g.tables[a].ReceiveAnswer(g.now, asked, g.tables[b].Compose(g.incarnation(a)))
+}
+
+func (g *group) send(t *rapid.T) {
+	a, b := g.pair(t)
+	g.under = append(g.under, delivery{b, g.tables[a].Compose(g.incarnation(b))})
+}
+
+// deliver hands over or loses a message, in any order.
+func (g *group) deliver(t *rapid.T) {
+	if len(g.under) == 0 {
+		t.Skip("nothing is under way")
+	}
+	i := rapid.IntRange(0, len(g.under)-1).Draw(t, "message")
+	d := g.under[i]
+	g.under = append(g.under[:i], g.under[i+1:]...)
+	if rapid.Bool().Draw(t, "arrives") {
+		g.tables[d.to].Receive(g.now, d.Message)
+	}
+}
+
+func (g *group) suspect(t *rapid.T) {
+	a, b := g.pair(t)
+	for range membership.ProbeFailures {
+		g.tables[a].ProbeFailed(g.incarnation(b))
+	}
+	g.tables[a].Unreachable(g.now, g.incarnation(b))
+}
+
+func (g *group) tick(t *rapid.T) {
+	g.now = g.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+	for _, table := range g.tables {
+		table.Tick(g.now)
+	}
+}
+
+func (g *group) notice(t *rapid.T) {
+	a, b := g.pair(t)
+	if b == 0 {
+		t.Skip("entry-0 stays")
+	}
+	g.tables[a].Noticed(g.now, membership.Notice{
+		VM: fmt.Sprintf("vm-%d", b), Address: fmt.Sprintf("10.0.0.%d", b), Left: time.Hour,
+	})
+}
+
+func (g *group) check(t *rapid.T) {
+	for i, table := range g.tables {
+		states := map[ident.Incarnation]view.State{}
+		for _, m := range table.Members() {
+			states[m.Incarnation] = m.State
+		}
+		for incarnation := range g.final[i] {
+			if s, listed := states[incarnation]; listed && s != view.Leaving {
+				t.Fatalf("daemon %d takes %s back from leaving to %s", i, incarnation, s)
+			}
+		}
+		for incarnation, s := range states {
+			if s == view.Leaving {
+				g.final[i][incarnation] = s
+			}
+		}
+		if self := table.Self().State; self != view.Live && self != view.Leaving {
+			t.Fatalf("daemon %d is %s to itself", i, self)
+		}
+	}
+}
+
+// Messages are lost, repeated and crossed, daemons suspect each other without
+// cause, notices arrive anywhere. Daemons would go on using a VM that is about
+// to end, or never again use a healthy one.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(rapid.IntRange(2, 5).Draw(t, "daemons"))
+		t.Repeat(map[string]func(*rapid.T){
+			"send": g.send, "deliver": g.deliver, "suspect": g.suspect,
+			"tick": g.tick, "notice": g.notice, "": g.check,
+		})
+		g.settle(t)
+	})
+}
+
+func (g *group) settle(t *rapid.T) {
+	for range 6 {
+		g.now = g.now.Add(time.Second)
+		for a := range g.tables {
+			for b := range g.tables {
+				if a != b {
+					g.exchange(a, b)
+				}
+			}
+		}
+	}
+	g.check(t)
+	for i, table := range g.tables {
+		if table.Digest() != g.tables[0].Digest() {
+			t.Fatalf("daemon %d still differs from daemon 0:\n%v\n%v", i, table.Members(), g.tables[0].Members())
+		}
+		for _, m := range table.Members() {
+			if m.State == view.Suspect {
+				t.Fatalf("daemon %d still suspects %s, which answers it", i, m.Incarnation)
+			}
+		}
+	}
+}
+
+// A notice that was read late names an address that a new VM has taken over.
+// The new daemon, just started, would be drained for its predecessor.
+func TestLateNoticeSparesTheNextVM(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100000, 0)
+	self := member(0, 1)
+	self.VM = "vm-new"
+	table := membership.New(now, self)
+	is.True(!table.Noticed(now, membership.Notice{VM: "vm-old", Address: "10.0.0.0", Left: time.Minute}))
+	is.Equal(table.Self().State, view.Live)
+
+	// Without a VM's ID the address decides, but not after the time is over.
+	table = membership.New(now, member(0, 1))
+	is.True(!table.Noticed(now, membership.Notice{VM: "vm-old", Address: "10.0.0.0", Left: -time.Second}))
+	is.True(table.Noticed(now, membership.Notice{VM: "vm-0", Address: "10.0.0.0", Left: time.Minute}))
+	is.Equal(table.Self().State, view.Leaving)
+}
+
+// The VM list lags: it still calls a VM live that has had its notice, and the
+// notice may come before the VM is listed at all. New work would go there.
+func TestListDoesNotUndoNotice(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100000, 0)
+	table := membership.New(now, member(0, 1))
+	listed := []membership.VM{{ID: "vm-1", Address: "10.1.0.1:9000", Service: "casos", State: membership.VMLive}}
+	table.Noticed(now, membership.Notice{VM: "vm-1", Address: "10.1.0.1", Left: 30 * time.Second})
+	is.Equal(len(table.Runners("casos")), 0)
+	table.Listed(now.Add(time.Second), listed)
+	runners := table.Runners("casos")
+	is.Equal(len(runners), 1)
+	is.Equal(runners[0].State, view.Leaving)
+	is.Equal(runners[0].LeavesAt, now.Add(30*time.Second))
+
+	// Another VM at the same address is another incarnation.
+	listed = append(listed, membership.VM{ID: "vm-2", Address: "10.1.0.1:9000", Service: "casos", State: membership.VMLive})
+	table.Listed(now.Add(2*time.Second), listed)
+	is.Equal(table.Runners("casos")[1].State, view.Live)
+
+	// One list without it proves nothing, two end it.
+	table.Listed(now.Add(3*time.Second), listed[1:])
+	is.Equal(len(table.Runners("casos")), 2)
+	table.Listed(now.Add(4*time.Second), listed[1:])
+	is.Equal(len(table.Runners("casos")), 1)
+}
+
+// An answer of the former incarnation comes in after the new one was heard of.
+// Taken as proof against the new one, it would end a healthy daemon for good.
+func TestDelayedAnswerSparesTheNewIncarnation(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100000, 0)
+	table := membership.New(now, member(0, 1))
+	former := membership.New(now, member(1, 1))
+	next := membership.New(now, member(1, 2))
+	asked := now.Add(time.Second)
+	answer := former.Compose(table.Self().Incarnation)
+	table.Receive(now.Add(1100*time.Millisecond), next.Compose(table.Self().Incarnation))
+	table.ReceiveAnswer(now.Add(1200*time.Millisecond), asked, answer)
+	is.Equal(len(table.Members()), 3)
+	table.ReceiveAnswer(now.Add(3*time.Second), now.Add(2*time.Second), next.Compose(table.Self().Incarnation))
+	is.Equal(len(table.Members()), 2)
+}
+
+func TestOldRecordsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100000, 0)
+	table := membership.New(now, member(0, 1))
+	other := membership.New(now, member(1, 1))
+	table.Receive(now, other.Compose(table.Self().Incarnation))
+	for range membership.ProbeFailures {
+		table.ProbeFailed(other.Self().Incarnation)
+	}
+	table.Unreachable(now, other.Self().Incarnation)
+	is.Equal(len(table.Members()), 2)
+	table.Tick(now.Add(membership.ForgetAfter + time.Second))
+	is.Equal(len(table.Members()), 1)
+	is.Equal(table.Size(), 1)
+}
+
+func TestGatewaysPreferTheCallersDomain(t *testing.T) {
+	is := is.New(t)
+	var daemons []view.Daemon
+	for i := range 40 {
+		d := member(i, 1).Daemon
+		d.State = view.Live
+		if i >= 20 {
+			d.FailureDomain = "lima-sur"
+		}
+		daemons = append(daemons, d)
+	}
+	daemons[3].State = view.Leaving
+	daemons[4].State = view.Suspect
+	for seed := range uint64(50) {
+		gateways := membership.Gateways(daemons, "lima-norte", seed)
+		is.Equal(len(gateways), membership.MaxGateways)
+		near := 0
+		for _, g := range gateways {
+			is.True(g.Address != daemons[3].CallerAddress && g.Address != daemons[4].CallerAddress)
+			if g.FailureDomain == "lima-norte" {
+				near++
+			}
+		}
+		is.Equal(near, 12)
+		is.Equal(gateways[0].FailureDomain, ident.FailureDomain("lima-norte"))
+	}
+	is.Equal(len(membership.Gateways(daemons[3:5], "lima-norte", 1)), 1) // a suspect goes before none
+	is.Equal(len(membership.Gateways(daemons[3:4], "lima-norte", 1)), 0)
+}
--- /dev/null
+++ b/coordination/spread/spread_test.go
@@ -0,0 +1,192 @@
+package spread_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/coordination/spread"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
+)
+
+// network passes messages between machines in any order that a test draws.
+type network struct {
+	machines map[string]spread.Strategy
+	ids      []string
+	under    []sent
+	count    map[spread.Kind]int
+}
+
+type sent struct {
+	from string
+	spread.Send
+}
+
+var zero time.Time
+
+func newNetwork(n int, machine func(self string, all []string) spread.Strategy) *network {
+	w := &network{machines: map[string]spread.Strategy{}, count: map[spread.Kind]int{}}
+	for i := range n {
+		w.ids = append(w.ids, fmt.Sprintf("m%02d", i))
+	}
+	for _, id := range w.ids {
+		w.machines[id] = machine(id, w.ids)
+	}
+	for _, id := range w.ids {
+		w.suspect(id, nil)
+	}
+	return w
+}
+
+func (w *network) suspect(at string, suspects map[string]bool) {
+	var peers []spread.Peer
+	for _, id := range w.ids {
+		if id != at {
+			peers = append(peers, spread.Peer{ID: id, Suspect: suspects[id]})
+		}
+	}
+	w.add(at, w.machines[at].SetMembers(zero, peers))
+}
+
+func (w *network) add(from string, sends []spread.Send) {
+	for _, s := range sends {
+		w.count[s.Message.Kind]++
+		w.under = append(w.under, sent{from, s})
+	}
+}
+
+// drain delivers everything, the drawn one first; crashed ones take nothing.
+func (w *network) drain(crashed map[string]bool, draw func(n int) int) {
+	for len(w.under) > 0 {
+		i := draw(len(w.under))
+		s := w.under[i]
+		w.under = append(w.under[:i], w.under[i+1:]...)
+		if !crashed[s.To] {
+			w.add(s.To, w.machines[s.To].Receive(zero, s.from, s.Message))
+		}
+	}
+}
+
+func (w *network) missing(crashed map[string]bool) []string {
+	var missing []string
+	for _, id := range w.ids {
+		if !crashed[id] && w.machines[id].Version() == 0 {
+			missing = append(missing, id)
+		}
+	}
+	return missing
+}
+
+func tree(self string, all []string) spread.Strategy { return spread.NewHierarchicalTree(self, all) }
+
+func first(int) int { return 0 }
+
+func TestTreeSendsOneMessageToEachMember(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{2, 8, 13, 64} {
+		w := newNetwork(n, tree)
+		w.add("m00", w.machines["m00"].Publish(zero, 1))
+		w.drain(nil, first)
+		is.Equal(len(w.missing(nil)), 0)
+		is.Equal(w.count[spread.Tree], n-1)
+		is.Equal(w.count[spread.Ack], n-1)
+		is.Equal(w.count[spread.Deliver], 0)
+	}
+}
+
+// Members crash while a version spreads and are suspected later, others are
+// suspected without cause. Somebody would never hear of the version.
+func TestTreeReachesEveryCorrectMember(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 20).Draw(t, "members")
+		w := newNetwork(n, tree)
+		crashed, doubted := map[string]bool{}, map[string]bool{}
+		for _, id := range w.ids[1:] {
+			switch rapid.IntRange(0, 4).Draw(t, "fault") {
+			case 0:
+				crashed[id] = true
+			case 1:
+				doubted[id] = true
+			}
+		}
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "message") }
+		for _, id := range w.ids {
+			w.suspect(id, doubted)
+		}
+		w.add("m00", w.machines["m00"].Publish(zero, 1))
+		w.drain(crashed, draw)
+		all := map[string]bool{}
+		for id := range crashed {
+			all[id] = true
+		}
+		for id := range doubted {
+			all[id] = true
+		}
+		for _, id := range w.ids {
+			if !crashed[id] {
+				w.suspect(id, all)
+			}
+		}
+		w.drain(crashed, draw)
+		if missing := w.missing(crashed); len(missing) > 0 {
+			t.Fatalf("%v never heard; crashed %v, doubted %v", missing, crashed, doubted)
+		}
+	})
+}
+
+// Pushes are lost. What a push missed must come with later rounds, whoever the
+// links of a member are.
+func TestNeighboursHealLostPushes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newNetwork(rapid.IntRange(2, 30).Draw(t, "members"), func(self string, _ []string) spread.Strategy {
+			return spread.NewNeighbours(self)
+		})
+		w.add("m00", w.machines["m00"].Publish(zero, 1))
+		for len(w.under) > 0 && rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+			w.under = w.under[1:]
+		}
+		for range 12 {
+			w.drain(nil, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "message") })
+			for _, id := range w.ids {
+				w.add(id, w.machines[id].Tick(zero))
+			}
+		}
+		w.drain(nil, first)
+		if missing := w.missing(nil); len(missing) > 0 {
+			t.Fatalf("%v never heard", missing)
+		}
+	})
+}
+
+// Two members suspect each other. Neither has the other as a link, and if none
+// of them tried the other the suspicion would last for ever.
+func TestSuspectsAreProbed(t *testing.T) {
+	is := is.New(t)
+	n := spread.NewNeighbours("a")
+	n.SetMembers(zero, []spread.Peer{{ID: "b", Suspect: true}, {ID: "c", Suspect: true}})
+	is.Equal(len(n.Links()), 0)
+	probed := map[string]bool{}
+	for range 2 {
+		for _, s := range n.Tick(zero) {
+			probed[s.To] = true
+		}
+	}
+	is.Equal(len(probed), 2)
+}
+
+func TestNeighboursBoundLinks(t *testing.T) {
+	is := is.New(t)
+	var peers []spread.Peer
+	for i := range 1799 {
+		peers = append(peers, spread.Peer{ID: fmt.Sprint(i)})
+	}
+	n := spread.NewNeighbours("self")
+	n.SetMembers(zero, peers)
+	is.Equal(len(n.Links()), spread.OutDegree)
+	is.Equal(n.Interval(), spread.HeartbeatInterval)
+	n.SetMembers(zero, peers[:4])
+	is.Equal(n.Interval(), spread.SmallInterval)
+}
