Test configuration and membership under failures singly and in pairs

Cause: times from acceptance to in force and from notice to the last new request were not measured; pairs of failures had no test. Change: a fault can begin in the moment of acceptance; tests of lost answer with outage, crash with silent watches, cut domains with outage, notices with outage and cut; a suspicion goes before a backlog.

--- a/coordination/membership/exchange.go
+++ b/coordination/membership/exchange.go
@@ -37,8 +37,9 @@
 	return m
 }
 
-// withSuspicion adds the receiver's own record if it is suspect here, whatever
-// the log says, so that it can end a false suspicion by the next message.
+// withSuspicion adds the receiver's own record if it is suspect here. Guards
+// against a long log: behind thousands of other changes the suspicion would
+// reach the suspected one many messages later, and last as long.
 func (t *Table) withSuspicion(changes []Change, to ident.Incarnation) []Change {
 	r, ok := t.log.records[memberKey(to)]
 	if !ok || r.member.State != view.Suspect {
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -273,3 +273,27 @@
 	is.Equal(len(membership.Gateways(daemons[3:5], "lima-norte", 1)), 1) // a suspect goes before none
 	is.Equal(len(membership.Gateways(daemons[3:4], "lima-norte", 1)), 0)
 }
+
+// A daemon is suspected just after it was linked to one that has thousands of
+// records to tell. It would stay out of service until it has heard them all.
+func TestSuspicionGoesBeforeTheBacklog(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100000, 0)
+	table, other := membership.New(now, member(0, 1)), membership.New(now, member(1, 1))
+	var vms []membership.VM
+	for i := range 3 * membership.MaxChanges {
+		vms = append(vms, membership.VM{ID: fmt.Sprintf("vm-%d", i), Service: "casos", State: membership.VMLive})
+	}
+	table.Listed(now, vms)
+	table.Receive(now, other.Compose(table.Self().Incarnation))
+	for range membership.ProbeFailures {
+		table.ProbeFailed(other.Self().Incarnation)
+	}
+	table.Unreachable(now, other.Self().Incarnation)
+	message := table.Compose(other.Self().Incarnation)
+	is.True(len(message.Changes) <= membership.MaxChanges+1)
+	other.Receive(now, message)
+	is.Equal(int(other.Refuted()), 1)
+	table.Receive(now, other.Compose(table.Self().Incarnation))
+	is.Equal(table.Members()[1].State, view.Live)
+}
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -1,13 +1,17 @@
 package control_test
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"geraniumstack.org/geraniumstack/coordination/config"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/control"
 	"geraniumstack.org/geraniumstack/standin/kvserver"
 	"geraniumstack.org/geraniumstack/transport/platform"
 )
@@ -37,29 +41,130 @@
 	})
 }
 
-// An operator's apply succeeds and the key-value service goes down in the same
-// moment. The users of the other failure domains would be served by the old
-// settings until it is back, since nobody can read the new ones there.
-func TestOutageRightAfterAcceptance(t *testing.T) {
+// measureSpread brings one configuration into force, then changes the network or
+// the service in the moment in which the next is accepted, and returns how long
+// that one takes to the last daemon. Links have 20 ms one way, as if between
+// regions.
+func measureSpread(t *testing.T, harm func(f *fleet)) (took time.Duration) {
 	inBubble(t, func(is *is.I, f *fleet) {
+		f.network.set(func(n *network) { n.delay = 20 * time.Millisecond })
 		_, err := f.apply(0, 4, "first")
 		is.NoErr(err)
 		f.until(time.Second, "first in force", f.inForce(1))
-		f.store.SetFaults(kvserver.Faults{SilentWatches: true})
-		accepted := make(chan error)
+		var begin time.Time
+		f.network.set(func(*network) {
+			f.afterSwap = func() {
+				begin = time.Now()
+				harm(f)
+			}
+		})
+		done := make(chan struct{})
 		go func() {
+			defer close(done)
 			_, err := f.apply(3, 5, "second")
-			accepted <- err
+			is.NoErr(err)
 		}()
-		f.until(time.Second, "second accepted", func() bool {
-			_, g := f.daemons[3].Current()
-			return g == 2
+		f.until(12*time.Second, "second in force at every daemon", f.inForce(2))
+		took = time.Since(begin)
+		<-done
+	})
+	return took
+}
+
+// An operator's apply succeeds, and in the same moment the key-value service goes
+// down, slow or silent. The users of the other failure domains would be served
+// by the old settings until it is well again, if only it could tell of new ones.
+func TestTimeFromAcceptanceToInForce(t *testing.T) {
+	is := is.New(t)
+	times := map[string]time.Duration{}
+	for name, faults := range map[string]kvserver.Faults{
+		"up": {}, "down": {Outage: true}, "slow": {DelayMillis: 1500}, "silent": {SilentWatches: true},
+	} {
+		times[name] = measureSpread(t, func(f *fleet) { f.store.SetFaults(faults) })
+		t.Logf("service %s: in force at the last daemon %s after acceptance", name, times[name])
+	}
+	is.True(times["up"] < time.Second)
+	is.True(times["down"] < 3*time.Second)
+	is.True(times["slow"] < 3*time.Second)
+}
+
+// The answer to the accepting swap is lost and the service goes down with it. The
+// operator must not be told that nothing happened, and once the service is back
+// the same call has to find the change accepted, once.
+func TestLostAnswerAndOutage(t *testing.T) {
+	inBubble(t, func(is *is.I, f *fleet) {
+		f.store.SetFaults(kvserver.Faults{LoseAnswers: 1, LosePrefix: "config/head"})
+		f.network.set(func(*network) {
+			f.afterSwap = func() { f.store.SetFaults(kvserver.Faults{Outage: true}) }
 		})
-		f.store.SetFaults(kvserver.Faults{Outage: true})
-		took := f.until(3*time.Second, "second in force at every daemon", f.inForce(2))
-		is.NoErr(<-accepted)
-		t := f.t
-		t.Logf("in force at the last daemon %s after acceptance, service down", took)
+		_, err := f.apply(0, 4, "first")
+		var unknown *config.OutcomeUnknownError
+		is.True(errors.As(err, &unknown))
+		f.store.SetFaults(kvserver.Faults{})
+		f.until(15*time.Second, "in force at every daemon", f.inForce(1))
+		outcome, err := f.apply(2, 4, "first")
+		is.NoErr(err)
+		is.Equal(int(outcome.Accepted.Generation), 1)
+	})
+}
+
+// The daemon that took an operator's call crashes in the moment of acceptance, and
+// all watches are silent. The change is accepted and nobody is told of it.
+func TestAcceptingDaemonCrashesAndWatchesAreSilent(t *testing.T) {
+	inBubble(t, func(is *is.I, f *fleet) {
+		f.store.SetFaults(kvserver.Faults{SilentWatches: true})
+		f.network.set(func(*network) {
+			f.afterSwap = func() { f.daemons[3].cancel() }
+		})
+		ctx, cancel := context.WithCancel(f.t.Context())
+		f.network.set(func(n *network) {
+			for j := range 5 {
+				n.cut[[2]string{address(3), address(j)}] = true
+				n.cut[[2]string{address(j), address(3)}] = true
+			}
+		})
+		_, _ = f.daemons[3].Apply(ctx, control.Submission{Manifest: sample(4), Author: "ana", ID: "first", Expected: -1})
+		cancel()
+		f.network.set(func(n *network) { n.cut = map[[2]string]bool{} })
+		f.restart(3)
+		took := f.until(30*time.Second, "in force at every daemon", f.inForce(1))
+		f.t.Logf("in force at the last daemon %s after acceptance", took)
+	})
+}
+
+// Two failure domains lose sight of the other two while an operator changes the
+// settings on one side and the service is down right after. The other side has
+// to catch up when the cut is over, without the service.
+func TestCutDomainsAndOutage(t *testing.T) {
+	inBubble(t, func(is *is.I, f *fleet) {
+		cut := func(on bool) {
+			f.network.set(func(n *network) {
+				for _, a := range []int{0, 1, 4} {
+					for _, b := range []int{2, 3} {
+						n.cut[[2]string{address(a), address(b)}] = on
+						n.cut[[2]string{address(b), address(a)}] = on
+					}
+				}
+			})
+		}
+		cut(true)
+		f.network.set(func(*network) {
+			f.afterSwap = func() { f.store.SetFaults(kvserver.Faults{Outage: true}) }
+		})
+		outcome, err := f.apply(0, 4, "first")
+		is.NoErr(err)
+		is.True(!outcome.InForceEverywhere)
+		lacking := 0
+		for _, d := range outcome.Domains {
+			if d.Generation < 1 {
+				lacking++
+			}
+		}
+		is.Equal(lacking, 2)
+		time.Sleep(20 * time.Second)
+		cut(false)
+		f.until(5*time.Second, "in force at every daemon", f.inForce(1))
+		f.until(5*time.Second, "all live again", f.acquainted)
 	})
 }
 
--- /dev/null
+++ b/daemon/control/leaving_test.go
@@ -0,0 +1,90 @@
+package control_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/coordination/membership"
+	"geraniumstack.org/geraniumstack/standin/kvserver"
+)
+
+// caller keeps an answer for its lifetime and uses it for every request.
+type caller struct {
+	gateways []membership.Gateway
+	until    time.Time
+}
+
+// pick returns the address of the next request.
+func (c *caller) pick(f *fleet, random *rand.Rand) string {
+	if time.Now().After(c.until) {
+		// A caller asks any entry VM that it knows, the leaving one too.
+		d := f.daemons[random.IntN(len(f.daemons))]
+		c.gateways = membership.Gateways(d.Daemons(), domains[random.IntN(len(domains))], random.Uint64())
+		c.until = time.Now().Add(membership.GatewayTTL)
+	}
+	return c.gateways[random.IntN(len(c.gateways))].Address
+}
+
+// lastNewRequest lets 50 callers send for a while and returns how long after the
+// first word of its leaving an entry VM got its last new request.
+func lastNewRequest(t *testing.T, harm func(f *fleet), word func(f *fleet)) (last time.Duration) {
+	inBubble(t, func(_ *is.I, f *fleet) {
+		f.network.set(func(n *network) { n.delay = 20 * time.Millisecond })
+		random := rand.New(rand.NewPCG(7, 7))
+		callers := make([]caller, 50)
+		for i := range callers {
+			callers[i].pick(f, random)
+			callers[i].until = time.Now().Add(rand1(random, membership.GatewayTTL))
+		}
+		var noticed time.Time
+		for step := range 400 {
+			if step == 100 {
+				harm(f)
+				noticed = time.Now()
+				word(f)
+			}
+			for i := range callers {
+				address := callers[i].pick(f, random)
+				if !noticed.IsZero() && address == f.daemons[2].Self().CallerAddress {
+					last = time.Since(noticed)
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	return last
+}
+
+// An entry VM is to be reclaimed, and one daemon hears of it. Callers that go on
+// sending there would see their new requests cut off: the notice has to reach
+// every daemon, also with the key-value service down or a failure domain cut off
+// from the first one to know, and old answers have to run out.
+func TestLastNewRequestOnLeavingVM(t *testing.T) {
+	is := is.New(t)
+	told := func(f *fleet) { f.daemons[1].NoteLeaving("10.0.0.3", time.Minute) }
+	noticed := func(f *fleet) { f.cloud.notice("vm-2", "10.0.0.3", time.Minute) }
+	outage := func(f *fleet) { f.store.SetFaults(kvserver.Faults{Outage: true}) }
+	cut := func(f *fleet) {
+		outage(f)
+		f.network.set(func(n *network) {
+			for _, i := range []int{0, 4} {
+				n.cut[[2]string{address(1), address(i)}] = true
+				n.cut[[2]string{address(i), address(1)}] = true
+			}
+		})
+	}
+	for name, run := range map[string][2]func(*fleet){
+		"cloud":              {func(*fleet) {}, noticed},
+		"one daemon":         {func(*fleet) {}, told},
+		"one daemon, outage": {outage, told},
+		"one daemon, outage, cut from a failure domain": {cut, told},
+	} {
+		last := lastNewRequest(t, run[0], run[1])
+		t.Logf("%s: last new request %s after the first word", name, last)
+		is.True(last > 0)
+		is.True(last <= membership.GatewayTTL+3*time.Second)
+	}
+}
--- a/daemon/control/network_test.go
+++ b/daemon/control/network_test.go
@@ -158,6 +158,31 @@
 	cloud   *cloud
 	daemons []*daemon
 	starts  int
+	// afterSwap is called once when the next swap of the head has taken effect,
+	// before its answer.
+	afterSwap func()
+}
+
+// tripwire lets a fault begin in the moment of acceptance.
+type tripwire struct {
+	*kvserver.Store
+	fleet *fleet
+}
+
+// CompareAndSwap implements kv.Store.
+func (w *tripwire) CompareAndSwap(ctx context.Context, key string, expected kv.Revision, value []byte, lease kv.LeaseID) (kv.Revision, error) {
+	revision, err := w.Store.CompareAndSwap(ctx, key, expected, value, lease)
+	if key != "config/head" {
+		return revision, err
+	}
+	w.fleet.network.mu.Lock()
+	trip := w.fleet.afterSwap
+	w.fleet.afterSwap = nil
+	w.fleet.network.mu.Unlock()
+	if trip != nil {
+		trip()
+	}
+	return revision, err
 }
 
 type daemon struct {
@@ -192,7 +217,7 @@
 			CallerAddress: fmt.Sprintf("10.0.0.%d:8000", i+1), PeerAddress: d.address,
 		},
 		Seeds: []string{address(0), address(1)},
-		Store: f.store, Lister: f.cloud, Cloud: f.cloud,
+		Store: &tripwire{Store: f.store, fleet: f}, Lister: f.cloud, Cloud: f.cloud,
 		HTTPClient: &http.Client{Transport: f.network.from(d.address)},
 	})
 	_, handler := d.Handler()
@@ -302,4 +327,4 @@
 	}
 }
 
-var _ kv.Store = (*kvserver.Store)(nil)
+var _ kv.Store = (*tripwire)(nil)
