Make a change of membership cheap at 1,800 daemons

Cause: each change listed and ranked all daemons anew: 7.7 ms of processor time an exchange with news at 1,800 daemons and 10,000 VMs. Change: the order of daemons and the ranks of pairs are kept; links are chosen in one pass. bench/control also measures news, connections and the tick; a test bounds the calls to the key-value service.

--- a/bench/control/control.go
+++ b/bench/control/control.go
@@ -49,6 +49,9 @@
 	ticks      = 50
 	warmUp     = 50
 	ageOfFacts = 1000
+	// changeShare makes fewer exchanges with news than without.
+	changeShare = 10
+	connections = 200
 )
 
 // Name is "control".
@@ -69,6 +72,9 @@
 		"bytes_per_exchange: request and answer on the wire of one heartbeat without news, with estimated TCP/IP headers.",
 		"cpu_us_per_exchange: processor time of both ends together.",
 		"table_mb: heap that the fleet's records take in one daemon. join_bytes: a whole table as one peer sends it.",
+		"cpu_us_per_change: the same with news of one daemon in it, which ranks the links and lists the daemons anew.",
+		"connection_kb: heap and stacks of one open connection, both ends together.",
+		"tick_us: one look at all records, once a second.",
 		"gateways_us: one answer to which entry VMs to use.",
 	}}
 	for _, members := range []int{5, 200, 1800} {
@@ -241,7 +247,14 @@
 	n := float64(exchanges)
 	figures["bytes_per_exchange"] = float64(r.listener.bytes.Load()-bytes)/n + tcpIPBytes
 	figures["cpu_us_per_exchange"] = float64((processorTime() - cpu).Microseconds()) / n
+	if figures["cpu_us_per_change"], err = r.changes(ctx, exchanges/changeShare); err != nil {
+		return nil, err
+	}
+	if figures["connection_kb"], err = r.connections(ctx); err != nil {
+		return nil, err
+	}
 	figures["gateways_us"] = r.gateways()
+	figures["tick_us"] = tick(members)
 	joined, err := r.join(ctx, members)
 	if err != nil {
 		return nil, err
@@ -276,11 +289,13 @@
 	}
 }
 
+// heap is what lives, stacks included.
 func heap() float64 {
+	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc)
+	return float64(stats.HeapAlloc + stats.StackInuse)
 }
 
 // processorTime is that of the whole process; zero where it can't be read.
--- a/coordination/membership/evidence.go
+++ b/coordination/membership/evidence.go
@@ -53,6 +53,7 @@
 	}
 	key := memberKey(m.Incarnation)
 	t.log.records[key] = &record{member: &m}
+	t.order = nil
 	t.firstKnown[m.Incarnation] = now
 	t.changed(key, from)
 }
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -19,6 +19,8 @@
 	firstKnown map[ident.Incarnation]time.Time
 	revision   Revision
 	refuted    uint64
+	// order holds the daemons' keys by ID, if it is not nil.
+	order []string
 }
 
 // Revision grows with every change of what the table returns; its parts tell
@@ -181,19 +183,35 @@
 
 // Members lists all daemons but the gone, this one included, by ID.
 func (t *Table) Members() []Member {
-	var all []Member
-	for _, r := range t.log.records {
-		if r.member != nil && r.member.State != view.Gone {
-			all = append(all, *r.member)
+	all := make([]Member, 0, len(t.order))
+	for _, key := range t.ordered() {
+		m := t.log.records[key].member
+		if m.State != view.Gone {
+			all = append(all, *m)
 		}
 	}
-	sort.Slice(all, func(i, j int) bool {
-		if all[i].ID != all[j].ID {
-			return all[i].ID < all[j].ID
+	return all
+}
+
+// ordered returns the daemons' keys by ID; the order is kept until a record
+// comes or goes.
+func (t *Table) ordered() []string {
+	if t.order != nil {
+		return t.order
+	}
+	for key, r := range t.log.records {
+		if r.member != nil {
+			t.order = append(t.order, key)
+		}
+	}
+	sort.Slice(t.order, func(i, j int) bool {
+		a, b := t.log.records[t.order[i]].member, t.log.records[t.order[j]].member
+		if a.ID != b.ID {
+			return a.ID < b.ID
 		}
-		return all[i].Incarnation < all[j].Incarnation
+		return a.Incarnation < b.Incarnation
 	})
-	return all
+	return t.order
 }
 
 // VMs lists all VMs but the gone, by ID.
@@ -254,6 +272,7 @@
 	case view.Suspect, view.Gone:
 		if now.Sub(m.Since) > ForgetAfter {
 			t.log.remove(key)
+			t.order = nil
 			delete(t.peers, m.Incarnation)
 			delete(t.firstKnown, m.Incarnation)
 			t.revision.Members++
--- a/coordination/spread/neighbours.go
+++ b/coordination/spread/neighbours.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -32,38 +33,56 @@
 	suspects []string
 	turn     int
 	small    bool
+	// ranks remembers the hashes of pairs.
+	ranks map[string]uint64
 }
 
 var _ Strategy = (*Neighbours)(nil)
 
 // NewNeighbours returns the machine of one member.
-func NewNeighbours(self string) *Neighbours { return &Neighbours{self: self} }
+func NewNeighbours(self string) *Neighbours {
+	return &Neighbours{self: self, ranks: map[string]uint64{}}
+}
 
 // SetMembers ranks the members anew. Suspects are left out, so a link to a
 // crashed one moves to the next in rank.
 func (n *Neighbours) SetMembers(_ time.Time, peers []Peer) []Send {
-	type ranked struct {
-		id   string
-		rank uint64
-	}
-	candidates := make([]ranked, 0, len(peers))
+	n.small = len(peers) <= OutDegree
 	n.suspects = n.suspects[:0]
+	n.links = n.links[:0]
+	if len(n.ranks) > 2*len(peers) {
+		clear(n.ranks)
+	}
 	for _, p := range peers {
 		if p.Suspect {
 			n.suspects = append(n.suspects, p.ID)
 			continue
 		}
-		candidates = append(candidates, ranked{p.ID, xxhash.Sum64String(n.self + "\x00" + p.ID)})
-	}
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].rank < candidates[j].rank })
-	n.small = len(peers) <= OutDegree
-	n.links = n.links[:0]
-	for _, c := range candidates[:min(OutDegree, len(candidates))] {
-		n.links = append(n.links, c.id)
+		n.consider(p.ID)
 	}
 	return nil
 }
 
+// consider keeps the links to be the first OutDegree by rank.
+func (n *Neighbours) consider(id string) {
+	rank := n.rank(id)
+	at := sort.Search(len(n.links), func(i int) bool { return n.rank(n.links[i]) > rank })
+	if at == OutDegree {
+		return
+	}
+	n.links = slices.Insert(n.links, at, id)
+	n.links = n.links[:min(OutDegree, len(n.links))]
+}
+
+func (n *Neighbours) rank(id string) uint64 {
+	rank, known := n.ranks[id]
+	if !known {
+		rank = xxhash.Sum64String(n.self + "\x00" + id)
+		n.ranks[id] = rank
+	}
+	return rank
+}
+
 // Links lists the members that this one contacts by itself.
 func (n *Neighbours) Links() []string { return n.links }
 
--- a/daemon/control/mesh.go
+++ b/daemon/control/mesh.go
@@ -208,21 +208,23 @@
 
 // relinkLocked follows the strategy's choice of neighbours.
 func (c *Control) relinkLocked() {
-	members := map[string]membership.Member{}
-	var peers []spread.Peer
-	for _, m := range c.membersLocked() {
-		if m.Incarnation == c.cfg.Self.Incarnation {
-			continue
+	members := c.membersLocked()
+	peers := make([]spread.Peer, 0, len(members))
+	for i := range members {
+		m := &members[i]
+		if m.Incarnation != c.cfg.Self.Incarnation {
+			peers = append(peers, spread.Peer{ID: string(m.Incarnation), Suspect: m.State == view.Suspect})
 		}
-		id := string(m.Incarnation)
-		members[id] = m
-		peers = append(peers, spread.Peer{ID: id, Suspect: m.State == view.Suspect})
 	}
 	c.strategy.SetMembers(time.Now(), peers)
 	wanted := map[ident.Incarnation]bool{}
 	for _, id := range c.strategy.Links() {
 		wanted[ident.Incarnation(id)] = true
-		c.linkLocked(members[id])
+	}
+	for i := range members {
+		if wanted[members[i].Incarnation] {
+			c.linkLocked(members[i])
+		}
 	}
 	for id, l := range c.links {
 		if !wanted[id] {
--- a/daemon/control/network_test.go
+++ b/daemon/control/network_test.go
@@ -195,9 +195,11 @@
 
 var domains = []ident.FailureDomain{"lima-norte", "lima-sur", "lima-este", "lima-callao"}
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T) *fleet { return newFleetOf(t, 5) }
+
+func newFleetOf(t *testing.T, n int) *fleet {
 	f := &fleet{t: t, network: newNetwork(), store: kvserver.New(), cloud: newCloud()}
-	for i := range 5 {
+	for i := range n {
 		f.daemons = append(f.daemons, f.start(i))
 	}
 	return f
--- /dev/null
+++ b/daemon/control/scale_test.go
@@ -0,0 +1,55 @@
+package control_test
+
+import (
+	"flag"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/standin/kvserver"
+)
+
+// members is the fleet's size in TestStoreCallsStayBounded; larger ones show the
+// slope.
+var members = flag.Int("members", 16, "daemons in TestStoreCallsStayBounded")
+
+// dutiesPerDomain is how many daemons of a failure domain may watch.
+const dutiesPerDomain = 2
+
+// Every daemon of a large fleet watches the key-value service and renews a short
+// lease. The service's rate, which grows more slowly than the fleet, is used up,
+// and the operators' own changes are refused.
+func TestStoreCallsStayBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleetOf(t, *members)
+		defer f.stop()
+		begin := time.Now()
+		f.until(time.Minute, "all know each other", f.acquainted)
+		t.Logf("%d daemons know each other after %s", *members, time.Since(begin))
+		_, err := f.apply(0, 4, "first")
+		is.NoErr(err)
+		took := f.until(12*time.Second, "in force at every daemon", f.inForce(1))
+		t.Logf("in force at every daemon %s after apply returned", took)
+		time.Sleep(30 * time.Second)
+
+		const minutes = 4
+		f.store.ResetCalls()
+		var calls, bytes int64
+		f.network.set(func(n *network) { calls, bytes = n.calls, n.bytes })
+		time.Sleep(minutes * time.Minute)
+		counted := f.store.Calls()
+		f.network.set(func(n *network) { calls, bytes = n.calls-calls, n.bytes-bytes })
+		seconds := (minutes * time.Minute).Seconds()
+		t.Logf("store: %.2f reads/s, %.2f writes/s, %v", float64(counted.Reads())/seconds, float64(counted.Writes())/seconds, counted)
+		t.Logf("peers: %.2f exchanges/s a daemon, %.0f body bytes an exchange",
+			float64(calls)/seconds/float64(*members), float64(bytes)/float64(calls))
+
+		watchers := dutiesPerDomain * len(domains)
+		is.True(counted[kvserver.CallWatch] <= watchers*minutes*4) // one in 20 s each, and some slack
+		is.True(counted.Writes() <= *members*minutes*7)            // one in 10 s each
+		is.True(float64(calls)/seconds/float64(*members) < 2.5)    // four links, one exchange in 2 s each
+	})
+}
