--- a/daemon/control/network_test.go
+++ b/daemon/control/network_test.go
@@ -158,20 +158,48 @@
 	cloud   *cloud
 	daemons []*daemon
 	starts  int
+	// afterSwap is called once when the next swap of the head has taken effect,
+	// before its answer.
+	afterSwap func()
+}
+
+// tripwire lets a fault begin in the moment of acceptance.
+type tripwire struct {
+	*kvserver.Store
+	fleet *fleet
+}
+
+// CompareAndSwap implements kv.Store.
+func (w *tripwire) CompareAndSwap(ctx context.Context, key string, expected kv.Revision, value []byte, lease kv.LeaseID) (kv.Revision, error) {
+	revision, err := w.Store.CompareAndSwap(ctx, key, expected, value, lease)
+	if key != "config/head" {
+		return revision, err
+	}
+	w.fleet.network.mu.Lock()
+	trip := w.fleet.afterSwap
+	w.fleet.afterSwap = nil
+	w.fleet.network.mu.Unlock()
+	if trip != nil {
+		trip()
+	}
+	return revision, err
 }
 
 type daemon struct {
 	*control.Control
 	address string
+	started time.Time
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
 
 var domains = []ident.FailureDomain{"lima-norte", "lima-sur", "lima-este", "lima-callao"}
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T) *fleet { return newFleetOf(t, 5) }
+
+func newFleetOf(t *testing.T, n int) *fleet {
 	f := &fleet{t: t, network: newNetwork(), store: kvserver.New(), cloud: newCloud()}
-	for i := range 5 {
+	for i := range n {
 		f.daemons = append(f.daemons, f.start(i))
 	}
 	return f
@@ -183,7 +211,7 @@
 func (f *fleet) start(i int) *daemon {
 	f.starts++
 	id := ident.DaemonID(fmt.Sprintf("entry-%d", i))
-	d := &daemon{address: address(i), done: make(chan struct{})}
+	d := &daemon{address: address(i), started: time.Now(), done: make(chan struct{})}
 	d.Control = control.New(control.Config{
 		Self: view.Daemon{
 			ID: id, Incarnation: ident.NewIncarnation(id, []byte{byte(f.starts)}),
@@ -191,7 +219,7 @@
 			CallerAddress: fmt.Sprintf("10.0.0.%d:8000", i+1), PeerAddress: d.address,
 		},
 		Seeds: []string{address(0), address(1)},
-		Store: f.store, Lister: f.cloud, Cloud: f.cloud,
+		Store: &tripwire{Store: f.store, fleet: f}, Lister: f.cloud, Cloud: f.cloud,
 		HTTPClient: &http.Client{Transport: f.network.from(d.address)},
 	})
 	_, handler := d.Handler()
@@ -301,4 +329,4 @@
 	}
 }
 
-var _ kv.Store = (*kvserver.Store)(nil)
+var _ kv.Store = (*tripwire)(nil)
