Measure reclaim waves in virtual time

Cause: no figure said what the plan is worth. Change: bench/reclaim runs the routing table, the request machine and the reclaim's plan against restart and resume baselines on bench/enginemodel; the plan spreads over targets before it prefers safe ones.

--- a/bench/enginemodel/engine.go
+++ b/bench/enginemodel/engine.go
@@ -24,16 +24,16 @@
 	Base, PerPrompt, PerSequence time.Duration
 }
 
-// Default is an engine that prefills about 8,000 tokens a second and decodes
-// 16 sequences at 12 ms a token.
+// Default is an engine that prefills about 7,000 tokens a second and decodes
+// 16 sequences at 24 ms a token, 32 at 32 ms.
 func Default() Config {
 	return Config{
 		Slots:       32,
-		KVTokens:    160_000,
-		Chunk:       1024,
-		Base:        8 * time.Millisecond,
-		PerPrompt:   115 * time.Microsecond,
-		PerSequence: 250 * time.Microsecond,
+		KVTokens:    200_000,
+		Chunk:       256,
+		Base:        16 * time.Millisecond,
+		PerPrompt:   80 * time.Microsecond,
+		PerSequence: 500 * time.Microsecond,
 	}
 }
 
--- /dev/null
+++ b/bench/reclaim/machine.go
@@ -0,0 +1,328 @@
+package reclaim
+
+import (
+	"fmt"
+	"time"
+
+	"geraniumstack.org/geraniumstack/bench/enginemodel"
+	planner "geraniumstack.org/geraniumstack/coordination/reclaim"
+	"geraniumstack.org/geraniumstack/coordination/routing"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/request"
+	"geraniumstack.org/geraniumstack/protocol/stream"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/load"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/prefix"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+const (
+	margin        = 2 * time.Second
+	bytesPerToken = 128 << 10
+	// linkRate is what a wave's transfers get in all.
+	linkRate  = 2.5e9
+	linkSetup = 20 * time.Millisecond
+	// sureRate is the tokens a second that a stream gets for sure.
+	sureRate  = 20
+	longSlack = 250 * time.Millisecond
+	modelName = "m"
+	noRunner  = time.Second
+	deadline  = time.Hour
+	// silence is off: engines in virtual time don't lose connections.
+	silence = 24 * time.Hour
+)
+
+// machines is this project's policy: the routing table, the request machine
+// and the reclaim's plan as the daemon runs them.
+type machines struct {
+	w        *world
+	table    *routing.Table
+	choices  map[ident.RunnerID]*runner
+	tickets  map[int]*ticket
+	linkFree time.Duration
+	chains   map[enginemodel.Key][]prefix.Hash
+}
+
+type ticket struct {
+	routing.Ticket
+	first bool
+}
+
+func newMachines(w *world, ignorePrefix, ignoreRisk bool) *machines {
+	cfg := routing.Default("gw", failureDomain(0))
+	cfg.IgnorePrefix = ignorePrefix
+	cfg.IgnoreRisk = ignoreRisk
+	cfg.Seed = w.wave.seed
+	cfg.PrefillRate = engineConfig().PrefillRate()
+	cfg.DecodeRate = sureRate
+	m := &machines{
+		w: w, table: routing.New(cfg),
+		choices: map[ident.RunnerID]*runner{},
+		tickets: map[int]*ticket{},
+		chains:  map[enginemodel.Key][]prefix.Hash{},
+	}
+	m.table.SetModels([]manifest.Model{{Name: modelName, Version: "1", Service: service}})
+	m.history()
+	m.listed()
+	return m
+}
+
+// history shows the estimate of risk a day of reclaims at the domains' hazards,
+// spread evenly. Each reclaimed VM is replaced under another name, and the
+// last ones of the history are those that the run begins with.
+func (m *machines) history() {
+	const step = 10 * time.Minute
+	due := make([]float64, domains)
+	for t := -24 * time.Hour; t < 0; t += step {
+		for d := range domains {
+			due[d] += hazards[d] * step.Hours() * runnersPerDomain
+		}
+		var list []view.Runner
+		for i, r := range m.w.runners {
+			if due[r.domain] >= 1 {
+				due[r.domain]--
+				r.ID = ident.RunnerID(fmt.Sprintf("runner-%02d-%d", i, int(t/step)))
+			}
+			list = append(list, r.Runner)
+		}
+		m.table.SetRunners(at(t), list)
+	}
+}
+
+func (m *machines) listed() {
+	var list []view.Runner
+	for _, r := range m.w.runners {
+		m.choices[r.ID] = r
+		if r.State != view.Gone {
+			list = append(list, r.Runner)
+		}
+	}
+	m.table.SetRunners(at(m.w.now), list)
+	m.reported()
+}
+
+func (m *machines) reported() {
+	for _, r := range m.w.runners {
+		if r.dead {
+			continue
+		}
+		m.table.Report(at(m.w.now), r.ID, load.Report{
+			AsOf: at(m.w.now), Running: r.report.Running, Waiting: r.report.Waiting,
+			MaxRunning: engineConfig().Slots, QueuedTokens: r.report.QueuedTokens,
+			KVBlocksTotal: engineConfig().KVTokens / prefix.BlockTokens,
+			KVBlocksFree:  max(r.report.FreeTokens, 0) / prefix.BlockTokens,
+			PrefillRate:   engineConfig().PrefillRate(),
+			Models:        []load.Model{{Name: modelName, Version: "1"}},
+			Leaving:       r.State == view.Leaving,
+		})
+	}
+}
+
+func (m *machines) arrived(j *job) {
+	limits := request.DefaultLimits()
+	limits.Silence = silence
+	j.machine = request.New(request.Spec{
+		ID: j.request, Epoch: 1, MaxTokens: j.limit,
+		Deferrable: !j.class.urgent, Deadline: at(m.w.now + deadline),
+	}, limits)
+	m.step(j, request.Start{})
+}
+
+func (m *machines) step(j *job, in request.Input) {
+	for _, e := range j.machine.Step(at(m.w.now), in) {
+		m.carryOut(j, e)
+	}
+}
+
+func (m *machines) carryOut(j *job, e request.Effect) {
+	switch e := e.(type) {
+	case request.Pick:
+		m.w.after(0, func() { m.pick(j, e) })
+	case request.Generate:
+		m.w.after(0, func() { m.generate(j, e) })
+		j.attempt = e.Attempt
+	case request.Abandon:
+		m.abandon(j)
+	case request.ExportCache:
+		m.export(j, e)
+	case request.Answered:
+		m.w.finish(j, false)
+	case request.GivenUp:
+		m.w.finish(j, true)
+	case request.WakeAt:
+		m.wakeAt(j, e.Time.Sub(epoch))
+	}
+}
+
+// wakeAt keeps one timer a job; an earlier wish than the pending one is rare.
+func (m *machines) wakeAt(j *job, when time.Duration) {
+	if j.machine.Runner() != "" || (j.wake > m.w.now && j.wake <= when) {
+		return
+	}
+	j.wake = when
+	m.w.after(when-m.w.now, func() {
+		if !j.done && !j.refused {
+			m.step(j, request.Tick{})
+		}
+	})
+}
+
+func (m *machines) chain(a arrival) []prefix.Hash {
+	c, ok := m.chains[a.shared]
+	if !ok {
+		for i := range a.class.shared / prefix.BlockTokens {
+			c = append(c, prefix.Hash(a.shared)<<20|prefix.Hash(i+1))
+		}
+		m.chains[a.shared] = c
+	}
+	return c
+}
+
+func (m *machines) routed(j *job) *routing.Request {
+	return &routing.Request{
+		Model: modelName, Prefix: m.chain(j.arrival),
+		PromptTokens: j.prompt() + j.emitted, OutputTokens: j.class.output,
+		Long: !j.class.urgent, Slack: longSlack,
+	}
+}
+
+func (m *machines) pick(j *job, p request.Pick) {
+	r := m.routed(j)
+	r.Exclude = m.table.Exclude(p.Exclude...)
+	c, err := m.table.Pick(at(m.w.now), r)
+	if err != nil {
+		m.step(j, request.PickRefused{Refusal: refusal.New(refusal.NoRunner, "%v", err).After(noRunner)})
+		return
+	}
+	m.tickets[j.id] = &ticket{Ticket: m.table.Dispatch(at(m.w.now), c, r)}
+	m.step(j, request.Picked{Runner: c.Runner})
+}
+
+func (m *machines) generate(j *job, g request.Generate) {
+	if g.Attempt != j.machine.Attempt() {
+		return
+	}
+	imported := 0
+	if g.Handle != "" {
+		imported = j.exported
+	}
+	if !m.w.dispatch(j, m.choices[g.Runner], j.machine.Answer().Offset(), imported) {
+		m.step(j, request.Closed{Attempt: g.Attempt, NotStarted: true, Cause: request.Unreachable})
+	}
+}
+
+func (m *machines) abandon(j *job) {
+	m.w.cancel(j)
+	if t := m.tickets[j.id]; t != nil {
+		m.table.Finished(at(m.w.now), &t.Ticket)
+		delete(m.tickets, j.id)
+	}
+}
+
+func (m *machines) token(j *job, ev enginemodel.Event) {
+	if t := m.tickets[j.id]; t != nil && !t.first {
+		t.first = true
+		m.table.FirstToken(at(m.w.now), &t.Ticket)
+	}
+	m.step(j, request.Arrived{Event: stream.Event{Request: j.request, Attempt: j.attempt, Offset: ev.Emitted - 1, Token: "w"}})
+}
+
+func (m *machines) finished(j *job) {
+	if t := m.tickets[j.id]; t != nil {
+		m.table.Finished(at(m.w.now), &t.Ticket)
+		delete(m.tickets, j.id)
+	}
+	m.step(j, request.Arrived{Event: stream.Event{Request: j.request, Attempt: j.attempt, Offset: j.output, Done: true}})
+}
+
+func (m *machines) lost(j *job) {
+	m.step(j, request.Closed{Attempt: j.machine.Attempt(), Cause: request.Truncated})
+}
+
+// export carries a transfer out on the link that all of the wave share. It
+// fails with its target or source, or half way.
+func (m *machines) export(j *job, e request.ExportCache) {
+	from, to := m.choices[e.From], m.choices[e.To]
+	j.exported = from.engine.Context(j.sequence)
+	takes := linkSetup + time.Duration(float64(j.exported*bytesPerToken)/linkRate*float64(time.Second))
+	m.linkFree = max(m.linkFree, m.w.now) + takes
+	failed := m.w.rng.Float64() < m.w.wave.fault.exports
+	m.w.after(m.linkFree-m.w.now, func() {
+		in := request.Exported{Attempt: e.Attempt, Target: e.To, Handle: "h"}
+		if failed || from.dead || to.dead || to.State != view.Live {
+			in.Handle = ""
+		}
+		m.step(j, in)
+	})
+}
+
+func (m *machines) noticed(gone []*runner) {
+	m.replan()
+}
+
+// replan plans for all streams at leaving runners whose plan is not carried
+// out yet: a further notice may have hit their targets.
+func (m *machines) replan() {
+	b := planner.Batch{Margin: margin, Link: planner.Link{
+		BytesPerSecond: linkRate, Setup: linkSetup, BusyFor: max(m.linkFree-m.w.now, 0),
+	}}
+	byID := map[ident.RequestID]*job{}
+	for _, r := range m.w.runners {
+		switch r.State {
+		case view.Live:
+			b.Targets = append(b.Targets, target(r))
+		case view.Leaving:
+			b.Sources = append(b.Sources, planner.Source{Runner: r.ID, Left: r.endsAt - m.w.now, DecodeRate: sureRate})
+			for _, j := range sorted(r.jobs) {
+				byID[j.request] = j
+				b.Streams = append(b.Streams, described(j, r))
+				for _, g := range m.w.runners {
+					if g.State == view.Leaving {
+						m.step(j, request.RunnerLeaving{Runner: g.ID})
+					}
+				}
+			}
+		}
+	}
+	for _, d := range planner.Plan(b) {
+		m.w.stats.planned(d.Kind)
+		m.follow(byID[d.Request], d)
+	}
+}
+
+func target(r *runner) planner.Target {
+	return planner.Target{
+		Runner:       r.ID,
+		Slots:        max(engineConfig().Slots-r.report.Running-r.report.Waiting, 0),
+		FreeTokens:   max(r.report.FreeTokens, 0),
+		PrefillRate:  engineConfig().PrefillRate(),
+		QueuedTokens: r.report.QueuedTokens,
+		Risk:         hazards[r.domain],
+	}
+}
+
+func described(j *job, r *runner) planner.Stream {
+	context := j.prompt() + j.emitted
+	return planner.Stream{
+		Request: j.request, Runner: r.ID, Urgent: j.class.urgent,
+		Context: context, Remaining: j.limit - j.emitted,
+		CacheBytes: int64(context) * bytesPerToken,
+		Pinned:     r.engine.Context(j.sequence) == 0,
+	}
+}
+
+func (m *machines) follow(j *job, d planner.Decision) {
+	when := d.Start
+	in := request.Input(request.Relocate{Attempt: j.attempt, Target: d.Target, Export: d.Kind == planner.Move})
+	if d.Target == "" {
+		when = j.runner.endsAt - margin - m.w.now
+		in = request.Evict{Attempt: j.attempt}
+	}
+	m.w.after(when, func() {
+		if r := m.choices[d.Target]; r != nil && r.State != view.Live {
+			return // a further notice has made another plan
+		}
+		m.step(j, in)
+	})
+}
--- a/coordination/reclaim/plan.go
+++ b/coordination/reclaim/plan.go
@@ -257,6 +257,7 @@
 	order := cmp.Or(
 		cmp.Compare(s.CachedAt[b.Runner], s.CachedAt[a.Runner]),
 		cmp.Compare(min(b.slots, 1), min(a.slots, 1)),
+		cmp.Compare(a.crowd(), b.crowd()),
 		compareRisk(s, a, b),
 		cmp.Compare(b.slots, a.slots),
 		cmp.Compare(b.tokens, a.tokens),
@@ -265,6 +266,13 @@
 	return order < 0
 }
 
+// crowding is the slots that make one step of crowd.
+const crowding = 8
+
+// crowd ranks targets coarsely by their free slots, so that a whole wave is
+// not put on the one safest runner, whose streams would all slow down.
+func (r *room) crowd() int { return -r.slots / crowding }
+
 // compareRisk keeps long work off VMs that are likely to go next.
 func compareRisk(s Stream, a, b *room) int {
 	if s.Urgent {
