Prove the records' life; end double runs after a hand-off

Cause: a keeper other than the adopter could keep a passed-on request's old record and run it again when its first owner went; an owner that another claim beats heard of it only by its own next renewal. Change: the old record is removed once the new owner had time to put its own; a daemon that is put a record which beats its claim yields; an adopted record goes to a keeper at the next step. Properties of Keeper, Outbox and Drain. Conclusion: one daemon runs a request after any single loss.

--- a/daemon/models/models.go
+++ b/daemon/models/models.go
@@ -212,6 +212,7 @@
 	m.live[l.req.ID] = l
 	if l.recorded {
 		m.outbox.Track(l.req.ID)
+		m.keeper.Claim(l.req.ID, handoff.Claim{Owner: m.c.Self, Epoch: l.spec.Epoch})
 	}
 	m.mu.Unlock()
 	if !l.recorded {
@@ -229,6 +230,7 @@
 	defer m.mu.Unlock()
 	if m.live[l.req.ID] == l {
 		delete(m.live, l.req.ID)
+		m.keeper.Release(l.req.ID, m.c.Self)
 	}
 	m.outbox.Untrack(l.req.ID)
 }
--- a/daemon/models/records.go
+++ b/daemon/models/records.go
@@ -253,6 +253,7 @@
 	m.keeper.Claim(r.ID, handoff.Claim{Owner: m.c.Self, Epoch: r.Epoch})
 	m.outbox.Untrack(r.ID)
 	m.outbox.Track(r.ID)
+	m.renewed = time.Time{} // so that the next step puts it at a keeper
 	m.mu.Unlock()
 	if r.Done {
 		l.ended = time.Now()
@@ -302,14 +303,28 @@
 		m.ended = m.ended[1:]
 	}
 	m.mu.Unlock()
-	if refused || moved {
-		m.dropRecord(l, refused)
+	if moved {
+		m.spawn(func() { m.dropLater(l) })
+	}
+	if refused {
+		m.dropRecord(l, true)
 	}
 	for _, old := range drop {
 		m.forget(old)
 	}
 }
 
+// dropLater removes the record of a request that another daemon runs, once that
+// one has had the time to put its own: a keeper that still had the old one when
+// this daemon is gone would run the request a second time.
+func (m *Models) dropLater(l *live) {
+	select {
+	case <-m.ctx.Done():
+	case <-time.After(m.c.Limits.Renew):
+		m.dropRecord(l, true)
+	}
+}
+
 func (m *Models) forgetOld() {
 	var old []*live
 	m.mu.Lock()
--- a/daemon/models/service.go
+++ b/daemon/models/service.go
@@ -29,12 +29,20 @@
 
 func (s service) Put(_ context.Context, req *connect.Request[requestv1.PutRequest]) (*connect.Response[requestv1.PutResponse], error) {
 	resp := &requestv1.PutResponse{}
+	lost := map[*live]ident.Incarnation{}
+	defer func() { s.m.yield(lost) }()
 	s.m.mu.Lock()
 	defer s.m.mu.Unlock()
 	for _, p := range req.Msg.Records {
 		r := recordFrom(p)
 		outcome, claim := s.m.keeper.Put(time.Now(), r)
 		switch outcome {
+		case handoff.Stored:
+			// The keeper knows this daemon's own claims: one that it stores
+			// all the same beats them.
+			if l := s.m.live[r.ID]; l != nil && l.inProgress() {
+				lost[l] = r.Owner
+			}
 		case handoff.Superseded:
 			resp.Superseded = append(resp.Superseded, &requestv1.Superseded{
 				RequestId: p.RequestId,
@@ -116,6 +124,14 @@
 	return err
 }
 
+// yield ends requests here that another daemon turned out to own.
+func (m *Models) yield(lost map[*live]ident.Incarnation) {
+	for l, owner := range lost {
+		m.count("requests.superseded")
+		l.moveTo(owner)
+	}
+}
+
 // extend takes what a reader has over, unless another daemon runs the request.
 func (l *live) extend(from int, known []string) bool {
 	if len(known) == 0 {
--- /dev/null
+++ b/protocol/handoff/handoff_test.go
@@ -0,0 +1,243 @@
+package handoff_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/handoff"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+const id = ident.RequestID("r1")
+
+func daemon(n int) view.Daemon {
+	name := ident.DaemonID(fmt.Sprintf("gw-%d", n))
+	return view.Daemon{
+		ID: name, Incarnation: ident.NewIncarnation(name, []byte{byte(n)}),
+		FailureDomain: ident.FailureDomain(fmt.Sprintf("d%d", n%4)), State: view.Live,
+	}
+}
+
+func fleet(n int) []view.Daemon {
+	var list []view.Daemon
+	for i := range n {
+		list = append(list, daemon(i))
+	}
+	return list
+}
+
+func start() time.Time { return time.Unix(1_000_000, 0) }
+
+func TestKeepersAreElsewhereAndTheSameForAll(t *testing.T) {
+	is := is.New(t)
+	all := fleet(9)
+	for i := range 50 {
+		r := ident.RequestID(fmt.Sprintf("r%d", i))
+		ranked := handoff.Keepers(r, all[0], all)
+		is.Equal(len(ranked), 8)
+		is.True(ranked[0].FailureDomain != all[0].FailureDomain)
+		is.True(ranked[7].FailureDomain == all[0].FailureDomain)
+	}
+}
+
+// A bulletin would lose tokens that its keeper had: renewals arrive late,
+// twice and in the wrong order.
+func TestRenewalsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := handoff.NewKeeper(4)
+		k.Put(start(), handoff.Record{ID: id, Owner: "a", Epoch: 1, Prompt: "p"})
+		best := 0
+		for range rapid.IntRange(0, 20).Draw(t, "renewals") {
+			from := rapid.IntRange(1, 12).Draw(t, "from")
+			to := rapid.IntRange(from, 12).Draw(t, "to")
+			r := handoff.Record{ID: id, Owner: "a", Epoch: 1, EmittedFrom: from}
+			for i := from; i < to; i++ {
+				r.Emitted = append(r.Emitted, fmt.Sprint(i))
+			}
+			outcome, _ := k.Put(start(), r)
+			if (outcome == handoff.Incomplete) != (from > best) {
+				t.Fatalf("tokens from %d after %d: outcome %v", from, best, outcome)
+			}
+			if outcome == handoff.Stored {
+				best = max(best, to)
+			}
+			got, _ := k.Get(id)
+			if len(got.Emitted) != best || got.Prompt != "p" {
+				t.Fatalf("kept %d tokens, want %d", len(got.Emitted), best)
+			}
+			for i, token := range got.Emitted {
+				if token != fmt.Sprint(i) {
+					t.Fatalf("offset %d holds %q", i, token)
+				}
+			}
+		}
+	})
+}
+
+// Two daemons would run a request for good: its owner was taken for gone,
+// another adopted it, and the owner comes back. The higher epoch wins on every
+// keeper that heard of it.
+func TestOwnerThatComesBackIsTold(t *testing.T) {
+	is := is.New(t)
+	k := handoff.NewKeeper(4)
+	k.Put(start(), handoff.Record{ID: id, Owner: "a", Epoch: 1})
+	later := start().Add(10 * time.Second)
+	gone := func(ident.Incarnation) bool { return false }
+	adopted := k.Adopt(later, "b", 5*time.Second, gone)
+	is.Equal(len(adopted), 1)
+	is.Equal(adopted[0].Epoch, uint64(2))
+	outcome, claim := k.Put(later, handoff.Record{ID: id, Owner: "a", Epoch: 1})
+	is.Equal(outcome, handoff.Superseded)
+	is.Equal(claim, handoff.Claim{Owner: "b", Epoch: 2})
+}
+
+// A request would run twice because the directory errs: its owner's renewals
+// still arrive, so it is not adopted.
+func TestOwnerThatRenewsIsNotGone(t *testing.T) {
+	is := is.New(t)
+	k := handoff.NewKeeper(4)
+	gone := func(ident.Incarnation) bool { return false }
+	for s := range 20 {
+		now := start().Add(time.Duration(s) * time.Second)
+		k.Put(now, handoff.Record{ID: id, Owner: "a", Epoch: 1})
+		is.Equal(len(k.Adopt(now, "b", 5*time.Second, gone)), 0)
+	}
+}
+
+// A draining daemon's acknowledgement is lost: the request goes to the same
+// peer with the same epoch again, and elsewhere only with a higher one.
+func TestDrainAsksOnePeerAtATime(t *testing.T) {
+	is := is.New(t)
+	all := fleet(5)
+	d := handoff.NewDrain(all[0], start())
+	d.Add(id, 1)
+	first := d.Next(all)
+	is.Equal(len(d.Next(all)), 0) // in flight
+	d.Failed(id)
+	is.Equal(d.Next(all), first)
+	d.Failed(id)
+	for i := range all {
+		if all[i].Incarnation == first[0].Peer.Incarnation {
+			all[i].State = view.Leaving
+		}
+	}
+	second := d.Next(all)
+	is.True(second[0].Peer.Incarnation != first[0].Peer.Incarnation)
+	is.Equal(second[0].Epoch, first[0].Epoch+1)
+	d.Refused(id, all)
+	third := d.Next(all)
+	is.True(third[0].Epoch > second[0].Epoch)
+}
+
+// group is some daemons with keepers, of which one may go at a time.
+type group struct {
+	daemons []view.Daemon
+	keepers map[ident.Incarnation]*handoff.Keeper
+	// owned is what each daemon runs, with the epoch, and emitted how far.
+	owned   map[ident.Incarnation]handoff.Record
+	outbox  map[ident.Incarnation]*handoff.Outbox
+	now     time.Time
+	started int
+}
+
+func (g *group) add() {
+	d := daemon(g.started)
+	g.started++
+	g.daemons = append(g.daemons, d)
+	g.keepers[d.Incarnation] = handoff.NewKeeper(8)
+	g.outbox[d.Incarnation] = handoff.NewOutbox()
+}
+
+func (g *group) own(d view.Daemon, r handoff.Record) {
+	g.owned[d.Incarnation] = r
+	g.outbox[d.Incarnation] = handoff.NewOutbox()
+	g.outbox[d.Incarnation].Track(r.ID)
+}
+
+func (g *group) listed(i ident.Incarnation) bool {
+	for _, d := range g.daemons {
+		if d.Incarnation == i {
+			return true
+		}
+	}
+	return false
+}
+
+// renew is one round of renewals and adoptions of all daemons.
+func (g *group) renew() {
+	for _, d := range g.daemons {
+		r, ok := g.owned[d.Incarnation]
+		if !ok {
+			continue
+		}
+		due := g.outbox[d.Incarnation].Due(d, g.daemons, func(ident.RequestID) handoff.Progress {
+			return handoff.Progress{Offset: len(r.Emitted)}
+		})
+		for _, x := range due {
+			sent := r
+			sent.EmittedFrom = x.From
+			sent.Emitted = r.Emitted[x.From:]
+			switch outcome, _ := g.keepers[x.Keeper.Incarnation].Put(g.now, sent); outcome {
+			case handoff.Stored:
+				g.outbox[d.Incarnation].Stored(id, x.Keeper.Incarnation, handoff.Progress{Offset: len(r.Emitted)})
+			case handoff.Superseded:
+				delete(g.owned, d.Incarnation)
+			case handoff.Incomplete:
+				g.outbox[d.Incarnation].Lost(id)
+			}
+		}
+	}
+	for _, d := range g.daemons {
+		for _, r := range g.keepers[d.Incarnation].Adopt(g.now, d.Incarnation, 5*time.Second, g.listed) {
+			g.own(d, r)
+		}
+	}
+}
+
+func (g *group) settle() {
+	for range 20 {
+		g.now = g.now.Add(time.Second)
+		g.renew()
+	}
+}
+
+// A long request outlives any number of daemons that die without a word, as
+// long as there is time for a renewal between two of them, and one daemon runs
+// it in the end.
+func TestRecordOutlivesDaemonsThatDieInTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := &group{
+			keepers: map[ident.Incarnation]*handoff.Keeper{}, owned: map[ident.Incarnation]handoff.Record{},
+			outbox: map[ident.Incarnation]*handoff.Outbox{}, now: start(),
+		}
+		for range rapid.IntRange(2, 6).Draw(t, "daemons") {
+			g.add()
+		}
+		g.own(g.daemons[0], handoff.Record{ID: id, Owner: g.daemons[0].Incarnation, Epoch: 1, Prompt: "p"})
+		g.renew()
+		for range rapid.IntRange(0, 12).Draw(t, "deaths") {
+			for i, r := range g.owned {
+				r.Emitted = append(r.Emitted, "w")
+				g.owned[i] = r
+			}
+			i := rapid.IntRange(0, len(g.daemons)-1).Draw(t, "victim")
+			delete(g.owned, g.daemons[i].Incarnation)
+			g.daemons = append(g.daemons[:i:i], g.daemons[i+1:]...)
+			g.add()
+			g.settle()
+			if len(g.owned) != 1 {
+				t.Fatalf("%d daemons run the request", len(g.owned))
+			}
+			for _, r := range g.owned {
+				if r.Prompt != "p" {
+					t.Fatal("adopted without its prompt")
+				}
+			}
+		}
+	})
+}
--- a/protocol/handoff/keeper.go
+++ b/protocol/handoff/keeper.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// Release forgets the claim of an owner that keeps a request no longer.
+func (k *Keeper) Release(id ident.RequestID, owner ident.Incarnation) {
+	if k.claims[id].Owner == owner {
+		delete(k.claims, id)
+	}
+}
+
 // Put stores a record or a renewal. The claim is who owns the request if the
 // outcome is Superseded.
 func (k *Keeper) Put(now time.Time, r Record) (PutOutcome, Claim) {
