--- a/daemon/models/models_test.go
+++ b/daemon/models/models_test.go
@@ -99,7 +99,6 @@
 		first, second, _ := c.start(0), c.start(1), c.start(2)
 		r := first.request("bulletin", 200)
 		is.NoErr(first.Submit(t.Context(), r))
-		time.Sleep(time.Second)
 		c.kill(first)
 		c.gone(first)
 		readAll(t, second, r, 30)
--- a/daemon/models/reclaim_test.go
+++ b/daemon/models/reclaim_test.go
@@ -179,3 +179,32 @@
 		is.True(time.Since(began) < time.Second)
 	})
 }
+
+// A bulletin would run twice after its gateway left in good order: the daemon
+// that kept its record from acceptance on takes the owner for gone, since the
+// request was passed to a third one, which had joined meanwhile.
+func TestPassedOnRequestIsNotAdoptedAgain(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		all := []*gateway{c.start(0), c.start(1)}
+		first := all[0]
+		var requests []call.ModelRequest
+		for range 6 {
+			r := first.request("bulletin", 1500)
+			is.NoErr(first.Submit(t.Context(), r))
+			requests = append(requests, r)
+		}
+		all = append(all, c.start(2), c.start(3), c.start(5))
+		is.NoErr(first.Drain(t.Context()))
+		time.Sleep(4 * time.Second)
+		c.kill(first)
+		c.gone(first)
+		time.Sleep(10 * time.Second)
+		for _, g := range all {
+			is.Equal(g.counter("requests.adopted.owner_gone"), int64(0))
+		}
+		for _, r := range requests {
+			readAll(t, all[1], r, 0)
+		}
+	})
+}
--- a/protocol/handoff/handoff_test.go
+++ b/protocol/handoff/handoff_test.go
@@ -119,6 +119,10 @@
 	first := d.Next(all)
 	is.Equal(len(d.Next(all)), 0) // in flight
 	d.Failed(id)
+	for n := range 20 { // of which some rank before the first peer
+		all = append(all, daemon(100+n))
+	}
+	is.True(handoff.Keepers(id, all[0], all)[0].Incarnation != first[0].Peer.Incarnation)
 	is.Equal(d.Next(all), first)
 	d.Failed(id)
 	for i := range all {
