Take a cancelled attempt for broken, not for answered

Cause: a runner that cancels an attempt ends its stream in good order, with done and finish reason cancelled; half an answer passed for a whole one. Change: such an end fails the attempt, and another runner goes on. Conclusion: a real fault mended.

--- a/coordination/reclaim/plan_test.go
+++ b/coordination/reclaim/plan_test.go
@@ -162,3 +162,23 @@
 	is.Equal(plan[0].Kind, reclaim.Wait)
 	is.Equal(plan[1].Kind, reclaim.Move)
 }
+
+func BenchmarkPlan(b *testing.B) {
+	batch := reclaim.Batch{Margin: time.Second, Link: reclaim.Link{BytesPerSecond: 1e9, Setup: time.Millisecond}}
+	for i := range 16 {
+		batch.Sources = append(batch.Sources, reclaim.Source{Runner: ident.RunnerID(fmt.Sprintf("s%d", i)), Left: 30 * time.Second, DecodeRate: 20})
+	}
+	for i := range 48 {
+		batch.Targets = append(batch.Targets, reclaim.Target{Runner: ident.RunnerID(fmt.Sprintf("t%d", i)), Slots: 16, FreeTokens: 100_000, PrefillRate: 7000})
+	}
+	for i := range 500 {
+		batch.Streams = append(batch.Streams, reclaim.Stream{
+			Request: ident.RequestID(fmt.Sprintf("r%d", i)), Runner: batch.Sources[i%16].Runner, Urgent: i%3 == 0,
+			Context: 500 + 17*i, Remaining: 2000, CacheBytes: int64(500+17*i) << 17,
+		})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		reclaim.Plan(batch)
+	}
+}
--- a/daemon/models/live.go
+++ b/daemon/models/live.go
@@ -17,7 +17,11 @@
 
 var cancelInput = request.Cancel{}
 
-const cancelTimeout = 2 * time.Second
+const (
+	cancelTimeout = 2 * time.Second
+	// finishCancelled is the engines' finish reason of a cancelled attempt.
+	finishCancelled = "cancelled"
+)
 
 // attempt is one open engine stream.
 type attempt struct {
@@ -290,6 +294,11 @@
 	if e.Error != "" {
 		return &EngineFailedError{Detail: e.Error}
 	}
+	if e.Done && e.FinishReason == finishCancelled {
+		// A runner that cancels an attempt by itself ends its stream in good
+		// order; the answer up to there would pass for a whole one.
+		return &EngineFailedError{Detail: "attempt cancelled"}
+	}
 	if e.CachedTokens > 0 {
 		l.mu.Lock()
 		if a := l.attempts[id]; a != nil {
--- a/daemon/models/streams_test.go
+++ b/daemon/models/streams_test.go
@@ -95,3 +95,18 @@
 		is.True(c.engines[0].Counters().CachedTokens > 0)
 	})
 }
+
+// A caller would read half an answer as a whole one: someone else cancels its
+// attempt at the engine, whose stream then ends in good order.
+func TestAttemptCancelledByOthersIsNoEnd(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		r := g.request("chat", 100)
+		is.NoErr(g.Submit(t.Context(), r))
+		time.Sleep(time.Second)
+		is.True(c.engines[0].Cancel(string(r.ID) + ".1.1"))
+		readAll(t, g, r, 0)
+		is.Equal(c.engines[1].Counters().Accepted, 1)
+	})
+}
--- a/protocol/request/request_test.go
+++ b/protocol/request/request_test.go
@@ -235,3 +235,16 @@
 	}
 	return request.Arrived{Event: stream.Event{Request: id, Attempt: d.attempt, Offset: d.m.Answer().Offset(), Token: "w"}}
 }
+
+func BenchmarkToken(b *testing.B) {
+	b.ReportAllocs()
+	const length = 1 << 12
+	for b.Loop() {
+		d := newDriver(request.Spec{MaxTokens: length})
+		d.run("a")
+		for range length {
+			d.token()
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*length), "ns/token")
+}
