Keep places for urgent work and turns for small workspaces

Change: lower classes leave the places that higher ones need by Little's law and a reserve; the limit stays within the places that runners report; use in a higher class counts in the lower ones; a workspace over its share gives its turn to lower work of one under it; the expected wait follows virtual starts.

--- a/protocol/admission/admission.go
+++ b/protocol/admission/admission.go
@@ -74,9 +74,20 @@
 	// gets whatever the classes above it have: without it an overload of
 	// urgent work would hold accepted long work up for ever.
 	LowerShare float64
-	// Reserve is the share of the limit that deferrable work leaves free:
-	// urgent work that comes finds room without waiting for a long answer.
+	// Reserve is the share of the limit that all but the highest class leave
+	// free, since places are not spread evenly over the runners.
 	Reserve float64
+	// Headroom is how many standard deviations above their mean need the
+	// places are that lower classes leave to higher ones; see Controller.room.
+	Headroom float64
+	// OverShare and UnderShare are multiples of a workspace's share of what was
+	// lately admitted. Below the highest class, a workspace over the one gives
+	// its turn to lower work of a workspace under the other.
+	OverShare  float64
+	UnderShare float64
+	// MaxLead bounds, in seconds of the whole rate, how far use in higher
+	// classes can set a workspace back in a lower one.
+	MaxLead time.Duration
 	// RateBurst is how long a workspace may run ahead of its tokens per second.
 	RateBurst time.Duration
 	// MaxRetryAfter bounds what refusals ask for.
@@ -93,6 +104,10 @@
 		MaxQueuedBytes: 16 << 20,
 		LowerShare:     0.05,
 		Reserve:        0.1,
+		Headroom:       1,
+		OverShare:      1.1,
+		UnderShare:     0.9,
+		MaxLead:        10 * time.Second,
 		RateBurst:      2 * time.Second,
 		MaxRetryAfter:  30 * time.Second,
 	}
@@ -102,6 +117,7 @@
 	Item
 	flow    *flow
 	offered time.Time
+	started time.Time
 	// expires is when it is too late to admit it; zero is never.
 	expires  time.Time
 	admitted bool
@@ -127,6 +143,10 @@
 	credit   float64
 	admitted meter
 	refused  meter
+	offered  meter
+	running  int
+	// residence is the mean seconds from admission to the end.
+	residence float64
 }
 
 type workspace struct {
@@ -134,6 +154,7 @@
 	running int
 	queued  int
 	tokens  bucket
+	used    meter
 }
 
 // Controller admits the requests of one service at one gateway. It is not safe
@@ -150,6 +171,7 @@
 	queued     int
 	bytes      int
 	rate       rate
+	used       meter
 }
 
 // New returns a controller that knows no class and no workspace.
@@ -160,6 +182,17 @@
 		classes:    map[string]*class{},
 		workspaces: map[ident.Workspace]*workspace{},
 		entries:    map[ID]*entry{},
+		used:       meter{halfLife: useHalfLife},
+	}
+}
+
+func newClass(k manifest.Class) *class {
+	return &class{
+		Class:    k,
+		flows:    map[ident.Workspace]*flow{},
+		admitted: meter{halfLife: rateHalfLife},
+		refused:  meter{halfLife: rateHalfLife},
+		offered:  meter{halfLife: rateHalfLife},
 	}
 }
 
@@ -173,14 +206,14 @@
 			known.Workspace = w
 			continue
 		}
-		c.workspaces[w.Name] = &workspace{Workspace: w}
+		c.workspaces[w.Name] = &workspace{Workspace: w, used: meter{halfLife: useHalfLife}}
 	}
 	for _, k := range classes {
 		if known, ok := c.classes[k.Name]; ok {
 			known.Class = k
 			continue
 		}
-		c.classes[k.Name] = &class{Class: k, flows: map[ident.Workspace]*flow{}}
+		c.classes[k.Name] = newClass(k)
 	}
 	c.forget(workspaces)
 	c.order = c.order[:0]
@@ -229,9 +262,10 @@
 		return c.refuse(dst, it, 0, refusal.New(refusal.BadRequest, "unknown class %q or workspace", it.Class))
 	}
 	e := &entry{Item: it, flow: c.flowOf(k, w), offered: now, expires: expiry(now, k, it)}
+	k.note(now, it)
 	if r := c.check(now, e); r != nil {
 		k.refused.add(now, it.Cost)
-		return c.refuse(dst, it, 0, r)
+		return c.admit(now, c.refuse(dst, it, 0, r))
 	}
 	c.enqueue(e)
 	return c.admit(now, dst)
@@ -241,6 +275,14 @@
 // prompt takes longer than the target: it would be refused for ever otherwise.
 const minSlack = 4
 
+// note counts an offered item.
+func (k *class) note(now time.Time, it Item) {
+	if k.residence == 0 {
+		k.residence = it.Service.Seconds()
+	}
+	k.offered.add(now, 1)
+}
+
 // expiry is when it is too late for the item to keep its target.
 func expiry(now time.Time, k *class, it Item) time.Time {
 	var at time.Time
@@ -315,7 +357,7 @@
 // wait is the expected time until the item is admitted.
 func (c *Controller) wait(now time.Time, e *entry) time.Duration {
 	k := e.flow.class
-	if c.room(k) && !c.anyWaits(k) {
+	if c.room(now, k) && !c.anyWaits(k) {
 		return 0
 	}
 	perSecond := c.rate.perSecond
@@ -330,8 +372,7 @@
 		}
 	}
 	perSecond = max(perSecond-taken, c.cfg.LowerShare*perSecond)
-	own := e.flow.cost * c.activeWeight(k, e.flow) / e.flow.workspace.Weight
-	seconds := (higher + min(own, k.cost) + c.meanCost()) / perSecond
+	seconds := (higher + k.ahead(e.flow) + c.meanCost()) / perSecond
 	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
 }
 
@@ -353,23 +394,48 @@
 	return false
 }
 
-func (c *Controller) activeWeight(k *class, own *flow) float64 {
-	sum := own.workspace.Weight
-	for _, f := range k.active {
-		if f != own {
-			sum += f.workspace.Weight
+// ahead is the cost that goes before a new item of the flow: its own queue and
+// what the other flows have with an earlier virtual start.
+func (k *class) ahead(f *flow) float64 {
+	start := max(f.start, k.virtual) + f.cost/f.workspace.Weight
+	ahead := f.cost
+	for _, o := range k.active {
+		if o != f {
+			ahead += min(o.cost, max(0, start-o.start)*o.workspace.Weight)
 		}
 	}
-	return sum
+	return ahead
 }
 
-// room tells whether the limit lets an item of the class in.
-func (c *Controller) room(k *class) bool {
+// room tells whether the limit lets an item of the class in. A lower class
+// leaves the places free that the higher ones need by Little's law (their rate
+// of arrival times their time in a place): answers are long beside the target
+// for the first token, so that urgent work can't wait for one to end. A class
+// always has LowerShare of the limit.
+func (c *Controller) room(now time.Time, k *class) bool {
 	limit := float64(c.limiter.Limit())
-	if k.Deferrable {
-		limit = max(1, math.Floor(limit*(1-c.cfg.Reserve)))
+	if float64(c.running) >= limit {
+		return false
+	}
+	if float64(k.running) < c.cfg.LowerShare*limit {
+		return true
 	}
-	return float64(c.running) < limit
+	if k == c.order[0] {
+		return true
+	}
+	kept := c.cfg.Reserve * limit
+	for _, o := range c.order {
+		if o.Priority > k.Priority {
+			kept += max(0, o.need(now, c.cfg.Headroom)-float64(o.running))
+		}
+	}
+	return float64(c.running)+kept < limit
+}
+
+// need is the places that the class takes if all that is offered gets one.
+func (k *class) need(now time.Time, headroom float64) float64 {
+	mean := k.offered.perSecond(now) * k.residence
+	return mean + headroom*math.Sqrt(mean)
 }
 
 func (c *Controller) refuse(dst []Effect, it Item, waited time.Duration, r *refusal.Refusal) []Effect {
--- a/protocol/admission/limiter.go
+++ b/protocol/admission/limiter.go
@@ -5,7 +5,8 @@
 // LimiterConfig sets how the concurrency limit adapts.
 type LimiterConfig struct {
 	Min float64
-	Max float64
+	// MaxOfHint is the most of what the runners say they can carry.
+	MaxOfHint float64
 	// Window is how long latencies are gathered before the limit changes.
 	Window time.Duration
 	// Congested is the share of a window's latencies over their target above
@@ -20,7 +21,7 @@
 func DefaultLimiter() LimiterConfig {
 	return LimiterConfig{
 		Min:       1,
-		Max:       1 << 16,
+		MaxOfHint: 1,
 		Window:    500 * time.Millisecond,
 		Congested: 0.05,
 		Decrease:  0.9,
@@ -55,7 +56,7 @@
 	case requests <= 0:
 		return
 	case l.hint == 0:
-		l.limit = requests
+		l.limit = requests * l.cfg.MaxOfHint
 	default:
 		l.limit *= requests / l.hint
 	}
@@ -93,4 +94,4 @@
 	l.ends = now.Add(l.cfg.Window)
 }
 
-func (l *Limiter) clamp() { l.limit = min(max(l.limit, l.cfg.Min), l.cfg.Max) }
+func (l *Limiter) clamp() { l.limit = max(min(l.limit, l.hint*l.cfg.MaxOfHint), l.cfg.Min) }
--- a/protocol/admission/meter.go
+++ b/protocol/admission/meter.go
@@ -5,18 +5,23 @@
 	"time"
 )
 
-// meterHalfLife is how fast a meter forgets.
-const meterHalfLife = time.Second
+// Half-lives of what is measured: rates of a class, and the use that decides
+// whether a workspace is over its share.
+const (
+	rateHalfLife = time.Second
+	useHalfLife  = 10 * time.Second
+)
 
-// meter measures cost per second with exponential forgetting.
+// meter measures a rate with exponential forgetting.
 type meter struct {
-	sum float64
-	at  time.Time
+	halfLife time.Duration
+	sum      float64
+	at       time.Time
 }
 
 func (m *meter) age(now time.Time) {
 	if now.After(m.at) {
-		m.sum *= math.Exp2(-now.Sub(m.at).Seconds() / meterHalfLife.Seconds())
+		m.sum *= math.Exp2(-now.Sub(m.at).Seconds() / m.halfLife.Seconds())
 		m.at = now
 	}
 }
@@ -28,7 +33,7 @@
 
 func (m *meter) perSecond(now time.Time) float64 {
 	m.age(now)
-	return m.sum * math.Ln2 / meterHalfLife.Seconds()
+	return m.sum * math.Ln2 / m.halfLife.Seconds()
 }
 
 // bucket is a token bucket that may be overdrawn by the last taker.
--- a/protocol/admission/queue.go
+++ b/protocol/admission/queue.go
@@ -7,6 +7,10 @@
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
+// residenceGain is the weight of the latest answer in a class's mean time in a
+// place.
+const residenceGain = 0.05
+
 func (c *Controller) enqueue(e *entry) {
 	f := e.flow
 	if len(f.items) == 0 {
@@ -59,11 +63,11 @@
 }
 
 // next returns the flow to serve: that of a lower class whose credit is due,
-// else that of the highest class with anything eligible.
+// else that of the highest class with anything eligible, or what has its turn.
 func (c *Controller) next(now time.Time) *flow {
 	var first *flow
 	for _, k := range c.order {
-		if !c.room(k) {
+		if !c.room(now, k) {
 			continue
 		}
 		f := c.fairest(now, k)
@@ -79,10 +83,41 @@
 			return f
 		}
 	}
-	if first != nil {
-		c.payLower(first)
+	if first == nil {
+		return nil
+	}
+	c.payLower(first)
+	return c.giveTurn(now, first)
+}
+
+// giveTurn returns the flow itself or, where its workspace is over its share,
+// lower work of one that is under it. Without this a large workspace with work
+// of a middle class for more than the whole capacity would hold up the lower
+// classes of all others for ever.
+func (c *Controller) giveTurn(now time.Time, f *flow) *flow {
+	if f.class == c.order[0] || c.shareUsed(now, f.workspace) <= c.cfg.OverShare {
+		return f
+	}
+	for _, k := range c.order {
+		if k.Priority >= f.class.Priority {
+			continue
+		}
+		o := c.fairest(now, k)
+		if o != nil && c.shareUsed(now, o.workspace) < c.cfg.UnderShare {
+			return o
+		}
+	}
+	return f
+}
+
+// shareUsed is what the workspace lately had as a multiple of its share of what
+// all had.
+func (c *Controller) shareUsed(now time.Time, w *workspace) float64 {
+	all := c.used.perSecond(now)
+	if all == 0 {
+		return 0
 	}
-	return first
+	return w.used.perSecond(now) / all * c.weights / w.Weight
 }
 
 // payLower pays the classes below the served one, where work waits, their
@@ -121,11 +156,31 @@
 	f.class.admitted.add(now, e.Cost)
 	f.workspace.running++
 	f.workspace.tokens.take(e.Cost)
+	f.workspace.used.add(now, e.Cost)
+	c.used.add(now, e.Cost)
+	c.setBack(f, e.Cost)
 	e.admitted = true
+	e.started = now
+	f.class.running++
 	c.running++
 	return Effect{Kind: Admit, ID: e.ID, Waited: now.Sub(e.offered)}
 }
 
+// setBack lets what a workspace uses in one class count in the classes below,
+// so that its use in all of them together nears its share: a large workspace's
+// urgent work would come on top of its full share of the rest otherwise.
+func (c *Controller) setBack(f *flow, cost float64) {
+	w := f.workspace
+	for _, k := range c.order {
+		if k.Priority >= f.class.Priority {
+			continue
+		}
+		o := c.flowOf(k, w)
+		most := k.virtual + c.cfg.MaxLead.Seconds()*c.rate.perSecond/w.Weight
+		o.start = max(o.start, min(o.start+cost/w.Weight, most))
+	}
+}
+
 // FirstToken takes in the time from admission to the first token.
 func (c *Controller) FirstToken(now time.Time, id ID, took time.Duration) {
 	if e, ok := c.entries[id]; ok && !e.flow.class.Deferrable {
@@ -152,6 +207,8 @@
 	w := e.flow.workspace
 	w.running--
 	c.running--
+	e.flow.class.running--
+	e.flow.class.residence += residenceGain * (now.Sub(e.started).Seconds() - e.flow.class.residence)
 	w.tokens.take(cost - e.Cost)
 	e.flow.start += (cost - e.Cost) / w.Weight
 	c.rate.finish(now, cost, c.queued > 0)
