--- /dev/null
+++ b/daemon/models/harness_test.go
@@ -0,0 +1,312 @@
+package models_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/models"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/standin/engine"
+	"geraniumstack.org/geraniumstack/standin/pipe"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	transport "geraniumstack.org/geraniumstack/transport/engine"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
+)
+
+const (
+	workspace = ident.Workspace("huaman")
+	model     = "asistente"
+	// tokenTime is one decode step of the stand-in engine.
+	tokenTime = 20 * time.Millisecond
+	silence   = 3 * time.Second
+)
+
+func testManifest() *manifest.Manifest {
+	return &manifest.Manifest{
+		Models: []manifest.Model{{Name: model, Version: "1", Service: model}},
+		Classes: []manifest.Class{
+			{Name: "chat", Priority: 10, TTFTMillis: 500, TBTMillis: 50},
+			{Name: "bulletin", Priority: 1, TTFTMillis: 60_000, TBTMillis: 500, Deferrable: true},
+		},
+	}
+}
+
+type fixedConfig struct{}
+
+func (fixedConfig) Current() (*manifest.Manifest, ident.Generation) { return testManifest(), 1 }
+func (fixedConfig) Changed() <-chan struct{}                        { return nil }
+
+// cluster is a set of daemons and engines on a network in memory.
+type cluster struct {
+	*pipe.Network
+	ledger  *engine.Ledger
+	engines []*engine.Engine
+
+	mu      sync.Mutex
+	daemons []view.Daemon
+	runners []view.Runner
+	changed chan struct{}
+	stops   []func()
+}
+
+func newCluster(runners int) *cluster {
+	c := &cluster{Network: pipe.NewNetwork(), ledger: engine.NewLedger(), changed: make(chan struct{})}
+	for i := range runners {
+		id := ident.RunnerID(fmt.Sprintf("runner-%d", i))
+		cfg := engine.DefaultConfig(string(id), model, "1")
+		cfg.BytesPerToken = 1 << 20 // so that an export takes a while
+		client := c.Client()
+		e := engine.New(cfg, engine.WithLedger(c.ledger), engine.WithClient(client))
+		c.serve(address(i), e.Handler(), client)
+		c.stops = append(c.stops, e.Close)
+		c.engines = append(c.engines, e)
+		c.runners = append(c.runners, view.Runner{
+			ID: id, Address: address(i), Service: model,
+			FailureDomain: domain(i), State: view.Live,
+		})
+	}
+	return c
+}
+
+func address(runner int) string { return fmt.Sprintf("runner-%d:80", runner) }
+
+// serve listens until the cluster stops or the address is taken down.
+func (c *cluster) serve(address string, h http.Handler, client *http.Client) *http.Server {
+	l, err := c.Listen(address)
+	if err != nil {
+		panic(err)
+	}
+	server := &http.Server{Handler: h}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(l)
+	}()
+	c.stops = append(c.stops, func() {
+		client.CloseIdleConnections()
+		c.Break(address)
+		server.Close()
+		<-done
+	})
+	return server
+}
+
+func domain(i int) ident.FailureDomain { return ident.FailureDomain(fmt.Sprintf("d%d", i%4)) }
+
+// change edits the directory that all daemons see.
+func (c *cluster) change(edit func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	edit()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+type directory struct {
+	c    *cluster
+	self ident.Incarnation
+}
+
+func (d directory) Self() view.Daemon {
+	d.c.mu.Lock()
+	defer d.c.mu.Unlock()
+	for _, x := range d.c.daemons {
+		if x.Incarnation == d.self {
+			return x
+		}
+	}
+	return view.Daemon{Incarnation: d.self}
+}
+
+func (d directory) Daemons() []view.Daemon {
+	d.c.mu.Lock()
+	defer d.c.mu.Unlock()
+	return slices.Clone(d.c.daemons)
+}
+
+func (d directory) Runners(string) []view.Runner {
+	d.c.mu.Lock()
+	defer d.c.mu.Unlock()
+	return slices.Clone(d.c.runners)
+}
+
+func (d directory) Changed() <-chan struct{} {
+	d.c.mu.Lock()
+	defer d.c.mu.Unlock()
+	return d.c.changed
+}
+
+func (directory) NoteLeaving(string, time.Duration) {}
+
+// gateway is one daemon's Models with its counters.
+type gateway struct {
+	*models.Models
+	self    ident.Incarnation
+	address string
+	metrics metrics.Registry
+	server  *http.Server
+	end     context.CancelFunc
+	next    int
+	// isolated daemons can open no connection.
+	isolated atomic.Bool
+}
+
+func (g *gateway) counter(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, g.metrics).Count()
+}
+
+func (c *cluster) start(n int) *gateway {
+	id := ident.DaemonID(fmt.Sprintf("gw-%d", n))
+	g := &gateway{
+		self:    ident.NewIncarnation(id, []byte{byte(n)}),
+		address: string(id) + ":7000",
+		metrics: metrics.NewRegistry(),
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, to string) (net.Conn, error) {
+		if g.isolated.Load() {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: &pipe.RefusedError{Address: to}}
+		}
+		return c.DialContext(ctx, network, to)
+	}}}
+	d := directory{c, g.self}
+	g.Models = models.New(models.Config{
+		Self: g.self, Directory: d, Config: fixedConfig{}, Metrics: g.metrics,
+		Engines:  engineClients{client},
+		Peers:    models.HTTPPeers{Client: client},
+		Transfer: models.Transfer{BytesPerToken: 1 << 20},
+	})
+	_, handler := g.Handler()
+	g.server = c.serve(g.address, handler, client)
+	c.change(func() {
+		c.daemons = append(c.daemons, view.Daemon{
+			ID: id, Incarnation: g.self, FailureDomain: domain(n), PeerAddress: g.address, State: view.Live,
+		})
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	g.end = cancel
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = g.Run(ctx)
+	}()
+	c.stops = append(c.stops, func() {
+		cancel()
+		client.CloseIdleConnections()
+		<-done
+	})
+	return g
+}
+
+// engineClients implements models.Engines.
+type engineClients struct{ client *http.Client }
+
+func (e engineClients) Generate(ctx context.Context, address string, r engineapi.GenerateRequest, sink func(engineapi.GenerateEvent) error) error {
+	return transport.New(address, e.client).Generate(ctx, r, silence, sink)
+}
+
+func (e engineClients) Cancel(ctx context.Context, address string, r engineapi.CancelRequest) error {
+	return transport.New(address, e.client).Cancel(ctx, r.AttemptID)
+}
+
+func (e engineClients) Export(ctx context.Context, address string, r engineapi.ExportRequest) (engineapi.ExportResponse, error) {
+	return transport.New(address, e.client).Export(ctx, r.AttemptID)
+}
+
+func (e engineClients) Import(ctx context.Context, address string, r engineapi.ImportRequest) (engineapi.ImportResponse, error) {
+	return transport.New(address, e.client).Import(ctx, r)
+}
+
+// kill ends a daemon without a word: its connections break, and its process
+// does nothing more.
+func (c *cluster) kill(g *gateway) {
+	g.end()
+	c.Break(g.address)
+	g.server.Close()
+}
+
+// gone makes every daemon conclude that a killed one is gone.
+func (c *cluster) gone(g *gateway) {
+	c.change(func() {
+		c.daemons = slices.DeleteFunc(c.daemons, func(d view.Daemon) bool { return d.Incarnation == g.self })
+	})
+}
+
+// notice tells everyone that runners go in a while, and ends them then.
+func (c *cluster) notice(left time.Duration, runners ...int) {
+	for _, i := range runners {
+		c.engines[i].Notice(left)
+	}
+	c.change(func() {
+		for _, i := range runners {
+			c.runners[i].State = view.Leaving
+			c.runners[i].LeavesAt = time.Now().Add(left)
+		}
+	})
+}
+
+func (c *cluster) stop() {
+	for _, stop := range slices.Backward(c.stops) {
+		stop()
+	}
+}
+
+func (g *gateway) request(class string, tokens int) call.ModelRequest {
+	g.next++
+	return call.ModelRequest{
+		ID:        ident.NewRequestID(g.self, []byte{byte(g.next)}),
+		Workspace: workspace, Class: class, Model: model,
+		Prompt:    fmt.Sprintf("case %s %d ", g.self, g.next) + strings.Repeat("owner file ", 50),
+		MaxTokens: tokens,
+	}
+}
+
+// readAll reads from an offset to the end, checks every token on the way and
+// returns the longest time without one.
+func readAll(t *testing.T, g *gateway, r call.ModelRequest, from int) (longest time.Duration) {
+	t.Helper()
+	want := engine.Tokens(r.Model, r.Prompt, r.MaxTokens)
+	next, last := from, time.Now()
+	err := g.Read(t.Context(), workspace, r.ID, from, func(e call.Event) error {
+		switch {
+		case e.Heartbeat:
+			return nil
+		case e.Done:
+			if e.Offset != r.MaxTokens || next != r.MaxTokens {
+				t.Errorf("ended at %d with %d read, want %d", e.Offset, next, r.MaxTokens)
+			}
+		case e.Offset != next || e.Token != want[next]:
+			t.Errorf("got offset %d %q, want %d %q", e.Offset, e.Token, next, want[next])
+		default:
+			next++
+		}
+		longest = max(longest, time.Since(last))
+		last = time.Now()
+		return nil
+	})
+	if err != nil {
+		t.Errorf("read %s: %v", r.ID, err)
+	}
+	return longest
+}
+
+func bubble(t *testing.T, runners int, run func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(runners)
+		defer c.stop()
+		run(t, c)
+	})
+}
