Borrow idle places and expect what a class had of late

Cause: callers are not spread evenly over gateways, and reviews waited in vain under overload since the expected wait left out the turns they lose. Change: routing.Capacity.Share (equal part, or half of what is idle beyond a quarter); the wait of lower classes follows their own late rate.

--- a/bench/overload/gateway.go
+++ b/bench/overload/gateway.go
@@ -123,8 +123,7 @@
 	}
 	_ = g.table.CacheEvents(runnerID(i), page) // a gap is mended by the index
 	if g.admission != nil {
-		c := g.table.Capacity()
-		g.admission.SetCapacity(float64(c.Batch)/gateways, c.DecodeRate/gateways)
+		g.admission.SetCapacity(g.table.Capacity().Share(gateways, g.admission.Running()))
 	}
 }
 
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -90,6 +90,17 @@
 	return t.choice(best, r, estimates[best]), nil
 }
 
+// Choose returns the choice of a runner that was picked elsewhere; false if it
+// is not in the table.
+func (t *Table) Choose(id ident.RunnerID, r *Request) (Choice, bool) {
+	i, ok := t.byID[id]
+	if !ok {
+		return Choice{}, false
+	}
+	t.match(r)
+	return t.choice(i, r, t.estimate(i, r)), true
+}
+
 func (t *Table) choice(i int, r *Request, estimate float64) Choice {
 	s := &t.slots[i]
 	return Choice{
--- a/coordination/routing/score.go
+++ b/coordination/routing/score.go
@@ -112,10 +112,38 @@
 	// per second, both in all.
 	Batch      int
 	DecodeRate float64
+	// Free is the places that the reports and own changes since leave.
+	Free int
 	// PromptCost is how many output tokens one uncached prompt token costs.
 	PromptCost float64
 }
 
+// A gateway may take borrowedShare of the free places beyond its equal share:
+// were it all of them, every gateway would take the same ones. The keptFree
+// part of all places is not counted as free: under overload it is what gateways
+// leave for urgent work.
+const (
+	borrowedShare = 0.5
+	keptFree      = 0.25
+)
+
+// Share returns the places and the output tokens per second that one of so many
+// gateways may use: its equal part, or what it uses and a part of what is free.
+// Callers are not spread evenly, and the gateway that has them must not refuse
+// while the runners are idle.
+func (c Capacity) Share(gateways, running int) (places, perSecond float64) {
+	if c.Batch == 0 {
+		return 0, 0
+	}
+	equal := float64(c.Batch) / float64(max(1, gateways))
+	free := max(0, float64(c.Free)-keptFree*float64(c.Batch))
+	places = equal
+	if free > 0 {
+		places = max(equal, float64(running)+borrowedShare*free)
+	}
+	return places, c.DecodeRate * places / float64(c.Batch)
+}
+
 // Capacity sums up the runners that are live and not ejected.
 func (t *Table) Capacity() Capacity {
 	var c Capacity
@@ -128,6 +156,7 @@
 		}
 		c.Runners++
 		c.Batch += places
+		c.Free += max(0, places-s.report.Running-s.report.Waiting-s.sinceRequests)
 		c.DecodeRate += float64(places) * s.decode
 		prefill += s.prefill
 	}
--- a/protocol/admission/admission.go
+++ b/protocol/admission/admission.go
@@ -144,7 +144,9 @@
 	admitted meter
 	refused  meter
 	offered  meter
-	running  int
+	// served is the admitted cost over a longer time.
+	served  meter
+	running int
 	// residence is the mean seconds from admission to the end.
 	residence float64
 }
@@ -193,6 +195,7 @@
 		admitted: meter{halfLife: rateHalfLife},
 		refused:  meter{halfLife: rateHalfLife},
 		offered:  meter{halfLife: rateHalfLife},
+		served:   meter{halfLife: useHalfLife},
 	}
 }
 
@@ -354,6 +357,9 @@
 	return min(max(after, 100*time.Millisecond), c.cfg.MaxRetryAfter)
 }
 
+// lateGrowth is how much faster than of late a class is expected to go on.
+const lateGrowth = 1.25
+
 // wait is the expected time until the item is admitted.
 func (c *Controller) wait(now time.Time, e *entry) time.Duration {
 	k := e.flow.class
@@ -371,7 +377,12 @@
 			taken += o.admitted.perSecond(now)
 		}
 	}
-	perSecond = max(perSecond-taken, c.cfg.LowerShare*perSecond)
+	left := perSecond - taken
+	if k != c.order[0] && len(k.active) > 0 {
+		// What the class had of late tells of turns that it loses, too.
+		left = min(left, lateGrowth*k.served.perSecond(now))
+	}
+	perSecond = max(left, c.cfg.LowerShare*perSecond)
 	seconds := (higher + k.ahead(e.flow) + c.meanCost()) / perSecond
 	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
 }
--- a/protocol/admission/queue.go
+++ b/protocol/admission/queue.go
@@ -154,6 +154,7 @@
 	f.class.virtual = max(f.class.virtual, f.start)
 	f.start += e.Cost / f.workspace.Weight
 	f.class.admitted.add(now, e.Cost)
+	f.class.served.add(now, e.Cost)
 	f.workspace.running++
 	f.workspace.tokens.take(e.Cost)
 	f.workspace.used.add(now, e.Cost)
