Drive routing, admission, retries and health for a daemon's services

Cause: the decisions were pure and nothing fed them; requests went round robin without limits, plain services' calls once to a random runner. Change: daemon/dispatch (polls the subset, implements models.Picker, counters), daemon/services (repeatable calls under the budget; others are refused), both wired into the daemon. Plain calls go by the actions' sender: a connection each, so that net/http repeats nothing by itself.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -16,13 +17,17 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"geraniumstack.org/geraniumstack/coordination/health"
 	"geraniumstack.org/geraniumstack/coordination/lease"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/actions"
 	"geraniumstack.org/geraniumstack/daemon/control"
+	modeldispatch "geraniumstack.org/geraniumstack/daemon/dispatch"
 	"geraniumstack.org/geraniumstack/daemon/models"
 	"geraniumstack.org/geraniumstack/daemon/orders"
+	"geraniumstack.org/geraniumstack/daemon/services"
 	"geraniumstack.org/geraniumstack/daemon/settings"
+	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/usage"
 	"geraniumstack.org/geraniumstack/transport/dispatch"
@@ -53,7 +58,8 @@
 	control  *control.Control
 	models   *models.Models
 	actions  *actions.Service
-	services *services
+	dispatch *modeldispatch.Dispatcher
+	services *services.Services
 	orders   *orders.Driver
 	gateway  *gateway.Gateway
 	drained  chan struct{}
@@ -91,6 +97,13 @@
 	return ident.NewIncarnation(id, b[:])
 }
 
+// seed differs from daemon to daemon: equal ones would make them choose alike.
+func seed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:])
+}
+
 func (d *Daemon) listen(n Network) error {
 	var err error
 	if d.callers, err = n.Listen(d.settings.Listen.Callers); err != nil {
@@ -119,10 +132,20 @@
 	configuration := d.control.ConfigView()
 	sender := dispatch.DefaultConfig()
 	sender.Dial = n.Dial
-	d.services = &services{directory: d.control, sender: dispatch.New(sender)}
+	d.services = services.New(services.Config{
+		Directory: d.control, Config: configuration, Sender: serviceSender{dispatch.New(sender)},
+		Probe: connect(n), Metrics: d.metrics, Retry: retry.Default(), Health: health.Default(),
+		AttemptTimeout: services.DefaultAttemptTimeout, Tick: services.DefaultTick, Seed: seed(),
+	})
+	d.dispatch = modeldispatch.New(modeldispatch.Config{
+		Directory: d.control, Config: configuration, Engines: engines,
+		Prober: modeldispatch.FreshProber{Dial: n.Dial}, Metrics: d.metrics,
+		Policy: modeldispatch.DefaultPolicy(), Timing: modeldispatch.DefaultTiming(), Seed: seed(),
+	})
 	d.models = models.New(models.Config{
 		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
-		Engines: engines, Peers: models.HTTPPeers{Client: client},
+		Engines: d.dispatch.Observe(engines), Peers: models.HTTPPeers{Client: client},
+		Picker:  d.dispatch,
 		Metrics: d.metrics,
 	})
 	d.actions = actions.New(actions.Config{
@@ -188,7 +211,7 @@
 	g, work := errgroup.WithContext(work)
 	for name, run := range map[string]func(context.Context) error{
 		"control": d.control.Run, "models": d.models.Run, "actions": d.actions.Run,
-		"orders": d.orders.Run,
+		"orders": d.orders.Run, "dispatch": d.dispatch.Run, "services": d.services.Run,
 	} {
 		g.Go(func() error { return named(name, run(work)) })
 	}
--- /dev/null
+++ b/daemon/dispatch/dispatch.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// retryAfterNotReady is asked of callers that come before there is a
+// configuration or a runner.
+const retryAfterNotReady = time.Second
+
+// Dispatcher decides for all model services of a daemon. It is safe for
+// concurrent use.
+type Dispatcher struct {
+	cfg Config
+
+	mu       sync.Mutex
+	manifest *manifest.Manifest
+	services map[string]*service
+
+	// ctx ends the goroutines; it is set by Run.
+	ctx context.Context
+	wg  sync.WaitGroup
+}
+
+// New returns a dispatcher; it refuses work until Run has seen a configuration.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{cfg: cfg, services: map[string]*service{}}
+}
+
+// Run follows the directory, the configuration and the runners until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer d.wg.Wait()
+	defer cancel()
+	d.mu.Lock()
+	d.ctx = ctx
+	d.mu.Unlock()
+	d.wg.Go(func() { d.tick(ctx) })
+	for {
+		listed, configured := d.cfg.Directory.Changed(), d.cfg.Config.Changed()
+		d.refresh(time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-listed:
+		case <-configured:
+		}
+		if !pause(ctx, d.cfg.Timing.Refresh) {
+			return ctx.Err()
+		}
+	}
+}
+
+// pause waits and reports whether ctx is still good.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// refresh brings services and runners up to date.
+func (d *Dispatcher) refresh(now time.Time) {
+	current, _ := d.cfg.Config.Current()
+	if current == nil {
+		return
+	}
+	d.mu.Lock()
+	configured := d.manifest != current
+	d.manifest = current
+	if configured {
+		d.setServices()
+	}
+	services := make([]*service, 0, len(d.services))
+	for _, s := range d.services {
+		services = append(services, s)
+	}
+	d.mu.Unlock()
+	gateways := d.gateways()
+	for _, s := range services {
+		if configured {
+			s.configure(current)
+		}
+		s.setRunners(now, d.cfg.Directory.Runners(s.name), gateways)
+		d.follow(s)
+	}
+}
+
+// setServices runs with d.mu held. What is in progress at a service that is no
+// longer listed ends as it began.
+func (d *Dispatcher) setServices() {
+	listed := map[string]bool{}
+	for _, s := range d.manifest.Services {
+		if s.Kind != manifest.KindModel {
+			continue
+		}
+		listed[s.Name] = true
+		if d.services[s.Name] == nil {
+			d.services[s.Name] = newService(d.cfg, s.Name)
+		}
+	}
+	for name, s := range d.services {
+		if !listed[name] {
+			s.stopPolls()
+			delete(d.services, name)
+		}
+	}
+}
+
+func (d *Dispatcher) gateways() int {
+	n := 0
+	for _, other := range d.cfg.Directory.Daemons() {
+		if other.State == view.Live {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+func (d *Dispatcher) service(name string) *service {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.services[name]
+}
+
+// tick passes the time on to the services.
+func (d *Dispatcher) tick(ctx context.Context) {
+	for pause(ctx, d.cfg.Timing.Tick) {
+		d.mu.Lock()
+		services := make([]*service, 0, len(d.services))
+		for _, s := range d.services {
+			services = append(services, s)
+		}
+		d.mu.Unlock()
+		for _, s := range services {
+			d.probe(s, s.tick(time.Now()))
+		}
+	}
+}
+
+// probe carries the probes out that health asks for.
+func (d *Dispatcher) probe(s *service, effects []health.Effect) {
+	for _, e := range effects {
+		if e.Kind != health.Probe {
+			continue
+		}
+		address := s.address(e.Runner)
+		d.spawn(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, d.cfg.Policy.Health.ProbeTimeout)
+			defer cancel()
+			err := d.cfg.Prober.Probe(ctx, address)
+			klog.V(1).InfoS("Runner probed", "service", s.name, "runner", e.Runner, "err", err)
+			s.probed(time.Now(), e.Runner, err == nil)
+		})
+	}
+}
+
+// spawn runs f unless the dispatcher has ended or not begun.
+func (d *Dispatcher) spawn(f func(context.Context)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ctx == nil || d.ctx.Err() != nil {
+		return
+	}
+	ctx := d.ctx
+	d.wg.Go(func() { f(ctx) })
+}
+
+// resolve finds the service and class of a request.
+func (d *Dispatcher) resolve(model, class string) (*service, *manifest.Class, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.manifest == nil {
+		return nil, nil, refusal.New(refusal.NotReady, "no configuration in force yet").After(retryAfterNotReady)
+	}
+	m := d.manifest.ModelNamed(model)
+	if m == nil || d.services[m.Service] == nil {
+		return nil, nil, refusal.New(refusal.UnknownModel, "no model %q", model)
+	}
+	c := d.manifest.ClassNamed(class)
+	if c == nil {
+		return nil, nil, refusal.New(refusal.BadRequest, "no class %q", class)
+	}
+	return d.services[m.Service], c, nil
+}
+
+// counters are kept by name: a service's, and one for each reason.
+func (c *Config) count(service, what string) {
+	if c.Metrics != nil {
+		metrics.GetOrRegisterCounter("dispatch."+service+"."+what, c.Metrics).Inc(1)
+	}
+}
+
+func (c *Config) countBy(service, what string, n int) {
+	if c.Metrics != nil {
+		metrics.GetOrRegisterCounter("dispatch."+service+"."+what, c.Metrics).Inc(int64(n))
+	}
+}
+
+func (c *Config) gauge(service, what string, value float64) {
+	if c.Metrics != nil {
+		metrics.GetOrRegisterGaugeFloat64("dispatch."+service+"."+what, c.Metrics).Update(value)
+	}
+}
+
+// Waiting is the number of requests that wait for admission at a service.
+func (d *Dispatcher) Waiting(name string) int {
+	s := d.service(name)
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admission.Queued()
+}
+
+// Ejected is the number of a service's runners that are left out for failures.
+func (d *Dispatcher) Ejected(name string) int {
+	s := d.service(name)
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.Out()
+}
+
+// runnerIDs lists the runners' names.
+func runnerIDs(runners []view.Runner) []ident.RunnerID {
+	ids := make([]ident.RunnerID, len(runners))
+	for i := range runners {
+		ids[i] = runners[i].ID
+	}
+	return ids
+}
--- /dev/null
+++ b/daemon/dispatch/observe.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"geraniumstack.org/geraniumstack/daemon/models"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/engine"
+	"geraniumstack.org/geraniumstack/transport/engineapi"
+)
+
+// observed passes calls on and tells the dispatcher of first tokens.
+type observed struct {
+	models.Engines
+	d *Dispatcher
+}
+
+// Observe returns engines whose attempts the dispatcher hears of. Without it
+// prompts count as waiting until their answers end.
+func (d *Dispatcher) Observe(e models.Engines) models.Engines { return &observed{e, d} }
+
+// Generate implements models.Engines.
+func (o *observed) Generate(ctx context.Context, address string, r engineapi.GenerateRequest, sink func(engineapi.GenerateEvent) error) error {
+	seen := false
+	err := o.Engines.Generate(ctx, address, r, func(e engineapi.GenerateEvent) error {
+		if !seen && !e.Heartbeat && e.AttemptID == r.AttemptID {
+			seen = true
+			o.d.firstToken(attemptKey{ident.RequestID(r.RequestID), address}, r, e.CachedTokens)
+		}
+		return sink(e)
+	})
+	if err != nil {
+		return fmt.Errorf("generate: %w", err)
+	}
+	return nil
+}
+
+func (d *Dispatcher) firstToken(key attemptKey, r engineapi.GenerateRequest, cached int) {
+	d.mu.Lock()
+	var s *service
+	if d.manifest != nil {
+		if m := d.manifest.ModelNamed(r.Model); m != nil {
+			s = d.services[m.Service]
+		}
+	}
+	d.mu.Unlock()
+	if s != nil {
+		s.firstToken(time.Now(), key, cached)
+	}
+}
+
+// FreshProber reads an engine's load, each time on a connection of its own.
+type FreshProber struct {
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Probe implements Prober.
+func (p FreshProber) Probe(ctx context.Context, address string) error {
+	transport := &http.Transport{DialContext: p.Dial, DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	if _, err := engine.New(address, &http.Client{Transport: transport}).Load(ctx); err != nil {
+		return fmt.Errorf("probe: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/dispatch/picker.go
@@ -0,0 +1,242 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/coordination/routing"
+	"geraniumstack.org/geraniumstack/daemon/models"
+	"geraniumstack.org/geraniumstack/protocol/request"
+	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/prefixhash"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+var _ models.Picker = (*Dispatcher)(nil)
+
+// Pick implements models.Picker. After a failed attempt it first asks for the
+// retry budget and waits out the backoff.
+func (d *Dispatcher) Pick(ctx context.Context, j models.Job) (models.Choice, error) {
+	s := d.service(j.Service)
+	if s == nil {
+		return models.Choice{}, refusal.New(refusal.UnknownModel, "no service %q", j.Service)
+	}
+	g := s.grantOf(d, j)
+	if j.After != "" {
+		if err := s.again(ctx, j, g); err != nil {
+			return models.Choice{}, err
+		}
+	}
+	return s.pick(time.Now(), j, g)
+}
+
+// grantOf finds the request's grant. A request that this daemon adopted from
+// another has none and is routed without admission: its place was taken when
+// it was accepted.
+func (s *service) grantOf(d *Dispatcher, j models.Job) *grant {
+	s.mu.Lock()
+	g, ok := s.grants[j.Request.ID]
+	s.mu.Unlock()
+	if ok {
+		return g
+	}
+	class := &manifest.Class{Name: j.Request.Class, Deferrable: true}
+	if _, known, err := d.resolve(j.Request.Model, j.Request.Class); err == nil {
+		class = known
+	}
+	return newGrant(j.Request, class)
+}
+
+// again returns when a failed attempt may be made again, or why not.
+func (s *service) again(ctx context.Context, j models.Job, g *grant) error {
+	reason := reasonOf(j.After)
+	for {
+		s.mu.Lock()
+		decision := s.retry.Decide(time.Now(), retry.Failure{
+			Reason:     reason,
+			MayHaveRun: mayHaveRun(j),
+			Repeatable: true, // each offset is passed on once, however often it is computed
+			Accepted:   g.accepted || reason == retry.Reclaimed,
+			Attempts:   max(1, g.attempts),
+			Deadline:   g.deadline,
+		})
+		s.mu.Unlock()
+		if decision.Verdict != retry.Again && decision.Verdict != retry.Postpone {
+			return stopped(j, decision)
+		}
+		if !pause(ctx, decision.Wait) {
+			return refusal.New(refusal.Cancelled, "given up").Unknown()
+		}
+		if decision.Verdict == retry.Again {
+			return nil
+		}
+	}
+}
+
+func mayHaveRun(j models.Job) bool {
+	return j.Offset > 0 || j.After != request.Unreachable && j.After != request.Refused && j.After != request.NoCapacity
+}
+
+func stopped(j models.Job, decision retry.Decision) error {
+	reason := refusal.RetryBudgetExhausted
+	switch decision.Verdict {
+	case retry.StopDeadline:
+		reason = refusal.DeadlineExceeded
+	case retry.StopAttempts:
+		reason = refusal.RunnerFailed
+	}
+	r := refusal.New(reason, "attempt failed (%s), %s", j.After, decision.Verdict)
+	if reason != refusal.DeadlineExceeded {
+		r = r.After(retryAfterNotReady)
+	}
+	if mayHaveRun(j) {
+		return r.Unknown()
+	}
+	return r
+}
+
+// reasonOf translates the cause of a failed attempt.
+func reasonOf(c request.Cause) retry.Reason {
+	switch c {
+	case request.Unreachable:
+		return retry.ConnectFailed
+	case request.Refused, request.NoCapacity:
+		return retry.Busy
+	case request.Silent:
+		return retry.Silent
+	case request.EngineError:
+		return retry.ServerError
+	case request.Preempted, request.ExportFailed:
+		return retry.Reclaimed
+	}
+	return retry.Broken
+}
+
+func (s *service) pick(now time.Time, j models.Job, g *grant) (models.Choice, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.routed(j, g)
+	c, err := s.table.Pick(now, &r)
+	var none *routing.NoRunnerError
+	if errors.As(err, &none) && none.Cause == routing.AllTried {
+		// One that failed before may have recovered; there is no other.
+		r.Exclude = 0
+		c, err = s.table.Pick(now, &r)
+	}
+	if err != nil {
+		return models.Choice{}, s.noRunner(err)
+	}
+	s.cfg.count(s.name, "picked")
+	return models.Choice{Runner: c.Runner, Address: c.Address}, nil
+}
+
+// routed is the request as it is now: with what was emitted as a part of what
+// has to be computed.
+func (s *service) routed(j models.Job, g *grant) routing.Request {
+	r := g.request
+	r.PromptTokens += j.Offset
+	r.OutputTokens = max(1, r.OutputTokens-j.Offset)
+	r.Exclude = s.table.Exclude(j.Exclude...)
+	return r
+}
+
+// Started implements models.Picker.
+func (d *Dispatcher) Started(j models.Job, c models.Choice) {
+	s := d.service(j.Service)
+	if s == nil {
+		return
+	}
+	g := s.grantOf(d, j)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	r := s.routed(j, g)
+	choice, ok := s.table.Choose(c.Runner, &r)
+	if !ok {
+		return
+	}
+	g.attempts++
+	key := attemptKey{j.Request.ID, c.Address}
+	if old := s.attempts[key]; old != nil {
+		s.table.Finished(now, &old.ticket)
+	}
+	s.attempts[key] = &attempt{
+		ticket:   s.table.Dispatch(now, choice, &r),
+		grant:    g,
+		started:  now,
+		chain:    r.Prefix,
+		expected: choice.CachedBlocks * prefixhash.BlockTokens,
+	}
+}
+
+// firstToken takes in that an attempt's first token came.
+func (s *service) firstToken(now time.Time, key attemptKey, cached int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.attempts[key]
+	if a == nil || !a.first.IsZero() {
+		return
+	}
+	a.first = now
+	s.table.FirstToken(now, &a.ticket)
+	s.admission.FirstToken(now, a.grant.id, now.Sub(a.started))
+	a.grant.cached = cached
+	s.cfg.countBy(s.name, "prefix.cached_tokens", cached)
+	s.cfg.countBy(s.name, "prefix.overestimated_tokens", max(0, a.expected-cached))
+}
+
+// Ended implements models.Picker.
+func (d *Dispatcher) Ended(j models.Job, a models.Attempt) {
+	s := d.service(j.Service)
+	if s == nil {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	s.endAttempt(now, attemptKey{j.Request.ID, a.Address}, j, a)
+	var effects []health.Effect
+	if outcome, tells := outcomeOf(a); tells {
+		effects = s.health.Observe(now, a.Runner, outcome, nil)
+		s.apply(effects)
+	}
+	s.mu.Unlock()
+	d.probe(s, effects)
+}
+
+// outcomeOf is what an attempt's end tells of its runner, if anything.
+func outcomeOf(a models.Attempt) (health.Outcome, bool) {
+	if a.Answered {
+		return health.Success, true
+	}
+	switch a.Cause {
+	case request.Unreachable, request.Truncated, request.Malformed, request.EngineError:
+		return health.Failure, true
+	case request.Silent:
+		return health.SilentConnection, true
+	}
+	return "", false
+}
+
+func (s *service) endAttempt(now time.Time, key attemptKey, j models.Job, a models.Attempt) {
+	at := s.attempts[key]
+	if at == nil {
+		return
+	}
+	delete(s.attempts, key)
+	if a.Cause == request.Unreachable || a.Cause == request.Refused {
+		s.table.NotStarted(now, &at.ticket, at.chain)
+		return
+	}
+	s.table.Finished(now, &at.ticket)
+	at.grant.tokens += a.Tokens
+	if a.Tokens > 1 && !at.first.IsZero() {
+		at.grant.between = now.Sub(at.first) / time.Duration(a.Tokens-1)
+	}
+	if a.Answered {
+		s.table.Answered(j.Offset)
+		s.learn(at.grant.class, j.Offset, at.grant.between)
+	}
+}
--- /dev/null
+++ b/daemon/dispatch/service.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/coordination/routing"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/admission"
+	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/load"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/prefix"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// attemptKey names an attempt as the engine's client knows it.
+type attemptKey struct {
+	request ident.RequestID
+	address string
+}
+
+// attempt is one dispatch in progress.
+type attempt struct {
+	ticket  routing.Ticket
+	grant   *grant
+	started time.Time
+	first   time.Time
+	chain   []prefix.Hash
+	// expected is the cached tokens that the index promised.
+	expected int
+}
+
+// service is one model service's decisions behind one lock. No call under the
+// lock blocks.
+type service struct {
+	name string
+	cfg  Config
+
+	mu        sync.Mutex
+	table     *routing.Table
+	admission *admission.Controller
+	retry     *retry.Policy
+	health    *health.Tracker
+	lengths   map[string]*length
+	attempts  map[attemptKey]*attempt
+	grants    map[ident.RequestID]*grant
+	waiting   map[admission.ID]*grant
+	lastID    admission.ID
+	polls     map[ident.RunnerID]context.CancelFunc
+	stopped   bool
+	gauged    time.Time
+	effects   []admission.Effect
+}
+
+// gaugeEvery is how often a service's gauges are set.
+const gaugeEvery = time.Second
+
+func newService(cfg Config, name string) *service {
+	s := &service{
+		name:     name,
+		cfg:      cfg,
+		health:   health.New(cfg.Policy.Health),
+		lengths:  map[string]*length{},
+		attempts: map[attemptKey]*attempt{},
+		grants:   map[ident.RequestID]*grant{},
+		waiting:  map[admission.ID]*grant{},
+		polls:    map[ident.RunnerID]context.CancelFunc{},
+	}
+	self := cfg.Directory.Self()
+	r := routing.Default(self.ID, self.FailureDomain)
+	r.Seed = cfg.Seed
+	if cfg.Policy.Routing != nil {
+		cfg.Policy.Routing(&r)
+	}
+	s.table = routing.New(r)
+	a := cfg.Policy.Admission
+	a.Count = func(reason refusal.Reason, ws ident.Workspace, class string) {
+		cfg.count(name, "refused."+string(reason)+"."+class)
+		cfg.count(name, "refused_by_workspace."+string(ws))
+	}
+	s.admission = admission.New(a)
+	t := cfg.Policy.Retry
+	t.Seed = cfg.Seed
+	t.Count = func(reason retry.Reason, v retry.Verdict) {
+		cfg.count(name, "retry."+string(reason)+"."+string(v))
+	}
+	s.retry = retry.New(t)
+	return s
+}
+
+// configure takes a new configuration in.
+func (s *service) configure(m *manifest.Manifest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var own []manifest.Model
+	for _, model := range m.Models {
+		if model.Service == s.name {
+			own = append(own, model)
+		}
+	}
+	s.table.SetModels(own)
+	s.admission.SetLimits(m.Workspaces, m.Classes)
+}
+
+// setRunners takes a new list of runners in.
+func (s *service) setRunners(now time.Time, runners []view.Runner, gateways int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetRunners(now, runners)
+	s.health.SetRunners(runnerIDs(s.table.Runners(nil)))
+	s.share(gateways)
+}
+
+// reported takes a runner's load report in.
+func (s *service) reported(now time.Time, id ident.RunnerID, r load.Report, gateways int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Report(now, id, r)
+	s.share(gateways)
+	s.deliver(s.admission.Tick(now, s.effects[:0]))
+}
+
+// share tells admission what this gateway may use.
+func (s *service) share(gateways int) {
+	s.admission.SetCapacity(s.table.Capacity().Share(gateways, s.admission.Running()))
+}
+
+func (s *service) cursor(id ident.RunnerID) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Cursor(id)
+}
+
+func (s *service) cacheEvents(id ident.RunnerID, p prefix.Page) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.CacheEvents(id, p)
+}
+
+func (s *service) address(id ident.RunnerID) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, _ := s.table.Choose(id, &routing.Request{})
+	return c.Address
+}
+
+// tick passes the time on and returns what health asks for.
+func (s *service) tick(now time.Time) []health.Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.admission.Tick(now, s.effects[:0]))
+	effects := s.health.Tick(now, nil)
+	s.apply(effects)
+	s.setGauges(now)
+	return effects
+}
+
+func (s *service) setGauges(now time.Time) {
+	if now.Sub(s.gauged) < gaugeEvery {
+		return
+	}
+	s.gauged = now
+	s.cfg.gauge(s.name, "limit", float64(s.admission.Limit()))
+	s.cfg.gauge(s.name, "running", float64(s.admission.Running()))
+	s.cfg.gauge(s.name, "queued", float64(s.admission.Queued()))
+	s.cfg.gauge(s.name, "ejected", float64(s.health.Out()))
+	s.cfg.gauge(s.name, "retry_budget", s.retry.Balance())
+	s.cfg.gauge(s.name, "prefix.blocks", float64(s.table.PrefixBlocks()))
+	s.cfg.gauge(s.name, "runners", float64(s.table.Capacity().Runners))
+}
+
+// apply carries ejections out in the table.
+func (s *service) apply(effects []health.Effect) {
+	for _, e := range effects {
+		switch e.Kind {
+		case health.Eject:
+			s.table.SetEjected(e.Runner, true)
+			s.cfg.count(s.name, "ejections")
+		case health.Readmit:
+			s.table.SetEjected(e.Runner, false)
+			s.cfg.count(s.name, "readmissions")
+		}
+	}
+}
+
+func (s *service) probed(now time.Time, id ident.RunnerID, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(s.health.Probed(now, id, ok, nil))
+}
+
+// deliver tells waiting grants what became of them.
+func (s *service) deliver(effects []admission.Effect) {
+	for _, e := range effects {
+		g, ok := s.waiting[e.ID]
+		if !ok {
+			continue
+		}
+		delete(s.waiting, e.ID)
+		g.outcome <- e
+	}
+	s.effects = effects[:0]
+}
--- a/daemon/services.go
+++ b/daemon/services.go
@@ -2,35 +2,37 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"fmt"
 
-	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/protocol/call"
 	"geraniumstack.org/geraniumstack/state/actionkey"
-	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/transport/dispatch"
 )
 
-// services sends repeatable calls to a live runner, once.
-type services struct {
-	directory view.Directory
-	sender    *dispatch.Sender
-}
+// serviceSender sends repeatable calls. It uses the actions' sender: each call
+// has a connection of its own, so that nothing but the retry policy repeats it
+// and no connection that went silent while idle is met.
+type serviceSender struct{ sender *dispatch.Sender }
 
-// Call implements call.Services.
-func (s *services) Call(ctx context.Context, c call.ServiceCall) (call.Answer, error) {
-	var live []view.Runner
-	for _, r := range s.directory.Runners(c.Service) {
-		if r.State == view.Live {
-			live = append(live, r)
-		}
-	}
-	if len(live) == 0 {
-		return call.Answer{}, refusal.New(refusal.NoRunner, "service %q has no live runner", c.Service)
-	}
-	result := s.sender.Send(ctx, live[rand.IntN(len(live))].Address, actionkey.ID{Workspace: c.Workspace, Key: c.Key}, c)
+// Send implements services.Sender.
+func (s serviceSender) Send(ctx context.Context, address string, c call.ServiceCall) (call.Answer, error) {
+	result := s.sender.Send(ctx, address, actionkey.ID{Workspace: c.Workspace, Key: c.Key}, c)
 	if result.Refusal != nil {
 		return call.Answer{}, result.Refusal
 	}
 	return result.Answer, nil
 }
+
+// connect tells whether a runner takes a new connection.
+func connect(n Network) func(context.Context, string) error {
+	return func(ctx context.Context, address string) error {
+		conn, err := n.Dial(ctx, "tcp", address)
+		if err != nil {
+			return fmt.Errorf("connect: %w", err)
+		}
+		if err := conn.Close(); err != nil {
+			return fmt.Errorf("close: %w", err)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/daemon/services/services.go
@@ -0,0 +1,440 @@
+// Package services sends repeatable calls of plain services to their runners.
+// A call that failed is made again at another runner under the service's retry
+// budget. Calls that the manifest doesn't call repeatable are refused here: they
+// belong to the actions.
+package services
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// Sender makes one call at a runner. It must repeat nothing by itself: Go's
+// HTTP transport does so on a reused connection that breaks, outside of any
+// budget. Its errors are or wrap *refusal.Refusal.
+type Sender interface {
+	Send(ctx context.Context, address string, c call.ServiceCall) (call.Answer, error)
+}
+
+// Dialer opens a connection; probes use it.
+type Dialer func(ctx context.Context, address string) error
+
+// Config is what Services works with.
+type Config struct {
+	Directory view.Directory
+	Config    view.Config
+	Sender    Sender
+	// Probe connects anew to a runner that was left out.
+	Probe   Dialer
+	Metrics metrics.Registry
+	Retry   retry.Config
+	Health  health.Config
+	// AttemptTimeout bounds one attempt, so that a connection gone silent does
+	// not take the caller's whole time.
+	AttemptTimeout time.Duration
+	// Tick is the precision of ejections.
+	Tick time.Duration
+	Seed uint64
+}
+
+// Defaults of Config.
+const (
+	DefaultAttemptTimeout = 5 * time.Second
+	DefaultTick           = 100 * time.Millisecond
+)
+
+// retryAfter is asked of callers when no runner could be had.
+const retryAfter = time.Second
+
+// Services implements call.Services. It is safe for concurrent use.
+type Services struct {
+	cfg Config
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	services map[string]*service
+
+	ctx context.Context
+	wg  sync.WaitGroup
+}
+
+var _ call.Services = (*Services)(nil)
+
+// service is one plain service's state.
+type service struct {
+	retry    *retry.Policy
+	health   *health.Tracker
+	ejected  map[ident.RunnerID]bool
+	inFlight map[ident.RunnerID]int
+}
+
+// New returns services without any state.
+func New(cfg Config) *Services {
+	return &Services{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 3)),
+		services: map[string]*service{},
+	}
+}
+
+// Run probes runners that were left out until ctx ends.
+func (s *Services) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer s.wg.Wait()
+	defer cancel()
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	ticker := time.NewTicker(s.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			s.tick(time.Now())
+		}
+	}
+}
+
+func (s *Services) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, v := range s.services {
+		s.carryOut(name, v, v.health.Tick(now, nil))
+	}
+}
+
+// carryOut runs with s.mu held.
+func (s *Services) carryOut(name string, v *service, effects []health.Effect) {
+	for _, e := range effects {
+		switch e.Kind {
+		case health.Eject:
+			v.ejected[e.Runner] = true
+			s.count(name, "ejections")
+		case health.Readmit:
+			delete(v.ejected, e.Runner)
+			s.count(name, "readmissions")
+		case health.Probe:
+			s.probe(name, v, e.Runner)
+		}
+	}
+}
+
+func (s *Services) probe(name string, v *service, id ident.RunnerID) {
+	if s.ctx == nil || s.ctx.Err() != nil {
+		return
+	}
+	address := ""
+	for _, r := range s.cfg.Directory.Runners(name) {
+		if r.ID == id {
+			address = r.Address
+		}
+	}
+	ctx := s.ctx
+	s.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, s.cfg.Health.ProbeTimeout)
+		defer cancel()
+		err := s.cfg.Probe(ctx, address)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.carryOut(name, v, v.health.Probed(time.Now(), id, err == nil, nil))
+	})
+}
+
+func (s *Services) count(service, what string) {
+	if s.cfg.Metrics != nil {
+		metrics.GetOrRegisterCounter("services."+service+"."+what, s.cfg.Metrics).Inc(1)
+	}
+}
+
+// Call implements call.Services.
+func (s *Services) Call(ctx context.Context, c call.ServiceCall) (call.Answer, error) {
+	answer, err := s.call(ctx, c)
+	if err != nil {
+		s.count(c.Service, "refused."+string(refusal.From(err).Reason))
+	}
+	return answer, err
+}
+
+func (s *Services) call(ctx context.Context, c call.ServiceCall) (call.Answer, error) {
+	if err := s.check(c); err != nil {
+		return call.Answer{}, err
+	}
+	if !c.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, c.Deadline)
+		defer cancel()
+	}
+	v := s.begin(c.Service)
+	var tried []ident.RunnerID
+	ran := false
+	for {
+		answer, failure := s.attempt(ctx, v, c, &tried)
+		if failure == nil {
+			return answer, nil
+		}
+		ran = ran || failure.mayHaveRun
+		if ctx.Err() != nil {
+			return call.Answer{}, withRan(refusal.New(refusal.DeadlineExceeded, "no answer in time"), ran)
+		}
+		wait, stop := s.again(v, c, failure, len(tried))
+		if stop != nil {
+			return failure.last(answer, stop, ran)
+		}
+		if !pause(ctx, wait) {
+			return call.Answer{}, withRan(refusal.New(refusal.DeadlineExceeded, "no answer in time"), ran)
+		}
+	}
+}
+
+// check refuses what is not a repeatable call of a plain service.
+func (s *Services) check(c call.ServiceCall) error {
+	m, _ := s.cfg.Config.Current()
+	if m == nil {
+		return refusal.New(refusal.NotReady, "no configuration in force yet").After(retryAfter)
+	}
+	known := m.ServiceNamed(c.Service)
+	if known == nil || known.Kind != manifest.KindPlain {
+		return refusal.New(refusal.UnknownService, "no plain service %q", c.Service)
+	}
+	path, _, _ := strings.Cut(c.Path, "?")
+	route := known.RouteFor(c.Method, path)
+	if route == nil {
+		return refusal.New(refusal.UnknownRoute, "no route for %s %s", c.Method, path)
+	}
+	if !route.Repeatable {
+		return refusal.New(refusal.KeyRequired, "%s %s may not be repeated", c.Method, path)
+	}
+	return nil
+}
+
+func (s *Services) begin(name string) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.services[name]
+	if v == nil {
+		v = &service{health: health.New(s.cfg.Health), ejected: map[ident.RunnerID]bool{}, inFlight: map[ident.RunnerID]int{}}
+		cfg := s.cfg.Retry
+		cfg.Seed = s.cfg.Seed
+		cfg.Count = func(reason retry.Reason, verdict retry.Verdict) {
+			s.count(name, "retry."+string(reason)+"."+string(verdict))
+		}
+		v.retry = retry.New(cfg)
+		s.services[name] = v
+	}
+	v.retry.FirstAttempt(time.Now())
+	return v
+}
+
+// failure is a failed attempt. An answer that asks to come back is one, too.
+type failure struct {
+	reason     retry.Reason
+	mayHaveRun bool
+	after      time.Duration
+	refusal    *refusal.Refusal
+}
+
+// last is what the caller gets when there is no other attempt: the runner's own
+// answer if there is one.
+func (f *failure) last(answer call.Answer, stop *refusal.Refusal, ran bool) (call.Answer, error) {
+	if f.refusal == nil {
+		return answer, nil
+	}
+	return call.Answer{}, withRan(stop, ran)
+}
+
+func withRan(r *refusal.Refusal, ran bool) *refusal.Refusal {
+	if ran {
+		return r.Unknown()
+	}
+	return r
+}
+
+// attempt makes one attempt at a runner that was not tried before, if there is
+// one.
+func (s *Services) attempt(ctx context.Context, v *service, c call.ServiceCall, tried *[]ident.RunnerID) (call.Answer, *failure) {
+	r, ok := s.pick(v, c.Service, *tried)
+	if !ok {
+		return call.Answer{}, &failure{
+			reason:  retry.ConnectFailed,
+			refusal: refusal.New(refusal.NoRunner, "service %q has no live runner", c.Service),
+		}
+	}
+	*tried = append(*tried, r.ID)
+	bounded, cancel := context.WithTimeout(ctx, s.cfg.AttemptTimeout)
+	defer cancel()
+	answer, err := s.cfg.Sender.Send(bounded, r.Address, c)
+	f := failureOf(bounded, answer, err)
+	// A caller that goes away says nothing of the runner.
+	s.end(v, c.Service, r.ID, f, ctx.Err() == nil)
+	return answer, f
+}
+
+func failureOf(ctx context.Context, answer call.Answer, err error) *failure {
+	if err == nil {
+		if answer.Status != http.StatusServiceUnavailable {
+			return nil
+		}
+		return &failure{reason: retry.Busy, mayHaveRun: true, after: answeredAfter(answer)}
+	}
+	r := refusal.From(err)
+	f := &failure{reason: retry.Broken, mayHaveRun: r.Executed != refusal.ExecutedNo, after: r.RetryAfter, refusal: r}
+	switch {
+	case r.Reason == refusal.RunnerRefused:
+		f.reason = retry.Busy
+	case !f.mayHaveRun:
+		f.reason = retry.ConnectFailed
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.reason = retry.Silent
+	}
+	return f
+}
+
+func answeredAfter(a call.Answer) time.Duration {
+	for _, h := range a.Headers {
+		if !strings.EqualFold(h.Name, "Retry-After") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(h.Value); err == nil && seconds > 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
+// pick takes the less loaded of two random runners: live ones that were not
+// tried, else suspect or left out, else tried ones.
+func (s *Services) pick(v *service, name string, tried []ident.RunnerID) (view.Runner, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []ident.RunnerID
+	var best, rest, again []view.Runner
+	for _, r := range s.cfg.Directory.Runners(name) {
+		if r.State != view.Live && r.State != view.Suspect {
+			continue
+		}
+		ids = append(ids, r.ID)
+		switch {
+		case slices.Contains(tried, r.ID):
+			again = append(again, r)
+		case r.State == view.Suspect || v.ejected[r.ID]:
+			rest = append(rest, r)
+		default:
+			best = append(best, r)
+		}
+	}
+	v.health.SetRunners(ids)
+	maps.DeleteFunc(v.ejected, func(id ident.RunnerID, _ bool) bool { return !slices.Contains(ids, id) })
+	for _, from := range [][]view.Runner{best, rest, again} {
+		if len(from) > 0 {
+			r := s.lessLoaded(v, from)
+			v.inFlight[r.ID]++
+			return r, true
+		}
+	}
+	return view.Runner{}, false
+}
+
+func (s *Services) lessLoaded(v *service, from []view.Runner) view.Runner {
+	a, b := from[s.rng.IntN(len(from))], from[s.rng.IntN(len(from))]
+	own := s.cfg.Directory.Self().FailureDomain
+	switch {
+	case v.inFlight[a.ID] < v.inFlight[b.ID]:
+		return a
+	case v.inFlight[b.ID] < v.inFlight[a.ID]:
+		return b
+	case b.FailureDomain == own:
+		return b
+	}
+	return a
+}
+
+// end takes in how an attempt ended.
+func (s *Services) end(v *service, name string, id ident.RunnerID, f *failure, tells bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.inFlight[id]--
+	if v.inFlight[id] <= 0 {
+		delete(v.inFlight, id)
+	}
+	if !tells {
+		return
+	}
+	s.carryOut(name, v, v.health.Observe(time.Now(), id, outcomeOf(f), nil))
+}
+
+func outcomeOf(f *failure) health.Outcome {
+	switch {
+	case f == nil || f.reason == retry.Busy:
+		return health.Success
+	case f.reason == retry.Silent:
+		return health.SilentConnection
+	}
+	return health.Failure
+}
+
+// again returns how long to wait before the next attempt, or the refusal that
+// ends the call.
+func (s *Services) again(v *service, c call.ServiceCall, f *failure, attempts int) (time.Duration, *refusal.Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := v.retry.Decide(time.Now(), retry.Failure{
+		Reason:     f.reason,
+		MayHaveRun: f.mayHaveRun,
+		Repeatable: true,
+		Attempts:   max(1, attempts),
+		RetryAfter: f.after,
+		Deadline:   c.Deadline,
+	})
+	switch d.Verdict {
+	case retry.Again:
+		return d.Wait, nil
+	case retry.StopBudget:
+		return 0, refusal.New(refusal.RetryBudgetExhausted, "%s", f.detail()).After(retryAfter)
+	case retry.StopDeadline:
+		return 0, refusal.New(refusal.DeadlineExceeded, "%s", f.detail())
+	}
+	if f.refusal != nil {
+		return 0, f.refusal.After(retryAfter)
+	}
+	return 0, refusal.New(refusal.RunnerFailed, "%s", f.detail()).After(retryAfter)
+}
+
+func (f *failure) detail() string {
+	if f.refusal == nil {
+		return fmt.Sprintf("last attempt: %s", f.reason)
+	}
+	return fmt.Sprintf("last attempt: %s: %s", f.reason, f.refusal.Detail)
+}
+
+// pause waits and reports whether ctx is still good.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/daemon/services/services_test.go
@@ -0,0 +1,150 @@
+package services
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// world fakes the directory, the configuration and the runners.
+type world struct {
+	mu      sync.Mutex
+	runners []view.Runner
+	fails   map[string]*refusal.Refusal
+	busy    map[string]bool
+	sent    map[string]int
+	total   int
+}
+
+func newWorld(n int) *world {
+	w := &world{fails: map[string]*refusal.Refusal{}, busy: map[string]bool{}, sent: map[string]int{}}
+	for i := range n {
+		w.runners = append(w.runners, view.Runner{
+			ID: ident.RunnerID(fmt.Sprint("r", i)), Address: fmt.Sprint("a", i),
+			FailureDomain: ident.FailureDomain(fmt.Sprint("d", i%4)), State: view.Live,
+		})
+	}
+	return w
+}
+
+func (w *world) Self() view.Daemon                      { return view.Daemon{FailureDomain: "d0"} }
+func (w *world) Daemons() []view.Daemon                 { return nil }
+func (w *world) Runners(string) []view.Runner           { return w.runners }
+func (w *world) Changed() <-chan struct{}               { return nil }
+func (w *world) NoteLeaving(string, time.Duration)      {}
+func (w *world) dial(_ context.Context, _ string) error { return nil }
+func (w *world) Current() (*manifest.Manifest, ident.Generation) {
+	return &manifest.Manifest{Services: []manifest.Service{{
+		Name: "casos", Kind: manifest.KindPlain,
+		Routes: []manifest.Route{{Method: "GET", Path: "/status", Repeatable: true}, {Method: "POST", Path: "/pledges"}},
+	}}}, 1
+}
+
+func (w *world) Send(ctx context.Context, address string, _ call.ServiceCall) (call.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent[address]++
+	w.total++
+	if w.busy[address] {
+		return call.Answer{Status: 503, Headers: []call.Header{{Name: "Retry-After", Value: "1"}}}, nil
+	}
+	if r := w.fails[address]; r != nil {
+		return call.Answer{}, r
+	}
+	return call.Answer{Status: 200}, nil
+}
+
+func services(w *world) *Services {
+	return New(Config{
+		Directory: w, Config: w, Sender: w, Probe: w.dial, Retry: retry.Default(), Health: health.Default(),
+		AttemptTimeout: DefaultAttemptTimeout, Tick: DefaultTick,
+	})
+}
+
+var status = call.ServiceCall{Service: "casos", Method: "GET", Path: "/status?case=1"}
+
+// A pledge is recorded twice: its answer was lost and the call was made again
+// at another runner. What may not be repeated must not even come here.
+func TestWhatMayNotBeRepeatedIsNotSent(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	_, err := services(w).Call(t.Context(), call.ServiceCall{Service: "casos", Method: "POST", Path: "/pledges"})
+	is.Equal(refusal.From(err).Reason, refusal.KeyRequired)
+	is.Equal(refusal.From(err).Executed, refusal.ExecutedNo)
+	is.Equal(w.total, 0)
+}
+
+func TestFailedCallGoesToAnotherRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(2)
+		w.fails["a0"] = refusal.New(refusal.RunnerFailed, "broken").Unknown()
+		w.busy["a1"] = true
+		s := services(w)
+		time.AfterFunc(100*time.Millisecond, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.busy["a1"], w.fails["a0"] = false, nil
+		})
+		a, err := s.Call(t.Context(), status)
+		is.NoErr(err)
+		is.Equal(a.Status, 200)
+		is.True(w.total > 1)
+	})
+}
+
+func TestRunnersOwnAnswerComesBackWhenTriesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1)
+		w.busy["a0"] = true
+		a, err := services(w).Call(t.Context(), status)
+		is.NoErr(err)
+		is.Equal(a.Status, 503)
+		is.Equal(w.total, 4)
+	})
+}
+
+// Status checks of all callers slow down although three quarters of the runners
+// work. A failure domain went, and every call to it is made four times.
+func TestNoRetryStormWhenAFailureDomainGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(8)
+		for _, r := range w.runners {
+			if r.FailureDomain == "d1" {
+				w.fails[r.Address] = refusal.New(refusal.NoRunner, "connect")
+			}
+		}
+		s := services(w)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- s.Run(ctx) }()
+		answered := 0
+		const calls = 2000
+		for range calls {
+			if _, err := s.Call(t.Context(), status); err == nil {
+				answered++
+			}
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		<-done
+		is.True(float64(w.total) <= 1.1*calls+retry.Default().Burst+retry.Default().PerSecond*30)
+		is.True(answered >= calls*99/100) // the failing runners are left out
+		t.Logf("attempts/first attempts %.3f, answered %.3f", float64(w.total)/calls, float64(answered)/calls)
+	})
+}
