Measure where long work is placed; weigh price less

Change: bench/placement (experiment 'placement'); routing's PriceWeight 0.02 -> 0.005, since at 0.02 long work took every reclaimable VM before the on-demand ones.

--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -63,7 +63,7 @@
 		Samples:        4,
 		LoadBound:      2,
 		RemotePenalty:  4 * time.Millisecond,
-		PriceWeight:    0.02,
+		PriceWeight:    0.005,
 		PrefillRate:    8000,
 		DecodeRate:     50,
 		Batch:          16,
--- a/ctl/experiments.go
+++ b/ctl/experiments.go
@@ -4,6 +4,7 @@
 	"geraniumstack.org/geraniumstack/bench"
 	"geraniumstack.org/geraniumstack/bench/fleet"
 	"geraniumstack.org/geraniumstack/bench/overload"
+	"geraniumstack.org/geraniumstack/bench/placement"
 )
 
 // experiments lists what the bench command can run.
@@ -11,5 +12,6 @@
 	return []bench.Experiment{
 		fleet.Experiment{},
 		overload.Experiment{},
+		placement.Experiment{},
 	}
 }
