--- a/daemon/actions/actions.go
+++ b/daemon/actions/actions.go
@@ -199,7 +199,7 @@
 	now := s.now()
 	wait := idleTick
 	for name, o := range s.owners {
-		s.apply(o, o.Tick(now))
+		s.carryOut(o, o.Tick(now))
 		if o.Ended() && o.Len() == 0 && o != s.current {
 			delete(s.owners, name)
 			continue
@@ -223,8 +223,14 @@
 	}
 }
 
-// apply carries effects out; s.mu must be held.
+// apply carries effects out and lets Run look again at when it is due; s.mu
+// must be held.
 func (s *Service) apply(o *action.Owner, effects []action.Effect) {
+	s.carryOut(o, effects)
+	s.nudge()
+}
+
+func (s *Service) carryOut(o *action.Owner, effects []action.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case *action.Reply:
@@ -240,7 +246,6 @@
 			s.ended(o)
 		}
 	}
-	s.nudge()
 }
 
 func (s *Service) deliver(r *action.Reply) {
--- /dev/null
+++ b/daemon/actions/harness_test.go
@@ -0,0 +1,217 @@
+package actions_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/actions"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/standin/kvserver"
+	"geraniumstack.org/geraniumstack/standin/pipe"
+	"geraniumstack.org/geraniumstack/standin/service"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/dispatch"
+)
+
+// directory is what every gateway of a fleet sees.
+type directory struct {
+	self  view.Daemon
+	fleet *fleet
+}
+
+func (d *directory) Self() view.Daemon { return d.self }
+
+func (d *directory) Daemons() []view.Daemon {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	return append([]view.Daemon(nil), d.fleet.daemons...)
+}
+
+func (d *directory) Runners(string) []view.Runner {
+	return []view.Runner{
+		{ID: "r1", Address: "casos-1:80", State: view.Live},
+		{ID: "r2", Address: "casos-2:80", State: view.Live},
+		{ID: "r3", Address: "casos-3:80", State: view.Leaving},
+	}
+}
+
+func (d *directory) Changed() <-chan struct{}          { return nil }
+func (d *directory) NoteLeaving(string, time.Duration) {}
+
+type config struct{}
+
+func (config) Current() (*manifest.Manifest, ident.Generation) {
+	return &manifest.Manifest{Services: []manifest.Service{{
+		Name: "casos",
+		Kind: manifest.KindPlain,
+		Routes: []manifest.Route{
+			{Method: http.MethodPost, Path: "/pledges", OutagePolicy: manifest.OutageRun},
+			{Method: http.MethodPost, Path: "/closures", OutagePolicy: manifest.OutageRefuse},
+		},
+	}}}, 1
+}
+
+func (config) Changed() <-chan struct{} { return nil }
+
+// fleet is a few gateways with their stand-ins in one bubble.
+type fleet struct {
+	is      *is.I
+	network *pipe.Network
+	store   *kvserver.Store
+	log     *service.Log
+	runners []*service.Service
+	nodes   []*node
+
+	mu      sync.Mutex
+	daemons []view.Daemon
+}
+
+// node is one incarnation of a gateway.
+type node struct {
+	*actions.Service
+	metrics metrics.Registry
+	server  *http.Server
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+// inBubble runs a test with three gateways in virtual time.
+func inBubble(t *testing.T, test func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{is: is.New(t), network: pipe.NewNetwork(), store: kvserver.New(), log: service.NewLog()}
+		var servers []*http.Server
+		for i := range 3 {
+			runner := service.New(fmt.Sprintf("r%d", i+1), f.log)
+			f.runners = append(f.runners, runner)
+			servers = append(servers, f.serve(fmt.Sprintf("casos-%d:80", i+1), runner.Handler()))
+		}
+		for i := range 3 {
+			f.nodes = append(f.nodes, f.start(i, 1))
+		}
+		time.Sleep(10 * time.Second) // past the settling time
+		test(f)
+		for _, n := range f.nodes {
+			n.crash()
+		}
+		for _, s := range servers {
+			_ = s.Close()
+		}
+	})
+}
+
+func (f *fleet) serve(address string, h http.Handler) *http.Server {
+	l, err := f.network.Listen(address)
+	f.is.NoErr(err)
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	return server
+}
+
+// start boots an incarnation at a place; the directory knows it at once.
+func (f *fleet) start(place, number int) *node {
+	id := ident.DaemonID(fmt.Sprintf("entry-%d", place))
+	self := view.Daemon{
+		ID:            id,
+		Incarnation:   ident.NewIncarnation(id, []byte{byte(number)}),
+		FailureDomain: ident.FailureDomain(fmt.Sprintf("domain-%d", place)),
+		PeerAddress:   fmt.Sprintf("entry-%d:90", place),
+		State:         view.Live,
+	}
+	cfg := dispatch.DefaultConfig()
+	cfg.Dial = f.network.DialContext
+	n := &node{metrics: metrics.NewRegistry(), done: make(chan struct{})}
+	n.Service = actions.New(actions.Config{
+		Self:       self.Incarnation,
+		Directory:  &directory{self: self, fleet: f},
+		Config:     config{},
+		Store:      f.store,
+		Dispatcher: dispatch.New(cfg),
+		Peers:      f.network.Client(),
+		Metrics:    n.metrics,
+	})
+	path, handler := n.Handler()
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	n.server = f.serve(self.PeerAddress, mux)
+	var ctx context.Context
+	ctx, n.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(n.done)
+		_ = n.Run(ctx)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.daemons = append(f.daemons, self)
+	return n
+}
+
+// crash ends an incarnation; the directory doesn't notice.
+func (n *node) crash() {
+	n.cancel()
+	_ = n.server.Close()
+	<-n.done
+}
+
+// forget takes a place's oldest incarnation out of the directory.
+func (f *fleet) forget(place int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, d := range f.daemons {
+		if d.ID == ident.DaemonID(fmt.Sprintf("entry-%d", place)) {
+			f.daemons = append(f.daemons[:i:i], f.daemons[i+1:]...)
+			return
+		}
+	}
+}
+
+func (f *fleet) key(owner int, suffix string) string {
+	token, _ := f.nodes[owner].Token()
+	return token + suffix
+}
+
+func (f *fleet) pledge(gateway int, key string) (string, error) {
+	return f.post(gateway, key, "/pledges")
+}
+
+func (f *fleet) post(gateway int, key, path string) (string, error) {
+	a, err := f.nodes[gateway].Execute(context.Background(), call.ServiceCall{
+		Workspace: "huaman", Service: "casos", Key: key, Method: http.MethodPost, Path: path, Body: []byte("50"),
+	})
+	return string(a.Body), err
+}
+
+func (f *fleet) outcome(gateway int, key string) (string, error) {
+	a, pending, err := f.nodes[gateway].Outcome(context.Background(), "huaman", key)
+	f.is.True(!pending)
+	return string(a.Body), err
+}
+
+// runs counts how often an action with a token ran.
+func (f *fleet) runs(key string) int { return f.log.Count("huaman/" + key) }
+
+func (f *fleet) refused(err error, executed refusal.Executed, reason refusal.Reason) {
+	f.is.Helper()
+	f.is.True(err != nil) // a refusal
+	if err == nil {
+		return
+	}
+	r := refusal.From(err)
+	f.is.Equal(r.Executed, executed)
+	f.is.Equal(r.Reason, reason)
+}
+
+func (n *node) count(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, n.metrics).Count()
+}
