--- a/coordination/journal/writer.go
+++ b/coordination/journal/writer.go
@@ -47,8 +47,8 @@
 		Linger:          250 * time.Millisecond,
 		Patience:        time.Second,
 		RetryAfter:      200 * time.Millisecond,
-		Grace:           time.Minute,
-		MaxQueuedBytes:  16 << 20,
+		Grace:           30 * time.Second,
+		MaxQueuedBytes:  8 << 20,
 	}
 }
 
--- a/protocol/action/owner.go
+++ b/protocol/action/owner.go
@@ -20,11 +20,12 @@
 	journaled bool // the token's promise
 	durable   bool
 	policy    manifest.OutagePolicy
-	call      call.ServiceCall
-	result    Result
-	notKept   bool
-	bytes     int
-	waiters   []Waiter
+	// call is dropped once it has been dispatched.
+	call    *call.ServiceCall
+	result  Result
+	notKept bool
+	bytes   int
+	waiters []Waiter
 }
 
 // Owner is the table of the actions that one incarnation alone may dispatch.
@@ -183,13 +184,13 @@
 		expires:   key.Expires(),
 		journaled: key.Journaled,
 		policy:    r.Policy,
-		call:      r.Call,
+		call:      &r.Call,
 		bytes:     len(r.Call.Body) + o.cfg.AnswerReserve,
 		waiters:   []Waiter{r.Waiter},
 	}
 	o.bytes += rec.bytes
 	o.records[r.ID] = rec
-	heap.Push(&o.expiry, expiring{id: rec.id, at: rec.expires.Add(o.cfg.Grace)})
+	heap.Push(&o.expiry, expiring{rec: rec, at: rec.expires.Add(o.cfg.Grace).UnixMilli()})
 	if refused := o.inadmissible(r); refused != nil {
 		o.settle(rec, NotExecuted, Result{Refusal: refused})
 		return
@@ -307,7 +308,7 @@
 		due = earlier(due, o.writer.UnavailableAt())
 	}
 	if len(o.expiry) > 0 {
-		due = earlier(due, o.expiry[0].at)
+		due = earlier(due, time.UnixMilli(o.expiry[0].at))
 	}
 	return due
 }
@@ -381,10 +382,17 @@
 	}
 	rec.state = Dispatched
 	o.dispatched++
-	o.effects = append(o.effects, &Dispatch{ID: rec.id, Call: rec.call, Journaled: rec.durable})
+	o.effects = append(o.effects, &Dispatch{ID: rec.id, Call: *rec.call, Journaled: rec.durable})
+	o.dropCall(rec)
+}
+
+func (o *Owner) dropCall(rec *record) {
+	if rec.call == nil {
+		return
+	}
 	o.bytes -= len(rec.call.Body)
 	rec.bytes -= len(rec.call.Body)
-	rec.call = call.ServiceCall{}
+	rec.call = nil
 }
 
 // end settles what was not dispatched: nobody else can dispatch it.
@@ -410,9 +418,7 @@
 		o.reply(w, r)
 	}
 	rec.waiters = nil
-	o.bytes -= len(rec.call.Body)
-	rec.bytes -= len(rec.call.Body)
-	rec.call = call.ServiceCall{}
+	o.dropCall(rec)
 }
 
 // keep accounts for the answer, or drops one over the reserve.
@@ -445,17 +451,14 @@
 
 func (o *Owner) expire(now time.Time) {
 	o.tombstones.expire(now)
-	for len(o.expiry) > 0 && !now.Before(o.expiry[0].at) {
-		e := heap.Pop(&o.expiry).(expiring)
-		rec, ok := o.records[e.id]
-		if !ok {
-			continue
-		}
+	ms := now.UnixMilli()
+	for len(o.expiry) > 0 && o.expiry[0].at <= ms {
+		rec := heap.Pop(&o.expiry).(expiring).rec
 		if !rec.state.final() {
-			heap.Push(&o.expiry, expiring{id: e.id, at: now.Add(o.cfg.Grace)})
+			heap.Push(&o.expiry, expiring{rec: rec, at: now.Add(o.cfg.Grace).UnixMilli()})
 			continue
 		}
 		o.bytes -= rec.bytes
-		delete(o.records, e.id)
+		delete(o.records, rec.id)
 	}
 }
--- a/protocol/action/record.go
+++ b/protocol/action/record.go
@@ -65,17 +65,18 @@
 	return size
 }
 
-// expiring is an action with the time at which its record may be dropped.
+// expiring is an action with the time, in Unix milliseconds, at which its
+// record may be dropped. A tombstone's record holds nothing but the ID.
 type expiring struct {
-	id actionkey.ID
-	at time.Time
+	rec *record
+	at  int64
 }
 
 // expiryQueue is a heap by time.
 type expiryQueue []expiring
 
 func (q expiryQueue) Len() int           { return len(q) }
-func (q expiryQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q expiryQueue) Less(i, j int) bool { return q[i].at < q[j].at }
 func (q expiryQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
 
 // Push is for container/heap.
@@ -111,14 +112,14 @@
 		return false
 	}
 	t.ids[id] = struct{}{}
-	heap.Push(&t.expiry, expiring{id: id, at: expires})
+	heap.Push(&t.expiry, expiring{rec: &record{id: id}, at: expires.UnixMilli()})
 	return true
 }
 
 // expire drops keys that would be refused as expired.
 func (t *tombstones) expire(now time.Time) {
-	for len(t.expiry) > 0 && !now.Before(t.expiry[0].at) {
+	for len(t.expiry) > 0 && t.expiry[0].at <= now.UnixMilli() {
 		e := heap.Pop(&t.expiry).(expiring)
-		delete(t.ids, e.id)
+		delete(t.ids, e.rec.id)
 	}
 }
--- a/protocol/action/types.go
+++ b/protocol/action/types.go
@@ -134,16 +134,17 @@
 	FaultForgetRefused Fault = "forget_refused"
 )
 
-// DefaultConfig suits an entry VM of today: 30 MB at most.
+// DefaultConfig suits an entry VM of today: 400 actions a second at about half
+// a kilobyte each, and a window of three minutes for repetitions.
 func DefaultConfig(owner ident.Incarnation) Config {
 	return Config{
 		Owner:         owner,
 		Journal:       journal.DefaultConfig(owner),
-		TokenLifetime: 5 * time.Minute,
-		Grace:         time.Minute,
-		MaxRecords:    200_000,
-		MaxBytes:      24 << 20,
+		TokenLifetime: 3 * time.Minute,
+		Grace:         30 * time.Second,
+		MaxRecords:    100_000,
+		MaxBytes:      16 << 20,
 		AnswerReserve: 1 << 10,
-		MaxTombstones: 100_000,
+		MaxTombstones: 20_000,
 	}
 }
--- a/protocol/request/messages.go
+++ b/protocol/request/messages.go
@@ -37,7 +37,7 @@
 type Relocate struct {
 	// Attempt is the one that the plan was made for; a later one stays.
 	Attempt ident.AttemptID
-	Target ident.RunnerID
+	Target  ident.RunnerID
 	// Export takes the KV cache along; without it the target computes the
 	// prompt and the emitted tokens anew.
 	Export bool
