--- a/coordination/journal/writer.go
+++ b/coordination/journal/writer.go
@@ -36,12 +36,12 @@
 }
 
 // DefaultConfig suits five owners on a service of several hundred writes a
-// second: together they use 75 of them.
+// second: together they use at most 150 of them.
 func DefaultConfig(owner ident.Incarnation) Config {
 	return Config{
 		Owner:           owner,
-		WritesPerSecond: 15,
-		Burst:           5,
+		WritesPerSecond: 30,
+		Burst:           10,
 		MaxBytes:        512 << 10,
 		MaxAnswerBytes:  16 << 10,
 		Linger:          250 * time.Millisecond,
