Take back "not executed" where a gateway refuses a call with a key by itself

Cause: a draining or full gateway told the repetition of a pledge that had run "not executed"; its caller would pledge again under a new key.

Change: such refusals say "unknown" when the call carries an idempotency key and has not reached its key's owner. actions finds routes by manifest.RouteFor, the one rule for them.

Conclusion: without the change TestRefusedRepetitionIsNotDenied fails with "no != unknown"; with it the package passes, with -race too.

--- a/daemon/actions/runners.go
+++ b/daemon/actions/runners.go
@@ -42,38 +42,16 @@
 	if m == nil {
 		return "", refusal.New(refusal.NotReady, "no configuration yet").After(s.cfg.Times.Settle)
 	}
-	for i := range m.Services {
-		if m.Services[i].Name == c.Service {
-			return admitRoute(&m.Services[i], c)
-		}
+	svc := m.ServiceNamed(c.Service)
+	if svc == nil {
+		return "", refusal.New(refusal.UnknownService, "no service %q", c.Service)
 	}
-	return "", refusal.New(refusal.UnknownService, "no service %q", c.Service)
-}
-
-// admitRoute takes the longest path that fits.
-func admitRoute(svc *manifest.Service, c call.ServiceCall) (manifest.OutagePolicy, *refusal.Refusal) {
-	var best *manifest.Route
-	for i := range svc.Routes {
-		r := &svc.Routes[i]
-		if r.Method != c.Method || !underPath(c.Path, r.Path) {
-			continue
-		}
-		if best == nil || len(r.Path) > len(best.Path) {
-			best = r
-		}
-	}
-	if best == nil {
-		return "", refusal.New(refusal.UnknownRoute, "no route %s %s", c.Method, c.Path)
-	}
-	return best.OutagePolicy, nil
-}
-
-func underPath(path, prefix string) bool {
-	path, _, _ = strings.Cut(path, "?")
-	if !strings.HasPrefix(path, prefix) {
-		return false
+	path, _, _ := strings.Cut(c.Path, "?")
+	route := svc.RouteFor(c.Method, path)
+	if route == nil {
+		return "", refusal.New(refusal.UnknownRoute, "no route %s %s", c.Method, path)
 	}
-	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+	return route.OutagePolicy, nil
 }
 
 // send tries a few runners one after the other, and goes on to the next only
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -75,7 +75,7 @@
 	g.echo.GET("/v1/requests/:id", g.readRequest)
 	g.echo.DELETE("/v1/requests/:id", g.cancelRequest)
 	g.echo.GET("/v1/actions/:key", g.readOutcome)
-	g.echo.Any("/v1/services/:service/*", g.callService, g.bounded)
+	g.echo.Any("/v1/services/:service/*", g.callService, g.doubtKeyed, g.bounded)
 }
 
 // bounded refuses new work at the bound of concurrent requests or while
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -237,6 +237,26 @@
 	}
 }
 
+// Story: a pledge runs and its answer is lost. Its caller repeats it at a
+// gateway that drains, is told "not executed", and pledges again under a new
+// key: two bounties. The draining gateway can't know that the key has run.
+func TestRefusedRepetitionIsNotDenied(t *testing.T) {
+	is := is.New(t)
+	g, _ := newGateway(newFake())
+	g.StopAccepting()
+	for _, key := range []string{"", "k"} {
+		resp := send(g, "POST", "/v1/services/casos/pledges", "{}", "Idempotency-Key", key)
+		var body gateway.ErrorBody
+		is.NoErr(json.NewDecoder(resp.Body).Decode(&body))
+		is.Equal(body.Error.Code, refusal.Draining)
+		want := refusal.ExecutedNo
+		if key != "" {
+			want = refusal.ExecutedUnknown
+		}
+		is.Equal(body.Error.Executed, want)
+	}
+}
+
 func TestGatewayListLeavesOutDraining(t *testing.T) {
 	is := is.New(t)
 	g, _ := newGateway(newFake())
--- a/transport/gateway/services.go
+++ b/transport/gateway/services.go
@@ -42,6 +42,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.Request().Context(), sc.Deadline)
 	defer cancel()
+	c.Set(judgedKey, true)
 	answer, err := g.dispatchService(ctx, sc, route)
 	if err != nil {
 		return err
@@ -51,6 +52,29 @@
 	return writeAnswer(c, answer)
 }
 
+// judgedKey marks a call that reached its key's owner, or needs none.
+const judgedKey = "judged"
+
+// doubtKeyed takes back the "not executed" of a call with an idempotency key
+// that this gateway refused by itself, because it drains or has no place left.
+// The call may be the repetition of one that ran: told "no", its caller would
+// book again under a new key, and the slot would be sold twice. Only the key's
+// owner, or who speaks for it, knows.
+func (g *Gateway) doubtKeyed(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		err := next(c)
+		if err == nil || c.Request().Header.Get(idempotencyKey) == "" || c.Get(judgedKey) != nil {
+			return err
+		}
+		r := refusalOf(err)
+		if r.Executed != refusal.ExecutedNo {
+			return err
+		}
+		doubtful := *r
+		return doubtful.Unknown()
+	}
+}
+
 func (g *Gateway) dispatchService(ctx context.Context, sc call.ServiceCall, route *manifest.Route) (call.Answer, error) {
 	g.count("accepted.service")
 	g.Usage.Accepted(sc.Workspace)
