--- a/ctl/experiments.go
+++ b/ctl/experiments.go
@@ -2,6 +2,7 @@
 
 import (
 	"geraniumstack.org/geraniumstack/bench"
+	"geraniumstack.org/geraniumstack/bench/actions"
 	"geraniumstack.org/geraniumstack/bench/fleet"
 	"geraniumstack.org/geraniumstack/bench/overload"
 )
@@ -9,6 +10,7 @@
 // experiments lists what the bench command can run.
 func experiments() []bench.Experiment {
 	return []bench.Experiment{
+		actions.Experiment{},
 		fleet.Experiment{},
 		overload.Experiment{},
 	}
