Collect the journals of ended daemons

Cause: only a live owner collected its log, so the logs of reclaimed VMs stayed in the key-value service for ever, unsealed until somebody asked.

Change: one daemon in rank seals the log of each daemon that leaves the directory, and collects it when all its keys are over. Logs that a daemon seals are bounded to 5 a second, since callers can make up owners.

--- a/daemon/actions/actions.go
+++ b/daemon/actions/actions.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"geraniumstack.org/geraniumstack/coordination/journal"
 	"geraniumstack.org/geraniumstack/coordination/view"
@@ -84,10 +85,12 @@
 type Service struct {
 	cfg      Config
 	start    time.Time
+	clock    *clock
 	counters *counters
 	logs     logCache
 	sealing  singleflight.Group
-	claims   claimLease
+	seals    *rate.Limiter
+	lease    dayLease
 	draining drainOnce
 
 	ctx   context.Context
@@ -125,7 +128,9 @@
 	s := &Service{
 		cfg:      cfg,
 		start:    time.Now(),
+		clock:    newClock(),
 		counters: &counters{registry: cfg.Metrics},
+		seals:    rate.NewLimiter(sealsPerSecond, sealBurst),
 		wake:     make(chan struct{}, 1),
 		owners:   map[ident.Incarnation]*action.Owner{},
 		adopted:  map[ident.Incarnation]*action.Adopted{},
@@ -136,9 +141,7 @@
 	return s
 }
 
-// now is the owner's clock: wall time at the start, then monotonic, so that a
-// step of the wall clock can neither revive nor end a key.
-func (s *Service) now() time.Time { return s.start.Round(0).Add(time.Since(s.start)) }
+func (s *Service) now() time.Time { return s.clock.now() }
 
 // open starts the next owner of this daemon. The first bears the daemon's
 // incarnation; one whose log another daemon sealed by mistake is followed by
@@ -159,6 +162,7 @@
 func (s *Service) Run(ctx context.Context) error {
 	defer s.tasks.Wait()
 	defer s.stop()
+	s.tasks.Go(func() { s.collectEnded(ctx) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/daemon/actions/actions_test.go
+++ b/daemon/actions/actions_test.go
@@ -7,8 +7,10 @@
 	"testing"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/journal"
 	"geraniumstack.org/geraniumstack/standin/kvserver"
 	"geraniumstack.org/geraniumstack/standin/service"
+	"geraniumstack.org/geraniumstack/state/actionkey"
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
@@ -250,6 +252,41 @@
 	})
 }
 
+// Story: the service fills up with the journals of VMs that were reclaimed
+// long ago; or they are cleared away, and a pledge that ran is "not executed".
+func TestLogsOfEndedDaemonsAreCollected(t *testing.T) {
+	inBubble(t, func(f *fleet) {
+		key := f.key(1, "pledge")
+		_, err := f.pledge(0, key)
+		f.is.NoErr(err)
+		time.Sleep(time.Second)
+		owner := f.daemons[1].Incarnation
+		prefix := journal.Prefix(owner)
+		f.nodes[1].crash()
+		f.forget(1)
+		time.Sleep(time.Minute) // sealed, though nobody has asked
+		entries, err := f.store.List(t.Context(), prefix, "", 0)
+		f.is.NoErr(err)
+		f.is.Equal(len(entries), 3)
+		_, err = f.outcome(0, key)
+		f.is.NoErr(err)
+
+		time.Sleep(10 * time.Minute)
+		entries, err = f.store.List(t.Context(), prefix, "", 0)
+		f.is.NoErr(err)
+		f.is.Equal(len(entries), 1)
+		_, err = f.outcome(2, key)
+		f.refused(err, refusal.ExecutedUnknown, refusal.KeyExpired)
+		log := journal.NewLog(owner)
+		entry, err := journal.Decode(entries[0].Key, entries[0].Value)
+		f.is.NoErr(err)
+		log.Add(2, entry)
+		slow := time.Now().Add(-time.Hour)
+		verdict := log.Verdict(slow, actionkey.ID{Workspace: "huaman", Key: key}, "")
+		f.is.Equal(verdict.Executed, refusal.ExecutedUnknown) // also by a slow clock
+	})
+}
+
 // A runner's own refusal sends the action on to the next; a connection that
 // broke after it was sent does not.
 func TestOnlyWhatDidNotRunGoesToAnotherRunner(t *testing.T) {
--- a/daemon/actions/claim.go
+++ b/daemon/actions/claim.go
@@ -31,11 +31,11 @@
 	Key string `json:"key"`
 }
 
-// claimLease is the lease under which this daemon's claims stand, so that they
-// vanish some time after their keys are over.
-type claimLease struct {
+// dayLease is the lease under which this daemon's claims and seals stand, so
+// that they vanish a day or so after they were written.
+type dayLease struct {
 	mu    sync.Mutex
-	lease kv.LeaseID
+	id    kv.LeaseID
 	until time.Time
 }
 
@@ -69,7 +69,7 @@
 
 // claim names this daemon's owner as the key's, unless the key has one.
 func (s *Service) claim(ctx context.Context, ws ident.Workspace, key string) (string, error) {
-	lease, err := s.claimLease(ctx)
+	lease, err := s.dayLease(ctx)
 	if err != nil {
 		return "", err
 	}
@@ -86,7 +86,7 @@
 		var expired *kv.LeaseExpiredError
 		switch {
 		case errors.As(err, &expired):
-			s.claims.forget(lease)
+			s.lease.forget(lease)
 			return "", fmt.Errorf("create claim: %w", err)
 		case err == nil:
 			s.counters.inc(claimsMade)
@@ -108,29 +108,29 @@
 	return err
 }
 
-func (s *Service) claimLease(ctx context.Context) (kv.LeaseID, error) {
-	s.claims.mu.Lock()
-	defer s.claims.mu.Unlock()
-	if s.claims.lease != 0 && time.Now().Before(s.claims.until) {
-		return s.claims.lease, nil
+func (s *Service) dayLease(ctx context.Context) (kv.LeaseID, error) {
+	s.lease.mu.Lock()
+	defer s.lease.mu.Unlock()
+	if s.lease.id != 0 && time.Now().Before(s.lease.until) {
+		return s.lease.id, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Times.Store)
 	defer cancel()
 	lease, err := s.cfg.Store.Grant(ctx, claimLifetime+claimRenewal)
 	if err != nil {
-		return 0, fmt.Errorf("grant lease of claims: %w", err)
+		return 0, fmt.Errorf("grant lease of a day: %w", err)
 	}
-	s.claims.lease = lease
-	s.claims.until = time.Now().Add(claimRenewal)
+	s.lease.id = lease
+	s.lease.until = time.Now().Add(claimRenewal)
 	return lease, nil
 }
 
 // forget makes the next claim grant a lease of its own.
-func (l *claimLease) forget(lease kv.LeaseID) {
+func (l *dayLease) forget(lease kv.LeaseID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.lease == lease {
-		l.lease = 0
+	if l.id == lease {
+		l.id = 0
 	}
 }
 
--- a/daemon/actions/counters.go
+++ b/daemon/actions/counters.go
@@ -23,6 +23,7 @@
 	sealsTried            = "actions.seal.tried"
 	sealsWon              = "actions.seal.won"
 	sealsFailed           = "actions.seal.failed"
+	logsDeleted           = "actions.seal.collected_entries"
 	claimsMade            = "actions.claim.made"
 	claimsFound           = "actions.claim.found"
 	claimsFailed          = "actions.claim.failed"
--- a/daemon/actions/seal.go
+++ b/daemon/actions/seal.go
@@ -20,6 +20,13 @@
 	listLimit  = 64
 	sealTries  = 8
 	cachedLogs = 8
+	// sealsPerSecond and sealBurst bound the logs that this daemon reads and
+	// seals: a caller can make up any number of owners.
+	sealsPerSecond = 5
+	sealBurst      = 20
+	// ancient is how long after its end a key is over without any look at a
+	// log, which may have been collected; clocks differ by less.
+	ancient = sealLifetime / 2
 )
 
 // daemonIncarnation strips the number of a daemon's later owners.
@@ -34,6 +41,9 @@
 	if r, _, ok := s.ask(owner, id, hash); ok {
 		return r
 	}
+	if key, err := actionkey.Parse(id.Key); err != nil || s.now().Sub(key.Expires()) > ancient {
+		return refused(refusal.New(refusal.KeyExpired, "key was over long ago").Unknown())
+	}
 	log, err := s.sealedLog(ctx, owner, "")
 	if err != nil {
 		return refused(refusal.New(refusal.JournalUnavailable, "owner has ended; its journal: %v", err).
@@ -81,11 +91,19 @@
 
 func (e *ContendedError) Error() string { return fmt.Sprintf("lost %d entries in a row", e.Tries) }
 
+// SealRateError says that too many logs were asked for at once.
+type SealRateError struct{}
+
+func (e *SealRateError) Error() string { return "too many ended owners at once" }
+
 // sealedLog reads an ended owner's log to its seal, and seals it if nobody has.
 func (s *Service) sealedLog(ctx context.Context, owner, successor ident.Incarnation) (*journal.Log, error) {
 	if log := s.logs.get(owner, s.now()); log != nil {
 		return log, nil
 	}
+	if !s.seals.Allow() {
+		return nil, &UnsettledSealError{Owner: owner, Err: &SealRateError{}}
+	}
 	result := s.sealing.DoChan(string(owner), func() (any, error) {
 		// Not the caller's context: others wait for the same log.
 		ctx, cancel := context.WithTimeout(s.ctx, s.cfg.Times.Call)
@@ -146,13 +164,23 @@
 	if err != nil {
 		return err
 	}
+	// The seal may vanish with its lease: by then the owner refuses the keys
+	// of which it has spoken as expired.
+	lease, err := s.dayLease(ctx)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.Times.Store)
 	defer cancel()
-	_, err = s.cfg.Store.CompareAndSwap(ctx, journal.EntryKey(owner, log.Next()), 0, value, 0)
+	_, err = s.cfg.Store.CompareAndSwap(ctx, journal.EntryKey(owner, log.Next()), 0, value, lease)
 	var conflict *kv.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
+	var expired *kv.LeaseExpiredError
+	if errors.As(err, &expired) {
+		s.lease.forget(lease)
+	}
 	if err == nil {
 		s.counters.inc(sealsWon)
 	}
@@ -224,6 +252,12 @@
 	}
 }
 
+func (c *logCache) drop(owner ident.Incarnation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.logs, owner)
+}
+
 func (c *logCache) oldest() ident.Incarnation {
 	var name ident.Incarnation
 	var used time.Time
--- a/protocol/action/owner.go
+++ b/protocol/action/owner.go
@@ -273,7 +273,7 @@
 	for _, id := range progress.Durable {
 		if rec, ok := o.records[id]; ok {
 			rec.durable = true
-			o.dispatch(rec)
+			o.dispatchDurable(now, rec)
 		}
 	}
 	if progress.Sealed {
@@ -376,6 +376,17 @@
 	o.writer.Withdraw()
 }
 
+// dispatchDurable doesn't dispatch an expired key. The seal that would have kept
+// it out of the log may have been collected while this owner was paused, and
+// the key's caller been told "not executed".
+func (o *Owner) dispatchDurable(now time.Time, rec *record) {
+	if rec.state == Received && !now.Before(rec.expires) {
+		o.settle(rec, NotExecuted, Result{Refusal: refusal.New(refusal.KeyExpired, "key was over before its dispatch")})
+		return
+	}
+	o.dispatch(rec)
+}
+
 func (o *Owner) dispatch(rec *record) {
 	if rec.state != Received || o.ended {
 		return
--- a/protocol/action/owner_test.go
+++ b/protocol/action/owner_test.go
@@ -106,6 +106,20 @@
 	is.Equal(h.told(h.submit(key, "x")), refusal.ExecutedNo) // also when asked again
 }
 
+// Story: a VM is suspended for a day with a booking that waits for the journal.
+// Its log was sealed, the caller told "not run", the seal collected. The VM
+// wakes, its journal entry is created, and the booking runs.
+func TestKeyThatExpiredInTheJournalDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	h := newHand(nil)
+	key := h.key("a")
+	w := h.submit(key, "x")
+	h.now = h.now.Add(24 * time.Hour)
+	h.written(journal.Created, journal.Entry{})
+	is.Equal(h.sent[key], 0)
+	is.Equal(h.told(w), refusal.ExecutedNo)
+}
+
 // Story: a booking is refused for lack of memory; a copy of it that was slow
 // on another way is accepted a moment later and runs.
 func TestRefusedAtTheBoundStaysRefused(t *testing.T) {
