Let a standby only read

Cause: each standby asked for a lease, tried to create the key and revoked the lease every second, three writes a second for each of two standbys. At 157 shards that is over 900 writes a second for nothing.

Change: the lease machine reads the key first (Look, every 2 s) and writes only where there is none. Timing.Takeover states the bound on a takeover.

Conclusion: a standby costs half a read a second; a test holds it to that.

--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -15,9 +15,7 @@
 // each Step returns what to do. It is not safe for concurrent use.
 package lease
 
-import (
-	"time"
-)
+import "time"
 
 // Timing holds the bounds that the guard rests on.
 type Timing struct {
@@ -33,6 +31,8 @@
 	Drift float64
 	// Retry is the wait after a failed call.
 	Retry time.Duration
+	// Look is the time between a standby's reads of the key.
+	Look time.Duration
 }
 
 // DefaultTiming suits a key-value service that answers in milliseconds.
@@ -44,6 +44,7 @@
 		MaxPause: 20 * time.Second,
 		Drift:    0.01,
 		Retry:    time.Second,
+		Look:     2 * time.Second,
 	}
 }
 
@@ -53,6 +54,12 @@
 	return stretch(t.MaxPause+t.MaxOrder, t.Drift)
 }
 
+// Takeover bounds the time from a holder's death to its successor's first order
+// to runners that don't check fencing tokens, without the time of the calls.
+func (t Timing) Takeover() time.Duration {
+	return stretch(t.TTL, t.Drift) + max(t.Look, t.Retry) + t.Quarantine()
+}
+
 func stretch(d time.Duration, drift float64) time.Duration {
 	return d + time.Duration(float64(d)*drift)
 }
@@ -67,8 +74,12 @@
 
 // Calls to the key-value service, in the order of a holder's life.
 const (
+	// Look reads the key. A standby writes nothing while another holds it: the
+	// service takes far fewer writes than reads, and there are two standbys to
+	// each holder.
+	Look Kind = iota + 1
 	// Grant a lease of Timing.TTL.
-	Grant Kind = iota + 1
+	Grant
 	// Create the responsibility's key under the lease, if absent.
 	Create
 	// ReadBack reads the key after a Create whose answer was lost.
@@ -108,7 +119,8 @@
 	Lease uint64
 	// Revision of the key that was created, or that ReadBack found.
 	Revision uint64
-	// Holder's lease that ReadBack found on the key; zero if there is no key.
+	// FoundLease is the lease that Look or ReadBack found on the key; zero if
+	// there is no key.
 	FoundLease uint64
 }
 
@@ -119,7 +131,7 @@
 const (
 	// Idle holds nothing and asks again later.
 	Idle State = iota
-	// Acquiring has a call of Grant, Create or ReadBack outstanding.
+	// Acquiring has a call of Look, Grant, Create or ReadBack outstanding.
 	Acquiring
 	// Holding has the key.
 	Holding
@@ -183,7 +195,7 @@
 		return m.call(now, Renew)
 	case m.state == Idle && candidate && !m.stopping:
 		m.state = Acquiring
-		return m.call(now, Grant)
+		return m.call(now, Look)
 	}
 	return nil
 }
@@ -245,6 +257,8 @@
 	kind := m.pending.Kind
 	m.pending = Effect{}
 	switch kind {
+	case Look:
+		return m.looked(now, r)
 	case Grant:
 		return m.granted(now, r)
 	case Create:
@@ -257,6 +271,19 @@
 	return nil
 }
 
+func (m *Machine) looked(now time.Duration, r Result) []Effect {
+	if r.Outcome != Done || m.stopping {
+		m.drop(now)
+		return nil
+	}
+	if r.FoundLease != 0 {
+		m.drop(now)
+		m.nextCall = now + m.timing.Look
+		return nil
+	}
+	return m.call(now, Grant)
+}
+
 func (m *Machine) granted(now time.Duration, r Result) []Effect {
 	if r.Outcome != Done || m.stopping {
 		m.drop(now)
--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -34,7 +34,7 @@
 		}
 		s.revision++
 		s.holder, s.expires, r.Revision = e.Lease, now+ttl, s.revision
-	case lease.ReadBack:
+	case lease.Look, lease.ReadBack:
 		r.FoundLease, r.Revision = s.holder, s.revision
 	case lease.Renew:
 		if s.holder != e.Lease {
@@ -172,10 +172,8 @@
 	timing := lease.DefaultTiming()
 	m := lease.New(timing)
 	var s service
-	for _, e := range m.Tick(0, true) {
-		for _, e := range m.Step(0, s.do(0, e, timing.TTL)) {
-			m.Step(0, s.do(0, e, timing.TTL))
-		}
+	for effects := m.Tick(0, true); len(effects) > 0; {
+		effects = m.Step(0, s.do(0, effects[0], timing.TTL))
 	}
 	is.Equal(m.State(), lease.Holding)
 	is.True(m.MayOrder(time.Second, true))
@@ -196,7 +194,8 @@
 	timing := lease.DefaultTiming()
 	m := lease.New(timing)
 	var s service
-	grant := m.Tick(0, true)[0]
+	look := m.Tick(0, true)[0]
+	grant := m.Step(0, s.do(0, look, timing.TTL))[0]
 	create := m.Step(0, s.do(0, grant, timing.TTL))[0]
 	s.do(0, create, timing.TTL)
 	readBack := m.Step(0, lease.Result{Attempt: create.Attempt, Outcome: lease.Lost})[0]
@@ -204,3 +203,21 @@
 	m.Step(0, s.do(0, readBack, timing.TTL))
 	is.Equal(m.State(), lease.Holding)
 }
+
+// Two standbys wait behind each holder. If they tried to write each time, a
+// hundred responsibilities would use up the service's writes for nothing.
+func TestStandbyOnlyReads(t *testing.T) {
+	is := is.New(t)
+	timing := lease.DefaultTiming()
+	s := service{holder: 7, expires: time.Hour}
+	m := lease.New(timing)
+	calls := 0
+	for now := time.Duration(0); now < time.Minute; now += step {
+		for _, e := range m.Tick(now, true) {
+			is.Equal(e.Kind, lease.Look)
+			calls++
+			is.Equal(len(m.Step(now, s.do(now, e, timing.TTL))), 0)
+		}
+	}
+	is.Equal(calls, int(time.Minute/timing.Look))
+}
--- a/daemon/orders/holder.go
+++ b/daemon/orders/holder.go
@@ -101,7 +101,7 @@
 		var revision kv.Revision
 		revision, err = h.store.CompareAndSwap(ctx, leasePrefix+h.name, 0, []byte(h.self), id)
 		r.Revision = uint64(revision)
-	case lease.ReadBack:
+	case lease.Look, lease.ReadBack:
 		var entry kv.Entry
 		entry, err = h.store.Get(ctx, leasePrefix+h.name)
 		r.Revision, r.FoundLease = uint64(entry.Revision), uint64(entry.Lease)
