Unload old versions of adapters; keep an old model until its adapters are there

Cause: the planner never looked at adapters that no manifest wants, and let an old version of a model go when the new one served without its adapters. An order that the weight store's rate limit held back counted as a failed load. Canary targets were computed in O(n^2) for each look.

Change: adapters are unloaded once the wanted version of them serves; an old model waits for the new one's adapters; Planner.Defer; Targets for all runners at once.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -9,9 +9,10 @@
 package rollout
 
 import (
+	"cmp"
 	"math"
 	"slices"
-	"sort"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,8 +60,8 @@
 type Limits struct {
 	// MaxLoadingShare of the serving runners may load at once; at least one.
 	MaxLoadingShare float64
-	// MaxLoads bounds the loads at once, all runners together, to what the
-	// weight store gives.
+	// MaxLoads bounds the loads at once of the planner's runners. The weight
+	// store paces all planners together by its rate limit; see Defer.
 	MaxLoads int
 	// Repeat is how long an order may stay without effect in the reports.
 	Repeat time.Duration
@@ -80,10 +81,13 @@
 	}
 }
 
+// sent is what the reports can't show yet of an order.
 type sent struct {
+	// at is when the runner took it; zero if it did not.
 	at       time.Duration
 	failures int
-	until    time.Duration
+	// until is when it may be given again.
+	until time.Duration
 }
 
 // Planner plans for the runners of one service. It is not safe for concurrent
@@ -96,47 +100,69 @@
 // New returns a planner that remembers no orders.
 func New(l Limits) *Planner { return &Planner{limits: l, orders: map[Order]*sent{}} }
 
+const adapterSeparator = "@"
+
 // AdapterID joins an adapter's name and version as runners report them.
-func AdapterID(a manifest.Adapter) string { return a.Name + "@" + a.Version }
+func AdapterID(a manifest.Adapter) string { return a.Name + adapterSeparator + a.Version }
+
+// SplitAdapterID is the inverse of AdapterID.
+func SplitAdapterID(id string) (name, version string) {
+	name, version, _ = strings.Cut(id, adapterSeparator)
+	return name, version
+}
 
-// TargetVersion is the version that a runner should serve: the canary's on its
+// Targets gives the version that each runner should serve: the canary's on its
 // share of the runners, chosen by hash so that the choice stays put when other
 // runners come and go.
-func TargetVersion(m *manifest.Model, runners []ident.RunnerID, r ident.RunnerID) string {
+func Targets(m *manifest.Model, runners []ident.RunnerID) map[ident.RunnerID]string {
+	targets := make(map[ident.RunnerID]string, len(runners))
+	for _, r := range runners {
+		targets[r] = m.Version
+	}
 	if m.Canary == nil || m.Canary.Share <= 0 {
-		return m.Version
+		return targets
 	}
 	n := int(math.Ceil(m.Canary.Share * float64(len(runners))))
-	own := canaryRank(m, r)
-	before := 0
-	for _, other := range runners {
-		if canaryRank(m, other) < own {
-			before++
-		}
-	}
-	if before < n {
-		return m.Canary.Version
+	for _, r := range byCanaryRank(m, runners)[:min(n, len(runners))] {
+		targets[r] = m.Canary.Version
 	}
-	return m.Version
+	return targets
 }
 
-func canaryRank(m *manifest.Model, r ident.RunnerID) uint64 {
-	return xxhash.Sum64String(m.Name + "/" + m.Canary.Version + "/" + string(r))
+func byCanaryRank(m *manifest.Model, runners []ident.RunnerID) []ident.RunnerID {
+	type ranked struct {
+		id   ident.RunnerID
+		rank uint64
+	}
+	list := make([]ranked, len(runners))
+	for i, r := range runners {
+		list[i] = ranked{id: r, rank: xxhash.Sum64String(m.Name + "/" + m.Canary.Version + "/" + string(r))}
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	out := make([]ident.RunnerID, len(list))
+	for i, r := range list {
+		out[i] = r.id
+	}
+	return out
 }
 
 // Failed tells that a runner refused an order or failed at it.
 func (p *Planner) Failed(now time.Duration, o Order) {
-	s, ok := p.orders[o]
-	if !ok {
-		s = &sent{}
-		p.orders[o] = s
-	}
+	s := p.record(o)
 	wait := p.limits.FirstBackoff << min(s.failures, 16)
 	s.failures++
 	s.until = now + min(wait, p.limits.MaxBackoff)
 	s.at = 0
 }
 
+// Defer tells that an order was not sent and is to wait, as for the weight
+// store's rate limit. It counts as no failure.
+func (p *Planner) Defer(now time.Duration, o Order, wait time.Duration) {
+	s := p.record(o)
+	s.until = now + wait
+	s.at = 0
+}
+
 // Plan returns the orders to give now. models are those of the service and
 // runners its live ones that have reported.
 func (p *Planner) Plan(now time.Duration, models []manifest.Model, runners []Runner) []Order {
@@ -150,12 +176,17 @@
 	return t.out
 }
 
-func (p *Planner) note(now time.Duration, o Order) {
+func (p *Planner) record(o Order) *sent {
 	s, ok := p.orders[o]
 	if !ok {
 		s = &sent{}
 		p.orders[o] = s
 	}
+	return s
+}
+
+func (p *Planner) note(now time.Duration, o Order) {
+	s := p.record(o)
 	s.at = now
 	s.until = now + p.limits.Repeat
 }
@@ -166,7 +197,8 @@
 	now     time.Duration
 	models  []manifest.Model
 	runners []Runner
-	ids     []ident.RunnerID
+	// targets holds a map for each of models.
+	targets []map[ident.RunnerID]string
 	busy    map[ident.RunnerID]bool
 	out     []Order
 }
@@ -174,13 +206,17 @@
 func newTurn(p *Planner, now time.Duration, models []manifest.Model, runners []Runner) *turn {
 	t := &turn{p: p, now: now, runners: runners, busy: map[ident.RunnerID]bool{}}
 	t.models = slices.Clone(models)
-	sort.SliceStable(t.models, func(i, j int) bool { return t.models[i].Priority > t.models[j].Priority })
+	slices.SortStableFunc(t.models, func(a, b manifest.Model) int { return cmp.Compare(b.Priority, a.Priority) })
+	ids := make([]ident.RunnerID, 0, len(runners))
 	for _, r := range runners {
-		t.ids = append(t.ids, r.ID)
+		ids = append(ids, r.ID)
 		if anyLoading(r) {
 			t.busy[r.ID] = true
 		}
 	}
+	for i := range t.models {
+		t.targets = append(t.targets, Targets(&t.models[i], ids))
+	}
 	return t
 }
 
@@ -229,16 +265,16 @@
 
 func (t *turn) load() {
 	for i := range t.models {
-		t.loadModel(&t.models[i])
+		t.loadModel(&t.models[i], t.targets[i])
 	}
 }
 
 // loadModel starts with runners that serve no version yet, which adds capacity,
 // then replaces versions on a few at a time, which costs some.
-func (t *turn) loadModel(m *manifest.Model) {
+func (t *turn) loadModel(m *manifest.Model, targets map[ident.RunnerID]string) {
 	var fresh, stale []Order
 	for _, r := range t.runners {
-		o, needed := t.next(m, r)
+		o, needed := next(m, targets[r.ID], r)
 		if !needed {
 			continue
 		}
@@ -258,8 +294,7 @@
 }
 
 // next is the first thing that the runner lacks of the model.
-func (t *turn) next(m *manifest.Model, r Runner) (Order, bool) {
-	version := TargetVersion(m, t.ids, r.ID)
+func next(m *manifest.Model, version string, r Runner) (Order, bool) {
 	o := Order{Runner: r.ID, Kind: Load, Model: m.Name, Version: version}
 	if !holds(r, m.Name, version, "") {
 		return o, true
@@ -286,31 +321,58 @@
 	return ok && t.now < s.until
 }
 
-// unload frees what no manifest wants, but an old version of a wanted model
-// only after the runner serves the new one: a failed load must not leave a
-// runner with nothing to serve.
+// unload frees what no manifest wants, but an old version of a wanted model or
+// adapter only after the runner serves the new one: a failed load must not
+// leave a runner with nothing to serve.
 func (t *turn) unload() {
 	for _, r := range t.runners {
 		for _, l := range r.Loaded {
-			if l.Loading || t.wanted(r, l) {
+			if l.Loading {
 				continue
 			}
-			o := Order{Runner: r.ID, Kind: Unload, Model: l.Model, Version: l.Version}
-			if !t.waiting(o) {
-				t.out = append(t.out, o)
-			}
+			t.unloadLeftovers(r, l)
 		}
 	}
 }
 
-func (t *turn) wanted(r Runner, l Loaded) bool {
-	for i := range t.models {
-		m := &t.models[i]
-		if m.Name != l.Model {
-			continue
+func (t *turn) unloadLeftovers(r Runner, l Loaded) {
+	o := Order{Runner: r.ID, Kind: Unload, Model: l.Model, Version: l.Version}
+	i := slices.IndexFunc(t.models, func(m manifest.Model) bool { return m.Name == l.Model })
+	if i < 0 {
+		t.give(o)
+		return
+	}
+	m := &t.models[i]
+	target := t.targets[i][r.ID]
+	if l.Version != target {
+		// With adapters missing, the new version can't take over all requests.
+		if _, lacks := next(m, target, r); !lacks {
+			t.give(o)
+		}
+		return
+	}
+	for _, adapter := range l.Adapters {
+		if !keepsAdapter(m, l, adapter) {
+			o.Adapter = adapter
+			t.give(o)
+		}
+	}
+}
+
+// keepsAdapter tells whether an adapter is wanted, or serves its name until the
+// wanted version of it does.
+func keepsAdapter(m *manifest.Model, l Loaded, adapter string) bool {
+	name, _ := SplitAdapterID(adapter)
+	for _, a := range m.Adapters {
+		if a.Name == name {
+			return adapter == AdapterID(a) || !slices.Contains(l.Adapters, AdapterID(a))
 		}
-		target := TargetVersion(m, t.ids, r.ID)
-		return l.Version == target || !holds(r, m.Name, target, "")
 	}
 	return false
 }
+
+func (t *turn) give(o Order) {
+	if !t.waiting(o) {
+		t.out = append(t.out, o)
+	}
+}
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -120,15 +120,15 @@
 	m := &manifest.Model{Name: "m", Version: "1", Canary: &manifest.Canary{Version: "2", Share: 0.25}}
 	f := newFleet(12, "")
 	chosen := map[ident.RunnerID]bool{}
-	for _, id := range f.ids {
-		if rollout.TargetVersion(m, f.ids, id) == "2" {
+	for id, version := range rollout.Targets(m, f.ids) {
+		if version == "2" {
 			chosen[id] = true
 		}
 	}
 	is.Equal(len(chosen), 3)
 	moved := 0
-	for _, id := range f.ids[1:] {
-		if (rollout.TargetVersion(m, f.ids[1:], id) == "2") != chosen[id] {
+	for id, version := range rollout.Targets(m, f.ids[1:]) {
+		if (version == "2") != chosen[id] {
 			moved++
 		}
 	}
@@ -152,3 +152,67 @@
 	is.True(tries >= 10 && tries <= 20)
 	is.Equal(f.serving("1"), 1)
 }
+
+// An operator changes an adapter's version. Callers name the adapter alone, so
+// the old version must go, or answers come from either; but not before the new
+// one serves, or they are refused.
+func TestOldAdapterGoesAfterNewOneServes(t *testing.T) {
+	is := is.New(t)
+	p := rollout.New(rollout.DefaultLimits())
+	models := []manifest.Model{{Name: "m", Version: "1", Adapters: []manifest.Adapter{{Name: "a", Version: "2"}}}}
+	report := func(adapters ...string) []rollout.Runner {
+		return []rollout.Runner{{ID: "r", Loaded: []rollout.Loaded{{Model: "m", Version: "1", Adapters: adapters}}}}
+	}
+	load := rollout.Order{Runner: "r", Kind: rollout.Load, Model: "m", Version: "1", Adapter: "a@2"}
+	is.Equal(p.Plan(time.Second, models, report("a@1", "b@1")), []rollout.Order{
+		load, {Runner: "r", Kind: rollout.Unload, Model: "m", Version: "1", Adapter: "b@1"},
+	})
+	is.Equal(len(p.Plan(2*time.Second, models, report("a@1"))), 0)
+	is.Equal(p.Plan(3*time.Second, models, report("a@1", "a@2")), []rollout.Order{
+		{Runner: "r", Kind: rollout.Unload, Model: "m", Version: "1", Adapter: "a@1"},
+	})
+	is.Equal(len(p.Plan(4*time.Second, models, report("a@2"))), 0)
+}
+
+// A runner has the new version of a model but not its adapters yet. Requests
+// for an adapter go to the old version, which must stay until they are there.
+func TestOldVersionStaysUntilAdaptersAreThere(t *testing.T) {
+	is := is.New(t)
+	p := rollout.New(rollout.DefaultLimits())
+	models := []manifest.Model{{Name: "m", Version: "2", Adapters: []manifest.Adapter{{Name: "a", Version: "1"}}}}
+	old := rollout.Loaded{Model: "m", Version: "1", Adapters: []string{"a@1"}}
+	bare := []rollout.Runner{{ID: "r", Loaded: []rollout.Loaded{old, {Model: "m", Version: "2"}}}}
+	whole := []rollout.Runner{{ID: "r", Loaded: []rollout.Loaded{old, {Model: "m", Version: "2", Adapters: []string{"a@1"}}}}}
+	orders := p.Plan(time.Second, models, bare)
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, rollout.Load)
+	is.Equal(p.Plan(2*time.Second, models, whole), []rollout.Order{{Runner: "r", Kind: rollout.Unload, Model: "m", Version: "1"}})
+}
+
+// The weight store asks for a pause. The load must go out when the pause is
+// over, not after a failure's growing wait, and must not hold its runner busy.
+func TestDeferredLoadIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	p := rollout.New(rollout.DefaultLimits())
+	f := newFleet(1, "")
+	models := []manifest.Model{{Name: "m", Version: "1"}}
+	for now := time.Second; now < 10*time.Second; now += time.Second {
+		orders := p.Plan(now, models, f.report())
+		is.Equal(len(orders), 1)
+		p.Defer(now, orders[0], time.Second)
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	f := newFleet(64, "1")
+	models := []manifest.Model{{
+		Name: "m", Version: "1",
+		Adapters: []manifest.Adapter{{Name: "a", Version: "1"}},
+		Canary:   &manifest.Canary{Version: "2", Share: 0.25},
+	}}
+	p := rollout.New(rollout.DefaultLimits())
+	reports := f.report()
+	for b.Loop() {
+		p.Plan(time.Second, models, reports)
+	}
+}
