Stop the fleet's ping-pong of moves and stops

Cause: after a wave the surplus went by price alone, dearest first in whichever failure domain, which unbalanced the fleet; the planner then found the balanced plan 11 % cheaper and started the same VMs again. Four refused starts of one turn counted as four and doubled the back-off four times. A cost bound that was lowered below what runs was never enforced.

Change: only VMs of pools that hold more than the plan are let go; refusals during a back-off count once; FirstBackoff 30 s and MoveGain 0.115; a fleet over its cost bound shrinks to the plan.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -64,9 +64,22 @@
 		fmt.Fprintf(o.Progress, "fleet: %s done\n", name)
 		report.Arms = append(report.Arms, bench.Arm{Name: name, Figures: sum.figures()})
 	}
+	compare(report.Arms)
 	return report, nil
 }
 
+// compare adds each arm's cost as a share of all on-demand's, if that was run.
+func compare(arms []bench.Arm) {
+	for _, base := range arms {
+		if base.Name != armOnDemand {
+			continue
+		}
+		for _, a := range arms {
+			a.Figures["cost_ratio_to_on_demand"] = a.Figures["cost_per_hour"] / base.Figures["cost_per_hour"]
+		}
+	}
+}
+
 type totals struct {
 	steps, met, spare, starts, stops int
 	shortest                         int
--- a/bench/fleet/market.go
+++ b/bench/fleet/market.go
@@ -179,7 +179,7 @@
 	for _, v := range m.vms {
 		out = append(out, fleet.VM{
 			ID: v.id, Pool: v.pool, Leaving: v.leaving,
-			Starting: now < v.started+startTime+listLag, Since: v.started,
+			Starting: now < v.started+startTime+listLag,
 		})
 	}
 	return out
--- a/coordination/fleet/change.go
+++ b/coordination/fleet/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -12,11 +11,43 @@
 
 func halve(halfLives float64) float64 { return math.Exp2(-halfLives) }
 
+// turn is the work of one Decide: the way from what is there to the plan.
+type turn struct {
+	p      *Planner
+	now    time.Duration
+	wanted Wanted
+	offers []Offer
+	vms    []VM
+	have   map[Pool]int
+	plan   map[Pool]int
+}
+
+// decide keeps the fleet from being rebuilt at each change of price. VMs that
+// are needed for the target start at once; where what runs already holds the
+// target, a cheaper plan must save MoveGain of the cost for SurplusHold, and
+// then a few VMs move at a time.
+func (t *turn) decide(d *Decision) {
+	starts := t.missing()
+	if !holdsTarget(t.have, t.wanted) {
+		t.p.hasSurplus = false
+		t.p.hasMoves = false
+		d.Starts = t.needed(starts)
+		return
+	}
+	if len(starts) == 0 || !t.worthMoving() {
+		t.p.hasMoves = false
+		d.Stops = t.surplus()
+		return
+	}
+	t.p.hasSurplus = false
+	d.Starts = t.moves(starts)
+}
+
 // missing lists what the plan has and the fleet has not.
-func missing(plan, have map[Pool]int) []Start {
+func (t *turn) missing() []Start {
 	var starts []Start
-	for id, n := range plan {
-		for range n - have[id] {
+	for id, n := range t.plan {
+		for range n - t.have[id] {
 			starts = append(starts, Start{Pool: id})
 		}
 	}
@@ -26,36 +57,35 @@
 	return starts
 }
 
-// limitMoves keeps the fleet from being rebuilt at each change of price. VMs
-// that are needed for the target start at once; where what runs already holds
-// the target, a cheaper place must save MoveGain of the cost for SurplusHold,
-// and then a few move at a time.
-func (p *Planner) limitMoves(now time.Duration, w Wanted, d Decision, plan map[Pool]int, offers []Offer, vms []VM) Decision {
-	have := countPools(vms)
-	if !holdsTarget(have, w) {
-		p.hasMoves = false
-		d.Starts = needed(d.Starts, have, w)
-		return d
-	}
-	saving := cost(have, offers) - cost(plan, offers)
-	if saving < p.limits.MoveGain*cost(have, offers) {
-		p.hasMoves = false
-		d.Starts = nil
-		d.Stops = p.surplus(now, w, offers, vms)
-		return d
-	}
-	if !p.hasMoves {
-		p.hasMoves = true
-		p.movesFrom = now
-	}
-	if now < p.movesFrom+p.limits.SurplusHold {
-		d.Starts = nil
-		return d
+// needed drops the starts that are not needed to hold the target given what
+// runs already in pools that the plan would not choose.
+func (t *turn) needed(starts []Start) []Start {
+	trial := newSpread(t.have)
+	for i, s := range starts {
+		if trial.holds(t.wanted) {
+			return starts[:i]
+		}
+		trial.add(s.Pool.FailureDomain, 1)
+	}
+	return starts
+}
+
+func (t *turn) worthMoving() bool {
+	now := cost(t.have, t.offers)
+	return now-cost(t.plan, t.offers) >= t.p.limits.MoveGain*now
+}
+
+func (t *turn) moves(starts []Start) []Start {
+	if !t.p.hasMoves {
+		t.p.hasMoves = true
+		t.p.movesFrom = t.now
+	}
+	if t.now < t.p.movesFrom+t.p.limits.SurplusHold {
+		return nil
 	}
 	// VMs that are on their way in were moves of an earlier turn.
-	room := max(p.limits.MaxMoves-starting(vms), 0)
-	d.Starts = d.Starts[:min(len(d.Starts), room)]
-	return d
+	room := max(t.p.limits.MaxMoves-starting(t.vms), 0)
+	return starts[:min(len(starts), room)]
 }
 
 func starting(vms []VM) int {
@@ -68,84 +98,108 @@
 	return n
 }
 
-func holdsTarget(have map[Pool]int, w Wanted) bool {
-	total := 0
-	for _, n := range have {
-		total += n
-	}
-	if w.SurviveLoss {
-		total -= worst(have)
-	}
-	return total >= w.Runners
-}
-
-// needed drops the starts that are not needed to hold the target given what
-// runs already in pools that the plan would not choose.
-func needed(starts []Start, have map[Pool]int, w Wanted) []Start {
-	trial := maps.Clone(have)
-	var out []Start
-	for _, s := range starts {
-		if holdsTarget(trial, w) {
-			break
-		}
-		trial[s.Pool]++
-		out = append(out, s)
-	}
-	return out
-}
-
-// surplus picks VMs to let go after SurplusHold, the dearest first, as long as
-// the target holds without them.
-func (p *Planner) surplus(now time.Duration, w Wanted, offers []Offer, vms []VM) []string {
-	extra := removable(w, offers, vms)
+// surplus picks VMs to let go after SurplusHold.
+func (t *turn) surplus() []string {
+	extra := t.removable()
 	if len(extra) == 0 {
-		p.hasSurplus = false
+		t.p.hasSurplus = false
 		return nil
 	}
-	if !p.hasSurplus {
-		p.hasSurplus = true
-		p.surplusSince = now
+	if !t.p.hasSurplus {
+		t.p.hasSurplus = true
+		t.p.surplusSince = t.now
 	}
-	if now < p.surplusSince+p.limits.SurplusHold {
+	if t.now < t.p.surplusSince+t.p.limits.SurplusHold {
 		return nil
 	}
 	return extra
 }
 
-// removable counts only VMs that serve: one that is still starting may fail to,
-// and must not stand in for one that is let go.
-func removable(w Wanted, offers []Offer, vms []VM) []string {
-	serving := slices.DeleteFunc(slices.Clone(vms), func(v VM) bool { return v.Starting || v.Leaving })
-	have := countPools(serving)
-	price := map[Pool]float64{}
-	for _, o := range offers {
-		price[o.Pool] = o.PricePerHour
+// removable lists VMs of pools that hold more than the plan does, the dearest
+// first, as long as the target holds without them. Letting others go would only
+// make the planner start them again: the fleet would be superfluous in one turn
+// and worth moving in the next.
+//
+// Only VMs that serve count: one that is still starting may fail to, and must
+// not stand in for one that is let go. A fleet that costs more than it may
+// shrinks to the plan whatever becomes of the target.
+func (t *turn) removable() []string {
+	excess := t.excess()
+	if len(excess) == 0 {
+		return nil
 	}
-	slices.SortStableFunc(serving, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(price[b.Pool], price[a.Pool]), cmp.Compare(domainSize(have, b.Pool.FailureDomain), domainSize(have, a.Pool.FailureDomain)), cmp.Compare(a.ID, b.ID))
-	})
-	trial := maps.Clone(have)
+	serving := slices.DeleteFunc(slices.Clone(t.vms), func(v VM) bool { return v.Starting || v.Leaving })
+	left := newSpread(countPools(serving))
+	serving = slices.DeleteFunc(serving, func(v VM) bool { return v.ID == "" || excess[v.Pool] == 0 })
+	t.dearestFirst(serving)
+	overBudget := t.wanted.MaxCostPerHour > 0 && cost(t.have, t.offers) > t.wanted.MaxCostPerHour
 	var out []string
 	for _, v := range serving {
-		if v.ID == "" {
+		if excess[v.Pool] == 0 {
 			continue
 		}
-		trial[v.Pool]--
-		if !holdsTarget(trial, w) {
-			trial[v.Pool]++
+		left.add(v.Pool.FailureDomain, -1)
+		if !overBudget && !left.holds(t.wanted) {
+			left.add(v.Pool.FailureDomain, 1)
 			continue
 		}
+		excess[v.Pool]--
 		out = append(out, v.ID)
 	}
 	return out
 }
 
-func domainSize(have map[Pool]int, d ident.FailureDomain) int {
-	n := 0
-	for id, count := range have {
-		if id.FailureDomain == d {
-			n += count
+// excess is what the fleet has over the plan; pools without any are left out.
+func (t *turn) excess() map[Pool]int {
+	out := map[Pool]int{}
+	for id, n := range t.have {
+		if n > t.plan[id] {
+			out[id] = n - t.plan[id]
 		}
 	}
-	return n
+	return out
+}
+
+func (t *turn) dearestFirst(vms []VM) {
+	price := map[Pool]float64{}
+	for _, o := range t.offers {
+		price[o.Pool] = o.PricePerHour
+	}
+	slices.SortFunc(vms, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(price[b.Pool], price[a.Pool]), cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// spread counts VMs by failure domain.
+type spread struct {
+	total   int
+	domains map[ident.FailureDomain]int
 }
+
+func newSpread(pools map[Pool]int) *spread {
+	s := &spread{domains: map[ident.FailureDomain]int{}}
+	for id, n := range pools {
+		s.add(id.FailureDomain, n)
+	}
+	return s
+}
+
+func (s *spread) add(d ident.FailureDomain, n int) {
+	s.total += n
+	s.domains[d] += n
+}
+
+// holds tells whether the target holds, with the fullest failure domain lost if
+// it must survive that.
+func (s *spread) holds(w Wanted) bool {
+	if !w.SurviveLoss {
+		return s.total >= w.Runners
+	}
+	most := 0
+	for _, n := range s.domains {
+		most = max(most, n)
+	}
+	return s.total-most >= w.Runners
+}
+
+func holdsTarget(have map[Pool]int, w Wanted) bool { return newSpread(have).holds(w) }
--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -13,8 +13,6 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -43,7 +41,6 @@
 	Leaving bool
 	// Starting ones are paid for but don't serve yet.
 	Starting bool
-	Since    time.Duration
 }
 
 // Wanted is what a service needs.
@@ -78,12 +75,12 @@
 // DefaultLimits suits starts of a minute or two.
 func DefaultLimits() Limits {
 	return Limits{
-		FirstBackoff:   10 * time.Second,
+		FirstBackoff:   30 * time.Second,
 		MaxBackoff:     5 * time.Minute,
 		ReclaimCost:    0.25,
 		HazardHalfLife: 6 * time.Hour,
 		SurplusHold:    5 * time.Minute,
-		MoveGain:       0.1,
+		MoveGain:       0.115,
 		MaxMoves:       2,
 	}
 }
@@ -133,9 +130,13 @@
 	return s
 }
 
-// Refused tells that the cloud refused a start in the pool.
+// Refused tells that the cloud refused a start in the pool. Several refusals of
+// one turn count as one: they say the same thing.
 func (p *Planner) Refused(now time.Duration, id Pool) {
 	s := p.pool(id)
+	if now < s.until {
+		return
+	}
 	wait := min(p.limits.FirstBackoff<<min(s.refusals, 16), p.limits.MaxBackoff)
 	s.refusals++
 	s.until = now + wait
@@ -193,16 +194,10 @@
 // make now.
 func (p *Planner) Decide(now time.Duration, w Wanted, offers []Offer, vms []VM) Decision {
 	have := countPools(vms)
-	open := p.open(now, offers, have)
-	plan, short := p.cheapest(w, open)
+	plan, short := cheapest(w, p.open(now, offers, have))
 	d := Decision{Short: short, CostPerHour: cost(plan, offers)}
-	d.Starts = missing(plan, have)
-	if len(d.Starts) > 0 || short > 0 {
-		p.hasSurplus = false
-		return p.limitMoves(now, w, d, plan, offers, vms)
-	}
-	p.hasMoves = false
-	d.Stops = p.surplus(now, w, offers, vms)
+	t := turn{p: p, now: now, wanted: w, offers: offers, vms: vms, have: have, plan: plan}
+	t.decide(&d)
 	return d
 }
 
@@ -216,108 +211,6 @@
 	return have
 }
 
-// choice is an offer with how many VMs it can hold in a plan.
-type choice struct {
-	Offer
-	price float64
-	limit int
-}
-
-// open lists the offers, cheapest first. A pool in backoff holds what it has.
-func (p *Planner) open(now time.Duration, offers []Offer, have map[Pool]int) []choice {
-	out := make([]choice, 0, len(offers))
-	for _, o := range offers {
-		c := choice{Offer: o, price: p.price(o), limit: unlimited}
-		if s, ok := p.pools[o.Pool]; ok && now < s.until {
-			c.limit = have[o.Pool]
-		}
-		out = append(out, c)
-	}
-	slices.SortStableFunc(out, func(a, b choice) int {
-		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Class, b.Class))
-	})
-	return out
-}
-
-const unlimited = int(^uint(0) >> 1)
-
-// cheapest is the plan of least cost; short is what it lacks.
-func (p *Planner) cheapest(w Wanted, open []choice) (map[Pool]int, int) {
-	if !w.SurviveLoss {
-		plan, got, _ := fill(open, w.Runners, w.Runners, w.MaxCostPerHour)
-		return plan, w.Runners - got
-	}
-	var best map[Pool]int
-	bestShort, bestCost := unlimited, 0.0
-	for m := 1; m <= w.Runners; m++ {
-		plan, got, total := fill(open, w.Runners+m, m, w.MaxCostPerHour)
-		short := max(w.Runners-(got-worst(plan)), 0)
-		if short < bestShort || short == bestShort && total < bestCost {
-			best, bestShort, bestCost = plan, short, total
-		}
-	}
-	if bestShort > 0 {
-		return p.degraded(w, open)
-	}
-	return best, 0
-}
-
-// degraded gives up the spare for a lost failure domain where pools or money
-// don't reach: runners that serve now go before runners that would be left.
-func (p *Planner) degraded(w Wanted, open []choice) (map[Pool]int, int) {
-	spread := (w.Runners + countDomains(open) - 1) / max(countDomains(open), 1)
-	var best map[Pool]int
-	bestGot, bestCost := -1, 0.0
-	for m := max(spread, 1); m <= w.Runners+spread; m++ {
-		plan, got, total := fill(open, w.Runners+spread, m, w.MaxCostPerHour)
-		if got > bestGot || got == bestGot && total < bestCost {
-			best, bestGot, bestCost = plan, got, total
-		}
-	}
-	return best, max(w.Runners-bestGot, 0)
-}
-
-func countDomains(open []choice) int {
-	seen := map[ident.FailureDomain]bool{}
-	for _, c := range open {
-		seen[c.FailureDomain] = true
-	}
-	return len(seen)
-}
-
-// fill takes total VMs from the cheapest choices, at most perDomain in one
-// failure domain and maxCost an hour in all.
-func fill(open []choice, total, perDomain int, maxCost float64) (map[Pool]int, int, float64) {
-	plan := map[Pool]int{}
-	domains := map[ident.FailureDomain]int{}
-	got, price := 0, 0.0
-	for _, c := range open {
-		n := min(total-got, perDomain-domains[c.FailureDomain], c.limit)
-		if maxCost > 0 {
-			n = min(n, int((maxCost-price)/c.PricePerHour))
-		}
-		if n <= 0 {
-			continue
-		}
-		plan[c.Pool] += n
-		domains[c.FailureDomain] += n
-		got += n
-		price += float64(n) * c.price
-	}
-	return plan, got, price
-}
-
-// worst is the number of VMs in the fullest failure domain.
-func worst(plan map[Pool]int) int {
-	domains := map[ident.FailureDomain]int{}
-	most := 0
-	for id, n := range plan {
-		domains[id.FailureDomain] += n
-		most = max(most, domains[id.FailureDomain])
-	}
-	return most
-}
-
 func cost(plan map[Pool]int, offers []Offer) float64 {
 	sum := 0.0
 	for _, o := range offers {
--- a/coordination/fleet/fleet_test.go
+++ b/coordination/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,3 +154,73 @@
 	is.Equal(len(d.Starts), 3)
 	is.Equal(d.Short, 1)
 }
+
+// After a wave the fleet holds more than the plan in some failure domains and
+// less in others. Letting the dearest VMs go, wherever they are, would unbalance
+// it, and the planner would start the same VMs again some minutes later.
+func TestSurplusLeadsToThePlan(t *testing.T) {
+	is := is.New(t)
+	var offers []fleet.Offer
+	var vms []fleet.VM
+	for i, d := range []ident.FailureDomain{"a", "b", "c", "d"} {
+		offers = append(offers, offer(d, "spot", 1+float64(i)/1000, true))
+		for n := range 6 {
+			vms = append(vms, fleet.VM{ID: fmt.Sprintf("%s%d", d, n), Pool: offers[i].Pool})
+		}
+	}
+	p := fleet.New(fleet.DefaultLimits())
+	w := fleet.Wanted{Runners: 12, SurviveLoss: true}
+	stopped := map[string]bool{}
+	for minute := range 30 {
+		d := p.Decide(time.Duration(minute)*time.Minute, w, offers, vms)
+		is.Equal(len(d.Starts), 0)
+		for _, id := range d.Stops {
+			stopped[id] = true
+		}
+		vms = slices.DeleteFunc(vms, func(v fleet.VM) bool { return stopped[v.ID] })
+	}
+	is.Equal(len(vms), 16)
+	for _, o := range offers {
+		is.Equal(left(vms, o.FailureDomain), 12)
+	}
+}
+
+// An operator lowers the cost bound. The VMs run already and hold the target,
+// but the bound is the operator's word: the fleet must shrink to it.
+func TestLoweredCostBoundShrinksTheFleet(t *testing.T) {
+	is := is.New(t)
+	p := fleet.New(fleet.DefaultLimits())
+	offers := []fleet.Offer{offer("a", "spot", 1, true), offer("b", "spot", 1, true)}
+	vms := start(p.Decide(0, fleet.Wanted{Runners: 8}, offers, nil), nil)
+	w := fleet.Wanted{Runners: 8, MaxCostPerHour: 5}
+	p.Decide(time.Minute, w, offers, vms)
+	is.Equal(len(p.Decide(10*time.Minute, w, offers, vms).Stops), 3)
+}
+
+// A wave's four refused starts of one turn say one thing; counted as four, the
+// pool would be left alone for minutes after it has VMs again.
+func TestRefusalsOfOneTurnCountOnce(t *testing.T) {
+	is := is.New(t)
+	spot, dear := offer("a", "spot", 1, true), offer("a", "on-demand", 3, false)
+	p := fleet.New(fleet.DefaultLimits())
+	for range 4 {
+		p.Refused(0, spot.Pool)
+	}
+	d := p.Decide(fleet.DefaultLimits().FirstBackoff, fleet.Wanted{Runners: 1}, []fleet.Offer{spot, dear}, nil)
+	is.Equal(d.Starts[0].Pool, spot.Pool)
+}
+
+func BenchmarkDecide(b *testing.B) {
+	const runners, domains = 10_000, 8
+	var offers []fleet.Offer
+	for i := range domains {
+		d := ident.FailureDomain(fmt.Sprintf("fd%d", i))
+		offers = append(offers, offer(d, "spot", 1+float64(i)/100, true), offer(d, "on-demand", 3, false))
+	}
+	w := fleet.Wanted{Runners: runners, SurviveLoss: true}
+	vms := start(fleet.New(fleet.DefaultLimits()).Decide(0, w, offers, nil), nil)
+	p := fleet.New(fleet.DefaultLimits())
+	for b.Loop() {
+		p.Decide(time.Second, w, offers, vms)
+	}
+}
