Renew leases apart from the work; settle the fleet ledger's open ends

Cause: (1) all responsibilities of a daemon shared one loop, so a slow call of one held up the renewal of the others. (2) A daemon hashed all daemons for each responsibility four times a second. (3) A slot whose VM had died before the next holder repeated its token failed every round for ever; answers were not written down at all. (4) A stop's grace was a wall-clock time in the ledger: a holder that died before announcing it left its successor to stop the VM without grace. (6) A runner that says itself that it is leaving was still ordered. (7) Each service was given the whole cost bound. (8) Responsibilities of vanished services stayed in the driver.

Change: a goroutine holds each lease and another does its work; candidacies are worked out when the directory or the configuration changes; the ledger is saved before and after each batch of calls, tokens whose VM is gone are dropped; the grace runs on the holder's own clock from its own announcement; orders go out side by side and each result reaches the planner; the cost bound is split by list prices.

--- /dev/null
+++ b/daemon/orders/errors.go
@@ -0,0 +1,65 @@
+package orders
+
+import (
+	"errors"
+	"fmt"
+
+	"geraniumstack.org/geraniumstack/coordination/rollout"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/platform"
+)
+
+// NotHeldError says that an order was not sent since its lease no longer
+// allows one.
+type NotHeldError struct{ Responsibility string }
+
+func (e *NotHeldError) Error() string {
+	return fmt.Sprintf("responsibility %s is not held", e.Responsibility)
+}
+
+// LeavingError says that an order was not sent since its runner is leaving.
+type LeavingError struct{ Runner ident.RunnerID }
+
+func (e *LeavingError) Error() string { return fmt.Sprintf("runner %s is leaving", e.Runner) }
+
+// RefusedError says that a runner refused an order, or that its answer is not
+// known.
+type RefusedError struct {
+	Order rollout.Order
+	Err   error
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("order of %s version %s to runner %s: %v", e.Order.Model, e.Order.Version, e.Order.Runner, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Err }
+
+// failureName is the counter's name for a failure.
+func failureName(err error) string {
+	var notHeld *NotHeldError
+	var leaving *LeavingError
+	var refused *RefusedError
+	var stale *platform.StaleFencingError
+	var missing *platform.NotFoundError
+	var limited *platform.RateLimitedError
+	var lost *LedgerLostError
+	switch {
+	case errors.As(err, &notHeld):
+		return "not_held"
+	case errors.As(err, &leaving):
+		return "runner_leaving"
+	case errors.As(err, &refused):
+		return "runner_refused"
+	case errors.As(err, &stale):
+		return "cloud_stale_fencing"
+	case errors.As(err, &missing):
+		return "not_found"
+	case errors.As(err, &limited):
+		return "weights_rate_limited"
+	case errors.As(err, &lost):
+		return "ledger_lost"
+	}
+	return "platform"
+}
--- a/daemon/orders/fleet.go
+++ b/daemon/orders/fleet.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/fleet"
@@ -24,14 +25,25 @@
 	service string
 	holder  *holder
 	planner *fleet.Planner
-	ledger  *ledger
-	tenure  uint64
-	seen    map[string]platform.VM
-	looked  time.Duration
+	tenure  *fleetTenure
+}
+
+// fleetTenure is what the holder knows since it has acquired the lease. Times
+// are the holder's own monotonic ones; another daemon's clock may be off.
+type fleetTenure struct {
+	held   uint64
+	ledger *ledger
+	seen   map[string]platform.VM
+	looked time.Duration
+	// answered is when each slot was first known to have its VM.
+	answered map[string]time.Duration
+	// due is when each announced VM may be stopped.
+	due     map[string]time.Duration
+	stopped map[string]bool
 }
 
 func newFleetDuty(d *Driver, service string, h *holder) *fleetDuty {
-	return &fleetDuty{driver: d, service: service, holder: h, planner: fleet.New(fleet.DefaultLimits()), seen: map[string]platform.VM{}}
+	return &fleetDuty{driver: d, service: service, holder: h, planner: fleet.New(fleet.DefaultLimits())}
 }
 
 func (f *fleetDuty) run(ctx context.Context, m *manifest.Manifest, held uint64) error {
@@ -45,24 +57,28 @@
 	err := f.round(ctx, m, service)
 	var lost *LedgerLostError
 	if errors.As(err, &lost) {
-		f.ledger = nil
+		f.tenure = nil
 	}
 	return err
 }
 
 func (f *fleetDuty) open(ctx context.Context, held uint64) error {
-	if f.ledger != nil && f.tenure == held {
+	if f.tenure != nil && f.tenure.held == held {
 		return nil
 	}
 	l, err := openLedger(ctx, f.driver.Store, f.service, held)
 	if err != nil {
 		return err
 	}
-	f.ledger = l
-	f.tenure = held
+	f.tenure = &fleetTenure{
+		held: held, ledger: l, seen: map[string]platform.VM{}, looked: f.holder.now(),
+		answered: map[string]time.Duration{}, due: map[string]time.Duration{}, stopped: map[string]bool{},
+	}
 	return nil
 }
 
+// round mends what an earlier round or holder left open, decides, writes the
+// decision down and carries it out.
 func (f *fleetDuty) round(ctx context.Context, m *manifest.Manifest, service *manifest.Service) error {
 	listed, err := f.list(ctx)
 	if err != nil {
@@ -70,22 +86,18 @@
 	}
 	f.learn(listed)
 	f.settle(listed)
-	if err := f.finishStarts(ctx); err != nil {
-		return err
-	}
-	if err := f.finishStops(ctx, listed); err != nil {
+	if err := f.finish(ctx, listed); err != nil {
 		return err
 	}
 	quotes, err := f.driver.Cloud.Quotes(ctx)
 	if err != nil {
 		return fmt.Errorf("quotes: %w", err)
 	}
-	wanted := fleet.Wanted{Runners: service.Runners, SurviveLoss: m.Fleet.SurviveDomainLoss, MaxCostPerHour: m.Fleet.MaxCostPerHour}
-	decision := f.planner.Decide(f.holder.now(), wanted, offersFor(m, f.service, quotes), f.vms(listed))
-	if err := f.begin(ctx, decision, listed); err != nil {
-		return err
+	wanted := fleet.Wanted{
+		Runners: service.Runners, SurviveLoss: m.Fleet.SurviveDomainLoss, MaxCostPerHour: costShare(m, f.service),
 	}
-	return f.finishStarts(ctx)
+	f.note(f.planner.Decide(f.holder.now(), wanted, offersFor(m, f.service, quotes), f.vms(listed)), listed)
+	return f.finish(ctx, listed)
 }
 
 func (f *fleetDuty) list(ctx context.Context) (map[string]platform.VM, error) {
@@ -106,30 +118,37 @@
 func (f *fleetDuty) learn(listed map[string]platform.VM) {
 	now := f.holder.now()
 	for id, vm := range listed {
-		before, known := f.seen[id]
+		before, known := f.tenure.seen[id]
 		pool := fleet.Pool{FailureDomain: vm.FailureDomain, Class: vm.Class}
 		switch {
 		case vm.State != platform.VMLeaving:
-			f.planner.Exposed(now, pool, 1, now-f.looked)
-		case known && before.State != platform.VMLeaving && !f.ledger.stopping(id):
+			f.planner.Exposed(now, pool, 1, now-f.tenure.looked)
+		case known && before.State != platform.VMLeaving && !f.tenure.ledger.stopping(id):
 			f.planner.Reclaimed(now, pool, 1)
 		}
 	}
-	f.seen = listed
-	f.looked = now
+	f.tenure.seen = listed
+	f.tenure.looked = now
 }
 
-// settle drops slots whose VM the list shows or that were too long without,
-// and stops whose VM the list no longer has.
+// settle drops slots whose VM the list shows or that were too long without, and
+// stops whose VM the list no longer has.
 func (f *fleetDuty) settle(listed map[string]platform.VM) {
-	oldest := time.Now().Add(-slotLifetime).UnixMilli()
-	f.ledger.state.Slots = slices.DeleteFunc(f.ledger.state.Slots, func(s slot) bool {
+	now := f.holder.now()
+	state := &f.tenure.ledger.state
+	state.Slots = slices.DeleteFunc(state.Slots, func(s slot) bool {
+		if s.VM == "" {
+			return false
+		}
+		if _, ok := f.tenure.answered[s.Token]; !ok {
+			f.tenure.answered[s.Token] = now
+		}
 		_, ok := listed[s.VM]
-		return ok || s.VM != "" && s.AddedUnixMS < oldest
+		return ok || now >= f.tenure.answered[s.Token]+slotLifetime
 	})
-	f.ledger.state.Stops = slices.DeleteFunc(f.ledger.state.Stops, func(s stop) bool {
+	state.Stops = slices.DeleteFunc(state.Stops, func(s stop) bool {
 		_, ok := listed[s.VM]
-		return s.Dispatched && !ok
+		return !ok
 	})
 }
 
@@ -140,12 +159,14 @@
 	for id, vm := range listed {
 		out = append(out, fleet.VM{
 			ID: id, Pool: fleet.Pool{FailureDomain: vm.FailureDomain, Class: vm.Class},
-			Leaving:  vm.State == platform.VMLeaving || f.ledger.stopping(id),
+			Leaving:  vm.State == platform.VMLeaving || f.tenure.ledger.stopping(id),
 			Starting: vm.State == platform.VMStarting,
 		})
 	}
-	for _, s := range f.ledger.state.Slots {
-		out = append(out, fleet.VM{Token: s.Token, Pool: s.Pool, Starting: true})
+	for _, s := range f.tenure.ledger.state.Slots {
+		if _, ok := listed[s.VM]; !ok {
+			out = append(out, fleet.VM{Token: s.Token, Pool: s.Pool, Starting: true})
+		}
 	}
 	return out
 }
@@ -169,91 +190,193 @@
 	return out
 }
 
-// begin writes the decision down before anybody is told of it.
-func (f *fleetDuty) begin(ctx context.Context, d fleet.Decision, listed map[string]platform.VM) error {
-	due := time.Now().Add(f.driver.StopGrace).UnixMilli()
+// costShare is the service's part of the manifest's cost bound, by what its
+// runners cost at list prices: each service's fleet is planned by itself, and
+// all of them together must stay under the bound.
+func costShare(m *manifest.Manifest, service string) float64 {
+	own, all := 0.0, 0.0
+	for i := range m.Services {
+		s := &m.Services[i]
+		cost := float64(s.Runners) * cheapestClass(m, s.Name)
+		all += cost
+		if s.Name == service {
+			own = cost
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return m.Fleet.MaxCostPerHour * own / all
+}
+
+func cheapestClass(m *manifest.Manifest, service string) float64 {
+	price := 0.0
+	for _, o := range offersFor(m, service, nil) {
+		if price == 0 || o.PricePerHour < price {
+			price = o.PricePerHour
+		}
+	}
+	return price
+}
+
+// note enters a decision in the ledger. finish saves it before it acts.
+func (f *fleetDuty) note(d fleet.Decision, listed map[string]platform.VM) {
 	for _, id := range d.Stops {
-		f.ledger.state.Stops = append(f.ledger.state.Stops, stop{VM: id, Address: listed[id].Address, DueUnixMS: due})
+		f.tenure.ledger.state.Stops = append(f.tenure.ledger.state.Stops, stop{VM: id, Address: listed[id].Address})
 	}
-	if len(d.Starts) > 0 {
-		return f.ledger.addSlots(ctx, d.Starts, time.Now())
+	f.tenure.ledger.addSlots(d.Starts)
+}
+
+// finish carries out what stands in the ledger. It is saved first, so that the
+// next holder knows of every call that may have been made, and again with what
+// the cloud answered.
+func (f *fleetDuty) finish(ctx context.Context, listed map[string]platform.VM) error {
+	if err := f.tenure.ledger.save(ctx); err != nil {
+		return err
 	}
-	if len(d.Stops) > 0 {
-		return f.ledger.write(ctx)
+	if err := f.finishStarts(ctx); err != nil {
+		return err
 	}
-	return nil
+	if err := f.finishStops(ctx, listed); err != nil {
+		return err
+	}
+	return f.tenure.ledger.save(ctx)
 }
 
 // finishStarts asks the cloud for every slot that has no answer yet. The token
-// makes the call repeatable, also by a later holder.
+// makes the call repeatable, also by a later holder. A slot whose answer was
+// lost stays, and the others go on.
 func (f *fleetDuty) finishStarts(ctx context.Context) error {
-	var refused []string
-	for i := range f.ledger.state.Slots {
-		s := &f.ledger.state.Slots[i]
+	slots := f.tenure.ledger.state.Slots
+	results := f.startAll(ctx, slots)
+	var over []string
+	var ended error
+	for i := range slots {
+		s := &slots[i]
+		err := results[i].err
+		switch {
+		case endsRound(err):
+			ended = err
+		case f.isOver(s, err):
+			over = append(over, s.Token)
+		case err != nil:
+			f.driver.failed(f.holder.name, err)
+		case s.VM == "":
+			f.planner.Started(s.Pool)
+			s.VM = results[i].vm.ID
+		}
+	}
+	f.tenure.ledger.dropSlots(over)
+	return ended
+}
+
+// startResult is empty for a slot that has its VM.
+type startResult struct {
+	vm  platform.VM
+	err error
+}
+
+func (f *fleetDuty) startAll(ctx context.Context, slots []slot) []startResult {
+	results := make([]startResult, len(slots))
+	var g errgroup.Group
+	g.SetLimit(orderParallelism)
+	for i, s := range slots {
 		if s.VM != "" {
 			continue
 		}
-		gone, err := f.startOne(ctx, s)
-		if err != nil {
-			return err
-		}
-		if gone {
-			refused = append(refused, s.Token)
-		}
+		g.Go(func() error {
+			results[i].vm, results[i].err = f.start(ctx, s)
+			return nil
+		})
 	}
-	if len(refused) == 0 {
-		return nil
+	// The functions return no errors.
+	_ = g.Wait()
+	return results
+}
+
+// isOver tells that a start's token has no VM and never will: it was refused,
+// or the VM that it had started is gone again.
+func (f *fleetDuty) isOver(s *slot, err error) bool {
+	var refused *platform.StartRefusedError
+	if errors.As(err, &refused) {
+		f.driver.count("fleet.start_refused")
+		f.planner.Refused(f.holder.now(), s.Pool)
+		return true
 	}
-	f.ledger.dropSlots(refused)
-	return f.ledger.write(ctx)
+	var gone *platform.NotFoundError
+	return errors.As(err, &gone)
 }
 
-func (f *fleetDuty) startOne(ctx context.Context, s *slot) (refused bool, err error) {
+// endsRound tells that this daemon is not, or no longer, the one to give orders.
+func endsRound(err error) bool {
+	var notHeld *NotHeldError
+	var stale *platform.StaleFencingError
+	return errors.As(err, &notHeld) || errors.As(err, &stale)
+}
+
+func (f *fleetDuty) start(ctx context.Context, s slot) (platform.VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.driver.Timing.MaxOrder)
+	defer cancel()
 	token, ok := f.holder.permit(true)
 	if !ok {
-		return false, &NotHeldError{Responsibility: f.holder.name}
+		return platform.VM{}, &NotHeldError{Responsibility: f.holder.name}
 	}
 	vm, err := f.driver.Cloud.Start(ctx, platform.StartRequest{
 		Token: s.Token, Fencing: token, FailureDomain: s.Pool.FailureDomain, Class: s.Pool.Class, Service: f.service,
 	})
-	var no *platform.StartRefusedError
-	if errors.As(err, &no) {
-		f.driver.count("fleet.start_refused")
-		f.planner.Refused(f.holder.now(), s.Pool)
-		return true, nil
-	}
 	if err != nil {
-		return false, fmt.Errorf("start VM: %w", err)
+		return platform.VM{}, fmt.Errorf("start VM: %w", err)
 	}
 	f.driver.count("fleet.started")
-	f.planner.Started(s.Pool)
-	s.VM = vm.ID
 	klog.InfoS("VM started", "service", f.service, "vm", vm.ID, "failureDomain", vm.FailureDomain, "class", vm.Class)
-	return false, nil
+	return vm, nil
 }
 
 // finishStops makes every planned stop a graceful shutdown: the runner is
 // announced as leaving to all daemons first, and stopped when its grace is over.
 func (f *fleetDuty) finishStops(ctx context.Context, listed map[string]platform.VM) error {
-	now := time.Now().UnixMilli()
-	for i := range f.ledger.state.Stops {
-		s := &f.ledger.state.Stops[i]
-		if _, ok := listed[s.VM]; !ok || s.Dispatched {
-			continue
-		}
-		f.driver.Directory.NoteLeaving(s.Address, time.Duration(max(s.DueUnixMS-now, 0))*time.Millisecond)
-		if now < s.DueUnixMS {
+	for _, s := range f.tenure.ledger.state.Stops {
+		if _, ok := listed[s.VM]; !ok || f.tenure.stopped[s.VM] || !f.announce(s) {
 			continue
 		}
-		token, ok := f.holder.permit(true)
-		if !ok {
-			return &NotHeldError{Responsibility: f.holder.name}
+		err := f.stop(ctx, s)
+		if endsRound(err) {
+			return err
 		}
-		if err := f.driver.Cloud.Stop(ctx, s.VM, token); err != nil {
-			return fmt.Errorf("stop VM %s: %w", s.VM, err)
+		if err != nil {
+			f.driver.failed(f.holder.name, err)
+			continue
 		}
-		f.driver.count("fleet.stopped")
-		s.Dispatched = true
+		f.tenure.stopped[s.VM] = true
+	}
+	return nil
+}
+
+// announce tells all daemons that the VM leaves, and reports whether its grace
+// is over.
+func (f *fleetDuty) announce(s stop) bool {
+	now := f.holder.now()
+	if _, ok := f.tenure.due[s.VM]; !ok {
+		f.tenure.due[s.VM] = now + f.driver.StopGrace
+		klog.InfoS("VM is going to be stopped", "service", f.service, "vm", s.VM, "grace", f.driver.StopGrace)
+	}
+	left := f.tenure.due[s.VM] - now
+	f.driver.Directory.NoteLeaving(s.Address, max(left, 0))
+	return left <= 0
+}
+
+func (f *fleetDuty) stop(ctx context.Context, s stop) error {
+	ctx, cancel := context.WithTimeout(ctx, f.driver.Timing.MaxOrder)
+	defer cancel()
+	token, ok := f.holder.permit(true)
+	if !ok {
+		return &NotHeldError{Responsibility: f.holder.name}
+	}
+	err := f.driver.Cloud.Stop(ctx, s.VM, token)
+	var gone *platform.NotFoundError
+	if err != nil && !errors.As(err, &gone) {
+		return fmt.Errorf("stop VM %s: %w", s.VM, err)
 	}
+	f.driver.count("fleet.stopped")
 	return nil
 }
--- a/daemon/orders/holder.go
+++ b/daemon/orders/holder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -26,6 +25,8 @@
 	store  kv.Store
 	timing lease.Timing
 	start  time.Time
+	// count adds one to a counter.
+	count func(name string)
 
 	mu      sync.Mutex
 	machine *lease.Machine
@@ -55,35 +56,48 @@
 	return h.machine.Token()
 }
 
-func (h *holder) tick(ctx context.Context, candidate bool) {
+// idle tells that nothing is held and no call is under way.
+func (h *holder) idle() bool {
 	h.mu.Lock()
-	effects := h.machine.Tick(h.now(), candidate)
-	h.mu.Unlock()
-	h.perform(ctx, effects)
+	defer h.mu.Unlock()
+	return h.machine.State() == lease.Idle || h.machine.State() == lease.Stopped
+}
+
+func (h *holder) tick(ctx context.Context, candidate bool) {
+	h.perform(ctx, h.step(func(now time.Duration) []lease.Effect { return h.machine.Tick(now, candidate) }))
 }
 
 func (h *holder) stop(ctx context.Context) {
-	h.mu.Lock()
-	effects := h.machine.Stop(h.now())
-	h.mu.Unlock()
-	h.perform(ctx, effects)
+	h.perform(ctx, h.step(h.machine.Stop))
 }
 
 func (h *holder) perform(ctx context.Context, effects []lease.Effect) {
 	for len(effects) > 0 {
-		effect := effects[0]
-		result := h.call(ctx, effect)
-		h.mu.Lock()
-		before := h.machine.State()
-		effects = append(effects[1:], h.machine.Step(h.now(), result)...)
-		after := h.machine.State()
-		h.mu.Unlock()
-		if before != after {
-			klog.V(2).InfoS("Lease changed", "responsibility", h.name, "holding", after == lease.Holding)
-		}
+		result := h.call(ctx, effects[0])
+		more := h.step(func(now time.Duration) []lease.Effect { return h.machine.Step(now, result) })
+		effects = append(effects[1:], more...)
 	}
 }
 
+// step runs one step of the machine and tells of a tenure's begin or end.
+func (h *holder) step(f func(now time.Duration) []lease.Effect) []lease.Effect {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before := h.machine.State() == lease.Holding
+	effects := f(h.now())
+	after := h.machine.State() == lease.Holding
+	if before == after {
+		return effects
+	}
+	change := "ended"
+	if after {
+		change = "acquired"
+	}
+	h.count("orders.lease_" + change)
+	klog.V(1).InfoS("Lease "+change, "responsibility", h.name, "token", h.machine.Token())
+	return effects
+}
+
 // call bounds each call to the service: a call that hangs would keep the
 // machine from renewing, and its lease would lapse for nothing.
 func (h *holder) call(ctx context.Context, e lease.Effect) lease.Result {
@@ -125,11 +139,3 @@
 	}
 	return lease.Lost
 }
-
-// NotHeldError says that an order was not sent since its lease no longer
-// allows one.
-type NotHeldError struct{ Responsibility string }
-
-func (e *NotHeldError) Error() string {
-	return fmt.Sprintf("responsibility %s is not held", e.Responsibility)
-}
--- a/daemon/orders/ledger.go
+++ b/daemon/orders/ledger.go
@@ -1,11 +1,11 @@
 package orders
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"slices"
-	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/fleet"
 	"geraniumstack.org/geraniumstack/transport/kv"
@@ -19,16 +19,15 @@
 	Token string     `json:"token"`
 	Pool  fleet.Pool `json:"pool"`
 	// VM is the cloud's answer; empty until it is known.
-	VM          string `json:"vm,omitempty"`
-	AddedUnixMS int64  `json:"added_unix_ms"`
+	VM string `json:"vm,omitempty"`
 }
 
-// stop is a graceful stop in progress.
+// stop is a graceful stop in progress. Its grace is not written down: a new
+// holder can't know whether the last one announced the stop before it died, and
+// gives the whole grace again.
 type stop struct {
-	VM         string `json:"vm"`
-	Address    string `json:"address"`
-	DueUnixMS  int64  `json:"due_unix_ms"`
-	Dispatched bool   `json:"dispatched,omitempty"`
+	VM      string `json:"vm"`
+	Address string `json:"address"`
 }
 
 // ledgerState is the value in the key-value service.
@@ -47,6 +46,8 @@
 	key      string
 	state    ledgerState
 	revision kv.Revision
+	// written is the value at revision.
+	written []byte
 }
 
 // LedgerLostError says that another holder has written the ledger, or that it
@@ -75,32 +76,34 @@
 		return nil, &LedgerLostError{Err: &NotHeldError{Responsibility: l.key}}
 	}
 	l.state.Holder = held
-	return l, l.write(ctx)
+	return l, l.save(ctx)
 }
 
-func (l *ledger) write(ctx context.Context) error {
+// save writes the ledger if it has changed.
+func (l *ledger) save(ctx context.Context) error {
 	data, err := json.Marshal(l.state)
 	if err != nil {
 		return fmt.Errorf("marshal ledger: %w", err)
 	}
+	if bytes.Equal(data, l.written) {
+		return nil
+	}
 	revision, err := l.store.CompareAndSwap(ctx, l.key, l.revision, data, 0)
 	if err != nil {
 		return &LedgerLostError{Err: err}
 	}
 	l.revision = revision
+	l.written = data
 	return nil
 }
 
-func (l *ledger) addSlots(ctx context.Context, starts []fleet.Start, now time.Time) error {
-	if len(starts) == 0 {
-		return nil
-	}
+func (l *ledger) addSlots(starts []fleet.Start) {
 	for i, s := range starts {
-		// Unique for all time: a revision is never given twice.
+		// Unique for all time: a revision is never given twice, and the ledger
+		// is saved at a new one before the next slots are added.
 		token := fmt.Sprintf("%s/%d/%d", l.key, l.revision, i)
-		l.state.Slots = append(l.state.Slots, slot{Token: token, Pool: s.Pool, AddedUnixMS: now.UnixMilli()})
+		l.state.Slots = append(l.state.Slots, slot{Token: token, Pool: s.Pool})
 	}
-	return l.write(ctx)
 }
 
 func (l *ledger) dropSlots(tokens []string) {
--- a/daemon/orders/orders.go
+++ b/daemon/orders/orders.go
@@ -12,13 +12,12 @@
 
 import (
 	"context"
-	"fmt"
-	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/lease"
 	"geraniumstack.org/geraniumstack/coordination/view"
@@ -54,12 +53,9 @@
 	StopGrace time.Duration
 }
 
-// Bounds of the work of one responsibility.
-const (
-	runnersPerShard       = 64
-	candidatesPerResponse = 3
-	reportParallelism     = 8
-)
+// roundLimit bounds one round of a duty, so that one call that hangs does not
+// keep the others of the next round waiting.
+const roundLimit = 10 * time.Second
 
 // duty is the work of one responsibility, done while its lease is held.
 type duty interface {
@@ -67,17 +63,15 @@
 	run(ctx context.Context, m *manifest.Manifest, held uint64) error
 }
 
-type responsibility struct {
-	holder *holder
-	duty   duty
-	next   time.Time
-}
-
 // Driver holds responsibilities and gives orders. Run it once.
 type Driver struct {
 	Config
 	start time.Time
 	held  map[string]*responsibility
+	// generation and directoryChanged tell when candidacies are to be worked
+	// out again.
+	generation       ident.Generation
+	directoryChanged <-chan struct{}
 }
 
 // New makes a driver that holds nothing.
@@ -88,127 +82,164 @@
 // Run competes for responsibilities and does their work until ctx ends; then it
 // gives them back at once.
 func (d *Driver) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			d.release()
 			return nil
 		case <-ticker.C:
-			d.round(ctx)
+			d.refresh(ctx, &running)
 		}
 	}
 }
 
-func (d *Driver) release() {
-	// ctx is over; the leases are still to be given back, briefly.
-	ctx, cancel := context.WithTimeout(context.Background(), d.Timing.Retry)
-	defer cancel()
-	d.each(func(r *responsibility) { r.holder.stop(ctx) })
-}
-
-func (d *Driver) each(f func(*responsibility)) {
-	var g errgroup.Group
-	for _, r := range d.held {
-		g.Go(func() error {
-			f(r)
-			return nil
-		})
-	}
-	// The functions return no errors.
-	_ = g.Wait()
-}
-
-func (d *Driver) round(ctx context.Context) {
-	m, _ := d.Configuration.Current()
+// refresh starts what this daemon newly stands for and gives back the rest,
+// also what the manifest no longer has.
+func (d *Driver) refresh(ctx context.Context, running *sync.WaitGroup) {
+	m, generation := d.Configuration.Current()
 	if m == nil {
 		return
 	}
-	wanted := d.responsibilities(m)
-	d.each(func(r *responsibility) {
-		r.holder.tick(ctx, wanted[r.holder.name])
-		d.work(ctx, m, r)
-	})
-}
-
-// responsibilities makes holders for what the manifest needs and tells which
-// of them this daemon should stand for.
-func (d *Driver) responsibilities(m *manifest.Manifest) map[string]bool {
-	wanted := map[string]bool{}
-	for i := range m.Services {
-		s := &m.Services[i]
-		d.ensure(wanted, "fleet/"+s.Name, func(h *holder) duty { return newFleetDuty(d, s.Name, h) })
-		if s.Kind != manifest.KindModel {
-			continue
-		}
-		// The number of shards is part of the name: when it changes, all shards
-		// are acquired anew, and a runner that moves to another shard never
-		// sees that shard's older, lower fencing token.
-		shards := (s.Runners + runnersPerShard - 1) / runnersPerShard
-		for shard := range shards {
-			name := fmt.Sprintf("rollout/%s/%d/%d", s.Name, shards, shard)
-			d.ensure(wanted, name, func(h *holder) duty { return newRolloutDuty(d, s.Name, shards, shard, h) })
+	removed := d.removeDone()
+	if !d.outdated(generation) && !removed {
+		return
+	}
+	wanted := d.candidacies(m)
+	for name, r := range d.held {
+		_, ok := wanted[name]
+		r.candidate.Store(ok)
+	}
+	for name, newDuty := range wanted {
+		if d.held[name] == nil {
+			d.begin(ctx, running, name, newDuty)
 		}
 	}
-	return wanted
 }
 
-func (d *Driver) ensure(wanted map[string]bool, name string, make func(*holder) duty) {
-	wanted[name] = d.isCandidate(name)
-	if _, ok := d.held[name]; ok || !wanted[name] {
-		return
-	}
+func (d *Driver) begin(ctx context.Context, running *sync.WaitGroup, name string, newDuty func(*holder) duty) {
 	h := newHolder(name, string(d.Self), d.Store, d.Timing, d.start)
-	d.held[name] = &responsibility{holder: h, duty: make(h)}
+	h.count = d.count
+	r := &responsibility{driver: d, holder: h, duty: newDuty(h), done: make(chan struct{})}
+	r.candidate.Store(true)
+	d.held[name] = r
+	running.Go(func() { r.run(ctx) })
 }
 
-// isCandidate keeps the number of calls for one responsibility the same however
-// many daemons there are: only the first few by rendezvous hash stand for it.
-func (d *Driver) isCandidate(name string) bool {
-	self := d.Directory.Self()
-	if self.State == view.Leaving {
+func (d *Driver) removeDone() bool {
+	removed := false
+	for name, r := range d.held {
+		select {
+		case <-r.done:
+			delete(d.held, name)
+			removed = true
+		default:
+		}
+	}
+	return removed
+}
+
+// outdated tells whether the configuration or the directory has changed since
+// candidacies were worked out. Doing so each time would cost a large fleet's
+// daemon more than all its orders.
+func (d *Driver) outdated(generation ident.Generation) bool {
+	changed := d.directoryChanged == nil || generation != d.generation
+	select {
+	case <-d.directoryChanged:
+		changed = true
+	default:
+	}
+	if !changed {
 		return false
 	}
-	own := candidacy(name, self.ID)
-	before := 0
-	for _, other := range d.Directory.Daemons() {
-		if other.State == view.Live && candidacy(name, other.ID) > own {
-			before++
+	d.generation = generation
+	// Asked for before the lists are read: a change in between shows next time.
+	d.directoryChanged = d.Directory.Changed()
+	return true
+}
+
+func (d *Driver) count(name string) {
+	metrics.GetOrRegisterCounter(name, d.Metrics).Inc(1)
+}
+
+// failed counts a failure that the next round mends.
+func (d *Driver) failed(responsibility string, err error) {
+	d.count("orders.failed." + failureName(err))
+	klog.V(1).InfoS("Orders failed", "responsibility", responsibility, "err", err)
+}
+
+// responsibility is one that this daemon stands for. Its lease is renewed apart
+// from its work, so that slow work can't lose the lease.
+type responsibility struct {
+	driver    *Driver
+	holder    *holder
+	duty      duty
+	candidate atomic.Bool
+	// done is closed when it has been given back.
+	done chan struct{}
+}
+
+func (r *responsibility) run(ctx context.Context) {
+	defer close(r.done)
+	work, stopWork := context.WithCancel(ctx)
+	defer stopWork()
+	var working sync.WaitGroup
+	working.Go(func() { r.work(work) })
+	r.hold(ctx)
+	stopWork()
+	working.Wait()
+	r.release()
+}
+
+// hold keeps the lease until ctx ends or the responsibility is given back.
+func (r *responsibility) hold(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		candidate := r.candidate.Load()
+		r.holder.tick(ctx, candidate)
+		if !candidate && r.holder.idle() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
 		}
 	}
-	return before < candidatesPerResponse
 }
 
-func candidacy(name string, id ident.DaemonID) uint64 {
-	return xxhash.Sum64String(name + "\x00" + string(id))
+// release gives the lease back when no order can be under way any more.
+func (r *responsibility) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), r.driver.Timing.Retry)
+	defer cancel()
+	r.holder.stop(ctx)
 }
 
-func (d *Driver) work(ctx context.Context, m *manifest.Manifest, r *responsibility) {
+func (r *responsibility) work(ctx context.Context) {
+	ticker := time.NewTicker(r.driver.Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.round(ctx)
+		}
+	}
+}
+
+func (r *responsibility) round(ctx context.Context) {
+	m, _ := r.driver.Configuration.Current()
 	held := r.holder.token()
-	if held == 0 || time.Now().Before(r.next) {
+	if m == nil || held == 0 {
 		return
 	}
-	r.next = time.Now().Add(d.Every)
-	// A round must not hold up the renewal of its own lease.
-	ctx, cancel := context.WithTimeout(ctx, d.Timing.Renew)
+	ctx, cancel := context.WithTimeout(ctx, roundLimit)
 	defer cancel()
 	if err := r.duty.run(ctx, m, held); err != nil {
-		d.count("orders.failed." + failureName(err))
+		r.driver.failed(r.holder.name, err)
 	}
 }
-
-func (d *Driver) count(name string) {
-	metrics.GetOrRegisterCounter(name, d.Metrics).Inc(1)
-}
-
-func sortedRunners(list []view.Runner) []view.Runner {
-	out := slices.Clone(list)
-	slices.SortFunc(out, func(a, b view.Runner) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
--- a/daemon/orders/rollout.go
+++ b/daemon/orders/rollout.go
@@ -7,10 +7,10 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
-	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/rollout"
 	"geraniumstack.org/geraniumstack/coordination/view"
@@ -20,6 +20,11 @@
 	"geraniumstack.org/geraniumstack/transport/platform"
 )
 
+const (
+	reportParallelism = 8
+	orderParallelism  = 8
+)
+
 // rolloutDuty brings one shard of a service's runners to the manifest.
 type rolloutDuty struct {
 	driver        *Driver
@@ -43,12 +48,17 @@
 		r.tenure = held
 		r.planner = rollout.New(rollout.DefaultLimits())
 	}
+	// Without a permit the orders would only be planned to be dropped, and the
+	// runners polled for nothing.
+	if _, ok := r.holder.permit(service.ChecksFencing); !ok {
+		r.driver.count("orders.waiting")
+		return nil
+	}
 	addresses, reports := r.reports(ctx)
 	orders := r.planner.Plan(r.holder.now(), modelsOf(m, r.service), reports)
-	for _, o := range orders {
-		if err := r.give(ctx, service.ChecksFencing, addresses[o.Runner], o); err != nil {
-			return err
-		}
+	results := r.giveAll(ctx, service.ChecksFencing, addresses, orders)
+	for i, o := range orders {
+		r.learn(o, results[i])
 	}
 	return nil
 }
@@ -80,9 +90,8 @@
 			continue
 		}
 		g.Go(func() error {
-			load, err := r.driver.Engines.Load(ctx, runner.Address)
-			if err != nil {
-				r.driver.count("orders.report_failed")
+			load, ok := r.report(ctx, runner)
+			if !ok {
 				return nil
 			}
 			mu.Lock()
@@ -98,6 +107,23 @@
 	return addresses, out
 }
 
+// report asks one runner. One that says itself that it is leaving is passed on
+// to the directory, which may not know yet.
+func (r *rolloutDuty) report(ctx context.Context, runner view.Runner) (engineapi.Load, bool) {
+	ctx, cancel := context.WithTimeout(ctx, r.driver.Timing.MaxOrder)
+	defer cancel()
+	load, err := r.driver.Engines.Load(ctx, runner.Address)
+	if err != nil {
+		r.driver.count("orders.report_failed")
+		return load, false
+	}
+	if load.Leaving {
+		r.driver.Directory.NoteLeaving(runner.Address, time.Duration(load.DeadlineMillis)*time.Millisecond)
+		return load, false
+	}
+	return load, true
+}
+
 func reportOf(id ident.RunnerID, load engineapi.Load) rollout.Runner {
 	report := rollout.Runner{ID: id}
 	for _, l := range load.Models {
@@ -106,31 +132,71 @@
 	return report
 }
 
-// give sends one order if the lease still allows it. The check comes last
-// before sending; see package lease for what a pause after it does.
+// giveAll sends orders side by side: a runner that hangs must not hold up the
+// others. The results are in the orders' sequence.
+func (r *rolloutDuty) giveAll(ctx context.Context, checked bool, addresses map[ident.RunnerID]string, orders []rollout.Order) []error {
+	results := make([]error, len(orders))
+	var g errgroup.Group
+	g.SetLimit(orderParallelism)
+	for i, o := range orders {
+		g.Go(func() error {
+			results[i] = r.give(ctx, checked, addresses[o.Runner], o)
+			return nil
+		})
+	}
+	// The functions return no errors.
+	_ = g.Wait()
+	return results
+}
+
+// give sends one order if the lease still allows it and the runner is not
+// leaving. The lease comes last before sending; see package lease for what a
+// pause after it does.
 func (r *rolloutDuty) give(ctx context.Context, checked bool, address string, o rollout.Order) error {
 	if err := r.weightsThere(ctx, o); err != nil {
-		r.planner.Failed(r.holder.now(), o)
 		return err
 	}
+	if !r.live(o.Runner) {
+		return &LeavingError{Runner: o.Runner}
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.driver.Timing.MaxOrder)
 	defer cancel()
 	token, ok := r.holder.permit(checked)
 	if !ok {
-		r.driver.count("orders.not_held")
 		return &NotHeldError{Responsibility: r.holder.name}
 	}
-	err := r.driver.Engines.Order(ctx, address, engineOrder(o, token))
-	if err != nil {
-		r.driver.count("orders.refused")
-		r.planner.Failed(r.holder.now(), o)
-		klog.InfoS("Order failed", "runner", o.Runner, "model", o.Model, "version", o.Version, "err", err)
-		return nil
+	if err := r.driver.Engines.Order(ctx, address, engineOrder(o, token)); err != nil {
+		return &RefusedError{Order: o, Err: err}
 	}
-	r.driver.count("orders.given")
 	return nil
 }
 
+func (r *rolloutDuty) live(id ident.RunnerID) bool {
+	return slices.ContainsFunc(r.driver.Directory.Runners(r.service), func(runner view.Runner) bool {
+		return runner.ID == id && runner.State == view.Live
+	})
+}
+
+// learn tells the planner how an order ended.
+func (r *rolloutDuty) learn(o rollout.Order, err error) {
+	now := r.holder.now()
+	if err == nil {
+		r.driver.count("orders.given")
+		return
+	}
+	r.driver.failed(r.holder.name, err)
+	var limited *platform.RateLimitedError
+	var notHeld *NotHeldError
+	switch {
+	case errors.As(err, &limited):
+		r.planner.Defer(now, o, limited.RetryAfter)
+	case errors.As(err, &notHeld):
+		r.planner.Defer(now, o, 0)
+	default:
+		r.planner.Failed(now, o)
+	}
+}
+
 // weightsThere keeps a version that does not exist from being ordered, and a
 // load from being ordered while the weight store asks for a pause.
 func (r *rolloutDuty) weightsThere(ctx context.Context, o rollout.Order) error {
@@ -139,7 +205,7 @@
 	}
 	name, version := o.Model, o.Version
 	if o.Adapter != "" {
-		name, version, _ = strings.Cut(o.Adapter, "@")
+		name, version = rollout.SplitAdapterID(o.Adapter)
 	}
 	if _, err := r.driver.Weights.Stat(ctx, name, version); err != nil {
 		return fmt.Errorf("weights of %s version %s: %w", name, version, err)
@@ -154,21 +220,3 @@
 	}
 	return engineapi.Order{Kind: kind, Fencing: token, Model: o.Model, Version: o.Version, Adapter: o.Adapter}
 }
-
-func failureName(err error) string {
-	var notHeld *NotHeldError
-	var missing *platform.NotFoundError
-	var limited *platform.RateLimitedError
-	var lost *LedgerLostError
-	switch {
-	case errors.As(err, &notHeld):
-		return "not_held"
-	case errors.As(err, &missing):
-		return "weights_missing"
-	case errors.As(err, &limited):
-		return "weights_rate_limited"
-	case errors.As(err, &lost):
-		return "ledger_lost"
-	}
-	return "platform"
-}
