Test fleet and rollout duties in virtual time

Change: lost answers of starts, death and pause of the holder around a start, a VM gone before its answer, refused starts in a wave, planned stops with death before the announcement, shared cost bound; rolling update, canary, missing weights, leaving runner.

Conclusion: never a VM more than wanted; each stopped VM had its whole grace.

--- a/daemon/orders/world_test.go
+++ b/daemon/orders/world_test.go
@@ -413,7 +413,11 @@
 	if err := s.p.pass("swap"); err != nil {
 		return 0, err
 	}
-	return s.Store.CompareAndSwap(ctx, key, expected, value, id)
+	revision, err := s.Store.CompareAndSwap(ctx, key, expected, value, id)
+	if lost := s.p.pass("swapped"); lost != nil {
+		return 0, lost
+	}
+	return revision, err
 }
 
 func (s store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
