--- a/ctl/demo.go
+++ b/ctl/demo.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/google/subcommands"
+	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/daemon"
 	"geraniumstack.org/geraniumstack/demo"
@@ -17,6 +18,7 @@
 	common
 	fleet string
 	seed  uint64
+	logs  bool
 }
 
 func (*demoCmd) Name() string { return "demo" }
@@ -30,9 +32,14 @@
 	p.setFlags(f)
 	f.StringVar(&p.fleet, "fleet", demo.Fleets[0], "fleet: "+strings.Join(demo.Fleets, " or "))
 	f.Uint64Var(&p.seed, "seed", 1, "seed of the load")
+	f.BoolVar(&p.logs, "logs", false, "show the gateways' logs")
 }
 
 func (p *demoCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !p.logs {
+		klog.LogToStderr(false)
+		klog.SetOutput(io.Discard)
+	}
 	summary, err := demo.Run(ctx, demo.Options{Fleet: p.fleet, Seed: p.seed, Progress: p.errs, Network: daemon.TCP{}})
 	if err != nil {
 		return p.fail(err)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -245,11 +245,11 @@
 	return out
 }
 
-// runTwice leaves out calls without a key, which may be repeated.
+// runTwice leaves out calls that are no actions and may be repeated.
 func runTwice(counts map[string]int) int {
 	twice := 0
 	for action, n := range counts {
-		if n > 1 && action != "" && !strings.HasSuffix(action, "/") {
+		if n > 1 && action != "" {
 			twice++
 		}
 	}
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -193,7 +193,9 @@
 		}
 	}
 	req.GetBody = nil
-	req.Header.Set(HeaderAction, string(id.Workspace)+"/"+id.Key)
+	if id.Key != "" {
+		req.Header.Set(HeaderAction, string(id.Workspace)+"/"+id.Key)
+	}
 	return req, nil
 }
 
