--- a/caller/action.go
+++ b/caller/action.go
@@ -64,7 +64,8 @@
 }
 
 // again tells whether the same call may and should be sent again. A key that
-// its owner refused with executed "no" stays refused, so it is not.
+// was refused with executed "no" stays refused, since its owner keeps that
+// answer, so only calls without a key are repeated after a refusal.
 func (c *Client) again(call Call, err error) bool {
 	var refused *RefusedError
 	if !errors.As(err, &refused) {
@@ -73,9 +74,8 @@
 	}
 	if goesElsewhere(refused) {
 		c.forget()
-		return true
 	}
-	return call.Key == "" && refused.Executed == refusal.ExecutedNo && refused.RetryAfterMillis > 0
+	return call.Key == "" && Renewable(err)
 }
 
 // Act runs a call that may not be repeated, under a key of its own. Where the
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -22,11 +22,14 @@
 				is := is.New(t)
 				s, err := demo.Run(t.Context(), demo.Options{Fleet: fleet, Seed: 1, Progress: io.Discard, Network: pipe.NewNetwork()})
 				is.NoErr(err)
+				for text, n := range s.Errors {
+					t.Errorf("%d callers got %s", n, text)
+				}
 				is.Equal(s.LostAccepted, 0)
 				is.Equal(s.AnswersMixed, 0)
 				is.Equal(s.ActionsRunTwice, 0)
 				is.Equal(s.FalseNotRun, 0)
-				is.Equal(len(s.Errors), 0)
+				is.Equal(s.Errors, map[string]int{})
 				is.True(s.AnsweredWhole > 900)
 				is.True(s.PromisesKept)
 			})
