--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -81,10 +81,14 @@
 		return Choice{}, err
 	}
 	t.match(r)
-	candidates := t.bound(t.sample(eligible))
+	byRisk := r.Long && !t.cfg.IgnoreRisk
+	if !byRisk {
+		eligible = t.sample(eligible)
+	}
+	candidates := t.bound(eligible)
 	var estimates [MaxRunners]float64
 	best := t.fastest(candidates, r, &estimates)
-	if r.Long && !t.cfg.IgnoreRisk {
+	if byRisk {
 		best = t.safest(candidates, r, &estimates, estimates[best]+r.Slack.Seconds())
 	}
 	return t.choice(best, r, estimates[best]), nil
@@ -150,7 +154,8 @@
 
 // sample keeps the runners with the longest cached prefix and a few random
 // ones. Were all gateways to take the best of all by the same lagging reports,
-// they would all send to the same runner until its next report.
+// they would all send to the same runner until its next report. Long work is
+// rarer, has slack, and must not miss the safe runners: it looks at all.
 func (t *Table) sample(from prefix.Set) prefix.Set {
 	if t.cfg.Samples <= 0 || from.Len() <= t.cfg.Samples {
 		return from
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -60,7 +60,7 @@
 	return Config{
 		Self:           self,
 		FailureDomain:  domain,
-		Samples:        4,
+		Samples:        2,
 		LoadBound:      2,
 		RemotePenalty:  4 * time.Millisecond,
 		PriceWeight:    0.005,
