--- a/bench/overload/gateway.go
+++ b/bench/overload/gateway.go
@@ -127,6 +127,9 @@
 	}
 }
 
+// slackShare is as in package dispatch.
+const slackShare = 4
+
 func (g *gateway) request(r *request) routing.Request {
 	long := r.kind.class != urgent
 	return routing.Request{
@@ -135,6 +138,7 @@
 		PromptTokens: r.promptTokens(),
 		OutputTokens: r.output,
 		Long:         long,
+		Slack:        time.Duration(classNamed(r.kind.class).TTFTMillis) * time.Millisecond / slackShare,
 	}
 }
 
--- a/bench/overload/run.go
+++ b/bench/overload/run.go
@@ -7,6 +7,7 @@
 
 	"geraniumstack.org/geraniumstack/protocol/admission"
 	"geraniumstack.org/geraniumstack/standin/engine"
+	"geraniumstack.org/geraniumstack/state/manifest"
 )
 
 // Sizes of the run.
@@ -179,7 +180,7 @@
 	q.engine = r.gateways[q.gateway].pick(r.now, q)
 	priority := 0
 	if r.arm.priorities {
-		priority = priorityOf(q.kind.class)
+		priority = classNamed(q.kind.class).Priority
 	}
 	attempt := engine.Attempt{
 		RequestID:    strconv.Itoa(q.id),
@@ -196,11 +197,11 @@
 	}
 }
 
-func priorityOf(class string) int {
-	for i := range classes {
-		if classes[i].Name == class {
-			return classes[i].Priority
+func classNamed(name string) manifest.Class {
+	for _, c := range classes {
+		if c.Name == name {
+			return c
 		}
 	}
-	return 0
+	return manifest.Class{}
 }
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -81,16 +81,15 @@
 		return Choice{}, err
 	}
 	t.match(r)
-	byRisk := r.Long && !t.cfg.IgnoreRisk
-	if !byRisk {
-		eligible = t.sample(eligible)
+	var estimates [MaxRunners]float64
+	if !r.Long || t.cfg.IgnoreRisk {
+		best := t.fastest(t.bound(t.sample(eligible)), r, &estimates)
+		return t.choice(best, r, estimates[best]), nil
 	}
 	candidates := t.bound(eligible)
-	var estimates [MaxRunners]float64
 	best := t.fastest(candidates, r, &estimates)
-	if byRisk {
-		best = t.safest(candidates, r, &estimates, estimates[best]+r.Slack.Seconds())
-	}
+	safe := t.safest(candidates, r, &estimates, estimates[best]+r.Slack.Seconds())
+	best = t.fastest(t.sample(safe), r, &estimates)
 	return t.choice(best, r, estimates[best]), nil
 }
 
@@ -154,8 +153,7 @@
 
 // sample keeps the runners with the longest cached prefix and a few random
 // ones. Were all gateways to take the best of all by the same lagging reports,
-// they would all send to the same runner until its next report. Long work is
-// rarer, has slack, and must not miss the safe runners: it looks at all.
+// they would all send to the same runner until its next report.
 func (t *Table) sample(from prefix.Set) prefix.Set {
 	if t.cfg.Samples <= 0 || from.Len() <= t.cfg.Samples {
 		return from
@@ -240,31 +238,34 @@
 	return max(1, r.PromptTokens-t.cachedBlocks(i)*prefix.BlockTokens)
 }
 
-// safest returns the candidate with the least expected cost of a reclaim and
-// of its price among those whose estimate is within the limit.
-func (t *Table) safest(candidates prefix.Set, r *Request, estimates *[MaxRunners]float64, limit float64) int {
-	best, bestCost := -1, math.Inf(1)
+// equalRisk is the difference in risk that is none.
+const equalRisk = 0.0005
+
+// safest returns the candidates with the least risk among those whose estimate
+// is within the limit.
+func (t *Table) safest(candidates prefix.Set, r *Request, estimates *[MaxRunners]float64, limit float64) prefix.Set {
+	var risks [MaxRunners]float64
+	least := math.Inf(1)
 	for s := candidates; s != 0; s &= s - 1 {
 		i := s.First()
-		if estimates[i] > limit {
-			continue
+		risks[i] = math.Inf(1)
+		if estimates[i] <= limit {
+			risks[i] = t.risk(i, r)
 		}
-		cost := t.risk(i, r)
-		if cost < bestCost || cost == bestCost && estimates[i] < estimates[best] {
-			best, bestCost = i, cost
+		least = min(least, risks[i])
+	}
+	var safe prefix.Set
+	for s := candidates; s != 0; s &= s - 1 {
+		if i := s.First(); risks[i] <= least+equalRisk {
+			safe = safe.With(i)
 		}
 	}
-	return best
+	return safe
 }
 
 // risk is the probability of a reclaim while the request runs, plus the price
 // in the same unit.
 func (t *Table) risk(i int, r *Request) float64 {
-	s := &t.slots[i]
-	seconds := float64(r.OutputTokens) / s.decode
-	risk := s.hazard * seconds
-	if t.maxPrice > 0 {
-		risk += t.cfg.PriceWeight * s.runner.PricePerHour / t.maxPrice
-	}
-	return risk
+	s := &t.scores[i]
+	return s.hazard*float64(r.OutputTokens) + s.price
 }
--- a/coordination/routing/score.go
+++ b/coordination/routing/score.go
@@ -46,6 +46,10 @@
 	// place is the seconds until a place in the batch is free.
 	place    float64
 	inFlight int
+	// hazard is the probability of a reclaim per output token, price the
+	// price's part of the risk.
+	hazard float64
+	price  float64
 }
 
 func (t *Table) sumSince(i int) {
@@ -86,6 +90,11 @@
 		c.free = s.free - s.sinceKV
 	}
 	c.place = t.placeWait(s, c.inFlight)
+	c.hazard = s.hazard / s.decode
+	c.price = 0
+	if t.maxPrice > 0 {
+		c.price = t.cfg.PriceWeight * s.runner.PricePerHour / t.maxPrice
+	}
 }
 
 // placeWait is the seconds until a request that comes now has a place in the
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -199,18 +199,21 @@
 // refresh derives from the slots what choices read.
 func (t *Table) refresh(now time.Time) {
 	t.live, t.suspect, t.maxPrice = 0, 0, 0
+	for u := t.used; u != 0; u &= u - 1 {
+		t.maxPrice = max(t.maxPrice, t.slots[u.First()].runner.PricePerHour)
+	}
 	for u := t.used; u != 0; u &= u - 1 {
 		i := u.First()
 		s := &t.slots[i]
-		t.maxPrice = max(t.maxPrice, s.runner.PricePerHour)
 		s.hazard = 0
 		if s.runner.Reclaimable {
 			s.hazard = t.hazard.PerHour(now, s.runner.FailureDomain, s.runner.VMClass) / time.Hour.Seconds()
 		}
-		switch {
-		case s.runner.State == view.Live:
+		t.rescore(i)
+		switch s.runner.State {
+		case view.Live:
 			t.live = t.live.With(i)
-		case s.runner.State == view.Suspect:
+		case view.Suspect:
 			t.suspect = t.suspect.With(i)
 		}
 	}
