--- a/bench/enginemodel/engine_test.go
+++ b/bench/enginemodel/engine_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"geraniumstack.org/geraniumstack/bench/enginemodel"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 )
 
 // finish runs the engine until it is idle and returns the events by ID.
--- a/coordination/reclaim/plan_test.go
+++ b/coordination/reclaim/plan_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"geraniumstack.org/geraniumstack/coordination/reclaim"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
--- a/protocol/handoff/handoff_test.go
+++ b/protocol/handoff/handoff_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"geraniumstack.org/geraniumstack/coordination/view"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/protocol/handoff"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
