--- a/daemon/models/live.go
+++ b/daemon/models/live.go
@@ -48,6 +48,7 @@
 	machine  *request.Machine
 	changed  chan struct{}
 	timer    *time.Timer
+	wakes    time.Time // when timer fires; zero if it is not pending
 	attempts map[ident.AttemptID]*attempt
 	choices  map[ident.RunnerID]Choice
 	release  func()
@@ -191,11 +192,24 @@
 	l.changed = make(chan struct{})
 }
 
+// wakeAt lets a timer that fires earlier be: the machine takes a tick at any
+// time, and every token moves the wish a little further away.
 func (l *live) wakeAt(t time.Time) {
+	if !l.wakes.IsZero() && !l.wakes.After(t) {
+		return
+	}
 	if l.timer != nil {
 		l.timer.Stop()
 	}
-	l.timer = time.AfterFunc(time.Until(t), func() { l.step(request.Tick{}) })
+	l.wakes = t
+	l.timer = time.AfterFunc(time.Until(t), l.wake)
+}
+
+func (l *live) wake() {
+	l.mu.Lock()
+	l.wakes = time.Time{}
+	l.mu.Unlock()
+	l.step(request.Tick{})
 }
 
 func (l *live) job(p request.Pick) Job {
--- a/protocol/request/request.go
+++ b/protocol/request/request.go
@@ -157,10 +157,10 @@
 // Moving is where the KV cache is being moved; empty if it is not.
 func (m *Machine) Moving() ident.RunnerID { return m.target }
 
-// Step takes one input and returns what is to be done. Inputs after the final
-// answer have no effect.
+// Step takes one input and returns what is to be done; the slice is good until
+// the next call. Inputs after the final answer have no effect.
 func (m *Machine) Step(now time.Time, in Input) []Effect {
-	m.out = nil
+	m.out = m.out[:0]
 	if m.phase == over {
 		return nil
 	}
