Pass on the records that a draining keeper has of daemons that are gone

Cause: a keeper that drained before it had run a dead owner's requests took their records along; without a configuration it dropped them. Change: a draining daemon runs such requests at once and passes them on; without a configuration they stay records. Conclusion: an owner's death and its keeper's notice lose nothing.

--- a/daemon/models/drain.go
+++ b/daemon/models/drain.go
@@ -54,8 +54,11 @@
 
 func (e *DrainIncompleteError) Error() string { return "requests were not passed on in time" }
 
-// passOn starts the passing of what is due and returns what is left.
+// passOn starts the passing of what is due and returns what is left. Records of
+// owners that are no longer listed are passed on as well: they would end with
+// this daemon before the time after which it would run them.
 func (m *Models) passOn(ctx context.Context) int {
+	m.adoptOrphans(0)
 	daemons := m.c.Directory.Daemons()
 	m.mu.Lock()
 	for id, l := range m.live {
--- a/daemon/models/reclaim_test.go
+++ b/daemon/models/reclaim_test.go
@@ -208,3 +208,26 @@
 		}
 	})
 }
+
+// Bulletins would be lost to two events in a row: their gateway dies, and the
+// keeper of their records gets its notice before it has run them.
+func TestKeeperDrainsRightAfterTheOwnerDied(t *testing.T) {
+	bubble(t, 2, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second, third := c.start(0), c.start(1), c.start(2)
+		var requests []call.ModelRequest
+		for range 6 {
+			r := first.request("bulletin", 100)
+			is.NoErr(first.Submit(t.Context(), r))
+			requests = append(requests, r)
+		}
+		c.kill(first)
+		c.gone(first)
+		is.NoErr(second.Drain(t.Context()))
+		c.kill(second)
+		c.gone(second)
+		for _, r := range requests {
+			readAll(t, third, r, 0)
+		}
+	})
+}
--- a/daemon/models/records.go
+++ b/daemon/models/records.go
@@ -177,7 +177,7 @@
 // housekeep renews records, adopts orphans and forgets what is old.
 func (m *Models) housekeep() {
 	m.renew()
-	m.adoptOrphans()
+	m.adoptOrphans(m.c.Limits.OwnerGone)
 	m.forgetOld()
 }
 
@@ -219,13 +219,18 @@
 	m.mu.Unlock()
 }
 
-func (m *Models) adoptOrphans() {
+// adoptOrphans runs the requests whose owner has not been heard of for quiet.
+// Without a configuration they stay records.
+func (m *Models) adoptOrphans(quiet time.Duration) {
+	if conf, _ := m.c.Config.Current(); conf == nil {
+		return
+	}
 	listed := map[ident.Incarnation]bool{}
 	for _, d := range m.c.Directory.Daemons() {
 		listed[d.Incarnation] = true
 	}
 	m.mu.Lock()
-	orphans := m.keeper.Adopt(time.Now(), m.c.Self, m.c.Limits.OwnerGone, func(i ident.Incarnation) bool {
+	orphans := m.keeper.Adopt(time.Now(), m.c.Self, quiet, func(i ident.Incarnation) bool {
 		return listed[i]
 	})
 	m.mu.Unlock()
