Check histories of the gateways as they run

Cause: the histories of the pure machines leave out the daemon's own part: goroutines, forwarding, seals, drains.

Change: the recorder and checker move to internal/actionhistory; daemon/actions plays callers and faults against three real gateways in a bubble.

--- a/daemon/actions/harness_test.go
+++ b/daemon/actions/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -75,6 +76,7 @@
 
 	mu      sync.Mutex
 	daemons []view.Daemon
+	started []*node
 }
 
 // node is one incarnation of a gateway.
@@ -82,20 +84,34 @@
 	*actions.Service
 	metrics metrics.Registry
 	server  *http.Server
+	peers   *http.Client
 	cancel  context.CancelFunc
 	done    chan struct{}
+	ended   atomic.Bool
 }
 
 // inBubble runs a test with three gateways in virtual time.
 func inBubble(t *testing.T, test func(f *fleet)) {
+	t.Helper()
+	log := service.NewLog()
+	var runners []*service.Service
+	inBubbleWith(t, func(name string) http.Handler {
+		runners = append(runners, service.New(name, log))
+		return runners[len(runners)-1].Handler()
+	}, func(f *fleet) {
+		f.log, f.runners = log, runners
+		test(f)
+	})
+}
+
+func inBubbleWith(t *testing.T, runner func(name string) http.Handler, test func(f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{is: is.New(t), network: pipe.NewNetwork(), store: kvserver.New(), log: service.NewLog()}
+		f := &fleet{is: is.New(t), network: pipe.NewNetwork(), store: kvserver.New()}
 		var servers []*http.Server
 		for i := range 3 {
-			runner := service.New(fmt.Sprintf("r%d", i+1), f.log)
-			f.runners = append(f.runners, runner)
-			servers = append(servers, f.serve(fmt.Sprintf("casos-%d:80", i+1), runner.Handler()))
+			handler := runner(fmt.Sprintf("r%d", i+1))
+			servers = append(servers, f.serve(fmt.Sprintf("casos-%d:80", i+1), handler))
 		}
 		for i := range 3 {
 			f.nodes = append(f.nodes, f.start(i, 1))
@@ -108,6 +124,9 @@
 		for _, s := range servers {
 			_ = s.Close()
 		}
+		for _, n := range f.started {
+			n.peers.CloseIdleConnections() // silent ones would outlive the bubble
+		}
 	})
 }
 
@@ -131,14 +150,14 @@
 	}
 	cfg := dispatch.DefaultConfig()
 	cfg.Dial = f.network.Dial
-	n := &node{metrics: metrics.NewRegistry(), done: make(chan struct{})}
+	n := &node{metrics: metrics.NewRegistry(), done: make(chan struct{}), peers: f.network.Client()}
 	n.Service = actions.New(actions.Config{
 		Self:       self.Incarnation,
 		Directory:  &directory{self: self, fleet: f},
 		Config:     config{},
 		Store:      f.store,
 		Dispatcher: dispatch.New(cfg),
-		Peers:      f.network.Client(),
+		Peers:      n.peers,
 		Metrics:    n.metrics,
 	})
 	path, handler := n.Handler()
@@ -154,9 +173,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.daemons = append(f.daemons, self)
+	f.started = append(f.started, n)
 	return n
 }
 
+// once tells whether the caller is the first to end the incarnation.
+func (n *node) once() bool { return !n.ended.Swap(true) }
+
 // crash ends an incarnation; the directory doesn't notice.
 func (n *node) crash() {
 	n.cancel()
--- /dev/null
+++ b/daemon/actions/history_test.go
@@ -0,0 +1,241 @@
+package actions_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"geraniumstack.org/geraniumstack/internal/actionhistory"
+	"geraniumstack.org/geraniumstack/protocol/action"
+	"geraniumstack.org/geraniumstack/protocol/call"
+	"geraniumstack.org/geraniumstack/standin/kvserver"
+	"geraniumstack.org/geraniumstack/state/actionkey"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/dispatch"
+)
+
+// The longer run: go test ./daemon/actions -run TestHistories -histories=2000
+var histories = flag.Int("histories", 40, "how many histories TestHistories checks")
+
+// workload plays callers and faults by one seed against real gateways. The
+// order in which goroutines run is the scheduler's, so a seed repeats the
+// faults but not each history.
+type workload struct {
+	f       *fleet
+	mu      sync.Mutex
+	rng     *rand.Rand
+	history actionhistory.History
+	wg      sync.WaitGroup
+}
+
+func (w *workload) below(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rng.IntN(n)
+}
+
+func (w *workload) sleep(upTo time.Duration) {
+	time.Sleep(time.Duration(w.below(int(upTo/time.Millisecond))) * time.Millisecond)
+}
+
+// runner executes actions, and now and then refuses, hangs or breaks off.
+func (w *workload) runner(string) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		what := w.below(20)
+		if what == 0 {
+			rw.Header().Set(dispatch.HeaderNotExecuted, "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.sleep(100 * time.Millisecond)
+		_, key, _ := strings.Cut(r.Header.Get(dispatch.HeaderAction), "/")
+		answer := fmt.Sprintf("%s#%d", body, w.below(1<<30))
+		w.history.Ran(time.Now(), actionkey.ID{Workspace: "huaman", Key: key}, string(body), answer)
+		switch what {
+		case 1:
+			panic(http.ErrAbortHandler)
+		case 2:
+			<-r.Context().Done()
+		default:
+			_, _ = io.WriteString(rw, answer)
+		}
+	})
+}
+
+// caller sends copies of one call through several gateways and asks for its
+// outcome.
+func (w *workload) caller(name string) {
+	w.sleep(20 * time.Second)
+	key := w.node().key(name)
+	for range 1 + w.below(4) {
+		w.wg.Go(func() {
+			w.sleep(5 * time.Second)
+			w.send(key, name)
+		})
+	}
+	w.wg.Go(func() {
+		w.sleep(30 * time.Second)
+		w.ask(key)
+	})
+}
+
+func (n *node) key(suffix string) string {
+	token, _ := n.Token()
+	return token + suffix
+}
+
+func (w *workload) node() *node {
+	place := w.below(len(w.f.nodes))
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	return w.f.nodes[place]
+}
+
+func (w *workload) send(key, body string) {
+	from := time.Now()
+	n := w.node()
+	if n.ended.Load() {
+		return
+	}
+	a, err := n.Execute(context.Background(), call.ServiceCall{
+		Workspace: "huaman", Service: "casos", Key: key, Method: http.MethodPost, Path: "/pledges", Body: []byte(body),
+	})
+	w.told(from, key, body, a, err)
+}
+
+func (w *workload) ask(key string) {
+	from := time.Now()
+	n := w.node()
+	if n.ended.Load() {
+		return
+	}
+	a, pending, err := n.Outcome(context.Background(), "huaman", key)
+	if !pending {
+		w.told(from, key, "", a, err)
+	}
+}
+
+func (w *workload) told(from time.Time, key, body string, a call.Answer, err error) {
+	r := action.Result{Answer: a}
+	if err != nil {
+		r.Refusal = refusal.From(err)
+	}
+	w.history.Told(from, time.Now(), actionkey.ID{Workspace: "huaman", Key: key}, body, r)
+}
+
+// fault does one kind of harm.
+func (w *workload) fault(number int) {
+	w.sleep(25 * time.Second)
+	place := w.below(len(w.f.nodes))
+	switch w.below(7) {
+	case 0:
+		w.replace(place, number, false)
+	case 1:
+		w.replace(place, number, true)
+	case 2:
+		w.f.store.SetFaults(kvserver.Faults{Outage: true})
+		w.sleep(15 * time.Second)
+		w.f.store.SetFaults(kvserver.Faults{})
+	case 3:
+		w.f.store.SetFaults(kvserver.Faults{LoseAnswers: w.below(6), DelayMillis: int64(w.below(1500)), LateEffects: true})
+		w.sleep(10 * time.Second)
+		w.f.store.SetFaults(kvserver.Faults{})
+	case 4:
+		w.f.network.Silence(fmt.Sprintf("entry-%d:90", place))
+	case 5:
+		w.f.network.Break(fmt.Sprintf("casos-%d:80", 1+w.below(3)))
+	case 6:
+		w.mistake(place)
+	}
+}
+
+// replace ends an incarnation, by a drain that may be cut half way or by a
+// crash, and boots another at its address. The directory learns of it late.
+func (w *workload) replace(place, number int, drain bool) {
+	w.f.mu.Lock()
+	n := w.f.nodes[place]
+	w.f.mu.Unlock()
+	if drain {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		for range 2 {
+			w.wg.Go(func() { _ = n.Drain(ctx) })
+		}
+		w.sleep(4 * time.Second)
+		defer cancel()
+	}
+	if !n.once() {
+		return // another fault has replaced it
+	}
+	n.crash()
+	w.sleep(3 * time.Second)
+	next := w.f.start(place, 10+number)
+	w.f.mu.Lock()
+	w.f.nodes[place] = next
+	w.f.mu.Unlock()
+	w.sleep(3 * time.Second)
+	w.f.forget(place)
+}
+
+// mistake takes a live daemon out of the directory for a while.
+func (w *workload) mistake(place int) {
+	w.f.mu.Lock()
+	var hidden []int
+	for i, d := range w.f.daemons {
+		if d.ID == ident.DaemonID(fmt.Sprintf("entry-%d", place)) {
+			hidden = append(hidden, i)
+		}
+	}
+	if len(hidden) != 1 {
+		w.f.mu.Unlock()
+		return
+	}
+	d := w.f.daemons[hidden[0]]
+	w.f.daemons = append(w.f.daemons[:hidden[0]:hidden[0]], w.f.daemons[hidden[0]+1:]...)
+	w.f.mu.Unlock()
+	w.sleep(5 * time.Second)
+	w.f.mu.Lock()
+	defer w.f.mu.Unlock()
+	w.f.daemons = append(w.f.daemons, d)
+}
+
+// Story: as in protocol/action, but with the gateways as they run in a daemon:
+// their goroutines, calls to each other and connections to runners.
+func TestHistories(t *testing.T) {
+	var yes, no, unknown, runs int
+	for seed := range *histories {
+		w := &workload{rng: rand.New(rand.NewPCG(uint64(seed), 3))}
+		inBubbleWith(t, w.runner, func(f *fleet) {
+			w.f = f
+			for i := range 2 + w.below(4) {
+				w.wg.Go(func() { w.fault(i) })
+			}
+			for i := range 12 {
+				w.wg.Go(func() { w.caller(fmt.Sprintf("c%d", i)) })
+			}
+			w.wg.Wait()
+			time.Sleep(time.Minute)
+			synctest.Wait()
+		})
+		if !w.history.Legal() {
+			t.Errorf("seed %d: history is not legal", seed)
+		}
+		yes, no, unknown, runs = yes+w.history.Yes, no+w.history.No, unknown+w.history.Unknown, runs+w.history.Runs
+	}
+	t.Logf("%d histories: %d runs; callers were told yes %d, no %d, unknown %d times", *histories, runs, yes, no, unknown)
+	if yes == 0 || no == 0 || unknown == 0 {
+		t.Error("histories don't reach every kind of answer")
+	}
+}
--- a/protocol/action/history_test.go
+++ b/protocol/action/history_test.go
@@ -9,14 +9,12 @@
 	"testing"
 	"time"
 
-	"github.com/anishathalye/porcupine"
 	"github.com/matryer/is"
 
 	"geraniumstack.org/geraniumstack/protocol/action"
 	"geraniumstack.org/geraniumstack/protocol/call"
 	"geraniumstack.org/geraniumstack/state/actionkey"
 	"geraniumstack.org/geraniumstack/state/manifest"
-	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
 // The longer run: go test ./protocol/action -run TestHistories -histories=100000
@@ -26,92 +24,6 @@
 	workers   = flag.Int("workers", min(3, runtime.NumCPU()), "how many histories run at once")
 )
 
-// observed is one step of an action's history: a run at a runner, or what a
-// caller was told.
-type observed struct {
-	run      bool
-	body     string
-	executed refusal.Executed
-	answer   string
-}
-
-type history struct {
-	operations []porcupine.Operation
-	yes        int
-	no         int
-	unknown    int
-}
-
-type input struct {
-	id actionkey.ID
-	observed
-}
-
-func (h *history) add(id actionkey.ID, from, to time.Time, o observed) {
-	h.operations = append(h.operations, porcupine.Operation{
-		Input: input{id: id, observed: o}, Call: from.UnixNano(), Return: to.UnixNano(),
-	})
-}
-
-func (h *history) ran(at time.Time, id actionkey.ID, body, answer string) {
-	h.add(id, at, at, observed{run: true, body: body, answer: answer})
-}
-
-// told records an answer; "unknown" claims nothing, so it is only counted.
-func (h *history) told(from, to time.Time, id actionkey.ID, body string, r action.Result) {
-	switch r.Executed() {
-	case refusal.ExecutedYes:
-		h.yes++
-	case refusal.ExecutedNo:
-		h.no++
-	default:
-		h.unknown++
-		return
-	}
-	h.add(id, from, to, observed{body: body, executed: r.Executed(), answer: string(r.Answer.Body)})
-}
-
-// register is an action's true life: undecided, then run once or never.
-type register struct {
-	ran    bool
-	never  bool
-	body   string
-	answer string
-}
-
-func (r register) step(o observed) (bool, register) {
-	switch {
-	case o.run:
-		return !r.ran && !r.never, register{ran: true, body: o.body, answer: o.answer}
-	case o.executed == refusal.ExecutedYes:
-		return r.ran && r.answer == o.answer && (o.body == "" || r.body == o.body), r
-	default:
-		return !r.ran, register{never: true}
-	}
-}
-
-var atMostOnce = porcupine.Model{
-	Partition: func(operations []porcupine.Operation) [][]porcupine.Operation {
-		byID := map[actionkey.ID]int{}
-		var parts [][]porcupine.Operation
-		for _, op := range operations {
-			id := op.Input.(input).id
-			i, ok := byID[id]
-			if !ok {
-				i = len(parts)
-				byID[id] = i
-				parts = append(parts, nil)
-			}
-			parts[i] = append(parts[i], op)
-		}
-		return parts
-	},
-	Init: func() any { return register{} },
-	Step: func(state, in, _ any) (bool, any) {
-		return state.(register).step(in.(input).observed)
-	},
-}
-
 // play runs one history: callers with duplicates through several gateways,
 // under any mix of the faults.
 func play(o options) *world {
@@ -222,12 +134,10 @@
 		a.request.BodyHash = ""
 		body = ""
 	}
-	a.done = func(r action.Result) { w.history.told(from, w.now, id, body, r) }
+	a.done = func(r action.Result) { w.history.Told(from, w.now, id, body, r) }
 	w.after(0, n, func() { n.serve(a) })
 }
 
-func legal(w *world) bool { return porcupine.CheckOperations(atMostOnce, w.history.operations) }
-
 // Story: a booking runs twice, or its caller is told "not run" and it was. Any
 // of the failures of the brief comes at any moment, together or twice.
 func TestHistories(t *testing.T) {
@@ -245,13 +155,13 @@
 				}
 				seed := *firstSeed + uint64(i)
 				w := play(options{seed: seed})
-				if !legal(w) {
+				if !w.history.Legal() {
 					t.Errorf("seed %d: history is not legal", seed)
 				}
-				yes.Add(int64(w.history.yes))
-				no.Add(int64(w.history.no))
-				unknown.Add(int64(w.history.unknown))
-				runs.Add(int64(w.runs))
+				yes.Add(int64(w.history.Yes))
+				no.Add(int64(w.history.No))
+				unknown.Add(int64(w.history.Unknown))
+				runs.Add(int64(w.history.Runs))
 				mu.Lock()
 				came.add(w.reached)
 				mu.Unlock()
@@ -286,7 +196,7 @@
 			seen := 0
 			for seed := uint64(1); seed <= tries && seen == 0; seed++ {
 				o.seed = seed
-				if !legal(play(o)) {
+				if !play(o).history.Legal() {
 					seen = int(seed)
 				}
 			}
@@ -301,7 +211,7 @@
 	is := is.New(t)
 	for seed := uint64(1); seed <= 5; seed++ {
 		a, b := play(options{seed: seed}), play(options{seed: seed})
-		is.Equal(len(a.history.operations), len(b.history.operations))
-		is.Equal(a.runs, b.runs)
+		is.Equal(a.history.Len(), b.history.Len())
+		is.Equal(a.history.Runs, b.history.Runs)
 	}
 }
--- a/protocol/action/owner_test.go
+++ b/protocol/action/owner_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/coordination/journal"
 	"geraniumstack.org/geraniumstack/protocol/action"
 	"geraniumstack.org/geraniumstack/protocol/call"
--- a/protocol/action/world_test.go
+++ b/protocol/action/world_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/journal"
+	"geraniumstack.org/geraniumstack/internal/actionhistory"
 	"geraniumstack.org/geraniumstack/protocol/action"
 	"geraniumstack.org/geraniumstack/protocol/call"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -82,8 +83,7 @@
 	order   []string // keys of entries, as created
 	outages []span
 	silent  map[[2]int]span
-	history history
-	runs    int
+	history actionhistory.History
 	reached reached
 	lossy   float64
 	doubt   float64
@@ -297,9 +297,8 @@
 func refusedWith(r *refusal.Refusal) action.Result { return action.Result{Refusal: r} }
 
 func (w *world) execute(d *action.Dispatch) call.Answer {
-	w.runs++
-	body := fmt.Sprintf("%s#%d", d.Call.Body, w.runs)
-	w.history.ran(w.now, d.ID, string(d.Call.Body), body)
+	body := fmt.Sprintf("%s#%d", d.Call.Body, w.history.Runs)
+	w.history.Ran(w.now, d.ID, string(d.Call.Body), body)
 	return call.Answer{Status: 200, Body: []byte(body)}
 }
 
--- a/state/actionkey/actionkey_test.go
+++ b/state/actionkey/actionkey_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/state/actionkey"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
