--- a/bench/spread/simulation.go
+++ b/bench/spread/simulation.go
@@ -70,11 +70,13 @@
 	random  *rand.Rand
 	order   uint64
 
-	waiting   int
-	publish   time.Duration
-	last      time.Duration
-	messages  int64
-	published bool
+	waiting int
+	publish time.Duration
+	last    time.Duration
+	// lastRunning is the same without the members that were paused.
+	lastRunning time.Duration
+	messages    int64
+	published   bool
 }
 
 const version = 1
@@ -228,6 +230,9 @@
 	m.reached = s.now
 	s.waiting--
 	s.last = s.now
+	if m.pausedUntil == 0 {
+		s.lastRunning = s.now
+	}
 }
 
 func (s *simulation) send(from int, sends []spread.Send) {
--- a/bench/spread/spread.go
+++ b/bench/spread/spread.go
@@ -99,6 +99,7 @@
 func notes() []string {
 	return []string{
 		"seconds_to_last: from publishing at one member to the last that has not crashed; the worst of the seeds. Missing where some member was never reached.",
+		"seconds_to_last_running: the same without the members that were paused.",
 		"bytes_per_second_per_member: sent and received, headers included, mean over members and time, with one change in the run.",
 		"messages: all that were sent from publishing until the last member was reached, heartbeats included.",
 		fmt.Sprintf("_faults: %.0f%% crash and %.0f%% pause for %s when the change is published, %.0f%% are suspected without cause throughout.",
@@ -136,6 +137,7 @@
 // result is what one run, or several, came to.
 type result struct {
 	toLast         time.Duration
+	toLastRunning  time.Duration
 	bytesPerSecond float64
 	messages       float64
 	connections    float64
@@ -143,7 +145,7 @@
 }
 
 func (s *simulation) result() result {
-	r := result{toLast: s.last - s.publish, messages: float64(s.messages), neverReached: s.waiting}
+	r := result{toLast: s.last - s.publish, toLastRunning: s.lastRunning - s.publish, messages: float64(s.messages), neverReached: s.waiting}
 	bytes, partners := int64(0), 0
 	for _, m := range s.members {
 		bytes += m.bytes
@@ -157,18 +159,23 @@
 
 func (r *result) add(other result) {
 	r.toLast = max(r.toLast, other.toLast)
+	r.toLastRunning = max(r.toLastRunning, other.toLastRunning)
 	r.bytesPerSecond += other.bytesPerSecond
 	r.messages += other.messages
 	r.connections += other.connections
 	r.neverReached += other.neverReached
 }
 
+// milliseconds rounds to them and returns seconds.
+func milliseconds(d time.Duration) float64 { return math.Round(d.Seconds()*1000) / 1000 }
+
 func (r result) write(figures map[string]float64, suffix string, runs int) {
 	if runs == 0 {
 		return
 	}
 	if r.neverReached == 0 {
-		figures["seconds_to_last"+suffix] = math.Round(r.toLast.Seconds()*1000) / 1000
+		figures["seconds_to_last"+suffix] = milliseconds(r.toLast)
+		figures["seconds_to_last_running"+suffix] = milliseconds(r.toLastRunning)
 	}
 	figures["bytes_per_second_per_member"+suffix] = math.Round(r.bytesPerSecond / float64(runs))
 	figures["messages"+suffix] = math.Round(r.messages / float64(runs))
