Ask a peer at once while the key-value service is slow to give sections

Cause: a daemon that learned of a configuration by its watch waited for the sections of a slow service although its peers had them. Change: a peer that names the wanted generation is asked at once; a test of the collection of old sections.

--- a/coordination/config/follower.go
+++ b/coordination/config/follower.go
@@ -66,6 +66,8 @@
 	sources []string
 	turn    int
 	askedAt time.Time
+	// storeAsked tells whether the last fetch went to the key-value service.
+	storeAsked bool
 
 	// firstHeard is when the first head came; storeHeard tells whether one came
 	// from the key-value service.
@@ -96,6 +98,9 @@
 		return nil
 	case head.Generation == f.wanted.Generation:
 		f.addSource(source)
+		if f.storeAsked && source != StoreSource {
+			return f.ask(now, source)
+		}
 		return f.Tick(now)
 	}
 	f.want(head)
@@ -126,6 +131,7 @@
 	f.sources = nil
 	f.turn = 0
 	f.askedAt = time.Time{}
+	f.storeAsked = false
 }
 
 // Adopt is Learn and Supply in one, for the daemon that had the configuration
@@ -190,8 +196,16 @@
 	if now.Sub(f.askedAt) < fetchTimeout {
 		return nil
 	}
+	return f.ask(now, f.nextSource())
+}
+
+// ask fetches what is missing from one source. A peer that names the wanted
+// generation while only the key-value service was asked is asked at once: the
+// service may be slow, and the peer has the sections.
+func (f *Follower) ask(now time.Time, source string) []Effect {
 	f.askedAt = now
-	return []Effect{&Fetch{Source: f.nextSource(), Hashes: missing}}
+	f.storeAsked = source == StoreSource
+	return []Effect{&Fetch{Source: source, Hashes: manifest.Missing(f.wanted.Sections, f.sections)}}
 }
 
 func (f *Follower) nextSource() string {
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -337,3 +338,36 @@
 		is.True(calls < 60*5*5) // five daemons with four links each, once a second
 	})
 }
+
+// Operators change the settings for years. Sections that no remembered
+// configuration names would fill the key-value service.
+func TestOldSectionsAreCollected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleetOf(t, 1)
+		defer f.stop()
+		for n := range 62 {
+			_, err := f.apply(0, n+1, fmt.Sprint(n))
+			is.NoErr(err)
+		}
+		f.crash(0)
+		time.Sleep(25 * time.Hour)
+		f.restart(0)
+		for n := 62; n < 64; n++ {
+			_, err := f.apply(0, n+1, fmt.Sprint(n))
+			is.NoErr(err)
+		}
+		time.Sleep(time.Minute)
+		sections, err := f.store.List(t.Context(), "config/sections/", "", 1000)
+		is.NoErr(err)
+		// 33 remembered configurations differ in one section, the four others are
+		// shared.
+		is.Equal(len(sections), 33+4)
+		m, err := f.daemons[0].Content(t.Context(), 40)
+		is.NoErr(err)
+		is.Equal(m.Services[0].Runners, 40)
+		_, err = f.daemons[0].Content(t.Context(), 20)
+		var gone *control.UnknownGenerationError
+		is.True(errors.As(err, &gone))
+	})
+}
