--- a/protocol/action/owner_test.go
+++ b/protocol/action/owner_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/coordination/journal"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/protocol/action"
 	"geraniumstack.org/geraniumstack/protocol/call"
 	"geraniumstack.org/geraniumstack/state/manifest"
