--- a/protocol/admission/admission_test.go
+++ b/protocol/admission/admission_test.go
@@ -278,3 +278,20 @@
 	l.SetHint(50) // half of the runners are gone
 	is.True(l.Limit() <= before/2+1)
 }
+
+// BenchmarkRefusal refuses urgent work at a gateway whose queue is full.
+func BenchmarkRefusal(b *testing.B) {
+	var workspaces []manifest.Workspace
+	for i := range 50 {
+		workspaces = append(workspaces, manifest.Workspace{Name: ident.Workspace(fmt.Sprint(i)), Weight: 1})
+	}
+	c := controller(16, workspaces...)
+	for id := ID(0); id < 4096; id++ {
+		c.Offer(start, item(id, workspaces[id%50].Name, "bulletin"), nil)
+	}
+	var effects []Effect
+	b.ReportAllocs()
+	for b.Loop() {
+		effects = c.Offer(start, item(5000, "1", "chat"), effects[:0])
+	}
+}
