--- a/daemon/control/apply.go
+++ b/daemon/control/apply.go
@@ -107,7 +107,7 @@
 		if permanent(err) {
 			return config.Accepted{}, err
 		}
-		if err != nil && !sleep(ctx, jittered(stepRetry)) {
+		if err != nil && !sleep(ctx, c.jittered(stepRetry)) {
 			return config.Accepted{}, machine.GaveUp(err)
 		}
 	}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -50,6 +50,7 @@
 type Control struct {
 	cfg      Config
 	counters counters
+	jitter   *jitter
 
 	mu       sync.Mutex
 	follower *config.Follower
@@ -105,6 +106,7 @@
 	return &Control{
 		cfg:              cfg,
 		counters:         newCounters(cfg.Metrics),
+		jitter:           newJitter(cfg.Self.Incarnation),
 		follower:         config.NewFollower(),
 		table:            membership.New(time.Now(), self),
 		strategy:         spread.NewNeighbours(string(cfg.Self.Incarnation)),
--- a/daemon/control/duty.go
+++ b/daemon/control/duty.go
@@ -3,12 +3,14 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/membership"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
 )
 
 const (
@@ -49,8 +51,25 @@
 // only roughly: at a turn's edge one daemon more or fewer has it.
 func turnSlot(now time.Time) int64 { return now.Unix()/int64(dutyTurn.Seconds()) + 1 }
 
+// jitter draws the same spans for the same incarnation.
+type jitter struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func newJitter(i ident.Incarnation) *jitter {
+	return &jitter{random: rand.New(rand.NewPCG(xxhash.Sum64String(string(i)), 0))}
+}
+
+// below draws a span shorter than d.
+func (j *jitter) below(d time.Duration) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return time.Duration(j.random.Int64N(int64(d)))
+}
+
 // jittered spreads calls of many daemons: between d and one and a half of it.
-func jittered(d time.Duration) time.Duration { return d + rand.N(d/2+1) }
+func (c *Control) jittered(d time.Duration) time.Duration { return d + c.jitter.below(d/2+1) }
 
 // scaled lengthens an interval with the number of daemons, so that the calls a
 // second of all together stay bounded.
--- a/daemon/control/follow.go
+++ b/daemon/control/follow.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		if err := c.watchHead(ctx); err != nil {
-			sleep(ctx, jittered(storeRetry))
+			sleep(ctx, c.jittered(storeRetry))
 		}
 	}
 }
@@ -185,7 +185,7 @@
 		if head, _, err := c.readHead(ctx); err == nil {
 			c.learnHead(head)
 		}
-		if !sleep(ctx, jittered(c.rereadInterval())) {
+		if !sleep(ctx, c.jittered(c.rereadInterval())) {
 			return
 		}
 	}
--- a/daemon/control/mesh.go
+++ b/daemon/control/mesh.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"connectrpc.com/connect"
@@ -254,7 +253,7 @@
 			return
 		}
 		rest := c.interval() - pushGap
-		timer := time.NewTimer(rest*9/10 + rand.N(rest/5))
+		timer := time.NewTimer(rest*9/10 + c.jitter.below(rest/5))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
--- a/daemon/control/platform.go
+++ b/daemon/control/platform.go
@@ -83,7 +83,7 @@
 		after = next
 		if err != nil {
 			klog.V(1).InfoS("Notices can't be read", "err", err)
-			sleep(ctx, jittered(platformRetry))
+			sleep(ctx, c.jittered(platformRetry))
 		}
 	}
 }
--- a/daemon/control/register.go
+++ b/daemon/control/register.go
@@ -73,7 +73,7 @@
 			klog.V(1).InfoS("Registration failed", "err", err)
 			interval = storeRetry
 		}
-		c.restUntilLeaving(ctx, jittered(interval))
+		c.restUntilLeaving(ctx, c.jittered(interval))
 	}
 	c.revoke(lease)
 }
@@ -173,9 +173,9 @@
 func (c *Control) restBeforeReading(ctx context.Context, failed error) bool {
 	rest := scaled(readLeast, readPerMember, c.Members())
 	if failed != nil || len(c.Members()) < 2 {
-		return sleep(ctx, jittered(storeRetry))
+		return sleep(ctx, c.jittered(storeRetry))
 	}
-	if !sleep(ctx, jittered(rest)) {
+	if !sleep(ctx, c.jittered(rest)) {
 		return false
 	}
 	for !c.onDuty(fixedSlot) && len(c.Members()) > 1 {
--- a/daemon/control/scale_test.go
+++ b/daemon/control/scale_test.go
@@ -11,9 +11,12 @@
 	"geraniumstack.org/geraniumstack/standin/kvserver"
 )
 
-// members is the fleet's size in TestStoreCallsStayBounded; larger ones show the
-// slope.
-var members = flag.Int("members", 12, "daemons in TestStoreCallsStayBounded")
+// members and minutes are the fleet's size and the virtual time in
+// TestStoreCallsStayBounded; larger ones show the slope.
+var (
+	members = flag.Int("members", 12, "daemons in TestStoreCallsStayBounded")
+	minutes = flag.Int("minutes", 2, "virtual minutes in TestStoreCallsStayBounded")
+)
 
 // dutiesPerDomain is how many daemons of a failure domain may watch.
 const dutiesPerDomain = 2
@@ -35,21 +38,21 @@
 		t.Logf("in force at every daemon %s after apply returned", took)
 		time.Sleep(30 * time.Second)
 
-		const minutes = 2
 		f.store.ResetCalls()
 		var calls, bytes int64
 		f.network.set(func(n *network) { calls, bytes = n.calls, n.bytes })
-		time.Sleep(minutes * time.Minute)
+		span := time.Duration(*minutes) * time.Minute
+		time.Sleep(span)
 		counted := f.store.Calls()
 		f.network.set(func(n *network) { calls, bytes = n.calls-calls, n.bytes-bytes })
-		seconds := (minutes * time.Minute).Seconds()
+		seconds := span.Seconds()
 		t.Logf("store: %.2f reads/s, %.2f writes/s, %v", float64(counted.Reads())/seconds, float64(counted.Writes())/seconds, counted)
 		t.Logf("peers: %.2f exchanges/s a daemon, %.0f body bytes an exchange",
 			float64(calls)/seconds/float64(*members), float64(bytes)/float64(calls))
 
 		watchers := dutiesPerDomain * len(domains)
-		is.True(counted[kvserver.CallWatch] <= watchers*minutes*4) // one in 20 s each, and some slack
-		is.True(counted.Writes() <= *members*minutes*7)            // one in 10 s each
-		is.True(float64(calls)/seconds/float64(*members) < 2.5)    // four links, one exchange in 2 s each
+		is.True(counted[kvserver.CallWatch] <= watchers**minutes*4) // one in 20 s each, and some slack
+		is.True(counted.Writes() <= *members**minutes*7)            // one in 10 s each
+		is.True(float64(calls)/seconds/float64(*members) < 2.5)     // four links, one exchange in 2 s each
 	})
 }
