Refuse reviews earlier that would wait in vain

Change: the wait is at least that of the first in the own queue, and may be 0.85 of what the target leaves.

--- a/protocol/admission/admission.go
+++ b/protocol/admission/admission.go
@@ -274,6 +274,12 @@
 	return c.admit(now, dst)
 }
 
+// waitShare is the part of the time until it expires that an item may be
+// expected to wait. Under overload the queue grows until the expected wait meets
+// this bound; at 1 every second item would expire in the queue, since the wait
+// is not known exactly.
+const waitShare = 0.85
+
 // minSlack is the part of its target that an item may wait even if its own
 // prompt takes longer than the target: it would be refused for ever otherwise.
 const minSlack = 4
@@ -328,7 +334,7 @@
 	if !e.Deadline.IsZero() && at.Add(e.Service).After(e.Deadline) {
 		return refusal.New(refusal.DeadlineUnreachable, "the answer would take %s", (wait + e.Service).Round(time.Millisecond)).After(c.retryAfter(now, k, wait))
 	}
-	if !e.expires.IsZero() && at.After(e.expires) {
+	if !e.expires.IsZero() && wait > time.Duration(waitShare*float64(e.expires.Sub(now))) {
 		return refusal.New(refusal.Overloaded, "the first token would take %s", (wait + e.FirstToken).Round(time.Millisecond)).After(c.retryAfter(now, k, at.Sub(e.expires)))
 	}
 	return nil
@@ -384,7 +390,13 @@
 	}
 	perSecond = max(left, c.cfg.LowerShare*perSecond)
 	seconds := (higher + k.ahead(e.flow) + c.meanCost()) / perSecond
-	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
+	wait := time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
+	if len(e.flow.items) == 0 {
+		return wait
+	}
+	// At a steady rate who comes now waits as long as the first in the queue
+	// has waited. It shows what the rates above leave out.
+	return max(wait, now.Sub(e.flow.items[0].offered))
 }
 
 // meanCost is the mean cost of the finished requests: over the rate, the time
