Learn a batch's size, count gateways once, save up retries for streams

Change: the most requests seen running counts as places; the number of gateways is counted when the directory changes; model services save up 32 retries. Conclusion: no decision at reported places changes.

--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -193,6 +193,17 @@
 	})
 }
 
+func TestIdlePlacesAreBorrowed(t *testing.T) {
+	is := is.New(t)
+	busy := Capacity{Runners: 10, Batch: 100, Free: 20, DecodeRate: 5000}
+	places, perSecond := busy.Share(5, 30)
+	is.Equal(places, 20.0) // what others keep for urgent work is not idle
+	is.Equal(perSecond, 1000.0)
+	idle := Capacity{Runners: 10, Batch: 100, Free: 85, DecodeRate: 5000}
+	places, _ = idle.Share(5, 15)
+	is.Equal(places, 45.0)
+}
+
 func TestSubsetIsStableAndSpread(t *testing.T) {
 	is := is.New(t)
 	all := runners(1000)
--- a/coordination/routing/score.go
+++ b/coordination/routing/score.go
@@ -101,16 +101,12 @@
 // batch. Prompts may be short and their tokens few, so that the queue of tokens
 // says nothing of it. Places fall free as the batch's answers end.
 func (t *Table) placeWait(s *slot, own int) float64 {
-	places := s.report.MaxRunning
-	if places == 0 {
-		places = t.cfg.Batch
-	}
 	present := max(own, s.report.Running+s.report.Waiting+s.sinceRequests)
-	ahead := present - places + 1
+	ahead := present - s.places + 1
 	if ahead <= 0 {
 		return 0
 	}
-	perSecond := float64(places) * s.decode / t.output
+	perSecond := float64(s.places) * s.decode / t.output
 	return float64(ahead) / perSecond
 }
 
@@ -159,14 +155,10 @@
 	prefill := 0.0
 	for u := t.live &^ t.ejected; u != 0; u &= u - 1 {
 		s := &t.slots[u.First()]
-		places := s.report.MaxRunning
-		if places == 0 {
-			places = t.cfg.Batch
-		}
 		c.Runners++
-		c.Batch += places
-		c.Free += max(0, places-s.report.Running-s.report.Waiting-s.sinceRequests)
-		c.DecodeRate += float64(places) * s.decode
+		c.Batch += s.places
+		c.Free += max(0, s.places-s.report.Running-s.report.Waiting-s.sinceRequests)
+		c.DecodeRate += float64(s.places) * s.decode
 		prefill += s.prefill
 	}
 	if prefill > 0 {
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -47,7 +47,8 @@
 	// runner reports its own.
 	PrefillRate float64
 	DecodeRate  float64
-	// Batch is the places in a runner's batch until it reports them.
+	// Batch is the places in a runner's batch until it reports them, or more
+	// requests than that.
 	Batch int
 	// PrefixCapacity bounds the prefix index, in blocks.
 	PrefixCapacity int
@@ -81,6 +82,8 @@
 	prefill  float64
 	decode   float64
 	free     float64
+	// places is the size of the batch.
+	places int
 	// pendingPrefill and pendingKV count own work in progress.
 	pendingPrefill float64
 	pendingKV      float64
@@ -181,7 +184,7 @@
 		i = (^t.used).First()
 		t.byID[r.ID] = i
 		t.used = t.used.With(i)
-		t.slots[i] = slot{used: true, epoch: t.slots[i].epoch + 1, prefill: t.cfg.PrefillRate, decode: t.cfg.DecodeRate}
+		t.slots[i] = slot{used: true, epoch: t.slots[i].epoch + 1, prefill: t.cfg.PrefillRate, decode: t.cfg.DecodeRate, places: t.cfg.Batch}
 	}
 	s := &t.slots[i]
 	if s.runner.State == view.Leaving {
@@ -297,6 +300,10 @@
 	if r.DecodeRate > 0 {
 		s.decode = r.DecodeRate
 	}
+	s.places = max(s.places, r.Running)
+	if r.MaxRunning > 0 {
+		s.places = r.MaxRunning
+	}
 	s.free = float64(max(r.KVBlocksFree*prefix.BlockTokens, r.KVBlocksTotal*prefix.BlockTokens-r.RunningTokens))
 	t.sumSince(i)
 	t.rescore(i)
--- a/daemon/dispatch/config.go
+++ b/daemon/dispatch/config.go
@@ -54,13 +54,20 @@
 	Health    health.Config
 }
 
+// streamsBurst is the retries that a model service saves up: about as many as
+// one gateway has streams in a failure domain that goes without a word. Each of
+// them is made once more, not each call again and again.
+const streamsBurst = 32
+
 // DefaultPolicy is the policy in use.
 func DefaultPolicy() Policy {
-	return Policy{
+	p := Policy{
 		Admission: admission.Default(),
 		Retry:     retry.Default(),
 		Health:    health.Default(),
 	}
+	p.Retry.Burst = streamsBurst
+	return p
 }
 
 // Timing says how often things are looked at.
--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -24,6 +25,9 @@
 type Dispatcher struct {
 	cfg Config
 
+	// gateways is the number of live daemons, at least one.
+	gateways atomic.Int64
+
 	mu       sync.Mutex
 	manifest *manifest.Manifest
 	services map[string]*service
@@ -91,7 +95,7 @@
 		services = append(services, s)
 	}
 	d.mu.Unlock()
-	gateways := d.gateways()
+	gateways := d.countGateways()
 	for _, s := range services {
 		if configured {
 			s.configure(current)
@@ -122,14 +126,16 @@
 	}
 }
 
-func (d *Dispatcher) gateways() int {
+func (d *Dispatcher) countGateways() int {
 	n := 0
 	for _, other := range d.cfg.Directory.Daemons() {
 		if other.State == view.Live {
 			n++
 		}
 	}
-	return max(1, n)
+	n = max(1, n)
+	d.gateways.Store(int64(n))
+	return n
 }
 
 func (d *Dispatcher) service(name string) *service {
--- a/daemon/dispatch/poll.go
+++ b/daemon/dispatch/poll.go
@@ -47,7 +47,7 @@
 	if l.Leaving {
 		d.cfg.Directory.NoteLeaving(r.Address, time.Duration(l.DeadlineMillis)*time.Millisecond)
 	}
-	s.reported(now, r.ID, reportOf(now, l), d.gateways())
+	s.reported(now, r.ID, reportOf(now, l), int(d.gateways.Load()))
 	events, err := d.cfg.Engines.CacheEvents(ctx, r.Address, s.cursor(r.ID), d.cfg.Timing.EventLimit)
 	if err != nil {
 		d.cfg.count(s.name, "polls.failed")
--- a/protocol/admission/admission.go
+++ b/protocol/admission/admission.go
@@ -276,8 +276,8 @@
 
 // waitShare is the part of the time until it expires that an item may be
 // expected to wait. Under overload the queue grows until the expected wait meets
-// this bound; at 1 every second item would expire in the queue, since the wait
-// is not known exactly.
+// this bound; at 1 many items would expire in the queue, since the wait is not
+// known exactly.
 const waitShare = 0.85
 
 // minSlack is the part of its target that an item may wait even if its own
