--- a/daemon/models/models.go
+++ b/daemon/models/models.go
@@ -23,7 +23,7 @@
 	overloadedRetry  = time.Second
 	drainingRetry    = time.Second
 	notReadyRetry    = time.Second
-	putTimeout       = time.Second
+	putTimeout       = 500 * time.Millisecond
 	housekeepingStep = 500 * time.Millisecond
 )
 
--- a/daemon/models/records.go
+++ b/daemon/models/records.go
@@ -19,6 +19,7 @@
 const (
 	// putCandidates bounds the daemons that are asked to keep a new record.
 	putCandidates = 3
+	putRounds     = 2
 	// lookupCandidates bounds the daemons that are asked for a request.
 	lookupCandidates = 8
 	// minDeadlineLeft keeps a deadline that has passed from reading as none.
@@ -116,11 +117,15 @@
 		m.count("records.no_keeper")
 		return nil
 	}
-	for _, k := range keepers[:min(putCandidates, len(keepers))] {
-		if m.put(ctx, k, []handoff.Renewal{{ID: l.req.ID, Keeper: k}}) == nil {
-			return nil
+	// The second round is for kept connections that have gone silent: they cost
+	// a timeout each and are then closed, and new ones work.
+	for range putRounds {
+		for _, k := range keepers[:min(putCandidates, len(keepers))] {
+			if m.put(ctx, k, []handoff.Renewal{{ID: l.req.ID, Keeper: k}}) == nil {
+				return nil
+			}
+			m.count("records.put_failed")
 		}
-		m.count("records.put_failed")
 	}
 	return refusal.New(refusal.NotReady, "no other gateway could be reached to keep the request's record").After(notReadyRetry)
 }
--- a/daemon/models/streams_test.go
+++ b/daemon/models/streams_test.go
@@ -110,3 +110,20 @@
 		is.Equal(c.engines[1].Counters().Accepted, 1)
 	})
 }
+
+// A bulletin would be refused although every gateway is well: the kept
+// connections to all keepers of its record have gone silent. New ones work.
+func TestSilentConnectionsToAllKeepers(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second, third := c.start(0), c.start(1), c.start(2)
+		for range 12 { // so that there is a connection to each
+			is.NoErr(first.Submit(t.Context(), first.request("bulletin", 5)))
+		}
+		time.Sleep(time.Second)
+		is.True(c.Silence(second.address) > 0)
+		is.True(c.Silence(third.address) > 0)
+		is.NoErr(first.Submit(t.Context(), first.request("bulletin", 5)))
+		is.True(first.counter("records.put_failed") > 0)
+	})
+}
