Protect the peers' and the admin listener with TLS where the settings ask

Change: settings.tls is a tlsreload.Source; daemons dial and serve with mutual TLS, operators show bearer keys over TLS; geraniumctl -ca. Conclusion: done; callers' listener stays plain HTTP.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"flag"
@@ -67,6 +69,7 @@
 type common struct {
 	out, errs io.Writer
 	admin     string
+	ca        string
 	key       string
 	output    string
 	timeout   time.Duration
@@ -79,6 +82,7 @@
 func (c *common) setAdminFlags(f *flag.FlagSet) {
 	c.setFlags(f)
 	f.StringVar(&c.admin, "admin", envOr(adminEnv, adminURL), "admin listeners' base URLs, separated by commas; the first that answers is used")
+	f.StringVar(&c.ca, "ca", "", "file with the authorities (PEM) that an https admin listener's certificate is checked against")
 	f.StringVar(&c.key, "key", os.Getenv(keyEnv), "the operator's bearer key; "+keyEnv+" is the default")
 	f.DurationVar(&c.timeout, "timeout", 15*time.Second, "bound on each call")
 }
@@ -143,9 +147,13 @@
 // may have reached a daemon goes on to the next one only if that is safe: all
 // admin calls are repeatable, Apply by its submission id.
 func call[Resp any](ctx context.Context, c *common, do func(context.Context, adminv1connect.AdminServiceClient) (*connect.Response[Resp], error)) (*Resp, error) {
+	httpClient, err := c.httpClient()
+	if err != nil {
+		return nil, err
+	}
 	var last error
 	for _, base := range strings.Split(c.admin, ",") {
-		client := adminv1connect.NewAdminServiceClient(http.DefaultClient, strings.TrimSpace(base), connect.WithInterceptors(bearer(c.key)))
+		client := adminv1connect.NewAdminServiceClient(httpClient, strings.TrimSpace(base), connect.WithInterceptors(bearer(c.key)))
 		callCtx, cancel := context.WithTimeout(ctx, c.timeout)
 		resp, err := do(callCtx, client)
 		cancel()
@@ -168,3 +176,23 @@
 		}
 	}
 }
+
+// AuthoritiesError says that a file holds no certificate.
+type AuthoritiesError struct{ File string }
+
+func (e *AuthoritiesError) Error() string { return fmt.Sprintf("no certificate in %s", e.File) }
+
+func (c *common) httpClient() (*http.Client, error) {
+	if c.ca == "" {
+		return http.DefaultClient, nil
+	}
+	data, err := os.ReadFile(c.ca)
+	if err != nil {
+		return nil, fmt.Errorf("read authorities: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, &AuthoritiesError{File: c.ca}
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}}, nil
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -34,6 +35,7 @@
 	"geraniumstack.org/geraniumstack/transport/gateway"
 	"geraniumstack.org/geraniumstack/transport/kv"
 	"geraniumstack.org/geraniumstack/transport/platform"
+	"geraniumstack.org/geraniumstack/transport/tlsreload"
 )
 
 const (
@@ -54,6 +56,7 @@
 
 	callers, peers, admin net.Listener
 
+	tls      *tlsreload.Reloader
 	store    kv.Store
 	control  *control.Control
 	models   *models.Models
@@ -80,6 +83,9 @@
 	if err := d.listen(n); err != nil {
 		return nil, err
 	}
+	if err := d.secure(); err != nil {
+		return nil, err
+	}
 	d.self = view.Daemon{
 		ID:            s.ID,
 		Incarnation:   newIncarnation(s.ID),
@@ -120,8 +126,34 @@
 	return nil
 }
 
+// secure puts TLS on the peers' and the admin listener. Operators show bearer
+// keys, so only peers are asked for certificates.
+func (d *Daemon) secure() error {
+	if d.settings.TLS == nil {
+		return nil
+	}
+	var err error
+	if d.tls, err = tlsreload.New(*d.settings.TLS); err != nil {
+		return fmt.Errorf("TLS: %w", err)
+	}
+	d.peers = tls.NewListener(d.peers, d.tls.ServerConfig())
+	admin := d.tls.ServerConfig()
+	admin.ClientAuth = tls.NoClientCert
+	d.admin = tls.NewListener(d.admin, admin)
+	return nil
+}
+
+// peerClient reaches other daemons, with TLS if the settings ask for it.
+func (d *Daemon) peerClient(n Network) *http.Client {
+	if d.tls == nil {
+		return newHTTPClient(n)
+	}
+	return newHTTPClient(secured{Network: n, config: d.tls.ClientConfig()})
+}
+
 func (d *Daemon) build(n Network) {
 	client := newHTTPClient(n)
+	peers := d.peerClient(n)
 	p := d.settings.Platform
 	d.store = kv.NewHTTPClient(p.KeyValue, client)
 	cloud := platform.NewClient(p.Cloud, client)
@@ -129,7 +161,7 @@
 	engines := newEngines(client, engineSilence)
 	d.control = control.New(control.Config{
 		Self: d.self, Seeds: d.settings.Seeds, Store: d.store,
-		Lister: lister, Cloud: cloud, HTTPClient: client, Metrics: d.metrics,
+		Lister: lister, Cloud: cloud, HTTPClient: peers, Metrics: d.metrics,
 	})
 	configuration := d.control.ConfigView()
 	sender := dispatch.DefaultConfig()
@@ -146,13 +178,13 @@
 	})
 	d.models = models.New(models.Config{
 		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
-		Engines: d.dispatch.Observe(engines), Peers: models.HTTPPeers{Client: client},
+		Engines: d.dispatch.Observe(engines), Peers: models.HTTPPeers{Client: peers},
 		Picker:  d.dispatch,
 		Metrics: d.metrics,
 	})
 	d.actions = actions.New(actions.Config{
 		Self: d.self.Incarnation, Directory: d.control, Config: configuration,
-		Store: d.store, Dispatcher: dispatch.New(sender), Peers: client, Metrics: d.metrics,
+		Store: d.store, Dispatcher: dispatch.New(sender), Peers: peers, Metrics: d.metrics,
 	})
 	d.orders = orders.New(orders.Config{
 		Self: d.self.Incarnation, Configuration: configuration, Directory: d.control,
@@ -217,6 +249,12 @@
 	} {
 		g.Go(func() error { return named(name, run(work)) })
 	}
+	if d.tls != nil {
+		g.Go(func() error {
+			d.tls.Run(work, tlsreload.DefaultInterval)
+			return nil
+		})
+	}
 	servers := d.servers()
 	go func() {
 		select {
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -43,6 +44,35 @@
 	return conn, nil
 }
 
+// secured dials other daemons with TLS. The certificate must be for the
+// address's IP, since daemons know each other by nothing else.
+type secured struct {
+	Network
+	config *tls.Config
+}
+
+// Dial opens a connection and shakes hands on it.
+func (s secured) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := s.Network.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("address: %w", err)
+	}
+	config := s.config.Clone()
+	config.ServerName = host
+	secure := tls.Client(conn, config)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("TLS handshake: %w", err)
+	}
+	return secure, nil
+}
+
 // newHTTPClient makes a client for the daemon's own calls. Streams have no
 // bound in time, so calls bring their own contexts.
 func newHTTPClient(n Network) *http.Client {
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -11,6 +11,7 @@
 
 	"geraniumstack.org/geraniumstack/state/document"
 	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/tlsreload"
 )
 
 // Settings is what one daemon needs to know before it can ask anybody.
@@ -25,7 +26,9 @@
 	Limits   Limits   `json:"limits,omitempty"`
 	Shutdown Shutdown `json:"shutdown,omitempty"`
 	Admin    Admin    `json:"admin,omitempty"`
-	TLS      *TLS     `json:"tls,omitempty"`
+	// TLS protects the peers' and the admin listener; without it they speak
+	// plain HTTP. Peers show each other their certificates.
+	TLS *tlsreload.Source `json:"tls,omitempty"`
 }
 
 // Listen holds the addresses, IP and port, of the three listeners. Port 0 is
@@ -74,14 +77,6 @@
 	KeyHash string `json:"key_hash" jsonschema:"pattern=^[0-9a-f]{64}$"`
 }
 
-// TLS names the files of the peers' and the admin listener's keys; they are
-// read again when they change.
-type TLS struct {
-	CertFile string `json:"cert_file" jsonschema:"minLength=1"`
-	KeyFile  string `json:"key_file" jsonschema:"minLength=1"`
-	CAFile   string `json:"ca_file" jsonschema:"minLength=1"`
-}
-
 // Defaults of the bounds.
 const (
 	DefaultMaxBodyBytes      = 4 << 20
