Bound writes to peers that went silent; cancel at any gateway

Cause: a relayed stream to a gateway that went away without a word blocked in its write and kept its goroutine. Change: each write of the peers' service has a deadline of the silence bound; a test that any gateway cancels.

--- /dev/null
+++ b/daemon/models/deadline.go
@@ -0,0 +1,48 @@
+package models
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// writeDeadlines bounds each write of a handler's answer. Without it, a stream
+// to a peer that went away without a word, or behind a device that lost track
+// of the connection, keeps its goroutine until the kernel gives up, which takes
+// a quarter of an hour.
+func writeDeadlines(next http.Handler, each time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&deadlineWriter{ResponseWriter: w, each: each}, r)
+	})
+}
+
+type deadlineWriter struct {
+	http.ResponseWriter
+	each time.Duration
+}
+
+// Write implements io.Writer.
+func (d *deadlineWriter) Write(p []byte) (int, error) {
+	if err := d.extend(); err != nil {
+		return 0, err
+	}
+	return d.ResponseWriter.Write(p)
+}
+
+// Flush implements http.Flusher; an error shows in the next Write.
+func (d *deadlineWriter) Flush() {
+	if d.extend() == nil {
+		_ = http.NewResponseController(d.ResponseWriter).Flush()
+	}
+}
+
+// Unwrap lets http.ResponseController reach the writer beneath.
+func (d *deadlineWriter) Unwrap() http.ResponseWriter { return d.ResponseWriter }
+
+func (d *deadlineWriter) extend() error {
+	err := http.NewResponseController(d.ResponseWriter).SetWriteDeadline(time.Now().Add(d.each))
+	if err != nil {
+		return fmt.Errorf("set write deadline: %w", err)
+	}
+	return nil
+}
--- a/daemon/models/models_test.go
+++ b/daemon/models/models_test.go
@@ -131,3 +131,20 @@
 		is.Equal(first.counter("requests.passed_on"), int64(2))
 	})
 }
+
+func TestAnyGatewayCancels(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second := c.start(0), c.start(1)
+		r := first.request("bulletin", 3000)
+		is.NoErr(first.Submit(t.Context(), r))
+		time.Sleep(time.Second)
+		err := second.Cancel(t.Context(), "other", r.ID)
+		is.Equal(refusal.From(err).Reason, refusal.UnknownRequest)
+		is.NoErr(second.Cancel(t.Context(), workspace, r.ID))
+		err = second.Read(t.Context(), workspace, r.ID, 0, func(call.Event) error { return nil })
+		is.Equal(refusal.From(err).Reason, refusal.Cancelled)
+		time.Sleep(time.Second)
+		is.Equal(c.engines[0].Load().Running, 0)
+	})
+}
--- a/daemon/models/service.go
+++ b/daemon/models/service.go
@@ -24,7 +24,8 @@
 
 // Handler returns the path and the handler of the peers' service.
 func (m *Models) Handler() (string, http.Handler) {
-	return requestv1connect.NewRequestServiceHandler(service{m})
+	path, h := requestv1connect.NewRequestServiceHandler(service{m})
+	return path, writeDeadlines(h, m.c.Limits.Silence)
 }
 
 func (s service) Put(_ context.Context, req *connect.Request[requestv1.PutRequest]) (*connect.Response[requestv1.PutResponse], error) {
