Test readers that bring tokens of an earlier owner

Cause: neither the refusal of another answer nor the taking over was tested. Change: a test of each. Conclusion: no answer is made of two.

--- /dev/null
+++ b/daemon/models/diverged_test.go
@@ -0,0 +1,65 @@
+package models_test
+
+import (
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/daemon/models"
+	requestv1 "geraniumstack.org/geraniumstack/gen/geranium/request/v1"
+	"geraniumstack.org/geraniumstack/gen/geranium/request/v1/requestv1connect"
+	"geraniumstack.org/geraniumstack/standin/engine"
+)
+
+// read asks a gateway as a relay would that has tokens of an earlier owner.
+func (c *cluster) read(t *testing.T, g *gateway, id string, known []string) (first *requestv1.ReadResponse) {
+	t.Helper()
+	client := c.Client()
+	defer client.CloseIdleConnections()
+	s, err := requestv1connect.NewRequestServiceClient(client, "http://"+g.address).Read(t.Context(), connect.NewRequest(&requestv1.ReadRequest{
+		RequestId: id, Workspace: string(workspace), Offset: int32(len(known)), Known: known,
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if !s.Receive() {
+		t.Fatal(s.Err())
+	}
+	return s.Msg()
+}
+
+// A caller would read half of one answer and half of another: the owner that
+// it read from is gone, and the new one made other tokens at the same offsets.
+// It is refused instead, and others are served.
+func TestReaderOfAnotherAnswerIsRefused(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		r := g.request("chat", 100)
+		is.NoErr(g.Submit(t.Context(), r))
+		time.Sleep(time.Second)
+		m := c.read(t, g, string(r.ID), []string{"of", "another"})
+		is.Equal(m.Refused, string(models.AnswerDiverged))
+		readAll(t, g, r, 0)
+	})
+}
+
+// The old owner's readers are ahead of what its keeper knew: the new owner
+// takes their tokens over, and those of its own attempt up to there are dropped.
+func TestOwnerTakesOverWhatAReaderHas(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		g := c.start(0)
+		r := g.request("chat", 100)
+		is.NoErr(g.Submit(t.Context(), r))
+		time.Sleep(time.Second)
+		known := engine.Tokens(r.Model, r.Prompt, 90)
+		m := c.read(t, g, string(r.ID), known)
+		is.Equal(m.Refused, "")
+		readAll(t, g, r, 0)
+		is.Equal(g.counter("stream.dropped.conflict"), int64(0))
+	})
+}
