--- a/bench/overload/gateway.go
+++ b/bench/overload/gateway.go
@@ -35,7 +35,7 @@
 		{name: "least_loaded", priorities: true, routing: leastLoaded},
 		{name: "policy_no_prefix", admits: true, priorities: true, routing: func(c *routing.Config) { c.IgnorePrefix = true }},
 		{name: "policy_best_of_all", admits: true, priorities: true, routing: func(c *routing.Config) { c.Samples = 0 }},
-		{name: "policy_best_of_2", admits: true, priorities: true, routing: func(c *routing.Config) { c.Samples = 2 }},
+		{name: "policy_best_of_4", admits: true, priorities: true, routing: func(c *routing.Config) { c.Samples = 4 }},
 	}
 }
 
@@ -127,6 +127,9 @@
 	}
 }
 
+// slackShare is as in package dispatch.
+const slackShare = 4
+
 func (g *gateway) request(r *request) routing.Request {
 	long := r.kind.class != urgent
 	return routing.Request{
@@ -135,6 +138,7 @@
 		PromptTokens: r.promptTokens(),
 		OutputTokens: r.output,
 		Long:         long,
+		Slack:        time.Duration(classNamed(r.kind.class).TTFTMillis) * time.Millisecond / slackShare,
 	}
 }
 
--- a/caller/action.go
+++ b/caller/action.go
@@ -25,6 +25,12 @@
 	Key string
 }
 
+// repeatable calls may be sent again where no answer came: those with a key,
+// and those of safe methods (RFC 9110, section 9.2.1).
+func (c Call) repeatable() bool {
+	return c.Key != "" || c.Method == http.MethodGet || c.Method == http.MethodHead
+}
+
 // Answer is a runner's answer.
 type Answer struct {
 	Status int
@@ -64,18 +70,18 @@
 }
 
 // again tells whether the same call may and should be sent again. A key that
-// its owner refused with executed "no" stays refused, so it is not.
+// was refused with executed "no" stays refused, since its owner keeps that
+// answer, so only calls without a key are repeated after a refusal.
 func (c *Client) again(call Call, err error) bool {
 	var refused *RefusedError
 	if !errors.As(err, &refused) {
 		c.forget()
-		return call.Key != ""
+		return call.repeatable()
 	}
 	if goesElsewhere(refused) {
 		c.forget()
-		return true
 	}
-	return call.Key == "" && refused.Executed == refusal.ExecutedNo && refused.RetryAfterMillis > 0
+	return call.Key == "" && Renewable(err)
 }
 
 // Act runs a call that may not be repeated, under a key of its own. Where the
@@ -118,6 +124,12 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	if call.repeatable() {
+		// A connection that went silent for good would hold the call for good.
+		bounded, cancel := context.WithTimeout(ctx, c.c.Silence)
+		defer cancel()
+		ctx = bounded
+	}
 	header := call.Header.Clone()
 	if header == nil {
 		header = http.Header{}
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -47,7 +47,8 @@
 	// runner reports its own.
 	PrefillRate float64
 	DecodeRate  float64
-	// Batch is the places in a runner's batch until it reports them.
+	// Batch is the places in a runner's batch until it reports them, or more
+	// requests than that.
 	Batch int
 	// PrefixCapacity bounds the prefix index, in blocks.
 	PrefixCapacity int
@@ -60,7 +61,7 @@
 	return Config{
 		Self:           self,
 		FailureDomain:  domain,
-		Samples:        4,
+		Samples:        2,
 		LoadBound:      2,
 		RemotePenalty:  4 * time.Millisecond,
 		PriceWeight:    0.005,
@@ -81,6 +82,8 @@
 	prefill  float64
 	decode   float64
 	free     float64
+	// places is the size of the batch.
+	places int
 	// pendingPrefill and pendingKV count own work in progress.
 	pendingPrefill float64
 	pendingKV      float64
@@ -181,7 +184,7 @@
 		i = (^t.used).First()
 		t.byID[r.ID] = i
 		t.used = t.used.With(i)
-		t.slots[i] = slot{used: true, epoch: t.slots[i].epoch + 1, prefill: t.cfg.PrefillRate, decode: t.cfg.DecodeRate}
+		t.slots[i] = slot{used: true, epoch: t.slots[i].epoch + 1, prefill: t.cfg.PrefillRate, decode: t.cfg.DecodeRate, places: t.cfg.Batch}
 	}
 	s := &t.slots[i]
 	if s.runner.State == view.Leaving {
@@ -199,18 +202,21 @@
 // refresh derives from the slots what choices read.
 func (t *Table) refresh(now time.Time) {
 	t.live, t.suspect, t.maxPrice = 0, 0, 0
+	for u := t.used; u != 0; u &= u - 1 {
+		t.maxPrice = max(t.maxPrice, t.slots[u.First()].runner.PricePerHour)
+	}
 	for u := t.used; u != 0; u &= u - 1 {
 		i := u.First()
 		s := &t.slots[i]
-		t.maxPrice = max(t.maxPrice, s.runner.PricePerHour)
 		s.hazard = 0
 		if s.runner.Reclaimable {
 			s.hazard = t.hazard.PerHour(now, s.runner.FailureDomain, s.runner.VMClass) / time.Hour.Seconds()
 		}
-		switch {
-		case s.runner.State == view.Live:
+		t.rescore(i)
+		switch s.runner.State {
+		case view.Live:
 			t.live = t.live.With(i)
-		case s.runner.State == view.Suspect:
+		case view.Suspect:
 			t.suspect = t.suspect.With(i)
 		}
 	}
@@ -294,6 +300,10 @@
 	if r.DecodeRate > 0 {
 		s.decode = r.DecodeRate
 	}
+	s.places = max(s.places, r.Running)
+	if r.MaxRunning > 0 {
+		s.places = r.MaxRunning
+	}
 	s.free = float64(max(r.KVBlocksFree*prefix.BlockTokens, r.KVBlocksTotal*prefix.BlockTokens-r.RunningTokens))
 	t.sumSince(i)
 	t.rescore(i)
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -50,6 +50,7 @@
 type Control struct {
 	cfg      Config
 	counters counters
+	jitter   *jitter
 
 	mu       sync.Mutex
 	follower *config.Follower
@@ -105,6 +106,7 @@
 	return &Control{
 		cfg:              cfg,
 		counters:         newCounters(cfg.Metrics),
+		jitter:           newJitter(cfg.Self.Incarnation),
 		follower:         config.NewFollower(),
 		table:            membership.New(time.Now(), self),
 		strategy:         spread.NewNeighbours(string(cfg.Self.Incarnation)),
@@ -158,7 +160,8 @@
 
 // Handler serves the peers' calls.
 func (c *Control) Handler() (string, http.Handler) {
-	return meshv1connect.NewMeshServiceHandler((*meshService)(c))
+	return meshv1connect.NewMeshServiceHandler((*meshService)(c),
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressAbove))
 }
 
 // Current implements view.Config.
--- a/protocol/action/owner_test.go
+++ b/protocol/action/owner_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"geraniumstack.org/geraniumstack/coordination/journal"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/protocol/action"
 	"geraniumstack.org/geraniumstack/protocol/call"
 	"geraniumstack.org/geraniumstack/state/manifest"
