Measure spread over a cut between the regions

Cause: regions lose each other for minutes, several times a year; the bench had no cut. Change: figures with the suffix _cut in bench/spread.

--- a/bench/spread/simulation.go
+++ b/bench/spread/simulation.go
@@ -36,11 +36,16 @@
 // faults says what is wrong during a run.
 type faults struct {
 	crashed, paused, falselySuspected float64
+	// cut keeps the regions from each other from cutBegin on until cutLength
+	// after the publishing.
+	cut bool
 }
 
 const (
 	// pauseLength is how long a paused member neither receives nor sends.
 	pauseLength = 5 * time.Second
+	cutBegin    = time.Second
+	cutLength   = 20 * time.Second
 	// suspectedAfter is when a silent member is suspected, up to twice that.
 	suspectedAfter = 3 * time.Second
 )
@@ -69,6 +74,7 @@
 	index   map[string]int
 	random  *rand.Rand
 	order   uint64
+	faults  faults
 
 	waiting int
 	publish time.Duration
@@ -83,7 +89,7 @@
 
 // newSimulation makes n members of a strategy; member 0 publishes.
 func newSimulation(n int, seed uint64, f faults, machine maker) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, uint64(n))), index: map[string]int{}}
+	s := &simulation{faults: f, random: rand.New(rand.NewPCG(seed, uint64(n))), index: map[string]int{}}
 	ids := memberIDs(n)
 	for i, id := range ids {
 		m := &member{id: id, region: i % regions, partners: map[int]struct{}{}}
@@ -101,7 +107,10 @@
 	}
 	s.push(event{at: s.publish, kind: publish})
 	if f.crashed+f.paused > 0 {
-		s.scheduleSuspicions()
+		s.scheduleSuspicions(s.publish+suspectedAfter, s.publish+pauseLength)
+	}
+	if f.cut {
+		s.scheduleSuspicions(cutBegin+suspectedAfter, s.heals()+suspectedAfter)
 	}
 	return s
 }
@@ -159,19 +168,28 @@
 	s.send(i, s.members[i].strategy.SetMembers(time.Time{}, peers))
 }
 
-// scheduleSuspicions lets each member find out of the crashed and paused ones
-// at its own time, and of the end of the pauses.
-func (s *simulation) scheduleSuspicions() {
+// scheduleSuspicions lets each member look for silent ones twice, at its own
+// time: when it finds out of them, and when it finds out that some are back.
+func (s *simulation) scheduleSuspicions(found, back time.Duration) {
 	for i := range s.members {
 		late := time.Duration(s.random.Int64N(int64(suspectedAfter)))
-		s.push(event{at: s.publish + suspectedAfter + late, kind: suspect, to: i})
-		s.push(event{at: s.publish + pauseLength + late, kind: suspect, to: i})
+		s.push(event{at: found + late, kind: suspect, to: i})
+		s.push(event{at: back + late, kind: suspect, to: i})
 	}
 }
 
-func (s *simulation) suspects(j int) bool {
+// heals is when a cut ends.
+func (s *simulation) heals() time.Duration { return s.publish + cutLength }
+
+func (s *simulation) isCut(a, b int) bool {
+	open := !s.faults.cut || s.now < cutBegin || s.now >= s.heals()
+	return !open && s.members[a].region != s.members[b].region
+}
+
+// suspects tells whether member i suspects member j now.
+func (s *simulation) suspects(i, j int) bool {
 	m := s.members[j]
-	return m.crashed || m.doubted || m.pausedUntil > s.now
+	return m.crashed || m.doubted || m.pausedUntil > s.now || s.isCut(i, j)
 }
 
 // run ends settled after the last correct member was reached, or at giveUp.
@@ -212,7 +230,7 @@
 		s.send(e.to, m.strategy.Tick(time.Time{}))
 		s.push(event{at: s.now + m.strategy.Interval(), kind: tick, to: e.to})
 	case suspect:
-		s.introduce(e.to, s.suspects)
+		s.introduce(e.to, func(j int) bool { return s.suspects(e.to, j) })
 	case deliver:
 		m.bytes += size(e.message)
 		s.send(e.to, m.strategy.Receive(time.Time{}, s.members[e.from].id, e.message))
@@ -244,6 +262,9 @@
 		if s.published && s.waiting > 0 {
 			s.messages++
 		}
+		if s.isCut(from, to) {
+			continue
+		}
 		s.push(event{at: s.now + s.latency(from, to), kind: deliver, from: from, to: to, message: send.Message})
 	}
 }
--- a/bench/spread/spread.go
+++ b/bench/spread/spread.go
@@ -104,6 +104,7 @@
 		"messages: all that were sent from publishing until the last member was reached, heartbeats included.",
 		fmt.Sprintf("_faults: %.0f%% crash and %.0f%% pause for %s when the change is published, %.0f%% are suspected without cause throughout.",
 			100*faulty.crashed, 100*faulty.paused, pauseLength, 100*faulty.falselySuspected),
+		fmt.Sprintf("_cut: the regions lose each other before the change and until %s after it; the time counts from the change.", cutLength),
 		"never_reached counts members; connections is the mean number of distinct members that one talked to.",
 		"Links in three regions: 1 ms one way within, 40 ms between, up to half more. The flat arm runs one seed, and with faults up to 512 members.",
 	}
@@ -116,7 +117,7 @@
 	for _, variant := range []struct {
 		suffix string
 		faults faults
-	}{{"", faults{}}, {"_faults", faulty}} {
+	}{{"", faults{}}, {"_faults", faulty}, {"_cut", faults{cut: true}}} {
 		if a.costly && variant.suffix != "" && n > costlyFaulty {
 			continue
 		}
