--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -62,6 +62,7 @@
 	c.Register(&checkCmd{common: base}, groupLocal)
 	c.Register(&schemaCmd{common: base}, groupLocal)
 	c.Register(&demoCmd{common: base}, groupLocal)
+	c.Register(&loadCmd{common: base}, groupAdmin)
 	c.Register(&benchCmd{common: base}, groupLocal)
 }
 
--- /dev/null
+++ b/demo/remote.go
@@ -0,0 +1,42 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"geraniumstack.org/geraniumstack/caller"
+)
+
+// LoadOptions describe a load on gateways that run elsewhere.
+type LoadOptions struct {
+	Fleet    string
+	Gateways []string
+	Seed     uint64
+	For      time.Duration
+	HTTP     *http.Client
+	Progress io.Writer
+}
+
+// Load sends a fleet's mix to running gateways and tells what callers saw. It
+// expects stand-in engines, whose answers it knows. What the runners did is out
+// of its sight, so runs of one action are not counted.
+func Load(ctx context.Context, o LoadOptions) (Summary, error) {
+	f, err := FleetNamed(o.Fleet)
+	if err != nil {
+		return Summary{}, err
+	}
+	t := newTally()
+	began := time.Now()
+	l := newLoad(f, t, caller.Config{Gateways: o.Gateways, HTTP: o.HTTP, Patience: patience}, o.Seed)
+	sending, stop := context.WithTimeout(ctx, o.For)
+	defer stop()
+	working, stopWorking := context.WithTimeout(ctx, o.For+finishFor)
+	defer stopWorking()
+	l.run(sending, working)
+	s := t.summary()
+	s.Fleet = f.Name
+	s.Seconds = time.Since(began).Seconds()
+	return s, nil
+}
