--- a/daemon/control/mesh.go
+++ b/daemon/control/mesh.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"connectrpc.com/connect"
@@ -31,6 +30,9 @@
 	pushGap = 100 * time.Millisecond
 	// maxMessageBytes bounds a peer's message.
 	maxMessageBytes = 32 << 20
+	// compressAbove is the size from which a message is compressed; below it
+	// compression costs more processor time than all the rest of an exchange.
+	compressAbove = 1024
 	// seedInterval is the time between two tries of a seed.
 	seedInterval = time.Second
 	// seedsPerTurn bounds the seeds tried at a time.
@@ -107,7 +109,7 @@
 
 func (c *Control) client(address string) meshv1connect.MeshServiceClient {
 	return meshv1connect.NewMeshServiceClient(c.cfg.HTTPClient, c.cfg.Scheme+"://"+address,
-		connect.WithReadMaxBytes(maxMessageBytes))
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendGzip(), connect.WithCompressMinBytes(compressAbove))
 }
 
 // exchange calls one peer; to is NoPeer where only the address is known. It
@@ -254,7 +256,7 @@
 			return
 		}
 		rest := c.interval() - pushGap
-		timer := time.NewTimer(rest*9/10 + rand.N(rest/5))
+		timer := time.NewTimer(rest*9/10 + c.jitter.below(rest/5))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
--- a/daemon/models/records.go
+++ b/daemon/models/records.go
@@ -19,6 +19,7 @@
 const (
 	// putCandidates bounds the daemons that are asked to keep a new record.
 	putCandidates = 3
+	putRounds     = 2
 	// lookupCandidates bounds the daemons that are asked for a request.
 	lookupCandidates = 8
 	// minDeadlineLeft keeps a deadline that has passed from reading as none.
@@ -116,11 +117,15 @@
 		m.count("records.no_keeper")
 		return nil
 	}
-	for _, k := range keepers[:min(putCandidates, len(keepers))] {
-		if m.put(ctx, k, []handoff.Renewal{{ID: l.req.ID, Keeper: k}}) == nil {
-			return nil
+	// The second round is for kept connections that have gone silent: they cost
+	// a timeout each and are then closed, and new ones work.
+	for range putRounds {
+		for _, k := range keepers[:min(putCandidates, len(keepers))] {
+			if m.put(ctx, k, []handoff.Renewal{{ID: l.req.ID, Keeper: k}}) == nil {
+				return nil
+			}
+			m.count("records.put_failed")
 		}
-		m.count("records.put_failed")
 	}
 	return refusal.New(refusal.NotReady, "no other gateway could be reached to keep the request's record").After(notReadyRetry)
 }
@@ -177,7 +182,7 @@
 // housekeep renews records, adopts orphans and forgets what is old.
 func (m *Models) housekeep() {
 	m.renew()
-	m.adoptOrphans()
+	m.adoptOrphans(m.c.Limits.OwnerGone)
 	m.forgetOld()
 }
 
@@ -219,13 +224,18 @@
 	m.mu.Unlock()
 }
 
-func (m *Models) adoptOrphans() {
+// adoptOrphans runs the requests whose owner has not been heard of for quiet.
+// Without a configuration they stay records.
+func (m *Models) adoptOrphans(quiet time.Duration) {
+	if conf, _ := m.c.Config.Current(); conf == nil {
+		return
+	}
 	listed := map[ident.Incarnation]bool{}
 	for _, d := range m.c.Directory.Daemons() {
 		listed[d.Incarnation] = true
 	}
 	m.mu.Lock()
-	orphans := m.keeper.Adopt(time.Now(), m.c.Self, m.c.Limits.OwnerGone, func(i ident.Incarnation) bool {
+	orphans := m.keeper.Adopt(time.Now(), m.c.Self, quiet, func(i ident.Incarnation) bool {
 		return listed[i]
 	})
 	m.mu.Unlock()
