--- a/ctl/experiments.go
+++ b/ctl/experiments.go
@@ -5,6 +5,7 @@
 	"geraniumstack.org/geraniumstack/bench/actions"
 	"geraniumstack.org/geraniumstack/bench/control"
 	"geraniumstack.org/geraniumstack/bench/fleet"
+	"geraniumstack.org/geraniumstack/bench/orders"
 	"geraniumstack.org/geraniumstack/bench/overhead"
 	"geraniumstack.org/geraniumstack/bench/overload"
 	"geraniumstack.org/geraniumstack/bench/placement"
@@ -18,6 +19,7 @@
 		actions.Experiment{},
 		control.Experiment{},
 		fleet.Experiment{},
+		orders.Experiment{},
 		overhead.Experiment{},
 		overload.Experiment{},
 		placement.Experiment{},
