--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -221,3 +221,18 @@
 	}
 	is.Equal(calls, int(time.Minute/timing.Look))
 }
+
+func BenchmarkHoldOneSecond(b *testing.B) {
+	timing := lease.DefaultTiming()
+	m := lease.New(timing)
+	var s service
+	now := time.Duration(0)
+	for b.Loop() {
+		for range 4 {
+			for effects := m.Tick(now, true); len(effects) > 0; {
+				effects = m.Step(now, s.do(now, effects[0], timing.TTL))
+			}
+			now += time.Second / 4
+		}
+	}
+}
