Look at a settled shard every 10 s

Cause: a holder asked its 64 runners for reports every second for good, about 40 KB a second where a daemon may spend 8 on control.

Change: a shard with nothing to order or under way is looked at every 10 s; a changed manifest or runner at once.

Conclusion: 6.4 reports a second for a shard of 64.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -163,6 +163,9 @@
 	s.at = 0
 }
 
+// Waiting tells whether the reports don't show all orders as done yet.
+func (p *Planner) Waiting() bool { return len(p.orders) > 0 }
+
 // Plan returns the orders to give now. models are those of the service and
 // runners its live ones that have reported.
 func (p *Planner) Plan(now time.Duration, models []manifest.Model, runners []Runner) []Order {
--- a/daemon/orders/rollout.go
+++ b/daemon/orders/rollout.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -25,6 +26,11 @@
 	orderParallelism  = 8
 )
 
+// settledEvery is the time between two looks at a shard that is as it should
+// be. Looking at it each round would cost its holder more bytes than all its
+// other control together.
+const settledEvery = 10 * time.Second
+
 // rolloutDuty brings one shard of a service's runners to the manifest.
 type rolloutDuty struct {
 	driver        *Driver
@@ -33,6 +39,16 @@
 	holder        *holder
 	planner       *rollout.Planner
 	tenure        uint64
+	last          look
+}
+
+// look is what the last look at the shard was about.
+type look struct {
+	at      time.Duration
+	models  []manifest.Model
+	runners []view.Runner
+	// settled says that it found nothing to order and nothing under way.
+	settled bool
 }
 
 func newRolloutDuty(d *Driver, service string, shards, shard int, h *holder) *rolloutDuty {
@@ -47,6 +63,7 @@
 	if r.tenure != held {
 		r.tenure = held
 		r.planner = rollout.New(rollout.DefaultLimits())
+		r.last = look{}
 	}
 	// Without a permit the orders would only be planned to be dropped, and the
 	// runners polled for nothing.
@@ -54,13 +71,40 @@
 		r.driver.count("orders.waiting")
 		return nil
 	}
-	addresses, reports := r.reports(ctx)
-	orders := r.planner.Plan(r.holder.now(), modelsOf(m, r.service), reports)
-	results := r.giveAll(ctx, service.ChecksFencing, addresses, orders)
+	l := look{at: r.holder.now(), models: modelsOf(m, r.service), runners: r.runners()}
+	if !r.due(l) {
+		return nil
+	}
+	l.settled = r.mend(ctx, service.ChecksFencing, l)
+	r.last = l
+	return nil
+}
+
+// due tells whether a look is needed. Of a settled shard, a changed manifest
+// or runner is seen at once, and anything else within settledEvery.
+func (r *rolloutDuty) due(l look) bool {
+	if !r.last.settled || l.at >= r.last.at+settledEvery {
+		return true
+	}
+	return !reflect.DeepEqual(l.models, r.last.models) || !slices.Equal(l.runners, r.last.runners)
+}
+
+// mend orders what is missing and tells whether the shard is settled.
+func (r *rolloutDuty) mend(ctx context.Context, checked bool, l look) bool {
+	addresses, reports := r.reports(ctx, l.runners)
+	orders := r.planner.Plan(l.at, l.models, reports)
+	results := r.giveAll(ctx, checked, addresses, orders)
 	for i, o := range orders {
 		r.learn(o, results[i])
 	}
-	return nil
+	return len(orders) == 0 && len(reports) == len(l.runners) && !r.planner.Waiting()
+}
+
+// runners lists the shard's live ones.
+func (r *rolloutDuty) runners() []view.Runner {
+	return slices.DeleteFunc(sortedRunners(r.driver.Directory.Runners(r.service)), func(runner view.Runner) bool {
+		return runner.State != view.Live || !r.mine(runner.ID)
+	})
 }
 
 func modelsOf(m *manifest.Manifest, service string) []manifest.Model {
@@ -77,18 +121,15 @@
 	return xxhash.Sum64String(string(id))%uint64(r.shards) == uint64(r.shard)
 }
 
-// reports asks the shard's live runners for what they hold. One that does not
-// answer is left out: it gets no orders this time.
-func (r *rolloutDuty) reports(ctx context.Context) (map[ident.RunnerID]string, []rollout.Runner) {
+// reports asks runners for what they hold. One that does not answer is left
+// out: it gets no orders this time.
+func (r *rolloutDuty) reports(ctx context.Context, runners []view.Runner) (map[ident.RunnerID]string, []rollout.Runner) {
 	var mu sync.Mutex
 	addresses := map[ident.RunnerID]string{}
 	var out []rollout.Runner
 	var g errgroup.Group
 	g.SetLimit(reportParallelism)
-	for _, runner := range sortedRunners(r.driver.Directory.Runners(r.service)) {
-		if runner.State != view.Live || !r.mine(runner.ID) {
-			continue
-		}
+	for _, runner := range runners {
 		g.Go(func() error {
 			load, ok := r.report(ctx, runner)
 			if !ok {
--- a/daemon/orders/rollout_test.go
+++ b/daemon/orders/rollout_test.go
@@ -100,3 +100,27 @@
 		w.True(!w.announced[leaving.Address].IsZero()) // and the others are told
 	})
 }
+
+// A shard is as it should be for hours. Asking its runners every second for
+// nothing would cost more than all other control; a runner that loses a model
+// must be mended all the same.
+func TestSettledShardIsLookedAtSeldom(t *testing.T) {
+	bubble(t, base(2, true), lease.DefaultTiming(), func(w *world) {
+		w.settled(2, "1")
+		before := w.reported()
+		time.Sleep(5 * time.Minute)
+		w.True(w.reported()-before <= 2*31)
+		w.NoErr(w.engine(w.running()[0].Address).Order(engineapi.Order{
+			Kind: engineapi.OrderUnload, Model: "m", Version: "1", Fencing: 1 << 40,
+		}))
+		w.until(time.Second, "the loss", func() bool { return w.serving("1") == 1 })
+		w.until(15*time.Second, "an order", func() bool { return w.counter("orders.failed.runner_refused") > 0 })
+	})
+}
+
+// reported counts the reports that were asked for.
+func (w *world) reported() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.reports
+}
--- a/daemon/orders/world_test.go
+++ b/daemon/orders/world_test.go
@@ -53,6 +53,7 @@
 	announced  map[string]time.Time
 	removed    map[string]time.Time
 	given      []given
+	reports    int
 }
 
 // given is an order that reached a runner.
@@ -338,6 +339,9 @@
 	if err := p.pass("report"); err != nil {
 		return engineapi.Load{}, err
 	}
+	p.world.mu.Lock()
+	p.world.reports++
+	p.world.mu.Unlock()
 	return p.world.engine(address).Load(), nil
 }
 
