--- a/protocol/admission/admission.go
+++ b/protocol/admission/admission.go
@@ -250,7 +250,7 @@
 // Limit is the number of requests that may be in progress now.
 func (c *Controller) Limit() int { return c.limiter.Limit() }
 
-// Running and Queued count the requests admitted and waiting.
+// Running counts the requests that were admitted and have not ended.
 func (c *Controller) Running() int { return c.running }
 
 // Queued counts the requests that wait.
