--- a/daemon/actions/actions.go
+++ b/daemon/actions/actions.go
@@ -89,6 +89,7 @@
 	counters *counters
 	logs     logCache
 	sealing  singleflight.Group
+	granting singleflight.Group
 	seals    *rate.Limiter
 	lease    dayLease
 	draining drainOnce
--- a/daemon/actions/claim.go
+++ b/daemon/actions/claim.go
@@ -109,20 +109,44 @@
 }
 
 func (s *Service) dayLease(ctx context.Context) (kv.LeaseID, error) {
-	s.lease.mu.Lock()
-	defer s.lease.mu.Unlock()
-	if s.lease.id != 0 && time.Now().Before(s.lease.until) {
-		return s.lease.id, nil
+	if id := s.lease.current(time.Now()); id != 0 {
+		return id, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.Times.Store)
-	defer cancel()
-	lease, err := s.cfg.Store.Grant(ctx, claimLifetime+claimRenewal)
-	if err != nil {
-		return 0, fmt.Errorf("grant lease of a day: %w", err)
+	// One grant at a time, and no lock held while it is waited for.
+	granted := s.granting.DoChan("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(s.ctx, s.cfg.Times.Store)
+		defer cancel()
+		id, err := s.cfg.Store.Grant(ctx, claimLifetime+claimRenewal)
+		if err == nil {
+			s.lease.set(id, time.Now().Add(claimRenewal))
+		}
+		return id, err
+	})
+	select {
+	case r := <-granted:
+		if r.Err != nil {
+			return 0, fmt.Errorf("grant lease of a day: %w", r.Err)
+		}
+		return r.Val.(kv.LeaseID), nil
+	case <-ctx.Done():
+		return 0, fmt.Errorf("grant lease of a day: %w", ctx.Err())
+	}
+}
+
+// current returns zero when a new lease is due.
+func (l *dayLease) current(now time.Time) kv.LeaseID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.After(l.until) {
+		return 0
 	}
-	s.lease.id = lease
-	s.lease.until = time.Now().Add(claimRenewal)
-	return lease, nil
+	return l.id
+}
+
+func (l *dayLease) set(id kv.LeaseID, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id, l.until = id, until
 }
 
 // forget makes the next claim grant a lease of its own.
