Send records in messages of 64

Cause: a keeper that leaves has all records due at once, with their prompts. Change: renewals and hand-offs go in messages of at most 64 records. Figures: go test -race -count=1 ./daemon/models passes; 150 bulletins are passed on within a drain of 5 s in virtual time. Conclusion: message size is bounded by 64 prompts.

--- a/daemon/models/drain.go
+++ b/daemon/models/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -74,8 +75,10 @@
 	}
 	left := m.drain.Left()
 	m.mu.Unlock()
-	for _, batch := range byPeer {
-		m.spawn(func() { m.passBatch(ctx, batch, daemons) })
+	for _, all := range byPeer {
+		for batch := range slices.Chunk(all, batchRecords) {
+			m.spawn(func() { m.passBatch(ctx, batch, daemons) })
+		}
 	}
 	return left
 }
--- a/daemon/models/reclaim_test.go
+++ b/daemon/models/reclaim_test.go
@@ -231,3 +231,21 @@
 		}
 	})
 }
+
+// A gateway with many requests keeps its notice: they go in several messages.
+func TestDrainOfManyRequests(t *testing.T) {
+	bubble(t, 4, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		first, second := c.start(0), c.start(1)
+		for range 150 {
+			is.NoErr(first.Submit(t.Context(), first.request("bulletin", 200)))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		is.NoErr(first.Drain(ctx))
+		is.Equal(first.counter("requests.passed_on"), int64(150))
+		c.kill(first)
+		time.Sleep(time.Minute)
+		is.Equal(second.counter("requests.answered.bulletin"), int64(150))
+	})
+}
--- a/daemon/models/records.go
+++ b/daemon/models/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -20,6 +21,9 @@
 	// putCandidates bounds the daemons that are asked to keep a new record.
 	putCandidates = 3
 	putRounds     = 2
+	// batchRecords bounds the records in one message: whole ones have prompts,
+	// and a keeper that leaves has them all due at once.
+	batchRecords = 64
 	// lookupCandidates bounds the daemons that are asked for a request.
 	lookupCandidates = 8
 	// minDeadlineLeft keeps a deadline that has passed from reading as none.
@@ -210,14 +214,16 @@
 	}
 	m.mu.Unlock()
 	for _, batch := range batches {
-		m.spawn(func() { m.renewBatch(batch) })
+		m.spawn(func() { m.renewAt(batch[0].Keeper, batch) })
 	}
 }
 
-func (m *Models) renewBatch(batch []handoff.Renewal) {
-	keeper := batch[0].Keeper
-	if err := m.put(m.ctx, keeper, batch); err != nil {
-		m.count("records.renewal_failed")
+func (m *Models) renewAt(keeper view.Daemon, all []handoff.Renewal) {
+	for batch := range slices.Chunk(all, batchRecords) {
+		if err := m.put(m.ctx, keeper, batch); err != nil {
+			m.count("records.renewal_failed")
+			break
+		}
 	}
 	m.mu.Lock()
 	delete(m.renewing, keeper.Incarnation)
