Give callers a stream's request id before its first token; find silence sooner

Change: an accepted stream begins at once, so its caller can go on elsewhere; caller heartbeats every 2 s; the caller client gives a silent connection up after 6 s. A read of an unknown request still gets a status.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -28,14 +28,14 @@
 	FailureDomain ident.FailureDomain
 	// HTTP is used for all calls; it must have no timeout of its own.
 	HTTP *http.Client
-	// Silence is how long a stream may carry nothing, heartbeats included.
+	// Silence is how long a connection may carry nothing, heartbeats included.
 	Silence time.Duration
 	// Patience bounds the search for a gateway that answers.
 	Patience time.Duration
 }
 
 const (
-	defaultSilence  = 15 * time.Second
+	defaultSilence  = 6 * time.Second
 	defaultPatience = 30 * time.Second
 	retryPause      = 100 * time.Millisecond
 	attemptTimeout  = 2 * time.Second
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -85,7 +85,7 @@
 	DefaultWriteTimeout      = 10 * time.Second
 	DefaultMaxConcurrent     = 4096
 	DefaultGatewaysLifetime  = 2 * time.Second
-	DefaultCallerHeartbeat   = 5 * time.Second
+	DefaultCallerHeartbeat   = 2 * time.Second
 	DefaultMaxServiceTimeout = 30 * time.Second
 	DefaultGrace             = 20 * time.Second
 )
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -207,6 +207,35 @@
 	is.True(strings.Contains(string(text), "id: 3\n"))
 }
 
+// A caller comes back for a request that nobody knows any more. It must get a
+// status and a typed refusal, not a stream that looks accepted.
+func TestUnknownRequestIsNoStream(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	f.tokens, f.readError = nil, refusal.New(refusal.UnknownRequest, "no such request").Unknown()
+	g, _ := newGateway(f)
+	is.Equal(send(g, "GET", "/v1/requests/r9", "", "Last-Event-ID", "2").StatusCode, 404)
+}
+
+// The gateway dies while a request waits for its first token. Its caller must
+// know the request's id by then, or it could only ask anew.
+func TestAcceptedStreamShowsItsIDBeforeTheFirstToken(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	f.tokens, f.block = nil, make(chan struct{})
+	g, _ := newGateway(f)
+	server := httptest.NewServer(g)
+	defer server.Close()
+	r, _ := http.NewRequest("POST", server.URL+"/v1/chat/completions", strings.NewReader(
+		`{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`))
+	r.Header.Set("Authorization", "Bearer "+callerKey)
+	resp, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get("X-Request-Id"), "r1")
+	close(f.block)
+	resp.Body.Close()
+}
+
 // A request is refused after its first tokens went out. The caller must see a
 // typed end and no [DONE], or it would take half an answer for a whole one.
 func TestRefusalInStreamIsNoWholeAnswer(t *testing.T) {
--- a/transport/gateway/models.go
+++ b/transport/gateway/models.go
@@ -93,7 +93,7 @@
 	g.Usage.Accepted(ws)
 	c.Response().Header().Set(requestIDHeader, string(request.ID))
 	c.Response().Header().Set("Location", requestPath(request.ID))
-	a := answer{object: object, model: request.Model, id: request.ID, workspace: ws}
+	a := answer{object: object, model: request.Model, id: request.ID, workspace: ws, fresh: true}
 	if request.Async {
 		return c.JSON(http.StatusAccepted, acceptedBody{ID: request.ID, Status: "accepted"})
 	}
--- a/transport/gateway/stream.go
+++ b/transport/gateway/stream.go
@@ -22,6 +22,8 @@
 	model     string
 	id        ident.RequestID
 	workspace ident.Workspace
+	// fresh requests were accepted on this connection.
+	fresh bool
 }
 
 // CompletionChoice is the one choice of an answer or of a chunk.
@@ -112,6 +114,14 @@
 func (g *Gateway) stream(c *echo.Context, a answer, offset int) error {
 	w := newEventWriter(c.Response(), g.Limits.WriteTimeout, g.Limits.Heartbeat)
 	defer w.stop()
+	if a.fresh {
+		// The caller gets the request's id before its first token: if this
+		// gateway dies while the request waits, it goes on elsewhere instead of
+		// asking anew.
+		if err := w.comment(); err != nil {
+			return err
+		}
+	}
 	tokens := 0
 	err := g.Models.Read(c.Request().Context(), a.workspace, a.id, offset, func(e call.Event) error {
 		if e.Heartbeat {
@@ -135,7 +145,7 @@
 }
 
 // endStream tells a refusal in the stream if that has begun, since the status
-// line has gone out; a stream without it, or without [DONE], is not whole.
+// line has gone out; a stream without [DONE] is not whole.
 func (g *Gateway) endStream(c *echo.Context, w *eventWriter, err error) error {
 	if !w.begun() {
 		return err
