Bound how long a caller waits for a gateway to accept

Cause: callers of a frozen gateway waited 6 s before they went on elsewhere. Change: 2 s for acceptance or refusal, 6 s of silence afterwards.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -39,7 +39,9 @@
 	defaultPatience = 30 * time.Second
 	retryPause      = 100 * time.Millisecond
 	attemptTimeout  = 2 * time.Second
-	maxAnswerBytes  = 16 << 20
+	// acceptTimeout is how long a gateway may take to accept or refuse.
+	acceptTimeout  = 2 * time.Second
+	maxAnswerBytes = 16 << 20
 )
 
 // Client is safe for concurrent use.
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -86,13 +86,14 @@
 	defer cancel()
 	// A connection that something between the ends has lost track of carries
 	// nothing for good, without an error.
-	silence := time.AfterFunc(s.c.c.Silence, cancel)
+	silence := time.AfterFunc(acceptTimeout, cancel)
 	defer silence.Stop()
 	resp, err := s.send(ctx, base)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
+	silence.Reset(s.c.c.Silence)
 	if id := resp.Header.Get("X-Request-Id"); id != "" {
 		s.result.RequestID = id
 	}
