--- a/daemon/models/drain.go
+++ b/daemon/models/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -54,8 +55,11 @@
 
 func (e *DrainIncompleteError) Error() string { return "requests were not passed on in time" }
 
-// passOn starts the passing of what is due and returns what is left.
+// passOn starts the passing of what is due and returns what is left. Records of
+// owners that are no longer listed are passed on as well: they would end with
+// this daemon before the time after which it would run them.
 func (m *Models) passOn(ctx context.Context) int {
+	m.adoptOrphans(0)
 	daemons := m.c.Directory.Daemons()
 	m.mu.Lock()
 	for id, l := range m.live {
@@ -71,8 +75,10 @@
 	}
 	left := m.drain.Left()
 	m.mu.Unlock()
-	for _, batch := range byPeer {
-		m.spawn(func() { m.passBatch(ctx, batch, daemons) })
+	for _, all := range byPeer {
+		for batch := range slices.Chunk(all, batchRecords) {
+			m.spawn(func() { m.passBatch(ctx, batch, daemons) })
+		}
 	}
 	return left
 }
--- a/daemon/models/records.go
+++ b/daemon/models/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -19,6 +20,10 @@
 const (
 	// putCandidates bounds the daemons that are asked to keep a new record.
 	putCandidates = 3
+	putRounds     = 2
+	// batchRecords bounds the records in one message: whole ones have prompts,
+	// and a keeper that leaves has them all due at once.
+	batchRecords = 64
 	// lookupCandidates bounds the daemons that are asked for a request.
 	lookupCandidates = 8
 	// minDeadlineLeft keeps a deadline that has passed from reading as none.
@@ -116,11 +121,15 @@
 		m.count("records.no_keeper")
 		return nil
 	}
-	for _, k := range keepers[:min(putCandidates, len(keepers))] {
-		if m.put(ctx, k, []handoff.Renewal{{ID: l.req.ID, Keeper: k}}) == nil {
-			return nil
+	// The second round is for kept connections that have gone silent: they cost
+	// a timeout each and are then closed, and new ones work.
+	for range putRounds {
+		for _, k := range keepers[:min(putCandidates, len(keepers))] {
+			if m.put(ctx, k, []handoff.Renewal{{ID: l.req.ID, Keeper: k}}) == nil {
+				return nil
+			}
+			m.count("records.put_failed")
 		}
-		m.count("records.put_failed")
 	}
 	return refusal.New(refusal.NotReady, "no other gateway could be reached to keep the request's record").After(notReadyRetry)
 }
@@ -177,7 +186,7 @@
 // housekeep renews records, adopts orphans and forgets what is old.
 func (m *Models) housekeep() {
 	m.renew()
-	m.adoptOrphans()
+	m.adoptOrphans(m.c.Limits.OwnerGone)
 	m.forgetOld()
 }
 
@@ -205,27 +214,34 @@
 	}
 	m.mu.Unlock()
 	for _, batch := range batches {
-		m.spawn(func() { m.renewBatch(batch) })
+		m.spawn(func() { m.renewAt(batch[0].Keeper, batch) })
 	}
 }
 
-func (m *Models) renewBatch(batch []handoff.Renewal) {
-	keeper := batch[0].Keeper
-	if err := m.put(m.ctx, keeper, batch); err != nil {
-		m.count("records.renewal_failed")
+func (m *Models) renewAt(keeper view.Daemon, all []handoff.Renewal) {
+	for batch := range slices.Chunk(all, batchRecords) {
+		if err := m.put(m.ctx, keeper, batch); err != nil {
+			m.count("records.renewal_failed")
+			break
+		}
 	}
 	m.mu.Lock()
 	delete(m.renewing, keeper.Incarnation)
 	m.mu.Unlock()
 }
 
-func (m *Models) adoptOrphans() {
+// adoptOrphans runs the requests whose owner has not been heard of for quiet.
+// Without a configuration they stay records.
+func (m *Models) adoptOrphans(quiet time.Duration) {
+	if conf, _ := m.c.Config.Current(); conf == nil {
+		return
+	}
 	listed := map[ident.Incarnation]bool{}
 	for _, d := range m.c.Directory.Daemons() {
 		listed[d.Incarnation] = true
 	}
 	m.mu.Lock()
-	orphans := m.keeper.Adopt(time.Now(), m.c.Self, m.c.Limits.OwnerGone, func(i ident.Incarnation) bool {
+	orphans := m.keeper.Adopt(time.Now(), m.c.Self, quiet, func(i ident.Incarnation) bool {
 		return listed[i]
 	})
 	m.mu.Unlock()
