--- a/caller/caller.go
+++ b/caller/caller.go
@@ -28,18 +28,20 @@
 	FailureDomain ident.FailureDomain
 	// HTTP is used for all calls; it must have no timeout of its own.
 	HTTP *http.Client
-	// Silence is how long a stream may carry nothing, heartbeats included.
+	// Silence is how long a connection may carry nothing, heartbeats included.
 	Silence time.Duration
 	// Patience bounds the search for a gateway that answers.
 	Patience time.Duration
 }
 
 const (
-	defaultSilence  = 15 * time.Second
+	defaultSilence  = 6 * time.Second
 	defaultPatience = 30 * time.Second
 	retryPause      = 100 * time.Millisecond
 	attemptTimeout  = 2 * time.Second
-	maxAnswerBytes  = 16 << 20
+	// acceptTimeout is how long a gateway may take to accept or refuse.
+	acceptTimeout  = 2 * time.Second
+	maxAnswerBytes = 16 << 20
 )
 
 // Client is safe for concurrent use.
