--- a/bench/overhead/overhead.go
+++ b/bench/overhead/overhead.go
@@ -93,11 +93,14 @@
 		}
 		fmt.Fprintf(o.Progress, "overhead: round %d of %d done\n", round+1, rounds)
 	}
+	perStream := s.memory(ctx)
 	if o.Wants(armDirect) {
 		report.Arms = append(report.Arms, bench.Arm{Name: armDirect, Figures: direct.report(nil, directLong)})
 	}
 	if o.Wants(armPolicy) {
-		report.Arms = append(report.Arms, bench.Arm{Name: armPolicy, Figures: policy.report(direct, policyLong)})
+		figures := policy.report(direct, policyLong)
+		figures["memory_bytes_per_open_stream"] = perStream
+		report.Arms = append(report.Arms, bench.Arm{Name: armPolicy, Figures: figures})
 	}
 	return report, nil
 }
