Serve a request that comes right after apply

Cause: the README's quick start: apply returned as in force, the next request was refused with not_ready 'no configuration in force yet'. The dispatcher looks at the configuration when it is told of a change, after a rest. Change: a request makes the dispatcher take in a newer configuration first. Conclusion: in force means in force for requests, too.

--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -35,6 +35,9 @@
 	// ctx ends the goroutines; it is set by Run.
 	ctx context.Context
 	wg  sync.WaitGroup
+
+	// refreshing keeps Run and catchUp from refreshing at once.
+	refreshing sync.Mutex
 }
 
 // New returns a dispatcher; it refuses work until Run has seen a configuration.
@@ -78,8 +81,23 @@
 	}
 }
 
+// catchUp takes in a configuration that Run has not seen yet. Without it a
+// request that comes right after an apply was reported in force is refused as
+// not ready, or served by the former configuration, for as long as Run rests.
+func (d *Dispatcher) catchUp() {
+	current, _ := d.cfg.Config.Current()
+	d.mu.Lock()
+	behind := d.ctx != nil && current != nil && d.manifest != current
+	d.mu.Unlock()
+	if behind {
+		d.refresh(time.Now())
+	}
+}
+
 // refresh brings services and runners up to date.
 func (d *Dispatcher) refresh(now time.Time) {
+	d.refreshing.Lock()
+	defer d.refreshing.Unlock()
 	current, _ := d.cfg.Config.Current()
 	if current == nil {
 		return
@@ -189,6 +207,7 @@
 
 // resolve finds the service and class of a request.
 func (d *Dispatcher) resolve(model, class string) (*service, *manifest.Class, error) {
+	d.catchUp()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.manifest == nil {
--- a/daemon/dispatch/dispatch_test.go
+++ b/daemon/dispatch/dispatch_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,7 @@
 	down    map[string]bool
 	probes  int
 	metrics metrics.Registry
+	config  *config
 }
 
 func (w *world) Self() view.Daemon      { return view.Daemon{ID: "g1", FailureDomain: "d0"} }
@@ -89,12 +91,14 @@
 	return nil
 }
 
-type config struct{ m *manifest.Manifest }
+// config never tells of a change: whoever does not look works on with what it
+// has.
+type config struct{ m atomic.Pointer[manifest.Manifest] }
 
-func (c config) Current() (*manifest.Manifest, ident.Generation) { return c.m, 1 }
-func (c config) Changed() <-chan struct{}                        { return nil }
+func (c *config) Current() (*manifest.Manifest, ident.Generation) { return c.m.Load(), 1 }
+func (c *config) Changed() <-chan struct{}                        { return nil }
 
-var configured = config{&manifest.Manifest{
+var configured = manifest.Manifest{
 	Models:     []manifest.Model{{Name: "m", Version: "1", Service: "llm"}},
 	Services:   []manifest.Service{{Name: "llm", Kind: manifest.KindModel, Runners: 4}},
 	Workspaces: []manifest.Workspace{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}},
@@ -102,12 +106,13 @@
 		{Name: "chat", Priority: 10, TTFTMillis: 500, TBTMillis: 50},
 		{Name: "bulletin", Priority: 1, TTFTMillis: 60000, TBTMillis: 200, Deferrable: true},
 	},
-}}
+}
 
 // within runs the test in a bubble with a dispatcher over n runners.
 func within(t *testing.T, n int, test func(t *testing.T, w *world, d *Dispatcher)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{changed: make(chan struct{}), down: map[string]bool{}, metrics: metrics.NewRegistry()}
+		w := &world{changed: make(chan struct{}), down: map[string]bool{}, metrics: metrics.NewRegistry(), config: &config{}}
+		w.config.m.Store(&configured)
 		for i := range n {
 			w.runners = append(w.runners, view.Runner{
 				ID: ident.RunnerID(fmt.Sprint("r", i)), Address: fmt.Sprint("a", i), Service: "llm",
@@ -115,7 +120,7 @@
 			})
 		}
 		d := New(Config{
-			Directory: w, Config: configured, Engines: w, Prober: w, Metrics: w.metrics,
+			Directory: w, Config: w.config, Engines: w, Prober: w, Metrics: w.metrics,
 			Policy: DefaultPolicy(), Timing: DefaultTiming(), Seed: 1,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
