--- a/daemon/dispatch/dispatch_test.go
+++ b/daemon/dispatch/dispatch_test.go
@@ -93,7 +93,9 @@
 
 // config never tells of a change: whoever does not look works on with what it
 // has.
-type config struct{ m atomic.Pointer[manifest.Manifest] }
+type config struct {
+	m atomic.Pointer[manifest.Manifest]
+}
 
 func (c *config) Current() (*manifest.Manifest, ident.Generation) { return c.m.Load(), 1 }
 func (c *config) Changed() <-chan struct{}                        { return nil }
