--- /dev/null
+++ b/state/actionkey/fuzz_test.go
@@ -0,0 +1,31 @@
+package actionkey_test
+
+import (
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/actionkey"
+)
+
+// A caller sends any text as its key. Reading it must not panic, and a key that
+// is read must name the same owner and suffix when it is written and read again:
+// two readings of one key would be two owners for one action.
+func FuzzParse(f *testing.F) {
+	token := actionkey.Token{Owner: "gateway-1~ab", Issued: time.UnixMilli(1), Lifetime: time.Minute, Journaled: true}
+	f.Add(token.String() + "pledge-1")
+	f.Add("gk1:j:::")
+	f.Add("plain")
+	f.Fuzz(func(t *testing.T, text string) {
+		key, err := actionkey.Parse(text)
+		if err != nil {
+			return
+		}
+		again, err := actionkey.Parse(key.Token.String() + key.Suffix)
+		if err != nil {
+			t.Fatalf("written again it can't be read: %v", err)
+		}
+		if again.Owner != key.Owner || again.Suffix != key.Suffix || again.Journaled != key.Journaled || !again.Expires().Equal(key.Expires()) {
+			t.Fatalf("%q reads as %+v, written again as %+v", text, key, again)
+		}
+	})
+}
