Keep a collection of old sections due until it succeeds

Cause: TestOldSectionsAreCollected failed now and then with 68 sections in place of 37. The collection was started only at the acceptance of every 64th change, and was lost when the daemon's Run had not begun yet (the test's restart races with its next change; a daemon that has just started does the same) or when the key-value service went down right after. It was next tried 64 changes later.

Change: the acceptance leaves a note, and a loop of Run collects until it succeeds. Two tests fix the interleavings: a change before Run, and an outage right after.

The package's tests use virtual time and ran one after the other, so all waited for each other's work on one core.

--- a/daemon/control/apply.go
+++ b/daemon/control/apply.go
@@ -21,10 +21,6 @@
 	submissionBound = 15 * time.Second
 	// stepRetry is the pause before a step that failed is tried again.
 	stepRetry = 100 * time.Millisecond
-	// collectEvery is the number of generations between two collections of
-	// unreferenced sections.
-	collectEvery = 64
-	collectPage  = 16
 )
 
 // Submission asks for a manifest to be accepted.
@@ -72,7 +68,7 @@
 	}
 	klog.InfoS("Configuration accepted", "generation", accepted.Generation, "author", accepted.Author, "submission", accepted.SubmissionID)
 	c.adopt(accepted, s.Manifest)
-	c.collectSections(accepted.Generation)
+	c.noteCollection(accepted.Generation)
 	return c.waitInForce(ctx, accepted, s.Wait), nil
 }
 
@@ -314,57 +310,3 @@
 func (e *UnknownGenerationError) Error() string {
 	return fmt.Sprintf("generation %d is not in the history", e.Generation)
 }
-
-// collectSections deletes, now and then, old sections that no remembered
-// configuration names.
-func (c *Control) collectSections(generation ident.Generation) {
-	if generation%collectEvery != 0 {
-		return
-	}
-	c.spawn(func(ctx context.Context) {
-		if err := c.collect(ctx); err != nil {
-			klog.V(1).InfoS("Collection of sections ended early", "err", err)
-		}
-	})
-}
-
-func (c *Control) collect(ctx context.Context) error {
-	after := sectionPrefix
-	for {
-		page, err := c.listPage(ctx, sectionPrefix, after, collectPage)
-		if err != nil || len(page) == 0 {
-			return err
-		}
-		after = page[len(page)-1].Key
-		// The head is read after the list, so a section that it names by now is
-		// not taken for unreferenced.
-		head, _, err := c.readHead(ctx)
-		if err != nil {
-			return err
-		}
-		if err := c.deleteUnreferenced(ctx, page, head); err != nil {
-			return err
-		}
-	}
-}
-
-func (c *Control) deleteUnreferenced(ctx context.Context, page []kv.Entry, head config.Head) error {
-	named := map[string]bool{}
-	for _, accepted := range head.History() {
-		for _, hash := range accepted.Sections {
-			named[sectionKey(hash)] = true
-		}
-	}
-	for _, entry := range page {
-		written, _, err := decodeSection(entry.Key, entry.Value)
-		if named[entry.Key] || (err == nil && time.Since(written) < sectionKeepAtLeast) {
-			continue
-		}
-		err = c.write(func() error { return c.cfg.Store.Delete(ctx, entry.Key, entry.Revision) })
-		var conflict *kv.ConflictError
-		if err != nil && !errors.As(err, &conflict) {
-			return err
-		}
-	}
-	return nil
-}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -65,6 +65,9 @@
 	seen       membership.Revision
 	seenDigest uint64
 
+	// collectionDue holds at most one note for collectLoop.
+	collectionDue chan struct{}
+
 	configChanged    chan struct{}
 	directoryChanged chan struct{}
 	members          cached[[]membership.Member]
@@ -111,6 +114,7 @@
 		table:            membership.New(time.Now(), self),
 		strategy:         spread.NewNeighbours(string(cfg.Self.Incarnation)),
 		links:            map[ident.Incarnation]*link{},
+		collectionDue:    make(chan struct{}, 1),
 		configChanged:    make(chan struct{}),
 		directoryChanged: make(chan struct{}),
 	}
@@ -122,7 +126,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	c.start(ctx)
 	loops := []func(context.Context){
-		c.tickLoop, c.seedLoop, c.watchLoop, c.rereadLoop, c.registerLoop, c.readRegistrationsLoop,
+		c.tickLoop, c.seedLoop, c.watchLoop, c.rereadLoop, c.registerLoop, c.readRegistrationsLoop, c.collectLoop,
 	}
 	if c.cfg.Lister != nil {
 		loops = append(loops, c.listLoop)
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -28,6 +28,7 @@
 }
 
 func TestAcceptedConfigurationIsInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		m, generation := f.daemons[0].Current()
 		is.True(m == nil)
@@ -76,6 +77,7 @@
 // down, slow or silent. The users of the other failure domains would be served
 // by the old settings until it is well again, if only it could tell of new ones.
 func TestTimeFromAcceptanceToInForce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	times := map[string]time.Duration{}
 	for name, faults := range map[string]kvserver.Faults{
@@ -93,6 +95,7 @@
 // operator must not be told that nothing happened, and once the service is back
 // the same call has to find the change accepted, once.
 func TestLostAnswerAndOutage(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		f.store.SetFaults(kvserver.Faults{LoseAnswers: 1, LosePrefix: "config/head"})
 		f.network.set(func(*network) {
@@ -112,6 +115,7 @@
 // The daemon that took an operator's call crashes in the moment of acceptance, and
 // all watches are silent. The change is accepted and nobody is told of it.
 func TestAcceptingDaemonCrashesAndWatchesAreSilent(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		f.store.SetFaults(kvserver.Faults{SilentWatches: true})
 		f.network.set(func(*network) {
@@ -137,6 +141,7 @@
 // settings on one side and the service is down right after. The other side has
 // to catch up when the cut is over, without the service.
 func TestCutDomainsAndOutage(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		cut := func(on bool) {
 			f.network.set(func(n *network) {
@@ -173,6 +178,7 @@
 // refused for the whole outage although the daemons around it have the
 // configuration.
 func TestRestartInOutageTakesThePeersConfiguration(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		_, err := f.apply(0, 4, "first")
 		is.NoErr(err)
@@ -190,6 +196,7 @@
 // Daemons that obeyed it would fall back to old limits and credentials, and the
 // next change would get a generation that is in force already and be ignored.
 func TestRestoredServiceDoesNotRevert(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		_, err := f.apply(0, 4, "first")
 		is.NoErr(err)
@@ -214,6 +221,7 @@
 // All watches go silent at once: the connections stay open and nothing comes.
 // One daemon's change would never reach the others if they relied on them.
 func TestSilentWatches(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		f.store.SetFaults(kvserver.Faults{SilentWatches: true})
 		outcome, err := f.apply(2, 4, "first")
@@ -226,6 +234,7 @@
 // The cloud's notice for a runner's VM reaches one daemon. Calls that others
 // send there would be cut off when it goes.
 func TestNoticedRunnerLeavesEverywhere(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		f.cloud.mu.Lock()
 		f.cloud.vms = []platform.VM{{ID: "vm-1", Address: "10.1.0.1:9000", Service: "casos", State: platform.VMLive}}
@@ -251,6 +260,7 @@
 // An entry VM gets its notice. Callers that are still sent there would lose
 // what they have just begun; the daemon itself has to hear of it, too.
 func TestNoticedEntryVMLeavesEverywhere(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		f.cloud.notice("vm-entry-2", "10.0.0.3", 30*time.Second)
 		left := func() bool {
@@ -279,6 +289,7 @@
 // A daemon is paused for ten seconds and goes on. The others suspect it; if that
 // were final, a healthy entry VM would never be used again.
 func TestPausedDaemonComesBack(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		f.network.set(func(n *network) { n.paused[address(4)] = true })
 		f.until(10*time.Second, "suspect", func() bool { return stateOf(f.daemons[0], 4, f) == view.Suspect })
@@ -290,6 +301,7 @@
 // An entry VM crashes and is replaced at the same address. As long as the former
 // incarnation counts as a daemon, work that only it can do is waited for.
 func TestReplacedEntryVMEndsTheFormerIncarnation(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		f.crash(3)
 		f.restart(3)
@@ -307,6 +319,7 @@
 // Two daemons cannot reach each other while both reach the rest. Each would
 // spread its suspicion and take the other out of service for everybody.
 func TestCutPairStaysInService(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		f.network.set(func(n *network) {
 			n.cut[[2]string{address(0), address(1)}] = true
@@ -326,6 +339,7 @@
 // The control traffic of daemons that have no news must stay what the heartbeats
 // cost: news that is sent back and forth for ever would fill the network.
 func TestQuietFleetSendsHeartbeatsOnly(t *testing.T) {
+	t.Parallel()
 	inBubble(t, func(is *is.I, f *fleet) {
 		_, err := f.apply(0, 4, "first")
 		is.NoErr(err)
@@ -342,21 +356,66 @@
 // Operators change the settings for years. Sections that no remembered
 // configuration names would fill the key-value service.
 func TestOldSectionsAreCollected(t *testing.T) {
+	t.Parallel()
+	collectedAfter(t, (*fleet).changeTwice)
+}
+
+// The change that a collection is due with is accepted by a daemon that has just
+// started and whose Run has not begun. The collection was dropped then, and the
+// old sections stayed until 64 changes later.
+func TestCollectionDueBeforeRun(t *testing.T) {
+	t.Parallel()
+	collectedAfter(t, func(f *fleet) {
+		f.crash(0)
+		f.reconnect(0)
+		f.daemons[0] = f.prepare(0)
+		f.changeTwice()
+		f.run(f.daemons[0])
+	})
+}
+
+// The key-value service goes down just after the change that a collection is due
+// with. The collection was given up then, and nobody tried it again when the
+// service came back: the old sections stayed until 64 changes later.
+func TestCollectionOutlastsOutage(t *testing.T) {
+	t.Parallel()
+	collectedAfter(t, func(f *fleet) {
+		f.change(62)
+		f.network.set(func(*network) {
+			f.afterSwap = func() { f.store.SetFaults(kvserver.Faults{Outage: true}) }
+		})
+		f.change(63)
+		time.Sleep(time.Minute)
+		f.store.SetFaults(kvserver.Faults{})
+	})
+}
+
+// change accepts a configuration that differs from all others in one section.
+func (f *fleet) change(n int) {
+	if _, err := f.apply(0, n+1, fmt.Sprint(n)); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) changeTwice() {
+	f.change(62)
+	f.change(63)
+}
+
+// collectedAfter makes 62 changes, lets them grow old, and checks that the old
+// sections go a minute after the last two, which are up to the caller.
+func collectedAfter(t *testing.T, lastTwo func(f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleetOf(t, 1)
 		defer f.stop()
 		for n := range 62 {
-			_, err := f.apply(0, n+1, fmt.Sprint(n))
-			is.NoErr(err)
+			f.change(n)
 		}
 		f.crash(0)
 		time.Sleep(25 * time.Hour)
 		f.restart(0)
-		for n := 62; n < 64; n++ {
-			_, err := f.apply(0, n+1, fmt.Sprint(n))
-			is.NoErr(err)
-		}
+		lastTwo(f)
 		time.Sleep(time.Minute)
 		sections, err := f.store.List(t.Context(), "config/sections/", "", 1000)
 		is.NoErr(err)
--- a/daemon/control/history_test.go
+++ b/daemon/control/history_test.go
@@ -226,11 +226,7 @@
 func (r *trial) replace(i int) {
 	r.crash(i)
 	time.Sleep(rand1(r.random, 3*time.Second))
-	r.network.set(func(n *network) {
-		for j := range r.daemons {
-			delete(n.cut, [2]string{address(i), address(j)})
-		}
-	})
+	r.reconnect(i)
 	d := r.start(i)
 	r.mu().Lock()
 	r.daemons[i] = d
@@ -280,6 +276,7 @@
 // "accepted" of a change that another one overwrote unseen, or a daemon would
 // show an older generation after a newer one.
 func TestHistoriesOfTheRegister(t *testing.T) {
+	t.Parallel()
 	accepts, unknowns := 0, 0
 	for seed := uint64(1); seed <= *trials; seed++ {
 		is := is.New(t)
@@ -307,6 +304,7 @@
 // An operator's tool that sends a change again under a new ID, in place of the
 // same, changes the register twice for one answer. The checker has to see it.
 func TestCheckerSeesRepetitionUnderNewID(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	r := runTrial(t, 1, true)
 	is.True(!porcupine.CheckOperations(registerModel(), r.register.all))
--- a/daemon/control/leaving_test.go
+++ b/daemon/control/leaving_test.go
@@ -63,6 +63,7 @@
 // every daemon, also with the key-value service down or a failure domain cut off
 // from the first one to know, and old answers have to run out.
 func TestLastNewRequestOnLeavingVM(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	told := func(f *fleet) { f.daemons[1].NoteLeaving("10.0.0.3", time.Minute) }
 	noticed := func(f *fleet) { f.cloud.notice("vm-2", "10.0.0.3", time.Minute) }
--- a/daemon/control/network_test.go
+++ b/daemon/control/network_test.go
@@ -55,7 +55,7 @@
 func (e *edge) RoundTrip(r *http.Request) (*http.Response, error) {
 	n := e.network
 	for {
-		if !wait(r.Context(), n.delay) {
+		if !wait(r.Context(), n.oneWay()) {
 			return nil, r.Context().Err()
 		}
 		n.mu.Lock()
@@ -81,7 +81,7 @@
 	n.calls++
 	n.bytes += max(0, r.ContentLength) + int64(recorder.Body.Len())
 	n.mu.Unlock()
-	if !wait(r.Context(), n.delay) {
+	if !wait(r.Context(), n.oneWay()) {
 		return nil, r.Context().Err()
 	}
 	response := recorder.Result()
@@ -89,6 +89,13 @@
 	return response, nil
 }
 
+// oneWay returns the delay; a test may change it while calls are under way.
+func (n *network) oneWay() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay
+}
+
 func (n *network) set(change func(*network)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -209,6 +216,13 @@
 
 // start runs a new incarnation of the daemon at a place.
 func (f *fleet) start(i int) *daemon {
+	d := f.prepare(i)
+	f.run(d)
+	return d
+}
+
+// prepare makes a new incarnation that answers calls; Run has not begun.
+func (f *fleet) prepare(i int) *daemon {
 	f.starts++
 	id := ident.DaemonID(fmt.Sprintf("entry-%d", i))
 	d := &daemon{address: address(i), started: time.Now(), done: make(chan struct{})}
@@ -224,6 +238,10 @@
 	})
 	_, handler := d.Handler()
 	f.network.set(func(n *network) { n.handlers[d.address] = handler })
+	return d
+}
+
+func (f *fleet) run(d *daemon) {
 	ctx, cancel := context.WithCancel(f.t.Context())
 	d.cancel = cancel
 	go func() {
@@ -232,7 +250,6 @@
 			f.t.Error(err)
 		}
 	}()
-	return d
 }
 
 // crash ends a daemon without its last word.
@@ -249,12 +266,17 @@
 
 // restart runs a new incarnation at the place of a crashed one.
 func (f *fleet) restart(i int) {
+	f.reconnect(i)
+	f.daemons[i] = f.start(i)
+}
+
+// reconnect mends the links of a crashed daemon's place.
+func (f *fleet) reconnect(i int) {
 	f.network.set(func(n *network) {
 		for j := range f.daemons {
 			delete(n.cut, [2]string{address(i), address(j)})
 		}
 	})
-	f.daemons[i] = f.start(i)
 }
 
 func (f *fleet) stop() {
--- a/daemon/control/scale_test.go
+++ b/daemon/control/scale_test.go
@@ -25,6 +25,7 @@
 // lease. The service's rate, which grows more slowly than the fleet, is used up,
 // and the operators' own changes are refused.
 func TestStoreCallsStayBounded(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleetOf(t, *members)
