Read runners within a byte budget for each daemon

Change: coordination/polling plans all reads of a daemon within min(256 KB/s, 5.4 MB/s / daemons), which is 3 KB/s with 1,800. Load reports first, runners just used before others; cache events get what is left and pause after gaps. The engine's client counts what each read took.

--- a/bench/overload/gateway.go
+++ b/bench/overload/gateway.go
@@ -1,9 +1,12 @@
 package overload
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/polling"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/protocol/admission"
@@ -25,6 +28,8 @@
 	priorities bool
 	routing    func(*routing.Config)
 	admission  func(*admission.Config)
+	// budget is the bytes a second for reads; zero is budgetToday.
+	budget float64
 }
 
 func arms() []arm {
@@ -35,6 +40,8 @@
 		{name: "least_loaded", priorities: true, routing: leastLoaded},
 		{name: "policy_no_prefix", admits: true, priorities: true, routing: func(c *routing.Config) { c.IgnorePrefix = true }},
 		{name: "policy_best_of_all", admits: true, priorities: true, routing: func(c *routing.Config) { c.Samples = 0 }},
+		{name: "policy_3_kb", admits: true, priorities: true, budget: 3000},
+		{name: "policy_32_kb", admits: true, priorities: true, budget: 32_000},
 		{name: "policy_best_of_4", admits: true, priorities: true, routing: func(c *routing.Config) { c.Samples = 4 }},
 	}
 }
@@ -47,7 +54,9 @@
 	tickets   map[int]*routing.Ticket
 	turn      int
 	effects   []admission.Effect
-	cursors   [engines]uint64
+	planner   *polling.Planner
+	// bytes is what reads took.
+	bytes int
 }
 
 func newGateway(a arm, self int, seed uint64) *gateway {
@@ -61,6 +70,9 @@
 	g.table.SetModels([]manifest.Model{{Name: model, Version: version}})
 	g.table.SetRunners(epoch, runners())
 	g.admission = newAdmission(a)
+	g.planner = polling.New(polling.Default())
+	g.planner.SetTargets(service, runnerIDs())
+	g.planner.SetBudget(epoch, cmp.Or(a.budget, budgetToday))
 	return g
 }
 
@@ -99,10 +111,27 @@
 	return list
 }
 
+const service = "llm"
+
 func runnerID(i int) ident.RunnerID { return ident.RunnerID(fmt.Sprint("runner", i)) }
 
+func runnerIDs() []ident.RunnerID {
+	ids := make([]ident.RunnerID, engines)
+	for i := range ids {
+		ids[i] = runnerID(i)
+	}
+	return ids
+}
+
+func engineOf(id ident.RunnerID) int { return slices.Index(runnerIDs(), id) }
+
+// used tells the planner of an attempt that begins or ends.
+func (g *gateway) used(engine int) {
+	g.planner.Used(polling.Target{Service: service, Runner: runnerID(engine)})
+}
+
 // report takes in what an engine published.
-func (g *gateway) report(now time.Time, i int, l engineapi.Load, events engineapi.CacheEvents) {
+func (g *gateway) report(now time.Time, i int, l engineapi.Load) {
 	r := load.Report{
 		AsOf:          now.Add(-time.Duration(l.AgeMillis) * time.Millisecond),
 		Running:       l.Running,
@@ -117,14 +146,20 @@
 		Models:        []load.Model{{Name: model, Version: version}},
 	}
 	g.table.Report(now, runnerID(i), r)
+	if g.admission != nil {
+		g.admission.SetCapacity(g.table.Capacity().Share(gateways, g.admission.Running()))
+	}
+}
+
+func (g *gateway) cacheEvents(i int, events engineapi.CacheEvents) error {
 	page := prefix.Page{First: events.First, Next: events.Next}
 	for _, e := range events.Events {
 		page.Events = append(page.Events, prefix.Event{Sequence: e.Sequence, Block: e.Block, Stored: e.Stored})
 	}
-	_ = g.table.CacheEvents(runnerID(i), page) // a gap is mended by the index
-	if g.admission != nil {
-		g.admission.SetCapacity(g.table.Capacity().Share(gateways, g.admission.Running()))
+	if err := g.table.CacheEvents(runnerID(i), page); err != nil {
+		return fmt.Errorf("cache events: %w", err)
 	}
+	return nil
 }
 
 // slackShare is as in package dispatch.
@@ -177,12 +212,9 @@
 	}
 	ticket := g.table.Dispatch(now, choice, &rr)
 	g.tickets[r.id] = &ticket
-	for i := range engines {
-		if runnerID(i) == choice.Runner {
-			return i
-		}
-	}
-	return 0
+	chosen := engineOf(choice.Runner)
+	g.used(chosen)
+	return chosen
 }
 
 func (g *gateway) firstToken(now time.Time, r *request) {
@@ -200,6 +232,7 @@
 		g.table.Finished(now, t)
 		g.table.Answered(r.output)
 		delete(g.tickets, r.id)
+		g.used(r.engine)
 	}
 	if g.admission == nil {
 		return nil
--- a/bench/overload/overload.go
+++ b/bench/overload/overload.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/bench"
+	"geraniumstack.org/geraniumstack/coordination/polling"
 )
 
 // Experiment implements bench.Experiment.
@@ -77,7 +78,8 @@
 
 func notes() []string {
 	return []string{
-		fmt.Sprintf("virtual time; %d stand-in engines (batch %d, %d prompt tokens/s, %s a step), %d gateways; reports every %s", engines, batch, prefillRate, step, gateways, poll),
+		fmt.Sprintf("virtual time; %d stand-in engines (batch %d, %d prompt tokens/s, %s a step), %d gateways; load reports at most every %s", engines, batch, prefillRate, step, gateways, polling.Default().Interval),
+		"read_bytes_per_second: of one gateway for load reports and cache events, over load and drain",
 		fmt.Sprintf("load for %s after %s of warm-up; 1x is %.1f requests/s, worked out with nothing cached", wholeSpan.load-wholeSpan.warmUp, wholeSpan.warmUp, capacity()),
 		"figures without suffix are at 5x; urgent work at 5x takes 0.42 of the capacity",
 		"urgent_goodput_ratio: urgent requests answered in full with the first token and the mean between tokens within their targets, of all offered",
@@ -89,9 +91,11 @@
 // measure plays one arm under one load.
 func measure(a arm, seed uint64, multiple float64, s span) map[string]float64 {
 	all := arrivals(seed, multiple, s.load)
-	newRun(a, seed, all).play(s.end())
+	r := newRun(a, seed, all)
+	r.play(s.end())
 	measured := slices.DeleteFunc(all, func(q *request) bool { return q.at.Before(s.from()) })
 	figures := map[string]float64{
+		"read_bytes_per_second":    r.readBytes() / (s.load + s.drain).Seconds(),
 		"useful_work_ratio":        usefulWork(measured, s.to()) / (s.load - s.warmUp).Seconds() / engines,
 		"refused_ratio":            ratio(measured, func(q *request) bool { return !q.refused.IsZero() }),
 		"cached_prompt_ratio":      cachedRatio(measured),
@@ -111,6 +115,15 @@
 	return figures
 }
 
+// readBytes is the mean over the gateways.
+func (r *run) readBytes() float64 {
+	sum := 0
+	for _, g := range r.gateways {
+		sum += g.bytes
+	}
+	return float64(sum) / gateways
+}
+
 func ofSmall(all []*request) []*request {
 	var small []*request
 	for _, q := range all {
--- a/bench/overload/run.go
+++ b/bench/overload/run.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/polling"
 	"geraniumstack.org/geraniumstack/protocol/admission"
 	"geraniumstack.org/geraniumstack/standin/engine"
 	"geraniumstack.org/geraniumstack/state/manifest"
@@ -20,7 +21,13 @@
 	model       = "m"
 	version     = "1"
 	tick        = 20 * time.Millisecond
-	poll        = 500 * time.Millisecond
+	// Sizes of reads on the network, headers included: measured means of the
+	// stand-in engine's answers.
+	loadBytes      = 650
+	eventPageBytes = 400
+	eventBytes     = 55
+	// budgetToday is the bytes a second of one of five daemons for reads.
+	budgetToday = 256_000
 	// eventLimit is the cache events that one poll reads.
 	eventLimit = 512
 	// oneWay is the time between a gateway and an engine.
@@ -48,11 +55,10 @@
 	gateways []*gateway
 	cores    []*engine.Core
 	nextTick time.Time
-	nextPoll time.Time
 }
 
 func newRun(a arm, seed uint64, requests []*request) *run {
-	r := &run{arm: a, now: epoch, requests: requests, nextTick: epoch, nextPoll: epoch}
+	r := &run{arm: a, now: epoch, requests: requests, nextTick: epoch}
 	for i := range gateways {
 		r.gateways = append(r.gateways, newGateway(a, i, seed))
 	}
@@ -82,9 +88,6 @@
 
 func (r *run) nextEvent() time.Time {
 	at := r.nextTick
-	if r.nextPoll.Before(at) {
-		at = r.nextPoll
-	}
 	if r.next < len(r.requests) && r.requests[r.next].at.Before(at) {
 		at = r.requests[r.next].at
 	}
@@ -124,21 +127,29 @@
 	}
 }
 
+// poll makes each gateway's reads; they are looked for at every event, and
+// ticks are often enough.
 func (r *run) poll() {
-	if r.now.Before(r.nextPoll) {
-		return
-	}
-	r.nextPoll = r.nextPoll.Add(poll)
-	for i, c := range r.cores {
-		load := c.Load(r.now)
-		for _, g := range r.gateways {
-			events := c.CacheEvents(r.now, g.cursors[i], eventLimit)
-			g.cursors[i] = events.Next
-			g.report(r.now, i, load, events)
+	for _, g := range r.gateways {
+		for read, _, ok := g.planner.Next(r.now); ok; read, _, ok = g.planner.Next(r.now) {
+			r.read(g, read)
 		}
 	}
 }
 
+func (r *run) read(g *gateway, read polling.Read) {
+	i := engineOf(read.Target.Runner)
+	g.report(r.now, i, r.cores[i].Load(r.now))
+	result := polling.Result{LoadBytes: loadBytes}
+	if read.Events {
+		events := r.cores[i].CacheEvents(r.now, g.table.Cursor(read.Target.Runner), eventLimit)
+		result.Gap = g.cacheEvents(i, events) != nil
+		result.EventBytes = eventPageBytes + eventBytes*len(events.Events)
+	}
+	g.bytes += result.LoadBytes + result.EventBytes
+	g.planner.Done(r.now, read, result)
+}
+
 func (r *run) tick() {
 	if r.now.Before(r.nextTick) {
 		return
--- /dev/null
+++ b/coordination/polling/polling.go
@@ -0,0 +1,226 @@
+// Package polling decides which runner a gateway reads next, so that all its
+// reads of load reports and cache events together stay within a byte budget,
+// whatever the number of services and runners.
+//
+// It is pure: it reads no clock and does no I/O. Load reports come first;
+// cache events get what they leave over.
+package polling
+
+import (
+	"math"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// Target is a runner of a service whose reports are read.
+type Target struct {
+	Service string
+	Runner  ident.RunnerID
+}
+
+// Config sets how reads are spread.
+type Config struct {
+	// Interval is the least time between two reads of one target.
+	Interval time.Duration
+	// ReadBytes is taken for the size of a load report until one was read.
+	ReadBytes float64
+	// Savings is how long an unused budget is kept.
+	Savings time.Duration
+	// EventsPause is how long a target's cache events are left alone after a
+	// page that did not follow the last one; it doubles up to EventsPauseMost.
+	EventsPause     time.Duration
+	EventsPauseMost time.Duration
+}
+
+// Default returns the settings in use.
+func Default() Config {
+	return Config{
+		Interval:        500 * time.Millisecond,
+		ReadBytes:       600,
+		Savings:         time.Second,
+		EventsPause:     10 * time.Minute,
+		EventsPauseMost: time.Hour,
+	}
+}
+
+// meanWeight is the weight of the newest report in the mean size.
+const meanWeight = 0.1
+
+// Read is one read to make: a load report, and a page of cache events if asked.
+type Read struct {
+	Target Target
+	Events bool
+	charge float64
+}
+
+// Result is what a read took. Bytes count both directions; zero is not known.
+type Result struct {
+	LoadBytes  int
+	EventBytes int
+	// Gap says that cache events between this page and the last were lost.
+	Gap bool
+}
+
+type target struct {
+	reading bool
+	last    time.Time
+	// used counts the own attempts that began or ended since the last read.
+	used        int
+	eventsAfter time.Time
+	pause       time.Duration
+}
+
+// Planner holds one daemon's budget and targets. It is not safe for concurrent
+// use.
+type Planner struct {
+	cfg     Config
+	budget  float64
+	targets map[Target]*target
+	// credit is what load reports may use now, events what cache events may, in
+	// bytes; a read that took more than was there leaves a debt.
+	credit  float64
+	events  float64
+	filled  time.Time
+	mean    float64
+	started bool
+}
+
+// New returns a planner without targets and without a budget.
+func New(cfg Config) *Planner {
+	return &Planner{cfg: cfg, targets: map[Target]*target{}, mean: cfg.ReadBytes}
+}
+
+// SetBudget sets the bytes a second that all reads together may take.
+func (p *Planner) SetBudget(now time.Time, bytesPerSecond float64) {
+	p.fill(now)
+	p.budget = bytesPerSecond
+}
+
+// SetTargets replaces the targets of a service.
+func (p *Planner) SetTargets(service string, runners []ident.RunnerID) {
+	listed := make(map[Target]bool, len(runners))
+	for _, id := range runners {
+		t := Target{service, id}
+		listed[t] = true
+		if p.targets[t] == nil {
+			p.targets[t] = &target{pause: p.cfg.EventsPause}
+		}
+	}
+	for t := range p.targets {
+		if t.Service == service && !listed[t] {
+			delete(p.targets, t)
+		}
+	}
+}
+
+// Used counts an own attempt that began or ended at a target: what is known of
+// its load is older than it seems.
+func (p *Planner) Used(t Target) {
+	if s := p.targets[t]; s != nil {
+		s.used++
+	}
+}
+
+// fill adds what the budget gave since the last call. What load reports do not
+// use up goes to cache events, whose debt is their own: a large page must not
+// hold up the load reports.
+func (p *Planner) fill(now time.Time) {
+	if !p.started {
+		p.started, p.filled = true, now
+	}
+	p.credit += p.budget * max(0, now.Sub(p.filled).Seconds())
+	p.filled = now
+	most := max(p.budget*p.cfg.Savings.Seconds(), p.mean)
+	if p.credit > most {
+		p.events = min(p.events+p.credit-most, most)
+		p.credit = most
+	}
+}
+
+// Next returns a read to make now, or else how long to wait before asking again.
+func (p *Planner) Next(now time.Time) (read Read, wait time.Duration, ok bool) {
+	p.fill(now)
+	if p.credit < p.mean {
+		return Read{}, p.untilCredit(), false
+	}
+	next, wait := p.mostUrgent(now)
+	if next == (Target{}) {
+		return Read{}, wait, false
+	}
+	s := p.targets[next]
+	s.reading, s.last, s.used = true, now, 0
+	p.credit -= p.mean
+	events := p.events > 0 && !now.Before(s.eventsAfter)
+	return Read{Target: next, Events: events, charge: p.mean}, 0, true
+}
+
+func (p *Planner) untilCredit() time.Duration {
+	if p.budget <= 0 {
+		return p.cfg.Interval
+	}
+	seconds := (p.mean - p.credit) / p.budget
+	return min(p.cfg.Interval, time.Duration(math.Ceil(seconds*float64(time.Second))))
+}
+
+// mostUrgent returns the target with the greatest age of its report times the
+// own attempts since, among those whose turn it is; one never read goes first.
+// An unused target is read too, once it is old enough.
+func (p *Planner) mostUrgent(now time.Time) (best Target, wait time.Duration) {
+	wait = p.cfg.Interval
+	most := -1.0
+	for t, s := range p.targets {
+		age := now.Sub(s.last)
+		switch {
+		case s.reading:
+			continue
+		case age < p.cfg.Interval:
+			wait = min(wait, p.cfg.Interval-age)
+			continue
+		}
+		urgency := age.Seconds() * float64(1+s.used)
+		if urgency > most || urgency == most && before(t, best) {
+			best, most = t, urgency
+		}
+	}
+	return best, wait
+}
+
+// before orders equally urgent targets, so that runs repeat.
+func before(a, b Target) bool {
+	if a.Service != b.Service {
+		return a.Service < b.Service
+	}
+	return a.Runner < b.Runner
+}
+
+// Done charges a read for what it took.
+func (p *Planner) Done(now time.Time, read Read, result Result) {
+	p.fill(now)
+	if result.LoadBytes > 0 {
+		p.credit += read.charge - float64(result.LoadBytes)
+		p.mean += meanWeight * (float64(result.LoadBytes) - p.mean)
+	}
+	p.events -= float64(result.EventBytes)
+	s := p.targets[read.Target]
+	if s == nil {
+		return
+	}
+	s.reading = false
+	if read.Events {
+		p.paceEvents(now, s, result.Gap)
+	}
+}
+
+// paceEvents leaves a target's cache events alone for a while after a gap.
+// Guards against events that come faster than the budget reads them: each page
+// would be followed by a gap, at which the index drops all that it knows of the
+// runner, what this gateway itself sent there included.
+func (p *Planner) paceEvents(now time.Time, s *target, gap bool) {
+	if !gap {
+		s.pause = p.cfg.EventsPause
+		return
+	}
+	s.eventsAfter = now.Add(s.pause)
+	s.pause = min(2*s.pause, p.cfg.EventsPauseMost)
+}
--- /dev/null
+++ b/coordination/polling/polling_test.go
@@ -0,0 +1,99 @@
+package polling
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func names(n int) []ident.RunnerID {
+	ids := make([]ident.RunnerID, n)
+	for i := range ids {
+		ids[i] = ident.RunnerID('a' + rune(i))
+	}
+	return ids
+}
+
+// play makes the planner's reads for a while in steps of 10 ms; the bytes of
+// each are drawn by size. It returns the bytes and the reads of each target.
+func play(p *Planner, span time.Duration, size func(Read) Result) (bytes int, reads map[Target]int) {
+	reads = map[Target]int{}
+	for at := time.Duration(0); at < span; at += 10 * time.Millisecond {
+		now := epoch.Add(at)
+		for read, _, ok := p.Next(now); ok; read, _, ok = p.Next(now) {
+			result := size(read)
+			bytes += result.LoadBytes + result.EventBytes
+			reads[read.Target]++
+			p.Done(now, read, result)
+		}
+	}
+	return bytes, reads
+}
+
+// A daemon gets more services and runners, and its reads crowd out the
+// heartbeats and the callers' own traffic: only the budget may decide.
+func TestReadsKeepTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := rapid.Float64Range(1000, 100_000).Draw(t, "budget")
+		p := New(Default())
+		p.SetBudget(epoch, budget)
+		for i := range rapid.IntRange(1, 4).Draw(t, "services") {
+			p.SetTargets(string(rune('a'+i)), names(rapid.IntRange(1, 64).Draw(t, "runners")))
+		}
+		largest := 0
+		bytes, _ := play(p, time.Minute, func(r Read) Result {
+			result := Result{LoadBytes: rapid.IntRange(300, 1500).Draw(t, "load")}
+			if r.Events {
+				result.EventBytes = rapid.IntRange(400, 30_000).Draw(t, "events")
+				result.Gap = rapid.Bool().Draw(t, "gap")
+			}
+			largest = max(largest, result.LoadBytes+result.EventBytes)
+			return result
+		})
+		// A minute, the savings of loads and events, and one read of each over them.
+		if limit := budget*62 + 2*float64(largest) + 2*1500; float64(bytes) > limit {
+			t.Fatalf("%d bytes in a minute at %.0f a second", bytes, budget)
+		}
+	})
+}
+
+func TestUsedRunnersFirstButAllInTheEnd(t *testing.T) {
+	is := is.New(t)
+	p := New(Default())
+	p.SetBudget(epoch, 3000)
+	p.SetTargets("llm", names(64))
+	busy := Target{"llm", "a"}
+	_, reads := play(p, time.Minute, func(r Read) Result {
+		for range 8 {
+			p.Used(busy)
+		}
+		return Result{LoadBytes: 600}
+	})
+	is.Equal(len(reads), 64)
+	for target, n := range reads {
+		is.True(target == busy || n < reads[busy])
+	}
+}
+
+// Cache events come faster than the budget reads them: each page would follow a
+// gap, and the index would drop what it knows of the runner time and again.
+func TestEventsAreLeftAloneAfterGaps(t *testing.T) {
+	is := is.New(t)
+	p := New(Default())
+	p.SetBudget(epoch, 256_000)
+	p.SetTargets("llm", names(1))
+	pages := 0
+	play(p, time.Hour, func(r Read) Result {
+		if r.Events {
+			pages++
+		}
+		return Result{LoadBytes: 600, Gap: r.Events}
+	})
+	is.Equal(pages, 3) // after 0, 10 and 30 minutes
+}
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -1,8 +1,10 @@
 package routing
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -235,6 +237,33 @@
 	is.Equal(changed, 1)
 }
 
+// Keeping only the first few of each failure domain must choose what a whole
+// sort would.
+func TestSubsetIsThatOfAWholeSort(t *testing.T) {
+	is := is.New(t)
+	all := runners(300)
+	for size := 1; size < 300; size += 23 {
+		byDomain := map[ident.FailureDomain][]view.Runner{}
+		for _, r := range all {
+			byDomain[r.FailureDomain] = append(byDomain[r.FailureDomain], r)
+		}
+		var want []view.Runner
+		for _, list := range byDomain {
+			slices.SortFunc(list, func(a, b view.Runner) int {
+				return cmp.Compare(rendezvous("g7", b.ID), rendezvous("g7", a.ID))
+			})
+		}
+		for place := 0; len(want) < size; place++ {
+			for _, d := range []ident.FailureDomain{"d0", "d1", "d2", "d3"} {
+				if len(want) < size && place < len(byDomain[d]) {
+					want = append(want, byDomain[d][place])
+				}
+			}
+		}
+		is.Equal(Subset("g7", all, size), want)
+	}
+}
+
 func full(samples int) (*Table, *Request) {
 	tb := table(MaxRunners)
 	tb.cfg.Samples = samples
@@ -286,3 +315,15 @@
 		Subset("g1", all, MaxRunners)
 	}
 }
+
+// BenchmarkSetRunners is all that a change of one runner costs a table.
+func BenchmarkSetRunners(b *testing.B) {
+	all := runners(10000)
+	tb := table(0)
+	for n := 0; b.Loop(); n++ {
+		r := &all[n%len(all)]
+		r.State = view.Leaving
+		tb.SetRunners(start, all)
+		r.State = view.Live
+	}
+}
--- a/coordination/routing/subset.go
+++ b/coordination/routing/subset.go
@@ -11,8 +11,9 @@
 )
 
 type ranked struct {
-	runner view.Runner
-	score  uint64
+	// at is the runner's place in the list.
+	at    int
+	score uint64
 }
 
 // Subset returns the runners that one gateway deals with: at most size of them,
@@ -23,7 +24,7 @@
 	if len(runners) <= size {
 		return slices.Clone(runners)
 	}
-	domains := rankByDomain(self, runners)
+	domains := rankByDomain(self, runners, size)
 	names := make([]ident.FailureDomain, 0, len(domains))
 	for name := range domains {
 		names = append(names, name)
@@ -32,28 +33,51 @@
 	chosen := make([]view.Runner, 0, size)
 	for place := 0; len(chosen) < size; place++ {
 		for _, name := range names {
-			if place < len(domains[name]) && len(chosen) < size {
-				chosen = append(chosen, domains[name][place].runner)
+			if best := domains[name].best; place < len(best) && len(chosen) < size {
+				chosen = append(chosen, runners[best[place].at])
 			}
 		}
 	}
 	return chosen
 }
 
-func rankByDomain(self ident.DaemonID, runners []view.Runner) map[ident.FailureDomain][]ranked {
-	domains := map[ident.FailureDomain][]ranked{}
-	for _, r := range runners {
-		d := r.FailureDomain
-		domains[d] = append(domains[d], ranked{r, rendezvous(self, r.ID)})
-	}
-	for _, list := range domains {
-		slices.SortFunc(list, func(a, b ranked) int {
-			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.runner.ID, b.runner.ID))
-		})
+// ranking holds the first few runners of a failure domain, the highest first.
+type ranking struct{ best []ranked }
+
+// rankByDomain keeps the first size of each failure domain. Most runners of a
+// long list are told from their hash alone not to be among them, so that a
+// change of the list costs little more than its hashes.
+func rankByDomain(self ident.DaemonID, runners []view.Runner, size int) map[ident.FailureDomain]*ranking {
+	domains := map[ident.FailureDomain]*ranking{}
+	var last *ranking
+	for i := range runners {
+		name := runners[i].FailureDomain
+		if i == 0 || name != runners[i-1].FailureDomain {
+			last = domains[name]
+		}
+		if last == nil {
+			last = &ranking{best: make([]ranked, 0, size)}
+			domains[name] = last
+		}
+		last.offer(runners, ranked{i, rendezvous(self, runners[i].ID)}, size)
 	}
 	return domains
 }
 
+func (r *ranking) offer(runners []view.Runner, one ranked, size int) {
+	compare := func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(runners[a.at].ID, runners[b.at].ID))
+	}
+	if len(r.best) == size {
+		if compare(one, r.best[size-1]) >= 0 {
+			return
+		}
+		r.best = r.best[:size-1]
+	}
+	at, _ := slices.BinarySearchFunc(r.best, one, compare)
+	r.best = slices.Insert(r.best, at, one)
+}
+
 func rendezvous(self ident.DaemonID, id ident.RunnerID) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/daemon/dispatch/config.go
+++ b/daemon/dispatch/config.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/coordination/polling"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/protocol/admission"
@@ -74,13 +75,15 @@
 type Timing struct {
 	// Tick is the precision of waits in the queue and of ejections.
 	Tick time.Duration
-	// Poll is the time between two reads of a runner's load and cache events;
+	// Reads says how reads of load reports and cache events are spread;
 	// PollTimeout bounds one read.
-	Poll        time.Duration
+	Reads       polling.Config
 	PollTimeout time.Duration
-	// PollsPerSecond bounds the reads of all runners of a service together:
-	// with more of them each is read more rarely.
-	PollsPerSecond float64
+	// ReadBytes is the bytes a second, both directions and headers included,
+	// that the reads of all daemons together may take, and MostReadBytes those
+	// of one daemon. Their bound does not grow with services and runners.
+	ReadBytes     float64
+	MostReadBytes float64
 	// EventLimit bounds the cache events of one read.
 	EventLimit int
 	// Refresh is the least time between two looks at a changed directory.
@@ -90,11 +93,17 @@
 // DefaultTiming is the timing in use.
 func DefaultTiming() Timing {
 	return Timing{
-		Tick:           20 * time.Millisecond,
-		Poll:           500 * time.Millisecond,
-		PollTimeout:    time.Second,
-		PollsPerSecond: 40,
-		EventLimit:     512,
-		Refresh:        50 * time.Millisecond,
+		Tick:          20 * time.Millisecond,
+		Reads:         polling.Default(),
+		PollTimeout:   time.Second,
+		ReadBytes:     5_400_000, // 3 KB/s each with 1,800 daemons
+		MostReadBytes: 256_000,
+		EventLimit:    512,
+		Refresh:       50 * time.Millisecond,
 	}
 }
+
+// budget is the bytes a second of one of so many daemons.
+func (t Timing) budget(daemons int) float64 {
+	return min(t.MostReadBytes, t.ReadBytes/float64(daemons))
+}
--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/coordination/polling"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
@@ -32,6 +33,12 @@
 	manifest *manifest.Manifest
 	services map[string]*service
 
+	// pollMu guards planner; it is taken last.
+	pollMu  sync.Mutex
+	planner *polling.Planner
+	// pollWake ends the reading loop's wait.
+	pollWake chan struct{}
+
 	// ctx ends the goroutines; it is set by Run.
 	ctx context.Context
 	wg  sync.WaitGroup
@@ -39,7 +46,10 @@
 
 // New returns a dispatcher; it refuses work until Run has seen a configuration.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, services: map[string]*service{}}
+	return &Dispatcher{
+		cfg: cfg, services: map[string]*service{},
+		planner: polling.New(cfg.Timing.Reads), pollWake: make(chan struct{}, 1),
+	}
 }
 
 // Run follows the directory, the configuration and the runners until ctx ends.
@@ -51,6 +61,7 @@
 	d.ctx = ctx
 	d.mu.Unlock()
 	d.wg.Go(func() { d.tick(ctx) })
+	d.wg.Go(func() { d.poll(ctx) })
 	for {
 		listed, configured := d.cfg.Directory.Changed(), d.cfg.Config.Changed()
 		d.refresh(time.Now())
@@ -120,7 +131,7 @@
 	}
 	for name, s := range d.services {
 		if !listed[name] {
-			s.stopPolls()
+			d.unfollow(s)
 			delete(d.services, name)
 		}
 	}
--- a/daemon/dispatch/picker.go
+++ b/daemon/dispatch/picker.go
@@ -150,6 +150,7 @@
 		return
 	}
 	g := s.grantOf(d, j)
+	defer d.used(s, c.Runner)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -203,6 +204,7 @@
 		s.apply(effects)
 	}
 	s.mu.Unlock()
+	d.used(s, a.Runner)
 	d.probe(s, effects)
 }
 
--- a/daemon/dispatch/poll.go
+++ b/daemon/dispatch/poll.go
@@ -4,58 +4,116 @@
 	"context"
 	"time"
 
-	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/coordination/polling"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/load"
 	"geraniumstack.org/geraniumstack/state/prefix"
+	"geraniumstack.org/geraniumstack/transport/engine"
 	"geraniumstack.org/geraniumstack/transport/engineapi"
 )
 
-// follow starts and stops the reading of runners so that it fits the table.
+// follow makes the planner read the runners of the service's table.
 func (d *Dispatcher) follow(s *service) {
-	for _, r := range s.newlyFollowed() {
-		d.spawn(func(ctx context.Context) {
-			ctx, cancel := context.WithCancel(ctx)
-			defer cancel()
-			if s.following(r.ID, cancel) {
-				d.poll(ctx, s, r)
-			}
-		})
+	ids := s.followed()
+	d.pollMu.Lock()
+	defer d.pollMu.Unlock()
+	d.planner.SetTargets(s.name, ids)
+	d.planner.SetBudget(time.Now(), d.cfg.Timing.budget(int(d.gateways.Load())))
+	select {
+	case d.pollWake <- struct{}{}:
+	default:
 	}
 }
 
-// poll reads a runner's load and cache events until ctx ends. A read that
-// fails changes nothing: only calls with work in them tell that a runner fails.
-func (d *Dispatcher) poll(ctx context.Context, s *service, r view.Runner) {
+// unfollow ends the reading of a service's runners.
+func (d *Dispatcher) unfollow(s *service) {
+	d.pollMu.Lock()
+	defer d.pollMu.Unlock()
+	d.planner.SetTargets(s.name, nil)
+}
+
+// used tells the planner that what is known of a runner's load has aged.
+func (d *Dispatcher) used(s *service, id ident.RunnerID) {
+	d.pollMu.Lock()
+	defer d.pollMu.Unlock()
+	d.planner.Used(polling.Target{Service: s.name, Runner: id})
+}
+
+// poll makes the planner's reads until ctx ends. A slow read holds up no other.
+func (d *Dispatcher) poll(ctx context.Context) {
 	for {
-		d.read(ctx, s, r)
-		if !pause(ctx, s.pollEvery()) {
+		d.pollMu.Lock()
+		read, wait, ok := d.planner.Next(time.Now())
+		d.pollMu.Unlock()
+		if ok {
+			d.spawn(func(ctx context.Context) { d.carryOut(ctx, read) })
+			continue
+		}
+		timer := time.NewTimer(max(wait, leastWait))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
 			return
+		case <-timer.C:
+		case <-d.pollWake: // there may be a runner that was never read
 		}
+		timer.Stop()
 	}
 }
 
-func (d *Dispatcher) read(ctx context.Context, s *service, r view.Runner) {
+// leastWait keeps reads that are due by turns from waking the loop for each.
+const leastWait = 5 * time.Millisecond
+
+func (d *Dispatcher) carryOut(ctx context.Context, read polling.Read) {
+	var result polling.Result
+	if s := d.service(read.Target.Service); s != nil {
+		result = d.read(ctx, s, read)
+	}
+	d.cfg.countBy(read.Target.Service, "polls.load_bytes", result.LoadBytes)
+	d.cfg.countBy(read.Target.Service, "polls.event_bytes", result.EventBytes)
+	d.pollMu.Lock()
+	defer d.pollMu.Unlock()
+	d.planner.Done(time.Now(), read, result)
+}
+
+// read reads a runner's load, and its cache events if the budget has room for
+// them. A read that fails changes nothing: only calls with work in them tell
+// that a runner fails.
+func (d *Dispatcher) read(ctx context.Context, s *service, read polling.Read) (result polling.Result) {
+	id := read.Target.Runner
+	address := s.address(id)
+	if address == "" {
+		return result
+	}
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Timing.PollTimeout)
 	defer cancel()
-	l, err := d.cfg.Engines.Load(ctx, r.Address)
+	traffic := &engine.Traffic{}
+	ctx = engine.WithTraffic(ctx, traffic)
+	l, err := d.cfg.Engines.Load(ctx, address)
+	result.LoadBytes = traffic.Bytes()
 	if err != nil {
 		d.cfg.count(s.name, "polls.failed")
-		return
+		return result
 	}
 	now := time.Now()
 	if l.Leaving {
-		d.cfg.Directory.NoteLeaving(r.Address, time.Duration(l.DeadlineMillis)*time.Millisecond)
+		d.cfg.Directory.NoteLeaving(address, time.Duration(l.DeadlineMillis)*time.Millisecond)
 	}
-	s.reported(now, r.ID, reportOf(now, l), int(d.gateways.Load()))
-	events, err := d.cfg.Engines.CacheEvents(ctx, r.Address, s.cursor(r.ID), d.cfg.Timing.EventLimit)
+	s.reported(now, id, reportOf(now, l), int(d.gateways.Load()))
+	if !read.Events {
+		return result
+	}
+	events, err := d.cfg.Engines.CacheEvents(ctx, address, s.cursor(id), d.cfg.Timing.EventLimit)
+	result.EventBytes = traffic.Bytes() - result.LoadBytes
 	if err != nil {
 		d.cfg.count(s.name, "polls.failed")
-		return
+		return result
 	}
-	if err := s.cacheEvents(r.ID, pageOf(events)); err != nil {
+	if err := s.cacheEvents(id, pageOf(events)); err != nil {
 		d.cfg.count(s.name, "prefix.resyncs")
+		result.Gap = true
 	}
+	return result
 }
 
 func reportOf(now time.Time, l engineapi.Load) load.Report {
@@ -87,61 +145,9 @@
 	return p
 }
 
-// newlyFollowed returns the runners of the table that are not read yet, and
-// stops the reading of those that are no longer in it.
-func (s *service) newlyFollowed() []view.Runner {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	runners := s.table.Runners(nil)
-	listed := make(map[ident.RunnerID]bool, len(runners))
-	var fresh []view.Runner
-	for _, r := range runners {
-		listed[r.ID] = true
-		if _, ok := s.polls[r.ID]; !ok {
-			s.polls[r.ID] = nil
-			fresh = append(fresh, r)
-		}
-	}
-	for id, cancel := range s.polls {
-		if listed[id] {
-			continue
-		}
-		if cancel != nil {
-			cancel()
-		}
-		delete(s.polls, id)
-	}
-	return fresh
-}
-
-// following notes how to stop a runner's reading; false if it is not wanted
-// any more.
-func (s *service) following(id ident.RunnerID, cancel context.CancelFunc) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.polls[id]; !ok || s.stopped {
-		return false
-	}
-	s.polls[id] = cancel
-	return true
-}
-
-func (s *service) stopPolls() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopped = true
-	for _, cancel := range s.polls {
-		if cancel != nil {
-			cancel()
-		}
-	}
-}
-
-// pollEvery is the time between two reads of a runner: longer with more of
-// them, so that the daemon's share of the network stays bounded.
-func (s *service) pollEvery() time.Duration {
+// followed lists the runners of the table.
+func (s *service) followed() []ident.RunnerID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	bounded := time.Duration(float64(len(s.polls)) / s.cfg.Timing.PollsPerSecond * float64(time.Second))
-	return max(s.cfg.Timing.Poll, bounded)
+	return runnerIDs(s.table.Runners(nil))
 }
--- a/daemon/dispatch/service.go
+++ b/daemon/dispatch/service.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -50,8 +49,6 @@
 	grants    map[ident.RequestID]*grant
 	waiting   map[admission.ID]*grant
 	lastID    admission.ID
-	polls     map[ident.RunnerID]context.CancelFunc
-	stopped   bool
 	gauged    time.Time
 	effects   []admission.Effect
 }
@@ -68,7 +65,6 @@
 		attempts: map[attemptKey]*attempt{},
 		grants:   map[ident.RequestID]*grant{},
 		waiting:  map[admission.ID]*grant{},
-		polls:    map[ident.RunnerID]context.CancelFunc{},
 	}
 	self := cfg.Directory.Self()
 	r := routing.Default(self.ID, self.FailureDomain)
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -209,6 +209,7 @@
 		return refused(response)
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	TrafficOf(ctx).add(response, len(data))
 	if err != nil {
 		return &BrokenError{Err: err}
 	}
