--- a/daemon/dispatch/budget_test.go
+++ b/daemon/dispatch/budget_test.go
@@ -56,7 +56,7 @@
 			FailureDomain: ident.FailureDomain(fmt.Sprint("d", i%8)), State: view.Live,
 		})
 	}
-	m := *configured.m
+	m := configured
 	m.Services = nil
 	for i := range services {
 		m.Services = append(m.Services, manifest.Service{Name: fmt.Sprint("llm", i), Kind: manifest.KindModel})
@@ -73,7 +73,7 @@
 			is := is.New(t)
 			w, m := newBigWorld(1800, services, 10_000)
 			d := New(Config{
-				Directory: w, Config: config{m}, Engines: w, Prober: w, Metrics: w.metrics,
+				Directory: w, Config: holding(m), Engines: w, Prober: w, Metrics: w.metrics,
 				Policy: DefaultPolicy(), Timing: DefaultTiming(), Seed: 1,
 			})
 			ctx, cancel := context.WithCancel(t.Context())
--- a/daemon/dispatch/dispatch_test.go
+++ b/daemon/dispatch/dispatch_test.go
@@ -97,6 +97,12 @@
 	m atomic.Pointer[manifest.Manifest]
 }
 
+func holding(m *manifest.Manifest) *config {
+	c := &config{}
+	c.m.Store(m)
+	return c
+}
+
 func (c *config) Current() (*manifest.Manifest, ident.Generation) { return c.m.Load(), 1 }
 func (c *config) Changed() <-chan struct{}                        { return nil }
 
@@ -113,8 +119,7 @@
 // within runs the test in a bubble with a dispatcher over n runners.
 func within(t *testing.T, n int, test func(t *testing.T, w *world, d *Dispatcher)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{changed: make(chan struct{}), down: map[string]bool{}, metrics: metrics.NewRegistry(), config: &config{}}
-		w.config.m.Store(&configured)
+		w := &world{changed: make(chan struct{}), down: map[string]bool{}, metrics: metrics.NewRegistry(), config: holding(&configured)}
 		for i := range n {
 			w.runners = append(w.runners, view.Runner{
 				ID: ident.RunnerID(fmt.Sprint("r", i)), Address: fmt.Sprint("a", i), Service: "llm",
