Add geraniumctl rollback; tell what is known of single daemons

Cause: status printed -1ms for a daemon known by others' word, and for the rest the time as of the last change of the list: Members keeps its list until a state or generation changes, so the time grew to minutes in a quiet fleet. apply counted as behind every daemon whose own word had not come yet, also the only one of a failure domain that is known, by a third daemon, to have the generation.

Change: MembersNow reads the times anew, and a daemon's own is now; the column is HEARD DIRECTLY, clamped at zero, 'never; by others' word' for -1. Daemons not heard since the generation came into force here are counted apart (NOT HEARD YET), one is taken out where the domain is known to have it, and apply waits at most 250 ms for the daemons' word. rollback calls the RPC with apply's flags.

--- a/ctl/admin.go
+++ b/ctl/admin.go
@@ -96,11 +96,23 @@
 	if err != nil {
 		return p.fail(err)
 	}
-	p.print(resp, func(w io.Writer) {
-		fmt.Fprintf(w, "accepted as generation %d\n", resp.Generation)
-		writeDomains(w, resp.Domains)
+	return p.accepted(resp, resp)
+}
+
+// acceptance is what the answers to Apply and Rollback have in common.
+type acceptance interface {
+	GetGeneration() uint64
+	GetInForceEverywhere() bool
+	GetDomains() []*adminv1.DomainStatus
+}
+
+// accepted prints an answer, whose JSON form is v.
+func (c *common) accepted(v any, a acceptance) subcommands.ExitStatus {
+	c.print(v, func(w io.Writer) {
+		fmt.Fprintf(w, "accepted as generation %d\n", a.GetGeneration())
+		writeDomains(w, a.GetDomains())
 	})
-	if !resp.InForceEverywhere {
+	if !a.GetInForceEverywhere() {
 		return ExitNotInForce
 	}
 	return subcommands.ExitSuccess
@@ -115,9 +127,9 @@
 
 func writeDomains(w io.Writer, domains []*adminv1.DomainStatus) {
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(t, "FAILURE DOMAIN\tGENERATION\tDAEMONS\tBEHIND")
+	fmt.Fprintln(t, "FAILURE DOMAIN\tGENERATION\tDAEMONS\tBEHIND\tNOT HEARD YET")
 	for _, d := range domains {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", d.FailureDomain, d.Generation, d.Daemons, d.DaemonsBehind)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\n", d.FailureDomain, d.Generation, d.Daemons, d.DaemonsBehind, d.DaemonsUnheard)
 	}
 	t.Flush()
 }
@@ -180,9 +192,9 @@
 	fmt.Fprintf(w, "generation %d; key-value service %s\n\n", s.Generation, reach)
 	writeDomains(w, s.Domains)
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(t, "\nDAEMON\tFAILURE DOMAIN\tADDRESS\tSTATE\tGENERATION\tHEARD")
+	fmt.Fprintln(t, "\nDAEMON\tFAILURE DOMAIN\tADDRESS\tSTATE\tGENERATION\tHEARD DIRECTLY")
 	for _, d := range s.Daemons {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%dms ago\n", d.Id, d.FailureDomain, d.CallerAddress, d.State, d.Generation, d.HeardMsAgo)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\n", d.Id, d.FailureDomain, d.CallerAddress, d.State, d.Generation, heardText(d.HeardMsAgo))
 	}
 	fmt.Fprintln(t, "\nRUNNER\tSERVICE\tFAILURE DOMAIN\tADDRESS\tSTATE\tDETAIL")
 	for _, r := range s.Runners {
@@ -191,6 +203,14 @@
 	t.Flush()
 }
 
+// heardText says when the answering daemon last heard from one itself.
+func heardText(millisAgo int64) string {
+	if millisAgo < 0 {
+		return "never; by others' word"
+	}
+	return (time.Duration(millisAgo) * time.Millisecond).String() + " ago"
+}
+
 type historyCmd struct {
 	common
 	limit int
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -53,6 +53,7 @@
 	c.Register(c.FlagsCommand(), "")
 	c.Register(c.CommandsCommand(), "")
 	c.Register(&applyCmd{common: base}, groupAdmin)
+	c.Register(&rollbackCmd{common: base}, groupAdmin)
 	c.Register(&diffCmd{common: base}, groupAdmin)
 	c.Register(&statusCmd{common: base}, groupAdmin)
 	c.Register(&historyCmd{common: base}, groupAdmin)
--- a/daemon/adminapi/adminapi.go
+++ b/daemon/adminapi/adminapi.go
@@ -39,7 +39,7 @@
 	Content(ctx context.Context, generation ident.Generation) (*manifest.Manifest, error)
 	History(ctx context.Context) []config.Accepted
 	Domains() []control.DomainStatus
-	Members() []membership.Member
+	MembersNow() []membership.Member
 	Runners(service string) []view.Runner
 	DrainTarget(target string) error
 	StoreUp() bool
@@ -188,7 +188,7 @@
 	response := &adminv1.StatusResponse{
 		Generation:        uint64(generation),
 		Domains:           encodeDomains(s.cfg.Control.Domains()),
-		Daemons:           encodeDaemons(time.Now(), s.cfg.Control.Members()),
+		Daemons:           encodeDaemons(time.Now(), s.cfg.Control.MembersNow()),
 		KeyValueServiceUp: s.cfg.Control.StoreUp(),
 	}
 	if m != nil {
--- a/daemon/adminapi/encode.go
+++ b/daemon/adminapi/encode.go
@@ -23,6 +23,7 @@
 		encoded = append(encoded, &adminv1.DomainStatus{
 			FailureDomain: string(d.FailureDomain), Generation: uint64(d.Generation),
 			Daemons: int32(d.Daemons), DaemonsBehind: int32(d.DaemonsBehind),
+			DaemonsUnheard: int32(d.DaemonsUnheard),
 		})
 	}
 	return encoded
@@ -36,7 +37,8 @@
 	for _, m := range members {
 		heard := int64(neverHeard)
 		if !m.Heard.IsZero() {
-			heard = now.Sub(m.Heard).Milliseconds()
+			// One that was heard while this answer was made is not of the future.
+			heard = max(0, now.Sub(m.Heard).Milliseconds())
 		}
 		encoded = append(encoded, &adminv1.DaemonStatus{
 			Id: string(m.ID), Incarnation: string(m.Incarnation), FailureDomain: string(m.FailureDomain),
--- a/daemon/control/apply.go
+++ b/daemon/control/apply.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/config"
+	"geraniumstack.org/geraniumstack/coordination/membership"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
@@ -21,6 +22,9 @@
 	submissionBound = 15 * time.Second
 	// stepRetry is the pause before a step that failed is tried again.
 	stepRetry = 100 * time.Millisecond
+	// settleBound is how long Apply waits, once every failure domain has the
+	// generation, for the single daemons' own word.
+	settleBound = 250 * time.Millisecond
 )
 
 // Submission asks for a manifest to be accepted.
@@ -40,10 +44,14 @@
 	FailureDomain ident.FailureDomain
 	// Generation is the highest that some daemon of it has in force.
 	Generation ident.Generation
-	// Daemons counts the known ones but the gone; DaemonsBehind those of them
-	// that were last heard to have a lower generation than this daemon.
-	Daemons       int
-	DaemonsBehind int
+	// Daemons counts the known ones but the gone. Of these and not leaving,
+	// DaemonsBehind counts those that said, after this daemon had its generation
+	// in force, to have a lower one; DaemonsUnheard those that said nothing
+	// since then and had a lower one before. Where a daemon of the domain is known
+	// by others' word to have it, one is left out of the two counts.
+	Daemons        int
+	DaemonsBehind  int
+	DaemonsUnheard int
 }
 
 // Outcome is what became of an accepted submission.
@@ -214,12 +222,17 @@
 func (c *Control) waitInForce(ctx context.Context, accepted config.Accepted, wait time.Duration) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	var settle *time.Timer
 	for {
 		changed := c.Changed()
 		outcome := c.outcome(accepted)
-		if outcome.InForceEverywhere || ctx.Err() != nil {
+		if outcome.settled() || ctx.Err() != nil {
 			return outcome
 		}
+		if outcome.InForceEverywhere && settle == nil {
+			settle = time.AfterFunc(settleBound, cancel)
+			defer settle.Stop()
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -237,6 +250,16 @@
 	return o
 }
 
+// settled tells whether it is in force and every daemon has said so.
+func (o Outcome) settled() bool {
+	for _, d := range o.Domains {
+		if d.DaemonsBehind+d.DaemonsUnheard > 0 {
+			return false
+		}
+	}
+	return o.InForceEverywhere
+}
+
 // Domains tells how far each failure domain of the manifest in force or of a
 // known daemon is, by name.
 func (c *Control) Domains() []DomainStatus {
@@ -253,15 +276,12 @@
 			status(domain)
 		}
 	}
-	for _, member := range c.Members() {
-		d := status(member.FailureDomain)
-		d.Daemons++
-		if member.Generation < generation && member.State != view.Leaving {
-			d.DaemonsBehind++
-		}
+	since := c.inForceSince()
+	for _, member := range c.MembersNow() {
+		status(member.FailureDomain).count(member, generation, since)
 	}
 	for domain, g := range c.InForce() {
-		status(domain).Generation = g
+		status(domain).reached(g, generation)
 	}
 	all := make([]DomainStatus, 0, len(byDomain))
 	for _, d := range byDomain {
@@ -271,6 +291,32 @@
 	return all
 }
 
+func (d *DomainStatus) count(m membership.Member, generation ident.Generation, since time.Time) {
+	d.Daemons++
+	switch {
+	case m.Generation >= generation || m.State == view.Leaving:
+	case m.Heard.Before(since):
+		d.DaemonsUnheard++
+	default:
+		d.DaemonsBehind++
+	}
+}
+
+// reached notes the domain's highest generation. It may be known before the word
+// of the daemon that has it comes, by way of a third one. Without taking that one
+// out, all daemons of a domain that has the generation would be shown as behind.
+func (d *DomainStatus) reached(highest, wanted ident.Generation) {
+	d.Generation = highest
+	if highest < wanted || d.DaemonsBehind+d.DaemonsUnheard < d.Daemons {
+		return
+	}
+	if d.DaemonsUnheard > 0 {
+		d.DaemonsUnheard--
+		return
+	}
+	d.DaemonsBehind = max(0, d.DaemonsBehind-1)
+}
+
 // History lists accepted configurations, newest first: from the key-value
 // service, or during its outage what this daemon last read of it.
 func (c *Control) History(ctx context.Context) []config.Accepted {
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -59,6 +59,8 @@
 	links    map[ident.Incarnation]*link
 	// newest is the newest head known with its past; zero if read from peers.
 	newest config.Head
+	// enforced is when the configuration in force came into force here.
+	enforced time.Time
 	// storeOK is when the key-value service last answered.
 	storeOK time.Time
 	// seen is the revision of the table that was last acted on.
@@ -215,6 +217,28 @@
 	return c.membersLocked()
 }
 
+// MembersNow is Members with the times they were last heard as of now. Members
+// keeps its list until a state or generation changes, and with it times that
+// may be long past.
+func (c *Control) MembersNow() []membership.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	members := c.table.Members()
+	for i := range members {
+		if members[i].Incarnation == c.cfg.Self.Incarnation {
+			members[i].Heard = time.Now()
+		}
+	}
+	return members
+}
+
+// inForceSince is when the configuration in force came into force here.
+func (c *Control) inForceSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.enforced
+}
+
 func (c *Control) membersLocked() []membership.Member {
 	revision := c.table.Revision().Members
 	if c.members.revision != revision {
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -430,3 +430,51 @@
 		is.True(errors.As(err, &gone))
 	})
 }
+
+// An operator applies a change, is told that it is in force everywhere, and sees
+// one daemon behind in every failure domain beside it: news of a domain came by
+// way of a third daemon before the daemon's own word.
+func TestApplyCountsNoDaemonBehindThatIsNot(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(is *is.I, f *fleet) {
+		f.network.set(func(n *network) { n.delay = 20 * time.Millisecond })
+		for n := range 8 {
+			outcome, err := f.apply(n%5, n+1, fmt.Sprint(n))
+			is.NoErr(err)
+			is.True(outcome.InForceEverywhere)
+			for _, d := range outcome.Domains {
+				is.Equal(d.DaemonsBehind, 0)
+				is.Equal(d.DaemonsUnheard, 0)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// One of two daemons of a failure domain is paused during a change. It must not
+// be counted among those that have it, nor as one that said to be behind.
+func TestApplyCountsPausedDaemonAsNotHeard(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(is *is.I, f *fleet) {
+		f.network.set(func(n *network) { n.paused[address(4)] = true })
+		outcome, err := f.apply(1, 4, "first")
+		is.NoErr(err)
+		is.True(outcome.InForceEverywhere)
+		for _, d := range outcome.Domains {
+			is.Equal(d.DaemonsBehind, 0)
+			is.Equal(d.DaemonsUnheard == 1, d.FailureDomain == domains[0])
+		}
+	})
+}
+
+// Nothing changes for minutes, and the status shows that all daemons were last
+// heard minutes ago: the list was kept from the last change on.
+func TestStatusTellsWhenDaemonsWereHeard(t *testing.T) {
+	t.Parallel()
+	inBubble(t, func(is *is.I, f *fleet) {
+		time.Sleep(5 * time.Minute)
+		for _, m := range f.daemons[0].MembersNow() {
+			is.True(time.Since(m.Heard) < 3*time.Second)
+		}
+	})
+}
--- a/daemon/control/follow.go
+++ b/daemon/control/follow.go
@@ -54,6 +54,7 @@
 	c.counters.enforced.Inc(1)
 	klog.InfoS("Configuration in force", "generation", e.Head.Generation, "author", e.Head.Author)
 	c.table.SetGeneration(e.Head.Generation)
+	c.enforced = time.Now()
 	close(c.configChanged)
 	c.configChanged = make(chan struct{})
 }
