Take 2.4 KB/s for reads of runners at 1,800 daemons

Cause: heartbeats 4.0, pushes 0.53, configuration 0.65, VM list 0.27 and 3 KB/s for reads are 8.4 KB/s together, over the 8 KB/s for control.

Change: the reads' budget is 4.32 MB/s over all daemons, 2.4 KB/s with 1,800.

Figures: TestReadBytesAtTheTwoYearSize 2,400 bytes/s with 1 and 8 services; all of control 7.9 KB/s, worked out.

Conclusion: bounded under the target. With eight services a runner is read every 140 s, which is too rare to be of much use; a smaller subset is open.

--- a/daemon/dispatch/budget_test.go
+++ b/daemon/dispatch/budget_test.go
@@ -91,7 +91,7 @@
 			perSecond := float64(loads+events) / span.Seconds()
 			t.Logf("%d services of 64 runners: %.0f bytes/s, of it %.0f for cache events",
 				services, perSecond, float64(events)/span.Seconds())
-			is.True(perSecond <= 3000*1.02) // the savings at the beginning
+			is.True(perSecond <= 2400*1.02) // the savings at the beginning
 			is.True(loads > 0)
 		})
 	}
--- a/daemon/dispatch/config.go
+++ b/daemon/dispatch/config.go
@@ -96,7 +96,7 @@
 		Tick:          20 * time.Millisecond,
 		Reads:         polling.Default(),
 		PollTimeout:   time.Second,
-		ReadBytes:     5_400_000, // 3 KB/s each with 1,800 daemons
+		ReadBytes:     4_320_000, // 2.4 KB/s each with 1,800 daemons
 		MostReadBytes: 256_000,
 		EventLimit:    512,
 		Refresh:       50 * time.Millisecond,
