Test fetched tokens of silent and draining owners

Cause: the tests covered an owner that refuses connections, not one that is suspended, nor a daemon that drains; and the note of silent owners kept those that had ended.

Change: two tests, expired notes are removed, and a token's text is checked in the keys' property.

Conclusion: another owner's token is handed out within 3 s of silence, too.

--- a/daemon/actions/tokens.go
+++ b/daemon/actions/tokens.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -131,13 +132,15 @@
 	})
 }
 
-func (t *tokenSource) noteSilent(owner ident.Incarnation, until time.Time) {
+func (t *tokenSource) noteSilent(now time.Time, owner ident.Incarnation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.silent == nil {
 		t.silent = map[ident.Incarnation]time.Time{}
 	}
-	t.silent[owner] = until
+	// Ended owners never answer again and would stay.
+	maps.DeleteFunc(t.silent, func(_ ident.Incarnation, until time.Time) bool { return !now.Before(until) })
+	t.silent[owner] = now.Add(silentFor)
 }
 
 // lastSilent moves the owners that didn't answer lately to the end.
@@ -150,7 +153,6 @@
 			silent = append(silent, d)
 			continue
 		}
-		delete(t.silent, d.Incarnation)
 		answering = append(answering, d)
 	}
 	return append(answering, silent...)
@@ -227,7 +229,7 @@
 		if err != nil {
 			s.counters.inc(tokenFetchFailed)
 			s.tokens.drop(d.Incarnation)
-			s.tokens.noteSilent(d.Incarnation, s.now().Add(silentFor))
+			s.tokens.noteSilent(s.now(), d.Incarnation)
 			continue
 		}
 		s.counters.inc(tokensFetched)
--- a/daemon/actions/tokens_test.go
+++ b/daemon/actions/tokens_test.go
@@ -149,6 +149,38 @@
 	})
 }
 
+// Story: as above, but the VM was suspended: its connections are silent instead
+// of refused.
+func TestTokensOfAnotherAfterTheOwnerFallsSilent(t *testing.T) {
+	inMidFleet(t, func(f *fleet) {
+		gateway, owner := f.guest()
+		silent := f.daemons[owner].Incarnation
+		stop := time.Now().Add(3 * time.Second)
+		for time.Now().Before(stop) {
+			f.network.Silence(f.daemons[owner].PeerAddress)
+			time.Sleep(time.Millisecond)
+		}
+		f.is.True(f.tokenOf(gateway).Owner != silent)
+		f.is.True(f.tokenOf(gateway).Owner != f.daemons[gateway].Incarnation)
+	})
+}
+
+// Story: a gateway that drains tells its callers, which have not noticed, to
+// use its token, and refuses every key made from it.
+func TestDrainingGatewayHandsOutTokensOfOthers(t *testing.T) {
+	inMidFleet(t, func(f *fleet) {
+		_, owner := f.guest()
+		drained := f.daemons[owner].Incarnation
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		f.is.NoErr(f.nodes[owner].Drain(ctx))
+		time.Sleep(3 * time.Second)
+		f.is.True(!f.owners()[drained])
+		_, err := f.pledge(0, f.key(owner, "pledge"))
+		f.is.NoErr(err)
+	})
+}
+
 // Story: a pledge is "owner gone", though its owner runs. The owner had left
 // the set of those that issue tokens, since others had joined.
 func TestAnOwnerOutsideTheSetAnswersItsKeys(t *testing.T) {
--- a/state/actionkey/actionkey_test.go
+++ b/state/actionkey/actionkey_test.go
@@ -29,6 +29,12 @@
 		if key != (actionkey.Key{Token: token, Suffix: suffix}) {
 			t.Fatalf("got %+v", key)
 		}
+		if parsed, err := actionkey.ParseToken(token.String()); err != nil || parsed != token {
+			t.Fatalf("got %+v, %v", parsed, err)
+		}
+		if _, err := actionkey.ParseToken(token.String() + suffix); err == nil {
+			t.Fatal("a key passed for a token")
+		}
 	})
 }
 
