Read runners less often while nothing is routed

Cause: five idle daemons took 2.8 to 3.1% of a core each; a third of the profile was reads of load reports and cache events, about 95 a second with 16 runners. Change: 2 s between reads of a runner while this daemon has used none for 5 s; the first request ends that. Conclusion: still over 1.2% at five daemons on this machine, mostly wake-ups.

--- a/coordination/polling/polling.go
+++ b/coordination/polling/polling.go
@@ -23,6 +23,9 @@
 type Config struct {
 	// Interval is the least time between two reads of one target.
 	Interval time.Duration
+	// IdleInterval is the same while this daemon has used no target for IdleAfter.
+	IdleInterval time.Duration
+	IdleAfter    time.Duration
 	// ReadBytes is taken for the size of a load report until one was read.
 	ReadBytes float64
 	// Savings is how long an unused budget is kept.
@@ -37,6 +40,8 @@
 func Default() Config {
 	return Config{
 		Interval:        500 * time.Millisecond,
+		IdleInterval:    2 * time.Second,
+		IdleAfter:       5 * time.Second,
 		ReadBytes:       600,
 		Savings:         time.Second,
 		EventsPause:     10 * time.Minute,
@@ -84,6 +89,9 @@
 	filled  time.Time
 	mean    float64
 	started bool
+	// used is set by Used until the next look, which gives it its time.
+	used     bool
+	lastUsed time.Time
 }
 
 // New returns a planner without targets and without a budget.
@@ -117,6 +125,7 @@
 // Used counts an own attempt that began or ended at a target: what is known of
 // its load is older than it seems.
 func (p *Planner) Used(t Target) {
+	p.used = true
 	if s := p.targets[t]; s != nil {
 		s.used++
 	}
@@ -127,7 +136,7 @@
 // hold up the load reports.
 func (p *Planner) fill(now time.Time) {
 	if !p.started {
-		p.started, p.filled = true, now
+		p.started, p.filled, p.lastUsed = true, now, now
 	}
 	p.credit += p.budget * max(0, now.Sub(p.filled).Seconds())
 	p.filled = now
@@ -168,14 +177,15 @@
 // An unused target is read too, once it is old enough.
 func (p *Planner) mostUrgent(now time.Time) (best Target, wait time.Duration) {
 	wait = p.cfg.Interval
+	interval := p.interval(now)
 	most := -1.0
 	for t, s := range p.targets {
 		age := now.Sub(s.last)
 		switch {
 		case s.reading:
 			continue
-		case age < p.cfg.Interval:
-			wait = min(wait, p.cfg.Interval-age)
+		case age < interval:
+			wait = min(wait, interval-age)
 			continue
 		}
 		urgency := age.Seconds() * float64(1+s.used)
@@ -186,6 +196,18 @@
 	return best, wait
 }
 
+// interval is longer while the daemon has nothing to route: its reads then cost
+// more than all else that it does. The first request ends that at the next look.
+func (p *Planner) interval(now time.Time) time.Duration {
+	if p.used {
+		p.used, p.lastUsed = false, now
+	}
+	if now.Sub(p.lastUsed) > p.cfg.IdleAfter {
+		return p.cfg.IdleInterval
+	}
+	return p.cfg.Interval
+}
+
 // before orders equally urgent targets, so that runs repeat.
 func before(a, b Target) bool {
 	if a.Service != b.Service {
--- a/coordination/polling/polling_test.go
+++ b/coordination/polling/polling_test.go
@@ -97,3 +97,29 @@
 	})
 	is.Equal(pages, 3) // after 0, 10 and 30 minutes
 }
+
+// A daemon without callers reads all its runners twice a second, which costs it
+// more than its heartbeats. Its first request must end the rest.
+func TestReadsRestWhileNothingIsRouted(t *testing.T) {
+	is := is.New(t)
+	p := New(Default())
+	p.SetBudget(epoch, 1e6)
+	p.SetTargets("llm", names(16))
+	count := func(from, to time.Duration) int {
+		n := 0
+		for at := from; at < to; at += 10 * time.Millisecond {
+			for read, _, ok := p.Next(epoch.Add(at)); ok; read, _, ok = p.Next(epoch.Add(at)) {
+				n++
+				p.Done(epoch.Add(at), read, Result{LoadBytes: 500})
+			}
+		}
+		return n
+	}
+	busy := count(0, 4*time.Second)
+	count(4*time.Second, 10*time.Second)
+	idle := count(10*time.Second, 14*time.Second)
+	p.Used(Target{"llm", "a"})
+	again := count(14*time.Second, 18*time.Second)
+	is.True(idle*3 < busy)
+	is.True(again > idle*2)
+}
