Share the flags of apply and rollback; drop an unused channel

Change: ctl's submission; drained is gone. Figures: go test ./ctl ./daemon passes. Conclusion: one place for the flags.

--- a/ctl/admin.go
+++ b/ctl/admin.go
@@ -59,38 +59,46 @@
 
 func (e *UsageError) Error() string { return "usage: " + e.Want }
 
-type applyCmd struct {
+// submission holds the flags of the commands that change the configuration.
+type submission struct {
 	common
-	expected   int64
-	submission string
-	wait       time.Duration
+	expected int64
+	id       string
+	wait     time.Duration
 }
 
+func (s *submission) SetFlags(f *flag.FlagSet) {
+	s.setAdminFlags(f)
+	f.Int64Var(&s.expected, "expect", -1, "the generation that is to be replaced; -1 is any")
+	f.StringVar(&s.id, "submission", "", "id that makes the call repeatable; random by default")
+	f.DurationVar(&s.wait, "wait", 12*time.Second, "how long to wait until it is in force in every failure domain")
+}
+
+// begin fills in what the flags leave open.
+func (s *submission) begin() {
+	if s.id == "" {
+		s.id = newSubmissionID()
+	}
+	s.timeout += s.wait
+}
+
+type applyCmd struct{ submission }
+
 func (*applyCmd) Name() string     { return "apply" }
 func (*applyCmd) Synopsis() string { return "submit a manifest and wait until it is in force" }
 func (*applyCmd) Usage() string {
 	return "apply [flags] FILE\n  Submits a manifest. Status 3: another operator came first; 5: accepted, not yet in force everywhere.\n"
 }
-func (p *applyCmd) SetFlags(f *flag.FlagSet) {
-	p.setAdminFlags(f)
-	f.Int64Var(&p.expected, "expect", -1, "the generation that this manifest replaces; -1 is any")
-	f.StringVar(&p.submission, "submission", "", "id that makes the call repeatable; random by default")
-	f.DurationVar(&p.wait, "wait", 12*time.Second, "how long to wait until it is in force in every failure domain")
-}
-
 func (p *applyCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	data, err := readManifest(f)
 	if err != nil {
 		return p.fail(err)
 	}
-	if p.submission == "" {
-		p.submission = newSubmissionID()
-	}
-	p.timeout += p.wait
+	p.begin()
 	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.ApplyResponse], error) {
 		return c.Apply(ctx, connect.NewRequest(&adminv1.ApplyRequest{
 			Manifest: data, ExpectedGeneration: p.expected,
-			SubmissionId: p.submission, WaitMs: p.wait.Milliseconds(),
+			SubmissionId: p.id, WaitMs: p.wait.Milliseconds(),
 		}))
 	})
 	if err != nil {
--- a/ctl/rollback_test.go
+++ b/ctl/rollback_test.go
@@ -35,7 +35,7 @@
 	server := httptest.NewServer(mux)
 	defer server.Close()
 	var out bytes.Buffer
-	command := &rollbackCmd{common: common{out: &out, errs: &out}}
+	command := &rollbackCmd{submission{common: common{out: &out, errs: &out}}}
 	flags := flag.NewFlagSet("rollback", flag.ContinueOnError)
 	command.SetFlags(flags)
 	if err := flags.Parse(append([]string{"-admin", server.URL}, args...)); err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,7 +65,6 @@
 	services *services.Services
 	orders   *orders.Driver
 	gateway  *gateway.Gateway
-	drained  chan struct{}
 	aborted  chan struct{}
 	draining chan struct{}
 }
@@ -76,7 +75,6 @@
 		settings: s,
 		metrics:  metrics.NewRegistry(),
 		usage:    usage.NewTable(),
-		drained:  make(chan struct{}),
 		aborted:  make(chan struct{}),
 		draining: make(chan struct{}),
 	}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -51,7 +51,6 @@
 	sleep(ctx, lifetime)
 	d.gateway.StopAccepting()
 	d.handOver(ctx)
-	close(d.drained)
 	klog.InfoS("Graceful shutdown done")
 }
 
