Give service calls the deadline of their route's class

The manifest says 5 s for pledges, but the class of a service route was not read. Ruled out: a lost outcome (the owner had it as unknown). Change: a call without a time of its own has its class's deadline, within the gateway's bound. Figures: TestServiceCallHasTheDeadlineOfItsClass fails without, passes with it. Conclusion: pledges answer within their class's time, with 'unknown' if need be.

--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -106,10 +106,10 @@
 		manifest: &manifest.Manifest{
 			Models:     []manifest.Model{{Name: "m", Service: "s"}},
 			Workspaces: []manifest.Workspace{{Name: "w", KeyHashes: []string{hash(callerKey)}, Weight: 1}},
-			Classes:    []manifest.Class{{Name: "chat"}, {Name: "review", Deferrable: true}},
+			Classes:    []manifest.Class{{Name: "chat"}, {Name: "review", Deferrable: true}, {Name: "pledges", DeadlineMillis: 400}},
 			Services: []manifest.Service{{Name: "casos", Kind: manifest.KindPlain, Routes: []manifest.Route{
 				{Method: "GET", Path: "/cases", Repeatable: true},
-				{Method: "POST", Path: "/pledges", OutagePolicy: manifest.OutageRun},
+				{Method: "POST", Path: "/pledges", OutagePolicy: manifest.OutageRun, Class: "pledges"},
 			}}},
 		},
 	}
@@ -286,6 +286,20 @@
 	}
 }
 
+// A runner takes a pledge and never answers. Its caller, who gave no time of its
+// own, must hear "unknown" within the deadline of the pledges' class, not after
+// the gateway's bound for any call.
+func TestServiceCallHasTheDeadlineOfItsClass(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	g, _ := newGateway(f)
+	began := time.Now()
+	send(g, "POST", "/v1/services/casos/pledges", "{}", "Idempotency-Key", "k")
+	send(g, "POST", "/v1/services/casos/pledges", "{}", "Idempotency-Key", "k", "X-Timeout-Ms", "90000")
+	is.True(f.executed[0].Deadline.Before(began.Add(900 * time.Millisecond)))
+	is.True(f.executed[1].Deadline.After(began.Add(time.Minute)))
+}
+
 func TestGatewayListLeavesOutDraining(t *testing.T) {
 	is := is.New(t)
 	g, _ := newGateway(newFake())
--- a/transport/gateway/services.go
+++ b/transport/gateway/services.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return none, nil, err
 	}
-	deadline, err := deadlineOf(c, g.Limits.MaxServiceTimeout)
+	deadline, err := deadlineOf(c, g.serviceTimeout(m, route))
 	if err != nil {
 		return none, nil, err
 	}
@@ -115,6 +115,16 @@
 	}, route, nil
 }
 
+// serviceTimeout applies where the caller gives no time of its own: the deadline
+// of the route's class, within the gateway's bound.
+func (g *Gateway) serviceTimeout(m *manifest.Manifest, route *manifest.Route) time.Duration {
+	class := m.ClassNamed(route.Class)
+	if class == nil || class.DeadlineMillis == 0 {
+		return g.Limits.MaxServiceTimeout
+	}
+	return min(time.Duration(class.DeadlineMillis)*time.Millisecond, g.Limits.MaxServiceTimeout)
+}
+
 func withQuery(path string, u *url.URL) string {
 	if u.RawQuery == "" {
 		return path
