Ask again under the same key where an outcome is unknown for now

Cause: a draining gateway rightly answers a repeated pledge with executed unknown and when to come back; the caller client gave up there. Change: a keyed call is repeated under its key while the answer is unknown with a time to come back; tests of the client against a scripted gateway. Figures: TestUnknownIsAskedAgainUnderTheSameKey fails without, passes with it. Conclusion: the client follows each refusal's advice.

--- a/caller/action.go
+++ b/caller/action.go
@@ -71,7 +71,8 @@
 
 // again tells whether the same call may and should be sent again. A key that
 // was refused with executed "no" stays refused, since its owner keeps that
-// answer, so only calls without a key are repeated after a refusal.
+// answer; one whose outcome is "unknown" for now may be asked for again under the
+// same key as often as the system says when to come back.
 func (c *Client) again(call Call, err error) bool {
 	var refused *RefusedError
 	if !errors.As(err, &refused) {
@@ -81,7 +82,10 @@
 	if goesElsewhere(refused) {
 		c.forget()
 	}
-	return call.Key == "" && Renewable(err)
+	if call.Key == "" {
+		return Renewable(err)
+	}
+	return refused.Executed == refusal.ExecutedUnknown && refused.RetryAfterMillis > 0
 }
 
 // Act runs a call that may not be repeated, under a key of its own. Where the
--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,92 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/caller"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/gateway"
+)
+
+// scripted is a gateway that gives prepared answers to calls, in order.
+type scripted struct {
+	server  *httptest.Server
+	answers []gateway.ErrorDetail // an empty code is an answer of the runner
+	keys    []string
+	tokens  int
+}
+
+func newScripted(answers ...gateway.ErrorDetail) *scripted {
+	s := &scripted{answers: answers}
+	s.server = httptest.NewServer(s)
+	return s
+}
+
+func (s *scripted) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/gateways" {
+		s.tokens++
+		list := gateway.GatewayList{
+			KeyToken: fmt.Sprintf("token%d:", s.tokens), LifetimeMillis: 60_000,
+			Gateways: []gateway.GatewayEntry{{ID: "g", Address: strings.TrimPrefix(s.server.URL, "http://"), Weight: 1}},
+		}
+		_ = json.NewEncoder(w).Encode(list)
+		return
+	}
+	s.keys = append(s.keys, r.Header.Get("Idempotency-Key"))
+	next := s.answers[0]
+	s.answers = s.answers[1:]
+	if next.Code == "" {
+		w.Header().Set("X-Executed", "yes")
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_ = json.NewEncoder(w).Encode(gateway.ErrorBody{Error: next})
+}
+
+func act(s *scripted) error {
+	defer s.server.Close()
+	client := caller.New(caller.Config{Gateways: []string{s.server.URL}, Key: "k"})
+	_, err := client.Act(context.Background(), caller.Call{Service: "casos", Method: http.MethodPost, Path: "/pledges"})
+	return err
+}
+
+// A gateway that drains answers the repetition of a pledge with "unknown". The
+// pledge may have run, so the caller must ask again under the same key; a new one
+// would pledge twice.
+func TestUnknownIsAskedAgainUnderTheSameKey(t *testing.T) {
+	is := is.New(t)
+	s := newScripted(gateway.ErrorDetail{Code: refusal.Draining, Executed: refusal.ExecutedUnknown, RetryAfterMillis: 1}, gateway.ErrorDetail{})
+	is.NoErr(act(s))
+	is.Equal(len(slices.Compact(s.keys)), 1)
+}
+
+// An owner without its journal refuses a key for good. Repeating that key would
+// get the same refusal for ever; nothing ran, so a new key may be used.
+func TestNotExecutedIsAskedAgainUnderANewKey(t *testing.T) {
+	is := is.New(t)
+	s := newScripted(gateway.ErrorDetail{Code: refusal.JournalUnavailable, Executed: refusal.ExecutedNo, RetryAfterMillis: 1}, gateway.ErrorDetail{})
+	is.NoErr(act(s))
+	is.Equal(len(slices.Compact(s.keys)), 2)
+	is.True(strings.HasPrefix(s.keys[1], "token2:")) // with a fresh token
+}
+
+func TestFinalRefusalsAreNotRepeated(t *testing.T) {
+	for _, detail := range []gateway.ErrorDetail{
+		{Code: refusal.OutcomeUnknown, Executed: refusal.ExecutedUnknown},
+		{Code: refusal.BadRequest, Executed: refusal.ExecutedNo},
+	} {
+		is := is.New(t)
+		s := newScripted(detail)
+		is.True(act(s) != nil)
+		is.Equal(len(s.keys), 1)
+	}
+}
