Default to the lowest interactive class; end the last daemon's drain early

A daemon without live peers held its stop for the whole grace for answers that nobody could take. Change: the interactive class of lowest priority is the default; a drain whose only rest are kept answers ends when there is no peer.

--- a/daemon/models/drain.go
+++ b/daemon/models/drain.go
@@ -42,6 +42,9 @@
 		if left == 0 && !m.accepting() {
 			return nil
 		}
+		if !m.accepting() && m.onlyKept() {
+			return &DrainIncompleteError{Left: left}
+		}
 		select {
 		case <-ctx.Done():
 			return &DrainIncompleteError{Left: left}
@@ -50,6 +53,25 @@
 	}
 }
 
+// onlyKept tells whether all that is left are answers kept for late readers and
+// there is nobody to take them. Waiting on would only make the shutdown of the
+// last daemon take its whole grace.
+func (m *Models) onlyKept() bool {
+	for _, d := range m.c.Directory.Daemons() {
+		if d.Incarnation != m.c.Self && d.State != view.Leaving && d.State != view.Gone {
+			return false
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.live {
+		if l.inProgress() {
+			return false
+		}
+	}
+	return true
+}
+
 // DrainIncompleteError says how many requests could not be passed on.
 type DrainIncompleteError struct{ Left int }
 
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -106,7 +106,10 @@
 		manifest: &manifest.Manifest{
 			Models:     []manifest.Model{{Name: "m", Service: "s"}},
 			Workspaces: []manifest.Workspace{{Name: "w", KeyHashes: []string{hash(callerKey)}, Weight: 1}},
-			Classes:    []manifest.Class{{Name: "chat"}, {Name: "review", Deferrable: true}, {Name: "pledges", DeadlineMillis: 400}},
+			Classes: []manifest.Class{
+				{Name: "pledges", Priority: 9, DeadlineMillis: 400}, {Name: "chat", Priority: 5},
+				{Name: "review", Priority: 1, Deferrable: true},
+			},
 			Services: []manifest.Service{{Name: "casos", Kind: manifest.KindPlain, Routes: []manifest.Route{
 				{Method: "GET", Path: "/cases", Repeatable: true},
 				{Method: "POST", Path: "/pledges", OutagePolicy: manifest.OutageRun, Class: "pledges"},
@@ -201,6 +204,7 @@
 	is.Equal(strings.Count(string(text), "data: {"), 4)
 	is.True(strings.HasSuffix(string(text), "data: [DONE]\n\n"))
 	is.Equal(f.submitted[0].Prompt, "user: hi")
+	is.Equal(f.submitted[0].Class, "chat") // leaving the class out is no way to the front
 	resp = send(g, "GET", "/v1/requests/r1", "", "Last-Event-ID", "2")
 	text, _ = io.ReadAll(resp.Body)
 	is.Equal(strings.Count(string(text), "data: {"), 2) // the third token and the end
--- a/transport/gateway/models.go
+++ b/transport/gateway/models.go
@@ -40,7 +40,8 @@
 	MaxTokens           int  `json:"max_tokens"`
 	MaxCompletionTokens int  `json:"max_completion_tokens"`
 	Stream              bool `json:"stream"`
-	// ServiceTier names the manifest's class; the first is the default.
+	// ServiceTier names the manifest's class; the interactive one of lowest
+	// priority is the default.
 	ServiceTier string `json:"service_tier"`
 	// Adapter names one of the model's adapters.
 	Adapter string `json:"adapter"`
@@ -144,7 +145,7 @@
 	if body.Adapter != "" && !hasAdapter(model, body.Adapter) {
 		return call.ModelRequest{}, refusal.New(refusal.UnknownModel, "model %q has no adapter %q", body.Model, body.Adapter)
 	}
-	class := &m.Classes[0]
+	class := defaultClass(m)
 	if body.ServiceTier != "" {
 		class = m.ClassNamed(body.ServiceTier)
 	}
@@ -172,6 +173,22 @@
 	}, nil
 }
 
+// defaultClass is the interactive class of lowest priority: leaving the class out
+// must not be a way to the front.
+func defaultClass(m *manifest.Manifest) *manifest.Class {
+	var lowest *manifest.Class
+	for i := range m.Classes {
+		c := &m.Classes[i]
+		if !c.Deferrable && (lowest == nil || c.Priority < lowest.Priority) {
+			lowest = c
+		}
+	}
+	if lowest == nil {
+		return &m.Classes[0]
+	}
+	return lowest
+}
+
 func hasAdapter(model *manifest.Model, name string) bool {
 	for _, a := range model.Adapters {
 		if a.Name == name {
