Bring runners into the role that the manifest gives their service

Change: services[].role, in the engines' own words, checked, in the schema; rollout orders it a quarter of the runners at once and repeats it until reports show it; runners that start later get it too.

--- a/coordination/rollout/rollout.go
+++ b/coordination/rollout/rollout.go
@@ -33,6 +33,8 @@
 type Runner struct {
 	ID     ident.RunnerID
 	Loaded []Loaded
+	// Role is what the runner's engine says it is.
+	Role string
 }
 
 // Kind tells what an order does.
@@ -44,6 +46,8 @@
 	Load Kind = iota + 1
 	// Unload it.
 	Unload
+	// Role changes what the runner's engine is.
+	Role
 )
 
 // Order asks one runner for one change.
@@ -54,6 +58,8 @@
 	Version string
 	// Adapter is "name@version"; empty is the model itself.
 	Adapter string
+	// Role is set in orders of kind Role only.
+	Role string
 }
 
 // Limits paces the orders.
@@ -95,6 +101,8 @@
 type Planner struct {
 	limits Limits
 	orders map[Order]*sent
+	// role is what the runners should be; empty leaves them as they are.
+	role string
 }
 
 // New returns a planner that remembers no orders.
@@ -171,6 +179,7 @@
 func (p *Planner) Plan(now time.Duration, models []manifest.Model, runners []Runner) []Order {
 	t := newTurn(p, now, models, runners)
 	t.forget()
+	t.roles()
 	t.load()
 	t.unload()
 	for _, o := range t.out {
@@ -179,6 +188,10 @@
 	return t.out
 }
 
+// SetRole says what the runners' engines should be; empty, as at the start,
+// leaves them as they are.
+func (p *Planner) SetRole(role string) { p.role = role }
+
 func (p *Planner) record(o Order) *sent {
 	s, ok := p.orders[o]
 	if !ok {
@@ -244,7 +257,11 @@
 			delete(t.p.orders, o)
 			continue
 		}
-		if o.Kind == Load && s.at != 0 && t.now < s.until {
+		if o.Kind == Role && (r.Role == o.Role || o.Role != t.p.role) {
+			delete(t.p.orders, o)
+			continue
+		}
+		if o.Kind != Unload && s.at != 0 && t.now < s.until {
 			t.busy[o.Runner] = true
 		}
 	}
@@ -290,9 +307,27 @@
 	for _, o := range fresh {
 		t.try(o, t.p.limits.MaxLoads)
 	}
-	replacing := int(t.p.limits.MaxLoadingShare * float64(len(t.runners)))
 	for _, o := range stale {
-		t.try(o, min(t.p.limits.MaxLoads, max(replacing, 1)))
+		t.try(o, t.replacing())
+	}
+}
+
+// replacing is how many runners may change at once what they serve by.
+func (t *turn) replacing() int {
+	share := int(t.p.limits.MaxLoadingShare * float64(len(t.runners)))
+	return min(t.p.limits.MaxLoads, max(share, 1))
+}
+
+// roles changes a few runners at a time: an engine may take no work while it
+// changes.
+func (t *turn) roles() {
+	if t.p.role == "" {
+		return
+	}
+	for _, r := range t.runners {
+		if r.Role != t.p.role {
+			t.try(Order{Runner: r.ID, Kind: Role, Role: t.p.role}, t.replacing())
+		}
 	}
 }
 
--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -216,3 +216,31 @@
 		p.Plan(time.Second, models, reports)
 	}
 }
+
+// A role changes on all runners of a service. An engine may take no work while it
+// changes, so most must stay as they are until the first have changed.
+func TestRolesChangeAFewAtATime(t *testing.T) {
+	is := is.New(t)
+	p := rollout.New(rollout.DefaultLimits())
+	p.SetRole("decode")
+	models := []manifest.Model{{Name: "m", Version: "1"}}
+	reports := newFleet(8, "1").report()
+	now := time.Second
+	for changed := 0; changed < 8; now += time.Second {
+		orders := p.Plan(now, models, reports)
+		is.True(len(orders) > 0 && len(orders) <= 2)
+		is.Equal(len(p.Plan(now, models, reports)), 0) // those under way are waited for
+		for _, o := range orders {
+			is.Equal(o.Kind, rollout.Role)
+			for i := range reports {
+				if reports[i].ID == o.Runner {
+					reports[i].Role = o.Role
+					changed++
+				}
+			}
+		}
+	}
+	is.Equal(len(p.Plan(now, models, reports)), 0)
+	p.SetRole("")
+	is.Equal(len(p.Plan(now, models, reports)), 0)
+}
--- a/daemon/orders/rollout.go
+++ b/daemon/orders/rollout.go
@@ -41,6 +41,7 @@
 type look struct {
 	at      time.Duration
 	models  []manifest.Model
+	role    string
 	runners []view.Runner
 	// settled says that it found nothing to order and nothing under way.
 	settled bool
@@ -66,7 +67,7 @@
 		r.driver.count("orders.waiting")
 		return nil
 	}
-	l := look{at: r.holder.now(), models: modelsOf(m, r.service), runners: r.runners()}
+	l := look{at: r.holder.now(), models: modelsOf(m, r.service), role: service.Role, runners: r.runners()}
 	if !r.due(l) {
 		return nil
 	}
@@ -81,12 +82,13 @@
 	if !r.last.settled || l.at >= r.last.at+settledEvery {
 		return true
 	}
-	return !reflect.DeepEqual(l.models, r.last.models) || !slices.Equal(l.runners, r.last.runners)
+	return l.role != r.last.role || !reflect.DeepEqual(l.models, r.last.models) || !slices.Equal(l.runners, r.last.runners)
 }
 
 // mend orders what is missing and tells whether the shard is settled.
 func (r *rolloutDuty) mend(ctx context.Context, checked bool, l look) bool {
 	addresses, reports := r.reports(ctx, l.runners)
+	r.planner.SetRole(l.role)
 	orders := r.planner.Plan(l.at, l.models, reports)
 	results := r.giveAll(ctx, checked, addresses, orders)
 	for i, o := range orders {
@@ -165,7 +167,7 @@
 }
 
 func reportOf(id ident.RunnerID, load engineapi.Load) rollout.Runner {
-	report := rollout.Runner{ID: id}
+	report := rollout.Runner{ID: id, Role: load.Role}
 	for _, l := range load.Models {
 		report.Loaded = append(report.Loaded, rollout.Loaded{Model: l.Model, Version: l.Version, Adapters: l.Adapters, Loading: l.Loading})
 	}
@@ -254,9 +256,10 @@
 }
 
 func engineOrder(o rollout.Order, token uint64) engineapi.Order {
-	kind := engineapi.OrderLoad
-	if o.Kind == rollout.Unload {
-		kind = engineapi.OrderUnload
+	kinds := map[rollout.Kind]engineapi.OrderKind{
+		rollout.Load: engineapi.OrderLoad, rollout.Unload: engineapi.OrderUnload, rollout.Role: engineapi.OrderRole,
+	}
+	return engineapi.Order{
+		Kind: kinds[o.Kind], Fencing: token, Model: o.Model, Version: o.Version, Adapter: o.Adapter, Role: o.Role,
 	}
-	return engineapi.Order{Kind: kind, Fencing: token, Model: o.Model, Version: o.Version, Adapter: o.Adapter}
 }
--- a/daemon/orders/rollout_test.go
+++ b/daemon/orders/rollout_test.go
@@ -65,6 +65,30 @@
 	})
 }
 
+// A manifest gives a service's runners a role. All of them must take it, one that
+// starts later too, and a withdrawn role leaves them as they are.
+func TestRole(t *testing.T) {
+	bubble(t, base(4, false), lease.DefaultTiming(), func(w *world) {
+		inRole := func(role string) int {
+			n := 0
+			for _, l := range w.loads() {
+				if l.Role == role {
+					n++
+				}
+			}
+			return n
+		}
+		w.settled(4, "1")
+		w.apply(func(m *manifest.Manifest) { m.Services[0].Role = "decode" })
+		w.until(2*time.Minute, "the role", func() bool { return inRole("decode") == 4 })
+		w.apply(func(m *manifest.Manifest) { m.Services[0].Runners = 6 })
+		w.until(5*time.Minute, "the role on new runners", func() bool { return inRole("decode") >= 6 })
+		w.apply(func(m *manifest.Manifest) { m.Services[0].Role = "" })
+		time.Sleep(2 * time.Minute)
+		w.True(inRole("decode") >= 6)
+	})
+}
+
 // An operator names a version that the weight store does not have. The runners
 // must go on with the old one, and the store, which all share, must not be
 // asked every second for ever.
--- a/state/manifest/check.go
+++ b/state/manifest/check.go
@@ -106,10 +106,17 @@
 		}
 		if service.Kind == KindPlain {
 			c.routes(path+"/routes", service.Routes)
+			c.noRole(path, service)
 		}
 	}
 }
 
+func (c *checker) noRole(path string, s Service) {
+	if s.Role != "" {
+		c.add(path+"/role", "only the runners of a model service have a role")
+	}
+}
+
 func (c *checker) routes(list string, routes []Route) {
 	c.unique(list, "path", names(routes, func(r Route) string { return r.Method + " " + r.Path }))
 	for i, r := range routes {
--- a/state/manifest/manifest.go
+++ b/state/manifest/manifest.go
@@ -61,8 +61,11 @@
 	Runners int    `json:"runners" jsonschema:"minimum=1"`
 	// ChecksFencing says that the runners refuse an order whose fencing
 	// number is older than one they have seen.
-	ChecksFencing bool    `json:"checks_fencing,omitempty"`
-	Routes        []Route `json:"routes,omitempty"`
+	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	// Role is what the runners' engines are told to be, in the engines' own
+	// words; empty leaves them as they are. Model services only.
+	Role   string  `json:"role,omitempty"`
+	Routes []Route `json:"routes,omitempty"`
 }
 
 // OutagePolicy says what to do with an action while the key-value service
--- a/state/manifest/manifest_test.go
+++ b/state/manifest/manifest_test.go
@@ -68,6 +68,7 @@
 	m.Models = append(m.Models, manifest.Model{Name: "asistente", Version: "1", Service: "nobody"})
 	m.Models[0].Canary = &manifest.Canary{Version: m.Models[0].Version, Share: 0.1}
 	m.Services[1].Routes[3].OutagePolicy = ""
+	m.Services[1].Role = "decode"
 	m.Services[1].Routes[0].Class = "nothing"
 	m.Services[1].Routes[1] = m.Services[1].Routes[0]
 	m.Workspaces[1].KeyHashes[0] = m.Workspaces[0].KeyHashes[0]
@@ -83,7 +84,7 @@
 	}
 	for _, want := range []string{
 		"/models/0/service", "/models/1/name", "/models/1/service", "/models/0/canary/version",
-		"/services/0", "/services/1/routes/3/outage_policy", "/services/1/routes/0/class",
+		"/services/0", "/services/1/routes/3/outage_policy", "/services/1/routes/0/class", "/services/1/role",
 		"/services/1/routes/1/path", "/workspaces/1/key_hashes/0", "/workspaces/2/key_hashes/0",
 		"/classes/1/name", "/classes/2/deadline_ms", "/fleet/vm_classes/0/services/0",
 		"/fleet/max_cost_per_hour", "/fleet/survive_domain_loss",
