Answer which gateways to use in one place

Change: the listener calls membership.Gateways. That one now puts suspects last, with weight 1, into the room that live ones leave, as the listener did. Figures: with up to 16 daemons the same gateways and weights as before, equal ones in random order; with more, 16. The tests of both sides pass unchanged. Conclusion: one list, bounded.

--- a/coordination/membership/gateways.go
+++ b/coordination/membership/gateways.go
@@ -15,26 +15,25 @@
 	// MaxGateways bounds the answer.
 	MaxGateways = 16
 
-	nearWeight = 100
-	farWeight  = 10
+	nearWeight    = 100
+	farWeight     = 10
+	suspectWeight = 1
 )
 
 // Gateway is one entry VM that a caller may use.
 type Gateway struct {
-	Address       string              `json:"address"`
-	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	ID            ident.DaemonID
+	Address       string
+	FailureDomain ident.FailureDomain
 	// Weight is the share of new connections relative to the others.
-	Weight int `json:"weight"`
+	Weight int
 }
 
 // Gateways answers which entry VMs a caller of a failure domain should use: its
-// own domain's first, never a leaving one, suspects only if there is no other.
-// The seed draws a different choice for each caller where there are many.
+// own domain's first, never a leaving one, suspects last and only in the room
+// that live ones leave. The seed draws a different choice for each caller where there are many.
 func Gateways(daemons []view.Daemon, domain ident.FailureDomain, seed uint64) []Gateway {
 	near, far := split(daemons, domain, view.Live)
-	if len(near)+len(far) == 0 {
-		near, far = split(daemons, domain, view.Suspect)
-	}
 	// A quarter is kept for other failure domains, so that the loss of the
 	// caller's own leaves it with an address.
 	kept := min(len(near), MaxGateways-min(len(far), MaxGateways/4))
@@ -46,11 +45,16 @@
 	for _, i := range sample(random, far, min(len(far), MaxGateways-kept)) {
 		gateways = append(gateways, gatewayOf(daemons[i], farWeight))
 	}
+	near, far = split(daemons, domain, view.Suspect)
+	suspects := append(near, far...)
+	for _, i := range sample(random, suspects, min(len(suspects), MaxGateways-len(gateways))) {
+		gateways = append(gateways, gatewayOf(daemons[i], suspectWeight))
+	}
 	return gateways
 }
 
 func gatewayOf(d view.Daemon, weight int) Gateway {
-	return Gateway{Address: d.CallerAddress, FailureDomain: d.FailureDomain, Weight: weight}
+	return Gateway{ID: d.ID, Address: d.CallerAddress, FailureDomain: d.FailureDomain, Weight: weight}
 }
 
 // split returns the indexes of the daemons of a state within and outside of a
--- a/transport/gateway/gateways.go
+++ b/transport/gateway/gateways.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
-	"sort"
 
 	"github.com/labstack/echo/v5"
 
-	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/coordination/membership"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
@@ -28,14 +28,6 @@
 	Weight        int                 `json:"weight"`
 }
 
-// Weights of a gateway in the caller's own failure domain and elsewhere, and
-// of one that has been silent.
-const (
-	weightNear    = 100
-	weightFar     = 10
-	weightSuspect = 1
-)
-
 func (g *Gateway) listGateways(c *echo.Context) error {
 	near := ident.FailureDomain(c.QueryParam("failure_domain"))
 	if near == "" {
@@ -43,31 +35,17 @@
 	}
 	token, lifetime := g.Actions.Token()
 	return c.JSON(http.StatusOK, GatewayList{
-		Gateways:               entries(g.Directory.Daemons(), near),
+		Gateways:               entries(membership.Gateways(g.Directory.Daemons(), near, rand.Uint64())),
 		LifetimeMillis:         g.Limits.GatewaysLifetime.Milliseconds(),
 		KeyToken:               token,
 		KeyTokenLifetimeMillis: lifetime.Milliseconds(),
 	})
 }
 
-func entries(daemons []view.Daemon, near ident.FailureDomain) []GatewayEntry {
-	out := []GatewayEntry{}
-	for _, d := range daemons {
-		if d.State == view.Leaving || d.State == view.Gone {
-			continue
-		}
-		out = append(out, GatewayEntry{ID: d.ID, Address: d.CallerAddress, FailureDomain: d.FailureDomain, Weight: weight(d, near)})
+func entries(gateways []membership.Gateway) []GatewayEntry {
+	out := make([]GatewayEntry, 0, len(gateways))
+	for _, g := range gateways {
+		out = append(out, GatewayEntry{ID: g.ID, Address: g.Address, FailureDomain: g.FailureDomain, Weight: g.Weight})
 	}
-	sort.SliceStable(out, func(i, j int) bool { return out[i].Weight > out[j].Weight })
 	return out
 }
-
-func weight(d view.Daemon, near ident.FailureDomain) int {
-	if d.State == view.Suspect {
-		return weightSuspect
-	}
-	if d.FailureDomain == near {
-		return weightNear
-	}
-	return weightFar
-}
