Remove four functions that nothing calls

Cause: read-through with x/tools' deadcode: admission.Cost, retry.Reasons, retry.Verdicts and Daemon.Metrics had no caller, in tests neither. Change: they are gone. Conclusion: the rest that deadcode names is a library's side (caller) or tests'.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -232,9 +232,6 @@
 // AdminAddress is the admin listener's.
 func (d *Daemon) AdminAddress() string { return d.admin.Addr().String() }
 
-// Metrics returns the daemon's counters.
-func (d *Daemon) Metrics() metrics.Registry { return d.metrics }
-
 // Run serves until ctx ends or the VM's notice is over, then shuts down
 // gracefully within the settings' bound.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/protocol/admission/admission.go
+++ b/protocol/admission/admission.go
@@ -39,12 +39,6 @@
 	Deadline time.Time
 }
 
-// Cost is the cost of a request whose prefill and output run at the given
-// rates in tokens per second.
-func Cost(uncached, output int, prefillRate, decodeRate float64) float64 {
-	return float64(output) + float64(uncached)*decodeRate/prefillRate
-}
-
 // Kind is what became of an item.
 type Kind string
 
--- a/protocol/retry/retry.go
+++ b/protocol/retry/retry.go
@@ -30,11 +30,6 @@
 	Reclaimed Reason = "reclaimed"
 )
 
-// Reasons lists all of them, for counters that should show zero.
-func Reasons() []Reason {
-	return []Reason{ConnectFailed, Busy, Leaving, NotLoaded, Broken, Silent, ServerError, Reclaimed}
-}
-
 // Verdict is what becomes of a failed attempt.
 type Verdict string
 
@@ -55,11 +50,6 @@
 	StopDeadline Verdict = "stop_deadline"
 )
 
-// Verdicts lists all of them.
-func Verdicts() []Verdict {
-	return []Verdict{Again, Postpone, StopMayHaveRun, StopBudget, StopAttempts, StopDeadline}
-}
-
 // Failure describes a failed attempt.
 type Failure struct {
 	Reason Reason
