Tell of daemons that have ended by turns, one in each message

Cause: on a fleet of 33 daemons that is restarted in turn every daemon told every other, five times a second, the counts of all that had ended in seven windows and sixteen workspaces. Messages grew to some 20 KB each; VMs with links of 25 Mbit/s were filled by them, requests came late and, once the service was slow, proofs of the configuration no longer came through: 24 daemons took no callers.

Change: a message tells of one daemon that has ended; each daemon begins at its own name.

--- a/coordination/accounting/accounting.go
+++ b/coordination/accounting/accounting.go
@@ -108,24 +108,43 @@
 	}
 }
 
-// Known lists the daemons whose counts are held, this one excluded.
-func (b *Book) Known() []ident.Incarnation {
-	var ids []ident.Incarnation
-	for id := range b.counts {
-		if id != b.self {
-			ids = append(ids, id)
+// Open returns those windows of a daemon, this one included, whose report would
+// still be in time. The counts are shared and must not be changed.
+func (b *Book) Open(now time.Time, id ident.Incarnation) map[Window]Counts {
+	open := map[Window]Counts{}
+	for w, counts := range b.counts[id] {
+		if !b.Late(now, w) {
+			open[w] = counts
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	return open
 }
 
-// Of returns a daemon's windows. The maps are shared and must not be changed.
-func (b *Book) Of(id ident.Incarnation) map[Window]Counts { return b.counts[id] }
-
-// Own returns this daemon's totals for the windows that are still open for
-// reports, to tell the others. The maps are shared and must not be changed.
-func (b *Book) Own() map[Window]Counts { return b.counts[b.self] }
+// NextEnded returns the daemon after the one named last, in the order of names and
+// around its end, that has open windows and is not alive; false if there is none.
+//
+// Daemons tell of one that has ended in each message, by turns. Told all at once
+// the ended ones of a fleet that is restarted in turn outgrow everything else in a
+// message; by turns a daemon that has just started still hears of all of them
+// within a second, since each of the others begins at another name.
+func (b *Book) NextEnded(now time.Time, last ident.Incarnation, alive map[ident.Incarnation]bool) (ident.Incarnation, bool) {
+	var first, next ident.Incarnation
+	for id := range b.counts {
+		if id == b.self || alive[id] || len(b.Open(now, id)) == 0 {
+			continue
+		}
+		if first == "" || id < first {
+			first = id
+		}
+		if id > last && (next == "" || id < next) {
+			next = id
+		}
+	}
+	if next == "" {
+		next = first
+	}
+	return next, next != ""
+}
 
 // Sum adds up all daemons' counts of a window.
 func (b *Book) Sum(w Window) Counts {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -62,6 +62,8 @@
 	book    *accounting.Book
 	limiter *quota.Limiter
 	seq     uint64
+	// lastEnded is the daemon whose counts were told last after its end.
+	lastEnded ident.Incarnation
 
 	// poolsMu guards the set of pools; each has a lock of its own.
 	poolsMu sync.RWMutex
@@ -100,7 +102,10 @@
 			Length: set.Bounds.UsageWindow, Due: set.Bounds.UsageDue, Settle: accounting.SettleAfter,
 		}),
 		limiter: quota.New(now, set.Bounds.QuotaWindow, set.Bounds.QuotaTolerance, set.FirstStart),
-		pools:   map[string]*pool{},
+		// Each daemon begins at its own name, so that together they tell of all
+		// that have ended within a few messages.
+		lastEnded: self,
+		pools:     map[string]*pool{},
 	}
 	e.dir.init()
 	e.duties.init(e)
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -9,10 +9,8 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"geraniumstack.org/geraniumstack/coordination/accounting"
 	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/coordination/peers"
-	"geraniumstack.org/geraniumstack/coordination/quota"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
@@ -30,8 +28,6 @@
 	smallFleet = 10
 	// datagramBytes bounds a message; UDP carries no more.
 	datagramBytes = 60 << 10
-	// maxTold bounds the addresses in a message.
-	maxTold = 32
 	// registerEvery renews the registration several times in its life.
 	registerEvery = 10 * time.Second
 )
@@ -170,76 +166,6 @@
 	return offered, placed
 }
 
-// hello is what all others are told; called with mu held.
-func (e *Edge) hello(loads []routing.OwnLoad) *peersv1.Hello {
-	now := e.deps.Steady()
-	self := e.peers.Self()
-	e.seq++
-	h := &peersv1.Hello{
-		Daemon:        string(self.ID),
-		Incarnation:   string(self.Incarnation),
-		FailureDomain: string(self.FailureDomain),
-		CallerAddress: self.CallerAddress,
-		PeerAddress:   self.PeerAddress,
-		Phase:         uint32(self.Phase),
-		Seq:           e.seq,
-		StampNs:       int64(now),
-		TimeUnixNs:    e.wall.Own(now).UnixNano(),
-	}
-	for ws, use := range e.limiter.Uses(now) {
-		h.Uses = append(h.Uses, &peersv1.Use{Workspace: string(ws), Taken: use.Taken, Level: use.Level})
-	}
-	h.Windows = tellWindows(e.book.Own())
-	h.Ended = e.ended(now)
-	for _, l := range loads {
-		if l.Requests > 0 {
-			h.Loads = append(h.Loads, &peersv1.Load{
-				Runner: string(l.Runner), PrefillTokens: uint32(l.Prefill), Requests: uint32(l.Requests), KvTokens: uint32(l.KV),
-			})
-		}
-	}
-	addresses := e.peers.Addresses()
-	h.Addresses = addresses[:min(len(addresses), maxTold)]
-	return h
-}
-
-// ended is the counts of daemons that are not heard; called with mu held.
-func (e *Edge) ended(now time.Duration) []*peersv1.Ended {
-	alive := map[ident.Incarnation]bool{}
-	for _, m := range e.peers.Alive(now) {
-		alive[m.Incarnation] = true
-	}
-	var ended []*peersv1.Ended
-	for _, id := range e.book.Known() {
-		if windows := e.book.Of(id); !alive[id] && len(windows) > 0 {
-			ended = append(ended, &peersv1.Ended{Incarnation: string(id), Windows: tellWindows(windows)})
-		}
-	}
-	return ended
-}
-
-func tellWindows(counts map[accounting.Window]accounting.Counts) []*peersv1.Window {
-	windows := make([]*peersv1.Window, 0, len(counts))
-	for w, c := range counts {
-		window := &peersv1.Window{Number: int64(w), Counts: make(map[string]int64, len(c))}
-		for ws, n := range c {
-			window.Counts[string(ws)] = n
-		}
-		windows = append(windows, window)
-	}
-	return windows
-}
-
-// answer is what one daemon is told of its last stamp; called with mu held.
-func (e *Edge) answer(to ident.Incarnation) *peersv1.Hello {
-	var stamp *freshness.Stamp
-	if s, ok := e.stamps[to]; ok {
-		stamp = &s
-	}
-	w := e.fresh.Answer(stamp)
-	return &peersv1.Hello{EchoNs: int64(w.Echo), LagNs: int64(w.Lag), Proved: w.Proved, ConfigRevision: w.Revision}
-}
-
 // receive takes the others' messages in until the context ends.
 func (e *Edge) receive(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { e.deps.Datagrams.Close() })
@@ -310,23 +236,3 @@
 		}
 	}
 }
-
-func usesOf(h *peersv1.Hello) map[ident.Workspace]quota.Use {
-	uses := make(map[ident.Workspace]quota.Use, len(h.Uses))
-	for _, u := range h.Uses {
-		uses[ident.Workspace(u.Workspace)] = quota.Use{Taken: u.Taken, Level: u.Level}
-	}
-	return uses
-}
-
-func windowsOf(told []*peersv1.Window) map[accounting.Window]accounting.Counts {
-	windows := make(map[accounting.Window]accounting.Counts, len(told))
-	for _, w := range told {
-		counts := make(accounting.Counts, len(w.Counts))
-		for ws, n := range w.Counts {
-			counts[ident.Workspace(ws)] = n
-		}
-		windows[accounting.Window(w.Number)] = counts
-	}
-	return windows
-}
--- a/daemon/edge/world_test.go
+++ b/daemon/edge/world_test.go
@@ -305,6 +305,14 @@
 	mu    sync.Mutex
 	boxes map[string]*socket
 	cut   map[string]bool
+	// most is the size of the largest message so far.
+	most int
+}
+
+func (n *network) largest() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.most
 }
 
 func newNetwork() *network { return &network{boxes: map[string]*socket{}, cut: map[string]bool{}} }
@@ -344,6 +352,7 @@
 func (s *socket) WriteTo(p []byte, to net.Addr) (int, error) {
 	s.network.mu.Lock()
 	defer s.network.mu.Unlock()
+	s.network.most = max(s.network.most, len(p))
 	box := s.network.boxes[to.String()]
 	if box == nil || s.network.cut[s.address] || s.network.cut[to.String()] {
 		return len(p), nil
@@ -488,3 +497,21 @@
 	defer c.mu.Unlock()
 	return append([]report{}, c.reports...)
 }
+
+// reported adds up all requests of the reports, each window once.
+func (w *world) reported() int64 {
+	sum := int64(0)
+	seen := map[accounting.Window]bool{}
+	for _, r := range w.cloud.taken() {
+		if seen[r.window] {
+			continue
+		}
+		seen[r.window] = true
+		var counts accounting.Counts
+		w.NoErr(json.Unmarshal([]byte(r.counts), &counts))
+		for _, n := range counts {
+			sum += n
+		}
+	}
+	return sum
+}
