Let a daemon deal with up to 256 runners of a service

Cause: a table tells 64 runners apart, so daemons in front of 90 to 138 each dealt with a part of their own. What lay cached at a runner outside that part was read again, and a daemon could not use a third of the runners.

Ruled out: telling placements late (they are told within 350 ms, and the test fails without any delay).

Change: the set of slots is four words with methods instead of one word with operators. The test of 130 runners fails with 64 slots and passes with 256. The fill of the benchmark's table grew with the table.

--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"math/bits"
 	"time"
 
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -145,12 +144,11 @@
 	if !r.Fetchable || r.Shared == 0 || t.cachedTokens(i, r) >= r.SharedTokens {
 		return ""
 	}
-	holders := t.index.Holders(r.Shared) & t.used &^ t.ejected &^ t.suspect
-	holders = holders.Without(i)
-	if holders&t.live != 0 {
-		holders &= t.live
+	holders := t.index.Holders(r.Shared).And(t.used).Less(t.ejected).Less(t.suspect).Without(i)
+	if live := holders.And(t.live); !live.Empty() {
+		holders = live
 	}
-	if holders == 0 {
+	if holders.Empty() {
 		return ""
 	}
 	return t.slots[t.random(holders)].runner.Address
@@ -161,30 +159,30 @@
 // Suspect and ejected runners are used only where no other is left: the caller
 // is better served by a try, which the retry budget bounds, than by a refusal.
 func (t *Table) eligible(r *Request) (prefix.Set, error) {
-	usable := t.live | t.suspect
-	if usable == 0 {
-		return 0, errNoneLive
+	usable := t.live.Or(t.suspect)
+	if usable.Empty() {
+		return prefix.Set{}, errNoneLive
 	}
-	if usable&^r.Exclude == 0 {
-		return 0, errAllTried
+	if usable.Less(r.Exclude).Empty() {
+		return prefix.Set{}, errAllTried
 	}
 	p := t.placed[placement{r.Model, r.Adapter}]
-	for _, states := range [...]prefix.Set{t.live &^ t.ejected, usable} {
-		states &^= r.Exclude
-		for _, loaded := range [...]prefix.Set{p.wanted, p.other, ^t.reported} {
-			if found := states & loaded; found != 0 {
+	for _, states := range [...]prefix.Set{t.live.Less(t.ejected), usable} {
+		states = states.Less(r.Exclude)
+		for _, loaded := range [...]prefix.Set{p.wanted, p.other, t.reported.Not()} {
+			if found := states.And(loaded); !found.Empty() {
 				return found, nil
 			}
 		}
 	}
-	if usable&(p.wanted|p.other) != 0 {
-		return 0, errAllTried
+	if !usable.And(p.wanted.Or(p.other)).Empty() {
+		return prefix.Set{}, errAllTried
 	}
-	return 0, errNotLoaded
+	return prefix.Set{}, errNotLoaded
 }
 
 func (t *Table) match(r *Request) {
-	t.depths.Held, t.depths.Deepest = 0, 0
+	t.depths.Held, t.depths.Deepest = prefix.Set{}, prefix.Set{}
 	if !t.cfg.IgnorePrefix {
 		t.index.Match(r.Prefix, &t.depths)
 	}
@@ -197,9 +195,9 @@
 	if t.cfg.Samples <= 0 || from.Len() <= t.cfg.Samples {
 		return from
 	}
-	chosen := from & t.depths.Deepest
-	rest := from &^ chosen
-	for n := t.cfg.Samples; n > 0 && rest != 0; n-- {
+	chosen := from.And(t.depths.Deepest)
+	rest := from.Less(chosen)
+	for n := t.cfg.Samples; n > 0 && !rest.Empty(); n-- {
 		i := t.random(rest)
 		chosen = chosen.With(i)
 		rest = rest.Without(i)
@@ -209,7 +207,7 @@
 
 func (t *Table) random(from prefix.Set) int {
 	for skip := t.rng.IntN(from.Len()); skip > 0; skip-- {
-		from &= from - 1
+		from = from.Without(from.First())
 	}
 	return from.First()
 }
@@ -222,17 +220,17 @@
 		return from
 	}
 	total := 0
-	for s := from; s != 0; s &= s - 1 {
-		total += t.scores[s.First()].inFlight
+	for i := range from.All() {
+		total += t.scores[i].inFlight
 	}
 	limit := int(math.Ceil(t.cfg.LoadBound * float64(total+1) / float64(from.Len())))
 	within := from
-	for s := from; s != 0; s &= s - 1 {
-		if i := s.First(); t.scores[i].inFlight >= limit {
+	for i := range from.All() {
+		if t.scores[i].inFlight >= limit {
 			within = within.Without(i)
 		}
 	}
-	if within == 0 {
+	if within.Empty() {
 		return from
 	}
 	return within
@@ -241,14 +239,21 @@
 // fastest fills in the candidates' estimates and returns the least one. The
 // search starts at a random slot so that gateways differ among equals.
 func (t *Table) fastest(candidates prefix.Set, r *Request, estimates *[MaxRunners]float64) int {
-	turn := int(t.rng.Uint64() % MaxRunners)
-	best := -1
-	for s := bits.RotateLeft64(uint64(candidates), -turn); s != 0; s &= s - 1 {
-		i := (bits.TrailingZeros64(s) + turn) % MaxRunners
+	turn := t.rng.IntN(MaxRunners)
+	// best is the first among the least of all, after the first at or behind the
+	// turn. Among equals the latter is taken.
+	best, after := -1, -1
+	for i := range candidates.All() {
 		estimates[i] = t.estimate(i, r)
 		if best < 0 || estimates[i] < estimates[best] {
 			best = i
 		}
+		if i >= turn && (after < 0 || estimates[i] < estimates[after]) {
+			after = i
+		}
+	}
+	if after >= 0 && estimates[after] <= estimates[best] {
+		return after
 	}
 	return best
 }
@@ -308,12 +313,11 @@
 		// What a leaving runner holds can still be copied.
 		known = t.used
 	}
-	if t.index.Holders(r.Shared)&known != 0 {
+	if !t.index.Holders(r.Shared).And(known).Empty() {
 		return noHome
 	}
 	best, bestHash := noHome, uint64(0)
-	for s := from; s != 0; s &= s - 1 {
-		i := s.First()
+	for i := range from.All() {
 		if h := mix(uint64(r.Shared) ^ t.slots[i].hash); best == noHome || h > bestHash {
 			best, bestHash = i, h
 		}
@@ -338,8 +342,7 @@
 func (t *Table) safest(candidates prefix.Set, r *Request, estimates *[MaxRunners]float64, limit float64) prefix.Set {
 	var risks [MaxRunners]float64
 	least := math.Inf(1)
-	for s := candidates; s != 0; s &= s - 1 {
-		i := s.First()
+	for i := range candidates.All() {
 		risks[i] = math.Inf(1)
 		if estimates[i] <= limit {
 			risks[i] = t.risk(i, r)
@@ -347,8 +350,8 @@
 		least = min(least, risks[i])
 	}
 	var safe prefix.Set
-	for s := candidates; s != 0; s &= s - 1 {
-		if i := s.First(); risks[i] <= least+equalRisk {
+	for i := range candidates.All() {
+		if risks[i] <= least+equalRisk {
 			safe = safe.With(i)
 		}
 	}
--- a/coordination/routing/room.go
+++ b/coordination/routing/room.go
@@ -14,8 +14,7 @@
 // are left out: a move to one that fails would only be followed by another.
 func (t *Table) Targets() []reclaim.Target {
 	var targets []reclaim.Target
-	for left := t.live &^ t.ejected; left != 0; left &= left - 1 {
-		i := left.First()
+	for i := range t.live.Less(t.ejected).All() {
 		s, c := &t.slots[i], &t.scores[i]
 		places := s.report.MaxRunning
 		if places == 0 {
--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -188,7 +188,7 @@
 			if err == nil && left[c.Runner] {
 				t.Fatalf("picked %s, which leaves", c.Runner)
 			}
-			if err != nil && tb.live|tb.suspect != 0 {
+			if err != nil && !tb.live.Or(tb.suspect).Empty() {
 				t.Fatalf("%v with runners left", err)
 			}
 		}
@@ -206,6 +206,24 @@
 	is.Equal(places, 45.0)
 }
 
+// Two daemons serve the same 130 runners. One sends a long prompt to a runner and
+// tells the other. If the other deals with only some of the runners it can't send
+// the next request with this prompt there, and the prompt is computed once more.
+func TestToldPlacementIsFollowedAmongManyRunners(t *testing.T) {
+	is := is.New(t)
+	const n = 130
+	tb := table(n)
+	for i, r := range runners(n) {
+		chain := []prefix.Hash{prefix.Hash(2*i + 1), prefix.Hash(2*i + 2)}
+		tb.Assume(r.ID, chain)
+		c, err := tb.Pick(start, &Request{
+			Model: "m", Prefix: chain, PrefixTokens: []int{8000, 16000}, PromptTokens: 17000, OutputTokens: 100,
+		})
+		is.NoErr(err)
+		is.Equal(c.Runner, r.ID)
+	}
+}
+
 func TestSubsetIsStableAndSpread(t *testing.T) {
 	is := is.New(t)
 	all := runners(1000)
@@ -268,7 +286,7 @@
 	tb := table(MaxRunners)
 	tb.cfg.Samples = samples
 	tb.cfg.LoadBound = 2
-	chain := make([]prefix.Hash, 250)
+	chain := make([]prefix.Hash, 3*MaxRunners)
 	for i := range chain {
 		chain[i] = prefix.Hash(i + 1)
 	}
@@ -296,7 +314,7 @@
 		name    string
 		samples int
 		long    bool
-	}{{"best_of_2", 2, false}, {"best_of_64", 0, false}, {"long_of_64", 2, true}} {
+	}{{"best_of_2", 2, false}, {"best_of_all", 0, false}, {"long_of_all", 2, true}} {
 		b.Run(c.name, func(b *testing.B) {
 			tb, r := full(c.samples)
 			r.Long, r.Slack = c.long, time.Second
@@ -415,7 +433,7 @@
 		}
 	}
 	tab.SetRunners(now, list)
-	next.Exclude = 0
+	next.Exclude = prefix.Set{}
 	other, err = tab.Pick(now, &next)
 	is.NoErr(err)
 	is.Equal(other.FetchFrom, first.Address)
--- a/coordination/routing/score.go
+++ b/coordination/routing/score.go
@@ -153,8 +153,8 @@
 func (t *Table) Capacity() Capacity {
 	var c Capacity
 	prefill := 0.0
-	for u := t.live &^ t.ejected; u != 0; u &= u - 1 {
-		s := &t.slots[u.First()]
+	for i := range t.live.Less(t.ejected).All() {
+		s := &t.slots[i]
 		c.Runners++
 		c.Batch += s.places
 		c.Free += max(0, s.places-s.report.Running-s.report.Waiting-s.sinceRequests)
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -189,7 +189,7 @@
 	}
 	i, ok := t.byID[r.ID]
 	if !ok {
-		i = (^t.used).First()
+		i = t.used.Not().First()
 		t.byID[r.ID] = i
 		t.used = t.used.With(i)
 		t.slots[i] = slot{used: true, epoch: t.slots[i].epoch + 1, hash: xxhash.Sum64String(string(r.ID)), prefill: t.cfg.PrefillRate, decode: t.cfg.DecodeRate, places: t.cfg.Batch}
@@ -209,12 +209,11 @@
 
 // refresh derives from the slots what choices read.
 func (t *Table) refresh(now time.Time) {
-	t.live, t.suspect, t.maxPrice = 0, 0, 0
-	for u := t.used; u != 0; u &= u - 1 {
-		t.maxPrice = max(t.maxPrice, t.slots[u.First()].runner.PricePerHour)
+	t.live, t.suspect, t.maxPrice = prefix.Set{}, prefix.Set{}, 0
+	for i := range t.used.All() {
+		t.maxPrice = max(t.maxPrice, t.slots[i].runner.PricePerHour)
 	}
-	for u := t.used; u != 0; u &= u - 1 {
-		i := u.First()
+	for i := range t.used.All() {
 		s := &t.slots[i]
 		s.hazard = 0
 		if s.runner.Reclaimable {
@@ -234,8 +233,7 @@
 // place derives which slots serve which model and adapter.
 func (t *Table) place() {
 	clear(t.placed)
-	for u := t.reported; u != 0; u &= u - 1 {
-		i := u.First()
+	for i := range t.reported.All() {
 		for j := range t.slots[i].report.Models {
 			t.placeModel(i, &t.slots[i].report.Models[j])
 		}
@@ -377,8 +375,8 @@
 
 // Runners appends the listed runners that are not leaving to dst.
 func (t *Table) Runners(dst []view.Runner) []view.Runner {
-	for s := t.live | t.suspect; s != 0; s &= s - 1 {
-		dst = append(dst, t.slots[s.First()].runner)
+	for i := range t.live.Or(t.suspect).All() {
+		dst = append(dst, t.slots[i].runner)
 	}
 	return dst
 }
@@ -395,8 +393,7 @@
 
 // OwnLoads appends the own work at every runner in the table to dst.
 func (t *Table) OwnLoads(dst []OwnLoad) []OwnLoad {
-	for u := t.used; u != 0; u &= u - 1 {
-		i := u.First()
+	for i := range t.used.All() {
 		s := &t.slots[i]
 		dst = append(dst, OwnLoad{
 			Runner:   s.runner.ID,
--- a/daemon/dispatch/picker.go
+++ b/daemon/dispatch/picker.go
@@ -11,6 +11,7 @@
 	"geraniumstack.org/geraniumstack/protocol/request"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/manifest"
+	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/prefixhash"
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
@@ -123,7 +124,7 @@
 	var none *routing.NoRunnerError
 	if errors.As(err, &none) && none.Cause == routing.AllTried {
 		// One that failed before may have recovered; there is no other.
-		r.Exclude = 0
+		r.Exclude = prefix.Set{}
 		c, err = s.table.Pick(now, &r)
 	}
 	if err != nil {
--- a/daemon/edge/relay.go
+++ b/daemon/edge/relay.go
@@ -81,7 +81,7 @@
 		if !pause(ctx, wait) && s.gone(ctx) {
 			return
 		}
-		s.place.Exclude |= s.pool.exclude(a.choice.Runner)
+		s.place.Exclude = s.place.Exclude.Or(s.pool.exclude(a.choice.Runner))
 	}
 }
 
--- a/state/prefix/index.go
+++ b/state/prefix/index.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"math/bits"
 
 	"geraniumstack.org/geraniumstack/state/prefixhash"
 )
@@ -16,27 +15,6 @@
 // Hash stands for a prefix that ends with a whole block.
 type Hash = uint64
 
-// Slots is the most runners that one index can tell apart.
-const Slots = 64
-
-// Set is a set of slots, one bit each.
-type Set uint64
-
-// Has tells whether the slot is in the set.
-func (s Set) Has(slot int) bool { return s&(1<<slot) != 0 }
-
-// With returns the set and the slot.
-func (s Set) With(slot int) Set { return s | 1<<slot }
-
-// Without returns the set less the slot.
-func (s Set) Without(slot int) Set { return s &^ (1 << slot) }
-
-// Len counts the slots in the set.
-func (s Set) Len() int { return bits.OnesCount64(uint64(s)) }
-
-// First returns the lowest slot; the set must not be empty.
-func (s Set) First() int { return bits.TrailingZeros64(uint64(s)) }
-
 // Event is one change of a runner's cache.
 type Event struct {
 	Sequence uint64
@@ -103,7 +81,7 @@
 func (x *Index) Holders(h Hash) Set {
 	i, ok := x.at[h]
 	if !ok {
-		return 0
+		return Set{}
 	}
 	return x.entries[i].set
 }
@@ -206,7 +184,7 @@
 func (x *Index) drop(i int32, slot int) {
 	e := &x.entries[i]
 	e.set = e.set.Without(slot)
-	if e.set == 0 {
+	if e.set.Empty() {
 		x.remove(i)
 	}
 }
--- a/state/prefix/index_test.go
+++ b/state/prefix/index_test.go
@@ -27,8 +27,8 @@
 	x.Assume(9, chain[:7])
 	var d Depths
 	x.Match(chain, &d)
-	is.Equal(d.Deepest, Set(0).With(5).With(9))
-	is.Equal(d.Held, Set(0).With(3).With(5).With(9))
+	is.Equal(d.Deepest, Set{}.With(5).With(9))
+	is.Equal(d.Held, Set{}.With(3).With(5).With(9))
 	is.Equal(d.Blocks[3], uint16(2))
 	is.Equal(d.Blocks[5], uint16(7))
 	x.Withdraw(5, chain, 1)
@@ -47,17 +47,17 @@
 	x.Assume(4, []Hash{11})
 	// A few lost events are borne.
 	is.NoErr(x.Apply(2, Page{First: 9, Next: 10, Events: []Event{{9, 13, true}}}))
-	is.Equal(x.Holders(12), Set(0).With(2))
+	is.Equal(x.Holders(12), Set{}.With(2))
 	err := x.Apply(2, Page{First: 99, Next: 101, Events: []Event{{99, 15, true}, {100, 15, false}}})
 	var gap *GapError
 	is.True(errors.As(err, &gap))
 	is.Equal(gap.Lost, uint64(96))
-	is.Equal(x.Holders(11), Set(0).With(4))
-	is.Equal(x.Holders(12), Set(0))
+	is.Equal(x.Holders(11), Set{}.With(4))
+	is.Equal(x.Holders(12), Set{})
 	is.Equal(x.Cursor(2), uint64(101))
 	is.NoErr(x.Apply(2, Page{First: 99, Next: 102, Events: []Event{{100, 14, true}, {101, 12, true}}}))
-	is.Equal(x.Holders(14), Set(0)) // an event read twice changes nothing
-	is.Equal(x.Holders(12), Set(0).With(2))
+	is.Equal(x.Holders(14), Set{}) // an event read twice changes nothing
+	is.Equal(x.Holders(12), Set{}.With(2))
 }
 
 // TestIndexIsBounded drives the index with any calls and compares it, while it
@@ -92,7 +92,7 @@
 				t.Fatalf("%d prefixes in %d entries, capacity %d", x.Len(), len(x.entries), capacity)
 			}
 			for h, set := range want {
-				if got := x.Holders(h); got&^set != 0 || capacity >= 20 && got != set {
+				if got := x.Holders(h); !got.Less(set).Empty() || capacity >= 20 && got != set {
 					t.Fatalf("holders of %d: %b, want %b", h, got, set)
 				}
 			}
--- a/state/prefix/match.go
+++ b/state/prefix/match.go
@@ -18,7 +18,7 @@
 // binary search finds the end; where a runner has dropped a block but not a
 // later one, the answer is too high until that runner's next event.
 func (x *Index) Match(chain []Hash, d *Depths) {
-	d.Held, d.Deepest = 0, 0
+	d.Held, d.Deepest = Set{}, Set{}
 	limit := min(len(chain), int(^uint16(0)))
 	for round := 0; round < maxRounds && limit > 0; round++ {
 		depth, fresh := x.deepest(chain[:limit], d.Held)
@@ -28,9 +28,9 @@
 		if round == 0 {
 			d.Deepest = fresh
 		}
-		d.Held |= fresh
-		for s := fresh; s != 0; s &= s - 1 {
-			d.Blocks[s.First()] = uint16(depth)
+		d.Held = d.Held.Or(fresh)
+		for slot := range fresh.All() {
+			d.Blocks[slot] = uint16(depth)
 		}
 		limit = depth - 1
 	}
@@ -43,8 +43,8 @@
 	var found Set
 	for low < high {
 		mid := int(uint(low+high+1) >> 1)
-		holders := x.Holders(chain[mid-1]) &^ known
-		if holders == 0 {
+		holders := x.Holders(chain[mid-1]).Less(known)
+		if holders.Empty() {
 			high = mid - 1
 			continue
 		}
