--- a/standin/site/cloud.go
+++ b/standin/site/cloud.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"time"
 )
 
 // Call is one call to the cloud.
@@ -13,6 +14,8 @@
 	Holder string
 	Fence  string
 	Body   map[string]any
+	// At is when it came.
+	At time.Time
 }
 
 // Cloud takes reports and orders.
@@ -56,7 +59,7 @@
 }
 
 func (c *Cloud) serve(w http.ResponseWriter, r *http.Request) {
-	call := Call{Path: r.URL.Path, Holder: r.Header.Get("X-Duty-Holder"), Fence: r.Header.Get("X-Fencing-Token")}
+	call := Call{Path: r.URL.Path, Holder: r.Header.Get("X-Duty-Holder"), Fence: r.Header.Get("X-Fencing-Token"), At: time.Now()}
 	if err := json.NewDecoder(r.Body).Decode(&call.Body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
