Remove what nobody reads; one signed change of orders; parse peers' addresses once

Orders had two pairs of one shape, which their caller split by sign and undid again. Each datagram parsed its address anew. No change of behaviour; the tests of orders use the new names with the same numbers.

--- a/coordination/fleet/orders.go
+++ b/coordination/fleet/orders.go
@@ -79,30 +79,20 @@
 	return max(0, p.present-len(p.stopping)) + len(p.starting)
 }
 
-// Add orders n more.
-func (o *Orders) Add(now time.Duration, id Pool, n int) {
+// Change orders n more of a pool, or fewer if n is negative.
+func (o *Orders) Change(now time.Duration, id Pool, n int) {
 	p := o.pool(id)
-	for range n {
+	for range max(n, 0) {
 		p.starting = append(p.starting, now+o.patience)
 	}
-}
-
-// Withdraw takes back the n youngest orders, as after a refusal.
-func (o *Orders) Withdraw(id Pool, n int) {
-	p := o.pool(id)
-	p.starting = p.starting[:max(0, len(p.starting)-n)]
-}
-
-// GiveBack orders n fewer.
-func (o *Orders) GiveBack(now time.Duration, id Pool, n int) {
-	p := o.pool(id)
-	for range n {
+	for range max(-n, 0) {
 		p.stopping = append(p.stopping, now+o.patience)
 	}
 }
 
-// Keep takes back the n youngest orders to give VMs back.
-func (o *Orders) Keep(id Pool, n int) {
+// Undo takes the last Change of the pool back, as after a refusal.
+func (o *Orders) Undo(id Pool, n int) {
 	p := o.pool(id)
-	p.stopping = p.stopping[:max(0, len(p.stopping)-n)]
+	p.starting = p.starting[:max(0, len(p.starting)-max(n, 0))]
+	p.stopping = p.stopping[:max(0, len(p.stopping)-max(-n, 0))]
 }
--- a/coordination/fleet/orders_test.go
+++ b/coordination/fleet/orders_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	o := fleet.NewOrders(6 * time.Second)
 	o.Sync(0, map[fleet.Pool]int{northSpot: 2})
-	o.Add(0, northSpot, 2)
+	o.Change(0, northSpot, 2)
 	is.Equal(o.Wanted(northSpot), 4)
 	o.Sync(4*time.Second, map[fleet.Pool]int{northSpot: 3})
 	is.Equal(o.Wanted(northSpot), 4) // one more is on its way
@@ -42,11 +42,11 @@
 	is := is.New(t)
 	o := fleet.NewOrders(6 * time.Second)
 	o.Sync(0, map[fleet.Pool]int{northSpot: 4})
-	o.GiveBack(0, northSpot, 3)
+	o.Change(0, northSpot, -3)
 	is.Equal(o.Wanted(northSpot), 1)
 	o.Sync(time.Second, map[fleet.Pool]int{northSpot: 2})
 	is.Equal(o.Wanted(northSpot), 1)
-	o.Keep(northSpot, 1)
+	o.Undo(northSpot, -1)
 	is.Equal(o.Wanted(northSpot), 2)
 }
 
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -75,6 +75,7 @@
 	dir follower
 
 	told     toldLoads
+	resolved udpAddresses
 	confirms confirmer
 	duties   duties
 }
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -215,7 +215,7 @@
 	if !ok {
 		return
 	}
-	f.adjust(now, pool, n)
+	f.orders.Change(now, pool, n)
 	order := Order{
 		Service:       f.service.Name,
 		FailureDomain: pool.FailureDomain,
@@ -236,32 +236,16 @@
 		}
 	case errors.As(err, &none):
 		outcome = "none_available"
-		f.undo(pool, n)
+		f.orders.Undo(pool, n)
 		f.planner.Refused(now, pool)
 		f.scarceUntil = now + scarceFor
 	default:
 		// It may have been taken. The same number is ordered again if it does
 		// not show.
 		outcome = err.Error()
-		f.undo(pool, n)
+		f.orders.Undo(pool, n)
 	}
 	f.edge.log.Note("order", decisions.F("service", order.Service), decisions.F("failure_domain", order.FailureDomain),
 		decisions.F("reclaimable", order.Reclaimable), decisions.F("runners", order.Runners), decisions.F("change", n),
 		decisions.F("needed", w.Runners), decisions.F("token", duty.Token), decisions.F("outcome", outcome))
 }
-
-func (f *fleetDuty) adjust(now time.Duration, pool fleet.Pool, n int) {
-	if n > 0 {
-		f.orders.Add(now, pool, n)
-		return
-	}
-	f.orders.GiveBack(now, pool, -n)
-}
-
-func (f *fleetDuty) undo(pool fleet.Pool, n int) {
-	if n > 0 {
-		f.orders.Withdraw(pool, n)
-		return
-	}
-	f.orders.Keep(pool, -n)
-}
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -133,7 +134,7 @@
 		e.log.Note("message_failed", decisions.F("bytes", len(message)))
 		return
 	}
-	to, err := net.ResolveUDPAddr("udp4", address)
+	to, err := e.resolved.of(address)
 	if err != nil {
 		e.log.Note("message_failed", decisions.F("address", address), decisions.F("error", err.Error()))
 		return
@@ -143,6 +144,29 @@
 	}
 }
 
+// udpAddresses keeps peers' addresses parsed; each is used several times a second.
+type udpAddresses struct {
+	mu     sync.Mutex
+	parsed map[string]*net.UDPAddr
+}
+
+func (a *udpAddresses) of(address string) (*net.UDPAddr, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if known, ok := a.parsed[address]; ok {
+		return known, nil
+	}
+	parsed, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("peer address: %w", err)
+	}
+	if a.parsed == nil || len(a.parsed) >= peers.MaxAddresses {
+		a.parsed = map[string]*net.UDPAddr{}
+	}
+	a.parsed[address] = parsed
+	return parsed, nil
+}
+
 func (e *Edge) ownLoads() []routing.OwnLoad {
 	var loads []routing.OwnLoad
 	e.poolsMu.RLock()
--- a/state/route/route.go
+++ b/state/route/route.go
@@ -54,8 +54,6 @@
 	Public bool
 	// Resumable streams may go on at another runner after any whole event.
 	Resumable bool
-	// PrefixAffinity routes carry prompts whose prefixes runners cache.
-	PrefixAffinity bool
 }
 
 // Repeatable tells whether a request may run again from its beginning.
@@ -68,9 +66,6 @@
 	Name string
 	// HealthPath answers 200 while a runner takes work.
 	HealthPath string
-	// MaxConnections is what one runner accepts from all daemons together;
-	// zero is not known.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
 	// Scaling is nil where the number of runners is not the system's to order.
@@ -86,7 +81,6 @@
 	// FetchRate is the tokens a second that a runner copies from another one's
 	// cache; zero means that it can't.
 	FetchRate float64
-	Models    []string
 }
 
 // Scaling bounds and prices the runners that can be ordered.
