--- a/cmd/geraniumd/main.go
+++ b/cmd/geraniumd/main.go
@@ -56,15 +56,15 @@
 
 // runOnPlatform serves until SIGTERM. The log goes to standard output.
 func runOnPlatform(path string) int {
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP)
 	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL"} {
 		if err := flag.Set(name, value); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return exitFailure
 		}
 	}
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(reload, syscall.SIGHUP)
 	err := platform.Run(path, platform.Signals{Stop: stop, Reload: reload})
 	if err == nil {
 		return 0
--- a/daemon/edge/config_test.go
+++ b/daemon/edge/config_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -111,3 +112,26 @@
 		w.Equal(w.ask(w.daemons[0], "/read/1", key).status, 200)
 	})
 }
+
+// Configurations come while requests are placed. A request read the service's settings
+// while the watch replaced them, which may show it half of each; only the race detector
+// tells.
+func TestConfigurationsComeWhileRequestsArePlaced(t *testing.T) {
+	inWorld(t, 1, config(1), func(w *world) {
+		w.addRunner("r1", "app")
+		time.Sleep(100 * time.Millisecond)
+		var asking sync.WaitGroup
+		for range 4 {
+			asking.Go(func() {
+				for range 40 {
+					w.Equal(w.ask(w.daemons[0], "/read/1", key).status, 200)
+				}
+			})
+		}
+		for version := range uint64(20) {
+			w.configure(config(version + 2))
+			time.Sleep(20 * time.Millisecond)
+		}
+		asking.Wait()
+	})
+}
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -65,6 +65,8 @@
 // pool is one service's runners as one daemon uses them.
 type pool struct {
 	edge *Edge
+	// name is the service's.
+	name string
 
 	mu      sync.Mutex
 	service route.Service
@@ -97,6 +99,7 @@
 func newPool(e *Edge, s route.Service) *pool {
 	return &pool{
 		edge:     e,
+		name:     s.Name,
 		service:  s,
 		table:    routing.New(tableConfig(e, s)),
 		tracker:  health.New(healthConfig()),
@@ -264,6 +267,13 @@
 	return p.table.Dispatch(now, c, r)
 }
 
+// hasEngine tells whether the runners are model engines.
+func (p *pool) hasEngine() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service.Engine != nil
+}
+
 // fetches tells whether a runner gets a cached prefix sooner from another runner
 // than by reading it again. A copy is paid for, too, so it must be much sooner.
 func (p *pool) fetches() bool {
@@ -278,7 +288,7 @@
 	defer p.mu.Unlock()
 	p.placed = slices.DeleteFunc(p.placed, func(one placed) bool { return now.Sub(one.at) > placedTold })
 	for _, one := range p.placed {
-		dst = append(dst, &peersv1.Placed{Service: p.service.Name, Runner: string(one.runner), Prefix: one.prefix})
+		dst = append(dst, &peersv1.Placed{Service: p.name, Runner: string(one.runner), Prefix: one.prefix})
 	}
 	return dst
 }
@@ -354,7 +364,7 @@
 			p.mu.Lock()
 			p.table.SetEjected(f.Runner, f.Kind == health.Eject)
 			p.mu.Unlock()
-			p.edge.log.Note("runner_"+decisions.Event(f.Kind), decisions.F("runner", f.Runner), decisions.F("service", p.service.Name))
+			p.edge.log.Note("runner_"+decisions.Event(f.Kind), decisions.F("runner", f.Runner), decisions.F("service", p.name))
 		case health.Probe:
 			go p.probe(f.Runner)
 		}
--- a/daemon/edge/relay.go
+++ b/daemon/edge/relay.go
@@ -241,7 +241,7 @@
 
 // enginePriority is told to engines only.
 func (s *serving) enginePriority() int {
-	if s.pool.service.Engine == nil {
+	if !s.pool.hasEngine() {
 		return -1
 	}
 	return s.priority
