--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -24,7 +25,7 @@
 func plan(seed int64, length time.Duration, daemons int) []fault {
 	rng := rand.New(rand.NewPCG(uint64(seed), 7))
 	kinds := []func(*rand.Rand, int) fault{
-		killOne, killOne, pauseOne, stopOne, stopOne, killAll, rolling, reload,
+		killOne, killOne, pauseOne, pauseOverRevocation, stopOne, stopOne, killAll, rolling, reload,
 		storeFault, storeFault, storeLink, storeLink, cloudLink, runnerLink, runnerLink,
 		runnerFault, runnerFault, runnerFault, leave, leave, arrive, rotate, rotate, newVersion,
 	}
@@ -97,7 +98,7 @@
 }
 
 func pauseOne(rng *rand.Rand, daemons int) fault {
-	i, span := rng.IntN(daemons), upTo(rng, 200*time.Millisecond, 4*time.Second)
+	i, span := rng.IntN(daemons), upTo(rng, 200*time.Millisecond, 8*time.Second)
 	return fault{what: fmt.Sprintf("pause %d for %v", i, span), do: func(f *fleet) {
 		d := f.daemons[i]
 		d.signal(syscall.SIGSTOP)
@@ -109,6 +110,29 @@
 	}}
 }
 
+// pauseOverRevocation takes a key away while a daemon is paused, and asks that daemon
+// with the key later than any daemon may still accept it: when it goes on, what it
+// believes is too old, and nobody has told it yet.
+func pauseOverRevocation(rng *rand.Rand, daemons int) fault {
+	i := rng.IntN(daemons)
+	return fault{what: fmt.Sprintf("pause %d while a key is taken away", i), do: func(f *fleet) {
+		d := f.daemons[i]
+		d.signal(syscall.SIGSTOP)
+		old := f.rotate()
+		time.Sleep(revokeWithin + 100*time.Millisecond)
+		address := fmt.Sprintf("%s:%d", d.ip, frontPort)
+		for n := range 8 {
+			c := newCaller(f, f.record, f.seed, 1000+n)
+			go c.ask(context.Background(), f.record.next(f.seed, requestKinds[n%2], old, address))
+		}
+		time.Sleep(300 * time.Millisecond)
+		f.mu.Lock()
+		f.thawed[d.name] = time.Now()
+		f.mu.Unlock()
+		d.signal(syscall.SIGCONT)
+	}}
+}
+
 func reload(rng *rand.Rand, daemons int) fault {
 	i, hup := rng.IntN(daemons), rng.IntN(2) == 0
 	return fault{what: fmt.Sprintf("settings of %d, signal %v", i, hup), do: func(f *fleet) {
@@ -126,7 +150,7 @@
 	faults := []kvserver.Faults{
 		{Outage: true}, {DelayMillis: 120}, {DelayMillis: 300, LateEffects: true}, {LoseAnswers: 4}, {LoseAnswers: 2, LoseSilently: true}, {SilentWatches: true},
 	}
-	s, span := faults[rng.IntN(len(faults))], upTo(rng, 300*time.Millisecond, 4*time.Second)
+	s, span := faults[rng.IntN(len(faults))], upTo(rng, 300*time.Millisecond, 6*time.Second)
 	return fault{what: fmt.Sprintf("store %+v for %v", s, span), do: func(f *fleet) {
 		f.store.KV.SetFaults(s)
 		time.Sleep(span)
@@ -137,7 +161,7 @@
 var links = []link{delayed, resetting, deaf, mute, silent}
 
 func throughLink(rng *rand.Rand, what string, pick func(f *fleet) *proxy) fault {
-	l, span := links[rng.IntN(len(links))], upTo(rng, 300*time.Millisecond, 4*time.Second)
+	l, span := links[rng.IntN(len(links))], upTo(rng, 300*time.Millisecond, 6*time.Second)
 	return fault{what: fmt.Sprintf("%s %v for %v", what, l, span), do: func(f *fleet) {
 		p := pick(f)
 		p.set(l)
@@ -165,12 +189,14 @@
 	all := []site.Fault{
 		site.LoseAnswer, site.Truncate, site.Double, site.Garbage, site.Full, site.Fail, site.Early, site.Unframed, site.CutStream, site.Hang,
 	}
-	i, n := rng.IntN(1000), 1+rng.IntN(6)
+	i, n := rng.IntN(1000), 5+rng.IntN(40)
 	var next []site.Fault
 	for range n {
 		next = append(next, all[rng.IntN(len(all))])
+		// Between them the runner answers well now and then, and stays in use.
+		next = append(next, make([]site.Fault, rng.IntN(3))...)
 	}
-	return fault{what: fmt.Sprintf("runner %d: %v", i, next), do: func(f *fleet) { f.runner(i).Next(next...) }}
+	return fault{what: fmt.Sprintf("runner %d: %d faults", i, n), do: func(f *fleet) { f.runner(i).Next(next...) }}
 }
 
 func leave(rng *rand.Rand, _ int) fault {
@@ -191,7 +217,7 @@
 }
 
 func rotate(*rand.Rand, int) fault {
-	return fault{what: "a key is taken away", do: (*fleet).rotate}
+	return fault{what: "a key is taken away", do: func(f *fleet) { f.rotate() }}
 }
 
 func newVersion(*rand.Rand, int) fault {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -37,6 +37,8 @@
 	store   *site.Store
 	cloud   *site.Cloud
 	daemons []*daemon
+	seed    int64
+	record  *record
 
 	mu      sync.Mutex
 	runners []*backend
@@ -105,7 +107,8 @@
 
 func newFleet(t *testing.T, binary string, seed int64, daemons, runners int) (*fleet, error) {
 	f := &fleet{
-		t: t, dir: t.TempDir(), binary: binary, store: site.NewStore(), cloud: site.NewCloud(),
+		t: t, seed: seed, record: &record{calls: map[string]*call{}},
+		dir: t.TempDir(), binary: binary, store: site.NewStore(), cloud: site.NewCloud(),
 		retired: map[string]time.Time{}, thawed: map[string]time.Time{}, keys: []string{"k0"},
 	}
 	f.configure()
@@ -285,8 +288,9 @@
 	})
 }
 
-// rotate takes the oldest key away and gives out a new one.
-func (f *fleet) rotate() {
+// rotate takes the oldest key away, gives out a new one, and returns the old one once
+// the store has taken that.
+func (f *fleet) rotate() string {
 	f.mu.Lock()
 	old := f.keys[0]
 	f.keys = append(f.keys[1:], fmt.Sprintf("k%d", f.version))
@@ -295,6 +299,7 @@
 	f.mu.Lock()
 	f.retired[old] = time.Now()
 	f.mu.Unlock()
+	return old
 }
 
 // aKey is one that works, or one that was taken away.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -85,7 +85,7 @@
 	}
 	defer f.close()
 	f.untilReady(10 * time.Second)
-	r := &record{calls: map[string]*call{}}
+	r := f.record
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var asking sync.WaitGroup
