Give back what runs at the full price beyond the need also in scarcity; move all at once

Cause: while reclaimable runners are hard to get nothing was given back.

Change: fleet.Spare lists what may go in scarcity, 1.25 times the need is kept at the full price; all cheaper runners are ordered at once.

--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -30,10 +30,11 @@
 	// surplusHold is how long a runner must be superfluous. The demand falls
 	// slowly by itself; this only passes over what is in flux.
 	surplusHold = 300 * time.Millisecond
-	// moveGain is the share of the cost that moving to cheaper runners must save,
-	// maxMoves how many start for that at once.
+	// moveGain is the share of the cost that moving to cheaper runners must save.
+	// All of them move at once: those that serve go only when the others serve. A
+	// fleet of 90 that moved by 24 was four boot times at the full price.
 	moveGain = 0.1
-	maxMoves = 24
+	maxMoves = 10_000
 	// scarceFor is how long after a reclaim or a refused order runners are kept
 	// that would be given back otherwise. Refusals last for ten to fifteen seconds
 	// and reclaims come some seconds apart.
@@ -43,6 +44,10 @@
 	// domains in turn left 7 of 13 for four seconds, whose requests earned 0.53 of
 	// their worth; with all of them 0.77, for 85 more runner-seconds in the minute.
 	leftShare = 1
+	// scarceKept times the needed runners are kept at the full price meanwhile. The
+	// need has headroom of its own (fleet.DemandConfig); this is for what the demand
+	// may rise by while one more starts.
+	scarceKept = 1.25
 	// askEvery is the time between two tries to get reclaimable ones meanwhile.
 	askEvery = 2 * time.Second
 	// noteEvery is the time between two lines on the demand.
@@ -97,8 +102,8 @@
 // decide plans for plenty or for scarcity. Reclaimable runners cost a fraction, so
 // while they are to be had there are more of them than needed, and enough to lose
 // a failure domain's. A reclaim often comes with others, and none are to be had
-// again for seconds: then nothing is given back, and what is needed and lacking is
-// ordered at the full price.
+// again for seconds: then what is needed and lacking is ordered at the full price,
+// and only what goes far beyond that is given back.
 func (f *fleetDuty) decide(now time.Duration) (fleet.Decision, fleet.Wanted) {
 	needed := fleet.Wanted{
 		Runners:      f.demand.Runners(),
@@ -112,7 +117,7 @@
 		return f.planner.Decide(now, plenty, f.offers(false), f.orders.VMs()), plenty
 	}
 	d := f.planner.Decide(now, needed, f.offers(false), f.orders.VMs())
-	d.Stops = nil
+	d.Stops = fleet.Spare(f.orders.VMs(), f.offers(false), int(math.Ceil(scarceKept*float64(needed.Runners))), needed.MinPerDomain)
 	if len(d.Starts) == 0 {
 		left := plenty
 		left.Runners = int(math.Ceil(leftShare * float64(needed.Runners)))
