--- a/soak/kept_test.go
+++ b/soak/kept_test.go
@@ -7,9 +7,6 @@
 
 // TestKeptSeeds plays the seeds that ever failed.
 func TestKeptSeeds(t *testing.T) {
-	if testing.Short() {
-		t.Skip("plays for several minutes; see docs/operators/soak.md")
-	}
 	for _, one := range []struct {
 		seed   int64
 		length time.Duration
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,7 +25,7 @@
 	firstSeed = flag.Int64("first-seed", 1, "the first of them; 0 is one by the time of day")
 	length    = flag.Duration("length", 6*time.Second, "how long faults come in one seed")
 	daemons   = flag.Int("daemons", 4, "daemons of the fleet")
-	detector  = flag.Bool("detector", false, "build the program with the race detector")
+	detector  = flag.Bool("detector", true, "build the program with the race detector")
 	keep      = flag.String("keep", "", "a directory for the daemons' logs of seeds that fail")
 )
 
