Bound the stand-in owners' writes, so that a silently lost answer doesn't end the soak

Traced by their stacks: the operator's own write to the stand-in waited for an answer that the fault 'lost silently' had taken, without any bound; no daemon was involved.

--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -26,7 +26,12 @@
 	PageSize int
 }
 
-const defaultPage = 500
+const (
+	defaultPage = 500
+	// ownerTimeout bounds the owners' own calls: an answer that is lost silently
+	// would keep them for good.
+	ownerTimeout = time.Second
+)
 
 // NewStore starts a store on the loopback interface.
 func NewStore() *Store {
@@ -57,21 +62,29 @@
 
 // PutBytes writes any bytes.
 func (s *Store) PutBytes(key string, data []byte) error {
-	entry, err := s.KV.Get(context.Background(), key)
+	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+	defer cancel()
+	entry, err := s.KV.Get(ctx, key)
 	if err != nil {
 		return err
 	}
-	_, err = s.KV.CompareAndSwap(context.Background(), key, entry.Revision, data, 0)
+	_, err = s.KV.CompareAndSwap(ctx, key, entry.Revision, data, 0)
 	return err
 }
 
 // Remove deletes a key.
 func (s *Store) Remove(key string) error {
-	entry, err := s.KV.Get(context.Background(), key)
+	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+	defer cancel()
+	entry, err := s.KV.Get(ctx, key)
 	if err != nil {
 		return err
 	}
-	return s.KV.Delete(context.Background(), key, entry.Revision)
+	if entry.Revision == 0 {
+		// The answer to a former try was lost.
+		return nil
+	}
+	return s.KV.Delete(ctx, key, entry.Revision)
 }
 
 type wireItem struct {
