Judge a key by one configuration and its own age; never end a stream with another kind of answer

A request looked its key up in the configuration in force, then asked how old the proof was. Now both are read at one moment, and the time within the lock.

Ruled out: peers' words that waited during the pause (dated by echo; the log has none before the request); the watch's own answer (dated by its question).

Tests first: TestRevokedKeyWhileTheConfigurationIsReplaced and TestStreamIsNotEndedByAnotherKindOfAnswer fail without the changes. Two settings files of the soak that were written at once collided; that was the soak's own fault.

--- a/daemon/edge/config_test.go
+++ b/daemon/edge/config_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -135,3 +136,29 @@
 		asking.Wait()
 	})
 }
+
+// A daemon wakes up with a configuration that is too old to admit keys by, and requests
+// with a key that has been taken away wait for it. A request looked the key up in the old
+// configuration, waited while the new one was put into force, and then found that the
+// configuration had just been proved to be the newest: the key worked once more.
+func TestRevokedKeyWhileTheConfigurationIsReplaced(t *testing.T) {
+	inWorld(t, 1, config(1), func(w *world) {
+		w.addRunner("r1", "app")
+		time.Sleep(100 * time.Millisecond)
+		d := w.daemons[0]
+		d.store.set(true, false)
+		time.Sleep(6 * time.Second)
+		next := config(2)
+		next.Workspaces[0].Keys = []string{"key-2"}
+		answered := make(chan *answer)
+		d.PutInForceWhile(next, 1000, func() {
+			go func() { answered <- w.ask(d, "/read/", key) }()
+			// A request that waits for a lock doesn't let virtual time go on.
+			for range 100_000 {
+				runtime.Gosched()
+			}
+		})
+		w.Equal((<-answered).reason(), refusal.Unauthenticated)
+		w.Equal(w.ask(d, "/read/", "key-2").status, 200)
+	})
+}
--- a/daemon/edge/confirm.go
+++ b/daemon/edge/confirm.go
@@ -7,6 +7,7 @@
 
 	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
+	"geraniumstack.org/geraniumstack/state/route"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
@@ -40,10 +41,18 @@
 
 // configAge is how long ago the configuration was proved to be the newest.
 func (e *Edge) configAge() time.Duration {
-	now := e.deps.Steady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.fresh.Age(now)
+	return e.fresh.Age(e.deps.Steady())
+}
+
+// inForce is the configuration in force and how long ago it was proved to be the newest;
+// nil is none. Both are of one moment: the age of a newer one must not stand for a former
+// one, which may hold a key that has been taken away.
+func (e *Edge) inForce() (*route.Table, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table.Load(), e.fresh.Age(e.deps.Steady())
 }
 
 // confirmer lets one read of the service at a time serve all that wait for it.
--- /dev/null
+++ b/daemon/edge/export_test.go
@@ -0,0 +1,16 @@
+package edge
+
+import (
+	"geraniumstack.org/geraniumstack/state/route"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+// PutInForceWhile reads a configuration at a revision and runs during in the middle of
+// putting it into force, when what others know of it is still the former one.
+func (e *Edge) PutInForceWhile(c route.Config, revision kv.Revision, during func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	during()
+	e.fresh.Read(uint64(revision), e.deps.Steady())
+	e.putInForce(route.NewTable(c), revision)
+}
--- a/daemon/edge/relay.go
+++ b/daemon/edge/relay.go
@@ -229,9 +229,20 @@
 	if answer.Events {
 		return a.stream(ctx, answer)
 	}
+	if s.exchange.Begun {
+		return a.unfit()
+	}
 	return a.hold(ctx, answer)
 }
 
+// unfit gives up an answer that is no stream where a stream that has begun should go on.
+// Passed on, it would look like the end of a whole answer.
+func (a *attempt) unfit() *forward.Attempt {
+	a.finish()
+	a.s.pool.observe(a.choice.Runner, health.Failure)
+	return &forward.Attempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
+}
+
 func (s *serving) lastEventID() string {
 	if s.events != nil && s.events.LastID() != "" {
 		return s.events.LastID()
--- a/daemon/edge/request_test.go
+++ b/daemon/edge/request_test.go
@@ -135,6 +135,27 @@
 	})
 }
 
+// A stream breaks off and goes on at another runner, which answers with a body that is no
+// stream. That body was appended to the events and passed off as the end of a whole answer.
+func TestStreamIsNotEndedByAnotherKindOfAnswer(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusInternalServerError} {
+		inWorld(t, 1, config(1), func(w *world) {
+			script := func(_ context.Context, a *edge.Attempt) (*edge.Answer, error) {
+				if a.LastEventID == "" {
+					return events(eventText(1, 3), errors.New("reset")), nil
+				}
+				return plain(status, "early"), nil
+			}
+			w.addRunner("r1", "app").script = script
+			w.addRunner("r2", "app").script = script
+			time.Sleep(100 * time.Millisecond)
+			a := w.ask(w.daemons[0], "/draft/1", key)
+			w.True(a.aborted && !a.whole)
+			w.Equal(a.body.String(), eventText(1, 3))
+		})
+	}
+}
+
 // A runner announces that it leaves, another's entry just goes. Neither gets a new
 // request, at any daemon.
 func TestLeavingRunnersGetNothingNew(t *testing.T) {
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/protocol/forward"
@@ -99,10 +100,7 @@
 	if since, draining := s.edge.drainedFor(); draining && since > acceptWhileDraining {
 		return refusal.New(refusal.Draining, "this daemon is shutting down").After(notReadyAfter)
 	}
-	if r := s.findRoute(ctx); r != nil {
-		return r
-	}
-	if r := s.findWorkspace(ctx); r != nil {
+	if r := s.identify(ctx); r != nil {
 		return r
 	}
 	s.setDeadline()
@@ -140,66 +138,55 @@
 	return p
 }
 
-// findRoute looks the route up. A request for what is not known is denied only
-// by a configuration that is known to be recent; it may have been added a moment
-// ago.
-func (s *serving) findRoute(ctx context.Context) *refusal.Refusal {
+// identify finds the request's route and workspace. What the configuration says counts
+// only if it is known to be recent: an unknown key or route may have been added a moment
+// ago, a known key taken away. If it is not recent enough the service is read once.
+func (s *serving) identify(ctx context.Context) *refusal.Refusal {
 	for retry := true; ; retry = false {
-		s.table = s.edge.table.Load()
-		if s.table == nil {
+		table, age := s.edge.inForce()
+		if table == nil {
 			return refusal.New(refusal.NotReady, "no configuration yet").After(notReadyAfter)
 		}
-		r, ok := s.table.Lookup(s.req.Host, s.req.Path)
-		if ok {
-			s.route = r
-			return nil
-		}
-		if s.edge.configAge() <= denyWithin {
-			return refusal.New(refusal.UnknownRoute, "no route for this host and path")
+		s.table = table
+		r, within := s.lookUp()
+		if age <= within {
+			return r
 		}
 		if !retry {
-			return s.stale()
+			s.workspace = ""
+			return refusal.New(refusal.StaleConfiguration, "configuration was proved %v ago", age).After(notReadyAfter)
 		}
 		s.edge.confirm(ctx)
 	}
 }
 
-func (s *serving) stale() *refusal.Refusal {
-	return refusal.New(refusal.StaleConfiguration, "configuration was proved %v ago", s.edge.configAge()).After(notReadyAfter)
-}
+// anyAge is the bound on the configuration's age where it doesn't matter.
+const anyAge = -freshness.Never
 
-// findWorkspace checks the caller's key against a configuration that is recent
-// enough to admit it and, if it is unknown, to deny it.
-func (s *serving) findWorkspace(ctx context.Context) *refusal.Refusal {
-	if !s.table.KeyRequired(s.route) {
-		s.priority = s.route.Priority
-		if w, ok := s.table.WorkspaceOf(s.req.Key); ok {
-			s.workspace = w.Name
-		}
-		return nil
+// lookUp says what the configuration has for the request, a refusal or nil, and up to
+// which age of the configuration that counts.
+func (s *serving) lookUp() (*refusal.Refusal, time.Duration) {
+	found, ok := s.table.Lookup(s.req.Host, s.req.Path)
+	if !ok {
+		return refusal.New(refusal.UnknownRoute, "no route for this host and path"), denyWithin
 	}
-	for retry := true; ; retry = false {
-		age := s.edge.configAge()
-		w, ok := s.table.WorkspaceOf(s.req.Key)
-		if ok && age <= s.edge.keyLimit() {
+	s.route = found
+	s.priority = found.Priority
+	w, ok := s.table.WorkspaceOf(s.req.Key)
+	if !s.table.KeyRequired(found) {
+		if ok {
 			s.workspace = w.Name
-			s.priority = s.route.Priority
-			if w.HasPriority {
-				s.priority = w.Priority
-			}
-			return nil
-		}
-		if !ok && age <= denyWithin {
-			return refusal.New(refusal.Unauthenticated, "unknown key")
-		}
-		if !retry {
-			return s.stale()
-		}
-		s.edge.confirm(ctx)
-		if r := s.findRoute(ctx); r != nil {
-			return r
 		}
+		return nil, anyAge
+	}
+	if !ok {
+		return refusal.New(refusal.Unauthenticated, "unknown key"), denyWithin
+	}
+	s.workspace = w.Name
+	if w.HasPriority {
+		s.priority = w.Priority
 	}
+	return nil, s.edge.keyLimit()
 }
 
 func (s *serving) setDeadline() {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -66,8 +66,9 @@
 	cloudProxy *proxy
 	settings   string
 
-	// restarting is held by what starts the process again.
-	restarting sync.Mutex
+	// restarting is held by what starts the process again, writing by what replaces
+	// its settings.
+	restarting, writing sync.Mutex
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -155,6 +156,8 @@
 		"bounds.strict_revocation=true", "bounds.retry_budget_ratio=0.2", "bounds.budget_min_retries=50",
 		"bounds.usage_window_s=1", "bounds.usage_delay_s=5", "bounds.lease_ms=1500", "bounds.freeze_slack_ms=300",
 	}
+	d.writing.Lock()
+	defer d.writing.Unlock()
 	next := d.settings + ".next"
 	if err := os.WriteFile(next, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
 		return err
--- a/soak/kept_test.go
+++ b/soak/kept_test.go
@@ -13,6 +13,8 @@
 		cause  string
 	}{
 		{136, 10 * time.Second, "race detector: a service's settings were read while a configuration replaced them"},
+		{401, 10 * time.Second, "a key was looked up in the former configuration and admitted by the age of the next"},
+		{424, 10 * time.Second, "a stream went on at a runner that answered with a body that is no stream, which was appended"},
 	} {
 		t.Run(one.cause, func(t *testing.T) { play(t, one.seed, one.length, 4) })
 	}
