--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -65,12 +66,12 @@
 	return fault{what: fmt.Sprintf("stop %d for %v", i, down), do: func(f *fleet) { restartAfter(f.daemons[i], f.daemons[i].stop, down) }}
 }
 
-// restartAfter ends a process and starts it again. Where another fault is about to
-// start it anyway, it is only killed in the middle of that.
+// restartAfter ends a process and starts it again. Where another fault is at that, the
+// process is killed in the middle of it, and ended once more afterwards.
 func restartAfter(d *daemon, end func(), down time.Duration) {
 	if !d.restarting.TryLock() {
 		d.signal(syscall.SIGKILL)
-		return
+		d.restarting.Lock()
 	}
 	defer d.restarting.Unlock()
 	end()
@@ -81,19 +82,23 @@
 func killAll(rng *rand.Rand, _ int) fault {
 	down := upTo(rng, 0, time.Second)
 	return fault{what: fmt.Sprintf("kill all for %v", down), do: func(f *fleet) {
+		var all sync.WaitGroup
 		for _, d := range f.daemons {
-			go restartAfter(d, d.kill, down)
+			all.Go(func() { restartAfter(d, d.kill, down) })
 		}
+		all.Wait()
 	}}
 }
 
 func rolling(rng *rand.Rand, _ int) fault {
 	gap := upTo(rng, 100*time.Millisecond, time.Second)
 	return fault{what: fmt.Sprintf("stop each, %v apart", gap), do: func(f *fleet) {
+		var all sync.WaitGroup
 		for _, d := range f.daemons {
-			go restartAfter(d, d.stop, 0)
+			all.Go(func() { restartAfter(d, d.stop, 0) })
 			time.Sleep(gap)
 		}
+		all.Wait()
 	}}
 }
 
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -40,6 +40,10 @@
 	seed    int64
 	record  *record
 
+	// configuring is held by the operator's one write at a time: versions grow in the
+	// order of the store.
+	configuring sync.Mutex
+
 	mu      sync.Mutex
 	runners []*backend
 	gone    []*backend
@@ -269,6 +273,8 @@
 
 // configure writes the next version with the keys that are in force.
 func (f *fleet) configure() {
+	f.configuring.Lock()
+	defer f.configuring.Unlock()
 	f.mu.Lock()
 	f.version += 3
 	version, keys := f.version, append([]string{stableKey}, f.keys...)
