Take no watch for a proof while the newest configuration can't be read

Cause: a configuration that can't be decoded is ignored, and the watch's further answers were then taken for a proof that the one in force is the newest; with the proof by changes that happened within a second. A key that the unreadable version takes away would have worked for good. Ruled out for reads of the key (they prove nothing when decoding fails). Test first: TestUnreadableConfigurationIsNoProof fails without the change.

--- a/daemon/edge/config_test.go
+++ b/daemon/edge/config_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"runtime"
 	"sync"
 	"testing"
@@ -162,3 +163,22 @@
 		w.Equal(w.ask(d, "/read/", "key-2").status, 200)
 	})
 }
+
+// The operator's newest version takes a key away, but a daemon can't read it. Its watch
+// goes on answering, with and without changes, and that was taken for a proof that the
+// version in force is the newest: the key worked for as long as nobody looked.
+func TestUnreadableConfigurationIsNoProof(t *testing.T) {
+	inWorld(t, 1, config(1), func(w *world) {
+		w.addRunner("r1", "app")
+		time.Sleep(100 * time.Millisecond)
+		w.put(configKey, "no configuration")
+		for i := range 12 {
+			w.addRunner(fmt.Sprintf("later-%d", i%3), "app")
+			time.Sleep(500 * time.Millisecond)
+		}
+		w.Equal(w.ask(w.daemons[0], "/read/", key).reason(), refusal.StaleConfiguration)
+		w.configure(config(2))
+		time.Sleep(time.Second)
+		w.Equal(w.ask(w.daemons[0], "/read/", key).status, 200)
+	})
+}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -64,6 +64,8 @@
 	book    *accounting.Book
 	limiter *quota.Limiter
 	seq     uint64
+	// unreadable says that the newest configuration could not be read.
+	unreadable bool
 	// lastEnded is the daemon whose counts were told last after its end.
 	lastEnded ident.Incarnation
 
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -265,23 +265,23 @@
 	if e.deps.Steady()-sent >= wait {
 		at = sent + wait
 	}
-	e.mu.Lock()
-	revision := e.fresh.Revision()
-	e.mu.Unlock()
-	if revision > 0 {
-		e.proved(revision, at)
-	}
+	e.provedByWatch(at)
 }
 
 // provedByChanges dates the proof of an answer with changes, which have been
 // applied. Changes are told without gaps, so when the service answered there was no
 // newer configuration than those among them; it answered after it was asked.
-func (e *Edge) provedByChanges(sent time.Duration) {
+func (e *Edge) provedByChanges(sent time.Duration) { e.provedByWatch(sent) }
+
+// provedByWatch takes the configuration in force for the newest at a time. It isn't if
+// the watch has told a newer one that can't be read.
+func (e *Edge) provedByWatch(at time.Duration) {
 	e.mu.Lock()
 	revision := e.fresh.Revision()
+	newest := !e.unreadable
 	e.mu.Unlock()
-	if revision > 0 {
-		e.proved(revision, sent)
+	if revision > 0 && newest {
+		e.proved(revision, at)
 	}
 }
 
@@ -347,12 +347,16 @@
 	config, err := e.deps.Codec.Config(event.Value)
 	if err != nil {
 		e.log.Note("config_ignored", decisions.F("reason", err.Error()), decisions.F("revision", uint64(event.Revision)))
+		e.mu.Lock()
+		e.unreadable = true
+		e.mu.Unlock()
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	before := e.table.Load()
 	changed := e.fresh.Read(uint64(event.Revision), sent)
+	e.unreadable = e.unreadable && !changed
 	if changed && (before == nil || config.Version > before.Version()) {
 		e.putInForce(route.NewTable(config), event.Revision)
 	}
