Move what is known of runners and the registration out of the follower

No line of it changed but for its place: the follower keeps the copy of the store current, runners.go holds the runners' entries and peers' word of them, register.go the daemon's own entry.

--- /dev/null
+++ b/daemon/edge/runners.go
@@ -0,0 +1,138 @@
+package edge
+
+import (
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+// lapseAfter is how long after a disturbance of the service a runner whose
+// entry has lapsed goes on being used, last of all: its entry lapsed with the
+// service away and comes back with it, if it lives.
+const lapseAfter = 1500 * time.Millisecond
+
+// noticedSince lists the runners that were read to be leaving since a time, and
+// forgets the others.
+func (f *follower) noticedSince(from time.Duration) []ident.RunnerID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []ident.RunnerID
+	for id, at := range f.noticed {
+		if at < from {
+			delete(f.noticed, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// setRunner takes in a runner's entry; called with dir.mu held.
+func (e *Edge) setRunner(entry kv.Entry, now time.Time) {
+	r, err := e.deps.Codec.Runner(entry.Key, entry.Value, now)
+	if err != nil {
+		e.log.Note("runner_ignored", decisions.F("key", entry.Key), decisions.F("reason", err.Error()))
+		return
+	}
+	delete(e.dir.lapsed, entry.Key)
+	before, known := e.dir.runners[entry.Key]
+	if known && before.ID == r.ID && before.State == view.Leaving {
+		// A peer may have told before this entry was read. Leaving is final.
+		r.State = view.Leaving
+	}
+	if r.State == view.Leaving && (!known || before.State != view.Leaving) {
+		e.dir.noticed[r.ID] = e.deps.Steady()
+	}
+	e.dir.runners[entry.Key] = r
+	if !known || before.State != r.State || before.ID != r.ID {
+		e.log.Note("runner", decisions.F("runner", r.ID), decisions.F("service", r.Service), decisions.F("failure_domain", r.FailureDomain),
+			decisions.F("state", r.State), decisions.F("reclaimable", r.Reclaimable), decisions.F("revision", uint64(entry.Revision)))
+	}
+}
+
+// heardLeaving takes in that a peer has read of runners that are leaving. This daemon
+// may read it later: it lets changes come together, or can't reach the service.
+func (e *Edge) heardLeaving(ids []string) {
+	if len(ids) == 0 {
+		return
+	}
+	leaving := make(map[ident.RunnerID]bool, len(ids))
+	for _, id := range ids {
+		leaving[ident.RunnerID(id)] = true
+	}
+	changed := false
+	e.dir.mu.Lock()
+	for key, r := range e.dir.runners {
+		if !leaving[r.ID] || r.State == view.Leaving {
+			continue
+		}
+		r.State = view.Leaving
+		e.dir.runners[key] = r
+		changed = true
+		e.log.Note("runner", decisions.F("runner", r.ID), decisions.F("service", r.Service), decisions.F("failure_domain", r.FailureDomain),
+			decisions.F("state", r.State), decisions.F("told_by", "peer"))
+	}
+	e.dir.mu.Unlock()
+	if changed {
+		e.publishRunners()
+	}
+}
+
+// removeRunner takes in that a runner's entry is gone; called with dir.mu held.
+func (e *Edge) removeRunner(key string) {
+	r, known := e.dir.runners[key]
+	if !known {
+		return
+	}
+	now := e.deps.Steady()
+	if r.State == view.Live && e.dir.disturbed != 0 && now-e.dir.disturbed < lapseAfter {
+		r.State = view.Suspect
+		e.dir.runners[key] = r
+		e.dir.lapsed[key] = now + lapseAfter
+		e.log.Note("runner_lapsed", decisions.F("runner", r.ID), decisions.F("since_store_trouble", now-e.dir.disturbed))
+		return
+	}
+	delete(e.dir.runners, key)
+	e.log.Note("runner_gone", decisions.F("runner", r.ID), decisions.F("service", r.Service))
+}
+
+// expireLapsed removes lapsed runners that have not come back.
+func (e *Edge) expireLapsed() {
+	now := e.deps.Steady()
+	e.dir.mu.Lock()
+	expired := false
+	for key, until := range e.dir.lapsed {
+		if now < until {
+			continue
+		}
+		delete(e.dir.lapsed, key)
+		delete(e.dir.runners, key)
+		expired = true
+		e.log.Note("runner_gone", decisions.F("key", key), decisions.F("reason", "entry did not come back"))
+	}
+	e.dir.mu.Unlock()
+	if expired {
+		e.publishRunners()
+	}
+}
+
+// publishRunners hands the runners to their services' pools.
+func (e *Edge) publishRunners() {
+	byService := map[string][]Runner{}
+	addresses := map[string]bool{}
+	e.dir.mu.Lock()
+	for _, r := range e.dir.runners {
+		byService[r.Service] = append(byService[r.Service], r)
+		addresses[r.Address] = true
+	}
+	e.dir.mu.Unlock()
+	e.poolsMu.RLock()
+	for name, p := range e.pools {
+		p.setRunners(time.Now(), byService[name])
+	}
+	e.poolsMu.RUnlock()
+	e.deps.Runners.Retain(addresses)
+}
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -16,7 +16,6 @@
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/state/ident"
-	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
 const (
@@ -29,8 +28,6 @@
 	smallFleet = 10
 	// datagramBytes bounds a message; UDP carries no more.
 	datagramBytes = 60 << 10
-	// registerEvery renews the registration several times in its life.
-	registerEvery = 10 * time.Second
 )
 
 // tell sends this daemon's state to the others until the context ends.
@@ -54,22 +51,6 @@
 	}
 }
 
-// keepRegistered keeps this daemon's address in the key-value service.
-func (e *Edge) keepRegistered(ctx context.Context) {
-	var lease kv.LeaseID
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, kv.DefaultCallTimeout)
-		var err error
-		if lease, err = e.register(callCtx, lease); err != nil && ctx.Err() == nil {
-			e.log.Note("registration_failed", decisions.F("error", err.Error()))
-		}
-		cancel()
-		if !pause(ctx, registerEvery) {
-			return
-		}
-	}
-}
-
 func (e *Edge) fleetSize() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
