--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -52,6 +52,8 @@
 	// the store had taken the version.
 	keys    []string
 	retired map[string]time.Time
+	// given is how many keys were given out.
+	given int
 	// thawed is when a daemon by its name went on after a pause.
 	thawed map[string]time.Time
 }
@@ -302,7 +304,8 @@
 func (f *fleet) rotate() string {
 	f.mu.Lock()
 	old := f.keys[0]
-	f.keys = append(f.keys[1:], fmt.Sprintf("k%d", f.version))
+	f.given++
+	f.keys = append(f.keys[1:], fmt.Sprintf("k%d", f.given))
 	f.mu.Unlock()
 	f.configure()
 	f.mu.Lock()
--- a/soak/stall_test.go
+++ b/soak/operator_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -27,3 +28,25 @@
 		}
 	}
 }
+
+// Keys are taken away several at a time. Two that were given out at once bore the same
+// name: one was taken away while the other stayed in force, and its use looked like that
+// of a revoked key (seed 1796271212).
+func TestRotatedKeysAreNew(t *testing.T) {
+	s := site.NewStore()
+	defer s.Close()
+	f := &fleet{t: t, store: s, keys: []string{"k0"}, retired: map[string]time.Time{}}
+	var rotating sync.WaitGroup
+	for range 16 {
+		rotating.Go(func() { f.rotate() })
+	}
+	rotating.Wait()
+	for _, key := range f.keys {
+		if _, ok := f.retired[key]; ok {
+			t.Errorf("%q is in force and taken away", key)
+		}
+	}
+	if len(f.retired) != 16 {
+		t.Errorf("%d of 16 keys taken away", len(f.retired))
+	}
+}
