Derive what was kept twice; make a round's inputs once

Found by reading the whole change again; no behaviour changes. - A choice among equals kept two best runners and compared them at the end; the rule is one condition.

--- a/coordination/accounting/accounting.go
+++ b/coordination/accounting/accounting.go
@@ -120,6 +120,16 @@
 	return open
 }
 
+// open tells whether a daemon has a window whose report would still be in time.
+func (b *Book) open(now time.Time, id ident.Incarnation) bool {
+	for w := range b.counts[id] {
+		if !b.Late(now, w) {
+			return true
+		}
+	}
+	return false
+}
+
 // NextEnded returns the daemon after the one named last, in the order of names and
 // around its end, that has open windows and is not alive; false if there is none.
 //
@@ -130,7 +140,7 @@
 func (b *Book) NextEnded(now time.Time, last ident.Incarnation, alive map[ident.Incarnation]bool) (ident.Incarnation, bool) {
 	var first, next ident.Incarnation
 	for id := range b.counts {
-		if id == b.self || alive[id] || len(b.Open(now, id)) == 0 {
+		if id == b.self || alive[id] || !b.open(now, id) {
 			continue
 		}
 		if first == "" || id < first {
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -240,20 +240,12 @@
 // search starts at a random slot so that gateways differ among equals.
 func (t *Table) fastest(candidates prefix.Set, r *Request, estimates *[MaxRunners]float64) int {
 	turn := t.rng.IntN(MaxRunners)
-	// best is the first among the least of all, after the first at or behind the
-	// turn. Among equals the latter is taken.
-	best, after := -1, -1
+	best := -1
 	for i := range candidates.All() {
 		estimates[i] = t.estimate(i, r)
-		if best < 0 || estimates[i] < estimates[best] {
+		if best < 0 || estimates[i] < estimates[best] || estimates[i] == estimates[best] && best < turn && i >= turn {
 			best = i
 		}
-		if i >= turn && (after < 0 || estimates[i] < estimates[after]) {
-			after = i
-		}
-	}
-	if after >= 0 && estimates[after] <= estimates[best] {
-		return after
 	}
 	return best
 }
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -34,7 +34,6 @@
 	// All of them move at once: those that serve go only when the others serve. A
 	// fleet of 90 that moved by 24 was four boot times at the full price.
 	moveGain = 0.1
-	maxMoves = 10_000
 	// scarceFor is how long after a reclaim or a refused order runners are kept
 	// that would be given back otherwise. Refusals last for ten to fifteen seconds
 	// and reclaims come some seconds apart.
@@ -73,7 +72,7 @@
 	limits.FirstBackoff, limits.MaxBackoff = refusedFirst, refusedMost
 	limits.SurplusHold = surplusHold
 	limits.MoveGain = moveGain
-	limits.MaxMoves = maxMoves
+	limits.MaxMoves = math.MaxInt
 	limits.ReclaimCost = 0
 	return &fleetDuty{
 		edge:    e,
@@ -113,19 +112,20 @@
 	plenty := needed
 	plenty.Runners = f.demand.Comfortable()
 	plenty.SurviveLoss, plenty.ReclaimsOnly = true, true
+	offers, vms := f.offers(false), f.orders.VMs()
 	if now >= f.scarceUntil {
-		return f.planner.Decide(now, plenty, f.offers(false), f.orders.VMs()), plenty
+		return f.planner.Decide(now, plenty, offers, vms), plenty
 	}
-	d := f.planner.Decide(now, needed, f.offers(false), f.orders.VMs())
-	d.Stops = fleet.Spare(f.orders.VMs(), f.offers(false), int(math.Ceil(scarceKept*float64(needed.Runners))), needed.MinPerDomain)
+	d := f.planner.Decide(now, needed, offers, vms)
+	d.Stops = fleet.Spare(vms, offers, int(math.Ceil(scarceKept*float64(needed.Runners))), needed.MinPerDomain)
 	if len(d.Starts) == 0 {
 		left := plenty
 		left.Runners = int(math.Ceil(leftShare * float64(needed.Runners)))
-		d.Starts = f.planner.Decide(now, left, f.offers(false), f.orders.VMs()).Starts
+		d.Starts = f.planner.Decide(now, left, offers, vms).Starts
 	}
 	if len(d.Starts) == 0 && now >= f.askAgain {
 		f.askAgain = now + askEvery
-		d.Starts = f.planner.Decide(now, plenty, f.offers(true), f.orders.VMs()).Starts
+		d.Starts = f.planner.Decide(now, plenty, f.offers(true), vms).Starts
 	}
 	return d, needed
 }
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -200,7 +200,9 @@
 		e.apply(events, sent)
 		together = len(events) > 0
 		if together {
-			e.provedByChanges(sent)
+			// Changes are told without gaps, so when the service answered there was no
+			// newer configuration than those among them; it answered after it was asked.
+			e.provedByWatch(sent)
 			// Changes come in groups: runners start and leave together.
 			pause(ctx, e.gather())
 		}
@@ -244,11 +246,6 @@
 	e.provedByWatch(at)
 }
 
-// provedByChanges dates the proof of an answer with changes, which have been
-// applied. Changes are told without gaps, so when the service answered there was no
-// newer configuration than those among them; it answered after it was asked.
-func (e *Edge) provedByChanges(sent time.Duration) { e.provedByWatch(sent) }
-
 // provedByWatch takes the configuration in force for the newest at a time. It isn't if
 // the watch has told a newer one that can't be read.
 func (e *Edge) provedByWatch(at time.Duration) {
--- a/daemon/edge/relay.go
+++ b/daemon/edge/relay.go
@@ -14,6 +14,7 @@
 	"geraniumstack.org/geraniumstack/protocol/forward"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/state/route"
 )
@@ -192,7 +193,7 @@
 }
 
 // exclude is the set of a runner that failed; see routing.Request.
-func (p *pool) exclude(id ident.RunnerID) (set runnerSet) {
+func (p *pool) exclude(id ident.RunnerID) prefix.Set {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.table.Exclude(id)
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -10,11 +10,8 @@
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/protocol/forward"
 	"geraniumstack.org/geraniumstack/protocol/retry"
-	"geraniumstack.org/geraniumstack/state/prefix"
 )
 
-type runnerSet = prefix.Set
-
 // stream passes an event stream on as it comes. Of a stream that may go on at
 // another runner only whole events are passed, since nothing can follow a part
 // of one.
