Wait in one place, translate failed calls in one place

Five packages of daemon/ had a function of their own that waits until a time is over or a context ends; the platform's face had added one of them. internal/pause serves all. Where there is no time to wait it no longer races the context's end against a timer that is over.

--- a/daemon/control/apply.go
+++ b/daemon/control/apply.go
@@ -12,6 +12,7 @@
 	"geraniumstack.org/geraniumstack/coordination/config"
 	"geraniumstack.org/geraniumstack/coordination/membership"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
 	"geraniumstack.org/geraniumstack/transport/kv"
@@ -111,7 +112,7 @@
 		if permanent(err) {
 			return config.Accepted{}, err
 		}
-		if err != nil && !sleep(ctx, c.jittered(stepRetry)) {
+		if err != nil && !pause.For(ctx, c.jittered(stepRetry)) {
 			return config.Accepted{}, machine.GaveUp(err)
 		}
 	}
--- a/daemon/control/collect.go
+++ b/daemon/control/collect.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/config"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
@@ -51,7 +52,7 @@
 				break
 			}
 			klog.V(1).InfoS("Collection of sections ended early", "err", err)
-			if !sleep(ctx, c.jittered(collectRetry)) {
+			if !pause.For(ctx, c.jittered(collectRetry)) {
 				return
 			}
 		}
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -398,15 +398,3 @@
 		work(ctx)
 	}()
 }
-
-// sleep waits; it returns false once the context has ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/daemon/control/follow.go
+++ b/daemon/control/follow.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/config"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/state/manifest"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
@@ -125,11 +126,11 @@
 func (c *Control) watchLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !c.onDuty(fixedSlot) {
-			sleep(ctx, dutyRecheck)
+			pause.For(ctx, dutyRecheck)
 			continue
 		}
 		if err := c.watchHead(ctx); err != nil {
-			sleep(ctx, c.jittered(storeRetry))
+			pause.For(ctx, c.jittered(storeRetry))
 		}
 	}
 }
@@ -186,7 +187,7 @@
 		if head, _, err := c.readHead(ctx); err == nil {
 			c.learnHead(head)
 		}
-		if !sleep(ctx, c.jittered(c.rereadInterval())) {
+		if !pause.For(ctx, c.jittered(c.rereadInterval())) {
 			return
 		}
 	}
--- a/daemon/control/mesh.go
+++ b/daemon/control/mesh.go
@@ -14,6 +14,7 @@
 	"geraniumstack.org/geraniumstack/coordination/view"
 	meshv1 "geraniumstack.org/geraniumstack/gen/geranium/mesh/v1"
 	"geraniumstack.org/geraniumstack/gen/geranium/mesh/v1/meshv1connect"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
 )
@@ -252,7 +253,7 @@
 func (c *Control) linkLoop(ctx context.Context, l *link) {
 	for ctx.Err() == nil {
 		c.heartbeat(ctx, l.peer)
-		if !sleep(ctx, pushGap) {
+		if !pause.For(ctx, pushGap) {
 			return
 		}
 		rest := c.interval() - pushGap
@@ -291,7 +292,7 @@
 			c.spawn(func(ctx context.Context) { c.try(ctx, m.PeerAddress, m.Incarnation) })
 		}
 		turn++
-		if !sleep(ctx, seedInterval) {
+		if !pause.For(ctx, seedInterval) {
 			return
 		}
 	}
--- a/daemon/control/platform.go
+++ b/daemon/control/platform.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/membership"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/transport/cloudapi"
 )
 
@@ -39,7 +40,7 @@
 			rest, confirming = c.readList(ctx)
 			next = time.Now().Add(rest)
 		}
-		if !sleep(ctx, min(dutyRecheck, max(listLeast, time.Until(next)))) {
+		if !pause.For(ctx, min(dutyRecheck, max(listLeast, time.Until(next)))) {
 			return
 		}
 	}
@@ -89,14 +90,14 @@
 	var after uint64
 	for ctx.Err() == nil {
 		if !c.onDuty(fixedSlot) {
-			sleep(ctx, dutyRecheck)
+			pause.For(ctx, dutyRecheck)
 			continue
 		}
 		next, err := c.readNotices(ctx, after)
 		after = next
 		if err != nil {
 			klog.V(1).InfoS("Notices can't be read", "err", err)
-			sleep(ctx, c.jittered(platformRetry))
+			pause.For(ctx, c.jittered(platformRetry))
 		}
 	}
 }
--- a/daemon/control/register.go
+++ b/daemon/control/register.go
@@ -10,6 +10,7 @@
 
 	"geraniumstack.org/geraniumstack/coordination/membership"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
@@ -173,13 +174,13 @@
 func (c *Control) restBeforeReading(ctx context.Context, failed error) bool {
 	rest := scaled(readLeast, readPerMember, c.Members())
 	if failed != nil || len(c.Members()) < 2 {
-		return sleep(ctx, c.jittered(storeRetry))
+		return pause.For(ctx, c.jittered(storeRetry))
 	}
-	if !sleep(ctx, c.jittered(rest)) {
+	if !pause.For(ctx, c.jittered(rest)) {
 		return false
 	}
 	for !c.onDuty(fixedSlot) && len(c.Members()) > 1 {
-		if !sleep(ctx, dutyRecheck) {
+		if !pause.For(ctx, dutyRecheck) {
 			return false
 		}
 	}
--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"geraniumstack.org/geraniumstack/coordination/health"
 	"geraniumstack.org/geraniumstack/coordination/polling"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
 	"geraniumstack.org/geraniumstack/state/refusal"
@@ -77,24 +78,12 @@
 		case <-listed:
 		case <-configured:
 		}
-		if !pause(ctx, d.cfg.Timing.Refresh) {
+		if !pause.For(ctx, d.cfg.Timing.Refresh) {
 			return ctx.Err()
 		}
 	}
 }
 
-// pause waits and reports whether ctx is still good.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // catchUp takes in a configuration that Run has not seen yet. Without it a
 // request that comes right after an apply was reported in force is refused as
 // not ready, or served by the former configuration, for as long as Run rests.
@@ -189,7 +178,7 @@
 // rest waits for the next look and reports whether ctx is still good.
 func (d *Dispatcher) rest(ctx context.Context, busy bool) bool {
 	if busy {
-		return pause(ctx, d.cfg.Timing.Tick)
+		return pause.For(ctx, d.cfg.Timing.Tick)
 	}
 	timer := time.NewTimer(d.cfg.Timing.IdleTick)
 	defer timer.Stop()
--- a/daemon/dispatch/picker.go
+++ b/daemon/dispatch/picker.go
@@ -8,6 +8,7 @@
 	"geraniumstack.org/geraniumstack/coordination/health"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/daemon/models"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/protocol/request"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/manifest"
@@ -68,7 +69,7 @@
 		if decision.Verdict != retry.Again && decision.Verdict != retry.Postpone {
 			return stopped(j, decision)
 		}
-		if !pause(ctx, decision.Wait) {
+		if !pause.For(ctx, decision.Wait) {
 			return refusal.New(refusal.Cancelled, "given up").Unknown()
 		}
 		if decision.Verdict == retry.Again {
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -10,6 +10,7 @@
 	"geraniumstack.org/geraniumstack/coordination/quota"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/daemon/holder"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/route"
 	"geraniumstack.org/geraniumstack/transport/kv"
@@ -86,7 +87,7 @@
 		if err == nil || ctx.Err() != nil || errors.As(err, &compacted) {
 			// A service that forgets its history all the time must not be listed as
 			// fast as it answers.
-			pause(ctx, gatherFor)
+			pause.For(ctx, gatherFor)
 			continue
 		}
 		if reachable {
@@ -94,7 +95,7 @@
 		}
 		reachable = false
 		e.noteDisturbed()
-		pause(ctx, backoff)
+		pause.For(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -105,21 +106,6 @@
 	e.dir.mu.Unlock()
 }
 
-// pause waits and tells whether it was not cut short.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // readAll lists all keys and returns the revision from which to watch.
 func (e *Edge) readAll(ctx context.Context) (kv.Revision, error) {
 	var compacted *kv.CompactedError
@@ -204,7 +190,7 @@
 			// newer configuration than those among them; it answered after it was asked.
 			e.provedByWatch(sent)
 			// Changes come in groups: runners start and leave together.
-			pause(ctx, e.gather())
+			pause.For(ctx, e.gather())
 		}
 	}
 	return nil
--- a/daemon/edge/register.go
+++ b/daemon/edge/register.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/daemon/decisions"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
@@ -27,7 +28,7 @@
 			e.log.Note("registration_failed", decisions.F("error", err.Error()))
 		}
 		cancel()
-		if !pause(ctx, registerEvery) {
+		if !pause.For(ctx, registerEvery) {
 			return
 		}
 	}
--- a/daemon/edge/relay.go
+++ b/daemon/edge/relay.go
@@ -11,6 +11,7 @@
 	"geraniumstack.org/geraniumstack/coordination/health"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/protocol/forward"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -79,7 +80,7 @@
 			s.end(s.comeBack(end))
 			return
 		}
-		if !pause(ctx, wait) && s.gone(ctx) {
+		if !pause.For(ctx, wait) && s.gone(ctx) {
 			return
 		}
 		s.place.Exclude = s.place.Exclude.Or(s.pool.exclude(a.choice.Runner))
--- a/daemon/services/services.go
+++ b/daemon/services/services.go
@@ -21,6 +21,7 @@
 
 	"geraniumstack.org/geraniumstack/coordination/health"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/protocol/call"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -201,7 +202,7 @@
 		if stop != nil {
 			return failure.last(answer, stop, ran)
 		}
-		if !pause(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return call.Answer{}, withRan(refusal.New(refusal.DeadlineExceeded, "no answer in time"), ran)
 		}
 	}
@@ -426,15 +427,3 @@
 	}
 	return fmt.Sprintf("last attempt: %s: %s", f.reason, f.refusal.Detail)
 }
-
-// pause waits and reports whether ctx is still good.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -9,6 +9,7 @@
 
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/settings"
+	"geraniumstack.org/geraniumstack/internal/pause"
 )
 
 // waitForEnd returns when the daemon has been told to stop and has shut down
@@ -48,7 +49,7 @@
 	ctx, cancel := context.WithDeadline(work, end)
 	defer cancel()
 	lifetime := min(settings.Millis(d.settings.Limits.GatewaysLifetimeMillis), time.Until(end)/2)
-	sleep(ctx, lifetime)
+	pause.For(ctx, lifetime)
 	d.gateway.StopAccepting()
 	d.handOver(ctx)
 	klog.InfoS("Graceful shutdown done")
@@ -68,12 +69,3 @@
 	})
 	wg.Wait()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/transport/cloudapi/client.go
+++ b/transport/cloudapi/client.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -91,18 +89,5 @@
 // failure finds the protocol's error in an answer; what is none of it, or no
 // answer at all, leaves the outcome open.
 func failure(err error) error {
-	if err == nil {
-		return nil
-	}
-	var status *jsoncall.StatusError
-	if !errors.As(err, &status) {
-		return &UnavailableError{Err: err}
-	}
-	var body ErrorBody
-	if json.Unmarshal(status.Body, &body) == nil {
-		if known := body.Err(); known != nil {
-			return known
-		}
-	}
-	return &UnavailableError{Err: status}
+	return jsoncall.Failure[ErrorBody](err, func(err error) error { return &UnavailableError{Err: err} })
 }
--- a/transport/jsoncall/jsoncall.go
+++ b/transport/jsoncall/jsoncall.go
@@ -116,3 +116,28 @@
 		c.http.CloseIdleConnections()
 	}
 }
+
+// TypedBody is the body of a protocol's answer other than 200.
+type TypedBody interface {
+	// Err is the error that the body stands for, nil if it is none that is known.
+	Err() error
+}
+
+// Failure finds the protocol's error of type B in what a call returned. Anything else,
+// and no answer at all, is what unknown makes of it.
+func Failure[B TypedBody](err error, unknown func(error) error) error {
+	if err == nil {
+		return nil
+	}
+	var status *StatusError
+	if !errors.As(err, &status) {
+		return unknown(err)
+	}
+	var body B
+	if json.Unmarshal(status.Body, &body) == nil {
+		if known := body.Err(); known != nil {
+			return known
+		}
+	}
+	return unknown(status)
+}
