Speak the platform's protocol to daemons under test in one place

Assertions are the same; a body that is cut short was an error of the request there and is now asked for by its name. Waking a paused daemon stood twice in the soak.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
+
+	"geraniumstack.org/geraniumstack/standin/site"
 )
 
 // kind is how a request may be treated.
@@ -116,23 +115,11 @@
 func (c *caller) resolve(ctx context.Context, d *daemon) []string {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	url := fmt.Sprintf("http://%s:%d/v1/resolve?name=%s&region=x&zone=north", d.ip, directoryPort, host)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return nil
-	}
-	answer, err := c.client.Do(req)
+	found, err := d.Directory(ctx, c.client, site.Host)
 	if err != nil {
 		return nil
 	}
-	defer answer.Body.Close()
-	var body struct {
-		Addresses []string `json:"addresses"`
-	}
-	if json.NewDecoder(answer.Body).Decode(&body) != nil {
-		return nil
-	}
-	return body.Addresses
+	return found
 }
 
 func (c *caller) ask(ctx context.Context, a *call) {
@@ -142,26 +129,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, a.method, "http://"+a.daemon+a.path, strings.NewReader(a.body))
-	if err != nil {
-		return
-	}
-	req.Host = host
-	// Without it net/http's client repeats some requests by itself.
-	req.GetBody = nil
-	req.Header.Set("X-Request-Id", a.id)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callerPatience.Milliseconds()))
-	req.Header.Set("X-Tenant", "forged")
-	req.Header.Set("Authorization", "Token "+a.key)
-	answer, err := c.client.Do(req)
+	answer, err := site.Ask(ctx, c.client, a.daemon, &site.Attempt{
+		ID: a.id, Method: a.method, Host: site.Host, Path: a.path, Body: a.body, Key: a.key,
+		Patience: callerPatience, ForgedWorkspace: "forged",
+	})
+	c.record.mu.Lock()
+	defer c.record.mu.Unlock()
 	if err != nil {
 		a.cut = true
 		return
 	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(answer.Body)
-	c.record.mu.Lock()
-	defer c.record.mu.Unlock()
-	a.status, a.signature = answer.StatusCode, answer.Header.Get("X-Server-Signature")
-	a.answer, a.cut = string(body), err != nil
+	a.status, a.signature, a.answer, a.cut = answer.Status, answer.Signature(), answer.Body, answer.Cut
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -108,10 +108,7 @@
 		d := f.daemons[i]
 		d.signal(syscall.SIGSTOP)
 		time.Sleep(span)
-		f.mu.Lock()
-		f.thawed[d.name] = time.Now()
-		f.mu.Unlock()
-		d.signal(syscall.SIGCONT)
+		d.thaw()
 	}}
 }
 
@@ -125,16 +122,13 @@
 		d.signal(syscall.SIGSTOP)
 		old := f.rotate()
 		time.Sleep(revokeWithin + 100*time.Millisecond)
-		address := fmt.Sprintf("%s:%d", d.ip, frontPort)
+		address := d.Front()
 		for n := range 8 {
 			c := newCaller(f, f.record, f.seed, 1000+n)
 			go c.ask(context.Background(), f.record.next(f.seed, requestKinds[n%2], old, address))
 		}
 		time.Sleep(300 * time.Millisecond)
-		f.mu.Lock()
-		f.thawed[d.name] = time.Now()
-		f.mu.Unlock()
-		d.signal(syscall.SIGCONT)
+		d.thaw()
 	}}
 }
 
@@ -142,8 +136,8 @@
 	i, hup := rng.IntN(daemons), rng.IntN(2) == 0
 	return fault{what: fmt.Sprintf("settings of %d, signal %v", i, hup), do: func(f *fleet) {
 		d := f.daemons[i]
-		if err := d.writeSettings(f.daemons[0].ip + ":1"); err != nil {
-			f.t.Errorf("settings of %s: %v", d.name, err)
+		if err := d.writeSettings(f.daemons[0].IP + ":1"); err != nil {
+			f.t.Errorf("settings of %s: %v", d.Name(), err)
 		}
 		if hup {
 			d.signal(syscall.SIGHUP)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -2,14 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -19,12 +16,8 @@
 )
 
 const (
-	frontPort     = 18221
-	readyPort     = 18224
-	directoryPort = 18220
-	grace         = 4 * time.Second
-	revokeWithin  = 5 * time.Second
-	host          = "a.example"
+	grace        = 4 * time.Second
+	revokeWithin = 5 * time.Second
 	// stableKey is held by every configuration, so it must never be denied.
 	stableKey = "stable"
 )
@@ -66,8 +59,8 @@
 
 // daemon is one process and the proxies through which it reaches the outside.
 type daemon struct {
+	site.Daemon
 	fleet      *fleet
-	name, ip   string
 	storeProxy *proxy
 	cloudProxy *proxy
 	settings   string
@@ -147,25 +140,18 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{fleet: f, name: "edge-" + ip, ip: ip, storeProxy: storeProxy, cloudProxy: cloudProxy, settings: filepath.Join(f.dir, ip), output: &lockedBuffer{}}
+	d := &daemon{Daemon: site.Daemon{IP: ip}, fleet: f, storeProxy: storeProxy, cloudProxy: cloudProxy, settings: filepath.Join(f.dir, ip), output: &lockedBuffer{}}
 	return d, d.writeSettings("127.0.0.1:1")
 }
 
 // writeSettings replaces the settings file as the platform does.
 func (d *daemon) writeSettings(seeds string) error {
-	lines := []string{
-		"node_name=" + d.name, "zone=north", "ip=" + d.ip, "bootstrap=true", "port_range=17600,17601", "seeds=" + seeds,
-		fmt.Sprintf("listen.front=%s:%d", d.ip, frontPort), fmt.Sprintf("listen.readiness=%s:%d", d.ip, readyPort),
-		fmt.Sprintf("listen.directory=%s:%d", d.ip, directoryPort),
-		"platform.address=" + d.storeProxy.address(), "cloud.address=" + d.cloudProxy.address(),
-		fmt.Sprintf("bounds.grace_s=%d", int(grace.Seconds())), fmt.Sprintf("bounds.revoke_ms=%d", revokeWithin.Milliseconds()),
-		"bounds.strict_revocation=true", "bounds.retry_budget_ratio=0.2", "bounds.budget_min_retries=50",
-		"bounds.usage_window_s=1", "bounds.usage_delay_s=5", "bounds.lease_ms=1500", "bounds.freeze_slack_ms=300",
-	}
 	d.writing.Lock()
 	defer d.writing.Unlock()
 	next := d.settings + ".next"
-	if err := os.WriteFile(next, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+	if err := os.WriteFile(next, []byte(d.Settings(d.storeProxy.address(), d.cloudProxy.address(), seeds,
+		fmt.Sprintf("bounds.grace_s=%d", int(grace.Seconds())), fmt.Sprintf("bounds.revoke_ms=%d", revokeWithin.Milliseconds()),
+		"bounds.freeze_slack_ms=300")), 0o600); err != nil {
 		return err
 	}
 	return os.Rename(next, d.settings)
@@ -184,7 +170,7 @@
 	d.logged = d.output.length()
 	d.ended = make(chan struct{})
 	if err := d.cmd.Start(); err != nil {
-		d.fleet.t.Errorf("start %s: %v", d.name, err)
+		d.fleet.t.Errorf("start %s: %v", d.Name(), err)
 		close(d.ended)
 		return
 	}
@@ -201,7 +187,7 @@
 	// accepted nothing.
 	told = told && (err == nil || !d.output.has(logged, `"start" daemon=`))
 	if !killed && !told {
-		d.fleet.t.Errorf("%s ended by itself or not as asked: %v", d.name, err)
+		d.fleet.t.Errorf("%s ended by itself or not as asked: %v", d.Name(), err)
 	}
 	close(ended)
 }
@@ -213,10 +199,18 @@
 	d.told = d.told || s == syscall.SIGTERM
 	d.killed = d.killed || s == syscall.SIGKILL
 	if err := d.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		d.fleet.t.Errorf("signal %s: %v", d.name, err)
+		d.fleet.t.Errorf("signal %s: %v", d.Name(), err)
 	}
 }
 
+// thaw lets a paused process go on and notes when.
+func (d *daemon) thaw() {
+	d.fleet.mu.Lock()
+	d.fleet.thawed[d.Name()] = time.Now()
+	d.fleet.mu.Unlock()
+	d.signal(syscall.SIGCONT)
+}
+
 // stop asks the process to end and kills it after the grace.
 func (d *daemon) stop() {
 	d.signal(syscall.SIGTERM)
@@ -265,10 +259,9 @@
 	f.cloud.Close()
 }
 
-// put writes to the store as the operator and the runners do; they try until the
-// store takes it.
-func (f *fleet) put(key string, value any) {
-	for f.store.Put(key, value) != nil {
+// until tries a write of the operator or of a runner until the store takes it.
+func (f *fleet) until(write func() error) {
+	for write() != nil {
 		time.Sleep(20 * time.Millisecond)
 	}
 }
@@ -281,22 +274,15 @@
 	f.version += 3
 	version, keys := f.version, append([]string{stableKey}, f.keys...)
 	f.mu.Unlock()
-	route := func(name, kind string, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": host, "path_prefix": "/" + name + "/", "route_type": kind, "timeout_ms": 4000,
-			"target_latency_ms": 200, "max_attempts": 2, "resumable": resumable, "gap_aim_ms": 250, "service": "app",
-		}
-	}
-	f.put("op/config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			route("read", "idempotent", false), route("pledge", "non_idempotent", false),
-			route("draft", "streaming", true), route("match", "streaming", false),
-		},
-		"services": []map[string]any{{"name": "app", "health_path": "/healthz", "max_connections": 96}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": "shelter", "api_keys": keys, "unit": "requests", "rate_per_s": 10000, "burst": 10000}},
-	})
+	f.until(func() error { return f.store.Configure(version, routes, 10_000, keys...) })
+}
+
+// routes are one of each kind.
+var routes = []site.Route{
+	{Name: "read", Kind: site.Idempotent, TimeoutMillis: 4000, TargetMillis: 200, Attempts: 2},
+	{Name: "pledge", Kind: site.AtMostOnce, TimeoutMillis: 4000, TargetMillis: 200, Attempts: 2},
+	{Name: "draft", Kind: site.Stream, TimeoutMillis: 4000, TargetMillis: 200, Attempts: 2, Resumable: true},
+	{Name: "match", Kind: site.Stream, TimeoutMillis: 4000, TargetMillis: 200, Attempts: 2},
 }
 
 // rotate takes the oldest key away, gives out a new one, and returns the old one once
@@ -345,24 +331,19 @@
 	f.mu.Lock()
 	f.runners = append(f.runners, b)
 	f.mu.Unlock()
-	f.announce(b, "ready")
+	f.announce(b, site.Ready)
 	return nil
 }
 
 func (f *fleet) announce(b *backend, state string) {
-	f.put("servers/"+b.ID, map[string]any{
-		"service": "app", "address": b.proxy.address(), "zone": "north", "slots": 16, "state": state,
-		"born": 1771390509100, "seq": 1,
-	})
+	f.until(func() error { return f.store.Announce(b.ID, b.proxy.address(), state) })
 }
 
 // leave drains a runner, waits as long as it must serve, and removes it.
 func (f *fleet) leave(b *backend) {
-	f.announce(b, "draining")
+	f.announce(b, site.Draining)
 	time.Sleep(3 * time.Second)
-	for f.store.Remove("servers/"+b.ID) != nil {
-		time.Sleep(20 * time.Millisecond)
-	}
+	f.until(func() error { return f.store.Withdraw(b.ID) })
 	b.Close()
 	b.proxy.set(resetting)
 }
@@ -387,16 +368,3 @@
 	defer f.mu.Unlock()
 	return f.runners[pick%len(f.runners)]
 }
-
-func (d *daemon) ready(ctx context.Context) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/v1/readyz", d.ip, readyPort), http.NoBody)
-	if err != nil {
-		return false
-	}
-	answer, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	answer.Body.Close()
-	return answer.StatusCode == http.StatusOK
-}
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"geraniumstack.org/geraniumstack/standin/site"
 )
 
 // thawSlack is how long after a pause the calls of the paused daemon don't count:
@@ -60,8 +62,8 @@
 			if run.Method != c.method || run.Target != c.path || run.Body != "" && run.Body != c.body {
 				b.add("changed request", "%s ran as %s %s %q", c.id, run.Method, run.Target, run.Body)
 			}
-			if run.Header.Get("X-Tenant") != "shelter" || run.Header.Get("Authorization") != "" {
-				b.add("workspace or key passed on", "%s with %q and %q", c.id, run.Header.Get("X-Tenant"), run.Header.Get("Authorization"))
+			if run.Workspace() != site.Workspace || run.KeyShown() {
+				b.add("workspace or key passed on", "%s with %q and its key: %v", c.id, run.Workspace(), run.KeyShown())
 			}
 			if at, ok := f.retired[c.key]; ok && c.sent.After(at.Add(revokeWithin)) {
 				b.add("revoked key", "%s ran, sent %v after its key was taken away, at %s", c.id, c.sent.Sub(at), c.daemon)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -144,9 +145,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	for _, d := range f.daemons {
-		for !d.ready(ctx) {
+		for !d.Ready(ctx, http.DefaultClient) {
 			if ctx.Err() != nil {
-				f.t.Errorf("%s is not ready after %v", d.name, limit)
+				f.t.Errorf("%s is not ready after %v", d.Name(), limit)
 				return
 			}
 			time.Sleep(20 * time.Millisecond)
@@ -161,7 +162,7 @@
 	defer cancel()
 	c := newCaller(f, r, seed, callers)
 	for _, d := range f.daemons {
-		address := fmt.Sprintf("%s:%d", d.ip, frontPort)
+		address := d.Front()
 		for served := 0; served < inARow; {
 			a := r.next(seed, requestKinds[0], stableKey, address)
 			c.ask(ctx, a)
@@ -170,7 +171,7 @@
 				served = 0
 			}
 			if ctx.Err() != nil {
-				f.t.Errorf("%s does not serve again after %v; last status %d", d.name, recoverWithin, a.status)
+				f.t.Errorf("%s does not serve again after %v; last status %d", d.Name(), recoverWithin, a.status)
 				return
 			}
 		}
@@ -183,10 +184,10 @@
 	}
 	for _, d := range f.daemons {
 		d.output.mu.Lock()
-		err := os.WriteFile(filepath.Join(*keep, fmt.Sprintf("%d-%s.log", seed, d.ip)), d.output.Bytes(), 0o600)
+		err := os.WriteFile(filepath.Join(*keep, fmt.Sprintf("%d-%s.log", seed, d.IP)), d.output.Bytes(), 0o600)
 		d.output.mu.Unlock()
 		if err != nil {
-			f.t.Errorf("keep the log of %s: %v", d.name, err)
+			f.t.Errorf("keep the log of %s: %v", d.Name(), err)
 		}
 	}
 }
--- /dev/null
+++ b/standin/site/operator.go
@@ -0,0 +1,60 @@
+package site
+
+// Host is the one that all routes of Configure are of, Workspace the one whose keys they
+// take.
+const (
+	Host      = "a.example"
+	Workspace = "shelter"
+)
+
+// Kinds of a Route.
+const (
+	Idempotent = "idempotent"
+	AtMostOnce = "non_idempotent"
+	Stream     = "streaming"
+)
+
+// Route is one of an operator's; its paths begin with its name.
+type Route struct {
+	Name, Kind string
+	// TimeoutMillis and TargetMillis bound an answer, Attempts its runners.
+	TimeoutMillis, TargetMillis, Attempts int
+	Resumable                             bool
+	// Public routes need no key.
+	Public bool
+}
+
+// Configure writes a version whose routes all lead to the service of Announce.
+func (s *Store) Configure(version int, routes []Route, perSecond int, keys ...string) error {
+	var list []map[string]any
+	for _, r := range routes {
+		list = append(list, map[string]any{
+			"name": r.Name, "hostname": Host, "path_prefix": "/" + r.Name + "/", "route_type": r.Kind,
+			"timeout_ms": r.TimeoutMillis, "target_latency_ms": r.TargetMillis, "max_attempts": r.Attempts,
+			"resumable": r.Resumable, "public": r.Public, "gap_aim_ms": 250, "service": "app",
+		})
+	}
+	return s.Put("op/config", map[string]any{
+		"version": version, "routes": list,
+		"services": []map[string]any{{"name": "app", "health_path": "/healthz", "max_connections": 96}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []map[string]any{{"name": Workspace, "api_keys": keys, "unit": "requests", "rate_per_s": perSecond, "burst": perSecond}},
+	})
+}
+
+// States of a runner's entry.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+)
+
+// Announce writes a runner's entry, as the runner does itself; address is where it is
+// reached.
+func (s *Store) Announce(runner, address, state string) error {
+	return s.Put("servers/"+runner, map[string]any{
+		"service": "app", "address": address, "zone": "north", "slots": 16, "state": state, "born": 1771390509100, "seq": 1,
+	})
+}
+
+// Withdraw removes a runner's entry.
+func (s *Store) Withdraw(runner string) error { return s.Remove("servers/" + runner) }
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -49,6 +49,12 @@
 	Left bool
 }
 
+// Workspace is the one that the daemon named for the request.
+func (r *Run) Workspace() string { return r.Header.Get("X-Tenant") }
+
+// KeyShown tells whether the caller's key came along, which no runner may see.
+func (r *Run) KeyShown() bool { return r.Header.Get("Authorization") != "" }
+
 // Runner is one backend server on the loopback interface. It speaks raw sockets, so
 // that it can break the protocol.
 type Runner struct {
