Start the daemon of the cold start test without the store, not just before it goes

Cause: the test started the daemon and then took the store away, so that a daemon that was quick read its configuration in between, and rightly served. Shown: with a pause between the two the test always fails at that line; as it was, 33 of 1,500 runs failed, ten processes at a time; with the store away from the start 0 of 1,500. Ruled out: the daemon (it serves only what it has read). The assertions are unchanged.

--- a/daemon/edge/request_test.go
+++ b/daemon/edge/request_test.go
@@ -203,8 +203,8 @@
 func TestColdStartWithoutService(t *testing.T) {
 	inWorld(t, 0, config(1), func(w *world) {
 		w.addRunner("r1", "app")
+		w.storeCut = true
 		d := w.add()
-		d.store.set(true, false)
 		time.Sleep(2 * time.Second)
 		a := w.ask(d, "/read/1", key)
 		w.Equal(a.reason(), refusal.NotReady)
--- a/daemon/edge/world_test.go
+++ b/daemon/edge/world_test.go
@@ -48,6 +48,8 @@
 	runners *runners
 	cloud   *cloud
 	daemons []*daemon
+	// storeCut lets daemons that are started from now on begin without the service.
+	storeCut bool
 }
 
 type daemon struct {
@@ -92,7 +94,7 @@
 // run starts the daemon of a place.
 func (w *world) run(i int) *daemon {
 	address := fmt.Sprintf("10.0.0.%d:7600", i+1)
-	store := &faultyStore{Store: w.store}
+	store := &faultyStore{Store: w.store, cut: w.storeCut}
 	ctx, cancel := context.WithCancel(context.Background())
 	var seeds []string
 	if i > 0 {
