Order runners by the mean and the deviation of the work, measured by every daemon

Change: fleet.Demand keeps mean and variance of the work and needs room for what comes within the time that a prompt may wait (the least target latency of the routes); every daemon measures; fleet.Tally lets no silence count; coordination/prefill learns the rate from prompts with nothing before them; homes are trusted only for 10 s after a restart. In plenty two reclaims are lasted, by reclaimable runners only; in scarcity one failure domain in turn is asked every 0.4 s. Restarted daemons give nothing back before they have measured.

--- a/coordination/fleet/demand.go
+++ b/coordination/fleet/demand.go
@@ -5,35 +5,35 @@
 	"time"
 )
 
-// DemandConfig says how full runners may be.
+// DemandConfig says how much more than the mean of the work runners must bear.
 type DemandConfig struct {
-	// Busy is the share of its time that a runner may read prompts. One that comes
-	// meanwhile waits; at a half the wait is about one more prompt. Below Calm
-	// hardly any waits.
-	Busy, Calm float64
-	// Batch is the share of its batch that a runner may use. The more requests
-	// run, the longer each token takes.
-	Batch float64
-	// Rise and Fall are the time constants of the averages. A burst must be
-	// answered before it is over, and a lull must not give back what the next
-	// wave needs and takes seconds to start.
+	// Risk is the standard deviations of the work that comes within Work.Wait
+	// for which there must be room, Ample the same where runners cost little.
+	Risk, Ample float64
+	// Rise and Fall are the time constants of the mean. A burst must be answered
+	// before it is over, and a lull must not give back what the next wave needs
+	// and takes seconds to start.
 	Rise, Fall time.Duration
+	// Memory is the time constant of the variance.
+	Memory time.Duration
 	// Settle is how long there must have been work before it says what is
-	// needed; until then FirstShare of what is there is taken to be.
-	Settle     time.Duration
-	FirstShare float64
+	// needed; until then FirstShare of what is there is taken to be, or
+	// AmpleFirst where runners cost little.
+	Settle                 time.Duration
+	FirstShare, AmpleFirst float64
 }
 
 // DefaultDemand suits engines that start in seconds.
 func DefaultDemand() DemandConfig {
 	return DemandConfig{
-		Busy:       0.55,
-		Calm:       0.35,
-		Batch:      0.4,
+		Risk:       0.5,
+		Ample:      2.5,
 		Rise:       1500 * time.Millisecond,
 		Fall:       10 * time.Second,
+		Memory:     15 * time.Second,
 		Settle:     4 * time.Second,
 		FirstShare: 0.5,
+		AmpleFirst: 0.8,
 	}
 }
 
@@ -46,35 +46,83 @@
 	PromptTokens float64
 	// PrefillRate is prompt tokens that a runner reads in a second.
 	PrefillRate float64
+	// Wait is how long a prompt may wait before its answer is late.
+	Wait time.Duration
 	// Requests in progress and the places of one runner's batch.
 	Requests int
 	Slots    int
 }
 
-// Demand measures how many runners a service needs. It is not safe for
-// concurrent use.
+// Demand measures how many runners a service needs. Work comes unevenly, and what
+// comes within the time that a prompt may wait must be read in that time. Its
+// standard deviation grows more slowly than its mean: a large fleet can be fuller
+// than a small one, and prompts that may wait longer need fewer runners. It is not
+// safe for concurrent use.
 type Demand struct {
-	cfg    DemandConfig
-	needed float64
-	// at and tokens are of the last sample.
+	cfg DemandConfig
+	// fresh says that the service has not served before.
+	fresh bool
+	// reading is the work of reading prompts, batch the requests in progress.
+	reading, batch load
+	wait           time.Duration
+	slots          int
+	// at and tokens are of the end of the last block.
 	at      time.Duration
 	tokens  float64
 	sampled bool
-	// began is the first sample, working the first with work.
+	// began is the first sample, working the first with work, now the last.
 	began   time.Duration
 	working time.Duration
-	first   int
+	now     time.Duration
+	// resumes is when blocks count again after a suspension.
+	resumes time.Duration
+	// first is the runners that were there at the beginning.
+	first int
 }
 
-// NewDemand returns a measure that has seen nothing.
-func NewDemand(cfg DemandConfig) *Demand { return &Demand{cfg: cfg} }
+// load is the mean of some work and its variance over a second.
+type load struct {
+	mean, variance float64
+	blocks         int
+}
+
+// add takes in the work of a span of time. The first spans count alike: a mean that
+// rose slowly from nothing would seem to be a variance.
+func (l *load) add(cfg *DemandConfig, work float64, span time.Duration) {
+	l.blocks++
+	equal := 1 / float64(l.blocks)
+	off := work - l.mean
+	constant := cfg.Rise
+	if off < 0 {
+		constant = cfg.Fall
+	}
+	l.mean += off * max(equal, weight(span, constant))
+	if l.blocks > 1 {
+		l.variance += (off*off*span.Seconds() - l.variance) * max(equal, weight(span, cfg.Memory))
+	}
+}
+
+func weight(span, constant time.Duration) float64 {
+	return 1 - math.Exp(-span.Seconds()/constant.Seconds())
+}
+
+// blockSpan is the least time that is taken as one. In a shorter one the daemons'
+// word, which comes every 100 to 200 ms, would seem to be a variance of the work.
+const blockSpan = 390 * time.Millisecond
+
+// longestSpan is the longest time that is taken as one. A daemon that was suspended
+// reads in a moment what the others told in seconds, so for as long after that the
+// totals say nothing.
+const longestSpan = 5 * blockSpan
+
+// NewDemand returns a measure that has seen nothing; fresh says that the service has
+// not served before, so that what is there stands for what is needed.
+func NewDemand(cfg DemandConfig, fresh bool) *Demand { return &Demand{cfg: cfg, fresh: fresh} }
 
 // Sample takes in the work at a moment.
 func (d *Demand) Sample(now time.Duration, w Work) {
-	elapsed, tokens := (now - d.at).Seconds(), w.PromptTokens-d.tokens
-	first := !d.sampled
-	d.at, d.tokens, d.sampled = now, w.PromptTokens, true
-	if first {
+	d.now, d.wait, d.slots = now, w.Wait, w.Slots
+	if !d.sampled {
 		d.began = now
 	}
 	if now-d.began < d.cfg.Settle {
@@ -84,35 +132,67 @@
 	if d.working == 0 && w.Requests > 0 {
 		d.working = now
 	}
-	// A total that falls is that of another set of daemons and says nothing.
-	if first || elapsed <= 0 || tokens < 0 {
+	span, tokens := now-d.at, w.PromptTokens-d.tokens
+	if d.sampled && span < blockSpan {
+		return
+	}
+	first := !d.sampled
+	d.at, d.tokens, d.sampled = now, w.PromptTokens, true
+	if span > longestSpan {
+		d.resumes = now + longestSpan
+	}
+	if first || d.working == 0 || now < d.resumes {
 		return
 	}
-	needed := 0.0
 	if w.PrefillRate > 0 {
-		needed = tokens / elapsed / w.PrefillRate / d.cfg.Busy
+		d.reading.add(&d.cfg, tokens/w.PrefillRate/span.Seconds(), span)
 	}
-	if w.Slots > 0 {
-		needed = max(needed, float64(w.Requests)/(d.cfg.Batch*float64(w.Slots)))
+	d.batch.add(&d.cfg, float64(w.Requests), span)
+}
+
+// runners is how many bear the work with room for so many standard deviations.
+func (d *Demand) runners(deviations, firstShare float64) int {
+	needed := d.reading.mean + deviations*d.deviation()
+	if d.slots > 0 {
+		requests := d.batch.mean + deviations*math.Sqrt(d.batch.mean)
+		needed = max(needed, requests/float64(d.slots))
 	}
-	constant := d.cfg.Rise
-	if needed < d.needed {
-		constant = d.cfg.Fall
+	n := int(math.Ceil(needed))
+	if d.fresh && !d.settled() {
+		n = max(n, int(math.Ceil(firstShare*float64(d.first))))
 	}
-	d.needed += (needed - d.needed) * (1 - math.Exp(-elapsed/constant.Seconds()))
+	return max(1, n)
 }
 
-// Comfortable is how many there should be where they cost little: enough that
-// prompts hardly wait, and for what the next seconds may bring.
-func (d *Demand) Comfortable() int {
-	return int(math.Ceil(float64(d.Runners()) * d.cfg.Busy / d.cfg.Calm))
+// Estimate is what Demand says at a moment.
+type Estimate struct {
+	// Runners are needed; Comfortable is how many there should be where they cost
+	// little.
+	Runners, Comfortable int
+	// Busy is how many runners the mean of the work keeps reading, Deviation the
+	// standard deviation of what comes while a prompt may wait, in the same unit.
+	Busy, Deviation float64
+	// Settled says that there has been work for long enough to tell.
+	Settled bool
 }
 
-// Runners is how many are needed.
-func (d *Demand) Runners() int {
-	needed := int(math.Ceil(d.needed))
-	if d.working == 0 || d.at-d.working < d.cfg.Settle {
-		needed = max(needed, int(math.Ceil(d.cfg.FirstShare*float64(d.first))))
+// Estimate tells what is needed.
+func (d *Demand) Estimate() Estimate {
+	return Estimate{
+		Runners:     d.runners(d.cfg.Risk, d.cfg.FirstShare),
+		Comfortable: d.runners(d.cfg.Ample, d.cfg.AmpleFirst),
+		Busy:        d.reading.mean,
+		Deviation:   d.deviation(),
+		Settled:     d.settled(),
 	}
-	return max(1, needed)
 }
+
+func (d *Demand) deviation() float64 {
+	if d.wait <= 0 {
+		return 0
+	}
+	return math.Sqrt(d.reading.variance / d.wait.Seconds())
+}
+
+// settled tells whether there has been work for long enough to say what is needed.
+func (d *Demand) settled() bool { return d.working != 0 && d.now-d.working >= d.cfg.Settle }
--- /dev/null
+++ b/coordination/fleet/demand_test.go
@@ -0,0 +1,127 @@
+package fleet_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"geraniumstack.org/geraniumstack/coordination/fleet"
+)
+
+const sampleEvery = 200 * time.Millisecond
+
+// load plays work into a Demand. Prompts come at random, each of them as long as
+// meanPrompt on average.
+type load struct {
+	*fleet.Demand
+	rng    *rand.Rand
+	now    time.Duration
+	work   fleet.Work
+	prompt float64
+}
+
+func newLoad(fresh bool) *load {
+	return &load{
+		Demand: fleet.NewDemand(fleet.DefaultDemand(), fresh), rng: rand.New(rand.NewPCG(7, 1)), prompt: 2000,
+		work: fleet.Work{Runners: 12, PrefillRate: 50_000, Slots: 64, Wait: 500 * time.Millisecond},
+	}
+}
+
+// run brings perSecond tokens a second in prompts that come independently.
+func (l *load) run(span time.Duration, perSecond float64, requests int) fleet.Estimate {
+	l.work.Requests = requests
+	for end := l.now + span; l.now < end; l.now += sampleEvery {
+		for left := perSecond * sampleEvery.Seconds() / l.prompt; left > 0; left-- {
+			if l.rng.Float64() < left {
+				l.work.PromptTokens += 2 * l.prompt * l.rng.Float64()
+			}
+		}
+		l.Sample(l.now, l.work)
+	}
+	return l.Estimate()
+}
+
+// A wave of work comes, holds and ends. The measure must follow it up within seconds
+// and not give back at the first lull.
+func TestDemandFollowsWave(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(true)
+	is.Equal(l.run(5*time.Second, 0, 0).Runners, 6) // nothing is known yet
+	calm := l.run(30*time.Second, 70_000, 20)
+	is.True(calm.Runners >= 2 && calm.Runners <= 3) // 1.4 are kept busy
+	is.True(calm.Comfortable >= calm.Runners)
+	is.True(l.run(4*time.Second, 250_000, 60).Runners >= 5)
+	is.True(l.run(2*time.Second, 70_000, 20).Runners >= 5)
+	is.True(l.run(40*time.Second, 70_000, 20).Runners <= 3)
+}
+
+// The same kind of load at ten times the size was given ten times the runners, and a
+// load of long prompts no more than one of short ones. Chance evens out over many
+// prompts, and long prompts are chance of a coarser grain.
+func TestHeadroomFollowsVarianceNotSize(t *testing.T) {
+	is := is.New(t)
+	headroom := func(perSecond, prompt float64, wait time.Duration) float64 {
+		l := newLoad(false)
+		l.prompt, l.work.Wait = prompt, wait
+		sum := 0.0
+		for range 40 {
+			e := l.run(2*time.Second, perSecond, 20)
+			sum += e.Deviation / e.Busy
+		}
+		return sum / 40
+	}
+	small := headroom(100_000, 2000, 500*time.Millisecond)
+	is.True(headroom(1_000_000, 2000, 500*time.Millisecond) < 0.5*small)
+	is.True(headroom(100_000, 8000, 500*time.Millisecond) > 1.5*small)
+	is.True(headroom(100_000, 2000, 2*time.Second) < 0.7*small)
+}
+
+// Requests that bring few tokens to read and many to write fill batches, not the time
+// for reading.
+func TestDemandHasPlaceForEachRequest(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(false)
+	l.work.Slots = 16
+	is.True(l.run(20*time.Second, 10_000, 160).Runners >= 10)
+}
+
+// The daemon that orders runners is suspended for eight seconds. When it wakes it reads
+// at once what the others told meanwhile: eight seconds' work seemed to have come in a
+// moment, and for half a minute seventy runners were ordered where twenty served.
+func TestSuspendedDaemonOrdersNoMore(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(false)
+	before := l.run(30*time.Second, 250_000, 60)
+	l.now += 8 * time.Second
+	l.Sample(l.now, l.work)
+	l.work.PromptTokens += 8 * 250_000
+	for range 20 {
+		after := l.run(sampleEvery, 250_000, 60)
+		is.True(after.Comfortable <= before.Comfortable+3)
+	}
+}
+
+// A daemon is cut off from its peers for ten seconds and goes on serving. When it is
+// heard again its count has grown by ten seconds' work, which the daemon that orders
+// runners took for a burst. The same for one whose peers hear of it for the first time.
+func TestTallyTakesNoSilenceForABurst(t *testing.T) {
+	is := is.New(t)
+	var tally fleet.Tally
+	tally.Heard(0, "a", 500_000)
+	is.Equal(tally.Total(), 0.0)
+	for i := 1; i <= 10; i++ {
+		tally.Heard(time.Duration(i)*100*time.Millisecond, "a", 500_000+float64(i)*1000)
+	}
+	is.Equal(tally.Total(), 10_000.0)
+	tally.Heard(11*time.Second, "a", 800_000)
+	is.Equal(tally.Total(), 10_000.0)
+	tally.Heard(11*time.Second+100*time.Millisecond, "a", 801_000)
+	is.Equal(tally.Total(), 11_000.0)
+	tally.Heard(11*time.Second+200*time.Millisecond, "b", 70_000)
+	is.Equal(tally.Total(), 11_000.0)
+	tally.Gone("a")
+	tally.Heard(11*time.Second+300*time.Millisecond, "a", 805_000)
+	is.Equal(tally.Total(), 11_000.0)
+}
--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -151,6 +151,14 @@
 // Started tells that the cloud gave a VM in the pool.
 func (p *Planner) Started(id Pool) { p.pool(id).refusals = 0 }
 
+// Reopen tells that VMs which were hard to get in all pools are to be had again, so
+// that earlier refusals say nothing any more.
+func (p *Planner) Reopen() {
+	for _, s := range p.pools {
+		s.refusals, s.until = 0, 0
+	}
+}
+
 // Reclaimed tells that n VMs of the pool were given notice.
 func (p *Planner) Reclaimed(now time.Duration, id Pool, n int) {
 	s := p.pool(id)
--- a/coordination/fleet/fleet_test.go
+++ b/coordination/fleet/fleet_test.go
@@ -224,3 +224,23 @@
 		p.Decide(time.Second, w, offers, vms)
 	}
 }
+
+// Reclaimable VMs run out in all failure domains and each start is refused, so that
+// every pool is asked less and less often. Then one of them gives again: the others
+// must not wait for the end of their backoff, while dear VMs stand in for theirs.
+func TestRefusalsEndWithTheScarcity(t *testing.T) {
+	is := is.New(t)
+	offers := []fleet.Offer{offer("a", "spot", 0.2, true), offer("b", "spot", 0.2, true), offer("a", "on-demand", 1, false)}
+	p := fleet.New(fleet.DefaultLimits())
+	for _, domain := range []ident.FailureDomain{"a", "b"} {
+		p.Refused(0, fleet.Pool{FailureDomain: domain, Class: "spot"})
+	}
+	w := fleet.Wanted{Runners: 2}
+	for _, s := range p.Decide(time.Second, w, offers, nil).Starts {
+		is.Equal(s.Pool.Class, "on-demand")
+	}
+	p.Reopen()
+	for _, s := range p.Decide(time.Second, w, offers, nil).Starts {
+		is.Equal(s.Pool.Class, "spot")
+	}
+}
--- /dev/null
+++ b/coordination/fleet/tally.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// maxSilence is how long a daemon, or this one, may have heard nothing for its
+// counts to go on. Five messages of a small fleet are then missing.
+const maxSilence = 600 * time.Millisecond
+
+// Tally adds up what daemons count, each since its own start. A daemon that has been
+// silent may have counted meanwhile, and taken at its word it would seem to have done
+// in a moment what it did in seconds; one that is heard for the first time likewise,
+// and all of them where this daemon was suspended. So the first word after a silence
+// only says where the count goes on from. The total never falls. It is not safe for
+// concurrent use.
+type Tally struct {
+	total float64
+	heard map[ident.Incarnation]counted
+}
+
+// counted is where a daemon's count stood.
+type counted struct {
+	at    time.Duration
+	count float64
+}
+
+// Heard takes in a daemon's count.
+func (t *Tally) Heard(now time.Duration, id ident.Incarnation, count float64) {
+	if t.heard == nil {
+		t.heard = map[ident.Incarnation]counted{}
+	}
+	if before, ok := t.heard[id]; ok && now-before.at <= maxSilence {
+		t.total += max(0, count-before.count)
+	}
+	t.heard[id] = counted{now, count}
+}
+
+// Gone forgets a daemon.
+func (t *Tally) Gone(id ident.Incarnation) { delete(t.heard, id) }
+
+// Total is what all of them have counted while they were heard.
+func (t *Tally) Total() float64 { return t.total }
--- /dev/null
+++ b/coordination/prefill/prefill.go
@@ -0,0 +1,76 @@
+// Package prefill learns how fast a service's engines read prompts, from the times
+// to first token that are seen.
+//
+// A time to first token is a fixed part, the way there and the first step, and the
+// reading. It says how fast an engine reads only if the engine had nothing else to
+// read: what waits before a prompt is known roughly, and after a failure or a restart
+// not at all. Taken at its word it makes engines seem several times as fast as they
+// are, and the fleet is then made too small for the next burst. So only prompts
+// without others before them count, and the middle of what they say.
+//
+// The package does no I/O and reads no clock. A Model is not safe for concurrent use.
+package prefill
+
+import "time"
+
+const (
+	// shortPrompt is the tokens up to which the time is mostly the fixed part,
+	// longPrompt those from which it is mostly the reading.
+	shortPrompt = 500
+	longPrompt  = 2000
+	// mostAhead is the tokens that others may have to read before a prompt that
+	// counts, as a part of its own.
+	mostAhead = 0.05
+	// gain is the part of itself that an estimate moves by for each time seen.
+	gain = 0.04
+	// firstFixed stands in until short prompts have been timed.
+	firstFixed = 20 * time.Millisecond
+)
+
+// Sample is one time to first token.
+type Sample struct {
+	// Tokens were to be read, Ahead those of other requests before.
+	Tokens, Ahead int
+	Took          time.Duration
+}
+
+// Model is what is known of a service's engines.
+type Model struct {
+	fixed    float64
+	perToken float64
+}
+
+// New returns a model that takes engines to read rate tokens a second until some
+// have been timed.
+func New(rate float64) *Model {
+	return &Model{fixed: firstFixed.Seconds(), perToken: 1 / rate}
+}
+
+// Rate is the prompt tokens that an engine reads in a second.
+func (m *Model) Rate() float64 { return 1 / m.perToken }
+
+// Fixed is the part of a time to first token that doesn't depend on the prompt.
+func (m *Model) Fixed() time.Duration { return time.Duration(m.fixed * float64(time.Second)) }
+
+// Observe takes a time in.
+func (m *Model) Observe(s Sample) {
+	if float64(s.Ahead) > mostAhead*float64(s.Tokens) {
+		return
+	}
+	took := s.Took.Seconds()
+	switch {
+	case s.Tokens <= shortPrompt:
+		m.fixed = toMedian(m.fixed, took-float64(s.Tokens)*m.perToken)
+	case s.Tokens >= longPrompt:
+		m.perToken = toMedian(m.perToken, (took-m.fixed)/float64(s.Tokens))
+	}
+}
+
+// toMedian moves an estimate by the same part whatever the distance, so that it rests
+// where as many samples lie above it as below.
+func toMedian(estimate, sample float64) float64 {
+	if sample > estimate {
+		return estimate * (1 + gain)
+	}
+	return estimate / (1 + gain)
+}
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -48,6 +48,10 @@
 	CachedBlocks int
 	// Uncached is the prompt tokens that are to be computed.
 	Uncached int
+	// Ahead is the prompt tokens that are to be computed there before, Running the
+	// requests that are in progress there.
+	Ahead   int
+	Running int
 	// FetchFrom is the address of a runner to copy the shared part from; empty is
 	// none.
 	FetchFrom string
@@ -99,13 +103,13 @@
 	var estimates [MaxRunners]float64
 	if !r.Long || t.cfg.IgnoreRisk {
 		best := t.fastest(t.bound(t.sample(eligible)), r, &estimates)
-		return t.choice(best, r, estimates[best]), nil
+		return t.choice(best, r), nil
 	}
 	candidates := t.bound(eligible)
 	best := t.fastest(candidates, r, &estimates)
 	safe := t.safest(candidates, r, &estimates, estimates[best]+r.Slack.Seconds())
 	best = t.fastest(t.sample(safe), r, &estimates)
-	return t.choice(best, r, estimates[best]), nil
+	return t.choice(best, r), nil
 }
 
 // Choose returns the choice of a runner that was picked elsewhere; false if it
@@ -117,10 +121,18 @@
 	}
 	t.match(r)
 	t.homeSlot = noHome
-	return t.choice(i, r, t.estimate(i, r)), true
+	return t.choice(i, r), true
 }
 
-func (t *Table) choice(i int, r *Request, estimate float64) Choice {
+// choice describes the chosen runner as it is known to be. Unless homes are trusted
+// the guess that one holds a prompt is over: nobody has told of it, so the prompt has
+// to be read, and taken for cached it would hide the largest work there is from
+// whoever counts it.
+func (t *Table) choice(i int, r *Request) Choice {
+	if !t.trustHomes {
+		t.homeSlot = noHome
+	}
+	estimate := t.estimate(i, r)
 	s := &t.slots[i]
 	uncached, from := t.uncached(i, r), t.source(i, r)
 	if from != "" {
@@ -133,6 +145,8 @@
 		Estimate:     time.Duration(estimate * float64(time.Second)),
 		CachedBlocks: t.cachedBlocks(i),
 		Uncached:     uncached,
+		Ahead:        int(t.scores[i].ahead),
+		Running:      s.present(t.scores[i].inFlight),
 		slot:         i,
 		epoch:        s.epoch,
 	}
@@ -317,6 +331,11 @@
 	return best
 }
 
+// TrustHomes says whether a shared prompt that no runner is known to hold counts as
+// cached at its home. It does while too little is known, as after a restart: runners
+// hold then what nobody remembers to have sent them.
+func (t *Table) TrustHomes(trust bool) { t.trustHomes = trust }
+
 // mix spreads the bits of a number over all of it (the finalizer of splitmix64).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/coordination/routing/score.go
+++ b/coordination/routing/score.go
@@ -97,12 +97,17 @@
 	}
 }
 
+// present is the requests in progress at the runner, of which own are this
+// gateway's.
+func (s *slot) present(own int) int {
+	return max(own, s.report.Running+s.report.Waiting+s.sinceRequests)
+}
+
 // placeWait is the seconds until a request that comes now has a place in the
 // batch. Prompts may be short and their tokens few, so that the queue of tokens
 // says nothing of it. Places fall free as the batch's answers end.
 func (t *Table) placeWait(s *slot, own int) float64 {
-	present := max(own, s.report.Running+s.report.Waiting+s.sinceRequests)
-	ahead := present - s.places + 1
+	ahead := s.present(own) - s.places + 1
 	if ahead <= 0 {
 		return 0
 	}
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -124,7 +124,8 @@
 	output float64
 	depths prefix.Depths
 	// homeSlot is the home of the request that is being placed.
-	homeSlot int
+	homeSlot   int
+	trustHomes bool
 }
 
 // New returns a table without runners.
--- /dev/null
+++ b/daemon/edge/demand.go
@@ -0,0 +1,48 @@
+package edge
+
+import (
+	"cmp"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/fleet"
+	"geraniumstack.org/geraniumstack/coordination/view"
+)
+
+// Every daemon measures the demand for runners, not only the one that orders them: a
+// successor that began to measure when it took over would know nothing for seconds,
+// and what is there would stand for what is needed.
+
+// defaultWait is what callers are taken to bear where no route tells it.
+const defaultWait = 500 * time.Millisecond
+
+// measureDemand takes in the work that has come to a service.
+func (p *pool) measureDemand(now time.Duration) {
+	wait := defaultWait
+	if t := p.edge.table.Load(); t != nil {
+		wait = cmp.Or(t.Bearable(p.name), defaultWait)
+	}
+	offered := p.edge.toldOffered(p.name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := fleet.Work{PromptTokens: p.offered + offered, PrefillRate: p.engines.Rate(), Wait: wait}
+	if p.service.Engine != nil {
+		w.Slots = p.service.Engine.Slots
+	}
+	for _, own := range p.table.OwnLoads(nil) {
+		r, ok := p.runners[own.Runner]
+		if !ok || r.State == view.Leaving {
+			continue
+		}
+		w.Runners++
+		w.Requests += own.Requests + p.others[own.Runner].Requests
+	}
+	p.demand.Sample(now, w)
+	p.work = w
+}
+
+// demanded is the work as it was measured last, and what it needs.
+func (p *pool) demanded() (fleet.Work, fleet.Estimate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.work, p.demand.Estimate()
+}
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -1,16 +1,16 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/fleet"
-	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
-	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/route"
 )
 
@@ -47,8 +47,10 @@
 	// need has headroom of its own (fleet.DemandConfig); this is for what the demand
 	// may rise by while one more starts.
 	scarceKept = 1.25
-	// askEvery is the time between two tries to get reclaimable ones meanwhile.
-	askEvery = 2 * time.Second
+	// askEvery is the time between two tries to get reclaimable ones meanwhile. What
+	// stands in for them costs several times as much, and a call costs next to
+	// nothing beside it.
+	askEvery = 400 * time.Millisecond
 	// noteEvery is the time between two lines on the demand.
 	noteEvery = 2 * time.Second
 )
@@ -59,12 +61,13 @@
 	service route.Service
 	planner *fleet.Planner
 	orders  *fleet.Orders
-	demand  *fleet.Demand
 	noted   time.Duration
 	// scarceUntil is how long reclaimable runners are taken to be hard to get,
 	// askAgain when to try meanwhile.
 	scarceUntil time.Duration
 	askAgain    time.Duration
+	// asked counts those tries.
+	asked int
 }
 
 func newFleetDuty(e *Edge, s *route.Service) *fleetDuty {
@@ -79,21 +82,27 @@
 		service: *s,
 		planner: fleet.New(limits),
 		orders:  fleet.NewOrders(s.Scaling.BootTime + orderSlack),
-		demand:  fleet.NewDemand(fleet.DefaultDemand()),
 	}
 }
 
 // round looks at the fleet and orders what it lacks or has too much of.
 func (f *fleetDuty) round(ctx context.Context) {
 	now := f.edge.deps.Steady()
-	present, work := f.look()
+	pool := f.edge.pool(f.service.Name)
+	if pool == nil {
+		return
+	}
+	present := f.look(pool)
 	f.orders.Sync(now, present)
-	f.demand.Sample(now, work)
-	d, wanted := f.decide(now)
+	work, demand := pool.demanded()
+	d, wanted := f.decide(now, demand)
 	if now-f.noted >= noteEvery {
 		f.noted = now
-		f.edge.log.Note("demand", decisions.F("service", f.service.Name), decisions.F("needed", wanted.Runners), decisions.F("runners", work.Runners),
-			decisions.F("prompt_tokens", int(work.PromptTokens)), decisions.F("prefill_rate", int(work.PrefillRate)), decisions.F("requests", work.Requests))
+		f.edge.log.Note("demand", decisions.F("service", f.service.Name), decisions.F("needed", wanted.Runners),
+			decisions.F("runners", work.Runners), decisions.F("full_price", fullPrice(present)), decisions.F("scarce", now < f.scarceUntil),
+			decisions.F("prompt_tokens", int(work.PromptTokens)), decisions.F("prefill_rate", int(work.PrefillRate)),
+			decisions.F("busy", round(demand.Busy)), decisions.F("deviation", round(demand.Deviation)),
+			decisions.F("requests", work.Requests), decisions.F("settled", demand.Settled))
 	}
 	f.carryOut(ctx, now, d, wanted)
 }
@@ -103,14 +112,25 @@
 // a failure domain's. A reclaim often comes with others, and none are to be had
 // again for seconds: then what is needed and lacking is ordered at the full price,
 // and only what goes far beyond that is given back.
-func (f *fleetDuty) decide(now time.Duration) (fleet.Decision, fleet.Wanted) {
+//
+// A daemon that has just started with all others knows nothing of the demand. It
+// lets nobody go before it does.
+func (f *fleetDuty) decide(now time.Duration, demand fleet.Estimate) (fleet.Decision, fleet.Wanted) {
+	d, w := f.plan(now, demand)
+	if !demand.Settled && !f.edge.set.FirstStart {
+		d.Stops = nil
+	}
+	return d, w
+}
+
+func (f *fleetDuty) plan(now time.Duration, demand fleet.Estimate) (fleet.Decision, fleet.Wanted) {
 	needed := fleet.Wanted{
-		Runners:      f.demand.Runners(),
+		Runners:      demand.Runners,
 		MinPerDomain: f.service.Scaling.Min,
 		MaxPerDomain: f.service.Scaling.Max,
 	}
 	plenty := needed
-	plenty.Runners = f.demand.Comfortable()
+	plenty.Runners = f.ample(demand)
 	plenty.SurviveLoss, plenty.ReclaimsOnly = true, true
 	offers, vms := f.offers(false), f.orders.VMs()
 	if now >= f.scarceUntil {
@@ -123,50 +143,78 @@
 		left.Runners = int(math.Ceil(leftShare * float64(needed.Runners)))
 		d.Starts = f.planner.Decide(now, left, offers, vms).Starts
 	}
-	if len(d.Starts) == 0 && now >= f.askAgain {
+	if now >= f.askAgain {
 		f.askAgain = now + askEvery
-		d.Starts = f.planner.Decide(now, plenty, f.offers(true), vms).Starts
+		d.Starts = append(d.Starts, f.ask(plenty.Runners)...)
 	}
 	return d, needed
 }
 
-// look counts the runners of each pool that take new work, and their work.
-func (f *fleetDuty) look() (map[fleet.Pool]int, fleet.Work) {
-	p := f.edge.pool(f.service.Name)
-	present := map[fleet.Pool]int{}
-	w := fleet.Work{}
-	if f.service.Engine != nil {
-		w.Slots = f.service.Engine.Slots
+// ask tries one failure domain after the other for its part of the reclaimable
+// runners that there should be.
+func (f *fleetDuty) ask(runners int) []fleet.Start {
+	offers := f.offers(true)
+	if len(offers) == 0 {
+		return nil
 	}
+	slices.SortFunc(offers, func(a, b fleet.Offer) int { return cmp.Compare(a.FailureDomain, b.FailureDomain) })
+	pool := offers[f.asked%len(offers)].Pool
+	f.asked++
+	part := (runners + len(offers) - 1) / len(offers)
+	return slices.Repeat([]fleet.Start{{Pool: pool}}, max(0, part-f.orders.Wanted(pool)))
+}
+
+// ample is how many runners should be left after the reclaim of a failure domain
+// while reclaimable ones are to be had: enough for a second reclaim in another one,
+// since they follow each other sooner than a runner that is ordered at the first one
+// serves. More than reclaimable ones can give are not worth the full price.
+func (f *fleetDuty) ample(demand fleet.Estimate) int {
+	domains := len(f.service.Scaling.Prices)
+	ample := demand.Comfortable
+	if domains > 2 {
+		ample = max(ample, (demand.Runners*(domains-1)+domains-3)/(domains-2))
+	}
+	if most := f.service.Scaling.Max * (domains - 1); f.service.Scaling.Max > 0 {
+		ample = min(ample, max(most, demand.Runners))
+	}
+	return max(ample, demand.Runners)
+}
+
+// look counts the runners of each pool that take new work.
+func (f *fleetDuty) look(p *pool) map[fleet.Pool]int {
+	present := map[fleet.Pool]int{}
 	for domain := range f.service.Scaling.Prices {
 		present[fleet.Pool{FailureDomain: domain, Class: onDemand}] = 0
 		if f.service.Scaling.ReclaimableRate > 0 {
 			present[fleet.Pool{FailureDomain: domain, Class: reclaimable}] = 0
 		}
 	}
-	if p == nil {
-		return present, w
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	own := map[ident.RunnerID]routing.OwnLoad{}
-	for _, l := range p.table.OwnLoads(nil) {
-		own[l.Runner] = l
-	}
-	w.PrefillRate = p.capacity
-	w.PromptTokens = p.offered + f.edge.toldOffered(f.service.Name)
-	for id, r := range p.runners {
-		if r.State == view.Leaving {
-			if r.Reclaimable && !r.LeavesAt.IsZero() {
-				f.scarceUntil = f.edge.deps.Steady() + scarceFor
-			}
+	for _, r := range p.runners {
+		if r.State != view.Leaving {
+			present[poolOf(&r)]++
 			continue
 		}
-		present[poolOf(&r)]++
-		w.Runners++
-		w.Requests += own[id].Requests + p.others[id].Requests
+		if r.Reclaimable && !r.LeavesAt.IsZero() {
+			f.scarceUntil = f.edge.deps.Steady() + scarceFor
+		}
+	}
+	return present
+}
+
+// round keeps two digits, for a line of the log.
+func round(x float64) float64 { return math.Round(100*x) / 100 }
+
+// fullPrice is how many of the runners are not reclaimable.
+func fullPrice(present map[fleet.Pool]int) int {
+	sum := 0
+	for pool, n := range present {
+		if pool.Class == onDemand {
+			sum += n
+		}
 	}
-	return present, w
+	return sum
 }
 
 func poolOf(r *Runner) fleet.Pool {
@@ -238,6 +286,7 @@
 		if order.Reclaimable && n > 0 {
 			// They are to be had again. What costs more goes once these serve.
 			f.scarceUntil = now
+			f.planner.Reopen()
 		}
 	case errors.As(err, &none):
 		outcome = "none_available"
--- /dev/null
+++ b/daemon/edge/fleet_test.go
@@ -0,0 +1,106 @@
+package edge_test
+
+import (
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/edge"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/route"
+)
+
+var domains = []ident.FailureDomain{"north", "south", "east", "west"}
+
+// scaled is a configuration whose service's runners are ordered.
+func scaled() route.Config {
+	c := config(1)
+	c.Services = []route.Service{{
+		Name:   "app",
+		Engine: &route.Engine{Slots: 64, KVTokens: 500_000},
+		Scaling: &route.Scaling{
+			Min: 0, Max: 10, BootTime: 4 * time.Second, ReclaimableRate: 0.2,
+			Prices: map[ident.FailureDomain]float64{"north": 1, "south": 1, "east": 1, "west": 1},
+		},
+	}}
+	return c
+}
+
+// addFleet adds runners of each failure domain.
+func (w *world) addFleet(perDomain int, reclaimable bool) {
+	for _, domain := range domains {
+		for i := range perDomain {
+			id := string(domain) + string(rune('a'+i))
+			w.put(runnerPrefix+id, edge.Runner{Runner: view.Runner{
+				ID: ident.RunnerID(id), Address: id, Service: "app", FailureDomain: domain, State: view.Live, Reclaimable: reclaimable,
+			}, Slots: 64})
+			w.runners.add(id)
+		}
+	}
+}
+
+// Reclaimable runners run out for a while, and what stands in for them costs five
+// times as much. They were asked for every two to four seconds, failure domain by
+// failure domain, so the dear ones ran on for seconds after the cheap ones were to be
+// had again. Each failure domain must be asked again soon, and nobody flooded with calls.
+func TestReclaimableRunnersAreAskedForAgainSoon(t *testing.T) {
+	inWorld(t, 1, scaled(), func(w *world) {
+		w.addFleet(3, false)
+		w.cloud.runDry(true)
+		time.Sleep(20 * time.Second)
+		asked := w.cloud.refused()
+		w.True(asked >= 40) // two tries a second
+		w.True(asked <= 120)
+		w.cloud.runDry(false)
+		time.Sleep(time.Second)
+		got := map[ident.FailureDomain]bool{}
+		for _, o := range w.cloud.ordered() {
+			if o.Reclaimable && o.Runners > 0 {
+				got[o.FailureDomain] = true
+			}
+		}
+		w.Equal(len(got), len(domains))
+	})
+}
+
+// All daemons are killed at once, and what they knew of the load is gone. The first to
+// order runners again took what it saw in its first moments for all there is and gave
+// runners back that the load, still to be measured, needed.
+func TestRestartedDaemonsGiveNothingBackUnmeasured(t *testing.T) {
+	inWorld(t, 1, scaled(), func(w *world) {
+		w.addFleet(3, true)
+		w.daemons[0].kill()
+		w.cloud.forget()
+		w.notFirst = true
+		w.restart(0)
+		time.Sleep(30 * time.Second)
+		for _, o := range w.cloud.ordered() {
+			w.True(!o.Reclaimable || o.Runners >= 3)
+		}
+	})
+}
+
+// runDry lets reclaimable runners be hard to get.
+func (c *cloud) runDry(dry bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dry = dry
+}
+
+func (c *cloud) refused() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusals
+}
+
+func (c *cloud) ordered() []edge.Order {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]edge.Order{}, c.orders...)
+}
+
+func (c *cloud) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders = nil
+}
--- a/daemon/edge/loads.go
+++ b/daemon/edge/loads.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/fleet"
 	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
@@ -14,13 +15,13 @@
 type toldLoads struct {
 	mu      sync.Mutex
 	daemons map[ident.Incarnation]toldLoad
+	// offered is the prompt tokens that were brought to them, by service.
+	offered map[string]*fleet.Tally
 }
 
 type toldLoad struct {
 	at   time.Duration
 	work []routing.OwnLoad
-	// offered is the prompt tokens that were brought there by service.
-	offered map[string]float64
 }
 
 // heardLoads takes in one daemon's work. The pools hear of it with the next
@@ -35,15 +36,20 @@
 	}
 	now := e.deps.Steady()
 	e.told.mu.Lock()
+	defer e.told.mu.Unlock()
 	if e.told.daemons == nil {
 		e.told.daemons = map[ident.Incarnation]toldLoad{}
+		e.told.offered = map[string]*fleet.Tally{}
 	}
-	offered := make(map[string]float64, len(h.Offered))
 	for _, o := range h.Offered {
-		offered[o.Service] = o.PromptTokens
+		tally, ok := e.told.offered[o.Service]
+		if !ok {
+			tally = &fleet.Tally{}
+			e.told.offered[o.Service] = tally
+		}
+		tally.Heard(now, id, o.PromptTokens)
 	}
-	e.told.daemons[id] = toldLoad{at: now, work: work, offered: offered}
-	e.told.mu.Unlock()
+	e.told.daemons[id] = toldLoad{at: now, work: work}
 }
 
 // applyLoads hands the sums of the other daemons' work to the pools.
@@ -62,11 +68,10 @@
 func (e *Edge) toldOffered(service string) float64 {
 	e.told.mu.Lock()
 	defer e.told.mu.Unlock()
-	sum := 0.0
-	for _, told := range e.told.daemons {
-		sum += told.offered[service]
+	if tally, ok := e.told.offered[service]; ok {
+		return tally.Total()
 	}
-	return sum
+	return 0
 }
 
 // sums adds up the work of the daemons that are heard. A daemon that is not
@@ -76,6 +81,9 @@
 	for id, told := range t.daemons {
 		if now-told.at > peers.AliveFor {
 			delete(t.daemons, id)
+			for _, tally := range t.offered {
+				tally.Gone(id)
+			}
 			continue
 		}
 		for _, w := range told.work {
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -7,7 +7,9 @@
 	"sync"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/fleet"
 	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/coordination/prefill"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
@@ -29,15 +31,6 @@
 	// rateStep bounds what one request may move the rate by, as a factor: one
 	// that waited behind work that nobody told of says little of the rate.
 	rateStep = 2
-	// The rate that a full runner reads at is learned from the quicker first
-	// tokens: a slow one waited for work that nobody told of, or between the tokens
-	// of others, and says nothing of what the runner can do. Were slow ones taken
-	// at their word, a crowded fleet would seem to need several times its size.
-	// With these gains the rate settles where one sample in eleven is above it.
-	capacityRise, capacityFall = 0.05, 0.005
-	// leastWork is the prompt tokens below which a first token's time is mostly
-	// the way there.
-	leastWork = 2000
 	// leastEstimate is the expected time to first token below which the way
 	// there weighs more than the prefill, so that it says nothing of the rate.
 	leastEstimate = 20 * time.Millisecond
@@ -57,6 +50,9 @@
 	// fetchGain is how many times faster than reading a copy must be. Where it is
 	// measured it is eight times as fast, and costs 0.6 of what reading again does.
 	fetchGain = 4
+	// forgetfulFor is how long after a restart a daemon knows too little of what the
+	// runners have cached. Most of what is asked for again is so within seconds.
+	forgetfulFor = 10 * time.Second
 	// placedTold is how long the others are told of a placement: about three
 	// messages.
 	placedTold = 350 * time.Millisecond
@@ -79,12 +75,15 @@
 	// active is what is in progress at each runner.
 	active  map[ident.RunnerID]*activity
 	prefill float64
-	// capacity is the rate, in tokens per second, that a full runner reads at.
-	capacity float64
+	// engines is what is known of the runners' speed.
+	engines *prefill.Model
 	// offered is the prompt tokens that callers brought here and that had to be
 	// read.
 	offered float64
 	daemons int
+	// demand is measured from work, which was looked at last.
+	demand *fleet.Demand
+	work   fleet.Work
 	// placed are the latest prompts with shared parts, oldest first.
 	placed []placed
 }
@@ -98,17 +97,18 @@
 
 func newPool(e *Edge, s route.Service) *pool {
 	return &pool{
-		edge:     e,
-		name:     s.Name,
-		service:  s,
-		table:    routing.New(tableConfig(e, s)),
-		tracker:  health.New(healthConfig()),
-		retry:    retry.New(retryConfig(0, 0, 0)),
-		runners:  map[ident.RunnerID]Runner{},
-		others:   map[ident.RunnerID]routing.OwnLoad{},
-		active:   map[ident.RunnerID]*activity{},
-		prefill:  firstPrefillRate,
-		capacity: firstPrefillRate,
+		edge:    e,
+		name:    s.Name,
+		service: s,
+		table:   routing.New(tableConfig(e, s)),
+		tracker: health.New(healthConfig()),
+		retry:   retry.New(retryConfig(0, 0, 0)),
+		runners: map[ident.RunnerID]Runner{},
+		others:  map[ident.RunnerID]routing.OwnLoad{},
+		active:  map[ident.RunnerID]*activity{},
+		prefill: firstPrefillRate,
+		engines: prefill.New(firstPrefillRate),
+		demand:  fleet.NewDemand(fleet.DefaultDemand(), e.set.FirstStart),
 	}
 }
 
@@ -248,6 +248,7 @@
 func (p *pool) pick(now time.Time, r *routing.Request, first bool) (routing.Choice, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.table.TrustHomes(p.forgetful())
 	c, err := p.table.Pick(now, r)
 	if first && err == nil {
 		p.offered += float64(c.Uncached)
@@ -267,6 +268,13 @@
 	return p.table.Dispatch(now, c, r)
 }
 
+// scales tells whether the runners are the system's to order.
+func (p *pool) scales() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.service.Scaling != nil
+}
+
 // hasEngine tells whether the runners are model engines.
 func (p *pool) hasEngine() bool {
 	p.mu.Lock()
@@ -279,7 +287,7 @@
 func (p *pool) fetches() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.service.Engine != nil && p.service.Engine.FetchRate > fetchGain*p.capacity
+	return p.service.Engine != nil && p.service.Engine.FetchRate > fetchGain*p.engines.Rate()
 }
 
 // recent appends what was placed a moment ago, for the other daemons.
@@ -311,26 +319,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.table.FirstToken(time.Now(), k)
-	if p.service.Engine == nil || c.Estimate < leastEstimate {
+	if p.service.Engine == nil {
+		return
+	}
+	if c.FetchFrom == "" && !p.forgetful() {
+		p.engines.Observe(prefill.Sample{Tokens: c.Uncached, Ahead: c.Ahead, Took: took})
+	}
+	if c.Estimate < leastEstimate {
 		return
 	}
-	p.learnCapacity(c.Estimate.Seconds()*p.prefill, took)
 	ratio := min(rateStep, max(1.0/rateStep, c.Estimate.Seconds()/max(took, time.Millisecond).Seconds()))
 	p.prefill *= 1 + rateGain*(ratio-1)
 }
 
-// learnCapacity takes in that work, in prompt tokens, was read in a time.
-func (p *pool) learnCapacity(work float64, took time.Duration) {
-	if work < leastWork {
-		return
-	}
-	sample := work / max(took, time.Millisecond).Seconds()
-	gain := capacityRise
-	if sample < p.capacity {
-		gain = capacityFall
-	}
-	sample = min(rateStep*p.capacity, max(p.capacity/rateStep, sample))
-	p.capacity += gain * (sample - p.capacity)
+// forgetful says that this daemon has restarted and knows too little yet of what the
+// runners have cached.
+func (p *pool) forgetful() bool {
+	return !p.edge.set.FirstStart && p.edge.deps.Steady()-p.edge.began < forgetfulFor
 }
 
 func (p *pool) finished(k *routing.Ticket, tokens int) {
@@ -424,6 +429,9 @@
 			p.share(e.set.Bounds, size)
 			p.tick(time.Now())
 			p.watchSilence(time.Now())
+			if p.scales() {
+				p.measureDemand(e.deps.Steady())
+			}
 		}
 		e.poolsMu.RUnlock()
 	}
--- a/daemon/edge/relay.go
+++ b/daemon/edge/relay.go
@@ -45,6 +45,8 @@
 	choice routing.Choice
 	ticket routing.Ticket
 	sent   time.Time
+	// first is the time to the first event, zero before it.
+	first time.Duration
 	// activity is the runner's; cancel gives the attempt up from our side, and
 	// abandoned says that this was done because the runner is silent.
 	activity  *activity
@@ -149,7 +151,7 @@
 	a := &attempt{s: s, choice: choice, sent: now}
 	a.ticket = s.pool.dispatch(now, choice, &s.place, s.exchange.Sent() == 0)
 	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("estimate", choice.Estimate),
-		decisions.F("uncached", choice.Uncached), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1))
+		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.Ahead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1))
 	return a, nil
 }
 
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -102,6 +102,7 @@
 
 func (a *attempt) firstToken() {
 	took := time.Since(a.sent)
+	a.first = took
 	a.s.pool.firstToken(&a.ticket, a.choice, took)
 	a.s.edge.log.Time("first_event_us", took)
 }
@@ -110,6 +111,6 @@
 	s := a.s
 	s.pool.finished(&a.ticket, max(1, s.req.Prompt.ExpectedOutput))
 	s.pool.observe(a.choice.Runner, health.Success)
-	s.note("answered", decisions.F("runner", a.choice.Runner), decisions.F("events", s.events.Events()), decisions.F("attempts", s.exchange.Sent()+1))
+	s.note("answered", decisions.F("runner", a.choice.Runner), decisions.F("events", s.events.Events()), decisions.F("first_event", a.first), decisions.F("attempts", s.exchange.Sent()+1))
 	s.reply.Finish()
 }
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"geraniumstack.org/geraniumstack/state/ident"
 )
@@ -15,6 +16,7 @@
 	byKey      map[string]*Workspace
 	workspaces map[ident.Workspace]*Workspace
 	services   map[string]*Service
+	bearable   map[string]time.Duration
 }
 
 // NewTable prepares a configuration.
@@ -25,11 +27,13 @@
 		byKey:      map[string]*Workspace{},
 		workspaces: map[ident.Workspace]*Workspace{},
 		services:   map[string]*Service{},
+		bearable:   map[string]time.Duration{},
 	}
 	for i := range t.config.Routes {
 		r := &t.config.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		t.bear(r)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int {
@@ -49,6 +53,23 @@
 	return t
 }
 
+// bear takes in what a route's callers bear of its services.
+func (t *Table) bear(r *Route) {
+	if r.TargetLatency <= 0 {
+		return
+	}
+	for _, target := range r.Targets {
+		known, ok := t.bearable[target.Service]
+		if !ok || r.TargetLatency < known {
+			t.bearable[target.Service] = r.TargetLatency
+		}
+	}
+}
+
+// Bearable is the longest wait at a service that is still on time on all of its
+// routes; zero if none of them bounds it.
+func (t *Table) Bearable(service string) time.Duration { return t.bearable[service] }
+
 // Config returns the configuration itself, which must not be changed.
 func (t *Table) Config() *Config { return &t.config }
 
