Keep room for streams, forget a lull less soon for cheap runners, end what can't come

Runners on their way in a failure domain that is reclaimed stood in for others until their patience was over. The engines' rate was taken from the middle of times some of which had waited for what another daemon sent a moment ago.

Change: fleet.Demand has a least room by how much longer than alone a stream may last (Slowdown), and two memories, 5 s for the full price and 15 s for cheap ones; Orders.Reclaimed; prefill.Model learns the quicker part; in plenty no more run at the full price than are needed, from the start on, once all that register at the first start have been seen.

--- a/coordination/fleet/demand.go
+++ b/coordination/fleet/demand.go
@@ -10,10 +10,13 @@
 	// Risk is the standard deviations of the work that comes within Work.Wait
 	// for which there must be room, Ample the same where runners cost little.
 	Risk, Ample float64
+	// Slowdown is how many times as long as alone a stream may last while prompts
+	// are read between its tokens.
+	Slowdown float64
 	// Rise and Fall are the time constants of the mean. A burst must be answered
-	// before it is over, and a lull must not give back what the next wave needs
-	// and takes seconds to start.
-	Rise, Fall time.Duration
+	// before it is over. AmpleFall is used where runners cost little: they are kept
+	// for the next wave, which may come sooner than others start.
+	Rise, Fall, AmpleFall time.Duration
 	// Memory is the time constant of the variance.
 	Memory time.Duration
 	// Settle is how long there must have been work before it says what is
@@ -28,8 +31,10 @@
 	return DemandConfig{
 		Risk:       0.5,
 		Ample:      2.5,
+		Slowdown:   3,
 		Rise:       1500 * time.Millisecond,
-		Fall:       10 * time.Second,
+		Fall:       5 * time.Second,
+		AmpleFall:  15 * time.Second,
 		Memory:     15 * time.Second,
 		Settle:     4 * time.Second,
 		FirstShare: 0.5,
@@ -64,8 +69,10 @@
 	fresh bool
 	// reading is the work of reading prompts, batch the requests in progress.
 	reading, batch load
-	wait           time.Duration
-	slots          int
+	// ample are the same as they are remembered for runners that cost little.
+	ample struct{ reading, batch load }
+	wait  time.Duration
+	slots int
 	// at and tokens are of the end of the last block.
 	at      time.Duration
 	tokens  float64
@@ -88,13 +95,13 @@
 
 // add takes in the work of a span of time. The first spans count alike: a mean that
 // rose slowly from nothing would seem to be a variance.
-func (l *load) add(cfg *DemandConfig, work float64, span time.Duration) {
+func (l *load) add(cfg *DemandConfig, fall time.Duration, work float64, span time.Duration) {
 	l.blocks++
 	equal := 1 / float64(l.blocks)
 	off := work - l.mean
 	constant := cfg.Rise
 	if off < 0 {
-		constant = cfg.Fall
+		constant = fall
 	}
 	l.mean += off * max(equal, weight(span, constant))
 	if l.blocks > 1 {
@@ -145,16 +152,19 @@
 		return
 	}
 	if w.PrefillRate > 0 {
-		d.reading.add(&d.cfg, tokens/w.PrefillRate/span.Seconds(), span)
+		busy := tokens / w.PrefillRate / span.Seconds()
+		d.reading.add(&d.cfg, d.cfg.Fall, busy, span)
+		d.ample.reading.add(&d.cfg, d.cfg.AmpleFall, busy, span)
 	}
-	d.batch.add(&d.cfg, float64(w.Requests), span)
+	d.batch.add(&d.cfg, d.cfg.Fall, float64(w.Requests), span)
+	d.ample.batch.add(&d.cfg, d.cfg.AmpleFall, float64(w.Requests), span)
 }
 
 // runners is how many bear the work with room for so many standard deviations.
-func (d *Demand) runners(deviations, firstShare float64) int {
-	needed := d.reading.mean + deviations*d.deviation()
+func (d *Demand) runners(reading, batch *load, deviations, firstShare float64) int {
+	needed := max(reading.mean+deviations*d.deviation(reading), reading.mean/(1-1/d.cfg.Slowdown))
 	if d.slots > 0 {
-		requests := d.batch.mean + deviations*math.Sqrt(d.batch.mean)
+		requests := batch.mean + deviations*math.Sqrt(batch.mean)
 		needed = max(needed, requests/float64(d.slots))
 	}
 	n := int(math.Ceil(needed))
@@ -179,19 +189,19 @@
 // Estimate tells what is needed.
 func (d *Demand) Estimate() Estimate {
 	return Estimate{
-		Runners:     d.runners(d.cfg.Risk, d.cfg.FirstShare),
-		Comfortable: d.runners(d.cfg.Ample, d.cfg.AmpleFirst),
+		Runners:     d.runners(&d.reading, &d.batch, d.cfg.Risk, d.cfg.FirstShare),
+		Comfortable: d.runners(&d.ample.reading, &d.ample.batch, d.cfg.Ample, d.cfg.AmpleFirst),
 		Busy:        d.reading.mean,
-		Deviation:   d.deviation(),
+		Deviation:   d.deviation(&d.reading),
 		Settled:     d.settled(),
 	}
 }
 
-func (d *Demand) deviation() float64 {
+func (d *Demand) deviation(reading *load) float64 {
 	if d.wait <= 0 {
 		return 0
 	}
-	return math.Sqrt(d.reading.variance / d.wait.Seconds())
+	return math.Sqrt(reading.variance / d.wait.Seconds())
 }
 
 // settled tells whether there has been work for long enough to say what is needed.
--- a/coordination/fleet/demand_test.go
+++ b/coordination/fleet/demand_test.go
@@ -87,6 +87,34 @@
 	is.True(l.run(20*time.Second, 10_000, 160).Runners >= 10)
 }
 
+// Four reclaims in thirteen seconds leave eight runners for the work of six and a half.
+// Prompts are still read in time, but between their chunks streams get a token in a
+// tenth of the time only: they last for ten seconds in place of two, six hundred are in
+// progress in place of a hundred and forty, and time budgets pass. A large fleet whose
+// work hardly varies must have room for streams all the same.
+func TestStreamsAreNotStarvedByPrompts(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(false)
+	l.prompt = 100
+	for _, perSecond := range []float64{325_000, 3_250_000} {
+		e := l.run(30*time.Second, perSecond, 100)
+		is.True(e.Deviation < 0.1*e.Busy)
+		is.True(float64(e.Runners) >= 1.4*e.Busy)
+	}
+}
+
+// Work falls to a half for ten seconds between two waves. What costs the full price is
+// given back within them; what costs a fraction is kept for the next wave, which comes
+// sooner than new runners serve.
+func TestCheapRunnersOutlastALull(t *testing.T) {
+	is := is.New(t)
+	l := newLoad(false)
+	wave := l.run(30*time.Second, 400_000, 100)
+	lull := l.run(10*time.Second, 200_000, 50)
+	is.True(lull.Runners <= wave.Runners*3/4)
+	is.True(float64(lull.Comfortable) >= wave.Busy)
+}
+
 // The daemon that orders runners is suspended for eight seconds. When it wakes it reads
 // at once what the others told meanwhile: eight seconds' work seemed to have come in a
 // moment, and for half a minute seventy runners were ordered where twenty served.
--- a/coordination/fleet/orders.go
+++ b/coordination/fleet/orders.go
@@ -56,6 +56,10 @@
 	return slices.DeleteFunc(orders, func(until time.Duration) bool { return now >= until })
 }
 
+// Reclaimed tells that the pool's VMs have been given notice. Those of it that were
+// still to come won't, and would stand in for others that could be ordered.
+func (o *Orders) Reclaimed(id Pool) { o.pool(id).starting = nil }
+
 // VMs lists what is there and what is on its way, for Planner.Decide. The names
 // stand for numbers and say nothing of which VM it is.
 func (o *Orders) VMs() []VM {
--- a/coordination/fleet/orders_test.go
+++ b/coordination/fleet/orders_test.go
@@ -72,6 +72,25 @@
 	}
 }
 
+// Five VMs of a failure domain are on their way when its reclaimable ones are given
+// notice. They never come, but until their patience was over they stood in for others,
+// which were ordered seven seconds too late.
+func TestReclaimTakesWhatIsStillToCome(t *testing.T) {
+	is := is.New(t)
+	spot := fleet.Pool{FailureDomain: "a", Class: "spot"}
+	other := fleet.Pool{FailureDomain: "b", Class: "spot"}
+	o := fleet.NewOrders(7 * time.Second)
+	o.Sync(0, map[fleet.Pool]int{spot: 2, other: 2})
+	o.Change(0, spot, 5)
+	o.Change(0, other, 1)
+	is.Equal(len(o.VMs()), 10)
+	o.Sync(time.Second, map[fleet.Pool]int{spot: 0, other: 2})
+	o.Reclaimed(spot)
+	is.Equal(len(o.VMs()), 3)
+	is.Equal(o.Wanted(spot), 0)
+	is.Equal(o.Wanted(other), 3)
+}
+
 // A reclaim takes the reclaimable VMs of a failure domain and leaves the others
 // there. The plan must hold what is wanted after any one reclaim, and must not pay
 // for spare VMs that no reclaim can take.
--- a/coordination/prefill/prefill.go
+++ b/coordination/prefill/prefill.go
@@ -5,8 +5,9 @@
 // reading. It says how fast an engine reads only if the engine had nothing else to
 // read: what waits before a prompt is known roughly, and after a failure or a restart
 // not at all. Taken at its word it makes engines seem several times as fast as they
-// are, and the fleet is then made too small for the next burst. So only prompts
-// without others before them count, and the middle of what they say.
+// are, or several times as slow, and the fleet is then made of the wrong size for the
+// next burst. So only prompts without others before them count, and of those rather the
+// quicker ones: some wait for what another daemon sent a moment ago.
 //
 // The package does no I/O and reads no clock. A Model is not safe for concurrent use.
 package prefill
@@ -21,8 +22,10 @@
 	// mostAhead is the tokens that others may have to read before a prompt that
 	// counts, as a part of its own.
 	mostAhead = 0.05
-	// gain is the part of itself that an estimate moves by for each time seen.
-	gain = 0.04
+	// quick is the part of the times that lie below an estimate.
+	quick = 0.3
+	// gain is the part of itself that an estimate may move by for each time seen.
+	gain = 0.06
 	// firstFixed stands in until short prompts have been timed.
 	firstFixed = 20 * time.Millisecond
 )
@@ -60,17 +63,17 @@
 	took := s.Took.Seconds()
 	switch {
 	case s.Tokens <= shortPrompt:
-		m.fixed = toMedian(m.fixed, took-float64(s.Tokens)*m.perToken)
+		m.fixed = toQuick(m.fixed, took-float64(s.Tokens)*m.perToken)
 	case s.Tokens >= longPrompt:
-		m.perToken = toMedian(m.perToken, (took-m.fixed)/float64(s.Tokens))
+		m.perToken = toQuick(m.perToken, (took-m.fixed)/float64(s.Tokens))
 	}
 }
 
-// toMedian moves an estimate by the same part whatever the distance, so that it rests
-// where as many samples lie above it as below.
-func toMedian(estimate, sample float64) float64 {
+// toQuick moves an estimate by steps whose sizes don't depend on the distance, so that
+// it rests where the quick part of the samples lies below it.
+func toQuick(estimate, sample float64) float64 {
 	if sample > estimate {
-		return estimate * (1 + gain)
+		return estimate * (1 + gain*quick)
 	}
-	return estimate / (1 + gain)
+	return estimate / (1 + gain*(1-quick))
 }
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -38,15 +38,13 @@
 	// that would be given back otherwise. Refusals last for ten to fifteen seconds
 	// and reclaims come some seconds apart.
 	scarceFor = 8 * time.Second
-	// leftShare of the needed runners must be left meanwhile when another failure
-	// domain's reclaimable ones go. With three quarters a wave that took four
-	// domains in turn left 7 of 13 for four seconds, whose requests earned 0.53 of
-	// their worth; with all of them 0.77, for 85 more runner-seconds in the minute.
-	leftShare = 1
 	// scarceKept times the needed runners are kept at the full price meanwhile. The
 	// need has headroom of its own (fleet.DemandConfig); this is for what the demand
 	// may rise by while one more starts.
 	scarceKept = 1.25
+	// stillComing is how long after the first runners have shown up at the first start
+	// others may: they register once in a heartbeat.
+	stillComing = 2500 * time.Millisecond
 	// askEvery is the time between two tries to get reclaimable ones meanwhile. What
 	// stands in for them costs several times as much, and a call costs next to
 	// nothing beside it.
@@ -68,6 +66,8 @@
 	askAgain    time.Duration
 	// asked counts those tries.
 	asked int
+	// seen is when the first runners were.
+	seen time.Duration
 }
 
 func newFleetDuty(e *Edge, s *route.Service) *fleetDuty {
@@ -95,6 +95,9 @@
 	present := f.look(pool)
 	f.orders.Sync(now, present)
 	work, demand := pool.demanded()
+	if f.seen == 0 && work.Runners > 0 {
+		f.seen = now
+	}
 	d, wanted := f.decide(now, demand)
 	if now-f.noted >= noteEvery {
 		f.noted = now
@@ -114,10 +117,11 @@
 // and only what goes far beyond that is given back.
 //
 // A daemon that has just started with all others knows nothing of the demand. It
-// lets nobody go before it does.
+// lets nobody go before it does, or at the first start of all until it has seen which
+// runners there are.
 func (f *fleetDuty) decide(now time.Duration, demand fleet.Estimate) (fleet.Decision, fleet.Wanted) {
 	d, w := f.plan(now, demand)
-	if !demand.Settled && !f.edge.set.FirstStart {
+	if !demand.Settled && (!f.edge.set.FirstStart || now < f.seen+stillComing) {
 		d.Stops = nil
 	}
 	return d, w
@@ -134,13 +138,19 @@
 	plenty.SurviveLoss, plenty.ReclaimsOnly = true, true
 	offers, vms := f.offers(false), f.orders.VMs()
 	if now >= f.scarceUntil {
-		return f.planner.Decide(now, plenty, offers, vms), plenty
+		d := f.planner.Decide(now, plenty, offers, vms)
+		if len(d.Stops) == 0 {
+			// What is to come at a fraction of the price needs no more than is
+			// needed to stand in for it.
+			d.Stops = fleet.Spare(vms, offers, needed.Runners, needed.MinPerDomain)
+		}
+		return d, plenty
 	}
 	d := f.planner.Decide(now, needed, offers, vms)
 	d.Stops = fleet.Spare(vms, offers, int(math.Ceil(scarceKept*float64(needed.Runners))), needed.MinPerDomain)
 	if len(d.Starts) == 0 {
 		left := plenty
-		left.Runners = int(math.Ceil(leftShare * float64(needed.Runners)))
+		left.Runners = needed.Runners
 		d.Starts = f.planner.Decide(now, left, offers, vms).Starts
 	}
 	if now >= f.askAgain {
@@ -198,6 +208,7 @@
 		}
 		if r.Reclaimable && !r.LeavesAt.IsZero() {
 			f.scarceUntil = f.edge.deps.Steady() + scarceFor
+			f.orders.Reclaimed(poolOf(&r))
 		}
 	}
 	return present
--- a/daemon/edge/fleet_test.go
+++ b/daemon/edge/fleet_test.go
@@ -30,15 +30,18 @@
 func (w *world) addFleet(perDomain int, reclaimable bool) {
 	for _, domain := range domains {
 		for i := range perDomain {
-			id := string(domain) + string(rune('a'+i))
-			w.put(runnerPrefix+id, edge.Runner{Runner: view.Runner{
-				ID: ident.RunnerID(id), Address: id, Service: "app", FailureDomain: domain, State: view.Live, Reclaimable: reclaimable,
-			}, Slots: 64})
-			w.runners.add(id)
+			w.addRunnerOf(domain, string(domain)+string(rune('a'+i)), reclaimable)
 		}
 	}
 }
 
+func (w *world) addRunnerOf(domain ident.FailureDomain, id string, reclaimable bool) {
+	w.put(runnerPrefix+id, edge.Runner{Runner: view.Runner{
+		ID: ident.RunnerID(id), Address: id, Service: "app", FailureDomain: domain, State: view.Live, Reclaimable: reclaimable,
+	}, Slots: 64})
+	w.runners.add(id)
+}
+
 // Reclaimable runners run out for a while, and what stands in for them costs five
 // times as much. They were asked for every two to four seconds, failure domain by
 // failure domain, so the dear ones ran on for seconds after the cheap ones were to be
@@ -80,6 +83,51 @@
 	})
 }
 
+// A service starts with all its runners at the full price and no traffic. They were all
+// kept until cheaper ones served, at several times the cost of what was needed to stand
+// in for these; then, as runners register one after the other, the first that were seen
+// were taken for all there are, and too many were given back.
+func TestFirstRunnersAtTheFullPriceAreGivenBackOnceAllAreSeen(t *testing.T) {
+	inWorld(t, 1, scaled(), func(w *world) {
+		w.addDomain("north", 5)
+		time.Sleep(1200 * time.Millisecond)
+		for _, o := range w.cloud.ordered() {
+			w.True(o.Reclaimable) // nobody is given back yet
+		}
+		for _, domain := range domains[1:] {
+			w.addDomain(domain, 5)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		w.Equal(w.cloud.wantedAtFullPrice(), 10) // half of what was there at first
+	})
+}
+
+// addDomain adds runners of one failure domain at the full price.
+func (w *world) addDomain(domain ident.FailureDomain, n int) {
+	for i := range n {
+		w.addRunnerOf(domain, string(domain)+string(rune('a'+i)), false)
+	}
+}
+
+// wantedAtFullPrice is what the last orders ask for in all failure domains that were
+// ordered from, where five were at first.
+func (c *cloud) wantedAtFullPrice() int {
+	wanted := map[ident.FailureDomain]int{}
+	for _, domain := range domains {
+		wanted[domain] = 5
+	}
+	for _, o := range c.ordered() {
+		if !o.Reclaimable {
+			wanted[o.FailureDomain] = o.Runners
+		}
+	}
+	sum := 0
+	for _, n := range wanted {
+		sum += n
+	}
+	return sum
+}
+
 // runDry lets reclaimable runners be hard to get.
 func (c *cloud) runDry(dry bool) {
 	c.mu.Lock()
