Learn the engines' speed right after a restart; log what a request costs

Change: the model learns at once (it takes the quicker part, so prompts thought to be cached that are not do little), and homes are trusted for 20 s.

--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -14,3 +14,11 @@
 	e.fresh.Read(uint64(revision), e.deps.Steady())
 	e.putInForce(route.NewTable(c), revision)
 }
+
+// EngineRate is the tokens a second that a service's engines are taken to read.
+func (e *Edge) EngineRate(service string) float64 {
+	p := e.pool(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.engines.Rate()
+}
--- a/daemon/edge/fleet_test.go
+++ b/daemon/edge/fleet_test.go
@@ -1,12 +1,17 @@
 package edge_test
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/route"
 )
 
@@ -102,6 +107,41 @@
 	})
 }
 
+// All daemons are killed at once, and what they knew of the engines' speed is gone. For
+// ten seconds they took nothing for known and learned nothing, so engines were taken to
+// be half as fast as they are, and twice the runners were ordered while callers came
+// back. The speed must be known again after some tens of prompts.
+func TestSpeedOfEnginesIsLearnedRightAfterARestart(t *testing.T) {
+	const rate, prompt = 100_000, 4000
+	inWorld(t, 1, scaled(), func(w *world) {
+		w.addFleet(1, true)
+		for _, domain := range domains {
+			w.runners.add(string(domain) + "a").play(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+				time.Sleep(time.Duration(prompt) * time.Second / rate)
+				return events("id: 1\ndata: x\n\n", io.EOF), nil
+			})
+		}
+		w.daemons[0].kill()
+		w.notFirst = true
+		d := w.restart(0)
+		time.Sleep(time.Second)
+		for i := range 80 {
+			w.prompt(d, prompt, i)
+		}
+		w.True(time.Since(w.start) < 10*time.Second)
+		w.True(d.EngineRate("app") > 0.8*rate)
+	})
+}
+
+// prompt sends a prompt that shares nothing to the stream's route.
+func (w *world) prompt(d *daemon, tokens, i int) {
+	d.Serve(context.Background(), &edge.Request{
+		ID: fmt.Sprintf("prompt-%d", i), Host: host, Path: "/match/", Method: http.MethodPost, Target: "/match/",
+		Header: http.Header{}, Key: key, Received: time.Now(),
+		Prompt: edge.Prompt{PromptTokens: tokens, OutputTokens: 10, ExpectedOutput: 10, Prefix: []prefix.Hash{prefix.Hash(i + 1)}, PrefixTokens: []int{tokens}},
+	}, &answer{})
+}
+
 // addDomain adds runners of one failure domain at the full price.
 func (w *world) addDomain(domain ident.FailureDomain, n int) {
 	for i := range n {
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -52,7 +52,7 @@
 	fetchGain = 4
 	// forgetfulFor is how long after a restart a daemon knows too little of what the
 	// runners have cached. Most of what is asked for again is so within seconds.
-	forgetfulFor = 10 * time.Second
+	forgetfulFor = 20 * time.Second
 	// placedTold is how long the others are told of a placement: about three
 	// messages.
 	placedTold = 350 * time.Millisecond
@@ -322,7 +322,7 @@
 	if p.service.Engine == nil {
 		return
 	}
-	if c.FetchFrom == "" && !p.forgetful() {
+	if c.FetchFrom == "" {
 		p.engines.Observe(prefill.Sample{Tokens: c.Uncached, Ahead: c.Ahead, Took: took})
 	}
 	if c.Estimate < leastEstimate {
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -214,8 +214,9 @@
 	if ok {
 		return nil
 	}
+	cost := s.cost
 	s.cost = 0
-	return refusal.New(refusal.WorkspaceLimit, "quota of the workspace is used up").After(wait)
+	return refusal.New(refusal.WorkspaceLimit, "quota of the workspace is used up, the request costs %.0f", cost).After(wait)
 }
 
 func costOf(q *route.Quota, p *Prompt) float64 {
