Let each mechanism be switched off alone, to measure what it is worth

Cause: the users ask for an ablation; switching a mechanism off took an edit of the sources. What keeps a promise to callers is no mechanism.

--- a/cmd/geraniumd/main.go
+++ b/cmd/geraniumd/main.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/daemon"
+	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/daemon/settings"
 	"geraniumstack.org/geraniumstack/platform"
 	"geraniumstack.org/geraniumstack/state/document"
@@ -31,10 +32,11 @@
 func run() int {
 	klog.InitFlags(nil)
 	path := flag.String("settings", "", "the settings file (JSON)")
+	without := flag.String("without", "", "mechanisms to leave out on the users' platform, separated by commas, to measure what they are worth")
 	flag.Parse()
 	defer klog.Flush()
 	if onPlatform := os.Getenv(platform.SettingsEnv); *path == "" && onPlatform != "" {
-		return runOnPlatform(onPlatform)
+		return runOnPlatform(onPlatform, *without)
 	}
 	s, err := settings.Load(*path)
 	if err != nil {
@@ -55,7 +57,12 @@
 }
 
 // runOnPlatform serves until SIGTERM. The log goes to standard output.
-func runOnPlatform(path string) int {
+func runOnPlatform(path, without string) int {
+	policy, err := edge.Without(without)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitInvalid
+	}
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -65,7 +72,7 @@
 			return exitFailure
 		}
 	}
-	err := platform.Run(path, platform.Signals{Stop: stop, Reload: reload})
+	err = platform.Run(path, platform.Signals{Stop: stop, Reload: reload}, policy)
 	if err == nil {
 		return 0
 	}
--- a/daemon/edge/demand.go
+++ b/daemon/edge/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/fleet"
@@ -15,6 +16,18 @@
 // defaultWait is what callers are taken to bear where no route tells it.
 const defaultWait = 500 * time.Millisecond
 
+// demandConfig is the measure's without what the policy leaves out.
+func demandConfig(p Policy) fleet.DemandConfig {
+	c := fleet.DefaultDemand()
+	if !p.Uses(RoomForStreams) {
+		c.Slowdown = math.Inf(1)
+	}
+	if !p.Uses(RoomForChance) {
+		c.Risk, c.Ample = 0, 0
+	}
+	return c
+}
+
 // measureDemand takes in the work that has come to a service.
 func (p *pool) measureDemand(now time.Duration) {
 	wait := defaultWait
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -136,7 +136,7 @@
 // Run works until the context ends. Draining is begun by Drain before that.
 func (e *Edge) Run(ctx context.Context) error {
 	e.log.Note("start", decisions.F("daemon", e.set.ID), decisions.F("incarnation", e.self),
-		decisions.F("failure_domain", e.set.FailureDomain), decisions.F("first_start", e.set.FirstStart))
+		decisions.F("failure_domain", e.set.FailureDomain), decisions.F("first_start", e.set.FirstStart), decisions.F("without", e.set.Policy))
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.receive(ctx) })
 	group.Go(func() error { e.tell(ctx); return nil })
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -135,9 +135,9 @@
 	}
 	plenty := needed
 	plenty.Runners = f.ample(demand)
-	plenty.SurviveLoss, plenty.ReclaimsOnly = true, true
+	plenty.SurviveLoss, plenty.ReclaimsOnly = f.uses(SpareRunners), true
 	offers, vms := f.offers(false), f.orders.VMs()
-	if now >= f.scarceUntil {
+	if now >= f.scarceUntil || !f.uses(Scarcity) {
 		d := f.planner.Decide(now, plenty, offers, vms)
 		if len(d.Stops) == 0 {
 			// What is to come at a fraction of the price needs no more than is
@@ -153,7 +153,7 @@
 		left.Runners = needed.Runners
 		d.Starts = f.planner.Decide(now, left, offers, vms).Starts
 	}
-	if now >= f.askAgain {
+	if now >= f.askAgain && f.uses(AskOften) {
 		f.askAgain = now + askEvery
 		d.Starts = append(d.Starts, f.ask(plenty.Runners)...)
 	}
@@ -179,9 +179,12 @@
 // since they follow each other sooner than a runner that is ordered at the first one
 // serves. More than reclaimable ones can give are not worth the full price.
 func (f *fleetDuty) ample(demand fleet.Estimate) int {
+	if !f.uses(SpareRunners) {
+		return demand.Runners
+	}
 	domains := len(f.service.Scaling.Prices)
 	ample := demand.Comfortable
-	if domains > 2 {
+	if domains > 2 && f.uses(TwoReclaims) {
 		ample = max(ample, (demand.Runners*(domains-1)+domains-3)/(domains-2))
 	}
 	if most := f.service.Scaling.Max * (domains - 1); f.service.Scaling.Max > 0 {
@@ -190,6 +193,8 @@
 	return max(ample, demand.Runners)
 }
 
+func (f *fleetDuty) uses(m Mechanism) bool { return f.edge.set.Policy.Uses(m) }
+
 // look counts the runners of each pool that take new work.
 func (f *fleetDuty) look(p *pool) map[fleet.Pool]int {
 	present := map[fleet.Pool]int{}
--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -48,8 +48,10 @@
 			})
 		}
 	}
-	for _, id := range e.dir.noticedSince(now - noticeTold) {
-		h.Leaving = append(h.Leaving, string(id))
+	if e.set.Policy.Uses(TellLeaving) {
+		for _, id := range e.dir.noticedSince(now - noticeTold) {
+			h.Leaving = append(h.Leaving, string(id))
+		}
 	}
 	h.Addresses = inTurn(e.peers.Addresses(), e.seq)
 	return h
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -108,13 +108,14 @@
 		active:  map[ident.RunnerID]*activity{},
 		prefill: firstPrefillRate,
 		engines: prefill.New(firstPrefillRate),
-		demand:  fleet.NewDemand(fleet.DefaultDemand(), e.set.FirstStart),
+		demand:  fleet.NewDemand(demandConfig(e.set.Policy), e.set.FirstStart),
 	}
 }
 
 func tableConfig(e *Edge, s route.Service) routing.Config {
 	c := routing.Default(e.set.ID, e.set.FailureDomain)
 	c.RemotePenalty = remotePenalty
+	c.IgnorePrefix = !e.set.Policy.Uses(PlaceByPrefix)
 	// The daemons tell each other their load several times a second, so the best
 	// of all runners is not the same one for all of them for long.
 	c.Samples = 0
@@ -287,11 +288,14 @@
 func (p *pool) fetches() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.service.Engine != nil && p.service.Engine.FetchRate > fetchGain*p.engines.Rate()
+	return p.edge.set.Policy.Uses(CopyParts) && p.service.Engine != nil && p.service.Engine.FetchRate > fetchGain*p.engines.Rate()
 }
 
 // recent appends what was placed a moment ago, for the other daemons.
 func (p *pool) recent(now time.Time, dst []*peersv1.Placed) []*peersv1.Placed {
+	if !p.edge.set.Policy.Uses(TellPlacements) {
+		return dst
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placed = slices.DeleteFunc(p.placed, func(one placed) bool { return now.Sub(one.at) > placedTold })
@@ -322,7 +326,7 @@
 	if p.service.Engine == nil {
 		return
 	}
-	if c.FetchFrom == "" {
+	if c.FetchFrom == "" && p.edge.set.Policy.Uses(LearnSpeed) {
 		p.engines.Observe(prefill.Sample{Tokens: c.Uncached, Ahead: c.Ahead, Took: took})
 	}
 	if c.Estimate < leastEstimate {
@@ -335,7 +339,7 @@
 // forgetful says that this daemon has restarted and knows too little yet of what the
 // runners have cached.
 func (p *pool) forgetful() bool {
-	return !p.edge.set.FirstStart && p.edge.deps.Steady()-p.edge.began < forgetfulFor
+	return p.edge.set.Policy.Uses(TrustHomes) && !p.edge.set.FirstStart && p.edge.deps.Steady()-p.edge.began < forgetfulFor
 }
 
 func (p *pool) finished(k *routing.Ticket, tokens int) {
@@ -349,6 +353,9 @@
 
 // observe takes in how a call to a runner went.
 func (p *pool) observe(id ident.RunnerID, o health.Outcome) {
+	if !p.edge.set.Policy.Uses(Ejection) {
+		return
+	}
 	p.mu.Lock()
 	effects := p.tracker.Observe(time.Now(), id, o, nil)
 	p.mu.Unlock()
@@ -428,7 +435,9 @@
 		for _, p := range e.pools {
 			p.share(e.set.Bounds, size)
 			p.tick(time.Now())
-			p.watchSilence(time.Now())
+			if e.set.Policy.Uses(ProbeSilent) {
+				p.watchSilence(time.Now())
+			}
 			if p.scales() {
 				p.measureDemand(e.deps.Steady())
 			}
--- a/daemon/edge/relay.go
+++ b/daemon/edge/relay.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return nil, s.withoutRunner(err)
 	}
-	if late := choice.Estimate - s.useful(now); late > 0 {
+	if late := choice.Estimate - s.useful(now); late > 0 && s.edge.set.Policy.Uses(RefuseEarly) {
 		return nil, s.tooLate(late, choice)
 	}
 	a := &attempt{s: s, choice: choice, sent: now}
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -114,10 +114,14 @@
 	}
 	s.place = placement(s.req)
 	s.place.Fetchable = s.pool.fetches()
+	attempts := max(1, s.route.MaxAttempts)
+	if !s.edge.set.Policy.Uses(Retries) {
+		attempts = 1
+	}
 	s.exchange.Terms = forward.Terms{
 		Repeatable:  s.route.Repeatable(),
 		Resumable:   s.route.Resumable,
-		MaxAttempts: max(1, s.route.MaxAttempts),
+		MaxAttempts: attempts,
 		Deadline:    s.deadline,
 	}
 	return nil
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -46,6 +46,7 @@
 	// FirstStart says that the fleet has not served before.
 	FirstStart bool
 	Bounds     Bounds
+	Policy     Policy
 }
 
 // Bounds are the users' figures for what the daemon owes.
