--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -82,9 +82,9 @@
 	leastWait = 5 * time.Millisecond
 	// steadyShare is the part of what a window may hold beyond the rate that is given
 	// out steadily, the rest at once. A workspace that sends a little over its rate
-	// all the time is within its quota in every window; with a bucket as large as the
-	// burst and refilled at the bare rate one of 45,000 tokens a second was refused
-	// 136 times in a minute. What is left holds several of the longest prompts.
+	// all the time is within its quota in every window, and would be refused by a
+	// bucket as large as the burst that is refilled at the bare rate. What is left
+	// holds several of the longest prompts.
 	steadyShare = 0.5
 	// adoptFor is how long after its start a daemon takes the others' level for
 	// its own knowledge.
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -31,9 +31,8 @@
 	// so that one call brings what changes together. It is a small part of the
 	// two seconds in which a change must be in force.
 	gatherFor = 60 * time.Millisecond
-	// gatherLong is the same in a larger fleet, where a change answers the watches
-	// of all daemons: with 33 daemons three changes a second made a hundred calls a
-	// second. What can't wait is told by peers: a newer configuration and runners that
+	// gatherLong is the same in a larger fleet, where each change answers the watches
+	// of all daemons. What can't wait is told by peers: a newer configuration and runners that
 	// are leaving. The daemon that orders runners doesn't wait that long, since a
 	// reclaim is followed by an order, so there is always one that has read them.
 	gatherLong = 800 * time.Millisecond
--- /dev/null
+++ b/daemon/edge/order.go
@@ -0,0 +1,103 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/fleet"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+)
+
+// Classes of runners that can be ordered.
+const (
+	onDemand    = "on_demand"
+	reclaimable = "reclaimable"
+)
+
+func poolOf(r *Runner) fleet.Pool {
+	class := onDemand
+	if r.Reclaimable {
+		class = reclaimable
+	}
+	return fleet.Pool{FailureDomain: r.FailureDomain, Class: class}
+}
+
+func (f *fleetDuty) offers(reclaimableOnly bool) []fleet.Offer {
+	var offers []fleet.Offer
+	s := f.service.Scaling
+	for domain, price := range s.Prices {
+		if !reclaimableOnly {
+			offers = append(offers, fleet.Offer{Pool: fleet.Pool{FailureDomain: domain, Class: onDemand}, PricePerHour: price})
+		}
+		if s.ReclaimableRate > 0 {
+			offers = append(offers, fleet.Offer{
+				Pool: fleet.Pool{FailureDomain: domain, Class: reclaimable}, Reclaimable: true, PricePerHour: price * s.ReclaimableRate,
+			})
+		}
+	}
+	return offers
+}
+
+// carryOut turns a decision into numbers to order of each pool. A pool that has
+// none to give is asked again later, and the next round plans without it.
+func (f *fleetDuty) carryOut(ctx context.Context, now time.Duration, d fleet.Decision, w fleet.Wanted) {
+	changes := map[fleet.Pool]int{}
+	for _, s := range d.Starts {
+		changes[s.Pool]++
+	}
+	byID := map[string]fleet.Pool{}
+	for _, v := range f.orders.VMs() {
+		byID[v.ID] = v.Pool
+	}
+	for _, id := range d.Stops {
+		changes[byID[id]]--
+	}
+	for pool, n := range changes {
+		if n == 0 {
+			continue
+		}
+		f.change(ctx, now, pool, n, w)
+	}
+}
+
+func (f *fleetDuty) change(ctx context.Context, now time.Duration, pool fleet.Pool, n int, w fleet.Wanted) {
+	duty, ok := f.edge.permit()
+	if !ok {
+		return
+	}
+	f.orders.Change(now, pool, n)
+	order := Order{
+		Service:       f.service.Name,
+		FailureDomain: pool.FailureDomain,
+		Reclaimable:   pool.Class == reclaimable,
+		Runners:       f.orders.Wanted(pool),
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	err := f.edge.deps.Cloud.Order(callCtx, duty, order)
+	cancel()
+	outcome := "ordered"
+	var none *NoneAvailableError
+	switch {
+	case err == nil:
+		f.planner.Started(pool)
+		if order.Reclaimable && n > 0 {
+			// They are to be had again. What costs more goes once these serve.
+			f.scarceUntil = now
+			f.planner.Reopen()
+		}
+	case errors.As(err, &none):
+		outcome = "none_available"
+		f.orders.Undo(pool, n)
+		f.planner.Refused(now, pool)
+		f.scarceUntil = now + scarceFor
+	default:
+		// It may have been taken. The same number is ordered again if it does
+		// not show.
+		outcome = err.Error()
+		f.orders.Undo(pool, n)
+	}
+	f.edge.log.Note("order", decisions.F("service", order.Service), decisions.F("failure_domain", order.FailureDomain),
+		decisions.F("reclaimable", order.Reclaimable), decisions.F("runners", order.Runners), decisions.F("change", n),
+		decisions.F("needed", w.Runners), decisions.F("token", duty.Token), decisions.F("outcome", outcome))
+}
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -12,8 +11,6 @@
 	"geraniumstack.org/geraniumstack/coordination/prefill"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
-	"geraniumstack.org/geraniumstack/daemon/decisions"
-	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/load"
@@ -47,15 +44,6 @@
 	// budgetKept is the part of the shared retry budget that is used; the rest
 	// covers daemons that started anew.
 	budgetKept = 0.85
-	// fetchGain is how many times faster than reading a copy must be. Where it is
-	// measured it is eight times as fast, and costs 0.6 of what reading again does.
-	fetchGain = 4
-	// forgetfulFor is how long after a restart a daemon knows too little of what the
-	// runners have cached. Most of what is asked for again is so within seconds.
-	forgetfulFor = 20 * time.Second
-	// placedTold is how long the others are told of a placement: about three
-	// messages.
-	placedTold = 350 * time.Millisecond
 )
 
 // pool is one service's runners as one daemon uses them.
@@ -88,13 +76,6 @@
 	placed []placed
 }
 
-// placed is a prompt's shared parts and where they were sent.
-type placed struct {
-	at     time.Time
-	runner ident.RunnerID
-	prefix []prefix.Hash
-}
-
 func newPool(e *Edge, s route.Service) *pool {
 	return &pool{
 		edge:    e,
@@ -121,8 +102,8 @@
 	c.Samples = 0
 	// What is known of a runner's load is the daemons' own counts, which neither
 	// lag for long nor lie. A bound on the number of requests at one runner would
-	// send prompts away from where they are cached: with half a request a runner
-	// on average the second one is over twice the mean.
+	// send prompts away from where they are cached: where runners are mostly idle
+	// the second request of one is already far above the mean.
 	c.LoadBound = 0
 	if s.Engine == nil {
 		c.PrefillRate = defaultSlots / plainServiceTime.Seconds()
@@ -136,18 +117,6 @@
 	return c
 }
 
-func healthConfig() health.Config {
-	c := health.Default()
-	// A request is bounded by seconds, so a runner that fails them must be tried
-	// again within seconds, too.
-	c.Ejection = time.Second
-	c.MaxEjection = 8 * time.Second
-	c.Window = 3 * time.Second
-	// A runner that is there answers its health check in milliseconds.
-	c.ProbeTimeout = 400 * time.Millisecond
-	return c
-}
-
 // retryConfig has short waits: the next attempt goes to another runner, which
 // has not asked for any.
 func retryConfig(perFirst, perSecond, burst float64) retry.Config {
@@ -283,35 +252,6 @@
 	return p.service.Engine != nil
 }
 
-// fetches tells whether a runner gets a cached prefix sooner from another runner
-// than by reading it again. A copy is paid for, too, so it must be much sooner.
-func (p *pool) fetches() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.edge.set.Policy.Uses(CopyParts) && p.service.Engine != nil && p.service.Engine.FetchRate > fetchGain*p.engines.Rate()
-}
-
-// recent appends what was placed a moment ago, for the other daemons.
-func (p *pool) recent(now time.Time, dst []*peersv1.Placed) []*peersv1.Placed {
-	if !p.edge.set.Policy.Uses(TellPlacements) {
-		return dst
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.placed = slices.DeleteFunc(p.placed, func(one placed) bool { return now.Sub(one.at) > placedTold })
-	for _, one := range p.placed {
-		dst = append(dst, &peersv1.Placed{Service: p.name, Runner: string(one.runner), Prefix: one.prefix})
-	}
-	return dst
-}
-
-// assume takes in what another daemon placed.
-func (p *pool) assume(id ident.RunnerID, chain []prefix.Hash) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.table.Assume(id, chain)
-}
-
 func (p *pool) notStarted(k *routing.Ticket, r *routing.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -336,12 +276,6 @@
 	p.prefill *= 1 + rateGain*(ratio-1)
 }
 
-// forgetful says that this daemon has restarted and knows too little yet of what the
-// runners have cached.
-func (p *pool) forgetful() bool {
-	return p.edge.set.Policy.Uses(TrustHomes) && !p.edge.set.FirstStart && p.edge.deps.Steady()-p.edge.began < forgetfulFor
-}
-
 func (p *pool) finished(k *routing.Ticket, tokens int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -351,56 +285,6 @@
 	}
 }
 
-// observe takes in how a call to a runner went.
-func (p *pool) observe(id ident.RunnerID, o health.Outcome) {
-	if !p.edge.set.Policy.Uses(Ejection) {
-		return
-	}
-	p.mu.Lock()
-	effects := p.tracker.Observe(time.Now(), id, o, nil)
-	p.mu.Unlock()
-	p.perform(effects)
-}
-
-func (p *pool) tick(now time.Time) {
-	p.mu.Lock()
-	effects := p.tracker.Tick(now, nil)
-	p.mu.Unlock()
-	p.perform(effects)
-}
-
-func (p *pool) perform(effects []health.Effect) {
-	for _, f := range effects {
-		switch f.Kind {
-		case health.Eject, health.Readmit:
-			p.mu.Lock()
-			p.table.SetEjected(f.Runner, f.Kind == health.Eject)
-			p.mu.Unlock()
-			p.edge.log.Note("runner_"+decisions.Event(f.Kind), decisions.F("runner", f.Runner), decisions.F("service", p.name))
-		case health.Probe:
-			go p.probe(f.Runner)
-		}
-	}
-}
-
-func (p *pool) probe(id ident.RunnerID) {
-	p.mu.Lock()
-	r, ok := p.runners[id]
-	path := p.service.HealthPath
-	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), healthConfig().ProbeTimeout)
-	defer cancel()
-	healthy := ok && p.edge.deps.Runners.Healthy(ctx, r.Address, path, id)
-	p.mu.Lock()
-	effects := p.tracker.Probed(time.Now(), id, healthy, nil)
-	p.mu.Unlock()
-	if !healthy {
-		p.abandon(id)
-	}
-	p.edge.log.Note("runner_probed", decisions.F("runner", id), decisions.F("healthy", healthy))
-	p.perform(effects)
-}
-
 // next answers a failed attempt under the pool's lock; see forward.Exchange.
 func (p *pool) next(decide func(*retry.Policy)) {
 	p.mu.Lock()
@@ -415,37 +299,6 @@
 	return p.table.OwnLoads(dst)
 }
 
-const healthEvery = 200 * time.Millisecond
-
-// watchHealth moves the pools' time on.
-func (e *Edge) watchHealth(ctx context.Context) {
-	ticker := time.NewTicker(healthEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		e.expireLapsed()
-		e.mu.Lock()
-		size := e.peers.Size()
-		e.mu.Unlock()
-		e.poolsMu.RLock()
-		for _, p := range e.pools {
-			p.share(e.set.Bounds, size)
-			p.tick(time.Now())
-			if e.set.Policy.Uses(ProbeSilent) {
-				p.watchSilence(time.Now())
-			}
-			if p.scales() {
-				p.measureDemand(e.deps.Steady())
-			}
-		}
-		e.poolsMu.RUnlock()
-	}
-}
-
 func (e *Edge) pool(service string) *pool {
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
--- /dev/null
+++ b/daemon/edge/watch.go
@@ -0,0 +1,103 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+const healthEvery = 200 * time.Millisecond
+
+// watchHealth moves the pools' time on.
+func (e *Edge) watchHealth(ctx context.Context) {
+	ticker := time.NewTicker(healthEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		e.expireLapsed()
+		e.mu.Lock()
+		size := e.peers.Size()
+		e.mu.Unlock()
+		e.poolsMu.RLock()
+		for _, p := range e.pools {
+			p.share(e.set.Bounds, size)
+			p.tick(time.Now())
+			if e.set.Policy.Uses(ProbeSilent) {
+				p.watchSilence(time.Now())
+			}
+			if p.scales() {
+				p.measureDemand(e.deps.Steady())
+			}
+		}
+		e.poolsMu.RUnlock()
+	}
+}
+
+func healthConfig() health.Config {
+	c := health.Default()
+	// A request is bounded by seconds, so a runner that fails them must be tried
+	// again within seconds, too.
+	c.Ejection = time.Second
+	c.MaxEjection = 8 * time.Second
+	c.Window = 3 * time.Second
+	// A runner that is there answers its health check in milliseconds.
+	c.ProbeTimeout = 400 * time.Millisecond
+	return c
+}
+
+// observe takes in how a call to a runner went.
+func (p *pool) observe(id ident.RunnerID, o health.Outcome) {
+	if !p.edge.set.Policy.Uses(Ejection) {
+		return
+	}
+	p.mu.Lock()
+	effects := p.tracker.Observe(time.Now(), id, o, nil)
+	p.mu.Unlock()
+	p.perform(effects)
+}
+
+func (p *pool) tick(now time.Time) {
+	p.mu.Lock()
+	effects := p.tracker.Tick(now, nil)
+	p.mu.Unlock()
+	p.perform(effects)
+}
+
+func (p *pool) perform(effects []health.Effect) {
+	for _, f := range effects {
+		switch f.Kind {
+		case health.Eject, health.Readmit:
+			p.mu.Lock()
+			p.table.SetEjected(f.Runner, f.Kind == health.Eject)
+			p.mu.Unlock()
+			p.edge.log.Note("runner_"+decisions.Event(f.Kind), decisions.F("runner", f.Runner), decisions.F("service", p.name))
+		case health.Probe:
+			go p.probe(f.Runner)
+		}
+	}
+}
+
+func (p *pool) probe(id ident.RunnerID) {
+	p.mu.Lock()
+	r, ok := p.runners[id]
+	path := p.service.HealthPath
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), healthConfig().ProbeTimeout)
+	defer cancel()
+	healthy := ok && p.edge.deps.Runners.Healthy(ctx, r.Address, path, id)
+	p.mu.Lock()
+	effects := p.tracker.Probed(time.Now(), id, healthy, nil)
+	p.mu.Unlock()
+	if !healthy {
+		p.abandon(id)
+	}
+	p.edge.log.Note("runner_probed", decisions.F("runner", id), decisions.F("healthy", healthy))
+	p.perform(effects)
+}
