Learn the engines' speed once, for the demand and for the choice of a runner

Cause: two estimates of one speed stood beside each other, one moved by the ratio of expected to seen times, one by the quicker times. Change: the choice uses the second, the first is gone.

--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -22,15 +22,6 @@
 	// firstPrefillRate, in tokens per second, stands in until first tokens have
 	// been timed. It is what a 70B model's engine reads on eight accelerators.
 	firstPrefillRate = 40_000
-	// rateGain is the weight of one timed first token in the learned rate; about
-	// twenty requests move it.
-	rateGain = 0.05
-	// rateStep bounds what one request may move the rate by, as a factor: one
-	// that waited behind work that nobody told of says little of the rate.
-	rateStep = 2
-	// leastEstimate is the expected time to first token below which the way
-	// there weighs more than the prefill, so that it says nothing of the rate.
-	leastEstimate = 20 * time.Millisecond
 	// engineDecodeRate is tokens per second of one request in a half-full batch.
 	engineDecodeRate = 150
 	// plainServiceTime stands in for the mean time that a plain service's request
@@ -61,8 +52,7 @@
 	// others is the work of the other daemons at each runner.
 	others map[ident.RunnerID]routing.OwnLoad
 	// active is what is in progress at each runner.
-	active  map[ident.RunnerID]*activity
-	prefill float64
+	active map[ident.RunnerID]*activity
 	// engines is what is known of the runners' speed.
 	engines *prefill.Model
 	// offered is the prompt tokens that callers brought here and that had to be
@@ -87,7 +77,6 @@
 		runners: map[ident.RunnerID]Runner{},
 		others:  map[ident.RunnerID]routing.OwnLoad{},
 		active:  map[ident.RunnerID]*activity{},
-		prefill: firstPrefillRate,
 		engines: prefill.New(firstPrefillRate),
 		demand:  fleet.NewDemand(demandConfig(e.set.Policy), e.set.FirstStart),
 	}
@@ -209,7 +198,7 @@
 	}
 	if p.service.Engine != nil {
 		rep.KVBlocksTotal = p.service.Engine.KVTokens / prefix.BlockTokens
-		rep.PrefillRate = p.prefill
+		rep.PrefillRate = p.engines.Rate()
 	}
 	return rep
 }
@@ -269,11 +258,6 @@
 	if c.FetchFrom == "" && p.edge.set.Policy.Uses(LearnSpeed) {
 		p.engines.Observe(prefill.Sample{Tokens: c.Uncached, Ahead: c.Ahead, Took: took})
 	}
-	if c.Estimate < leastEstimate {
-		return
-	}
-	ratio := min(rateStep, max(1.0/rateStep, c.Estimate.Seconds()/max(took, time.Millisecond).Seconds()))
-	p.prefill *= 1 + rateGain*(ratio-1)
 }
 
 func (p *pool) finished(k *routing.Ticket, tokens int) {
