Sum up what failed in daemons' logs by cause

Change: geraniumctl causes groups refusals, streams that broke off, callers that left and failed attempts by reason, route, workspace, runner, daemon or second. The logs of several daemons are read in one way by both commands. Test: TestCauses.

--- /dev/null
+++ b/ctl/causes.go
@@ -0,0 +1,157 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+)
+
+// causesCmd sums up what ended requests without an answer, where the question is not one
+// request but which of them fail, when, and at whom.
+type causesCmd struct {
+	common
+	by   string
+	most int
+}
+
+// defaultCauses is how many causes are shown unless the caller asks for more.
+const defaultCauses = 20
+
+func (*causesCmd) Name() string     { return "causes" }
+func (*causesCmd) Synopsis() string { return "sum up by cause what failed in daemons' logs" }
+func (*causesCmd) Usage() string {
+	return "causes [flags] [LOG...]\n  Reads standard input if no log is named.\n"
+}
+
+func (p *causesCmd) SetFlags(f *flag.FlagSet) {
+	p.setFlags(f)
+	f.StringVar(&p.by, "by", "reason,route", "what to tell apart beside the event: reason, route, workspace, runner, daemon, second")
+	f.IntVar(&p.most, "most", defaultCauses, "how many causes to show, the most frequent first")
+}
+
+// Cause is a kind of failure and how often it came.
+type Cause struct {
+	Event string `json:"event"`
+	// Key holds what the failures have in common, in the order that was asked for.
+	Key   []string `json:"key"`
+	Count int      `json:"count"`
+}
+
+// Causes are the failures of some logs.
+type Causes struct {
+	By     []string `json:"by"`
+	Causes []Cause  `json:"causes"`
+	// Total counts all failures, also of causes that are not shown.
+	Total int `json:"total"`
+}
+
+// failures are the events that end a request, or an attempt, without an answer.
+var failures = []string{"refused", "broken_off", "caller_left", "attempt_failed"}
+
+// groupings are what causes can be told apart by.
+var groupings = []string{"reason", "route", "workspace", "runner", "daemon", "second"}
+
+// UnknownGroupingError says that causes can't be told apart by a name.
+type UnknownGroupingError struct{ Name string }
+
+func (e *UnknownGroupingError) Error() string {
+	return fmt.Sprintf("can't group by %q; known: %s", e.Name, strings.Join(groupings, ", "))
+}
+
+func (p *causesCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	by := strings.Split(p.by, ",")
+	for _, name := range by {
+		if !slices.Contains(groupings, name) {
+			return p.fail(&UnknownGroupingError{name})
+		}
+	}
+	c := newCounter(by)
+	if err := readLogs(f.Args(), c.take); err != nil {
+		return p.fail(err)
+	}
+	causes := c.causes(p.most)
+	p.print(causes, causes.write)
+	return subcommands.ExitSuccess
+}
+
+// counter counts failures by what tells them apart.
+type counter struct {
+	by     []string
+	counts map[string]*Cause
+	total  int
+}
+
+func newCounter(by []string) *counter { return &counter{by: by, counts: map[string]*Cause{}} }
+
+func (c *counter) take(line string) {
+	d := parseDecision(line)
+	if !slices.Contains(failures, d.Event) {
+		return
+	}
+	c.total++
+	key := make([]string, len(c.by))
+	for i, name := range c.by {
+		key[i] = d.group(name)
+	}
+	id := d.Event + "\x00" + strings.Join(key, "\x00")
+	if c.counts[id] == nil {
+		c.counts[id] = &Cause{Event: d.Event, Key: key}
+	}
+	c.counts[id].Count++
+}
+
+func (c *counter) causes(most int) Causes {
+	all := Causes{By: c.by, Total: c.total, Causes: []Cause{}}
+	for _, cause := range c.counts {
+		all.Causes = append(all.Causes, *cause)
+	}
+	slices.SortFunc(all.Causes, func(a, b Cause) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Event, b.Event), slices.Compare(a.Key, b.Key))
+	})
+	all.Causes = all.Causes[:min(max(most, 0), len(all.Causes))]
+	return all
+}
+
+var clockForm = regexp.MustCompile(`\d\d:\d\d:\d\d`)
+
+// group is what tells the decision apart by one of groupings.
+func (d *Decision) group(name string) string {
+	switch name {
+	case "second":
+		return clockForm.FindString(d.Source)
+	case "daemon":
+		return sourceDaemon(d.Source)
+	default:
+		return d.Fields[name]
+	}
+}
+
+// sourceDaemon is the word before a line's own header, where logs of several daemons
+// were put together; empty if there is none.
+func sourceDaemon(source string) string {
+	words := strings.Fields(source)
+	for i, word := range words {
+		if i > 0 && len(word) == len("I0102") && strings.ContainsRune("IWEF", rune(word[0])) {
+			return words[i-1]
+		}
+	}
+	return ""
+}
+
+func (c Causes) write(w io.Writer) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "count\tevent\t%s\n", strings.Join(c.By, "\t"))
+	for _, cause := range c.Causes {
+		fmt.Fprintf(table, "%d\t%s\t%s\n", cause.Count, cause.Event, strings.Join(cause.Key, "\t"))
+	}
+	table.Flush()
+	fmt.Fprintf(w, "%d in all\n", c.Total)
+}
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -44,15 +44,14 @@
 		return p.fail(&UsageError{Want: "a request's id"})
 	}
 	e := Explanation{Request: f.Arg(0)}
-	if f.NArg() == 1 {
-		if err := e.read(os.Stdin); err != nil {
-			return p.fail(err)
-		}
-	}
-	for _, name := range f.Args()[1:] {
-		if err := e.readFile(name); err != nil {
-			return p.fail(err)
+	mark := fmt.Sprintf("request=%q", e.Request)
+	err := readLogs(f.Args()[1:], func(line string) {
+		if strings.Contains(line, mark) {
+			e.Decisions = append(e.Decisions, parseDecision(line))
 		}
+	})
+	if err != nil {
+		return p.fail(err)
 	}
 	e.Summary = e.summary()
 	p.print(e, e.write)
@@ -62,26 +61,33 @@
 	return subcommands.ExitSuccess
 }
 
-func (e *Explanation) readFile(name string) error {
-	file, err := os.Open(name)
-	if err != nil {
-		return fmt.Errorf("open log: %w", err)
-	}
-	defer file.Close()
-	return e.read(file)
-}
-
 // maxLogLine bounds a line; decisions have a few hundred bytes.
 const maxLogLine = 1 << 20
 
-func (e *Explanation) read(r io.Reader) error {
+// readLogs hands over the lines of the files, or of standard input if none is named.
+func readLogs(names []string, take func(line string)) error {
+	if len(names) == 0 {
+		return readLines(os.Stdin, take)
+	}
+	for _, name := range names {
+		file, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		err = readLines(file, take)
+		file.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLines(r io.Reader, take func(line string)) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLogLine)
-	mark := fmt.Sprintf("request=%q", e.Request)
 	for lines.Scan() {
-		if strings.Contains(lines.Text(), mark) {
-			e.Decisions = append(e.Decisions, parseDecision(lines.Text()))
-		}
+		take(lines.Text())
 	}
 	if err := lines.Err(); err != nil {
 		return fmt.Errorf("read log: %w", err)
--- a/ctl/explain_test.go
+++ b/ctl/explain_test.go
@@ -41,6 +41,30 @@
 	is.Equal(execute(t, &explainCmd{common{out: &out, errs: &out}}, "cc", log), subcommands.ExitFailure)
 }
 
+// Many requests fail within seconds. Which, at which runner and why is asked of the logs of
+// all daemons together; lines that end no request don't count.
+func TestCauses(t *testing.T) {
+	is := is.New(t)
+	log := filepath.Join(t.TempDir(), "log")
+	lines := ""
+	for _, line := range strings.SplitAfter(strings.Repeat(logLines, 3), "\n") {
+		if line != "" {
+			lines += "  4.1 edge-b-1 " + line
+		}
+	}
+	is.NoErr(os.WriteFile(log, []byte(lines), 0o600))
+	var out bytes.Buffer
+	is.Equal(execute(t, &causesCmd{common: common{out: &out, errs: &out}}, "-by", "reason,runner,second,daemon", log), subcommands.ExitSuccess)
+	fields := strings.Fields(strings.Split(out.String(), "\n")[1])
+	is.Equal(fields, []string{"3", "attempt_failed", "silent", "i-1~5", "15:49:00", "edge-b-1"})
+	is.True(strings.Contains(out.String(), "6 in all"))
+	out.Reset()
+	is.Equal(execute(t, &causesCmd{common: common{out: &out, errs: &out}}, "-o", "json", "-most", "1", log), subcommands.ExitSuccess)
+	is.True(strings.Contains(out.String(), `"total": 6`))
+	is.Equal(strings.Count(out.String(), `"event"`), 1)
+	is.True(execute(t, &causesCmd{common: common{out: &out, errs: &out}}, "-by", "guess", log) != subcommands.ExitSuccess)
+}
+
 // A file of the platform's settings is checked by its own reader.
 func TestCheckPlatformSettings(t *testing.T) {
 	is := is.New(t)
