Take no surplus for a gain of moving; keep nothing spare where that is dear

Cause, seen by a test of a deployment without reclaimable runners: a fleet twice as large as needed and evenly spread started five more in the failure domain that the plan fills first, since the cost of the whole fleet was compared with the plan's; and spare runners were kept at the full price. A batch of few places was filled to the last one, and a plain service that scales was given one runner.

Change: worthMoving compares with what is left without the surplus; what is to be had again after a scarcity is moved to without a hold; ample is what is needed where reclaimable runners cost over half of the others; batches and plain services' places have the same room as reading.

--- a/coordination/fleet/change.go
+++ b/coordination/fleet/change.go
@@ -70,19 +70,40 @@
 	return starts
 }
 
+// worthMoving compares the plan with what would be left of the fleet without its
+// surplus. Against the whole fleet a surplus alone would look like a gain of moving,
+// and VMs be started in place of ones that only had to stay.
 func (t *turn) worthMoving() bool {
-	now := cost(t.have, t.offers)
+	now := cost(t.trimmed(), t.offers)
 	return now-cost(t.plan, t.offers) >= t.p.limits.MoveGain*now
 }
 
+// trimmed counts the VMs that are left when the dearest go as long as the target holds.
+func (t *turn) trimmed() map[Pool]int {
+	vms := slices.DeleteFunc(slices.Clone(t.vms), func(v VM) bool { return v.Leaving })
+	t.dearestFirst(vms)
+	left := t.spread(countPools(vms))
+	kept := map[Pool]int{}
+	for _, v := range vms {
+		left.add(v.Pool, -1)
+		if left.holds(t.wanted) {
+			continue
+		}
+		left.add(v.Pool, 1)
+		kept[v.Pool]++
+	}
+	return kept
+}
+
 func (t *turn) moves(starts []Start) []Start {
 	if !t.p.hasMoves {
 		t.p.hasMoves = true
 		t.p.movesFrom = t.now
 	}
-	if t.now < t.p.movesFrom+t.p.limits.SurplusHold {
+	if t.now < t.p.movesFrom+t.p.limits.SurplusHold && !t.p.reopened {
 		return nil
 	}
+	t.p.reopened = false
 	// VMs that are on their way in were moves of an earlier turn.
 	room := max(t.p.limits.MaxMoves-starting(t.vms), 0)
 	return starts[:min(len(starts), room)]
--- a/coordination/fleet/demand.go
+++ b/coordination/fleet/demand.go
@@ -10,8 +10,9 @@
 	// Risk is the standard deviations of the work that comes within Work.Wait
 	// for which there must be room, Ample the same where runners cost little.
 	Risk, Ample float64
-	// Slowdown is how many times as long as alone a stream may last while prompts
-	// are read between its tokens.
+	// Slowdown is how many times as long as alone a request may last: prompts are
+	// read between the tokens of streams, and the fuller a batch or the more places
+	// are taken, the longer each request takes.
 	Slowdown float64
 	// Rise and Fall are the time constants of the mean. A burst must be answered
 	// before it is over. AmpleFall is used where runners cost little: they are kept
@@ -160,11 +161,17 @@
 	d.ample.batch.add(&d.cfg, d.cfg.AmpleFall, float64(w.Requests), span)
 }
 
+// withRoom is what some work needs, with room for chance and so much that whatever is
+// in progress beside it is not slowed down too far.
+func (d *Demand) withRoom(mean, chance float64) float64 {
+	return max(mean+chance, mean/(1-1/d.cfg.Slowdown))
+}
+
 // runners is how many bear the work with room for so many standard deviations.
 func (d *Demand) runners(reading, batch *load, deviations, firstShare float64) int {
-	needed := max(reading.mean+deviations*d.deviation(reading), reading.mean/(1-1/d.cfg.Slowdown))
+	needed := d.withRoom(reading.mean, deviations*d.deviation(reading))
 	if d.slots > 0 {
-		requests := batch.mean + deviations*math.Sqrt(batch.mean)
+		requests := d.withRoom(batch.mean, deviations*math.Sqrt(batch.mean))
 		needed = max(needed, requests/float64(d.slots))
 	}
 	n := int(math.Ceil(needed))
--- a/coordination/fleet/demand_test.go
+++ b/coordination/fleet/demand_test.go
@@ -85,6 +85,9 @@
 	l := newLoad(false)
 	l.work.Slots = 16
 	is.True(l.run(20*time.Second, 10_000, 160).Runners >= 10)
+	l.work.Slots = 6 // a plain service's
+	l.work.PrefillRate = 0
+	is.True(l.run(20*time.Second, 0, 30).Runners >= 6)
 }
 
 // Four reclaims in thirteen seconds leave eight runners for the work of six and a half.
--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -122,6 +122,9 @@
 	hasSurplus   bool
 	movesFrom    time.Duration
 	hasMoves     bool
+	// reopened says that the next move need not wait: what runs stood in for VMs
+	// that are to be had again.
+	reopened bool
 }
 
 // New returns a planner that knows of no refusals or reclaims.
@@ -152,8 +155,9 @@
 func (p *Planner) Started(id Pool) { p.pool(id).refusals = 0 }
 
 // Reopen tells that VMs which were hard to get in all pools are to be had again, so
-// that earlier refusals say nothing any more.
+// that earlier refusals say nothing any more and moving to them need not wait.
 func (p *Planner) Reopen() {
+	p.reopened = true
 	for _, s := range p.pools {
 		s.refusals, s.until = 0, 0
 	}
--- a/coordination/fleet/fleet_test.go
+++ b/coordination/fleet/fleet_test.go
@@ -225,6 +225,30 @@
 	}
 }
 
+// A fleet is twice as large as it must be and evenly spread, at one price everywhere. What
+// is too much may go; to start VMs in the failure domain that the plan would fill first
+// costs more for nothing.
+func TestSurplusIsNoReasonToMove(t *testing.T) {
+	is := is.New(t)
+	var offers []fleet.Offer
+	var vms []fleet.VM
+	for _, domain := range []ident.FailureDomain{"a", "b", "c", "d"} {
+		offers = append(offers, offer(domain, "on-demand", 1, false))
+		for i := range 5 {
+			vms = append(vms, fleet.VM{ID: fmt.Sprint(domain, i), Pool: fleet.Pool{FailureDomain: domain, Class: "on-demand"}})
+		}
+	}
+	limits := fleet.DefaultLimits()
+	limits.SurplusHold = 0
+	p := fleet.New(limits)
+	w := fleet.Wanted{Runners: 10, MaxPerDomain: 10}
+	for range 2 {
+		d := p.Decide(time.Second, w, offers, vms)
+		is.Equal(len(d.Starts), 0)
+		is.Equal(len(d.Stops), 10)
+	}
+}
+
 // Reclaimable VMs run out in all failure domains and each start is refused, so that
 // every pool is asked less and less often. Then one of them gives again: the others
 // must not wait for the end of their backoff, while dear VMs stand in for theirs.
--- a/daemon/edge/demand.go
+++ b/daemon/edge/demand.go
@@ -47,6 +47,9 @@
 			continue
 		}
 		w.Runners++
+		if p.service.Engine == nil {
+			w.Slots = max(w.Slots, r.Slots)
+		}
 		w.Requests += own.Requests + p.others[own.Runner].Requests
 	}
 	p.demand.Sample(now, w)
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -38,6 +38,8 @@
 	// stillComing is how long after the first runners have shown up at the first start
 	// others may: they register once in a heartbeat.
 	stillComing = 2500 * time.Millisecond
+	// cheapRate is the part of the full price up to which runners are kept to spare.
+	cheapRate = 0.5
 	// askEvery is the time between two tries to get reclaimable ones meanwhile. What
 	// stands in for them costs several times as much, and a call costs next to
 	// nothing beside it.
@@ -170,9 +172,11 @@
 // ample is how many runners should be left after the reclaim of a failure domain
 // while reclaimable ones are to be had: enough for a second reclaim in another one,
 // since they follow each other sooner than a runner that is ordered at the first one
-// serves. More than reclaimable ones can give are not worth the full price.
+// serves. More than reclaimable ones can give are not worth the full price, and where
+// those cost nearly as much as others, or there are none, nothing is spare.
 func (f *fleetDuty) ample(demand fleet.Estimate) int {
-	if !f.uses(SpareRunners) {
+	rate := f.service.Scaling.ReclaimableRate
+	if rate <= 0 || rate > cheapRate || !f.uses(SpareRunners) {
 		return demand.Runners
 	}
 	domains := len(f.service.Scaling.Prices)
