Close the daemons' socket before the daemon's run returns

By reading: the reader of the datagrams may return at the context's end before another goroutine has closed the socket, and the next daemon then finds the address taken. That fits what was seen; no run shows that it was it.

Change: receive closes the socket when it returns.

--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -172,8 +172,12 @@
 	return offered, placed
 }
 
-// receive takes the others' messages in until the context ends.
+// receive takes the others' messages in until the context ends. The socket is closed when
+// it returns: a message that comes as the context ends lets it return before the close
+// that the end brings about, and the address would still be taken when a daemon is started
+// there next.
 func (e *Edge) receive(ctx context.Context) error {
+	defer e.deps.Datagrams.Close()
 	stop := context.AfterFunc(ctx, func() { e.deps.Datagrams.Close() })
 	defer stop()
 	buffer := make([]byte, datagramBytes+1)
