Leave a runner whose streams stall again and again

The known red test (engines-stall: one of 600 accepted requests lost) is traced. Cause: a connection that stalls was opened anew at the same runner a bounded number of times "without progress", but five tokens were progress enough to begin anew. A request that alone met a runner with several stalls left went on by five tokens each three seconds, for as long as the runner stalled. Ruled out: a lost wake-up of the request's timer, a reader that missed a change.

Change: reopening is forgiven only by a connection that brings tokens for as long as the silence it is given up for; else the request goes to another runner. The demo tells how far an unfinished request had come.

A test of the machine alone fails without the change (1 pick, 2 expected).

--- a/demo/load.go
+++ b/demo/load.go
@@ -102,7 +102,7 @@
 		}
 	})
 	if err != nil {
-		l.failed(accepted, err)
+		l.failed(accepted, &unfinishedError{tokens: len(result.Tokens), of: tokens, resumed: result.Resumed, err: err})
 		return
 	}
 	if !slices.Equal(result.Tokens, engine.Tokens(l.fleet.model, "user: "+prompt, tokens)) {
@@ -113,6 +113,19 @@
 	l.tally.latency(result.FirstToken, result.LongestGap)
 }
 
+// unfinishedError says how far a model request had come when it failed.
+type unfinishedError struct {
+	tokens, of, resumed int
+	err                 error
+}
+
+func (e *unfinishedError) Error() string {
+	return fmt.Sprintf("after %d of %d tokens over %d connections: %v", e.tokens, e.of, 1+e.resumed, e.err)
+}
+
+// Unwrap returns the cause.
+func (e *unfinishedError) Unwrap() error { return e.err }
+
 // failed sorts an error: a typed refusal is an answer, anything else after
 // acceptance is a request lost.
 func (l *load) failed(accepted bool, err error) {
--- a/protocol/request/request.go
+++ b/protocol/request/request.go
@@ -18,8 +18,9 @@
 	// Silence is how long an engine's connection may carry nothing. Engines
 	// send a heartbeat each second.
 	Silence time.Duration
-	// Reopens is how often a connection is opened anew to the same runner
-	// without progress before the runner is given up on.
+	// Reopens is how often a connection is opened anew to the same runner before the
+	// runner is given up on. One that brings tokens for as long as Silence forgives
+	// those before.
 	Reopens int
 	// Failures is how many runners may fail a request without progress; a
 	// deferrable one is not bound by it.
@@ -81,6 +82,8 @@
 	attempt  ident.AttemptID
 	runner   ident.RunnerID
 	heard    time.Time
+	// began is when the current attempt did.
+	began time.Time
 	// started counts the attempts that may have run.
 	started  int
 	reopens  int
@@ -276,7 +279,7 @@
 	m.attempt = ident.AttemptID(fmt.Sprintf("%s.%d.%d", m.spec.ID, m.spec.Epoch, m.attempts))
 	m.runner = runner
 	m.target = ""
-	m.heard = now
+	m.heard, m.began = now, now
 	m.phase = running
 	m.started++
 	m.answer.Begin(m.attempt)
@@ -331,7 +334,12 @@
 		m.heard = now
 	}
 	if v.Emitted {
-		m.reopens, m.failures, m.backoff = 0, 0, 0
+		m.failures, m.backoff = 0, 0
+		// A few tokens on each connection before it falls silent are no progress that
+		// a caller could wait for.
+		if now.Sub(m.began) >= m.limits.Silence {
+			m.reopens = 0
+		}
 		m.emit(Emitted{})
 	}
 	if v.Ended {
--- a/protocol/request/request_test.go
+++ b/protocol/request/request_test.go
@@ -90,6 +90,39 @@
 	is.Equal(d.picks, 2)
 }
 
+// Guards against a stream that goes on by a few tokens each few seconds: the runner
+// answers each new connection and falls silent on it again.
+func TestRunnerThatStallsAgainAndAgainIsGivenUpOn(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(request.Spec{MaxTokens: 100})
+	d.run("a")
+	for range request.DefaultLimits().Reopens {
+		d.token()
+		d.sleep()
+		is.Equal(d.picks, 1)
+	}
+	d.token()
+	d.sleep()
+	is.Equal(d.picks, 2)
+}
+
+// Guards against a long stream that is moved though its connection was only lost now
+// and then: what has gone well for a while forgives what was before.
+func TestConnectionsLostNowAndThenAreReopened(t *testing.T) {
+	is := is.New(t)
+	d := newDriver(request.Spec{MaxTokens: 1000})
+	d.run("a")
+	for range 3 * request.DefaultLimits().Reopens {
+		for range 8 {
+			d.token()
+			d.now = d.now.Add(request.DefaultLimits().Silence / 4)
+		}
+		d.sleep()
+		is.Equal(d.runner, ident.RunnerID("a"))
+	}
+	is.Equal(d.picks, 1)
+}
+
 // A caller would wait for nothing: its request was given up on, but the refusal
 // comes only with a later event. It comes in the same step, with a time to come
 // back.
