--- /dev/null
+++ b/coordination/feed/feed_test.go
@@ -0,0 +1,158 @@
+package feed_test
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/coordination/feed"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
+)
+
+// service is the keys with the revisions of their last writes, and all changes.
+type service struct {
+	revision uint64
+	keys     map[string]uint64
+	changes  []feed.Change
+}
+
+func (s *service) write(key string, deleted bool) {
+	if _, there := s.keys[key]; deleted && !there {
+		return
+	}
+	s.revision++
+	s.changes = append(s.changes, feed.Change{Key: key, Value: []byte(fmt.Sprint(s.revision)), Revision: s.revision, Deleted: deleted})
+	s.keys[key] = s.revision
+	if deleted {
+		delete(s.keys, key)
+	}
+}
+
+func (s *service) list() []feed.Change {
+	var list []feed.Change
+	for key, revision := range s.keys {
+		list = append(list, feed.Change{Key: key, Value: []byte(fmt.Sprint(revision)), Revision: revision})
+	}
+	return list
+}
+
+// follower takes parts in as a daemon does.
+type follower struct {
+	at        uint64
+	revisions map[string]uint64
+	keys      map[string]uint64
+}
+
+func (f *follower) take(p feed.Part) {
+	if p.After > f.at {
+		return
+	}
+	for _, c := range p.Changes {
+		if c.Revision <= f.revisions[c.Key] {
+			continue
+		}
+		f.revisions[c.Key] = c.Revision
+		f.keys[c.Key] = c.Revision
+		if c.Deleted {
+			delete(f.keys, c.Key)
+		}
+	}
+	f.at = max(f.at, p.Through)
+}
+
+// Guards against a follower that misses a change: parts are lost, come late and come
+// twice, the relays' watches are cut and listed anew, and the follower changes relays.
+func TestFollowerEndsUpWithWhatTheServiceHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &service{keys: map[string]uint64{}}
+		s.write("first", false)
+		logs := []*feed.Log{feed.NewLog(), feed.NewLog()}
+		watched := []int{0, 0}
+		for i, l := range logs {
+			l.Reset(s.list(), s.revision)
+			watched[i] = len(s.changes)
+		}
+		f := &follower{revisions: map[string]uint64{}, keys: map[string]uint64{}}
+		var late []feed.Part
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			i := rapid.IntRange(0, 1).Draw(t, "relay")
+			l := logs[i]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				s.write(fmt.Sprint("k", rapid.IntRange(0, 8).Draw(t, "key")), rapid.Bool().Draw(t, "ends"))
+			case 2:
+				l.Apply(s.changes[watched[i]:], s.revision)
+				watched[i] = len(s.changes)
+			case 3:
+				// The list is read after the revision from which to watch on.
+				at, from := s.revision, len(s.changes)
+				s.write(fmt.Sprint("k", rapid.IntRange(0, 8).Draw(t, "between")), rapid.Bool().Draw(t, "ends"))
+				l.Reset(s.list(), at)
+				watched[i] = from
+			case 4:
+				if p, ok := l.Since(f.at, rapid.IntRange(1, 200).Draw(t, "bytes")); ok {
+					f.take(p)
+					late = append(late, p)
+				}
+			case 5:
+				if len(late) > 0 {
+					f.take(late[rapid.IntRange(0, len(late)-1).Draw(t, "late")])
+				}
+			}
+		}
+		logs[0].Apply(s.changes[watched[0]:], s.revision)
+		for f.at < s.revision {
+			before := f.at
+			p, ok := logs[0].Since(f.at, 100)
+			if !ok {
+				// It lists the service itself.
+				f.at, f.keys = s.revision, maps.Clone(s.keys)
+				break
+			}
+			f.take(p)
+			if f.at == before && len(p.Changes) == 0 {
+				t.Fatal("no progress")
+			}
+		}
+		if !maps.Equal(f.keys, s.keys) {
+			t.Fatalf("follower has %v, the service %v", f.keys, s.keys)
+		}
+	})
+}
+
+// Guards against followers that all list the service whenever their relay had to: what
+// the relay has told them before is known to it.
+func TestListIsNoGapForItsOwnFollowers(t *testing.T) {
+	is := is.New(t)
+	l := feed.NewLog()
+	l.Reset([]feed.Change{{Key: "a", Revision: 3}, {Key: "b", Revision: 5}}, 5)
+	l.Reset([]feed.Change{{Key: "b", Revision: 5}, {Key: "c", Revision: 8}}, 9)
+	p, ok := l.Since(5, 1000)
+	is.True(ok)
+	is.Equal(p.Through, uint64(9))
+	is.Equal(len(p.Changes), 2) // the end of a, and c
+	_, ok = l.Since(7, 1000)
+	is.True(!ok) // it may know what was written and removed meanwhile
+}
+
+// Guards against a follower that keeps a key for good whose end the relay forgot.
+func TestForgottenEndsAreAGap(t *testing.T) {
+	is := is.New(t)
+	l := feed.NewLog()
+	_, ok := l.Since(0, 1000)
+	is.True(!ok) // it knows nothing yet
+	l.Reset(nil, 1)
+	revision := uint64(1)
+	for i := range 3000 {
+		key := fmt.Sprint("k", i)
+		l.Apply([]feed.Change{{Key: key, Revision: revision + 1}, {Key: key, Revision: revision + 2, Deleted: true}}, revision+2)
+		revision += 2
+	}
+	_, ok = l.Since(1, 1000)
+	is.True(!ok)
+	_, ok = l.Since(revision-2, 1000)
+	is.True(ok)
+}
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -1,11 +1,13 @@
-// Package peers keeps what one daemon knows of the others of its fleet that it
-// hears directly: who is there, who takes callers and who has gone.
+// Package peers keeps what one daemon knows of the others of its fleet: who is there,
+// who takes callers and who has gone.
 //
-// A daemon is alive while it is heard. It learns of others from its settings,
-// from the registrations in the key-value service and from those that it hears;
-// none of these proves anything about a daemon that is not heard itself. A new
-// incarnation at an address ends the former one at once, since that process
-// can't be listening there any more.
+// A daemon is alive while it is heard, or while a relay that is heard tells that it
+// hears it (a roster). What relays tell followers of rosters is never told on as a
+// roster, or two daemons could keep a third one alive that has ended. Registrations in
+// the key-value service and introductions by others only say where a daemon may be;
+// they count for as long as a message would need to follow. A new incarnation at an
+// address ends the former one at once, since that process can't be listening there any
+// more.
 //
 // The package does no I/O and reads no clock: times are offsets of a clock that
 // runs on while the VM is suspended. It is not safe for concurrent use.
@@ -25,12 +27,19 @@
 	// is several messages, so that a lost datagram costs nobody a caller, and
 	// less than callers keep an answer of the directory for.
 	AliveFor = 800 * time.Millisecond
+	// RelayedAliveFor is the same in a large fleet, whose daemons are heard more seldom.
+	RelayedAliveFor = 1600 * time.Millisecond
 	// ForgetAfter is how long a silent daemon is still called.
 	ForgetAfter = 30 * time.Second
+	// RosterFor is how long a relay's roster counts: one is lost, and the next is late.
+	RosterFor = 5 * time.Second
 	// MaxAddresses bounds the addresses that are called without having been heard.
-	MaxAddresses = 256
+	MaxAddresses = 4096
 )
 
+// never is the time of what has not happened.
+const never = time.Duration(-1 << 62)
+
 // Phase is where a daemon is in its life.
 type Phase uint8
 
@@ -51,27 +60,61 @@
 	CallerAddress string
 	PeerAddress   string
 	Phase         Phase
+	// Started is when it started by its own time of day, in Unix milliseconds. It only
+	// orders daemons; see package relays.
+	Started int64
+}
+
+// Row is what a relay tells of a daemon: what that told of itself in its message seq.
+type Row struct {
+	Member
+	Seq uint64
 }
 
 type entry struct {
 	Member
-	seq   uint64
-	heard time.Duration
+	// seq is the last message that was heard directly, told the last one that Member
+	// was taken from.
+	seq, told uint64
+	// heard is when it was heard directly, seen when anything was last known of it,
+	// introduced when somebody else first spoke of it.
+	heard, seen, introduced time.Duration
+}
+
+// roster is the daemons that a relay hears.
+type roster struct {
+	at   time.Duration
+	rows map[ident.Incarnation]bool
+	// fleet is the number of daemons, perDomain the relays of a failure domain.
+	fleet, perDomain int
 }
 
 // Table is not safe for concurrent use.
 type Table struct {
 	self    Member
 	entries map[ident.Incarnation]*entry
+	// rosters by the relay that told them.
+	rosters map[ident.Incarnation]roster
+	// aliveFor is how long a daemon counts as alive after it was last heard.
+	aliveFor time.Duration
 	// addresses are called whether or not anybody was heard there.
 	addresses map[string]time.Duration
 }
 
 // New returns a table that knows its own daemon only.
 func New(self Member) *Table {
-	return &Table{self: self, entries: map[ident.Incarnation]*entry{}, addresses: map[string]time.Duration{}}
+	return &Table{
+		self: self, entries: map[ident.Incarnation]*entry{}, rosters: map[ident.Incarnation]roster{},
+		addresses: map[string]time.Duration{}, aliveFor: AliveFor,
+	}
 }
 
+// SetAliveFor sets how long a daemon counts as alive after it was last heard.
+func (t *Table) SetAliveFor(d time.Duration) { t.aliveFor = d }
+
+// AliveFor is how long a daemon counts as alive after it was last heard.
+func (t *Table) AliveFor() time.Duration { return t.aliveFor }
+
 // Self returns this daemon.
 func (t *Table) Self() Member { return t.self }
 
@@ -103,15 +146,83 @@
 		return false, nil
 	}
 	if !known {
-		e = &entry{}
+		e = &entry{introduced: never}
 		t.entries[m.Incarnation] = e
+	}
+	if !known || e.heard == never {
 		ended = t.replace(m)
 	}
-	e.Member, e.seq, e.heard = m, seq, now
+	e.Member, e.seq, e.told, e.heard, e.seen = m, seq, max(seq, e.told), now, now
 	t.Learn(now, m.PeerAddress)
 	return true, ended
 }
 
+// Told takes in the roster of a relay, which replaces its last one. It returns the
+// incarnations that have ended because another one listens at their address.
+func (t *Table) Told(now time.Duration, by ident.Incarnation, rows []Row, fleet, perDomain int) []ident.Incarnation {
+	told := roster{at: now, rows: make(map[ident.Incarnation]bool, len(rows)), fleet: fleet, perDomain: perDomain}
+	var ended []ident.Incarnation
+	for _, r := range rows {
+		if r.Incarnation == t.self.Incarnation || r.Incarnation == "" {
+			continue
+		}
+		told.rows[r.Incarnation] = true
+		ended = append(ended, t.take(now, r)...)
+	}
+	t.rosters[by] = told
+	return ended
+}
+
+// Introduce takes in that there may be a daemon.
+func (t *Table) Introduce(now time.Duration, r Row) {
+	if r.Incarnation == t.self.Incarnation || r.Incarnation == "" {
+		return
+	}
+	_, known := t.entries[r.Incarnation]
+	if known || t.occupied(now, r.Member) {
+		return
+	}
+	t.take(now, r)
+	t.entries[r.Incarnation].introduced = now
+}
+
+// occupied tells whether another incarnation is heard at a daemon's address.
+func (t *Table) occupied(now time.Duration, m Member) bool {
+	for _, e := range t.entries {
+		if e.PeerAddress == m.PeerAddress && now-e.heard <= t.aliveFor {
+			return true
+		}
+	}
+	return m.PeerAddress == t.self.PeerAddress
+}
+
+func (t *Table) take(now time.Duration, r Row) []ident.Incarnation {
+	e, known := t.entries[r.Incarnation]
+	if known {
+		e.seen = now
+		if r.Seq > e.told {
+			e.Member, e.told = r.Member, r.Seq
+		}
+		return nil
+	}
+	t.entries[r.Incarnation] = &entry{Member: r.Member, told: r.Seq, heard: never, seen: now, introduced: never}
+	t.Learn(now, r.PeerAddress)
+	if t.later(r.Member) {
+		return t.replace(r.Member)
+	}
+	return nil
+}
+
+// later tells whether no incarnation at the address has started after this one.
+func (t *Table) later(m Member) bool {
+	for _, e := range t.entries {
+		if e.PeerAddress == m.PeerAddress && e.Started > m.Started {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *Table) replace(m Member) []ident.Incarnation {
 	var ended []ident.Incarnation
 	for id, e := range t.entries {
@@ -127,11 +238,16 @@
 func (t *Table) Tick(now time.Duration) []ident.Incarnation {
 	var ended []ident.Incarnation
 	for id, e := range t.entries {
-		if now-e.heard > ForgetAfter {
+		if now-e.seen > ForgetAfter {
 			delete(t.entries, id)
 			ended = append(ended, id)
 		}
 	}
+	for by, r := range t.rosters {
+		if now-r.at > RosterFor {
+			delete(t.rosters, by)
+		}
+	}
 	for address, at := range t.addresses {
 		if now-at > ForgetAfter {
 			delete(t.addresses, address)
@@ -150,11 +266,18 @@
 	return list
 }
 
-// Alive lists the other daemons that are heard, by incarnation.
-func (t *Table) Alive(now time.Duration) []Member {
+// Alive lists the other daemons that are heard, told of or were just introduced, by
+// incarnation.
+func (t *Table) Alive(now time.Duration) []Member { return t.list(now, true) }
+
+// Vouched lists the other daemons that are heard or told of, by incarnation.
+func (t *Table) Vouched(now time.Duration) []Member { return t.list(now, false) }
+
+func (t *Table) list(now time.Duration, introduced bool) []Member {
+	told := t.told(now)
 	var list []Member
-	for _, e := range t.entries {
-		if now-e.heard <= AliveFor {
+	for id, e := range t.entries {
+		if now-e.heard <= t.aliveFor || introduced && now-e.introduced <= t.aliveFor || told[id] {
 			list = append(list, e.Member)
 		}
 	}
@@ -162,9 +285,75 @@
 	return list
 }
 
+// told is the daemons in the rosters of relays that are heard.
+func (t *Table) told(now time.Duration) map[ident.Incarnation]bool {
+	told := map[ident.Incarnation]bool{}
+	for by, r := range t.rosters {
+		if !t.HeardLately(now, by) || now-r.at > RosterFor {
+			continue
+		}
+		for id := range r.rows {
+			told[id] = true
+		}
+	}
+	return told
+}
+
+// HeardLately tells whether a daemon is heard directly.
+func (t *Table) HeardLately(now time.Duration, id ident.Incarnation) bool {
+	e, known := t.entries[id]
+	return known && now-e.heard <= t.aliveFor
+}
+
+// Rows returns what daemons told of themselves last; those that are not known are left out.
+func (t *Table) Rows(ids []ident.Incarnation) []Row {
+	rows := make([]Row, 0, len(ids))
+	for _, id := range ids {
+		if e, known := t.entries[id]; known {
+			rows = append(rows, Row{Member: e.Member, Seq: e.told})
+		}
+	}
+	return rows
+}
+
+// PerDomain is the relays that a failure domain should have by the latest roster; zero
+// is not told.
+func (t *Table) PerDomain(now time.Duration) int {
+	perDomain, at := 0, never
+	for _, r := range t.rosters {
+		if r.at > at && now-r.at <= RosterFor {
+			perDomain, at = r.perDomain, r.at
+		}
+	}
+	return perDomain
+}
+
 // Size is the number of daemons that may be running, this one included: those
-// that are heard and those that are silent but not forgotten.
-func (t *Table) Size() int { return 1 + len(t.entries) }
+// that are heard or told of, those that are silent but not forgotten, and as many as a
+// relay knows.
+func (t *Table) Size() int {
+	size := 1 + len(t.entries)
+	for _, r := range t.rosters {
+		size = max(size, r.fleet)
+	}
+	return size
+}
+
+// Strangers lists the addresses at which none of the daemons is.
+func (t *Table) Strangers(daemons []Member) []string {
+	known := make(map[string]bool, len(daemons))
+	for _, m := range daemons {
+		known[m.PeerAddress] = true
+	}
+	var list []string
+	for a := range t.addresses {
+		if !known[a] {
+			list = append(list, a)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
 
 // Directory lists the daemons for callers to use, this one included.
 func (t *Table) Directory(now time.Duration) []view.Daemon {
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -69,3 +69,62 @@
 	is.Equal(ended, []ident.Incarnation{"b~1"})
 	is.Equal(tab.Size(), 2)
 }
+
+func rows(ids ...string) []peers.Row {
+	var list []peers.Row
+	for _, id := range ids {
+		list = append(list, peers.Row{Member: member(id, "1"), Seq: 5})
+	}
+	return list
+}
+
+// Guards against a daemon that stays in the directory after its relay has ended.
+func TestRosterCountsWhileItsRelayIsHeard(t *testing.T) {
+	is := is.New(t)
+	tab := peers.New(member("a", "1"))
+	tab.Heard(0, member("r", "1"), 1)
+	tab.Told(0, "r~1", rows("b", "c"), 7, 2)
+	is.Equal(live(tab, 0), []string{"a", "b", "c", "r"})
+	is.Equal(tab.Size(), 7)
+	is.Equal(tab.PerDomain(0), 2)
+	is.Equal(live(tab, peers.AliveFor+1), []string{"a"})
+	tab.Heard(peers.AliveFor+1, member("r", "1"), 2)
+	tab.Told(peers.AliveFor+1, "r~1", rows("c"), 7, 2)
+	is.Equal(live(tab, peers.AliveFor+1), []string{"a", "c", "r"}) // b has ended
+}
+
+// Guards against an old roster that undoes what a daemon told itself.
+func TestRosterDoesNotUndoDraining(t *testing.T) {
+	is := is.New(t)
+	tab := peers.New(member("a", "1"))
+	tab.Heard(0, member("r", "1"), 1)
+	leaving := member("b", "1")
+	leaving.Phase = peers.Draining
+	tab.Heard(0, leaving, 6)
+	tab.Told(0, "r~1", rows("b"), 3, 2)
+	is.Equal(live(tab, 0), []string{"a", "r"})
+}
+
+// Guards against a registration that outlives its daemon and brings it back.
+func TestIntroductionCountsForAMoment(t *testing.T) {
+	is := is.New(t)
+	tab := peers.New(member("a", "1"))
+	tab.Introduce(0, peers.Row{Member: member("b", "1")})
+	is.Equal(live(tab, 0), []string{"a", "b"})
+	tab.Introduce(peers.AliveFor+1, peers.Row{Member: member("b", "1")})
+	is.Equal(live(tab, peers.AliveFor+1), []string{"a"})
+	tab.Heard(peers.AliveFor+1, member("b", "2"), 1)
+	tab.Introduce(peers.AliveFor+1, peers.Row{Member: member("b", "0")})
+	is.Equal(tab.Size(), 2)
+}
+
+// Guards against a daemon that is heard at last and taken for a repeated message, since
+// a relay had told of it.
+func TestFirstMessageOfOneThatWasToldOf(t *testing.T) {
+	is := is.New(t)
+	tab := peers.New(member("a", "1"))
+	tab.Heard(0, member("r", "1"), 1)
+	tab.Told(0, "r~1", rows("b"), 3, 2)
+	fresh, _ := tab.Heard(0, member("b", "1"), 5)
+	is.True(fresh)
+}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -14,6 +14,8 @@
 //   - A daemon that has been silent may go on taking. The others leave it its
 //     part of the bucket and of the refill until it is heard again or forgotten,
 //     and take it to have done as they did since it was last heard.
+//   - A daemon that hears none of the others that it knows of gives out its part only.
+//     It can't tell whether they are down or go on without it.
 //   - A daemon that starts takes the others' level. Where there is nobody to ask
 //     and the fleet has served before, its bucket starts empty: whatever was given
 //     out a moment ago, no window then holds more than without the restart. A
@@ -71,13 +73,16 @@
 	// few of many daemons then lives on its share of the use.
 	leastShare = 0.7
 	smallFleet = 6
+	// bridgeShare of an equal part may be taken once while another daemon has just fallen
+	// silent.
+	bridgeShare = 1.0
 	// useMemory is the time constant of the recent use that shares are taken by.
 	// It is several intervals long, so that one request more or less changes little.
 	useMemory = time.Second
 	// lenience is the part of the tolerance that is added to the burst, since a
 	// prompt may be a third of a second's worth and a level is partly guessed; the
 	// rest covers what daemons take without knowing of each other.
-	lenience = 0.4
+	lenience = 0.38
 	// leastWait keeps a refusal from asking its caller back at once.
 	leastWait = 5 * time.Millisecond
 	// steadyShare is the part of what a window may hold beyond the rate that is given
@@ -103,6 +108,8 @@
 	// budget is what may still be taken in the interval that ends at ends.
 	budget float64
 	ends   time.Duration
+	// bridged says that a part for such a time was added since the daemon was informed last.
+	bridged bool
 	// used is the own recent use.
 	used recent
 }
@@ -145,6 +152,9 @@
 	// expected is how many daemons there may be, this one included, whether or not
 	// they have been heard.
 	expected int
+	// isolated is how many parts the buckets have while no other daemon is heard at all;
+	// zero is not isolated.
+	isolated int
 	// adopted says that an older daemon's levels were taken over.
 	adopted bool
 }
@@ -222,7 +232,13 @@
 	if b.level < need {
 		return max(leastWait, secondsOf((need-b.level)/l.rate(b.limit))), false
 	}
-	if now >= b.ends && l.informed(now) {
+	switch informed := l.informed(now); {
+	case now < b.ends:
+	case !informed && !b.bridged && l.sharers() > 1:
+		b.bridged = true
+		b.budget = max(b.budget, bridgeShare*b.level/float64(l.sharers()))
+	case informed:
+		b.bridged = false
 		b.ends = now + Interval
 		b.budget = b.level
 		if n := l.sharers(); n > 1 {
@@ -240,6 +256,14 @@
 	return 0, true
 }
 
+// Covers tells whether the workspace's bucket holds a cost, though this daemon may have
+// used up its part of it. Another daemon may give it out then.
+func (l *Limiter) Covers(now time.Duration, ws ident.Workspace, cost float64) bool {
+	b := l.bucket(ws)
+	l.refill(now, ws, b)
+	return b.level >= min(cost, l.capacity(b.limit))
+}
+
 // share is the part of a bucket that this daemon may take in an interval: that of
 // the workspace's recent use which came here, so that callers who use few of the
 // daemons find what they need, and an equal one at the least. Shares of the use add
@@ -263,9 +287,10 @@
 func secondsOf(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // informed tells whether every daemon that is not silent was heard within an
-// interval. Until then the former budget must last: with a new one in each
-// interval daemons that have just lost each other would take the same tokens
-// again.
+// interval. Until then the former budget must last, and a part of an equal one: with a new
+// one in each interval daemons that have just lost each other would take the same tokens
+// again; without any, a daemon's end would have the others refuse for as long as it
+// isn't taken for silent whom they had not served a moment before.
 func (l *Limiter) informed(now time.Duration) bool {
 	for _, p := range l.peers {
 		if !p.silent && now-p.heard > Interval {
@@ -296,6 +321,7 @@
 	b.at = now
 	gained := l.rate(b.limit) * elapsed
 	part := gained / float64(l.sharers())
+	gained -= part * float64(max(0, l.isolated-1-len(l.peers)))
 	for _, p := range l.peers {
 		if p.silent {
 			p.reserved[ws] += part
@@ -326,11 +352,27 @@
 // sharers counts the daemons that may take from the buckets, this one included.
 func (l *Limiter) sharers() int {
 	if l.first {
-		return 1 + len(l.peers)
+		return max(1+len(l.peers), l.isolated)
 	}
-	return max(1+len(l.peers), l.expected)
+	return max(1+len(l.peers), l.expected, l.isolated)
 }
 
+// Age is how long this daemon has known how full the buckets are, as far as it matters
+// to others: one that has taken an older one's level knows as much as that.
+func (l *Limiter) Age(now time.Duration) time.Duration {
+	if l.adopted {
+		return max(adoptFor, now-l.started)
+	}
+	return now - l.started
+}
+
+// Alone tells whether no other daemon was heard, or all have been forgotten.
+func (l *Limiter) Alone() bool { return len(l.peers) == 0 }
+
+// Isolate tells into how many parts the buckets are to be divided while this daemon
+// hears no other, its own included; zero ends that.
+func (l *Limiter) Isolate(parts int) { l.isolated = parts }
+
 func (p *peer) use(now time.Duration, ws ident.Workspace, amount float64) {
 	used, ok := p.used[ws]
 	if !ok {
@@ -401,6 +443,20 @@
 	}
 }
 
+// Left forgets a daemon that goes on but takes from no bucket any more. What was left to
+// it while it was unheard was not taken.
+func (l *Limiter) Left(id ident.Incarnation) {
+	p, known := l.peers[id]
+	if !known {
+		return
+	}
+	for ws, amount := range p.reserved {
+		b := l.bucket(ws)
+		b.level = min(l.capacity(b.limit), b.level+amount)
+	}
+	delete(l.peers, id)
+}
+
 // Gone forgets a daemon that has ended.
 func (l *Limiter) Gone(id ident.Incarnation) { delete(l.peers, id) }
 
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -244,6 +244,8 @@
 		{2, 4.75, 17555.75, 1, 1101 * ms, 600 * ms},
 		{3, 5.875, 2000, 2, 1301 * ms, 400 * ms},
 		{3, 6, 2000, 2, 1001 * ms, 600 * ms},
+		{6, 4.5, 2023.25, 4, 7401 * ms, 500 * ms},
+		{6, 4.5, 2007, 5, 7301 * ms, 500 * ms},
 	} {
 		is.True(f.worst() <= tolerated)
 	}
@@ -445,3 +447,36 @@
 	}
 	is.True(given <= 10_000+4*(1000*0.55)+4*100)
 }
+
+// Guards against daemons that lose all others at once and each give out the whole quota.
+func TestIsolatedDaemonGivesOutItsPart(t *testing.T) {
+	is := is.New(t)
+	const daemons, cost = 120, 2000.0
+	l := quota.New(0, window, quota.Tolerance{Overage: overage, Slack: slack}, false)
+	l.SetLimits(0, limits(perSecond, burst))
+	l.Isolate(daemons)
+	taken := 0.0
+	for now := time.Duration(0); now < window; now += 10 * time.Millisecond {
+		if _, ok := l.Take(now, ws, cost); ok {
+			taken += cost
+		}
+	}
+	is.True(taken > 0)
+	is.True(taken*daemons <= tolerated)
+}
+
+// Guards against workspaces within their limits that are refused for a while whenever
+// any daemon ends.
+func TestEndOfADaemonRefusesNobodyWithinTheLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, perSecond, burst, quota.Tolerance{Overage: overage, Slack: slack})
+	for f.now = 0; f.now < 3*time.Second; f.now += 100 * time.Millisecond {
+		f.exchange()
+	}
+	f.cut[3] = true // it has ended
+	for until := f.now + 700*time.Millisecond; f.now < until; f.now += 100 * time.Millisecond {
+		f.exchange()
+		_, ok := f.members[0].Take(f.now, ws, 10_000)
+		is.True(ok)
+	}
+}
--- a/daemon/edge/demand.go
+++ b/daemon/edge/demand.go
@@ -37,7 +37,12 @@
 	offered := p.edge.toldOffered(p.name)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w := fleet.Work{PromptTokens: p.offered + offered, PrefillRate: p.engines.Rate(), Wait: wait}
+	if p.edge.relaying.Load() {
+		// The primary of a follower tells of this daemon's part among all others'.
+		p.counted += p.offered - p.seen
+	}
+	p.seen = p.offered
+	w := fleet.Work{PromptTokens: p.counted + offered, PrefillRate: p.engines.Rate(), Wait: wait}
 	if p.service.Engine != nil {
 		w.Slots = p.service.Engine.Slots
 	}
--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -14,6 +14,8 @@
 	dutyName = "cloud"
 	// dutyEvery is the time between two looks at the duties.
 	dutyEvery = 200 * time.Millisecond
+	// followerLook is the same of a daemon that is no relay and so no candidate.
+	followerLook = time.Second
 	// callTimeout bounds a call to the cloud; the holder's own lease has that
 	// much left when it begins. It covers a cloud that answers fifty times more
 	// slowly than usual.
@@ -61,11 +63,13 @@
 
 // runDuties stands for the responsibility and does what it asks for.
 func (e *Edge) runDuties(ctx context.Context) {
-	ticker := time.NewTicker(dutyEvery)
-	defer ticker.Stop()
 	for {
+		look := dutyEvery
+		if !e.relaying.Load() && e.duties.holder.Token() == 0 {
+			look = followerLook
+		}
 		select {
-		case <-ticker.C:
+		case <-time.After(look):
 		case <-ctx.Done():
 			stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 			e.duties.holder.Stop(stopCtx)
@@ -83,18 +87,20 @@
 // candidate tells whether this daemon should hold the duties: it does already, or
 // they have been free for long enough that those before it in the order of names
 // would have taken them. The watch tells who holds them, so standing by costs no
-// call.
+// call. Only relays hear all counts of usage.
 func (e *Edge) candidate() bool {
 	if e.duties.holder.Token() != 0 {
 		return true
 	}
-	if !e.Ready() {
+	if !e.Ready() || !e.relaying.Load() {
 		return false
 	}
-	rank, _ := e.rank()
+	e.mu.Lock()
+	rank, _ := placeAmong(e.set.ID, e.plan.Others)
+	e.mu.Unlock()
 	e.dir.mu.Lock()
 	defer e.dir.mu.Unlock()
-	return !e.dir.dutyHeld && e.dir.dutyFree != 0 && e.deps.Steady()-e.dir.dutyFree >= time.Duration(rank)*rankDelay
+	return e.dir.dutyHolder == "" && e.dir.dutyFree != 0 && e.deps.Steady()-e.dir.dutyFree >= time.Duration(rank)*rankDelay
 }
 
 // perform does the duties of the present tenure.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -17,6 +17,7 @@
 	"geraniumstack.org/geraniumstack/coordination/membership"
 	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/coordination/quota"
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/coordination/walltime"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -63,7 +64,23 @@
 	wall    *walltime.Estimate
 	book    *accounting.Book
 	limiter *quota.Limiter
-	seq     uint64
+	// limiterBegan is when limiter began to share out quotas.
+	limiterBegan time.Duration
+	seq          uint64
+	// alive are the other daemons as they were looked at last, plan is whom this daemon
+	// tells by that, followers those that follow it.
+	alive     []peers.Member
+	plan      relays.Plan
+	followers map[ident.Incarnation]follower
+	// feeding are the other relays that this daemon watches for, with the revision up to
+	// which they know the key-value service.
+	feeding map[ident.Incarnation]uint64
+	// lost are the addresses of daemons that ask who the relays are.
+	lost map[ident.Incarnation]string
+	// rosterVersion is of the daemons that were told last, rosterLeft in how many more
+	// messages.
+	rosterVersion uint64
+	rosterLeft    int
 	// unreadable says that the newest configuration could not be read.
 	unreadable bool
 	// lastEnded is the daemon whose counts were told last after its end.
@@ -74,12 +91,17 @@
 	pools   map[string]*pool
 
 	// dir is what was read of the service; it has a lock of its own.
-	dir follower
+	dir directory
 
-	told     toldLoads
-	resolved udpAddresses
-	confirms confirmer
-	duties   duties
+	// direct and relaying are the plan's, for those who can't wait for mu.
+	direct, relaying atomic.Bool
+
+	told       toldLoads
+	placements placements
+	asks       asker
+	resolved   udpAddresses
+	confirms   confirmer
+	duties     duties
 }
 
 const incarnationBytes = 6
@@ -101,20 +123,31 @@
 		peers: peers.New(peers.Member{
 			ID: set.ID, Incarnation: self, FailureDomain: set.FailureDomain,
 			CallerAddress: set.CallerAddress, PeerAddress: set.PeerAddress, Phase: peers.Starting,
+			Started: time.Now().UnixMilli(),
 		}),
-		stamps: map[ident.Incarnation]freshness.Stamp{},
-		wall:   walltime.New(time.Now(), now),
+		followers: map[ident.Incarnation]follower{},
+		feeding:   map[ident.Incarnation]uint64{},
+		lost:      map[ident.Incarnation]string{},
+		stamps:    map[ident.Incarnation]freshness.Stamp{},
+		wall:      walltime.New(time.Now(), now),
 		book: accounting.NewBook(self, accounting.Timing{
 			Length: set.Bounds.UsageWindow, Due: set.Bounds.UsageDue, Settle: accounting.SettleAfter,
 		}),
-		limiter: quota.New(now, set.Bounds.QuotaWindow, set.Bounds.QuotaTolerance, set.FirstStart),
+		limiter:      quota.New(now, set.Bounds.QuotaWindow, set.Bounds.QuotaTolerance, set.FirstStart),
+		limiterBegan: now,
 		// Each daemon begins at its own name, so that together they tell of all
 		// that have ended within a few messages.
 		lastEnded: self,
 		pools:     map[string]*pool{},
 	}
 	e.dir.init()
+	e.told.init()
+	e.asks.init()
 	e.duties.init(e)
+	// Until it hears of others a daemon is alone.
+	e.plan = relays.Make(relays.View{Self: e.peers.Self()})
+	e.direct.Store(e.plan.Direct)
+	e.relaying.Store(e.plan.Relay)
 	for _, seed := range set.Seeds {
 		e.peers.Learn(now, seed)
 	}
@@ -165,7 +198,7 @@
 	e.peers.SetPhase(peers.Draining)
 	e.mu.Unlock()
 	e.log.Note("drain", decisions.F("in_flight", e.inFlight.Load()))
-	e.tellAll()
+	e.tellTurn(0)
 }
 
 // drainedFor is how long ago Drain was called; false if it was not.
--- /dev/null
+++ b/daemon/edge/feed.go
@@ -0,0 +1,106 @@
+package edge
+
+import (
+	"strings"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/feed"
+	"geraniumstack.org/geraniumstack/coordination/freshness"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	"geraniumstack.org/geraniumstack/daemon/holder"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+// Relays watch the key-value service and pass on what was written, so that a change
+// does not answer the watches of a whole fleet.
+
+const (
+	// feedBytes is passed on in one message; a wave of runners takes a few.
+	feedBytes = 16 << 10
+	// wholeBytes is the longest value that is passed on at all. A longer configuration
+	// is read from the service, as a newer one that is heard of is.
+	wholeBytes = 32 << 10
+	// fedFor is how long a follower waits for its relays before it watches itself.
+	fedFor = 2500 * time.Millisecond
+	// feedCurrent is how long ago a relay's own copy may have been current. Longer, and
+	// the relay may have lost the service.
+	feedCurrent = 4 * time.Second
+)
+
+// fed tells whether relays pass on what is written.
+func (e *Edge) fed() bool {
+	e.mu.Lock()
+	watches := e.plan.Watches
+	e.mu.Unlock()
+	e.dir.mu.Lock()
+	defer e.dir.mu.Unlock()
+	return !watches && !e.dir.incomplete && e.dir.at != 0 && e.deps.Steady()-e.dir.fed <= fedFor
+}
+
+// feedAfter is what a daemon lacks that knows everything up to a revision.
+func (e *Edge) feedAfter(now time.Duration, at uint64) *peersv1.Feed {
+	if at == 0 {
+		return nil // it has yet to list the service, or does not ask
+	}
+	e.dir.mu.Lock()
+	defer e.dir.mu.Unlock()
+	part, ok := e.dir.log.Since(at, feedBytes)
+	if !ok {
+		return &peersv1.Feed{After: at, Gap: e.dir.log.At() != 0}
+	}
+	told := &peersv1.Feed{After: part.After, Through: part.Through, AgeNs: int64(now - e.dir.current)}
+	for _, c := range part.Changes {
+		if len(c.Value) <= wholeBytes {
+			told.Changes = append(told.Changes, &peersv1.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+		}
+	}
+	return told
+}
+
+// takeFeed takes in what a relay passes on.
+func (e *Edge) takeFeed(f *peersv1.Feed) {
+	now := e.deps.Steady()
+	e.dir.mu.Lock()
+	at, age := uint64(e.dir.at), time.Duration(f.AgeNs)
+	switch {
+	case f.Gap && f.After == at && at != 0:
+		if !e.dir.incomplete {
+			e.log.Note("feed_gap", decisions.F("at", at))
+		}
+		e.dir.incomplete = true
+	case f.Gap || f.Through == 0 || f.After > at || age > feedCurrent:
+	default:
+		e.dir.fed = now
+		e.dir.current = max(e.dir.current, now-age)
+	}
+	usable := !f.Gap && f.Through != 0 && f.After <= at && at != 0
+	e.dir.mu.Unlock()
+	if !usable {
+		return
+	}
+	events := make([]kv.Event, 0, len(f.Changes))
+	for _, c := range f.Changes {
+		events = append(events, kv.Event{Entry: kv.Entry{Key: c.Key, Value: c.Value, Revision: kv.Revision(c.Revision)}, Deleted: c.Deleted})
+	}
+	// When the relay read it is not known; the proof comes with its word.
+	e.apply(events, kv.Revision(f.Through), freshness.Never)
+}
+
+// passedOn tells whether followers need a key.
+func (e *Edge) passedOn(key string) bool {
+	return key == e.deps.Codec.ConfigKey() || strings.HasPrefix(key, e.deps.Codec.RunnerPrefix()) || strings.HasPrefix(key, holder.KeyPrefix)
+}
+
+// changesOf are the events that are passed on.
+func (e *Edge) changesOf(events []kv.Event) []feed.Change {
+	var changes []feed.Change
+	for _, event := range events {
+		if e.passedOn(event.Key) {
+			changes = append(changes, feed.Change{
+				Key: event.Key, Value: event.Value, Revision: uint64(event.Revision), Deleted: event.Deleted,
+			})
+		}
+	}
+	return changes
+}
--- /dev/null
+++ b/daemon/edge/fellows.go
@@ -0,0 +1,260 @@
+package edge
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"geraniumstack.org/geraniumstack/coordination/accounting"
+	"geraniumstack.org/geraniumstack/coordination/peers"
+	"geraniumstack.org/geraniumstack/coordination/quota"
+	"geraniumstack.org/geraniumstack/coordination/relays"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// Who the other daemons are to this one: relays, followers and followed.
+
+const (
+	// rosterTurns is between two rosters while nothing changes, each in rosterSpan turns
+	// so that relays and followers get one; a changed one is told rosterAgain times, since
+	// messages get lost.
+	rosterTurns = 20
+	rosterSpan  = followTurns
+	rosterAgain = 6
+	// farRows is how many daemons of other failure domains a follower is told of, by
+	// turns: callers whose own failure domain is lost must be sent somewhere.
+	farRows = 8
+	// firstStartFor is how long after the very first start of the fleet nothing can have
+	// been taken of any quota.
+	firstStartFor = 5 * time.Second
+)
+
+// follower is a daemon that follows this one.
+type follower struct {
+	address string
+	heard   time.Duration
+	// primary says that its work is counted here.
+	primary bool
+	// included is its message whose loads are in the sums.
+	included uint64
+	// feedAt is the revision up to which it knows the key-value service.
+	feedAt uint64
+}
+
+// tickPeers moves what rests on the other daemons on.
+func (e *Edge) tickPeers() {
+	now := e.deps.Steady()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, id := range e.peers.Tick(now) {
+		e.forget(id, "silent")
+	}
+	e.elect(now)
+	e.limiter.Expect(now, e.expected(now))
+	e.limiter.Isolate(e.isolated(now))
+	e.limiter.Tick(now)
+	settle := accounting.SettleRelayed
+	if e.plan.Direct {
+		settle = accounting.SettleAfter
+	}
+	e.book.Settle(settle)
+	e.book.Tick(e.wall.At(now))
+	e.refreshPhase(now)
+}
+
+// elect finds the relays anew; called with mu held.
+func (e *Edge) elect(now time.Duration) {
+	alive := peers.AliveFor
+	if !e.plan.Direct {
+		alive = peers.RelayedAliveFor
+	}
+	e.peers.SetAliveFor(alive)
+	e.alive = e.peers.Alive(now)
+	v := relays.View{Self: e.peers.Self(), Alive: e.alive, Fleet: e.peers.Size()}
+	if !e.plan.Relay {
+		v.PerDomain = e.peers.PerDomain(now)
+	}
+	before := e.plan
+	e.plan = relays.Make(v)
+	e.direct.Store(e.plan.Direct)
+	e.relaying.Store(e.plan.Relay)
+	if e.plan.Relay && !before.Relay {
+		e.renewLimiter(now)
+	}
+	if e.plan.Relay != before.Relay || !slices.Equal(e.plan.Own, before.Own) {
+		var own []ident.Incarnation
+		for _, r := range e.plan.Own {
+			own = append(own, r.Incarnation)
+		}
+		e.log.Note("role", decisions.F("relay", e.plan.Relay), decisions.F("follows", own), decisions.F("daemons", v.Fleet))
+	}
+}
+
+// renewLimiter begins to share out quotas. What was known when this daemon did so last
+// is out of date.
+func (e *Edge) renewLimiter(now time.Duration) {
+	first := e.set.FirstStart && now-e.began < firstStartFor
+	e.limiter = quota.New(now, e.set.Bounds.QuotaWindow, e.set.Bounds.QuotaTolerance, first)
+	e.limiterBegan = now
+	if t := e.table.Load(); t != nil {
+		e.limiter.SetLimits(now, limitsOf(t))
+	}
+}
+
+// expected is how many daemons may share out quotas beside this one, itself included.
+func (e *Edge) expected(now time.Duration) int {
+	if e.plan.Direct {
+		return 1 + len(e.peers.Addresses())
+	}
+	return 1 + len(e.plan.Others)
+}
+
+// isolated is into how many parts quotas are to be divided where no other relay is
+// heard: this one's is that of its followers. Zero is not isolated. In a small fleet the
+// limiter knows each daemon itself.
+func (e *Edge) isolated(now time.Duration) int {
+	if e.plan.Direct {
+		return 0
+	}
+	for _, r := range e.plan.Others {
+		if e.peers.HeardLately(now, r.Incarnation) {
+			return 0
+		}
+	}
+	stands := 1
+	for _, f := range e.followers {
+		if f.primary {
+			stands++
+		}
+	}
+	return (e.peers.Size() + stands - 1) / stands
+}
+
+// forget drops a daemon that has ended; its counts of usage stay. Called with mu
+// held.
+func (e *Edge) forget(id ident.Incarnation, why string) {
+	e.limiter.Gone(id)
+	e.wall.Gone(id)
+	delete(e.stamps, id)
+	delete(e.followers, id)
+	delete(e.feeding, id)
+	e.log.Note("daemon_gone", decisions.F("incarnation", id), decisions.F("reason", why))
+}
+
+// noteFollower takes in whether a daemon follows this one; called with mu held.
+func (e *Edge) noteFollower(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
+	if h.Lost {
+		e.lost[id] = h.PeerAddress
+	}
+	delete(e.feeding, id)
+	if !h.Follows {
+		delete(e.followers, id)
+		if h.FeedAt != 0 {
+			e.feeding[id] = h.FeedAt
+		}
+		return
+	}
+	f := follower{address: h.PeerAddress, heard: now, primary: h.Primary, feedAt: h.FeedAt}
+	if h.Primary {
+		f.included = h.Seq
+	}
+	e.followers[id] = f
+}
+
+// hearsNobody tells whether no other daemon is heard directly; called with mu held.
+func (e *Edge) hearsNobody(now time.Duration) bool {
+	return !slices.ContainsFunc(e.alive, func(m peers.Member) bool { return e.peers.HeardLately(now, m.Incarnation) })
+}
+
+func (e *Edge) fleetSize() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.Size()
+}
+
+// rosterDue tells whether rosters are told in a turn; called with mu held.
+func (e *Edge) rosterDue(turn uint64) bool {
+	if v := rosterVersion(e.alive); v != e.rosterVersion {
+		e.rosterVersion, e.rosterLeft = v, rosterAgain
+	}
+	if e.rosterLeft > 0 {
+		e.rosterLeft--
+		return true
+	}
+	return turn%rosterTurns < rosterSpan
+}
+
+// rosterVersion differs between two sets of daemons, or phases of theirs.
+func rosterVersion(members []peers.Member) uint64 {
+	d := xxhash.New()
+	for _, m := range members {
+		// A digest takes all that is written.
+		_, _ = d.WriteString(string(m.Incarnation))
+		_, _ = d.Write([]byte{0, byte(m.Phase)})
+	}
+	return d.Sum64()
+}
+
+// followersRoster is all that this relay hears itself; called with mu held.
+func (e *Edge) followersRoster(now time.Duration) *peersv1.Roster {
+	ids := make([]ident.Incarnation, 0, len(e.followers))
+	for id := range e.followers {
+		ids = append(ids, id)
+	}
+	r := e.roster(ids)
+	r.Followers = true
+	return r
+}
+
+// domainRoster is all daemons of this failure domain and some others; called with mu held.
+func (e *Edge) domainRoster(now time.Duration) *peersv1.Roster {
+	var near, far []ident.Incarnation
+	for _, m := range e.peers.Vouched(now) {
+		if m.FailureDomain == e.set.FailureDomain {
+			near = append(near, m.Incarnation)
+		} else if m.Phase == peers.Ready {
+			far = append(far, m.Incarnation)
+		}
+	}
+	for i := range uint64(min(farRows, len(far))) {
+		near = append(near, far[(e.seq*farRows+i)%uint64(len(far))])
+	}
+	return e.roster(near)
+}
+
+func (e *Edge) roster(ids []ident.Incarnation) *peersv1.Roster {
+	r := &peersv1.Roster{Fleet: uint32(e.peers.Size()), Relays: uint32(e.plan.PerDomain)}
+	for _, row := range e.peers.Rows(ids) {
+		r.Rows = append(r.Rows, tellRow(row))
+	}
+	return r
+}
+
+// introductions are the relays, by which a daemon finds its place; called with mu held.
+func (e *Edge) introductions() []*peersv1.Row {
+	if e.plan.Direct {
+		return nil
+	}
+	var ids []ident.Incarnation
+	for _, r := range append(slices.Clone(e.plan.Own), e.plan.Others...) {
+		ids = append(ids, r.Incarnation)
+	}
+	slices.Sort(ids)
+	var rows []*peersv1.Row
+	for _, row := range e.peers.Rows(slices.Compact(ids)) {
+		rows = append(rows, tellRow(row))
+	}
+	return rows
+}
+
+// firstByName returns the first few in the order of names, in which daemons stand for
+// the duties.
+func firstByName(members []peers.Member, n int) []peers.Member {
+	members = slices.Clone(members)
+	slices.SortFunc(members, func(a, b peers.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return members[:min(n, len(members))]
+}
--- a/daemon/edge/follow.go
+++ b/daemon/edge/follow.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/feed"
+	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/coordination/quota"
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/daemon/holder"
 	"geraniumstack.org/geraniumstack/internal/pause"
@@ -43,9 +46,19 @@
 	daemonPrefix = "daemons/"
 )
 
-// follower is what this daemon has read of the service.
-type follower struct {
+// directory is what this daemon has read of the service, or was told by relays.
+type directory struct {
 	mu sync.Mutex
+	// log is all that followers need, at the revision up to which nothing is missing,
+	// and incomplete says that something is.
+	log        *feed.Log
+	at         kv.Revision
+	incomplete bool
+	// current is when the copy was known to be, fed when a relay last passed on what
+	// was missing.
+	current, fed time.Duration
+	// revisions are the latest ones of keys.
+	revisions map[string]kv.Revision
 	// runners by key of their entries.
 	runners map[string]Runner
 	// lapsed are runners that are still used although their entry is gone, with
@@ -55,35 +68,59 @@
 	noticed map[ident.RunnerID]time.Duration
 	// disturbed is when the service last failed to answer.
 	disturbed time.Duration
-	// dutyHeld says that somebody's key of the duties stands there.
-	dutyHeld bool
+	// dutyHolder is whose key of the duties stands there; empty is nobody's.
+	dutyHolder ident.Incarnation
 	// dutyFree is since when there is none.
 	dutyFree time.Duration
 }
 
-func (f *follower) init() {
+func (f *directory) init() {
+	f.log = feed.NewLog()
+	f.fed = -fedFor
+	f.revisions = map[string]kv.Revision{}
 	f.runners = map[string]Runner{}
 	f.lapsed = map[string]time.Duration{}
 	f.noticed = map[ident.RunnerID]time.Duration{}
 }
 
-// follow keeps this daemon's copy of the service current. What a watch may have
-// missed (it was cut, or the history is gone) is read anew as a whole.
+// reached is the revision up to which nothing is missing.
+func (f *directory) reached() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return uint64(f.at)
+}
+
+// holder is who holds the duties; empty is nobody.
+func (f *directory) holder() ident.Incarnation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dutyHolder
+}
+
+// follow keeps this daemon's copy of the service current: by the relays that it follows,
+// by a watch where there are none. What a watch has lost is read anew as a whole.
 func (e *Edge) follow(ctx context.Context) {
 	backoff := firstBackoff
 	reachable := true
 	for ctx.Err() == nil {
-		at, err := e.readAll(ctx)
+		if e.fed() {
+			pause.For(ctx, fedFor/2)
+			continue
+		}
+		err := e.catchUp(ctx)
 		if err == nil {
 			if !reachable {
-				e.log.Note("store_regained", decisions.F("revision", uint64(at)))
+				e.log.Note("store_regained", decisions.F("revision", e.dir.reached()))
 			}
 			reachable = true
 			backoff = firstBackoff
-			err = e.watch(ctx, at)
+			err = e.watch(ctx)
 		}
 		var compacted *kv.CompactedError
-		if err == nil || ctx.Err() != nil || errors.As(err, &compacted) {
+		if errors.As(err, &compacted) {
+			e.dir.lose()
+		}
+		if err == nil || ctx.Err() != nil || compacted != nil {
 			// A service that forgets its history all the time must not be listed as
 			// fast as it answers.
 			pause.For(ctx, gatherFor)
@@ -99,18 +136,36 @@
 	}
 }
 
+// lose notes that a part of the service's history is gone.
+func (f *directory) lose() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.incomplete = true
+}
+
+// catchUp lists all keys if this daemon has none of them, or has lost some.
+func (e *Edge) catchUp(ctx context.Context) error {
+	e.dir.mu.Lock()
+	complete := e.dir.at != 0 && !e.dir.incomplete
+	e.dir.mu.Unlock()
+	if complete {
+		return nil
+	}
+	return e.readAll(ctx)
+}
+
 func (e *Edge) noteDisturbed() {
 	e.dir.mu.Lock()
 	e.dir.disturbed = e.deps.Steady()
 	e.dir.mu.Unlock()
 }
 
-// readAll lists all keys and returns the revision from which to watch.
-func (e *Edge) readAll(ctx context.Context) (kv.Revision, error) {
+// readAll lists all keys, after the revision from which to watch on.
+func (e *Edge) readAll(ctx context.Context) error {
 	var compacted *kv.CompactedError
 	_, _, err := e.deps.Store.Watch(ctx, everything, 0, time.Millisecond)
 	if err != nil && !errors.As(err, &compacted) {
-		return 0, err
+		return err
 	}
 	from := kv.Revision(0)
 	if compacted != nil {
@@ -119,55 +174,68 @@
 	sent := e.deps.Steady()
 	entries, err := e.deps.Store.List(ctx, everything, "", maxEntries)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	e.replaceAll(entries, sent)
-	return from, nil
+	e.replaceAll(entries, from, sent)
+	return nil
 }
 
-func (e *Edge) replaceAll(entries []kv.Entry, sent time.Duration) {
+// replaceAll takes in all keys as they were listed after the revision from.
+func (e *Edge) replaceAll(entries []kv.Entry, from kv.Revision, sent time.Duration) {
 	now := time.Now()
+	events := make([]kv.Event, 0, len(entries))
 	e.dir.mu.Lock()
 	missing := make(map[string]bool, len(e.dir.runners))
 	for key := range e.dir.runners {
 		missing[key] = true
 	}
-	held := false
+	holding := ident.Incarnation("")
 	for _, entry := range entries {
+		events = append(events, kv.Event{Entry: entry})
 		switch {
 		case strings.HasPrefix(entry.Key, e.deps.Codec.RunnerPrefix()):
-			e.setRunner(entry, now)
+			if e.dir.newer(entry.Key, entry.Revision) {
+				e.setRunner(entry, now)
+			}
 			delete(missing, entry.Key)
 		case strings.HasPrefix(entry.Key, holder.KeyPrefix):
-			held = true
+			holding = ident.Incarnation(entry.Value)
 		}
 	}
 	for key := range missing {
-		e.removeRunner(key)
+		// A relay may have told of one that was written after the list was made.
+		if from == 0 || e.dir.revisions[key] <= from {
+			e.removeRunner(key)
+		}
 	}
-	e.noteDuty(held)
+	e.noteDuty(holding)
+	e.dir.log.Reset(e.changesOf(events), uint64(from))
+	e.dir.at = max(e.dir.at, from)
+	e.dir.incomplete = false
 	e.dir.mu.Unlock()
 	for _, entry := range entries {
 		switch {
 		case entry.Key == e.deps.Codec.ConfigKey():
 			e.takeConfig(kv.Event{Entry: entry}, sent)
 		case strings.HasPrefix(entry.Key, daemonPrefix):
-			e.learnPeer(string(entry.Value))
+			e.registered(entry.Key, entry.Value)
 		}
 	}
 	e.publishRunners()
 }
 
-// watch follows the changes until the service fails to answer or has lost them.
+// watch follows the changes until the service fails to answer, has lost them, or relays
+// pass them on.
 //
 // It goes on from the last change that it was told, not from the revision that
 // the service says it is at: a watch that goes blind for a moment ends without a
 // change while the revision moves on, and from there the change would never be
 // told. All keys are watched, so a revision that moves on without a change is no
 // proof of anything either.
-func (e *Edge) watch(ctx context.Context, at kv.Revision) error {
+func (e *Edge) watch(ctx context.Context) error {
 	together := true
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !e.fed() {
+		at := kv.Revision(e.dir.reached())
 		wait := e.watchWait(together)
 		sent := e.deps.Steady()
 		events, next, err := e.deps.Store.Watch(ctx, everything, at, wait)
@@ -179,10 +247,7 @@
 		} else if len(events) == 0 {
 			e.provedByWait(sent, wait)
 		}
-		for _, event := range events {
-			at = max(at, event.Revision)
-		}
-		e.apply(events, sent)
+		e.apply(events, at, sent)
 		together = len(events) > 0
 		if together {
 			// Changes are told without gaps, so when the service answered there was no
@@ -206,18 +271,23 @@
 	return min(maxWatch, watchPerDaemon*time.Duration(size))
 }
 
-// rank is this daemon's place in the order of names among those that are heard,
-// and their number.
+// rank is this daemon's place in the order of names among those that watch, and their
+// number.
 func (e *Edge) rank() (place, size int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	alive := e.peers.Alive(e.deps.Steady())
-	for _, m := range alive {
-		if m.ID < e.set.ID {
+	return placeAmong(e.set.ID, e.plan.Watchers)
+}
+
+// placeAmong is a daemon's place in the order of names among others, and their number
+// with it.
+func placeAmong(self ident.DaemonID, others []peers.Member) (place, size int) {
+	for _, m := range others {
+		if m.ID < self {
 			place++
 		}
 	}
-	return place, len(alive) + 1
+	return place, len(others) + 1
 }
 
 // provedByWait dates the proof of an empty answer. The service answered after it
@@ -234,6 +304,9 @@
 // provedByWatch takes the configuration in force for the newest at a time. It isn't if
 // the watch has told a newer one that can't be read.
 func (e *Edge) provedByWatch(at time.Duration) {
+	e.dir.mu.Lock()
+	e.dir.current = max(e.dir.current, at)
+	e.dir.mu.Unlock()
 	e.mu.Lock()
 	revision := e.fresh.Revision()
 	newest := !e.unreadable
@@ -245,34 +318,45 @@
 
 // gather is how long to let changes come together.
 func (e *Edge) gather() time.Duration {
-	if e.fleetSize() <= smallFleet || e.duties.holder.Token() != 0 {
+	if e.fleetSize() <= relays.SmallFleet || e.duties.holder.Token() != 0 {
 		return gatherFor
 	}
 	return gatherLong
 }
 
-func (e *Edge) apply(events []kv.Event, sent time.Duration) {
+// apply takes in changes up to a revision, or up to the last of them if that is later.
+func (e *Edge) apply(events []kv.Event, through kv.Revision, sent time.Duration) {
 	now := time.Now()
 	changed := false
+	e.dir.mu.Lock()
 	for _, event := range events {
+		through = max(through, event.Revision)
+		if !e.passedOn(event.Key) || !e.dir.newer(event.Key, event.Revision) {
+			continue
+		}
 		switch {
-		case event.Key == e.deps.Codec.ConfigKey():
-			e.takeConfig(event, sent)
 		case strings.HasPrefix(event.Key, e.deps.Codec.RunnerPrefix()):
 			changed = true
-			e.dir.mu.Lock()
 			if event.Deleted {
 				e.removeRunner(event.Key)
 			} else {
 				e.setRunner(event.Entry, now)
 			}
-			e.dir.mu.Unlock()
+		case strings.HasPrefix(event.Key, holder.KeyPrefix) && event.Deleted:
+			e.noteDuty("")
 		case strings.HasPrefix(event.Key, holder.KeyPrefix):
-			e.dir.mu.Lock()
-			e.noteDuty(!event.Deleted)
-			e.dir.mu.Unlock()
+			e.noteDuty(ident.Incarnation(event.Value))
+		}
+	}
+	e.dir.log.Apply(e.changesOf(events), uint64(through))
+	e.dir.at = max(e.dir.at, through)
+	e.dir.mu.Unlock()
+	for _, event := range events {
+		switch {
+		case event.Key == e.deps.Codec.ConfigKey():
+			e.takeConfig(event, sent)
 		case strings.HasPrefix(event.Key, daemonPrefix) && !event.Deleted:
-			e.learnPeer(string(event.Value))
+			e.registered(event.Key, event.Value)
 		}
 	}
 	if changed {
@@ -280,18 +364,12 @@
 	}
 }
 
-// noteDuty notes whether the duties are held; called with dir.mu held.
-func (e *Edge) noteDuty(held bool) {
-	if e.dir.dutyHeld && !held || e.dir.dutyFree == 0 {
+// noteDuty notes who holds the duties; called with dir.mu held.
+func (e *Edge) noteDuty(holding ident.Incarnation) {
+	if e.dir.dutyHolder != "" && holding == "" || e.dir.dutyFree == 0 {
 		e.dir.dutyFree = max(1, e.deps.Steady())
 	}
-	e.dir.dutyHeld = held
-}
-
-func (e *Edge) learnPeer(address string) {
-	e.mu.Lock()
-	e.peers.Learn(e.deps.Steady(), address)
-	e.mu.Unlock()
+	e.dir.dutyHolder = holding
 }
 
 // takeConfig puts an operator's configuration into force unless it is older than
@@ -321,14 +399,19 @@
 	e.refreshPhase(e.deps.Steady())
 }
 
-// putInForce is called with mu held.
-func (e *Edge) putInForce(t *route.Table, revision kv.Revision) {
+// limitsOf are the workspaces' quotas.
+func limitsOf(t *route.Table) map[ident.Workspace]quota.Limit {
 	limits := map[ident.Workspace]quota.Limit{}
 	for i := range t.Config().Workspaces {
 		w := &t.Config().Workspaces[i]
 		limits[w.Name] = quota.Limit{PerSecond: w.Quota.PerSecond, Burst: w.Quota.Burst}
 	}
-	e.limiter.SetLimits(e.deps.Steady(), limits)
+	return limits
+}
+
+// putInForce is called with mu held.
+func (e *Edge) putInForce(t *route.Table, revision kv.Revision) {
+	e.limiter.SetLimits(e.deps.Steady(), limitsOf(t))
 	e.table.Store(t)
 	e.setServices(t)
 	e.log.Note("config_in_force", decisions.F("version", t.Version()), decisions.F("revision", uint64(revision)),
--- /dev/null
+++ b/daemon/edge/grants.go
@@ -0,0 +1,299 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// In a large fleet a daemon's part of a workspace's quota would be smaller than one
+// prompt. There the relays share the quotas among themselves, and every other daemon
+// asks one that it follows for each request, which costs it a message each way within
+// its failure domain. Whose part is used up asks another one, too, also in a small fleet.
+// A relay that has ended takes no more, so nothing is given out
+// twice; what was granted and not used, or not heard of, is only lost to the workspace.
+
+const (
+	// grantWait is how long the primary may take to answer before the other relay is
+	// asked, too; a relay answers in a millisecond, or after a pause of its VM.
+	grantWait = 40 * time.Millisecond
+	// lastGrantWait is how long the answers may take after that.
+	lastGrantWait = 80 * time.Millisecond
+	// maxAsked bounds the relays that are asked for one request. The part of one may be
+	// used up while another's is not; while relays change, some of those that are known
+	// have ended and others don't know yet that they are ones.
+	maxAsked = 5
+	// lateGrants is how long an answer that nobody waits for is recognised, so that it
+	// is given back.
+	lateGrants = 5 * time.Second
+	// warmUp is how long a daemon that becomes a relay lets others answer: its buckets
+	// are empty until it hears how full they are, which takes a message or two.
+	warmUp = 3 * tellEvery
+	// quotaUnknownAfter is when to come back where no relay answered: by then another
+	// one has taken over.
+	quotaUnknownAfter = 300 * time.Millisecond
+)
+
+// grantee is a request that waits for a relay's word.
+type grantee struct {
+	at        time.Duration
+	workspace ident.Workspace
+	cost      float64
+	relay     string
+	// answer is taken by the first of the relays that grants; it is nil once nobody
+	// waits any more.
+	answer chan<- grantAnswer
+}
+
+type grantAnswer struct {
+	*peersv1.Grant
+	grantee
+}
+
+// asker keeps what was asked of relays.
+type asker struct {
+	mu      sync.Mutex
+	next    uint64
+	waiting map[uint64]grantee
+}
+
+func (a *asker) init() {
+	// Not the numbers of a former run at this address, whose answers may be on their way.
+	a.next = rand.Uint64()
+	a.waiting = map[uint64]grantee{}
+}
+
+func (a *asker) add(g grantee) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.next++
+	a.waiting[a.next] = g
+	return a.next
+}
+
+// leave says that nobody waits for the answers any more.
+func (a *asker) leave(ids []uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, id := range ids {
+		if g, ok := a.waiting[id]; ok {
+			g.answer = nil
+			a.waiting[id] = g
+		}
+	}
+}
+
+// take removes an asker and returns it; false if it isn't known.
+func (a *asker) take(id uint64) (grantee, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g, ok := a.waiting[id]
+	delete(a.waiting, id)
+	return g, ok
+}
+
+func (a *asker) expire(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, g := range a.waiting {
+		if now-g.at > lateGrants {
+			delete(a.waiting, id)
+		}
+	}
+}
+
+// takeQuota takes a request's cost out of its workspace's quota. It returns the relay
+// that granted it, empty for this daemon itself, or a refusal.
+func (e *Edge) takeQuota(ctx context.Context, ws ident.Workspace, cost float64) (string, *refusal.Refusal) {
+	own, elsewhere, ask := e.takeOwn(ws, cost)
+	if own != nil && (own.Taken || !elsewhere) {
+		return "", usedUp(own, cost)
+	}
+	answers := make(chan grantAnswer, maxAsked)
+	var ids []uint64
+	defer func() { e.leave(ids, answers) }()
+	refused := own
+	for i := 0; i < len(ask) && i < maxAsked; i++ {
+		id := e.asks.add(grantee{at: e.deps.Steady(), workspace: ws, cost: cost, relay: ask[i], answer: answers})
+		ids = append(ids, id)
+		e.sendTo(ask[i], &peersv1.Datagram{Ask: &peersv1.Ask{
+			Id: id, Workspace: string(ws), Cost: cost, PeerAddress: e.set.PeerAddress,
+		}})
+		wait := grantWait
+		if i == len(ask)-1 {
+			wait = lastGrantWait
+		}
+		g, ok := awaitGrant(ctx, answers, wait)
+		switch {
+		case !ok:
+		case g.Unable:
+			ask = e.referred(ask, g.Ask)
+		case g.Taken || !g.Elsewhere:
+			return g.relay, usedUp(g.Grant, cost)
+		default:
+			refused = g.Grant
+		}
+	}
+	if refused != nil {
+		return "", usedUp(refused, cost)
+	}
+	return "", refusal.New(refusal.QuotaUnknown, "none of %d relays can tell", len(ids)).After(quotaUnknownAfter)
+}
+
+// referred adds relays that another daemon knows.
+func (e *Edge) referred(ask, to []string) []string {
+	for _, address := range to {
+		if address != e.set.PeerAddress && !slices.Contains(ask, address) {
+			ask = append(ask, address)
+		}
+	}
+	return ask
+}
+
+// takeOwn takes a cost out of what this daemon gives out itself; nil if it gives out
+// nothing. It returns whether another one may grant it, and whom to ask.
+func (e *Edge) takeOwn(ws ident.Workspace, cost float64) (own *peersv1.Grant, elsewhere bool, ask []string) {
+	now := e.deps.Steady()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.plan.Relay && !e.warming(now) {
+		own = e.take(now, ws, cost)
+		if own.Taken || !own.Elsewhere {
+			return own, false, nil
+		}
+	}
+	return own, true, e.askable()
+}
+
+// take takes a cost out of what this daemon gives out; called with mu held.
+func (e *Edge) take(now time.Duration, ws ident.Workspace, cost float64) *peersv1.Grant {
+	wait, ok := e.limiter.Take(now, ws, cost)
+	return &peersv1.Grant{Taken: ok, WaitNs: int64(wait), Elsewhere: !ok && e.limiter.Covers(now, ws, cost)}
+}
+
+// askable are the addresses of relays to ask: the followed ones, then others of this
+// failure domain, then others. Called with mu held.
+func (e *Edge) askable() []string {
+	var ask, far []string
+	for _, r := range e.plan.Own {
+		ask = append(ask, r.PeerAddress)
+	}
+	for _, r := range e.plan.Others {
+		switch {
+		case slices.Contains(ask, r.PeerAddress):
+		case r.FailureDomain == e.set.FailureDomain:
+			ask = append(ask, r.PeerAddress)
+		default:
+			far = append(far, r.PeerAddress)
+		}
+	}
+	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+	ask = append(ask, far...)
+	return ask[:min(maxAsked, len(ask))]
+}
+
+// warming tells whether this daemon has just become a relay and has heard of no other
+// yet. Called with mu held.
+func (e *Edge) warming(now time.Duration) bool {
+	return !e.plan.Direct && now-e.limiterBegan < warmUp && e.limiter.Alone()
+}
+
+// leave ends the wait for relays' answers and gives back what was granted beside the one
+// that counted.
+func (e *Edge) leave(ids []uint64, answers <-chan grantAnswer) {
+	e.asks.leave(ids)
+	for {
+		select {
+		case g := <-answers:
+			if g.Taken {
+				e.returnQuota(g.relay, g.workspace, g.cost)
+			}
+		default:
+			return
+		}
+	}
+}
+
+// awaitGrant waits for a relay's word.
+func awaitGrant(ctx context.Context, answers <-chan grantAnswer, wait time.Duration) (grantAnswer, bool) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	select {
+	case g := <-answers:
+		return g, true
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return grantAnswer{}, false
+}
+
+// usedUp is the refusal of what was not granted; nil if it was.
+func usedUp(g *peersv1.Grant, cost float64) *refusal.Refusal {
+	if g.Taken {
+		return nil
+	}
+	return refusal.New(refusal.WorkspaceLimit, "quota of the workspace is used up, the request costs %.0f", cost).After(time.Duration(g.WaitNs))
+}
+
+// grant answers a daemon that asks for a part of a quota.
+func (e *Edge) grant(a *peersv1.Ask) {
+	now := e.deps.Steady()
+	var g *peersv1.Grant
+	e.mu.Lock()
+	if e.plan.Relay && e.table.Load() != nil && !e.warming(now) {
+		g = e.take(now, ident.Workspace(a.Workspace), a.Cost)
+	} else {
+		g = &peersv1.Grant{Unable: true, Ask: e.askable()}
+	}
+	e.mu.Unlock()
+	g.Id = a.Id
+	e.sendTo(a.PeerAddress, &peersv1.Datagram{Grant: g})
+}
+
+// granted hands a relay's answer to the request that waits for it. What comes too late
+// is given back.
+func (e *Edge) granted(g *peersv1.Grant) {
+	asked, ok := e.asks.take(g.Id)
+	if !ok {
+		e.log.Count("quota.unknown_grant")
+		return
+	}
+	if asked.answer != nil {
+		asked.answer <- grantAnswer{g, asked}
+		return
+	}
+	e.log.Count("quota.late_grant")
+	if g.Taken {
+		e.returnQuota(asked.relay, asked.workspace, asked.cost)
+	}
+}
+
+// returnQuota gives back what a request took that has not run and never will.
+func (e *Edge) returnQuota(relay string, ws ident.Workspace, cost float64) {
+	if relay == "" {
+		e.mu.Lock()
+		e.limiter.Return(ws, cost)
+		e.mu.Unlock()
+		return
+	}
+	e.sendTo(relay, &peersv1.Datagram{Refund: &peersv1.Refund{Workspace: string(ws), Cost: cost}})
+}
+
+func (e *Edge) refunded(r *peersv1.Refund) {
+	if r.Cost <= 0 {
+		e.log.Note("message_ignored", decisions.F("reason", "refund of nothing"))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.plan.Relay {
+		e.limiter.Return(ident.Workspace(r.Workspace), r.Cost)
+	}
+}
--- /dev/null
+++ b/daemon/edge/hear.go
@@ -0,0 +1,180 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumstack.org/geraniumstack/coordination/freshness"
+	"geraniumstack.org/geraniumstack/coordination/peers"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// receive takes the others' messages in until the context ends. The socket is closed when
+// it returns: a message that comes as the context ends lets it return before the close
+// that the end brings about, and the address would still be taken when a daemon is started
+// there next.
+func (e *Edge) receive(ctx context.Context) error {
+	defer e.deps.Datagrams.Close()
+	stop := context.AfterFunc(ctx, func() { e.deps.Datagrams.Close() })
+	defer stop()
+	buffer := make([]byte, datagramBytes+1)
+	for {
+		n, _, err := e.deps.Datagrams.ReadFrom(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return fmt.Errorf("receive datagrams: %w", err)
+		}
+		if err != nil {
+			// A datagram to a closed port comes back as an error of the next read.
+			e.log.Count("peers.receive_failed")
+			continue
+		}
+		var d peersv1.Datagram
+		if err := proto.Unmarshal(buffer[:n], &d); err != nil {
+			e.log.Note("message_ignored", decisions.F("reason", err.Error()))
+			continue
+		}
+		e.dispatch(ctx, &d)
+	}
+}
+
+func (e *Edge) dispatch(ctx context.Context, d *peersv1.Datagram) {
+	switch {
+	case d.Ask != nil:
+		e.grant(d.Ask)
+	case d.Grant != nil:
+		e.granted(d.Grant)
+	case d.Refund != nil:
+		e.refunded(d.Refund)
+	case d.Hello != nil:
+		e.heard(ctx, d.Hello)
+	}
+}
+
+// heard takes in what a daemon tells.
+func (e *Edge) heard(ctx context.Context, h *peersv1.Hello) {
+	if h.Feed != nil {
+		// First of all, so that a newer configuration need not be read once more.
+		e.takeFeed(h.Feed)
+	}
+	id := ident.Incarnation(h.Incarnation)
+	now := e.deps.Steady()
+	e.mu.Lock()
+	fresh, ended := e.peers.Heard(now, peers.Member{
+		ID: ident.DaemonID(h.Daemon), Incarnation: id, FailureDomain: ident.FailureDomain(h.FailureDomain),
+		CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Phase: peers.Phase(h.Phase), Started: h.StartedUnixMs,
+	}, h.Seq)
+	if !fresh {
+		e.mu.Unlock()
+		return
+	}
+	if _, known := e.stamps[id]; !known {
+		e.log.Note("daemon_heard", decisions.F("incarnation", id), decisions.F("address", h.PeerAddress))
+	}
+	e.heardFellows(now, id, h, ended)
+	e.stamps[id] = freshness.Stamp{Sent: time.Duration(h.StampNs), Received: now}
+	e.wall.Heard(id, time.Unix(0, h.TimeUnixNs), now)
+	e.heardUses(now, id, h)
+	e.book.Heard(id, windowsOf(h.Windows))
+	for _, one := range h.Ended {
+		e.book.Heard(ident.Incarnation(one.Incarnation), windowsOf(one.Windows))
+	}
+	behind := e.fresh.Heard(freshness.Word{
+		Revision: h.ConfigRevision, Echo: time.Duration(h.EchoNs), Lag: time.Duration(h.LagNs), Proved: h.Proved,
+	})
+	e.refreshPhase(now)
+	source := e.sourceOf(id, h)
+	e.mu.Unlock()
+	if behind && e.table.Load() != nil {
+		go e.confirm(ctx)
+	}
+	e.heardLeaving(h.Leaving)
+	e.heardWork(id, h, source)
+	e.heardPlaced(h.Placed, source == fromFollower)
+}
+
+// heardFellows takes in whom a daemon knows; called with mu held.
+func (e *Edge) heardFellows(now time.Duration, id ident.Incarnation, h *peersv1.Hello, ended []ident.Incarnation) {
+	if h.Roster != nil {
+		rows := make([]peers.Row, 0, len(h.Roster.Rows))
+		for _, r := range h.Roster.Rows {
+			rows = append(rows, rowOf(r))
+		}
+		if h.Roster.Followers {
+			e.followElsewhere(rows)
+		}
+		ended = append(ended, e.peers.Told(now, id, rows, int(h.Roster.Fleet), int(h.Roster.Relays))...)
+	}
+	for _, r := range h.Introduced {
+		e.peers.Introduce(now, rowOf(r))
+	}
+	for _, a := range h.Addresses {
+		e.peers.Learn(now, a)
+	}
+	for _, former := range ended {
+		e.forget(former, "replaced")
+	}
+	e.noteFollower(now, id, h)
+}
+
+// followElsewhere takes in that daemons follow a relay: they give out no quotas. While a
+// fleet starts each daemon takes itself for a relay for a moment, and those that never
+// hear of it again would keep a part for it. Called with mu held.
+func (e *Edge) followElsewhere(rows []peers.Row) {
+	for _, r := range rows {
+		e.limiter.Left(r.Incarnation)
+	}
+}
+
+// heardUses takes in what another relay took of the quotas; called with mu held. One
+// that follows takes nothing itself.
+func (e *Edge) heardUses(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
+	if !e.plan.Relay {
+		return
+	}
+	if !h.Relay {
+		e.limiter.Left(id)
+		return
+	}
+	if len(h.Uses) > 0 || e.plan.Direct {
+		e.limiter.Heard(now, id, time.Duration(h.AgeNs), usesOf(h))
+	}
+}
+
+// source is what a daemon's account of work at the runners stands for.
+type source int
+
+const (
+	// fromNobody is not counted.
+	fromNobody source = iota
+	// fromFollower is that daemon's own, which nobody else counts.
+	fromFollower
+	// fromRelay is that of a relay and its followers.
+	fromRelay
+	// fromPrimary is that of all daemons, this one included.
+	fromPrimary
+)
+
+// sourceOf tells what a message's account of work stands for; called with mu held.
+func (e *Edge) sourceOf(id ident.Incarnation, h *peersv1.Hello) source {
+	switch {
+	case h.Follows && h.Primary:
+		return fromFollower
+	case h.Follows:
+		return fromNobody
+	case e.plan.Relay && h.Relay:
+		return fromRelay
+	case len(e.plan.Own) > 0 && e.plan.Own[0].Incarnation == id:
+		return fromPrimary
+	}
+	return fromNobody
+}
--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -1,27 +1,39 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/accounting"
 	"geraniumstack.org/geraniumstack/coordination/freshness"
+	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/coordination/quota"
-	"geraniumstack.org/geraniumstack/coordination/routing"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
-// maxTold bounds the addresses in a message. They only help daemons that have
-// just started, which hear several daemons ten times a second.
-const maxTold = 4
+const (
+	// maxTold bounds the addresses in a message. They only help daemons that have
+	// just started, which hear several daemons ten times a second.
+	maxTold = 4
+	// countTurns is between two messages of a relay with counts of usage; allCountsTurns
+	// between two with those of windows that ended before the last one.
+	countTurns     = followTurns
+	allCountsTurns = 5 * countTurns
+	// cellMessages is how many messages a relay tells the counts of all its followers in:
+	// all in one would grow with their number.
+	cellMessages = 3
+	// successors is how many relays that may follow the holder of the duties are told
+	// the counts, too.
+	successors = 12
+)
 
 // noticeTold is how long the others are told of a runner's notice: as long as one may
 // need to read it, and a few messages.
 const noticeTold = gatherLong + time.Second
 
-// hello is what all others are told; called with mu held.
-func (e *Edge) hello(loads []routing.OwnLoad) *peersv1.Hello {
-	now := e.deps.Steady()
+// presence is what everybody is told; called with mu held.
+func (e *Edge) presence(now time.Duration) *peersv1.Hello {
 	self := e.peers.Self()
 	e.seq++
 	h := &peersv1.Hello{
@@ -31,63 +43,130 @@
 		CallerAddress: self.CallerAddress,
 		PeerAddress:   self.PeerAddress,
 		Phase:         uint32(self.Phase),
+		StartedUnixMs: self.Started,
 		Seq:           e.seq,
 		StampNs:       int64(now),
-		AgeNs:         int64(now - e.began),
+		AgeNs:         int64(e.limiter.Age(now)),
 		TimeUnixNs:    e.wall.Own(now).UnixNano(),
+		Relay:         e.plan.Relay,
+		Lost:          e.hearsNobody(now),
+	}
+	if e.set.Policy.Uses(TellLeaving) {
+		for _, id := range e.dir.noticedSince(now - noticeTold) {
+			h.Leaving = append(h.Leaving, string(id))
+		}
+	}
+	if e.plan.Direct {
+		h.Addresses = inTurn(e.peers.Addresses(), e.seq, maxTold)
 	}
+	return h
+}
+
+// addUses tells what this relay took of the quotas; called with mu held.
+func (e *Edge) addUses(now time.Duration, h *peersv1.Hello) {
 	for ws, use := range e.limiter.Uses(now) {
 		h.Uses = append(h.Uses, &peersv1.Use{Workspace: string(ws), Taken: use.Taken, Level: use.Level})
 	}
-	h.Windows = tellWindows(e.book.Open(e.wall.At(now), e.self))
-	h.Ended = e.ended(now)
-	for _, l := range loads {
+}
+
+// addWork tells of work at the runners.
+func addWork(h *peersv1.Hello, w work) {
+	for _, l := range w.loads {
 		if l.Requests > 0 {
 			h.Loads = append(h.Loads, &peersv1.Load{
 				Runner: string(l.Runner), PrefillTokens: uint32(l.Prefill), Requests: uint32(l.Requests), KvTokens: uint32(l.KV),
 			})
 		}
 	}
-	if e.set.Policy.Uses(TellLeaving) {
-		for _, id := range e.dir.noticedSince(now - noticeTold) {
-			h.Leaving = append(h.Leaving, string(id))
-		}
+	for service, tokens := range w.offered {
+		h.Offered = append(h.Offered, &peersv1.Offered{Service: service, PromptTokens: tokens})
+	}
+	h.Placed = w.placed
+}
+
+// addAllCounts tells this daemon's counts, and those of one that is not heard any more;
+// called with mu held.
+func (e *Edge) addAllCounts(now time.Duration, h *peersv1.Hello) {
+	h.Windows = tellWindows(e.book.Open(e.wall.At(now), e.self), 0)
+	e.addEndedCounts(now, h)
+}
+
+// addOwnCounts tells this daemon's counts.
+func (e *Edge) addOwnCounts(now time.Duration, turn uint64, h *peersv1.Hello) {
+	h.Windows = tellWindows(e.book.Open(e.wall.At(now), e.self), e.oldestWindow(now, turn))
+}
+
+// cellCounts are those of this relay, of one daemon that has ended and of some followers,
+// for relays that may report them; called with mu held.
+func (e *Edge) cellCounts(now time.Duration, turn uint64) *peersv1.Hello {
+	h := &peersv1.Hello{}
+	if e.plan.Direct || !countsDue(turn) {
+		return h
+	}
+	e.addOwnCounts(now, turn, h)
+	e.addEndedCounts(now, h)
+	at, oldest := e.wall.At(now), e.oldestWindow(now, turn)
+	for _, id := range e.followersInTurn(turn) {
+		h.Ended = append(h.Ended, &peersv1.Ended{Incarnation: string(id), Windows: tellWindows(e.book.Open(at, id), oldest)})
 	}
-	h.Addresses = inTurn(e.peers.Addresses(), e.seq)
 	return h
 }
 
-// inTurn picks the addresses for one message: all of them within a few.
-func inTurn(addresses []string, seq uint64) []string {
-	if len(addresses) <= maxTold {
-		return addresses
+// followersInTurn are those whose counts are told in a turn.
+func (e *Edge) followersInTurn(turn uint64) []ident.Incarnation {
+	var ids []ident.Incarnation
+	for id, f := range e.followers {
+		if f.primary {
+			ids = append(ids, id)
+		}
 	}
-	told := make([]string, 0, maxTold)
-	from := seq * maxTold
-	for i := range uint64(maxTold) {
-		told = append(told, addresses[(from+i)%uint64(len(addresses))])
+	slices.Sort(ids)
+	return inTurn(ids, turn/countTurns, (len(ids)+cellMessages-1)/cellMessages)
+}
+
+// countsDue tells whether a relay tells counts of usage in a turn.
+func countsDue(turn uint64) bool { return turn%countTurns == 0 }
+
+// oldestWindow is the first window whose counts are told in a turn. Those of the ones
+// that ended long ago don't change any more.
+func (e *Edge) oldestWindow(now time.Duration, turn uint64) accounting.Window {
+	if turn%allCountsTurns == 0 {
+		return 0
 	}
-	return told
+	return e.book.WindowAt(e.wall.At(now)) - 1
 }
 
-// ended is what one of the daemons that are not heard counted; called with mu held.
-func (e *Edge) ended(now time.Duration) []*peersv1.Ended {
+// addEndedCounts tells what one of the daemons that are not alive counted, by turns.
+func (e *Edge) addEndedCounts(now time.Duration, h *peersv1.Hello) {
 	alive := map[ident.Incarnation]bool{}
-	for _, m := range e.peers.Alive(now) {
+	for _, m := range e.alive {
 		alive[m.Incarnation] = true
 	}
 	at := e.wall.At(now)
 	id, ok := e.book.NextEnded(at, e.lastEnded, alive)
 	if !ok {
-		return nil
+		return
 	}
 	e.lastEnded = id
-	return []*peersv1.Ended{{Incarnation: string(id), Windows: tellWindows(e.book.Open(at, id))}}
+	h.Ended = append(h.Ended, &peersv1.Ended{Incarnation: string(id), Windows: tellWindows(e.book.Open(at, id), 0)})
 }
 
-func tellWindows(counts map[accounting.Window]accounting.Counts) []*peersv1.Window {
+// counters are the relays that are told of usage: the holder of the duties and those
+// that would follow it.
+func (e *Edge) counters() map[ident.Incarnation]bool {
+	ids := map[ident.Incarnation]bool{e.dir.holder(): true}
+	for _, m := range firstByName(e.plan.Others, successors) {
+		ids[m.Incarnation] = true
+	}
+	return ids
+}
+
+func tellWindows(counts map[accounting.Window]accounting.Counts, oldest accounting.Window) []*peersv1.Window {
 	windows := make([]*peersv1.Window, 0, len(counts))
 	for w, c := range counts {
+		if w < oldest {
+			continue
+		}
 		window := &peersv1.Window{Number: int64(w), Counts: make(map[string]int64, len(c))}
 		for ws, n := range c {
 			window.Counts[string(ws)] = n
@@ -107,6 +186,20 @@
 	return &peersv1.Hello{EchoNs: int64(w.Echo), LagNs: int64(w.Lag), Proved: w.Proved, ConfigRevision: w.Revision}
 }
 
+func tellRow(r peers.Row) *peersv1.Row {
+	return &peersv1.Row{
+		Daemon: string(r.ID), Incarnation: string(r.Incarnation), FailureDomain: string(r.FailureDomain),
+		CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress, Phase: uint32(r.Phase), Seq: r.Seq, StartedUnixMs: r.Started,
+	}
+}
+
+func rowOf(r *peersv1.Row) peers.Row {
+	return peers.Row{Seq: r.Seq, Member: peers.Member{
+		ID: ident.DaemonID(r.Daemon), Incarnation: ident.Incarnation(r.Incarnation), FailureDomain: ident.FailureDomain(r.FailureDomain),
+		CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress, Phase: peers.Phase(r.Phase), Started: r.StartedUnixMs,
+	}}
+}
+
 func usesOf(h *peersv1.Hello) map[ident.Workspace]quota.Use {
 	uses := make(map[ident.Workspace]quota.Use, len(h.Uses))
 	for _, u := range h.Uses {
--- a/daemon/edge/loads.go
+++ b/daemon/edge/loads.go
@@ -11,51 +11,128 @@
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
+// remembered is how many of its own messages a daemon keeps the loads of: those that
+// its primary may have heard last.
+const remembered = 16
+
+// work is what some daemons have in progress at the runners, and what callers brought
+// them.
+type work struct {
+	loads []routing.OwnLoad
+	// offered is prompt tokens by service since some time.
+	offered map[string]float64
+	placed  []*peersv1.Placed
+}
+
+// news is what the daemons that are told in a turn hear, each one of these: this
+// daemon's own work, that of it and its followers, or that of all.
+type news struct {
+	own, cell, all work
+	roster         bool
+}
+
 // toldLoads is the work of the other daemons at the runners.
 type toldLoads struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// daemons are followers and other relays, total all as the primary knows them.
 	daemons map[ident.Incarnation]toldLoad
-	// offered is the prompt tokens that were brought to them, by service.
-	offered map[string]*fleet.Tally
+	total   toldLoad
+	// sent are this daemon's own loads in its last messages, by their number.
+	sent map[uint64][]routing.OwnLoad
+	// offered is the prompt tokens that were brought to others, by service.
+	offered map[string]*offers
+	changed bool
 }
 
 type toldLoad struct {
 	at   time.Duration
 	work []routing.OwnLoad
+	// follower says that nobody else counts it.
+	follower bool
+	// included is the own message that is part of a total.
+	included uint64
+}
+
+// offers are counts of the work that was brought to one service.
+type offers struct{ followers, all fleet.Tally }
+
+func (t *toldLoads) init() {
+	t.daemons = map[ident.Incarnation]toldLoad{}
+	t.sent = map[uint64][]routing.OwnLoad{}
+	t.offered = map[string]*offers{}
 }
 
-// heardLoads takes in one daemon's work. The pools hear of it with the next
+// totalOf names the count of all work that a daemon tells; its own is another one.
+func totalOf(id ident.Incarnation) ident.Incarnation { return id + "/all" }
+
+// heardWork takes in a daemon's account of work. The pools hear of it with the next
 // applyLoads: to work the sums out for each message would cost a large fleet's
 // daemon more than its requests.
-func (e *Edge) heardLoads(id ident.Incarnation, h *peersv1.Hello) {
-	work := make([]routing.OwnLoad, 0, len(h.Loads))
+func (e *Edge) heardWork(id ident.Incarnation, h *peersv1.Hello, from source) {
+	if from == fromNobody || len(h.Offered) == 0 {
+		return
+	}
+	loads := make([]routing.OwnLoad, 0, len(h.Loads))
 	for _, l := range h.Loads {
-		work = append(work, routing.OwnLoad{
+		loads = append(loads, routing.OwnLoad{
 			Runner: ident.RunnerID(l.Runner), Prefill: int(l.PrefillTokens), KV: int(l.KvTokens), Requests: int(l.Requests),
 		})
 	}
 	now := e.deps.Steady()
 	e.told.mu.Lock()
 	defer e.told.mu.Unlock()
-	if e.told.daemons == nil {
-		e.told.daemons = map[ident.Incarnation]toldLoad{}
-		e.told.offered = map[string]*fleet.Tally{}
-	}
+	e.told.changed = true
+	heard := toldLoad{at: now, work: loads, follower: from == fromFollower, included: h.IncludedSeq}
 	for _, o := range h.Offered {
-		tally, ok := e.told.offered[o.Service]
-		if !ok {
-			tally = &fleet.Tally{}
-			e.told.offered[o.Service] = tally
+		e.told.heardOffered(now, id, o, from)
+	}
+	if from == fromPrimary {
+		e.told.total = heard
+		return
+	}
+	e.told.daemons[id] = heard
+}
+
+func (t *toldLoads) heardOffered(now time.Duration, id ident.Incarnation, o *peersv1.Offered, from source) {
+	counts, ok := t.offered[o.Service]
+	if !ok {
+		counts = &offers{}
+		t.offered[o.Service] = counts
+	}
+	switch from {
+	case fromFollower:
+		counts.followers.Heard(now, id, o.PromptTokens)
+		counts.all.Heard(now, id, o.PromptTokens)
+	case fromRelay:
+		counts.all.Heard(now, id, o.PromptTokens)
+	case fromPrimary:
+		counts.all.Heard(now, totalOf(id), o.PromptTokens)
+	}
+}
+
+// remember keeps what was told of this daemon's own loads.
+func (t *toldLoads) remember(seq uint64, loads []routing.OwnLoad) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent[seq] = loads
+	for s := range t.sent {
+		if s+remembered*followTurns < seq {
+			delete(t.sent, s)
 		}
-		tally.Heard(now, id, o.PromptTokens)
 	}
-	e.told.daemons[id] = toldLoad{at: now, work: work}
 }
 
 // applyLoads hands the sums of the other daemons' work to the pools.
 func (e *Edge) applyLoads() {
+	now := e.deps.Steady()
 	e.told.mu.Lock()
-	sums := e.told.sums(e.deps.Steady())
+	if e.told.expire(now) || e.told.changed {
+		e.told.changed = false
+	} else {
+		e.told.mu.Unlock()
+		return
+	}
+	sums := e.told.others(now)
 	e.told.mu.Unlock()
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
@@ -64,36 +141,107 @@
 	}
 }
 
-// toldOffered is the prompt tokens that were brought to the other daemons.
+// toldOffered is the prompt tokens that were brought to other daemons; where the
+// primary tells of all, those that were brought to this one are among them.
 func (e *Edge) toldOffered(service string) float64 {
 	e.told.mu.Lock()
 	defer e.told.mu.Unlock()
-	if tally, ok := e.told.offered[service]; ok {
-		return tally.Total()
+	if counts, ok := e.told.offered[service]; ok {
+		return counts.all.Total()
 	}
 	return 0
 }
 
-// sums adds up the work of the daemons that are heard. A daemon that is not
-// heard any more has most likely ended, and its work with it.
-func (t *toldLoads) sums(now time.Duration) map[ident.RunnerID]routing.OwnLoad {
-	sums := map[ident.RunnerID]routing.OwnLoad{}
+// expire drops daemons that are not heard any more: they have most likely ended, and
+// their work with them. It tells whether there were any.
+func (t *toldLoads) expire(now time.Duration) bool {
+	expired := false
 	for id, told := range t.daemons {
-		if now-told.at > peers.AliveFor {
-			delete(t.daemons, id)
-			for _, tally := range t.offered {
-				tally.Gone(id)
-			}
+		if now-told.at <= peers.RelayedAliveFor {
 			continue
 		}
-		for _, w := range told.work {
-			sum := sums[w.Runner]
-			sum.Runner = w.Runner
-			sum.Prefill += w.Prefill
-			sum.KV += w.KV
-			sum.Requests += w.Requests
-			sums[w.Runner] = sum
+		expired = true
+		delete(t.daemons, id)
+		for _, counts := range t.offered {
+			counts.followers.Gone(id)
+			counts.all.Gone(id)
+		}
+	}
+	return expired
+}
+
+type loadSums map[ident.RunnerID]routing.OwnLoad
+
+func (s loadSums) add(loads []routing.OwnLoad, sign int) {
+	for _, w := range loads {
+		sum := s[w.Runner]
+		sum.Runner = w.Runner
+		sum.Prefill = max(0, sum.Prefill+sign*w.Prefill)
+		sum.KV = max(0, sum.KV+sign*w.KV)
+		sum.Requests = max(0, sum.Requests+sign*w.Requests)
+		s[w.Runner] = sum
+	}
+}
+
+func (s loadSums) list() []routing.OwnLoad {
+	list := make([]routing.OwnLoad, 0, len(s))
+	for _, l := range s {
+		list = append(list, l)
+	}
+	return list
+}
+
+// others adds up the work of all other daemons: what the primary tells without the own
+// part of it, or what followers and other relays tell.
+func (t *toldLoads) others(now time.Duration) loadSums {
+	sums := loadSums{}
+	if t.total.work != nil && now-t.total.at <= peers.RelayedAliveFor {
+		sums.add(t.total.work, 1)
+		sums.add(t.sent[t.total.included], -1)
+		return sums
+	}
+	for _, told := range t.daemons {
+		sums.add(told.work, 1)
+	}
+	return sums
+}
+
+// followers adds up the work of the followers.
+func (t *toldLoads) followers() loadSums {
+	sums := loadSums{}
+	for _, told := range t.daemons {
+		if told.follower {
+			sums.add(told.work, 1)
 		}
 	}
 	return sums
 }
+
+// whatToTell gathers the work that is told.
+func (e *Edge) whatToTell() news {
+	own := work{offered: map[string]float64{}}
+	e.poolsMu.RLock()
+	for name, p := range e.pools {
+		own.loads = p.loads(own.loads)
+		own.offered[name] = p.ownOffered()
+	}
+	e.poolsMu.RUnlock()
+	now := e.deps.Steady()
+	own.placed = e.placements.recent(now, e.tellFor(), ownPlaced)
+	n := news{own: own}
+	e.told.mu.Lock()
+	defer e.told.mu.Unlock()
+	cell, all := e.told.followers(), e.told.others(now)
+	cell.add(own.loads, 1)
+	all.add(own.loads, 1)
+	n.cell = work{loads: cell.list(), offered: map[string]float64{}, placed: e.placements.recent(now, e.tellFor(), cellPlaced)}
+	n.all = work{loads: all.list(), offered: map[string]float64{}, placed: e.placements.recent(now, e.tellFor(), anyPlaced)}
+	for name, tokens := range own.offered {
+		n.cell.offered[name], n.all.offered[name] = tokens, tokens
+		if counts, ok := e.told.offered[name]; ok {
+			n.cell.offered[name] += counts.followers.Total()
+			n.all.offered[name] += counts.all.Total()
+		}
+	}
+	return n
+}
--- a/daemon/edge/placements.go
+++ b/daemon/edge/placements.go
@@ -1,7 +1,7 @@
 package edge
 
 import (
-	"slices"
+	"sync"
 	"time"
 
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
@@ -16,38 +16,128 @@
 	// forgetfulFor is how long after a restart a daemon knows too little of what the
 	// runners have cached. Most of what is asked for again is so within seconds.
 	forgetfulFor = 20 * time.Second
-	// placedTold is how long the others are told of a placement: about three
-	// messages.
-	placedTold = 350 * time.Millisecond
+	// placedTold is how long the others are told of a placement: about three messages
+	// of a small fleet. relayedTold is the same in a large one, two messages of those
+	// that are told most seldom.
+	placedTold  = 350 * time.Millisecond
+	relayedTold = 850 * time.Millisecond
+	// placedQuiet is how long a placement that has been told is not told again in a
+	// large fleet. Most prompts go where their shared parts were before.
+	placedQuiet = 8 * time.Second
 )
 
-// placed is a prompt's shared parts and where they were sent.
-type placed struct {
-	at     time.Time
+// placedBy says whose placements are told.
+type placedBy int
+
+const (
+	ownPlaced placedBy = iota
+	// cellPlaced are those of this daemon and its followers.
+	cellPlaced
+	anyPlaced
+)
+
+// placedKey is a prompt's shared parts at a runner.
+type placedKey struct {
 	runner ident.RunnerID
-	prefix []prefix.Hash
+	last   prefix.Hash
 }
 
-// fetches tells whether a runner gets a cached prefix sooner from another runner
-// than by reading it again. A copy is paid for, too, so it must be much sooner.
-func (p *pool) fetches() bool {
+// placedAt is where a prompt's shared parts were sent.
+type placedAt struct {
+	at   time.Duration
+	by   placedBy
+	told *peersv1.Placed
+}
+
+// placements are those of the last seconds.
+type placements struct {
+	mu    sync.Mutex
+	known map[placedKey]placedAt
+}
+
+// note takes in a placement, which is told unless it is known from a moment ago. It
+// returns false if it is.
+func (p *placements) note(now, quiet time.Duration, by placedBy, told *peersv1.Placed) bool {
+	if len(told.Prefix) == 0 {
+		return false
+	}
+	key := placedKey{ident.RunnerID(told.Runner), told.Prefix[len(told.Prefix)-1]}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.edge.set.Policy.Uses(CopyParts) && p.service.Engine != nil && p.service.Engine.FetchRate > fetchGain*p.engines.Rate()
+	if before, known := p.known[key]; known && now-before.at < quiet {
+		return false
+	}
+	if p.known == nil {
+		p.known = map[placedKey]placedAt{}
+	}
+	p.known[key] = placedAt{now, by, told}
+	return true
 }
 
-// recent appends what was placed a moment ago, for the other daemons.
-func (p *pool) recent(now time.Time, dst []*peersv1.Placed) []*peersv1.Placed {
-	if !p.edge.set.Policy.Uses(TellPlacements) {
-		return dst
-	}
+// recent lists what was placed a moment ago, and forgets what is older than matters.
+func (p *placements) recent(now, told time.Duration, by placedBy) []*peersv1.Placed {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.placed = slices.DeleteFunc(p.placed, func(one placed) bool { return now.Sub(one.at) > placedTold })
-	for _, one := range p.placed {
-		dst = append(dst, &peersv1.Placed{Service: p.name, Runner: string(one.runner), Prefix: one.prefix})
+	var list []*peersv1.Placed
+	for key, one := range p.known {
+		switch age := now - one.at; {
+		case age > placedQuiet:
+			delete(p.known, key)
+		case age <= told && one.by <= by:
+			list = append(list, one.told)
+		}
+	}
+	return list
+}
+
+// tellFor is how long a placement is told.
+func (e *Edge) tellFor() time.Duration {
+	if e.direct.Load() {
+		return placedTold
 	}
-	return dst
+	return relayedTold
+}
+
+// quietFor is how long a placement that has been told need not be told again.
+func (e *Edge) quietFor() time.Duration {
+	if e.direct.Load() {
+		return 0
+	}
+	return placedQuiet
+}
+
+// placed tells the others where a prompt's shared parts were sent.
+func (e *Edge) placed(service string, runner ident.RunnerID, chain []prefix.Hash) {
+	if !e.set.Policy.Uses(TellPlacements) {
+		return
+	}
+	e.placements.note(e.deps.Steady(), e.quietFor(), ownPlaced, &peersv1.Placed{Service: service, Runner: string(runner), Prefix: chain})
+}
+
+// heardPlaced takes in what other daemons placed. What is news is passed on.
+func (e *Edge) heardPlaced(told []*peersv1.Placed, follower bool) {
+	if len(told) == 0 {
+		return
+	}
+	by := anyPlaced
+	if follower {
+		by = cellPlaced
+	}
+	now, quiet := e.deps.Steady(), e.quietFor()
+	for _, one := range told {
+		e.placements.note(now, quiet, by, one)
+		if p := e.pool(one.Service); p != nil {
+			p.assume(ident.RunnerID(one.Runner), one.Prefix)
+		}
+	}
+}
+
+// fetches tells whether a runner gets a cached prefix sooner from another runner
+// than by reading it again. A copy is paid for, too, so it must be much sooner.
+func (p *pool) fetches() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.edge.set.Policy.Uses(CopyParts) && p.service.Engine != nil && p.service.Engine.FetchRate > fetchGain*p.engines.Rate()
 }
 
 // assume takes in what another daemon placed.
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -59,11 +59,12 @@
 	// read.
 	offered float64
 	daemons int
-	// demand is measured from work, which was looked at last.
-	demand *fleet.Demand
-	work   fleet.Work
-	// placed are the latest prompts with shared parts, oldest first.
-	placed []placed
+	// demand is measured from work, which was looked at last. counted is the part of
+	// offered that nobody else counted, up to where offered was seen last.
+	demand  *fleet.Demand
+	work    fleet.Work
+	counted float64
+	seen    float64
 }
 
 func newPool(e *Edge, s route.Service) *pool {
@@ -153,9 +154,7 @@
 	}
 	p.table.SetRunners(now, list)
 	p.tracker.SetRunners(ids)
-	for _, id := range ids {
-		p.reportLocked(now, id)
-	}
+	p.reportLocked(now)
 }
 
 // setOthers takes in the other daemons' work at this pool's runners.
@@ -163,17 +162,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.others = others
-	p.reportLocked(now, "")
+	p.reportLocked(now)
 }
 
-// reportLocked tells the table each runner's whole load, own work included; an
-// empty id is all runners. The runners' own reports are not asked for: all of
-// their work comes from these daemons, whose word is younger.
-func (p *pool) reportLocked(now time.Time, only ident.RunnerID) {
+// reportLocked tells the table each runner's whole load, own work included. The
+// runners' own reports are not asked for: all of their work comes from these daemons,
+// whose word is younger.
+func (p *pool) reportLocked(now time.Time) {
 	for _, own := range p.table.OwnLoads(nil) {
-		if only != "" && own.Runner != only {
-			continue
-		}
 		r, ok := p.runners[own.Runner]
 		if !ok {
 			continue
@@ -222,7 +218,7 @@
 		p.retry.FirstAttempt(now)
 	}
 	if n := len(r.Prefix); n > 1 {
-		p.placed = append(p.placed, placed{now, c.Runner, r.Prefix[:n-1]})
+		p.edge.placed(p.name, c.Runner, r.Prefix[:n-1])
 	}
 	return p.table.Dispatch(now, c, r)
 }
@@ -276,6 +272,13 @@
 	decide(p.retry)
 }
 
+// ownOffered is the prompt tokens that callers brought here.
+func (p *pool) ownOffered() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.offered
+}
+
 // loads appends this daemon's own work at the pool's runners.
 func (p *pool) loads(dst []routing.OwnLoad) []routing.OwnLoad {
 	p.mu.Lock()
--- a/daemon/edge/register.go
+++ b/daemon/edge/register.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/internal/pause"
+	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
@@ -47,9 +51,40 @@
 	if err != nil {
 		return 0, err
 	}
-	key := daemonPrefix + string(e.self)
-	if _, err := e.deps.Store.CompareAndSwap(ctx, key, 0, []byte(e.set.PeerAddress), granted); err != nil {
+	e.mu.Lock()
+	self := e.peers.Self()
+	e.mu.Unlock()
+	value, err := json.Marshal(registration{self.ID, self.Incarnation, self.FailureDomain, self.CallerAddress, self.PeerAddress, self.Started})
+	if err != nil {
+		return 0, fmt.Errorf("encode registration: %w", err)
+	}
+	if _, err := e.deps.Store.CompareAndSwap(ctx, daemonPrefix+string(e.self), 0, value, granted); err != nil {
 		return 0, err
 	}
 	return granted, nil
 }
+
+// registration is what a daemon writes of itself.
+type registration struct {
+	ID            ident.DaemonID      `json:"id"`
+	Incarnation   ident.Incarnation   `json:"incarnation"`
+	FailureDomain ident.FailureDomain `json:"failure_domain"`
+	CallerAddress string              `json:"caller_address"`
+	PeerAddress   string              `json:"peer_address"`
+	StartedMillis int64               `json:"started_unix_ms"`
+}
+
+// registered takes in a daemon's registration. It may outlive the daemon.
+func (e *Edge) registered(key string, value []byte) {
+	var r registration
+	if err := json.Unmarshal(value, &r); err != nil {
+		e.log.Note("registration_ignored", decisions.F("key", key), decisions.F("reason", err.Error()))
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers.Introduce(e.deps.Steady(), peers.Row{Member: peers.Member{
+		ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain,
+		CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress, Phase: peers.Starting, Started: r.StartedMillis,
+	}})
+}
--- /dev/null
+++ b/daemon/edge/relays_test.go
@@ -0,0 +1,302 @@
+package edge_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/quota"
+	"geraniumstack.org/geraniumstack/daemon/edge"
+	"geraniumstack.org/geraniumstack/standin/kvserver"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/state/route"
+)
+
+// A fleet of this many daemons over as many failure domains told each other everything
+// in that many messages a second.
+const (
+	largeFleet      = 119
+	largeDomains    = 6
+	oldMessages     = largeFleet * (largeFleet - 1) * 5
+	largeWorkspaces = 40
+)
+
+// inLargeFleet runs a test of n daemons over the failure domains that have found their
+// relays.
+func inLargeFleet(t *testing.T, n int, c route.Config, f func(w *world)) {
+	inWorld(t, 0, c, func(w *world) {
+		for i := range largeDomains {
+			w.domains = append(w.domains, ident.FailureDomain(fmt.Sprintf("domain-%d", i)))
+		}
+		w.tolerance = quota.Tolerance{Overage: 0.1, Slack: 190_000}
+		for range n {
+			w.add()
+		}
+		time.Sleep(4 * time.Second)
+		f(w)
+	})
+}
+
+// Guards against messages that grow with the square of the fleet.
+func TestMessagesOfALargeFleetAreFew(t *testing.T) {
+	inLargeFleet(t, largeFleet, manyWorkspaces(largeWorkspaces), func(w *world) {
+		w.addRunner("r1", "app")
+		const span = 4 * time.Second
+		messages, bytes := w.network.traffic()
+		time.Sleep(span)
+		after, bytesAfter := w.network.traffic()
+		rate := float64(after-messages) / span.Seconds()
+		t.Logf("%.0f messages and %.0f KB a second by all", rate, float64(bytesAfter-bytes)/span.Seconds()/1024)
+		w.True(rate <= oldMessages/10)
+	})
+}
+
+// Guards against a fleet whose watches are all answered by each change.
+func TestStoreCallsOfALargeFleetAreFew(t *testing.T) {
+	inLargeFleet(t, largeFleet, config(1), func(w *world) {
+		w.store.ResetCalls()
+		const changes, every = 40, 250 * time.Millisecond
+		for i := range changes {
+			w.addRunner(fmt.Sprintf("r%d", i), "app")
+			time.Sleep(every)
+		}
+		calls := w.store.Calls()
+		t.Logf("calls: %v", calls)
+		// When every daemon watched, each made one and a quarter a second.
+		w.True(float64(calls[kvserver.CallWatch]) <= largeFleet*1.25*changes*every.Seconds()/10)
+		w.True(calls[kvserver.CallList] == 0)
+		for _, d := range w.daemons {
+			w.Equal(w.ask(d, "/read/", key).status, 200)
+		}
+	})
+}
+
+// Guards against followers that go on sending requests to a runner that has given notice.
+func TestFollowersHearOfLeavingRunners(t *testing.T) {
+	inLargeFleet(t, 40, config(1), func(w *world) {
+		going := w.addRunner("going", "app")
+		w.addRunner("staying", "app")
+		time.Sleep(2 * time.Second)
+		w.leaving("going", "app")
+		time.Sleep(2 * time.Second)
+		before := going.count()
+		for _, d := range w.daemons {
+			w.Equal(w.ask(d, "/read/", key).status, 200)
+		}
+		w.Equal(going.count(), before)
+	})
+}
+
+// Guards against keys that go on working at a daemon that is cut off from its relays and
+// the service.
+func TestRevokedKeyAtCutOffFollower(t *testing.T) {
+	inLargeFleet(t, 40, config(1), func(w *world) {
+		w.addRunner("r1", "app")
+		time.Sleep(2 * time.Second)
+		const last = 39 // the youngest is no relay
+		d := w.daemons[last]
+		d.store.set(true, false)
+		w.network.isolate(fmt.Sprintf("10.0.0.%d:7600", last+1), true)
+		revoked := config(2)
+		revoked.Workspaces[0].Keys = []string{"key-2"}
+		w.configure(revoked)
+		time.Sleep(5 * time.Second)
+		w.Equal(w.ask(d, "/read/", key).reason(), refusal.StaleConfiguration)
+		for _, other := range w.daemons[:last] {
+			w.Equal(w.ask(other, "/read/", key).reason(), refusal.Unauthenticated)
+			w.Equal(w.ask(other, "/read/", "key-2").status, 200)
+		}
+	})
+}
+
+// promptLoad is callers of many workspaces who send long prompts to all daemons.
+type promptLoad struct {
+	w    *world
+	cost int
+	// perSecond is the tokens a second of each workspace.
+	perSecond []float64
+
+	mu      sync.Mutex
+	asked   []int
+	refused []int
+	reasons map[refusal.Reason]int
+	// taken are the tokens of each workspace that were served in each tenth of a second.
+	taken [][]float64
+}
+
+const loadStep = 100 * time.Millisecond
+
+func newPromptLoad(w *world, cost int, perSecond []float64) *promptLoad {
+	n := len(perSecond)
+	return &promptLoad{
+		w: w, cost: cost, perSecond: perSecond, asked: make([]int, n), refused: make([]int, n),
+		reasons: map[refusal.Reason]int{}, taken: make([][]float64, n),
+	}
+}
+
+// run sends for a while; daemons that serve nothing are left out, as callers do.
+func (l *promptLoad) run(span time.Duration, serves func(i int) bool) {
+	var wg sync.WaitGroup
+	due := make([]float64, len(l.perSecond))
+	for step := range int(span / loadStep) {
+		for ws := range l.perSecond {
+			l.mu.Lock()
+			l.taken[ws] = append(l.taken[ws], 0)
+			l.mu.Unlock()
+			due[ws] += l.perSecond[ws] * loadStep.Seconds() / float64(l.cost)
+			for ; due[ws] >= 1; due[ws]-- {
+				at := (step*31 + ws*17 + int(due[ws])*7) % len(l.w.daemons)
+				for !serves(at) {
+					at = (at + 1) % len(l.w.daemons)
+				}
+				wg.Go(func() { l.ask(ws, l.w.daemons[at], len(l.taken[ws])-1) })
+			}
+		}
+		time.Sleep(loadStep)
+	}
+	wg.Wait()
+}
+
+func (l *promptLoad) ask(ws int, d *daemon, slot int) {
+	a := &answer{}
+	d.Serve(l.w.t.Context(), &edge.Request{
+		ID: fmt.Sprintf("p%d", requestSeq.Add(1)), Host: host, Path: "/read/", Key: fmt.Sprintf("key-%d", ws), Received: time.Now(),
+	}, a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked[ws]++
+	if a.refusal != nil {
+		l.refused[ws]++
+		l.reasons[a.refusal.Reason]++
+		return
+	}
+	l.taken[ws][slot] += float64(l.cost)
+}
+
+// mostIn is the most tokens of a workspace in any span.
+func (l *promptLoad) mostIn(ws int, span time.Duration) float64 {
+	most := 0.0
+	n := int(span / loadStep)
+	for i := range l.taken[ws] {
+		sum := 0.0
+		for _, t := range l.taken[ws][i:min(i+n, len(l.taken[ws]))] {
+			sum += t
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// addRunners adds as many runners as nobody waits for.
+func (w *world) addRunners(n int) {
+	for i := range n {
+		w.addRunner(fmt.Sprintf("r%d", i), "app")
+	}
+	time.Sleep(2 * time.Second)
+}
+
+// promptWorkspaces have a quota in tokens; their callers send two thirds of it.
+func promptWorkspaces(n int, perSecond, cost float64) route.Config {
+	c := manyWorkspaces(n)
+	for i := range c.Workspaces {
+		c.Workspaces[i].Quota = route.Quota{PerSecond: perSecond, Burst: perSecond, InTokens: true, PlainTokens: cost}
+	}
+	return c
+}
+
+func all(int) bool { return true }
+
+// Guards against refusals of callers who stay within their limit, where a daemon's part
+// of it is smaller than one prompt, and against floods that exceed it over many daemons.
+func TestPromptsWithinTheLimitOfALargeFleet(t *testing.T) {
+	const (
+		perSecond, cost = 300_000.0, 17_000
+		floods          = 3
+		tolerated       = (perSecond*8+perSecond)*1.1 + 190_000
+	)
+	inLargeFleet(t, largeFleet, promptWorkspaces(largeWorkspaces, perSecond, cost), func(w *world) {
+		w.addRunners(40)
+		rates := make([]float64, largeWorkspaces)
+		for i := range rates {
+			rates[i] = perSecond * 0.67
+			if i < floods {
+				rates[i] = perSecond * 6
+			}
+		}
+		l := newPromptLoad(w, cost, rates)
+		l.run(12*time.Second, all)
+		asked, refused := 0, 0
+		for ws := range rates {
+			most := l.mostIn(ws, 8*time.Second)
+			w.True(most <= tolerated)
+			if ws < floods {
+				t.Logf("flood: most in a window %.0f of %.0f", most, tolerated)
+				w.True(most >= perSecond*8)
+				continue
+			}
+			asked, refused = asked+l.asked[ws], refused+l.refused[ws]
+		}
+		t.Logf("within the limit: %d refused of %d; %v", refused, asked, l.reasons)
+		w.True(refused*200 < asked)
+	})
+}
+
+// Guards against callers who are refused for long when relays end: all those of a failure
+// domain are killed, while their followers go on.
+func TestRelaysEnd(t *testing.T) {
+	const perSecond, cost = 300_000.0, 17_000
+	inLargeFleet(t, 60, promptWorkspaces(10, perSecond, cost), func(w *world) {
+		w.addRunners(40)
+		rates := slices.Repeat([]float64{perSecond * 0.5}, 10)
+		var dead [60]atomic.Bool
+		// The oldest daemons of the first failure domain are its relays.
+		for _, i := range []int{0, 6} {
+			dead[i].Store(true)
+			w.daemons[i].kill()
+		}
+		l := newPromptLoad(w, cost, rates)
+		l.run(4*time.Second, func(i int) bool { return !dead[i].Load() })
+		asked, refused := 0, 0
+		for ws := range rates {
+			asked, refused = asked+l.asked[ws], refused+l.refused[ws]
+		}
+		t.Logf("%d refused of %d: %v", refused, asked, l.reasons)
+		// A sixth of the daemons has no relay for less than a second and a half of four.
+		w.True(refused*6*4 <= asked*3/2)
+		l = newPromptLoad(w, cost, rates)
+		l.run(4*time.Second, func(i int) bool { return !dead[i].Load() })
+		for ws := range rates {
+			w.Equal(l.refused[ws], 0)
+		}
+	})
+}
+
+// Guards against newcomers that take callers before they can serve them, and against
+// daemons that refuse while three quarters more come.
+func TestManyDaemonsJoin(t *testing.T) {
+	const perSecond, cost = 300_000.0, 17_000
+	inLargeFleet(t, 40, promptWorkspaces(10, perSecond, cost), func(w *world) {
+		w.addRunners(40)
+		rates := slices.Repeat([]float64{perSecond * 0.67}, 10)
+		w.notFirst = true
+		for range 30 {
+			w.add()
+		}
+		l := newPromptLoad(w, cost, rates)
+		l.run(4*time.Second, func(i int) bool { return w.daemons[i].Ready() })
+		asked, refused := 0, 0
+		for ws := range rates {
+			asked, refused = asked+l.asked[ws], refused+l.refused[ws]
+		}
+		t.Logf("%d refused of %d: %v", refused, asked, l.reasons)
+		w.True(refused*100 <= asked)
+		for _, d := range w.daemons {
+			w.True(d.Ready())
+			w.True(len(d.Directory("domain-1")) > 0)
+		}
+	})
+}
--- a/daemon/edge/runners.go
+++ b/daemon/edge/runners.go
@@ -9,6 +9,9 @@
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
+// maxRevisions bounds the keys whose latest revision is remembered after their end.
+const maxRevisions = 20_000
+
 // lapseAfter is how long after a disturbance of the service a runner whose
 // entry has lapsed goes on being used, last of all: its entry lapsed with the
 // service away and comes back with it, if it lives.
@@ -16,7 +19,7 @@
 
 // noticedSince lists the runners that were read to be leaving since a time, and
 // forgets the others.
-func (f *follower) noticedSince(from time.Duration) []ident.RunnerID {
+func (f *directory) noticedSince(from time.Duration) []ident.RunnerID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var ids []ident.RunnerID
@@ -30,6 +33,23 @@
 	return ids
 }
 
+// newer tells whether a change of a key is news, and notes it. A relay may pass on what
+// the own watch has told already, or the other way round. Called with dir.mu held.
+func (f *directory) newer(key string, revision kv.Revision) bool {
+	if revision <= f.revisions[key] {
+		return false
+	}
+	if len(f.revisions) >= maxRevisions {
+		for k := range f.revisions {
+			if _, there := f.runners[k]; !there {
+				delete(f.revisions, k)
+			}
+		}
+	}
+	f.revisions[key] = revision
+	return true
+}
+
 // setRunner takes in a runner's entry; called with dir.mu held.
 func (e *Edge) setRunner(entry kv.Entry, now time.Time) {
 	r, err := e.deps.Codec.Runner(entry.Key, entry.Value, now)
@@ -71,6 +91,8 @@
 		}
 		r.State = view.Leaving
 		e.dir.runners[key] = r
+		// Those who hear it from this daemon only are told, too.
+		e.dir.noticed[r.ID] = e.deps.Steady()
 		changed = true
 		e.log.Note("runner", decisions.F("runner", r.ID), decisions.F("service", r.Service), decisions.F("failure_domain", r.FailureDomain),
 			decisions.F("state", r.State), decisions.F("told_by", "peer"))
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -35,8 +35,10 @@
 	route     *route.Route
 	workspace ident.Workspace
 	priority  int
-	// cost is what the quota was charged; zero is nothing.
+	// cost is what the quota was charged; zero is nothing. granter is the address of the
+	// relay that charged it, empty for this daemon.
 	cost     float64
+	granter  string
 	deadline time.Time
 	pool     *pool
 	place    routing.Request
@@ -63,9 +65,7 @@
 // refuse sends the final answer of a request that is not served.
 func (s *serving) refuse(r *refusal.Refusal) {
 	if s.cost > 0 && r.Executed == refusal.ExecutedNo {
-		s.edge.mu.Lock()
-		s.edge.limiter.Return(s.workspace, s.cost)
-		s.edge.mu.Unlock()
+		s.edge.returnQuota(s.granter, s.workspace, s.cost)
 	}
 	s.note("refused", decisions.F("reason", r.Reason), decisions.F("executed", r.Executed),
 		decisions.F("retry_after", r.RetryAfter), decisions.F("detail", r.Detail))
@@ -104,7 +104,7 @@
 		return r
 	}
 	s.setDeadline()
-	if r := s.charge(); r != nil {
+	if r := s.charge(ctx); r != nil {
 		return r
 	}
 	service := s.route.Pick(rand.Float64())
@@ -205,22 +205,18 @@
 }
 
 // charge takes the request out of its workspace's quota.
-func (s *serving) charge() *refusal.Refusal {
+func (s *serving) charge(ctx context.Context) *refusal.Refusal {
 	w, ok := s.table.Workspace(s.workspace)
-	if !ok {
+	if !ok || w.Quota.PerSecond <= 0 {
 		return nil
 	}
-	s.cost = costOf(&w.Quota, &s.req.Prompt)
-	now := s.edge.deps.Steady()
-	s.edge.mu.Lock()
-	wait, ok := s.edge.limiter.Take(now, s.workspace, s.cost)
-	s.edge.mu.Unlock()
-	if ok {
-		return nil
+	cost := costOf(&w.Quota, &s.req.Prompt)
+	granter, r := s.edge.takeQuota(ctx, s.workspace, cost)
+	if r != nil {
+		return r
 	}
-	cost := s.cost
-	s.cost = 0
-	return refusal.New(refusal.WorkspaceLimit, "quota of the workspace is used up, the request costs %.0f", cost).After(wait)
+	s.cost, s.granter = cost, granter
+	return nil
 }
 
 func costOf(q *route.Quota, p *Prompt) float64 {
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -10,22 +9,30 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/coordination/peers"
-	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
-	"geraniumstack.org/geraniumstack/state/ident"
 )
 
+// Whom a daemon tells, and how often, in turns of tellEvery. What is told is made in
+// hello.go; what is heard is taken in in hear.go.
 const (
-	// tellEvery is the time between two messages to each daemon of a small
-	// fleet. Quotas and placement rest on it: what daemons do at once in this
-	// time, they do without knowing of each other.
-	tellEvery = 100 * time.Millisecond
-	// smallFleet is the number of daemons up to which that costs less than half
-	// of a percent of a core; a larger one tells at half the pace.
-	smallFleet = 10
+	// tellEvery is the time between two messages of the daemons of a small fleet. Quotas
+	// rest on it: what daemons do at once in this time, they do without knowing of each
+	// other. A large fleet's relays tell each other at half the pace.
+	tellEvery  = 100 * time.Millisecond
+	relayTurns = 2
+	// followTurns is between two messages of a daemon to its primary, and of a relay to
+	// the daemons whose primary it is. standbyTurns is the same for those that follow it
+	// beside their primary.
+	followTurns  = 2 * relayTurns
+	standbyTurns = 2 * followTurns
+	// relaysAtOnce is how many relays are told at this pace at the most; of more, each is
+	// told half as often, or more seldom.
+	relaysAtOnce = 16
+	// strangersATurn bounds the messages to addresses at which nobody is heard, which a
+	// large fleet has many of while its daemons are down.
+	strangersATurn = 2
 	// datagramBytes bounds a message; UDP carries no more.
 	datagramBytes = 60 << 10
 )
@@ -34,87 +41,224 @@
 func (e *Edge) tell(ctx context.Context) {
 	ticker := time.NewTicker(tellEvery)
 	defer ticker.Stop()
-	for turn := 0; ; turn++ {
+	for turn := uint64(0); ; turn++ {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		if turn%2 == 0 || e.fleetSize() <= smallFleet {
-			e.tellAll()
+		if !e.due(turn) {
+			continue
 		}
 		e.tickPeers()
+		e.tellTurn(turn)
 		e.applyLoads()
+		e.asks.expire(e.deps.Steady())
 		if e.configAge() > confirmAfter && e.table.Load() != nil {
 			go e.confirm(ctx)
 		}
 	}
 }
 
-func (e *Edge) fleetSize() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.peers.Size()
+// due tells whether this daemon does anything in a turn.
+func (e *Edge) due(turn uint64) bool {
+	switch {
+	case e.direct.Load():
+		return true
+	case e.relaying.Load():
+		return turn%relayTurns == 0
+	}
+	return turn%followTurns == 0
 }
 
-func (e *Edge) tickPeers() {
-	now := e.deps.Steady()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, id := range e.peers.Tick(now) {
-		e.forget(id, "silent")
-	}
-	e.limiter.Expect(now, 1+len(e.peers.Addresses()))
-	e.limiter.Tick(now)
-	e.book.Tick(e.wall.At(now))
-	e.refreshPhase(now)
+// recipient is one address of a message, with what is meant for it alone.
+type recipient struct {
+	address string
+	own     *peersv1.Hello
 }
 
-// forget drops a daemon that has ended; its counts of usage stay. Called with mu
-// held.
-func (e *Edge) forget(id ident.Incarnation, why string) {
-	e.limiter.Gone(id)
-	e.wall.Gone(id)
-	delete(e.stamps, id)
-	e.log.Note("daemon_gone", decisions.F("incarnation", id), decisions.F("reason", why))
+// circular is a message to several recipients.
+type circular struct {
+	hello *peersv1.Hello
+	to    []recipient
 }
 
-// tellAll sends one message to each known address.
-func (e *Edge) tellAll() {
-	loads := e.ownLoads()
-	offered, placed := e.ownOffered()
+// tellTurn sends what is due in a turn. Turn zero is everything.
+func (e *Edge) tellTurn(turn uint64) {
+	w := e.whatToTell()
+	now := e.deps.Steady()
+	var out []circular
 	e.mu.Lock()
-	base := e.hello(loads)
-	base.Offered, base.Placed = offered, placed
-	addresses := e.peers.Addresses()
-	answers := map[string]*peersv1.Hello{}
-	for _, m := range e.peers.Alive(e.deps.Steady()) {
-		answers[m.PeerAddress] = e.answer(m.Incarnation)
-	}
-	silent := e.fresh.Answer(nil)
+	w.roster = e.rosterDue(turn)
+	if e.plan.Relay {
+		out = append(out, e.toRelays(now, turn, w))
+	} else if turn%followTurns == 0 {
+		out = append(out, e.toFollowed(now, turn, w))
+	}
+	if turn%followTurns == 0 {
+		out = append(out, e.toFollowers(now, turn, w))
+	}
+	out = append(out, e.toOthers(now, turn))
 	e.mu.Unlock()
-	common, err := proto.Marshal(base)
+	for _, c := range out {
+		e.post(c)
+	}
+}
+
+// toRelays is for the other relays; in a small fleet for everybody.
+func (e *Edge) toRelays(now time.Duration, turn uint64, w news) circular {
+	if !e.plan.Direct && turn%uint64(relayTurns*(1+len(e.plan.Others)/relaysAtOnce)) != 0 {
+		return circular{}
+	}
+	c := circular{hello: e.presence(now)}
+	e.addUses(now, c.hello)
+	if e.plan.Direct || turn%followTurns == 0 {
+		addWork(c.hello, w.cell)
+	}
+	if w.roster && !countsDue(turn) {
+		// Beside the counts it would outgrow all else.
+		c.hello.Roster = e.followersRoster(now)
+	}
+	if e.plan.Direct {
+		e.addAllCounts(now, c.hello)
+	}
+	counts, counting := e.cellCounts(now, turn), e.counters()
+	for _, r := range e.plan.Others {
+		own := e.answer(r.Incarnation)
+		if counting[r.Incarnation] {
+			own.Windows, own.Ended = counts.Windows, counts.Ended
+		}
+		own.Feed = e.feedAfter(now, e.feeding[r.Incarnation])
+		if r.Incarnation == e.plan.Source.Incarnation && !e.plan.Watches {
+			own.FeedAt = e.dir.reached()
+		}
+		c.to = append(c.to, recipient{r.PeerAddress, own})
+	}
+	return c
+}
+
+// toFollowed is for the relays that this daemon follows.
+func (e *Edge) toFollowed(now time.Duration, turn uint64, w news) circular {
+	c := circular{hello: e.presence(now)}
+	c.hello.Follows = true
+	addWork(c.hello, w.own)
+	e.addOwnCounts(now, turn, c.hello)
+	e.told.remember(c.hello.Seq, w.own.loads)
+	for i, r := range e.plan.Own {
+		if i > 0 && turn%standbyTurns != 0 {
+			break
+		}
+		own := e.answer(r.Incarnation)
+		own.Primary = i == 0
+		own.FeedAt = e.dir.reached()
+		c.to = append(c.to, recipient{r.PeerAddress, own})
+	}
+	return c
+}
+
+// toFollowers is for the daemons that follow this one.
+func (e *Edge) toFollowers(now time.Duration, turn uint64, w news) circular {
+	c := circular{}
+	for id, f := range e.followers {
+		if now-f.heard > e.peers.AliveFor() {
+			delete(e.followers, id)
+			continue
+		}
+		if !f.primary && turn%standbyTurns != 0 {
+			continue
+		}
+		own := e.answer(id)
+		own.IncludedSeq = f.included
+		own.Feed = e.feedAfter(now, f.feedAt)
+		c.to = append(c.to, recipient{f.address, own})
+	}
+	if len(c.to) == 0 {
+		return c
+	}
+	c.hello = e.presence(now)
+	c.hello.TimeUnixNs = e.wall.At(now).UnixNano()
+	addWork(c.hello, w.all)
+	if w.roster {
+		c.hello.Roster = e.domainRoster(now)
+	}
+	return c
+}
+
+// toOthers is for those who may not know of the fleet, or are not known: addresses at
+// which nobody is heard, which a daemon that follows others leaves to the relays, and
+// daemons that ask who the relays are.
+func (e *Edge) toOthers(now time.Duration, turn uint64) circular {
+	c := circular{}
+	if e.plan.Relay {
+		strangers := e.peers.Strangers(e.alive)
+		if !e.plan.Direct {
+			strangers = inTurn(strangers, turn, strangersATurn)
+		}
+		for _, address := range strangers {
+			c.to = append(c.to, recipient{address, &peersv1.Hello{ConfigRevision: e.fresh.Revision()}})
+		}
+	}
+	if !e.plan.Direct {
+		for id, address := range e.lost {
+			c.to = append(c.to, recipient{address, e.answer(id)})
+		}
+	}
+	clear(e.lost)
+	if len(c.to) == 0 {
+		return c
+	}
+	c.hello = e.presence(now)
+	c.hello.Introduced = e.introductions()
+	if e.plan.Direct {
+		e.addUses(now, c.hello)
+	}
+	return c
+}
+
+// inTurn picks a few of a list, all of them within a few turns.
+func inTurn[T any](list []T, turn uint64, most int) []T {
+	if len(list) <= most {
+		return list
+	}
+	some := make([]T, 0, most)
+	for i := range uint64(most) {
+		some = append(some, list[(turn*uint64(most)+i)%uint64(len(list))])
+	}
+	return some
+}
+
+// post sends a circular: messages that are joined are merged by their reader, so what
+// is meant for one daemon is appended to what is meant for all.
+func (e *Edge) post(c circular) {
+	if len(c.to) == 0 {
+		return
+	}
+	common, err := proto.Marshal(&peersv1.Datagram{Hello: c.hello})
 	if err != nil {
 		e.log.Note("message_failed", decisions.F("error", err.Error()))
 		return
 	}
-	for _, address := range addresses {
-		own := answers[address]
-		if own == nil {
-			own = &peersv1.Hello{ConfigRevision: silent.Revision}
+	for _, r := range c.to {
+		message, err := proto.MarshalOptions{}.MarshalAppend(common[:len(common):len(common)], &peersv1.Datagram{Hello: r.own})
+		if err != nil || len(message) > datagramBytes {
+			e.log.Note("message_failed", decisions.F("bytes", len(message)))
+			continue
 		}
-		e.send(address, common, own)
+		e.sendBytes(r.address, message)
 	}
 }
 
-// send appends what is meant for one daemon to what is meant for all: messages
-// that are joined are merged by their reader.
-func (e *Edge) send(address string, common []byte, own *peersv1.Hello) {
-	message, err := proto.MarshalOptions{}.MarshalAppend(common[:len(common):len(common)], own)
-	if err != nil || len(message) > datagramBytes {
-		e.log.Note("message_failed", decisions.F("bytes", len(message)))
+// sendTo sends one message to an address.
+func (e *Edge) sendTo(address string, d *peersv1.Datagram) {
+	message, err := proto.Marshal(d)
+	if err != nil {
+		e.log.Note("message_failed", decisions.F("error", err.Error()))
 		return
 	}
+	e.sendBytes(address, message)
+}
+
+func (e *Edge) sendBytes(address string, message []byte) {
 	to, err := e.resolved.of(address)
 	if err != nil {
 		e.log.Note("message_failed", decisions.F("address", address), decisions.F("error", err.Error()))
@@ -147,103 +291,3 @@
 	a.parsed[address] = parsed
 	return parsed, nil
 }
-
-func (e *Edge) ownLoads() []routing.OwnLoad {
-	var loads []routing.OwnLoad
-	e.poolsMu.RLock()
-	defer e.poolsMu.RUnlock()
-	for _, p := range e.pools {
-		loads = p.loads(loads)
-	}
-	return loads
-}
-
-func (e *Edge) ownOffered() ([]*peersv1.Offered, []*peersv1.Placed) {
-	var offered []*peersv1.Offered
-	var placed []*peersv1.Placed
-	e.poolsMu.RLock()
-	defer e.poolsMu.RUnlock()
-	for name, p := range e.pools {
-		p.mu.Lock()
-		offered = append(offered, &peersv1.Offered{Service: name, PromptTokens: p.offered})
-		p.mu.Unlock()
-		placed = p.recent(time.Now(), placed)
-	}
-	return offered, placed
-}
-
-// receive takes the others' messages in until the context ends. The socket is closed when
-// it returns: a message that comes as the context ends lets it return before the close
-// that the end brings about, and the address would still be taken when a daemon is started
-// there next.
-func (e *Edge) receive(ctx context.Context) error {
-	defer e.deps.Datagrams.Close()
-	stop := context.AfterFunc(ctx, func() { e.deps.Datagrams.Close() })
-	defer stop()
-	buffer := make([]byte, datagramBytes+1)
-	for {
-		n, _, err := e.deps.Datagrams.ReadFrom(buffer)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if errors.Is(err, net.ErrClosed) {
-			return fmt.Errorf("receive datagrams: %w", err)
-		}
-		if err != nil {
-			// A datagram to a closed port comes back as an error of the next read.
-			e.log.Count("peers.receive_failed")
-			continue
-		}
-		var h peersv1.Hello
-		if err := proto.Unmarshal(buffer[:n], &h); err != nil {
-			e.log.Note("message_ignored", decisions.F("reason", err.Error()))
-			continue
-		}
-		e.heard(ctx, &h)
-	}
-}
-
-func (e *Edge) heard(ctx context.Context, h *peersv1.Hello) {
-	id := ident.Incarnation(h.Incarnation)
-	now := e.deps.Steady()
-	e.mu.Lock()
-	fresh, ended := e.peers.Heard(now, peers.Member{
-		ID: ident.DaemonID(h.Daemon), Incarnation: id, FailureDomain: ident.FailureDomain(h.FailureDomain),
-		CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, Phase: peers.Phase(h.Phase),
-	}, h.Seq)
-	if !fresh {
-		e.mu.Unlock()
-		return
-	}
-	for _, former := range ended {
-		e.forget(former, "replaced")
-	}
-	if _, known := e.stamps[id]; !known {
-		e.log.Note("daemon_heard", decisions.F("incarnation", id), decisions.F("address", h.PeerAddress))
-	}
-	for _, a := range h.Addresses {
-		e.peers.Learn(now, a)
-	}
-	e.stamps[id] = freshness.Stamp{Sent: time.Duration(h.StampNs), Received: now}
-	e.wall.Heard(id, time.Unix(0, h.TimeUnixNs), now)
-	e.limiter.Heard(now, id, time.Duration(h.AgeNs), usesOf(h))
-	e.book.Heard(id, windowsOf(h.Windows))
-	for _, one := range h.Ended {
-		e.book.Heard(ident.Incarnation(one.Incarnation), windowsOf(one.Windows))
-	}
-	behind := e.fresh.Heard(freshness.Word{
-		Revision: h.ConfigRevision, Echo: time.Duration(h.EchoNs), Lag: time.Duration(h.LagNs), Proved: h.Proved,
-	})
-	e.refreshPhase(now)
-	e.mu.Unlock()
-	if behind && e.table.Load() != nil {
-		go e.confirm(ctx)
-	}
-	e.heardLeaving(h.Leaving)
-	e.heardLoads(id, h)
-	for _, one := range h.Placed {
-		if p := e.pool(one.Service); p != nil {
-			p.assume(ident.RunnerID(one.Runner), one.Prefix)
-		}
-	}
-}
--- a/daemon/edge/tell_test.go
+++ b/daemon/edge/tell_test.go
@@ -59,6 +59,8 @@
 // askAll sends one request of each workspace.
 func (w *world) askAll(d *daemon, workspaces int) {
 	for i := range workspaces {
-		w.Equal(w.ask(d, "/read/", fmt.Sprintf("key-%d", i)).status, 200)
+		a := w.ask(d, "/read/", fmt.Sprintf("key-%d", i))
+		w.Equal(a.refusal, nil)
+		w.Equal(a.status, 200)
 	}
 }
--- a/daemon/edge/world_test.go
+++ b/daemon/edge/world_test.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"geraniumstack.org/geraniumstack/coordination/accounting"
+	"geraniumstack.org/geraniumstack/coordination/quota"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/daemon/edge"
@@ -52,6 +53,10 @@
 	storeCut bool
 	// notFirst lets them begin as ones of a fleet that has served before.
 	notFirst bool
+	// domains are the failure domains that daemons are in by turns; none is one for all.
+	domains []ident.FailureDomain
+	// tolerance is by how much quotas may be exceeded.
+	tolerance quota.Tolerance
 }
 
 type daemon struct {
@@ -103,12 +108,16 @@
 		seeds = []string{"10.0.0.1:7600"}
 	}
 	d := &daemon{store: store, cancel: cancel, done: make(chan struct{})}
+	domain := ident.FailureDomain("north")
+	if n := len(w.domains); n > 0 {
+		domain = w.domains[i%n]
+	}
 	d.Edge = edge.New(edge.Settings{
-		ID: ident.DaemonID(fmt.Sprintf("d%d", i+1)), FailureDomain: "north",
+		ID: ident.DaemonID(fmt.Sprintf("d%d", i+1)), FailureDomain: domain,
 		CallerAddress: fmt.Sprintf("10.0.0.%d:80", i+1), PeerAddress: address, Seeds: seeds, FirstStart: !w.notFirst,
 		Bounds: edge.Bounds{
 			Grace: 8 * time.Second, RevokeWithin: 5 * time.Second, StrictRevocation: true,
-			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, QuotaWindow: 8 * time.Second,
+			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, QuotaWindow: 8 * time.Second, QuotaTolerance: w.tolerance,
 			LeaseTTL: 3 * time.Second, FreezeSlack: 300 * time.Millisecond,
 			UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second,
 		},
@@ -309,8 +318,16 @@
 	mu    sync.Mutex
 	boxes map[string]*socket
 	cut   map[string]bool
-	// most is the size of the largest message so far.
-	most int
+	// most is the size of the largest message so far, sent the number of all, bytes their
+	// sizes.
+	most, sent, bytes int
+}
+
+// traffic is the number of messages so far and their bytes.
+func (n *network) traffic() (messages, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent, n.bytes
 }
 
 func (n *network) largest() int {
@@ -357,6 +374,8 @@
 	s.network.mu.Lock()
 	defer s.network.mu.Unlock()
 	s.network.most = max(s.network.most, len(p))
+	s.network.sent++
+	s.network.bytes += len(p)
 	box := s.network.boxes[to.String()]
 	if box == nil || s.network.cut[s.address] || s.network.cut[to.String()] {
 		return len(p), nil
--- a/state/refusal/refusal.go
+++ b/state/refusal/refusal.go
@@ -48,6 +48,8 @@
 	// StaleConfiguration means that the daemon can't show that its configuration
 	// is recent enough to decide by.
 	StaleConfiguration Reason = "stale_configuration"
+	// QuotaUnknown means that nobody who shares out the workspace's quota answered.
+	QuotaUnknown Reason = "quota_unknown"
 	Internal           Reason = "internal"
 )
 
