Name the parts of a large fleet's messages by their jobs

Renames only (roles.go for who the daemons are to each other, multicast, pendingGrant, unheard, joining, former relays), but for two changes: a request whose caller has left asks no further relay for quota, and the test of introduced daemons uses the bound that holds for them since they count for a second (as strict: one tick later they are gone).

--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -336,8 +336,8 @@
 	return size
 }
 
-// Strangers lists the addresses at which none of the daemons is.
-func (t *Table) Strangers(daemons []Member) []string {
+// Unheard lists the addresses at which none of the daemons is.
+func (t *Table) Unheard(daemons []Member) []string {
 	known := make(map[string]bool, len(daemons))
 	for _, m := range daemons {
 		known[m.PeerAddress] = true
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -111,10 +111,10 @@
 	tab := peers.New(member("a", "1"))
 	tab.Introduce(0, peers.Row{Member: member("b", "1")})
 	is.Equal(live(tab, 0), []string{"a", "b"})
-	tab.Introduce(peers.AliveFor+1, peers.Row{Member: member("b", "1")})
-	is.Equal(live(tab, peers.AliveFor+1), []string{"a"})
-	tab.Heard(peers.AliveFor+1, member("b", "2"), 1)
-	tab.Introduce(peers.AliveFor+1, peers.Row{Member: member("b", "0")})
+	tab.Introduce(peers.IntroducedFor+1, peers.Row{Member: member("b", "1")})
+	is.Equal(live(tab, peers.IntroducedFor+1), []string{"a"})
+	tab.Heard(peers.IntroducedFor+1, member("b", "2"), 1)
+	tab.Introduce(peers.IntroducedFor+1, peers.Row{Member: member("b", "0")})
 	is.Equal(tab.Size(), 2)
 }
 
--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -70,7 +70,7 @@
 	})
 }
 
-// runDuties stands for the responsibility and does what it asks for. It looks when beat
+// runDuties stands for the responsibility and does what it asks for. It looks when tickLoop
 // does, so a daemon that is no candidate looks less often.
 func (e *Edge) runDuties(ctx context.Context) {
 	looked := -dutyEvery
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -75,11 +75,11 @@
 	// feeding are the other relays that this daemon watches for, with the revision up to
 	// which they know the key-value service.
 	feeding map[ident.Incarnation]uint64
-	// farewell are the relays to tell, so many times more, that this daemon is none any more.
-	farewell  []peers.Member
-	farewells int
-	// lost are the addresses of daemons that ask who the relays are.
-	lost map[ident.Incarnation]string
+	// formerRelays are the relays to tell, so many times more, that this daemon is none any more.
+	formerRelays  []peers.Member
+	demotionsLeft int
+	// joining are the addresses of daemons that ask who the relays are.
+	joining map[ident.Incarnation]string
 	// rosterVersion is of the daemons that were told last, rosterLeft in how many more
 	// messages.
 	rosterVersion uint64
@@ -106,7 +106,7 @@
 	resolved   udpAddresses
 	confirms   confirmer
 	duties     duties
-	// healthAt is when the runners were looked at last; only beat uses it.
+	// healthAt is when the runners were looked at last; only tickLoop uses it.
 	healthAt time.Duration
 }
 
@@ -133,7 +133,7 @@
 		}),
 		followers: map[ident.Incarnation]follower{},
 		feeding:   map[ident.Incarnation]uint64{},
-		lost:      map[ident.Incarnation]string{},
+		joining:   map[ident.Incarnation]string{},
 		stamps:    map[ident.Incarnation]freshness.Stamp{},
 		wall:      walltime.New(time.Now(), now),
 		book: accounting.NewBook(self, accounting.Timing{
@@ -178,7 +178,7 @@
 		decisions.F("failure_domain", e.set.FailureDomain), decisions.F("first_start", e.set.FirstStart), decisions.F("without", e.set.Policy))
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.receive(ctx) })
-	group.Go(func() error { e.beat(ctx); return nil })
+	group.Go(func() error { e.tickLoop(ctx); return nil })
 	group.Go(func() error { e.follow(ctx); return nil })
 	group.Go(func() error { e.keepRegistered(ctx); return nil })
 	if e.deps.Cloud != nil {
--- a/daemon/edge/grants.go
+++ b/daemon/edge/grants.go
@@ -17,8 +17,8 @@
 // prompt. There the relays share the quotas among themselves, and every other daemon
 // asks one that it follows for each request, which costs it a message each way within
 // its failure domain. Whose part is used up asks another one, too, also in a small fleet.
-// A relay that has ended takes no more, so nothing is given out
-// twice; what was granted and not used, or not heard of, is only lost to the workspace.
+// A relay that has ended takes no more, so nothing is given out twice; what was granted
+// and not used, or not heard of, is only lost to the workspace.
 
 const (
 	// grantWait is how long the primary may take to answer before the other relay is
@@ -42,8 +42,8 @@
 	quotaUnknownAfter = 300 * time.Millisecond
 )
 
-// grantee is a request that waits for a relay's word.
-type grantee struct {
+// pendingGrant is a request that waits for a relay's word.
+type pendingGrant struct {
 	at        time.Duration
 	workspace ident.Workspace
 	cost      float64
@@ -55,23 +55,23 @@
 
 type grantAnswer struct {
 	*peersv1.Grant
-	grantee
+	pendingGrant
 }
 
 // asker keeps what was asked of relays.
 type asker struct {
 	mu      sync.Mutex
 	next    uint64
-	waiting map[uint64]grantee
+	waiting map[uint64]pendingGrant
 }
 
 func (a *asker) init() {
 	// Not the numbers of a former run at this address, whose answers may be on their way.
 	a.next = rand.Uint64()
-	a.waiting = map[uint64]grantee{}
+	a.waiting = map[uint64]pendingGrant{}
 }
 
-func (a *asker) add(g grantee) uint64 {
+func (a *asker) add(g pendingGrant) uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.next++
@@ -92,7 +92,7 @@
 }
 
 // take removes an asker and returns it; false if it isn't known.
-func (a *asker) take(id uint64) (grantee, bool) {
+func (a *asker) take(id uint64) (pendingGrant, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	g, ok := a.waiting[id]
@@ -128,8 +128,8 @@
 	var ids []uint64
 	defer func() { e.leave(ids, answers) }()
 	refused := own
-	for i := 0; i < len(ask) && i < maxAsked; i++ {
-		id := e.asks.add(grantee{at: e.deps.Steady(), workspace: ws, cost: cost, relay: ask[i], answer: answers})
+	for i := 0; i < len(ask) && i < maxAsked && ctx.Err() == nil; i++ {
+		id := e.asks.add(pendingGrant{at: e.deps.Steady(), workspace: ws, cost: cost, relay: ask[i], answer: answers})
 		ids = append(ids, id)
 		e.sendTo(ask[i], &peersv1.Datagram{Ask: &peersv1.Ask{
 			Id: id, Workspace: string(ws), Cost: cost, PeerAddress: e.set.PeerAddress, Service: service, Candidates: candidates,
--- a/daemon/edge/hear.go
+++ b/daemon/edge/hear.go
@@ -81,7 +81,7 @@
 	if _, known := e.stamps[id]; !known {
 		e.log.Note("daemon_heard", decisions.F("incarnation", id), decisions.F("address", h.PeerAddress))
 	}
-	e.heardFellows(now, id, h, ended)
+	e.heardMembers(now, id, h, ended)
 	e.stamps[id] = freshness.Stamp{Sent: time.Duration(h.StampNs), Received: now}
 	e.wall.Heard(id, time.Unix(0, h.TimeUnixNs), now)
 	e.heardUses(now, id, h)
@@ -103,8 +103,8 @@
 	e.heardPlaced(h.Placed, source == fromFollower)
 }
 
-// heardFellows takes in whom a daemon knows; called with mu held.
-func (e *Edge) heardFellows(now time.Duration, id ident.Incarnation, h *peersv1.Hello, ended []ident.Incarnation) {
+// heardMembers takes in whom a daemon knows; called with mu held.
+func (e *Edge) heardMembers(now time.Duration, id ident.Incarnation, h *peersv1.Hello, ended []ident.Incarnation) {
 	if h.Roster != nil {
 		rows := make([]peers.Row, 0, len(h.Roster.Rows))
 		for _, r := range h.Roster.Rows {
--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -47,7 +47,7 @@
 		AgeNs:         int64(e.limiter.Age(now)),
 		TimeUnixNs:    e.wall.Own(now).UnixNano(),
 		Relay:         e.plan.Relay,
-		Lost:          e.hearsNobody(now),
+		Joining:       e.hearsNobody(now),
 	}
 	if e.set.Policy.Uses(TellLeaving) {
 		for _, id := range e.dir.noticedSince(now - noticeTold) {
--- a/daemon/edge/fellows.go
+++ b/daemon/edge/roles.go
@@ -28,9 +28,9 @@
 	// farRows is how many daemons of other failure domains a follower is told of, by
 	// turns: callers whose own failure domain is lost must be sent somewhere.
 	farRows = 8
-	// farewellAgain is how often a daemon that is no relay any more tells those that were
-	// its fellows: until they know, they wait for its word on quotas.
-	farewellAgain = 2
+	// demotionRepeats is how often a daemon that is no relay any more tells those that were
+	// the other relays: until they know, they wait for its word on quotas.
+	demotionRepeats = 2
 	// firstStartFor is how long after the very first start of the fleet nothing can have
 	// been taken of any quota.
 	firstStartFor = 5 * time.Second
@@ -89,7 +89,7 @@
 	case e.plan.Relay && !before.Relay:
 		e.renewLimiter(now)
 	case before.Relay && !e.plan.Relay:
-		e.farewell, e.farewells = before.Others, farewellAgain
+		e.formerRelays, e.demotionsLeft = before.Others, demotionRepeats
 	}
 	if e.plan.Relay != before.Relay || !slices.Equal(e.plan.Own, before.Own) {
 		var own []ident.Incarnation
@@ -153,8 +153,8 @@
 
 // noteFollower takes in whether a daemon follows this one; called with mu held.
 func (e *Edge) noteFollower(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
-	if h.Lost {
-		e.lost[id] = h.PeerAddress
+	if h.Joining {
+		e.joining[id] = h.PeerAddress
 	}
 	delete(e.feeding, id)
 	if !h.Follows {
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -32,17 +32,17 @@
 	// relaysAtOnce is how many relays are told at this pace at the most; of more, each is
 	// told half as often, or more seldom.
 	relaysAtOnce = 16
-	// strangersATurn bounds the messages to addresses at which nobody is heard, which a
+	// unheardATurn bounds the messages to addresses at which nobody is heard, which a
 	// large fleet has many of while its daemons are down.
-	strangersATurn = 2
+	unheardATurn = 2
 	// datagramBytes bounds a message; UDP carries no more.
 	datagramBytes = 60 << 10
 )
 
-// beat moves everything on that rests on time, and sends this daemon's state to the
+// tickLoop moves everything on that rests on time, and sends this daemon's state to the
 // others, until the context ends. It is one timer, since each time that an idle process
 // wakes up costs a large fleet more than what it does then.
-func (e *Edge) beat(ctx context.Context) {
+func (e *Edge) tickLoop(ctx context.Context) {
 	for turn := uint64(0); ; {
 		turns := e.turns()
 		if !pause.For(ctx, time.Duration(turns)*tellEvery) {
@@ -81,8 +81,8 @@
 	own     *peersv1.Hello
 }
 
-// circular is a message to several recipients.
-type circular struct {
+// multicast is a message to several recipients.
+type multicast struct {
 	hello *peersv1.Hello
 	to    []recipient
 }
@@ -91,7 +91,7 @@
 func (e *Edge) tellTurn(turn uint64) {
 	w := e.whatToTell()
 	now := e.deps.Steady()
-	var out []circular
+	var out []multicast
 	e.mu.Lock()
 	w.roster = e.rosterDue(turn)
 	if e.plan.Relay {
@@ -102,7 +102,7 @@
 	if turn%followTurns == 0 {
 		out = append(out, e.toFollowers(now, turn, w))
 	}
-	out = append(out, e.toFormer(now), e.toOthers(now, turn))
+	out = append(out, e.toFormerRelays(now), e.toOthers(now, turn))
 	e.mu.Unlock()
 	for _, c := range out {
 		e.post(c)
@@ -110,11 +110,11 @@
 }
 
 // toRelays is for the other relays; in a small fleet for everybody.
-func (e *Edge) toRelays(now time.Duration, turn uint64, w news) circular {
+func (e *Edge) toRelays(now time.Duration, turn uint64, w news) multicast {
 	if !e.plan.Direct && turn%uint64(relayTurns*(1+len(e.plan.Others)/relaysAtOnce)) != 0 {
-		return circular{}
+		return multicast{}
 	}
-	c := circular{hello: e.presence(now)}
+	c := multicast{hello: e.presence(now)}
 	e.addUses(now, c.hello)
 	if e.plan.Direct || turn%followTurns == 0 {
 		addWork(c.hello, w.cell)
@@ -141,8 +141,8 @@
 }
 
 // toFollowed is for the relays that this daemon follows.
-func (e *Edge) toFollowed(now time.Duration, turn uint64, w news) circular {
-	c := circular{hello: e.presence(now)}
+func (e *Edge) toFollowed(now time.Duration, turn uint64, w news) multicast {
+	c := multicast{hello: e.presence(now)}
 	c.hello.Follows = true
 	addWork(c.hello, w.own)
 	e.addOwnCounts(now, c.hello)
@@ -160,8 +160,8 @@
 }
 
 // toFollowers is for the daemons that follow this one.
-func (e *Edge) toFollowers(now time.Duration, turn uint64, w news) circular {
-	c := circular{}
+func (e *Edge) toFollowers(now time.Duration, turn uint64, w news) multicast {
+	c := multicast{}
 	for id, f := range e.followers {
 		if now-f.heard > e.peers.AliveFor() {
 			delete(e.followers, id)
@@ -187,15 +187,15 @@
 	return c
 }
 
-// toFormer is for the relays that this daemon was one of.
-func (e *Edge) toFormer(now time.Duration) circular {
-	c := circular{}
-	if e.plan.Relay || e.farewells == 0 {
+// toFormerRelays is for the relays that this daemon was one of.
+func (e *Edge) toFormerRelays(now time.Duration) multicast {
+	c := multicast{}
+	if e.plan.Relay || e.demotionsLeft == 0 {
 		return c
 	}
-	e.farewells--
+	e.demotionsLeft--
 	c.hello = e.presence(now)
-	for _, r := range e.farewell {
+	for _, r := range e.formerRelays {
 		if !slices.ContainsFunc(e.plan.Own, func(m peers.Member) bool { return m.Incarnation == r.Incarnation }) {
 			c.to = append(c.to, recipient{r.PeerAddress, e.answer(r.Incarnation)})
 		}
@@ -206,23 +206,23 @@
 // toOthers is for those who may not know of the fleet, or are not known: addresses at
 // which nobody is heard, which a daemon that follows others leaves to the relays, and
 // daemons that ask who the relays are.
-func (e *Edge) toOthers(now time.Duration, turn uint64) circular {
-	c := circular{}
+func (e *Edge) toOthers(now time.Duration, turn uint64) multicast {
+	c := multicast{}
 	if e.plan.Relay {
-		strangers := e.peers.Strangers(e.alive)
+		unheard := e.peers.Unheard(e.alive)
 		if !e.plan.Direct {
-			strangers = inTurn(strangers, turn, strangersATurn)
+			unheard = inTurn(unheard, turn, unheardATurn)
 		}
-		for _, address := range strangers {
+		for _, address := range unheard {
 			c.to = append(c.to, recipient{address, &peersv1.Hello{ConfigRevision: e.fresh.Revision()}})
 		}
 	}
 	if !e.plan.Direct {
-		for id, address := range e.lost {
+		for id, address := range e.joining {
 			c.to = append(c.to, recipient{address, e.answer(id)})
 		}
 	}
-	clear(e.lost)
+	clear(e.joining)
 	if len(c.to) == 0 {
 		return c
 	}
@@ -246,9 +246,9 @@
 	return some
 }
 
-// post sends a circular: messages that are joined are merged by their reader, so what
+// post sends a multicast: messages that are joined are merged by their reader, so what
 // is meant for one daemon is appended to what is meant for all.
-func (e *Edge) post(c circular) {
+func (e *Edge) post(c multicast) {
 	if len(c.to) == 0 {
 		return
 	}
