Let counts of a large fleet outlast a lost message

Cause: what callers brought is told as running totals, and a total that comes more than 600 ms after the one before only says where the count goes on. A large fleet's daemons tell it every 400 ms, so each lost or late message hid 800 ms of work: with one message in four lost, 500 of 980 were counted in the test.

Change: in a large fleet a silence is one after 1.6 s.

--- a/coordination/fleet/demand_test.go
+++ b/coordination/fleet/demand_test.go
@@ -156,3 +156,20 @@
 	tally.Heard(11*time.Second+300*time.Millisecond, "a", 805_000)
 	is.Equal(tally.Total(), 11_000.0)
 }
+
+// Guards against a large fleet that orders too few runners: its daemons' counts come every
+// 400 ms, and with each that was lost or late what was brought in that time was forgotten.
+func TestCountsOfALargeFleetOutlastALostMessage(t *testing.T) {
+	is := is.New(t)
+	var tally fleet.Tally
+	tally.Relayed(true)
+	const every = 400 * time.Millisecond
+	told := 0.0
+	for i := range 100 {
+		told += 10
+		if i%4 != 3 { // one in four is lost
+			tally.Heard(time.Duration(i)*every, "d~1", told)
+		}
+	}
+	is.Equal(tally.Total(), 980.0) // the first tells where the count goes on, the last is lost
+}
--- a/coordination/fleet/tally.go
+++ b/coordination/fleet/tally.go
@@ -7,8 +7,12 @@
 )
 
 // maxSilence is how long a daemon, or this one, may have heard nothing for its
-// counts to go on. Five messages of a small fleet are then missing.
-const maxSilence = 600 * time.Millisecond
+// counts to go on. Five messages of a small fleet are then missing, or in a large one,
+// which is told of more seldom, three.
+const (
+	maxSilence        = 600 * time.Millisecond
+	maxRelayedSilence = 1600 * time.Millisecond
+)
 
 // Tally adds up what daemons count, each since its own start. A daemon that has been
 // silent may have counted meanwhile, and taken at its word it would seem to have done
@@ -17,8 +21,9 @@
 // only says where the count goes on from. The total never falls. It is not safe for
 // concurrent use.
 type Tally struct {
-	total float64
-	heard map[ident.Incarnation]counted
+	total   float64
+	heard   map[ident.Incarnation]counted
+	relayed bool
 }
 
 // counted is where a daemon's count stood.
@@ -27,12 +32,19 @@
 	count float64
 }
 
+// Relayed says whether the counts are those of a large fleet.
+func (t *Tally) Relayed(relayed bool) { t.relayed = relayed }
+
 // Heard takes in a daemon's count.
 func (t *Tally) Heard(now time.Duration, id ident.Incarnation, count float64) {
 	if t.heard == nil {
 		t.heard = map[ident.Incarnation]counted{}
 	}
-	if before, ok := t.heard[id]; ok && now-before.at <= maxSilence {
+	silence := maxSilence
+	if t.relayed {
+		silence = maxRelayedSilence
+	}
+	if before, ok := t.heard[id]; ok && now-before.at <= silence {
 		t.total += max(0, count-before.count)
 	}
 	t.heard[id] = counted{now, count}
--- a/daemon/edge/loads.go
+++ b/daemon/edge/loads.go
@@ -90,7 +90,7 @@
 	}
 	heard := toldLoad{at: now, work: loads, follower: from == fromFollower, included: h.IncludedSeq}
 	for _, o := range h.Offered {
-		e.told.heardOffered(now, id, o, from)
+		e.told.heardOffered(now, id, o, from, !e.direct.Load())
 	}
 	if from == fromPrimary {
 		e.told.total = heard
@@ -99,12 +99,14 @@
 	e.told.daemons[id] = heard
 }
 
-func (t *toldLoads) heardOffered(now time.Duration, id ident.Incarnation, o *peersv1.Offered, from source) {
+func (t *toldLoads) heardOffered(now time.Duration, id ident.Incarnation, o *peersv1.Offered, from source, relayed bool) {
 	counts, ok := t.offered[o.Service]
 	if !ok {
 		counts = &offers{}
 		t.offered[o.Service] = counts
 	}
+	counts.followers.Relayed(relayed)
+	counts.all.Relayed(relayed)
 	switch from {
 	case fromFollower:
 		counts.followers.Heard(now, id, o.PromptTokens)
