Give no runner back before most of the fleet's work is known

Change: in a large fleet nothing is given back until most of the other relays have told of their work for 5 s.

--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -22,3 +22,7 @@
 	defer p.mu.Unlock()
 	return p.engines.Rate()
 }
+
+// KnowsWork tells whether the work of most of the fleet is known for long enough for
+// runners to be given back.
+func (e *Edge) KnowsWork() bool { return e.complete(e.deps.Steady(), knownFor) }
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -38,6 +38,9 @@
 	// stillComing is how long after the first runners have shown up at the first start
 	// others may: they register once in a heartbeat.
 	stillComing = 2500 * time.Millisecond
+	// knownFor is how long the work of most of a large fleet must have been known before
+	// runners are given back: as long as the measure takes to settle.
+	knownFor = 5 * time.Second
 	// cheapRate is the part of the full price up to which runners are kept to spare.
 	cheapRate = 0.5
 	// askEvery is the time between two tries to get reclaimable ones meanwhile. What
@@ -111,11 +114,14 @@
 // again for seconds: then what is needed and lacking is ordered at the full price,
 // and only what goes far beyond that is given back.
 //
-// A daemon that has just started with all others knows nothing of the demand. It
-// lets nobody go before it does, or at the first start of all until it has seen which
-// runners there are.
+// A daemon that has just started with all others knows nothing of the demand, or in a
+// large fleet that of its own callers only. It lets nobody go before it does, or at the
+// first start of all until it has seen which runners there are.
 func (f *fleetDuty) decide(now time.Duration, demand fleet.Estimate) (fleet.Decision, fleet.Wanted) {
 	d, w := f.plan(now, demand)
+	if !f.edge.complete(now, knownFor) {
+		d.Stops = nil
+	}
 	if !demand.Settled && (!f.edge.set.FirstStart || now < f.seen+stillComing) {
 		d.Stops = nil
 	}
--- a/daemon/edge/loads.go
+++ b/daemon/edge/loads.go
@@ -45,6 +45,8 @@
 	// offered is the prompt tokens that were brought to others, by service.
 	offered map[string]*offers
 	changed bool
+	// completeSince is since when most relays have told of their work; zero is not.
+	completeSince time.Duration
 }
 
 type toldLoad struct {
@@ -179,6 +181,36 @@
 	return expired
 }
 
+// complete tells whether the work of most of the fleet has been known for a while. Right
+// after a start of all daemons each knows of its own callers only.
+func (e *Edge) complete(now, forSoLong time.Duration) bool {
+	if e.direct.Load() {
+		return true
+	}
+	e.told.mu.Lock()
+	defer e.told.mu.Unlock()
+	since := e.told.completeSince
+	return since != 0 && now-since >= forSoLong
+}
+
+// noteComplete looks whether most of so many other relays have told of their work.
+func (t *toldLoads) noteComplete(now time.Duration, others int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	told := 0
+	for _, d := range t.daemons {
+		if !d.follower {
+			told++
+		}
+	}
+	switch {
+	case 2*told < others:
+		t.completeSince = 0
+	case t.completeSince == 0:
+		t.completeSince = max(1, now)
+	}
+}
+
 type loadSums map[ident.RunnerID]routing.OwnLoad
 
 func (s loadSums) add(loads []routing.OwnLoad, sign int) {
--- a/daemon/edge/relays_test.go
+++ b/daemon/edge/relays_test.go
@@ -375,3 +375,38 @@
 		}
 	})
 }
+
+// knowing counts the daemons that know the work of most of the fleet.
+func (w *world) knowing() int {
+	known := 0
+	for _, d := range w.daemons {
+		if d.KnowsWork() {
+			known++
+		}
+	}
+	return known
+}
+
+// Guards against a holder of the duties that gives most runners back right after all daemons
+// have started anew, since it knows of its own callers only.
+func TestWorkOfTheFleetIsUnknownAfterAStartOfAll(t *testing.T) {
+	inLargeFleet(t, 24, config(1), func(w *world) {
+		time.Sleep(8 * time.Second)
+		w.True(w.knowing() > 0)
+		w.notFirst = true
+		for _, d := range w.daemons {
+			d.kill()
+		}
+		for i := range w.daemons {
+			w.restart(i)
+		}
+		// Until its first look at the others a daemon is alone; nobody holds the duties then.
+		time.Sleep(500 * time.Millisecond)
+		for range 35 {
+			w.Equal(w.knowing(), 0)
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(8 * time.Second)
+		w.True(w.knowing() > 0)
+	})
+}
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -57,6 +57,7 @@
 		e.forget(id, "silent")
 	}
 	e.elect(now)
+	e.told.noteComplete(now, len(e.plan.Others))
 	e.limiter.Expect(now, e.expected(now))
 	e.limiter.Isolate(e.isolated(now))
 	e.limiter.Tick(now)
