--- a/daemon/edge/hear.go
+++ b/daemon/edge/hear.go
@@ -14,9 +14,13 @@
 	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
+// closedGrace is how long after the socket's end the daemon's may follow.
+const closedGrace = 100 * time.Millisecond
+
 // receive takes the others' messages in until the context ends. The socket is closed when
 // it returns: a message that comes as the context ends lets it return before the close
 // that the end brings about, and the address would still be taken when a daemon is started
@@ -32,6 +36,11 @@
 			return nil
 		}
 		if errors.Is(err, net.ErrClosed) {
+			// Whoever ends the daemon may close the socket before the end is seen here.
+			pause.For(ctx, closedGrace)
+			if ctx.Err() != nil {
+				return nil
+			}
 			return fmt.Errorf("receive datagrams: %w", err)
 		}
 		if err != nil {
