Make roster rows in one place; judge a feed once

Read over the change: rows were made in two places, rows of ended daemons passed over in two, whether a feed can be used was worked out twice, one parameter was unused.

--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -167,7 +167,7 @@
 	told := roster{at: now, rows: make(map[ident.Incarnation]bool, len(rows)), fleet: fleet, perDomain: perDomain}
 	var ended []ident.Incarnation
 	for _, r := range rows {
-		if r.Incarnation == t.self.Incarnation || r.Incarnation == "" || t.former(now, r.Member) {
+		if t.passedOver(now, r) {
 			continue
 		}
 		told.rows[r.Incarnation] = true
@@ -179,17 +179,18 @@
 
 // Introduce takes in that there may be a daemon.
 func (t *Table) Introduce(now time.Duration, r Row) {
-	if r.Incarnation == t.self.Incarnation || r.Incarnation == "" {
-		return
-	}
-	_, known := t.entries[r.Incarnation]
-	if known || t.former(now, r.Member) {
+	if _, known := t.entries[r.Incarnation]; known || t.passedOver(now, r) {
 		return
 	}
 	t.take(now, r)
 	t.entries[r.Incarnation].introduced = now
 }
 
+// passedOver tells whether a row says nothing of another daemon that may be alive.
+func (t *Table) passedOver(now time.Duration, r Row) bool {
+	return r.Incarnation == t.self.Incarnation || r.Incarnation == "" || t.former(now, r.Member)
+}
+
 func (t *Table) take(now time.Duration, r Row) []ident.Incarnation {
 	e, known := t.entries[r.Incarnation]
 	if known {
--- a/daemon/edge/feed.go
+++ b/daemon/edge/feed.go
@@ -67,18 +67,17 @@
 	now := e.deps.Steady()
 	e.dir.mu.Lock()
 	at, age := uint64(e.dir.at), time.Duration(f.AgeNs)
+	usable := !f.Gap && f.Through != 0 && f.After <= at && at != 0
 	switch {
 	case f.Gap && f.After == at && at != 0:
 		if !e.dir.incomplete {
 			e.log.Note("feed_gap", decisions.F("at", at))
 		}
 		e.dir.incomplete = true
-	case f.Gap || f.Through == 0 || f.After > at:
-	case len(f.Changes) == 0 || f.Through >= f.Head:
+	case usable && (len(f.Changes) == 0 || f.Through >= f.Head):
 		// Nothing is missing up to the sender's own copy.
 		e.dir.current = max(e.dir.current, now-age)
 	}
-	usable := !f.Gap && f.Through != 0 && f.After <= at && at != 0
 	e.dir.mu.Unlock()
 	if !usable {
 		return
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -207,7 +207,7 @@
 }
 
 // followersRoster is all that this relay hears itself; called with mu held.
-func (e *Edge) followersRoster(now time.Duration) *peersv1.Roster {
+func (e *Edge) followersRoster() *peersv1.Roster {
 	ids := make([]ident.Incarnation, 0, len(e.followers))
 	for id := range e.followers {
 		ids = append(ids, id)
@@ -234,11 +234,16 @@
 }
 
 func (e *Edge) roster(ids []ident.Incarnation) *peersv1.Roster {
-	r := &peersv1.Roster{Fleet: uint32(e.peers.Size()), Relays: uint32(e.plan.PerDomain)}
+	return &peersv1.Roster{Rows: e.rows(ids), Fleet: uint32(e.peers.Size()), Relays: uint32(e.plan.PerDomain)}
+}
+
+// rows are what daemons told of themselves last; called with mu held.
+func (e *Edge) rows(ids []ident.Incarnation) []*peersv1.Row {
+	var rows []*peersv1.Row
 	for _, row := range e.peers.Rows(ids) {
-		r.Rows = append(r.Rows, tellRow(row))
+		rows = append(rows, tellRow(row))
 	}
-	return r
+	return rows
 }
 
 // introductions are the relays, by which a daemon finds its place; called with mu held.
@@ -251,11 +256,7 @@
 		ids = append(ids, r.Incarnation)
 	}
 	slices.Sort(ids)
-	var rows []*peersv1.Row
-	for _, row := range e.peers.Rows(slices.Compact(ids)) {
-		rows = append(rows, tellRow(row))
-	}
-	return rows
+	return e.rows(slices.Compact(ids))
 }
 
 // firstByName returns the first few in the order of names, in which daemons stand for
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -120,7 +120,7 @@
 		addWork(c.hello, w.cell)
 	}
 	if w.roster && (e.plan.Direct || rosterTurn(turn)) {
-		c.hello.Roster = e.followersRoster(now)
+		c.hello.Roster = e.followersRoster()
 	}
 	if e.plan.Direct {
 		e.addAllCounts(now, c.hello)
