Give out no quota as a relay that no other one counts; tell it who the relays are

Callers saw: a workspace was served more than its quota in a window (QUOTA), in 1 to 2 of 28 runs of TestPromptsWithinTheLimitOfALargeFleet beside load.

Cause: a daemon whose introductions to its failure domain's relays lapse before it reaches them knows nobody to follow and takes itself for a relay. It hears some relays, so it does not ask who they are; the others don't elect it; an introduction counted once in 30 s. After 1.5 s it gave out the whole bucket beside the twelve.

Change: relays say whether they take the receiver for one (elects). One that none elects gives out nothing while it hears any, logs role_doubted, and is told by relays that don't elect it who the relays are; what a relay vouches for counts again every 3 s, not once, and only what is heard or told of by a roster is vouched for, so that nobody is kept alive in a circle. A daemon tells its new relays at once.

Why it holds: what the elected relays share out is the whole; a relay that shares is counted by one of them.

--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -5,7 +5,8 @@
 // hears it (a roster). What relays tell followers of rosters is never told on as a
 // roster, or two daemons could keep a third one alive that has ended. Registrations in
 // the key-value service and introductions by others only say where a daemon may be;
-// they count for as long as a message would need to follow. A new incarnation at an
+// they count for as long as a message would need to follow, those by daemons that vouch
+// for it again and again. A new incarnation at an
 // address ends the former one at once, since that process can't be listening there any
 // more.
 //
@@ -33,6 +34,8 @@
 	// two messages there and back. After a restart of all, those that are registered have
 	// ended.
 	IntroducedFor = time.Second
+	// ReferAgainAfter is how long after an introduction the next one counts.
+	ReferAgainAfter = 3 * time.Second
 	// ForgetAfter is how long a silent daemon is still called.
 	ForgetAfter = 30 * time.Second
 	// RosterFor is how long a relay's roster counts: one is lost, and the next is late.
@@ -179,7 +182,17 @@
 
 // Introduce takes in that there may be a daemon.
 func (t *Table) Introduce(now time.Duration, r Row) {
-	if _, known := t.entries[r.Incarnation]; known || t.passedOver(now, r) {
+	if _, known := t.entries[r.Incarnation]; known {
+		return
+	}
+	t.Refer(now, r)
+}
+
+// Refer takes in that another daemon vouches for one, which counts for a moment, and again
+// from time to time. That other one may reach it while this one can't.
+func (t *Table) Refer(now time.Duration, r Row) {
+	e, known := t.entries[r.Incarnation]
+	if known && now-e.introduced < ReferAgainAfter || t.passedOver(now, r) {
 		return
 	}
 	t.take(now, r)
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -148,3 +148,18 @@
 		is.True(m.Incarnation != "b~1")
 	}
 }
+
+// Guards against a daemon that never learns of its relays, since it was introduced to them
+// once when it could not reach them, and against one that goes on waiting for those whom it
+// can't reach.
+func TestReferenceCountsAgainFromTimeToTime(t *testing.T) {
+	is := is.New(t)
+	tab := peers.New(member("a", "1"))
+	row := peers.Row{Member: member("b", "1")}
+	tab.Introduce(0, row)
+	tab.Refer(peers.IntroducedFor+1, row)
+	is.Equal(live(tab, peers.IntroducedFor+1), []string{"a"})
+	tab.Refer(peers.ReferAgainAfter, row)
+	is.Equal(live(tab, peers.ReferAgainAfter), []string{"a", "b"})
+	is.Equal(live(tab, peers.ReferAgainAfter+peers.IntroducedFor+1), []string{"a"})
+}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -366,9 +366,6 @@
 	return now - l.started
 }
 
-// Alone tells whether no other daemon was heard, or all have been forgotten.
-func (l *Limiter) Alone() bool { return len(l.peers) == 0 }
-
 // Isolate tells into how many parts the buckets are to be divided while this daemon
 // hears no other, its own included; zero ends that.
 func (l *Limiter) Isolate(parts int) { l.isolated = parts }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -68,17 +68,21 @@
 	limiterBegan time.Duration
 	seq          uint64
 	// alive are the other daemons as they were looked at last, plan is whom this daemon
-	// tells by that, followers those that follow it.
-	alive     []peers.Member
-	plan      relays.Plan
-	followers map[ident.Incarnation]follower
+	// tells by that, standing what other relays say of it as one, followers those that
+	// follow it.
+	alive    []peers.Member
+	plan     relays.Plan
+	standing relays.Standing
+	// followsAnew says that the relays that this daemon follows now were not told yet.
+	followsAnew bool
+	followers   map[ident.Incarnation]follower
 	// feeding are the other relays that this daemon watches for, with the revision up to
 	// which they know the key-value service.
 	feeding map[ident.Incarnation]uint64
 	// formerRelays are the relays to tell, so many times more, that this daemon is none any more.
 	formerRelays  []peers.Member
 	demotionsLeft int
-	// joining are the addresses of daemons that ask who the relays are.
+	// joining are the addresses of daemons that ask who the relays are, or are mistaken.
 	joining map[ident.Incarnation]string
 	// rosterVersion is of the daemons that were told last, rosterLeft in how many more
 	// messages.
@@ -152,6 +156,7 @@
 	e.duties.init(e)
 	// Until it hears of others a daemon is alone.
 	e.plan = relays.Make(relays.View{Self: e.peers.Self()})
+	e.standing.Begin(now)
 	e.direct.Store(e.plan.Direct)
 	e.relaying.Store(e.plan.Relay)
 	for _, seed := range set.Seeds {
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -26,3 +26,6 @@
 // KnowsWork tells whether the work of most of the fleet is known for long enough for
 // runners to be given back.
 func (e *Edge) KnowsWork() bool { return e.complete(e.deps.Steady(), knownFor) }
+
+// IsRelay tells whether the daemon takes itself for a relay.
+func (e *Edge) IsRelay() bool { return e.relaying.Load() }
--- a/daemon/edge/grants.go
+++ b/daemon/edge/grants.go
@@ -33,10 +33,6 @@
 	// lateGrants is how long an answer that nobody waits for is recognised, so that it
 	// is given back.
 	lateGrants = 5 * time.Second
-	// warmUp is how long a daemon that becomes a relay waits for another one that takes it
-	// for one, too, before it gives out what is its part if it is alone. Until then others
-	// are asked: its buckets are empty, and it may be mistaken.
-	warmUp = 1500 * time.Millisecond
 	// quotaUnknownAfter is when to come back where no relay answered: by then another
 	// one has taken over.
 	quotaUnknownAfter = 300 * time.Millisecond
@@ -171,7 +167,7 @@
 	now := e.deps.Steady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.plan.Relay && !e.warming(now) {
+	if e.shares(now) {
 		own = e.take(now, ws, cost)
 		if own.Taken || !own.Elsewhere {
 			return own, false, nil
@@ -207,10 +203,10 @@
 	return ask[:min(maxAsked, len(ask))]
 }
 
-// warming tells whether this daemon has just become a relay and has heard of no other
-// yet. Called with mu held.
-func (e *Edge) warming(now time.Duration) bool {
-	return !e.plan.Direct && now-e.limiterBegan < warmUp && e.limiter.Alone()
+// shares tells whether this daemon gives out quotas: it does so only as a relay that another
+// one takes for one, too, or that is the last. Called with mu held.
+func (e *Edge) shares(now time.Duration) bool {
+	return e.plan.Relay && (e.plan.Direct || e.standing.Shares(now, e.hearsRelay(now)))
 }
 
 // leave ends the wait for relays' answers and gives back what was granted beside the one
@@ -255,7 +251,7 @@
 	now := e.deps.Steady()
 	var g *peersv1.Grant
 	e.mu.Lock()
-	if e.plan.Relay && e.table.Load() != nil && !e.warming(now) {
+	if e.shares(now) && e.table.Load() != nil {
 		g = e.take(now, ident.Workspace(a.Workspace), a.Cost)
 	} else {
 		g = &peersv1.Grant{Unable: true, Ask: e.askable()}
--- a/daemon/edge/hear.go
+++ b/daemon/edge/hear.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -125,7 +124,7 @@
 		ended = append(ended, e.peers.Told(now, id, rows, int(h.Roster.Fleet), int(h.Roster.Relays))...)
 	}
 	for _, r := range h.Introduced {
-		e.peers.Introduce(now, rowOf(r))
+		e.peers.Refer(now, rowOf(r))
 	}
 	for _, a := range h.Addresses {
 		e.peers.Learn(now, a)
@@ -134,6 +133,7 @@
 		e.forget(former, "replaced")
 	}
 	e.noteFollower(now, id, h)
+	e.heardRelay(now, id, h)
 }
 
 // followElsewhere takes in that daemons follow a relay: they give out no quotas. While a
@@ -155,12 +155,12 @@
 		e.limiter.Left(id)
 		return
 	}
-	if !e.plan.Direct && !slices.ContainsFunc(e.plan.Others, func(m peers.Member) bool { return m.Incarnation == id }) {
+	if !e.plan.Direct && !e.elects(id) {
 		// It takes itself for a relay, as any daemon does that has just started, and gives
 		// out nothing until another one takes it for one, too.
 		return
 	}
-	if len(h.Uses) > 0 || e.plan.Direct {
+	if h.Elects || e.plan.Direct {
 		e.limiter.Heard(now, id, time.Duration(h.AgeNs), usesOf(h))
 	}
 }
--- /dev/null
+++ b/daemon/edge/mistaken_test.go
@@ -0,0 +1,123 @@
+package edge_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// settledWithin is the time in which the daemons of a fleet that hear each other agree on
+// their relays.
+const settledWithin = 4 * time.Second
+
+// relays counts the daemons that take themselves for relays.
+func (w *world) relays() int {
+	n := 0
+	for _, d := range w.daemons {
+		if d.IsRelay() {
+			n++
+		}
+	}
+	return n
+}
+
+// partFromDomain cuts a daemon off from all others of its failure domain.
+func (w *world) partFromDomain(i int, cut bool) {
+	for other := i % largeDomains; other < len(w.daemons); other += largeDomains {
+		if other != i {
+			w.network.part(peerAddress(i), peerAddress(other), cut)
+		}
+	}
+}
+
+// becomesRelay waits until a daemon that reaches none of those it could follow takes itself
+// for a relay.
+func (w *world) becomesRelay(i int) {
+	const within = 10 * time.Second
+	time.Sleep(3 * time.Second)
+	for range int(within / loadStep) {
+		if w.daemons[i].IsRelay() {
+			return
+		}
+		time.Sleep(loadStep)
+	}
+	w.Fail()
+}
+
+func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:7600", i+1) }
+
+// Guards against a daemon that gives out a whole quota beside the relays, since it hears
+// some of them but none of its own failure domain and takes itself for one.
+func TestMistakenRelayGivesOutNoQuota(t *testing.T) {
+	const (
+		daemons, last        = 60, 59
+		perSecond, cost      = 300_000.0, 17_000
+		window               = 8 * time.Second
+		tolerated            = (perSecond*8+perSecond)*1.1 + 190_000
+		workspaces, manyfold = 3, 6
+	)
+	inLargeFleet(t, daemons, promptWorkspaces(workspaces, perSecond, cost), func(w *world) {
+		w.addRunners(40)
+		w.notFirst = true
+		w.daemons[last].kill()
+		w.partFromDomain(last, true)
+		w.restart(last)
+		w.becomesRelay(last)
+		l := newPromptLoad(w, cost, slices.Repeat([]float64{perSecond * manyfold}, workspaces))
+		l.run(window+2*time.Second, all)
+		for ws := range workspaces {
+			most := l.mostIn(ws, window)
+			t.Logf("most in a window: %.0f of %.0f", most, tolerated)
+			w.True(most <= tolerated)
+		}
+	})
+}
+
+// Guards against a daemon that stays a relay whom no other one counts after it has lost its
+// failure domain for a while: its own callers are refused, and it watches the service.
+func TestMistakenRelayFindsItsPlace(t *testing.T) {
+	const daemons, last = 60, 59
+	inLargeFleet(t, daemons, config(1), func(w *world) {
+		before := w.relays()
+		w.notFirst = true
+		w.daemons[last].kill()
+		w.partFromDomain(last, true)
+		w.restart(last)
+		w.becomesRelay(last)
+		w.partFromDomain(last, false)
+		time.Sleep(settledWithin)
+		for range 40 {
+			w.True(!w.daemons[last].IsRelay())
+			w.Equal(w.relays(), before)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against relays whom no other one counts and that stay so when the messages of a
+// fleet's start were lost.
+func TestLossyStartLeavesNoMistakenRelay(t *testing.T) {
+	const loss, lossyFor = 0.4, 3 * time.Second
+	for seed := range uint64(2) {
+		inWorld(t, 0, config(1), func(w *world) {
+			for i := range largeDomains {
+				w.domains = append(w.domains, ident.FailureDomain(fmt.Sprintf("domain-%d", i)))
+			}
+			w.network.lose(loss, rand.New(rand.NewPCG(seed, 0)))
+			for range largeFleet {
+				w.add()
+			}
+			time.Sleep(lossyFor)
+			w.network.lose(0, nil)
+			time.Sleep(settledWithin)
+			for range 40 {
+				w.Equal(w.relays(), 2*largeDomains)
+				time.Sleep(loadStep)
+			}
+		})
+	}
+}
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -92,6 +92,7 @@
 	case before.Relay && !e.plan.Relay:
 		e.formerRelays, e.demotionsLeft = before.Others, demotionRepeats
 	}
+	e.followsAnew = e.followsAnew || !slices.Equal(e.plan.Own, before.Own)
 	if e.plan.Relay != before.Relay || !slices.Equal(e.plan.Own, before.Own) {
 		var own []ident.Incarnation
 		for _, r := range e.plan.Own {
@@ -105,6 +106,7 @@
 // is out of date.
 func (e *Edge) renewLimiter(now time.Duration) {
 	first := e.set.FirstStart && now-e.began < firstStartFor
+	e.standing.Begin(now)
 	e.limiter = quota.New(now, e.set.Bounds.QuotaWindow, e.set.Bounds.QuotaTolerance, first)
 	e.limiterBegan = now
 	if t := e.table.Load(); t != nil {
@@ -127,10 +129,8 @@
 	if e.plan.Direct {
 		return 0
 	}
-	for _, r := range e.plan.Others {
-		if e.peers.HeardLately(now, r.Incarnation) {
-			return 0
-		}
+	if e.hearsRelay(now) {
+		return 0
 	}
 	stands := 1
 	for _, f := range e.followers {
@@ -141,6 +141,33 @@
 	return (e.peers.Size() + stands - 1) / stands
 }
 
+// hearsRelay tells whether another relay is heard directly; called with mu held.
+func (e *Edge) hearsRelay(now time.Duration) bool {
+	return slices.ContainsFunc(e.plan.Others, func(m peers.Member) bool { return e.peers.HeardLately(now, m.Incarnation) })
+}
+
+// elects tells whether this daemon takes another one for a relay; called with mu held.
+func (e *Edge) elects(id ident.Incarnation) bool {
+	return slices.ContainsFunc(e.plan.Others, func(m peers.Member) bool { return m.Incarnation == id })
+}
+
+// heardRelay takes in that a daemon takes itself for a relay, and whether it takes this
+// one for one. Whoever is mistaken of itself is told who the relays are. Called with mu
+// held.
+func (e *Edge) heardRelay(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
+	if !h.Relay || !e.plan.Relay || e.plan.Direct {
+		return
+	}
+	if !e.elects(id) {
+		e.joining[id] = h.PeerAddress
+		return
+	}
+	if e.standing.Heard(now, h.Elects) {
+		e.log.Note("role_doubted", decisions.F("by", id), decisions.F("relays", 1+len(e.plan.Others)),
+			decisions.F("knows", len(e.alive)), decisions.F("daemons", e.peers.Size()))
+	}
+}
+
 // forget drops a daemon that has ended; its counts of usage stay. Called with mu
 // held.
 func (e *Edge) forget(id ident.Incarnation, why string) {
@@ -246,14 +273,22 @@
 	return rows
 }
 
-// introductions are the relays, by which a daemon finds its place; called with mu held.
-func (e *Edge) introductions() []*peersv1.Row {
+// introductions are the relays that are heard or told of, by which a daemon finds its
+// place. Introductions are never told on, or two daemons could keep a third one alive
+// that has ended. Called with mu held.
+func (e *Edge) introductions(now time.Duration) []*peersv1.Row {
 	if e.plan.Direct {
 		return nil
 	}
+	vouched := map[ident.Incarnation]bool{}
+	for _, m := range e.peers.Vouched(now) {
+		vouched[m.Incarnation] = true
+	}
 	var ids []ident.Incarnation
 	for _, r := range append(slices.Clone(e.plan.Own), e.plan.Others...) {
-		ids = append(ids, r.Incarnation)
+		if vouched[r.Incarnation] {
+			ids = append(ids, r.Incarnation)
+		}
 	}
 	slices.Sort(ids)
 	return e.rows(slices.Compact(ids))
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -96,7 +96,8 @@
 	w.roster = e.rosterDue(turn)
 	if e.plan.Relay {
 		out = append(out, e.toRelays(now, turn, w))
-	} else if turn%followTurns == 0 {
+	} else if turn%followTurns == 0 || e.followsAnew {
+		e.followsAnew = false
 		out = append(out, e.toFollowed(now, turn, w))
 	}
 	if turn%followTurns == 0 {
@@ -128,6 +129,7 @@
 	counts, counting := e.cellCounts(now, turn), e.counters()
 	for _, r := range e.plan.Others {
 		own := e.answer(r.Incarnation)
+		own.Elects = true
 		if counting[r.Incarnation] {
 			own.Windows, own.Ended = counts.Windows, counts.Ended
 		}
@@ -227,7 +229,7 @@
 		return c
 	}
 	c.hello = e.presence(now)
-	c.hello.Introduced = e.introductions()
+	c.hello.Introduced = e.introductions(now)
 	if e.plan.Direct {
 		e.addUses(now, c.hello)
 	}
--- a/daemon/edge/world_test.go
+++ b/daemon/edge/world_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -318,6 +319,11 @@
 	mu    sync.Mutex
 	boxes map[string]*socket
 	cut   map[string]bool
+	// parted are pairs of addresses that don't reach each other.
+	parted map[[2]string]bool
+	// loss is the share of messages that are lost, drawn by luck.
+	loss float64
+	luck *rand.Rand
 	// most is the size of the largest message so far, sent the number of all, bytes their
 	// sizes.
 	most, sent, bytes int
@@ -336,7 +342,9 @@
 	return n.most
 }
 
-func newNetwork() *network { return &network{boxes: map[string]*socket{}, cut: map[string]bool{}} }
+func newNetwork() *network {
+	return &network{boxes: map[string]*socket{}, cut: map[string]bool{}, parted: map[[2]string]bool{}}
+}
 
 func (n *network) isolate(address string, cut bool) {
 	n.mu.Lock()
@@ -344,6 +352,25 @@
 	n.cut[address] = cut
 }
 
+// lose has a share of all messages be lost from now on.
+func (n *network) lose(share float64, luck *rand.Rand) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss, n.luck = share, luck
+}
+
+// lost tells whether a message does not arrive; called with mu held.
+func (n *network) lost(from, to string) bool {
+	return n.cut[from] || n.cut[to] || n.parted[[2]string{from, to}] || n.loss > 0 && n.luck.Float64() < n.loss
+}
+
+// part cuts two addresses off from each other.
+func (n *network) part(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.parted[[2]string{a, b}], n.parted[[2]string{b, a}] = cut, cut
+}
+
 func (n *network) listen(address string) *socket {
 	s := &socket{network: n, address: address, in: make(chan []byte, 1000), closed: make(chan struct{})}
 	n.mu.Lock()
@@ -377,7 +404,7 @@
 	s.network.sent++
 	s.network.bytes += len(p)
 	box := s.network.boxes[to.String()]
-	if box == nil || s.network.cut[s.address] || s.network.cut[to.String()] {
+	if box == nil || s.network.lost(s.address, to.String()) {
 		return len(p), nil
 	}
 	select {
