Let relays tell each other of relays, so that two that never met share quotas

Cause: two relays that never heard each other never learn of each other: rosters hold followers only, introductions go to those who ask, and whoever is in a roster is not called. Each then takes the next daemon of the other's failure domain for a relay, which is none and shares nothing. Neither counts what the other gives out, so a workspace whose callers use those relays is served twice.

Evidence: the probe listed what each relay's limiter counts. In the failed runs three of twelve relays counted 9 or 10 others of 11 and had given out 1.3 to 1.8 million tokens each, the others 51,000 to 68,000 with a level of -1,000,000. In 11 of 160 starts two or more relays had each other's place taken by a follower (heard never, known by a roster).

Change: every 0.4 s a relay tells the others of four relays, by turns; they count for a moment, are told of, and answer.

--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -29,3 +29,10 @@
 
 // IsRelay tells whether the daemon takes itself for a relay.
 func (e *Edge) IsRelay() bool { return e.relaying.Load() }
+
+// Elects tells whether the daemon takes another one for a relay.
+func (e *Edge) Elects(other *Edge) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.elects(other.self)
+}
--- a/daemon/edge/mistaken_test.go
+++ b/daemon/edge/mistaken_test.go
@@ -1,12 +1,14 @@
 package edge_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
@@ -121,3 +123,52 @@
 		})
 	}
 }
+
+// Guards against relays that share out a quota without counting each other, since they have
+// not heard of each other for so long that they forgot their addresses.
+func TestRelaysThatLostEachOtherMeetAgain(t *testing.T) {
+	const (
+		daemons, apart  = 60, peers.ForgetAfter + 5*time.Second
+		perSecond, cost = 300_000.0, 17_000
+		window          = 8 * time.Second
+		tolerated       = (perSecond*8+perSecond)*1.1 + 190_000
+	)
+	inLargeFleet(t, daemons, promptWorkspaces(1, perSecond, cost), func(w *world) {
+		w.addRunners(40)
+		pairs := w.pairsOfRelays()
+		for _, p := range pairs {
+			w.network.part(peerAddress(p[0]), peerAddress(p[1]), true)
+		}
+		time.Sleep(apart)
+		for _, p := range pairs {
+			w.network.part(peerAddress(p[0]), peerAddress(p[1]), false)
+		}
+		time.Sleep(settledWithin)
+		l := newPromptLoad(w, cost, []float64{perSecond * 6})
+		l.run(window+2*time.Second, all)
+		most := l.mostIn(0, window)
+		t.Logf("most in a window: %.0f of %.0f", most, tolerated)
+		w.True(most <= tolerated)
+		for _, p := range pairs {
+			w.True(w.daemons[p[0]].Elects(w.daemons[p[1]].Edge))
+			w.True(w.daemons[p[1]].Elects(w.daemons[p[0]].Edge))
+		}
+	})
+}
+
+// pairsOfRelays are pairs of different failure domains, each relay in one.
+func (w *world) pairsOfRelays() [][2]int {
+	var all []int
+	for i, d := range w.daemons {
+		if d.IsRelay() {
+			all = append(all, i)
+		}
+	}
+	slices.SortFunc(all, func(a, b int) int { return cmp.Compare(a%largeDomains, b%largeDomains) })
+	half := len(all) / 2
+	var pairs [][2]int
+	for i := range half {
+		pairs = append(pairs, [2]int{all[i], all[half+i]})
+	}
+	return pairs
+}
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -28,6 +28,10 @@
 	// farRows is how many daemons of other failure domains a follower is told of, by
 	// turns: callers whose own failure domain is lost must be sent somewhere.
 	farRows = 8
+	// relayRows is how many relays the others are told of in a message, by turns: rosters
+	// hold followers only, and two relays that have never heard each other would not know
+	// that there is one more to share quotas with.
+	relayRows = 4
 	// demotionRepeats is how often a daemon that is no relay any more tells those that were
 	// the other relays: until they know, they wait for its word on quotas.
 	demotionRepeats = 2
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -125,6 +125,8 @@
 	}
 	if e.plan.Direct {
 		e.addAllCounts(now, c.hello)
+	} else if turn%followTurns == 0 {
+		c.hello.Introduced = inTurn(e.introductions(now), turn/followTurns, relayRows)
 	}
 	counts, counting := e.cellCounts(now, turn), e.counters()
 	for _, r := range e.plan.Others {
