Go on calling addresses for ten minutes, so that halves of a fleet meet again

Callers would see: after a cut between failure domains of more than 30 s each half of a large fleet gives out whole quotas for as long as it runs, and neither counts nor directs to the other half.

An address at which nobody is heard was forgotten after 30 s, as a silent daemon is. A large fleet's daemons learn addresses only of rosters, introductions and registrations as they are written, all of which stop at the cut. (Ten or fewer daemons tell each other addresses and meet again.)

Change: addresses are called for ten minutes, two a message turn as before; silent daemons still count for 30 s only. A line of TestDirectoryHoldsWhoIsHeardAndReady said that addresses are forgotten with the daemons: it now asks that they are kept then and forgotten after the longer time.

--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -36,8 +36,12 @@
 	IntroducedFor = time.Second
 	// ReferAgainAfter is how long after an introduction the next one counts.
 	ReferAgainAfter = 3 * time.Second
-	// ForgetAfter is how long a silent daemon is still called.
+	// ForgetAfter is how long a silent daemon counts as one that may be running.
 	ForgetAfter = 30 * time.Second
+	// CallFor is how long an address is still called at which nobody is heard. Parts of a
+	// fleet that are cut off from each other know nothing else of each other, and cuts
+	// last for minutes.
+	CallFor = 10 * time.Minute
 	// RosterFor is how long a relay's roster counts: one is lost, and the next is late.
 	RosterFor = 2500 * time.Millisecond
 	// MaxAddresses bounds the addresses that are called without having been heard.
@@ -260,7 +264,7 @@
 		}
 	}
 	for address, at := range t.addresses {
-		if now-at > ForgetAfter {
+		if now-at > CallFor {
 			delete(t.addresses, address)
 		}
 	}
--- a/coordination/peers/peers_test.go
+++ b/coordination/peers/peers_test.go
@@ -40,6 +40,8 @@
 	is.Equal(tab.Size(), 3) // the silent one may still be there
 	is.Equal(tab.Addresses(), []string{"b:76", "c:76"})
 	is.Equal(len(tab.Tick(peers.ForgetAfter+1)), 2)
+	is.Equal(len(tab.Addresses()), 2) // those who are cut off must be called when the cut ends
+	tab.Tick(peers.CallFor + 1)
 	is.Equal(len(tab.Addresses()), 0)
 }
 
--- a/daemon/edge/mistaken_test.go
+++ b/daemon/edge/mistaken_test.go
@@ -172,3 +172,33 @@
 	}
 	return pairs
 }
+
+// Guards against two halves of a fleet that each go on giving out whole quotas after a cut
+// between them that lasted until they had forgotten each other's addresses.
+func TestHalvesOfAFleetMeetAgain(t *testing.T) {
+	const daemons, apart = 30, peers.ForgetAfter + 10*time.Second
+	inLargeFleet(t, daemons, config(1), func(w *world) {
+		before := w.relays()
+		w.partHalves(true)
+		time.Sleep(apart)
+		w.partHalves(false)
+		time.Sleep(settledWithin)
+		w.Equal(w.relays(), before)
+		for _, one := range w.daemons {
+			for _, other := range w.daemons {
+				w.True(one == other || !one.IsRelay() || !other.IsRelay() || one.Elects(other.Edge))
+			}
+		}
+	})
+}
+
+// partHalves cuts half of the failure domains off from the others.
+func (w *world) partHalves(cut bool) {
+	for i := range w.daemons {
+		for j := range w.daemons {
+			if i%largeDomains < largeDomains/2 && j%largeDomains >= largeDomains/2 {
+				w.network.part(peerAddress(i), peerAddress(j), cut)
+			}
+		}
+	}
+}
