Let only a relay that others count take the duties; give them back as a follower

Users saw (in a test of the fleet): a window of usage reported with 6 of 66 requests after relays had ended one after the other.

Cause: a daemon that loses the relays it follows within 1.6 s of each other knows nobody for a moment, takes itself for the only relay, is first in the order of names of one, and takes the duties that the same end left free. Then it finds the others and follows again, but a holder stayed a candidate. Three seconds after its mistake it reported what it knew: its own counts. It also ordered and gave back runners by its own callers alone.

Evidence: a probe of the books at each report, 20 offsets of four relays that end 1.6 s apart: in 25% to 50% of them the holder was a follower that had been a relay for less than 3 s; the relays at its side knew all counts.

Change: the duties are taken only by a relay that another takes for one, or that is the last (as quotas are given out); a holder that follows gives them back; nothing is reported by one that is no relay.

--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -99,20 +99,26 @@
 // candidate tells whether this daemon should hold the duties: it does already, or
 // they have been free for long enough that those before it in the order of names
 // would have taken them. The watch tells who holds them, so standing by costs no
-// call. Only relays hear all counts of usage.
+// call.
+//
+// Only relays hear all counts of usage and all work. One that no other counts takes itself
+// for the first in the order, and would report its own counts as all; one that follows
+// again hears those of others no more.
 func (e *Edge) candidate() bool {
 	if e.duties.holder.Token() != 0 {
-		return true
+		return e.relaying.Load()
 	}
-	if !e.Ready() || !e.relaying.Load() {
+	if !e.Ready() {
 		return false
 	}
+	now := e.deps.Steady()
 	e.mu.Lock()
+	shares := e.shares(now)
 	rank, _ := placeAmong(e.set.ID, e.plan.Others)
 	e.mu.Unlock()
 	e.dir.mu.Lock()
 	defer e.dir.mu.Unlock()
-	return e.dir.dutyHolder == "" && e.dir.dutyFree != 0 && e.deps.Steady()-e.dir.dutyFree >= time.Duration(rank)*rankDelay
+	return shares && e.dir.dutyHolder == "" && e.dir.dutyFree != 0 && now-e.dir.dutyFree >= time.Duration(rank)*rankDelay
 }
 
 // perform does the duties of the present tenure.
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -36,3 +36,6 @@
 	defer e.mu.Unlock()
 	return e.elects(other.self)
 }
+
+// Holds tells whether the daemon holds the duties.
+func (e *Edge) Holds() bool { return e.duties.holder.Token() != 0 }
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -62,13 +62,13 @@
 	}
 }
 
-// heardAllCounts tells whether this daemon has been a relay for long enough to have been
-// told what the followers of others counted before.
+// heardAllCounts tells whether this daemon is a relay, and has been for long enough to have
+// been told what the followers of others counted before.
 func (e *Edge) heardAllCounts() bool {
 	now := e.deps.Steady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.plan.Direct || now-e.limiterBegan >= countsHeardAfter
+	return e.plan.Direct || e.shares(now) && now-e.limiterBegan >= countsHeardAfter
 }
 
 func (e *Edge) readIntent(ctx context.Context) bool {
