Ask also for counts that an old relay was not told lately; wait for daemons unseen for 4.5 s

Cause (probe of all books at each report, 3 of 600 plays): (1) the reporter had been a relay since the start, so it asked nobody for the counts of a daemon whose relays had ended, though two other relays knew them; (2) a daemon that lost two relays 2 s apart was unseen for 3.6 s and the report waits for those seen in the last 3.5 s only.

Change: a relay asks for the counts of any daemon that was not told for 2 s; the report waits for daemons that were seen in the last 4.5 s.

--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -22,8 +22,11 @@
 	// all in one would grow with their number.
 	cellMessages = 3
 	// followsAnewWithin is how long a daemon may be unheard of that has lost both relays that
-	// it followed.
-	followsAnewWithin = 3500 * time.Millisecond
+	// it followed, one after the other.
+	followsAnewWithin = 4500 * time.Millisecond
+	// countsAskedAfter is how long a relay waits for a daemon's counts before it asks others
+	// for what they know.
+	countsAskedAfter = 2 * time.Second
 	// successors is how many relays that may follow the holder of the duties are told
 	// the counts, too.
 	successors = 12
@@ -134,10 +137,10 @@
 	return []*peersv1.Ended{{Incarnation: string(id), Windows: tellWindows(open)}}
 }
 
-// lacks is one of the daemons whose counts were not told since this one became a relay,
-// another one for each relay and turn; empty is none. Called with mu held.
+// lacks is one of the daemons whose counts were not told lately, or since this one became a
+// relay, another one for each relay and turn; empty is none. Called with mu held.
 func (e *Edge) lacks(now time.Duration, turn uint64) string {
-	lacking := e.lacking(now, e.limiterBegan)
+	lacking := e.lacking(now, max(e.limiterBegan, now-countsAskedAfter))
 	if len(lacking) == 0 {
 		return ""
 	}
