--- /dev/null
+++ b/daemon/edge/counts.go
@@ -0,0 +1,206 @@
+package edge
+
+import (
+	"slices"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/accounting"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// Counts of usage, as daemons tell them to those that may report them: a follower to its
+// relays, relays to each other, those of daemons that have ended by turns, and those that
+// one lacks when it asks.
+
+const (
+	// countTurns is between two messages of a relay with counts of usage.
+	countTurns = relayTurns
+	// cellMessages is how many messages a relay tells the counts of all its followers in:
+	// all in one would grow with their number.
+	cellMessages = 3
+	// followsAnewWithin is how long a daemon may be unheard of that has lost both relays that
+	// it followed, one after the other.
+	followsAnewWithin = 4500 * time.Millisecond
+	// countsAskedAfter is how long a relay waits for a daemon's counts before it asks others
+	// for what they know.
+	countsAskedAfter = 2 * time.Second
+	// successors is how many relays that may follow the holder of the duties are told
+	// the counts, too.
+	successors = 12
+)
+
+// addAllCounts tells this daemon's counts, and those of one that is not heard any more;
+// called with mu held.
+func (e *Edge) addAllCounts(now time.Duration, h *peersv1.Hello) {
+	e.addOwnCounts(now, h)
+	h.Ended = e.endedCounts(now)
+}
+
+// addOwnCounts tells this daemon's counts.
+func (e *Edge) addOwnCounts(now time.Duration, h *peersv1.Hello) {
+	h.Counts = true
+	h.Windows = tellWindows(e.book.Open(e.wall.At(now), e.self))
+}
+
+// relayCounts are what relays that may report windows are told in a turn.
+type relayCounts struct {
+	// to are those relays.
+	to map[ident.Incarnation]bool
+	// hello holds this relay's counts or those of some followers, ended those of one daemon
+	// that has ended.
+	hello *peersv1.Hello
+	ended []*peersv1.Ended
+	// lacking are daemons whose counts were not told lately.
+	lacking []ident.Incarnation
+}
+
+// lacked is the daemon whose counts one of the relays is asked for, by its place among them;
+// empty is none.
+func (c relayCounts) lacked(turn uint64, place int) string {
+	if len(c.lacking) == 0 {
+		return ""
+	}
+	return string(c.lacking[(turn/followTurns+uint64(place))%uint64(len(c.lacking))])
+}
+
+// countsForRelays gathers what relays that may report are told; called with mu held. This
+// relay's counts, with a roster, and its followers' take turns: in one message they would
+// outgrow all else.
+func (e *Edge) countsForRelays(now time.Duration, turn uint64) relayCounts {
+	c := relayCounts{to: e.counters(), hello: &peersv1.Hello{}}
+	if e.plan.Direct || !countsDue(turn) {
+		return c
+	}
+	if turn%followTurns == 0 {
+		c.lacking = e.lacking(now, max(e.limiterBegan, now-countsAskedAfter))
+	}
+	c.ended = e.endedCounts(now)
+	if rosterTurn(turn) {
+		e.addOwnCounts(now, c.hello)
+		return c
+	}
+	at := e.wall.At(now)
+	for _, id := range e.followersInTurn(turn) {
+		c.hello.Ended = append(c.hello.Ended, &peersv1.Ended{Incarnation: string(id), Windows: tellWindows(e.book.Open(at, id)), Follows: true})
+	}
+	return c
+}
+
+// addRelayCounts tells one relay its part; called with mu held.
+func (e *Edge) addRelayCounts(now time.Duration, to ident.Incarnation, c relayCounts, h *peersv1.Hello) {
+	if !c.to[to] {
+		return
+	}
+	h.Counts, h.Windows = c.hello.Counts, c.hello.Windows
+	h.Ended = append(slices.Clone(c.hello.Ended), e.lackedCounts(now, to, c.ended)...)
+}
+
+// lackedCounts are those that another relay asks for, or else some that all are told; called
+// with mu held. The relay that a daemon followed may have ended before that daemon finds it
+// out, and a relay that has just become one knows only what it was told since.
+func (e *Edge) lackedCounts(now time.Duration, to ident.Incarnation, otherwise []*peersv1.Ended) []*peersv1.Ended {
+	id, asked := e.lacked[to]
+	if !asked {
+		return otherwise
+	}
+	delete(e.lacked, to)
+	open := e.book.Open(e.wall.At(now), id)
+	if len(open) == 0 {
+		return otherwise
+	}
+	return []*peersv1.Ended{{Incarnation: string(id), Windows: tellWindows(open)}}
+}
+
+// lacking are the daemons, those that may have lost their relays among them, whose counts were
+// not told since a time; called with mu held.
+func (e *Edge) lacking(now, since time.Duration) []ident.Incarnation {
+	return e.coverage.Lacking(e.peers.SeenSince(now-followsAnewWithin), since)
+}
+
+// followersInTurn are those whose counts are told in a turn.
+func (e *Edge) followersInTurn(turn uint64) []ident.Incarnation {
+	var ids []ident.Incarnation
+	for id, f := range e.followers {
+		if f.primary {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return inTurn(ids, turn/(2*relayTurns), (len(ids)+cellMessages-1)/cellMessages)
+}
+
+// countsDue tells whether a relay tells counts of usage in a turn.
+func countsDue(turn uint64) bool { return turn%countTurns == 0 }
+
+// rosterTurn tells whether a relay tells the others of its roster, if that is due, instead
+// of its followers' counts.
+func rosterTurn(turn uint64) bool { return turn/relayTurns%2 == 1 }
+
+// endedCounts are those of one of the daemons that are not alive, by turns; called with mu
+// held.
+func (e *Edge) endedCounts(now time.Duration) []*peersv1.Ended {
+	alive := map[ident.Incarnation]bool{}
+	for _, m := range e.alive {
+		alive[m.Incarnation] = true
+	}
+	at := e.wall.At(now)
+	id, ok := e.book.NextEnded(at, e.lastEnded, alive)
+	if !ok {
+		return nil
+	}
+	e.lastEnded = id
+	return []*peersv1.Ended{{Incarnation: string(id), Windows: tellWindows(e.book.Open(at, id))}}
+}
+
+// counters are the relays that are told of usage: the holder of the duties and those
+// that would follow it.
+func (e *Edge) counters() map[ident.Incarnation]bool {
+	ids := map[ident.Incarnation]bool{e.dir.holder(): true}
+	for _, m := range firstByName(e.plan.Others, successors) {
+		ids[m.Incarnation] = true
+	}
+	return ids
+}
+
+func tellWindows(counts map[accounting.Window]accounting.Counts) []*peersv1.Window {
+	windows := make([]*peersv1.Window, 0, len(counts))
+	for w, c := range counts {
+		window := &peersv1.Window{Number: int64(w), Counts: make(map[string]int64, len(c))}
+		for ws, n := range c {
+			window.Counts[string(ws)] = n
+		}
+		windows = append(windows, window)
+	}
+	return windows
+}
+
+// heardCounts takes in counts of usage, and which the sender lacks; called with mu held.
+func (e *Edge) heardCounts(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
+	e.book.Heard(id, windowsOf(h.Windows))
+	if h.Counts {
+		e.coverage.Heard(now, id)
+	}
+	for _, one := range h.Ended {
+		of := ident.Incarnation(one.Incarnation)
+		e.book.Heard(of, windowsOf(one.Windows))
+		if one.Follows {
+			e.coverage.Heard(now, of)
+		}
+	}
+	if h.Lacks != "" {
+		e.lacked[id] = ident.Incarnation(h.Lacks)
+	}
+}
+
+func windowsOf(told []*peersv1.Window) map[accounting.Window]accounting.Counts {
+	windows := make(map[accounting.Window]accounting.Counts, len(told))
+	for _, w := range told {
+		counts := make(accounting.Counts, len(w.Counts))
+		for ws, n := range w.Counts {
+			counts[ident.Workspace(ws)] = n
+		}
+		windows[accounting.Window(w.Number)] = counts
+	}
+	return windows
+}
--- a/daemon/edge/hear.go
+++ b/daemon/edge/hear.go
@@ -162,24 +162,6 @@
 	}
 }
 
-// heardCounts takes in counts of usage, and which the sender lacks; called with mu held.
-func (e *Edge) heardCounts(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
-	e.book.Heard(id, windowsOf(h.Windows))
-	if h.Counts {
-		e.coverage.Heard(now, id)
-	}
-	for _, one := range h.Ended {
-		of := ident.Incarnation(one.Incarnation)
-		e.book.Heard(of, windowsOf(one.Windows))
-		if one.Follows {
-			e.coverage.Heard(now, of)
-		}
-	}
-	if h.Lacks != "" {
-		e.lacked[id] = ident.Incarnation(h.Lacks)
-	}
-}
-
 // source is what a daemon's account of work at the runners stands for.
 type source int
 
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -128,18 +128,12 @@
 	} else if turn%followTurns == 0 {
 		c.hello.Introduced = inTurn(e.introductions(now), turn/followTurns, relayRows)
 	}
-	counts, ended := e.cellCounts(now, turn)
-	counting := e.counters()
+	counts := e.countsForRelays(now, turn)
 	for i, r := range e.plan.Others {
 		own := e.answer(r.Incarnation)
 		own.Elects = true
-		if counting[r.Incarnation] {
-			own.Counts, own.Windows = counts.Counts, counts.Windows
-			own.Ended = append(slices.Clone(counts.Ended), e.lackedCounts(now, r.Incarnation, ended)...)
-		}
-		if !e.plan.Direct && turn%followTurns == 0 {
-			own.Lacks = e.lacks(now, turn/followTurns+uint64(i))
-		}
+		own.Lacks = counts.lacked(turn, i)
+		e.addRelayCounts(now, r.Incarnation, counts, own)
 		own.Feed = e.feedAfter(now, e.feeding[r.Incarnation])
 		if r.Incarnation == e.plan.Source.Incarnation && !e.plan.Watches {
 			own.FeedAt = e.dir.reached()
