Tell the size of the fleet by own knowledge, so that it shrinks

Callers would see: retries refused too early and quotas divided too finely after VMs were given back, for as long as the fleet runs.

Change: relays tell what they know themselves; a silent daemon counts for 30 s as before.

--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -356,11 +356,15 @@
 	return perDomain
 }
 
-// Size is the number of daemons that may be running, this one included: those
-// that are heard or told of, those that are silent but not forgotten, and as many as a
-// relay knows.
+// Known is the number of daemons that this one knows of itself, itself included: those that
+// are heard or told of, and those that are silent but not forgotten.
+func (t *Table) Known() int { return 1 + len(t.entries) }
+
+// Size is the number of daemons that may be running, this one included: those that are known
+// here, or as many as a relay knows. It is never told on: relays would tell each other of the
+// largest fleet that there ever was.
 func (t *Table) Size() int {
-	size := 1 + len(t.entries)
+	size := t.Known()
 	for _, r := range t.rosters {
 		size = max(size, r.fleet)
 	}
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -39,3 +39,6 @@
 
 // Holds tells whether the daemon holds the duties.
 func (e *Edge) Holds() bool { return e.duties.holder.Token() != 0 }
+
+// FleetSize is the number of daemons that the daemon counts on.
+func (e *Edge) FleetSize() int { return e.fleetSize() }
--- a/daemon/edge/mistaken_test.go
+++ b/daemon/edge/mistaken_test.go
@@ -202,3 +202,18 @@
 		}
 	}
 }
+
+// Guards against a fleet that goes on dividing its retries and quotas by the number of daemons
+// that it once had.
+func TestFleetThatShrinksIsTakenForSmaller(t *testing.T) {
+	const daemons, left = 24, 12
+	inLargeFleet(t, daemons, config(1), func(w *world) {
+		for _, d := range w.daemons[left:] {
+			d.kill()
+		}
+		time.Sleep(peers.ForgetAfter + settledWithin)
+		for _, d := range w.daemons[:left] {
+			w.Equal(d.FleetSize(), left)
+		}
+	})
+}
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -267,7 +267,7 @@
 }
 
 func (e *Edge) roster(ids []ident.Incarnation) *peersv1.Roster {
-	return &peersv1.Roster{Rows: e.rows(ids), Fleet: uint32(e.peers.Size()), Relays: uint32(e.plan.PerDomain)}
+	return &peersv1.Roster{Rows: e.rows(ids), Fleet: uint32(e.peers.Known()), Relays: uint32(e.plan.PerDomain)}
 }
 
 // rows are what daemons told of themselves last; called with mu held.
