--- a/daemon/edge/mistaken_test.go
+++ b/daemon/edge/mistaken_test.go
@@ -217,3 +217,25 @@
 		}
 	})
 }
+
+// Guards against callers who are refused while a fleet grows beyond the size at which every
+// daemon tells every other: a daemon must not wait for its first election then.
+func TestSmallFleetGrowsUnderLoad(t *testing.T) {
+	const daemons, more, perSecond, cost = 10, 6, 300_000.0, 17_000
+	inLargeFleet(t, daemons, promptWorkspaces(4, perSecond, cost), func(w *world) {
+		w.addRunners(40)
+		w.notFirst = true
+		l := newPromptLoad(w, cost, slices.Repeat([]float64{perSecond * 0.5}, 4))
+		l.run(time.Second, all)
+		for range more {
+			w.add()
+		}
+		l.run(4*time.Second, func(i int) bool { return w.daemons[i].Ready() })
+		refused := 0
+		for _, n := range l.refused {
+			refused += n
+		}
+		t.Logf("refused: %d of %v, %v", refused, l.asked, l.reasons)
+		w.Equal(refused, 0)
+	})
+}
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -156,17 +156,18 @@
 }
 
 // heardRelay takes in that a daemon takes itself for a relay, and whether it takes this
-// one for one. Whoever is mistaken of itself is told who the relays are. Called with mu
-// held.
+// one for one. Whoever is mistaken of itself is told who the relays are. The daemons of a
+// small fleet, in which nobody is mistaken, take each other for relays in good time before it
+// grows. Called with mu held.
 func (e *Edge) heardRelay(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
-	if !h.Relay || !e.plan.Relay || e.plan.Direct {
+	if !h.Relay || !e.plan.Relay {
 		return
 	}
-	if !e.elects(id) {
+	if !e.plan.Direct && !e.elects(id) {
 		e.joining[id] = h.PeerAddress
 		return
 	}
-	if e.standing.Heard(now, h.Elects) {
+	if e.standing.Heard(now, h.Elects) && !e.plan.Direct {
 		e.log.Note("role_doubted", decisions.F("by", id), decisions.F("relays", 1+len(e.plan.Others)),
 			decisions.F("knows", len(e.alive)), decisions.F("daemons", e.peers.Size()))
 	}
