Play the tests of relays with relays again, and those of direct fleets beside them

Cause: let up to 36 daemons tell each other directly. Change: the size up to which all tell all is a checked setting (geraniumd -direct-fleet, edge.Policy), 36 if none is given, and logged at the start. The world of the tests keeps the ten of when they were written; the tests of direct fleets ask for the program's own size. The cases that were cut are back (119 daemons and 3,000 runners; each bad version at 33 and 40, the good one at 33), and trials of a direct fleet have a test of their own. No test's check changed.

--- a/cmd/geraniumd/main.go
+++ b/cmd/geraniumd/main.go
@@ -14,6 +14,7 @@
 
 	"k8s.io/klog/v2"
 
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/daemon"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/daemon/settings"
@@ -33,10 +34,11 @@
 	klog.InitFlags(nil)
 	path := flag.String("settings", "", "the settings file (JSON)")
 	without := flag.String("without", "", "mechanisms to leave out on the users' platform, separated by commas, to measure what they are worth")
+	direct := flag.Int("direct-fleet", relays.DirectFleet, "daemons up to which all of a fleet on the users' platform tell each other directly; the same for all of them")
 	flag.Parse()
 	defer klog.Flush()
 	if onPlatform := os.Getenv(platform.SettingsEnv); *path == "" && onPlatform != "" {
-		return runOnPlatform(onPlatform, *without)
+		return runOnPlatform(onPlatform, *without, *direct)
 	}
 	s, err := settings.Load(*path)
 	if err != nil {
@@ -57,8 +59,11 @@
 }
 
 // runOnPlatform serves until SIGTERM. The log goes to standard output.
-func runOnPlatform(path, without string) int {
+func runOnPlatform(path, without string, direct int) int {
 	policy, err := edge.Without(without)
+	if err == nil {
+		policy, err = policy.WithDirectFleet(direct)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
--- a/coordination/relays/relays.go
+++ b/coordination/relays/relays.go
@@ -26,7 +26,7 @@
 
 const (
 	// SmallFleet is the number of daemons up to which each watches the key-value service
-	// itself, DirectFleet that up to which each tells every other.
+	// itself, DirectFleet that up to which each tells every other where nothing else is set.
 	SmallFleet  = 10
 	DirectFleet = 36
 	// Followed is how many relays a daemon follows: when one ends, the other has
@@ -44,6 +44,9 @@
 	// know more than this one; zero is not told.
 	Fleet   int
 	Domains int
+	// DirectFleet is the number of daemons up to which each tells every other; zero is the
+	// constant of that name.
+	DirectFleet int
 }
 
 // Plan is whom a daemon tells.
@@ -76,7 +79,11 @@
 	members := append(slices.Clone(v.Alive), v.Self)
 	domains := byDomain(members)
 	fleet := max(v.Fleet, len(members))
-	p := Plan{PerDomain: PerDomain(fleet, max(v.Domains, len(domains))), Domains: len(domains), Direct: fleet <= DirectFleet, AllWatch: fleet <= SmallFleet}
+	direct := cmp.Or(v.DirectFleet, DirectFleet)
+	p := Plan{
+		PerDomain: perDomain(fleet, max(v.Domains, len(domains)), direct), Domains: len(domains),
+		Direct: fleet <= direct, AllWatch: fleet <= SmallFleet,
+	}
 	var own []peers.Member
 	for domain, of := range domains {
 		first := elect(slices.Clone(of), 1)
@@ -120,10 +127,12 @@
 	}
 }
 
-// PerDomain is how many relays each failure domain has. With one for each square root
-// of the fleet a relay hears about as many followers as other relays.
-func PerDomain(daemons, domains int) int {
-	if daemons <= DirectFleet {
+// PerDomain is how many relays each failure domain has where nothing else is set. With one
+// for each square root of the fleet a relay hears about as many followers as other relays.
+func PerDomain(daemons, domains int) int { return perDomain(daemons, domains, DirectFleet) }
+
+func perDomain(daemons, domains, direct int) int {
+	if daemons <= direct {
 		return daemons
 	}
 	return max(Followed, int(math.Ceil(math.Sqrt(float64(daemons))/float64(max(1, domains)))))
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -159,7 +159,7 @@
 	e.asks.init()
 	e.duties.init(e)
 	// Until it hears of others a daemon is alone.
-	e.plan = relays.Make(relays.View{Self: e.peers.Self()})
+	e.plan = relays.Make(relays.View{Self: e.peers.Self(), DirectFleet: set.Policy.DirectFleet()})
 	e.standing.Begin(now)
 	e.direct.Store(e.plan.Direct)
 	e.allWatch.Store(e.plan.AllWatch)
@@ -185,7 +185,7 @@
 // Run works until the context ends. Draining is begun by Drain before that.
 func (e *Edge) Run(ctx context.Context) error {
 	e.log.Note("start", decisions.F("daemon", e.set.ID), decisions.F("incarnation", e.self),
-		decisions.F("failure_domain", e.set.FailureDomain), decisions.F("first_start", e.set.FirstStart), decisions.F("without", e.set.Policy))
+		decisions.F("failure_domain", e.set.FailureDomain), decisions.F("first_start", e.set.FirstStart), decisions.F("without", e.set.Policy), decisions.F("direct_fleet", e.set.Policy.DirectFleet()))
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.receive(ctx) })
 	group.Go(func() error { e.tickLoop(ctx); return nil })
--- a/daemon/edge/mistaken_test.go
+++ b/daemon/edge/mistaken_test.go
@@ -224,7 +224,7 @@
 // growUnderLoad has some daemons join and checks the share of callers that are refused.
 func growUnderLoad(t *testing.T, daemons int, most float64) {
 	const more, perSecond, cost = 6, 300_000.0, 17_000
-	inLargeFleet(t, daemons, promptWorkspaces(4, perSecond, cost), func(w *world) {
+	inFleet(t, daemons, daemons, promptWorkspaces(4, perSecond, cost), func(w *world) {
 		w.addRunners(40)
 		w.notFirst = true
 		l := newPromptLoad(w, cost, slices.Repeat([]float64{perSecond * 0.5}, 4))
--- a/daemon/edge/policy.go
+++ b/daemon/edge/policy.go
@@ -1,9 +1,12 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
+
+	"geraniumstack.org/geraniumstack/coordination/relays"
 )
 
 // Mechanism names a way in which a daemon serves better or for less. Each can be
@@ -54,9 +57,34 @@
 	}
 }
 
-// Policy says which mechanisms are in use; the zero value is all.
+// Policy says which mechanisms are in use, and in how large a fleet the daemons tell each
+// other directly; the zero value is all, and relays.DirectFleet.
 type Policy struct {
-	without map[Mechanism]bool
+	without     map[Mechanism]bool
+	directFleet int
+}
+
+// MostDirectFleet is the largest fleet whose daemons may tell each other directly: messages
+// grow with the square of it.
+const MostDirectFleet = 100
+
+// DirectFleetError says that a fleet is too small or too large for its daemons to tell each
+// other directly up to that size.
+type DirectFleetError struct{ Daemons int }
+
+func (e *DirectFleetError) Error() string {
+	return fmt.Sprintf("direct fleet %d: must be %d to %d daemons", e.Daemons, relays.SmallFleet, MostDirectFleet)
+}
+
+// WithDirectFleet returns the policy by which the daemons of a fleet of so many at the most
+// tell each other directly. It must be the same for all of a fleet. It fails with
+// *DirectFleetError.
+func (p Policy) WithDirectFleet(daemons int) (Policy, error) {
+	if daemons < relays.SmallFleet || daemons > MostDirectFleet {
+		return Policy{}, &DirectFleetError{daemons}
+	}
+	p.directFleet = daemons
+	return p, nil
 }
 
 // UnknownMechanismError says that there is no mechanism of a name.
@@ -80,6 +108,9 @@
 	return p, nil
 }
 
+// DirectFleet is the number of daemons up to which all of a fleet tell each other directly.
+func (p Policy) DirectFleet() int { return cmp.Or(p.directFleet, relays.DirectFleet) }
+
 // Uses tells whether a mechanism is in use.
 func (p Policy) Uses(m Mechanism) bool { return !p.without[m] }
 
--- a/daemon/edge/policy_test.go
+++ b/daemon/edge/policy_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 )
 
@@ -27,3 +28,17 @@
 	is.True(errors.As(err, &unknown))
 	is.Equal(unknown.Name, "guess")
 }
+
+func TestDirectFleetIsChecked(t *testing.T) {
+	is := is.New(t)
+	for _, daemons := range []int{relays.SmallFleet, relays.DirectFleet, edge.MostDirectFleet} {
+		_, err := edge.Policy{}.WithDirectFleet(daemons)
+		is.NoErr(err)
+	}
+	for _, daemons := range []int{-1, 0, relays.SmallFleet - 1, edge.MostDirectFleet + 1} {
+		_, err := edge.Policy{}.WithDirectFleet(daemons)
+		var wrong *edge.DirectFleetError
+		is.True(errors.As(err, &wrong))
+		is.Equal(wrong.Daemons, daemons)
+	}
+}
--- a/daemon/edge/relays_test.go
+++ b/daemon/edge/relays_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/quota"
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/standin/kvserver"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -25,10 +26,24 @@
 	largeWorkspaces = 40
 )
 
+// fleetRunner runs a test of n daemons in a fleet of a kind.
+type fleetRunner func(t *testing.T, n int, c route.Config, f func(w *world))
+
 // inLargeFleet runs a test of n daemons over the failure domains that have found their
 // relays.
 func inLargeFleet(t *testing.T, n int, c route.Config, f func(w *world)) {
+	inFleet(t, n, relays.SmallFleet, c, f)
+}
+
+// inDirectFleet runs a test of n daemons over the failure domains that tell each other
+// directly if that is the program's own way for so many.
+func inDirectFleet(t *testing.T, n int, c route.Config, f func(w *world)) {
+	inFleet(t, n, relays.DirectFleet, c, f)
+}
+
+func inFleet(t *testing.T, n, direct int, c route.Config, f func(w *world)) {
 	inWorld(t, 0, c, func(w *world) {
+		w.directFleet = direct
 		w.spread()
 		w.tolerance = quota.Tolerance{Overage: 0.1, Slack: 190_000}
 		for range n {
@@ -110,7 +125,7 @@
 // Guards against notices that don't reach daemons in time when thousands of runners leave at
 // once: messages that hold them all don't fit into a datagram, and daemons fall silent.
 func TestThousandsOfRunnersLeave(t *testing.T) {
-	const daemons, runners, leaving = 40, 2600, 2400
+	const daemons, runners, leaving = 119, 3000, 2500
 	inLargeFleet(t, daemons, promptWorkspaces(4, 300_000, 17_000), func(w *world) {
 		id := func(i int) string { return fmt.Sprintf("i-0123456789~%013d", i) }
 		for i := range runners {
@@ -415,7 +430,7 @@
 // killed, since the few that give out quotas have to find each other first.
 func TestDirectFleetIsKilledAtOnce(t *testing.T) {
 	const daemons, workspaces, perSecond, cost = 33, 16, 100_000.0, 17_000
-	inLargeFleet(t, daemons, promptWorkspaces(workspaces, perSecond, cost), func(w *world) {
+	inDirectFleet(t, daemons, promptWorkspaces(workspaces, perSecond, cost), func(w *world) {
 		w.addRunners(40)
 		time.Sleep(2 * time.Second)
 		w.notFirst = true
@@ -437,7 +452,7 @@
 // other everything themselves: only some of them watch.
 func TestStoreCallsOfADirectFleetAreFew(t *testing.T) {
 	const span = 10 * time.Second
-	inLargeFleet(t, 33, config(1), func(w *world) {
+	inDirectFleet(t, 33, config(1), func(w *world) {
 		w.store.ResetCalls()
 		time.Sleep(span)
 		// One in half a second by each failure domain's, and none beside.
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -82,7 +82,7 @@
 	}
 	e.peers.SetAliveFor(alive)
 	e.alive = e.peers.Alive(now)
-	v := relays.View{Self: e.peers.Self(), Alive: e.alive, Fleet: e.peers.Size(), Domains: e.peers.Domains(now)}
+	v := relays.View{Self: e.peers.Self(), Alive: e.alive, Fleet: e.peers.Size(), Domains: e.peers.Domains(now), DirectFleet: e.set.Policy.DirectFleet()}
 	before := e.plan
 	e.plan = relays.Make(v)
 	e.direct.Store(e.plan.Direct)
--- a/daemon/edge/trials_test.go
+++ b/daemon/edge/trials_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/canary"
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -210,7 +211,16 @@
 // inTrial plays the order of a version until its time is over. faults is called once the new
 // runners are there.
 func inTrial(t *testing.T, daemons int, bad, faults func(tw *trialWorld)) {
-	start := func(w *world) {
+	in := inWorld
+	if daemons > relays.SmallFleet {
+		in = inLargeFleet
+	}
+	inTrialOf(t, in, daemons, bad, faults)
+}
+
+// inTrialOf is inTrial in a fleet of a kind.
+func inTrialOf(t *testing.T, in fleetRunner, daemons int, bad, faults func(tw *trialWorld)) {
+	in(t, daemons, config(1), func(w *world) {
 		tw := newTrial(w)
 		if bad != nil {
 			bad(tw)
@@ -224,18 +234,13 @@
 		}
 		tw.load(tw.orderedAt + trialFor + time.Second - tw.steady())
 		tw.check(bad != nil)
-	}
-	if daemons > 10 {
-		inLargeFleet(t, daemons, config(1), start)
-		return
-	}
-	inWorld(t, daemons, config(1), start)
+	})
 }
 
 // Guards against a good version that is not put into use in its time, and against requests
 // that are lost when the old runners are stopped.
 func TestGoodVersionIsCompleted(t *testing.T) {
-	for _, daemons := range []int{1, 5, 40} {
+	for _, daemons := range []int{1, 5, 33, 40} {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
 			inTrial(t, daemons, nil, func(tw *trialWorld) {
 				tw.load(trialFor - time.Second)
@@ -248,7 +253,6 @@
 
 // Guards against a bad version that gets more than its share, or that is not taken back.
 func TestBadVersionIsRolledBack(t *testing.T) {
-	fleets := map[string][]int{"fails": {5}, "slow": {5}, "fails on a path": {5, 33}, "fails late": {5, 40}}
 	for name, bad := range map[string]func(tw *trialWorld){
 		"fails":           func(tw *trialWorld) { tw.fails = func(string) float64 { return 0.4 } },
 		"fails on a path": func(tw *trialWorld) { tw.fails = failsOn("/read/1") },
@@ -262,7 +266,7 @@
 			}
 		},
 	} {
-		for _, daemons := range fleets[name] {
+		for _, daemons := range []int{5, 33, 40} {
 			t.Run(fmt.Sprintf("%s/%d", name, daemons), func(t *testing.T) {
 				inTrial(t, daemons, bad, func(tw *trialWorld) {
 					tw.load(trialFor - time.Second)
@@ -273,6 +277,25 @@
 	}
 }
 
+// Guards against verdicts that are wrong where all daemons tell each other everything.
+func TestTrialsOfADirectFleet(t *testing.T) {
+	for name, bad := range map[string]func(tw *trialWorld){
+		"good": nil,
+		"bad":  func(tw *trialWorld) { tw.fails = failsOn("/read/1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inTrialOf(t, inDirectFleet, 33, bad, func(tw *trialWorld) {
+				tw.load(trialFor - time.Second)
+				want := canary.Completed
+				if bad != nil {
+					want = canary.RolledBack
+				}
+				tw.Equal(tw.status(), orderStatus{newVersion, want})
+			})
+		})
+	}
+}
+
 func failsOn(path string) func(string) float64 {
 	return func(p string) float64 {
 		if p == path {
--- a/daemon/edge/world_test.go
+++ b/daemon/edge/world_test.go
@@ -21,6 +21,7 @@
 	"geraniumstack.org/geraniumstack/coordination/accounting"
 	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/quota"
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/daemon/edge"
@@ -61,6 +62,9 @@
 	domains []ident.FailureDomain
 	// tolerance is by how much quotas may be exceeded.
 	tolerance quota.Tolerance
+	// directFleet is the number of daemons up to which they tell each other directly; zero is
+	// the program's own.
+	directFleet int
 }
 
 type daemon struct {
@@ -72,10 +76,11 @@
 	done    chan struct{}
 }
 
-// inWorld runs a test of n daemons that have read a configuration.
+// inWorld runs a test of n daemons that have read a configuration. Those of more than
+// relays.SmallFleet elect relays; inDirectFleet is for a fleet whose daemons need none.
 func inWorld(t *testing.T, n int, c route.Config, f func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{I: is.New(t), t: t, start: time.Now(), store: kvserver.New(), network: newNetwork(), runners: newRunners(), cloud: &cloud{}}
+		w := &world{I: is.New(t), t: t, start: time.Now(), store: kvserver.New(), network: newNetwork(), runners: newRunners(), cloud: &cloud{}, directFleet: relays.SmallFleet}
 		w.configure(c)
 		for range n {
 			w.add()
@@ -113,6 +118,12 @@
 	if i > 0 {
 		seeds = []string{"10.0.0.1:7600"}
 	}
+	policy := edge.Policy{}
+	if w.directFleet > 0 {
+		var err error
+		policy, err = policy.WithDirectFleet(w.directFleet)
+		w.NoErr(err)
+	}
 	d := &daemon{store: store, address: address, cancel: cancel, done: make(chan struct{})}
 	domain := ident.FailureDomain("north")
 	if n := len(w.domains); n > 0 {
@@ -120,7 +131,7 @@
 	}
 	d.Edge = edge.New(edge.Settings{
 		ID: ident.DaemonID(fmt.Sprintf("d%d", i+1)), FailureDomain: domain,
-		CallerAddress: fmt.Sprintf("10.0.0.%d:80", i+1), PeerAddress: address, Seeds: seeds, FirstStart: !w.notFirst,
+		CallerAddress: fmt.Sprintf("10.0.0.%d:80", i+1), PeerAddress: address, Seeds: seeds, FirstStart: !w.notFirst, Policy: policy,
 		Bounds: edge.Bounds{
 			Grace: 8 * time.Second, ConfigWithin: 2 * time.Second, DrainWithin: 3 * time.Second, RevokeWithin: 5 * time.Second, StrictRevocation: true,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, QuotaWindow: 8 * time.Second, QuotaTolerance: w.tolerance,
@@ -352,6 +363,8 @@
 	// most is the size of the largest message so far, sent the number of all, bytes their
 	// sizes.
 	most, sent, bytes int
+	// mostData is the largest message.
+	mostData []byte
 }
 
 // traffic is the number of messages so far and their bytes.
@@ -425,7 +438,9 @@
 func (s *socket) WriteTo(p []byte, to net.Addr) (int, error) {
 	s.network.mu.Lock()
 	defer s.network.mu.Unlock()
-	s.network.most = max(s.network.most, len(p))
+	if len(p) > s.network.most {
+		s.network.most, s.network.mostData = len(p), bytes.Clone(p)
+	}
 	s.network.sent++
 	s.network.bytes += len(p)
 	box := s.network.boxes[to.String()]
@@ -540,8 +555,12 @@
 	// dry lets orders of reclaimable runners be refused, which refusals counts.
 	dry      bool
 	refusals int
+	// onReport is called with each report.
+	onReport func(d edge.Duty, w accounting.Window)
 }
 
+type edgeDuty = edge.Duty
+
 type report struct {
 	duty   edge.Duty
 	window accounting.Window
@@ -549,6 +568,9 @@
 }
 
 func (c *cloud) ReportUsage(_ context.Context, d edge.Duty, w accounting.Window, counts accounting.Counts) error {
+	if c.onReport != nil {
+		c.onReport(d, w)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	data, err := json.Marshal(counts)
