Tell counts of usage by the place of their workspaces, so that messages stay small

Cause, from the largest messages taken apart: a relay passes on the counts of a third of its followers and of one daemon that has ended; each window of a daemon spelled the name of each workspace, 910 bytes a daemon of three windows and sixteen workspaces. A relay that seven or more daemons follow after the ends of others sends four of them (3,642 bytes) beside what it took of quotas (544), and on four introductions (218). Nothing bounded it. At 700 workspaces a message outgrows a datagram: all daemons fall silent for each other. Ruled out: two ended daemons in one message (only one was seen in any), a roster beside counts (they take turns). Change: a message names the workspaces once, windows count by their places; a follower's counts are told while they fit into 8 KiB, the next message goes on with the one after. Daemons of a former version don't read the counts of this one, and the reverse.

--- a/coordination/accounting/accounting.go
+++ b/coordination/accounting/accounting.go
@@ -55,6 +55,10 @@
 	counts map[ident.Incarnation]map[Window]Counts
 	// done are the windows that are known to have been reported.
 	done map[Window]bool
+	// workspaces are those of counts; nil is not known.
+	workspaces []ident.Workspace
+	// oldest is the first window that is kept.
+	oldest Window
 }
 
 // NewBook returns an empty book of the daemon self.
@@ -88,6 +92,9 @@
 		c = Counts{}
 		own[w] = c
 	}
+	if c[ws] == 0 {
+		b.workspaces = nil
+	}
 	c[ws]++
 }
 
@@ -110,6 +117,9 @@
 			known[w] = merged
 		}
 		for ws, n := range counts {
+			if merged[ws] == 0 {
+				b.workspaces = nil
+			}
 			merged[ws] = max(merged[ws], n)
 		}
 	}
@@ -174,9 +184,32 @@
 	return sum
 }
 
+// Workspaces are those that anything is counted of, in order.
+func (b *Book) Workspaces() []ident.Workspace {
+	if b.workspaces == nil {
+		b.workspaces = b.findWorkspaces()
+	}
+	return b.workspaces
+}
+
+func (b *Book) findWorkspaces() []ident.Workspace {
+	found := map[ident.Workspace]bool{}
+	for _, windows := range b.counts {
+		for _, counts := range windows {
+			for ws := range counts {
+				found[ws] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
 // Tick drops what is too old to be reported.
 func (b *Book) Tick(now time.Time) {
 	oldest := b.WindowAt(now) - kept
+	if oldest != b.oldest {
+		b.oldest, b.workspaces = oldest, nil
+	}
 	for id, windows := range b.counts {
 		maps.DeleteFunc(windows, func(w Window, _ Counts) bool { return w < oldest })
 		if len(windows) == 0 && id != b.self {
--- a/daemon/edge/counts.go
+++ b/daemon/edge/counts.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"geraniumstack.org/geraniumstack/coordination/accounting"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -14,9 +16,10 @@
 // one lacks when it asks.
 
 const (
-	// cellMessages is how many messages a relay tells the counts of all its followers in:
-	// all in one would grow with their number.
+	// cellMessages is how many messages a relay tells the counts of all its followers in,
+	// or more where they are longer than countsBytes in one of them.
 	cellMessages = 3
+	countsBytes  = 8 << 10
 	// followsAnewWithin is how long a daemon may be unheard of that has lost both relays that
 	// it followed, one after the other.
 	followsAnewWithin = 4500 * time.Millisecond
@@ -35,10 +38,17 @@
 	h.Ended = e.endedCounts(now)
 }
 
-// addOwnCounts tells this daemon's counts.
+// addOwnCounts tells this daemon's counts; called with mu held.
 func (e *Edge) addOwnCounts(now time.Duration, h *peersv1.Hello) {
 	h.Counts = true
-	h.Windows = tellWindows(e.book.Open(e.wall.At(now), e.self))
+	h.Windows = e.openCounts(now, e.self)
+	h.Workspaces = namesOf(e.book.Workspaces())
+}
+
+// openCounts are a daemon's counts of open windows, by the places of the book's workspaces;
+// called with mu held.
+func (e *Edge) openCounts(now time.Duration, id ident.Incarnation) []*peersv1.Window {
+	return tellWindows(e.book.Workspaces(), e.book.Open(e.wall.At(now), id))
 }
 
 // relayCounts are what relays that may report windows are told in a message.
@@ -69,17 +79,14 @@
 	if e.plan.Direct {
 		return relayCounts{}
 	}
-	c := relayCounts{to: e.counters(), hello: &peersv1.Hello{}}
+	c := relayCounts{to: e.counters(), hello: &peersv1.Hello{Workspaces: namesOf(e.book.Workspaces())}}
 	c.ended = e.endedCounts(now)
 	if rosterBeat(beat) {
 		e.addOwnCounts(now, c.hello)
 		return c
 	}
 	c.lacking = e.lacking(now, max(e.standing.Began(), now-countsAskedAfter))
-	at := e.wall.At(now)
-	for _, id := range e.followersInTurn(beat) {
-		c.hello.Ended = append(c.hello.Ended, &peersv1.Ended{Incarnation: string(id), Windows: tellWindows(e.book.Open(at, id)), Follows: true})
-	}
+	c.hello.Ended = e.followersCounts(now)
 	return c
 }
 
@@ -88,7 +95,7 @@
 	if !c.to[to] {
 		return
 	}
-	h.Counts, h.Windows = c.hello.Counts, c.hello.Windows
+	h.Counts, h.Windows, h.Workspaces = c.hello.Counts, c.hello.Windows, c.hello.Workspaces
 	h.Ended = append(slices.Clone(c.hello.Ended), e.lackedCounts(now, to, c.ended)...)
 }
 
@@ -101,11 +108,11 @@
 		return otherwise
 	}
 	delete(e.lacked, to)
-	open := e.book.Open(e.wall.At(now), id)
+	open := e.openCounts(now, id)
 	if len(open) == 0 {
 		return otherwise
 	}
-	return []*peersv1.Ended{{Incarnation: string(id), Windows: tellWindows(open)}}
+	return []*peersv1.Ended{{Incarnation: string(id), Windows: open}}
 }
 
 // lacking are the daemons, those that may have lost their relays among them, whose counts were
@@ -114,8 +121,8 @@
 	return e.coverage.Lacking(e.peers.SeenSince(now-followsAnewWithin), since)
 }
 
-// followersInTurn are those whose counts are told in a message.
-func (e *Edge) followersInTurn(beat uint64) []ident.Incarnation {
+// followersCounts are those of some followers, by turns; called with mu held.
+func (e *Edge) followersCounts(now time.Duration) []*peersv1.Ended {
 	var ids []ident.Incarnation
 	for id, f := range e.followers {
 		if f.primary {
@@ -123,7 +130,20 @@
 		}
 	}
 	slices.Sort(ids)
-	return inTurn(ids, beat/2, (len(ids)+cellMessages-1)/cellMessages)
+	next, _ := slices.BinarySearch(ids, e.lastFollower+"\x00") // the first after it
+	ids = slices.Concat(ids[next:], ids[:next])
+	var told []*peersv1.Ended
+	bytes := 0
+	for _, id := range ids[:(len(ids)+cellMessages-1)/cellMessages] {
+		one := &peersv1.Ended{Incarnation: string(id), Windows: e.openCounts(now, id), Follows: true}
+		bytes += proto.Size(one)
+		if bytes > countsBytes && len(told) > 0 {
+			break
+		}
+		told = append(told, one)
+		e.lastFollower = id
+	}
+	return told
 }
 
 // endedCounts are those of one of the daemons that are not alive, by turns; called with mu
@@ -133,13 +153,12 @@
 	for _, m := range e.alive {
 		alive[m.Incarnation] = true
 	}
-	at := e.wall.At(now)
-	id, ok := e.book.NextEnded(at, e.lastEnded, alive)
+	id, ok := e.book.NextEnded(e.wall.At(now), e.lastEnded, alive)
 	if !ok {
 		return nil
 	}
 	e.lastEnded = id
-	return []*peersv1.Ended{{Incarnation: string(id), Windows: tellWindows(e.book.Open(at, id))}}
+	return []*peersv1.Ended{{Incarnation: string(id), Windows: e.openCounts(now, id)}}
 }
 
 // counters are the relays that are told of usage: the holder of the duties and those
@@ -152,27 +171,39 @@
 	return ids
 }
 
-func tellWindows(counts map[accounting.Window]accounting.Counts) []*peersv1.Window {
+// tellWindows counts by the places of some workspaces.
+func tellWindows(workspaces []ident.Workspace, counts map[accounting.Window]accounting.Counts) []*peersv1.Window {
 	windows := make([]*peersv1.Window, 0, len(counts))
 	for w, c := range counts {
-		window := &peersv1.Window{Number: int64(w), Counts: make(map[string]int64, len(c))}
-		for ws, n := range c {
-			window.Counts[string(ws)] = n
+		window := &peersv1.Window{Number: int64(w)}
+		for place, ws := range workspaces {
+			if n := c[ws]; n > 0 {
+				window.ByPlace = append(window.ByPlace, make([]int64, place-len(window.ByPlace))...)
+				window.ByPlace = append(window.ByPlace, n)
+			}
 		}
 		windows = append(windows, window)
 	}
 	return windows
 }
 
+func namesOf(workspaces []ident.Workspace) []string {
+	names := make([]string, 0, len(workspaces))
+	for _, ws := range workspaces {
+		names = append(names, string(ws))
+	}
+	return names
+}
+
 // heardCounts takes in counts of usage, and which the sender lacks; called with mu held.
 func (e *Edge) heardCounts(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
-	e.book.Heard(id, windowsOf(h.Windows))
+	e.book.Heard(id, windowsOf(h.Workspaces, h.Windows))
 	if h.Counts {
 		e.coverage.Heard(now, id)
 	}
 	for _, one := range h.Ended {
 		of := ident.Incarnation(one.Incarnation)
-		e.book.Heard(of, windowsOf(one.Windows))
+		e.book.Heard(of, windowsOf(h.Workspaces, one.Windows))
 		if one.Follows {
 			e.coverage.Heard(now, of)
 		}
@@ -182,12 +213,14 @@
 	}
 }
 
-func windowsOf(told []*peersv1.Window) map[accounting.Window]accounting.Counts {
+func windowsOf(workspaces []string, told []*peersv1.Window) map[accounting.Window]accounting.Counts {
 	windows := make(map[accounting.Window]accounting.Counts, len(told))
 	for _, w := range told {
-		counts := make(accounting.Counts, len(w.Counts))
-		for ws, n := range w.Counts {
-			counts[ident.Workspace(ws)] = n
+		counts := accounting.Counts{}
+		for place, n := range w.ByPlace {
+			if n > 0 && place < len(workspaces) {
+				counts[ident.Workspace(workspaces[place])] = n
+			}
 		}
 		windows[accounting.Window(w.Number)] = counts
 	}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -92,8 +92,9 @@
 	rosterLeft    int
 	// unreadable says that the newest configuration could not be read.
 	unreadable bool
-	// lastEnded is the daemon whose counts were told last after its end.
-	lastEnded ident.Incarnation
+	// lastEnded is the daemon whose counts were told last after its end, lastFollower the
+	// follower whose counts were.
+	lastEnded, lastFollower ident.Incarnation
 
 	// poolsMu guards the set of pools; each has a lock of its own.
 	poolsMu sync.RWMutex
--- /dev/null
+++ b/daemon/edge/workspaces_test.go
@@ -0,0 +1,44 @@
+package edge_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/relays"
+)
+
+// Guards against daemons that fall silent since the counts of many workspaces don't fit into
+// a message: they are taken for ended, and the usage is reported without them.
+func TestCountsOfManyWorkspacesFitAMessage(t *testing.T) {
+	const daemons, workspaces, rounds, atOnce = 12, 700, 4, 20
+	for name, direct := range map[string]int{"relays": relays.SmallFleet, "direct": relays.DirectFleet} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, daemons, direct, manyWorkspaces(workspaces), func(w *world) {
+				w.addRunner("r1", "app")
+				time.Sleep(time.Second)
+				for range rounds {
+					var asked sync.WaitGroup
+					for _, d := range w.daemons {
+						for first := range atOnce {
+							asked.Go(func() {
+								for i := first; i < workspaces; i += atOnce {
+									w.ask(d, "/read/", fmt.Sprintf("key-%d", i))
+								}
+							})
+						}
+					}
+					asked.Wait()
+					time.Sleep(3 * time.Second)
+				}
+				for _, d := range w.daemons {
+					w.Equal(d.Alive(), daemons-1)
+				}
+				time.Sleep(12 * time.Second)
+				t.Logf("largest message: %d bytes", w.network.largest())
+				w.Equal(w.reported(), int64(rounds*daemons*workspaces))
+			})
+		})
+	}
+}
