Tell the relays of other failure domains, too, that a daemon is none any more

Cause, from the state of each limiter that refused: 21 to 29 of 33 sharers of a quota were unheard for 250 ms, and each relay gave out its part of 1 in 34 only, less than a prompt. They had become followers, and tell their former fellows four times that they give out nothing any more; but a daemon that is no relay left out all that it still takes for relays, those of the other failure domains, which it tells nothing else. Change: a follower leaves out only those that it follows, whom it tells anyway. Ruled out: lost messages (none are in this test), relays that don't know each other (all of them counted twelve).

--- a/daemon/edge/mistaken_test.go
+++ b/daemon/edge/mistaken_test.go
@@ -212,17 +212,17 @@
 // Guards against callers who are refused while a fleet grows beyond the size at which every
 // daemon tells every other: a daemon must not wait for its first election then.
 func TestSmallFleetGrowsUnderLoad(t *testing.T) {
-	growUnderLoad(t, 10, 0)
+	growUnderLoad(t, 10)
 }
 
 // Guards against callers who are refused for as long as the daemons of a fleet that grows don't
 // know of each other who shares quotas from now on.
 func TestDirectFleetGrowsUnderLoad(t *testing.T) {
-	growUnderLoad(t, relays.DirectFleet, 0.02)
+	growUnderLoad(t, relays.DirectFleet)
 }
 
-// growUnderLoad has some daemons join and checks the share of callers that are refused.
-func growUnderLoad(t *testing.T, daemons int, most float64) {
+// growUnderLoad has some daemons join and checks that no caller is refused.
+func growUnderLoad(t *testing.T, daemons int) {
 	const more, perSecond, cost = 6, 300_000.0, 17_000
 	inFleet(t, daemons, daemons, promptWorkspaces(4, perSecond, cost), func(w *world) {
 		w.addRunners(40)
@@ -235,7 +235,7 @@
 		l.run(4*time.Second, func(i int) bool { return w.daemons[i].Ready() })
 		asked, refused := l.total()
 		t.Logf("%d refused of %d: %v", refused, asked, l.reasons)
-		w.True(float64(refused) <= most*float64(asked))
+		w.Equal(refused, 0)
 	})
 }
 
--- a/daemon/edge/tell.go
+++ b/daemon/edge/tell.go
@@ -212,12 +212,14 @@
 	}
 	e.demotionsLeft--
 	c.hello = e.presence(now)
+	told := e.plan.Own
 	if e.plan.Relay {
+		told = e.plan.Others
 		e.addUses(now, c.hello)
 		c.hello.Roster = e.domainRoster(now)
 	}
 	for _, r := range e.formerRelays {
-		if !contain(e.plan.Own, r.Incarnation) && !contain(e.plan.Others, r.Incarnation) {
+		if !contain(told, r.Incarnation) {
 			c.to = append(c.to, recipient{r.PeerAddress, e.answer(r.Incarnation)})
 		}
 	}
