Let a relay that has not heard all counts wait again before it reports

A young relay's report of what it knows had no test that failed without it: with it taken out TestUsageOutlivesAnEndOfAll passed, and so does TestUsageOutlivesTwoEndsOfAll, which plays all daemons ending once more 4.5 s later. The rule is gone; a holder that has heard all still reports what it knows once a successor might come too late.

--- a/daemon/edge/saved_test.go
+++ b/daemon/edge/saved_test.go
@@ -128,6 +128,34 @@
 	}
 }
 
+// Guards against windows that were saved and are not reported, since all daemons end once more
+// before one of them can.
+func TestUsageOutlivesTwoEndsOfAll(t *testing.T) {
+	const (
+		daemons, workspaces = 12, 4
+		offsets             = 5
+		between             = 4500 * time.Millisecond
+	)
+	for offset := range offsets {
+		inLargeFleet(t, daemons, manyWorkspaces(workspaces), func(w *world) {
+			w.addRunner("r1", "app")
+			time.Sleep(5*time.Second + time.Duration(offset)*usageWindow/offsets)
+			l := &servedLoad{w: w, workspaces: workspaces, served: map[accounting.Window]int64{}}
+			l.run(8 * time.Second)
+			endedAt := w.steady()
+			w.endAll()
+			time.Sleep(between)
+			w.endAll()
+			time.Sleep(20 * time.Second)
+			reported := w.reportedBy()
+			for window, served := range l.served {
+				w.True(reported[window] >= served-l.servedSince(endedAt-3*time.Second, window))
+			}
+			w.checkReports()
+		})
+	}
+}
+
 // holding is the daemon that holds the duties.
 func (w *world) holding() *daemon {
 	for _, d := range w.daemons {
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -83,7 +83,9 @@
 // with the next one that it follows. A window that is due soon is reported as it is known: a
 // report that lacks some counts tells more than none.
 func (e *Edge) awaitsCounts(w accounting.Window) bool {
-	heard := e.heardAllCounts()
+	if !e.heardAllCounts() {
+		return true
+	}
 	now := e.deps.Steady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -93,14 +95,13 @@
 	ended := e.book.EndedFor(e.wall.At(now), w)
 	since := now - ended + accounting.SettleAfter
 	lacking := append(e.lacking(now, since), e.coverage.Passing(now, passedOnWithin, since)...)
-	if heard && len(lacking) == 0 {
+	if len(lacking) == 0 {
 		return false
 	}
 	if ended < e.set.Bounds.UsageDue-e.set.Bounds.LeaseTTL-reportMargin {
 		return true
 	}
-	e.log.Note("usage_incomplete", decisions.F("window", int64(w)), decisions.F("ended_for", ended),
-		decisions.F("heard_all", heard), decisions.F("lacking", lacking))
+	e.log.Note("usage_incomplete", decisions.F("window", int64(w)), decisions.F("ended_for", ended), decisions.F("lacking", lacking))
 	return false
 }
 
