Guard again that changes gather and that a message tells of one ended daemon

With their guards taken out TestChangesAreGatheredInALargeFleet (19 watches; since relays watch for others) and TestMessagesStaySmallThroughRestarts (counts by place are small) pass. They play on as they are; TestChangesAreGatheredInManyDomains (249 watches) plays twelve daemons that watch as when the former was written, and TestMessagesTellOfOneEndedDaemon looks into the messages. Both fail with the guard taken out.

--- a/daemon/edge/follow_test.go
+++ b/daemon/edge/follow_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/standin/kvserver"
+	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
@@ -18,8 +19,30 @@
 // Watches of this test: 1,203 when changes gather for 60 ms, 370 with 400 ms, 235 to
 // 245 with 800 ms.
 func TestChangesAreGatheredInALargeFleet(t *testing.T) {
-	const daemons = 12
-	inWorld(t, daemons, config(1), func(w *world) {
+	gatherChanges(t, nil)
+}
+
+// Guards against changes that are not gathered by daemons each of which watches for its own
+// failure domain.
+func TestChangesAreGatheredInManyDomains(t *testing.T) {
+	var domains []ident.FailureDomain
+	for i := range gatheringDaemons {
+		domains = append(domains, ident.FailureDomain(fmt.Sprintf("domain-%d", i)))
+	}
+	gatherChanges(t, domains)
+}
+
+const gatheringDaemons = 12
+
+// gatherChanges has a runner come or go each 100 ms before daemons in some failure domains.
+func gatherChanges(t *testing.T, domains []ident.FailureDomain) {
+	const daemons = gatheringDaemons
+	inWorld(t, 0, config(1), func(w *world) {
+		w.domains = domains
+		for range daemons {
+			w.add()
+		}
+		time.Sleep(time.Second)
 		kept := w.addRunner("kept", "app")
 		w.store.ResetCalls()
 		for i := range 50 {
--- a/daemon/edge/restarts_test.go
+++ b/daemon/edge/restarts_test.go
@@ -3,6 +3,11 @@
 import (
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumstack.org/geraniumstack/coordination/relays"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 )
 
 // Guards against messages that grow with the restarts of a fleet, and counts that are lost by
@@ -34,3 +39,46 @@
 		w.Equal(w.reported(), int64(restarted*daemons*workspaces))
 	})
 }
+
+// Guards against messages that grow with the number of daemons that have ended: each tells the
+// counts of one of them.
+func TestMessagesTellOfOneEndedDaemon(t *testing.T) {
+	const daemons, workspaces = 12, 2
+	for name, direct := range map[string]int{"relays": relays.SmallFleet, "direct": relays.DirectFleet} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, daemons, direct, manyWorkspaces(workspaces), func(w *world) {
+				w.addRunner("r1", "app")
+				time.Sleep(time.Second)
+				most := 0
+				w.network.watch(func(message []byte) { most = max(most, endedIn(message)) })
+				w.notFirst = true
+				for i := range daemons {
+					for _, d := range w.daemons {
+						w.askAll(d, workspaces)
+					}
+					time.Sleep(300 * time.Millisecond)
+					w.daemons[i].kill()
+					w.restart(i)
+					time.Sleep(300 * time.Millisecond)
+				}
+				time.Sleep(3 * time.Second)
+				w.Equal(most, 1)
+			})
+		})
+	}
+}
+
+// endedIn counts the daemons of a message that it tells the counts of without hearing them.
+func endedIn(message []byte) int {
+	var d peersv1.Datagram
+	if err := proto.Unmarshal(message, &d); err != nil {
+		return 0
+	}
+	n := 0
+	for _, one := range d.GetHello().GetEnded() {
+		if !one.Follows {
+			n++
+		}
+	}
+	return n
+}
--- a/daemon/edge/world_test.go
+++ b/daemon/edge/world_test.go
@@ -370,8 +370,15 @@
 	// most is the size of the largest message so far, sent the number of all, bytes their
 	// sizes.
 	most, sent, bytes int
-	// mostData is the largest message.
-	mostData []byte
+	// look is shown each message that is sent; nil is nobody.
+	look func(message []byte)
+}
+
+// watch shows each message from now on.
+func (n *network) watch(look func(message []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.look = look
 }
 
 // traffic is the number of messages so far and their bytes.
@@ -445,8 +452,9 @@
 func (s *socket) WriteTo(p []byte, to net.Addr) (int, error) {
 	s.network.mu.Lock()
 	defer s.network.mu.Unlock()
-	if len(p) > s.network.most {
-		s.network.most, s.network.mostData = len(p), bytes.Clone(p)
+	s.network.most = max(s.network.most, len(p))
+	if s.network.look != nil {
+		s.network.look(p)
 	}
 	s.network.sent++
 	s.network.bytes += len(p)
