--- a/coordination/accounting/coverage.go
+++ b/coordination/accounting/coverage.go
@@ -13,15 +13,21 @@
 // zero value has heard of nobody.
 type Coverage struct {
 	heard map[ident.Incarnation]time.Duration
-	// ended is when daemons did.
+	// ended is when daemons ended that were not heard since.
 	ended map[ident.Incarnation]time.Duration
 }
 
 // endedFor is how long an end is remembered: longer than any window waits for its report.
 const endedFor = time.Minute
 
-// Heard notes that a daemon's counts were told.
+// Heard notes that a daemon told its counts itself: it has not ended.
 func (c *Coverage) Heard(now time.Duration, id ident.Incarnation) {
+	delete(c.ended, id)
+	c.Told(now, id)
+}
+
+// Told notes that the relay that a daemon follows told its counts.
+func (c *Coverage) Told(now time.Duration, id ident.Incarnation) {
 	if c.heard == nil {
 		c.heard = map[ident.Incarnation]time.Duration{}
 	}
--- a/coordination/accounting/coverage_test.go
+++ b/coordination/accounting/coverage_test.go
@@ -35,6 +35,10 @@
 	c.Gone(5*time.Second, "b")
 	is.Equal(c.Passing(6*time.Second, within, 3*time.Second), []ident.Incarnation{"a"})
 	is.Equal(len(c.Passing(7*time.Second, within, 3*time.Second)), 0)
+	c.Told(6*time.Second, "b")
+	is.Equal(c.Lacking([]ident.Incarnation{"b"}, 3*time.Second), []ident.Incarnation{"b"}) // its relay did not know yet
+	c.Heard(6*time.Second, "b")
+	is.Equal(len(c.Lacking([]ident.Incarnation{"b"}, 3*time.Second)), 0) // it was only silent
 	c.Gone(5*time.Minute, "c")
 	is.Equal(c.Passing(5*time.Minute, time.Hour, 3*time.Second), []ident.Incarnation{"c"}) // the others are forgotten
 }
--- a/daemon/edge/counts.go
+++ b/daemon/edge/counts.go
@@ -202,7 +202,7 @@
 		of := ident.Incarnation(one.Incarnation)
 		e.book.Heard(of, windowsOf(workspaces, one.Windows))
 		if one.Follows {
-			e.coverage.Heard(now, of)
+			e.coverage.Told(now, of)
 		}
 	}
 	if h.Lacks != "" {
