--- /dev/null
+++ b/daemon/edge/usage_load_test.go
@@ -0,0 +1,105 @@
+package edge_test
+
+import (
+	"fmt"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/accounting"
+)
+
+// crash ends a daemon that can't give anything back.
+func (w *world) crash(d *daemon) {
+	d.store.set(true, false)
+	w.network.isolate(d.address, true)
+	d.kill()
+	w.network.isolate(d.address, false)
+}
+
+// servedLoad is callers of all daemons, with what was served of each window.
+type servedLoad struct {
+	w          *world
+	workspaces int
+	asked      int
+	served     map[accounting.Window]int64
+	// recent are when requests were served.
+	recent []served
+}
+
+type served struct {
+	at     time.Duration
+	window accounting.Window
+}
+
+const (
+	usageWindow = 5 * time.Second
+	// usageTolerance is the part by which the counts of a window may be off.
+	usageTolerance = 0.05
+)
+
+func windowNow() accounting.Window {
+	return accounting.Window(time.Now().UnixMilli() / usageWindow.Milliseconds())
+}
+
+// run asks one daemon after the other, each step some.
+func (l *servedLoad) run(span time.Duration) {
+	const step, requests = 50 * time.Millisecond, 3
+	for range int(span / step) {
+		begin := time.Now()
+		for range requests {
+			l.asked++
+			d := l.w.daemons[l.asked%len(l.w.daemons)]
+			if d.ended() {
+				continue
+			}
+			if l.w.ask(d, "/read/", fmt.Sprintf("key-%d", l.asked%l.workspaces)).status == 200 {
+				l.served[windowNow()]++
+				l.recent = append(l.recent, served{l.w.steady(), windowNow()})
+			}
+		}
+		time.Sleep(step - time.Since(begin))
+	}
+}
+
+// servedSince counts the requests of a window that were served after a time.
+func (l *servedLoad) servedSince(at time.Duration, window accounting.Window) int64 {
+	n := int64(0)
+	for _, s := range l.recent {
+		if s.window == window && s.at >= at {
+			n++
+		}
+	}
+	return n
+}
+
+// holding is the daemon that holds the duties.
+func (w *world) holding() *daemon {
+	for _, d := range w.daemons {
+		if !d.ended() && d.Holds() {
+			return d
+		}
+	}
+	w.Fail()
+	return nil
+}
+
+// endAll ends all daemons at once and starts them anew.
+func (w *world) endAll() {
+	w.notFirst = true
+	for _, d := range w.daemons {
+		if !d.ended() {
+			w.crash(d)
+		}
+	}
+	for i := range w.daemons {
+		w.restart(i)
+	}
+}
+
+// reportedBy adds up the requests of each window.
+func (w *world) reportedBy() map[accounting.Window]int64 {
+	by := map[accounting.Window]int64{}
+	for _, r := range w.cloud.taken() {
+		by[r.window] = r.requests(w)
+	}
+	return by
+}
