--- a/daemon/edge/restarts_test.go
+++ b/daemon/edge/restarts_test.go
@@ -10,6 +10,21 @@
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 )
 
+// restartInTurn kills the first daemons one after the other and starts them anew, while all are
+// asked.
+func (w *world) restartInTurn(daemons, workspaces int) {
+	w.notFirst = true
+	for i := range daemons {
+		for _, d := range w.daemons {
+			w.askAll(d, workspaces)
+		}
+		time.Sleep(500 * time.Millisecond)
+		w.daemons[i].kill()
+		w.restart(i)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
 // Guards against messages that grow with the restarts of a fleet, and counts that are lost by
 // them, where the program's own choice is that relays pass the counts on.
 func TestMessagesStaySmallThroughRestartsOfALargeFleet(t *testing.T) {
@@ -22,16 +37,7 @@
 	inFleet(t, daemons, 0, manyWorkspaces(workspaces), func(w *world) {
 		w.addRunner("r1", "app")
 		time.Sleep(time.Second)
-		w.notFirst = true
-		for i := range restarted {
-			for _, d := range w.daemons {
-				w.askAll(d, workspaces)
-			}
-			time.Sleep(500 * time.Millisecond)
-			w.daemons[i].kill()
-			w.restart(i)
-			time.Sleep(300 * time.Millisecond)
-		}
+		w.restartInTurn(restarted, workspaces)
 		time.Sleep(20 * time.Second)
 		t.Logf("largest message: %d bytes", w.network.largest())
 		w.True(w.network.largest() <= mostBytes)
@@ -51,16 +57,7 @@
 				time.Sleep(time.Second)
 				most := 0
 				w.network.watch(func(message []byte) { most = max(most, endedIn(message)) })
-				w.notFirst = true
-				for i := range daemons {
-					for _, d := range w.daemons {
-						w.askAll(d, workspaces)
-					}
-					time.Sleep(300 * time.Millisecond)
-					w.daemons[i].kill()
-					w.restart(i)
-					time.Sleep(300 * time.Millisecond)
-				}
+				w.restartInTurn(daemons, workspaces)
 				time.Sleep(3 * time.Second)
 				w.Equal(most, 1)
 			})
