--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -2,14 +2,14 @@
 // not speak for: requests are forwarded as they are, by the operator's routes.
 //
 // The failure story. Everything that must last lies in the key-value service: the
-// operator's configuration, the runners' entries, who holds the duties and what
-// was reported last. A daemon that starts reads it and watches; one that loses
-// the service goes on with what it has, refuses keyed requests once its
-// configuration can't be shown to be recent, and gives no orders. What changes
-// quickly (use of quotas, load of runners, counts of usage, who is draining) the
-// daemons tell each other in datagrams that each hold the sender's whole state,
-// so a lost one costs nothing and a dead daemon's counts outlive it. A request
-// lives at one daemon: if that dies, its caller asks another.
+// operator's configuration, the runners' entries, who holds the duties, what was
+// reported last and what is counted for the next reports. A daemon that starts reads
+// it and watches; one that loses the service goes on with what it has, refuses keyed
+// requests once its configuration can't be shown to be recent, and gives no orders.
+// What changes quickly (use of quotas, load of runners, counts of usage, who is
+// draining) the daemons tell each other in datagrams that each hold the sender's
+// whole state, so a lost one costs nothing and a dead daemon's counts outlive it. A
+// request lives at one daemon: if that dies, its caller asks another.
 //
 // Decisions are made in protocol and coordination; this package holds the
 // goroutines, locks and calls around them. What it calls is behind the
