--- a/daemon/edge/restarts_test.go
+++ b/daemon/edge/restarts_test.go
@@ -59,6 +59,7 @@
 				w.network.watch(func(message []byte) { most = max(most, endedIn(message)) })
 				w.restartInTurn(daemons, workspaces)
 				time.Sleep(3 * time.Second)
+				w.network.watch(nil)
 				w.Equal(most, 1)
 			})
 		})
--- a/daemon/edge/world_test.go
+++ b/daemon/edge/world_test.go
@@ -374,7 +374,7 @@
 	look func(message []byte)
 }
 
-// watch shows each message from now on.
+// watch shows each message from now on; nil ends that.
 func (n *network) watch(look func(message []byte)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
