--- a/daemon/edge/saved_test.go
+++ b/daemon/edge/saved_test.go
@@ -93,6 +93,27 @@
 	}
 }
 
+// Guards against a window that is reported while a daemon that was heard a moment before can't
+// tell what it counted: in a fleet that tells each other directly nobody waits for it.
+func TestWindowWaitsForADaemonThatIsCutOff(t *testing.T) {
+	const daemons, requests, cutFor = 12, 10, 2 * time.Second
+	inDirectFleet(t, daemons, manyWorkspaces(1), func(w *world) {
+		w.addRunner("r1", "app")
+		time.Sleep(time.Second)
+		untilEnd := usageWindow - time.Duration(time.Now().UnixMilli()%usageWindow.Milliseconds())*time.Millisecond
+		time.Sleep(untilEnd + usageWindow - cutFor/2)
+		window, cut := windowNow(), w.daemons[daemons-1]
+		w.network.isolate(cut.address, true)
+		for range requests {
+			w.Equal(w.ask(cut, "/read/", "key-0").status, 200)
+		}
+		time.Sleep(cutFor)
+		w.network.isolate(cut.address, false)
+		time.Sleep(12 * time.Second)
+		w.Equal(w.reportedBy()[window], int64(requests))
+	})
+}
+
 var seriesOffsets = flag.Int("series-offsets", 2, "offsets to the windows of usage at which daemons end in series")
 
 // victims choose which daemon of a series ends next.
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -79,9 +79,9 @@
 }
 
 // awaitsCounts tells whether a window's report should wait: until this daemon has heard what
-// relays tell each other, and for the counts of a daemon whose relay has just ended, which come
-// with the next one that it follows. A window that is due soon is reported as it is known: a
-// report that lacks some counts tells more than none.
+// relays tell each other, and for the counts of a daemon that is cut off for a moment or whose
+// relay has just ended, which come with the next one that it follows. A window that is due
+// soon is reported as it is known: a report that lacks some counts tells more than none.
 func (e *Edge) awaitsCounts(w accounting.Window) bool {
 	if !e.heardAllCounts() {
 		return true
@@ -89,9 +89,6 @@
 	now := e.deps.Steady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.plan.Direct {
-		return false
-	}
 	ended := e.book.EndedFor(e.wall.At(now), w)
 	since := now - ended + accounting.SettleAfter
 	lacking := append(e.lacking(now, since), e.coverage.Passing(now, passedOnWithin, since)...)
