Call what is there already where counts of usage are saved and told

Behaviour, log lines and messages stay as they were. Change: one reader and one log line serve the intent of a report and the saved counts (readUsage, usageFailed); who saves is found by placeAmong, as who stands for the duties is, and shares says that a daemon is a relay; taking saved counts in can't fail, so it returns nothing; one conversion of names in place of two; a message's workspaces are listed once, not twice; a book finds its workspaces anew when a window was dropped, without remembering the oldest one; the first follower after the last told is looked up without a made-up name; relays.PerDomain is only called by its test and stands in a test file.

--- a/coordination/accounting/accounting.go
+++ b/coordination/accounting/accounting.go
@@ -56,8 +56,6 @@
 	done map[Window]bool
 	// workspaces are those of counts; nil is not known.
 	workspaces []ident.Workspace
-	// oldest is the first window that is kept.
-	oldest Window
 }
 
 // NewBook returns an empty book of the daemon self.
@@ -203,11 +201,12 @@
 // Tick drops what is too old to be reported.
 func (b *Book) Tick(now time.Time) {
 	oldest := b.WindowAt(now) - kept
-	if oldest != b.oldest {
-		b.oldest, b.workspaces = oldest, nil
-	}
 	for id, windows := range b.counts {
+		before := len(windows)
 		maps.DeleteFunc(windows, func(w Window, _ Counts) bool { return w < oldest })
+		if len(windows) < before {
+			b.workspaces = nil
+		}
 		if len(windows) == 0 && id != b.self {
 			delete(b.counts, id)
 		}
--- a/coordination/relays/relays.go
+++ b/coordination/relays/relays.go
@@ -127,10 +127,8 @@
 	}
 }
 
-// PerDomain is how many relays each failure domain has where nothing else is set. With one
-// for each square root of the fleet a relay hears about as many followers as other relays.
-func PerDomain(daemons, domains int) int { return perDomain(daemons, domains, DirectFleet) }
-
+// perDomain is how many relays each failure domain has. With one for each square root of the
+// fleet a relay hears about as many followers as other relays.
 func perDomain(daemons, domains, direct int) int {
 	if daemons <= direct {
 		return daemons
--- a/daemon/edge/counts.go
+++ b/daemon/edge/counts.go
@@ -45,7 +45,7 @@
 func (e *Edge) addOwnCounts(now time.Duration, h *peersv1.Hello) {
 	h.Counts = true
 	h.Windows = e.openCounts(now, e.self)
-	h.Workspaces = namesOf(e.book.Workspaces())
+	h.Workspaces = retyped[string](e.book.Workspaces())
 }
 
 // openCounts are a daemon's counts of open windows, by the places of the book's workspaces;
@@ -82,13 +82,13 @@
 	if e.plan.Direct {
 		return relayCounts{}
 	}
-	c := relayCounts{to: e.counters(), hello: &peersv1.Hello{Workspaces: namesOf(e.book.Workspaces())}}
-	c.ended = e.endedCounts(now)
+	c := relayCounts{to: e.counters(), hello: &peersv1.Hello{}, ended: e.endedCounts(now)}
 	if rosterBeat(beat) {
 		e.addOwnCounts(now, c.hello)
 		return c
 	}
 	c.lacking = e.lacking(now, max(e.standing.Began(), now-countsAskedAfter))
+	c.hello.Workspaces = retyped[string](e.book.Workspaces())
 	c.hello.Ended = e.followersCounts(now)
 	return c
 }
@@ -133,7 +133,10 @@
 		}
 	}
 	slices.Sort(ids)
-	next, _ := slices.BinarySearch(ids, e.lastFollower+"\x00") // the first after it
+	next, found := slices.BinarySearch(ids, e.lastFollower)
+	if found {
+		next++
+	}
 	ids = slices.Concat(ids[next:], ids[:next])
 	var told []*peersv1.Ended
 	bytes := 0
@@ -183,17 +186,18 @@
 	return windows
 }
 
-func namesOf(workspaces []ident.Workspace) []string {
-	names := make([]string, 0, len(workspaces))
-	for _, ws := range workspaces {
-		names = append(names, string(ws))
+// retyped is a list of names as another type of names.
+func retyped[To, From ~string](list []From) []To {
+	names := make([]To, len(list))
+	for i, name := range list {
+		names[i] = To(name)
 	}
 	return names
 }
 
 // heardCounts takes in counts of usage, and which the sender lacks; called with mu held.
 func (e *Edge) heardCounts(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
-	workspaces := workspacesOf(h.Workspaces)
+	workspaces := retyped[ident.Workspace](h.Workspaces)
 	e.book.Heard(id, windowsOf(workspaces, h.Windows))
 	if h.Counts {
 		e.coverage.Heard(now, id)
@@ -217,11 +221,3 @@
 	}
 	return windows
 }
-
-func workspacesOf(names []string) []ident.Workspace {
-	workspaces := make([]ident.Workspace, 0, len(names))
-	for _, name := range names {
-		workspaces = append(workspaces, ident.Workspace(name))
-	}
-	return workspaces
-}
--- a/daemon/edge/saved.go
+++ b/daemon/edge/saved.go
@@ -5,11 +5,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/accounting"
-	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
@@ -48,7 +46,7 @@
 	e.mu.Unlock()
 	data, err := json.Marshal(open)
 	if err != nil {
-		e.log.Note("usage_failed", decisions.F("step", "encode_saved"), decisions.F("error", err.Error()))
+		e.usageFailed("encode_saved", err)
 		return
 	}
 	if bytes.Equal(data, s.data) {
@@ -71,43 +69,40 @@
 	s := &e.duties.saved
 	s.data = nil
 	var conflict *kv.ConflictError
-	if errors.As(err, &conflict) && e.takeSaved(conflict.Current) {
+	if errors.As(err, &conflict) {
+		e.takeSaved(conflict.Current)
 		s.wrote = 0
 		return
 	}
 	s.read = false
-	e.log.Note("usage_failed", decisions.F("step", "save"), decisions.F("error", err.Error()))
+	e.usageFailed("save", err)
 }
 
-// readSaved takes the saved counts in.
+// readSaved takes the saved counts in; false if they could not be read.
 func (e *Edge) readSaved(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	entry, err := e.deps.Store.Get(callCtx, savedKey)
-	if err != nil {
-		e.log.Note("usage_failed", decisions.F("step", "read_saved"), decisions.F("error", err.Error()))
-		return false
+	entry, ok := e.readUsage(ctx, savedKey, "read_saved")
+	if ok {
+		e.takeSaved(entry)
 	}
-	return e.takeSaved(entry)
+	return ok
 }
 
 // takeSaved takes in the saved counts as they stand. What can't be read is written over.
-func (e *Edge) takeSaved(entry kv.Entry) bool {
+func (e *Edge) takeSaved(entry kv.Entry) {
 	s := &e.duties.saved
 	s.read, s.revision, s.data = true, entry.Revision, nil
 	if len(entry.Value) == 0 {
-		return true
+		return
 	}
 	var open accounting.Saved
 	if err := json.Unmarshal(entry.Value, &open); err != nil {
-		e.log.Note("usage_failed", decisions.F("step", "decode_saved"), decisions.F("error", err.Error()))
-		return true
+		e.usageFailed("decode_saved", err)
+		return
 	}
 	e.mu.Lock()
 	e.book.Load(open)
 	e.mu.Unlock()
 	e.log.Note("usage_loaded", decisions.F("revision", uint64(entry.Revision)), decisions.F("daemons", len(open.Daemons)))
-	return true
 }
 
 // saves tells whether it is up to this daemon to save the counts: to the holder of the duties,
@@ -122,8 +117,9 @@
 	holding := e.dir.holder()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.plan.Relay || !e.shares(now) || holding != "" && contain(e.alive, holding) {
+	if !e.shares(now) || contain(e.alive, holding) {
 		return false
 	}
-	return !slices.ContainsFunc(e.plan.Others, func(m peers.Member) bool { return m.ID < e.set.ID })
+	place, _ := placeAmong(e.set.ID, e.plan.Others)
+	return place == 0
 }
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -102,13 +102,27 @@
 	return false
 }
 
-func (e *Edge) readIntent(ctx context.Context) bool {
-	u := &e.duties.usage
+// usageFailed notes a step of the reports that failed.
+func (e *Edge) usageFailed(step string, err error, inputs ...decisions.Field) {
+	fields := append([]decisions.Field{decisions.F("step", step)}, inputs...)
+	e.log.Note("usage_failed", append(fields, decisions.F("error", err.Error()))...)
+}
+
+// readUsage reads a key of the reports; false if that failed.
+func (e *Edge) readUsage(ctx context.Context, key, step string) (kv.Entry, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	entry, err := e.deps.Store.Get(callCtx, intentKey)
+	entry, err := e.deps.Store.Get(callCtx, key)
 	if err != nil {
-		e.log.Note("usage_failed", decisions.F("step", "read"), decisions.F("error", err.Error()))
+		e.usageFailed(step, err)
+	}
+	return entry, err == nil
+}
+
+func (e *Edge) readIntent(ctx context.Context) bool {
+	u := &e.duties.usage
+	entry, ok := e.readUsage(ctx, intentKey, "read")
+	if !ok {
 		return false
 	}
 	u.read = true
@@ -119,7 +133,7 @@
 	var open intent
 	if err := json.Unmarshal(entry.Value, &open); err != nil {
 		// Nobody else writes the key; what can't be read can't be repeated.
-		e.log.Note("usage_failed", decisions.F("step", "decode"), decisions.F("error", err.Error()))
+		e.usageFailed("decode", err)
 		return true
 	}
 	u.open, u.last = &open, open.Window
@@ -133,7 +147,7 @@
 	e.mu.Unlock()
 	data, err := json.Marshal(next)
 	if err != nil {
-		e.log.Note("usage_failed", decisions.F("step", "encode"), decisions.F("error", err.Error()))
+		e.usageFailed("encode", err)
 		return false
 	}
 	if _, ok := e.permit(); !ok {
@@ -146,8 +160,7 @@
 		// Whether it was written, and by whom the key was changed, is read anew.
 		u.read = false
 		var conflict *kv.ConflictError
-		e.log.Note("usage_failed", decisions.F("step", "write"), decisions.F("window", int64(w)),
-			decisions.F("conflict", errors.As(err, &conflict)), decisions.F("error", err.Error()))
+		e.usageFailed("write", err, decisions.F("window", int64(w)), decisions.F("conflict", errors.As(err, &conflict)))
 		return false
 	}
 	u.revision, u.open, u.last = revision, next, w
@@ -169,7 +182,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := e.deps.Cloud.ReportUsage(callCtx, duty, u.open.Window, u.open.Counts); err != nil {
-		e.log.Note("usage_failed", decisions.F("step", "report"), decisions.F("window", int64(u.open.Window)), decisions.F("error", err.Error()))
+		e.usageFailed("report", err, decisions.F("window", int64(u.open.Window)))
 		return false
 	}
 	e.mu.Lock()
