--- a/daemon/edge/saved_test.go
+++ b/daemon/edge/saved_test.go
@@ -4,11 +4,9 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
-	"geraniumstack.org/geraniumstack/coordination/accounting"
 	"geraniumstack.org/geraniumstack/coordination/relays"
 )
 
@@ -17,7 +15,7 @@
 func TestUsageOutlivesAnEndOfAll(t *testing.T) {
 	const (
 		daemons, workspaces = 12, 4
-		offsets             = 5
+		offsets             = 10
 		// What was served in that time before the end may be lost: until it is told to the
 		// daemon that saves it, until that saves next, and until another one does.
 		direct, relayed, successor = 1600 * time.Millisecond, 3 * time.Second, 1600 * time.Millisecond
@@ -37,10 +35,10 @@
 				inFleet(t, daemons, fleet.direct, manyWorkspaces(workspaces), func(w *world) {
 					w.addRunner("r1", "app")
 					time.Sleep(5*time.Second + time.Duration(offset)*usageWindow/offsets)
-					l := &servedLoad{w: w, workspaces: workspaces, served: map[accounting.Window]int64{}}
+					l := newServedLoad(w, workspaces)
 					l.run(8 * time.Second)
 					if fleet.holderFirst {
-						w.crash(w.holding())
+						w.crash(w.daemons[w.holderPlace()])
 						l.run(2500 * time.Millisecond)
 					}
 					endedAt, endedIn := w.steady(), windowNow()
@@ -77,7 +75,7 @@
 		inLargeFleet(t, daemons, manyWorkspaces(workspaces), func(w *world) {
 			w.addRunner("r1", "app")
 			time.Sleep(5*time.Second + time.Duration(offset)*usageWindow/offsets)
-			l := &servedLoad{w: w, workspaces: workspaces, served: map[accounting.Window]int64{}}
+			l := newServedLoad(w, workspaces)
 			l.run(8 * time.Second)
 			endedAt := w.steady()
 			w.endAll()
@@ -131,7 +129,7 @@
 	holder, since := -1, w.steady()
 	for holder < 0 || w.steady()-since < span {
 		time.Sleep(loadStep)
-		now := slices.IndexFunc(w.daemons, func(d *daemon) bool { return d.Holds() })
+		now := w.holderPlace()
 		if now != holder {
 			holder, since = now, w.steady()
 		}
@@ -182,7 +180,7 @@
 			t.Run(fmt.Sprintf("%s/%v", who, spacing), func(t *testing.T) {
 				for offset := range *seriesOffsets {
 					inWorld(t, daemons, manyWorkspaces(workspaces), func(w *world) {
-						l := &servedLoad{w: w, workspaces: workspaces, served: map[accounting.Window]int64{}}
+						l := newServedLoad(w, workspaces)
 						l.endInSeries(ends, spacing, offset, victim)
 						time.Sleep(20 * time.Second)
 						w.checkReports()
--- a/daemon/edge/trials_test.go
+++ b/daemon/edge/trials_test.go
@@ -328,14 +328,10 @@
 }
 
 func (tw *trialWorld) killHolder() {
-	for i, d := range tw.daemons {
-		if !tw.down[i] && d.Holds() {
-			tw.down[i] = true
-			d.kill()
-			return
-		}
-	}
-	tw.Fail()
+	i := tw.holderPlace()
+	tw.True(i >= 0)
+	tw.down[i] = true
+	tw.daemons[i].kill()
 }
 
 // Guards against a bad version that goes on being tried while the key-value service is away.
--- a/daemon/edge/usage_load_test.go
+++ b/daemon/edge/usage_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/accounting"
@@ -25,6 +26,10 @@
 	recent []served
 }
 
+func newServedLoad(w *world, workspaces int) *servedLoad {
+	return &servedLoad{w: w, workspaces: workspaces, served: map[accounting.Window]int64{}}
+}
+
 type served struct {
 	at     time.Duration
 	window accounting.Window
@@ -71,15 +76,9 @@
 	return n
 }
 
-// holding is the daemon that holds the duties.
-func (w *world) holding() *daemon {
-	for _, d := range w.daemons {
-		if !d.ended() && d.Holds() {
-			return d
-		}
-	}
-	w.Fail()
-	return nil
+// holderPlace is the place of the daemon that holds the duties; negative is none.
+func (w *world) holderPlace() int {
+	return slices.IndexFunc(w.daemons, func(d *daemon) bool { return !d.ended() && d.Holds() })
 }
 
 // endAll ends all daemons at once and starts them anew.
--- a/daemon/edge/workspaces_test.go
+++ b/daemon/edge/workspaces_test.go
@@ -15,7 +15,7 @@
 	const workspaces, rounds, atOnce = 700, 4, 20
 	for name, fleet := range map[string]struct{ daemons, direct int }{
 		"relays": {12, relays.SmallFleet},
-		"direct": {5, relays.DirectFleet},
+		"direct": {12, relays.DirectFleet},
 	} {
 		t.Run(name, func(t *testing.T) {
 			inFleet(t, fleet.daemons, fleet.direct, manyWorkspaces(workspaces), func(w *world) {
