--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -5,7 +5,8 @@
 // daemon that doesn't asks for the changes after the revision up to which it knows
 // everything, and gets a Batch. Since the revisions are the service's own, it can switch to
 // the Log of another daemon at any revision, and a batch that is lost or arrives twice does
-// no harm.
+// no harm. A daemon that has just started gets everything in the same way, with an empty copy
+// as its Position.
 //
 // The package does no I/O and reads no clock. A Log is not safe for concurrent use.
 package feed
@@ -23,16 +24,41 @@
 	Deleted  bool
 }
 
-// Batch holds changes after a revision.
+// Position is how far a receiver's copy of the service's keys has come. A receiver with an
+// empty copy starts at the zero Position.
+type Position struct {
+	// At is the revision up to which the receiver has all changes.
+	At uint64
+	// Log is the log that sent only a part of what changed, zero if the copy is complete. Only
+	// that log can go on: it skipped changes that later ones superseded, so that the copy is
+	// not what existed at At.
+	Log uint64
+	// Floor is the revision from which that log has to know all deletions.
+	Floor uint64
+}
+
+// Complete reports whether the copy holds what existed at the revision At.
+func (p Position) Complete() bool { return p.At != 0 && p.Log == 0 }
+
+// Batch holds changes after a position.
 type Batch struct {
-	// After is the revision that was asked for.
-	After uint64
-	// Through is the revision through which the receiver has all changes after it has
-	// applied Changes, provided that it had all changes through After.
-	Through uint64
+	// After is the position that was asked for.
+	After Position
+	// Next is the receiver's position after it has applied Changes.
+	Next    Position
 	Changes []Change
 }
 
+// Follows reports whether a receiver at the position may apply the batch. A batch that ends
+// complete may begin earlier than a complete position. Any other one must begin at the position,
+// since an older batch may hold keys that were deleted since.
+func (b Batch) Follows(p Position) bool {
+	if b.Next.At <= p.At {
+		return false
+	}
+	return b.After == p || p.Complete() && b.After.Complete() && b.Next.Complete() && b.After.At < p.At
+}
+
 const (
 	// maxDeletions is the maximum number of deletions that a Log remembers.
 	maxDeletions = 4000
@@ -45,6 +71,8 @@
 
 // Log holds the last change of each key in the order of revisions.
 type Log struct {
+	// id distinguishes this log from those of other daemons.
+	id uint64
 	// revision is the revision up to which the log is complete.
 	revision uint64
 	// forgottenThrough is the revision of the latest deletion that was forgotten.
@@ -56,6 +84,13 @@
 	changes   []Change
 	latest    map[string]uint64
 	deletions int
+	// unsettled is set from a Reset until the next Apply. The list may have been read after
+	// its revision, so until then the log doesn't know what existed at any one revision.
+	// settledAt is the revision at which it knew that last, and missing holds the keys that it
+	// held and the list lacked, with the revisions of their last writes.
+	unsettled bool
+	settledAt uint64
+	missing   map[string]uint64
 }
 
 // gap is a range of revisions, exclusive at both ends, within which the log doesn't know
@@ -64,41 +99,64 @@
 // revision lies within the range may still hold such a key.
 type gap struct{ from, to uint64 }
 
-// NewLog returns an empty log.
-func NewLog() *Log { return &Log{latest: map[string]uint64{}} }
+// NewLog returns an empty log with an ID other than zero.
+func NewLog(id uint64) *Log { return &Log{id: id, latest: map[string]uint64{}} }
 
 // LastRevision returns the revision up to which the log is complete, or zero if the log is
 // empty.
 func (l *Log) LastRevision() uint64 { return l.revision }
 
 // Reset applies a complete list of the service's keys that was read at the given revision
-// or later. Keys that the log holds and the list lacks are recorded as deleted.
+// or later. The log has no news for anybody until the next Apply.
 func (l *Log) Reset(list []Change, revision uint64) {
 	listed := make(map[string]bool, len(list))
 	for _, c := range list {
 		listed[c.Key] = true
 	}
-	var deletions []Change
+	if l.missing == nil {
+		l.missing = map[string]uint64{}
+	}
 	for _, c := range l.changes {
-		if l.latest[c.Key] == c.Revision && !c.Deleted && !listed[c.Key] && c.Revision <= revision {
-			deletions = append(deletions, Change{Key: c.Key, Revision: revision, Deleted: true})
+		if l.latest[c.Key] == c.Revision && !c.Deleted && !listed[c.Key] {
+			l.missing[c.Key] = c.Revision
 		}
 	}
-	l.add(append(deletions, list...))
-	if revision > l.revision {
-		l.gaps = append(l.gaps, gap{l.revision, revision})
-	}
-	if len(l.gaps) > maxGaps {
-		l.forgottenThrough = max(l.forgottenThrough, l.gaps[0].to)
-		l.gaps = slices.Delete(l.gaps, 0, 1)
+	if !l.unsettled {
+		l.unsettled, l.settledAt = true, l.revision
 	}
+	l.add(list)
 	l.revision = max(l.revision, revision)
 }
 
-// Apply applies the changes of a watch that is complete up to the given revision.
+// Apply applies the changes of a watch that is complete up to the given revision. After a Reset,
+// the watch must have been answered after the list was read. Keys that the list lacked are then
+// recorded as deleted.
 func (l *Log) Apply(changes []Change, revision uint64) {
 	l.add(changes)
 	l.revision = max(l.revision, revision)
+	if !l.unsettled {
+		return
+	}
+	var deletions []Change
+	for key, revision := range l.missing {
+		if l.latest[key] == revision {
+			deletions = append(deletions, Change{Key: key, Revision: l.revision, Deleted: true})
+		}
+	}
+	l.unsettled, l.missing = false, nil
+	l.add(deletions)
+	l.addGap(gap{l.settledAt, l.revision})
+}
+
+func (l *Log) addGap(g gap) {
+	if g.from >= g.to {
+		return
+	}
+	l.gaps = append(l.gaps, g)
+	if len(l.gaps) > maxGaps {
+		l.forgottenThrough = max(l.forgottenThrough, l.gaps[0].to)
+		l.gaps = slices.Delete(l.gaps, 0, 1)
+	}
 }
 
 func (l *Log) add(changes []Change) {
@@ -147,27 +205,49 @@
 	})
 }
 
-// Since returns the changes after a revision that fit into maxBytes, but at least one if
-// there is any. It returns false if the log can't tell which keys were deleted since that
-// revision; the follower must then list the keys itself.
-func (l *Log) Since(after uint64, maxBytes int) (Batch, bool) {
-	if after < l.forgottenThrough || l.revision == 0 || slices.ContainsFunc(l.gaps, func(g gap) bool { return g.from < after && after < g.to }) {
+// Since returns the changes after a position that fit into maxBytes, but at least one if
+// there is any. It returns false if the log has no news for the position: because it doesn't
+// hold any more which keys were deleted since, because the copy is another log's to complete, or
+// because it has just been reset.
+func (l *Log) Since(after Position, maxBytes int) (Batch, bool) {
+	if l.unsettled || l.revision == 0 || after.Log != 0 && after.Log != l.id || l.Forgot(after) {
 		return Batch{}, false
 	}
-	batch := Batch{After: after, Through: l.revision}
-	firstIndex, _ := slices.BinarySearchFunc(l.changes, after+1, func(c Change, r uint64) int { return cmp.Compare(c.Revision, r) })
+	floor := after.At
+	switch {
+	case after.At == 0:
+		floor = l.revision
+	case after.Log != 0:
+		floor = after.Floor
+	}
+	batch := Batch{After: after, Next: Position{At: l.revision}}
+	firstIndex, _ := slices.BinarySearchFunc(l.changes, after.At+1, func(c Change, r uint64) int { return cmp.Compare(c.Revision, r) })
 	size := 0
 	for _, c := range l.changes[firstIndex:] {
-		if l.latest[c.Key] != c.Revision {
+		isKnown := c.Deleted && c.Revision <= floor
+		if l.latest[c.Key] != c.Revision || isKnown {
 			continue
 		}
 		size += len(c.Key) + len(c.Value) + changeOverhead
 		// Changes with the same revision are never split between two batches.
 		if n := len(batch.Changes); size > maxBytes && n > 0 && c.Revision > batch.Changes[n-1].Revision {
-			batch.Through = min(batch.Through, c.Revision-1)
+			batch.Next = Position{At: c.Revision - 1, Log: l.id, Floor: floor}
 			break
 		}
 		batch.Changes = append(batch.Changes, c)
 	}
 	return batch, true
 }
+
+// Forgot reports whether the log doesn't hold any more which keys were deleted since a position
+// that it could go on from. The receiver must then start again with an empty copy.
+func (l *Log) Forgot(after Position) bool {
+	if l.revision == 0 || after.At == 0 || after.Log != 0 && after.Log != l.id {
+		return false
+	}
+	from := after.At
+	if after.Log != 0 {
+		from = after.Floor
+	}
+	return from < l.forgottenThrough || slices.ContainsFunc(l.gaps, func(g gap) bool { return g.from < from && from < g.to })
+}
--- a/coordination/feed/feed_test.go
+++ b/coordination/feed/feed_test.go
@@ -1,10 +1,13 @@
 package feed_test
 
 import (
+	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -40,16 +43,35 @@
 	return list
 }
 
-// follower applies batches as a daemon that doesn't watch the service does: it skips a
-// batch that starts after the revision through which it knows everything.
+// follower applies batches as a daemon that doesn't watch the service does: it skips those that
+// don't follow its position.
 type follower struct {
-	completeThrough uint64
-	revisions       map[string]uint64
-	keys            map[string]uint64
+	position  feed.Position
+	revisions map[string]uint64
+	keys      map[string]uint64
+	// snapshot is the copy that the follower fills if it has none, or can't go on with its own;
+	// nil otherwise.
+	snapshot *feed.Snapshot
+}
+
+func newFollower() *follower {
+	return &follower{revisions: map[string]uint64{}, keys: map[string]uint64{}, snapshot: &feed.Snapshot{}}
+}
+
+// asks returns the position after which the follower asks for changes.
+func (f *follower) asks() feed.Position {
+	if f.snapshot != nil {
+		return f.snapshot.Position()
+	}
+	return f.position
 }
 
 func (f *follower) apply(p feed.Batch) {
-	if p.After > f.completeThrough {
+	if f.snapshot != nil {
+		f.fill(p)
+		return
+	}
+	if !p.Follows(f.position) {
 		return
 	}
 	for _, c := range p.Changes {
@@ -62,22 +84,41 @@
 			delete(f.keys, c.Key)
 		}
 	}
-	f.completeThrough = max(f.completeThrough, p.Through)
+	if p.Next.At > f.position.At {
+		f.position = p.Next
+	}
+}
+
+func (f *follower) fill(p feed.Batch) {
+	if !f.snapshot.Add(p) || !f.snapshot.Complete() {
+		return
+	}
+	f.position = f.snapshot.Position()
+	clear(f.keys)
+	clear(f.revisions)
+	for _, c := range f.snapshot.Entries() {
+		f.keys[c.Key], f.revisions[c.Key] = c.Revision, c.Revision
+	}
+	f.snapshot = nil
 }
 
-// Guards against a follower that misses a change: batches are lost, delayed and duplicated,
+// startAgain begins a new snapshot if a log can't go on from the follower's position.
+func (f *follower) startAgain() { f.snapshot = &feed.Snapshot{} }
+
+// Guards against a follower that misses a change, or keeps a key that was deleted while it got
+// its first copy: batches are lost, delayed and duplicated,
 // the relays' watches break and start again from a list, and the follower changes relays.
 func TestFollowerConvergesToServiceState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &service{keys: map[string]uint64{}}
 		s.write("first", false)
-		logs := []*feed.Log{feed.NewLog(), feed.NewLog()}
+		logs := []*feed.Log{feed.NewLog(1), feed.NewLog(2)}
 		watchedThrough := []int{0, 0}
 		for i, l := range logs {
 			l.Reset(s.list(), s.revision)
 			watchedThrough[i] = len(s.changes)
 		}
-		f := &follower{revisions: map[string]uint64{}, keys: map[string]uint64{}}
+		f := newFollower()
 		var delayed []feed.Batch
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			i := rapid.IntRange(0, 1).Draw(t, "relay")
@@ -95,9 +136,11 @@
 				l.Reset(s.list(), listRevision)
 				watchedThrough[i] = changesBeforeList
 			case 4:
-				if p, ok := l.Since(f.completeThrough, rapid.IntRange(1, 200).Draw(t, "bytes")); ok {
+				if p, ok := l.Since(f.asks(), rapid.IntRange(1, 200).Draw(t, "bytes")); ok {
 					f.apply(p)
 					delayed = append(delayed, p)
+				} else if rapid.Bool().Draw(t, "again") {
+					f.startAgain()
 				}
 			case 5:
 				if len(delayed) > 0 {
@@ -106,17 +149,15 @@
 			}
 		}
 		logs[0].Apply(s.changes[watchedThrough[0]:], s.revision)
-		for f.completeThrough < s.revision {
-			before := f.completeThrough
-			p, ok := logs[0].Since(f.completeThrough, 100)
+		for f.position != (feed.Position{At: s.revision}) || f.snapshot != nil {
+			before := f.asks()
+			p, ok := logs[0].Since(before, 100)
 			if !ok {
-				// The log can't tell which keys were deleted, so the follower lists the
-				// service itself.
-				f.completeThrough, f.keys = s.revision, maps.Clone(s.keys)
-				break
+				f.startAgain()
+				continue
 			}
 			f.apply(p)
-			if f.completeThrough == before && len(p.Changes) == 0 {
+			if f.asks() == before && f.snapshot != nil {
 				t.Fatal("no progress")
 			}
 		}
@@ -131,22 +172,24 @@
 // the list, the relay can compute the changes.
 func TestListLeavesNoGapForOwnFollowers(t *testing.T) {
 	is := is.New(t)
-	l := feed.NewLog()
+	l := feed.NewLog(1)
 	l.Reset([]feed.Change{{Key: "a", Revision: 3}, {Key: "b", Revision: 5}}, 5)
+	l.Apply(nil, 5)
 	l.Reset([]feed.Change{{Key: "b", Revision: 5}, {Key: "c", Revision: 8}}, 9)
-	p, ok := l.Since(5, 1000)
+	l.Apply(nil, 9)
+	p, ok := l.Since(feed.Position{At: 5}, 1000)
 	is.True(ok)
-	is.Equal(p.Through, uint64(9))
+	is.Equal(p.Next.At, uint64(9))
 	is.Equal(len(p.Changes), 2) // the deletion of a, and c
-	_, ok = l.Since(7, 1000)
+	_, ok = l.Since(feed.Position{At: 7}, 1000)
 	is.True(!ok) // the follower may hold a key that was written and deleted in the gap
 }
 
 // Guards against a follower that keeps a key forever because the relay forgot its deletion.
 func TestForgottenDeletionsAreReportedAsGap(t *testing.T) {
 	is := is.New(t)
-	l := feed.NewLog()
-	_, ok := l.Since(0, 1000)
+	l := feed.NewLog(1)
+	_, ok := l.Since(feed.Position{}, 1000)
 	is.True(!ok) // the log is empty
 	l.Reset(nil, 1)
 	revision := uint64(1)
@@ -155,8 +198,54 @@
 		l.Apply([]feed.Change{{Key: key, Revision: revision + 1}, {Key: key, Revision: revision + 2, Deleted: true}}, revision+2)
 		revision += 2
 	}
-	_, ok = l.Since(1, 1000)
+	_, ok = l.Since(feed.Position{At: 1}, 1000)
 	is.True(!ok)
-	_, ok = l.Since(revision-2, 1000)
+	_, ok = l.Since(feed.Position{At: revision - 2}, 1000)
+	is.True(ok)
+}
+
+// Guards against a new version of the configuration that is sent in full to every daemon, so that
+// changes of a large configuration fill the relays' links.
+func TestConfigUpdatesAreSmall(t *testing.T) {
+	is := is.New(t)
+	var value []byte
+	for i := range 3000 {
+		value = fmt.Appendf(value, `{"name":"route-%d","path":"/%x/"}`, i, xxhash.Sum64String(fmt.Sprint(i)))
+	}
+	changed := append(slices.Clone(value[:len(value)/2]), []byte(`{"name":"new"}`)...)
+	changed = append(changed, value[len(value)/2:]...)
+	sender, receiver := &feed.ConfigHistory{}, &feed.ConfigHistory{}
+	sender.Add(3, value)
+	receiver.Add(3, value)
+	sender.Add(5, changed)
+	u, ok := sender.Update(receiver.Revision())
+	is.True(ok)
+	is.True(len(u.Packed)*100 < len(value))
+	got, err := receiver.Apply(u)
+	is.NoErr(err)
+	is.Equal(string(got), string(changed))
+	// A daemon without any version, or with one that the sender has forgotten, gets all of it.
+	u, ok = sender.Update(2)
+	is.True(ok)
+	got, err = (&feed.ConfigHistory{}).Apply(u)
+	is.NoErr(err)
+	is.Equal(string(got), string(changed))
+	_, ok = sender.Update(5)
+	is.True(!ok)
+}
+
+// Guards against a configuration that is put together from an update and another version than
+// the one that the update builds on.
+func TestConfigUpdateNeedsItsBase(t *testing.T) {
+	is := is.New(t)
+	sender, receiver := &feed.ConfigHistory{}, &feed.ConfigHistory{}
+	for i := range uint64(3) {
+		sender.Add(i+1, fmt.Appendf(nil, "version %d of a configuration", i))
+	}
+	u, ok := sender.Update(2)
 	is.True(ok)
+	receiver.Add(1, []byte("version 0 of a configuration"))
+	_, err := receiver.Apply(u)
+	var unknown *feed.UnknownBaseError
+	is.True(errors.As(err, &unknown))
 }
--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -118,10 +118,16 @@
 type Table struct {
 	self    Member
 	entries map[ident.Incarnation]*entry
+	// byAddress holds the incarnations of entries by their peer address. Comparing each row of
+	// a roster with all entries would grow with the square of the fleet.
+	byAddress map[string][]ident.Incarnation
 	// rosters holds the last roster of each relay.
 	rosters map[ident.Incarnation]roster
 	// aliveFor is how long a daemon counts as alive after its last message.
 	aliveFor time.Duration
+	// registeredSize is the size of the fleet that registrations state, as of registeredAt.
+	registeredSize int
+	registeredAt   time.Duration
 	// addressLearnedAt holds the addresses to send messages to, with the time when each
 	// was last learned. It includes addresses from which no message was received.
 	addressLearnedAt map[string]time.Duration
@@ -130,7 +136,7 @@
 // New returns a table that contains only this daemon.
 func New(self Member) *Table {
 	return &Table{
-		self: self, entries: map[ident.Incarnation]*entry{}, rosters: map[ident.Incarnation]roster{},
+		self: self, entries: map[ident.Incarnation]*entry{}, byAddress: map[string][]ident.Incarnation{}, rosters: map[ident.Incarnation]roster{},
 		addressLearnedAt: map[string]time.Duration{}, aliveFor: AliveFor,
 	}
 }
@@ -178,6 +184,7 @@
 	if !known || e.lastHeard == freshness.Never {
 		ended = t.removeReplaced(m)
 	}
+	t.indexAddress(m, e.PeerAddress)
 	e.Member, e.heardSeq, e.rowSeq, e.lastHeard, e.lastMentioned = m, seq, max(seq, e.rowSeq), now, now
 	t.LearnAddress(now, m.PeerAddress)
 	return true, ended
@@ -235,10 +242,12 @@
 	if known {
 		e.lastMentioned = now
 		if r.Seq > e.rowSeq {
+			t.indexAddress(r.Member, e.PeerAddress)
 			e.Member, e.rowSeq = r.Member, r.Seq
 		}
 		return nil
 	}
+	t.indexAddress(r.Member, "")
 	t.entries[r.Incarnation] = &entry{Member: r.Member, rowSeq: r.Seq, lastHeard: freshness.Never, lastMentioned: now, lastIntroduced: freshness.Never}
 	t.LearnAddress(now, r.PeerAddress)
 	return t.removeReplaced(r.Member)
@@ -253,20 +262,44 @@
 	if m.PeerAddress == t.self.PeerAddress {
 		return true
 	}
-	for id, e := range t.entries {
-		if id != m.Incarnation && e.PeerAddress == m.PeerAddress && (now-e.lastHeard <= t.aliveFor || e.Started > m.Started) {
+	for _, id := range t.byAddress[m.PeerAddress] {
+		e := t.entries[id]
+		if id != m.Incarnation && (now-e.lastHeard <= t.aliveFor || e.Started > m.Started) {
 			return true
 		}
 	}
 	return false
 }
 
+// indexAddress records the address of a daemon that so far had the given one, or none.
+func (t *Table) indexAddress(m Member, former string) {
+	if m.PeerAddress == former {
+		return
+	}
+	t.removeFromIndex(m.Incarnation, former)
+	t.byAddress[m.PeerAddress] = append(t.byAddress[m.PeerAddress], m.Incarnation)
+}
+
+func (t *Table) removeFromIndex(id ident.Incarnation, address string) {
+	remaining := slices.DeleteFunc(t.byAddress[address], func(other ident.Incarnation) bool { return other == id })
+	if len(remaining) == 0 {
+		delete(t.byAddress, address)
+		return
+	}
+	t.byAddress[address] = remaining
+}
+
+func (t *Table) remove(id ident.Incarnation) {
+	t.removeFromIndex(id, t.entries[id].PeerAddress)
+	delete(t.entries, id)
+}
+
 // removeReplaced removes all other incarnations at the address of m and returns them.
 func (t *Table) removeReplaced(m Member) []ident.Incarnation {
 	var ended []ident.Incarnation
-	for id, e := range t.entries {
-		if id != m.Incarnation && e.PeerAddress == m.PeerAddress {
-			delete(t.entries, id)
+	for _, id := range slices.Clone(t.byAddress[m.PeerAddress]) {
+		if id != m.Incarnation {
+			t.remove(id)
 			ended = append(ended, id)
 		}
 	}
@@ -279,7 +312,7 @@
 	var ended []ident.Incarnation
 	for id, e := range t.entries {
 		if now-e.lastMentioned > ForgetAfter {
-			delete(t.entries, id)
+			t.remove(id)
 			ended = append(ended, id)
 		}
 	}
@@ -288,6 +321,9 @@
 			delete(t.rosters, relay)
 		}
 	}
+	if now-t.registeredAt > RosterTTL {
+		t.registeredSize = 0
+	}
 	for address, at := range t.addressLearnedAt {
 		if now-at > AddressTTL {
 			delete(t.addressLearnedAt, address)
@@ -388,12 +424,20 @@
 // forgotten yet.
 func (t *Table) KnownCount() int { return 1 + len(t.entries) }
 
+// LearnFleetSize records the size of the fleet that a registration states. It counts for
+// RosterTTL.
+func (t *Table) LearnFleetSize(now time.Duration, size int) {
+	if size >= t.registeredSize {
+		t.registeredSize, t.registeredAt = size, now
+	}
+}
+
 // FleetSize returns the number of daemons that may be running, including this one: the
-// number known here or the highest number in a roster. It must not be sent to other
+// number known here or the highest number in a roster or registration. It must not be sent to other
 // daemons, because relays would keep repeating to each other the largest size that the
 // fleet ever had.
 func (t *Table) FleetSize() int {
-	size := t.KnownCount()
+	size := max(t.KnownCount(), t.registeredSize)
 	for _, r := range t.rosters {
 		size = max(size, r.fleetSize)
 	}
--- a/coordination/relays/relays.go
+++ b/coordination/relays/relays.go
@@ -34,6 +34,10 @@
 	// RelaysPerFollower is how many relays a daemon follows. If one ends, the other already
 	// has the daemon's state.
 	RelaysPerFollower = 2
+	// granterCount is the number of relays, in all failure domains together, that share the
+	// quotas. It doesn't grow with the fleet: they tell each other their use several times
+	// a second, and the share of one of them must hold several prompts.
+	granterCount = 12
 )
 
 // View is what a daemon knows of its fleet.
@@ -62,6 +66,11 @@
 	// Followed holds the relays that this daemon follows, with the primary first. It is
 	// empty for a relay.
 	Followed []peers.Member
+	// Granter is set if this daemon is one of the relays that share the quotas among
+	// themselves. OtherGranters holds the others, sorted by incarnation; on a daemon that is
+	// not a relay it may lack those of other failure domains.
+	Granter       bool
+	OtherGranters []peers.Member
 	// WatchesStore is set if this daemon watches the key-value service for others.
 	// OtherWatchers holds the other daemons that do. A relay that doesn't watch gets the
 	// changes from WatchSource, the first relay of its failure domain.
@@ -89,13 +98,17 @@
 		RelaysPerDomain: relaysPerDomain(fleetSize, max(v.DomainCount, len(domains)), direct), DomainCount: len(domains),
 		Direct: fleetSize <= direct, AllWatch: fleetSize <= AllWatchFleet,
 	}
+	grantersPerDomain := grantersPerDomain(max(v.DomainCount, len(domains)))
 	var relaysInOwnDomain []peers.Member
 	for domain, membersInDomain := range domains {
 		oldest := longestRunning(slices.Clone(membersInDomain), 1)
 		if !p.Direct {
 			membersInDomain = longestRunning(membersInDomain, p.RelaysPerDomain)
 		}
-		for _, r := range membersInDomain {
+		for place, r := range membersInDomain {
+			if p.Direct || place < grantersPerDomain {
+				p.addGranter(v.Self, r)
+			}
 			if p.AllWatch || len(oldest) > 0 && r.Incarnation == oldest[0].Incarnation {
 				p.addWatcher(v.Self, r)
 			}
@@ -109,12 +122,13 @@
 			}
 		}
 	}
-	slices.SortFunc(p.OtherRelays, func(a, b peers.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	sortByIncarnation(p.OtherRelays)
+	sortByIncarnation(p.OtherGranters)
 	switch {
 	case len(relaysInOwnDomain) == 0:
 		// This daemon knows no other relay in its failure domain to follow, so it must be
 		// one.
-		p.Relay, p.WatchesStore = true, true
+		p.Relay, p.WatchesStore, p.Granter = true, true, true
 	case !p.Relay:
 		p.Followed = chooseRelays(v.Self.ID, relaysInOwnDomain)
 	}
@@ -133,6 +147,25 @@
 	}
 }
 
+// addGranter records that the relay r shares the quotas.
+func (p *Plan) addGranter(self, r peers.Member) {
+	if r.Incarnation == self.Incarnation {
+		p.Granter = true
+		return
+	}
+	p.OtherGranters = append(p.OtherGranters, r)
+}
+
+func sortByIncarnation(members []peers.Member) {
+	slices.SortFunc(members, func(a, b peers.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+}
+
+// grantersPerDomain returns the number of relays of each failure domain that share the
+// quotas: at least two, so that one can end.
+func grantersPerDomain(domains int) int {
+	return max(RelaysPerFollower, (granterCount+domains-1)/max(1, domains))
+}
+
 // relaysPerDomain returns the number of relays in each failure domain. The total is about
 // the square root of the number of daemons, so that a relay hears about as many followers
 // as other relays.
--- a/daemon/edge/confirm.go
+++ b/daemon/edge/confirm.go
@@ -16,9 +16,14 @@
 	// configuration to be the newest refuses requests with keys. The rest covers the time
 	// between the check and the arrival at the runner, and a clock that runs slightly slow.
 	keyAgeShare = 0.8
-	// confirmAfter is the age of the latest proof at which the daemon reads the service itself,
-	// since no other daemon's proof has arrived.
-	confirmAfter = 2 * time.Second
+	// confirmAgeShare is the part of Bounds.RevokeWithin that the latest proof may be old before
+	// the daemon reads the service itself. A proof that passes over a relay that watches, a
+	// relay and a follower is up to half as old when the next one arrives. The rest is left for
+	// the read and one repetition.
+	confirmAgeShare = 0.58
+	// configFeedShare is the part of Bounds.ConfigWithin that a daemon waits for its relays to
+	// pass on a newer configuration, before it reads the service itself.
+	configFeedShare = 0.2
 	// denialAgeShare is the part of Bounds.ConfigWithin up to which an unknown key or route is
 	// refused without another read of the service. A key or route that was added a moment
 	// before must not be refused.
@@ -54,6 +59,26 @@
 	return e.fresh.Age(e.deps.Steady())
 }
 
+// confirmAfter returns the age of the latest proof at which the daemon reads the service itself,
+// since no other daemon's proof has arrived.
+func (e *Edge) confirmAfter() time.Duration {
+	return time.Duration(confirmAgeShare * float64(e.settings.Bounds.RevokeWithin))
+}
+
+// shouldReadConfig reports whether this daemon should read a newer configuration, which another
+// daemon has, from the service. A daemon that gets its changes from relays waits for theirs: a
+// large configuration read by the whole fleet at the same time fills the service's link. The
+// caller must hold e.mu.
+func (e *Edge) shouldReadConfig(now time.Duration) bool {
+	if e.configBehindSince == 0 || e.table.Load() == nil {
+		return false
+	}
+	if e.relayPlan.WatchesStore {
+		return true
+	}
+	return now-e.configBehindSince > time.Duration(configFeedShare*float64(e.settings.Bounds.ConfigWithin))
+}
+
 // activeConfig returns the active configuration, nil if there is none, and the time since it
 // was proved to be the newest one. Both are read under the same lock: the age of a newer
 // configuration must not be combined with an older one, which may contain a key that has been
--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -119,12 +119,12 @@
 	}
 	now := e.deps.Steady()
 	e.mu.Lock()
-	grantsQuota := e.grantsQuota(now)
+	confirmed := e.isConfirmedRelay(now)
 	rank, _ := placeAmong(e.settings.ID, e.relayPlan.OtherRelays)
 	e.mu.Unlock()
 	e.dir.mu.Lock()
 	defer e.dir.mu.Unlock()
-	return grantsQuota && e.dir.dutyHolder == "" && e.dir.leaseFreeSince != 0 && now-e.dir.leaseFreeSince >= time.Duration(rank)*rankDelay
+	return confirmed && e.dir.dutyHolder == "" && e.dir.leaseFreeSince != 0 && now-e.dir.leaseFreeSince >= time.Duration(rank)*rankDelay
 }
 
 // performDuties does the work of the lease holder, with new state if the lease was acquired
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"geraniumstack.org/geraniumstack/coordination/accounting"
+	"geraniumstack.org/geraniumstack/coordination/feed"
 	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/coordination/membership"
 	"geraniumstack.org/geraniumstack/coordination/peers"
@@ -73,18 +74,24 @@
 	// alive are the other daemons that are alive, as of the last check. relayPlan is derived
 	// from them and says which daemons are relays and to which ones this daemon sends.
 	// relayConfirmation tracks whether the other relays elect this daemon, too: relayPlan may
-	// wrongly name it a relay while it knows only a part of the fleet. followers are the daemons
-	// that follow this one.
-	alive             []peers.Member
-	relayPlan         relays.Plan
-	relayConfirmation relays.Confirmation
+	// wrongly name it a relay while it knows only a part of the fleet. granterConfirmation is the
+	// same for the relays that share the quotas. followers are the daemons that follow this one.
+	alive               []peers.Member
+	relayPlan           relays.Plan
+	relayConfirmation   relays.Confirmation
+	granterConfirmation relays.Confirmation
 	// relaysChanged says that this daemon follows new relays and has not sent them a message
 	// yet.
 	relaysChanged bool
 	followers     map[ident.Incarnation]follower
 	// fedRelays are the other relays to which this daemon passes on the changes of the key-value
-	// service, with the revision up to which each of them has all changes.
-	fedRelays map[ident.Incarnation]uint64
+	// service, with what each of them has.
+	fedRelays map[ident.Incarnation]feedRequest
+	// configs holds the latest versions of the operator's configuration as they were read.
+	configs feed.ConfigHistory
+	// configBehindSince is when another daemon was first found to have a newer configuration;
+	// zero if none has.
+	configBehindSince time.Duration
 	// coverage records when each daemon's usage counts were last received. The keys of
 	// requestedCountsByRelay are relays that lack a daemon's usage counts and have asked this
 	// daemon for them; the value is the daemon whose counts are asked for.
@@ -113,7 +120,11 @@
 	pools   map[string]*pool
 
 	// dir is this daemon's copy of the key-value service; it has a lock of its own.
-	dir directory
+	// snapshotPatience is how long it waits for the next part of it from relays. fleetFound is
+	// closed when the size of the fleet has been looked up.
+	dir              directory
+	snapshotPatience time.Duration
+	fleetFound       chan struct{}
 
 	// directMode, relayMode and allWatch copy fields of relayPlan for code that can't wait for
 	// mu.
@@ -156,7 +167,7 @@
 			Started: time.Now().UnixMilli(),
 		}),
 		followers:              map[ident.Incarnation]follower{},
-		fedRelays:              map[ident.Incarnation]uint64{},
+		fedRelays:              map[ident.Incarnation]feedRequest{},
 		rosterRequesters:       map[ident.Incarnation]string{},
 		requestedCountsByRelay: map[ident.Incarnation]ident.Incarnation{},
 		stamps:                 map[ident.Incarnation]freshness.Stamp{},
@@ -167,10 +178,12 @@
 		limiter: quota.New(now, settings.Bounds.QuotaWindow, settings.Bounds.QuotaTolerance, settings.FleetNeverServed),
 		// Each daemon begins to send the usage counts of ended daemons after its own incarnation,
 		// so that all daemons together have sent those of all ended daemons within a few messages.
-		lastEndedSent: self,
-		pools:         map[string]*pool{},
+		lastEndedSent:    self,
+		pools:            map[string]*pool{},
+		snapshotPatience: minSnapshotPatience + mathrand.N(minSnapshotPatience),
+		fleetFound:       make(chan struct{}),
 	}
-	e.dir.init()
+	e.dir.init(self)
 	e.trials.init()
 	e.reported.init()
 	e.grantRequests.init()
@@ -178,6 +191,7 @@
 	// Until it hears from other daemons, a daemon plans as if it were alone.
 	e.relayPlan = relays.Elect(relays.View{Self: e.peers.Self(), DirectFleet: settings.Policy.DirectFleet()})
 	e.relayConfirmation.Start(now)
+	e.granterConfirmation.Start(now)
 	e.directMode.Store(e.relayPlan.Direct)
 	e.allWatch.Store(e.relayPlan.AllWatch)
 	e.relayMode.Store(e.relayPlan.Relay)
--- a/daemon/edge/feed.go
+++ b/daemon/edge/feed.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"geraniumstack.org/geraniumstack/coordination/feed"
 	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
@@ -13,16 +15,17 @@
 )
 
 // Some relays watch the key-value service and pass changes on to the other daemons, so that a
-// change doesn't cost the service an answer to every daemon of the fleet.
+// change doesn't cost the service an answer to every daemon of the fleet. A daemon that has just
+// started gets the whole content from its relays, too: listed by all daemons of a large fleet at
+// the same time, it would fill the service's link for longer than a call may take.
 
 const (
-	// maxFeedBytes bounds the changes in one message. When many runners change at once,
-	// several messages are needed.
-	maxFeedBytes = 8 << 10
-	// maxFeedValueBytes is the size of the longest value that is passed on. A longer
-	// configuration is read from the service by each daemon, as soon as it hears of the newer
-	// revision.
-	maxFeedValueBytes = 32 << 10
+	// maxFeedBytes bounds the changes in one message before they are compressed, which makes
+	// them about a tenth of that. When many runners change at once, several messages are needed.
+	maxFeedBytes = 64 << 10
+	// maxPackedBytes bounds the compressed changes, and the compressed configuration, in one
+	// message. A configuration that is longer is read from the service by each daemon.
+	maxPackedBytes = 20 << 10
 	// feedAgeShare is the fraction of Bounds.DrainWithin, the time in which a runner's notice
 	// must be known, that a follower's copy of the service may be old before the follower
 	// watches the service itself. The rest of that time covers its first watch.
@@ -31,6 +34,36 @@
 	feedCheckInterval = 500 * time.Millisecond
 )
 
+// feedRequest is what a daemon that gets its changes from this one has.
+type feedRequest struct {
+	wanted         bool
+	position       feed.Position
+	configRevision uint64
+}
+
+func feedRequestOf(h *peersv1.Hello) feedRequest {
+	return feedRequest{
+		wanted: h.FeedWanted, position: feed.Position{At: h.FeedAt, Log: h.FeedLog, Floor: h.FeedFloor}, configRevision: h.ConfigRevision,
+	}
+}
+
+// packedBatch is a batch of changes with its encoding for messages.
+type packedBatch struct {
+	feed.Batch
+	packed []byte
+}
+
+// askForFeed adds to a message what this daemon has of the key-value service's content.
+func (f *directory) askForFeed(h *peersv1.Hello) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.position
+	if f.snapshot != nil {
+		p = f.snapshot.Position()
+	}
+	h.FeedWanted, h.FeedAt, h.FeedLog, h.FeedFloor = true, p.At, p.Log, p.Floor
+}
+
 // feedIsCurrent reports whether relays pass changes on in time. It checks the age of the known
 // data, not whether a relay is heard: a relay that can't reach the service keeps sending
 // messages, and so does a relay that gets its feed from such a relay.
@@ -41,63 +74,228 @@
 	e.dir.mu.Lock()
 	defer e.dir.mu.Unlock()
 	oldest := e.deps.Steady() - time.Duration(feedAgeShare*float64(e.settings.Bounds.DrainWithin))
-	return !watches && !e.dir.incomplete && e.dir.at != 0 && e.dir.currentAt >= oldest
+	return !watches && !e.dir.incomplete && e.dir.position.At != 0 && e.dir.snapshot == nil && e.dir.currentAt >= oldest
 }
 
-// feedAfter returns the changes after a revision for a daemon that is up to date until then.
-func (e *Edge) feedAfter(now time.Duration, at uint64) *peersv1.Feed {
-	if at == 0 {
-		return nil // the daemon has not listed the service yet, or doesn't need a feed
+// feedAfter returns the changes, and the configuration if it is newer, for a daemon that asks for
+// them; nil if it doesn't. The caller must hold e.mu.
+func (e *Edge) feedAfter(now time.Duration, request feedRequest) *peersv1.Feed {
+	if !request.wanted {
+		return nil
 	}
+	encoded := e.encodedChanges(now, request.position)
+	encoded.After, encoded.AfterLog, encoded.AfterFloor = request.position.At, request.position.Log, request.position.Floor
+	if u, newer := e.configs.Update(request.configRevision); newer && len(u.Packed) <= maxPackedBytes {
+		encoded.Config = &peersv1.ConfigUpdate{Revision: u.Revision, BaseRevision: u.Base, Packed: u.Packed}
+	}
+	return encoded
+}
+
+// encodedChanges returns the changes after a position. Most receivers have the same position, so
+// their changes are packed once.
+func (e *Edge) encodedChanges(now time.Duration, after feed.Position) *peersv1.Feed {
 	e.dir.mu.Lock()
 	defer e.dir.mu.Unlock()
-	part, ok := e.dir.changeLog.Since(at, maxFeedBytes)
-	if !ok {
-		return &peersv1.Feed{After: at, Gap: e.dir.changeLog.LastRevision() != 0}
-	}
-	encoded := &peersv1.Feed{After: part.After, Through: part.Through, Head: e.dir.changeLog.LastRevision(), AgeNs: int64(now - e.dir.currentAt)}
-	for _, c := range part.Changes {
-		if len(c.Value) <= maxFeedValueBytes {
-			encoded.Changes = append(encoded.Changes, &peersv1.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+	head := e.dir.changeLog.LastRevision()
+	if head != e.dir.batchesHead || e.dir.batches == nil {
+		e.dir.batchesHead, e.dir.batches = head, map[feed.Position]packedBatch{}
+	}
+	b, known := e.dir.batches[after]
+	if !known {
+		var ok bool
+		if b, ok = e.packBatch(after); !ok {
+			return &peersv1.Feed{Gap: e.dir.changeLog.Forgot(after)}
 		}
+		e.dir.batches[after] = b
 	}
-	return encoded
+	return &peersv1.Feed{
+		Through: b.Next.At, ThroughLog: b.Next.Log, ThroughFloor: b.Next.Floor, Packed: b.packed,
+		Head: head, AgeNs: int64(now - e.dir.currentAt),
+	}
+}
+
+// packBatch packs the changes after a position, fewer if they would exceed maxPackedBytes. The
+// caller must hold dir.mu.
+func (e *Edge) packBatch(after feed.Position) (packedBatch, bool) {
+	for limit := maxFeedBytes; ; limit /= 2 {
+		b, ok := e.dir.changeLog.Since(after, limit)
+		if !ok || len(b.Changes) == 0 {
+			return packedBatch{Batch: b}, ok
+		}
+		packed, err := packChanges(b.Changes)
+		if err != nil {
+			e.log.Note("message_failed", decisions.F("error", err.Error()))
+			return packedBatch{}, false
+		}
+		if len(packed) <= maxPackedBytes || limit == 0 {
+			return packedBatch{b, packed}, true
+		}
+	}
+}
+
+func packChanges(changes []feed.Change) ([]byte, error) {
+	m := &peersv1.Changes{}
+	for _, c := range changes {
+		m.Changes = append(m.Changes, &peersv1.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return nil, &feed.PackError{Op: "encode", Err: err}
+	}
+	return feed.Pack(data, nil)
+}
+
+// unpackBatch decodes the changes that another daemon passes on.
+func unpackBatch(f *peersv1.Feed) (feed.Batch, error) {
+	b := feed.Batch{
+		After: feed.Position{At: f.After, Log: f.AfterLog, Floor: f.AfterFloor},
+		Next:  feed.Position{At: f.Through, Log: f.ThroughLog, Floor: f.ThroughFloor},
+	}
+	if len(f.Packed) == 0 {
+		return b, nil
+	}
+	data, err := feed.Unpack(f.Packed, nil)
+	if err != nil {
+		return b, err
+	}
+	m := &peersv1.Changes{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return b, &feed.PackError{Op: "decode", Err: err}
+	}
+	for _, c := range m.Changes {
+		b.Changes = append(b.Changes, feed.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+	}
+	return b, nil
 }
 
-// applyFeed applies the changes that a relay passes on.
+// applyFeed applies the configuration and the changes that a relay passes on.
 func (e *Edge) applyFeed(f *peersv1.Feed) {
+	if f.Config != nil {
+		e.applyConfigUpdate(f.Config)
+	}
+	b, err := unpackBatch(f)
+	if err != nil {
+		e.log.Note("message_ignored", decisions.F("reason", err.Error()))
+		return
+	}
 	now := e.deps.Steady()
+	currentAt := now - time.Duration(f.AgeNs)
 	e.dir.mu.Lock()
-	at, age := uint64(e.dir.at), time.Duration(f.AgeNs)
-	usable := !f.Gap && f.Through != 0 && f.After <= at && at != 0
 	switch {
-	case f.Gap && f.After == at && at != 0:
-		if !e.dir.incomplete {
-			e.log.Note("feed_gap", decisions.F("at", at))
+	case f.Gap && b.After == e.dir.position && e.dir.snapshot == nil:
+		e.log.Note("feed_gap", decisions.F("at", b.After.At))
+		e.dir.startSnapshot(now)
+		e.dir.mu.Unlock()
+	case e.dir.snapshot != nil:
+		added, complete := e.dir.addToSnapshot(now, b)
+		e.dir.mu.Unlock()
+		if complete {
+			e.applySnapshot()
+		} else if added {
+			e.sendRound(0) // asks for the next part
 		}
-		e.dir.incomplete = true
-	case usable && (len(f.Changes) == 0 || f.Through >= f.Head):
-		// With these changes this copy is as recent as the sender's.
-		e.dir.currentAt = max(e.dir.currentAt, now-age)
+	case b.Follows(e.dir.position):
+		e.dir.mu.Unlock()
+		e.applyChanges(eventsOf(b.Changes), b.Next, freshness.Never)
+	default:
+		e.dir.mu.Unlock()
+	}
+	e.dir.noteCurrent(f.Head, currentAt)
+}
+
+// noteCurrent records that this copy is as recent as one that has everything up to a revision.
+func (f *directory) noteCurrent(head uint64, at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if head != 0 && f.snapshot == nil && f.position.Complete() && f.position.At >= head {
+		f.currentAt = max(f.currentAt, at)
+	}
+}
+
+func eventsOf(changes []feed.Change) []kv.Event {
+	events := make([]kv.Event, 0, len(changes))
+	for _, c := range changes {
+		events = append(events, kv.Event{Entry: kv.Entry{Key: c.Key, Value: c.Value, Revision: kv.Revision(c.Revision)}, Deleted: c.Deleted})
+	}
+	return events
+}
+
+// startSnapshot begins to collect the whole content of the service from relays. The copy stays in
+// use until then. The caller must hold dir.mu.
+func (f *directory) startSnapshot(now time.Duration) {
+	f.snapshot, f.snapshotProgressAt = &feed.Snapshot{}, now
+}
+
+// startFirstSnapshot begins a snapshot if there is neither a copy nor a snapshot, and reports
+// whether it did.
+func (f *directory) startFirstSnapshot(now time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.position.At != 0 || f.snapshot != nil {
+		return false
+	}
+	f.startSnapshot(now)
+	return true
+}
+
+// wantsSnapshot reports whether this daemon collects the whole content of the service.
+func (f *directory) wantsSnapshot() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot != nil
+}
+
+// addToSnapshot adds a batch to the snapshot. It reports whether the batch followed, and whether
+// the snapshot is complete. The caller must hold dir.mu.
+func (f *directory) addToSnapshot(now time.Duration, b feed.Batch) (added, complete bool) {
+	added = f.snapshot.Add(b)
+	if added {
+		f.snapshotProgressAt = now
 	}
+	return added, f.snapshot.Complete()
+}
+
+// applySnapshot replaces the copy by the complete snapshot.
+func (e *Edge) applySnapshot() {
+	e.dir.mu.Lock()
+	s := e.dir.snapshot
+	e.dir.snapshot = nil
+	newer := s != nil && s.Position().At >= e.dir.position.At
 	e.dir.mu.Unlock()
-	if !usable {
+	if !newer {
 		return
 	}
-	events := make([]kv.Event, 0, len(f.Changes))
-	for _, c := range f.Changes {
-		events = append(events, kv.Event{Entry: kv.Entry{Key: c.Key, Value: c.Value, Revision: kv.Revision(c.Revision)}, Deleted: c.Deleted})
+	var entries []kv.Entry
+	for _, event := range eventsOf(s.Entries()) {
+		entries = append(entries, event.Entry)
 	}
-	// The time at which the relay read the changes is unknown. How recent the configuration is
-	// follows from the time stamps in the relay's message.
-	e.applyChanges(events, kv.Revision(f.Through), freshness.Never)
+	from := kv.Revision(s.Position().At)
+	e.replaceAll(entries, from, freshness.Never)
+	// Unlike a list, a snapshot shows what existed at its revision.
+	e.applyChanges(nil, s.Position(), freshness.Never)
+	e.log.Note("feed_snapshot", decisions.F("entries", len(entries)), decisions.F("at", uint64(from)))
 }
 
-// fedToFollowers reports whether changes of a key are passed on.
-func (e *Edge) fedToFollowers(key string) bool {
-	if key == e.deps.Codec.ConfigKey() {
-		return true
+// applyConfigUpdate applies a configuration that a relay passes on. The time at which the relay
+// read it is unknown; how recent it is follows from the time stamps in the relay's message.
+func (e *Edge) applyConfigUpdate(u *peersv1.ConfigUpdate) {
+	e.mu.Lock()
+	if u.Revision <= e.configs.Revision() {
+		e.mu.Unlock()
+		return
+	}
+	value, err := e.configs.Apply(feed.ConfigUpdate{Revision: u.Revision, Base: u.BaseRevision, Packed: u.Packed})
+	e.mu.Unlock()
+	if err != nil {
+		e.log.Note("config_ignored", decisions.F("reason", err.Error()), decisions.F("revision", u.Revision))
+		return
 	}
+	e.applyConfig(kv.Event{Entry: kv.Entry{Key: e.deps.Codec.ConfigKey(), Value: value, Revision: kv.Revision(u.Revision)}}, freshness.Never)
+}
+
+// fedToFollowers reports whether changes of a key are passed on in order. The configuration is
+// passed on apart from them.
+func (e *Edge) fedToFollowers(key string) bool {
 	for _, prefix := range [...]string{e.deps.Codec.RunnerPrefix(), holder.KeyPrefix, e.deps.Codec.OrderPrefix(), trialPrefix} {
 		if strings.HasPrefix(key, prefix) {
 			return true
--- a/daemon/edge/grants.go
+++ b/daemon/edge/grants.go
@@ -14,10 +14,10 @@
 )
 
 // In a large fleet, a daemon's share of a workspace's quota would be smaller than the cost of
-// one prompt. Therefore only the relays share the quotas there, and every other daemon asks a
-// relay that it follows for each request, at the cost of one message each way within its
-// failure domain. A relay whose share is used up asks another relay; the daemons of a small
-// fleet do the same.
+// one prompt. Therefore only a few relays of each failure domain, the granters, share the quotas
+// there, and every other daemon asks one of them for each request, at the cost of one message
+// each way within its failure domain. A granter whose share is used up asks another one; the
+// daemons of a small fleet do the same.
 //
 // Quota is never granted twice, since a relay that has ended grants nothing more. Quota that
 // was granted but not used, or whose grant was lost, is lost to the workspace.
@@ -190,33 +190,38 @@
 	return &peersv1.Grant{Taken: ok, WaitNs: int64(wait), Elsewhere: !ok && e.limiter.Covers(now, ws, cost)}
 }
 
-// relaysToAsk returns the addresses of the relays to ask for quota: those that this daemon
-// follows, then others of its failure domain, then those of other failure domains in random
-// order. The caller must hold e.mu.
+// relaysToAsk returns the addresses of the relays to ask for quota: the granters of this
+// daemon's failure domain, with those that it follows first, then those of other failure domains
+// in random order. The caller must hold e.mu.
 func (e *Edge) relaysToAsk() []string {
-	var addresses, remote []string
-	for _, r := range e.relayPlan.Followed {
-		addresses = append(addresses, r.PeerAddress)
-	}
-	for _, r := range e.relayPlan.OtherRelays {
+	var followed, local, remote []string
+	for _, r := range e.relayPlan.OtherGranters {
 		switch {
-		case slices.Contains(addresses, r.PeerAddress):
+		case containsMember(e.relayPlan.Followed, r.Incarnation):
+			followed = append(followed, r.PeerAddress)
 		case r.FailureDomain == e.settings.FailureDomain:
-			addresses = append(addresses, r.PeerAddress)
+			local = append(local, r.PeerAddress)
 		default:
 			remote = append(remote, r.PeerAddress)
 		}
 	}
+	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
 	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
-	addresses = append(addresses, remote...)
+	addresses := slices.Concat(followed, local, remote)
 	return addresses[:min(maxAskedRelays, len(addresses))]
 }
 
-// grantsQuota reports whether this daemon grants quota. It does if it is a relay and another
-// relay elects it, or if it hears no other relay for long enough to be the last one. In a
+// grantsQuota reports whether this daemon grants quota. It does if it is a granter and another
+// granter elects it as one, or if it hears no other one for long enough to be the last. In a
 // direct fleet every daemon does. The caller must hold e.mu.
 func (e *Edge) grantsQuota(now time.Duration) bool {
-	return e.relayPlan.Relay && (e.relayPlan.Direct || e.relayConfirmation.MayShare(now, e.hearsRelay(now)))
+	return e.relayPlan.Granter && (e.relayPlan.Direct || e.granterConfirmation.MayShare(now, e.hearsAny(now, e.relayPlan.OtherGranters)))
+}
+
+// isConfirmedRelay reports whether this daemon is a relay that another relay elects, or hears no
+// other relay for long enough to be the last one. The caller must hold e.mu.
+func (e *Edge) isConfirmedRelay(now time.Duration) bool {
+	return e.relayPlan.Relay && (e.relayPlan.Direct || e.relayConfirmation.MayShare(now, e.hearsAny(now, e.relayPlan.OtherRelays)))
 }
 
 // abandonGrants stops waiting for relays' Grants and returns the quota of those that have
@@ -314,7 +319,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.relayPlan.Relay {
+	if e.relayPlan.Granter {
 		e.limiter.Release(ident.Workspace(r.Workspace), r.Cost)
 	}
 }
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -100,20 +100,22 @@
 	return d
 }
 
-// restart starts the daemon with index i, which was killed, as a new incarnation.
+// restart starts the daemon with index i, which was killed, as a new incarnation. Its fleet has
+// served before.
 func (w *testFleet) restart(i int) *daemon {
+	w.servedBefore = true
 	w.daemons[i] = w.startDaemon(i)
 	return w.daemons[i]
 }
 
 // startDaemon starts the daemon with index i.
 func (w *testFleet) startDaemon(i int) *daemon {
-	address := fmt.Sprintf("10.0.0.%d:7600", i+1)
+	address := peerAddress(i)
 	store := &faultyStore{Store: w.store, unavailable: w.storeUnavailable}
 	ctx, cancel := context.WithCancel(context.Background())
 	var seeds []string
 	if i > 0 {
-		seeds = []string{"10.0.0.1:7600"}
+		seeds = []string{peerAddress(0)}
 	}
 	policy := edge.Policy{}
 	if w.directFleet > 0 {
@@ -128,7 +130,7 @@
 	}
 	d.Edge = edge.New(edge.Settings{
 		ID: ident.DaemonID(fmt.Sprintf("d%d", i+1)), FailureDomain: domain,
-		CallerAddress: fmt.Sprintf("10.0.0.%d:80", i+1), PeerAddress: address, Seeds: seeds, FleetNeverServed: !w.servedBefore, Policy: policy,
+		CallerAddress: fmt.Sprintf("%s:80", daemonIP(i)), PeerAddress: address, Seeds: seeds, FleetNeverServed: !w.servedBefore, Policy: policy,
 		Bounds: edge.Bounds{
 			Grace: 8 * time.Second, ConfigWithin: 2 * time.Second, DrainWithin: 3 * time.Second, RevokeWithin: 5 * time.Second, StrictRevocation: true,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, QuotaWindow: 8 * time.Second, QuotaTolerance: w.tolerance,
--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -18,8 +18,9 @@
 	// that it leaves: the longest time that a daemon may need to read the notice from the
 	// key-value service, and a few messages more.
 	noticeRepeatPeriod = largeFleetBatchDelay + time.Second
-	// maxLeaving bounds the leaving runners listed in one message.
-	maxLeaving = 3000
+	// maxLeaving bounds the leaving runners listed in one message. When more leave at once, the
+	// changes of their entries, which are compressed, arrive sooner than their hashes would.
+	maxLeaving = 256
 )
 
 // baseHello returns a new message with the fields that every recipient gets. The caller must
@@ -51,11 +52,17 @@
 	return h
 }
 
-// addQuotaUses adds what this relay took out of the quotas. The caller must hold e.mu.
-func (e *Edge) addQuotaUses(now time.Duration, h *peersv1.Hello) {
+// quotaUses returns a message with what this daemon took out of the quotas, or nil if it doesn't
+// share them. The caller must hold e.mu.
+func (e *Edge) quotaUses(now time.Duration) *peersv1.Hello {
+	if !e.relayPlan.Granter {
+		return nil
+	}
+	h := &peersv1.Hello{}
 	for ws, use := range e.limiter.Uses(now) {
 		h.Uses = append(h.Uses, &peersv1.Use{Workspace: string(ws), Taken: use.Taken, Level: use.Level})
 	}
+	return h
 }
 
 // addWork adds work in progress at the runners, the prompt tokens that callers brought, and
--- a/daemon/edge/network_test.go
+++ b/daemon/edge/network_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"time"
 )
 
 // network is a fake that carries datagrams between daemons.
@@ -22,6 +23,74 @@
 	largestMessage, messageCount, bytes int
 	// onMessage is called with each message sent, unless it is nil.
 	onMessage func(message []byte)
+	// linkRate is the rate of each daemon's link, in bytes per second and direction; zero stands
+	// for links that delay nothing.
+	linkRate float64
+	// droppedCount is the number of messages that found a link's or a socket's queue full.
+	droppedCount int
+}
+
+// maxLinkDelay is the longest time for which messages wait for a link before further ones are
+// dropped.
+const maxLinkDelay = time.Second
+
+// link is one direction of a daemon's link.
+type link struct {
+	// freeAt is when everything that waits for the link will have passed.
+	freeAt time.Time
+	// second is the number of the current second, secondBytes the bytes that passed in it, and
+	// peakBytes the most bytes in any second.
+	second                 int64
+	secondBytes, peakBytes int
+}
+
+// pass returns how long a message takes to pass the link, or false if it is dropped.
+func (l *link) pass(rate float64, bytes int) (time.Duration, bool) {
+	now := time.Now()
+	if s := now.Unix(); s != l.second {
+		l.second, l.secondBytes = s, 0
+	}
+	l.secondBytes += bytes
+	l.peakBytes = max(l.peakBytes, l.secondBytes)
+	if rate == 0 {
+		return 0, true
+	}
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	if l.freeAt.Sub(now) > maxLinkDelay {
+		return 0, false
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(bytes) / rate * float64(time.Second)))
+	return l.freeAt.Sub(now), true
+}
+
+// peakSecond returns the most bytes that a daemon has sent in any second.
+func (n *network) peakSecond() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	peak := 0
+	for _, s := range n.sockets {
+		peak = max(peak, s.out.peakBytes)
+	}
+	return peak
+}
+
+// dropped returns the number of messages that found a queue full.
+func (n *network) dropped() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.droppedCount
+}
+
+// resetCounts forgets the peaks and the dropped messages.
+func (n *network) resetCounts() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.droppedCount, n.largestMessage = 0, 0
+	for _, s := range n.sockets {
+		s.out.peakBytes, s.in.peakBytes = 0, 0
+	}
 }
 
 // observe sets the function that is called with each message; nil removes it.
@@ -88,6 +157,7 @@
 	incoming chan []byte
 	closed   chan struct{}
 	once     sync.Once
+	out, in  link
 }
 
 func (s *fakeSocket) ReadFrom(p []byte) (int, net.Addr, error) {
@@ -112,11 +182,45 @@
 	if box == nil || s.network.isDropped(s.address, to.String()) {
 		return len(p), nil
 	}
+	s.network.carry(s, box, bytes.Clone(p))
+	return len(p), nil
+}
+
+// carry passes a message through the links of both daemons. The caller must hold n.mu.
+func (n *network) carry(from, to *fakeSocket, message []byte) {
+	sent, ok := from.out.pass(n.linkRate, len(message))
+	if !ok {
+		n.droppedCount++
+		return
+	}
+	if n.linkRate == 0 {
+		n.deliver(to, message)
+		return
+	}
+	time.AfterFunc(sent, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		received, ok := to.in.pass(n.linkRate, len(message))
+		if !ok {
+			n.droppedCount++
+			return
+		}
+		time.AfterFunc(received, func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.deliver(to, message)
+		})
+	})
+}
+
+// deliver puts a message into a socket's queue; a full socket drops it. The caller must hold
+// n.mu.
+func (n *network) deliver(to *fakeSocket, message []byte) {
 	select {
-	case box.incoming <- bytes.Clone(p):
-	default: // a full socket drops messages
+	case to.incoming <- message:
+	default:
+		n.droppedCount++
 	}
-	return len(p), nil
 }
 
 func (s *fakeSocket) Close() error {
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -99,13 +99,18 @@
 	e.wallClock.Receive(id, time.Unix(0, h.TimeUnixNs), now)
 	e.updateQuotaUses(now, id, h)
 	e.handleCounts(now, id, h)
-	behind := e.fresh.Receive(freshness.Statement{
+	if e.fresh.Receive(freshness.Statement{
 		Revision: h.ConfigRevision, Echo: time.Duration(h.EchoNs), Lag: time.Duration(h.LagNs), Proved: h.Proved,
-	})
+	}) && e.configBehindSince == 0 {
+		e.configBehindSince = max(1, now)
+	}
+	readConfig := e.shouldReadConfig(now)
 	e.refreshPhase(now)
 	source := e.workSourceOf(id, h)
+	reply := e.snapshotReply(now, id, h)
 	e.mu.Unlock()
-	if behind && e.table.Load() != nil {
+	e.sendMulticast(reply)
+	if readConfig {
 		go e.confirmConfig(ctx)
 	}
 	e.receiveLeaving(h.Leaving)
@@ -148,19 +153,19 @@
 	}
 }
 
-// updateQuotaUses records what the sender of a message took out of the quotas. Only relays take
-// from quotas. Therefore nothing is recorded if this daemon is a follower, and a sender that is a
-// follower, or that this daemon doesn't elect, is noted as taking nothing. The caller must hold
-// e.mu.
+// updateQuotaUses records what the sender of a message took out of the quotas. Only granters, the
+// relays that share the quotas, take from them. Therefore nothing is recorded if this daemon is
+// none, and a sender that this daemon doesn't elect as one is noted as taking nothing. The caller
+// must hold e.mu.
 func (e *Edge) updateQuotaUses(now time.Duration, id ident.Incarnation, h *peersv1.Hello) {
-	if !e.relayPlan.Relay {
+	if !e.relayPlan.Granter {
 		return
 	}
 	if !h.Relay {
 		e.limiter.PeerLeft(id)
 		return
 	}
-	if !e.relayPlan.Direct && !e.elects(id) {
+	if !e.relayPlan.Direct && !e.sharesQuotas(id) {
 		// This daemon doesn't elect the sender. Either the sender has just started and claims
 		// to be a relay, as every daemon does at first, and grants nothing until another
 		// relay elects it. Or it doesn't know yet that the fleet has outgrown the direct
@@ -168,7 +173,7 @@
 		e.limiter.PeerLeft(id)
 		return
 	}
-	if h.Elects || e.relayPlan.Direct {
+	if h.ElectsGranter || e.relayPlan.Direct {
 		e.limiter.ApplyPeerState(now, id, time.Duration(h.AgeNs), decodeUses(h))
 	}
 }
--- a/daemon/edge/registration.go
+++ b/daemon/edge/registration.go
@@ -20,51 +20,95 @@
 	registrationTTL = 30 * time.Second
 	// registerInterval renews the entry several times during its life.
 	registerInterval = 10 * time.Second
+	// earlyRegisterInterval is the same until registerInterval after the start, while this daemon
+	// learns how large the fleet is.
+	earlyRegisterInterval = 2500 * time.Millisecond
+	// registerCheckInterval is the time between two checks whether this daemon is a relay.
+	registerCheckInterval = time.Second
 )
 
-// keepRegistered keeps an entry with this daemon's address in the key-value service.
+// keepRegistered keeps an entry with this daemon's address in the key-value service while it is a
+// relay. The entries of a large fleet's relays suffice for a daemon that starts.
 func (e *Edge) keepRegistered(ctx context.Context) {
-	var lease kv.LeaseID
+	select {
+	case <-e.fleetFound:
+	case <-ctx.Done():
+		return
+	}
+	var own ownRegistration
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, kv.DefaultCallTimeout)
-		var err error
-		if lease, err = e.register(callCtx, lease); err != nil && ctx.Err() == nil {
-			e.log.Note("registration_failed", decisions.F("error", err.Error()))
+		interval := registerCheckInterval
+		if e.shouldRegister() {
+			callCtx, cancel := context.WithTimeout(ctx, kv.DefaultCallTimeout)
+			if err := e.register(callCtx, &own); err != nil && ctx.Err() == nil {
+				e.log.Note("registration_failed", decisions.F("error", err.Error()))
+			}
+			cancel()
+			interval = registerInterval
+			if e.deps.Steady()-e.startedAt < registerInterval {
+				interval = earlyRegisterInterval
+			}
 		}
-		cancel()
-		if !pause.For(ctx, registerInterval) {
+		if !pause.For(ctx, interval) {
 			return
 		}
 	}
 }
 
-// register creates or renews the entry of this daemon. It returns the lease that the entry
-// depends on.
-func (e *Edge) register(ctx context.Context, lease kv.LeaseID) (kv.LeaseID, error) {
-	if lease != 0 {
-		err := e.deps.Store.KeepAlive(ctx, lease)
+// ownRegistration is what this daemon knows of its entry: the lease that it depends on, its
+// revision, zero if there is none, and the size of the fleet that it states.
+type ownRegistration struct {
+	lease    kv.LeaseID
+	revision kv.Revision
+	fleet    int
+}
+
+// shouldRegister reports whether this daemon is a relay, and not just one by mistake.
+func (e *Edge) shouldRegister() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.relayPlan.Relay && (e.relayPlan.Direct || !e.mayBeMistaken(e.deps.Steady()))
+}
+
+// register creates or renews the entry of this daemon. In a fleet with relays it writes the entry
+// anew if the size of the fleet has changed by half.
+func (e *Edge) register(ctx context.Context, own *ownRegistration) error {
+	e.mu.Lock()
+	self, fleet, direct := e.peers.Self(), e.peers.KnownCount(), e.relayPlan.Direct
+	e.mu.Unlock()
+	if own.lease != 0 {
+		err := e.deps.Store.KeepAlive(ctx, own.lease)
 		var expired *kv.LeaseExpiredError
-		if !errors.As(err, &expired) {
-			return lease, err
+		if !errors.As(err, &expired) && (err != nil || direct || !sizeChanged(own.fleet, fleet)) {
+			return err
+		}
+		if err != nil {
+			*own = ownRegistration{}
 		}
 	}
-	granted, err := e.deps.Store.Grant(ctx, registrationTTL)
-	if err != nil {
-		return 0, err
+	if own.lease == 0 {
+		granted, err := e.deps.Store.Grant(ctx, registrationTTL)
+		if err != nil {
+			return err
+		}
+		own.lease = granted
 	}
-	e.mu.Lock()
-	self := e.peers.Self()
-	e.mu.Unlock()
-	value, err := json.Marshal(registration{self.ID, self.Incarnation, self.FailureDomain, self.CallerAddress, self.PeerAddress, self.Started})
+	value, err := json.Marshal(registration{self.ID, self.Incarnation, self.FailureDomain, self.CallerAddress, self.PeerAddress, self.Started, fleet})
 	if err != nil {
-		return 0, fmt.Errorf("encode registration: %w", err)
+		return fmt.Errorf("encode registration: %w", err)
 	}
-	if _, err := e.deps.Store.CompareAndSwap(ctx, daemonPrefix+string(e.self), 0, value, granted); err != nil {
-		return 0, err
+	revision, err := e.deps.Store.CompareAndSwap(ctx, daemonPrefix+string(e.self), own.revision, value, own.lease)
+	if err != nil {
+		*own = ownRegistration{}
+		return err
 	}
-	return granted, nil
+	own.revision, own.fleet = revision, fleet
+	return nil
 }
 
+// sizeChanged reports whether a fleet is larger or smaller by half than stated.
+func sizeChanged(stated, fleet int) bool { return 2*fleet > 3*stated || 3*fleet < 2*stated }
+
 // registration is the stored entry of a daemon.
 type registration struct {
 	ID            ident.DaemonID      `json:"id"`
@@ -73,6 +117,8 @@
 	CallerAddress string              `json:"caller_address"`
 	PeerAddress   string              `json:"peer_address"`
 	StartedMillis int64               `json:"started_unix_ms"`
+	// Fleet is the number of daemons that this one knew when it registered.
+	Fleet int `json:"fleet,omitempty"`
 }
 
 // handleRegistration adds a daemon to the peer table by its entry. The entry may outlive the
@@ -85,6 +131,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.peers.LearnFleetSize(e.deps.Steady(), r.Fleet)
 	e.peers.Introduce(e.deps.Steady(), peers.Row{Member: peers.Member{
 		ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain,
 		CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress, Phase: peers.Starting, Started: r.StartedMillis,
--- a/daemon/edge/relay_election_test.go
+++ b/daemon/edge/relay_election_test.go
@@ -45,7 +45,11 @@
 	w.Fail()
 }
 
-func peerAddress(i int) string { return fmt.Sprintf("10.0.0.%d:7600", i+1) }
+// daemonIP returns the address of the VM of the daemon with index i, peerAddress the address to
+// which other daemons send.
+func daemonIP(i int) string { return fmt.Sprintf("10.0.%d.%d", i/250, i%250+1) }
+
+func peerAddress(i int) string { return daemonIP(i) + ":7600" }
 
 // Guards against quota that is granted in addition to the relays' shares, which together make up
 // the whole quota, by a daemon that wrongly claims to be a relay. It does so because it hears some
--- a/daemon/edge/relays_test.go
+++ b/daemon/edge/relays_test.go
@@ -501,3 +501,41 @@
 		w.True(w.daemonsKnowingWork() > 0)
 	})
 }
+
+// Guards against callers who are refused although they stay within their quota, because the relays
+// of a fleet with many of them hear each other less often than their shares are renewed.
+func TestPromptsWithinTheLimitWithManyRelays(t *testing.T) {
+	const (
+		daemons, domains   = 60, 10
+		workspaces         = 40
+		perSecond, cost    = 100_000.0, 17_000
+		floodingWorkspaces = 2
+		tolerated          = (perSecond*8+perSecond)*1.1 + 190_000
+	)
+	withFleet(t, 0, promptWorkspaces(workspaces, perSecond, cost), func(w *testFleet) {
+		for i := range domains {
+			w.domains = append(w.domains, ident.FailureDomain(fmt.Sprintf("domain-%d", i)))
+		}
+		w.tolerance = quota.Tolerance{Overage: 0.1, Slack: 190_000}
+		for range daemons {
+			w.addDaemon()
+		}
+		w.addRunners(40)
+		rates := slices.Repeat([]float64{perSecond * 0.6}, workspaces)
+		for ws := range floodingWorkspaces {
+			rates[ws] = perSecond * 6
+		}
+		l := newPromptLoad(w, cost, rates)
+		l.run(10*time.Second, anyDaemon)
+		asked, refused := 0, 0
+		for ws := range rates {
+			if ws < floodingWorkspaces {
+				w.True(l.maxTokensIn(ws, 8*time.Second) <= tolerated)
+				continue
+			}
+			asked, refused = asked+l.asked[ws], refused+l.refused[ws]
+		}
+		t.Logf("%d relays; within the limit: %d refused of %d; %v", w.relayCount(), refused, asked, l.reasons)
+		w.True(refused*100 < asked)
+	})
+}
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -26,9 +26,11 @@
 	rosterIntervalRounds = standbyRounds
 	rosterBurstRounds    = followerRounds
 	rosterRepeats        = 6
-	// remoteRosterRows is the number of daemons of other failure domains in a roster for
-	// followers, a different subset each time. Callers need them if their own failure domain
-	// is lost.
+	// localRosterRows and remoteRosterRows are the numbers of ready daemons of a follower's own
+	// failure domain and of others in its roster, a different subset each time. Followers only
+	// need them for the directory, which names a few daemons to a caller; those of other domains
+	// serve callers whose own failure domain is lost.
+	localRosterRows  = 24
 	remoteRosterRows = 8
 	// maxIntroducedRelays is the number of relays that one message introduces to the other
 	// relays, a different subset each time. Rosters between relays list followers only, so
@@ -53,9 +55,7 @@
 	// includedSeq is the sequence number of the follower's latest message whose loads are
 	// included in the sums that this relay sends.
 	includedSeq uint64
-	// feedRevision is the revision of the key-value service up to which the follower has all
-	// changes.
-	feedRevision uint64
+	feed        feedRequest
 }
 
 // tickPeers updates everything that depends on the time and on which daemons are alive: the peer
@@ -91,9 +91,14 @@
 	e.directMode.Store(e.relayPlan.Direct)
 	e.allWatch.Store(e.relayPlan.AllWatch)
 	e.relayMode.Store(e.relayPlan.Relay)
-	switch {
-	case e.relayPlan.Relay && !previous.Relay:
+	if e.relayPlan.Relay && !previous.Relay {
+		e.relayConfirmation.Start(now)
+	}
+	if e.relayPlan.Granter && !previous.Granter {
+		e.granterConfirmation.Start(now)
 		e.resetLimiter(now)
+	}
+	switch {
 	case previous.Relay && !e.relayPlan.Relay, previous.Direct && !e.relayPlan.Direct:
 		e.demotionRecipients, e.demotionSendsLeft = previous.OtherRelays, demotionRepeats
 	}
@@ -108,11 +113,10 @@
 	}
 }
 
-// resetLimiter creates a new quota limiter when this daemon becomes a relay, since the state of
-// an earlier period as a relay is out of date.
+// resetLimiter creates a new quota limiter when this daemon becomes one of the relays that share
+// the quotas, since the state of an earlier such period is out of date.
 func (e *Edge) resetLimiter(now time.Duration) {
 	first := e.settings.FleetNeverServed && now-e.startedAt < firstStartPeriod
-	e.relayConfirmation.Start(now)
 	e.limiter = quota.New(now, e.settings.Bounds.QuotaWindow, e.settings.Bounds.QuotaTolerance, first)
 	if t := e.table.Load(); t != nil {
 		e.limiter.SetLimits(now, limitsOf(t))
@@ -124,18 +128,18 @@
 	if e.relayPlan.Direct {
 		return 1 + len(e.peers.Addresses())
 	}
-	return 1 + len(e.relayPlan.OtherRelays)
+	return 1 + len(e.relayPlan.OtherGranters)
 }
 
 // isolatedQuotaParts returns the number of parts into which quotas are divided while this relay
-// hears no other relay. This relay's part covers itself and the followers whose primary it is.
+// hears no other one that shares them. This relay's part covers itself and the followers whose primary it is.
 // Zero means not isolated; it is also returned in a direct fleet, where the limiter knows every
 // daemon.
 func (e *Edge) isolatedQuotaParts(now time.Duration) int {
 	if e.relayPlan.Direct {
 		return 0
 	}
-	if e.hearsRelay(now) {
+	if e.hearsAny(now, e.relayPlan.OtherGranters) {
 		return 0
 	}
 	represented := 1
@@ -153,14 +157,16 @@
 	return slices.ContainsFunc(members, func(m peers.Member) bool { return e.peers.HeardRecently(now, m.Incarnation) })
 }
 
-// hearsRelay reports whether this daemon recently received a message from another relay. The
-// caller must hold e.mu.
-func (e *Edge) hearsRelay(now time.Duration) bool { return e.hearsAny(now, e.relayPlan.OtherRelays) }
-
 // elects reports whether another daemon is a relay according to this daemon's election. The
 // caller must hold e.mu.
 func (e *Edge) elects(id ident.Incarnation) bool { return containsMember(e.relayPlan.OtherRelays, id) }
 
+// sharesQuotas reports whether another daemon is one of the relays that share the quotas,
+// according to this daemon's election. The caller must hold e.mu.
+func (e *Edge) sharesQuotas(id ident.Incarnation) bool {
+	return containsMember(e.relayPlan.OtherGranters, id)
+}
+
 func containsMember(members []peers.Member, id ident.Incarnation) bool {
 	return slices.ContainsFunc(members, func(m peers.Member) bool { return m.Incarnation == id })
 }
@@ -178,6 +184,9 @@
 		e.rosterRequesters[id] = h.PeerAddress
 		return
 	}
+	if e.relayPlan.Granter && e.sharesQuotas(id) {
+		e.granterConfirmation.Receive(now, h.ElectsGranter)
+	}
 	if e.relayConfirmation.Receive(now, h.Elects) && !e.relayPlan.Direct {
 		e.log.Note("role_doubted", decisions.F("by", id), decisions.F("relays", 1+len(e.relayPlan.OtherRelays)),
 			decisions.F("knows", len(e.alive)), decisions.F("daemons", e.peers.FleetSize()))
@@ -206,12 +215,12 @@
 	delete(e.fedRelays, id)
 	if !h.Follows {
 		delete(e.followers, id)
-		if h.FeedAt != 0 {
-			e.fedRelays[id] = h.FeedAt
+		if request := feedRequestOf(h); request.wanted {
+			e.fedRelays[id] = request
 		}
 		return
 	}
-	f := follower{address: h.PeerAddress, lastHeard: now, primary: h.Primary, feedRevision: h.FeedAt}
+	f := follower{address: h.PeerAddress, lastHeard: now, primary: h.Primary, feed: feedRequestOf(h)}
 	if h.Primary {
 		f.includedSeq = h.Seq
 	}
@@ -260,21 +269,23 @@
 	return r
 }
 
-// domainRoster lists all daemons of this failure domain and remoteRosterRows ready ones of
-// others, for followers. The caller must hold e.mu.
+// domainRoster lists the relays of this failure domain, localRosterRows daemons of it and
+// remoteRosterRows ready ones of others, for followers. The caller must hold e.mu.
 func (e *Edge) domainRoster(now time.Duration) *peersv1.Roster {
-	var local, remote []ident.Incarnation
+	var relays, local, remote []ident.Incarnation
 	for _, m := range e.peers.Confirmed(now) {
-		if m.FailureDomain == e.settings.FailureDomain {
+		switch {
+		case m.FailureDomain != e.settings.FailureDomain:
+			if m.Phase == peers.Ready {
+				remote = append(remote, m.Incarnation)
+			}
+		case e.elects(m.Incarnation):
+			relays = append(relays, m.Incarnation)
+		default:
 			local = append(local, m.Incarnation)
-		} else if m.Phase == peers.Ready {
-			remote = append(remote, m.Incarnation)
 		}
 	}
-	for i := range uint64(min(remoteRosterRows, len(remote))) {
-		local = append(local, remote[(e.seq*remoteRosterRows+i)%uint64(len(remote))])
-	}
-	return e.buildRoster(local)
+	return e.buildRoster(slices.Concat(relays, rotatingSubset(local, e.seq, localRosterRows), rotatingSubset(remote, e.seq, remoteRosterRows)))
 }
 
 func (e *Edge) buildRoster(ids []ident.Incarnation) *peersv1.Roster {
@@ -306,6 +317,19 @@
 	return e.rosterRows(ids)
 }
 
+// introductionsTo lists the relays to introduce to one daemon: those of its failure domain, which
+// it may follow, and the granters of the others, from which a relay hears of all. The caller must
+// hold e.mu.
+func (e *Edge) introductionsTo(now time.Duration, id ident.Incarnation) []*peersv1.Row {
+	domain := ""
+	for _, row := range e.rosterRows([]ident.Incarnation{id}) {
+		domain = row.FailureDomain
+	}
+	return slices.DeleteFunc(e.introductions(now), func(row *peersv1.Row) bool {
+		return row.FailureDomain != domain && !e.sharesQuotas(ident.Incarnation(row.Incarnation))
+	})
+}
+
 // firstByID returns the first n members in the order of daemon IDs, which is also the order in
 // which daemons take over the duties.
 func firstByID(members []peers.Member, n int) []peers.Member {
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/internal/pause"
+	"geraniumstack.org/geraniumstack/state/ident"
 )
 
 // This file decides which daemons are sent a message and how often, in rounds of
@@ -66,7 +68,7 @@
 		}
 		e.duties.wake()
 		e.grantRequests.expire(e.deps.Steady())
-		if e.configAge() > confirmAfter && e.table.Load() != nil {
+		if e.configAge() > e.confirmAfter() && e.table.Load() != nil {
 			go e.confirmConfig(ctx)
 		}
 	}
@@ -75,7 +77,7 @@
 // roundsPerMessage returns the number of rounds between two messages of this daemon.
 func (e *Edge) roundsPerMessage() uint64 {
 	switch {
-	case e.directMode.Load():
+	case e.directMode.Load(), e.dir.wantsSnapshot():
 		return 1
 	case e.relayMode.Load():
 		return relayRounds
@@ -83,16 +85,19 @@
 	return followerRounds
 }
 
-// recipient is one address of a multicast with the fields that only it gets.
+// recipient is one address of a multicast with the fields that only it gets. sharesQuotas says
+// that it also gets the quota uses.
 type recipient struct {
-	address string
-	own     *peersv1.Hello
+	address      string
+	own          *peersv1.Hello
+	sharesQuotas bool
 }
 
-// multicast is a message to several recipients, with the fields that all of them get.
+// multicast is a message to several recipients, with the fields that all of them get. quotaUses
+// are fields for those recipients that share the quotas with this daemon; nil if there are none.
 type multicast struct {
-	hello *peersv1.Hello
-	to    []recipient
+	hello, quotaUses *peersv1.Hello
+	to               []recipient
 }
 
 // sendRound sends all messages that are due in a round. In round zero every kind of message is
@@ -105,7 +110,7 @@
 	w.roster = e.rosterDue(round)
 	if e.relayPlan.Relay {
 		out = append(out, e.relayMessages(now, round, w))
-	} else if round%followerRounds == 0 || e.relaysChanged {
+	} else if round%followerRounds == 0 || e.relaysChanged || e.dir.wantsSnapshot() {
 		e.relaysChanged = false
 		out = append(out, e.followedRelayMessages(now, round, w))
 	}
@@ -131,15 +136,48 @@
 func sendsRoster(messageNumber uint64) bool { return messageNumber%2 == 1 }
 
 // relayMessages builds the message to the other relays, which are all daemons in a direct
-// fleet.
+// fleet. In the rounds between two complete messages it only goes to the relays that need it
+// sooner.
 func (e *Edge) relayMessages(now time.Duration, round uint64, w workSummaries) multicast {
 	period := e.relayMessageRounds()
-	if !e.relayPlan.Direct && round%period != 0 {
-		return multicast{}
+	if e.relayPlan.Direct || round%period == 0 {
+		return e.completeRelayMessages(now, round/period, w)
 	}
-	messageNumber := round / period
-	c := multicast{hello: e.baseHello(now)}
-	e.addQuotaUses(now, c.hello)
+	c := multicast{hello: e.baseHello(now), quotaUses: e.quotaUses(now)}
+	for _, r := range e.urgentRelays() {
+		c.to = append(c.to, recipient{r.PeerAddress, e.relayReply(now, r), e.sharesQuotasWith(r)})
+	}
+	return c
+}
+
+// urgentRelays returns the relays that are sent a message in every relayRounds rounds: those that
+// share the quotas with this one, and those between which changes of the key-value service and
+// the proofs of the configuration pass.
+func (e *Edge) urgentRelays() []peers.Member {
+	return slices.DeleteFunc(slices.Clone(e.relayPlan.OtherRelays), func(r peers.Member) bool {
+		return !e.sharesQuotasWith(r) && !e.passesFeedWith(r)
+	})
+}
+
+// sharesQuotasWith reports whether this relay and another one both share the quotas.
+func (e *Edge) sharesQuotasWith(r peers.Member) bool {
+	return e.relayPlan.Granter && e.sharesQuotas(r.Incarnation)
+}
+
+// passesFeedWith reports whether one of this relay and another one gets the changes of the
+// key-value service from the other.
+func (e *Edge) passesFeedWith(r peers.Member) bool {
+	if e.relayPlan.WatchesStore {
+		return r.FailureDomain == e.settings.FailureDomain
+	}
+	return r.Incarnation == e.relayPlan.WatchSource.Incarnation
+}
+
+// completeRelayMessages builds the message to all other relays. messageNumber counts these
+// messages.
+func (e *Edge) completeRelayMessages(now time.Duration, messageNumber uint64, w workSummaries) multicast {
+	period := e.relayMessageRounds()
+	c := multicast{hello: e.baseHello(now), quotaUses: e.quotaUses(now)}
 	if e.relayPlan.Direct || period >= followerRounds || !sendsRoster(messageNumber) {
 		addWork(c.hello, w.ownAndFollowers)
 	}
@@ -153,19 +191,27 @@
 	}
 	counts := e.countsForRelays(now, messageNumber)
 	for i, r := range e.relayPlan.OtherRelays {
-		own := e.stampReply(r.Incarnation)
-		own.Elects = true
+		own := e.relayReply(now, r)
 		own.Lacks = counts.requestFor(messageNumber, i)
 		e.addRelayCounts(now, r.Incarnation, counts, own)
-		own.Feed = e.feedAfter(now, e.fedRelays[r.Incarnation])
-		if r.Incarnation == e.relayPlan.WatchSource.Incarnation && !e.relayPlan.WatchesStore {
-			own.FeedAt = e.dir.revisionReached()
-		}
-		c.to = append(c.to, recipient{r.PeerAddress, own})
+		c.to = append(c.to, recipient{r.PeerAddress, own, e.sharesQuotasWith(r)})
 	}
 	return c
 }
 
+// relayReply returns the fields of a message to another relay that only it gets. The caller must
+// hold e.mu.
+func (e *Edge) relayReply(now time.Duration, r peers.Member) *peersv1.Hello {
+	own := e.stampReply(r.Incarnation)
+	own.Elects = true
+	own.ElectsGranter = e.sharesQuotas(r.Incarnation)
+	own.Feed = e.feedAfter(now, e.fedRelays[r.Incarnation])
+	if r.Incarnation == e.relayPlan.WatchSource.Incarnation && !e.relayPlan.WatchesStore {
+		e.dir.askForFeed(own)
+	}
+	return own
+}
+
 // followedRelayMessages builds the message to the relays that this daemon follows.
 func (e *Edge) followedRelayMessages(now time.Duration, round uint64, w workSummaries) multicast {
 	c := multicast{hello: e.baseHello(now)}
@@ -179,8 +225,8 @@
 		}
 		own := e.stampReply(r.Incarnation)
 		own.Primary = i == 0
-		own.FeedAt = e.dir.revisionReached()
-		c.to = append(c.to, recipient{r.PeerAddress, own})
+		e.dir.askForFeed(own)
+		c.to = append(c.to, recipient{address: r.PeerAddress, own: own})
 	}
 	return c
 }
@@ -198,8 +244,8 @@
 		}
 		own := e.stampReply(id)
 		own.IncludedSeq = f.includedSeq
-		own.Feed = e.feedAfter(now, f.feedRevision)
-		c.to = append(c.to, recipient{f.address, own})
+		own.Feed = e.feedAfter(now, f.feed)
+		c.to = append(c.to, recipient{address: f.address, own: own})
 	}
 	if len(c.to) == 0 {
 		return c
@@ -213,6 +259,18 @@
 	return c
 }
 
+// snapshotReply builds the answer to a daemon that waits for the content of the key-value service;
+// it is sent at once. The caller must hold e.mu.
+func (e *Edge) snapshotReply(now time.Duration, id ident.Incarnation, h *peersv1.Hello) multicast {
+	request := feedRequestOf(h)
+	if !request.wanted || request.position.Complete() {
+		return multicast{}
+	}
+	own := e.stampReply(id)
+	own.Feed = e.feedAfter(now, request)
+	return multicast{hello: e.baseHello(now), to: []recipient{{address: h.PeerAddress, own: own}}}
+}
+
 // formerRelayMessages builds the announcement of a demotion. It goes to the relays that this
 // daemon was one of, and to the daemons that it shared quotas with while the fleet was direct:
 // they wait for its quota use until they know that other daemons are the relays now.
@@ -226,12 +284,12 @@
 	upToDate := e.relayPlan.Followed
 	if e.relayPlan.Relay {
 		upToDate = e.relayPlan.OtherRelays
-		e.addQuotaUses(now, c.hello)
+		proto.Merge(c.hello, e.quotaUses(now))
 		c.hello.Roster = e.domainRoster(now)
 	}
 	for _, r := range e.demotionRecipients {
 		if !containsMember(upToDate, r.Incarnation) {
-			c.to = append(c.to, recipient{r.PeerAddress, e.stampReply(r.Incarnation)})
+			c.to = append(c.to, recipient{address: r.PeerAddress, own: e.stampReply(r.Incarnation)})
 		}
 	}
 	return c
@@ -242,18 +300,14 @@
 // leaves the unheard addresses to them.
 func (e *Edge) newcomerMessages(now time.Duration, round uint64) multicast {
 	c := multicast{}
-	if e.relayPlan.Relay {
-		unheard := e.peers.UnheardAddresses(e.alive)
-		if !e.relayPlan.Direct {
-			unheard = rotatingSubset(unheard, round, maxUnheardPerRound)
-		}
-		for _, address := range unheard {
-			c.to = append(c.to, recipient{address, &peersv1.Hello{ConfigRevision: e.fresh.Revision()}})
-		}
+	for _, address := range e.unheardAddresses(now, round) {
+		c.to = append(c.to, recipient{address: address, own: &peersv1.Hello{ConfigRevision: e.fresh.Revision()}})
 	}
 	if !e.relayPlan.Direct {
 		for id, address := range e.rosterRequesters {
-			c.to = append(c.to, recipient{address, e.stampReply(id)})
+			own := e.stampReply(id)
+			own.Introduced = e.introductionsTo(now, id)
+			c.to = append(c.to, recipient{address: address, own: own})
 		}
 	}
 	clear(e.rosterRequesters)
@@ -261,13 +315,31 @@
 		return c
 	}
 	c.hello = e.baseHello(now)
-	c.hello.Introduced = e.introductions(now)
 	if e.relayPlan.Direct {
-		e.addQuotaUses(now, c.hello)
+		proto.Merge(c.hello, e.quotaUses(now))
+	} else {
+		c.hello.Roster = e.buildRoster(nil)
 	}
 	return c
 }
 
+// unheardAddresses returns addresses that no known daemon sends from, for messages. A daemon that
+// hears nobody asks its seeds in every round.
+func (e *Edge) unheardAddresses(now time.Duration, round uint64) []string {
+	if !e.relayPlan.Relay {
+		return nil
+	}
+	unheard := e.peers.UnheardAddresses(e.alive)
+	if e.relayPlan.Direct {
+		return unheard
+	}
+	unheard = rotatingSubset(unheard, round, maxUnheardPerRound)
+	if !e.hearsAny(now, e.alive) {
+		unheard = append(unheard, e.settings.Seeds...)
+	}
+	return unheard
+}
+
 // rotatingSubset returns at most limit elements of a list. Consecutive rounds go through the
 // whole list.
 func rotatingSubset[T any](list []T, round uint64, limit int) []T {
@@ -292,8 +364,17 @@
 		e.log.Note("message_failed", decisions.F("error", err.Error()))
 		return
 	}
+	quotaUses, err := proto.Marshal(&peersv1.Datagram{Hello: c.quotaUses})
+	if err != nil {
+		e.log.Note("message_failed", decisions.F("error", err.Error()))
+		return
+	}
 	for _, r := range c.to {
-		message, err := proto.MarshalOptions{}.MarshalAppend(common[:len(common):len(common)], &peersv1.Datagram{Hello: r.own})
+		message := common[:len(common):len(common)]
+		if r.sharesQuotas {
+			message = append(message, quotaUses...)
+		}
+		message, err := proto.MarshalOptions{}.MarshalAppend(message, &peersv1.Datagram{Hello: r.own})
 		if err != nil || len(message) > maxDatagramBytes {
 			e.log.Note("message_failed", decisions.F("bytes", len(message)))
 			continue
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"geraniumstack.org/geraniumstack/coordination/feed"
 	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/coordination/peers"
@@ -36,6 +38,9 @@
 	// behalf of the others. The others don't notice for that long that the service has stopped
 	// answering.
 	relayWatchTimeout = 500 * time.Millisecond
+	// settleWatchTimeout is the timeout of the first watch after a listing. Until it is answered,
+	// the listing can't be passed on: it may have been read in the middle of changes.
+	settleWatchTimeout = 20 * time.Millisecond
 	// smallFleetBatchDelay is how long a daemon waits after a change before its next watch, so
 	// that one call returns several changes. It is a small part of the two seconds within which
 	// a change must be in force.
@@ -56,6 +61,19 @@
 	// unreachable.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
+	// firstStartWait is how long a daemon at least waits at the first start of its fleet before
+	// it reads the service: by then it has exchanged messages with its seeds. It waits up to
+	// maxFirstStartWait while it hears of further daemons in each quietStartPeriod.
+	firstStartWait    = 300 * time.Millisecond
+	maxFirstStartWait = 1500 * time.Millisecond
+	quietStartPeriod  = 150 * time.Millisecond
+	// minSnapshotPatience is how long a daemon at least waits for the next part of the service's
+	// content from its relays before it lists the service itself. Twice that is the longest
+	// time, so that the daemons of a fleet without relays don't all list it at once.
+	minSnapshotPatience = 3 * time.Second
+	// mistakenRelayPeriod is the time in which a daemon that wrongly considers itself a relay
+	// should have been told by others.
+	mistakenRelayPeriod = 1500 * time.Millisecond
 	// daemonPrefix is the prefix of the keys of the daemons' registrations.
 	daemonPrefix = "daemons/"
 )
@@ -64,11 +82,22 @@
 // received from relays.
 type directory struct {
 	mu sync.Mutex
-	// changeLog holds all entries and changes that followers need. at is the revision of the
-	// key-value service up to which this copy has every change, unless incomplete is set.
-	changeLog  *feed.Log
-	at         kv.Revision
+	// changeLog holds all entries and changes that followers need, except unlogged ones: those
+	// of a part of what changed, which it gets when the rest has come. batches holds the changes
+	// after the positions that were asked for, while the log is complete up to batchesHead.
+	changeLog   *feed.Log
+	unlogged    []feed.Change
+	batches     map[feed.Position]packedBatch
+	batchesHead uint64
+	// position says which changes of the key-value service this copy has, unless incomplete is
+	// set. justListed is set from a listing until the next watch was answered.
+	position   feed.Position
 	incomplete bool
+	justListed bool
+	// snapshot collects the whole content from relays; nil if that isn't needed.
+	// snapshotProgressAt is when the last part of it arrived.
+	snapshot           *feed.Snapshot
+	snapshotProgressAt time.Duration
 	// currentAt is the last time at which the copy was known to be up to date.
 	currentAt time.Duration
 	// revisions holds the latest known revision of each key.
@@ -89,8 +118,8 @@
 	leaseFreeSince time.Duration
 }
 
-func (f *directory) init() {
-	f.changeLog = feed.NewLog()
+func (f *directory) init(self ident.Incarnation) {
+	f.changeLog = feed.NewLog(max(1, xxhash.Sum64String(string(self))))
 	f.currentAt = freshness.Never
 	f.revisions = map[string]kv.Revision{}
 	f.runners = map[string]Runner{}
@@ -102,7 +131,7 @@
 func (f *directory) revisionReached() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return uint64(f.at)
+	return f.position.At
 }
 
 // holder returns the daemon that holds the duties; empty if nobody does.
@@ -116,6 +145,8 @@
 // it follows, or by a watch of its own if there are none. If a watch has missed changes, all
 // keys are listed again.
 func (e *Edge) syncStore(ctx context.Context) {
+	e.findFleet(ctx)
+	close(e.fleetFound)
 	backoff := firstBackoff
 	reachable := true
 	for ctx.Err() == nil {
@@ -123,6 +154,10 @@
 			pause.For(ctx, feedCheckInterval)
 			continue
 		}
+		if e.awaitsSnapshot() {
+			pause.For(ctx, gossipInterval)
+			continue
+		}
 		err := e.catchUp(ctx)
 		if err == nil {
 			if !reachable {
@@ -152,6 +187,68 @@
 	}
 }
 
+// findFleet finds out how large the fleet is, before this daemon reads the key-value service. In
+// a large fleet it gets the content from relays instead. At the first start of all no daemon is
+// registered yet, but there is time to hear from others.
+func (e *Edge) findFleet(ctx context.Context) {
+	if e.settings.FleetNeverServed {
+		if len(e.settings.Seeds) > 0 {
+			e.waitForOthers(ctx)
+		}
+		return
+	}
+	entries, err := e.deps.Store.List(ctx, daemonPrefix, "", maxEntries)
+	if err != nil {
+		e.log.Note("registrations_unknown", decisions.F("error", err.Error()))
+		return
+	}
+	for _, entry := range entries {
+		e.handleRegistration(entry.Key, entry.Value)
+	}
+	e.tickPeers() // elects relays among those that are registered
+}
+
+// waitForOthers waits until this daemon knows that the fleet has relays, or has heard of others and
+// then of no further one for a while.
+func (e *Edge) waitForOthers(ctx context.Context) {
+	known := 0
+	for waited := time.Duration(0); waited < maxFirstStartWait; waited += quietStartPeriod {
+		pause.For(ctx, quietStartPeriod)
+		e.mu.Lock()
+		before, direct := known, e.relayPlan.Direct
+		known = e.peers.KnownCount()
+		e.mu.Unlock()
+		if !direct || known > 1 && known == before && waited >= firstStartWait {
+			return
+		}
+	}
+}
+
+// awaitsSnapshot reports whether this daemon needs the whole content of the key-value service and
+// should wait until its relays have sent it.
+func (e *Edge) awaitsSnapshot() bool {
+	now := e.deps.Steady()
+	e.mu.Lock()
+	mayBeFed := !e.relayPlan.Direct && (!e.relayPlan.WatchesStore || e.mayBeMistaken(now))
+	e.mu.Unlock()
+	if !mayBeFed {
+		return false
+	}
+	if e.dir.startFirstSnapshot(now) {
+		e.sendRound(0) // asks the relays at once
+	}
+	e.dir.mu.Lock()
+	defer e.dir.mu.Unlock()
+	return e.dir.snapshot != nil && now-e.dir.snapshotProgressAt < e.snapshotPatience
+}
+
+// mayBeMistaken reports whether this daemon has recently begun to consider itself a relay and no
+// other relay has confirmed it. It may just know too few other daemons yet. The caller must hold
+// e.mu.
+func (e *Edge) mayBeMistaken(now time.Duration) bool {
+	return e.relayPlan.Relay && !e.isConfirmedRelay(now) && now-e.relayConfirmation.RelaySince() < mistakenRelayPeriod
+}
+
 // markIncomplete records that changes have been missed because the service has discarded a part
 // of its history.
 func (f *directory) markIncomplete() {
@@ -163,7 +260,7 @@
 // catchUp lists all keys if this daemon has not read them yet or has missed changes.
 func (e *Edge) catchUp(ctx context.Context) error {
 	e.dir.mu.Lock()
-	complete := e.dir.at != 0 && !e.dir.incomplete
+	complete := e.dir.position.At != 0 && !e.dir.incomplete && e.dir.snapshot == nil
 	e.dir.mu.Unlock()
 	if complete {
 		return nil
@@ -231,8 +328,11 @@
 	}
 	e.noteDutyHolder(newHolder)
 	e.dir.changeLog.Reset(e.feedChanges(events), uint64(from))
-	e.dir.at = max(e.dir.at, from)
-	e.dir.incomplete = false
+	e.dir.unlogged = nil
+	if uint64(from) >= e.dir.position.At {
+		e.dir.position = feed.Position{At: uint64(from)}
+	}
+	e.dir.incomplete, e.dir.snapshot, e.dir.justListed = false, nil, true
 	e.dir.mu.Unlock()
 	for _, entry := range entries {
 		switch {
@@ -263,12 +363,15 @@
 		if err != nil {
 			return err
 		}
-		if len(events) == 0 && next > at {
+		switch {
+		case len(events) == 0 && next > at:
 			e.log.Note("watch_blind", decisions.F("at", uint64(at)), decisions.F("service_at", uint64(next)))
-		} else if len(events) == 0 {
+		case len(events) == 0:
 			e.confirmedByIdleWatch(sent, wait)
+			e.applyChanges(nil, feed.Position{At: uint64(at)}, sent)
+		default:
+			e.applyChanges(events, feed.Position{At: uint64(max(at, events[len(events)-1].Revision))}, sent)
 		}
-		e.applyChanges(events, at, sent)
 		sawChanges = len(events) > 0
 		if sawChanges {
 			// Watches return changes without gaps. So when the service answered, which was
@@ -285,6 +388,9 @@
 // at the same time. So that their next empty answers arrive one after the other, each daemon
 // then first uses a timeout by its position in the order of IDs.
 func (e *Edge) watchTimeout(sawChanges bool) time.Duration {
+	if e.dir.isJustListed() {
+		return settleWatchTimeout
+	}
 	if !e.allWatch.Load() {
 		return relayWatchTimeout
 	}
@@ -353,15 +459,20 @@
 	return largeFleetBatchDelay
 }
 
-// applyChanges applies changes and advances the copy to the revision through, or to that of the
-// last change if that is later.
-func (e *Edge) applyChanges(events []kv.Event, through kv.Revision, sent time.Duration) {
+// isJustListed reports whether no watch was answered since the last listing.
+func (f *directory) isJustListed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.justListed
+}
+
+// applyChanges applies changes and advances the copy to the position after them.
+func (e *Edge) applyChanges(events []kv.Event, next feed.Position, sent time.Duration) {
 	now := time.Now()
 	changed := false
 	e.applyTrialChanges(events)
 	e.dir.mu.Lock()
 	for _, event := range events {
-		through = max(through, event.Revision)
 		if !e.fedToFollowers(event.Key) || !e.dir.recordRevision(event.Key, event.Revision) {
 			continue
 		}
@@ -379,8 +490,15 @@
 			e.noteDutyHolder(ident.Incarnation(event.Value))
 		}
 	}
-	e.dir.changeLog.Apply(e.feedChanges(events), uint64(through))
-	e.dir.at = max(e.dir.at, through)
+	e.dir.unlogged = append(e.dir.unlogged, e.feedChanges(events)...)
+	if next.Complete() {
+		e.dir.changeLog.Apply(e.dir.unlogged, next.At)
+		e.dir.unlogged, e.dir.batches = nil, nil
+	}
+	if next.At >= e.dir.position.At {
+		e.dir.position = next
+	}
+	e.dir.justListed = false
 	e.dir.mu.Unlock()
 	for _, event := range events {
 		switch {
@@ -424,6 +542,10 @@
 	before := e.table.Load()
 	changed := e.fresh.RecordRead(uint64(event.Revision), sent)
 	e.configUnreadable = e.configUnreadable && !changed
+	e.configs.Add(uint64(event.Revision), event.Value)
+	if changed {
+		e.configBehindSince = 0
+	}
 	if changed && (before == nil || config.Version > before.Version()) {
 		e.activateConfig(route.NewTable(config), event.Revision)
 	}
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -79,7 +79,7 @@
 	now := e.deps.Steady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.relayPlan.Direct || e.grantsQuota(now) && now-e.relayConfirmation.RelaySince() >= countsCompleteAfter
+	return e.relayPlan.Direct || e.isConfirmedRelay(now) && now-e.relayConfirmation.RelaySince() >= countsCompleteAfter
 }
 
 // shouldDelayReport reports whether a window's report should wait. It waits until this daemon
--- a/daemon/edge/usage_counts.go
+++ b/daemon/edge/usage_counts.go
@@ -17,11 +17,11 @@
 // and a relay that lacks a daemon's counts asks for them.
 
 const (
-	// followerCountMessages is the number of messages over which a relay spreads the counts of
-	// all its followers. It takes more messages if those counts exceed maxCountsBytes in one
-	// of them.
-	followerCountMessages = 3
-	maxCountsBytes        = 8 << 10
+	// followerCountRounds is the time, in rounds, in which a relay sends the counts of all its
+	// followers to the relays that report them. It takes longer if those counts exceed
+	// maxCountsBytes in one message.
+	followerCountRounds = 12
+	maxCountsBytes      = 8 << 10
 	// maxRefollowTime is the longest time for which the relays may not hear a running daemon whose
 	// two followed relays ended one after the other, until it follows new ones.
 	maxRefollowTime = 4500 * time.Millisecond
@@ -147,7 +147,9 @@
 	ids = slices.Concat(ids[next:], ids[:next])
 	var selected []*peersv1.Ended
 	bytes := 0
-	for _, id := range ids[:(len(ids)+followerCountMessages-1)/followerCountMessages] {
+	// Every second message to the relays carries followers' counts.
+	messages := max(1, followerCountRounds/(2*int(e.relayMessageRounds())))
+	for _, id := range ids[:(len(ids)+messages-1)/messages] {
 		one := &peersv1.Ended{Incarnation: string(id), Windows: e.openWindowCounts(now, id), Follows: true}
 		bytes += proto.Size(one)
 		if bytes > maxCountsBytes && len(selected) > 0 {
--- a/daemon/edge/usage_saved.go
+++ b/daemon/edge/usage_saved.go
@@ -120,7 +120,7 @@
 	dutyHolder := e.dir.holder()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.grantsQuota(now) || containsMember(e.alive, dutyHolder) {
+	if !e.isConfirmedRelay(now) || containsMember(e.alive, dutyHolder) {
 		return false
 	}
 	place, _ := placeAmong(e.settings.ID, e.relayPlan.OtherRelays)
