Halve the rosters that relays send to followers

Cause: at 985 daemons (virtual time) rosters were 11.0 of the 24 MB that all daemons sent each second, 283 KB/s of a relay's 1,078 KB/s; followers need them only for the directory. Change: 12 daemons of the failure domain and 4 of others in place of 24 and 8.

--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -30,8 +30,8 @@
 	// failure domain and of others in its roster, a different subset each time. Followers only
 	// need them for the directory, which names a few daemons to a caller; those of other domains
 	// serve callers whose own failure domain is lost.
-	localRosterRows  = 24
-	remoteRosterRows = 8
+	localRosterRows  = 12
+	remoteRosterRows = 4
 	// maxIntroducedRelays is the number of relays that one message introduces to the other
 	// relays, a different subset each time. Rosters between relays list followers only, so
 	// without introductions two relays that have never heard each other would not know that
