Bound the work that a wave of leaving runners causes at a daemon

Cause: when most of 3,000 runners leave, each message with changes sorted all runners anew for the routing table, and every runner that came into the table recomputed its sets of runners (256 x 256). Leaving runners also filled the table: with 2,900 of 3,000 leaving a daemon held 25 live ones of 256. Change: the table leaves out leaving runners that it doesn't hold; a long list is passed to it once a second, runners that leave are withdrawn at once; reports are recorded together, and not again for runners that stay idle. Messages take up to 256 KB of changes before compression (the bound is the 20 KB after it), and a daemon that got a part asks for the next one at once. A relay whose feed is old watches the service itself before its followers do (0.4 of the time that a notice has, theirs stays 0.55).

--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -17,6 +17,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -178,7 +179,7 @@
 // no requests.
 func (t *Table) SetRunners(now time.Time, runners []view.Runner) {
 	t.hazard.observe(now, runners)
-	subset := Subset(t.cfg.Self, runners, MaxRunners)
+	subset := Subset(t.cfg.Self, t.withoutUselessLeaving(runners), MaxRunners)
 	t.removeUnlisted(subset)
 	for i := range subset {
 		t.setRunner(subset[i])
@@ -186,6 +187,32 @@
 	t.refresh(now)
 }
 
+// Withdraw marks runners as leaving at once, before the next list of all runners.
+func (t *Table) Withdraw(now time.Time, ids []ident.RunnerID) {
+	found := false
+	for _, id := range ids {
+		if i, ok := t.byID[id]; ok {
+			t.slots[i].runner.State, found = view.Leaving, true
+		}
+	}
+	if found {
+		t.refresh(now)
+	}
+}
+
+// withoutUselessLeaving leaves out the leaving runners that this table doesn't hold if there are
+// more runners than it can hold. When most of a large fleet's runners leave at once, they would
+// fill the table, and the few that stay would not be used.
+func (t *Table) withoutUselessLeaving(runners []view.Runner) []view.Runner {
+	if len(runners) <= MaxRunners {
+		return runners
+	}
+	return slices.DeleteFunc(slices.Clone(runners), func(r view.Runner) bool {
+		i, held := t.byID[r.ID]
+		return r.State == view.Leaving && (!held || t.scores[i].inFlight == 0)
+	})
+}
+
 func (t *Table) removeUnlisted(runners []view.Runner) {
 	listed := make(map[ident.RunnerID]bool, len(runners))
 	for i := range runners {
@@ -312,13 +339,38 @@
 // Report replaces a runner's load report. The runner's load is then the report plus this gateway's
 // load changes since the report's AsOf time. A report older than the current one is ignored.
 func (t *Table) Report(now time.Time, id ident.RunnerID, r load.Report) {
+	if t.applyReport(id, r) {
+		t.refresh(now)
+	}
+}
+
+// RunnerReport is the load report of one runner.
+type RunnerReport struct {
+	Runner ident.RunnerID
+	load.Report
+}
+
+// ReportAll records several reports. One call costs less than a Report each: the sets of runners
+// are recomputed once.
+func (t *Table) ReportAll(now time.Time, reports []RunnerReport) {
+	replaced := false
+	for i := range reports {
+		replaced = t.applyReport(reports[i].Runner, reports[i].Report) || replaced
+	}
+	if replaced {
+		t.refresh(now)
+	}
+}
+
+// applyReport records a report and reports whether the sets of runners must be recomputed.
+func (t *Table) applyReport(id ident.RunnerID, r load.Report) bool {
 	i, ok := t.byID[id]
 	if !ok {
-		return
+		return false
 	}
 	s := &t.slots[i]
 	if s.reported && r.AsOf.Before(s.report.AsOf) {
-		return
+		return false
 	}
 	replaced := !s.reported || !sameModels(s.report.Models, r.Models) || r.Leaving != s.report.Leaving
 	s.reported, s.report = true, r
@@ -339,9 +391,7 @@
 	s.freeTokens = float64(max(r.KVBlocksFree*prefix.BlockTokens, r.KVBlocksTotal*prefix.BlockTokens-r.RunningTokens))
 	t.sumChangesSinceReport(i)
 	t.rescore(i)
-	if replaced {
-		t.refresh(now)
-	}
+	return replaced
 }
 
 func sameModels(a, b []load.Model) bool {
--- a/daemon/edge/feed.go
+++ b/daemon/edge/feed.go
@@ -21,15 +21,18 @@
 
 const (
 	// maxFeedBytes bounds the changes in one message before they are compressed, which makes
-	// them about a tenth of that. When many runners change at once, several messages are needed.
-	maxFeedBytes = 64 << 10
+	// them a tenth of that or less. When many runners change at once, several messages are needed.
+	maxFeedBytes = 256 << 10
 	// maxPackedBytes bounds the compressed changes, and the compressed configuration, in one
 	// message. A configuration that is longer is read from the service by each daemon.
 	maxPackedBytes = 20 << 10
-	// feedAgeShare is the fraction of Bounds.DrainWithin, the time in which a runner's notice
-	// must be known, that a follower's copy of the service may be old before the follower
-	// watches the service itself. The rest of that time covers its first watch.
-	feedAgeShare = 0.55
+	// relayFeedAgeShare and feedAgeShare are the fractions of Bounds.DrainWithin, the time in
+	// which a runner's notice must be known, that the copy of a relay and of any other daemon
+	// may be old before that daemon watches the service itself. The rest of that time covers
+	// its first watch. A relay comes first, so that its followers are fed again before they
+	// all watch.
+	relayFeedAgeShare = 0.4
+	feedAgeShare      = 0.55
 	// feedCheckInterval is the time between two checks whether the feed is current.
 	feedCheckInterval = 500 * time.Millisecond
 )
@@ -53,27 +56,20 @@
 	packed []byte
 }
 
-// askForFeed adds to a message what this daemon has of the key-value service's content.
-func (f *directory) askForFeed(h *peersv1.Hello) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	p := f.position
-	if f.snapshot != nil {
-		p = f.snapshot.Position()
-	}
-	h.FeedWanted, h.FeedAt, h.FeedLog, h.FeedFloor = true, p.At, p.Log, p.Floor
-}
-
 // feedIsCurrent reports whether relays pass changes on in time. It checks the age of the known
 // data, not whether a relay is heard: a relay that can't reach the service keeps sending
 // messages, and so does a relay that gets its feed from such a relay.
 func (e *Edge) feedIsCurrent() bool {
+	share := feedAgeShare
 	e.mu.Lock()
 	watches := e.relayPlan.WatchesStore
+	if e.relayPlan.Relay && !e.relayPlan.Direct {
+		share = relayFeedAgeShare
+	}
 	e.mu.Unlock()
 	e.dir.mu.Lock()
 	defer e.dir.mu.Unlock()
-	oldest := e.deps.Steady() - time.Duration(feedAgeShare*float64(e.settings.Bounds.DrainWithin))
+	oldest := e.deps.Steady() - time.Duration(share*float64(e.settings.Bounds.DrainWithin))
 	return !watches && !e.dir.incomplete && e.dir.position.At != 0 && e.dir.snapshot == nil && e.dir.currentAt >= oldest
 }
 
@@ -197,21 +193,15 @@
 	case b.Follows(e.dir.position):
 		e.dir.mu.Unlock()
 		e.applyChanges(eventsOf(b.Changes), b.Next, freshness.Never)
+		if !b.Next.Complete() {
+			e.sendRound(0) // asks for the next part
+		}
 	default:
 		e.dir.mu.Unlock()
 	}
 	e.dir.noteCurrent(f.Head, currentAt)
 }
 
-// noteCurrent records that this copy is as recent as one that has everything up to a revision.
-func (f *directory) noteCurrent(head uint64, at time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if head != 0 && f.snapshot == nil && f.position.Complete() && f.position.At >= head {
-		f.currentAt = max(f.currentAt, at)
-	}
-}
-
 func eventsOf(changes []feed.Change) []kv.Event {
 	events := make([]kv.Event, 0, len(changes))
 	for _, c := range changes {
@@ -220,41 +210,6 @@
 	return events
 }
 
-// startSnapshot begins to collect the whole content of the service from relays. The copy stays in
-// use until then. The caller must hold dir.mu.
-func (f *directory) startSnapshot(now time.Duration) {
-	f.snapshot, f.snapshotProgressAt = &feed.Snapshot{}, now
-}
-
-// startFirstSnapshot begins a snapshot if there is neither a copy nor a snapshot, and reports
-// whether it did.
-func (f *directory) startFirstSnapshot(now time.Duration) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.position.At != 0 || f.snapshot != nil {
-		return false
-	}
-	f.startSnapshot(now)
-	return true
-}
-
-// wantsSnapshot reports whether this daemon collects the whole content of the service.
-func (f *directory) wantsSnapshot() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.snapshot != nil
-}
-
-// addToSnapshot adds a batch to the snapshot. It reports whether the batch followed, and whether
-// the snapshot is complete. The caller must hold dir.mu.
-func (f *directory) addToSnapshot(now time.Duration, b feed.Batch) (added, complete bool) {
-	added = f.snapshot.Add(b)
-	if added {
-		f.snapshotProgressAt = now
-	}
-	return added, f.snapshot.Complete()
-}
-
 // applySnapshot replaces the copy by the complete snapshot.
 func (e *Edge) applySnapshot() {
 	e.dir.mu.Lock()
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -64,6 +64,9 @@
 	// peerLoadsAt, a time of Deps.Steady.
 	peerLoads   map[ident.RunnerID]routing.OwnLoad
 	peerLoadsAt time.Duration
+	// reportedIdle holds the runners that the routing table already knows to be idle, with the
+	// prefill rate that it was told.
+	reportedIdle map[ident.RunnerID]float64
 	// activities records for each runner the attempts in progress there.
 	activities map[ident.RunnerID]*activity
 	// prefillModel estimates the speed of model engines, serviceTime the duration of requests
@@ -96,6 +99,7 @@
 		retry:        retry.New(retryConfig(0, 0, 0)),
 		runners:      map[ident.RunnerID]Runner{},
 		peerLoads:    map[ident.RunnerID]routing.OwnLoad{},
+		reportedIdle: map[ident.RunnerID]float64{},
 		activities:   map[ident.RunnerID]*activity{},
 		prefillModel: prefill.New(firstPrefillRate),
 		serviceTime:  servicetime.New(initialServiceTime),
@@ -188,10 +192,25 @@
 		p.runners[r.ID] = r
 	}
 	p.table.SetRunners(now, list)
+	clear(p.reportedIdle)
 	p.tracker.SetRunners(ids)
 	p.updateLoadsLocked(now)
 }
 
+// withdraw stops the use of runners until the next call of setRunners, which says what became of
+// them.
+func (p *pool) withdraw(now time.Time, ids []ident.RunnerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		if r, ok := p.runners[id]; ok {
+			r.State = view.Leaving
+			p.runners[id] = r
+		}
+	}
+	p.table.Withdraw(now, ids)
+}
+
 // setPeerLoads sets the other daemons' load at this pool's runners.
 func (p *pool) setPeerLoads(now time.Time, peerLoads map[ident.RunnerID]routing.OwnLoad) {
 	p.mu.Lock()
@@ -204,14 +223,25 @@
 // routing table. The runners' own load reports are not used: all of their work comes from these
 // daemons, whose counts are more recent. The caller must hold mu.
 func (p *pool) updateLoadsLocked(now time.Time) {
+	var reports []routing.RunnerReport
 	for _, own := range p.table.OwnLoads(nil) {
 		r, ok := p.runners[own.Runner]
 		if !ok {
 			continue
 		}
 		other := p.peerLoads[own.Runner]
-		p.table.Report(now, own.Runner, p.loadReport(now, r, own, other))
+		report := p.loadReport(now, r, own, other)
+		idle := report.Running == 0 && report.QueuedTokens == 0 && report.RunningTokens == 0
+		if rate, reported := p.reportedIdle[own.Runner]; idle && reported && rate == report.PrefillRate {
+			continue
+		}
+		delete(p.reportedIdle, own.Runner)
+		if idle {
+			p.reportedIdle[own.Runner] = report.PrefillRate
+		}
+		reports = append(reports, routing.RunnerReport{Runner: own.Runner, Report: report})
 	}
+	p.table.ReportAll(now, reports)
 }
 
 func (p *pool) loadReport(now time.Time, r Runner, own, other routing.OwnLoad) load.Report {
--- a/daemon/edge/runners.go
+++ b/daemon/edge/runners.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -21,6 +22,9 @@
 // was unreachable, and a runner that is alive registers again once the service is back.
 const lapsedGrace = 1500 * time.Millisecond
 
+// publishInterval is the least time between two passes of a long list of runners to the pools.
+const publishInterval = time.Second
+
 // runnerHash returns the hash that identifies a runner in messages.
 func runnerHash(id ident.RunnerID) uint64 { return xxhash.Sum64String(string(id)) }
 
@@ -75,6 +79,7 @@
 	}
 	if r.State == view.Leaving && (!known || before.State != view.Leaving) {
 		e.dir.leavingSince[r.ID] = e.deps.Steady()
+		e.dir.withdrawn = append(e.dir.withdrawn, r.ID)
 	}
 	e.dir.runners[entry.Key] = r
 	if !known || before.State != r.State || before.ID != r.ID {
@@ -104,6 +109,7 @@
 		e.dir.runners[key] = r
 		// Daemons that receive messages only from this one must be told as well.
 		e.dir.leavingSince[r.ID] = e.deps.Steady()
+		e.dir.withdrawn = append(e.dir.withdrawn, r.ID)
 		changed = true
 		e.log.Note("runner", decisions.F("runner", r.ID), decisions.F("service", r.Service), decisions.F("failure_domain", r.FailureDomain),
 			decisions.F("state", r.State), decisions.F("told_by", "peer"))
@@ -129,6 +135,7 @@
 		return
 	}
 	delete(e.dir.runners, key)
+	e.dir.withdrawn = append(e.dir.withdrawn, r.ID)
 	e.log.Note("runner_gone", decisions.F("runner", r.ID), decisions.F("service", r.Service))
 }
 
@@ -152,11 +159,26 @@
 	}
 }
 
-// publishRunners passes the runners to the pools of their services.
+// publishRunners passes the runners to the pools of their services. While many runners come and
+// go, it does so once in publishInterval, and only withdraws those that are leaving or gone at
+// once: sorting thousands of runners for every message would take most of a small VM's processor.
 func (e *Edge) publishRunners() {
+	now := e.deps.Steady()
+	e.dir.mu.Lock()
+	withdrawn := e.dir.withdrawn
+	e.dir.withdrawn = nil
+	isLong := len(e.dir.runners) > routing.MaxRunners
+	e.dir.unpublished = isLong && e.dir.publishedAt != 0 && now-e.dir.publishedAt < publishInterval
+	if e.dir.unpublished {
+		e.dir.mu.Unlock()
+		e.withdrawRunners(withdrawn)
+		return
+	}
+	if isLong {
+		e.dir.publishedAt = max(1, now)
+	}
 	byService := map[string][]Runner{}
 	addresses := map[string]bool{}
-	e.dir.mu.Lock()
 	for _, r := range e.dir.runners {
 		byService[r.Service] = append(byService[r.Service], r)
 		addresses[r.Address] = true
@@ -169,3 +191,24 @@
 	e.poolsMu.RUnlock()
 	e.deps.Runners.Retain(addresses)
 }
+
+// publishLateRunners passes on the changes that publishRunners has left for later.
+func (e *Edge) publishLateRunners() {
+	e.dir.mu.Lock()
+	due := e.dir.unpublished && e.deps.Steady()-e.dir.publishedAt >= publishInterval
+	e.dir.mu.Unlock()
+	if due {
+		e.publishRunners()
+	}
+}
+
+func (e *Edge) withdrawRunners(ids []ident.RunnerID) {
+	if len(ids) == 0 {
+		return
+	}
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	for _, p := range e.pools {
+		p.withdraw(time.Now(), ids)
+	}
+}
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -61,6 +61,7 @@
 		round -= round % roundsPerMessage
 		e.tickPeers()
 		e.sendRound(round)
+		e.publishLateRunners()
 		e.applyPeerLoads()
 		e.reportTrials(e.deps.Steady())
 		if e.healthDue() {
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -4,13 +4,9 @@
 	"context"
 	"errors"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"geraniumstack.org/geraniumstack/coordination/feed"
-	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/coordination/quota"
 	"geraniumstack.org/geraniumstack/coordination/relays"
@@ -61,86 +57,10 @@
 	// unreachable.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
-	// firstStartWait is how long a daemon at least waits at the first start of its fleet before
-	// it reads the service: by then it has exchanged messages with its seeds. It waits up to
-	// maxFirstStartWait while it hears of further daemons in each quietStartPeriod.
-	firstStartWait    = 300 * time.Millisecond
-	maxFirstStartWait = 1500 * time.Millisecond
-	quietStartPeriod  = 150 * time.Millisecond
-	// minSnapshotPatience is how long a daemon at least waits for the next part of the service's
-	// content from its relays before it lists the service itself. Twice that is the longest
-	// time, so that the daemons of a fleet without relays don't all list it at once.
-	minSnapshotPatience = 3 * time.Second
-	// mistakenRelayPeriod is the time in which a daemon that wrongly considers itself a relay
-	// should have been told by others.
-	mistakenRelayPeriod = 1500 * time.Millisecond
 	// daemonPrefix is the prefix of the keys of the daemons' registrations.
 	daemonPrefix = "daemons/"
 )
 
-// directory is this daemon's copy of the key-value service, read from the service itself or
-// received from relays.
-type directory struct {
-	mu sync.Mutex
-	// changeLog holds all entries and changes that followers need, except unlogged ones: those
-	// of a part of what changed, which it gets when the rest has come. batches holds the changes
-	// after the positions that were asked for, while the log is complete up to batchesHead.
-	changeLog   *feed.Log
-	unlogged    []feed.Change
-	batches     map[feed.Position]packedBatch
-	batchesHead uint64
-	// position says which changes of the key-value service this copy has, unless incomplete is
-	// set. justListed is set from a listing until the next watch was answered.
-	position   feed.Position
-	incomplete bool
-	justListed bool
-	// snapshot collects the whole content from relays; nil if that isn't needed.
-	// snapshotProgressAt is when the last part of it arrived.
-	snapshot           *feed.Snapshot
-	snapshotProgressAt time.Duration
-	// currentAt is the last time at which the copy was known to be up to date.
-	currentAt time.Duration
-	// revisions holds the latest known revision of each key.
-	revisions map[string]kv.Revision
-	// runners is indexed by the key of the runner's entry.
-	runners map[string]Runner
-	// lapsed holds the runners that are still used although their entry has expired, with the
-	// time until which they are used.
-	lapsed map[string]time.Duration
-	// leavingSince holds the time at which this daemon learned that a runner is leaving.
-	leavingSince map[ident.RunnerID]time.Duration
-	// storeFailedAt is when the service last failed to answer.
-	storeFailedAt time.Duration
-	// dutyHolder is the daemon that holds the lease of the duties; empty if no daemon does.
-	dutyHolder ident.Incarnation
-	// leaseFreeSince is the time since when no daemon has held the lease of the duties; zero until
-	// the key-value service has been read.
-	leaseFreeSince time.Duration
-}
-
-func (f *directory) init(self ident.Incarnation) {
-	f.changeLog = feed.NewLog(max(1, xxhash.Sum64String(string(self))))
-	f.currentAt = freshness.Never
-	f.revisions = map[string]kv.Revision{}
-	f.runners = map[string]Runner{}
-	f.lapsed = map[string]time.Duration{}
-	f.leavingSince = map[ident.RunnerID]time.Duration{}
-}
-
-// revisionReached returns the revision up to which this copy has every change.
-func (f *directory) revisionReached() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.position.At
-}
-
-// holder returns the daemon that holds the duties; empty if nobody does.
-func (f *directory) holder() ident.Incarnation {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.dutyHolder
-}
-
 // syncStore keeps this daemon's copy of the key-value service up to date: from the relays that
 // it follows, or by a watch of its own if there are none. If a watch has missed changes, all
 // keys are listed again.
@@ -187,76 +107,6 @@
 	}
 }
 
-// findFleet finds out how large the fleet is, before this daemon reads the key-value service. In
-// a large fleet it gets the content from relays instead. At the first start of all no daemon is
-// registered yet, but there is time to hear from others.
-func (e *Edge) findFleet(ctx context.Context) {
-	if e.settings.FleetNeverServed {
-		if len(e.settings.Seeds) > 0 {
-			e.waitForOthers(ctx)
-		}
-		return
-	}
-	entries, err := e.deps.Store.List(ctx, daemonPrefix, "", maxEntries)
-	if err != nil {
-		e.log.Note("registrations_unknown", decisions.F("error", err.Error()))
-		return
-	}
-	for _, entry := range entries {
-		e.handleRegistration(entry.Key, entry.Value)
-	}
-	e.tickPeers() // elects relays among those that are registered
-}
-
-// waitForOthers waits until this daemon knows that the fleet has relays, or has heard of others and
-// then of no further one for a while.
-func (e *Edge) waitForOthers(ctx context.Context) {
-	known := 0
-	for waited := time.Duration(0); waited < maxFirstStartWait; waited += quietStartPeriod {
-		pause.For(ctx, quietStartPeriod)
-		e.mu.Lock()
-		before, direct := known, e.relayPlan.Direct
-		known = e.peers.KnownCount()
-		e.mu.Unlock()
-		if !direct || known > 1 && known == before && waited >= firstStartWait {
-			return
-		}
-	}
-}
-
-// awaitsSnapshot reports whether this daemon needs the whole content of the key-value service and
-// should wait until its relays have sent it.
-func (e *Edge) awaitsSnapshot() bool {
-	now := e.deps.Steady()
-	e.mu.Lock()
-	mayBeFed := !e.relayPlan.Direct && (!e.relayPlan.WatchesStore || e.mayBeMistaken(now))
-	e.mu.Unlock()
-	if !mayBeFed {
-		return false
-	}
-	if e.dir.startFirstSnapshot(now) {
-		e.sendRound(0) // asks the relays at once
-	}
-	e.dir.mu.Lock()
-	defer e.dir.mu.Unlock()
-	return e.dir.snapshot != nil && now-e.dir.snapshotProgressAt < e.snapshotPatience
-}
-
-// mayBeMistaken reports whether this daemon has recently begun to consider itself a relay and no
-// other relay has confirmed it. It may just know too few other daemons yet. The caller must hold
-// e.mu.
-func (e *Edge) mayBeMistaken(now time.Duration) bool {
-	return e.relayPlan.Relay && !e.isConfirmedRelay(now) && now-e.relayConfirmation.RelaySince() < mistakenRelayPeriod
-}
-
-// markIncomplete records that changes have been missed because the service has discarded a part
-// of its history.
-func (f *directory) markIncomplete() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.incomplete = true
-}
-
 // catchUp lists all keys if this daemon has not read them yet or has missed changes.
 func (e *Edge) catchUp(ctx context.Context) error {
 	e.dir.mu.Lock()
@@ -459,13 +309,6 @@
 	return largeFleetBatchDelay
 }
 
-// isJustListed reports whether no watch was answered since the last listing.
-func (f *directory) isJustListed() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.justListed
-}
-
 // applyChanges applies changes and advances the copy to the position after them.
 func (e *Edge) applyChanges(events []kv.Event, next feed.Position, sent time.Duration) {
 	now := time.Now()
