--- a/coordination/relays/relays_test.go
+++ b/coordination/relays/relays_test.go
@@ -118,3 +118,22 @@
 	is.Equal(p.RelaysPerDomain, relays.RelaysPerDomain(119, 6))
 	is.True(!p.Relay)
 }
+
+// Guards against shares of quotas that get smaller than a prompt, and relays that hear each other
+// too seldom to share them, as the fleet grows.
+func TestGrantersDontGrowWithFleet(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{60, 300, 1000, 1828} {
+		members := fleet(n, 6)
+		granters := 0
+		for i := range members {
+			p := planFor(members, i)
+			if !p.Granter {
+				continue
+			}
+			granters++
+			is.True(p.Relay)
+		}
+		is.Equal(granters, 12)
+	}
+}
--- a/daemon/edge/control_scale_test.go
+++ b/daemon/edge/control_scale_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/reflect/protoreflect"
 
@@ -249,3 +251,24 @@
 		w.True(calls[kvserver.CallGet] <= 2*largeDomains)
 	})
 }
+
+// Guards against control messages that grow with the fleet: between one of 60 and one of 240
+// daemons with as many workspaces, what the busiest daemon sends must grow more like the square
+// root of the size, which doubles, than like the size.
+func TestBusiestDaemonGrowsSlowerThanFleet(t *testing.T) {
+	const small, growth, span = 60, 4, 4 * time.Second
+	peak := func(n int) float64 {
+		bytes := 0
+		withRelayFleet(t, n, manyWorkspaces(largeWorkspaces), func(w *testFleet) {
+			time.Sleep(2 * time.Second)
+			w.network.resetCounts()
+			time.Sleep(span)
+			bytes = w.network.peakSecond()
+		})
+		return float64(bytes)
+	}
+	is := is.New(t)
+	before, after := peak(small), peak(growth*small)
+	t.Logf("busiest second: %.0f KB with %d daemons, %.0f KB with %d", before/1024, small, after/1024, growth*small)
+	is.True(after/before <= math.Sqrt(math.Sqrt(growth)*growth))
+}
