--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -132,7 +132,8 @@
 }
 
 // isolatedQuotaParts returns the number of parts into which quotas are divided while this relay
-// hears no other one that shares them. This relay's part covers itself and the followers whose primary it is.
+// hears no other one that shares them. This relay's part covers itself and the followers whose
+// primary it is.
 // Zero means not isolated; it is also returned in a direct fleet, where the limiter knows every
 // daemon.
 func (e *Edge) isolatedQuotaParts(now time.Duration) int {
