Rename two locals that hid a function and a package

Cause: the read-through: grantersPerDomain hid the function of that name, relays in domainRoster the package. A test that built a peer address itself calls peerAddress. Behaviour is unchanged; coordination/relays, coordination/feed and daemon/edge pass (without the race detector), vet, staticcheck and layers are clean.

--- a/coordination/relays/relays.go
+++ b/coordination/relays/relays.go
@@ -98,7 +98,7 @@
 		RelaysPerDomain: relaysPerDomain(fleetSize, max(v.DomainCount, len(domains)), direct), DomainCount: len(domains),
 		Direct: fleetSize <= direct, AllWatch: fleetSize <= AllWatchFleet,
 	}
-	grantersPerDomain := grantersPerDomain(max(v.DomainCount, len(domains)))
+	granters := grantersPerDomain(max(v.DomainCount, len(domains)))
 	var relaysInOwnDomain []peers.Member
 	for domain, membersInDomain := range domains {
 		oldest := longestRunning(slices.Clone(membersInDomain), 1)
@@ -106,7 +106,7 @@
 			membersInDomain = longestRunning(membersInDomain, p.RelaysPerDomain)
 		}
 		for place, r := range membersInDomain {
-			if p.Direct || place < grantersPerDomain {
+			if p.Direct || place < granters {
 				p.addGranter(v.Self, r)
 			}
 			if p.AllWatch || len(oldest) > 0 && r.Incarnation == oldest[0].Incarnation {
--- a/daemon/edge/relays_test.go
+++ b/daemon/edge/relays_test.go
@@ -162,7 +162,7 @@
 		const last = 39 // the daemon started last is no relay
 		d := w.daemons[last]
 		d.store.setFaults(true, false)
-		w.network.isolate(fmt.Sprintf("10.0.0.%d:7600", last+1), true)
+		w.network.isolate(peerAddress(last), true)
 		revoked := config(2)
 		revoked.Workspaces[0].Keys = []string{"key-2"}
 		w.configure(revoked)
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -273,7 +273,7 @@
 // domainRoster lists the relays of this failure domain, localRosterRows daemons of it and
 // remoteRosterRows ready ones of others, for followers. The caller must hold e.mu.
 func (e *Edge) domainRoster(now time.Duration) *peersv1.Roster {
-	var relays, local, remote []ident.Incarnation
+	var elected, local, remote []ident.Incarnation
 	for _, m := range e.peers.Confirmed(now) {
 		switch {
 		case m.FailureDomain != e.settings.FailureDomain:
@@ -281,12 +281,12 @@
 				remote = append(remote, m.Incarnation)
 			}
 		case e.elects(m.Incarnation):
-			relays = append(relays, m.Incarnation)
+			elected = append(elected, m.Incarnation)
 		default:
 			local = append(local, m.Incarnation)
 		}
 	}
-	return e.buildRoster(slices.Concat(relays, rotatingSubset(local, e.seq, localRosterRows), rotatingSubset(remote, e.seq, remoteRosterRows)))
+	return e.buildRoster(slices.Concat(elected, rotatingSubset(local, e.seq, localRosterRows), rotatingSubset(remote, e.seq, remoteRosterRows)))
 }
 
 func (e *Edge) buildRoster(ids []ident.Incarnation) *peersv1.Roster {
