Log why the report of a usage window waits

Cause: a holder of the duties that could act and reported nothing left no line.

The rule when to wait is unchanged.

--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -40,6 +40,17 @@
 	pending *reportIntent
 	// lastWindow is the newest window of any intent.
 	lastWindow accounting.Window
+	// delayed is the delay that was logged last.
+	delayed reportDelay
+}
+
+// reportDelay says what the report of a window waits for.
+type reportDelay struct {
+	window accounting.Window
+	// newRelay says that this daemon became a relay less than countsCompleteAfter ago.
+	newRelay bool
+	// uncounted is the number of daemons whose counts may not have arrived.
+	uncounted int
 }
 
 // reportUsage sends the reports that are due. Each is written to the key-value service first,
@@ -74,11 +85,8 @@
 
 // hasAllCounts reports whether this daemon has been a relay for long enough to have received
 // the counts of the other relays' followers. In a direct fleet every daemon receives all
-// counts.
-func (e *Edge) hasAllCounts() bool {
-	now := e.deps.Steady()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+// counts. The caller must hold e.mu.
+func (e *Edge) hasAllCounts(now time.Duration) bool {
 	return e.relayPlan.Direct || e.isConfirmedRelay(now) && now-e.relayConfirmation.RelaySince() >= countsCompleteAfter
 }
 
@@ -88,25 +96,40 @@
 // relay that the daemon follows. A window that is due soon is reported with the counts that are
 // known, since an incomplete report is better than none.
 func (e *Edge) shouldDelayReport(w accounting.Window) bool {
-	if !e.hasAllCounts() {
-		return true
-	}
 	now := e.deps.Steady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	endedFor := e.usageLedger.TimeSinceEnd(e.wallClock.At(now), w)
 	since := now - endedFor + accounting.SettleAfter
 	uncounted := append(e.uncounted(now, since), e.coverage.InTransit(now, countsRelayedWithin, since)...)
+	delay := reportDelay{window: w, newRelay: !e.hasAllCounts(now), uncounted: len(uncounted)}
+	if delay.newRelay {
+		e.logReportDelay(now, endedFor, delay)
+		return true
+	}
 	if len(uncounted) == 0 {
 		return false
 	}
 	if endedFor < e.settings.Bounds.UsageDue-e.settings.Bounds.LeaseTTL-reportMargin {
+		e.logReportDelay(now, endedFor, delay)
 		return true
 	}
 	e.log.Note("usage_incomplete", decisions.F("window", int64(w)), decisions.F("ended_for", endedFor), decisions.F("lacking", uncounted))
 	return false
 }
 
+// logReportDelay logs why the report of a window waits, unless that was logged already. The
+// caller must hold e.mu.
+func (e *Edge) logReportDelay(now, endedFor time.Duration, delay reportDelay) {
+	if e.duties.usage.delayed == delay {
+		return
+	}
+	e.duties.usage.delayed = delay
+	e.log.Note("usage_delayed", decisions.F("window", int64(delay.window)), decisions.F("ended_for", endedFor),
+		decisions.F("relay_for", now-e.relayConfirmation.RelaySince()), decisions.F("new_relay", delay.newRelay),
+		decisions.F("uncounted", delay.uncounted), decisions.F("token", e.duties.holder.Token()))
+}
+
 // logUsageFailure logs a failed step of reporting usage.
 func (e *Edge) logUsageFailure(step string, err error, inputs ...decisions.Field) {
 	fields := append([]decisions.Field{decisions.F("step", step)}, inputs...)
