Let a new relay report a window that is due soon

Callers' view: the usage of whole windows (30 to 40 requests here) was never reported when the holders of the duties ended one after the other.

Cause: a holder that had been a relay for less than 3 s reported nothing, however little time was left; the rule that a window is reported with what is known once its due time is near stood behind that check. The first relay in the order of IDs takes the duties, also one that was elected a moment ago.

Change: the due time's rule holds for both kinds of waiting. A relay that no other one confirms still reports nothing: it may know only its own counts. usage_incomplete says if the reporter is a new relay.

Kept is the rule: where there is time a report still waits for all counts.

--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -47,8 +47,9 @@
 // reportDelay says what the report of a window waits for.
 type reportDelay struct {
 	window accounting.Window
-	// newRelay says that this daemon became a relay less than countsCompleteAfter ago.
-	newRelay bool
+	// unconfirmed says that no other relay considers this daemon one, newRelay that it became one
+	// less than countsCompleteAfter ago.
+	unconfirmed, newRelay bool
 	// uncounted is the number of daemons whose counts may not have arrived.
 	uncounted int
 }
@@ -83,18 +84,21 @@
 	}
 }
 
-// hasAllCounts reports whether this daemon has been a relay for long enough to have received
-// the counts of the other relays' followers. In a direct fleet every daemon receives all
-// counts. The caller must hold e.mu.
-func (e *Edge) hasAllCounts(now time.Duration) bool {
-	return e.relayPlan.Direct || e.isConfirmedRelay(now) && now-e.relayConfirmation.RelaySince() >= countsCompleteAfter
+// isNewRelay reports whether this daemon became a relay so recently that it may not have received
+// the counts of the other relays' followers. In a direct fleet every daemon receives all counts.
+// The caller must hold e.mu.
+func (e *Edge) isNewRelay(now time.Duration) bool {
+	return !e.relayPlan.Direct && now-e.relayConfirmation.RelaySince() < countsCompleteAfter
 }
 
 // shouldDelayReport reports whether a window's report should wait. It waits until this daemon
 // has received the counts that relays send each other, and for the counts of a daemon that is
 // cut off for a moment or whose relay has just ended; those counts arrive through the next
 // relay that the daemon follows. A window that is due soon is reported with the counts that are
-// known, since an incomplete report is better than none.
+// known, since an incomplete report is better than none. That includes a new relay: if one
+// holder after the other ends before it has been a relay for countsCompleteAfter, the window
+// would not be reported at all. A relay that no other one confirms may know little more than
+// its own counts and reports nothing.
 func (e *Edge) shouldDelayReport(w accounting.Window) bool {
 	now := e.deps.Steady()
 	e.mu.Lock()
@@ -102,32 +106,31 @@
 	endedFor := e.usageLedger.TimeSinceEnd(e.wallClock.At(now), w)
 	since := now - endedFor + accounting.SettleAfter
 	uncounted := append(e.uncounted(now, since), e.coverage.InTransit(now, countsRelayedWithin, since)...)
-	delay := reportDelay{window: w, newRelay: !e.hasAllCounts(now), uncounted: len(uncounted)}
-	if delay.newRelay {
-		e.logReportDelay(now, endedFor, delay)
+	reason := reportDelay{window: w, unconfirmed: !e.isConfirmedRelay(now), newRelay: e.isNewRelay(now), uncounted: len(uncounted)}
+	complete := !reason.newRelay && len(uncounted) == 0
+	dueSoon := endedFor >= e.settings.Bounds.UsageDue-e.settings.Bounds.LeaseTTL-reportMargin
+	if reason.unconfirmed || !complete && !dueSoon {
+		e.logReportDelay(now, endedFor, reason)
 		return true
 	}
-	if len(uncounted) == 0 {
-		return false
-	}
-	if endedFor < e.settings.Bounds.UsageDue-e.settings.Bounds.LeaseTTL-reportMargin {
-		e.logReportDelay(now, endedFor, delay)
-		return true
+	if !complete {
+		e.log.Note("usage_incomplete", decisions.F("window", int64(w)), decisions.F("ended_for", endedFor),
+			decisions.F("new_relay", reason.newRelay), decisions.F("lacking", uncounted))
 	}
-	e.log.Note("usage_incomplete", decisions.F("window", int64(w)), decisions.F("ended_for", endedFor), decisions.F("lacking", uncounted))
 	return false
 }
 
 // logReportDelay logs why the report of a window waits, unless that was logged already. The
 // caller must hold e.mu.
-func (e *Edge) logReportDelay(now, endedFor time.Duration, delay reportDelay) {
-	if e.duties.usage.delayed == delay {
+func (e *Edge) logReportDelay(now, endedFor time.Duration, reason reportDelay) {
+	if e.duties.usage.delayed == reason {
 		return
 	}
-	e.duties.usage.delayed = delay
-	e.log.Note("usage_delayed", decisions.F("window", int64(delay.window)), decisions.F("ended_for", endedFor),
-		decisions.F("relay_for", now-e.relayConfirmation.RelaySince()), decisions.F("new_relay", delay.newRelay),
-		decisions.F("uncounted", delay.uncounted), decisions.F("token", e.duties.holder.Token()))
+	e.duties.usage.delayed = reason
+	e.log.Note("usage_delayed", decisions.F("window", int64(reason.window)), decisions.F("ended_for", endedFor),
+		decisions.F("relay_for", now-e.relayConfirmation.RelaySince()), decisions.F("new_relay", reason.newRelay),
+		decisions.F("unconfirmed", reason.unconfirmed), decisions.F("uncounted", reason.uncounted),
+		decisions.F("token", e.duties.holder.Token()))
 }
 
 // logUsageFailure logs a failed step of reporting usage.
