Take the token of usage_delayed from the tenure's state

The line was written with e.mu held and asked the holder, which locks for it; performDuties has set duties.token on the same goroutine just before. The logged token is that of the tenure, also if the lease runs out in that moment. No other change.

--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -130,7 +130,7 @@
 	e.log.Note("usage_delayed", decisions.F("window", int64(reason.window)), decisions.F("ended_for", endedFor),
 		decisions.F("relay_for", now-e.relayConfirmation.RelaySince()), decisions.F("new_relay", reason.newRelay),
 		decisions.F("unconfirmed", reason.unconfirmed), decisions.F("uncounted", reason.uncounted),
-		decisions.F("token", e.duties.holder.Token()))
+		decisions.F("token", e.duties.token))
 }
 
 // logUsageFailure logs a failed step of reporting usage.
