Let the test of new relays play its series with killOneByOne

The test wrote the loop again: runner, offset, load and pause before each end. It now gives killOneByOne a victim, the holder, and ends the other relays at the same moment of virtual time. Load, ends, offsets and the check are the same. The check stays written out: sharing it would change TestUsageOutlivesSeriesOfEnds, which the issue wants unchanged.

--- a/daemon/edge/usage_new_relays_test.go
+++ b/daemon/edge/usage_new_relays_test.go
@@ -1,15 +1,16 @@
 package edge_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
 
-// killRelays kills and restarts all relays at once.
-func (w *testFleet) killRelays() {
+// restartOtherRelays kills and restarts all relays but the daemon with index kept, at once.
+func (w *testFleet) restartOtherRelays(kept int) {
 	var relays []int
 	for i, d := range w.daemons {
-		if d.IsRelay() {
+		if i != kept && d.IsRelay() {
 			relays = append(relays, i)
 		}
 	}
@@ -28,23 +29,19 @@
 	const (
 		daemons, workspaces, ends = 12, 4, 12
 		offsets                   = 4
-		offsetStep                = 370 * time.Millisecond
 		// holderLife is longer than the second in which a new holder may not act yet.
 		holderLife = 2 * time.Second
-		// countsShared is the time until other daemons know of a served request.
-		countsShared = 500 * time.Millisecond
 	)
+	// The holder, which killOneByOne kills, ends at the same moment as the other relays.
+	holderAfterOtherRelays := func(w *testFleet, _ int, _ *rand.Rand) int {
+		holder := w.waitForHolder(holderLife)
+		w.restartOtherRelays(holder)
+		return holder
+	}
 	for offset := range offsets {
 		withFleet(t, daemons, manyWorkspaces(workspaces), func(w *testFleet) {
-			w.addRunner("r1", "app")
-			time.Sleep(4*time.Second + time.Duration(offset)*offsetStep)
 			l := newServedLoad(w, workspaces)
-			for range ends {
-				l.run(500 * time.Millisecond)
-				time.Sleep(countsShared)
-				w.waitForHolder(holderLife)
-				w.killRelays()
-			}
+			l.killOneByOne(ends, 0, offset, holderAfterOtherRelays)
 			time.Sleep(20 * time.Second)
 			w.checkReports()
 			reported := w.reportedByWindow()
