--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -40,6 +40,14 @@
 // Complete reports whether the copy holds what existed at the revision At.
 func (p Position) Complete() bool { return p.At != 0 && p.Log == 0 }
 
+// deletionsKnown returns the revision up to which the copy misses no deletion.
+func (p Position) deletionsKnown() uint64 {
+	if p.Log != 0 {
+		return p.Floor
+	}
+	return p.At
+}
+
 // Batch holds changes after a position.
 type Batch struct {
 	// After is the position that was asked for.
@@ -213,12 +221,9 @@
 	if l.unsettled || l.revision == 0 || after.Log != 0 && after.Log != l.id || l.Forgot(after) {
 		return Batch{}, false
 	}
-	floor := after.At
-	switch {
-	case after.At == 0:
+	floor := after.deletionsKnown()
+	if after.At == 0 {
 		floor = l.revision
-	case after.Log != 0:
-		floor = after.Floor
 	}
 	batch := Batch{After: after, Next: Position{At: l.revision}}
 	firstIndex, _ := slices.BinarySearchFunc(l.changes, after.At+1, func(c Change, r uint64) int { return cmp.Compare(c.Revision, r) })
@@ -245,9 +250,6 @@
 	if l.revision == 0 || after.At == 0 || after.Log != 0 && after.Log != l.id {
 		return false
 	}
-	from := after.At
-	if after.Log != 0 {
-		from = after.Floor
-	}
+	from := after.deletionsKnown()
 	return from < l.forgottenThrough || slices.ContainsFunc(l.gaps, func(g gap) bool { return g.from < from && from < g.to })
 }
