Collect the relays to introduce once a round

newcomerMessages listed and encoded all elected relays anew for each daemon that asked. The list is made once and selected from; the messages are the same. The time that this saves was not measured.

--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -318,15 +318,15 @@
 	return e.rosterRows(ids)
 }
 
-// introductionsTo lists the relays to introduce to one daemon: those of its failure domain, which
+// introductionsTo selects the relays to introduce to one daemon: those of its failure domain, which
 // it may follow, and the granters of the others, from which a relay hears of all. The caller must
 // hold e.mu.
-func (e *Edge) introductionsTo(now time.Duration, id ident.Incarnation) []*peersv1.Row {
+func (e *Edge) introductionsTo(id ident.Incarnation, introductions []*peersv1.Row) []*peersv1.Row {
 	domain := ""
 	for _, row := range e.rosterRows([]ident.Incarnation{id}) {
 		domain = row.FailureDomain
 	}
-	return slices.DeleteFunc(e.introductions(now), func(row *peersv1.Row) bool {
+	return slices.DeleteFunc(slices.Clone(introductions), func(row *peersv1.Row) bool {
 		return row.FailureDomain != domain && !e.sharesQuotas(ident.Incarnation(row.Incarnation))
 	})
 }
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -304,10 +304,11 @@
 	for _, address := range e.unheardAddresses(now, round) {
 		c.to = append(c.to, recipient{address: address, own: &peersv1.Hello{ConfigRevision: e.fresh.Revision()}})
 	}
-	if !e.relayPlan.Direct {
+	if !e.relayPlan.Direct && len(e.rosterRequesters) > 0 {
+		introductions := e.introductions(now)
 		for id, address := range e.rosterRequesters {
 			own := e.stampReply(id)
-			own.Introduced = e.introductionsTo(now, id)
+			own.Introduced = e.introductionsTo(id, introductions)
 			c.to = append(c.to, recipient{address: address, own: own})
 		}
 	}
