--- a/daemon/edge/directory.go
+++ b/daemon/edge/directory.go
@@ -68,6 +68,12 @@
 	f.leavingSince = map[ident.RunnerID]time.Duration{}
 }
 
+// hasCopy reports whether this daemon has a copy without missed changes and isn't collecting a new
+// one. The caller must hold dir.mu.
+func (f *directory) hasCopy() bool {
+	return f.position.At != 0 && !f.incomplete && f.snapshot == nil
+}
+
 // revisionReached returns the revision up to which this copy has every change.
 func (f *directory) revisionReached() uint64 {
 	f.mu.Lock()
--- a/daemon/edge/feed.go
+++ b/daemon/edge/feed.go
@@ -70,7 +70,7 @@
 	e.dir.mu.Lock()
 	defer e.dir.mu.Unlock()
 	oldest := e.deps.Steady() - time.Duration(share*float64(e.settings.Bounds.DrainWithin))
-	return !watches && !e.dir.incomplete && e.dir.position.At != 0 && e.dir.snapshot == nil && e.dir.currentAt >= oldest
+	return !watches && e.dir.hasCopy() && e.dir.currentAt >= oldest
 }
 
 // feedAfter returns the changes, and the configuration if it is newer, for a daemon that asks for
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -110,9 +110,9 @@
 // catchUp lists all keys if this daemon has not read them yet or has missed changes.
 func (e *Edge) catchUp(ctx context.Context) error {
 	e.dir.mu.Lock()
-	complete := e.dir.position.At != 0 && !e.dir.incomplete && e.dir.snapshot == nil
+	hasCopy := e.dir.hasCopy()
 	e.dir.mu.Unlock()
-	if complete {
+	if hasCopy {
 		return nil
 	}
 	return e.readAll(ctx)
