--- a/daemon/edge/confirm.go
+++ b/daemon/edge/confirm.go
@@ -18,7 +18,7 @@
 	keyAgeShare = 0.8
 	// confirmAgeShare is the part of Bounds.RevokeWithin that the latest proof may be old before
 	// the daemon reads the service itself. A proof that passes over a relay that watches, a
-	// relay and a follower is up to half as old when the next one arrives. The rest is left for
+	// relay and a follower has aged on the way when the next one arrives. The rest is left for
 	// the read and one repetition.
 	confirmAgeShare = 0.58
 	// configFeedShare is the part of Bounds.ConfigWithin that a daemon waits for its relays to
--- a/daemon/edge/feed.go
+++ b/daemon/edge/feed.go
@@ -20,8 +20,8 @@
 // the same time, it would fill the service's link for longer than a call may take.
 
 const (
-	// maxFeedBytes bounds the changes in one message before they are compressed, which makes
-	// them a tenth of that or less. When many runners change at once, several messages are needed.
+	// maxFeedBytes bounds the changes in one message before they are compressed. When many
+	// runners change at once, several messages are needed.
 	maxFeedBytes = 256 << 10
 	// maxPackedBytes bounds the compressed changes, and the compressed configuration, in one
 	// message. A configuration that is longer is read from the service by each daemon.
