Log the request rates that runners state

The adapter now passes the limit on with the answer. The daemon logs runner_limit when the limit that it knows of a runner changes, and counts limited_answers. Nothing that is sent depends on it yet. An answer without a limit lifts it only if its request was sent after the last answer that states one: answers on several connections overtake each other.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -237,6 +237,7 @@
 	}
 	defer answer.Body.Close()
 	a.activity.recordHeard(time.Now())
+	a.observeLimit(answer)
 	if answer.NotRun || answer.Misdirected {
 		return a.handleNotRun(answer)
 	}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -138,6 +138,7 @@
 	placements        placements
 	grantRequests     pendingGrants
 	recommended       recommendations
+	runnerLimits      runnerLimits
 	resolvedAddresses udpAddresses
 	configCheck       configChecker
 	duties            duties
@@ -187,6 +188,7 @@
 	e.trials.init()
 	e.reported.init()
 	e.grantRequests.init()
+	e.runnerLimits.init()
 	e.duties.init(e)
 	// Until it hears from other daemons, a daemon plans as if it were alone.
 	e.relayPlan = relays.Elect(relays.View{Self: e.peers.Self(), DirectFleet: settings.Policy.DirectFleet()})
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -200,6 +200,9 @@
 	// Events is set if the body is an event stream.
 	Events     bool
 	RetryAfter time.Duration
+	// RateLimit is the number of requests per second that the runner accepts from all daemons
+	// together; zero if it states no limit.
+	RateLimit float64
 }
 
 // SendError describes an attempt that failed before the runner answered.
