Grant requests to limited runners by permits of one owner

Cause: nothing read the limit, and nothing could have kept it. Each daemon decides alone what it sends to a runner, from counts of the others that are a message old; a rate that binds all daemons together had no place where it is counted.

Change: coordination/runnerlimit remembers what runners state and which daemon owns a runner's limit (highest hash among the daemons that share the quotas). A limited runner gets no request, retry, resumed stream or health probe without a permit of its owner, one datagram each way; a follower asks through its relay. A daemon that is denied one doesn't choose the runner for as long as the owner says; with no other runner the request is refused at once with that time (runners_limited). Daemons tell each other of changed limits at once, and repeat them in their messages. A limit ends with the first answer without one to a request sent after it was last stated, or with the runner's incarnation. A permit that comes more than 250 ms after it was asked for isn't used, so a daemon that stood still sends nothing that it had saved up.

Why it works: the bucket of a limit exists once, and holds at most two permits or those of half a second. While daemons disagree about the owner, two buckets of that depth grant; the bound allows half the rate more and 5.

--- a/coordination/runnerlimit/limits_test.go
+++ b/coordination/runnerlimit/limits_test.go
@@ -12,7 +12,7 @@
 // Guards against lifting a limit because an answer without one was overtaken by one that states it.
 func TestOvertakenAnswerLiftsNoLimit(t *testing.T) {
 	is := is.New(t)
-	k := runnerlimit.NewKnown()
+	k := runnerlimit.New()
 	is.True(!k.Observe(1*time.Second, 0, "r", 0))
 	is.True(k.Observe(2*time.Second, time.Second, "r", 0.5))
 	is.True(!k.Observe(3*time.Second, time.Second, "r", 0)) // sent before the limit was stated
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -91,7 +91,6 @@
 			return
 		}
 		s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(a.choice.Runner))
-		s.routingRequest.Exclude = s.failedRunners
 	}
 }
 
@@ -148,14 +147,11 @@
 	if ctx.Err() != nil || !now.Before(s.deadline) {
 		return nil, s.exchange.DeadlineRefusal().After(notReadyRetryAfter)
 	}
-	choice, err := s.pick(ctx, now)
-	s.recommended = ""
-	if err != nil {
-		return nil, s.refuseWithoutRunner(err)
-	}
-	if late := choice.Estimate - s.maxFirstTokenWait(now); late > 0 && s.edge.settings.Policy.Uses(RefuseEarly) {
-		return nil, s.refuseTooLate(late, choice)
+	choice, r := s.choosePermitted(ctx, now)
+	if r != nil {
+		return nil, r
 	}
+	now = time.Now()
 	a := &attempt{s: s, choice: choice, sent: now, trial: s.trialAttributionOf(choice.Runner)}
 	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
 	s.countTrialDispatch()
@@ -205,12 +201,14 @@
 	return r
 }
 
-// exclusionOf returns the set that excludes one runner from a choice; see
-// routing.Request.Exclude.
-func (p *pool) exclusionOf(id ident.RunnerID) prefix.Set {
+// exclusionOf returns the set that excludes runners from a choice; see routing.Request.Exclude.
+func (p *pool) exclusionOf(ids ...ident.RunnerID) prefix.Set {
+	if len(ids) == 0 {
+		return prefix.Set{}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table.Exclude(id)
+	return p.table.Exclude(ids...)
 }
 
 // execute sends the request and passes the answer on. It returns nil if the caller has received
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -68,6 +68,12 @@
 		e.receiveTrialReport(d.TrialReport)
 	case d.TrialAllowance != nil:
 		e.receiveAllowance(d.TrialAllowance)
+	case d.PermitRequest != nil:
+		e.handlePermitRequest(d.PermitRequest)
+	case d.Permit != nil:
+		e.handlePermit(d.Permit)
+	case d.LimitNews != nil:
+		e.handleLimitNews(d.LimitNews)
 	case d.Hello != nil:
 		e.handleHello(ctx, d.Hello)
 	}
@@ -114,6 +120,7 @@
 		go e.confirmConfig(ctx)
 	}
 	e.receiveLeaving(h.Leaving)
+	e.receiveRunnerLimits(h.PeerAddress, h.Limits)
 	e.receiveWork(id, h, source)
 	e.receivePlacements(h.Placed, source == sourceFollower)
 }
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -26,6 +26,7 @@
 // pools: retry budgets, ejections and measured demand.
 func (e *Edge) tickHealth() {
 	e.expireLapsed()
+	e.expireRunnerLimits()
 	size := e.fleetSize()
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
@@ -93,7 +94,9 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), healthConfig().ProbeTimeout)
 	defer cancel()
-	healthy := ok && p.edge.deps.Runners.Healthy(ctx, r.Address, path, id)
+	// A probe is a request, too. Without a permit for one, the next request that gets a permit
+	// shows whether the runner works.
+	healthy := ok && (!p.edge.takePermit(ctx, id) || p.edge.deps.Runners.Healthy(ctx, r.Address, path, id))
 	p.mu.Lock()
 	effects := p.tracker.HandleProbe(time.Now(), id, healthy, nil)
 	p.mu.Unlock()
--- a/daemon/edge/runner_limit_test.go
+++ b/daemon/edge/runner_limit_test.go
@@ -83,7 +83,16 @@
 	return int(limitFactor*limitWindow.Seconds()*perSecond + limitSlack)
 }
 
-// play sends requests at random daemons for the given time, and returns how many were served, by
+func (d *daemon) ended() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// play sends requests to random running daemons for the given time, and returns how many were served, by
 // reason how many were refused, and the longest that a refused one was held.
 func (w *testFleet) play(random *rand.Rand, perSecond int, span time.Duration) (served int, refused map[refusal.Reason]int, longest time.Duration) {
 	var asking sync.WaitGroup
@@ -92,6 +101,9 @@
 	for range int(span.Seconds() * float64(perSecond)) {
 		time.Sleep(time.Second / time.Duration(perSecond))
 		d := w.daemons[random.IntN(len(w.daemons))]
+		if d.ended() {
+			continue
+		}
 		asking.Go(func() {
 			start := time.Now()
 			a := w.ask(d, "/read/1", key)
@@ -145,13 +157,15 @@
 				for _, r := range limited {
 					r.setLimit(c.perSecond)
 				}
+				before, _ := w.network.traffic()
 				served, refused, longest := w.play(random, c.offered, 15*time.Second)
+				after, _ := w.network.traffic()
 				for _, r := range limited {
 					most, rate := r.worstWindow()
 					t.Logf("most in %v: %d, allowed %d; mean %.2f a second, limit %v", limitWindow, most, allowedInWindow(c.perSecond), rate, c.perSecond)
 					w.True(most <= allowedInWindow(c.perSecond))
 				}
-				t.Logf("served %d, refused %v, held at most %v", served, refused, longest)
+				t.Logf("served %d, refused %v, held at most %v; %d messages a second", served, refused, longest, (after-before)/15)
 			})
 		})
 	}
@@ -191,3 +205,61 @@
 		w.True(next.count() >= 2)
 	})
 }
+
+// Guards against permits that two daemons grant while the one that grants them ends and others
+// start.
+func TestLimitHoldsWhileDaemonsEnd(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addLimitedRunner("plain", 100*time.Millisecond)
+		var limited []*limitedRunner
+		for i := range 5 {
+			limited = append(limited, w.addLimitedRunner(fmt.Sprintf("limited%d", i), 10*time.Millisecond))
+			limited[i].setLimit(1)
+		}
+		random := rand.New(rand.NewPCG(1, 0))
+		w.play(random, 60, 3*time.Second)
+		for i := range w.daemons {
+			w.daemons[i].kill()
+			w.play(random, 60, 1500*time.Millisecond)
+			w.restart(i)
+			w.play(random, 60, 1500*time.Millisecond)
+		}
+		for _, r := range limited {
+			most, rate := r.worstWindow()
+			t.Logf("most in %v: %d, allowed %d; mean %.2f a second", limitWindow, most, allowedInWindow(1), rate)
+			w.True(most <= allowedInWindow(1))
+		}
+	})
+}
+
+// Guards against health checks that a runner in need gets on top of the requests that it accepts.
+func TestProbesOfLimitedRunnerCountAsRequests(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addLimitedRunner("plain", 10*time.Millisecond)
+		r := &limitedRunner{}
+		r.setLimit(0.2)
+		arrive := func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.arrivals = append(r.arrivals, time.Now())
+			if r.statedAt.IsZero() {
+				r.statedAt = time.Now()
+			}
+		}
+		w.addRunner("failing", "app").setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+			arrive()
+			answer := plainAnswer(http.StatusInternalServerError, "")
+			answer.RateLimit = 0.2
+			return answer, nil
+		})
+		w.runners.onProbe = func(address string) {
+			if address == "failing" {
+				arrive()
+			}
+		}
+		w.play(rand.New(rand.NewPCG(1, 0)), 60, 30*time.Second)
+		most, rate := r.worstWindow()
+		t.Logf("most in %v: %d, allowed %d; mean %.2f a second", limitWindow, most, allowedInWindow(0.2), rate)
+		w.True(most <= allowedInWindow(0.2))
+	})
+}
--- a/daemon/edge/runner_limits.go
+++ b/daemon/edge/runner_limits.go
@@ -1,20 +1,56 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/runnerlimit"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/state/ident"
 )
 
-// runnerLimits holds the request rates that runners state.
+const (
+	// maxLimitsPerMessage bounds the runners' limits in one message. In a large fleet, many
+	// runners may state one at the same time.
+	maxLimitsPerMessage = 32
+	// expireLimitsInterval is the least time between two searches for limits to forget.
+	expireLimitsInterval = time.Second
+	// limitNewsDelay is the time for which changes of limits are collected into one message.
+	limitNewsDelay = 20 * time.Millisecond
+)
+
+// runnerLimits holds the request rates that runners state, and the permits of this daemon.
 type runnerLimits struct {
 	mu    sync.Mutex
-	known *runnerlimit.Known
+	table *runnerlimit.Table
+	// deniedUntil is, for limited runners, the time until which this daemon asks for no permit,
+	// because it was denied one.
+	deniedUntil map[ident.RunnerID]time.Duration
+	// asks holds the unanswered requests for permits by ID.
+	asks      map[uint64]chan<- *peersv1.Permit
+	lastAsk   uint64
+	expiredAt time.Duration
+	// news holds the runners whose changed limits are about to be told to other daemons; the
+	// value says that a relay told this daemon.
+	news map[ident.RunnerID]bool
+}
+
+func (l *runnerLimits) init() {
+	l.table = runnerlimit.New()
+	l.deniedUntil = map[ident.RunnerID]time.Duration{}
+	l.asks = map[uint64]chan<- *peersv1.Permit{}
+	l.lastAsk = firstAskID()
+	l.news = map[ident.RunnerID]bool{}
 }
 
-func (l *runnerLimits) init() { l.known = runnerlimit.NewKnown() }
+// perSecond returns the requests per second that a runner accepts; zero if it states no limit.
+func (l *runnerLimits) perSecond(runner ident.RunnerID) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.table.PerSecond(runner)
+}
 
 // observeLimit records whether a runner's answer states a limit on its request rate.
 func (a *attempt) observeLimit(answer *Answer) {
@@ -22,14 +58,167 @@
 	now := e.deps.Steady()
 	sent := now - time.Since(a.sent)
 	e.runnerLimits.mu.Lock()
-	before := e.runnerLimits.known.PerSecond(a.choice.Runner)
-	changed := e.runnerLimits.known.Observe(now, sent, a.choice.Runner, answer.RateLimit)
+	before := e.runnerLimits.table.PerSecond(a.choice.Runner)
+	changed := e.runnerLimits.table.Observe(now, sent, a.choice.Runner, answer.RateLimit)
 	e.runnerLimits.mu.Unlock()
 	if changed {
 		a.s.note("runner_limit", decisions.F("runner", a.choice.Runner), decisions.F("per_second", answer.RateLimit),
 			decisions.F("before", before), decisions.F("sent", time.Since(a.sent)))
+		e.spreadLimit(a.choice.Runner, false)
 	}
 	if answer.RateLimit > 0 {
 		e.log.Count("limited_answers")
 	}
 }
+
+// statements returns a part of what this daemon knows of the runners' limits, for the message
+// with the number seq.
+func (l *runnerLimits) statements(now time.Duration, seq uint64) []*peersv1.RunnerLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []*peersv1.RunnerLimit
+	for _, s := range rotatingSubset(l.table.Statements(), seq, maxLimitsPerMessage) {
+		list = append(list, encodeRunnerLimit(now, s))
+	}
+	return list
+}
+
+func encodeRunnerLimit(now time.Duration, s runnerlimit.Statement) *peersv1.RunnerLimit {
+	m := &peersv1.RunnerLimit{Runner: string(s.Runner), PerSecond: s.PerSecond, Lifted: s.Lifted}
+	if s.PerSecond > 0 {
+		m.StatedAgeNs = int64(now - s.StatedAt)
+	}
+	if s.Lifted {
+		m.LiftedAgeNs = int64(now - s.LiftedAt)
+	}
+	return m
+}
+
+func decodeRunnerLimit(now time.Duration, m *peersv1.RunnerLimit) runnerlimit.Statement {
+	return runnerlimit.Statement{
+		Runner: ident.RunnerID(m.Runner), PerSecond: m.PerSecond, StatedAt: now - time.Duration(m.StatedAgeNs),
+		Lifted: m.Lifted, LiftedAt: now - time.Duration(m.LiftedAgeNs),
+	}
+}
+
+// spreadLimit tells other daemons of a runner's changed limit, together with the other changes of
+// the next moment. byRelay says that a relay told this daemon.
+func (e *Edge) spreadLimit(runner ident.RunnerID, byRelay bool) {
+	l := &e.runnerLimits
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.news) == 0 {
+		time.AfterFunc(limitNewsDelay, e.sendLimitNews)
+	}
+	l.news[runner] = byRelay
+}
+
+// sendLimitNews sends the changed limits on: in a direct fleet to all daemons, otherwise from a
+// follower to the relays that it follows, and from a relay to its followers and, unless another
+// relay told it, to the other relays.
+func (e *Edge) sendLimitNews() {
+	now := e.deps.Steady()
+	l := &e.runnerLimits
+	l.mu.Lock()
+	var own, relayed []*peersv1.RunnerLimit
+	for runner, byRelay := range l.news {
+		m := encodeRunnerLimit(now, l.table.Statement(runner))
+		if relayed = append(relayed, m); !byRelay {
+			own = append(own, m)
+		}
+	}
+	clear(l.news)
+	l.mu.Unlock()
+	e.mu.Lock()
+	isRelay := e.relayPlan.Relay
+	var relays, followers []string
+	recipients := e.relayPlan.Followed
+	if isRelay {
+		recipients = e.relayPlan.OtherRelays
+	}
+	for _, m := range recipients {
+		relays = append(relays, m.PeerAddress)
+	}
+	for _, f := range e.followers {
+		followers = append(followers, f.address)
+	}
+	e.mu.Unlock()
+	e.sendLimits(relays, own, isRelay)
+	e.sendLimits(followers, relayed, isRelay)
+}
+
+func (e *Edge) sendLimits(addresses []string, limits []*peersv1.RunnerLimit, relayed bool) {
+	if len(limits) == 0 {
+		return
+	}
+	for part := range slices.Chunk(limits, maxLimitsPerMessage) {
+		for _, address := range addresses {
+			e.sendTo(address, &peersv1.Datagram{LimitNews: &peersv1.LimitNews{PeerAddress: e.settings.PeerAddress, Limits: part, Relayed: relayed}})
+		}
+	}
+}
+
+// handleLimitNews records changed limits, and a relay passes on what it did not know.
+func (e *Edge) handleLimitNews(n *peersv1.LimitNews) {
+	for _, runner := range e.receiveRunnerLimits(n.PeerAddress, n.Limits) {
+		if e.relayMode.Load() && !e.directMode.Load() {
+			e.spreadLimit(runner, n.Relayed)
+		}
+	}
+}
+
+// receiveRunnerLimits records what another daemon knows of the runners' limits, and returns the
+// runners whose limits changed by it.
+func (e *Edge) receiveRunnerLimits(by string, limits []*peersv1.RunnerLimit) []ident.RunnerID {
+	now := e.deps.Steady()
+	var changedRunners []ident.RunnerID
+	for _, m := range limits {
+		e.runnerLimits.mu.Lock()
+		changed := e.runnerLimits.table.Merge(now, decodeRunnerLimit(now, m))
+		perSecond := e.runnerLimits.table.PerSecond(ident.RunnerID(m.Runner))
+		e.runnerLimits.mu.Unlock()
+		if changed {
+			e.log.Note("runner_limit", decisions.F("runner", m.Runner), decisions.F("per_second", perSecond), decisions.F("told_by", by),
+				decisions.F("age", time.Duration(m.StatedAgeNs)))
+			changedRunners = append(changedRunners, ident.RunnerID(m.Runner))
+		}
+	}
+	return changedRunners
+}
+
+// expireRunnerLimits forgets the limits of runners that are gone.
+func (e *Edge) expireRunnerLimits() {
+	now := e.deps.Steady()
+	l := &e.runnerLimits
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now-l.expiredAt < expireLimitsInterval {
+		return
+	}
+	l.expiredAt = now
+	l.table.Expire(now, e.knowsRunner)
+	for runner, until := range l.deniedUntil {
+		if until <= now {
+			delete(l.deniedUntil, runner)
+		}
+	}
+}
+
+// knowsRunner reports whether any service has the runner.
+func (e *Edge) knowsRunner(id ident.RunnerID) bool {
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	for _, p := range e.pools {
+		if p.hasRunner(id) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pool) hasRunner(id ident.RunnerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.runners[id]
+	return ok
+}
--- a/daemon/edge/runners_test.go
+++ b/daemon/edge/runners_test.go
@@ -41,6 +41,8 @@
 	byID map[string]*runner
 	// unresponsiveIDs are the runners that don't answer health checks.
 	unresponsiveIDs map[string]bool
+	// onProbe is called with the address of each health check, unless it is nil.
+	onProbe func(address string)
 }
 
 func newRunners() *runners {
@@ -94,8 +96,11 @@
 
 func (s *runners) Healthy(ctx context.Context, address, _ string, _ ident.RunnerID) bool {
 	s.mu.Lock()
-	unresponsive := s.unresponsiveIDs[address]
+	unresponsive, onProbe := s.unresponsiveIDs[address], s.onProbe
 	s.mu.Unlock()
+	if onProbe != nil {
+		onProbe(address)
+	}
 	if unresponsive {
 		<-ctx.Done()
 	}
--- a/daemon/edge/trials.go
+++ b/daemon/edge/trials.go
@@ -239,7 +239,7 @@
 	if first {
 		trialPlacement = s.edge.placeNewRequest(s.gate, s.route.Name)
 	}
-	s.pool.excludeByPlacement(&s.routingRequest, s.failedRunners, s.gate, trialPlacement)
+	s.pool.excludeByPlacement(&s.routingRequest, s.excludedRunners(), s.gate, trialPlacement)
 	choice, err := s.pool.pick(now, &s.routingRequest, s.recommended, first)
 	late := err == nil && choice.Estimate > s.maxFirstTokenWait(now)
 	if err == nil && !late || trialPlacement == canary.AnyVersion {
@@ -247,9 +247,9 @@
 	}
 	switch {
 	case trialPlacement == canary.Trial:
-		s.pool.excludeByPlacement(&s.routingRequest, s.failedRunners, s.gate, canary.OldOnly)
+		s.pool.excludeByPlacement(&s.routingRequest, s.excludedRunners(), s.gate, canary.OldOnly)
 	case trialPlacement == canary.NewPreferred || !late && (s.edge.outOfContact(ctx) || s.pool.targetInUse(s.gate)):
-		s.pool.excludeByPlacement(&s.routingRequest, s.failedRunners, s.gate, canary.AnyVersion)
+		s.pool.excludeByPlacement(&s.routingRequest, s.excludedRunners(), s.gate, canary.AnyVersion)
 	default:
 		return choice, err
 	}
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -41,6 +41,7 @@
 // Execution is one request that the runner began to execute.
 type Execution struct {
 	ID     string
+	At     time.Time
 	Method string
 	Target string
 	Header http.Header
@@ -74,6 +75,8 @@
 	events        int
 	acceptedConns int
 	openConns     map[net.Conn]bool
+	// rateLimit is the limit on its requests per second that the runner states; zero for none.
+	rateLimit float64
 }
 
 // NewRunner starts a runner.
@@ -112,6 +115,14 @@
 	r.work, r.events = work, events
 }
 
+// SetRateLimit makes the runner state in its responses how many requests per second it accepts;
+// zero stands for no limit. The runner doesn't enforce it.
+func (r *Runner) SetRateLimit(perSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rateLimit = perSecond
+}
+
 // Executions returns copies of all executions so far.
 func (r *Runner) Executions() []Execution {
 	r.mu.Lock()
@@ -194,7 +205,7 @@
 	}
 	if nextFault == RespondBeforeBody {
 		r.recordExecution(req, "")
-		fmt.Fprintf(c, "%sContent-Length: 5\r\n\r\nearly", responseHeader(200, id, r.ID))
+		fmt.Fprintf(c, "%sContent-Length: 5\r\n\r\nearly", r.responseHeader(200, id))
 		time.Sleep(50 * time.Millisecond)
 		io.Copy(io.Discard, req.Body)
 		return true
@@ -211,15 +222,21 @@
 }
 
 func (r *Runner) recordExecution(req *http.Request, body string) *Execution {
-	run := &Execution{ID: req.Header.Get("X-Request-Id"), Method: req.Method, Target: req.RequestURI, Header: req.Header, Body: body}
+	run := &Execution{ID: req.Header.Get("X-Request-Id"), At: time.Now(), Method: req.Method, Target: req.RequestURI, Header: req.Header, Body: body}
 	r.mu.Lock()
 	r.executions = append(r.executions, run)
 	r.mu.Unlock()
 	return run
 }
 
-func responseHeader(status int, id, runner string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Server-Signature: sig.%s.%s\r\nKeep-Alive: timeout=5\r\n", status, http.StatusText(status), id, runner, id)
+func (r *Runner) responseHeader(status int, id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	header := fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Server-Signature: sig.%s.%s\r\nKeep-Alive: timeout=5\r\n", status, http.StatusText(status), id, r.ID, id)
+	if r.rateLimit > 0 {
+		header += fmt.Sprintf("Server-Limit: %g\r\n", r.rateLimit)
+	}
+	return header
 }
 
 func (r *Runner) writeResponse(c net.Conn, run *Execution, fault Fault, work time.Duration) bool {
@@ -237,16 +254,16 @@
 		fmt.Fprint(c, "this is no answer\r\n\r\n")
 		return false
 	case TruncateBody:
-		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", responseHeader(200, run.ID, r.ID), len(body), body[:4])
+		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", r.responseHeader(200, run.ID), len(body), body[:4])
 		return false
 	case InternalError:
-		fmt.Fprintf(c, "%sContent-Length: 4\r\n\r\noops", responseHeader(500, run.ID, r.ID))
+		fmt.Fprintf(c, "%sContent-Length: 4\r\n\r\noops", r.responseHeader(500, run.ID))
 		return true
 	case UnframedBody:
-		fmt.Fprintf(c, "%sConnection: close\r\n\r\n%s", responseHeader(200, run.ID, r.ID), body)
+		fmt.Fprintf(c, "%sConnection: close\r\n\r\n%s", r.responseHeader(200, run.ID), body)
 		return false
 	}
-	response := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", responseHeader(200, run.ID, r.ID), len(body), body)
+	response := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", r.responseHeader(200, run.ID), len(body), body)
 	fmt.Fprint(c, response)
 	if fault == DuplicateResponse {
 		time.Sleep(20 * time.Millisecond)
@@ -264,7 +281,7 @@
 func (r *Runner) writeStream(c net.Conn, req *http.Request, run *Execution, fault Fault, work time.Duration, events int) bool {
 	lastEventID := 0
 	fmt.Sscanf(req.Header.Get("Last-Event-Id"), "%d", &lastEventID)
-	fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", responseHeader(200, run.ID, r.ID))
+	fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.responseHeader(200, run.ID))
 	for i := lastEventID + 1; i <= events; i++ {
 		time.Sleep(work)
 		event := fmt.Sprintf("id: %d\ndata: word%d\n\n", i, i)
--- a/state/refusal/refusal.go
+++ b/state/refusal/refusal.go
@@ -41,13 +41,16 @@
 	Unauthenticated   Reason = "unauthenticated"
 	// NotReady means that the daemon has no configuration yet, or that no other
 	// daemon can be reached to keep a copy of the request's record.
-	NotReady             Reason = "not_ready"
-	Draining             Reason = "draining"
-	Overloaded           Reason = "overloaded"
-	WorkspaceLimit       Reason = "workspace_limit"
-	DeadlineUnreachable  Reason = "deadline_unreachable"
-	DeadlineExceeded     Reason = "deadline_exceeded"
-	NoRunner             Reason = "no_runner"
+	NotReady            Reason = "not_ready"
+	Draining            Reason = "draining"
+	Overloaded          Reason = "overloaded"
+	WorkspaceLimit      Reason = "workspace_limit"
+	DeadlineUnreachable Reason = "deadline_unreachable"
+	DeadlineExceeded    Reason = "deadline_exceeded"
+	NoRunner            Reason = "no_runner"
+	// RunnersLimited means that all suitable runners limit the rate of their requests, and that
+	// the daemons have used up these limits.
+	RunnersLimited       Reason = "runners_limited"
 	RunnerFailed         Reason = "runner_failed"
 	RunnerRefused        Reason = "runner_refused"
 	RetryBudgetExhausted Reason = "retry_budget_exhausted"
