Log when a daemon reaches no runner of a service

Its belief about its own paths stands nowhere: the logs don't tell "no way to any runner, and no other way to have the request served" from "the runners are down" or "ejected too late". A third of the runners at most is ejected, so no line sums it up.

A health check now tells "answered that it is unhealthy" from "no answer": only the latter speaks against the path.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -234,7 +234,7 @@
 		return a.handleSendError(ctx, err)
 	}
 	defer answer.Body.Close()
-	a.activity.recordHeard(time.Now())
+	a.recordHeard()
 	a.observeLimit(answer)
 	if answer.NotRun || answer.Misdirected {
 		return a.handleNotRun(answer)
@@ -285,6 +285,7 @@
 		a.endInterrupted(failure.Sent)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			a.recordFailure()
+			a.s.pool.recordPathFailure(a.choice.Runner)
 		}
 		return failure
 	}
@@ -299,6 +300,7 @@
 		a.s.pool.recordNotStarted(&a.ticket, &a.s.routingRequest)
 	}
 	a.s.pool.observe(a.choice.Runner, health.Failure)
+	a.s.pool.recordPathFailure(a.choice.Runner)
 	return failure
 }
 
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -53,6 +53,8 @@
 	// name is the service's name.
 	name string
 
+	paths paths
+
 	// mu guards the fields below.
 	mu      sync.Mutex
 	service route.Service
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -24,7 +24,7 @@
 
 // tickHealth removes runner entries that have lapsed and advances the time-based state of the
 // pools: retry budgets, ejections and measured demand.
-func (e *Edge) tickHealth() {
+func (e *Edge) tickHealth(ctx context.Context) {
 	e.expireLapsed()
 	e.expireRunnerLimits()
 	size := e.fleetSize()
@@ -36,6 +36,7 @@
 		if e.settings.Policy.Uses(ProbeSilent) {
 			p.probeSilentRunners(time.Now())
 		}
+		p.probePaths(ctx)
 		if p.isScaled() {
 			p.measureDemand(e.deps.Steady())
 		}
@@ -94,9 +95,7 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), healthConfig().ProbeTimeout)
 	defer cancel()
-	// A probe is a request, too. Without a permit for one, the next request that gets a permit
-	// shows whether the runner works.
-	healthy := ok && (!p.edge.takePermit(ctx, id) || p.edge.deps.Runners.Healthy(ctx, r.Address, path, id))
+	healthy := ok && p.checkHealth(ctx, r, path)
 	p.mu.Lock()
 	effects := p.tracker.HandleProbe(time.Now(), id, healthy, nil)
 	p.mu.Unlock()
@@ -106,3 +105,18 @@
 	p.edge.log.Note("runner_probed", decisions.F("runner", id), decisions.F("healthy", healthy))
 	p.applyHealthEffects(effects)
 }
+
+// checkHealth probes a runner. A probe is a request, too: without a permit for one, the runner
+// counts as healthy, and the next request that gets a permit shows whether it works.
+func (p *pool) checkHealth(ctx context.Context, r Runner, path string) bool {
+	if !p.edge.takePermit(ctx, r.ID) {
+		return true
+	}
+	health := p.edge.deps.Runners.CheckHealth(ctx, r.Address, path, r.ID)
+	if health == NoAnswer {
+		p.recordPathFailure(r.ID)
+		return false
+	}
+	p.recordHeard()
+	return health == Healthy
+}
--- a/daemon/edge/runner_limits.go
+++ b/daemon/edge/runner_limits.go
@@ -191,12 +191,20 @@
 	now := e.deps.Steady()
 	l := &e.runnerLimits
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now-l.expiredAt < expireLimitsInterval {
+	due := now-l.expiredAt >= expireLimitsInterval
+	statements := l.table.Statements()
+	l.mu.Unlock()
+	if !due {
 		return
 	}
+	known := map[ident.RunnerID]bool{}
+	for _, s := range statements {
+		known[s.Runner] = e.knowsRunner(s.Runner)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.expiredAt = now
-	l.table.Expire(now, e.knowsRunner)
+	l.table.Expire(now, func(id ident.RunnerID) bool { return known[id] })
 	for runner, until := range l.deniedUntil {
 		if until <= now {
 			delete(l.deniedUntil, runner)
--- a/daemon/edge/runners_test.go
+++ b/daemon/edge/runners_test.go
@@ -94,7 +94,7 @@
 	s.unresponsiveIDs[id] = unresponsive
 }
 
-func (s *runners) Healthy(ctx context.Context, address, _ string, _ ident.RunnerID) bool {
+func (s *runners) CheckHealth(ctx context.Context, address, _ string, _ ident.RunnerID) edge.Health {
 	s.mu.Lock()
 	unresponsive, onProbe := s.unresponsiveIDs[address], s.onProbe
 	s.mu.Unlock()
@@ -103,8 +103,9 @@
 	}
 	if unresponsive {
 		<-ctx.Done()
+		return edge.NoAnswer
 	}
-	return !unresponsive
+	return edge.Healthy
 }
 
 func (s *runners) Retain(map[string]bool) {}
--- a/daemon/edge/silent_runners.go
+++ b/daemon/edge/silent_runners.go
@@ -36,7 +36,11 @@
 	lastProbe time.Time
 }
 
-func (a *activity) recordHeard(now time.Time) { a.lastHeard.Store(now.UnixNano()) }
+// recordHeard records that data has arrived from the attempt's runner.
+func (a *attempt) recordHeard() {
+	a.activity.lastHeard.Store(time.Now().UnixNano())
+	a.s.pool.recordHeard()
+}
 
 // beginAttempt registers an attempt as in progress.
 func (p *pool) beginAttempt(a *attempt) {
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -44,6 +44,7 @@
 		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
 	}
 	s.pool.observe(a.choice.Runner, health.Failure)
+	s.pool.recordPathFailure(a.choice.Runner)
 	a.recordFailure()
 	reason := retry.Broken
 	if a.abandoned.Load() {
@@ -76,7 +77,7 @@
 	for {
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
-			a.activity.recordHeard(time.Now())
+			a.recordHeard()
 		}
 		if n > 0 && first {
 			first = false
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -218,12 +218,26 @@
 // Unwrap returns the underlying error.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// Health is the result of a health check.
+type Health string
+
+// Results of health checks.
+const (
+	// Healthy runners accept work; Unhealthy ones have answered that they don't, or another
+	// runner listens at the address.
+	Healthy   Health = "healthy"
+	Unhealthy Health = "unhealthy"
+	// NoAnswer means that no connection could be opened or that no answer came.
+	NoAnswer Health = "no_answer"
+)
+
 // RunnerClient sends requests to runners. Send makes one attempt and never retries; its errors
 // are *SendError. Canceling the context ends the attempt, including the reading of the body.
 type RunnerClient interface {
 	Send(ctx context.Context, a *Attempt) (*Answer, error)
-	// Healthy asks the runner over a new connection whether it accepts work.
-	Healthy(ctx context.Context, address, path string, id ident.RunnerID) bool
+	// CheckHealth asks the runner over a new connection whether it accepts work. If path is
+	// empty, it only opens the connection.
+	CheckHealth(ctx context.Context, address, path string, id ident.RunnerID) Health
 	// Retain closes the connections to all addresses that aren't in the map.
 	Retain(addresses map[string]bool)
 }
