--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -66,6 +66,8 @@
 type daemon struct {
 	*edge.Edge
 	store *faultyStore
+	// runners is the daemon's access to the runners.
+	runners *daemonRunners
 	// address is the daemon's peer address.
 	address string
 	cancel  context.CancelFunc
@@ -123,7 +125,8 @@
 		policy, err = policy.WithDirectFleet(w.directFleet)
 		w.NoErr(err)
 	}
-	d := &daemon{store: store, address: address, cancel: cancel, done: make(chan struct{})}
+	access := &daemonRunners{runners: w.runners}
+	d := &daemon{store: store, runners: access, address: address, cancel: cancel, done: make(chan struct{})}
 	domain := ident.FailureDomain("north")
 	if n := len(w.domains); n > 0 {
 		domain = w.domains[i%n]
@@ -139,7 +142,7 @@
 			Trials: canary.Bounds{Share: trialShare, Slack: trialSlack},
 		},
 	}, edge.Deps{
-		Store: store, Codec: jsonCodec{}, Runners: w.runners, Cloud: w.cloud,
+		Store: store, Codec: jsonCodec{}, Runners: access, Cloud: w.cloud,
 		Datagrams: w.network.listen(address), Steady: w.steady,
 		Log: decisions.New(metrics.NewRegistry()),
 	})
