Let other daemons serve the callers of a daemon that is cut off from the runners

Cause: the only way from a daemon to a runner is its own. Daemons tell each other nothing of their paths and pass no request to each other; the daemon stays ready and in the directory, and callers go on connecting there. Evidence: 307 attempts in four seconds that failed to connect, one runner after the other, and 10 no_runner at one daemon, while the same runners answer the others; more ejection could not help, since no runner was reachable.

Change: a daemon whose paths count as lost, or a request that found no connection to two runners, is served by another daemon, over one call by connect-go and HTTP/2 at the address of the daemons' messages. Streams go on after the last whole event that the caller has. When the paths are lost, attempts that may be repeated or have not been sent are ended at once. The daemon probes the runners while its paths are lost and uses them again with the first that answers.

Why it works: what the caller gets no longer depends on the path of the daemon that it has reached, but on any of the others'. Whoever calls the address gets nothing that a caller of the daemon itself would not get.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -56,6 +56,10 @@
 	cancel    context.CancelFunc
 	abandoned atomic.Bool
 	trial     trialAttribution
+	// helper is the daemon that serves the request in place of a runner; empty otherwise.
+	helper ident.DaemonID
+	// connected says that there is a connection to the runner, so that the request may be sent.
+	connected atomic.Bool
 }
 
 // run makes attempts until one succeeds, no further attempt is allowed or the caller
@@ -64,22 +68,14 @@
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
 	for {
-		a, r := s.chooseRunner(ctx)
-		if r != nil {
-			s.end(r)
-			return
-		}
-		failure := a.execute(ctx)
-		if failure == nil {
-			return
-		}
-		if s.endIfCanceled(ctx) {
+		failure, runner := s.attempt(ctx)
+		if failure == nil || s.endIfCanceled(ctx) {
 			return
 		}
 		var wait time.Duration
 		var end *refusal.Refusal
 		s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.HandleFailure(time.Now(), p, *failure) })
-		s.note("attempt_failed", decisions.F("runner", a.choice.Runner), decisions.F("reason", failure.Reason),
+		s.note("attempt_failed", decisions.F("runner", runner), decisions.F("reason", failure.Reason),
 			decisions.F("may_have_run", failure.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
 			decisions.F("again", end == nil), decisions.F("wait", wait))
 		s.edge.log.Count("attempt_failed." + string(failure.Reason))
@@ -90,8 +86,38 @@
 		if !pause.For(ctx, wait) && s.endIfCanceled(ctx) {
 			return
 		}
-		s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(a.choice.Runner))
+		s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(runner))
+	}
+}
+
+// attempt makes one attempt: at a runner or, if this daemon reaches none, at another daemon. It
+// returns nil if the caller has received the final answer, otherwise what is known about the
+// failure, and the runner.
+func (s *requestHandler) attempt(ctx context.Context) (*forward.FailedAttempt, ident.RunnerID) {
+	if s.delegates() {
+		if failure, asked := s.delegate(ctx); asked {
+			return failure, ""
+		}
+	}
+	r := s.prepare(ctx)
+	var a *attempt
+	if r == nil {
+		a, r = s.chooseRunner(ctx)
+	}
+	if r != nil && r.Reason == refusal.NoRunner && !s.delegated && s.pool.paths.doubtful.Load() {
+		if failure, asked := s.delegate(ctx); asked {
+			return failure, ""
+		}
+	}
+	if r != nil {
+		s.end(r)
+		return nil, ""
+	}
+	failure := a.execute(ctx)
+	if failure != nil && !failure.Sent {
+		s.connectFailures++
 	}
+	return failure, a.choice.Runner
 }
 
 // endIfCanceled ends a request whose caller has disconnected or whose deadline has passed, and
@@ -229,6 +255,7 @@
 		Priority:    s.enginePriority(),
 		FetchFrom:   a.choice.FetchFrom,
 		LastEventID: s.lastEventID(),
+		Connected:   func() { a.connected.Store(true) },
 	})
 	if err != nil {
 		return a.handleSendError(ctx, err)
--- /dev/null
+++ b/daemon/edge/delegate.go
@@ -0,0 +1,326 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"geraniumstack.org/geraniumstack/coordination/peers"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	delegationv1 "geraniumstack.org/geraniumstack/gen/geranium/delegation/v1"
+	"geraniumstack.org/geraniumstack/gen/geranium/delegation/v1/delegationv1connect"
+	"geraniumstack.org/geraniumstack/protocol/forward"
+	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// A daemon that has lost its paths to the runners of a service lets other daemons serve its
+// callers' requests. The helper treats such a request like one of its own callers': it checks the
+// key, charges the quota and counts the usage, so this daemon does none of that for it. The
+// helper never delegates the request again.
+
+const (
+	// maxHelpers is the number of daemons that are asked to serve one request, one after the
+	// other. With a whole failure domain cut off, several of them may be cut off, too.
+	maxHelpers = 3
+	// maxConnectFailures is the number of runners to which a request finds no connection before
+	// it is delegated, although the runners count as reachable: a path that refuses new
+	// connections may keep the open ones alive.
+	maxConnectFailures = 2
+	// cutOffMemory is how long a daemon's statement that it reaches no runner of a service is
+	// believed.
+	cutOffMemory = peers.RelayedAliveFor
+)
+
+// unreachableServices lists the services of which this daemon reaches no runner.
+func (e *Edge) unreachableServices() []string {
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	var names []string
+	for name, p := range e.pools {
+		if p.paths.lost.Load() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// helpers returns ready daemons that have not stated that they reach no runner of the service, in
+// random order but the first ones each of another failure domain: a whole one may be cut off.
+func (e *Edge) helpers(service string) []peers.Member {
+	if e.deps.Delegation == nil {
+		return nil
+	}
+	now := e.deps.Steady()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var candidates []peers.Member
+	for _, m := range e.alive {
+		if m.Phase == peers.Ready && now >= e.cutOffUntil[m.Incarnation][service] {
+			candidates = append(candidates, m)
+		}
+	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	var helpers, others []peers.Member
+	seen := map[ident.FailureDomain]bool{}
+	for _, m := range candidates {
+		if seen[m.FailureDomain] {
+			others = append(others, m)
+			continue
+		}
+		seen[m.FailureDomain] = true
+		helpers = append(helpers, m)
+	}
+	helpers = append(helpers, others...)
+	return helpers[:min(maxHelpers, len(helpers))]
+}
+
+// receiveUnreachable records of which services another daemon reaches no runner. The caller must
+// hold e.mu.
+func (e *Edge) receiveUnreachable(now time.Duration, id ident.Incarnation, services []string) {
+	delete(e.cutOffUntil, id)
+	for _, name := range services {
+		e.believeCutOff(now, id, name)
+	}
+}
+
+// believeCutOff records that another daemon reaches no runner of a service. The caller must hold
+// e.mu.
+func (e *Edge) believeCutOff(now time.Duration, id ident.Incarnation, service string) {
+	if e.cutOffUntil[id] == nil {
+		e.cutOffUntil[id] = map[string]time.Duration{}
+	}
+	e.cutOffUntil[id][service] = now + cutOffMemory
+}
+
+// avoidHelper remembers that a helper has refused a request because it reaches no runner either.
+func (e *Edge) avoidHelper(id ident.Incarnation, service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.believeCutOff(e.deps.Steady(), id, service)
+}
+
+// delegates reports whether the request should be delegated rather than sent to a runner.
+func (s *requestHandler) delegates() bool {
+	return !s.delegated && (s.pool.paths.lost.Load() || s.connectFailures >= maxConnectFailures)
+}
+
+// delegate lets another daemon serve the request. It returns asked=false if there was none that
+// could be asked. Otherwise it returns nil if the caller has received the final answer, or what is
+// known about the failure.
+func (s *requestHandler) delegate(ctx context.Context) (failure *forward.FailedAttempt, asked bool) {
+	var refused *refusal.Refusal
+	for _, m := range s.edge.helpers(s.pool.name) {
+		s.returnCharge()
+		a := &attempt{s: s, sent: time.Now(), activity: &activity{}, helper: m.ID}
+		s.note("delegated", decisions.F("helper", m.ID), decisions.F("attempts", s.exchange.Sent()), decisions.F("may_have_run", s.exchange.MayHaveRun()))
+		answer, err := s.edge.callHelper(ctx, m.PeerAddress, s)
+		var refusedBy *helperRefusalError
+		switch {
+		case err == nil:
+			defer answer.Body.Close()
+			return a.passOn(ctx, answer), true
+		case errors.As(err, &refusedBy):
+			if refused = refusedBy.Refusal; !mayServeElsewhere(refused) {
+				s.endAsHelper(refused)
+				return nil, true
+			}
+			if refused.Reason == refusal.NoRunner {
+				s.edge.avoidHelper(m.Incarnation, s.pool.name)
+			}
+		case ctx.Err() != nil || !neverSent(err):
+			s.edge.log.Count("delegation_failed")
+			return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}, true
+		}
+		s.edge.log.Count("delegation_unserved")
+	}
+	if refused == nil {
+		return nil, false
+	}
+	s.endAsHelper(refused)
+	return nil, true
+}
+
+// mayServeElsewhere reports whether another daemon may serve a request that a helper has refused.
+func mayServeElsewhere(r *refusal.Refusal) bool {
+	if r.Executed != refusal.ExecutedNo {
+		return false
+	}
+	switch r.Reason {
+	case refusal.NoRunner, refusal.Draining, refusal.NotReady, refusal.StaleConfiguration, refusal.QuotaUnknown:
+		return true
+	}
+	return false
+}
+
+// endAsHelper gives a helper's refusal to the caller. The helper knows nothing of what this
+// daemon has sent.
+func (s *requestHandler) endAsHelper(r *refusal.Refusal) {
+	if s.exchange.MayHaveRun() {
+		r = r.Unknown()
+	}
+	s.end(r)
+}
+
+// neverSent reports whether an error shows that no connection could be opened.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// returnCharge gives the quota back that this daemon has charged for the request.
+func (s *requestHandler) returnCharge() {
+	if s.cost > 0 {
+		s.edge.returnQuota(s.grantingRelay, s.workspace, s.cost)
+	}
+	s.cost, s.grantingRelay, s.prepared = 0, "", false
+}
+
+// passOn passes the answer of a helper on to the caller.
+func (a *attempt) passOn(ctx context.Context, answer *Answer) *forward.FailedAttempt {
+	s := a.s
+	if answer.Events {
+		return a.stream(ctx, answer)
+	}
+	if s.exchange.AnswerBegun {
+		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
+	if err != nil {
+		if ctx.Err() != nil {
+			s.exchange.RecordInterrupted()
+		}
+		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: ctx.Err() == nil}
+	}
+	if len(body) > maxBufferedBytes {
+		return a.streamBody(ctx, answer, body)
+	}
+	s.sendBuffered(&bufferedAnswer{answer.Status, answer.Header, body, a.choice.Runner})
+	return nil
+}
+
+// helperRefusalError says that a helper has refused the request.
+type helperRefusalError struct{ *refusal.Refusal }
+
+// callHelper sends the request to another daemon and returns its answer once it begins.
+func (e *Edge) callHelper(ctx context.Context, address string, s *requestHandler) (*Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	client := delegationv1connect.NewDelegationServiceClient(e.deps.Delegation, "http://"+address)
+	stream, err := client.Serve(ctx, connect.NewRequest(encodeDelegated(s)))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	body := &helperBody{stream: stream, cancel: cancel}
+	part, err := body.next()
+	if err != nil {
+		body.Close()
+		return nil, err
+	}
+	switch p := part.Part.(type) {
+	case *delegationv1.ServeResponse_Refusal:
+		body.Close()
+		return nil, &helperRefusalError{&refusal.Refusal{
+			Reason: refusal.Reason(p.Refusal.Reason), Executed: refusal.Executed(p.Refusal.Executed),
+			Detail: p.Refusal.Detail, RetryAfter: time.Duration(p.Refusal.RetryAfterNs),
+		}}
+	case *delegationv1.ServeResponse_Start:
+		return &Answer{
+			Status: int(p.Start.Status), Header: decodeHeaders(p.Start.Headers), Length: p.Start.Length, Events: p.Start.Events, Body: body,
+		}, nil
+	}
+	body.Close()
+	return nil, &UnexpectedPartError{}
+}
+
+// UnexpectedPartError says that a helper's answer doesn't begin with a status or a refusal.
+type UnexpectedPartError struct{}
+
+func (*UnexpectedPartError) Error() string {
+	return "answer begins with neither a status nor a refusal"
+}
+
+// helperBody is the body of a helper's answer. Reading it returns io.EOF only if the helper has
+// said that the answer is complete.
+type helperBody struct {
+	stream *connect.ServerStreamForClient[delegationv1.ServeResponse]
+	cancel context.CancelFunc
+	rest   []byte
+	done   bool
+}
+
+// next returns the next part of the answer.
+func (b *helperBody) next() (*delegationv1.ServeResponse, error) {
+	if b.stream.Receive() {
+		return b.stream.Msg(), nil
+	}
+	if err := b.stream.Err(); err != nil {
+		return nil, err
+	}
+	return nil, io.ErrUnexpectedEOF
+}
+
+func (b *helperBody) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.done {
+			return 0, io.EOF
+		}
+		part, err := b.next()
+		if err != nil {
+			return 0, err
+		}
+		b.rest, b.done = part.GetData(), part.GetFinished()
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Close ends the call; the helper then stops working on the request.
+func (b *helperBody) Close() error {
+	b.cancel()
+	return b.stream.Close()
+}
+
+func encodeDelegated(s *requestHandler) *delegationv1.ServeRequest {
+	r := s.req
+	return &delegationv1.ServeRequest{
+		RequestId: r.ID, Host: r.Host, Path: r.Path, Method: r.Method, Target: r.Target, Headers: encodeHeaders(r.Header), Body: r.Body, Key: r.Key,
+		AgeNs: int64(time.Since(r.Received)), CallerTimeoutNs: int64(r.CallerTimeout), LastEventId: s.lastEventID(),
+		Prompt:   encodePrompt(&r.Prompt),
+		Attempts: uint32(s.exchange.Sent()), MayHaveRun: s.exchange.MayHaveRun(),
+	}
+}
+
+func encodeHeaders(h http.Header) []*delegationv1.Header {
+	headers := make([]*delegationv1.Header, 0, len(h))
+	for name, values := range h {
+		headers = append(headers, &delegationv1.Header{Name: name, Values: values})
+	}
+	return headers
+}
+
+func decodeHeaders(headers []*delegationv1.Header) http.Header {
+	h := make(http.Header, len(headers))
+	for _, header := range headers {
+		h[header.Name] = header.Values
+	}
+	return h
+}
+
+func encodePrompt(p *Prompt) *delegationv1.Prompt {
+	m := &delegationv1.Prompt{
+		Model: p.Model, PromptTokens: uint32(p.PromptTokens), OutputTokens: uint32(p.OutputTokens), ExpectedOutput: uint32(p.ExpectedOutput), Prefix: p.Prefix,
+	}
+	for _, n := range p.PrefixTokens {
+		m.PrefixTokens = append(m.PrefixTokens, uint32(n))
+	}
+	return m
+}
--- /dev/null
+++ b/daemon/edge/delegate_test.go
@@ -0,0 +1,171 @@
+package edge_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/daemon/edge"
+	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/state/route"
+)
+
+// cutOff cuts a daemon off from the runners and lets it find out.
+func (w *testFleet) cutOff(d *daemon) {
+	d.runners.cut(refusing)
+	for range 4 {
+		w.ask(d, "/read/1", key)
+		time.Sleep(400 * time.Millisecond)
+	}
+}
+
+// Guards against a second run of a request that may not be repeated, and against a false "not
+// run", when the daemon that serves it for another one ends.
+func TestDelegatedRequestRunsAtMostOnce(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		r := w.addRunner("r1", "app")
+		w.addServingRunner("r2")
+		time.Sleep(500 * time.Millisecond)
+		w.cutOff(w.daemons[0])
+		w.leaving("r2", "app")
+		r.setScript(func(ctx context.Context, _ *edge.Attempt) (*edge.Answer, error) {
+			return nil, &edge.SendError{Reason: "broken", Sent: true, Err: hang(ctx, time.Minute)}
+		})
+		before := r.count()
+		answered := make(chan *recordedReply, 1)
+		go func() { answered <- w.ask(w.daemons[0], "/pledge/1", key) }()
+		time.Sleep(100 * time.Millisecond)
+		w.Equal(r.count(), before+1)
+		w.daemons[1].kill()
+		w.daemons[2].kill()
+		a := <-answered
+		w.Equal(a.refusal.Executed, refusal.ExecutedUnknown)
+		w.Equal(r.count(), before+1)
+	})
+}
+
+// Guards against requests that cut daemons pass on to each other without end, and against holding
+// what no daemon can serve.
+func TestRequestIsDelegatedOnce(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addServingRunner("r1")
+		time.Sleep(500 * time.Millisecond)
+		for _, d := range w.daemons {
+			d.runners.cut(refusing)
+		}
+		for range 6 {
+			w.ask(w.daemons[0], "/read/1", key)
+			time.Sleep(300 * time.Millisecond)
+		}
+		messages, _ := w.network.traffic()
+		start := time.Now()
+		a := w.ask(w.daemons[0], "/pledge/1", key)
+		w.Equal(a.reason(), refusal.NoRunner)
+		w.Equal(a.refusal.Executed, refusal.ExecutedNo)
+		w.True(a.refusal.RetryAfter > 0)
+		w.True(time.Since(start) < 200*time.Millisecond)
+		after, _ := w.network.traffic()
+		w.True(after-messages < 20)
+	})
+}
+
+// Guards against a quota that is charged by both daemons, or by none.
+func TestDelegatedRequestIsChargedOnce(t *testing.T) {
+	c := config(1)
+	c.Workspaces[0].Quota = route.Quota{PerSecond: 10, Burst: 10}
+	withFleet(t, 3, c, func(w *testFleet) {
+		w.addServingRunner("r1")
+		time.Sleep(500 * time.Millisecond)
+		w.cutOff(w.daemons[0])
+		time.Sleep(3 * time.Second)
+		served := 0
+		for range 400 {
+			if w.ask(w.daemons[0], "/read/1", key).refusal == nil {
+				served++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		// The quota of four seconds is 40, and the burst and its tolerance are used once.
+		t.Logf("served %d", served)
+		w.True(served >= 40 && served <= 65)
+	})
+}
+
+// Guards against a stream that loses or repeats events when its daemon is cut off in the middle.
+func TestStreamContinuesAtAnotherDaemon(t *testing.T) {
+	for _, mode := range []cutMode{refusing, silent} {
+		withFleet(t, 3, config(1), func(w *testFleet) {
+			for _, id := range []string{"r1", "r2", "r3"} {
+				w.addServingRunner(id)
+			}
+			time.Sleep(500 * time.Millisecond)
+			answered := make(chan *recordedReply, 1)
+			go func() { answered <- w.ask(w.daemons[0], "/draft/1", key) }()
+			time.Sleep(5 * pathsEventInterval)
+			w.daemons[0].runners.cut(mode)
+			a := <-answered
+			w.True(a.finished)
+			w.Equal(a.body.String(), eventText(1, pathsEvents))
+		})
+	}
+}
+
+// Guards against a way around the check of keys through the calls between daemons.
+func TestDelegatedRequestNeedsItsKey(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addServingRunner("r1")
+		time.Sleep(500 * time.Millisecond)
+		w.cutOff(w.daemons[0])
+		w.Equal(w.ask(w.daemons[0], "/read/1", "unknown").reason(), refusal.Unauthenticated)
+		w.Equal(w.ask(w.daemons[0], "/read/1", key).status, http.StatusOK)
+	})
+}
+
+// Guards against a daemon that goes on delegating after its paths are back.
+func TestDaemonUsesItsOwnPathsAgain(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addServingRunner("r1")
+		time.Sleep(500 * time.Millisecond)
+		w.cutOff(w.daemons[0])
+		own := func() int { return w.daemons[0].runners.sends() }
+		before := own()
+		w.Equal(w.ask(w.daemons[0], "/read/1", key).status, http.StatusOK)
+		w.Equal(own(), before)
+		w.daemons[0].runners.cut(connected)
+		time.Sleep(time.Second)
+		w.Equal(w.ask(w.daemons[0], "/read/1", key).status, http.StatusOK)
+		w.Equal(own(), before+1)
+	})
+}
+
+// Guards against an answer that reaches the caller only when it is whole although it is a stream.
+func TestDelegatedStreamIsNotHeldBack(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addServingRunner("r1")
+		time.Sleep(500 * time.Millisecond)
+		w.cutOff(w.daemons[0])
+		a := &timedReply{}
+		w.daemons[0].Serve(context.Background(), &edge.Request{
+			ID: "timed", Host: host, Path: "/draft/1", Method: http.MethodPost, Target: "/draft/1", Header: http.Header{}, Key: key, Received: time.Now(),
+		}, a)
+		w.Equal(len(a.writes), pathsEvents)
+		for _, pause := range slices.Backward(a.writes[1:]) {
+			w.True(pause >= pathsEventInterval/2 && pause <= 2*pathsEventInterval)
+		}
+	})
+}
+
+// timedReply records the pauses before the writes.
+type timedReply struct {
+	recordedReply
+	last   time.Time
+	writes []time.Duration
+}
+
+func (a *timedReply) Write(p []byte) error {
+	a.writes = append(a.writes, time.Since(a.last))
+	a.last = time.Now()
+	return a.recordedReply.Write(p)
+}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"golang.org/x/sync/errgroup"
 
 	"geraniumstack.org/geraniumstack/coordination/accounting"
@@ -35,6 +36,9 @@
 	Cloud Cloud
 	// Datagrams is the socket bound to Settings.PeerAddress.
 	Datagrams net.PacketConn
+	// Delegation sends calls to other daemons, by HTTP/2 without TLS; nil if no requests are
+	// delegated to them.
+	Delegation connect.HTTPClient
 	// Steady returns the time since a fixed moment, by a clock that never jumps and keeps
 	// running while the VM is suspended.
 	Steady func() time.Duration
@@ -101,6 +105,9 @@
 	// or that the fleet no longer is direct, in demotionSendsLeft more messages.
 	demotionRecipients []peers.Member
 	demotionSendsLeft  int
+	// cutOffUntil holds the services of which other daemons have stated that they reach no
+	// runner, with the time until which they are believed.
+	cutOffUntil map[ident.Incarnation]map[string]time.Duration
 	// rosterRequesters are the addresses of daemons that have asked for the relays' addresses,
 	// or that wrongly consider themselves relays.
 	rosterRequesters map[ident.Incarnation]string
@@ -142,6 +149,9 @@
 	resolvedAddresses udpAddresses
 	configCheck       configChecker
 	duties            duties
+	// probing ends with Run, and with it the probes of runners; stopProbes ends it.
+	probing    context.Context
+	stopProbes context.CancelFunc
 	// healthCheckedAt is when the runners' health was last checked; only tickLoop uses it.
 	healthCheckedAt time.Duration
 }
@@ -169,6 +179,7 @@
 		}),
 		followers:              map[ident.Incarnation]follower{},
 		fedRelays:              map[ident.Incarnation]feedRequest{},
+		cutOffUntil:            map[ident.Incarnation]map[string]time.Duration{},
 		rosterRequesters:       map[ident.Incarnation]string{},
 		requestedCountsByRelay: map[ident.Incarnation]ident.Incarnation{},
 		stamps:                 map[ident.Incarnation]freshness.Stamp{},
@@ -184,6 +195,7 @@
 		snapshotPatience: minSnapshotPatience + mathrand.N(minSnapshotPatience),
 		fleetFound:       make(chan struct{}),
 	}
+	e.probing, e.stopProbes = context.WithCancel(context.Background())
 	e.dir.init(self)
 	e.trials.init()
 	e.reported.init()
@@ -219,6 +231,7 @@
 func (e *Edge) Run(ctx context.Context) error {
 	e.log.Note("start", decisions.F("daemon", e.settings.ID), decisions.F("incarnation", e.self),
 		decisions.F("failure_domain", e.settings.FailureDomain), decisions.F("first_start", e.settings.FleetNeverServed), decisions.F("without", e.settings.Policy), decisions.F("direct_fleet", e.settings.Policy.DirectFleet()))
+	defer e.stopProbes()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.receiveDatagrams(ctx) })
 	group.Go(func() error { e.tickLoop(ctx); return nil })
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -22,10 +22,12 @@
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/standin/kvserver"
+	"geraniumstack.org/geraniumstack/standin/pipe"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/state/route"
 	"geraniumstack.org/geraniumstack/transport/kv"
+	"geraniumstack.org/geraniumstack/transport/peerhttp"
 )
 
 const (
@@ -46,6 +48,8 @@
 	start   time.Time
 	store   *kvserver.Store
 	network *network
+	// calls carries the calls between daemons.
+	calls   *pipe.Network
 	runners *runners
 	cloud   *cloud
 	daemons []*daemon
@@ -79,7 +83,7 @@
 // daemon is a relay.
 func withFleet(t *testing.T, n int, c route.Config, f func(w *testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &testFleet{I: is.New(t), t: t, start: time.Now(), store: kvserver.New(), network: newNetwork(), runners: newRunners(), cloud: &cloud{}, directFleet: relays.AllWatchFleet}
+		w := &testFleet{I: is.New(t), t: t, start: time.Now(), store: kvserver.New(), network: newNetwork(), calls: pipe.NewNetwork(), runners: newRunners(), cloud: &cloud{}, directFleet: relays.AllWatchFleet}
 		w.configure(c)
 		for range n {
 			w.addDaemon()
@@ -126,6 +130,7 @@
 		w.NoErr(err)
 	}
 	access := &daemonRunners{runners: w.runners}
+	transport := peerhttp.NewTransport(w.calls.Dial)
 	d := &daemon{store: store, runners: access, address: address, cancel: cancel, done: make(chan struct{})}
 	domain := ident.FailureDomain("north")
 	if n := len(w.domains); n > 0 {
@@ -143,11 +148,19 @@
 		},
 	}, edge.Deps{
 		Store: store, Codec: jsonCodec{}, Runners: access, Cloud: w.cloud,
-		Datagrams: w.network.listen(address), Steady: w.steady,
+		Datagrams: w.network.listen(address), Delegation: &http.Client{Transport: transport}, Steady: w.steady,
 		Log: decisions.New(metrics.NewRegistry()),
 	})
+	listener, err := w.calls.Listen(address)
+	w.NoErr(err)
+	mux := http.NewServeMux()
+	mux.Handle(d.DelegationHandler())
+	server := peerhttp.NewServer(mux)
+	go func() { _ = server.Serve(listener) }()
 	go func() {
 		defer close(d.done)
+		defer transport.CloseIdleConnections()
+		defer server.Close()
 		if err := d.Run(ctx); err != nil {
 			w.t.Errorf("daemon %d: %v", i, err)
 		}
--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -46,6 +46,7 @@
 	if e.settings.Policy.Uses(TellLeaving) {
 		h.Leaving = rotatingSubset(e.dir.leavingHashesSince(now-noticeRepeatPeriod), e.seq, maxLeaving)
 	}
+	h.Unreachable = e.unreachableServices()
 	h.Limits = e.runnerLimits.statements(now, e.seq)
 	if e.relayPlan.Direct {
 		h.Addresses = rotatingSubset(e.peers.Addresses(), e.seq, maxAddresses)
--- a/daemon/edge/paths.go
+++ b/daemon/edge/paths.go
@@ -71,11 +71,12 @@
 	p.mu.Unlock()
 	if lost {
 		p.edge.log.Note("paths_lost", decisions.F("service", p.name), decisions.F("failed", failed), decisions.F("since", now-since), decisions.F("heard", now-heardAt))
+		p.abandonUnreachable()
 	}
 }
 
 // probePaths probes some runners while it is doubtful whether this daemon reaches any.
-func (p *pool) probePaths(ctx context.Context) {
+func (p *pool) probePaths() {
 	if !p.paths.doubtful.Load() {
 		return
 	}
@@ -95,7 +96,7 @@
 	}
 	p.mu.Unlock()
 	for _, r := range p.edge.pathProbeTargets(runners) {
-		go p.probePath(ctx, r, path)
+		go p.probePath(r, path)
 	}
 }
 
@@ -117,8 +118,8 @@
 	return targets[:min(pathProbes, len(targets))]
 }
 
-func (p *pool) probePath(ctx context.Context, r Runner, path string) {
-	ctx, cancel := context.WithTimeout(ctx, healthConfig().ProbeTimeout)
+func (p *pool) probePath(r Runner, path string) {
+	ctx, cancel := context.WithTimeout(p.edge.probing, healthConfig().ProbeTimeout)
 	defer cancel()
 	if !p.edge.takePermit(ctx, r.ID) {
 		return
--- a/daemon/edge/paths_test.go
+++ b/daemon/edge/paths_test.go
@@ -49,6 +49,14 @@
 	changed chan struct{}
 	// idle holds the runners to which there is an open connection.
 	idle map[string]bool
+	// sent counts the attempts.
+	sent int
+}
+
+func (r *daemonRunners) sends() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent
 }
 
 func (r *daemonRunners) cut(mode cutMode) {
@@ -77,6 +85,7 @@
 	if r.idle == nil {
 		r.idle = map[string]bool{}
 	}
+	r.sent++
 	open := r.idle[address]
 	r.idle[address] = keep
 	return open
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -105,6 +105,7 @@
 	e.wallClock.Receive(id, time.Unix(0, h.TimeUnixNs), now)
 	e.updateQuotaUses(now, id, h)
 	e.handleCounts(now, id, h)
+	e.receiveUnreachable(now, id, h.Unreachable)
 	if e.fresh.Receive(freshness.Statement{
 		Revision: h.ConfigRevision, Echo: time.Duration(h.EchoNs), Lag: time.Duration(h.LagNs), Proved: h.Proved,
 	}) && e.configBehindSince == 0 {
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -202,6 +202,7 @@
 	delete(e.stamps, id)
 	delete(e.followers, id)
 	delete(e.fedRelays, id)
+	delete(e.cutOffUntil, id)
 	delete(e.requestedCountsByRelay, id)
 	e.coverage.PeerEnded(e.deps.Steady(), id)
 	e.log.Note("daemon_gone", decisions.F("incarnation", id), decisions.F("reason", reason))
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -24,7 +24,7 @@
 
 // tickHealth removes runner entries that have lapsed and advances the time-based state of the
 // pools: retry budgets, ejections and measured demand.
-func (e *Edge) tickHealth(ctx context.Context) {
+func (e *Edge) tickHealth() {
 	e.expireLapsed()
 	e.expireRunnerLimits()
 	size := e.fleetSize()
@@ -36,7 +36,7 @@
 		if e.settings.Policy.Uses(ProbeSilent) {
 			p.probeSilentRunners(time.Now())
 		}
-		p.probePaths(ctx)
+		p.probePaths()
 		if p.isScaled() {
 			p.measureDemand(e.deps.Steady())
 		}
@@ -93,7 +93,7 @@
 	r, ok := p.runners[id]
 	path := p.service.HealthPath
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), healthConfig().ProbeTimeout)
+	ctx, cancel := context.WithTimeout(p.edge.probing, healthConfig().ProbeTimeout)
 	defer cancel()
 	healthy := ok && p.checkHealth(ctx, r, path)
 	p.mu.Lock()
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -65,7 +65,7 @@
 		e.applyPeerLoads()
 		e.reportTrials(e.deps.Steady())
 		if e.healthDue() {
-			e.tickHealth(ctx)
+			e.tickHealth()
 		}
 		e.duties.wake()
 		e.grantRequests.expire(e.deps.Steady())
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -54,7 +54,12 @@
 	// service's version is known; nil without such an order.
 	gate     *canary.Gate
 	exchange forward.Exchange
-	events   *forward.EventStream
+	// prepared says that the quota has been charged and the rest done that an attempt at a
+	// runner needs. delegated says that another daemon has delegated the request to this one.
+	// connectFailures counts the attempts that found no connection to a runner.
+	prepared, delegated bool
+	connectFailures     int
+	events              *forward.EventStream
 	// usageCounted says that the request has been counted for the usage report.
 	usageCounted bool
 	// buffered is a runner's server error, which is passed on if no later attempt succeeds.
@@ -66,6 +71,10 @@
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	s := &requestHandler{edge: e, req: req, reply: reply}
+	s.serve(ctx)
+}
+
+func (s *requestHandler) serve(ctx context.Context) {
 	if r := s.admit(ctx); r != nil {
 		s.refuse(r)
 		return
@@ -108,7 +117,7 @@
 	return draining
 }
 
-// admit determines the request's route, workspace and service, and charges its quota.
+// admit determines the request's route, workspace and service.
 func (s *requestHandler) admit(ctx context.Context) *refusal.Refusal {
 	if since, draining := s.edge.timeSinceDrain(); draining && since > drainAcceptPeriod {
 		return refusal.New(refusal.Draining, "this daemon is shutting down").After(notReadyRetryAfter)
@@ -122,14 +131,6 @@
 	if s.pool == nil {
 		return refusal.New(refusal.UnknownService, "no service %q", service)
 	}
-	s.routingRequest = routingRequestOf(s.req)
-	s.routingRequest.Fetchable = s.pool.canFetchPrefix()
-	if s.gate = s.edge.trials.gate(service); s.gate != nil {
-		s.pool.excludeByPlacement(&s.routingRequest, s.failedRunners, s.gate, s.edge.placeRepeat(s.gate))
-	}
-	if r := s.charge(ctx); r != nil {
-		return r
-	}
 	attempts := max(1, s.route.MaxAttempts)
 	if !s.edge.settings.Policy.Uses(Retries) {
 		attempts = 1
@@ -140,9 +141,32 @@
 		MaxAttempts: attempts,
 		Deadline:    s.deadline,
 	}
+	if s.delegated && s.pool.paths.lost.Load() {
+		return s.refuseWithoutRunner(&PathsLostError{service})
+	}
 	return nil
 }
 
+// PathsLostError says that this daemon reaches no runner of a service.
+type PathsLostError struct{ Service string }
+
+func (e *PathsLostError) Error() string { return "no path to the runners of " + e.Service }
+
+// prepare does what is needed once before the request is sent to a runner: it finds out which
+// software version the request may use, and charges the quota.
+func (s *requestHandler) prepare(ctx context.Context) *refusal.Refusal {
+	if s.prepared {
+		return nil
+	}
+	s.prepared = true
+	s.routingRequest = routingRequestOf(s.req)
+	s.routingRequest.Fetchable = s.pool.canFetchPrefix()
+	if s.gate = s.edge.trials.gate(s.pool.name); s.gate != nil {
+		s.pool.excludeByPlacement(&s.routingRequest, s.failedRunners, s.gate, s.edge.placeRepeat(s.gate))
+	}
+	return s.charge(ctx)
+}
+
 func routingRequestOf(r *Request) routing.Request {
 	p := routing.Request{
 		Prefix:       r.Prompt.Prefix,
--- a/daemon/edge/silent_runners.go
+++ b/daemon/edge/silent_runners.go
@@ -39,7 +39,9 @@
 // recordHeard records that data has arrived from the attempt's runner.
 func (a *attempt) recordHeard() {
 	a.activity.lastHeard.Store(time.Now().UnixNano())
-	a.s.pool.recordHeard()
+	if a.helper == "" {
+		a.s.pool.recordHeard()
+	}
 }
 
 // beginAttempt registers an attempt as in progress.
@@ -112,3 +114,18 @@
 		}
 	}
 }
+
+// abandonUnreachable cancels, once the runners count as unreachable, the attempts whose requests
+// may be repeated or have not been sent.
+func (p *pool) abandonUnreachable() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, act := range p.activities {
+		for a := range act.attempts {
+			if a.s.exchange.Terms.Repeatable || !a.connected.Load() {
+				a.abandoned.Store(true)
+				a.cancel()
+			}
+		}
+	}
+}
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -43,9 +43,7 @@
 		s.exchange.RecordInterrupted()
 		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
 	}
-	s.pool.observe(a.choice.Runner, health.Failure)
-	s.pool.recordPathFailure(a.choice.Runner)
-	a.recordFailure()
+	a.recordBroken()
 	reason := retry.Broken
 	if a.abandoned.Load() {
 		reason = retry.Silent
@@ -53,6 +51,16 @@
 	return &forward.FailedAttempt{Reason: reason, MayHaveRun: true, Sent: true}
 }
 
+// recordBroken records that the answer of a runner broke off.
+func (a *attempt) recordBroken() {
+	if a.helper != "" {
+		return
+	}
+	a.s.pool.observe(a.choice.Runner, health.Failure)
+	a.s.pool.recordPathFailure(a.choice.Runner)
+	a.recordFailure()
+}
+
 // callerLeftError says that the answer could not be written because the caller has
 // disconnected.
 type callerLeftError struct{ Err error }
@@ -108,7 +116,9 @@
 func (a *attempt) firstToken() {
 	took := time.Since(a.sent)
 	a.firstEventAfter = took
-	a.s.pool.firstToken(&a.ticket, a.choice, took)
+	if a.helper == "" {
+		a.s.pool.firstToken(&a.ticket, a.choice, took)
+	}
 	a.s.edge.log.Time("first_event_us", took)
 }
 
--- a/protocol/forward/exchange.go
+++ b/protocol/forward/exchange.go
@@ -55,6 +55,10 @@
 	mayHaveRun bool
 }
 
+// Continue takes over an exchange that another daemon has begun: the number of runners to which
+// it has sent the request, and whether one of them may have run it.
+func (x *Exchange) Continue(sent int, mayHaveRun bool) { x.sent, x.mayHaveRun = sent, mayHaveRun }
+
 // MayHaveRun reports whether any attempt may have run the request.
 func (x *Exchange) MayHaveRun() bool { return x.mayHaveRun }
 
