Leave its requests to a runner that is silent for a second or so

Cause: one probe of 0.4 s after half a second of silence decided both that the runner gets no new requests and that its requests in progress are lost.

Change: the first unanswered probe still takes the runner out of use. Its requests are taken away only after two further probes on new connections, and not if the runner has sent anything since: 1.1 to 1.3 s of silence instead of 0.9. A runner that answers that it is unhealthy keeps its requests.

TestRunnerGoesDark (repeatable requests go on within 1.5 s) passes unchanged.

--- a/daemon/edge/paths.go
+++ b/daemon/edge/paths.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -87,7 +86,6 @@
 		return
 	}
 	p.paths.probedAt = now
-	path := p.service.HealthPath
 	var runners []Runner
 	for _, r := range p.runners {
 		if r.State != view.Leaving {
@@ -96,7 +94,7 @@
 	}
 	p.mu.Unlock()
 	for _, r := range p.edge.pathProbeTargets(runners) {
-		go p.probePath(r, path)
+		go p.checkHealth(r, healthConfig().ProbeTimeout)
 	}
 }
 
@@ -117,16 +115,3 @@
 	targets := slices.Concat(free, limited)
 	return targets[:min(pathProbes, len(targets))]
 }
-
-func (p *pool) probePath(r Runner, path string) {
-	ctx, cancel := context.WithTimeout(p.edge.probing, healthConfig().ProbeTimeout)
-	defer cancel()
-	if !p.edge.takePermit(ctx, r.ID) {
-		return
-	}
-	if p.edge.deps.Runners.CheckHealth(ctx, r.Address, path, r.ID) == NoAnswer {
-		p.recordPathFailure(r.ID)
-		return
-	}
-	p.recordHeard()
-}
--- a/daemon/edge/paths_test.go
+++ b/daemon/edge/paths_test.go
@@ -28,6 +28,8 @@
 	refusing cutMode = "refusing"
 	// silent paths lose everything: open connections hang and new ones time out.
 	silent cutMode = "silent"
+	// paused paths hold everything back until they are connected again.
+	paused cutMode = "paused"
 	// halfOpen paths keep the attempts in progress and refuse new connections.
 	halfOpen cutMode = "half-open"
 )
@@ -69,6 +71,13 @@
 	r.changed = nil
 }
 
+// pause holds back everything between the daemon and the runners for a while.
+func (r *daemonRunners) pause(d time.Duration) {
+	r.cut(paused)
+	time.Sleep(d)
+	r.cut(connected)
+}
+
 func (r *daemonRunners) state() (cutMode, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -115,7 +124,7 @@
 	switch mode, _ := r.state(); mode {
 	case connected:
 		return r.runners.CheckHealth(ctx, address, path, id)
-	case silent:
+	case silent, paused:
 		_ = hang(ctx, fakeDialTimeout)
 	}
 	return edge.NoAnswer
@@ -142,7 +151,15 @@
 	default:
 		return b.ReadCloser.Read(p)
 	}
-	switch mode, _ := b.runners.state(); mode {
+	mode, resumed := b.runners.state()
+	if mode == paused {
+		select {
+		case <-resumed:
+		case <-b.ctx.Done():
+			return 0, b.ctx.Err()
+		}
+	}
+	switch mode {
 	case refusing:
 		return 0, io.ErrUnexpectedEOF
 	case silent:
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -9,8 +9,16 @@
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
-// healthInterval is the least time between two health checks of the pools.
-const healthInterval = 200 * time.Millisecond
+const (
+	// healthInterval is the least time between two health checks of the pools.
+	healthInterval = 200 * time.Millisecond
+	// A runner whose probe gets no answer is not used for new requests, and is probed
+	// furtherProbes more times before its requests are taken away from it: a sound runner may be
+	// silent for a second or so and go on. Each probe opens a new connection, since the kernel
+	// sends a lost SYN again only after a second.
+	furtherProbes       = 2
+	furtherProbeTimeout = 150 * time.Millisecond
+)
 
 // healthDue reports whether the health checks are due, and counts them as done.
 func (e *Edge) healthDue() bool {
@@ -88,35 +96,46 @@
 	}
 }
 
+// probeRunner probes a runner, and ends the attempts there that may be repeated once it is certain
+// that the runner is silent.
 func (p *pool) probeRunner(id ident.RunnerID) {
+	start := time.Now()
 	p.mu.Lock()
 	r, ok := p.runners[id]
-	path := p.service.HealthPath
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(p.edge.probing, healthConfig().ProbeTimeout)
-	defer cancel()
-	healthy := ok && p.checkHealth(ctx, r, path)
+	health := NoAnswer
+	if ok {
+		health = p.checkHealth(r, healthConfig().ProbeTimeout)
+	}
 	p.mu.Lock()
-	effects := p.tracker.HandleProbe(time.Now(), id, healthy, nil)
+	effects := p.tracker.HandleProbe(time.Now(), id, health == Healthy, nil)
 	p.mu.Unlock()
-	if !healthy {
+	p.edge.log.Note("runner_probed", decisions.F("runner", id), decisions.F("health", health))
+	p.applyHealthEffects(effects)
+	for n := 0; n < furtherProbes && ok && health == NoAnswer; n++ {
+		health = p.checkHealth(r, furtherProbeTimeout)
+	}
+	if health == NoAnswer && !p.heardSince(id, start) {
 		p.abandonAttempts(id)
 	}
-	p.edge.log.Note("runner_probed", decisions.F("runner", id), decisions.F("healthy", healthy))
-	p.applyHealthEffects(effects)
 }
 
 // checkHealth probes a runner. A probe is a request, too: without a permit for one, the runner
 // counts as healthy, and the next request that gets a permit shows whether it works.
-func (p *pool) checkHealth(ctx context.Context, r Runner, path string) bool {
+func (p *pool) checkHealth(r Runner, timeout time.Duration) Health {
+	ctx, cancel := context.WithTimeout(p.edge.probing, timeout)
+	defer cancel()
 	if !p.edge.takePermit(ctx, r.ID) {
-		return true
+		return Healthy
 	}
+	p.mu.Lock()
+	path := p.service.HealthPath
+	p.mu.Unlock()
 	health := p.edge.deps.Runners.CheckHealth(ctx, r.Address, path, r.ID)
 	if health == NoAnswer {
 		p.recordPathFailure(r.ID)
-		return false
+		return NoAnswer
 	}
 	p.recordHeard()
-	return health == Healthy
+	return health
 }
--- a/daemon/edge/silent_runners.go
+++ b/daemon/edge/silent_runners.go
@@ -14,8 +14,8 @@
 //
 // A runner with work in progress normally sends data all the time, since engines send tokens
 // many times a second. One that has work and has sent nothing on any connection is therefore
-// probed on a new connection. If the probe fails, the runner is ejected, and its requests that
-// may be repeated go to other runners while their callers still wait.
+// probed on a new connection. If the probe fails, the runner is ejected. If further probes fail,
+// too, its requests that may be repeated go to other runners while their callers still wait.
 
 const (
 	// silenceBeforeProbe is the time without data after which a runner with work is probed.
@@ -98,6 +98,14 @@
 	}
 }
 
+// heardSince reports whether a runner with work in progress has sent something since a time.
+func (p *pool) heardSince(id ident.RunnerID, start time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	act, ok := p.activities[id]
+	return ok && act.lastHeard.Load() > start.UnixNano()
+}
+
 // abandonAttempts cancels those attempts at a failed runner whose requests may be repeated. The
 // others may have run; only the runner can tell.
 func (p *pool) abandonAttempts(id ident.RunnerID) {
