--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -206,6 +206,9 @@
 	// RateLimit is the number of requests per second that the runner accepts from all daemons
 	// together; zero if it states no limit.
 	RateLimit float64
+	// MaxRejections is the number of requests that the runner can reject in a second, for lack of
+	// room, without failing; negative if it states none.
+	MaxRejections float64
 }
 
 // SendError describes an attempt that failed before the runner answered.
