Give brittle runners only the requests that they have room for

Cause, of the same class as the excess over stated rates: each daemon decides alone what it sends to a runner, and takes a rejection for an answer of the runner to itself; how many requests all daemons have there is known to nobody, and each fallen runner sends its load to the next.

Change: the owner of a limited runner's permits (coordination/runnerlimit) also gives out the places at a brittle runner, which daemons return when the request has ended, with whether it was rejected. A request that finds no place waits for one within half of its route's target latency; then it is refused with the time to come back. What runners state is one type, runnerlimit.Limits; its zero value states nothing.

Why it works: at most as many requests are under way to a runner as it has shown room for; a rejection lowers that before the next request is sent, so the rejections of a second stay below what makes it fail.

Limits on rates as before.

--- a/coordination/runnerlimit/limits.go
+++ b/coordination/runnerlimit/limits.go
@@ -1,12 +1,14 @@
-// Package runnerlimit keeps all daemons together within the request rates that runners state.
+// Package runnerlimit keeps all daemons together within the load that runners say they bear.
 //
 // A runner in need states in its answers how many requests per second it accepts from all
-// daemons together, for as long as it says so. The daemons tell each other of such limits. Each
-// limited runner has one owner among the daemons, which grants the permits for it: one permit
-// for each request, from a token bucket that is refilled at the stated rate. A daemon sends a
-// limited runner nothing without a permit. Shares of a limit that each daemon uses on its own
-// would not do: a limit of 0.2 requests per second divided among a hundred daemons leaves each
-// of them one request every eight minutes, and the one that has a request has no share.
+// daemons together, for as long as it says so. One that is brittle states how many requests it
+// can reject in a second, for lack of room, without failing. The daemons tell each other of such
+// limits. Each limited runner has one owner among the daemons, which grants the permits for it:
+// one permit for each request, from a token bucket that is refilled at the stated rate, and of a
+// brittle runner only while there is a place for the request. A daemon sends a limited runner
+// nothing without a permit. Shares of a limit that each daemon uses on its own would not do: a
+// limit of 0.2 requests per second divided among a hundred daemons leaves each of them one request
+// every eight minutes, and the one that has a request has no share.
 //
 // The owner is the daemon with the highest hash of its incarnation and the runner. Daemons that
 // know different fleets for a moment may take two daemons for the owner, so the bucket is
@@ -27,169 +29,172 @@
 )
 
 const (
-	// liftMargin is how much later than the last statement of a limit a request must have been
-	// sent for its answer to lift the limit. It covers the inaccuracy of ages in messages.
-	liftMargin = 200 * time.Millisecond
 	// liftMemory is how long a lifted limit is remembered, so that messages that are under way
 	// don't bring it back.
 	liftMemory = 5 * time.Second
 	// unknownRunnerMemory is how long a limit is kept for a runner that this daemon doesn't
 	// know. Messages of other daemons may arrive before the runner's entry.
 	unknownRunnerMemory = 10 * time.Second
-	// burstPeriod is the time whose permits a bucket holds at most, but at least minBurst. With
-	// room for one only, a permit is lost whenever no request comes at the right moment.
-	burstPeriod = 500 * time.Millisecond
-	minBurst    = 2
-	// maxQueueWait bounds how much later than the next permit a daemon that gets none is told
-	// to ask again.
-	maxQueueWait = 200 * time.Millisecond
 )
 
-// Statement is what a daemon knows of a runner's limit, as it tells the others. Statements of
-// the same runner can be merged in any order.
+// Statement is what a daemon knows of a runner's limits, as it tells the others.
 type Statement struct {
-	Runner    ident.RunnerID
-	PerSecond float64
-	// StatedAt is when the newest answer that states the limit was received.
-	StatedAt time.Duration
-	// Lifted is set if a later answer states no limit; its request was sent at LiftedAt.
-	Lifted   bool
-	LiftedAt time.Duration
+	Runner ident.RunnerID
+	// Rate is the number of requests per second that the runner accepts, Rejections the number
+	// of requests per second that it can reject without failing.
+	Rate, Rejections Term
 }
 
-// limit is what is known about one runner's limit, and the bucket of permits for the runner.
-type limit struct {
-	perSecond float64
-	statedAt  time.Duration
-	liftedAt  time.Duration
-	// receivedAt is when an answer or a message last said something about the limit.
+// Limits are the limits that a runner states; the zero value stands for none.
+type Limits struct {
+	// Rate is the number of requests per second that the runner accepts from all daemons
+	// together; zero if it states none.
+	Rate float64
+	// Brittle says that the runner states how many requests per second it can reject, for lack
+	// of room, without failing; MaxRejections is that number.
+	Brittle       bool
+	MaxRejections float64
+}
+
+// entry is what is known about one runner's limits, and the permits for the runner.
+type entry struct {
+	rate, rejections Term
+	// receivedAt is when an answer or a message last said something about the limits.
 	receivedAt time.Duration
-	// level is the number of permits in the bucket as of refilledAt. nextFree is the time for
-	// which the next daemon that gets no permit is told to ask again.
-	level      float64
-	refilledAt time.Duration
-	nextFree   time.Duration
+	bucket     bucket
+	// places is nil until this daemon is first asked for a place at the runner.
+	places *places
 }
 
-func (l *limit) binds() bool { return l.liftedAt <= l.statedAt+liftMargin }
+func (e *entry) limits() Limits {
+	var l Limits
+	if e.rate.Binds() {
+		l.Rate = e.rate.Value
+	}
+	if e.rejections.Binds() {
+		l.Brittle, l.MaxRejections = true, e.rejections.Value
+	}
+	return l
+}
 
 // Table holds the limits that runners state, and the permits for them.
 type Table struct {
-	limits map[ident.RunnerID]*limit
+	entries map[ident.RunnerID]*entry
 }
 
 // New returns a table without limits.
-func New() *Table { return &Table{limits: map[ident.RunnerID]*limit{}} }
+func New() *Table { return &Table{entries: map[ident.RunnerID]*entry{}} }
 
-// Observe records a runner's answer, received now, to a request that was sent at the time sent.
-// perSecond is zero if the answer states no limit. Observe reports whether the limit changed.
-//
-// Answers may overtake each other. An answer without a limit lifts the limit only if its request
-// was sent after the last answer that states one was received.
-func (t *Table) Observe(now, sent time.Duration, runner ident.RunnerID, perSecond float64) bool {
-	if perSecond > 0 {
-		return t.Merge(now, Statement{Runner: runner, PerSecond: perSecond, StatedAt: now})
-	}
-	if _, known := t.limits[runner]; !known {
+// Observe records the limits in a runner's answer, received now, to a request that was sent at the
+// time sent. It reports whether the known limits changed.
+func (t *Table) Observe(now, sent time.Duration, runner ident.RunnerID, l Limits) bool {
+	if _, known := t.entries[runner]; !known && l == (Limits{}) {
 		return false
 	}
-	return t.Merge(now, Statement{Runner: runner, StatedAt: never, Lifted: true, LiftedAt: sent})
+	return t.Merge(now, Statement{
+		Runner: runner, Rate: observed(now, sent, l.Rate, l.Rate > 0), Rejections: observed(now, sent, l.MaxRejections, l.Brittle),
+	})
 }
 
-// never is before any time at which a limit can be stated or lifted.
-const never = -1 << 62
-
-// Merge records what another daemon knows of a limit. It reports whether the limit changed.
+// Merge records what another daemon knows of a runner's limits. It reports whether they changed.
 func (t *Table) Merge(now time.Duration, s Statement) bool {
-	before := t.PerSecond(s.Runner)
-	l, known := t.limits[s.Runner]
+	before := t.Limits(s.Runner)
+	e, known := t.entries[s.Runner]
 	if !known {
-		l = &limit{statedAt: never, liftedAt: never, refilledAt: now}
-		t.limits[s.Runner] = l
-	}
-	l.receivedAt = now
-	if s.PerSecond > 0 && s.StatedAt > l.statedAt {
-		l.refill(now)
-		l.statedAt, l.perSecond = s.StatedAt, s.PerSecond
+		e = &entry{bucket: bucket{refilledAt: now}}
+		t.entries[s.Runner] = e
 	}
-	if s.Lifted {
-		l.liftedAt = max(l.liftedAt, s.LiftedAt)
+	e.receivedAt = now
+	e.rate.merge(s.Rate)
+	e.rejections.merge(s.Rejections)
+	e.bucket.setRate(now, e.rate.Value)
+	if !e.rejections.Binds() {
+		e.places = nil
 	}
-	return t.PerSecond(s.Runner) != before
+	return t.Limits(s.Runner) != before
 }
 
-// PerSecond returns the requests per second that a runner accepts; zero if it states no limit.
-func (t *Table) PerSecond(runner ident.RunnerID) float64 {
-	if l, known := t.limits[runner]; known && l.binds() {
-		return l.perSecond
+// Limits returns the limits that a runner states.
+func (t *Table) Limits(runner ident.RunnerID) Limits {
+	if e, known := t.entries[runner]; known {
+		return e.limits()
 	}
-	return 0
+	return Limits{}
 }
 
-// Limited returns the runners that state a limit, in no particular order.
-func (t *Table) Limited() []ident.RunnerID {
-	var limited []ident.RunnerID
-	for runner, l := range t.limits {
-		if l.binds() {
-			limited = append(limited, runner)
-		}
-	}
-	return limited
-}
-
-// Statement returns what is known of one runner's limit.
+// Statement returns what is known of one runner's limits.
 func (t *Table) Statement(runner ident.RunnerID) Statement {
-	l, known := t.limits[runner]
+	e, known := t.entries[runner]
 	if !known {
 		return Statement{Runner: runner}
 	}
-	return Statement{Runner: runner, PerSecond: l.perSecond, StatedAt: l.statedAt, Lifted: l.liftedAt != never, LiftedAt: l.liftedAt}
+	return Statement{Runner: runner, Rate: e.rate, Rejections: e.rejections}
 }
 
 // Statements returns what is known of all limits, in the order of the runners.
 func (t *Table) Statements() []Statement {
-	list := make([]Statement, 0, len(t.limits))
-	for runner := range t.limits {
+	list := make([]Statement, 0, len(t.entries))
+	for runner := range t.entries {
 		list = append(list, t.Statement(runner))
 	}
 	slices.SortFunc(list, func(a, b Statement) int { return cmp.Compare(a.Runner, b.Runner) })
 	return list
 }
 
-// Take takes the permit for one request to a runner. Only the runner's owner may call it. Without
-// a permit, Take returns the time after which to ask again; each caller is told another time.
-func (t *Table) Take(now time.Duration, runner ident.RunnerID) (time.Duration, bool) {
-	l, known := t.limits[runner]
-	if !known || !l.binds() {
-		return 0, true
+// Permit is the decision on a request for a permit.
+type Permit struct {
+	Granted bool
+	// Wait is the time after which to ask again; each caller is told another time. Busy says
+	// that there is no place at the runner, rather than that its rate is used up.
+	Wait time.Duration
+	Busy bool
+	// Lease identifies the place that the request takes; zero if it takes none.
+	Lease uint64
+}
+
+// Take takes the permit for one request to a runner. Only the runner's owner may call it.
+func (t *Table) Take(now time.Duration, runner ident.RunnerID, d Demand) Permit {
+	e, known := t.entries[runner]
+	if !known {
+		return Permit{Granted: true}
 	}
-	l.refill(now)
-	if l.level >= 1 {
-		l.level--
-		return 0, true
+	p := Permit{Granted: true}
+	if e.rejections.Binds() {
+		if e.places == nil {
+			e.places = newPlaces(now, d)
+		}
+		lease, wait := e.places.take(now, d)
+		if lease == 0 {
+			return Permit{Wait: wait, Busy: true}
+		}
+		p.Lease = lease
+	}
+	if !e.rate.Binds() {
+		return p
 	}
-	perPermit := time.Duration(float64(time.Second) / l.perSecond)
-	available := now + time.Duration((1-l.level)*float64(perPermit))
-	l.nextFree = min(max(l.nextFree, available), available+maxQueueWait)
-	wait := l.nextFree - now
-	l.nextFree += perPermit
-	return wait, false
+	if wait, ok := e.bucket.take(now); !ok {
+		t.Return(now, runner, p.Lease, false)
+		return Permit{Wait: wait}
+	}
+	return p
 }
 
-// refill adds the permits that the bucket gained since the last refill.
-func (l *limit) refill(now time.Duration) {
-	gained := l.perSecond * (now - l.refilledAt).Seconds()
-	l.level = min(max(minBurst, l.perSecond*burstPeriod.Seconds()), l.level+max(0, gained))
-	l.refilledAt = now
+// Return gives back the place of a request that has ended. rejected says that the runner rejected
+// it for lack of room.
+func (t *Table) Return(now time.Duration, runner ident.RunnerID, leaseID uint64, rejected bool) {
+	if e, known := t.entries[runner]; known && e.places != nil {
+		e.places.giveBack(now, leaseID, rejected, e.rejections.Value)
+	}
 }
 
 // Expire forgets limits that were lifted a while ago, and those of runners that are not known
 // and that nothing has been heard of for a while.
 func (t *Table) Expire(now time.Duration, isKnown func(ident.RunnerID) bool) {
-	for runner, l := range t.limits {
-		age := now - l.receivedAt
-		if !l.binds() && now-l.liftedAt > liftMemory || age > unknownRunnerMemory && !isKnown(runner) {
-			delete(t.limits, runner)
+	for runner, e := range t.entries {
+		age := now - e.receivedAt
+		lifted := max(e.rate.LiftedAt, e.rejections.LiftedAt)
+		if e.limits() == (Limits{}) && now-lifted > liftMemory || age > unknownRunnerMemory && !isKnown(runner) {
+			delete(t.entries, runner)
 		}
 	}
 }
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -47,7 +47,11 @@
 	s      *requestHandler
 	choice routing.Choice
 	ticket routing.Ticket
-	sent   time.Time
+	// permit is the permission of a limited runner's owner. rejected says that the runner
+	// rejected the request for lack of room.
+	permit   permit
+	rejected bool
+	sent     time.Time
 	// firstEventAfter is the time from the send to the stream's first event, zero before it.
 	firstEventAfter time.Duration
 	// activity records when the last data was received from the runner. cancel ends the attempt
@@ -173,12 +177,12 @@
 	if ctx.Err() != nil || !now.Before(s.deadline) {
 		return nil, s.exchange.DeadlineRefusal().After(notReadyRetryAfter)
 	}
-	choice, r := s.choosePermitted(ctx, now)
+	choice, permit, r := s.choosePermitted(ctx)
 	if r != nil {
 		return nil, r
 	}
 	now = time.Now()
-	a := &attempt{s: s, choice: choice, sent: now, trial: s.trialAttributionOf(choice.Runner)}
+	a := &attempt{s: s, choice: choice, permit: permit, sent: now, trial: s.trialAttributionOf(choice.Runner)}
 	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
 	s.countTrialDispatch()
 	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("estimate", choice.Estimate),
@@ -246,6 +250,7 @@
 	a.cancel = cancel
 	s.pool.beginAttempt(a)
 	defer s.pool.endAttempt(a)
+	defer func() { s.edge.returnPermit(a.permit, a.rejected) }()
 	answer, err := s.edge.deps.Runners.Send(sendCtx, &Attempt{
 		Request:     s.req,
 		Runner:      a.choice.Runner,
@@ -262,7 +267,7 @@
 	}
 	defer answer.Body.Close()
 	a.recordHeard()
-	a.observeLimit(answer)
+	a.observeLimits(answer)
 	if answer.NotRun || answer.Misdirected {
 		return a.handleNotRun(answer)
 	}
@@ -350,6 +355,7 @@
 		a.s.pool.observe(a.choice.Runner, health.Failure)
 		return failure
 	}
+	a.rejected = true
 	if answer.Leaving {
 		failure.Reason = retry.Leaving
 	}
--- a/daemon/edge/brittle_test.go
+++ b/daemon/edge/brittle_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/runnerlimit"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/protocol/retry"
@@ -55,7 +56,7 @@
 func (r *brittleRunner) answer(status int) *edge.Answer {
 	a := plainAnswer(status, "")
 	if r.brittle {
-		a.MaxRejections = float64(r.maxRejections)
+		a.Limits = runnerlimit.Limits{Brittle: true, MaxRejections: float64(r.maxRejections)}
 	}
 	return a
 }
--- a/daemon/edge/paths.go
+++ b/daemon/edge/paths.go
@@ -104,7 +104,7 @@
 	rand.Shuffle(len(runners), func(i, j int) { runners[i], runners[j] = runners[j], runners[i] })
 	var free, limited []Runner
 	for _, r := range runners {
-		if e.runnerLimits.perSecond(r.ID) > 0 {
+		if e.runnerLimits.limited(r.ID) {
 			limited = append(limited, r)
 			continue
 		}
--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -10,14 +10,15 @@
 	"geraniumstack.org/geraniumstack/coordination/runnerlimit"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
-// A request is sent to a runner that states a limit only with a permit of the runner's owner,
-// one of the daemons that share the quotas. A daemon that is denied one doesn't choose the
-// runner for as long as the owner said.
+// A request is sent to a runner that states limits only with a permit of the runner's owner, one
+// of the daemons that share the quotas. A daemon that is denied one doesn't choose the runner for
+// as long as the owner said.
 
 const (
 	// permitTimeout is the time that the owner has to answer. It answers within a millisecond
@@ -33,6 +34,9 @@
 	// maxPermitAsks bounds the limited runners that are asked for for one attempt. Each may take
 	// a message to another failure domain and back.
 	maxPermitAsks = 6
+	// minPlaceWait is how long a request may wait for a place at a runner if its route's target
+	// latency is short or unknown.
+	minPlaceWait = 100 * time.Millisecond
 )
 
 // firstAskID returns a random number, so that a Permit for a former process at this address
@@ -40,31 +44,51 @@
 func firstAskID() uint64 { return rand.Uint64() }
 
 // choosePermitted chooses a runner to which the request may be sent now. If all suitable runners
-// state limits that are used up, it returns a refusal with the time until there is a permit.
-func (s *requestHandler) choosePermitted(ctx context.Context, now time.Time) (routing.Choice, *refusal.Refusal) {
-	for range maxPermitAsks {
+// have used up the rates that they state, it returns a refusal with the time until there is a
+// permit. If they only lack a place, the request waits for one as long as it can be served in time.
+func (s *requestHandler) choosePermitted(ctx context.Context) (routing.Choice, permit, *refusal.Refusal) {
+	for asks := 0; asks < maxPermitAsks; {
 		soonest := s.excludeDenied()
+		now := time.Now()
 		choice, err := s.pick(ctx, now)
 		s.recommended = ""
-		if err != nil && soonest > 0 {
-			return routing.Choice{}, s.refuseLimited(soonest)
-		}
-		if err != nil {
-			return routing.Choice{}, s.refuseWithoutRunner(err)
+		switch {
+		case err != nil && soonest.until > 0 && s.mayWaitForPlace(now, soonest):
+			if !pause.For(ctx, soonest.until+rand.N(soonest.until)) {
+				return routing.Choice{}, permit{}, s.exchange.DeadlineRefusal().After(notReadyRetryAfter)
+			}
+			asks = 0
+			continue
+		case err != nil && soonest.until > 0:
+			return routing.Choice{}, permit{}, s.refuseLimited(soonest.until)
+		case err != nil:
+			return routing.Choice{}, permit{}, s.refuseWithoutRunner(err)
 		}
 		if late := choice.Estimate - s.maxFirstTokenWait(now); late > 0 && s.edge.settings.Policy.Uses(RefuseEarly) {
-			return routing.Choice{}, s.refuseTooLate(late, choice)
+			return routing.Choice{}, permit{}, s.refuseTooLate(late, choice)
 		}
-		if s.edge.takePermit(ctx, choice.Runner) {
-			return choice, nil
+		p, granted := s.edge.takePermit(ctx, choice.Runner, s.pool.permitDemand(choice.Runner, s.deadline.Sub(now)))
+		if granted {
+			return choice, p, nil
 		}
+		asks++
+	}
+	return routing.Choice{}, permit{}, s.refuseLimited(max(s.excludeDenied().until, unknownOwnerWait))
+}
+
+// mayWaitForPlace reports whether the request may wait until there may be a place at a runner:
+// within half of the route's target latency, so that the answer can still be in time.
+func (s *requestHandler) mayWaitForPlace(now time.Time, soonest denial) bool {
+	if !soonest.busy || s.exchange.AnswerBegun {
+		return false
 	}
-	return routing.Choice{}, s.refuseLimited(max(s.excludeDenied(), unknownOwnerWait))
+	waited := now.Sub(s.req.Received)
+	return waited+2*soonest.until < max(minPlaceWait, s.route.TargetLatency/2)
 }
 
 // excludeDenied excludes the runners for which this daemon was denied a permit, and returns the
-// time until it may ask for the first of them again; zero if there are none.
-func (s *requestHandler) excludeDenied() time.Duration {
+// time from now until it may ask for the first of them again; zero if there are none.
+func (s *requestHandler) excludeDenied() denial {
 	denied, soonest := s.edge.deniedRunners(s.pool)
 	s.deniedRunners = s.pool.exclusionOf(denied...)
 	s.routingRequest.Exclude = s.excludedRunners()
@@ -83,87 +107,124 @@
 }
 
 // deniedRunners returns the runners of a service for which this daemon was denied a permit, and
-// the time until it may ask for the first of them again.
-func (e *Edge) deniedRunners(p *pool) ([]ident.RunnerID, time.Duration) {
+// the time from now until it may ask for the first of them again.
+func (e *Edge) deniedRunners(p *pool) (denied []ident.RunnerID, soonest denial) {
 	now := e.deps.Steady()
 	l := &e.runnerLimits
 	l.mu.Lock()
-	var candidates []ident.RunnerID
-	for runner, until := range l.deniedUntil {
-		if until > now && l.table.PerSecond(runner) > 0 {
-			candidates = append(candidates, runner)
+	var waits map[ident.RunnerID]denial
+	for runner, d := range l.denied {
+		if d.until <= now || l.table.Limits(runner) == (runnerlimit.Limits{}) {
+			continue
 		}
+		if waits == nil {
+			waits = map[ident.RunnerID]denial{}
+		}
+		waits[runner] = denial{until: d.until - now, busy: d.busy}
 	}
 	l.mu.Unlock()
-	var denied []ident.RunnerID
-	soonest := time.Duration(0)
-	for _, runner := range candidates {
+	for runner, d := range waits {
 		if !p.hasRunner(runner) {
 			continue
 		}
 		denied = append(denied, runner)
-		if wait := e.deniedFor(now, runner); soonest == 0 || wait < soonest {
-			soonest = wait
+		if soonest.until == 0 || d.until < soonest.until {
+			soonest = d
 		}
 	}
 	return denied, soonest
 }
 
-// deniedFor returns for how long this daemon must not ask for a permit for a runner.
-func (e *Edge) deniedFor(now time.Duration, runner ident.RunnerID) time.Duration {
-	e.runnerLimits.mu.Lock()
-	defer e.runnerLimits.mu.Unlock()
-	return max(time.Millisecond, e.runnerLimits.deniedUntil[runner]-now)
+// permit is the permission to send one request to a runner. The place that it takes at a brittle
+// runner is given back with returnPermit; lease is zero if it takes none, and owner is empty if
+// this daemon granted it.
+type permit struct {
+	runner ident.RunnerID
+	owner  string
+	lease  uint64
+}
+
+// permitDemand describes a request that may occupy a runner for some time.
+func (p *pool) permitDemand(id ident.RunnerID, hold time.Duration) runnerlimit.Demand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	present := p.peerLoads[id].Requests
+	if act, ok := p.activities[id]; ok {
+		present += len(act.attempts)
+	}
+	return runnerlimit.Demand{Hold: hold, Slots: p.slotsOf(id), Present: present}
 }
 
-// takePermit reports whether a request may be sent to a runner now.
-func (e *Edge) takePermit(ctx context.Context, runner ident.RunnerID) bool {
-	if e.runnerLimits.perSecond(runner) == 0 {
-		return true
+// takePermit takes the permit for a request to a runner. It returns false if the request must not
+// be sent there now.
+func (e *Edge) takePermit(ctx context.Context, runner ident.RunnerID, d runnerlimit.Demand) (permit, bool) {
+	if !e.runnerLimits.limited(runner) {
+		return permit{}, true
 	}
 	start := e.deps.Steady()
-	wait, granted := e.askForPermit(ctx, start, runner)
+	decision, p := e.askForPermit(ctx, start, runner, d)
 	now := e.deps.Steady()
-	if granted && now-start > permitValidity {
+	if decision.Granted && now-start > permitValidity {
 		e.log.Count("permit.too_late")
-		wait, granted = 0, false
+		e.returnPermit(p, false)
+		decision = runnerlimit.Permit{}
 	}
-	if granted {
+	if decision.Granted {
 		e.log.Count("permit.granted")
-		return true
+		return p, true
 	}
 	e.log.Count("permit.denied")
 	e.runnerLimits.mu.Lock()
-	e.runnerLimits.deniedUntil[runner] = now + max(time.Millisecond, wait)
+	e.runnerLimits.denied[runner] = denial{until: now + max(time.Millisecond, decision.Wait), busy: decision.Busy}
 	e.runnerLimits.mu.Unlock()
-	return false
+	return permit{}, false
 }
 
-// askForPermit asks the runner's owner for a permit. Without one it returns the time after which
-// to ask again.
-func (e *Edge) askForPermit(ctx context.Context, now time.Duration, runner ident.RunnerID) (time.Duration, bool) {
+// askForPermit asks the runner's owner for a permit.
+func (e *Edge) askForPermit(ctx context.Context, now time.Duration, runner ident.RunnerID, d runnerlimit.Demand) (runnerlimit.Permit, permit) {
+	unanswered := runnerlimit.Permit{Wait: unknownOwnerWait}
 	owner, self := e.permitOwner(now, runner)
 	if self {
-		return e.grantPermit(now, runner)
+		granted := e.grantPermit(now, runner, d)
+		return granted, permit{runner: runner, lease: granted.Lease}
 	}
 	if owner == "" {
 		e.log.Count("permit.no_owner")
-		return unknownOwnerWait, false
+		return unanswered, permit{}
 	}
 	answers := make(chan *peersv1.Permit, 1)
 	id, limit := e.runnerLimits.addAsk(now, runner, answers)
 	defer e.runnerLimits.removeAsk(id)
-	e.sendTo(owner, &peersv1.Datagram{PermitRequest: &peersv1.PermitRequest{Id: id, PeerAddress: e.settings.PeerAddress, Limit: limit}})
+	e.sendTo(owner, &peersv1.Datagram{PermitRequest: &peersv1.PermitRequest{Id: id, PeerAddress: e.settings.PeerAddress, Limit: limit, HoldNs: int64(d.Hold)}})
 	timeout := time.NewTimer(permitTimeout)
 	defer timeout.Stop()
 	select {
 	case p := <-answers:
-		return time.Duration(p.WaitNs), p.Granted
+		return runnerlimit.Permit{Granted: p.Granted, Wait: time.Duration(p.WaitNs), Busy: p.Busy, Lease: p.Lease}, permit{runner: runner, owner: p.PeerAddress, lease: p.Lease}
 	case <-timeout.C:
 		e.log.Count("permit.unanswered")
 	case <-ctx.Done():
 	}
-	return unknownOwnerWait, false
+	return unanswered, permit{}
+}
+
+// returnPermit gives back the place that a request took at a runner. rejected says that the
+// runner rejected the request for lack of room.
+func (e *Edge) returnPermit(p permit, rejected bool) {
+	switch {
+	case p.lease == 0:
+	case p.owner != "":
+		e.sendTo(p.owner, &peersv1.Datagram{PermitReturn: &peersv1.PermitReturn{Runner: string(p.runner), Lease: p.lease, Rejected: rejected}})
+	default:
+		e.runnerLimits.mu.Lock()
+		defer e.runnerLimits.mu.Unlock()
+		e.runnerLimits.table.Return(e.deps.Steady(), p.runner, p.lease, rejected)
+	}
+}
+
+// handlePermitReturn takes back the place that another daemon's request took.
+func (e *Edge) handlePermitReturn(r *peersv1.PermitReturn) {
+	e.returnPermit(permit{runner: ident.RunnerID(r.Runner), lease: r.Lease}, r.Rejected)
 }
 
 func (l *runnerLimits) addAsk(now time.Duration, runner ident.RunnerID, answers chan<- *peersv1.Permit) (uint64, *peersv1.RunnerLimit) {
@@ -180,11 +241,11 @@
 	delete(l.asks, id)
 }
 
-// grantPermit grants a permit as the runner's owner.
-func (e *Edge) grantPermit(now time.Duration, runner ident.RunnerID) (time.Duration, bool) {
+// grantPermit decides about a permit as the runner's owner.
+func (e *Edge) grantPermit(now time.Duration, runner ident.RunnerID, d runnerlimit.Demand) runnerlimit.Permit {
 	e.runnerLimits.mu.Lock()
 	defer e.runnerLimits.mu.Unlock()
-	return e.runnerLimits.table.Take(now, runner)
+	return e.runnerLimits.table.Take(now, runner, d)
 }
 
 // permitOwner returns the address of the daemon to ask for permits for a runner, or self if this
@@ -227,11 +288,11 @@
 	e.receiveRunnerLimits(r.PeerAddress, []*peersv1.RunnerLimit{r.Limit})
 	runner := ident.RunnerID(r.Limit.Runner)
 	owner, self := e.permitOwner(now, runner)
-	answer := &peersv1.Permit{Id: r.Id, WaitNs: int64(unknownOwnerWait)}
+	answer := &peersv1.Permit{Id: r.Id, Runner: r.Limit.Runner, PeerAddress: e.settings.PeerAddress, WaitNs: int64(unknownOwnerWait)}
 	switch {
 	case self:
-		wait, granted := e.grantPermit(now, runner)
-		answer.Granted, answer.WaitNs = granted, int64(wait)
+		p := e.grantPermit(now, runner, e.permitDemand(runner, time.Duration(r.HoldNs)))
+		answer.Granted, answer.WaitNs, answer.Busy, answer.Lease = p.Granted, int64(p.Wait), p.Busy, p.Lease
 	case owner != "" && !r.Forwarded:
 		r.Forwarded = true
 		e.sendTo(owner, &peersv1.Datagram{PermitRequest: r})
@@ -240,8 +301,20 @@
 	e.sendTo(r.PeerAddress, &peersv1.Datagram{Permit: answer})
 }
 
+// permitDemand describes a request of any service to a runner.
+func (e *Edge) permitDemand(runner ident.RunnerID, hold time.Duration) runnerlimit.Demand {
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	for _, p := range e.pools {
+		if p.hasRunner(runner) {
+			return p.permitDemand(runner, hold)
+		}
+	}
+	return runnerlimit.Demand{Hold: hold, Slots: defaultSlots}
+}
+
 // handlePermit passes an answer to the request that waits for it. A permit that comes too late
-// is lost.
+// is lost, but for the place that it takes.
 func (e *Edge) handlePermit(p *peersv1.Permit) {
 	e.runnerLimits.mu.Lock()
 	answers, ok := e.runnerLimits.asks[p.Id]
@@ -249,6 +322,7 @@
 	e.runnerLimits.mu.Unlock()
 	if !ok {
 		e.log.Count("permit.unknown")
+		e.returnPermit(permit{runner: ident.RunnerID(p.Runner), owner: p.PeerAddress, lease: p.Lease}, false)
 		return
 	}
 	answers <- p
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -72,6 +72,8 @@
 		e.handlePermitRequest(d.PermitRequest)
 	case d.Permit != nil:
 		e.handlePermit(d.Permit)
+	case d.PermitReturn != nil:
+		e.handlePermitReturn(d.PermitReturn)
 	case d.LimitNews != nil:
 		e.handleLimitNews(d.LimitNews)
 	case d.Hello != nil:
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -125,9 +125,11 @@
 func (p *pool) checkHealth(r Runner, timeout time.Duration) Health {
 	ctx, cancel := context.WithTimeout(p.edge.probing, timeout)
 	defer cancel()
-	if !p.edge.takePermit(ctx, r.ID) {
+	permit, granted := p.edge.takePermit(ctx, r.ID, p.permitDemand(r.ID, timeout))
+	if !granted {
 		return Healthy
 	}
+	defer p.edge.returnPermit(permit, false)
 	p.mu.Lock()
 	path := p.service.HealthPath
 	p.mu.Unlock()
--- a/daemon/edge/runner_limit_test.go
+++ b/daemon/edge/runner_limit_test.go
@@ -46,7 +46,7 @@
 		answer := plainAnswer(http.StatusOK, "from "+id)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		answer.RateLimit = r.perSecond
+		answer.Limits.Rate = r.perSecond
 		if r.statedAt.IsZero() && r.perSecond > 0 {
 			r.statedAt = time.Now()
 		}
@@ -249,7 +249,7 @@
 		w.addRunner("failing", "app").setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
 			arrive()
 			answer := plainAnswer(http.StatusInternalServerError, "")
-			answer.RateLimit = 0.2
+			answer.Limits.Rate = 0.2
 			return answer, nil
 		})
 		w.runners.onProbe = func(address string) {
--- a/daemon/edge/runner_limits.go
+++ b/daemon/edge/runner_limits.go
@@ -21,13 +21,12 @@
 	limitNewsDelay = 20 * time.Millisecond
 )
 
-// runnerLimits holds the request rates that runners state, and the permits of this daemon.
+// runnerLimits holds the limits that runners state, and the permits of this daemon.
 type runnerLimits struct {
 	mu    sync.Mutex
 	table *runnerlimit.Table
-	// deniedUntil is, for limited runners, the time until which this daemon asks for no permit,
-	// because it was denied one.
-	deniedUntil map[ident.RunnerID]time.Duration
+	// denied holds, for limited runners, until when this daemon asks for no permit.
+	denied map[ident.RunnerID]denial
 	// asks holds the unanswered requests for permits by ID.
 	asks      map[uint64]chan<- *peersv1.Permit
 	lastAsk   uint64
@@ -37,36 +36,44 @@
 	news map[ident.RunnerID]bool
 }
 
+// denial says until when a daemon that was denied a permit doesn't ask again. busy says that the
+// runner had no place, rather than that its rate was used up.
+type denial struct {
+	until time.Duration
+	busy  bool
+}
+
 func (l *runnerLimits) init() {
 	l.table = runnerlimit.New()
-	l.deniedUntil = map[ident.RunnerID]time.Duration{}
+	l.denied = map[ident.RunnerID]denial{}
 	l.asks = map[uint64]chan<- *peersv1.Permit{}
 	l.lastAsk = firstAskID()
 	l.news = map[ident.RunnerID]bool{}
 }
 
-// perSecond returns the requests per second that a runner accepts; zero if it states no limit.
-func (l *runnerLimits) perSecond(runner ident.RunnerID) float64 {
+// limited reports whether a runner states limits.
+func (l *runnerLimits) limited(runner ident.RunnerID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.table.PerSecond(runner)
+	return l.table.Limits(runner) != (runnerlimit.Limits{})
 }
 
-// observeLimit records whether a runner's answer states a limit on its request rate.
-func (a *attempt) observeLimit(answer *Answer) {
+// observeLimits records the limits that a runner's answer states.
+func (a *attempt) observeLimits(answer *Answer) {
 	e := a.s.edge
 	now := e.deps.Steady()
 	sent := now - time.Since(a.sent)
+	limits := answer.Limits
 	e.runnerLimits.mu.Lock()
-	before := e.runnerLimits.table.PerSecond(a.choice.Runner)
-	changed := e.runnerLimits.table.Observe(now, sent, a.choice.Runner, answer.RateLimit)
+	before := e.runnerLimits.table.Limits(a.choice.Runner)
+	changed := e.runnerLimits.table.Observe(now, sent, a.choice.Runner, limits)
 	e.runnerLimits.mu.Unlock()
 	if changed {
-		a.s.note("runner_limit", decisions.F("runner", a.choice.Runner), decisions.F("per_second", answer.RateLimit),
-			decisions.F("before", before), decisions.F("sent", time.Since(a.sent)))
+		a.s.note("runner_limit", decisions.F("runner", a.choice.Runner), decisions.F("per_second", limits.Rate), decisions.F("brittle", limits.Brittle), decisions.F("max_rejections", limits.MaxRejections),
+			decisions.F("before", before.Rate), decisions.F("brittle_before", before.Brittle), decisions.F("sent", time.Since(a.sent)))
 		e.spreadLimit(a.choice.Runner, false)
 	}
-	if answer.RateLimit > 0 {
+	if limits != (runnerlimit.Limits{}) {
 		e.log.Count("limited_answers")
 	}
 }
@@ -84,20 +91,28 @@
 }
 
 func encodeRunnerLimit(now time.Duration, s runnerlimit.Statement) *peersv1.RunnerLimit {
-	m := &peersv1.RunnerLimit{Runner: string(s.Runner), PerSecond: s.PerSecond, Lifted: s.Lifted}
-	if s.PerSecond > 0 {
-		m.StatedAgeNs = int64(now - s.StatedAt)
+	return &peersv1.RunnerLimit{Runner: string(s.Runner), Rate: encodeTerm(now, s.Rate), Rejections: encodeTerm(now, s.Rejections)}
+}
+
+func encodeTerm(now time.Duration, t runnerlimit.Term) *peersv1.Term {
+	if !t.Stated {
+		return nil
 	}
-	if s.Lifted {
-		m.LiftedAgeNs = int64(now - s.LiftedAt)
+	m := &peersv1.Term{Value: t.Value, Stated: true, StatedAgeNs: int64(now - t.StatedAt), Lifted: t.Lifted}
+	if t.Lifted {
+		m.LiftedAgeNs = int64(now - t.LiftedAt)
 	}
 	return m
 }
 
 func decodeRunnerLimit(now time.Duration, m *peersv1.RunnerLimit) runnerlimit.Statement {
-	return runnerlimit.Statement{
-		Runner: ident.RunnerID(m.Runner), PerSecond: m.PerSecond, StatedAt: now - time.Duration(m.StatedAgeNs),
-		Lifted: m.Lifted, LiftedAt: now - time.Duration(m.LiftedAgeNs),
+	return runnerlimit.Statement{Runner: ident.RunnerID(m.Runner), Rate: decodeTerm(now, m.Rate), Rejections: decodeTerm(now, m.Rejections)}
+}
+
+func decodeTerm(now time.Duration, m *peersv1.Term) runnerlimit.Term {
+	return runnerlimit.Term{
+		Value: m.GetValue(), Stated: m.GetStated(), StatedAt: now - time.Duration(m.GetStatedAgeNs()),
+		Lifted: m.GetLifted(), LiftedAt: now - time.Duration(m.GetLiftedAgeNs()),
 	}
 }
 
@@ -175,11 +190,11 @@
 	for _, m := range limits {
 		e.runnerLimits.mu.Lock()
 		changed := e.runnerLimits.table.Merge(now, decodeRunnerLimit(now, m))
-		perSecond := e.runnerLimits.table.PerSecond(ident.RunnerID(m.Runner))
+		limits := e.runnerLimits.table.Limits(ident.RunnerID(m.Runner))
 		e.runnerLimits.mu.Unlock()
 		if changed {
-			e.log.Note("runner_limit", decisions.F("runner", m.Runner), decisions.F("per_second", perSecond), decisions.F("told_by", by),
-				decisions.F("age", time.Duration(m.StatedAgeNs)))
+			e.log.Note("runner_limit", decisions.F("runner", m.Runner), decisions.F("per_second", limits.Rate), decisions.F("brittle", limits.Brittle), decisions.F("max_rejections", limits.MaxRejections),
+				decisions.F("told_by", by), decisions.F("age", time.Duration(max(m.Rate.GetStatedAgeNs(), m.Rejections.GetStatedAgeNs()))))
 			changedRunners = append(changedRunners, ident.RunnerID(m.Runner))
 		}
 	}
@@ -205,9 +220,9 @@
 	defer l.mu.Unlock()
 	l.expiredAt = now
 	l.table.Expire(now, func(id ident.RunnerID) bool { return known[id] })
-	for runner, until := range l.deniedUntil {
-		if until <= now {
-			delete(l.deniedUntil, runner)
+	for runner, d := range l.denied {
+		if d.until <= now {
+			delete(l.denied, runner)
 		}
 	}
 }
--- a/daemon/edge/runners_test.go
+++ b/daemon/edge/runners_test.go
@@ -76,7 +76,7 @@
 }
 
 func plainAnswer(status int, body string) *edge.Answer {
-	return &edge.Answer{Status: status, Header: http.Header{}, Length: int64(len(body)), Body: io.NopCloser(bytes.NewBufferString(body)), MaxRejections: -1}
+	return &edge.Answer{Status: status, Header: http.Header{}, Length: int64(len(body)), Body: io.NopCloser(bytes.NewBufferString(body))}
 }
 
 // eventAnswer returns an event stream whose body ends with err after the given bytes.
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -53,6 +53,7 @@
 	"geraniumstack.org/geraniumstack/coordination/accounting"
 	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/quota"
+	"geraniumstack.org/geraniumstack/coordination/runnerlimit"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -203,12 +204,8 @@
 	// Events is set if the body is an event stream.
 	Events     bool
 	RetryAfter time.Duration
-	// RateLimit is the number of requests per second that the runner accepts from all daemons
-	// together; zero if it states no limit.
-	RateLimit float64
-	// MaxRejections is the number of requests that the runner can reject in a second, for lack of
-	// room, without failing; negative if it states none.
-	MaxRejections float64
+	// Limits are what the runner states about the load that it bears.
+	Limits runnerlimit.Limits
 }
 
 // SendError describes an attempt that failed before the runner answered.
--- a/state/refusal/refusal.go
+++ b/state/refusal/refusal.go
@@ -48,8 +48,8 @@
 	DeadlineUnreachable Reason = "deadline_unreachable"
 	DeadlineExceeded    Reason = "deadline_exceeded"
 	NoRunner            Reason = "no_runner"
-	// RunnersLimited means that all suitable runners limit the rate of their requests, and that
-	// the daemons have used up these limits.
+	// RunnersLimited means that all suitable runners limit the load that they bear, and that the
+	// daemons have used up these limits.
 	RunnersLimited       Reason = "runners_limited"
 	RunnerFailed         Reason = "runner_failed"
 	RunnerRefused        Reason = "runner_refused"
