Let a stream that has begun wait for a permit

What callers would see, on the new test: a stream whose runner breaks off is aborted, although it may be resumed, because all other runners state limits that are used up at that moment.

Cause: a refusal is the right answer to a request that has got none; to one that has begun it is a broken answer.

Change: such a request waits for the next permit while its caller does. The test fails without it.

--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -45,7 +45,7 @@
 
 // choosePermitted chooses a runner to which the request may be sent now. If all suitable runners
 // have used up the rates that they state, it returns a refusal with the time until there is a
-// permit. If they only lack a place, the request waits for one as long as it can be served in time.
+// permit, unless the request may wait.
 func (s *requestHandler) choosePermitted(ctx context.Context) (routing.Choice, permit, *refusal.Refusal) {
 	for asks := 0; asks < maxPermitAsks; {
 		soonest := s.excludeDenied()
@@ -53,7 +53,7 @@
 		choice, err := s.pick(ctx, now)
 		s.recommended = ""
 		switch {
-		case err != nil && soonest.until > 0 && s.mayWaitForPlace(now, soonest):
+		case err != nil && soonest.until > 0 && s.mayWait(now, soonest):
 			if !pause.For(ctx, soonest.until+rand.N(soonest.until)) {
 				return routing.Choice{}, permit{}, s.exchange.DeadlineRefusal().After(notReadyRetryAfter)
 			}
@@ -76,14 +76,15 @@
 	return routing.Choice{}, permit{}, s.refuseLimited(max(s.excludeDenied().until, unknownOwnerWait))
 }
 
-// mayWaitForPlace reports whether the request may wait until there may be a place at a runner:
-// within half of the route's target latency, so that the answer can still be in time.
-func (s *requestHandler) mayWaitForPlace(now time.Time, soonest denial) bool {
-	if !soonest.busy || s.exchange.AnswerBegun {
-		return false
+// mayWait reports whether the request may wait for a permit: for a place at a runner within half
+// of the route's target latency, so that the answer can still be in time. A stream that has begun
+// would break off otherwise, so it waits while its caller does.
+func (s *requestHandler) mayWait(now time.Time, soonest denial) bool {
+	longest := 2 * soonest.until
+	if s.exchange.AnswerBegun {
+		return now.Add(longest).Before(s.deadline)
 	}
-	waited := now.Sub(s.req.Received)
-	return waited+2*soonest.until < max(minPlaceWait, s.route.TargetLatency/2)
+	return soonest.busy && now.Sub(s.req.Received)+longest < max(minPlaceWait, s.route.TargetLatency/2)
 }
 
 // excludeDenied excludes the runners for which this daemon was denied a permit, and returns the
--- a/daemon/edge/runner_limit_test.go
+++ b/daemon/edge/runner_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -263,3 +264,34 @@
 		w.True(most <= allowedInWindow(0.2))
 	})
 }
+
+// Guards against a stream that breaks off because all runners state limits when it has to go on
+// elsewhere.
+func TestBegunStreamWaitsForPermit(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		for _, id := range []string{"r1", "r2"} {
+			r := w.addServingRunner(id)
+			serve := r.script
+			r.setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+				answer, err := serve(ctx, a)
+				if answer.Events && a.LastEventID == "" {
+					answer = eventAnswer(eventText(1, 3), io.ErrUnexpectedEOF)
+				}
+				answer.Limits.Rate = 1
+				return answer, err
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		for range 4 {
+			w.ask(w.daemons[0], "/read/1", key)
+			time.Sleep(300 * time.Millisecond)
+		}
+		a := w.ask(w.daemons[0], "/draft/1", key)
+		for a.reason() == refusal.RunnersLimited {
+			time.Sleep(a.refusal.RetryAfter)
+			a = w.ask(w.daemons[0], "/draft/1", key)
+		}
+		w.True(a.finished)
+		w.Equal(a.body.String(), eventText(1, pathsEvents))
+	})
+}
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -59,7 +59,8 @@
 	// connectFailures counts the attempts that found no connection to a runner.
 	prepared, delegated bool
 	connectFailures     int
-	events              *forward.EventStream
+
+	events *forward.EventStream
 	// usageCounted says that the request has been counted for the usage report.
 	usageCounted bool
 	// buffered is a runner's server error, which is passed on if no later attempt succeeds.
