Say that a delegated request may have run when its deadline passes

An attempt at a runner records the interruption itself; the delegation did not.

Change: one place describes a call that broke off, and records the interruption if the time is over. The other exits of the delegation now go through it.

--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -135,9 +135,9 @@
 			if refused.Reason == refusal.NoRunner {
 				s.edge.avoidHelper(m.Incarnation, s.pool.name)
 			}
-		case ctx.Err() != nil || !neverSent(err):
+		case !neverSent(err):
 			s.edge.log.Count("delegation_failed")
-			return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}, true
+			return a.callBroke(ctx), true
 		}
 		s.edge.log.Count("delegation_unserved")
 	}
@@ -190,14 +190,11 @@
 		return a.stream(ctx, answer)
 	}
 	if s.exchange.AnswerBegun {
-		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
+		return a.callBroke(ctx)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
 	if err != nil {
-		if ctx.Err() != nil {
-			s.exchange.RecordInterrupted()
-		}
-		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: ctx.Err() == nil}
+		return a.callBroke(ctx)
 	}
 	if len(body) > maxBufferedBytes {
 		return a.streamBody(ctx, answer, body)
@@ -206,6 +203,16 @@
 	return nil
 }
 
+// callBroke describes the failure of a call to a helper, which may have sent the request. If the
+// deadline has passed or the caller has left, nothing follows, so it is recorded at once.
+func (a *attempt) callBroke(ctx context.Context) *forward.FailedAttempt {
+	if ctx.Err() == nil {
+		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
+	}
+	a.s.exchange.RecordInterrupted()
+	return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
+}
+
 // helperRefusalError says that a helper has refused the request.
 type helperRefusalError struct{ *refusal.Refusal }
 
--- a/daemon/edge/delegate_test.go
+++ b/daemon/edge/delegate_test.go
@@ -46,6 +46,24 @@
 	})
 }
 
+// Guards against a false "not run" when a request's deadline passes while the daemon that serves it
+// for another one is at work.
+func TestDelegatedRequestMayHaveRunAtItsDeadline(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		r := w.addRunner("r1", "app")
+		time.Sleep(500 * time.Millisecond)
+		w.cutOff(w.daemons[0])
+		r.setScript(func(ctx context.Context, _ *edge.Attempt) (*edge.Answer, error) {
+			return nil, &edge.SendError{Reason: "broken", Sent: true, Err: hang(ctx, time.Minute)}
+		})
+		before := r.count()
+		a := w.ask(w.daemons[0], "/pledge/1", key)
+		w.Equal(r.count(), before+1)
+		w.Equal(a.reason(), refusal.DeadlineExceeded)
+		w.Equal(a.refusal.Executed, refusal.ExecutedUnknown)
+	})
+}
+
 // Guards against requests that cut daemons pass on to each other without end, and against holding
 // what no daemon can serve.
 func TestRequestIsDelegatedOnce(t *testing.T) {
