--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -191,7 +191,11 @@
 }
 
 func (s *requestHandler) refuseWithoutRunner(err error) *refusal.Refusal {
-	r := refusal.New(refusal.NoRunner, "%v", err).After(noRunnerRetryAfter)
+	return s.orUnknown(refusal.New(refusal.NoRunner, "%v", err).After(noRunnerRetryAfter))
+}
+
+// orUnknown marks a refusal if an attempt may have run the request.
+func (s *requestHandler) orUnknown(r *refusal.Refusal) *refusal.Refusal {
 	if s.exchange.MayHaveRun() {
 		return r.Unknown()
 	}
@@ -224,11 +228,7 @@
 // refuseTooLate refuses a request that would wait too long. The retry time is how long the
 // queue will take to become short enough.
 func (s *requestHandler) refuseTooLate(late time.Duration, c routing.Choice) *refusal.Refusal {
-	r := refusal.New(refusal.DeadlineUnreachable, "first token expected in %v", c.Estimate).After(late + notReadyRetryAfter)
-	if s.exchange.MayHaveRun() {
-		return r.Unknown()
-	}
-	return r
+	return s.orUnknown(refusal.New(refusal.DeadlineUnreachable, "first token expected in %v", c.Estimate).After(late + notReadyRetryAfter))
 }
 
 // exclusionOf returns the set that excludes runners from a choice; see routing.Request.Exclude.
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -129,7 +129,7 @@
 			return a.passOn(ctx, answer), true
 		case errors.As(err, &refusedBy):
 			if refused = refusedBy.Refusal; !mayServeElsewhere(refused) {
-				s.endAsHelper(refused)
+				s.end(s.orUnknown(refused))
 				return nil, true
 			}
 			if refused.Reason == refusal.NoRunner {
@@ -144,7 +144,7 @@
 	if refused == nil {
 		return nil, false
 	}
-	s.endAsHelper(refused)
+	s.end(s.orUnknown(refused))
 	return nil, true
 }
 
@@ -160,15 +160,6 @@
 	return false
 }
 
-// endAsHelper gives a helper's refusal to the caller. The helper knows nothing of what this
-// daemon has sent.
-func (s *requestHandler) endAsHelper(r *refusal.Refusal) {
-	if s.exchange.MayHaveRun() {
-		r = r.Unknown()
-	}
-	s.end(r)
-}
-
 // neverSent reports whether an error shows that no connection could be opened.
 func neverSent(err error) bool {
 	var op *net.OpError
@@ -244,13 +235,13 @@
 		}, nil
 	}
 	body.Close()
-	return nil, &UnexpectedPartError{}
+	return nil, &unexpectedPartError{}
 }
 
-// UnexpectedPartError says that a helper's answer doesn't begin with a status or a refusal.
-type UnexpectedPartError struct{}
+// unexpectedPartError says that a helper's answer doesn't begin with a status or a refusal.
+type unexpectedPartError struct{}
 
-func (*UnexpectedPartError) Error() string {
+func (*unexpectedPartError) Error() string {
 	return "answer begins with neither a status nor a refusal"
 }
 
--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -31,11 +31,8 @@
 
 // Serve serves a request on behalf of another daemon.
 func (d *delegationService) Serve(ctx context.Context, r *connect.Request[delegationv1.ServeRequest], stream *connect.ServerStream[delegationv1.ServeResponse]) error {
-	e := d.edge
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
 	rep := &delegatedReply{stream: stream}
-	s := &requestHandler{edge: e, req: decodeDelegated(r.Msg), reply: rep, delegated: true}
+	s := &requestHandler{edge: d.edge, req: decodeDelegated(r.Msg), reply: rep, delegated: true}
 	rep.handler = s
 	s.exchange.Continue(int(r.Msg.Attempts), r.Msg.MayHaveRun)
 	s.note("accepted_for", decisions.F("daemon", r.Peer().Addr), decisions.F("attempts", r.Msg.Attempts), decisions.F("may_have_run", r.Msg.MayHaveRun))
--- a/daemon/edge/grants.go
+++ b/daemon/edge/grants.go
@@ -63,10 +63,12 @@
 	pending map[uint64]pendingGrant
 }
 
+// firstAskID returns the random number at which the IDs of questions to other daemons start, so
+// that an answer to a former process at this address matches no question of this one.
+func firstAskID() uint64 { return rand.Uint64() }
+
 func (p *pendingGrants) init() {
-	// IDs start at a random number, so that a Grant sent to a former process at this address
-	// matches no Ask of this one.
-	p.lastID = rand.Uint64()
+	p.lastID = firstAskID()
 	p.pending = map[uint64]pendingGrant{}
 }
 
@@ -139,7 +141,7 @@
 		if i == len(addresses)-1 {
 			wait = lastGrantTimeout
 		}
-		g, ok := awaitGrant(ctx, answers, wait)
+		g, ok := awaitAnswer(ctx, answers, wait)
 		switch {
 		case !ok:
 		case g.Unable:
@@ -240,18 +242,18 @@
 	}
 }
 
-// awaitGrant waits for a relay's answer. It returns false after the timeout or the end of the
-// context.
-func awaitGrant(ctx context.Context, answers <-chan grantAnswer, wait time.Duration) (grantAnswer, bool) {
+// awaitAnswer waits for another daemon's answer. It returns false after the timeout or the end of
+// the context.
+func awaitAnswer[T any](ctx context.Context, answers <-chan T, wait time.Duration) (answer T, ok bool) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
-	case g := <-answers:
-		return g, true
+	case answer = <-answers:
+		return answer, true
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
-	return grantAnswer{}, false
+	return answer, false
 }
 
 // quotaRefusal returns the refusal for an answer that grants nothing, or nil if the quota was
--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -39,10 +39,6 @@
 	minPlaceWait = 100 * time.Millisecond
 )
 
-// firstAskID returns a random number, so that a Permit for a former process at this address
-// matches no request of this one.
-func firstAskID() uint64 { return rand.Uint64() }
-
 // choosePermitted chooses a runner to which the request may be sent now. If all suitable runners
 // have used up the rates that they state, it returns a refusal with the time until there is a
 // permit, unless the request may wait.
@@ -67,7 +63,7 @@
 		if late := choice.Estimate - s.maxFirstTokenWait(now); late > 0 && s.edge.settings.Policy.Uses(RefuseEarly) {
 			return routing.Choice{}, permit{}, s.refuseTooLate(late, choice)
 		}
-		p, granted := s.edge.takePermit(ctx, choice.Runner, s.pool.permitDemand(choice.Runner, s.deadline.Sub(now)))
+		p, granted := s.pool.takePermit(ctx, choice.Runner, s.deadline.Sub(now))
 		if granted {
 			return choice, p, nil
 		}
@@ -100,11 +96,7 @@
 func (s *requestHandler) excludedRunners() prefix.Set { return s.failedRunners.Or(s.deniedRunners) }
 
 func (s *requestHandler) refuseLimited(wait time.Duration) *refusal.Refusal {
-	r := refusal.New(refusal.RunnersLimited, "the runners accept no more requests now").After(wait)
-	if s.exchange.MayHaveRun() {
-		return r.Unknown()
-	}
-	return r
+	return s.orUnknown(refusal.New(refusal.RunnersLimited, "the runners accept no more requests now").After(wait))
 }
 
 // deniedRunners returns the runners of a service for which this daemon was denied a permit, and
@@ -156,23 +148,24 @@
 	return runnerlimit.Demand{Hold: hold, Slots: p.slotsOf(id), Present: present}
 }
 
-// takePermit takes the permit for a request to a runner. It returns false if the request must not
-// be sent there now.
-func (e *Edge) takePermit(ctx context.Context, runner ident.RunnerID, d runnerlimit.Demand) (permit, bool) {
+// takePermit takes the permit for a request that may occupy a runner for the time hold. It returns
+// false if the request must not be sent there now.
+func (p *pool) takePermit(ctx context.Context, runner ident.RunnerID, hold time.Duration) (permit, bool) {
+	e := p.edge
 	if !e.runnerLimits.limited(runner) {
 		return permit{}, true
 	}
 	start := e.deps.Steady()
-	decision, p := e.askForPermit(ctx, start, runner, d)
+	decision, taken := e.askForPermit(ctx, start, runner, p.permitDemand(runner, hold))
 	now := e.deps.Steady()
 	if decision.Granted && now-start > permitValidity {
 		e.log.Count("permit.too_late")
-		e.returnPermit(p, false)
+		e.returnPermit(taken, false)
 		decision = runnerlimit.Permit{}
 	}
 	if decision.Granted {
 		e.log.Count("permit.granted")
-		return p, true
+		return taken, true
 	}
 	e.log.Count("permit.denied")
 	e.runnerLimits.mu.Lock()
@@ -197,16 +190,14 @@
 	id, limit := e.runnerLimits.addAsk(now, runner, answers)
 	defer e.runnerLimits.removeAsk(id)
 	e.sendTo(owner, &peersv1.Datagram{PermitRequest: &peersv1.PermitRequest{Id: id, PeerAddress: e.settings.PeerAddress, Limit: limit, HoldNs: int64(d.Hold)}})
-	timeout := time.NewTimer(permitTimeout)
-	defer timeout.Stop()
-	select {
-	case p := <-answers:
-		return runnerlimit.Permit{Granted: p.Granted, Wait: time.Duration(p.WaitNs), Busy: p.Busy, Lease: p.Lease}, permit{runner: runner, owner: p.PeerAddress, lease: p.Lease}
-	case <-timeout.C:
-		e.log.Count("permit.unanswered")
-	case <-ctx.Done():
+	p, ok := awaitAnswer(ctx, answers, permitTimeout)
+	if !ok {
+		if ctx.Err() == nil {
+			e.log.Count("permit.unanswered")
+		}
+		return unanswered, permit{}
 	}
-	return unanswered, permit{}
+	return runnerlimit.Permit{Granted: p.Granted, Wait: time.Duration(p.WaitNs), Busy: p.Busy, Lease: p.Lease}, permit{runner: runner, owner: p.PeerAddress, lease: p.Lease}
 }
 
 // returnPermit gives back the place that a request took at a runner. rejected says that the
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -125,7 +125,7 @@
 func (p *pool) checkHealth(r Runner, timeout time.Duration) Health {
 	ctx, cancel := context.WithTimeout(p.edge.probing, timeout)
 	defer cancel()
-	permit, granted := p.edge.takePermit(ctx, r.ID, p.permitDemand(r.ID, timeout))
+	permit, granted := p.takePermit(ctx, r.ID, timeout)
 	if !granted {
 		return Healthy
 	}
--- a/daemon/edge/runner_limits.go
+++ b/daemon/edge/runner_limits.go
@@ -163,13 +163,8 @@
 }
 
 func (e *Edge) sendLimits(addresses []string, limits []*peersv1.RunnerLimit, relayed bool) {
-	if len(limits) == 0 {
-		return
-	}
 	for part := range slices.Chunk(limits, maxLimitsPerMessage) {
-		for _, address := range addresses {
-			e.sendTo(address, &peersv1.Datagram{LimitNews: &peersv1.LimitNews{PeerAddress: e.settings.PeerAddress, Limits: part, Relayed: relayed}})
-		}
+		e.sendToAll(addresses, &peersv1.Datagram{LimitNews: &peersv1.LimitNews{PeerAddress: e.settings.PeerAddress, Limits: part, Relayed: relayed}})
 	}
 }
 
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -385,13 +385,18 @@
 	}
 }
 
-func (e *Edge) sendTo(address string, d *peersv1.Datagram) {
+func (e *Edge) sendTo(address string, d *peersv1.Datagram) { e.sendToAll([]string{address}, d) }
+
+// sendToAll encodes a message once and sends it to several addresses.
+func (e *Edge) sendToAll(addresses []string, d *peersv1.Datagram) {
 	message, err := proto.Marshal(d)
 	if err != nil {
 		e.log.Note("message_failed", decisions.F("error", err.Error()))
 		return
 	}
-	e.sendBytes(address, message)
+	for _, address := range addresses {
+		e.sendBytes(address, message)
+	}
 }
 
 func (e *Edge) sendBytes(address string, message []byte) {
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -69,13 +69,13 @@
 
 // Serve answers one request. The context must end when the caller has disconnected.
 func (e *Edge) Serve(ctx context.Context, req *Request, reply Reply) {
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
 	s := &requestHandler{edge: e, req: req, reply: reply}
 	s.serve(ctx)
 }
 
 func (s *requestHandler) serve(ctx context.Context) {
+	s.edge.inFlight.Add(1)
+	defer s.edge.inFlight.Add(-1)
 	if r := s.admit(ctx); r != nil {
 		s.refuse(r)
 		return
@@ -86,8 +86,8 @@
 // refuse sends the final answer of a request that isn't served. The quota charged for a request
 // that certainly wasn't executed is returned.
 func (s *requestHandler) refuse(r *refusal.Refusal) {
-	if s.cost > 0 && r.Executed == refusal.ExecutedNo {
-		s.edge.returnQuota(s.grantingRelay, s.workspace, s.cost)
+	if r.Executed == refusal.ExecutedNo {
+		s.returnCharge()
 	}
 	s.note("refused", decisions.F("reason", r.Reason), decisions.F("executed", r.Executed),
 		decisions.F("retry_after", r.RetryAfter), decisions.F("detail", r.Detail))
--- a/daemon/edge/silent_runners.go
+++ b/daemon/edge/silent_runners.go
@@ -117,12 +117,17 @@
 	}
 	for a := range act.attempts {
 		if a.s.exchange.Terms.Repeatable {
-			a.abandoned.Store(true)
-			a.cancel()
+			a.abandon()
 		}
 	}
 }
 
+// abandon ends an attempt because its runner is silent or can't be reached.
+func (a *attempt) abandon() {
+	a.abandoned.Store(true)
+	a.cancel()
+}
+
 // abandonUnreachable cancels, once the runners count as unreachable, the attempts whose requests
 // may be repeated or have not been sent.
 func (p *pool) abandonUnreachable() {
@@ -131,8 +136,7 @@
 	for _, act := range p.activities {
 		for a := range act.attempts {
 			if a.s.exchange.Terms.Repeatable || !a.connected.Load() {
-				a.abandoned.Store(true)
-				a.cancel()
+				a.abandon()
 			}
 		}
 	}
