Log software versions and what a stream resumes

The lines dispatched and runner now name the runner's version, and resumes the stream that a request takes up. The header also crosses a delegation.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -185,7 +185,7 @@
 	a := &attempt{s: s, choice: choice, permit: permit, sent: now, trial: s.trialAttributionOf(choice.Runner)}
 	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
 	s.countTrialDispatch()
-	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("estimate", choice.Estimate),
+	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", s.pool.versionOf(choice.Runner)), decisions.F("estimate", choice.Estimate),
 		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("cost", s.cost))
 	return a, nil
 }
--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -51,7 +51,7 @@
 func decodeDelegated(m *delegationv1.ServeRequest) *Request {
 	return &Request{
 		ID: m.RequestId, Host: m.Host, Path: m.Path, Method: m.Method, Target: m.Target, Header: decodeHeaders(m.Headers), Body: m.Body, Key: m.Key,
-		Received: time.Now().Add(-time.Duration(m.AgeNs)), CallerTimeout: time.Duration(m.CallerTimeoutNs), LastEventID: m.LastEventId,
+		Received: time.Now().Add(-time.Duration(m.AgeNs)), CallerTimeout: time.Duration(m.CallerTimeoutNs), LastEventID: m.LastEventId, Resumes: m.Resumes,
 		Prompt: decodePrompt(m.Prompt),
 	}
 }
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/fleet"
 	"geraniumstack.org/geraniumstack/coordination/health"
 	"geraniumstack.org/geraniumstack/coordination/prefill"
@@ -350,6 +351,13 @@
 	return defaultSlots
 }
 
+// versionOf returns the software version of a runner by its entry, empty if it is unknown.
+func (p *pool) versionOf(id ident.RunnerID) canary.Version {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runners[id].Version
+}
+
 // observeServiceTime updates the estimated service time of a plain service from one answer.
 func (p *pool) observeServiceTime(c routing.Choice, took time.Duration) {
 	p.mu.Lock()
--- a/daemon/edge/runners.go
+++ b/daemon/edge/runners.go
@@ -84,7 +84,7 @@
 	e.dir.runners[entry.Key] = r
 	if !known || before.State != r.State || before.ID != r.ID {
 		e.log.Note("runner", decisions.F("runner", r.ID), decisions.F("service", r.Service), decisions.F("failure_domain", r.FailureDomain),
-			decisions.F("state", r.State), decisions.F("reclaimable", r.Reclaimable), decisions.F("revision", uint64(entry.Revision)))
+			decisions.F("state", r.State), decisions.F("version", r.Version), decisions.F("reclaimable", r.Reclaimable), decisions.F("revision", uint64(entry.Revision)))
 	}
 }
 
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -80,6 +80,9 @@
 		s.refuse(r)
 		return
 	}
+	if s.req.LastEventID != "" {
+		s.note("resumes", decisions.F("stream", s.req.Resumes), decisions.F("last_event", s.req.LastEventID))
+	}
 	s.run(ctx)
 }
 
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -148,7 +148,10 @@
 	CallerTimeout time.Duration
 	// LastEventID is the event after which the caller resumes a stream; empty for a new stream.
 	LastEventID string
-	Prompt      Prompt
+	// Resumes is the ID of the caller's earlier request that brought the first event of the
+	// stream that this request resumes; empty if the caller names none.
+	Resumes string
+	Prompt  Prompt
 }
 
 // Reply sends the answer to one caller. An answer that isn't ended by Finish must not look
