Keep a stream at the software version that began it

Cause: nothing carried the version of a stream. After a break an attempt went to any runner that had not failed the request; a caller that took its stream up named the request that had begun it (Resumes), and no daemon read that or knew the version. Class: state of a request that lives only in the daemon and attempt that happened to serve it, while its callers move on.

Change: a request handler is bound to the version whose first event reaches its caller, and chooses only runners of that version from then on; delegated requests carry it both ways. The daemon sends a record (hash of service and request, version) to two daemons that the hash ranks first, before the event reaches the caller; in a relayed fleet by way of the two relays that it follows. A daemon that is asked for a stream that it doesn't know asks the first four holders, at most three times 60 ms apart. If the service has had one version for a minute, as this daemon or those that told it know, no record is needed. Otherwise it refuses: stream_unknown, or version_unavailable if no runner of the version is left. An entry that changes between the choice of a runner and its first event makes the version doubtful: such a runner's events don't reach a stream of another version, and a stream that it began goes on nowhere else.

A stream bound to a version on trial takes from the trial's allowance; after a rollback it is refused, since the rolled-back version may get no request.

Tests of unknown streams, chains of requests, delegation, restarted runners and daemons go in with it.

--- /dev/null
+++ b/coordination/streamversion/streamversion_test.go
@@ -0,0 +1,157 @@
+package streamversion_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/coordination/canary"
+	"geraniumstack.org/geraniumstack/coordination/streamversion"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// For any times and order of records, a stream has the version of its first record or none, and a
+// record is there for Memory after it was last put.
+func TestRecordsKeepTheFirstVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := streamversion.NewRecords()
+		first, put := map[streamversion.Stream]canary.Version{}, map[streamversion.Stream]time.Duration{}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second
+			s := streamversion.Stream(rapid.Uint64Range(1, 5).Draw(t, "stream"))
+			v, known := r.Get(now, s)
+			if before, there := put[s]; there && now-before < streamversion.Memory && !known {
+				t.Fatalf("record of %d is lost after %v", s, now-before)
+			}
+			if known && v != first[s] {
+				t.Fatalf("version %q instead of %q", v, first[s])
+			}
+			if rapid.Bool().Draw(t, "put") {
+				version := canary.Version(fmt.Sprintf("v%d", rapid.IntRange(1, 2).Draw(t, "version")))
+				if !known {
+					first[s] = version
+				}
+				r.Put(now, s, version)
+				put[s] = now
+			}
+		}
+	})
+}
+
+// Guards against memory that grows with the number of streams.
+func TestRecordsAreBounded(t *testing.T) {
+	is := is.New(t)
+	r := streamversion.NewRecords()
+	const streams = 500_000
+	for s := range streamversion.Stream(streams) {
+		r.Put(0, s, "v1")
+	}
+	known := 0
+	for s := range streamversion.Stream(streams) {
+		if _, ok := r.Get(0, s); ok {
+			known++
+		}
+	}
+	is.True(known > 0 && known <= 200_000)
+}
+
+// For any course of runners of two versions and any daemons that start and tell each other, a daemon
+// that names the only version of a service is right about all of Memory.
+func TestOnlyVersionIsNeverGuessed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const service, step = "app", 5 * time.Second
+		start := time.Duration(rapid.IntRange(0, 100).Draw(t, "start")) * time.Second
+		daemons := make([]*streamversion.History, 3)
+		for i := range daemons {
+			daemons[i] = streamversion.NewHistory(start, true)
+		}
+		seen := map[canary.Version]time.Duration{}
+		for now := start; now < start+4*streamversion.Memory; now += step {
+			present := rapid.SampledFrom([][]canary.Version{{"v1"}, {"v1"}, {"v1"}, {"v1"}, {"v2"}, {"v1", "v2"}}).Draw(t, "versions")
+			for _, v := range present {
+				seen[v] = now
+			}
+			restarted := -1
+			if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+				restarted = rapid.IntRange(0, 2).Draw(t, "daemon")
+				daemons[restarted] = streamversion.NewHistory(now, false)
+			}
+			for _, d := range daemons {
+				for _, v := range present {
+					d.Observe(now, service, v)
+				}
+			}
+			for i, d := range daemons {
+				for j, other := range daemons {
+					if i != j && rapid.Bool().Draw(t, "hears") {
+						d.Merge(now, other.Statement(now))
+					}
+				}
+			}
+			for _, d := range daemons {
+				v, known := d.Only(now, service)
+				if !known {
+					continue
+				}
+				for other, at := range seen {
+					if other != v && now-at < streamversion.Memory {
+						t.Fatalf("%q counts as the only version %v after there was %q", v, now-at, other)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against streams that are refused although the service has had one version all the while, and
+// against a memory of another version that never ends.
+func TestOnlyVersionIsKnownAgain(t *testing.T) {
+	is := is.New(t)
+	h := streamversion.NewHistory(0, true)
+	h.Observe(0, "app", "v1")
+	v, known := h.Only(0, "app")
+	is.True(known && v == "v1")
+	h.Observe(time.Second, "app", "v1")
+	h.Observe(time.Second, "app", "v2")
+	_, known = h.Only(time.Second, "app")
+	is.True(!known)
+	later := time.Second + streamversion.Memory
+	h.Observe(later, "app", "v2")
+	v, known = h.Only(later, "app")
+	is.True(known && v == "v2")
+}
+
+// Guards against records that nobody finds: those who send a record and those who ask for it, of which
+// any may be among its holders, must meet at one daemon, also after some have ended and started again.
+func TestAskedHoldersKeepACopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 20).Draw(t, "daemons")
+		s := streamversion.Stream(rapid.Uint64().Draw(t, "stream"))
+		var all []ident.DaemonID
+		for i := range n {
+			all = append(all, ident.DaemonID(fmt.Sprintf("d%d", i)))
+		}
+		streamversion.Rank(s, all)
+		sender := rapid.SampledFrom(all).Draw(t, "sender")
+		copies := map[ident.DaemonID]bool{}
+		for _, id := range all {
+			if id != sender && len(copies) < streamversion.Copies {
+				copies[id] = true
+			}
+		}
+		found := 0
+		for _, id := range all[:min(streamversion.Asked, n)] {
+			if copies[id] {
+				found++
+			}
+		}
+		if found != streamversion.Copies {
+			t.Fatalf("%d of %d copies are found", found, streamversion.Copies)
+		}
+	})
+}
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/health"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
@@ -47,6 +48,8 @@
 	s      *requestHandler
 	choice routing.Choice
 	ticket routing.Ticket
+	// version is the runner's software version by its entry at the choice.
+	version canary.Version
 	// permit is the permission of a limited runner's owner. rejected says that the runner
 	// rejected the request for lack of room.
 	permit   permit
@@ -182,15 +185,18 @@
 		return nil, r
 	}
 	now = time.Now()
-	a := &attempt{s: s, choice: choice, permit: permit, sent: now, trial: s.trialAttributionOf(choice.Runner)}
+	a := &attempt{s: s, choice: choice, version: s.pool.versionOf(choice.Runner), permit: permit, sent: now, trial: s.trialAttributionOf(choice.Runner)}
 	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
 	s.countTrialDispatch()
-	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", s.pool.versionOf(choice.Runner)), decisions.F("estimate", choice.Estimate),
+	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", a.version), decisions.F("estimate", choice.Estimate),
 		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("cost", s.cost))
 	return a, nil
 }
 
 func (s *requestHandler) refuseWithoutRunner(err error) *refusal.Refusal {
+	if s.bound.known {
+		return s.orUnknown(refusal.New(refusal.VersionUnavailable, "of version %q: %v", s.bound.version, err).After(noRunnerRetryAfter))
+	}
 	return s.orUnknown(refusal.New(refusal.NoRunner, "%v", err).After(noRunnerRetryAfter))
 }
 
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 
+	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	delegationv1 "geraniumstack.org/geraniumstack/gen/geranium/delegation/v1"
@@ -252,6 +253,8 @@
 	cancel context.CancelFunc
 	rest   []byte
 	done   bool
+	// streamVersion is the software version of the runner that made the stream's events.
+	streamVersion boundVersion
 }
 
 // next returns the next part of the answer.
@@ -275,6 +278,9 @@
 			return 0, err
 		}
 		b.rest, b.done = part.GetData(), part.GetFinished()
+		if part.StreamVersion != nil {
+			b.streamVersion = boundVersion{canary.Version(*part.StreamVersion), true}
+		}
 	}
 	n := copy(p, b.rest)
 	b.rest = b.rest[n:]
@@ -289,12 +295,16 @@
 
 func encodeDelegated(s *requestHandler) *delegationv1.ServeRequest {
 	r := s.req
-	return &delegationv1.ServeRequest{
+	m := &delegationv1.ServeRequest{
 		RequestId: r.ID, Host: r.Host, Path: r.Path, Method: r.Method, Target: r.Target, Headers: encodeHeaders(r.Header), Body: r.Body, Key: r.Key,
 		AgeNs: int64(time.Since(r.Received)), CallerTimeoutNs: int64(r.CallerTimeout), LastEventId: s.lastEventID(), Resumes: r.Resumes,
 		Prompt:   encodePrompt(&r.Prompt),
 		Attempts: uint32(s.exchange.Sent()), MayHaveRun: s.exchange.MayHaveRun(),
 	}
+	if s.bound.known {
+		m.StreamVersion = (*string)(&s.bound.version)
+	}
+	return m
 }
 
 func encodeHeaders(h http.Header) []*delegationv1.Header {
--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	delegationv1 "geraniumstack.org/geraniumstack/gen/geranium/delegation/v1"
 	"geraniumstack.org/geraniumstack/gen/geranium/delegation/v1/delegationv1connect"
@@ -34,6 +35,9 @@
 	rep := &delegatedReply{stream: stream}
 	s := &requestHandler{edge: d.edge, req: decodeDelegated(r.Msg), reply: rep, delegated: true}
 	rep.handler = s
+	if v := r.Msg.StreamVersion; v != nil {
+		s.bound = boundVersion{canary.Version(*v), true}
+	}
 	s.exchange.Continue(int(r.Msg.Attempts), r.Msg.MayHaveRun)
 	s.note("accepted_for", decisions.F("daemon", r.Peer().Addr), decisions.F("attempts", r.Msg.Attempts), decisions.F("may_have_run", r.Msg.MayHaveRun))
 	s.serve(ctx)
@@ -75,6 +79,8 @@
 	handler *requestHandler
 	stream  *connect.ServerStream[delegationv1.ServeResponse]
 	aborted bool
+	// versionSent says that the version of the stream's runner has been sent.
+	versionSent bool
 }
 
 var _ Reply = (*delegatedReply)(nil)
@@ -102,7 +108,12 @@
 	if len(p) == 0 {
 		return nil
 	}
-	return r.stream.Send(&delegationv1.ServeResponse{Part: &delegationv1.ServeResponse_Data{Data: p}})
+	m := &delegationv1.ServeResponse{Part: &delegationv1.ServeResponse_Data{Data: p}}
+	if bound := &r.handler.bound; bound.known && !r.versionSent {
+		r.versionSent = true
+		m.StreamVersion = (*string)(&bound.version)
+	}
+	return r.stream.Send(m)
 }
 
 // Finish implements Reply.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -146,6 +146,7 @@
 	grantRequests     pendingGrants
 	recommended       recommendations
 	runnerLimits      runnerLimits
+	streams           streamVersions
 	resolvedAddresses udpAddresses
 	configCheck       configChecker
 	duties            duties
@@ -201,6 +202,7 @@
 	e.reported.init()
 	e.grantRequests.init()
 	e.runnerLimits.init()
+	e.streams.init(now, settings.FleetNeverServed)
 	e.duties.init(e)
 	// Until it hears from other daemons, a daemon plans as if it were alone.
 	e.relayPlan = relays.Elect(relays.View{Self: e.peers.Self(), DirectFleet: settings.Policy.DirectFleet()})
--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -93,7 +93,9 @@
 }
 
 // excludedRunners returns the runners that must not be chosen for the request's next attempt.
-func (s *requestHandler) excludedRunners() prefix.Set { return s.failedRunners.Or(s.deniedRunners) }
+func (s *requestHandler) excludedRunners() prefix.Set {
+	return s.failedRunners.Or(s.deniedRunners).Or(s.pool.otherVersions(s.bound))
+}
 
 func (s *requestHandler) refuseLimited(wait time.Duration) *refusal.Refusal {
 	return s.orUnknown(refusal.New(refusal.RunnersLimited, "the runners accept no more requests now").After(wait))
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -63,6 +63,8 @@
 	tracker *health.Tracker
 	retry   *retry.Policy
 	runners map[ident.RunnerID]Runner
+	// versions are the software versions that the runners have.
+	versions []canary.Version
 	// peerLoads is the load at each runner that the other daemons' requests cause, as known at
 	// peerLoadsAt, a time of Deps.Steady.
 	peerLoads   map[ident.RunnerID]routing.OwnLoad
@@ -189,10 +191,14 @@
 	list := make([]view.Runner, 0, len(runners))
 	ids := make([]ident.RunnerID, 0, len(runners))
 	p.runners = make(map[ident.RunnerID]Runner, len(runners))
+	p.versions = nil
 	for _, r := range runners {
 		list = append(list, r.Runner)
 		ids = append(ids, r.ID)
 		p.runners[r.ID] = r
+		if !slices.Contains(p.versions, r.Version) {
+			p.versions = append(p.versions, r.Version)
+		}
 	}
 	p.table.SetRunners(now, list)
 	clear(p.reportedIdle)
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -76,6 +76,12 @@
 		e.handlePermitReturn(d.PermitReturn)
 	case d.LimitNews != nil:
 		e.handleLimitNews(d.LimitNews)
+	case d.StreamRecord != nil:
+		e.handleStreamRecord(d.StreamRecord)
+	case d.StreamAsk != nil:
+		e.handleStreamAsk(d.StreamAsk)
+	case d.StreamAnswer != nil:
+		e.handleStreamAnswer(d.StreamAnswer)
 	case d.Hello != nil:
 		e.handleHello(ctx, d.Hello)
 	}
@@ -124,6 +130,7 @@
 	}
 	e.receiveLeaving(h.Leaving)
 	e.receiveRunnerLimits(h.PeerAddress, h.Limits)
+	e.receiveVersionHistory(now, h)
 	e.receiveWork(id, h, source)
 	e.receivePlacements(h.Placed, source == sourceFollower)
 }
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -62,6 +62,7 @@
 		e.tickPeers()
 		e.sendRound(round)
 		e.publishLateRunners()
+		e.observeVersions()
 		e.applyPeerLoads()
 		e.reportTrials(e.deps.Steady())
 		if e.healthDue() {
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -61,6 +61,9 @@
 	connectFailures     int
 
 	events *forward.EventStream
+	// bound is the software version that began the stream. recorded says that it has been recorded.
+	bound    boundVersion
+	recorded bool
 	// usageCounted says that the request has been counted for the usage report.
 	usageCounted bool
 	// buffered is a runner's server error, which is passed on if no later attempt succeeds.
@@ -80,8 +83,9 @@
 		s.refuse(r)
 		return
 	}
-	if s.req.LastEventID != "" {
-		s.note("resumes", decisions.F("stream", s.req.Resumes), decisions.F("last_event", s.req.LastEventID))
+	if r := s.bindResumed(ctx); r != nil {
+		s.refuse(r)
+		return
 	}
 	s.run(ctx)
 }
@@ -165,8 +169,9 @@
 	s.prepared = true
 	s.routingRequest = routingRequestOf(s.req)
 	s.routingRequest.Fetchable = s.pool.canFetchPrefix()
+	s.routingRequest.Exclude = s.excludedRunners()
 	if s.gate = s.edge.trials.gate(s.pool.name); s.gate != nil {
-		s.pool.excludeByPlacement(&s.routingRequest, s.failedRunners, s.gate, s.edge.placeRepeat(s.gate))
+		s.pool.excludeByPlacement(&s.routingRequest, s.excludedRunners(), s.gate, s.edge.placeRepeat(s.gate))
 	}
 	return s.charge(ctx)
 }
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -88,6 +88,9 @@
 			a.recordHeard()
 		}
 		if n > 0 && first {
+			if versionErr := a.checkVersion(answer); versionErr != nil {
+				return versionErr
+			}
 			first = false
 			a.firstToken()
 		}
@@ -97,6 +100,7 @@
 			return pushErr
 		}
 		if len(out) > 0 {
+			a.bindStream(answer)
 			if writeErr := s.reply.Write(out); writeErr != nil {
 				return &callerLeftError{writeErr}
 			}
--- a/daemon/edge/stream_version_test.go
+++ b/daemon/edge/stream_version_test.go
@@ -279,3 +279,150 @@
 	}
 	return o
 }
+
+// Guards against a chain of tries that loses the version, because each names the request that brought
+// the first event and the daemons that served the later ones are gone.
+func TestStreamTakenUpAgainAndAgainStaysAtItsVersion(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addVersions(3, nil, "v1", "v1.1")
+		time.Sleep(500 * time.Millisecond)
+		o := w.playStreams(callerStreams, 2, w.daemons)
+		w.checkTakenUp(o, callerStreams)
+		w.True(2*o.whole >= o.begun)
+	})
+}
+
+// Guards against a daemon that is cut off from all others and guesses the version of a stream, and
+// against holding the request that it must refuse.
+func TestUnknownStreamIsRefusedAtOnce(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addVersions(1, nil, "v1", "v1.1")
+		time.Sleep(500 * time.Millisecond)
+		callers := w.beginStreams(20, w.daemons[0])
+		w.network.isolate(w.daemons[4].address, true)
+		refused := 0
+		for _, c := range callers {
+			start := time.Now()
+			w.readStream(w.daemons[4], c, neverLeave)
+			w.True(!c.isMixed())
+			if c.refusal == nil {
+				continue // This daemon keeps the stream's record.
+			}
+			refused++
+			w.Equal(c.refusal.Reason, refusal.StreamUnknown)
+			w.Equal(c.refusal.Executed, refusal.ExecutedNo)
+			w.True(time.Since(start) < 500*time.Millisecond)
+		}
+		w.True(refused > 0)
+	})
+}
+
+// Guards against refusing streams that nobody remembers although the service has had only one
+// version, also at a daemon that has just started.
+func TestUnknownStreamOfTheOnlyVersionGoesOn(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addVersions(3, nil, "v1")
+		time.Sleep(500 * time.Millisecond)
+		w.daemons[2].kill()
+		d := w.restart(2)
+		time.Sleep(2 * time.Second)
+		c := &streamCaller{versions: []canary.Version{"v1"}, firstRequest: "forgotten"}
+		w.readStream(d, c, neverLeave)
+		w.True(c.isWhole())
+	})
+}
+
+// Guards against a daemon that has just started and takes the only version that it sees for the one
+// that began a stream.
+func TestStartedDaemonDoesNotGuessAVersion(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addVersions(2, nil, "v1", "v1.1")
+		time.Sleep(5 * time.Second)
+		for i := range 2 {
+			id := fmt.Sprintf("v1-%d", i)
+			entry, err := w.store.Get(context.Background(), runnerPrefix+id)
+			w.NoErr(err)
+			w.NoErr(w.store.Delete(context.Background(), runnerPrefix+id, entry.Revision))
+		}
+		time.Sleep(5 * time.Second)
+		w.daemons[2].kill()
+		d := w.restart(2)
+		time.Sleep(2 * time.Second)
+		c := &streamCaller{versions: []canary.Version{"v1"}, firstRequest: "forgotten"}
+		w.readStream(d, c, neverLeave)
+		w.Equal(c.refusal.Reason, refusal.StreamUnknown)
+	})
+}
+
+// Guards against a stream whose caller returns when no runner of its version is left.
+func TestStreamWithoutItsVersionIsRefused(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addVersionedRunner("old", "v1", nil)
+		time.Sleep(500 * time.Millisecond)
+		callers := w.beginStreams(5, w.daemons[0])
+		w.addVersionedRunner("new", "v1.1", nil)
+		w.registerVersion("old", "v1", view.Leaving)
+		time.Sleep(500 * time.Millisecond)
+		for i, c := range callers {
+			w.readStream(w.daemons[i%3], c, neverLeave)
+			w.Equal(c.refusal.Reason, refusal.VersionUnavailable)
+			w.Equal(c.refusal.Executed, refusal.ExecutedNo)
+		}
+	})
+}
+
+// Guards against a stream that changes its version on the way to or from a daemon that serves it for
+// another one.
+func TestDelegatedStreamStaysAtItsVersion(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addVersions(3, nil, "v1", "v1.1")
+		time.Sleep(500 * time.Millisecond)
+		callers := w.beginStreams(40, w.daemons[1])
+		w.cutOff(w.daemons[0])
+		w.checkTakenUp(w.takeUp(callers, w.daemons[:1]), len(callers))
+		callers = w.beginStreams(40, w.daemons[0])
+		w.checkTakenUp(w.takeUp(callers, w.daemons[1:]), len(callers))
+	})
+}
+
+// Guards against a stream that its helper began and that the delegating daemon continues at another
+// version once the helper is gone.
+func TestStreamOfALostHelperStaysAtItsVersion(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addVersions(3, nil, "v1", "v1.1")
+		time.Sleep(500 * time.Millisecond)
+		w.cutOff(w.daemons[0])
+		callers := make([]*streamCaller, 12)
+		var reading sync.WaitGroup
+		for i := range callers {
+			callers[i] = &streamCaller{}
+			reading.Go(func() { w.readStream(w.daemons[0], callers[i], neverLeave) })
+		}
+		time.Sleep(4 * versionedEventInterval)
+		w.daemons[1].kill()
+		reading.Wait()
+		var o streamOutcome
+		for _, c := range callers {
+			o.add(c, len(c.versions), false)
+		}
+		t.Logf("%+v", o)
+		w.Equal(o.mixed, 0)
+		w.Equal(o.begun, len(callers))
+		w.True(2*o.whole >= o.begun)
+	})
+}
+
+// Guards against a stream that goes on at a runner that has started again with another version while
+// this daemon's entry of it is old.
+func TestStreamDoesNotGoOnAtARestartedRunner(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addVersionedRunner("r1", "v1", nil)
+		time.Sleep(500 * time.Millisecond)
+		callers := w.beginStreams(10, w.daemons[0])
+		w.addVersionedRunner("r1", "v1.1", nil)
+		for _, c := range callers {
+			w.readStream(w.daemons[1], c, neverLeave)
+			w.True(!c.isMixed())
+		}
+	})
+}
--- /dev/null
+++ b/daemon/edge/stream_versions.go
@@ -0,0 +1,390 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/canary"
+	"geraniumstack.org/geraniumstack/coordination/peers"
+	"geraniumstack.org/geraniumstack/coordination/streamversion"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/prefix"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// Runners of several software versions may serve one service side by side, and a stream goes on only
+// at the version that began it. Package streamversion describes how the daemons remember versions; its
+// holders are the daemons that share the quotas, which relays know, too.
+
+const (
+	// streamAskTimeout is the time that holders have to answer before they are asked again. One
+	// answers within a few milliseconds unless its VM is paused or a message is lost.
+	streamAskTimeout = 60 * time.Millisecond
+	// maxStreamAsks is how often the holders are asked about one stream. A record may arrive later
+	// than the question of a caller that has returned at once.
+	maxStreamAsks = 3
+	// streamUnknownRetryAfter is the retry time of a request whose stream is unknown. Another
+	// daemon may know it, or reach the ones that do.
+	streamUnknownRetryAfter = 300 * time.Millisecond
+)
+
+// versionSource says how a daemon has learned the version of a stream.
+type versionSource string
+
+const (
+	fromOwnRecord   versionSource = "own_record"
+	fromHolder      versionSource = "holder"
+	fromOnlyVersion versionSource = "only_version"
+)
+
+// streamVersions holds what this daemon knows of the versions of streams and services.
+type streamVersions struct {
+	mu      sync.Mutex
+	records *streamversion.Records
+	history *streamversion.History
+	// asks holds the unanswered questions by ID.
+	asks    map[uint64]chan<- canary.Version
+	lastAsk uint64
+}
+
+func (v *streamVersions) init(now time.Duration, complete bool) {
+	v.records = streamversion.NewRecords()
+	v.history = streamversion.NewHistory(now, complete)
+	v.asks = map[uint64]chan<- canary.Version{}
+	v.lastAsk = firstAskID()
+}
+
+func (v *streamVersions) get(now time.Duration, s streamversion.Stream) (canary.Version, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.records.Get(now, s)
+}
+
+func (v *streamVersions) put(now time.Duration, s streamversion.Stream, version canary.Version) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.records.Put(now, s, version)
+}
+
+func (v *streamVersions) only(now time.Duration, service string) (canary.Version, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.history.Only(now, service)
+}
+
+func (v *streamVersions) addAsk(answers chan<- canary.Version) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.lastAsk++
+	v.asks[v.lastAsk] = answers
+	return v.lastAsk
+}
+
+func (v *streamVersions) removeAsk(id uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.asks, id)
+}
+
+// boundVersion is the software version at which a stream must go on; known is false as long as any
+// version may serve it.
+type boundVersion struct {
+	version canary.Version
+	known   bool
+}
+
+// bindResumed binds a request that resumes a stream to the version that began it.
+func (s *requestHandler) bindResumed(ctx context.Context) *refusal.Refusal {
+	if s.req.LastEventID == "" || !s.exchange.Terms.Resumable || s.bound.known {
+		return nil
+	}
+	start := time.Now()
+	version, source, known := s.edge.streamVersion(ctx, s.pool.name, s.req.Resumes)
+	s.note("resumes", decisions.F("stream", s.req.Resumes), decisions.F("last_event", s.req.LastEventID),
+		decisions.F("known", known), decisions.F("version", version), decisions.F("source", source), decisions.F("took", time.Since(start)))
+	if !known {
+		return refusal.New(refusal.StreamUnknown, "no daemon knows the software version of stream %q", s.req.Resumes).After(streamUnknownRetryAfter)
+	}
+	s.edge.log.Count("resumed_by." + string(source))
+	s.bound = boundVersion{version, true}
+	return nil
+}
+
+// streamVersion returns the version of the stream that a request began, and how it was learned.
+func (e *Edge) streamVersion(ctx context.Context, service, request string) (canary.Version, versionSource, bool) {
+	now := e.deps.Steady()
+	stream := streamversion.StreamOf(service, request)
+	if v, known := e.streams.get(now, stream); known {
+		return v, fromOwnRecord, true
+	}
+	// Without contact to the key-value service, this daemon may miss a version that has started.
+	if e.configAge() <= confirmTimeout {
+		if v, known := e.streams.only(now, service); known {
+			return v, fromOnlyVersion, true
+		}
+	}
+	if v, known := e.askHolders(ctx, stream); known {
+		return v, fromHolder, true
+	}
+	if e.configAge() > e.maxConfigAgeForKeys() {
+		return "", "", false
+	}
+	v, known := e.streams.only(e.deps.Steady(), service)
+	return v, fromOnlyVersion, known
+}
+
+// askHolders asks the daemons that may keep the record of a stream.
+func (e *Edge) askHolders(ctx context.Context, stream streamversion.Stream) (canary.Version, bool) {
+	answers := make(chan canary.Version, 1)
+	id := e.streams.addAsk(answers)
+	defer e.streams.removeAsk(id)
+	ask := &peersv1.StreamAsk{Id: id, PeerAddress: e.settings.PeerAddress, Stream: uint64(stream)}
+	for range maxStreamAsks {
+		if relays := e.followedRelays(); len(relays) > 0 {
+			e.sendToAll(relays, &peersv1.Datagram{StreamAsk: ask})
+		} else {
+			e.sendStreamAsk(ask)
+		}
+		if v, ok := awaitAnswer(ctx, answers, streamAskTimeout); ok {
+			return v, true
+		}
+	}
+	e.log.Count("stream_asks_unanswered")
+	return "", false
+}
+
+// sendStreamAsk sends a question to the daemons that may keep the record, other than this one.
+func (e *Edge) sendStreamAsk(ask *peersv1.StreamAsk) {
+	ask.Forwarded = true
+	to := e.streamHolders(streamversion.Stream(ask.Stream), streamversion.Asked)
+	to = slices.DeleteFunc(to, func(address string) bool { return address == e.settings.PeerAddress })
+	e.sendToAll(to, &peersv1.Datagram{StreamAsk: ask})
+}
+
+// handleStreamAsk answers a question, or forwards it to the daemons that may keep the record.
+func (e *Edge) handleStreamAsk(ask *peersv1.StreamAsk) {
+	v, known := e.streams.get(e.deps.Steady(), streamversion.Stream(ask.Stream))
+	switch {
+	case known:
+		e.sendTo(ask.PeerAddress, &peersv1.Datagram{StreamAnswer: &peersv1.StreamAnswer{Id: ask.Id, Version: string(v)}})
+	case !ask.Forwarded:
+		e.sendStreamAsk(ask)
+	}
+}
+
+// handleStreamAnswer passes an answer to the request that waits for it.
+func (e *Edge) handleStreamAnswer(a *peersv1.StreamAnswer) {
+	e.streams.mu.Lock()
+	answers, waiting := e.streams.asks[a.Id]
+	delete(e.streams.asks, a.Id)
+	e.streams.mu.Unlock()
+	if waiting {
+		answers <- canary.Version(a.Version)
+	}
+}
+
+// recordStream records the version that began a stream, here and at the holders.
+func (e *Edge) recordStream(stream streamversion.Stream, v canary.Version) {
+	e.streams.put(e.deps.Steady(), stream, v)
+	relays := e.followedRelays()
+	for copy := range streamversion.Copies {
+		r := &peersv1.StreamRecord{Stream: uint64(stream), Version: string(v), Copy: uint32(copy)}
+		if len(relays) > 0 {
+			e.sendTo(relays[copy%len(relays)], &peersv1.Datagram{StreamRecord: r})
+			continue
+		}
+		e.sendStreamRecord(r)
+	}
+}
+
+// sendStreamRecord sends one copy of a record to the holder that should keep it, other than this daemon.
+func (e *Edge) sendStreamRecord(r *peersv1.StreamRecord) {
+	r.Forwarded = true
+	holders := e.streamHolders(streamversion.Stream(r.Stream), streamversion.Copies+1)
+	holders = slices.DeleteFunc(holders, func(address string) bool { return address == e.settings.PeerAddress })
+	if int(r.Copy) < len(holders) {
+		e.sendTo(holders[r.Copy], &peersv1.Datagram{StreamRecord: r})
+	}
+}
+
+// handleStreamRecord keeps a record, or forwards it to the daemon that should.
+func (e *Edge) handleStreamRecord(r *peersv1.StreamRecord) {
+	if r.Forwarded {
+		e.streams.put(e.deps.Steady(), streamversion.Stream(r.Stream), canary.Version(r.Version))
+		return
+	}
+	e.sendStreamRecord(r)
+}
+
+// followedRelays returns the addresses of the relays that this daemon follows; none in a direct fleet
+// and at a relay.
+func (e *Edge) followedRelays() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return addressesOf(e.relayPlan.Followed)
+}
+
+// streamHolders returns the addresses of the n daemons that rank first as holders of a stream's record.
+func (e *Edge) streamHolders(stream streamversion.Stream, n int) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	members := e.relayPlan.OtherGranters
+	if e.relayPlan.Granter {
+		members = append(slices.Clone(members), e.peers.Self())
+	}
+	byID := make(map[ident.DaemonID]peers.Member, len(members))
+	ids := make([]ident.DaemonID, 0, len(members))
+	for _, m := range members {
+		if m.Phase != peers.Draining {
+			byID[m.ID] = m
+			ids = append(ids, m.ID)
+		}
+	}
+	streamversion.Rank(stream, ids)
+	holders := make([]string, 0, n)
+	for _, id := range ids[:min(n, len(ids))] {
+		holders = append(holders, byID[id].PeerAddress)
+	}
+	return holders
+}
+
+func addressesOf(members []peers.Member) []string {
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.PeerAddress)
+	}
+	return addresses
+}
+
+// observeVersions records which versions the services' runners have.
+func (e *Edge) observeVersions() {
+	now := e.deps.Steady()
+	e.poolsMu.RLock()
+	defer e.poolsMu.RUnlock()
+	for name, p := range e.pools {
+		p.mu.Lock()
+		versions := p.versions
+		p.mu.Unlock()
+		e.streams.mu.Lock()
+		for _, v := range versions {
+			e.streams.history.Observe(now, name, v)
+		}
+		e.streams.mu.Unlock()
+	}
+}
+
+// addVersionHistory adds what this daemon knows of the services' versions to a message.
+func (e *Edge) addVersionHistory(now time.Duration, h *peersv1.Hello) {
+	e.streams.mu.Lock()
+	defer e.streams.mu.Unlock()
+	s := e.streams.history.Statement(now)
+	h.VersionsKnownNs = int64(s.Known)
+	for service, age := range s.Several {
+		h.SeveralVersions = append(h.SeveralVersions, &peersv1.SeveralVersions{Service: service, AgeNs: int64(age)})
+	}
+}
+
+// receiveVersionHistory records what another daemon knows of the services' versions.
+func (e *Edge) receiveVersionHistory(now time.Duration, h *peersv1.Hello) {
+	s := streamversion.Statement{Known: time.Duration(h.VersionsKnownNs), Several: make(map[string]time.Duration, len(h.SeveralVersions))}
+	for _, m := range h.SeveralVersions {
+		s.Several[m.Service] = time.Duration(m.AgeNs)
+	}
+	e.streams.mu.Lock()
+	defer e.streams.mu.Unlock()
+	e.streams.history.Merge(now, s)
+}
+
+// otherVersions returns the runners whose version isn't the one at which a stream must go on.
+func (p *pool) otherVersions(b boundVersion) prefix.Set {
+	if !b.known {
+		return prefix.Set{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []ident.RunnerID
+	for id, r := range p.runners {
+		if r.Version != b.version {
+			ids = append(ids, id)
+		}
+	}
+	return p.table.Exclude(ids...)
+}
+
+// isCurrent reports whether a runner is still the one that its entry described when it was chosen. A
+// runner that has started again, or another one at its address, may have another version.
+func (p *pool) isCurrent(id ident.RunnerID, address string, v canary.Version) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, known := p.runners[id]; known {
+		return r.Version == v
+	}
+	for _, r := range p.runners {
+		if r.Address == address {
+			return false
+		}
+	}
+	return true
+}
+
+// streamVersion returns the version that makes the events of an attempt's answer, and false if that
+// is in doubt.
+func (a *attempt) streamVersion(answer *Answer) (canary.Version, bool) {
+	if body, ok := answer.Body.(*helperBody); ok {
+		return body.streamVersion.version, body.streamVersion.known
+	}
+	return a.version, a.s.pool.isCurrent(a.choice.Runner, a.choice.Address, a.version)
+}
+
+// versionMismatchError says that a stream would go on at another software version than the one that
+// began it.
+type versionMismatchError struct{ Want, Got canary.Version }
+
+func (e *versionMismatchError) Error() string {
+	return "stream began at version " + string(e.Want) + " and would go on at " + string(e.Got)
+}
+
+// checkVersion fails an attempt at a runner that must not go on with the stream. It is called before any
+// of the attempt's events are taken.
+func (a *attempt) checkVersion(answer *Answer) error {
+	if !a.s.bound.known {
+		return nil
+	}
+	if v, known := a.streamVersion(answer); !known || v != a.s.bound.version {
+		a.s.edge.log.Count("stream_version_mismatch")
+		return &versionMismatchError{a.s.bound.version, v}
+	}
+	return nil
+}
+
+// bindStream binds the stream to the version of the runner whose first event is about to reach the
+// caller, and records it. If that version is in doubt, the stream can't go on elsewhere.
+func (a *attempt) bindStream(answer *Answer) {
+	s := a.s
+	if !s.exchange.Terms.Resumable || s.recorded {
+		return
+	}
+	s.recorded = true
+	if !s.bound.known {
+		s.bound.version, s.bound.known = a.streamVersion(answer)
+	}
+	if !s.bound.known {
+		s.exchange.Terms.Resumable = false
+		s.note("stream_version_doubtful", decisions.F("runner", a.choice.Runner), decisions.F("version", a.version))
+		return
+	}
+	first := s.req.ID
+	if s.req.LastEventID != "" {
+		first = s.req.Resumes
+	}
+	stream := streamversion.StreamOf(s.pool.name, first)
+	if a.helper != "" {
+		s.edge.streams.put(s.edge.deps.Steady(), stream, s.bound.version)
+		return
+	}
+	s.edge.recordStream(stream, s.bound.version)
+}
--- a/daemon/edge/trials.go
+++ b/daemon/edge/trials.go
@@ -137,11 +137,20 @@
 	}
 }
 
-// placeNewRequest decides which versions' runners a new request may use.
-func (e *Edge) placeNewRequest(g *canary.Gate, route string) canary.Placement {
+// placeNewRequest decides which versions' runners a new request may use. One that must go on at the
+// version on trial counts as a request of the trial as long as the allowance lasts, and one that must
+// go on at another version never does.
+func (e *Edge) placeNewRequest(g *canary.Gate, route string, bound boundVersion) canary.Placement {
 	e.trials.mu.Lock()
 	defer e.trials.mu.Unlock()
-	return g.PlaceRequest(e.deps.Steady(), route, rand.Float64())
+	now := e.deps.Steady()
+	switch {
+	case !bound.known:
+		return g.PlaceRequest(now, route, rand.Float64())
+	case bound.version == g.Order().Target:
+		return g.PlaceRequest(now, route, 0)
+	}
+	return g.PlaceRetry(now)
 }
 
 // placeRepeat decides which versions' runners a request may use that isn't new to the trial,
@@ -236,8 +245,8 @@
 		return s.pool.pick(now, &s.routingRequest, s.recommended, first)
 	}
 	trialPlacement := s.edge.placeRepeat(s.gate)
-	if first {
-		trialPlacement = s.edge.placeNewRequest(s.gate, s.route.Name)
+	if first || s.bound.known {
+		trialPlacement = s.edge.placeNewRequest(s.gate, s.route.Name, s.bound)
 	}
 	s.pool.excludeByPlacement(&s.routingRequest, s.excludedRunners(), s.gate, trialPlacement)
 	choice, err := s.pool.pick(now, &s.routingRequest, s.recommended, first)
--- a/state/refusal/refusal.go
+++ b/state/refusal/refusal.go
@@ -50,7 +50,13 @@
 	NoRunner            Reason = "no_runner"
 	// RunnersLimited means that all suitable runners limit the load that they bear, and that the
 	// daemons have used up these limits.
-	RunnersLimited       Reason = "runners_limited"
+	RunnersLimited Reason = "runners_limited"
+	// StreamUnknown means that a stream can't be resumed because no daemon that answers knows
+	// which software version began it.
+	StreamUnknown Reason = "stream_unknown"
+	// VersionUnavailable means that a stream can't be resumed because no runner of the software
+	// version that began it is available.
+	VersionUnavailable   Reason = "version_unavailable"
 	RunnerFailed         Reason = "runner_failed"
 	RunnerRefused        Reason = "runner_refused"
 	RetryBudgetExhausted Reason = "retry_budget_exhausted"
