Tell a broken answer without a length or chunks from a whole one

Cause: such an answer ends with its connection, and the kernel of a failed runner ends its connections in the same way. Every end outside an event counted as that of the answer.

Change: at such an end the runner is asked for a new connection. It has failed if it refuses while another runner accepts one; a daemon that is cut off finds none at any. A stream without a byte is never whole. The attempt then fails like one that breaks off, so a stream that may be resumed goes on at another runner, and any other answer doesn't look complete.

The price is one connection for each answer without framing.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -278,6 +278,9 @@
 		return a.handleNotRun(answer)
 	}
 	a.countStarted()
+	if answer.Unframed {
+		answer.Body = &unframedBody{ReadCloser: answer.Body, ctx: sendCtx, attempt: a, needsData: answer.Events}
+	}
 	if answer.Events {
 		return a.stream(ctx, answer)
 	}
--- a/daemon/edge/runners_test.go
+++ b/daemon/edge/runners_test.go
@@ -41,12 +41,21 @@
 	byID map[string]*runner
 	// unresponsiveIDs are the runners that don't answer health checks.
 	unresponsiveIDs map[string]bool
+	// fallenIDs are the runners that accept no connections.
+	fallenIDs map[string]bool
 	// onProbe is called with the address of each health check, unless it is nil.
 	onProbe func(address string)
 }
 
 func newRunners() *runners {
-	return &runners{byID: map[string]*runner{}, unresponsiveIDs: map[string]bool{}}
+	return &runners{byID: map[string]*runner{}, unresponsiveIDs: map[string]bool{}, fallenIDs: map[string]bool{}}
+}
+
+// fall lets a runner accept no connections, or accept them again. Its open connections are the script's.
+func (s *runners) fall(id string, fallen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fallenIDs[id] = fallen
 }
 
 func (s *runners) add(id string) *runner {
@@ -59,9 +68,9 @@
 
 func (s *runners) Send(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
 	s.mu.Lock()
-	r := s.byID[a.Address]
+	r, fallen := s.byID[a.Address], s.fallenIDs[a.Address]
 	s.mu.Unlock()
-	if r == nil {
+	if r == nil || fallen {
 		return nil, &edge.SendError{Reason: retry.ConnectFailed, Err: net.ErrClosed}
 	}
 	r.mu.Lock()
@@ -96,13 +105,15 @@
 
 func (s *runners) CheckHealth(ctx context.Context, address, _ string, _ ident.RunnerID) edge.Health {
 	s.mu.Lock()
-	unresponsive, onProbe := s.unresponsiveIDs[address], s.onProbe
+	unresponsive, fallen, onProbe := s.unresponsiveIDs[address], s.fallenIDs[address], s.onProbe
 	s.mu.Unlock()
 	if onProbe != nil {
 		onProbe(address)
 	}
 	if unresponsive {
 		<-ctx.Done()
+	}
+	if unresponsive || fallen {
 		return edge.NoAnswer
 	}
 	return edge.Healthy
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -196,8 +196,10 @@
 	Header http.Header
 	// Length is the length of the body; negative if it is unknown.
 	Length int64
-	// Body returns an error unless the whole body has arrived. It must be closed.
-	Body io.ReadCloser
+	// Body returns an error unless the whole body has arrived. It must be closed. If Unframed is set,
+	// the body ends with its connection, so that the end alone doesn't show that it is whole.
+	Body     io.ReadCloser
+	Unframed bool
 	// NotRun is set if the runner states that it didn't run the request. Misdirected is set if
 	// a different runner listens at the address.
 	NotRun      bool
