Log which parts of a prompt stood in requests whose runner failed

Prompts carry a hash of each part by itself, since those of the prompt up to a part differ with its beginning.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -55,6 +55,10 @@
 	permit   permit
 	rejected bool
 	sent     time.Time
+	// begun says that the runner's answer has begun. eventsBefore is the number of events that earlier
+	// attempts have brought.
+	begun        bool
+	eventsBefore int
 	// firstEventAfter is the time from the send to the stream's first event, zero before it.
 	firstEventAfter time.Duration
 	// activity records when the last data was received from the runner. cancel ends the attempt
@@ -75,14 +79,16 @@
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
 	for {
-		failure, runner := s.attempt(ctx)
+		failure, a := s.attempt(ctx)
 		if failure == nil || s.endIfCanceled(ctx) {
 			return
 		}
 		var wait time.Duration
 		var end *refusal.Refusal
 		s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.HandleFailure(time.Now(), p, *failure) })
+		runner := a.runner()
 		s.note("attempt_failed", decisions.F("runner", runner), decisions.F("reason", failure.Reason),
+			decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", s.req.Prompt.SharedParts()),
 			decisions.F("may_have_run", failure.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
 			decisions.F("again", end == nil), decisions.F("wait", wait))
 		s.edge.log.Count("attempt_failed." + string(failure.Reason))
@@ -99,11 +105,11 @@
 
 // attempt makes one attempt: at a runner or, if this daemon reaches none, at another daemon. It
 // returns nil if the caller has received the final answer, otherwise what is known about the
-// failure, and the runner.
-func (s *requestHandler) attempt(ctx context.Context) (*forward.FailedAttempt, ident.RunnerID) {
+// failure, and the attempt if it was made at a runner.
+func (s *requestHandler) attempt(ctx context.Context) (*forward.FailedAttempt, *attempt) {
 	if s.delegates() {
 		if failure, asked := s.delegate(ctx); asked {
-			return failure, ""
+			return failure, nil
 		}
 	}
 	r := s.prepare(ctx)
@@ -113,18 +119,34 @@
 	}
 	if r != nil && r.Reason == refusal.NoRunner && !s.delegated && s.pool.paths.doubtful.Load() {
 		if failure, asked := s.delegate(ctx); asked {
-			return failure, ""
+			return failure, nil
 		}
 	}
 	if r != nil {
 		s.end(r)
-		return nil, ""
+		return nil, nil
 	}
 	failure := a.execute(ctx)
 	if failure != nil && !failure.Sent {
 		s.connectFailures++
 	}
-	return failure, a.choice.Runner
+	return failure, a
+}
+
+// runner returns the attempt's runner, empty if there is none.
+func (a *attempt) runner() ident.RunnerID {
+	if a == nil {
+		return ""
+	}
+	return a.choice.Runner
+}
+
+// eventCount returns the number of whole events that the attempt has brought.
+func (a *attempt) eventCount() int {
+	if a == nil {
+		return 0
+	}
+	return a.s.eventsSent() - a.eventsBefore
 }
 
 // endIfCanceled ends a request whose caller has disconnected or whose deadline has passed, and
@@ -185,7 +207,7 @@
 		return nil, r
 	}
 	now = time.Now()
-	a := &attempt{s: s, choice: choice, version: s.pool.versionOf(choice.Runner), permit: permit, sent: now, trial: s.trialAttributionOf(choice.Runner)}
+	a := &attempt{s: s, choice: choice, eventsBefore: s.eventsSent(), version: s.pool.versionOf(choice.Runner), permit: permit, sent: now, trial: s.trialAttributionOf(choice.Runner)}
 	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
 	s.countTrialDispatch()
 	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", a.version), decisions.F("estimate", choice.Estimate),
@@ -277,6 +299,7 @@
 	if answer.NotRun || answer.Misdirected {
 		return a.handleNotRun(answer)
 	}
+	a.begun = true
 	a.countStarted()
 	if answer.Unframed {
 		answer.Body = &unframedBody{ReadCloser: answer.Body, ctx: sendCtx, attempt: a, needsData: answer.Events}
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -326,6 +326,7 @@
 func encodePrompt(p *Prompt) *delegationv1.Prompt {
 	m := &delegationv1.Prompt{
 		Model: p.Model, PromptTokens: uint32(p.PromptTokens), OutputTokens: uint32(p.OutputTokens), ExpectedOutput: uint32(p.ExpectedOutput), Prefix: p.Prefix,
+		Parts: p.Parts,
 	}
 	for _, n := range p.PrefixTokens {
 		m.PrefixTokens = append(m.PrefixTokens, uint32(n))
--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -63,6 +63,7 @@
 func decodePrompt(m *delegationv1.Prompt) Prompt {
 	p := Prompt{
 		Model: m.GetModel(), PromptTokens: int(m.GetPromptTokens()), OutputTokens: int(m.GetOutputTokens()), ExpectedOutput: int(m.GetExpectedOutput()),
+		Parts: m.GetParts(),
 	}
 	// Without the number of tokens up to the end of each part, the parts mean nothing.
 	if prefix, tokens := m.GetPrefix(), m.GetPrefixTokens(); len(prefix) == len(tokens) {
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -127,6 +127,13 @@
 	// PrefixTokens[i] is the number of tokens up to there.
 	Prefix       []prefix.Hash
 	PrefixTokens []int
+	// Parts[i] is a hash of the prompt's part i alone, wherever it stands.
+	Parts []uint64
+}
+
+// SharedParts returns the parts that other prompts may hold, too: all but the last.
+func (p *Prompt) SharedParts() []uint64 {
+	return p.Parts[:max(0, len(p.Parts)-1)]
 }
 
 // Request is a caller's request after it has been read completely.
