Keep prompt parts that make runners fail away from runners

Cause: a failure was known as one of the runner, and by the daemon that saw it. Nothing told which requests the runner was about to answer, that these had a part in common, or that other daemons had seen the same; a request was even repeated after its own failure. Class: evidence that each daemon holds a piece of and nobody puts together.

Change: a failure (a broken answer with at most two events, from a runner that refuses a new connection while another accepts one) is recorded for each shared part of the request's prompt, whatever stands before it, and told to all daemons at once and in the messages that they exchange anyway. Failures of three runners one after the other, with no request with the part answered in between, quarantine it; failures at one moment count once, and those under a request that the runner had not begun to answer half. Requests with the part are then refused at once (failing_prompt_part), naming nothing but its hash and asking for no early return. From two failures on, a request that has seen one is not repeated. One daemon, by a hash, lets a request probe the part after 2, 20, 200 s and so on; one that is answered frees it.

--- a/coordination/streamversion/records.go
+++ b/coordination/streamversion/records.go
@@ -95,10 +95,10 @@
 	clear(r.versions)
 }
 
-// Rank sorts daemons by their rank as holders of a stream's record. The rank depends on the daemons' IDs
-// only, so that a daemon that starts again has the rank that it had.
-func Rank(s Stream, daemons []ident.DaemonID) {
-	rank := func(id ident.DaemonID) uint64 { return mix(uint64(s) ^ xxhash.Sum64String(string(id))) }
+// Rank sorts daemons by their rank for a key, such as that of holders of a stream's record. The rank
+// depends on the daemons' IDs only, so that a daemon that starts again has the rank that it had.
+func Rank(key uint64, daemons []ident.DaemonID) {
+	rank := func(id ident.DaemonID) uint64 { return mix(key ^ xxhash.Sum64String(string(id))) }
 	slices.SortFunc(daemons, func(a, b ident.DaemonID) int {
 		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
 	})
--- a/coordination/streamversion/streamversion_test.go
+++ b/coordination/streamversion/streamversion_test.go
@@ -131,7 +131,7 @@
 func TestAskedHoldersKeepACopy(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 20).Draw(t, "daemons")
-		s := streamversion.Stream(rapid.Uint64().Draw(t, "stream"))
+		s := rapid.Uint64().Draw(t, "stream")
 		var all []ident.DaemonID
 		for i := range n {
 			all = append(all, ident.DaemonID(fmt.Sprintf("d%d", i)))
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -59,6 +59,9 @@
 	// attempts have brought.
 	begun        bool
 	eventsBefore int
+	// partsAnswered says that the answer has gone so far that the prompt's parts did not make the
+	// runner fail.
+	partsAnswered bool
 	// firstEventAfter is the time from the send to the stream's first event, zero before it.
 	firstEventAfter time.Duration
 	// activity records when the last data was received from the runner. cancel ends the attempt
@@ -107,6 +110,10 @@
 // returns nil if the caller has received the final answer, otherwise what is known about the
 // failure, and the attempt if it was made at a runner.
 func (s *requestHandler) attempt(ctx context.Context) (*forward.FailedAttempt, *attempt) {
+	if r := s.checkParts(ctx); r != nil {
+		s.end(r)
+		return nil, nil
+	}
 	if s.delegates() {
 		if failure, asked := s.delegate(ctx); asked {
 			return failure, nil
@@ -130,6 +137,9 @@
 	if failure != nil && !failure.Sent {
 		s.connectFailures++
 	}
+	if failure != nil {
+		a.recordRunnerFailure(ctx, failure)
+	}
 	return failure, a
 }
 
@@ -434,6 +444,7 @@
 		s.buffered = buffered
 		return &forward.FailedAttempt{Reason: retry.ServerError, MayHaveRun: true, Sent: true}
 	}
+	a.recordPartsAnswered()
 	s.pool.observe(a.choice.Runner, health.Success)
 	s.edge.log.Time("answer_us", took)
 	s.pool.observeServiceTime(a.choice, took)
--- a/daemon/edge/failing_part_test.go
+++ b/daemon/edge/failing_part_test.go
@@ -313,3 +313,104 @@
 	f.mu.Unlock()
 	fail()
 }
+
+// withFragileRunners runs a test with daemons and eight fragile runners.
+func withFragileRunners(t *testing.T, daemons int, f func(w *testFleet, r *fragileRunners)) {
+	withFleet(t, daemons, config(1), func(w *testFleet) {
+		r := &fragileRunners{w: w}
+		for i := range 8 {
+			r.start(fmt.Sprintf("r%d", i))
+		}
+		time.Sleep(2 * time.Second)
+		f(w, r)
+		time.Sleep(restartsAfter + time.Second)
+	})
+}
+
+var failingLoad = partLoad{perSecond: 25, failingPerSecond: 2, position: 1, parts: 4, path: "/draft/1"}
+
+// askWithPart sends a request with the failing part.
+func (w *testFleet) askWithPart(d *daemon) (a *recordedReply, took time.Duration) {
+	a = &recordedReply{}
+	start := time.Now()
+	d.Serve(context.Background(), &edge.Request{
+		ID: fmt.Sprintf("p%d", lastRequestID.Add(1)), Host: host, Path: "/draft/1", Method: http.MethodPost, Target: "/draft/1",
+		Header: http.Header{}, Key: key, Received: time.Now(), Prompt: promptOf(1000, failingPart, uint64(lastRequestID.Add(1))),
+	}, a)
+	return a, time.Since(start)
+}
+
+// Guards against a request that is held, or not told the truth, although its part is known to make
+// runners fail, also at a daemon that has just started.
+func TestKnownFailingPartIsRefusedAtOnce(t *testing.T) {
+	withFragileRunners(t, 3, func(w *testFleet, _ *fragileRunners) {
+		w.playPrompts(rand.New(rand.NewPCG(1, 0)), failingLoad, 12*time.Second)
+		w.daemons[2].kill()
+		w.restart(2)
+		time.Sleep(time.Second)
+		for _, d := range w.daemons {
+			a, took := w.askWithPart(d)
+			w.Equal(a.reason(), refusal.FailingPart)
+			w.Equal(a.refusal.Executed, refusal.ExecutedNo)
+			w.True(a.refusal.RetryAfter >= 10*time.Second)
+			w.True(took < 100*time.Millisecond)
+		}
+	})
+}
+
+// Guards against a part that stays in quarantine although it makes no runner fail any more.
+func TestHarmlessPartIsServedAgain(t *testing.T) {
+	withFragileRunners(t, 3, func(w *testFleet, f *fragileRunners) {
+		random := rand.New(rand.NewPCG(1, 0))
+		w.playPrompts(random, failingLoad, 6*time.Second)
+		f.mu.Lock()
+		f.harmless = true
+		f.mu.Unlock()
+		w.playPrompts(random, failingLoad, 30*time.Second)
+		for _, d := range w.daemons {
+			a, _ := w.askWithPart(d)
+			w.True(a.finished)
+		}
+	})
+}
+
+// Guards against sound requests that are refused because runners fail for other reasons, one or a whole
+// domain at a time.
+func TestSoundPartsAreServedWhileRunnersFail(t *testing.T) {
+	withFragileRunners(t, 5, func(w *testFleet, f *fragileRunners) {
+		random := rand.New(rand.NewPCG(1, 0))
+		stop := f.failNowAndThen(rand.New(rand.NewPCG(2, 0)), 700*time.Millisecond)
+		load := failingLoad
+		load.failingPerSecond = 0
+		calls := w.playPrompts(random, load, 10*time.Second)
+		for range 3 {
+			for range 4 {
+				f.failOne(random)
+			}
+			calls = append(calls, w.playPrompts(random, load, 3*time.Second)...)
+		}
+		stop()
+		for _, c := range calls {
+			w.True(c.refusal == nil || c.refusal.Reason != refusal.FailingPart)
+		}
+	})
+}
+
+// Guards against a daemon that was out of touch and, once it is back, sends what the others know to make
+// runners fail.
+func TestReturningDaemonLearnsOfFailingParts(t *testing.T) {
+	withFragileRunners(t, 3, func(w *testFleet, f *fragileRunners) {
+		w.network.isolate(w.daemons[2].address, true)
+		others := *w
+		others.daemons = w.daemons[:2]
+		others.playPrompts(rand.New(rand.NewPCG(1, 0)), failingLoad, 12*time.Second)
+		w.network.isolate(w.daemons[2].address, false)
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		before := len(f.sends)
+		f.mu.Unlock()
+		a, _ := w.askWithPart(w.daemons[2])
+		w.Equal(a.reason(), refusal.FailingPart)
+		w.Equal(len(f.sends), before)
+	})
+}
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -82,6 +82,12 @@
 		e.handleStreamAsk(d.StreamAsk)
 	case d.StreamAnswer != nil:
 		e.handleStreamAnswer(d.StreamAnswer)
+	case d.PartNews != nil:
+		e.handlePartNews(d.PartNews)
+	case d.PartProbeAsk != nil:
+		e.handlePartProbeAsk(d.PartProbeAsk)
+	case d.PartProbeAnswer != nil:
+		e.handlePartProbeAnswer(d.PartProbeAnswer)
 	case d.Hello != nil:
 		e.handleHello(ctx, d.Hello)
 	}
@@ -131,6 +137,7 @@
 	e.receiveLeaving(h.Leaving)
 	e.receiveRunnerLimits(h.PeerAddress, h.Limits)
 	e.receiveVersionHistory(now, h)
+	e.receiveParts(h.Parts)
 	e.receiveWork(id, h, source)
 	e.receivePlacements(h.Placed, source == sourceFollower)
 }
--- a/daemon/edge/runner_limits.go
+++ b/daemon/edge/runner_limits.go
@@ -144,22 +144,25 @@
 	}
 	clear(l.news)
 	l.mu.Unlock()
+	relays, followers, isRelay := e.newsRecipients()
+	e.sendLimits(relays, own, isRelay)
+	e.sendLimits(followers, relayed, isRelay)
+}
+
+// newsRecipients returns the addresses to which this daemon sends news: the relays that it follows or,
+// if it is a relay itself, the other relays; and its followers.
+func (e *Edge) newsRecipients() (relays, followers []string, isRelay bool) {
 	e.mu.Lock()
-	isRelay := e.relayPlan.Relay
-	var relays, followers []string
+	defer e.mu.Unlock()
+	isRelay = e.relayPlan.Relay
 	recipients := e.relayPlan.Followed
 	if isRelay {
 		recipients = e.relayPlan.OtherRelays
 	}
-	for _, m := range recipients {
-		relays = append(relays, m.PeerAddress)
-	}
 	for _, f := range e.followers {
 		followers = append(followers, f.address)
 	}
-	e.mu.Unlock()
-	e.sendLimits(relays, own, isRelay)
-	e.sendLimits(followers, relayed, isRelay)
+	return addressesOf(recipients), followers, isRelay
 }
 
 func (e *Edge) sendLimits(addresses []string, limits []*peersv1.RunnerLimit, relayed bool) {
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -7,6 +7,7 @@
 
 	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/freshness"
+	"geraniumstack.org/geraniumstack/coordination/quarantine"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/protocol/forward"
@@ -64,6 +65,11 @@
 	// bound is the software version that began the stream. recorded says that it has been recorded.
 	bound    boundVersion
 	recorded bool
+	// parts are the parts of the prompt that other prompts may hold, too. probed is the one that the
+	// request probes. sawFailure says that a runner has failed at the beginning of an answer to it.
+	parts      []quarantine.Part
+	probed     quarantine.Part
+	sawFailure bool
 	// usageCounted says that the request has been counted for the usage report.
 	usageCounted bool
 	// buffered is a runner's server error, which is passed on if no later attempt succeeds.
@@ -139,6 +145,7 @@
 	if s.pool == nil {
 		return refusal.New(refusal.UnknownService, "no service %q", service)
 	}
+	s.parts = partsOf(service, &s.req.Prompt)
 	attempts := max(1, s.route.MaxAttempts)
 	if !s.edge.settings.Policy.Uses(Retries) {
 		attempts = 1
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -99,6 +99,9 @@
 		if pushErr != nil {
 			return pushErr
 		}
+		if a.eventCount() > maxEventsAtFailure {
+			a.recordPartsAnswered()
+		}
 		if len(out) > 0 {
 			a.bindStream(answer)
 			if writeErr := s.reply.Write(out); writeErr != nil {
@@ -130,6 +133,7 @@
 	s := a.s
 	s.pool.recordFinished(&a.ticket, max(1, s.req.Prompt.ExpectedOutput))
 	s.pool.observe(a.choice.Runner, health.Success)
+	a.recordPartsAnswered()
 	a.recordStreamLatency()
 	s.note("answered", decisions.F("runner", a.choice.Runner), decisions.F("events", s.events.Events()), decisions.F("first_event", a.firstEventAfter), decisions.F("attempts", s.exchange.Sent()+1))
 	s.reply.Finish()
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -160,7 +160,7 @@
 // sendStreamAsk sends a question to the daemons that may keep the record, other than this one.
 func (e *Edge) sendStreamAsk(ask *peersv1.StreamAsk) {
 	ask.Forwarded = true
-	to := e.streamHolders(streamversion.Stream(ask.Stream), streamversion.Asked)
+	to := e.rankedGranters(ask.Stream, streamversion.Asked)
 	to = slices.DeleteFunc(to, func(address string) bool { return address == e.settings.PeerAddress })
 	e.sendToAll(to, &peersv1.Datagram{StreamAsk: ask})
 }
@@ -204,7 +204,7 @@
 // sendStreamRecord sends one copy of a record to the holder that should keep it, other than this daemon.
 func (e *Edge) sendStreamRecord(r *peersv1.StreamRecord) {
 	r.Forwarded = true
-	holders := e.streamHolders(streamversion.Stream(r.Stream), streamversion.Copies+1)
+	holders := e.rankedGranters(r.Stream, streamversion.Copies+1)
 	holders = slices.DeleteFunc(holders, func(address string) bool { return address == e.settings.PeerAddress })
 	if int(r.Copy) < len(holders) {
 		e.sendTo(holders[r.Copy], &peersv1.Datagram{StreamRecord: r})
@@ -228,8 +228,9 @@
 	return addressesOf(e.relayPlan.Followed)
 }
 
-// streamHolders returns the addresses of the n daemons that rank first as holders of a stream's record.
-func (e *Edge) streamHolders(stream streamversion.Stream, n int) []string {
+// rankedGranters returns the addresses of the n daemons that rank first for a key among those that share
+// the quotas, which relays know, too.
+func (e *Edge) rankedGranters(key uint64, n int) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	members := e.relayPlan.OtherGranters
@@ -244,12 +245,12 @@
 			ids = append(ids, m.ID)
 		}
 	}
-	streamversion.Rank(stream, ids)
-	holders := make([]string, 0, n)
+	streamversion.Rank(key, ids)
+	addresses := make([]string, 0, n)
 	for _, id := range ids[:min(n, len(ids))] {
-		holders = append(holders, byID[id].PeerAddress)
+		addresses = append(addresses, byID[id].PeerAddress)
 	}
-	return holders
+	return addresses
 }
 
 func addressesOf(members []peers.Member) []string {
--- a/state/refusal/refusal.go
+++ b/state/refusal/refusal.go
@@ -56,7 +56,9 @@
 	StreamUnknown Reason = "stream_unknown"
 	// VersionUnavailable means that a stream can't be resumed because no runner of the software
 	// version that began it is available.
-	VersionUnavailable   Reason = "version_unavailable"
+	VersionUnavailable Reason = "version_unavailable"
+	// FailingPart means that a part of the prompt makes runners fail.
+	FailingPart          Reason = "failing_prompt_part"
 	RunnerFailed         Reason = "runner_failed"
 	RunnerRefused        Reason = "runner_refused"
 	RetryBudgetExhausted Reason = "retry_budget_exhausted"
