Tell other relays of a failing part that two daemons report at once

A relay that had found a failure itself, and heard of the part from another relay before it had told anyone, took all its news for known to the relays and told its followers only. The others learned of it with the next exchange of states. Found by reading.

--- a/daemon/edge/failing_parts.go
+++ b/daemon/edge/failing_parts.go
@@ -267,6 +267,10 @@
 	if len(f.news) == 0 {
 		time.AfterFunc(partNewsDelay, e.sendPartNews)
 	}
+	// What this daemon has found out itself must reach the other relays, too.
+	if pending, waits := f.news[p]; waits {
+		byRelay = byRelay && pending
+	}
 	f.news[p] = byRelay
 }
 
