Use some runners of each software version in a very large service

A daemon uses 256 runners of a longer list. Of a version with few runners it mostly used none, so the version's streams could go on almost nowhere: refused with version_unavailable. Each daemon now uses sixteen of each version if there are as many.

--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -200,12 +202,43 @@
 			p.versions = append(p.versions, r.Version)
 		}
 	}
+	if len(list) > routing.MaxRunners && len(p.versions) > 1 {
+		list = chooseOfEachVersion(p.edge.settings.ID, runners)
+	}
 	p.table.SetRunners(now, list)
 	clear(p.reportedIdle)
 	p.tracker.SetRunners(ids)
 	p.updateLoadsLocked(now)
 }
 
+// minRunnersOfVersion is the number of runners of each software version that a daemon uses if there are
+// as many.
+const minRunnersOfVersion = 16
+
+// chooseOfEachVersion returns the runners that a daemon uses, at most routing.MaxRunners. Of a version with
+// few runners it keeps some: streams that they have begun can go on nowhere else.
+func chooseOfEachVersion(self ident.DaemonID, runners []Runner) []view.Runner {
+	byVersion := map[canary.Version][]view.Runner{}
+	for _, r := range runners {
+		if r.State != view.Leaving {
+			byVersion[r.Version] = append(byVersion[r.Version], r.Runner)
+		}
+	}
+	versions := slices.SortedFunc(maps.Keys(byVersion), func(a, b canary.Version) int {
+		return cmp.Or(cmp.Compare(len(byVersion[a]), len(byVersion[b])), cmp.Compare(a, b))
+	})
+	chosen := make([]view.Runner, 0, routing.MaxRunners)
+	for i, v := range versions {
+		room := routing.MaxRunners - len(chosen)
+		share := max(minRunnersOfVersion, len(byVersion[v])*routing.MaxRunners/len(runners))
+		if i == len(versions)-1 {
+			share = room
+		}
+		chosen = append(chosen, routing.Subset(self, byVersion[v], min(room, share))...)
+	}
+	return chosen
+}
+
 // withdraw stops the use of runners until the next call of setRunners, which says what became of
 // them.
 func (p *pool) withdraw(now time.Time, ids []ident.RunnerID) {
--- a/daemon/edge/stream_version_test.go
+++ b/daemon/edge/stream_version_test.go
@@ -426,3 +426,26 @@
 		}
 	})
 }
+
+// Guards against a version with few of very many runners, of which most daemons would use none, so that
+// its streams could go on almost nowhere.
+func TestStreamOfARareVersionGoesOn(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		for i := range 2000 {
+			w.addVersionedRunner(fmt.Sprintf("v1-%d", i), "v1", nil)
+		}
+		for i := range 3 {
+			w.addVersionedRunner(fmt.Sprintf("v1.1-%d", i), "v1.1", nil)
+		}
+		time.Sleep(3 * time.Second)
+		var rare []*streamCaller
+		for range 20 {
+			for _, c := range w.beginStreams(100, w.daemons[2]) {
+				if c.versions[0] == "v1.1" {
+					rare = append(rare, c)
+				}
+			}
+		}
+		w.checkTakenUp(w.takeUp(rare, w.daemons[:2]), len(rare))
+	})
+}
