Don't take a runner that has changed its version for a failed one

An attempt that is ended because its runner may have another version than the stream counted as the runner's failure, and a request that resumes a stream without saying which asked others about no stream for 180 ms. Found by reading.

--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -43,8 +43,12 @@
 		s.exchange.RecordInterrupted()
 		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
 	}
-	a.recordBroken()
 	reason := retry.Broken
+	var mismatch *versionMismatchError
+	if errors.As(err, &mismatch) {
+		return &forward.FailedAttempt{Reason: retry.NotLoaded, MayHaveRun: true, Sent: true}
+	}
+	a.recordBroken()
 	if a.abandoned.Load() {
 		reason = retry.Silent
 	}
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -127,8 +127,10 @@
 			return v, fromOnlyVersion, true
 		}
 	}
-	if v, known := e.askHolders(ctx, stream); known {
-		return v, fromHolder, true
+	if request != "" {
+		if v, known := e.askHolders(ctx, stream); known {
+			return v, fromHolder, true
+		}
 	}
 	if e.configAge() > e.maxConfigAgeForKeys() {
 		return "", "", false
