--- a/daemon/edge/stream_version_test.go
+++ b/daemon/edge/stream_version_test.go
@@ -11,9 +11,12 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/edge"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
@@ -449,3 +452,53 @@
 		w.checkTakenUp(w.takeUp(rare, w.daemons[:2]), len(rare))
 	})
 }
+
+// streamMessages counts the messages about streams' versions and their bytes.
+type streamMessages struct{ records, asks, answers, bytes int }
+
+func (m *streamMessages) count(message []byte) {
+	var d peersv1.Datagram
+	if proto.Unmarshal(message, &d) != nil {
+		return
+	}
+	switch {
+	case d.StreamRecord != nil:
+		m.records++
+	case d.StreamAsk != nil:
+		m.asks++
+	case d.StreamAnswer != nil:
+		m.answers++
+	default:
+		return
+	}
+	m.bytes += len(message)
+}
+
+// Guards against streams that nobody knows any more once a third of the daemons, the ones that began
+// them among these, are gone at once.
+func TestStreamsOutliveAThirdOfTheDaemons(t *testing.T) {
+	for _, n := range []int{5, 33, 119} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			withDirectFleet(t, n, config(1), func(w *testFleet) {
+				w.addVersions(3, nil, "v1", "v1.1")
+				time.Sleep(3 * time.Second)
+				var messages streamMessages
+				w.network.observe(messages.count)
+				killed := w.daemons[:max(1, n/3)]
+				var callers []*streamCaller
+				for _, d := range killed {
+					callers = append(callers, w.beginStreams(callerStreams/len(killed), d)...)
+				}
+				begun := messages
+				for _, d := range killed {
+					d.kill()
+				}
+				o := w.takeUp(callers, w.daemons[len(killed):])
+				w.network.observe(nil)
+				t.Logf("%d daemons, %d streams: %d records of %d bytes together; then %d asks, %d answers, %d bytes", n, len(callers),
+					begun.records, begun.bytes, messages.asks, messages.answers, messages.bytes-begun.bytes)
+				w.checkTakenUp(o, len(callers))
+			})
+		})
+	}
+}
