Send a request that probes a prompt part to one runner only

A probe that made its runner fail was repeated at a second one, since the part that it probes did not count against it: two of three runners that a quarantine may cost.

--- a/daemon/edge/failing_parts.go
+++ b/daemon/edge/failing_parts.go
@@ -72,7 +72,12 @@
 // checkParts refuses a request with a part that makes runners fail, unless the request probes that
 // part. A request that has seen a runner fail is not repeated once one of its parts is suspected.
 func (s *requestHandler) checkParts(ctx context.Context) *refusal.Refusal {
-	quarantined, suspected := s.edge.failingParts.find(s.parts, s.probed)
+	probed := s.probed
+	if s.exchange.Sent() > 0 {
+		// A probe is a single send.
+		probed = 0
+	}
+	quarantined, suspected := s.edge.failingParts.find(s.parts, probed)
 	if len(quarantined) == 1 && s.mayProbe(ctx, quarantined[0]) {
 		quarantined = nil
 	}
