--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -127,7 +127,12 @@
 		switch {
 		case err == nil:
 			defer answer.Body.Close()
-			return a.passOn(ctx, answer), true
+			failure = a.passOn(ctx, answer)
+			if body, ok := answer.Body.(*helperBody); ok && body.runnerFailed {
+				// The helper has repeated the request if that may be done at all.
+				s.exchange.Terms.Repeatable, s.exchange.Terms.Resumable = false, false
+			}
+			return failure, true
 		case errors.As(err, &refusedBy):
 			if refused = refusedBy.Refusal; !mayServeElsewhere(refused) {
 				s.end(s.orUnknown(refused))
@@ -255,6 +260,8 @@
 	done   bool
 	// streamVersion is the software version of the runner that made the stream's events.
 	streamVersion boundVersion
+	// runnerFailed says that the answer breaks off because a runner has failed at its beginning.
+	runnerFailed bool
 }
 
 // next returns the next part of the answer.
@@ -278,6 +285,7 @@
 			return 0, err
 		}
 		b.rest, b.done = part.GetData(), part.GetFinished()
+		b.runnerFailed = b.runnerFailed || part.RunnerFailed
 		if part.StreamVersion != nil {
 			b.streamVersion = boundVersion{canary.Version(*part.StreamVersion), true}
 		}
--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -123,4 +123,9 @@
 }
 
 // Abort implements Reply.
-func (r *delegatedReply) Abort() { r.aborted = true }
+func (r *delegatedReply) Abort() {
+	r.aborted = true
+	if r.handler.sawFailure {
+		r.send(&delegationv1.ServeResponse{RunnerFailed: true})
+	}
+}
