Test versions of streams and failing prompt parts with whole processes

What the pages' headers say (Resumes, version of a runner's entry, X-Prompt-Prefix) is read in platform/, which the tests of daemon/edge pass by: three processes, runners that write their version, and runners that close when they begin to answer a part.

--- a/standin/site/caller.go
+++ b/standin/site/caller.go
@@ -19,6 +19,11 @@
 	// SpoofedWorkspace is sent in the X-Tenant header, which only a daemon
 	// may set, unless it is empty.
 	SpoofedWorkspace string
+	// Resumes and LastEventID name the request that began the stream to resume, and the last event
+	// that the caller has; empty for a new stream.
+	Resumes, LastEventID string
+	// PromptPrefix lists the parts of the prompt unless it is empty.
+	PromptPrefix string
 }
 
 // CallerResponse is the response that a caller received.
@@ -49,6 +54,13 @@
 	if a.SpoofedWorkspace != "" {
 		req.Header.Set("X-Tenant", a.SpoofedWorkspace)
 	}
+	if a.LastEventID != "" {
+		req.Header.Set("Resumes", a.Resumes)
+		req.Header.Set("Last-Event-Id", a.LastEventID)
+	}
+	if a.PromptPrefix != "" {
+		req.Header.Set("X-Prompt-Prefix", a.PromptPrefix)
+	}
 	if a.APIKey != "" {
 		req.Header.Set("Authorization", "Token "+a.APIKey)
 	}
--- a/standin/site/operator.go
+++ b/standin/site/operator.go
@@ -52,8 +52,13 @@
 // RegisterRunner writes a runner's registration, which on the real platform the runner
 // writes itself. The daemons connect to address.
 func (s *Store) RegisterRunner(runner, address, state string) error {
+	return s.RegisterRunnerOfVersion(runner, address, state, "v1")
+}
+
+// RegisterRunnerOfVersion writes the registration of a runner with a software version.
+func (s *Store) RegisterRunnerOfVersion(runner, address, state, version string) error {
 	return s.Put("servers/"+runner, map[string]any{
-		"service": "app", "address": address, "zone": "north", "slots": 16, "state": state, "born": 1771390509100, "seq": 1,
+		"service": "app", "address": address, "zone": "north", "slots": 16, "state": state, "version": version, "born": 1771390509100, "seq": 1,
 	})
 }
 
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -77,6 +77,12 @@
 	openConns     map[net.Conn]bool
 	// rateLimit is the limit on its requests per second that the runner states; zero for none.
 	rateLimit float64
+	// eventData is the content of the events of its streams; empty for a word with the event's number.
+	eventData string
+	// failingPart is the prompt part that makes the runner fail when it begins to answer, empty for
+	// none; failed is called then.
+	failingPart string
+	failed      func()
 }
 
 // NewRunner starts a runner.
@@ -123,6 +129,20 @@
 	r.rateLimit = perSecond
 }
 
+// SetEventData changes the content of the events of the runner's streams.
+func (r *Runner) SetEventData(data string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.eventData = data
+}
+
+// SetFailingPart makes the runner fail when it begins to answer a prompt with the part, and calls failed.
+func (r *Runner) SetFailingPart(part string, failed func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failingPart, r.failed = part, failed
+}
+
 // Executions returns copies of all executions so far.
 func (r *Runner) Executions() []Execution {
 	r.mu.Lock()
@@ -282,9 +302,20 @@
 	lastEventID := 0
 	fmt.Sscanf(req.Header.Get("Last-Event-Id"), "%d", &lastEventID)
 	fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.responseHeader(200, run.ID))
+	r.mu.Lock()
+	data, failingPart, failed := r.eventData, r.failingPart, r.failed
+	r.mu.Unlock()
+	if failingPart != "" && strings.Contains(req.Header.Get("X-Prompt-Prefix"), failingPart) {
+		r.Close()
+		failed()
+		return false
+	}
 	for i := lastEventID + 1; i <= events; i++ {
 		time.Sleep(work)
 		event := fmt.Sprintf("id: %d\ndata: word%d\n\n", i, i)
+		if data != "" {
+			event = fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)
+		}
 		if fault == TruncateStream && i == lastEventID+3 {
 			event = event[:7]
 			fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
