--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -91,6 +91,11 @@
 	Quarantined
 )
 
+var verdictNames = [...]string{Sound: "sound", Suspected: "suspected", Quarantined: "quarantined"}
+
+// String returns the verdict's name.
+func (v Verdict) String() string { return verdictNames[v] }
+
 // Statement is what a daemon knows of a part, as it tells the others.
 type Statement struct {
 	Part     Part
--- a/daemon/edge/failing_parts.go
+++ b/daemon/edge/failing_parts.go
@@ -35,9 +35,8 @@
 type failingParts struct {
 	mu    sync.Mutex
 	table *quarantine.Table
-	// asks holds the unanswered questions for probes by ID.
-	asks    map[uint64]chan<- bool
-	lastAsk uint64
+	// asks holds the unanswered questions for probes.
+	asks asks[bool]
 	// news holds the parts that are about to be told to other daemons; the value says that a relay
 	// told this daemon.
 	news map[quarantine.Part]bool
@@ -45,8 +44,7 @@
 
 func (f *failingParts) init() {
 	f.table = quarantine.New()
-	f.asks = map[uint64]chan<- bool{}
-	f.lastAsk = firstAskID()
+	f.asks.init()
 	f.news = map[quarantine.Part]bool{}
 }
 
@@ -78,18 +76,16 @@
 		probed = 0
 	}
 	quarantined, suspected := s.edge.failingParts.find(s.parts, probed)
-	if len(quarantined) == 1 && s.mayProbe(ctx, quarantined[0]) {
-		quarantined = nil
-	}
+	blocked := quarantined
 	if s.sawFailure {
-		quarantined = append(quarantined, suspected...)
+		blocked = append(blocked, suspected...)
 	}
-	if len(quarantined) == 0 {
+	if len(blocked) == 0 || len(quarantined) == 1 && s.mayProbe(ctx, quarantined[0]) {
 		return nil
 	}
 	now := s.edge.deps.Steady()
-	wait := max(failingPartRetryAfter, s.edge.failingParts.probeAt(quarantined[0])-now)
-	return s.orUnknown(refusal.New(refusal.FailingPart, "runners fail under prompt part %x", uint64(quarantined[0])).After(wait))
+	wait := max(failingPartRetryAfter, s.edge.failingParts.probeAt(blocked[0])-now)
+	return s.orUnknown(refusal.New(refusal.FailingPart, "runners fail under prompt part %x", uint64(blocked[0])).After(wait))
 }
 
 // find returns the quarantined and the suspected ones of the parts, other than the one that the request
@@ -119,11 +115,11 @@
 	return at
 }
 
-// mayProbe reports whether the request may be sent to a runner although it holds a quarantined part. A
-// request that has been sent before may not.
+// mayProbe reports whether the request may be sent to a runner although it holds a quarantined part. One
+// that has been sent before may not, and of one that is delegated the helper decides.
 func (s *requestHandler) mayProbe(ctx context.Context, p quarantine.Part) bool {
 	e := s.edge
-	if s.exchange.Sent() > 0 || e.deps.Steady() < e.failingParts.probeAt(p) || !e.askForProbe(ctx, p) {
+	if s.exchange.Sent() > 0 || s.delegates() || e.deps.Steady() < e.failingParts.probeAt(p) || !e.askForProbe(ctx, p) {
 		return false
 	}
 	s.probed = p
@@ -144,9 +140,8 @@
 	if to[0] == e.settings.PeerAddress {
 		return e.takeProbe(p)
 	}
-	answers := make(chan bool, 1)
-	id := e.failingParts.addAsk(answers)
-	defer e.failingParts.removeAsk(id)
+	id, answers := e.failingParts.asks.add()
+	defer e.failingParts.asks.remove(id)
 	e.sendTo(to[0], &peersv1.Datagram{PartProbeAsk: &peersv1.PartProbeAsk{Id: id, PeerAddress: e.settings.PeerAddress, Part: uint64(p), Forwarded: forwarded}})
 	granted, answered := awaitAnswer(ctx, answers, probeAskTimeout)
 	return answered && granted
@@ -163,20 +158,6 @@
 	return true
 }
 
-func (f *failingParts) addAsk(answers chan<- bool) uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lastAsk++
-	f.asks[f.lastAsk] = answers
-	return f.lastAsk
-}
-
-func (f *failingParts) removeAsk(id uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.asks, id)
-}
-
 // handlePartProbeAsk decides about a probe, or forwards the question to the daemon that does.
 func (e *Edge) handlePartProbeAsk(ask *peersv1.PartProbeAsk) {
 	p := quarantine.Part(ask.Part)
@@ -189,17 +170,6 @@
 	e.sendTo(ask.PeerAddress, &peersv1.Datagram{PartProbeAnswer: &peersv1.PartProbeAnswer{Id: ask.Id, Granted: e.takeProbe(p)}})
 }
 
-// handlePartProbeAnswer passes an answer to the request that waits for it.
-func (e *Edge) handlePartProbeAnswer(a *peersv1.PartProbeAnswer) {
-	e.failingParts.mu.Lock()
-	answers, waiting := e.failingParts.asks[a.Id]
-	delete(e.failingParts.asks, a.Id)
-	e.failingParts.mu.Unlock()
-	if waiting {
-		answers <- a.Granted
-	}
-}
-
 // recordRunnerFailure records the parts of the request's prompt if its runner has failed at the
 // beginning of the answer.
 func (a *attempt) recordRunnerFailure(ctx context.Context, failure *forward.FailedAttempt) {
--- a/daemon/edge/grants.go
+++ b/daemon/edge/grants.go
@@ -63,10 +63,6 @@
 	pending map[uint64]pendingGrant
 }
 
-// firstAskID returns the random number at which the IDs of questions to other daemons start, so
-// that an answer to a former process at this address matches no question of this one.
-func firstAskID() uint64 { return rand.Uint64() }
-
 func (p *pendingGrants) init() {
 	p.lastID = firstAskID()
 	p.pending = map[uint64]pendingGrant{}
@@ -242,20 +238,6 @@
 	}
 }
 
-// awaitAnswer waits for another daemon's answer. It returns false after the timeout or the end of
-// the context.
-func awaitAnswer[T any](ctx context.Context, answers <-chan T, wait time.Duration) (answer T, ok bool) {
-	timeout := time.NewTimer(wait)
-	defer timeout.Stop()
-	select {
-	case answer = <-answers:
-		return answer, true
-	case <-timeout.C:
-	case <-ctx.Done():
-	}
-	return answer, false
-}
-
 // quotaRefusal returns the refusal for an answer that grants nothing, or nil if the quota was
 // granted.
 func quotaRefusal(g *peersv1.Grant, cost float64) *refusal.Refusal {
--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -191,9 +191,9 @@
 		e.log.Count("permit.no_owner")
 		return unanswered, permit{}
 	}
-	answers := make(chan *peersv1.Permit, 1)
-	id, limit := e.runnerLimits.addAsk(now, runner, answers)
-	defer e.runnerLimits.removeAsk(id)
+	id, answers := e.runnerLimits.asks.add()
+	defer e.runnerLimits.asks.remove(id)
+	limit := e.runnerLimits.statement(now, runner)
 	e.sendTo(owner, &peersv1.Datagram{PermitRequest: &peersv1.PermitRequest{Id: id, PeerAddress: e.settings.PeerAddress, Limit: limit, HoldNs: int64(d.Hold)}})
 	p, ok := awaitAnswer(ctx, answers, permitTimeout)
 	if !ok {
@@ -224,18 +224,11 @@
 	e.returnPermit(permit{runner: ident.RunnerID(r.Runner), lease: r.Lease}, r.Rejected)
 }
 
-func (l *runnerLimits) addAsk(now time.Duration, runner ident.RunnerID, answers chan<- *peersv1.Permit) (uint64, *peersv1.RunnerLimit) {
+// statement returns what this daemon knows of a runner's limits.
+func (l *runnerLimits) statement(now time.Duration, runner ident.RunnerID) *peersv1.RunnerLimit {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastAsk++
-	l.asks[l.lastAsk] = answers
-	return l.lastAsk, encodeRunnerLimit(now, l.table.Statement(runner))
-}
-
-func (l *runnerLimits) removeAsk(id uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.asks, id)
+	return encodeRunnerLimit(now, l.table.Statement(runner))
 }
 
 // grantPermit decides about a permit as the runner's owner.
@@ -313,14 +306,9 @@
 // handlePermit passes an answer to the request that waits for it. A permit that comes too late
 // is lost, but for the place that it takes.
 func (e *Edge) handlePermit(p *peersv1.Permit) {
-	e.runnerLimits.mu.Lock()
-	answers, ok := e.runnerLimits.asks[p.Id]
-	delete(e.runnerLimits.asks, p.Id)
-	e.runnerLimits.mu.Unlock()
-	if !ok {
-		e.log.Count("permit.unknown")
-		e.returnPermit(permit{runner: ident.RunnerID(p.Runner), owner: p.PeerAddress, lease: p.Lease}, false)
+	if e.runnerLimits.asks.answer(p.Id, p) {
 		return
 	}
-	answers <- p
+	e.log.Count("permit.unknown")
+	e.returnPermit(permit{runner: ident.RunnerID(p.Runner), owner: p.PeerAddress, lease: p.Lease}, false)
 }
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
@@ -81,13 +82,13 @@
 	case d.StreamAsk != nil:
 		e.handleStreamAsk(d.StreamAsk)
 	case d.StreamAnswer != nil:
-		e.handleStreamAnswer(d.StreamAnswer)
+		e.streams.asks.answer(d.StreamAnswer.Id, canary.Version(d.StreamAnswer.Version))
 	case d.PartNews != nil:
 		e.handlePartNews(d.PartNews)
 	case d.PartProbeAsk != nil:
 		e.handlePartProbeAsk(d.PartProbeAsk)
 	case d.PartProbeAnswer != nil:
-		e.handlePartProbeAnswer(d.PartProbeAnswer)
+		e.failingParts.asks.answer(d.PartProbeAnswer.Id, d.PartProbeAnswer.Granted)
 	case d.Hello != nil:
 		e.handleHello(ctx, d.Hello)
 	}
--- a/daemon/edge/runner_limits.go
+++ b/daemon/edge/runner_limits.go
@@ -27,9 +27,8 @@
 	table *runnerlimit.Table
 	// denied holds, for limited runners, until when this daemon asks for no permit.
 	denied map[ident.RunnerID]denial
-	// asks holds the unanswered requests for permits by ID.
-	asks      map[uint64]chan<- *peersv1.Permit
-	lastAsk   uint64
+	// asks holds the unanswered requests for permits.
+	asks      asks[*peersv1.Permit]
 	expiredAt time.Duration
 	// news holds the runners whose changed limits are about to be told to other daemons; the
 	// value says that a relay told this daemon.
@@ -46,8 +45,7 @@
 func (l *runnerLimits) init() {
 	l.table = runnerlimit.New()
 	l.denied = map[ident.RunnerID]denial{}
-	l.asks = map[uint64]chan<- *peersv1.Permit{}
-	l.lastAsk = firstAskID()
+	l.asks.init()
 	l.news = map[ident.RunnerID]bool{}
 }
 
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -46,16 +46,13 @@
 	mu      sync.Mutex
 	records *streamversion.Records
 	history *streamversion.History
-	// asks holds the unanswered questions by ID.
-	asks    map[uint64]chan<- canary.Version
-	lastAsk uint64
+	asks    asks[canary.Version]
 }
 
 func (v *streamVersions) init(now time.Duration, complete bool) {
 	v.records = streamversion.NewRecords()
 	v.history = streamversion.NewHistory(now, complete)
-	v.asks = map[uint64]chan<- canary.Version{}
-	v.lastAsk = firstAskID()
+	v.asks.init()
 }
 
 func (v *streamVersions) get(now time.Duration, s streamversion.Stream) (canary.Version, bool) {
@@ -76,20 +73,6 @@
 	return v.history.Only(now, service)
 }
 
-func (v *streamVersions) addAsk(answers chan<- canary.Version) uint64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.lastAsk++
-	v.asks[v.lastAsk] = answers
-	return v.lastAsk
-}
-
-func (v *streamVersions) removeAsk(id uint64) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	delete(v.asks, id)
-}
-
 // boundVersion is the software version at which a stream must go on; known is false as long as any
 // version may serve it.
 type boundVersion struct {
@@ -141,9 +124,8 @@
 
 // askHolders asks the daemons that may keep the record of a stream.
 func (e *Edge) askHolders(ctx context.Context, stream streamversion.Stream) (canary.Version, bool) {
-	answers := make(chan canary.Version, 1)
-	id := e.streams.addAsk(answers)
-	defer e.streams.removeAsk(id)
+	id, answers := e.streams.asks.add()
+	defer e.streams.asks.remove(id)
 	ask := &peersv1.StreamAsk{Id: id, PeerAddress: e.settings.PeerAddress, Stream: uint64(stream)}
 	for range maxStreamAsks {
 		if relays := e.followedRelays(); len(relays) > 0 {
@@ -178,17 +160,6 @@
 	}
 }
 
-// handleStreamAnswer passes an answer to the request that waits for it.
-func (e *Edge) handleStreamAnswer(a *peersv1.StreamAnswer) {
-	e.streams.mu.Lock()
-	answers, waiting := e.streams.asks[a.Id]
-	delete(e.streams.asks, a.Id)
-	e.streams.mu.Unlock()
-	if waiting {
-		answers <- canary.Version(a.Version)
-	}
-}
-
 // recordStream records the version that began a stream, here and at the holders.
 func (e *Edge) recordStream(stream streamversion.Stream, v canary.Version) {
 	e.streams.put(e.deps.Steady(), stream, v)
