Name prompt parts in logs in one way

Refusals named them in hexadecimal, part_verdict and runner_failed in decimal, and attempt_failed by another hash, so that an engineer on call could not follow one part through the logs.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -62,6 +63,9 @@
 // Part identifies a part of prompts to one service.
 type Part uint64
 
+// String returns the part as logs name it.
+func (p Part) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
 // PartOf returns the identifier of a prompt part with the given hash in requests to a service.
 func PartOf(service string, hash uint64) Part {
 	return Part(xxhash.Sum64String(service + "\x00" + strconv.FormatUint(hash, 16)))
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -91,7 +92,7 @@
 		s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.HandleFailure(time.Now(), p, *failure) })
 		runner := a.runner()
 		s.note("attempt_failed", decisions.F("runner", runner), decisions.F("reason", failure.Reason),
-			decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", s.req.Prompt.SharedParts()),
+			decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", fmt.Sprint(s.parts)),
 			decisions.F("may_have_run", failure.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
 			decisions.F("again", end == nil), decisions.F("wait", wait))
 		s.edge.log.Count("attempt_failed." + string(failure.Reason))
--- a/daemon/edge/failing_parts.go
+++ b/daemon/edge/failing_parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -85,7 +86,7 @@
 	}
 	now := s.edge.deps.Steady()
 	wait := max(failingPartRetryAfter, s.edge.failingParts.probeAt(blocked[0])-now)
-	return s.orUnknown(refusal.New(refusal.FailingPart, "runners fail under prompt part %x", uint64(blocked[0])).After(wait))
+	return s.orUnknown(refusal.New(refusal.FailingPart, "runners fail under prompt part %v", blocked[0]).After(wait))
 }
 
 // find returns the quarantined and the suspected ones of the parts, other than the one that the request
@@ -123,7 +124,7 @@
 		return false
 	}
 	s.probed = p
-	s.note("part_probed", decisions.F("part", uint64(p)))
+	s.note("part_probed", decisions.F("part", p))
 	return true
 }
 
@@ -185,7 +186,7 @@
 	s.sawFailure = s.sawFailure || a.begun
 	f := quarantine.Failure{Runner: runnerHash(a.choice.Runner), At: now, Sent: sent, Begun: a.begun}
 	s.edge.recordPartFailure(s.parts, f)
-	s.note("runner_failed", decisions.F("runner", a.choice.Runner), decisions.F("begun", a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", s.parts))
+	s.note("runner_failed", decisions.F("runner", a.choice.Runner), decisions.F("begun", a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", fmt.Sprint(s.parts)))
 }
 
 func (e *Edge) recordPartFailure(parts []quarantine.Part, f quarantine.Failure) {
@@ -231,7 +232,7 @@
 		return
 	}
 	s, _ := e.failingParts.table.Statement(p)
-	e.log.Note("part_verdict", decisions.F("part", uint64(p)), decisions.F("verdict", after), decisions.F("before", before),
+	e.log.Note("part_verdict", decisions.F("part", p), decisions.F("verdict", after), decisions.F("before", before),
 		decisions.F("failures", len(s.Failures)), decisions.F("probes", s.Probes))
 }
 
