Keep records of streams' versions at three daemons that acknowledge them

Cause: a record went to two daemons, whether or not they were there: one that had been killed a moment before, or was cut off, got none, and the stream's own daemon was killed next. Class: a message that must arrive, sent once.

Change: three copies; a holder acknowledges, and after 60 ms without it the copy goes to the next in rank. Those that ask try these, too, from the second time on.

--- a/coordination/streamversion/records.go
+++ b/coordination/streamversion/records.go
@@ -2,7 +2,8 @@
 // versions write doesn't fit together, and a caller may take up its stream at any daemon.
 //
 // The daemon that passes a stream's first event on records the runner's version, and sends the record
-// to the first Copies holders, the daemons that a hash of the stream ranks first. A daemon that is
+// to the first Copies holders, the daemons that a hash of the stream ranks first, or to the next ones
+// in place of those that don't acknowledge it. A daemon that is
 // asked to go on with a stream that it doesn't know asks the first Asked holders. It needs no record
 // if it knows that the service's runners have had only one version for as long as a stream may last;
 // see History.
@@ -27,10 +28,15 @@
 	// its caller's further requests for it.
 	Memory = time.Minute
 	// Copies is the number of other daemons that are sent a record.
-	Copies = 2
-	// Asked is the number of holders that are asked for a record. The daemon that sent it may rank
-	// before the copies, and a daemon that has started since may, too.
-	Asked = Copies + 2
+	Copies = 3
+	// MaxSends is how often a copy is sent, each time to a holder that ranks lower, until one
+	// acknowledges it.
+	MaxSends = 2
+	// Asked is the number of holders that are first asked for a record. The daemon that sent it may
+	// rank before the copies, and a daemon that has started since may, too. MaxHolders is the number
+	// of those that may have it at all.
+	Asked      = Copies + 2
+	MaxHolders = Copies*MaxSends + 1
 	// maxRecords bounds the records of one generation, which take about 50 bytes each.
 	maxRecords = 100_000
 )
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -151,7 +151,8 @@
 	resolvedAddresses udpAddresses
 	configCheck       configChecker
 	duties            duties
-	// probing ends with Run, and with it the probes of runners; stopProbes ends it.
+	// probing ends with Run, and with it the probes of runners and what waits for acknowledgements;
+	// stopProbes ends it.
 	probing    context.Context
 	stopProbes context.CancelFunc
 	// healthCheckedAt is when the runners' health was last checked; only tickLoop uses it.
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -79,6 +79,8 @@
 		e.handleLimitNews(d.LimitNews)
 	case d.StreamRecord != nil:
 		e.handleStreamRecord(d.StreamRecord)
+	case d.StreamRecordAck != nil:
+		e.streams.sends.answer(d.StreamRecordAck.Id, struct{}{})
 	case d.StreamAsk != nil:
 		e.handleStreamAsk(d.StreamAsk)
 	case d.StreamAnswer != nil:
--- a/daemon/edge/stream_version_test.go
+++ b/daemon/edge/stream_version_test.go
@@ -275,11 +275,18 @@
 // takeUp lets the callers take their streams up at the given daemons.
 func (w *testFleet) takeUp(callers []*streamCaller, daemons []*daemon) streamOutcome {
 	var o streamOutcome
+	var mu sync.Mutex
+	var reading sync.WaitGroup
 	for i, c := range callers {
-		begun := len(c.versions)
-		w.readStream(daemons[i%len(daemons)], c, neverLeave)
-		o.add(c, begun, begun > 0)
+		reading.Go(func() {
+			begun := len(c.versions)
+			w.readStream(daemons[i%len(daemons)], c, neverLeave)
+			mu.Lock()
+			defer mu.Unlock()
+			o.add(c, begun, begun > 0)
+		})
 	}
+	reading.Wait()
 	return o
 }
 
@@ -454,7 +461,7 @@
 }
 
 // streamMessages counts the messages about streams' versions and their bytes.
-type streamMessages struct{ records, asks, answers, bytes int }
+type streamMessages struct{ records, acks, asks, answers, bytes int }
 
 func (m *streamMessages) count(message []byte) {
 	var d peersv1.Datagram
@@ -464,6 +471,8 @@
 	switch {
 	case d.StreamRecord != nil:
 		m.records++
+	case d.StreamRecordAck != nil:
+		m.acks++
 	case d.StreamAsk != nil:
 		m.asks++
 	case d.StreamAnswer != nil:
@@ -495,8 +504,8 @@
 				}
 				o := w.takeUp(callers, w.daemons[len(killed):])
 				w.network.observe(nil)
-				t.Logf("%d daemons, %d streams: %d records of %d bytes together; then %d asks, %d answers, %d bytes", n, len(callers),
-					begun.records, begun.bytes, messages.asks, messages.answers, messages.bytes-begun.bytes)
+				t.Logf("%d daemons, %d streams: %d records and %d acks of %d bytes together; then %d asks, %d answers, %d bytes", n, len(callers),
+					begun.records, begun.acks, begun.bytes, messages.asks, messages.answers, messages.bytes-begun.bytes)
 				w.checkTakenUp(o, len(callers))
 			})
 		})
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -24,6 +24,8 @@
 	// streamAskTimeout is the time that holders have to answer before they are asked again. One
 	// answers within a few milliseconds unless its VM is paused or a message is lost.
 	streamAskTimeout = 60 * time.Millisecond
+	// streamRecordTimeout is the time that a holder has to acknowledge a record.
+	streamRecordTimeout = 60 * time.Millisecond
 	// maxStreamAsks is how often the holders are asked about one stream. A record may arrive later
 	// than the question of a caller that has returned at once.
 	maxStreamAsks = 3
@@ -47,12 +49,15 @@
 	records *streamversion.Records
 	history *streamversion.History
 	asks    asks[canary.Version]
+	// sends holds the records that wait for an acknowledgement.
+	sends asks[struct{}]
 }
 
 func (v *streamVersions) init(now time.Duration, complete bool) {
 	v.records = streamversion.NewRecords()
 	v.history = streamversion.NewHistory(now, complete)
 	v.asks.init()
+	v.sends.init()
 }
 
 func (v *streamVersions) get(now time.Duration, s streamversion.Stream) (canary.Version, bool) {
@@ -127,7 +132,8 @@
 	id, answers := e.streams.asks.add()
 	defer e.streams.asks.remove(id)
 	ask := &peersv1.StreamAsk{Id: id, PeerAddress: e.settings.PeerAddress, Stream: uint64(stream)}
-	for range maxStreamAsks {
+	for round := range maxStreamAsks {
+		ask.Wide = round > 0
 		if relays := e.followedRelays(); len(relays) > 0 {
 			e.sendToAll(relays, &peersv1.Datagram{StreamAsk: ask})
 		} else {
@@ -144,7 +150,11 @@
 // sendStreamAsk sends a question to the daemons that may keep the record, other than this one.
 func (e *Edge) sendStreamAsk(ask *peersv1.StreamAsk) {
 	ask.Forwarded = true
-	to := e.rankedGranters(ask.Stream, streamversion.Asked)
+	holders := streamversion.Asked
+	if ask.Wide {
+		holders = streamversion.MaxHolders
+	}
+	to := e.rankedGranters(ask.Stream, holders)
 	to = slices.DeleteFunc(to, func(address string) bool { return address == e.settings.PeerAddress })
 	e.sendToAll(to, &peersv1.Datagram{StreamAsk: ask})
 }
@@ -163,21 +173,48 @@
 // recordStream records the version that began a stream, here and at the holders.
 func (e *Edge) recordStream(stream streamversion.Stream, v canary.Version) {
 	e.streams.put(e.deps.Steady(), stream, v)
-	relays := e.followedRelays()
-	for copy := range streamversion.Copies {
-		r := &peersv1.StreamRecord{Stream: uint64(stream), Version: string(v), Copy: uint32(copy)}
-		if len(relays) > 0 {
-			e.sendTo(relays[copy%len(relays)], &peersv1.Datagram{StreamRecord: r})
-			continue
+	for rank := range streamversion.Copies {
+		r := &peersv1.StreamRecord{Stream: uint64(stream), Version: string(v), PeerAddress: e.settings.PeerAddress, Copy: uint32(rank)}
+		acknowledged := e.sendStreamRecord(r)
+		go e.ensureStreamRecord(r, acknowledged)
+	}
+}
+
+// ensureStreamRecord waits until a holder has acknowledged a record that was sent, and sends it to
+// others otherwise.
+func (e *Edge) ensureStreamRecord(r *peersv1.StreamRecord, acknowledged <-chan struct{}) {
+	for sends := 1; ; sends++ {
+		_, ok := awaitAnswer(e.probing, acknowledged, streamRecordTimeout)
+		e.streams.sends.remove(r.Id)
+		if ok || e.probing.Err() != nil {
+			return
 		}
-		e.sendStreamRecord(r)
+		if sends == streamversion.MaxSends {
+			e.log.Count("stream_records_unacknowledged")
+			return
+		}
+		r.Copy += streamversion.Copies
+		acknowledged = e.sendStreamRecord(r)
+	}
+}
+
+// sendStreamRecord sends a record to the holder of its rank, by one of the relays that this daemon
+// follows if there are any.
+func (e *Edge) sendStreamRecord(r *peersv1.StreamRecord) (acknowledged <-chan struct{}) {
+	r.Id, acknowledged = e.streams.sends.add()
+	if relays := e.followedRelays(); len(relays) > 0 {
+		r.Forwarded = false
+		e.sendTo(relays[int(r.Copy)%len(relays)], &peersv1.Datagram{StreamRecord: r})
+		return acknowledged
 	}
+	e.forwardStreamRecord(r)
+	return acknowledged
 }
 
-// sendStreamRecord sends one copy of a record to the holder that should keep it, other than this daemon.
-func (e *Edge) sendStreamRecord(r *peersv1.StreamRecord) {
+// forwardStreamRecord sends a record to the holder of its rank, other than this daemon.
+func (e *Edge) forwardStreamRecord(r *peersv1.StreamRecord) {
 	r.Forwarded = true
-	holders := e.rankedGranters(r.Stream, streamversion.Copies+1)
+	holders := e.rankedGranters(r.Stream, streamversion.MaxHolders)
 	holders = slices.DeleteFunc(holders, func(address string) bool { return address == e.settings.PeerAddress })
 	if int(r.Copy) < len(holders) {
 		e.sendTo(holders[r.Copy], &peersv1.Datagram{StreamRecord: r})
@@ -186,11 +223,12 @@
 
 // handleStreamRecord keeps a record, or forwards it to the daemon that should.
 func (e *Edge) handleStreamRecord(r *peersv1.StreamRecord) {
-	if r.Forwarded {
-		e.streams.put(e.deps.Steady(), streamversion.Stream(r.Stream), canary.Version(r.Version))
+	if !r.Forwarded {
+		e.forwardStreamRecord(r)
 		return
 	}
-	e.sendStreamRecord(r)
+	e.streams.put(e.deps.Steady(), streamversion.Stream(r.Stream), canary.Version(r.Version))
+	e.sendTo(r.PeerAddress, &peersv1.Datagram{StreamRecordAck: &peersv1.StreamRecordAck{Id: r.Id}})
 }
 
 // followedRelays returns the addresses of the relays that this daemon follows; none in a direct fleet
