Rank holders by xxhash, once for each daemon

Rank brought a copy of routing's mix along and hashed a daemon's ID anew at each comparison, for each record and under the daemon's lock. Which daemons rank first differs from before; nothing depends on that. The figure in the comment on maxRecords stands in docs/CAPACITY.md's line.

--- a/coordination/streamversion/records.go
+++ b/coordination/streamversion/records.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,7 +38,7 @@
 	// of those that may have it at all.
 	Asked      = Copies + 2
 	MaxHolders = Copies*MaxSends + 1
-	// maxRecords bounds the records of one generation, which take about 50 bytes each.
+	// maxRecords bounds the records of one generation.
 	maxRecords = 100_000
 )
 
@@ -104,17 +105,12 @@
 // Rank sorts daemons by their rank for a key, such as that of holders of a stream's record. The rank
 // depends on the daemons' IDs only, so that a daemon that starts again has the rank that it had.
 func Rank(key uint64, daemons []ident.DaemonID) {
-	rank := func(id ident.DaemonID) uint64 { return mix(key ^ xxhash.Sum64String(string(id))) }
+	suffix := "\x00" + strconv.FormatUint(key, 16)
+	ranks := make(map[ident.DaemonID]uint64, len(daemons))
+	for _, id := range daemons {
+		ranks[id] = xxhash.Sum64String(string(id) + suffix)
+	}
 	slices.SortFunc(daemons, func(a, b ident.DaemonID) int {
-		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(ranks[b], ranks[a]), cmp.Compare(a, b))
 	})
 }
-
-// mix distributes the entropy of x over all its bits (the finalizer of splitmix64).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
