Look a runner's version and a request's exclusions up once

The attempt has the version that its trial's attribution read again under the pool's lock, and prepare computed the excluded runners twice in a row. Behaviour is unchanged.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -218,7 +218,8 @@
 		return nil, r
 	}
 	now = time.Now()
-	a := &attempt{s: s, choice: choice, eventsBefore: s.eventsSent(), version: s.pool.versionOf(choice.Runner), permit: permit, sent: now, trial: s.trialAttributionOf(choice.Runner)}
+	version := s.pool.versionOf(choice.Runner)
+	a := &attempt{s: s, choice: choice, eventsBefore: s.eventsSent(), version: version, permit: permit, sent: now, trial: s.trialAttributionOf(version)}
 	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
 	s.countTrialDispatch()
 	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", a.version), decisions.F("estimate", choice.Estimate),
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -178,7 +178,7 @@
 	s.routingRequest.Fetchable = s.pool.canFetchPrefix()
 	s.routingRequest.Exclude = s.excludedRunners()
 	if s.gate = s.edge.trials.gate(s.pool.name); s.gate != nil {
-		s.pool.excludeByPlacement(&s.routingRequest, s.excludedRunners(), s.gate, s.edge.placeRepeat(s.gate))
+		s.pool.excludeByPlacement(&s.routingRequest, s.routingRequest.Exclude, s.gate, s.edge.placeRepeat(s.gate))
 	}
 	return s.charge(ctx)
 }
--- a/daemon/edge/trials.go
+++ b/daemon/edge/trials.go
@@ -396,15 +396,14 @@
 	isNewVersion bool
 }
 
-// trialAttributionOf returns for which trial and software version an attempt at a runner counts.
-func (s *requestHandler) trialAttributionOf(id ident.RunnerID) trialAttribution {
+// trialAttributionOf returns for which trial and software version an attempt at a runner of a version
+// counts.
+func (s *requestHandler) trialAttributionOf(v canary.Version) trialAttribution {
 	g := s.edge.trials.gate(s.pool.name)
 	if g == nil {
 		return trialAttribution{}
 	}
-	s.pool.mu.Lock()
-	defer s.pool.mu.Unlock()
-	return trialAttribution{g, s.pool.runners[id].Version == g.Order().Target}
+	return trialAttribution{g, v == g.Order().Target}
 }
 
 // took counts a latency for the attempt's trial: that of a whole answer or, with betweenEvents, the
