--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -21,8 +21,8 @@
 // as long as the owner said.
 
 const (
-	// permitTimeout is the time that the owner has to answer. It answers within a millisecond
-	// or two unless its VM is paused.
+	// permitTimeout is the time that the owner has to answer, longer than a message takes to
+	// another failure domain and back.
 	permitTimeout = 40 * time.Millisecond
 	// permitValidity is how long after it was asked for a permit may be used. A daemon whose VM
 	// was paused must not use the permits that it had asked for before.
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -21,8 +21,8 @@
 // holders are the daemons that share the quotas, which relays know, too.
 
 const (
-	// streamAskTimeout is the time that holders have to answer before they are asked again. One
-	// answers within a few milliseconds unless its VM is paused or a message is lost.
+	// streamAskTimeout is the time that holders have to answer before they are asked again, longer
+	// than a message takes to another failure domain and back.
 	streamAskTimeout = 60 * time.Millisecond
 	// streamRecordTimeout is the time that a holder has to acknowledge a record.
 	streamRecordTimeout = 60 * time.Millisecond
