Let a listed test's callers return one by one as before, and storms be harder by hand

Each has its own now. The storm's bound on daemons that are down at a time is a flag, two by default as the deployments say, so that harder ones can be played again; what a request's reply adds to a stream stands once.

--- a/daemon/edge/stream_storm_test.go
+++ b/daemon/edge/stream_storm_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,6 +20,7 @@
 
 var (
 	stormSeeds     = flag.Int("storm-seeds", 2, "number of seeds of the storm of kills and roll-outs")
+	stormDown      = flag.Int("storm-down", 2, "number of daemons that may be down or cut off at the same time")
 	firstStormSeed = flag.Uint64("first-storm-seed", 1, "first of these seeds")
 )
 
@@ -31,7 +31,7 @@
 	mu   sync.Mutex
 	rng  *rand.Rand
 	life []daemonLife
-	// disturbed is the number of daemons that are down or cut off, at most maxDisturbed.
+	// disturbed is the number of daemons that are down or cut off, at most stormDown.
 	disturbed int
 	// runners holds the running runners by ID.
 	runners map[string]*stormRunner
@@ -39,9 +39,6 @@
 	outcome stormOutcome
 }
 
-// maxDisturbed is the number of daemons that the fleet must be able to lose at the same time.
-const maxDisturbed = 2
-
 // daemonLife is one run of a daemon: ctx ends with it, and it is in touch contactTime after calmSince.
 type daemonLife struct {
 	ctx       context.Context
@@ -133,7 +130,7 @@
 
 func (s *streamStorm) killDaemon(i int) {
 	s.mu.Lock()
-	if s.life[i].ctx.Err() != nil || s.disturbed >= maxDisturbed {
+	if s.life[i].ctx.Err() != nil || s.disturbed >= *stormDown {
 		s.mu.Unlock()
 		return
 	}
@@ -153,7 +150,7 @@
 
 func (s *streamStorm) isolateDaemon(i int) {
 	s.mu.Lock()
-	if s.life[i].ctx.Err() != nil || s.disturbed >= maxDisturbed {
+	if s.life[i].ctx.Err() != nil || s.disturbed >= *stormDown {
 		s.mu.Unlock()
 		return
 	}
@@ -174,7 +171,7 @@
 func (s *streamStorm) disturb(next *int) {
 	switch n := len(s.life); s.draw(6) {
 	case 0:
-		for range maxDisturbed {
+		for range *stormDown {
 			go s.killDaemon(s.draw(n))
 		}
 	case 1:
@@ -255,15 +252,8 @@
 		req.LastEventID, req.Resumes = fmt.Sprint(len(c.versions)), c.firstRequest
 	}
 	d.Serve(life, req, a)
-	for line := range strings.Lines(a.body.String()) {
-		if v, ok := strings.CutPrefix(line, "data: "); ok {
-			c.versions = append(c.versions, canary.Version(strings.TrimSpace(v)))
-		}
-	}
-	if c.firstRequest == "" && len(c.versions) > 0 {
-		c.firstRequest = id
-	}
-	c.refusal, c.finished = a.refusal, a.finished && life.Err() == nil
+	c.receive(id, &a.recordedReply)
+	c.finished = c.finished && life.Err() == nil
 }
 
 // mortalReply is a reply that ends with its daemon.
--- a/daemon/edge/stream_version_test.go
+++ b/daemon/edge/stream_version_test.go
@@ -149,6 +149,11 @@
 		req.LastEventID, req.Resumes = fmt.Sprint(len(c.versions)), c.firstRequest
 	}
 	d.Serve(ctx, req, a)
+	c.receive(id, &a.recordedReply)
+}
+
+// receive takes the reply to the request with the given ID.
+func (c *streamCaller) receive(id string, a *recordedReply) {
 	for line := range strings.Lines(a.body.String()) {
 		if v, ok := strings.CutPrefix(line, "data: "); ok {
 			c.versions = append(c.versions, canary.Version(strings.TrimSpace(v)))
@@ -272,8 +277,19 @@
 	return callers
 }
 
-// takeUp lets the callers take their streams up at the given daemons.
+// takeUp lets the callers take their streams up at the given daemons, one after the other.
 func (w *testFleet) takeUp(callers []*streamCaller, daemons []*daemon) streamOutcome {
+	var o streamOutcome
+	for i, c := range callers {
+		begun := len(c.versions)
+		w.readStream(daemons[i%len(daemons)], c, neverLeave)
+		o.add(c, begun, begun > 0)
+	}
+	return o
+}
+
+// takeUpAtOnce lets the callers take their streams up at the same time.
+func (w *testFleet) takeUpAtOnce(callers []*streamCaller, daemons []*daemon) streamOutcome {
 	var o streamOutcome
 	var mu sync.Mutex
 	var reading sync.WaitGroup
@@ -502,7 +518,7 @@
 				for _, d := range killed {
 					d.kill()
 				}
-				o := w.takeUp(callers, w.daemons[len(killed):])
+				o := w.takeUpAtOnce(callers, w.daemons[len(killed):])
 				w.network.observe(nil)
 				t.Logf("%d daemons, %d streams: %d records and %d acks of %d bytes together; then %d asks, %d answers, %d bytes", n, len(callers),
 					begun.records, begun.acks, begun.bytes, messages.asks, messages.answers, messages.bytes-begun.bytes)
