Collect news of limits and of failing parts in one way

Both kept what they were about to tell in a map of their own. When a relay told of what this daemon had found out itself in the same moment, its own news no longer reached the other relays; that was mended for parts and not for limits, where the same logic stood. One type serves both now.

--- a/daemon/edge/failing_parts.go
+++ b/daemon/edge/failing_parts.go
@@ -21,9 +21,6 @@
 const (
 	// maxEventsAtFailure is the number of events up to which an answer is at its beginning.
 	maxEventsAtFailure = 2
-	// partNewsDelay is the time for which failures are collected into one message: all requests at a
-	// runner fail at the same moment.
-	partNewsDelay = 20 * time.Millisecond
 	// maxPartsPerMessage bounds the parts in one message.
 	maxPartsPerMessage = 16
 	// probeAskTimeout is the time that the daemon that decides about probes has to answer.
@@ -38,15 +35,13 @@
 	table *quarantine.Table
 	// asks holds the unanswered questions for probes.
 	asks asks[bool]
-	// news holds the parts that are about to be told to other daemons; the value says that a relay
-	// told this daemon.
-	news map[quarantine.Part]bool
+	news news[quarantine.Part]
 }
 
 func (f *failingParts) init() {
 	f.table = quarantine.New()
 	f.asks.init()
-	f.news = map[quarantine.Part]bool{}
+	f.news = news[quarantine.Part]{}
 }
 
 func (f *failingParts) expire(now time.Duration) {
@@ -239,15 +234,7 @@
 // spreadPartLocked tells other daemons of a part, together with the other news of the next moment. The
 // caller must hold failingParts.mu.
 func (e *Edge) spreadPartLocked(p quarantine.Part, byRelay bool) {
-	f := &e.failingParts
-	if len(f.news) == 0 {
-		time.AfterFunc(partNewsDelay, e.sendPartNews)
-	}
-	// What this daemon has found out itself must reach the other relays, too.
-	if pending, waits := f.news[p]; waits {
-		byRelay = byRelay && pending
-	}
-	f.news[p] = byRelay
+	e.failingParts.news.add(p, byRelay, e.sendPartNews)
 }
 
 // sendPartNews sends the news of parts on, like sendLimitNews.
--- a/daemon/edge/runner_limits.go
+++ b/daemon/edge/runner_limits.go
@@ -17,8 +17,6 @@
 	maxLimitsPerMessage = 32
 	// expireLimitsInterval is the least time between two searches for limits to forget.
 	expireLimitsInterval = time.Second
-	// limitNewsDelay is the time for which changes of limits are collected into one message.
-	limitNewsDelay = 20 * time.Millisecond
 )
 
 // runnerLimits holds the limits that runners state, and the permits of this daemon.
@@ -30,9 +28,7 @@
 	// asks holds the unanswered requests for permits.
 	asks      asks[*peersv1.Permit]
 	expiredAt time.Duration
-	// news holds the runners whose changed limits are about to be told to other daemons; the
-	// value says that a relay told this daemon.
-	news map[ident.RunnerID]bool
+	news      news[ident.RunnerID]
 }
 
 // denial says until when a daemon that was denied a permit doesn't ask again. busy says that the
@@ -46,7 +42,7 @@
 	l.table = runnerlimit.New()
 	l.denied = map[ident.RunnerID]denial{}
 	l.asks.init()
-	l.news = map[ident.RunnerID]bool{}
+	l.news = news[ident.RunnerID]{}
 }
 
 // limited reports whether a runner states limits.
@@ -120,10 +116,7 @@
 	l := &e.runnerLimits
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.news) == 0 {
-		time.AfterFunc(limitNewsDelay, e.sendLimitNews)
-	}
-	l.news[runner] = byRelay
+	l.news.add(runner, byRelay, e.sendLimitNews)
 }
 
 // sendLimitNews sends the changed limits on: in a direct fleet to all daemons, otherwise from a
