Log from which list a runner was chosen, and who told of its leaving

Nothing in the log told the hypotheses apart. Now `dispatched` says how long ago the list of runners that the choice was made from was copied (an older list in use: the age is longer than the time since the runner's line), `runner` says whether the key-value service or a relay told of an entry (late notices), `connected_late` says that a request got its connection 100 ms or more after the choice, and in which state its runner was by then (known, and sent all the same), and the histogram runners_pass_us how long a pass of the runners to the pools takes (a small VM's processor time).

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -34,6 +34,9 @@
 	// seconds to start. One second is shorter than both, so that callers are served soon after a
 	// runner appears.
 	noRunnerRetryAfter = time.Second
+	// slowConnect is how long after the choice of its runner a request that has just got a connection is logged,
+	// since the runner may have left meanwhile.
+	slowConnect = 100 * time.Millisecond
 )
 
 // bufferedAnswer is a runner's answer that has been read completely.
@@ -227,7 +230,8 @@
 	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
 	s.countTrialDispatch()
 	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", a.entry.Version), decisions.F("estimate", choice.Estimate),
-		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("cost", s.cost))
+		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("cost", s.cost),
+		decisions.F("list_age", s.pool.listAge()))
 	return a, nil
 }
 
@@ -357,6 +361,10 @@
 	a.connected.Store(true)
 	e := a.s.edge
 	state := a.s.pool.entryOf(a.choice.Runner).State
+	if took := time.Since(a.sent); took >= slowConnect {
+		a.s.note("connected_late", decisions.F("runner", a.choice.Runner), decisions.F("after", took), decisions.F("state", state),
+			decisions.F("list_age", a.s.pool.listAge()))
+	}
 	return len(a.s.blockingCauses()) == 0 && state != view.Leaving && state != "" && !e.rests.resting(e.deps.Steady(), a.choice.Runner)
 }
 
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -69,6 +69,8 @@
 	tracker *health.Tracker
 	retry   *retry.Policy
 	runners map[ident.RunnerID]Runner
+	// listedAt is when the list of runners was copied, a time of Deps.Steady.
+	listedAt time.Duration
 	// versions are the software versions that the runners have.
 	versions []canary.Version
 	// peerLoads is the load at each runner that the other daemons' requests cause, as known at
@@ -190,10 +192,12 @@
 	return largeFleetSamples
 }
 
-func (p *pool) setRunners(now time.Time, runners []Runner) {
+// setRunners replaces the list of runners by one that was copied at the given time.
+func (p *pool) setRunners(now time.Time, copiedAt time.Duration, runners []Runner) {
 	slices.SortFunc(runners, func(a, b Runner) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.listedAt = copiedAt
 	list := make([]view.Runner, 0, len(runners))
 	ids := make([]ident.RunnerID, 0, len(runners))
 	p.runners = make(map[ident.RunnerID]Runner, len(runners))
@@ -401,6 +405,13 @@
 	return p.runners[id]
 }
 
+// listAge returns how long ago the list of runners in use was copied.
+func (p *pool) listAge() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.edge.deps.Steady() - p.listedAt
+}
+
 // observeServiceTime updates the estimated service time of a plain service from one answer.
 func (p *pool) observeServiceTime(c routing.Choice, took time.Duration) {
 	p.mu.Lock()
--- a/daemon/edge/runners.go
+++ b/daemon/edge/runners.go
@@ -45,8 +45,8 @@
 	return true
 }
 
-// setRunner applies a runner's entry. The caller must hold dir.mu.
-func (e *Edge) setRunner(entry kv.Entry, now time.Time) {
+// setRunner applies a runner's entry from the given source. The caller must hold dir.mu.
+func (e *Edge) setRunner(entry kv.Entry, now time.Time, source decisions.Field) {
 	r, err := e.deps.Codec.Runner(entry.Key, entry.Value, now)
 	if err != nil {
 		e.log.Note("runner_ignored", decisions.F("key", entry.Key), decisions.F("reason", err.Error()))
@@ -68,7 +68,7 @@
 	e.dir.runners[entry.Key] = r
 	if !known || before.State != r.State || before.ID != r.ID {
 		e.log.Note("runner", decisions.F("runner", r.ID), decisions.F("service", r.Service), decisions.F("failure_domain", r.FailureDomain),
-			decisions.F("state", r.State), decisions.F("version", r.Version), decisions.F("reclaimable", r.Reclaimable), decisions.F("revision", uint64(entry.Revision)))
+			decisions.F("state", r.State), decisions.F("version", r.Version), decisions.F("reclaimable", r.Reclaimable), decisions.F("revision", uint64(entry.Revision)), source)
 	}
 }
 
@@ -129,6 +129,7 @@
 	if isLong {
 		e.dir.publishedAt = max(1, now)
 	}
+	defer func() { e.log.Time("runners.pass_us", e.deps.Steady()-now) }()
 	byService := map[string][]Runner{}
 	addresses := map[string]bool{}
 	for _, r := range e.dir.runners {
@@ -138,7 +139,7 @@
 	e.dir.mu.Unlock()
 	e.poolsMu.RLock()
 	for name, p := range e.pools {
-		p.setRunners(time.Now(), byService[name])
+		p.setRunners(time.Now(), now, byService[name])
 	}
 	e.poolsMu.RUnlock()
 	e.deps.Runners.Retain(addresses)
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/feed"
+	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/coordination/quota"
 	"geraniumstack.org/geraniumstack/coordination/relays"
@@ -163,7 +164,7 @@
 		switch {
 		case strings.HasPrefix(entry.Key, e.deps.Codec.RunnerPrefix()):
 			if e.dir.recordRevision(entry.Key, entry.Revision) {
-				e.setRunner(entry, now)
+				e.setRunner(entry, now, learnedFrom(sent))
 			}
 			delete(missing, entry.Key)
 		case strings.HasPrefix(entry.Key, holder.KeyPrefix):
@@ -325,7 +326,7 @@
 			if event.Deleted {
 				e.removeRunner(event.Key)
 			} else {
-				e.setRunner(event.Entry, now)
+				e.setRunner(event.Entry, now, learnedFrom(sent))
 			}
 		case strings.HasPrefix(event.Key, holder.KeyPrefix) && event.Deleted:
 			e.noteDutyHolder("")
@@ -356,6 +357,14 @@
 	}
 }
 
+// learnedFrom says whether what was asked for at a time came from the key-value service or from a relay.
+func learnedFrom(sent time.Duration) decisions.Field {
+	if sent == freshness.Never {
+		return decisions.F("told_by", "relay")
+	}
+	return decisions.F("told_by", "store")
+}
+
 // noteDutyHolder records who holds the duties. The caller must hold dir.mu.
 func (e *Edge) noteDutyHolder(newHolder ident.Incarnation) {
 	if e.dir.dutyHolder != "" && newHolder == "" || e.dir.leaseFreeSince == 0 {
