Keep an older list of runners from overtaking a newer one

What callers saw: requests went to a runner that had left. On a service of up to 256 runners that lasted until the next change of any runner, as only then the pools got another list.

Cause: publishRunners copied the runners under the directory's lock and gave the copy to each pool after releasing it. Two passes on two goroutines (a watch, an answer that says that its runner leaves, a message of another daemon, a lapse, a new configuration) could reach a pool in the other order. The older list named the runner as live, markLeaving passes nothing on a second time, and withdraw only held until the next list, also one that had been copied before.

Change: lists and withdrawals are numbered under the directory's lock, in the order in which they are taken. A pool ignores a list that is older than its own, and keeps a withdrawal until a list that was copied after it. The idle connections to runners follow the same order. No goroutine waits for another's pass, so that an answer doesn't wait for a pass over thousands of runners; the counters runners_older_list and runners_older_withdrawal tell how often it happened.

--- a/daemon/edge/directory.go
+++ b/daemon/edge/directory.go
@@ -49,6 +49,8 @@
 	withdrawn   []ident.RunnerID
 	unpublished bool
 	publishedAt time.Duration
+	// publications is the number of the latest list or withdrawal that was taken for the pools.
+	publications publication
 	// storeFailedAt is when the service last failed to answer.
 	storeFailedAt time.Duration
 	// dutyHolder is the daemon that holds the lease of the duties; empty if no daemon does.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -126,6 +126,12 @@
 	poolsMu sync.RWMutex
 	pools   map[string]*pool
 
+	// retained is the list of runners by which idle connections were last closed.
+	retained struct {
+		mu     sync.Mutex
+		number publication
+	}
+
 	// dir is this daemon's copy of the key-value service; it has a lock of its own.
 	// snapshotPatience is how long it waits for the next part of it from relays. fleetFound is
 	// closed when the size of the fleet has been looked up.
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/route"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
@@ -63,3 +65,29 @@
 	defer e.mu.Unlock()
 	return len(e.alive)
 }
+
+// TellLeaving marks a runner as leaving, as an answer that says so does.
+func (e *Edge) TellLeaving(id ident.RunnerID) { e.recordLeavingAnswer(id) }
+
+// PublishRunners passes the runners to the pools.
+func (e *Edge) PublishRunners() { e.publishRunners() }
+
+// PublishRunnersWhile calls during between the copy of the runners and its use in the pools.
+func (e *Edge) PublishRunnersWhile(during func()) {
+	list, _ := e.dir.takePublication(e.deps.Steady())
+	during()
+	e.passRunners(list)
+}
+
+// Use says whether new requests may choose a runner, and whether a request that has chosen it may be sent.
+type Use struct{ Chosen, Sent bool }
+
+// UsesRunner returns how a daemon uses one of a service's runners.
+func (e *Edge) UsesRunner(service string, id ident.RunnerID) Use {
+	p := e.pool(service)
+	p.mu.Lock()
+	_, chosen := p.table.PickCandidate(id, &routing.Request{})
+	p.mu.Unlock()
+	state := p.entryOf(id).State
+	return Use{Chosen: chosen, Sent: state != view.Leaving && state != ""}
+}
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -69,8 +69,11 @@
 	tracker *health.Tracker
 	retry   *retry.Policy
 	runners map[ident.RunnerID]Runner
-	// listedAt is when the list of runners was copied, a time of Deps.Steady.
-	listedAt time.Duration
+	// listed is the number of the list that runners is from, copied at listedAt. withdrawn holds the runners that were withdrawn
+	// after that list was copied, with the numbers of their withdrawals.
+	listed    publication
+	listedAt  time.Duration
+	withdrawn map[ident.RunnerID]publication
 	// versions are the software versions that the runners have.
 	versions []canary.Version
 	// peerLoads is the load at each runner that the other daemons' requests cause, as known at
@@ -111,6 +114,7 @@
 		tracker:      health.New(healthConfig()),
 		retry:        retry.New(retryConfig(0, 0, 0)),
 		runners:      map[ident.RunnerID]Runner{},
+		withdrawn:    map[ident.RunnerID]publication{},
 		peerLoads:    map[ident.RunnerID]routing.OwnLoad{},
 		reportedIdle: map[ident.RunnerID]float64{},
 		activities:   map[ident.RunnerID]*activity{},
@@ -192,12 +196,24 @@
 	return largeFleetSamples
 }
 
-// setRunners replaces the list of runners by one that was copied at the given time.
-func (p *pool) setRunners(now time.Time, copiedAt time.Duration, runners []Runner) {
+// setRunners replaces the list of runners, unless the pool has a newer one already. Runners that were
+// withdrawn after the list was copied are leaving or gone, whatever it says.
+func (p *pool) setRunners(now time.Time, from *runnerList) {
+	runners := from.byService[p.name]
 	slices.SortFunc(runners, func(a, b Runner) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.listedAt = copiedAt
+	if from.number < p.listed {
+		p.edge.log.Count("runners.older_list")
+		return
+	}
+	p.listed, p.listedAt = from.number, from.copiedAt
+	maps.DeleteFunc(p.withdrawn, func(_ ident.RunnerID, withdrawn publication) bool { return withdrawn < from.number })
+	for i := range runners {
+		if _, withdrawn := p.withdrawn[runners[i].ID]; withdrawn {
+			runners[i].State = view.Leaving
+		}
+	}
 	list := make([]view.Runner, 0, len(runners))
 	ids := make([]ident.RunnerID, 0, len(runners))
 	p.runners = make(map[ident.RunnerID]Runner, len(runners))
@@ -247,18 +263,23 @@
 	return chosen
 }
 
-// withdraw stops the use of runners until the next call of setRunners, which says what became of
-// them.
-func (p *pool) withdraw(now time.Time, ids []ident.RunnerID) {
+// withdraw stops the use of runners until setRunners is called with a list that was copied later, which
+// says what became of them.
+func (p *pool) withdraw(now time.Time, w withdrawal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, id := range ids {
+	if w.number < p.listed {
+		p.edge.log.Count("runners.older_withdrawal")
+		return
+	}
+	for _, id := range w.runners {
+		p.withdrawn[id] = max(p.withdrawn[id], w.number)
 		if r, ok := p.runners[id]; ok {
 			r.State = view.Leaving
 			p.runners[id] = r
 		}
 	}
-	p.table.Withdraw(now, ids)
+	p.table.Withdraw(now, w.runners)
 }
 
 // setPeerLoads sets the other daemons' load at this pool's runners.
--- a/daemon/edge/runners.go
+++ b/daemon/edge/runners.go
@@ -111,38 +111,81 @@
 	}
 }
 
+// runnerList is a copy of the runners, by service, with their addresses. copiedAt is a time of Deps.Steady.
+type runnerList struct {
+	number    publication
+	copiedAt  time.Duration
+	byService map[string][]Runner
+	addresses map[string]bool
+}
+
+// withdrawal names runners that must not be used any more.
+type withdrawal struct {
+	number  publication
+	runners []ident.RunnerID
+}
+
+// publication numbers what is taken from the directory for the pools, in the order in which it is taken.
+// Goroutines that publish at the same time may reach a pool in another order.
+type publication uint64
+
 // publishRunners passes the runners to the pools of their services. While many runners come and
 // go, it does so once in publishInterval, and only withdraws those that are leaving or gone at
 // once: sorting thousands of runners for every message would take most of a small VM's processor.
 func (e *Edge) publishRunners() {
-	now := e.deps.Steady()
-	e.dir.mu.Lock()
-	withdrawn := e.dir.withdrawn
-	e.dir.withdrawn = nil
-	isLong := len(e.dir.runners) > routing.MaxRunners
-	e.dir.unpublished = isLong && e.dir.publishedAt != 0 && now-e.dir.publishedAt < publishInterval
-	if e.dir.unpublished {
-		e.dir.mu.Unlock()
-		e.withdrawRunners(withdrawn)
+	list, w := e.dir.takePublication(e.deps.Steady())
+	if list == nil {
+		e.withdrawRunners(w)
 		return
 	}
+	e.passRunners(list)
+}
+
+// takePublication copies the runners for the pools, or returns just those to withdraw if the list is long
+// and was copied less than publishInterval ago.
+func (f *directory) takePublication(now time.Duration) (*runnerList, withdrawal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.publications++
+	withdrawn := f.withdrawn
+	f.withdrawn = nil
+	isLong := len(f.runners) > routing.MaxRunners
+	f.unpublished = isLong && f.publishedAt != 0 && now-f.publishedAt < publishInterval
+	if f.unpublished {
+		return nil, withdrawal{number: f.publications, runners: withdrawn}
+	}
 	if isLong {
-		e.dir.publishedAt = max(1, now)
+		f.publishedAt = max(1, now)
 	}
-	defer func() { e.log.Time("runners.pass_us", e.deps.Steady()-now) }()
-	byService := map[string][]Runner{}
-	addresses := map[string]bool{}
-	for _, r := range e.dir.runners {
-		byService[r.Service] = append(byService[r.Service], r)
-		addresses[r.Address] = true
+	list := &runnerList{number: f.publications, copiedAt: now, byService: map[string][]Runner{}, addresses: map[string]bool{}}
+	for _, r := range f.runners {
+		list.byService[r.Service] = append(list.byService[r.Service], r)
+		list.addresses[r.Address] = true
 	}
-	e.dir.mu.Unlock()
+	return list, withdrawal{}
+}
+
+// passRunners passes a list to the pools and to the client that holds the connections.
+func (e *Edge) passRunners(list *runnerList) {
 	e.poolsMu.RLock()
-	for name, p := range e.pools {
-		p.setRunners(time.Now(), now, byService[name])
+	for _, p := range e.pools {
+		p.setRunners(time.Now(), list)
 	}
 	e.poolsMu.RUnlock()
-	e.deps.Runners.Retain(addresses)
+	e.retainConnections(list)
+	e.log.Time("runners.pass_us", e.deps.Steady()-list.copiedAt)
+}
+
+// retainConnections closes idle connections to addresses that a list lacks, unless a newer list has been
+// passed on.
+func (e *Edge) retainConnections(list *runnerList) {
+	e.retained.mu.Lock()
+	defer e.retained.mu.Unlock()
+	if list.number < e.retained.number {
+		return
+	}
+	e.retained.number = list.number
+	e.deps.Runners.Retain(list.addresses)
 }
 
 // publishLateRunners passes on the changes that publishRunners has left for later.
@@ -155,13 +198,13 @@
 	}
 }
 
-func (e *Edge) withdrawRunners(ids []ident.RunnerID) {
-	if len(ids) == 0 {
+func (e *Edge) withdrawRunners(w withdrawal) {
+	if len(w.runners) == 0 {
 		return
 	}
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
 	for _, p := range e.pools {
-		p.withdraw(time.Now(), ids)
+		p.withdraw(time.Now(), w)
 	}
 }
