Feed a failure domain whose watcher the service turns away

Without a notice a runner's end is told by the feed alone. From 6 to 12 s, 157 of 157 daemons of lima-callao heard of it 2.8 to 7.4 s after the first daemon did, others 0.5 s in the median; 12 requests of callao went to such runners more than 0.8 s late, none of other domains more than 0.5 s late.

Cause: in a fleet with relays one daemon of each failure domain, its longest-running one, watches the key-value service, and the domain's relays ask nobody else for changes. The service turned that daemon away (lima-callao-12, 2.65 to 11.5 s) while it served most others. Class: one source without an alternative, for all of a failure domain, for knowledge that others have. It is the same for all that comes by the feed: the configuration, orders of versions and trials, the duties' holder.

Change: while a relay's copy is older than 0.3 of Bounds.DrainWithin, or a watcher gets no answer, it asks the watchers of other failure domains for changes, one after the other until one keeps the copy recent (coordination/feed.Fallback). Relays that pass changes on answer at the next short interval. A line feed_fallback tells of it. Watchers are listed in one order, as the other roles are.

Evidence: TestDomainThatTheStoreTurnsAwayHearsOfGoneRunners, 119 daemons in six domains, bound 3 s. Before: never known by all in 10 s, in each of three cases (the domain's daemons, its relays, its watcher turned away). After: known by all after 2.6 s at most in 45 runs (180 runners gone), 1.8 s in most, of which 1.5 s are the time that a daemon without access keeps lapsed entries. All tests of daemon/edge and coordination pass.

--- a/coordination/relays/relays.go
+++ b/coordination/relays/relays.go
@@ -72,7 +72,7 @@
 	Granter       bool
 	OtherGranters []peers.Member
 	// WatchesStore is set if this daemon watches the key-value service for others.
-	// OtherWatchers holds the other daemons that do. A relay that doesn't watch gets the
+	// OtherWatchers holds the other daemons that do, sorted by incarnation. A relay that doesn't watch gets the
 	// changes from WatchSource, the first relay of its failure domain.
 	WatchesStore  bool
 	OtherWatchers []peers.Member
@@ -124,6 +124,7 @@
 	}
 	sortByIncarnation(p.OtherRelays)
 	sortByIncarnation(p.OtherGranters)
+	sortByIncarnation(p.OtherWatchers)
 	switch {
 	case len(relaysInOwnDomain) == 0:
 		// This daemon knows no other relay in its failure domain to follow, so it must be
--- a/daemon/edge/directory.go
+++ b/daemon/edge/directory.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// freshness returns how long ago this copy was last known to be up to date, and whether the service has failed
+// to answer since.
+func (f *directory) freshness(now time.Duration) (age time.Duration, failed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now - f.currentAt, f.storeFailedAt > f.currentAt
+}
+
 // startSnapshot begins to collect the whole content of the service from relays. The copy stays in
 // use until then. The caller must hold dir.mu.
 func (f *directory) startSnapshot(now time.Duration) {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -91,6 +91,8 @@
 	// fedRelays are the other relays to which this daemon passes on the changes of the key-value
 	// service, with what each of them has.
 	fedRelays map[ident.Incarnation]feedRequest
+	// fallback is the watcher of another failure domain that this relay asks for changes.
+	fallback feed.Fallback
 	// configs holds the latest versions of the operator's configuration as they were read.
 	configs feed.ConfigHistory
 	// configBehindSince is when another daemon was first found to have a newer configuration;
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -91,3 +91,10 @@
 	state := p.entryOf(id).State
 	return Use{Chosen: chosen, Sent: state != view.Leaving && state != ""}
 }
+
+// WatchesStore reports whether the daemon watches the key-value service for others.
+func (e *Edge) WatchesStore() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.relayPlan.WatchesStore
+}
--- a/daemon/edge/feed.go
+++ b/daemon/edge/feed.go
@@ -8,9 +8,11 @@
 
 	"geraniumstack.org/geraniumstack/coordination/feed"
 	"geraniumstack.org/geraniumstack/coordination/freshness"
+	"geraniumstack.org/geraniumstack/coordination/peers"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/daemon/holder"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
+	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
@@ -33,6 +35,11 @@
 	// all watch.
 	relayFeedAgeShare = 0.4
 	feedAgeShare      = 0.55
+	// fallbackAgeShare is the fraction of Bounds.DrainWithin that a relay's copy may be old before the relay
+	// asks a watcher of another failure domain for changes, so that it needn't watch the service itself.
+	fallbackAgeShare = 0.3
+	// watchedCopyAge is how old the copy of a watcher is at most while the service answers.
+	watchedCopyAge = largeFleetBatchDelay + relayWatchTimeout
 	// feedCheckInterval is the time between two checks whether the feed is current.
 	feedCheckInterval = 500 * time.Millisecond
 )
@@ -73,6 +80,37 @@
 	return !watches && e.dir.hasCopy() && e.dir.currentAt >= oldest
 }
 
+// updateFallback chooses the watcher of another failure domain that this relay asks for changes while its copy
+// is old, or while it should watch the service itself and can't. The caller must hold e.mu.
+func (e *Edge) updateFallback(now time.Duration) {
+	if !e.relayPlan.Relay || e.relayPlan.Direct {
+		e.fallback = feed.Fallback{}
+		return
+	}
+	var others []ident.Incarnation
+	for _, w := range e.relayPlan.OtherWatchers {
+		if w.FailureDomain != e.settings.FailureDomain {
+			others = append(others, w.Incarnation)
+		}
+	}
+	limit := max(watchedCopyAge, time.Duration(fallbackAgeShare*float64(e.settings.Bounds.DrainWithin)))
+	before := e.fallback.Source(now)
+	age, failed := e.dir.freshness(now)
+	e.fallback.Update(now, failed && e.relayPlan.WatchesStore, age > limit, others)
+	if source := e.fallback.Source(now); source != before {
+		e.log.Note("feed_fallback", decisions.F("asks", source), decisions.F("age", age))
+	}
+}
+
+// asksForFeed reports whether this relay asks another one for the changes of the key-value service. The caller
+// must hold e.mu.
+func (e *Edge) asksForFeed(now time.Duration, r peers.Member) bool {
+	if r.Incarnation == e.relayPlan.WatchSource.Incarnation {
+		return !e.relayPlan.WatchesStore
+	}
+	return r.Incarnation == e.fallback.Source(now)
+}
+
 // feedAfter returns the changes, and the configuration if it is newer, for a daemon that asks for
 // them; nil if it doesn't. The caller must hold e.mu.
 func (e *Edge) feedAfter(now time.Duration, request feedRequest) *peersv1.Feed {
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -68,6 +68,7 @@
 		e.removePeer(id, "silent")
 	}
 	e.electRelays(now)
+	e.updateFallback(now)
 	e.reported.updateMostRelaysReported(now, len(e.relayPlan.OtherRelays))
 	e.limiter.SetExpectedDaemons(now, e.countQuotaGranters(now))
 	e.limiter.SetIsolationShares(e.isolatedQuotaParts(now))
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -146,7 +146,7 @@
 		return e.completeRelayMessages(now, round/period, w)
 	}
 	c := multicast{hello: e.baseHello(now), quotaUses: e.quotaUses(now)}
-	for _, r := range e.urgentRelays() {
+	for _, r := range e.urgentRelays(now) {
 		c.to = append(c.to, recipient{r.PeerAddress, e.relayReply(now, r), e.sharesQuotasWith(r)})
 	}
 	return c
@@ -155,9 +155,9 @@
 // urgentRelays returns the relays that are sent a message in every relayRounds rounds: those that
 // share the quotas with this one, and those between which changes of the key-value service and
 // the proofs of the configuration pass.
-func (e *Edge) urgentRelays() []peers.Member {
+func (e *Edge) urgentRelays(now time.Duration) []peers.Member {
 	return slices.DeleteFunc(slices.Clone(e.relayPlan.OtherRelays), func(r peers.Member) bool {
-		return !e.sharesQuotasWith(r) && !e.passesFeedWith(r)
+		return !e.sharesQuotasWith(r) && !e.passesFeedWith(now, r)
 	})
 }
 
@@ -168,11 +168,9 @@
 
 // passesFeedWith reports whether one of this relay and another one gets the changes of the
 // key-value service from the other.
-func (e *Edge) passesFeedWith(r peers.Member) bool {
-	if e.relayPlan.WatchesStore {
-		return r.FailureDomain == e.settings.FailureDomain
-	}
-	return r.Incarnation == e.relayPlan.WatchSource.Incarnation
+func (e *Edge) passesFeedWith(now time.Duration, r peers.Member) bool {
+	_, asked := e.fedRelays[r.Incarnation]
+	return asked || e.asksForFeed(now, r)
 }
 
 // completeRelayMessages builds the message to all other relays. messageNumber counts these
@@ -208,7 +206,7 @@
 	own.Elects = true
 	own.ElectsGranter = e.sharesQuotas(r.Incarnation)
 	own.Feed = e.feedAfter(now, e.fedRelays[r.Incarnation])
-	if r.Incarnation == e.relayPlan.WatchSource.Incarnation && !e.relayPlan.WatchesStore {
+	if e.asksForFeed(now, r) {
 		e.dir.askForFeed(own)
 	}
 	return own
