Admit which deletions a log that began with content doesn't know

What callers saw: nothing that a trace of the users shows, but a daemon could go on using runners that were gone until its end, in contact with everybody and sure that its copy was complete: requests to runners that had left (DRAIN) at any time, by chance.

Content has no deletions, but its log took it for all changes up to that revision. When such a daemon is a relay and a follower at an older revision changes to it, the follower gets what was written, not what was deleted meanwhile, and is told that it has everything. Class: a copy that claims to be more complete than it is.

Change: the first changes of an empty log leave a gap from zero to their revision, as a listing does.

All tests of daemon/edge and coordination pass.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -138,8 +138,12 @@
 
 // Apply applies the changes of a watch that is complete up to the given revision. After a Reset,
 // the watch must have been answered after the list was read. Keys that the list lacked are then
-// recorded as deleted.
+// recorded as deleted. The first changes of an empty log are another log's content, without the keys
+// that were deleted before.
 func (l *Log) Apply(changes []Change, revision uint64) {
+	if l.revision == 0 && !l.unsettled {
+		l.addGap(gap{0, revision})
+	}
 	l.add(changes)
 	l.revision = max(l.revision, revision)
 	if !l.unsettled {
--- a/coordination/feed/feed_test.go
+++ b/coordination/feed/feed_test.go
@@ -167,6 +167,78 @@
 	})
 }
 
+// fedRelay keeps a log of what another log passes on.
+type fedRelay struct {
+	log      *feed.Log
+	position feed.Position
+	unlogged []feed.Change
+}
+
+func (r *fedRelay) apply(p feed.Batch) {
+	if !p.Follows(r.position) {
+		return
+	}
+	r.position = p.Next
+	r.unlogged = append(r.unlogged, p.Changes...)
+	if p.Next.Complete() {
+		r.log.Apply(r.unlogged, p.Next.At)
+		r.unlogged = nil
+	}
+}
+
+// Guards against a follower that misses deletions because it changes to a relay that began later, with the content
+// of another relay's log.
+func TestFollowerConvergesThroughRelaysThatBeganLater(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &service{keys: map[string]uint64{}}
+		s.write("first", false)
+		watcher := feed.NewLog(1)
+		watcher.Reset(s.list(), s.revision)
+		watched := len(s.changes)
+		relays := []*fedRelay{{log: feed.NewLog(2)}, {log: feed.NewLog(3)}}
+		f := newFollower()
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			r := relays[rapid.IntRange(0, 1).Draw(t, "relay")]
+			bytes := rapid.IntRange(1, 200).Draw(t, "bytes")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				s.write(fmt.Sprint("k", rapid.IntRange(0, 8).Draw(t, "key")), rapid.Bool().Draw(t, "ends"))
+			case 2:
+				watcher.Apply(s.changes[watched:], s.revision)
+				watched = len(s.changes)
+			case 3:
+				if p, ok := watcher.Since(r.position, bytes); ok {
+					r.apply(p)
+				}
+			case 4:
+				if p, ok := r.log.Since(f.asks(), bytes); ok {
+					f.apply(p)
+				} else if r.log.Forgot(f.asks()) {
+					f.startAgain()
+				}
+			}
+			if f.position.Complete() && f.snapshot == nil && !maps.Equal(f.keys, s.keysAt(f.position.At)) {
+				t.Fatalf("at %d the follower holds %v, the service held %v", f.position.At, f.keys, s.keysAt(f.position.At))
+			}
+		}
+	})
+}
+
+// keysAt returns the keys that existed at a revision, with the revisions of their last writes.
+func (s *service) keysAt(revision uint64) map[string]uint64 {
+	keys := map[string]uint64{}
+	for _, c := range s.changes {
+		if c.Revision > revision {
+			break
+		}
+		keys[c.Key] = c.Revision
+		if c.Deleted {
+			delete(keys, c.Key)
+		}
+	}
+	return keys
+}
+
 // Guards against all followers listing the keys of the service whenever their relay had to
 // do so. For a follower that knows all changes through the relay's last revision before
 // the list, the relay can compute the changes.
@@ -204,6 +276,26 @@
 	is.True(ok)
 }
 
+// Guards against a follower that keeps a key forever because its new relay began with the content of another log,
+// which holds no deletions, and passes it on as all changes.
+func TestLogThatBeganWithContentKnowsNoEarlierDeletions(t *testing.T) {
+	is := is.New(t)
+	watcher := feed.NewLog(1)
+	watcher.Reset([]feed.Change{{Key: "stays", Revision: 3}, {Key: "goes", Revision: 5}}, 5)
+	watcher.Apply(nil, 5)
+	watcher.Apply([]feed.Change{{Key: "goes", Revision: 8, Deleted: true}, {Key: "comes", Revision: 9}}, 9)
+	content, ok := watcher.Since(feed.Position{}, 1000)
+	is.True(ok)
+	relay := feed.NewLog(2)
+	relay.Apply(content.Changes, content.Next.At)
+	follower := feed.Position{At: 6}
+	_, ok = relay.Since(follower, 1000)
+	is.True(!ok)
+	is.True(relay.Forgot(follower)) // so that the follower starts again with an empty copy
+	_, ok = relay.Since(feed.Position{At: 9}, 1000)
+	is.True(ok)
+}
+
 // Guards against a new version of the configuration that is sent in full to every daemon, so that
 // changes of a large configuration fill the relays' links.
 func TestConfigUpdatesAreSmall(t *testing.T) {
