Keep away a failing request that many callers send at the same moment

What callers saw: ten callers sent one request at once, under which runners fail, six times in 400 ms steps. Eight to ten of sixteen runners failed, and the whole second round was sent over 200 ms after the third failure.

Cause: failures within 250 ms count as one, since whole failure domains fail together, unless the later request was sent after the earlier failure. Ten failures in one moment were one, two moments were needed. Class: many effects of one cause are taken for one chance event.

Change: for a request, each further failure in the same moment counts one (a first one counts two, six are a quarantine) if every runner that is known to have failed in that moment had the request. The loss of a domain also ends runners that had others. An answer after the failures clears a request as before.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -5,7 +5,8 @@
 // whose answers it was about to begin. A cause becomes suspected and then quarantined by the failures
 // of several runners, one after the other, with no request answered in between that holds it. Sound
 // causes are answered, so the failures of many runners, whatever their reason, hardly ever catch one.
-// Failures at the same moment count once: a whole failure domain may fail.
+// Failures at the same moment count once: a whole failure domain may fail. For a request they count further
+// if no runner without it failed in that moment: many callers may send it at once.
 //
 // A quarantined cause is probed now and then: one request with it, of all daemons together, goes to a
 // runner. If it is answered, the cause is free. Probes become rarer, so that a cause that does make
@@ -20,6 +21,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -37,6 +39,9 @@
 	// its work before the answer begins.
 	begunWeight   = 2
 	waitingWeight = 1
+	// A further runner that fails under a request at the same moment counts togetherWeight if no runner without
+	// the request did. It is less than one that fails later, since the others may not be known yet.
+	togetherWeight = 1
 	// suspectScore and quarantineScore are the sums of these weights at which a cause is suspected and
 	// quarantined: two and three failures of runners that had begun to answer.
 	suspectScore    = 2 * begunWeight
@@ -138,10 +143,12 @@
 // Table holds what is known of the causes that failures have hit.
 type Table struct {
 	causes map[Cause]*Statement
+	// failed holds when runners failed under any request, at most maxCauses of them.
+	failed map[uint64]time.Duration
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{causes: map[Cause]*Statement{}} }
+func New() *Table { return &Table{causes: map[Cause]*Statement{}, failed: map[uint64]time.Duration{}} }
 
 // Len returns the number of causes in the table.
 func (t *Table) Len() int { return len(t.causes) }
@@ -158,9 +165,9 @@
 	if !known || len(s.Failures) == 0 {
 		return false
 	}
-	before, _ := s.verdict()
+	before, _ := t.verdict(s)
 	t.Merge(Statement{Cause: c, Answered: true, AnsweredAt: now})
-	after, _ := s.verdict()
+	after, _ := t.verdict(s)
 	return before != after
 }
 
@@ -178,6 +185,7 @@
 	changed := s.mergeAnswer(from)
 	for _, f := range from.Failures {
 		changed = s.addFailure(f) || changed
+		t.rememberFailed(f)
 	}
 	if from.Probes > s.Probes {
 		s.Probes, s.ProbedAt, changed = from.Probes, from.ProbedAt, true
@@ -185,6 +193,23 @@
 	return changed
 }
 
+// rememberFailed records when a runner failed, in place of the earliest one if there are too many.
+func (t *Table) rememberFailed(f Failure) {
+	if _, known := t.failed[f.Runner]; known {
+		return
+	}
+	if len(t.failed) >= maxCauses {
+		earliest := f.Runner
+		for runner, at := range t.failed {
+			if earliest == f.Runner || at < t.failed[earliest] {
+				earliest = runner
+			}
+		}
+		delete(t.failed, earliest)
+	}
+	t.failed[f.Runner] = f.At
+}
+
 // mergeAnswer takes an answer over if it refutes a failure or is clearly later than the known one. Times
 // arrive as ages and grow by the delay of each message: an answer that daemons told each other again and
 // again would otherwise move on until it refutes later failures.
@@ -228,17 +253,21 @@
 }
 
 // verdict returns the verdict about the cause, and since when it is quarantined if it is.
-func (s *Statement) verdict() (Verdict, time.Duration) {
+func (t *Table) verdict(s *Statement) (Verdict, time.Duration) {
 	score, weight := 0, 0
 	var last time.Duration
 	for i, f := range s.Failures {
-		independent := i == 0 || f.At-last >= sameMoment || f.Sent > last
-		if independent {
-			weight, last = 0, f.At
-		}
-		if w := s.weight(f); w > weight {
-			score += w - weight
-			weight = w
+		switch {
+		case i == 0 || f.At-last >= sameMoment || f.Sent > last:
+			weight, last = s.weight(f), f.At
+			score += weight
+		case s.Cause.Kind == Request && !t.othersFailed(s, last):
+			score += togetherWeight
+		default:
+			if w := s.weight(f); w > weight {
+				score += w - weight
+				weight = w
+			}
 		}
 		if score >= quarantineScore {
 			return Quarantined, f.At
@@ -250,6 +279,17 @@
 	return Sound, 0
 }
 
+// othersFailed reports whether runners that had no request with the cause failed at the same moment, as those of a
+// failure domain do.
+func (t *Table) othersFailed(s *Statement, moment time.Duration) bool {
+	for runner, at := range t.failed {
+		if (at-moment).Abs() < sameMoment && !slices.ContainsFunc(s.Failures, func(f Failure) bool { return f.Runner == runner }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Statement) weight(f Failure) int {
 	if f.Begun || s.Cause.Kind == Request {
 		return begunWeight
@@ -263,7 +303,7 @@
 	if !known {
 		return Sound
 	}
-	v, _ := s.verdict()
+	v, _ := t.verdict(s)
 	return v
 }
 
@@ -273,7 +313,7 @@
 	if !known {
 		return 0, false
 	}
-	v, since := s.verdict()
+	v, since := t.verdict(s)
 	if v != Quarantined {
 		return 0, false
 	}
@@ -320,7 +360,7 @@
 // failure follows.
 func (t *Table) Repeated(now time.Duration) []Statement {
 	return t.statements(func(s *Statement) bool {
-		v, _ := s.verdict()
+		v, _ := t.verdict(s)
 		return v != Sound || s.Answered || now < s.latest()+repeatNewsFor
 	})
 }
@@ -339,18 +379,19 @@
 // Expire forgets what is no longer of use.
 func (t *Table) Expire(now time.Duration) {
 	for c, s := range t.causes {
-		if now >= s.keepUntil() {
+		if now >= t.keepUntil(s) {
 			delete(t.causes, c)
 		}
 	}
+	maps.DeleteFunc(t.failed, func(_ uint64, at time.Duration) bool { return now-at > quarantineMemory })
 }
 
 // keepUntil returns the time until which a cause is remembered.
-func (s *Statement) keepUntil() time.Duration {
+func (t *Table) keepUntil(s *Statement) time.Duration {
 	if s.Probes > 0 {
 		return s.latest() + quarantineMemory
 	}
-	v, _ := s.verdict()
+	v, _ := t.verdict(s)
 	switch {
 	case v == Quarantined:
 		return s.latest() + quarantineMemory
@@ -376,7 +417,7 @@
 	}
 	var first *Statement
 	for _, s := range t.causes {
-		if first == nil || s.keepUntil() < first.keepUntil() {
+		if first == nil || t.keepUntil(s) < t.keepUntil(first) {
 			first = s
 		}
 	}
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -329,6 +329,29 @@
 	}
 }
 
+// Guards against a failing request that is taken for sound since many callers sent it at the same moment, and
+// against a sound one that is taken for failing since a whole failure domain had it.
+func TestFailuresAtOneMomentQuarantineARequestThatNoOtherRunnerLacks(t *testing.T) {
+	is := is.New(t)
+	for _, otherFails := range []bool{false, true} {
+		table := quarantine.New()
+		request := quarantine.Cause{Kind: quarantine.Request, Hash: 1}
+		if otherFails {
+			other := quarantine.Cause{Kind: quarantine.Request, Hash: 2}
+			table.RecordFailure(other, quarantine.Failure{Runner: 99, At: time.Second})
+		}
+		for runner := range uint64(5) {
+			at := time.Second + time.Duration(runner)*time.Millisecond
+			table.RecordFailure(request, quarantine.Failure{Runner: runner, At: at, Sent: time.Second - 30*time.Millisecond})
+		}
+		want := quarantine.Quarantined
+		if otherFails {
+			want = quarantine.Sound
+		}
+		is.Equal(table.Verdict(request), want)
+	}
+}
+
 // Guards against a request whose runners fail before they begin to answer, and that counts less for it: a plain
 // runner begins when all its work is done.
 func TestFailuresBeforeTheAnswerQuarantineARequest(t *testing.T) {
