--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -69,8 +69,8 @@
 	tracker *health.Tracker
 	retry   *retry.Policy
 	runners map[ident.RunnerID]Runner
-	// listed is the number of the list that runners is from, copied at listedAt. withdrawn holds the runners that were withdrawn
-	// after that list was copied, with the numbers of their withdrawals.
+	// listed is the number of the list that runners is from, copied at listedAt. withdrawn holds the
+	// runners that were withdrawn after that list was copied, with the numbers of their withdrawals.
 	listed    publication
 	listedAt  time.Duration
 	withdrawn map[ident.RunnerID]publication
--- a/daemon/edge/runners.go
+++ b/daemon/edge/runners.go
@@ -125,7 +125,7 @@
 	runners []ident.RunnerID
 }
 
-// publication numbers what is taken from the directory for the pools, in the order in which it is taken.
+// publication numbers the lists and withdrawals in the order in which they are taken from the directory.
 // Goroutines that publish at the same time may reach a pool in another order.
 type publication uint64
 
