Feed daemons that the service turns away in small fleets, too

What callers saw: in fleets without relays a daemon that the key-value service turned away heard of no runner that was gone, nor of a new configuration, until it was served again: requests went to runners that had left, for as long as that lasted.

Cause: the same as in fleets with relays, whose fix left out direct fleets. There is no reason to: every daemon is a relay there, and messages go to all of them.

Evidence: TestDomainThatTheStoreTurnsAwayHearsOfGoneRunners/direct (30 daemons) and /all_watch (5), bound 3 s. Watchers of the daemon's own failure domain are left out, as before.

--- a/daemon/edge/feed.go
+++ b/daemon/edge/feed.go
@@ -83,7 +83,7 @@
 // updateFallback chooses the watcher of another failure domain that this relay asks for changes while its copy
 // is old, or while it should watch the service itself and can't. The caller must hold e.mu.
 func (e *Edge) updateFallback(now time.Duration) {
-	if !e.relayPlan.Relay || e.relayPlan.Direct {
+	if !e.relayPlan.Relay {
 		e.fallback = feed.Fallback{}
 		return
 	}
--- a/daemon/edge/feed_domains_test.go
+++ b/daemon/edge/feed_domains_test.go
@@ -8,23 +8,26 @@
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
-// Guards against a failure domain that goes on using runners that are gone, because the key-value service turns
-// away the one daemon from which the whole domain gets the changes.
+// Guards against daemons that go on using runners that are gone, because the key-value service turns away them or
+// the one daemon from which their whole failure domain gets the changes.
 func TestDomainThatTheStoreTurnsAwayHearsOfGoneRunners(t *testing.T) {
 	for _, c := range []struct {
-		name string
+		name    string
+		setup   fleetSetup
+		daemons int
 		// turnedAway says whether the service turns a daemon of the domain away.
 		turnedAway func(d *daemon) bool
 	}{
-		{"all_daemons", func(*daemon) bool { return true }},
-		{"relays", func(d *daemon) bool { return d.IsRelay() }},
-		{"watcher", func(d *daemon) bool { return d.WatchesStore() }},
+		{"all_daemons", withRelayFleet, largeFleet, func(*daemon) bool { return true }},
+		{"relays", withRelayFleet, largeFleet, func(d *daemon) bool { return d.IsRelay() }},
+		{"watcher", withRelayFleet, largeFleet, func(d *daemon) bool { return d.WatchesStore() }},
+		{"direct", withDirectFleet, 30, func(*daemon) bool { return true }},
+		{"all_watch", withDirectFleet, 5, func(*daemon) bool { return true }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			withRelayFleet(t, largeFleet, config(1), func(w *testFleet) {
+			c.setup(t, c.daemons, config(1), func(w *testFleet) {
 				ids := w.addNumberedRunners(6)
-				domain := w.daemonsOf(0)
-				for _, d := range domain {
+				for _, d := range w.daemonsOf(0) {
 					d.store.setFaults(c.turnedAway(d), false)
 				}
 				for round, id := range ids[:4] {
