--- a/daemon/edge/stream_version_test.go
+++ b/daemon/edge/stream_version_test.go
@@ -324,7 +324,7 @@
 	withFleet(t, 5, config(1), func(w *testFleet) {
 		w.addVersions(1, nil, "v1", "v1.1")
 		time.Sleep(500 * time.Millisecond)
-		callers := w.beginStreams(20, w.daemons[0])
+		callers := w.beginStreams(60, w.daemons[0]) // three of the four others keep each record
 		w.network.isolate(w.daemons[4].address, true)
 		refused := 0
 		for _, c := range callers {
