--- a/daemon/edge/leaving_fleet_test.go
+++ b/daemon/edge/leaving_fleet_test.go
@@ -28,7 +28,7 @@
 		random := rand.New(rand.NewPCG(seed, 53))
 		l := w.addLeavingRunners(runners)
 		time.Sleep(2 * time.Second)
-		w.network.setLossRate(random.Float64()/20, random)
+		w.network.setLossRate(random.Float64()/20, rand.New(rand.NewPCG(seed, 54)))
 		everyDaemon := random.Perm(len(w.daemons))
 		turnedAway := everyDaemon[:len(w.daemons)*35/100]
 		// The outage begins before the notices, or up to 600 ms after them.
