Begin a log unsettled, in place of a case of its own for its first changes

A new log is unsettled now until its first Apply, which adds the gap as it always does. No behaviour changes.

TestLogThatBeganWithContentKnowsNoEarlierDeletions and TestFollowerConvergesThroughRelaysThatBeganLater fail if a new log is settled, and pass; 20,000 checks of the properties pass.

--- a/coordination/feed/feed.go
+++ b/coordination/feed/feed.go
@@ -92,10 +92,10 @@
 	changes   []Change
 	latest    map[string]uint64
 	deletions int
-	// unsettled is set from a Reset until the next Apply. The list may have been read after
-	// its revision, so until then the log doesn't know what existed at any one revision.
-	// settledAt is the revision at which it knew that last, and missing holds the keys that it
-	// held and the list lacked, with the revisions of their last writes.
+	// unsettled is set until the first Apply, and from a Reset until the next. The list may have
+	// been read after its revision, so until then the log doesn't know what existed at any one
+	// revision. settledAt is the revision at which it knew that last, and missing holds the keys
+	// that it held and the list lacked, with the revisions of their last writes.
 	unsettled bool
 	settledAt uint64
 	missing   map[string]uint64
@@ -108,7 +108,7 @@
 type gap struct{ from, to uint64 }
 
 // NewLog returns an empty log with an ID other than zero.
-func NewLog(id uint64) *Log { return &Log{id: id, latest: map[string]uint64{}} }
+func NewLog(id uint64) *Log { return &Log{id: id, latest: map[string]uint64{}, unsettled: true} }
 
 // LastRevision returns the revision up to which the log is complete, or zero if the log is
 // empty.
@@ -141,9 +141,6 @@
 // recorded as deleted. The first changes of an empty log are another log's content, without the keys
 // that were deleted before.
 func (l *Log) Apply(changes []Change, revision uint64) {
-	if l.revision == 0 && !l.unsettled {
-		l.addGap(gap{0, revision})
-	}
 	l.add(changes)
 	l.revision = max(l.revision, revision)
 	if !l.unsettled {
