Correct what a package says of its verdicts

Since a daemon's verdict of a cause also depends on the other failures that it knows; the package comment still said that all daemons derive the same one. One comment is wrapped.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -12,7 +12,8 @@
 // runner. If it is answered, the cause is free. Probes become rarer, so that a cause that does make
 // runners fail costs few of them.
 //
-// All daemons tell each other what they know of a cause, and each derives the same verdict from it.
+// All daemons tell each other what they know of a cause. Each derives its verdict from that and, for failures at
+// the same moment, from the other failures that it knows.
 //
 // The package does no I/O and reads no clock: times are offsets of a monotonic clock that keeps running
 // while the VM is suspended. Its types are not safe for concurrent use.
--- a/coordination/relays/relays.go
+++ b/coordination/relays/relays.go
@@ -72,8 +72,8 @@
 	Granter       bool
 	OtherGranters []peers.Member
 	// WatchesStore is set if this daemon watches the key-value service for others.
-	// OtherWatchers holds the other daemons that do, sorted by incarnation. A relay that doesn't watch gets the
-	// changes from WatchSource, the first relay of its failure domain.
+	// OtherWatchers holds the other daemons that do, sorted by incarnation. A relay that
+	// doesn't watch gets the changes from WatchSource, the first relay of its failure domain.
 	WatchesStore  bool
 	OtherWatchers []peers.Member
 	WatchSource   peers.Member
