--- a/daemon/edge/failing_part_test.go
+++ b/daemon/edge/failing_part_test.go
@@ -169,12 +169,19 @@
 		return 0, time.Time{}
 	}
 	fifth = f.failures[min(failuresUntilKnown, len(f.failures))-1]
+	return f.sendsAfterLocked(fifth.Add(contactTime)), fifth
+}
+
+// sendsAfterLocked returns the number of requests that make runners fail and reached runners later than a
+// time. The caller must hold mu.
+func (f *fragileRunners) sendsAfterLocked(t time.Time) int {
+	n := 0
 	for _, at := range f.sends {
-		if at.Sub(fifth) > contactTime {
+		if at.After(t) {
 			n++
 		}
 	}
-	return n, fifth
+	return n
 }
 
 // fragileBody is a stream that ends when its runner fails: with its connection if it is unframed,
--- a/daemon/edge/feed_domains_test.go
+++ b/daemon/edge/feed_domains_test.go
@@ -26,7 +26,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			c.setup(t, c.daemons, config(1), func(w *testFleet) {
-				ids := w.addNumberedRunners(6)
+				ids := w.addRunners(6)
 				for _, d := range w.daemonsOf(0) {
 					d.store.setFaults(c.turnedAway(d), false)
 				}
@@ -43,9 +43,6 @@
 	}
 }
 
-// drainBound is the bound of the test fleets, Bounds.DrainWithin.
-const drainBound = 3 * time.Second
-
 // daemonsOf returns the daemons of a failure domain.
 func (w *testFleet) daemonsOf(domain int) []*daemon {
 	var list []*daemon
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -40,6 +40,9 @@
 	workspace    = ident.Workspace("shelter")
 )
 
+// drainBound is Bounds.DrainWithin of the test fleets.
+const drainBound = 3 * time.Second
+
 // testFleet is a fleet of daemons in virtual time with one key-value service, runners and a
 // cloud. All of these are small fakes in which tests can switch on faults.
 type testFleet struct {
@@ -140,7 +143,7 @@
 		ID: ident.DaemonID(fmt.Sprintf("d%d", i+1)), FailureDomain: domain,
 		CallerAddress: fmt.Sprintf("%s:80", daemonIP(i)), PeerAddress: address, Seeds: seeds, FleetNeverServed: !w.servedBefore, Policy: policy,
 		Bounds: edge.Bounds{
-			Grace: 8 * time.Second, ConfigWithin: 2 * time.Second, DrainWithin: 3 * time.Second, RevokeWithin: 5 * time.Second, StrictRevocation: true,
+			Grace: 8 * time.Second, ConfigWithin: 2 * time.Second, DrainWithin: drainBound, RevokeWithin: 5 * time.Second, StrictRevocation: true,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, QuotaWindow: 8 * time.Second, QuotaTolerance: w.tolerance,
 			LeaseTTL: 3 * time.Second, MaxHolderPause: 300 * time.Millisecond,
 			UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second,
--- a/daemon/edge/leaving_fleet_test.go
+++ b/daemon/edge/leaving_fleet_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
@@ -64,7 +63,7 @@
 func (l *leavingRunners) goAway(id string, withNotice bool) {
 	l.leave(id)
 	if withNotice {
-		l.w.put(runnerPrefix+id, leavingEntry(id))
+		l.w.leaving(id, "app")
 		return
 	}
 	l.w.deleteEntry(id)
@@ -82,20 +81,12 @@
 	for _, i := range daemons {
 		d := w.daemons[i]
 		d.kill()
-		d.store.mu.Lock()
-		w.storeUnavailable = d.store.unavailable
-		d.store.mu.Unlock()
+		w.storeUnavailable = d.store.unavailableError() != nil
 		w.restart(i)
 	}
 	w.storeUnavailable = false
 }
 
-func leavingEntry(id string) any {
-	r := runnerEntry(id, id)
-	r.State = view.Leaving
-	return r
-}
-
 // countUses returns how often a daemon uses one of the runners.
 func (w *testFleet) countUses(runners []int) int {
 	n := 0
--- a/daemon/edge/overtaking_test.go
+++ b/daemon/edge/overtaking_test.go
@@ -12,18 +12,6 @@
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
-// addNumberedRunners adds runners r1 to rn and waits until the daemons know them.
-func (w *testFleet) addNumberedRunners(n int) []string {
-	var ids []string
-	for i := range n {
-		id := fmt.Sprintf("r%d", i+1)
-		w.addRunner(id, "app")
-		ids = append(ids, id)
-	}
-	time.Sleep(2 * time.Second)
-	return ids
-}
-
 // Guards against an older list of runners that is passed to a pool after a newer one and brings a runner back
 // that has left.
 func TestOlderListOfRunnersBringsNoRunnerBack(t *testing.T) {
@@ -38,7 +26,7 @@
 			t.Run(fmt.Sprintf("%s/%d", c.name, runners), func(t *testing.T) {
 				withFleet(t, 1, config(1), func(w *testFleet) {
 					d := w.daemons[0]
-					ids := w.addNumberedRunners(runners)
+					ids := w.addRunners(runners)
 					inUse := slices.IndexFunc(ids, func(id string) bool { return d.UsesRunner("app", ident.RunnerID(id)).Chosen })
 					left := ids[inUse]
 					d.PublishRunnersWhile(func() {
@@ -60,7 +48,7 @@
 			withFleet(t, 1, config(1), func(w *testFleet) {
 				d := w.daemons[0]
 				chosen, sent := 0, 0
-				for _, id := range w.addNumberedRunners(runners) {
+				for _, id := range w.addRunners(runners) {
 					time.Sleep(time.Second) // until a long list is passed on again
 					for range 3 {
 						go d.PublishRunners()
--- a/daemon/edge/relays_test.go
+++ b/daemon/edge/relays_test.go
@@ -264,12 +264,16 @@
 	return asked, refused
 }
 
-// addRunners adds n runners and waits until the daemons know them.
-func (w *testFleet) addRunners(n int) {
+// addRunners adds n runners, waits until the daemons know them and returns their IDs.
+func (w *testFleet) addRunners(n int) []string {
+	var ids []string
 	for i := range n {
-		w.addRunner(fmt.Sprintf("r%d", i), "app")
+		id := fmt.Sprintf("r%d", i)
+		w.addRunner(id, "app")
+		ids = append(ids, id)
 	}
 	time.Sleep(2 * time.Second)
+	return ids
 }
 
 // promptWorkspaces returns a configuration with n workspaces whose quotas count tokens.
--- a/daemon/edge/simultaneous_failures_test.go
+++ b/daemon/edge/simultaneous_failures_test.go
@@ -8,8 +8,8 @@
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
-// callAtOnce lets a number of callers send the same request at the same moment, in rounds, while others send sound ones. In
-// each round, during is called after the request has reached the runners.
+// callAtOnce lets a number of callers send the same request at the same moment, in rounds, while others send
+// sound ones. In each round, during is called after the request has reached the runners.
 func callAtOnce(w *testFleet, callers int, c repeatingCaller, during func()) (refused, asked, served int) {
 	const rounds = 6
 	stop := w.askOthers(100, func(i int) *repeatingCaller {
@@ -92,10 +92,5 @@
 	if len(f.failures) < n {
 		return len(f.failures), 0
 	}
-	for _, at := range f.sends {
-		if at.Sub(f.failures[n-1]) > later {
-			sends++
-		}
-	}
-	return len(f.failures), sends
+	return len(f.failures), f.sendsAfterLocked(f.failures[n-1].Add(later))
 }
