--- /dev/null
+++ b/daemon/edge/silent_runners_test.go
@@ -0,0 +1,214 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/daemon/edge"
+	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+const (
+	silenceEvents        = 12
+	silenceEventInterval = 100 * time.Millisecond
+	silenceDeadline      = 4800 * time.Millisecond
+)
+
+// silentRunner is a runner that may stop to send for a while: its connections stay open, new ones are accepted,
+// and everything goes on when it wakes.
+type silentRunner struct {
+	*runner
+	id    string
+	fleet *testFleet
+
+	mu sync.Mutex
+	// awake is closed while the runner sends.
+	awake chan struct{}
+}
+
+func (w *testFleet) addSilentRunner(id string) *silentRunner {
+	s := &silentRunner{runner: w.addRunner(id, "app"), id: id, fleet: w, awake: make(chan struct{})}
+	close(s.awake)
+	s.setScript(s.answer)
+	return s
+}
+
+// sleep lets the runner be silent from now on.
+func (s *silentRunner) sleep() {
+	s.fleet.runners.unresponsive(s.id, true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.awake = make(chan struct{})
+}
+
+// wake ends the silence.
+func (s *silentRunner) wake() {
+	s.fleet.runners.unresponsive(s.id, false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.awake)
+}
+
+// untilAwake waits while the runner is silent.
+func (s *silentRunner) untilAwake(ctx context.Context) error {
+	s.mu.Lock()
+	awake := s.awake
+	s.mu.Unlock()
+	select {
+	case <-awake:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *silentRunner) answer(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+	if !a.Connected() {
+		return nil, &edge.SendError{Reason: retry.Withdrawn, Err: net.ErrClosed}
+	}
+	if !pauseFor(ctx, 15*time.Millisecond) || s.untilAwake(ctx) != nil {
+		return nil, &edge.SendError{Reason: retry.Broken, Sent: true, Err: ctx.Err()}
+	}
+	if a.Request.Path == "/read/1" {
+		return plainAnswer(http.StatusOK, "from "+s.id), nil
+	}
+	from := 0
+	fmt.Sscanf(a.LastEventID, "%d", &from)
+	body := &silentEvents{ctx: ctx, runner: s, next: from + 1}
+	return &edge.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Events: true, Body: body}, nil
+}
+
+// pauseFor waits for a time, and reports false if the context ends before.
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// silentEvents is the body of a stream of a runner that may be silent.
+type silentEvents struct {
+	ctx    context.Context
+	runner *silentRunner
+	next   int
+}
+
+func (b *silentEvents) Read(p []byte) (int, error) {
+	if b.next > silenceEvents {
+		return 0, io.EOF
+	}
+	if !pauseFor(b.ctx, silenceEventInterval) {
+		return 0, b.ctx.Err()
+	}
+	if err := b.runner.untilAwake(b.ctx); err != nil {
+		return 0, err
+	}
+	n := copy(p, eventText(b.next, b.next))
+	b.next++
+	return n, nil
+}
+
+func (b *silentEvents) Close() error { return nil }
+
+// silenceResult counts the answers that callers got.
+type silenceResult struct{ whole, cut, refused int }
+
+// playThroughSilence begins streams at all daemons in turn, evenly over a time, and waits for their ends.
+func (w *testFleet) playThroughSilence(path string, streams int, span time.Duration) silenceResult {
+	var mu sync.Mutex
+	var result silenceResult
+	var callers sync.WaitGroup
+	for i := range streams {
+		d := w.daemons[i%len(w.daemons)]
+		callers.Go(func() {
+			a := w.askWithin(context.Background(), d, path, key, silenceDeadline)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case a.refusal != nil:
+				result.refused++
+			case a.aborted || a.body.String() != eventText(1, silenceEvents):
+				result.cut++
+			default:
+				result.whole++
+			}
+		})
+		time.Sleep(span / time.Duration(streams))
+	}
+	callers.Wait()
+	return result
+}
+
+// withSilentRunners runs a test with five daemons in four failure domains and ten runners.
+func withSilentRunners(t *testing.T, f func(w *testFleet, runners []*silentRunner)) {
+	withFleet(t, 0, config(1), func(w *testFleet) {
+		w.domains = []ident.FailureDomain{"a", "b", "c", "d"}
+		for range 5 {
+			w.addDaemon()
+		}
+		var runners []*silentRunner
+		for i := range 10 {
+			runners = append(runners, w.addSilentRunner(fmt.Sprintf("r%d", i)))
+		}
+		time.Sleep(3 * time.Second)
+		f(w, runners)
+	})
+}
+
+// Guards against answers that a daemon cuts because their runners are silent for a second or two and then go on.
+func TestAnswersOutliveASilenceOfTheirRunners(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		silent int
+		span   time.Duration
+		path   string
+	}{
+		{"all_for_1.2_s", 10, 1200 * time.Millisecond, "/draft/1"},
+		{"three_for_2.2_s", 3, 2200 * time.Millisecond, "/draft/1"},
+		{"six_for_1.1_s", 6, 1100 * time.Millisecond, "/draft/1"},
+		{"all_for_1.2_s_not_resumable", 10, 1200 * time.Millisecond, "/match/1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withSilentRunners(t, func(w *testFleet, runners []*silentRunner) {
+				go func() {
+					for range 2 {
+						time.Sleep(2 * time.Second)
+						for _, r := range runners[:c.silent] {
+							r.sleep()
+						}
+						time.Sleep(c.span)
+						for _, r := range runners[:c.silent] {
+							r.wake()
+						}
+					}
+				}()
+				result := w.playThroughSilence(c.path, 400, 8*time.Second)
+				t.Logf("%+v", result)
+				w.Equal(result.cut, 0)
+			})
+		})
+	}
+}
+
+// Guards against streams that stay at a runner that has gone dark, until their callers give up.
+func TestDarkRunnerLosesItsStreams(t *testing.T) {
+	withSilentRunners(t, func(w *testFleet, runners []*silentRunner) {
+		go func() {
+			time.Sleep(2 * time.Second)
+			runners[0].sleep()
+		}()
+		result := w.playThroughSilence("/draft/1", 400, 8*time.Second)
+		t.Logf("%+v", result)
+		w.Equal(result.cut, 0)
+		w.Equal(result.whole, 400)
+	})
+}
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -89,6 +89,8 @@
 	// body of requests that make it fail before; empty for none. failed is called then.
 	failingPart, failingBody string
 	failed                   func()
+	// awake is closed while the runner isn't silent.
+	awake chan struct{}
 }
 
 // NewRunner starts a runner.
@@ -97,7 +99,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{ID: id, Address: l.Addr().String(), listener: l, work: 2 * time.Millisecond, events: 5, openConns: map[net.Conn]bool{}}
+	r := &Runner{ID: id, Address: l.Addr().String(), listener: l, work: 2 * time.Millisecond, events: 5, openConns: map[net.Conn]bool{}, awake: make(chan struct{})}
+	close(r.awake)
 	go r.accept()
 	return r, nil
 }
@@ -105,6 +108,7 @@
 // Close stops listening and closes all connections at once, as a crash does.
 func (r *Runner) Close() {
 	r.listener.Close()
+	r.Wake()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.openConns {
@@ -112,6 +116,37 @@
 	}
 }
 
+// Sleep makes the runner silent: its connections stay open and new ones are accepted, but it reads and sends
+// nothing until Wake.
+func (r *Runner) Sleep() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.awake:
+		r.awake = make(chan struct{})
+	default:
+	}
+}
+
+// Wake ends the runner's silence; everything that it was at goes on.
+func (r *Runner) Wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.awake:
+	default:
+		close(r.awake)
+	}
+}
+
+// waitAwake waits while the runner is silent.
+func (r *Runner) waitAwake() {
+	r.mu.Lock()
+	awake := r.awake
+	r.mu.Unlock()
+	<-awake
+}
+
 // SetNextFaults replaces the faults of the next requests. Each request takes one fault.
 func (r *Runner) SetNextFaults(faults ...Fault) {
 	r.mu.Lock()
@@ -245,6 +280,7 @@
 		if err != nil {
 			return
 		}
+		r.waitAwake()
 		if !r.handleRequest(c, req) {
 			return
 		}
@@ -322,6 +358,7 @@
 
 func (r *Runner) writeResponse(c net.Conn, run *Execution, fault Fault, work time.Duration) bool {
 	time.Sleep(work)
+	r.waitAwake()
 	if r.failsUnder(run.Body) {
 		return false
 	}
@@ -376,6 +413,7 @@
 	}
 	for i := lastEventID + 1; i <= events; i++ {
 		time.Sleep(work)
+		r.waitAwake()
 		event := fmt.Sprintf("id: %d\ndata: word%d\n\n", i, i)
 		if data != "" {
 			event = fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)
