Log which belief makes a daemon close a request's connection

Callers lost answers, and the lines of the attempts said "silent" both where the runner had answered no probe and where the daemon took its own paths for lost, so the record could not tell the two apart. Each closed connection now has a line with the request, the runner, the belief and the time since the runner was last heard, and a counter for each belief.

--- a/daemon/edge/silent_runners.go
+++ b/daemon/edge/silent_runners.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/health"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
@@ -118,13 +119,26 @@
 	for a := range act.attempts {
 		if a.s.exchange.Terms.Repeatable {
 			a.dark.Store(true)
-			a.abandon()
+			a.abandon(noProbeAnswered)
 		}
 	}
 }
 
+// suspicion is why an attempt's runner is believed not to go on with it.
+type suspicion string
+
+const (
+	// noProbeAnswered means that the runner has sent nothing and has answered no probe.
+	noProbeAnswered suspicion = "no_probe_answered"
+	// pathsLost means that this daemon seems to reach no runner of the service.
+	pathsLost suspicion = "paths_lost"
+)
+
 // abandon ends an attempt because its runner is silent or can't be reached.
-func (a *attempt) abandon() {
+func (a *attempt) abandon(why suspicion) {
+	a.s.edge.log.Note("attempt_abandoned", decisions.F("request", a.s.req.ID), decisions.F("runner", a.choice.Runner), decisions.F("why", why),
+		decisions.F("connected", a.connected.Load()), decisions.F("heard", time.Since(time.Unix(0, a.activity.lastHeard.Load()))))
+	a.s.edge.log.Count("attempt_abandoned." + string(why))
 	a.abandoned.Store(true)
 	a.cancel()
 }
@@ -137,7 +151,7 @@
 	for _, act := range p.activities {
 		for a := range act.attempts {
 			if a.s.exchange.Terms.Repeatable || !a.connected.Load() {
-				a.abandon()
+				a.abandon(pathsLost)
 			}
 		}
 	}
