Keep a silent runner's answer open while another runner is tried

What callers saw: their answers were cut when runners were silent for a second and then went on (LOST beside changes of the configuration; without one the same, but uncounted).

Cause: a daemon closed the connections of all requests that may be repeated once a runner had answered three probes with nothing, or once three runners in a row had failed it (paths_lost), and looked for another place afterwards. If there was none (no path, no budget, no attempt left, no room), it broke the answer off at once, though the deadline was far and the runner went on a moment later. Class: an act that can't be taken back follows from a belief that a byte disproves.

The first to send something goes on, the other is reset. While a part of an answer is out, or a first runner may still answer, a passing reason (no runner, no version, no room, no budget, no path) is one to look again, not to end. Second attempts avoid runners that are known to be silent. An end that this daemon has made itself is no failure of the runner.

Why it works: the connection on which the answer comes is closed only once another runner has an event for it; who goes on is decided under one lock before any byte of either is taken, so events pass once and in order.

--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -140,7 +140,7 @@
 func (e Explanation) write(w io.Writer) {
 	for _, d := range e.Decisions {
 		fmt.Fprintf(w, "%s\n  %s", d.Source, d.Event)
-		for _, name := range []string{"age", "route", "workspace", "config", "runner", "attempt", "estimate", "uncached", "reason", "may_have_run", "again", "executed", "detail", "events", "status"} {
+		for _, name := range []string{"age", "route", "workspace", "config", "runner", "attempt", "estimate", "uncached", "reason", "why", "by", "helper", "kept", "may_have_run", "again", "executed", "detail", "events", "status"} {
 			if v, ok := d.Fields[name]; ok && v != "" {
 				fmt.Fprintf(w, " %s=%s", name, v)
 			}
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +10,6 @@
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
-	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/protocol/forward"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -39,14 +35,6 @@
 	slowConnect = 100 * time.Millisecond
 )
 
-// bufferedAnswer is a runner's answer that has been read completely.
-type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-	runner ident.RunnerID
-}
-
 // attempt is a single send of the request to a runner.
 type attempt struct {
 	s      *requestHandler
@@ -60,97 +48,38 @@
 	permit          permit
 	rejected, rests bool
 	sent            time.Time
-	// begun says that the runner's answer has begun. eventsBefore is the number of events that earlier
+	// begun says that the runner's answer has begun, events that it is an event stream. eventsBefore is the number of events that earlier
 	// attempts have brought.
-	begun        bool
-	eventsBefore int
+	begun, events bool
+	eventsBefore  int
 	// partsAnswered says that the answer has gone so far that the prompt's parts did not make the
 	// runner fail.
 	partsAnswered bool
 	// firstEventAfter is the time from the send to the stream's first event, zero before it.
 	firstEventAfter time.Duration
 	// activity records when the last data was received from the runner. cancel ends the attempt
-	// on this daemon's side, and abandoned says that it was ended because the runner is silent or
-	// out of reach. dark says that the runner has answered no probe.
+	// on this daemon's side, and abandoned says that it was ended, before there was a connection, because the
+	// runner is silent or out of reach. dark says that the runner has answered no probe.
 	activity        *activity
 	cancel          context.CancelFunc
 	abandoned, dark atomic.Bool
 	trial           trialAttribution
-	// helper is the daemon that serves the request in place of a runner; empty otherwise.
-	helper ident.DaemonID
+	// parent is the context that the attempt was made with. onRelease is called at its end.
+	parent    context.Context
+	onRelease []func()
+	watch     watch
+	// takenOver is what has taken the attempt over; nil if nothing has. counted says that the attempt counts as
+	// a send already.
+	takenOver *takeover
+	counted   bool
+	// helper is the daemon that serves the request in place of a runner, and helperBody its answer; empty
+	// otherwise.
+	helper     ident.DaemonID
+	helperBody *helperBody
 	// connected says that there is a connection to the runner, so that the request may be sent.
 	connected atomic.Bool
 }
 
-// run makes attempts until one succeeds, no further attempt is allowed or the caller
-// disconnects.
-func (s *requestHandler) run(ctx context.Context) {
-	ctx, cancel := context.WithDeadline(ctx, s.deadline)
-	defer cancel()
-	for {
-		failure, a := s.attempt(ctx)
-		if failure == nil || s.endIfCanceled(ctx) {
-			return
-		}
-		var wait time.Duration
-		var end *refusal.Refusal
-		s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.HandleFailure(time.Now(), p, *failure) })
-		runner := a.runner()
-		s.note("attempt_failed", decisions.F("runner", runner), decisions.F("reason", failure.Reason),
-			decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", fmt.Sprint(s.parts)),
-			causeField(s.content()), decisions.F("may_have_run", failure.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
-			decisions.F("again", end == nil), decisions.F("wait", wait))
-		s.edge.log.Count("attempt_failed." + string(failure.Reason))
-		if end != nil {
-			s.end(s.withRetryAfter(end))
-			return
-		}
-		if !pause.For(ctx, wait) && s.endIfCanceled(ctx) {
-			return
-		}
-		if a == nil || !a.rests {
-			s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(runner))
-		}
-	}
-}
-
-// attempt makes one attempt: at a runner or, if this daemon reaches none, at another daemon. It
-// returns nil if the caller has received the final answer, otherwise what is known about the
-// failure, and the attempt if it was made at a runner.
-func (s *requestHandler) attempt(ctx context.Context) (*forward.FailedAttempt, *attempt) {
-	if r := s.checkCauses(ctx); r != nil {
-		s.end(r)
-		return nil, nil
-	}
-	if s.delegates() {
-		if failure, asked := s.delegate(ctx); asked {
-			return failure, nil
-		}
-	}
-	r := s.prepare(ctx)
-	var a *attempt
-	if r == nil {
-		a, r = s.chooseRunner(ctx)
-	}
-	if r != nil && r.Reason == refusal.NoRunner && !s.delegated && s.pool.paths.doubtful.Load() {
-		if failure, asked := s.delegate(ctx); asked {
-			return failure, nil
-		}
-	}
-	if r != nil {
-		s.end(r)
-		return nil, nil
-	}
-	failure := a.execute(ctx)
-	if failure != nil && !failure.Sent && failure.Reason != retry.Withdrawn {
-		s.connectFailures++
-	}
-	if failure != nil {
-		a.recordRunnerFailure(failure)
-	}
-	return failure, a
-}
-
 // runner returns the attempt's runner, empty if there is none.
 func (a *attempt) runner() ident.RunnerID {
 	if a == nil {
@@ -167,45 +96,6 @@
 	return a.s.eventsSent() - a.eventsBefore
 }
 
-// endIfCanceled ends a request whose caller has disconnected or whose deadline has passed, and
-// reports whether it did.
-func (s *requestHandler) endIfCanceled(ctx context.Context) bool {
-	switch {
-	case ctx.Err() == nil:
-		return false
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		s.end(s.exchange.DeadlineRefusal().After(notReadyRetryAfter))
-	default:
-		s.note("caller_left", decisions.F("begun", s.exchange.AnswerBegun))
-		s.reply.Abort()
-	}
-	return true
-}
-
-// withRetryAfter adds a retry time to a refusal that has none.
-func (s *requestHandler) withRetryAfter(r *refusal.Refusal) *refusal.Refusal {
-	if r.RetryAfter == 0 {
-		return r.After(notReadyRetryAfter / 2)
-	}
-	return r
-}
-
-// end gives the final answer: the buffered server error of a runner if there is one, otherwise
-// the refusal. If a part of the answer has already been sent, the answer can only be aborted.
-func (s *requestHandler) end(r *refusal.Refusal) {
-	if s.exchange.AnswerBegun {
-		s.note("broken_off", decisions.F("reason", r.Reason), decisions.F("detail", r.Detail), decisions.F("events", s.eventsSent()))
-		s.edge.log.Count("broken_off." + string(r.Reason))
-		s.reply.Abort()
-		return
-	}
-	if s.buffered != nil {
-		s.sendBuffered(s.buffered)
-		return
-	}
-	s.refuse(r)
-}
-
 func (s *requestHandler) eventsSent() int {
 	if s.events == nil {
 		return 0
@@ -289,16 +179,43 @@
 	return p.table.Exclude(ids...)
 }
 
-// execute sends the request and passes the answer on. It returns nil if the caller has received
-// the final answer, otherwise what is known about the failure.
-func (a *attempt) execute(ctx context.Context) *forward.FailedAttempt {
+// open sends the request and waits until the answer begins. Without an answer it returns what is known about the
+// failure, or the refusal that has taken the attempt over.
+func (a *attempt) open(ctx context.Context) (*openAnswer, *forward.FailedAttempt, *refusal.Refusal) {
+	answer, err := a.send(ctx)
+	if t := a.takenOver; t != nil {
+		if err == nil {
+			answer.Body.Close()
+		}
+		a.finish()
+		a.recordFailure()
+		a.release()
+		return t.open, nil, t.end
+	}
+	var failure *forward.FailedAttempt
+	if err != nil {
+		failure = a.handleSendError(ctx, err)
+	} else {
+		failure = a.begin(answer)
+	}
+	if failure != nil {
+		if err == nil {
+			answer.Body.Close()
+		}
+		a.release()
+		return nil, failure, nil
+	}
+	return &openAnswer{a, answer}, nil, nil
+}
+
+// send sends the request to the runner. If it fails, another attempt may have taken over.
+func (a *attempt) send(ctx context.Context) (*Answer, error) {
 	s := a.s
+	a.parent = ctx
 	sendCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	a.cancel = cancel
 	s.pool.beginAttempt(a)
-	defer s.pool.endAttempt(a)
-	defer func() { s.edge.returnPermit(a.permit, a.rejected) }()
+	a.beginWait()
 	answer, err := s.edge.deps.Runners.Send(sendCtx, &Attempt{
 		Request:     s.req,
 		Runner:      a.choice.Runner,
@@ -310,25 +227,54 @@
 		LastEventID: s.lastEventID(),
 		Connected:   a.handleConnected,
 	})
-	if err != nil {
-		return a.handleSendError(ctx, err)
+	if err == nil {
+		a.connected.Store(true)
+		a.recordHeard()
 	}
-	defer answer.Body.Close()
-	a.recordHeard()
+	a.endWait(err == nil)
+	return answer, err
+}
+
+// begin takes up the beginning of an answer. It returns a failure if the answer isn't one that the caller may
+// get.
+func (a *attempt) begin(answer *Answer) *forward.FailedAttempt {
 	a.observeStatements(answer)
 	if answer.NotRun || answer.Misdirected {
 		return a.handleNotRun(answer)
 	}
-	a.begun = true
+	a.begun, a.events = true, answer.Events
 	a.countStarted()
+	if a.s.exchange.AnswerBegun && !answer.Events {
+		return a.rejectNonStream()
+	}
+	answer.Body = &watchedBody{ReadCloser: answer.Body, attempt: a}
 	if answer.Unframed {
 		answer.Body = &unframedBody{ReadCloser: answer.Body, attempt: a, needsData: answer.Events}
 	}
-	if answer.Events {
-		return a.stream(ctx, answer)
+	return nil
+}
+
+// release gives back what the attempt holds.
+func (a *attempt) release() {
+	for _, f := range a.onRelease {
+		f()
 	}
-	if s.exchange.AnswerBegun {
-		return a.rejectNonStream()
+	if a.helper != "" {
+		return
+	}
+	a.cancel()
+	a.s.pool.endAttempt(a)
+	a.s.edge.returnPermit(a.permit, a.rejected)
+}
+
+// passOn passes the answer on to the caller. It returns nil if the caller has received the final answer or
+// another attempt has taken over, otherwise what is known about the failure.
+func (a *attempt) passOn(ctx context.Context, answer *Answer) *forward.FailedAttempt {
+	switch {
+	case a.helper != "":
+		return a.passOnHelper(ctx, answer)
+	case answer.Events:
+		return a.stream(ctx, answer)
 	}
 	return a.bufferAnswer(ctx, answer)
 }
@@ -408,7 +354,8 @@
 	} else {
 		a.s.pool.recordNotStarted(&a.ticket, &a.s.routingRequest)
 	}
-	if failure.Reason == retry.Withdrawn {
+	if failure.Reason == retry.Withdrawn || failure.Reason == retry.Silent {
+		// This daemon has ended the attempt itself, which says nothing of the runner.
 		return failure
 	}
 	a.s.pool.observe(a.choice.Runner, health.Failure)
@@ -454,87 +401,3 @@
 	s.edge.usageLedger.RecordStart(s.edge.wallClock.At(s.edge.deps.Steady()), s.workspace)
 	s.edge.mu.Unlock()
 }
-
-// bufferAnswer reads a body completely before it is passed on. If the body breaks off, the
-// request can be repeated, or the caller can be told of the failure.
-func (a *attempt) bufferAnswer(ctx context.Context, answer *Answer) *forward.FailedAttempt {
-	s := a.s
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
-	took := time.Since(a.sent)
-	if err != nil {
-		a.finish()
-		if ctx.Err() != nil {
-			s.exchange.RecordInterrupted()
-			return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
-		}
-		s.pool.observe(a.choice.Runner, health.Failure)
-		a.recordFailure()
-		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
-	}
-	if len(body) > maxBufferedBytes {
-		return a.streamBody(ctx, answer, body)
-	}
-	a.finish()
-	buffered := &bufferedAnswer{answer.Status, answer.Header, body, a.choice.Runner}
-	if answer.Status >= http.StatusInternalServerError {
-		s.pool.observe(a.choice.Runner, health.Failure)
-		a.recordFailure()
-		s.buffered = buffered
-		return &forward.FailedAttempt{Reason: retry.ServerError, MayHaveRun: true, Sent: true}
-	}
-	a.recordAnswered()
-	s.pool.observe(a.choice.Runner, health.Success)
-	s.edge.log.Time("answer_us", took)
-	s.pool.observeServiceTime(a.choice, took)
-	a.took(took, false)
-	s.sendBuffered(buffered)
-	return nil
-}
-
-// sendBuffered sends a buffered answer to the caller.
-func (s *requestHandler) sendBuffered(k *bufferedAnswer) {
-	s.note("answered", decisions.F("runner", k.runner), decisions.F("status", k.status), decisions.F("bytes", len(k.body)))
-	s.reply.Start(k.status, k.header, int64(len(k.body)), s.connectionClosing())
-	if err := s.reply.Write(k.body); err != nil {
-		s.reply.Abort()
-		return
-	}
-	s.reply.Finish()
-}
-
-// streamBody passes a body on that is too long to be buffered.
-func (a *attempt) streamBody(ctx context.Context, answer *Answer, first []byte) *forward.FailedAttempt {
-	s := a.s
-	defer a.finish()
-	s.exchange.AnswerBegun = true
-	s.reply.Start(answer.Status, answer.Header, answer.Length, s.connectionClosing())
-	chunk := first
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		if err := s.reply.Write(chunk); err != nil {
-			s.reply.Abort()
-			return nil
-		}
-		n, err := answer.Body.Read(buffer)
-		chunk = buffer[:n]
-		if errors.Is(err, io.EOF) {
-			if s.reply.Write(chunk) != nil {
-				s.reply.Abort()
-				return nil
-			}
-			a.recordAnswered()
-			a.took(time.Since(a.sent), false)
-			s.note("answered", decisions.F("runner", a.choice.Runner), decisions.F("status", answer.Status))
-			s.reply.Finish()
-			return nil
-		}
-		if err != nil {
-			if ctx.Err() != nil {
-				s.exchange.RecordInterrupted()
-			} else {
-				a.recordFailure()
-			}
-			return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: ctx.Err() == nil}
-		}
-	}
-}
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -113,45 +113,44 @@
 	return !s.delegated && (s.pool.paths.lost.Load() || s.connectFailures >= maxConnectFailures)
 }
 
-// delegate lets another daemon serve the request. It returns asked=false if there was none that
-// could be asked. Otherwise it returns nil if the caller has received the final answer, or what is
-// known about the failure.
-func (s *requestHandler) delegate(ctx context.Context) (failure *forward.FailedAttempt, asked bool) {
+// delegate lets another daemon serve the request. It returns the answer that has begun, what is known about the
+// failure, or the refusal; nothing if there was no daemon that could be asked.
+func (s *requestHandler) delegate(ctx context.Context) (*openAnswer, *failedAttempt, *refusal.Refusal) {
 	var refused *refusal.Refusal
 	for _, m := range s.edge.helpers(s.pool.name) {
-		s.returnCharge()
-		a := &attempt{s: s, sent: time.Now(), activity: &activity{}, helper: m.ID}
+		if s.hedge == nil {
+			// The silent attempt of a hedge stays charged.
+			s.returnCharge()
+		}
+		a := &attempt{s: s, sent: time.Now(), activity: &activity{}, helper: m.ID, parent: ctx}
 		s.note("delegated", decisions.F("helper", m.ID), decisions.F("attempts", s.exchange.Sent()), decisions.F("may_have_run", s.exchange.MayHaveRun()))
 		answer, err := s.edge.callHelper(ctx, m.PeerAddress, s)
 		var refusedBy *helperRefusalError
 		switch {
 		case err == nil:
-			defer answer.Body.Close()
-			failure = a.passOn(ctx, answer)
-			if body, ok := answer.Body.(*helperBody); ok && body.runnerFailed {
-				// The helper has repeated the request if that may be done at all.
-				s.exchange.Terms.Repeatable, s.exchange.Terms.Resumable = false, false
+			a.helperBody, _ = answer.Body.(*helperBody)
+			if !answer.Events && s.exchange.AnswerBegun {
+				answer.Body.Close()
+				return nil, a.failed(a.callBroke(ctx)), nil
 			}
-			return failure, true
+			return &openAnswer{a, answer}, nil, nil
 		case errors.As(err, &refusedBy):
 			if refused = refusedBy.Refusal; !mayServeElsewhere(refused) {
-				s.end(s.orUnknown(refused))
-				return nil, true
+				return nil, nil, s.orUnknown(refused)
 			}
 			if refused.Reason == refusal.NoRunner {
 				s.edge.avoidHelper(m.Incarnation, s.pool.name)
 			}
 		case !neverSent(err):
 			s.edge.log.Count("delegation_failed")
-			return a.callBroke(ctx), true
+			return nil, a.failed(a.callBroke(ctx)), nil
 		}
 		s.edge.log.Count("delegation_unserved")
 	}
 	if refused == nil {
-		return nil, false
+		return nil, nil, nil
 	}
-	s.end(s.orUnknown(refused))
-	return nil, true
+	return nil, nil, s.orUnknown(refused)
 }
 
 // mayServeElsewhere reports whether another daemon may serve a request that a helper has refused.
@@ -180,15 +179,21 @@
 	s.cost, s.grantingRelay, s.prepared = 0, "", false
 }
 
-// passOn passes the answer of a helper on to the caller.
-func (a *attempt) passOn(ctx context.Context, answer *Answer) *forward.FailedAttempt {
+// passOnHelper passes the answer of a helper on to the caller.
+func (a *attempt) passOnHelper(ctx context.Context, answer *Answer) *forward.FailedAttempt {
+	failure := a.passOnHelperBody(ctx, answer)
+	if a.helperBody.runnerFailed {
+		// The helper has repeated the request if that may be done at all.
+		a.s.exchange.Terms.Repeatable, a.s.exchange.Terms.Resumable = false, false
+	}
+	return failure
+}
+
+func (a *attempt) passOnHelperBody(ctx context.Context, answer *Answer) *forward.FailedAttempt {
 	s := a.s
 	if answer.Events {
 		return a.stream(ctx, answer)
 	}
-	if s.exchange.AnswerBegun {
-		return a.callBroke(ctx)
-	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
 	if err != nil {
 		return a.callBroke(ctx)
--- a/daemon/edge/failed_runners.go
+++ b/daemon/edge/failed_runners.go
@@ -41,9 +41,9 @@
 // runnerHasFallen reports whether the attempt's runner refuses connections, as one does that has failed until
 // it starts again, while another runner doesn't. A daemon that is cut off from the runners may find no new
 // connection to any of them, while the open ones go on.
-func (a *attempt) runnerHasFallen() bool {
+func (a *attempt) runnerHasFallen(ctx context.Context) bool {
 	p := a.s.pool
-	return a.checkRunnerOnce("fallen", func(r Runner, others []Runner) bool {
+	return a.checkRunnerOnce(ctx, "fallen", func(r Runner, others []Runner) bool {
 		if p.tryConnection(r) != connectionRefused {
 			return false
 		}
@@ -58,9 +58,9 @@
 
 // runnerIsDark reports whether the attempt's runner has answered no probe, while another runner of its failure
 // domain accepts a connection: otherwise the path to the whole domain may be cut.
-func (a *attempt) runnerIsDark() bool {
+func (a *attempt) runnerIsDark(ctx context.Context) bool {
 	p := a.s.pool
-	return a.dark.Load() && a.checkRunnerOnce("dark", func(r Runner, others []Runner) bool {
+	return a.dark.Load() && a.checkRunnerOnce(ctx, "dark", func(r Runner, others []Runner) bool {
 		for _, other := range others {
 			if other.FailureDomain == r.FailureDomain && p.tryConnection(other) == connectionAccepted {
 				return true
@@ -72,16 +72,21 @@
 
 // checkRunnerOnce checks the attempt's runner with a few others to compare it with, unless it is leaving. The
 // entry of a failed runner lapses while requests still wait for it. All requests that it had ask at the same
-// moment; one check answers them.
-func (a *attempt) checkRunnerOnce(name string, check func(r Runner, others []Runner) bool) bool {
+// moment; one check answers them. It reports false if the context ends before.
+func (a *attempt) checkRunnerOnce(ctx context.Context, name string, check func(r Runner, others []Runner) bool) bool {
 	p := a.s.pool
 	if a.entry.ID == "" || p.edge.isLeaving(a.entry.ID) {
 		return false
 	}
-	failed, _, _ := p.failureChecks.Do(name+" "+string(a.entry.ID), func() (any, error) {
+	result := p.failureChecks.DoChan(name+" "+string(a.entry.ID), func() (any, error) {
 		return check(a.entry, p.othersThan(a.entry)), nil
 	})
-	return failed.(bool)
+	select {
+	case failed := <-result:
+		return failed.Val.(bool)
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // othersThan returns a few runners that may be asked in comparison with one, those of its failure domain first.
--- a/daemon/edge/failure_causes.go
+++ b/daemon/edge/failure_causes.go
@@ -215,11 +215,11 @@
 
 // recordRunnerFailure records the causes that the request holds if its runner has failed. The parts of the
 // prompt count only at the beginning of the answer.
-func (a *attempt) recordRunnerFailure(failure *forward.FailedAttempt) {
+func (a *attempt) recordRunnerFailure(ctx context.Context, failure *forward.FailedAttempt) {
 	s := a.s
 	now := s.edge.deps.Steady()
 	sent := now - time.Since(a.sent)
-	if !failure.Sent || !a.runnerHasFailed(failure.Reason) {
+	if !failure.Sent || !a.runnerHasFailed(ctx, failure.Reason) {
 		return
 	}
 	causes := []quarantine.Cause{s.content()}
@@ -233,12 +233,12 @@
 }
 
 // runnerHasFailed reports whether the attempt's runner has failed, rather than its connection.
-func (a *attempt) runnerHasFailed(reason retry.Reason) bool {
+func (a *attempt) runnerHasFailed(ctx context.Context, reason retry.Reason) bool {
 	switch reason {
 	case retry.Broken:
-		return a.runnerHasFallen()
+		return a.runnerHasFallen(ctx)
 	case retry.Silent:
-		return a.runnerIsDark()
+		return a.runnerIsDark(ctx)
 	}
 	return false
 }
--- a/daemon/edge/paths.go
+++ b/daemon/edge/paths.go
@@ -70,7 +70,7 @@
 	p.mu.Unlock()
 	if lost {
 		p.edge.log.Note("paths_lost", decisions.F("service", p.name), decisions.F("failed", failed), decisions.F("since", now-since), decisions.F("heard", now-heardAt))
-		p.abandonUnreachable()
+		p.suspectAll()
 	}
 }
 
--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -101,7 +101,11 @@
 
 // excludedRunners returns the runners that must not be chosen for the request's next attempt.
 func (s *requestHandler) excludedRunners() prefix.Set {
-	return s.failedRunners.Or(s.heldRunners).Or(s.pool.otherVersions(s.bound))
+	excluded := s.failedRunners.Or(s.heldRunners).Or(s.pool.otherVersions(s.bound))
+	if s.patient() {
+		excluded = excluded.Or(s.pool.exclusionOf(s.pool.silentRunnerIDs()...))
+	}
+	return excluded
 }
 
 func (s *requestHandler) refuseHeld(h hold) *refusal.Refusal {
--- /dev/null
+++ b/daemon/edge/run.go
@@ -0,0 +1,243 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	"geraniumstack.org/geraniumstack/internal/pause"
+	"geraniumstack.org/geraniumstack/protocol/forward"
+	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/refusal"
+)
+
+// lookAgainInterval is the time after which a request that can't go on anywhere at the moment, and that
+// isn't given up for that, looks again.
+const lookAgainInterval = 100 * time.Millisecond
+
+// openAnswer is an answer that has begun, with its attempt.
+type openAnswer struct {
+	attempt *attempt
+	answer  *Answer
+}
+
+// close ends the attempt.
+func (o *openAnswer) close() {
+	o.answer.Body.Close()
+	o.attempt.release()
+}
+
+// failedAttempt is an attempt without a whole answer. attempt is nil if it was a call to a helper.
+type failedAttempt struct {
+	forward.FailedAttempt
+	attempt *attempt
+}
+
+// run makes attempts until one succeeds, no further attempt is allowed or the caller
+// disconnects.
+func (s *requestHandler) run(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, s.deadline)
+	defer cancel()
+	for {
+		open, failed, end := s.open(ctx)
+		if open != nil {
+			if failed, end = s.passOn(ctx, open); failed == nil && end == nil {
+				return
+			}
+		}
+		if s.endIfCanceled(ctx) {
+			return
+		}
+		if end == nil {
+			end = s.prepareRetry(ctx, failed)
+		}
+		if end != nil {
+			s.end(end)
+			return
+		}
+		if s.endIfCanceled(ctx) {
+			return
+		}
+	}
+}
+
+// open makes one attempt until its answer begins, and waits before it as long as the request can go on
+// nowhere but isn't given up. Without an answer it returns what is known about the failure, or the refusal if no
+// attempt could be made; neither if the context has ended meanwhile.
+func (s *requestHandler) open(ctx context.Context) (*openAnswer, *failedAttempt, *refusal.Refusal) {
+	for {
+		open, failed, end := s.openOnce(ctx)
+		if end == nil || !s.patient() || !isPassing(end) {
+			return open, failed, end
+		}
+		s.edge.log.Count("looks_again." + string(end.Reason))
+		if !pause.For(ctx, lookAgainInterval) {
+			return nil, nil, nil
+		}
+	}
+}
+
+// patient reports whether the request goes on looking for a runner although there is none for it now: a part
+// of its answer has reached its caller, or its first runner may still answer.
+func (s *requestHandler) patient() bool {
+	return s.exchange.AnswerBegun || s.hedge != nil && !s.hedge.alone.Load()
+}
+
+// isPassing reports whether the reason of a refusal may be gone a moment later.
+func isPassing(r *refusal.Refusal) bool {
+	switch r.Reason {
+	case refusal.NoRunner, refusal.VersionUnavailable, refusal.RunnersLimited, refusal.RunnersResting, refusal.DeadlineUnreachable,
+		refusal.RetryBudgetExhausted, refusal.Draining, refusal.NotReady, refusal.StaleConfiguration, refusal.QuotaUnknown:
+		return true
+	}
+	return false
+}
+
+// openOnce makes one attempt until its answer begins: at a runner or, if this daemon reaches none, at another
+// daemon. It returns the answer, what is known about the failure, or the refusal if no attempt could be made.
+func (s *requestHandler) openOnce(ctx context.Context) (*openAnswer, *failedAttempt, *refusal.Refusal) {
+	if r := s.checkCauses(ctx); r != nil {
+		return nil, nil, r
+	}
+	if s.delegates() {
+		if open, failed, r := s.delegate(ctx); open != nil || failed != nil || r != nil {
+			return open, failed, r
+		}
+	}
+	if s.patient() && s.pool.paths.lost.Load() {
+		return nil, nil, s.refuseWithoutRunner(&PathsLostError{s.pool.name})
+	}
+	r := s.prepare(ctx)
+	var a *attempt
+	if r == nil {
+		a, r = s.chooseRunner(ctx)
+	}
+	if r != nil && r.Reason == refusal.NoRunner && !s.delegated && s.pool.paths.doubtful.Load() {
+		if open, failed, refused := s.delegate(ctx); open != nil || failed != nil || refused != nil {
+			return open, failed, refused
+		}
+	}
+	if r != nil {
+		return nil, nil, r
+	}
+	open, failure, end := a.open(ctx)
+	if failure == nil {
+		return open, nil, end
+	}
+	if !failure.Sent && failure.Reason != retry.Withdrawn {
+		s.connectFailures++
+	}
+	return nil, a.failed(failure), nil
+}
+
+// passOn passes an answer on to the caller, and those of the attempts that take it over. It returns nothing if
+// the caller has received the final answer, otherwise what is known about the failure, or the final refusal.
+func (s *requestHandler) passOn(ctx context.Context, open *openAnswer) (*failedAttempt, *refusal.Refusal) {
+	for {
+		a := open.attempt
+		failure := a.passOn(ctx, open.answer)
+		open.close()
+		next := a.takenOver
+		switch {
+		case next == nil && failure == nil:
+			return nil, nil
+		case next == nil:
+			return a.failed(failure), nil
+		case next.end != nil:
+			return nil, next.end
+		}
+		open = next.open
+		if open.attempt.helper != "" {
+			s.returnCharge()
+		}
+	}
+}
+
+// failed describes the failure of the attempt, and records what it says of the runner.
+func (a *attempt) failed(failure *forward.FailedAttempt) *failedAttempt {
+	failure.Counted = a.counted
+	if a.helper != "" {
+		return &failedAttempt{FailedAttempt: *failure}
+	}
+	ctx := a.parent
+	if a.s.hedge == nil {
+		// What became of the runner counts also if the caller leaves meanwhile.
+		ctx = context.WithoutCancel(ctx)
+	}
+	a.recordRunnerFailure(ctx, failure)
+	return &failedAttempt{*failure, a}
+}
+
+// prepareRetry decides whether another attempt follows a failed one, and waits until it is due. It returns the
+// refusal if none follows, and nil early if the context ends.
+func (s *requestHandler) prepareRetry(ctx context.Context, failed *failedAttempt) *refusal.Refusal {
+	var wait time.Duration
+	var end *refusal.Refusal
+	s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.HandleFailure(time.Now(), p, failed.FailedAttempt) })
+	a := failed.attempt
+	s.note("attempt_failed", decisions.F("runner", a.runner()), decisions.F("reason", failed.Reason),
+		decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", fmt.Sprint(s.parts)),
+		causeField(s.content()), decisions.F("may_have_run", failed.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
+		decisions.F("kept", s.hedge != nil), decisions.F("again", end == nil), decisions.F("wait", wait))
+	s.edge.log.Count("attempt_failed." + string(failed.Reason))
+	for end != nil && end.Reason == refusal.RetryBudgetExhausted && s.patient() {
+		s.edge.log.Count("looks_again." + string(end.Reason))
+		if !pause.For(ctx, lookAgainInterval) {
+			return nil
+		}
+		s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.Decide(time.Now(), p, failed.FailedAttempt) })
+	}
+	if end != nil {
+		return s.withRetryAfter(end)
+	}
+	if pause.For(ctx, wait) && (a == nil || !a.rests) {
+		s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(a.runner()))
+	}
+	return nil
+}
+
+// endIfCanceled ends a request whose caller has disconnected or whose deadline has passed, and
+// reports whether it did.
+func (s *requestHandler) endIfCanceled(ctx context.Context) bool {
+	switch {
+	case ctx.Err() == nil:
+		return false
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		s.end(s.exchange.DeadlineRefusal().After(notReadyRetryAfter))
+	default:
+		s.abortForLeftCaller()
+	}
+	return true
+}
+
+// abortForLeftCaller ends a request whose caller has disconnected.
+func (s *requestHandler) abortForLeftCaller() {
+	s.note("caller_left", decisions.F("begun", s.exchange.AnswerBegun), decisions.F("events", s.eventsSent()))
+	s.reply.Abort()
+}
+
+// withRetryAfter adds a retry time to a refusal that has none.
+func (s *requestHandler) withRetryAfter(r *refusal.Refusal) *refusal.Refusal {
+	if r.RetryAfter == 0 {
+		return r.After(notReadyRetryAfter / 2)
+	}
+	return r
+}
+
+// end gives the final answer: the buffered server error of a runner if there is one, otherwise
+// the refusal. If a part of the answer has already been sent, the answer can only be aborted.
+func (s *requestHandler) end(r *refusal.Refusal) {
+	if s.exchange.AnswerBegun {
+		s.note("broken_off", decisions.F("reason", r.Reason), decisions.F("detail", r.Detail), decisions.F("events", s.eventsSent()))
+		s.edge.log.Count("broken_off." + string(r.Reason))
+		s.reply.Abort()
+		return
+	}
+	if s.buffered != nil {
+		s.sendBuffered(s.buffered)
+		return
+	}
+	s.refuse(r)
+}
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -13,7 +13,7 @@
 	// healthInterval is the least time between two health checks of the pools.
 	healthInterval = 200 * time.Millisecond
 	// A runner whose probe gets no answer is not used for new requests, and is probed
-	// furtherProbes more times before its requests are taken away from it: a sound runner may be
+	// furtherProbes more times before its requests are sent elsewhere, too: a sound runner may be
 	// silent for a second or so and go on. Each probe opens a new connection, since the kernel
 	// sends a lost SYN again only after a second.
 	furtherProbes       = 2
@@ -99,8 +99,7 @@
 	}
 }
 
-// probeRunner probes a runner, and ends the attempts there that may be repeated once it is certain
-// that the runner is silent.
+// probeRunner probes a runner, and suspects the attempts there if it answers none of several probes.
 func (p *pool) probeRunner(id ident.RunnerID) {
 	start := time.Now()
 	p.mu.Lock()
@@ -119,7 +118,9 @@
 		health = p.checkHealth(r, furtherProbeTimeout)
 	}
 	if health == NoAnswer && !p.heardSince(id, start) {
-		p.abandonAttempts(id)
+		p.suspectAttempts(id)
+	} else {
+		p.clearSilence(id)
 	}
 }
 
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -77,6 +77,8 @@
 	// leavingRunner is the hash of the runner whose answer came last if it said that the runner is leaving,
 	// otherwise zero.
 	leavingRunner uint64
+	// hedge is the one that looks for another answer at present; nil if none does.
+	hedge *hedge
 	// usageCounted says that the request has been counted for the usage report.
 	usageCounted bool
 	// buffered is a runner's server error, which is passed on if no later attempt succeeds.
--- a/daemon/edge/silent_runners.go
+++ b/daemon/edge/silent_runners.go
@@ -16,7 +16,7 @@
 // A runner with work in progress normally sends data all the time, since engines send tokens
 // many times a second. One that has work and has sent nothing on any connection is therefore
 // probed on a new connection. If the probe fails, the runner is ejected. If further probes fail,
-// too, its requests that may be repeated go to other runners while their callers still wait.
+// too, its requests that may be repeated are sent to other runners as well.
 
 const (
 	// silenceBeforeProbe is the time without data after which a runner with work is probed.
@@ -32,6 +32,8 @@
 type activity struct {
 	// lastHeard is the Unix time of the last byte received, in nanoseconds.
 	lastHeard atomic.Int64
+	// silent is set while the runner has answered no probe and sent nothing since.
+	silent atomic.Bool
 	// attempts are those in progress, guarded by pool.mu.
 	attempts  map[*attempt]bool
 	lastProbe time.Time
@@ -40,6 +42,7 @@
 // recordHeard records that data has arrived from the attempt's runner.
 func (a *attempt) recordHeard() {
 	a.activity.lastHeard.Store(time.Now().UnixNano())
+	a.activity.silent.Store(false)
 	if a.helper == "" {
 		a.s.pool.recordHeard()
 	}
@@ -107,52 +110,69 @@
 	return ok && act.lastHeard.Load() > start.UnixNano()
 }
 
-// abandonAttempts cancels those attempts at a failed runner whose requests may be repeated. The
-// others may have run; only the runner can tell.
-func (p *pool) abandonAttempts(id ident.RunnerID) {
+// suspectAttempts suspects those attempts at a silent runner whose requests may be repeated. The others may have
+// run; only the runner can tell.
+func (p *pool) suspectAttempts(id ident.RunnerID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	act, ok := p.activities[id]
 	if !ok {
 		return
 	}
+	act.silent.Store(true)
 	for a := range act.attempts {
 		if a.s.exchange.Terms.Repeatable {
 			a.dark.Store(true)
-			a.abandon(noProbeAnswered)
+			a.doubt(noProbeAnswered)
 		}
 	}
 }
 
-// suspicion is why an attempt's runner is believed not to go on with it.
-type suspicion string
-
-const (
-	// noProbeAnswered means that the runner has sent nothing and has answered no probe.
-	noProbeAnswered suspicion = "no_probe_answered"
-	// pathsLost means that this daemon seems to reach no runner of the service.
-	pathsLost suspicion = "paths_lost"
-)
+// suspectAll suspects, once the runners count as unreachable, the attempts whose requests may be repeated or
+// have not been sent.
+func (p *pool) suspectAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, act := range p.activities {
+		for a := range act.attempts {
+			if a.s.exchange.Terms.Repeatable || !a.connected.Load() {
+				a.doubt(pathsLost)
+			}
+		}
+	}
+}
 
-// abandon ends an attempt because its runner is silent or can't be reached.
-func (a *attempt) abandon(why suspicion) {
-	a.s.edge.log.Note("attempt_abandoned", decisions.F("request", a.s.req.ID), decisions.F("runner", a.choice.Runner), decisions.F("why", why),
-		decisions.F("connected", a.connected.Load()), decisions.F("heard", time.Since(time.Unix(0, a.activity.lastHeard.Load()))))
+// doubt ends an attempt that has sent nothing yet, and lets the request of another one be sent to a second runner,
+// too.
+func (a *attempt) doubt(why suspicion) {
+	if a.connected.Load() {
+		a.suspect(why)
+		return
+	}
+	a.s.edge.log.Note("attempt_abandoned", decisions.F("request", a.s.req.ID), decisions.F("runner", a.choice.Runner), decisions.F("why", why))
 	a.s.edge.log.Count("attempt_abandoned." + string(why))
 	a.abandoned.Store(true)
 	a.cancel()
 }
 
-// abandonUnreachable cancels, once the runners count as unreachable, the attempts whose requests
-// may be repeated or have not been sent.
-func (p *pool) abandonUnreachable() {
+// clearSilence records that a runner has sent something.
+func (p *pool) clearSilence(id ident.RunnerID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, act := range p.activities {
-		for a := range act.attempts {
-			if a.s.exchange.Terms.Repeatable || !a.connected.Load() {
-				a.abandon(pathsLost)
-			}
+	if act, ok := p.activities[id]; ok {
+		act.silent.Store(false)
+	}
+}
+
+// silentRunnerIDs lists the runners that have answered no probe and sent nothing since.
+func (p *pool) silentRunnerIDs() []ident.RunnerID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ids []ident.RunnerID
+	for id, act := range p.activities {
+		if act.silent.Load() {
+			ids = append(ids, id)
 		}
 	}
+	return ids
 }
--- a/daemon/edge/silent_runners_test.go
+++ b/daemon/edge/silent_runners_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +31,9 @@
 	id    string
 	fleet *testFleet
 
+	// working is the number of streams that the runner works on.
+	working atomic.Int64
+
 	mu sync.Mutex
 	// awake is closed while the runner sends.
 	awake chan struct{}
@@ -81,6 +87,7 @@
 	}
 	from := 0
 	fmt.Sscanf(a.LastEventID, "%d", &from)
+	s.working.Add(1)
 	body := &silentEvents{ctx: ctx, runner: s, next: from + 1}
 	return &edge.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Events: true, Body: body}, nil
 }
@@ -100,6 +107,7 @@
 	ctx    context.Context
 	runner *silentRunner
 	next   int
+	closed sync.Once
 }
 
 func (b *silentEvents) Read(p []byte) (int, error) {
@@ -117,10 +125,13 @@
 	return n, nil
 }
 
-func (b *silentEvents) Close() error { return nil }
+func (b *silentEvents) Close() error {
+	b.closed.Do(func() { b.runner.working.Add(-1) })
+	return nil
+}
 
 // silenceResult counts the answers that callers got.
-type silenceResult struct{ whole, cut, refused int }
+type silenceResult struct{ whole, cut, mixed, refused int }
 
 // playThroughSilence begins streams at all daemons in turn, evenly over a time, and waits for their ends.
 func (w *testFleet) playThroughSilence(path string, streams int, span time.Duration) silenceResult {
@@ -136,6 +147,8 @@
 			switch {
 			case a.refusal != nil:
 				result.refused++
+			case !strings.HasPrefix(eventText(1, silenceEvents), a.body.String()):
+				result.mixed++
 			case a.aborted || a.body.String() != eventText(1, silenceEvents):
 				result.cut++
 			default:
@@ -212,3 +225,43 @@
 		w.Equal(result.whole, 400)
 	})
 }
+
+// Guards against events that a caller gets twice or never, and runners that go on working for nobody, where runners
+// fall silent and wake at any moment while second ones are tried.
+func TestRandomSilencesLeaveAnswersWhole(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			withSilentRunners(t, func(w *testFleet, runners []*silentRunner) {
+				random := rand.New(rand.NewPCG(seed, 56))
+				var sleeping sync.WaitGroup
+				for _, r := range runners {
+					var naps []time.Duration
+					for range 6 {
+						naps = append(naps, aboutHedgeTime(random))
+					}
+					sleeping.Go(func() {
+						for _, nap := range naps {
+							time.Sleep(nap)
+							r.sleep()
+							time.Sleep(nap)
+							r.wake()
+						}
+					})
+				}
+				result := w.playThroughSilence("/draft/1", 300, 8*time.Second)
+				sleeping.Wait()
+				t.Logf("%+v", result)
+				w.Equal(result.mixed, 0)
+				w.Equal(result.cut, 0)
+				for _, r := range runners {
+					w.Equal(r.working.Load(), int64(0))
+				}
+			})
+		})
+	}
+}
+
+// aboutHedgeTime returns a time between 0.9 and 1.6 seconds: after about 1.2 a second runner is tried.
+func aboutHedgeTime(random *rand.Rand) time.Duration {
+	return 900*time.Millisecond + time.Duration(random.Int64N(int64(700*time.Millisecond)))
+}
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -29,30 +29,36 @@
 		a.streamEnded()
 		return nil
 	}
-	a.finish()
 	var left *callerLeftError
 	if errors.As(err, &left) {
-		s.note("caller_left", decisions.F("begun", true), decisions.F("events", s.events.Events()))
-		s.reply.Abort()
+		a.finish()
+		s.abortForLeftCaller()
 		return nil
 	}
-	if ctx.Err() != nil {
+	return a.bodyFailed(ctx, err)
+}
+
+// bodyFailed ends an attempt whose answer has begun and isn't whole. It returns nil if another attempt has taken
+// over.
+func (a *attempt) bodyFailed(ctx context.Context, err error) *forward.FailedAttempt {
+	s := a.s
+	a.finish()
+	var mismatch *versionMismatchError
+	switch {
+	case a.takenOver != nil:
+		a.recordFailure()
+		return nil
+	case ctx.Err() != nil:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			a.recordFailure()
 		}
 		s.exchange.RecordInterrupted()
 		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
-	}
-	reason := retry.Broken
-	var mismatch *versionMismatchError
-	if errors.As(err, &mismatch) {
+	case errors.As(err, &mismatch):
 		return &forward.FailedAttempt{Reason: retry.NotLoaded, MayHaveRun: true, Sent: true}
 	}
 	a.recordBroken()
-	if a.abandoned.Load() {
-		reason = retry.Silent
-	}
-	return &forward.FailedAttempt{Reason: reason, MayHaveRun: true, Sent: true}
+	return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
 }
 
 // recordBroken records that the answer of a runner broke off.
@@ -61,7 +67,9 @@
 		return
 	}
 	a.s.pool.observe(a.choice.Runner, health.Failure)
-	a.s.pool.recordPathFailure(a.choice.Runner)
+	if a.events {
+		a.s.pool.recordPathFailure(a.choice.Runner)
+	}
 	a.recordFailure()
 }
 
@@ -88,11 +96,8 @@
 	first := true
 	for {
 		n, err := answer.Body.Read(buffer)
-		if n > 0 {
-			a.recordHeard()
-		}
 		if n > 0 && first {
-			if versionErr := a.checkVersion(answer); versionErr != nil {
+			if versionErr := a.checkVersion(); versionErr != nil {
 				return versionErr
 			}
 			first = false
@@ -107,7 +112,7 @@
 			a.recordPartsAnswered()
 		}
 		if len(out) > 0 {
-			a.bindStream(answer)
+			a.bindStream()
 			if writeErr := s.reply.Write(out); writeErr != nil {
 				return &callerLeftError{writeErr}
 			}
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -345,9 +345,9 @@
 
 // streamVersion returns the version that makes the events of an attempt's answer, and false if that
 // is in doubt.
-func (a *attempt) streamVersion(answer *Answer) (canary.Version, bool) {
-	if body, ok := answer.Body.(*helperBody); ok {
-		return body.streamVersion.version, body.streamVersion.known
+func (a *attempt) streamVersion() (canary.Version, bool) {
+	if a.helperBody != nil {
+		return a.helperBody.streamVersion.version, a.helperBody.streamVersion.known
 	}
 	return a.entry.Version, a.s.pool.isCurrent(a.choice.Runner, a.choice.Address, a.entry.Version)
 }
@@ -362,11 +362,11 @@
 
 // checkVersion fails an attempt at a runner that must not go on with the stream. It is called before any
 // of the attempt's events are taken.
-func (a *attempt) checkVersion(answer *Answer) error {
+func (a *attempt) checkVersion() error {
 	if !a.s.bound.known {
 		return nil
 	}
-	if v, known := a.streamVersion(answer); !known || v != a.s.bound.version {
+	if v, known := a.streamVersion(); !known || v != a.s.bound.version {
 		a.s.edge.log.Count("stream_version_mismatch")
 		return &versionMismatchError{a.s.bound.version, v}
 	}
@@ -375,14 +375,14 @@
 
 // bindStream binds the stream to the version of the runner whose first event is about to reach the
 // caller, and records it. If that version is in doubt, the stream can't go on elsewhere.
-func (a *attempt) bindStream(answer *Answer) {
+func (a *attempt) bindStream() {
 	s := a.s
 	if !s.exchange.Terms.Resumable || s.recorded {
 		return
 	}
 	s.recorded = true
 	if !s.bound.known {
-		s.bound.version, s.bound.known = a.streamVersion(answer)
+		s.bound.version, s.bound.known = a.streamVersion()
 	}
 	if !s.bound.known {
 		s.exchange.Terms.Resumable = false
--- a/daemon/edge/unframed.go
+++ b/daemon/edge/unframed.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"io"
 
@@ -32,7 +33,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if b.needsData && !b.read || b.attempt.runnerHasFallen() {
+	if b.needsData && !b.read || b.attempt.runnerHasFallen(context.WithoutCancel(b.attempt.parent)) {
 		return n, &fallenRunnerError{b.attempt.choice.Runner}
 	}
 	return n, err
--- a/protocol/forward/exchange.go
+++ b/protocol/forward/exchange.go
@@ -41,6 +41,8 @@
 	MayHaveRun bool
 	// Sent is false if nothing of this attempt reached a runner.
 	Sent bool
+	// Counted says that the attempt counts as one of those sent already, since another one was made beside it.
+	Counted bool
 	// RetryAfter is the delay that the runner asked for.
 	RetryAfter time.Duration
 }
@@ -71,9 +73,14 @@
 // failed attempt then put no load on a runner.
 func (x *Exchange) HandleFailure(now time.Time, policy *retry.Policy, a FailedAttempt) (time.Duration, *refusal.Refusal) {
 	x.mayHaveRun = x.mayHaveRun || a.MayHaveRun
-	if a.Sent {
+	if a.Sent && !a.Counted {
 		x.sent++
 	}
+	return x.Decide(now, policy, a)
+}
+
+// Decide decides on a failed attempt that HandleFailure has processed, like HandleFailure.
+func (x *Exchange) Decide(now time.Time, policy *retry.Policy, a FailedAttempt) (time.Duration, *refusal.Refusal) {
 	if x.AnswerBegun && !x.Terms.Resumable {
 		return 0, x.finalRefusal(refusal.RunnerFailed, "answer broke off: %s", a.Reason)
 	}
--- a/protocol/forward/forward_test.go
+++ b/protocol/forward/forward_test.go
@@ -45,6 +45,19 @@
 	is.Equal(r.Executed, refusal.ExecutedUnknown)
 }
 
+// Guards against a silent attempt that counts twice, when a second one is begun beside it and when it fails after
+// all, so that the request is given up too early.
+func TestAttemptThatIsKeptCountsOnce(t *testing.T) {
+	is := is.New(t)
+	x := forward.Exchange{Terms: newTerms(true, 3)}
+	p := retry.New(retry.Default())
+	_, r := x.HandleFailure(start, p, forward.FailedAttempt{Reason: retry.Silent, MayHaveRun: true, Sent: true})
+	is.True(r == nil)
+	_, r = x.HandleFailure(start, p, forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true, Counted: true})
+	is.True(r == nil)
+	is.Equal(x.Sent(), 1)
+}
+
 func TestConnectFailuresDoNotCountAsAttempts(t *testing.T) {
 	is := is.New(t)
 	x := forward.Exchange{Terms: newTerms(false, 1)}
--- a/protocol/retry/retry.go
+++ b/protocol/retry/retry.go
@@ -218,6 +218,9 @@
 	return Decision{Verdict: StopBudget}
 }
 
+// Refund returns one retry to the budget, for one that was decided on and not made.
+func (p *Policy) Refund() { p.balance = min(p.cfg.Burst, p.balance+1) }
+
 func (p *Policy) maxAttempts(f Failure) int {
 	if f.MaxAttempts > 0 {
 		return f.MaxAttempts
--- a/protocol/retry/retry_test.go
+++ b/protocol/retry/retry_test.go
@@ -25,6 +25,19 @@
 	is.True(d.Delay >= 3*time.Second)
 }
 
+// Guards against a budget that refunds make larger than it may be.
+func TestRefundReturnsWhatWasCharged(t *testing.T) {
+	is := is.New(t)
+	cfg := Default()
+	cfg.Burst = 2
+	p := New(cfg)
+	is.Equal(p.Decide(start, Failure{Reason: Silent, Repeatable: true, Attempts: 1}).Verdict, Again)
+	is.Equal(p.Balance(), 1.0)
+	p.Refund()
+	p.Refund()
+	is.Equal(p.Balance(), 2.0)
+}
+
 // TestBudgetIsNeverExceeded makes a random sequence of first attempts and
 // failures and checks that the retries stay within the budget.
 func TestBudgetIsNeverExceeded(t *testing.T) {
