--- a/daemon/edge/failure_causes.go
+++ b/daemon/edge/failure_causes.go
@@ -219,7 +219,7 @@
 	s := a.s
 	now := s.edge.deps.Steady()
 	sent := now - time.Since(a.sent)
-	if !failure.Sent || !a.runnerHasFailed(ctx, failure.Reason) {
+	if !failure.Sent || ctx.Err() != nil || !a.runnerHasFailed(ctx, failure.Reason) {
 		return
 	}
 	causes := []quarantine.Cause{s.content()}
--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -197,11 +197,11 @@
 			return &takeover{open: open}
 		case ctx.Err() != nil:
 			return nil
-		case end != nil && s.exchange.AnswerBegun:
+		case end != nil && !s.exchange.AnswerBegun && isKeptAway(end):
+			return &takeover{end: end}
+		case end != nil:
 			s.note("hedge_ended", decisions.F("reason", end.Reason), decisions.F("detail", end.Detail))
 			return nil
-		case end != nil:
-			return &takeover{end: end}
 		}
 		failed = next
 	}
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -95,6 +95,12 @@
 	return false
 }
 
+// isKeptAway reports whether a request is refused since runners fail under it, so that waiting for one is of no
+// use.
+func isKeptAway(r *refusal.Refusal) bool {
+	return r.Reason == refusal.FailingRequest || r.Reason == refusal.FailingPart
+}
+
 // openOnce makes one attempt until its answer begins: at a runner or, if this daemon reaches none, at another
 // daemon. It returns the answer, what is known about the failure, or the refusal if no attempt could be made.
 func (s *requestHandler) openOnce(ctx context.Context) (*openAnswer, *failedAttempt, *refusal.Refusal) {
--- a/daemon/edge/silent_runners_test.go
+++ b/daemon/edge/silent_runners_test.go
@@ -31,8 +31,9 @@
 	id    string
 	fleet *testFleet
 
-	// working is the number of streams that the runner works on.
+	// working is the number of requests that the runner works on, begins the time until its answers begin.
 	working atomic.Int64
+	begins  time.Duration
 
 	mu sync.Mutex
 	// awake is closed while the runner sends.
@@ -40,7 +41,7 @@
 }
 
 func (w *testFleet) addSilentRunner(id string) *silentRunner {
-	s := &silentRunner{runner: w.addRunner(id, "app"), id: id, fleet: w, awake: make(chan struct{})}
+	s := &silentRunner{runner: w.addRunner(id, "app"), id: id, fleet: w, awake: make(chan struct{}), begins: 15 * time.Millisecond}
 	close(s.awake)
 	s.setScript(s.answer)
 	return s
@@ -79,15 +80,13 @@
 	if !a.Connected() {
 		return nil, &edge.SendError{Reason: retry.Withdrawn, Err: net.ErrClosed}
 	}
-	if !pauseFor(ctx, 15*time.Millisecond) || s.untilAwake(ctx) != nil {
+	s.working.Add(1)
+	if !pauseFor(ctx, s.begins) || s.untilAwake(ctx) != nil {
+		s.working.Add(-1)
 		return nil, &edge.SendError{Reason: retry.Broken, Sent: true, Err: ctx.Err()}
 	}
-	if a.Request.Path == "/read/1" {
-		return plainAnswer(http.StatusOK, "from "+s.id), nil
-	}
 	from := 0
 	fmt.Sscanf(a.LastEventID, "%d", &from)
-	s.working.Add(1)
 	body := &silentEvents{ctx: ctx, runner: s, next: from + 1}
 	return &edge.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Events: true, Body: body}, nil
 }
@@ -265,3 +264,61 @@
 func aboutHedgeTime(random *rand.Rand) time.Duration {
 	return 900*time.Millisecond + time.Duration(random.Int64N(int64(700*time.Millisecond)))
 }
+
+// withHedge runs a test of one daemon whose only runner falls silent after some events of a stream, just before a
+// second runner comes whose answers begin after 600 ms. The test begins when both work on the stream.
+func withHedge(t *testing.T, f func(w *testFleet, silent, second *silentRunner, leave func(), answered <-chan *recordedReply)) {
+	withFleet(t, 1, config(1), func(w *testFleet) {
+		silent := w.addSilentRunner("r1")
+		time.Sleep(500 * time.Millisecond)
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		answered := make(chan *recordedReply, 1)
+		go func() { answered <- w.askWithin(ctx, w.daemons[0], "/draft/1", key, 0) }()
+		time.Sleep(350 * time.Millisecond)
+		second := w.addSilentRunner("r2")
+		second.begins = 600 * time.Millisecond
+		silent.sleep()
+		for second.working.Load() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		f(w, silent, second, leave, answered)
+	})
+}
+
+// Guards against runners that go on working for a caller who has left while two of them were at its request.
+func TestBothRunnersStopWhenTheCallerLeaves(t *testing.T) {
+	withHedge(t, func(w *testFleet, silent, second *silentRunner, leave func(), answered <-chan *recordedReply) {
+		w.Equal(silent.working.Load(), int64(1))
+		leave()
+		time.Sleep(10 * time.Millisecond)
+		w.Equal(silent.working.Load(), int64(0))
+		w.Equal(second.working.Load(), int64(0))
+		w.True((<-answered).aborted)
+	})
+}
+
+// Guards against a second runner that goes on working after the first one has sent something.
+func TestSecondRunnerStopsWhenTheFirstGoesOn(t *testing.T) {
+	withHedge(t, func(w *testFleet, silent, second *silentRunner, _ func(), answered <-chan *recordedReply) {
+		silent.wake()
+		time.Sleep(10 * time.Millisecond)
+		w.Equal(second.working.Load(), int64(0))
+		a := <-answered
+		w.True(a.finished)
+		w.Equal(a.body.String(), eventText(1, silenceEvents))
+		w.Equal(second.count(), 1)
+	})
+}
+
+// Guards against a first runner that goes on working after a second one has taken its stream over.
+func TestFirstRunnerStopsWhenTheSecondHasTakenOver(t *testing.T) {
+	withHedge(t, func(w *testFleet, silent, second *silentRunner, _ func(), answered <-chan *recordedReply) {
+		w.Equal(silent.working.Load(), int64(1))
+		a := <-answered
+		w.True(a.finished)
+		w.Equal(a.body.String(), eventText(1, silenceEvents))
+		w.Equal(silent.working.Load(), int64(0))
+		silent.wake()
+	})
+}
