Let a second runner go on if the first wakes without an answer

Callers of requests whose silent runner woke with a statement that it had not run the request (its queue was full), with an error of its own, or whose connection its kernel closed (the end of an unframed stream) got a refusal, the error, or a cut answer, while a second runner was at work and about to answer.

Cause: whatever came from the silent runner ended the hedge, before anyone looked at it.

Change: only an answer that the caller may get, or a byte of its body, ends the hedge; with all else the attempt has failed and what the hedge finds goes on. A hedge never ends a request: an answer takes over or nothing does.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -70,7 +70,7 @@
 	watch     watch
 	// takenOver is what has taken the attempt over; nil if nothing has. counted says that the attempt counts as
 	// a send already.
-	takenOver *takeover
+	takenOver *openAnswer
 	counted   bool
 	// helper is the daemon that serves the request in place of a runner, and helperBody its answer; empty
 	// otherwise.
@@ -179,18 +179,18 @@
 	return p.table.Exclude(ids...)
 }
 
-// open sends the request and waits until the answer begins. Without an answer it returns what is known about the
-// failure, or the refusal that has taken the attempt over.
-func (a *attempt) open(ctx context.Context) (*openAnswer, *forward.FailedAttempt, *refusal.Refusal) {
+// open sends the request and waits until the answer begins, or that of the attempt that has taken over. Without an
+// answer it returns what is known about the failure.
+func (a *attempt) open(ctx context.Context) (*openAnswer, *forward.FailedAttempt) {
 	answer, err := a.send(ctx)
-	if t := a.takenOver; t != nil {
+	if next := a.takenOver; next != nil {
 		if err == nil {
 			answer.Body.Close()
 		}
 		a.finish()
 		a.recordFailure()
 		a.release()
-		return t.open, nil, t.end
+		return next, nil
 	}
 	var failure *forward.FailedAttempt
 	if err != nil {
@@ -203,9 +203,9 @@
 			answer.Body.Close()
 		}
 		a.release()
-		return nil, failure, nil
+		return nil, failure
 	}
-	return &openAnswer{a, answer}, nil, nil
+	return &openAnswer{a, answer}, nil
 }
 
 // send sends the request to the runner. If it fails, another attempt may have taken over.
@@ -231,7 +231,8 @@
 		a.connected.Store(true)
 		a.recordHeard()
 	}
-	a.endWait(err == nil)
+	// An answer that the caller won't get is no reason to end a hedge.
+	a.endWait(err == nil && !answer.NotRun && !answer.Misdirected && !answer.isPlainError())
 	return answer, err
 }
 
@@ -247,10 +248,10 @@
 	if a.s.exchange.AnswerBegun && !answer.Events {
 		return a.rejectNonStream()
 	}
-	answer.Body = &watchedBody{ReadCloser: answer.Body, attempt: a}
 	if answer.Unframed {
 		answer.Body = &unframedBody{ReadCloser: answer.Body, attempt: a, needsData: answer.Events}
 	}
+	answer.Body = &watchedBody{ReadCloser: answer.Body, attempt: a}
 	return nil
 }
 
--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,7 +11,6 @@
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/protocol/forward"
 	"geraniumstack.org/geraniumstack/protocol/retry"
-	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
 // A runner that is silent may go on a moment later or never. The connection on which its answer comes can't be
@@ -33,13 +31,6 @@
 	pathsLost suspicion = "paths_lost"
 )
 
-// takeover is what becomes of a request in place of its silent attempt: another answer that has begun, or
-// the final refusal.
-type takeover struct {
-	open *openAnswer
-	end  *refusal.Refusal
-}
-
 // watch follows the wait for the next data of an attempt's runner.
 type watch struct {
 	mu      sync.Mutex
@@ -48,7 +39,7 @@
 	suspected suspicion
 	// hedge is that of the present wait; nil if none. won is what has taken the attempt over.
 	hedge *hedge
-	won   *takeover
+	won   *openAnswer
 }
 
 // hedge looks for another answer to a request whose runner is silent.
@@ -130,8 +121,8 @@
 	return false
 }
 
-// claim lets an outcome take the silent attempt over, unless that has gone on. It reports whether it does.
-func (h *hedge) claim(t *takeover) bool {
+// claim lets an answer take the silent attempt over, unless that has gone on. It reports whether it does.
+func (h *hedge) claim(open *openAnswer) bool {
 	a := h.silent
 	a.watch.mu.Lock()
 	defer a.watch.mu.Unlock()
@@ -139,7 +130,7 @@
 		return false
 	}
 	a.watch.waiting = false
-	a.watch.won = t
+	a.watch.won = open
 	a.cancel()
 	return true
 }
@@ -159,27 +150,24 @@
 	if why == noProbeAnswered {
 		a.recordRunnerFailure(ctx, &failed.FailedAttempt)
 	}
-	t := s.openInstead(ctx, failed)
+	open := s.openInstead(ctx, failed)
 	switch {
-	case t == nil:
-		h.cancel()
-	case t.end != nil:
-		h.claim(t)
+	case open == nil:
 		h.cancel()
-	case h.claim(t):
-		t.open.attempt.onRelease = append(t.open.attempt.onRelease, h.cancel)
-		s.note("taken_over", decisions.F("runner", a.choice.Runner), decisions.F("by", t.open.attempt.choice.Runner),
-			decisions.F("helper", t.open.attempt.helper), decisions.F("events", a.eventCount()))
+	case h.claim(open):
+		open.attempt.onRelease = append(open.attempt.onRelease, h.cancel)
+		s.note("taken_over", decisions.F("runner", a.choice.Runner), decisions.F("by", open.attempt.choice.Runner),
+			decisions.F("helper", open.attempt.helper), decisions.F("events", a.eventCount()))
 	default:
-		t.open.attempt.endInterrupted(true)
-		t.open.close()
+		open.attempt.endInterrupted(true)
+		open.close()
 		h.cancel()
 	}
 }
 
 // openInstead looks for another answer to a request whose attempt is silent. It returns nil if none may follow or
 // the context ends.
-func (s *requestHandler) openInstead(ctx context.Context, failed *failedAttempt) *takeover {
+func (s *requestHandler) openInstead(ctx context.Context, failed *failedAttempt) *openAnswer {
 	for {
 		if s.prepareRetry(ctx, failed) != nil || ctx.Err() != nil {
 			return nil
@@ -190,15 +178,13 @@
 			s.pool.withRetryPolicy(func(p *retry.Policy) { p.Refund() })
 		}
 		if open != nil {
-			open, next, end = open.peek(ctx)
+			open, next = open.peek(ctx)
 		}
 		switch {
 		case open != nil:
-			return &takeover{open: open}
+			return open
 		case ctx.Err() != nil:
 			return nil
-		case end != nil && !s.exchange.AnswerBegun && isKeptAway(end):
-			return &takeover{end: end}
 		case end != nil:
 			s.note("hedge_ended", decisions.F("reason", end.Reason), decisions.F("detail", end.Detail))
 			return nil
@@ -207,34 +193,34 @@
 	}
 }
 
-// peek waits until something of the body has arrived. Like open, it returns the answer, what is known about the
-// failure, or the refusal.
-func (o *openAnswer) peek(ctx context.Context) (*openAnswer, *failedAttempt, *refusal.Refusal) {
+// peek waits until something of the body has arrived, or of that of the attempt that has taken over. Otherwise it
+// returns what is known about the failure.
+func (o *openAnswer) peek(ctx context.Context) (*openAnswer, *failedAttempt) {
 	a := o.attempt
-	if !o.answer.Events && o.answer.Status >= http.StatusInternalServerError {
+	if o.answer.isPlainError() {
 		// An error is no reason to close the silent attempt's connection.
 		a.finish()
 		a.recordBroken()
 		o.close()
-		return nil, a.failed(&forward.FailedAttempt{Reason: retry.ServerError, MayHaveRun: true, Sent: true}), nil
+		return nil, a.failed(&forward.FailedAttempt{Reason: retry.ServerError, MayHaveRun: true, Sent: true})
 	}
 	first := make([]byte, copyBufferBytes)
 	n, err := o.answer.Body.Read(first)
 	if err != nil && !errors.Is(err, io.EOF) && n == 0 {
 		failure := a.bodyFailed(ctx, err)
 		o.close()
-		if t := a.takenOver; t != nil {
-			return t.open, nil, t.end
+		if next := a.takenOver; next != nil {
+			return next, nil
 		}
-		return nil, a.failed(failure), nil
+		return nil, a.failed(failure)
 	}
 	if versionErr := a.checkVersion(); versionErr != nil {
 		failure := a.bodyFailed(ctx, versionErr)
 		o.close()
-		return nil, a.failed(failure), nil
+		return nil, a.failed(failure)
 	}
 	o.answer.Body = &peekedBody{ReadCloser: o.answer.Body, first: first[:n], err: err}
-	return o, nil, nil
+	return o, nil
 }
 
 // takenOverError says that another attempt goes on in place of this one.
--- /dev/null
+++ b/daemon/edge/hedge_test.go
@@ -0,0 +1,145 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/daemon/edge"
+	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/route"
+)
+
+// tenSecondConfig is a configuration whose routes all have ten seconds and the given number of attempts.
+func tenSecondConfig(attempts int) route.Config {
+	c := config(1)
+	for i := range c.Routes {
+		c.Routes[i].Timeout, c.Routes[i].MaxAttempts = 10*time.Second, attempts
+	}
+	return c
+}
+
+// scriptedAttempt is one attempt of a request at a runner of addScriptedRunners; number counts from one.
+type scriptedAttempt struct {
+	*edge.Attempt
+	w      *testFleet
+	number int64
+	runner string
+}
+
+// addScriptedRunners adds runners that answer each attempt with a script. It returns the number of attempts so far.
+func (w *testFleet) addScriptedRunners(n int, script func(ctx context.Context, a *scriptedAttempt) (*edge.Answer, error)) *atomic.Int64 {
+	var attempts atomic.Int64
+	for i := range n {
+		id := fmt.Sprintf("r%d", i+1)
+		w.addRunner(id, "app").setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+			a.Connected()
+			return script(ctx, &scriptedAttempt{a, w, attempts.Add(1), id})
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	return &attempts
+}
+
+// silence lets the attempt's runner send nothing and answer no probe for a time. It reports whether the attempt is
+// still wanted then.
+func (a *scriptedAttempt) silence(ctx context.Context, d time.Duration) bool {
+	a.w.runners.unresponsive(a.runner, true)
+	defer a.w.runners.unresponsive(a.runner, false)
+	return pauseFor(ctx, d)
+}
+
+// brokenSend is the error of an attempt whose connection ends after the request was sent.
+func brokenSend() error {
+	return &edge.SendError{Reason: retry.Broken, Sent: true, Err: io.ErrUnexpectedEOF}
+}
+
+// scriptedEvents is the body of an event stream that read makes event by event.
+type scriptedEvents struct {
+	read func() (event string, err error)
+}
+
+func (b *scriptedEvents) Read(p []byte) (int, error) {
+	event, err := b.read()
+	return copy(p, event), err
+}
+
+func (b *scriptedEvents) Close() error { return nil }
+
+// eventsAfter returns an event stream that begins after an event; event makes the event with each number.
+func eventsAfter(last int, unframed bool, event func(number int) (string, error)) *edge.Answer {
+	body := &scriptedEvents{read: func() (string, error) { last++; return event(last) }}
+	return &edge.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Events: true, Unframed: unframed, Body: body}
+}
+
+const (
+	// hedgedSilence is a silence that ends while a second runner works.
+	hedgedSilence = 1700 * time.Millisecond
+	// secondAnswerTime is how long second runners take, until after the end of hedgedSilence.
+	secondAnswerTime = 800 * time.Millisecond
+)
+
+// Guards against a second runner that is given up because the first one wakes, although it has no answer that the
+// caller can get.
+func TestSecondRunnerAnswersIfTheFirstWakesWithoutAnAnswer(t *testing.T) {
+	fullRunner := plainAnswer(http.StatusServiceUnavailable, "full")
+	fullRunner.NotRun = true
+	for name, wakesWith := range map[string]*edge.Answer{
+		"not_run":      fullRunner,
+		"server_error": plainAnswer(http.StatusInternalServerError, "oops"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 1, tenSecondConfig(2), func(w *testFleet) {
+				w.addScriptedRunners(3, func(ctx context.Context, a *scriptedAttempt) (*edge.Answer, error) {
+					if a.number == 1 && a.silence(ctx, hedgedSilence) {
+						return wakesWith, nil
+					}
+					if !pauseFor(ctx, secondAnswerTime) {
+						return nil, brokenSend()
+					}
+					return plainAnswer(http.StatusOK, "second"), nil
+				})
+				a := w.ask(w.daemons[0], "/read/1", key)
+				w.Equal(a.status, http.StatusOK)
+				w.Equal(a.body.String(), "second")
+			})
+		})
+	}
+}
+
+// Guards against a stream that is cut since the kernel of its silent runner closes the connection while a second
+// runner is at work.
+func TestSecondRunnerAnswersIfTheFirstFalls(t *testing.T) {
+	for _, unframed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("unframed_%t", unframed), func(t *testing.T) {
+			withFleet(t, 1, tenSecondConfig(2), func(w *testFleet) {
+				w.addScriptedRunners(3, func(ctx context.Context, a *scriptedAttempt) (*edge.Answer, error) {
+					if a.number > 1 {
+						if !pauseFor(ctx, secondAnswerTime) {
+							return nil, brokenSend()
+						}
+						return eventAnswer(eventText(3, 4), io.EOF), nil
+					}
+					return eventsAfter(0, unframed, func(number int) (string, error) {
+						if number <= 2 {
+							return eventText(number, number), nil
+						}
+						a.silence(ctx, hedgedSilence)
+						w.runners.fall(a.runner, true)
+						if unframed {
+							return "", io.EOF
+						}
+						return "", io.ErrUnexpectedEOF
+					}), nil
+				})
+				a := w.ask(w.daemons[0], "/draft/1", key)
+				w.True(a.finished)
+				w.Equal(a.body.String(), eventText(1, 4))
+			})
+		})
+	}
+}
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -43,7 +43,7 @@
 	for {
 		open, failed, end := s.open(ctx)
 		if open != nil {
-			if failed, end = s.passOn(ctx, open); failed == nil && end == nil {
+			if failed = s.passOn(ctx, open); failed == nil {
 				return
 			}
 		}
@@ -95,12 +95,6 @@
 	return false
 }
 
-// isKeptAway reports whether a request is refused since runners fail under it, so that waiting for one is of no
-// use.
-func isKeptAway(r *refusal.Refusal) bool {
-	return r.Reason == refusal.FailingRequest || r.Reason == refusal.FailingPart
-}
-
 // openOnce makes one attempt until its answer begins: at a runner or, if this daemon reaches none, at another
 // daemon. It returns the answer, what is known about the failure, or the refusal if no attempt could be made.
 func (s *requestHandler) openOnce(ctx context.Context) (*openAnswer, *failedAttempt, *refusal.Refusal) {
@@ -128,9 +122,9 @@
 	if r != nil {
 		return nil, nil, r
 	}
-	open, failure, end := a.open(ctx)
+	open, failure := a.open(ctx)
 	if failure == nil {
-		return open, nil, end
+		return open, nil, nil
 	}
 	if !failure.Sent && failure.Reason != retry.Withdrawn {
 		s.connectFailures++
@@ -138,26 +132,24 @@
 	return nil, a.failed(failure), nil
 }
 
-// passOn passes an answer on to the caller, and those of the attempts that take it over. It returns nothing if
-// the caller has received the final answer, otherwise what is known about the failure, or the final refusal.
-func (s *requestHandler) passOn(ctx context.Context, open *openAnswer) (*failedAttempt, *refusal.Refusal) {
+// passOn passes an answer on to the caller, and those of the attempts that take it over. It returns nil if the caller
+// has received the final answer, otherwise what is known about the failure.
+func (s *requestHandler) passOn(ctx context.Context, open *openAnswer) *failedAttempt {
 	for {
 		a := open.attempt
+		if a.helper != "" {
+			// The helper has charged the request.
+			s.returnCharge()
+		}
 		failure := a.passOn(ctx, open.answer)
 		open.close()
-		next := a.takenOver
-		switch {
-		case next == nil && failure == nil:
-			return nil, nil
-		case next == nil:
-			return a.failed(failure), nil
-		case next.end != nil:
-			return nil, next.end
+		if open = a.takenOver; open != nil {
+			continue
 		}
-		open = next.open
-		if open.attempt.helper != "" {
-			s.returnCharge()
+		if failure == nil {
+			return nil
 		}
+		return a.failed(failure)
 	}
 }
 
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -222,6 +222,9 @@
 	Limits runnerlimit.Limits
 }
 
+// isPlainError reports whether the answer is a runner's error of its own.
+func (a *Answer) isPlainError() bool { return !a.Events && a.Status >= http.StatusInternalServerError }
+
 // SendError describes an attempt that failed before the runner answered.
 type SendError struct {
 	Reason retry.Reason
