Count a withdrawn second attempt once, and let no hedge begin before a send

A second attempt that had been hedged itself and was withdrawn counted twice, so a stream was cut before its attempts were used up (two sends of three allowed).

A suspicion that came while a new connection was being checked started a hedge beside that check, which reads the request's state: the race detector reported it in one of 96 runs of TestRandomSilencesLeaveAnswersWhole (Exchange.MayHaveRun beside HandleFailure). A request that may not be repeated could be marked as having run. Now an attempt waits for its runner, and so can be hedged, only once the check is over, and a suspicion looks once whether there is a connection.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -215,7 +215,6 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	a.cancel = cancel
 	s.pool.beginAttempt(a)
-	a.beginWait()
 	answer, err := s.edge.deps.Runners.Send(sendCtx, &Attempt{
 		Request:     s.req,
 		Runner:      a.choice.Runner,
@@ -305,14 +304,19 @@
 // be sent: while the connection was being opened, runners may have failed under it, or this one may have
 // left or asked for rest.
 func (a *attempt) handleConnected() bool {
-	a.connected.Store(true)
 	e := a.s.edge
 	state := a.s.pool.entryOf(a.choice.Runner).State
 	if took := time.Since(a.sent); took >= slowConnect {
 		a.s.note("connected_late", decisions.F("runner", a.choice.Runner), decisions.F("after", took), decisions.F("state", state),
 			decisions.F("list_age", a.s.pool.listAge()))
 	}
-	return len(a.s.blockingCauses()) == 0 && state != view.Leaving && state != "" && !e.rests.resting(e.deps.Steady(), a.choice.Runner)
+	if len(a.s.blockingCauses()) > 0 || state == view.Leaving || state == "" || e.rests.resting(e.deps.Steady(), a.choice.Runner) {
+		return false
+	}
+	// From here on a hedge may use the request's state.
+	a.connected.Store(true)
+	a.beginWait()
+	return true
 }
 
 func (s *requestHandler) lastEventID() string {
@@ -367,11 +371,18 @@
 // endInterrupted ends an attempt because the caller has disconnected or the deadline has passed.
 func (a *attempt) endInterrupted(sent bool) {
 	if sent {
-		a.s.exchange.RecordInterrupted()
+		a.recordInterrupted()
 	}
 	a.finish()
 }
 
+// recordInterrupted counts an attempt that this side cut off after the request was sent.
+func (a *attempt) recordInterrupted() {
+	if !a.counted {
+		a.s.exchange.RecordInterrupted()
+	}
+}
+
 func (a *attempt) finish() { a.s.pool.recordFinished(&a.ticket, 0) }
 
 // handleNotRun handles a runner's statement that it did not run the request.
--- a/daemon/edge/hedge_test.go
+++ b/daemon/edge/hedge_test.go
@@ -143,3 +143,40 @@
 		})
 	}
 }
+
+// Guards against a stream that breaks off before its attempts are used up, because one that was given up in favour of
+// its first runner counts twice: the second runner had been silent, too.
+func TestWithdrawnSecondAttemptCountsOnce(t *testing.T) {
+	withFleet(t, 1, tenSecondConfig(3), func(w *testFleet) {
+		runners := []string{"r1", "r2", "r3"}
+		attempts := w.addScriptedRunners(len(runners), func(ctx context.Context, a *scriptedAttempt) (*edge.Answer, error) {
+			switch a.number {
+			case 1:
+				return eventsAfter(0, false, func(number int) (string, error) {
+					switch number {
+					case 3:
+						// All are silent, so that no runner is dark in comparison.
+						for _, id := range runners {
+							w.runners.unresponsive(id, true)
+							defer w.runners.unresponsive(id, false)
+						}
+						if !pauseFor(ctx, 4*time.Second) {
+							return "", ctx.Err()
+						}
+					case 8:
+						return "", io.ErrUnexpectedEOF
+					}
+					return eventText(number, number), nil
+				}), nil
+			case 2:
+				<-ctx.Done()
+				return nil, brokenSend()
+			}
+			return eventAnswer(eventText(8, 9), io.EOF), nil
+		})
+		a := w.ask(w.daemons[0], "/draft/1", key)
+		w.True(a.finished)
+		w.Equal(a.body.String(), eventText(1, 9))
+		w.Equal(attempts.Load(), int64(3))
+	})
+}
--- a/daemon/edge/silent_runners.go
+++ b/daemon/edge/silent_runners.go
@@ -123,7 +123,7 @@
 	for a := range act.attempts {
 		if a.s.exchange.Terms.Repeatable {
 			a.dark.Store(true)
-			a.doubt(noProbeAnswered)
+			a.doubt(noProbeAnswered, a.connected.Load())
 		}
 	}
 }
@@ -135,8 +135,8 @@
 	defer p.mu.Unlock()
 	for _, act := range p.activities {
 		for a := range act.attempts {
-			if a.s.exchange.Terms.Repeatable || !a.connected.Load() {
-				a.doubt(pathsLost)
+			if connected := a.connected.Load(); a.s.exchange.Terms.Repeatable || !connected {
+				a.doubt(pathsLost, connected)
 			}
 		}
 	}
@@ -144,8 +144,8 @@
 
 // doubt ends an attempt that has sent nothing yet, and lets the request of another one be sent to a second runner,
 // too.
-func (a *attempt) doubt(why suspicion) {
-	if a.connected.Load() {
+func (a *attempt) doubt(why suspicion, connected bool) {
+	if connected {
 		a.suspect(why)
 		return
 	}
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -41,7 +41,6 @@
 // bodyFailed ends an attempt whose answer has begun and isn't whole. It returns nil if another attempt has taken
 // over.
 func (a *attempt) bodyFailed(ctx context.Context, err error) *forward.FailedAttempt {
-	s := a.s
 	a.finish()
 	var mismatch *versionMismatchError
 	switch {
@@ -52,7 +51,7 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			a.recordFailure()
 		}
-		s.exchange.RecordInterrupted()
+		a.recordInterrupted()
 		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
 	case errors.As(err, &mismatch):
 		return &forward.FailedAttempt{Reason: retry.NotLoaded, MayHaveRun: true, Sent: true}
