End a hedge whose suspicion has been disproved

When all runners of a service had been silent and answered their probes again, requests were sent a second time after that: a hedge begun for lost paths looked on until its own runner sent something on the same connection, and found runners as soon as the paths were back. Runners worked twice, and the retry budget was charged for as long as the silence lasted, and lost where a wait or a dial was cut short, so that real failures found none.

Change: before each look and each send a hedge asks whether its reason stands: the paths still count as lost, the runner has still answered no probe. It may begin again if a new suspicion comes in the same wait. The budget is charged only once there is a place to go to, and refunded whenever nothing was sent. A dial that this daemon cuts short is no failed connection.

--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -98,3 +98,11 @@
 	defer e.mu.Unlock()
 	return e.relayPlan.WatchesStore
 }
+
+// RetryBalance returns the number of retries that the budget of a service allows at present.
+func (e *Edge) RetryBalance(service string) float64 {
+	p := e.pool(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retry.Balance()
+}
--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/daemon/decisions"
+	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/protocol/forward"
 	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/ident"
 )
 
 // A runner that is silent may go on a moment later or never. The connection on which its answer comes can't be
@@ -42,9 +44,12 @@
 	won   *openAnswer
 }
 
-// hedge looks for another answer to a request whose runner is silent.
+// hedge looks for another answer to a request whose runner is silent. outer is the hedge whose own attempt this one
+// is for; nil if it is for the request's first.
 type hedge struct {
 	silent *attempt
+	why    suspicion
+	outer  *hedge
 	cancel context.CancelFunc
 	// done is closed when the hedge has ended.
 	done chan struct{}
@@ -69,9 +74,9 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(a.parent)
-	h := &hedge{silent: a, cancel: cancel, done: make(chan struct{})}
+	h := &hedge{silent: a, why: why, cancel: cancel, done: make(chan struct{})}
 	a.watch.hedge = h
-	go h.run(ctx, why)
+	go h.run(ctx)
 }
 
 // beginWait is called before a wait for the runner's next data.
@@ -136,18 +141,16 @@
 }
 
 // run looks for another answer until there is one, none may follow, or the silent attempt goes on.
-func (h *hedge) run(ctx context.Context, why suspicion) {
-	defer close(h.done)
+func (h *hedge) run(ctx context.Context) {
+	defer h.end()
 	a, s := h.silent, h.silent.s
-	outer := s.hedge
-	s.hedge = h
-	defer func() { s.hedge = outer }()
-	s.note("hedged", decisions.F("runner", a.choice.Runner), decisions.F("why", why), decisions.F("begun", a.begun),
+	h.outer, s.hedge = s.hedge, h
+	s.note("hedged", decisions.F("runner", a.choice.Runner), decisions.F("why", h.why), decisions.F("begun", a.begun),
 		decisions.F("events", a.eventCount()), decisions.F("heard", time.Since(time.Unix(0, a.activity.lastHeard.Load()))))
-	s.edge.log.Count("hedged." + string(why))
+	s.edge.log.Count("hedged." + string(h.why))
 	failed := &failedAttempt{forward.FailedAttempt{Reason: retry.Silent, MayHaveRun: true, Sent: true, Counted: a.counted}, a}
 	a.counted = true
-	if why == noProbeAnswered {
+	if h.why == noProbeAnswered {
 		a.recordRunnerFailure(ctx, &failed.FailedAttempt)
 	}
 	open := s.openInstead(ctx, failed)
@@ -165,32 +168,85 @@
 	}
 }
 
+// end gives the request's state back. A hedge that nothing came of may be followed by another one in the same wait.
+func (h *hedge) end() {
+	a := h.silent
+	a.s.hedge = h.outer
+	a.watch.mu.Lock()
+	if a.watch.won == nil && a.watch.hedge == h {
+		a.watch.hedge = nil
+	}
+	a.watch.mu.Unlock()
+	close(h.done)
+}
+
+// stands reports whether what the hedge was begun for is still believed, or its attempt has failed meanwhile.
+func (h *hedge) stands() bool {
+	if h.alone.Load() {
+		return true
+	}
+	if h.why == pathsLost {
+		return h.silent.s.pool.paths.lost.Load()
+	}
+	return h.silent.activity.silent.Load()
+}
+
+// keptRunners lists the runners of the attempts that are kept while others are tried.
+func (h *hedge) keptRunners() []ident.RunnerID {
+	var ids []ident.RunnerID
+	for ; h != nil; h = h.outer {
+		if !h.alone.Load() {
+			ids = append(ids, h.silent.choice.Runner)
+		}
+	}
+	return ids
+}
+
 // openInstead looks for another answer to a request whose attempt is silent. It returns nil if none may follow or
 // the context ends.
 func (s *requestHandler) openInstead(ctx context.Context, failed *failedAttempt) *openAnswer {
-	for {
-		if s.prepareRetry(ctx, failed) != nil || ctx.Err() != nil {
+	for failed != nil && s.awaitPlace(ctx) {
+		charged, end := s.prepareRetry(ctx, failed)
+		if end != nil {
 			return nil
 		}
+		failed = nil
 		sent := s.exchange.Sent()
-		open, next, end := s.open(ctx)
-		if open == nil && next == nil && s.exchange.Sent() == sent && failed.Sent {
+		var open *openAnswer
+		if s.goesOnLooking(ctx) {
+			open, failed, end = s.open(ctx)
+		}
+		if charged && open == nil && s.exchange.Sent() == sent {
+			// Nothing was sent for what the budget was charged.
 			s.pool.withRetryPolicy(func(p *retry.Policy) { p.Refund() })
 		}
 		if open != nil {
-			open, next = open.peek(ctx)
+			open, failed = open.peek(ctx)
 		}
-		switch {
-		case open != nil:
+		if open != nil {
 			return open
-		case ctx.Err() != nil:
-			return nil
-		case end != nil:
+		}
+		if end != nil {
 			s.note("hedge_ended", decisions.F("reason", end.Reason), decisions.F("detail", end.Detail))
-			return nil
 		}
-		failed = next
 	}
+	return nil
+}
+
+// awaitPlace waits as long as this daemon reaches no runner and no helper does, so that the retry budget isn't charged
+// for nothing. It reports whether the request is still to be sent.
+func (s *requestHandler) awaitPlace(ctx context.Context) bool {
+	for s.patient() && s.pool.paths.lost.Load() && (s.delegated || len(s.edge.helpers(s.pool.name)) == 0) {
+		if !pause.For(ctx, lookAgainInterval) || !s.goesOnLooking(ctx) {
+			return false
+		}
+	}
+	return s.goesOnLooking(ctx)
+}
+
+// goesOnLooking reports whether the request is still to be sent, and for a hedge, whether its reason stands.
+func (s *requestHandler) goesOnLooking(ctx context.Context) bool {
+	return ctx.Err() == nil && (s.hedge == nil || s.hedge.stands())
 }
 
 // peek waits until something of the body has arrived, or of that of the attempt that has taken over. Otherwise it
--- a/daemon/edge/hedge_test.go
+++ b/daemon/edge/hedge_test.go
@@ -180,3 +180,48 @@
 		w.Equal(attempts.Load(), int64(3))
 	})
 }
+
+// Guards against second sends, and a retry budget that is used up for nothing, when a suspicion has been disproved:
+// all runners were silent and answer their probes again, but their next events take a while.
+func TestNothingIsSentTwiceOnceThePathsAreBack(t *testing.T) {
+	const streams = 30
+	withFleet(t, 1, tenSecondConfig(2), func(w *testFleet) {
+		awake := make(chan struct{})
+		attempts := w.addScriptedRunners(6, func(ctx context.Context, a *scriptedAttempt) (*edge.Answer, error) {
+			from := 0
+			fmt.Sscanf(a.LastEventID, "%d", &from)
+			return eventsAfter(from, false, func(number int) (string, error) {
+				if number == 4 && from == 0 {
+					<-awake
+				}
+				if number == 9 {
+					return "", io.EOF
+				}
+				if !pauseFor(ctx, 300*time.Millisecond) {
+					return "", ctx.Err()
+				}
+				return eventText(number, number), nil
+			}), nil
+		})
+		answered := make(chan *recordedReply, streams)
+		for range streams {
+			go func() { answered <- w.ask(w.daemons[0], "/draft/1", key) }()
+		}
+		time.Sleep(time.Second)
+		before := w.daemons[0].RetryBalance("app")
+		for i := range 6 {
+			w.runners.unresponsive(fmt.Sprintf("r%d", i+1), true)
+		}
+		time.Sleep(hedgedSilence)
+		for i := range 6 {
+			w.runners.unresponsive(fmt.Sprintf("r%d", i+1), false)
+		}
+		close(awake)
+		for range streams {
+			a := <-answered
+			w.Equal(a.body.String(), eventText(1, 8))
+		}
+		w.Equal(attempts.Load(), int64(streams))
+		w.True(w.daemons[0].RetryBalance("app") >= before)
+	})
+}
--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -103,7 +103,7 @@
 func (s *requestHandler) excludedRunners() prefix.Set {
 	excluded := s.failedRunners.Or(s.heldRunners).Or(s.pool.otherVersions(s.bound))
 	if s.patient() {
-		excluded = excluded.Or(s.pool.exclusionOf(s.pool.silentRunnerIDs()...))
+		excluded = excluded.Or(s.pool.exclusionOf(append(s.pool.silentRunnerIDs(), s.hedge.keptRunners()...)...))
 	}
 	return excluded
 }
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -51,7 +51,7 @@
 			return
 		}
 		if end == nil {
-			end = s.prepareRetry(ctx, failed)
+			_, end = s.prepareRetry(ctx, failed)
 		}
 		if end != nil {
 			s.end(end)
@@ -73,7 +73,7 @@
 			return open, failed, end
 		}
 		s.edge.log.Count("looks_again." + string(end.Reason))
-		if !pause.For(ctx, lookAgainInterval) {
+		if !pause.For(ctx, lookAgainInterval) || !s.goesOnLooking(ctx) {
 			return nil, nil, nil
 		}
 	}
@@ -126,7 +126,7 @@
 	if failure == nil {
 		return open, nil, nil
 	}
-	if !failure.Sent && failure.Reason != retry.Withdrawn {
+	if !failure.Sent && failure.Reason != retry.Withdrawn && ctx.Err() == nil {
 		s.connectFailures++
 	}
 	return nil, a.failed(failure), nil
@@ -168,11 +168,11 @@
 	return &failedAttempt{*failure, a}
 }
 
-// prepareRetry decides whether another attempt follows a failed one, and waits until it is due. It returns the
-// refusal if none follows, and nil early if the context ends.
-func (s *requestHandler) prepareRetry(ctx context.Context, failed *failedAttempt) *refusal.Refusal {
+// prepareRetry decides whether another attempt follows a failed one, and waits until it is due. It returns whether the
+// retry budget was charged for that, and the refusal if none follows. It returns early if the request isn't to be sent
+// any more.
+func (s *requestHandler) prepareRetry(ctx context.Context, failed *failedAttempt) (charged bool, end *refusal.Refusal) {
 	var wait time.Duration
-	var end *refusal.Refusal
 	s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.HandleFailure(time.Now(), p, failed.FailedAttempt) })
 	a := failed.attempt
 	s.note("attempt_failed", decisions.F("runner", a.runner()), decisions.F("reason", failed.Reason),
@@ -182,18 +182,18 @@
 	s.edge.log.Count("attempt_failed." + string(failed.Reason))
 	for end != nil && end.Reason == refusal.RetryBudgetExhausted && s.patient() {
 		s.edge.log.Count("looks_again." + string(end.Reason))
-		if !pause.For(ctx, lookAgainInterval) {
-			return nil
+		if !pause.For(ctx, lookAgainInterval) || !s.goesOnLooking(ctx) {
+			return false, nil
 		}
 		s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.Decide(time.Now(), p, failed.FailedAttempt) })
 	}
 	if end != nil {
-		return s.withRetryAfter(end)
+		return false, s.withRetryAfter(end)
 	}
 	if pause.For(ctx, wait) && (a == nil || !a.rests) {
 		s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(a.runner()))
 	}
-	return nil
+	return failed.Sent, nil
 }
 
 // endIfCanceled ends a request whose caller has disconnected or whose deadline has passed, and
