Let a broken stream go on at a runner that has failed it before

A stream whose only fitting runner broke its answer once was held until its deadline and cut then, looking again each 100 ms in vain: runners that have failed a request are excluded from its next attempts, for good. Now that a begun answer waits for a runner, it forgets them with each new look; the attempts and the budget bound it as before, and the runner of an attempt that is kept open stays excluded.

--- a/daemon/edge/hedge_test.go
+++ b/daemon/edge/hedge_test.go
@@ -181,6 +181,23 @@
 	})
 }
 
+// Guards against a stream that is held until its deadline because the only runner has failed it once.
+func TestBrokenStreamGoesOnAtItsOnlyRunner(t *testing.T) {
+	withFleet(t, 1, tenSecondConfig(2), func(w *testFleet) {
+		w.addScriptedRunners(1, func(_ context.Context, a *scriptedAttempt) (*edge.Answer, error) {
+			if a.number == 1 {
+				return eventAnswer(eventText(1, 2), io.ErrUnexpectedEOF), nil
+			}
+			return eventAnswer(eventText(3, 4), io.EOF), nil
+		})
+		start := time.Now()
+		a := w.ask(w.daemons[0], "/draft/1", key)
+		w.True(a.finished)
+		w.Equal(a.body.String(), eventText(1, 4))
+		w.True(time.Since(start) < time.Second)
+	})
+}
+
 // Guards against second sends, and a retry budget that is used up for nothing, when a suspicion has been disproved:
 // all runners were silent and answer their probes again, but their next events take a while.
 func TestNothingIsSentTwiceOnceThePathsAreBack(t *testing.T) {
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -10,6 +10,7 @@
 	"geraniumstack.org/geraniumstack/internal/pause"
 	"geraniumstack.org/geraniumstack/protocol/forward"
 	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
@@ -76,6 +77,8 @@
 		if !pause.For(ctx, lookAgainInterval) || !s.goesOnLooking(ctx) {
 			return nil, nil, nil
 		}
+		// A runner that has failed the request once may serve it now.
+		s.failedRunners = prefix.Set{}
 	}
 }
 
