Keep an answer in progress when the quota refuses its continuation

The quota admits it a moment later, so this is a reason to look again. A request whose charge was refused for a passing reason was sent uncharged on the next look; it is charged again now.

What is refused must have come in a silence.

--- a/daemon/edge/hedge_test.go
+++ b/daemon/edge/hedge_test.go
@@ -242,3 +242,36 @@
 		w.True(w.daemons[0].RetryBalance("app") >= before)
 	})
 }
+
+// Guards against a daemon that closes the connection of a request at its runner because a helper refuses the request
+// for the quota, which both have charged.
+func TestHelpersQuotaRefusalEndsNoAnswer(t *testing.T) {
+	const requests = 12
+	c := tenSecondConfig(4)
+	c.Workspaces[0].Quota = route.Quota{PerSecond: 0.01, Burst: 60}
+	withFleet(t, 3, c, func(w *testFleet) {
+		var slow atomic.Bool
+		w.addScriptedRunners(3, func(ctx context.Context, _ *scriptedAttempt) (*edge.Answer, error) {
+			if ctx.Value(senderKey{}) == w.daemons[0].runners && slow.Load() && !pauseFor(ctx, 1900*time.Millisecond) {
+				return nil, brokenSend()
+			}
+			return plainAnswer(http.StatusOK, "whole"), nil
+		})
+		time.Sleep(4 * time.Second)
+		slow.Store(true)
+		answered := make(chan *recordedReply, requests)
+		for range requests {
+			go func() { answered <- w.ask(w.daemons[0], "/read/1", key) }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		for range 60 {
+			w.ask(w.daemons[1], "/read/1", key)
+			w.ask(w.daemons[2], "/read/1", key)
+		}
+		go w.daemons[0].runners.pause(1820 * time.Millisecond)
+		for range requests {
+			w.Equal((<-answered).body.String(), "whole")
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -92,7 +92,8 @@
 func isPassing(r *refusal.Refusal) bool {
 	switch r.Reason {
 	case refusal.NoRunner, refusal.VersionUnavailable, refusal.RunnersLimited, refusal.RunnersResting, refusal.DeadlineUnreachable,
-		refusal.RetryBudgetExhausted, refusal.Draining, refusal.NotReady, refusal.StaleConfiguration, refusal.QuotaUnknown:
+		refusal.RetryBudgetExhausted, refusal.Draining, refusal.NotReady, refusal.StaleConfiguration, refusal.QuotaUnknown,
+		refusal.WorkspaceLimit:
 		return true
 	}
 	return false
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -182,14 +182,15 @@
 	if s.prepared {
 		return nil
 	}
-	s.prepared = true
 	s.routingRequest = routingRequestOf(s.req)
 	s.routingRequest.Fetchable = s.pool.canFetchPrefix()
 	s.routingRequest.Exclude = s.excludedRunners()
 	if s.gate = s.edge.trials.gate(s.pool.name); s.gate != nil {
 		s.pool.excludeByPlacement(&s.routingRequest, s.routingRequest.Exclude, s.gate, s.edge.placeRepeat(s.gate))
 	}
-	return s.charge(ctx)
+	r := s.charge(ctx)
+	s.prepared = r == nil
+	return r
 }
 
 func routingRequestOf(r *Request) routing.Request {
