Count a kept attempt when its failure is processed

An attempt that was hedged without that its hedge got as far as a decision was left out of the count when it was withdrawn, so that a request could be sent to more runners than its attempts. It counts now where the decision is made.

--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -149,7 +149,6 @@
 		decisions.F("events", a.eventCount()), decisions.F("heard", time.Since(time.Unix(0, a.activity.lastHeard.Load()))))
 	s.edge.log.Count("hedged." + string(h.why))
 	failed := &failedAttempt{forward.FailedAttempt{Reason: retry.Silent, MayHaveRun: true, Sent: true, Counted: a.counted}, a}
-	a.counted = true
 	if h.why == noProbeAnswered {
 		a.recordRunnerFailure(ctx, &failed.FailedAttempt)
 	}
--- a/daemon/edge/hedge_test.go
+++ b/daemon/edge/hedge_test.go
@@ -9,8 +9,10 @@
 	"testing"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/protocol/retry"
+	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/route"
 )
 
@@ -145,22 +147,22 @@
 }
 
 // Guards against a stream that breaks off before its attempts are used up, because one that was given up in favour of
-// its first runner counts twice: the second runner had been silent, too.
+// its first runner counts twice: the second runner was silent, too, and a third one was tried.
 func TestWithdrawnSecondAttemptCountsOnce(t *testing.T) {
-	withFleet(t, 1, tenSecondConfig(3), func(w *testFleet) {
-		runners := []string{"r1", "r2", "r3"}
-		attempts := w.addScriptedRunners(len(runners), func(ctx context.Context, a *scriptedAttempt) (*edge.Answer, error) {
+	withFleet(t, 1, tenSecondConfig(4), func(w *testFleet) {
+		near := []string{"r1", "r2"}
+		attempts := w.addScriptedRunners(4, func(ctx context.Context, a *scriptedAttempt) (*edge.Answer, error) {
 			switch a.number {
 			case 1:
 				return eventsAfter(0, false, func(number int) (string, error) {
 					switch number {
 					case 3:
-						// All are silent, so that no runner is dark in comparison.
-						for _, id := range runners {
+						// Both are silent, so that neither is dark in comparison.
+						for _, id := range near {
 							w.runners.unresponsive(id, true)
 							defer w.runners.unresponsive(id, false)
 						}
-						if !pauseFor(ctx, 4*time.Second) {
+						if !pauseFor(ctx, 5*time.Second) {
 							return "", ctx.Err()
 						}
 					case 8:
@@ -168,16 +170,22 @@
 					}
 					return eventText(number, number), nil
 				}), nil
-			case 2:
+			case 2, 3:
 				<-ctx.Done()
 				return nil, brokenSend()
 			}
 			return eventAnswer(eventText(8, 9), io.EOF), nil
 		})
+		for _, id := range []string{"r3", "r4"} {
+			w.put(runnerPrefix+id, edge.Runner{Runner: view.Runner{
+				ID: ident.RunnerID(id), Address: id, Service: "app", FailureDomain: "south", State: view.Live,
+			}, Slots: 8})
+		}
+		time.Sleep(500 * time.Millisecond)
 		a := w.ask(w.daemons[0], "/draft/1", key)
 		w.True(a.finished)
 		w.Equal(a.body.String(), eventText(1, 9))
-		w.Equal(attempts.Load(), int64(3))
+		w.Equal(attempts.Load(), int64(4))
 	})
 }
 
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -179,6 +179,9 @@
 	var wait time.Duration
 	s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.HandleFailure(time.Now(), p, failed.FailedAttempt) })
 	a := failed.attempt
+	if a != nil {
+		a.counted = a.counted || failed.Sent
+	}
 	s.note("attempt_failed", decisions.F("runner", a.runner()), decisions.F("reason", failed.Reason),
 		decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", fmt.Sprint(s.parts)),
 		causeField(s.content()), decisions.F("may_have_run", failed.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
