--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -256,7 +256,8 @@
 }
 
 // RunnerClient sends requests to runners. Send makes one attempt and never retries; its errors
-// are *SendError. Canceling the context ends the attempt, including the reading of the body.
+// are *SendError. Canceling the context ends the attempt, including the reading of the body. Both calls end once the
+// bytes of the runner are known to be no answer: see MaxHeadBytes, MaxPieceTime, MaxInterimAnswers and MaxSkippedBytes.
 type RunnerClient interface {
 	Send(ctx context.Context, a *Attempt) (*Answer, error)
 	// CheckHealth asks the runner over a new connection whether it accepts work. If path is
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -37,6 +37,8 @@
 	TruncateStream Fault = "cut_stream"
 	// Hang never responds.
 	Hang Fault = "hang"
+	// EndlessHead sends header lines until the connection is closed.
+	EndlessHead Fault = "endless_head"
 )
 
 // Execution is one request that the runner began to execute.
@@ -377,6 +379,9 @@
 	case TruncateBody:
 		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", r.responseHeader(200, run.ID), len(body), body[:4])
 		return false
+	case EndlessHead:
+		r.writeEndlessly(c, run, r.responseHeader(200, run.ID), "X-Filler: filler\r\n")
+		return false
 	case InternalError:
 		fmt.Fprintf(c, "%sContent-Length: 4\r\n\r\noops", r.responseHeader(500, run.ID))
 		return true
@@ -393,6 +398,24 @@
 	return true
 }
 
+// maxEndlessBytes bounds what a runner sends where it sends without end; then it waits until the connection is closed.
+const maxEndlessBytes = 64 << 20
+
+// writeEndlessly sends first, and then rest again and again until the connection is closed.
+func (r *Runner) writeEndlessly(c net.Conn, run *Execution, first, rest string) {
+	defer r.markDisconnected(run)
+	rest = strings.Repeat(rest, 1+(32<<10)/len(rest))
+	sent := 0
+	for piece := first; sent < maxEndlessBytes; piece = rest {
+		n, err := io.WriteString(c, piece)
+		sent += n
+		if err != nil {
+			return
+		}
+	}
+	_, _ = io.Copy(io.Discard, c)
+}
+
 func (r *Runner) markDisconnected(run *Execution) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
