Look at each byte of an event stream once

What callers saw: other requests at the daemon were slowed, while a runner sent event bytes that end no event a few at a time, or tiny events without end.

Cause: with each read, the end of the event was searched from its beginning, so that the 1 MiB after which such a stream is given up cost the processor a scan of all before it for each read. Each event also moved all bytes behind it, and looked through them for an end of the other form.

Change: the search goes on where the last one ended, and the bytes behind the whole events are moved once for each read.

Why it works: an end is recognized by the bytes before it, which stay pending until then. Events are the same however their bytes are cut (TestEventsAreTheSameInAnyPieces and TestEventsAreWholeForAnySplit, which passed before too).

--- a/protocol/forward/events.go
+++ b/protocol/forward/events.go
@@ -26,7 +26,10 @@
 // After a resume, the events of the next runner pass through the same
 // EventStream, so that an event sent by both runners reaches the caller once.
 type EventStream struct {
+	// pending are the bytes of the incomplete event. The first scanned of them hold no end of an event, so that each
+	// byte is looked at once however the bytes of a long event arrive.
 	pending    []byte
+	scanned    int
 	lastID     string
 	lastNumber int64
 	eventCount int
@@ -54,7 +57,13 @@
 
 // DropPartialEvent discards the incomplete event that the previous runner
 // left.
-func (s *EventStream) DropPartialEvent() { s.pending = s.pending[:0] }
+func (s *EventStream) DropPartialEvent() { s.keep(0) }
+
+// keep keeps the last n of the pending bytes, as the beginning of an event.
+func (s *EventStream) keep(n int) {
+	s.pending = append(s.pending[:0], s.pending[len(s.pending)-n:]...)
+	s.scanned = 0
+}
 
 // HasPartialEvent reports whether the stream ended within an event.
 func (s *EventStream) HasPartialEvent() bool { return len(bytes.TrimSpace(s.pending)) > 0 }
@@ -63,36 +72,43 @@
 // not have yet to dst.
 func (s *EventStream) Push(dst, data []byte) ([]byte, error) {
 	s.pending = append(s.pending, data...)
+	begin := 0
 	for {
-		end := eventEnd(s.pending)
+		end := eventEnd(s.pending, begin, max(begin, s.scanned))
 		if end < 0 {
 			break
 		}
-		event := s.pending[:end]
+		event := s.pending[begin:end]
 		if s.markIfNew(event) {
 			dst = append(dst, event...)
 			s.eventCount++
 		}
-		s.pending = append(s.pending[:0], s.pending[end:]...)
+		begin = end
 	}
+	if begin > 0 {
+		s.keep(len(s.pending) - begin)
+	}
+	s.scanned = len(s.pending)
 	if len(s.pending) > MaxEventBytes {
 		return dst, &EventTooLargeError{Size: len(s.pending)}
 	}
 	return dst, nil
 }
 
-// eventEnd returns the length of the first event, including the blank line
-// that ends it, or -1 if the event is incomplete.
-func eventEnd(data []byte) int {
-	lf := bytes.Index(data, []byte("\n\n"))
-	crlf := bytes.Index(data, []byte("\r\n\r\n"))
-	if crlf >= 0 && (lf < 0 || crlf < lf) {
-		return crlf + len("\r\n\r\n")
-	}
-	if lf >= 0 {
-		return lf + len("\n\n")
+// eventEnd returns where the event ends that begins at begin, after the blank line that ends it, or -1 if the event is
+// incomplete. Before from there is no end.
+func eventEnd(data []byte, begin, from int) int {
+	for {
+		next := bytes.IndexByte(data[from:], '\n')
+		if next < 0 {
+			return -1
+		}
+		from += next + 1
+		line := data[begin:from]
+		if bytes.HasSuffix(line, []byte("\n\n")) || bytes.HasSuffix(line, []byte("\r\n\r\n")) {
+			return from
+		}
 	}
-	return -1
 }
 
 // markIfNew records the event's ID. It returns false if the caller already has
