Give up a stream whose event goes on without an end

What callers saw: streams that stood still until their deadline and were then cut, although another runner could have gone on with them: their runner sent bytes of an event now and then and never ended it. Each byte counted as a sign of life, so that the runner wasn't probed either.

Evidence: TestSlowEventWithoutEndIsNoAnswer on the code before: a stream that may be resumed ended at its deadline of 10 s, not within the target of 2 s.

Why it works: only whole events are passed on, so the event can come from another runner. The time is looked at when bytes arrive: a silence of any length within an event costs nothing if its end follows (TestEventAfterSilenceIsAnEvent, which passed before too).

Before: the first test failed. After: both pass, with fillers of text, spaces and carriage returns.

--- /dev/null
+++ b/daemon/edge/endless_test.go
@@ -0,0 +1,121 @@
+package edge_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/daemon/edge"
+)
+
+// endlessBody is a body that begins with first and goes on with rest again and again, each after a pause, until its
+// attempt ends. Without a pause it falls silent once it has brought most bytes.
+type endlessBody struct {
+	ctx         context.Context
+	first, rest string
+	pause       time.Duration
+	most, read  int64
+	closed      bool
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	wait := b.pause
+	if b.pause == 0 && b.read >= b.most {
+		wait = time.Hour
+	}
+	if b.read == 0 {
+		wait = 0
+	}
+	select {
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	case <-time.After(wait):
+	}
+	n := copy(p, b.first)
+	b.first = b.first[n:]
+	for n == 0 || b.pause == 0 && n+len(b.rest) <= len(p) {
+		n += copy(p[n:], b.rest)
+	}
+	b.read += int64(n)
+	return n, nil
+}
+
+func (b *endlessBody) Close() error {
+	b.closed = true
+	return nil
+}
+
+// endlessAnswer returns an answer with such a body.
+func endlessAnswer(ctx context.Context, status int, body *endlessBody) *edge.Answer {
+	a := plainAnswer(status, "")
+	body.ctx = ctx
+	a.Length, a.Body = -1, body
+	return a
+}
+
+// Guards against a stream that waits until its deadline for an event whose bytes come now and then without an end.
+func TestSlowEventWithoutEndIsNoAnswer(t *testing.T) {
+	for _, filler := range []string{"x", " ", "\r"} {
+		for _, path := range []string{"/draft/1", "/match/1"} {
+			withFleet(t, 1, config(1), func(w *testFleet) {
+				w.addRunner("sick", "app").setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+					answer := endlessAnswer(ctx, 200, &endlessBody{first: eventText(1, 2) + "id: 3\n", rest: filler, pause: 100 * time.Millisecond})
+					answer.Events = true
+					return answer, nil
+				})
+				w.addRunner("sound", "app").setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+					if a.LastEventID == "" {
+						return refuseUnrun(ctx, a)
+					}
+					return eventAnswer(eventText(3, 6), io.EOF), nil
+				})
+				time.Sleep(100 * time.Millisecond)
+				start := time.Now()
+				a := w.ask(w.daemons[0], path, key)
+				w.True(time.Since(start) < 2*time.Second)
+				if path == "/draft/1" {
+					w.True(a.finished)
+					w.Equal(a.body.String(), eventText(1, 6))
+				} else {
+					w.True(a.aborted && !a.finished)
+					w.Equal(a.body.String(), eventText(1, 2))
+				}
+			})
+		}
+	}
+}
+
+// pausingBody is the body of a stream whose event comes in two parts with a silence between.
+type pausingBody struct {
+	parts []string
+	pause time.Duration
+}
+
+func (b *pausingBody) Read(p []byte) (int, error) {
+	if len(b.parts) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.parts[0])
+	b.parts = b.parts[1:]
+	if len(b.parts) > 0 {
+		return n, nil
+	}
+	time.Sleep(b.pause)
+	return n, nil
+}
+
+// Guards against a stream that is cut since its runner was silent within an event.
+func TestEventAfterSilenceIsAnEvent(t *testing.T) {
+	withFleet(t, 1, config(1), func(w *testFleet) {
+		w.addRunner("r1", "app").setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+			answer := eventAnswer("", io.EOF)
+			answer.Body = io.NopCloser(&pausingBody{parts: []string{eventText(1, 2) + "id: 3\n", "data: word3\n\n"}, pause: 3 * time.Second})
+			return answer, nil
+		})
+		time.Sleep(100 * time.Millisecond)
+		a := w.ask(w.daemons[0], "/match/1", key)
+		w.True(a.finished)
+		w.Equal(a.body.String(), eventText(1, 3))
+	})
+}
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -87,12 +87,38 @@
 
 func (*truncatedEventError) Error() string { return "stream ended within an event" }
 
+// unfinishedEventError says that the bytes of an event have come for MaxPieceTime without ending it.
+type unfinishedEventError struct{}
+
+func (*unfinishedEventError) Error() string { return "event without an end" }
+
+// eventTimer measures how long the bytes of one event have been coming.
+type eventTimer struct {
+	ended int
+	began time.Time
+}
+
+// check returns an error if the event that the stream is in has come for too long. It must be called after bytes have
+// been received.
+func (t *eventTimer) check(events *forward.EventStream) error {
+	switch {
+	case !events.InEvent():
+		t.began = time.Time{}
+	case t.began.IsZero() || events.Ended() != t.ended:
+		t.ended, t.began = events.Ended(), time.Now()
+	case time.Since(t.began) > MaxPieceTime:
+		return &unfinishedEventError{}
+	}
+	return nil
+}
+
 // copyEvents passes events on until the runner's stream ends. It returns nil if the stream
 // ended after a whole event.
 func (a *attempt) copyEvents(answer *Answer) error {
 	s := a.s
 	buffer := make([]byte, copyBufferBytes)
 	var out []byte
+	var timer eventTimer
 	first := true
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -117,6 +143,9 @@
 				return &callerLeftError{writeErr}
 			}
 		}
+		if timerErr := timer.check(s.events); timerErr != nil {
+			return timerErr
+		}
 		if errors.Is(err, io.EOF) {
 			if s.events.HasPartialEvent() {
 				return &truncatedEventError{}
--- a/protocol/forward/events.go
+++ b/protocol/forward/events.go
@@ -33,6 +33,7 @@
 	lastID     string
 	lastNumber int64
 	eventCount int
+	ended      int
 }
 
 // NewEventStream returns a stream that continues after the event with the
@@ -55,6 +56,16 @@
 // Events returns the number of complete events that Push has returned.
 func (s *EventStream) Events() int { return s.eventCount }
 
+// Ended returns the number of complete events that have arrived, including those that the caller already had.
+func (s *EventStream) Ended() int { return s.ended }
+
+// InEvent reports whether an event has begun and not ended. Line ends between events begin none.
+func (s *EventStream) InEvent() bool { return len(s.pending) > maxLineEnds }
+
+// maxLineEnds is the number of bytes of a line end and the beginning of another one, after which an event may still
+// begin.
+const maxLineEnds = len("\n\r\n")
+
 // DropPartialEvent discards the incomplete event that the previous runner
 // left.
 func (s *EventStream) DropPartialEvent() { s.keep(0) }
@@ -84,6 +95,7 @@
 			s.eventCount++
 		}
 		begin = end
+		s.ended++
 	}
 	if begin > 0 {
 		s.keep(len(s.pending) - begin)
