Don't pass on a runner's server error without an end

What callers saw: bytes of a server error for as long as they came, cut at the deadline, although another runner could have answered their request.

Change: a server error without a known length that doesn't fit into the buffer fails the attempt: a request that may be repeated goes to another runner, any other is refused, executed unknown. The runner's failure counts.

Why it works: nothing has been passed on at that point.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -245,7 +245,8 @@
 	a.begun, a.events = true, answer.Events
 	a.countStarted()
 	if a.s.exchange.AnswerBegun && !answer.Events {
-		return a.rejectNonStream()
+		// Passed on, this body would look like the end of a complete stream.
+		return a.rejectAnswer()
 	}
 	answer.Body = &watchedBody{ReadCloser: answer.Body, attempt: a}
 	if answer.Unframed {
@@ -290,10 +291,8 @@
 	a.observeRest(answer)
 }
 
-// rejectNonStream fails an attempt that should resume a stream but was answered with something
-// other than an event stream. Passed on, that body would look like the end of a complete
-// answer.
-func (a *attempt) rejectNonStream() *forward.FailedAttempt {
+// rejectAnswer fails an attempt whose answer can't be passed on.
+func (a *attempt) rejectAnswer() *forward.FailedAttempt {
 	a.finish()
 	a.s.pool.observe(a.choice.Runner, health.Failure)
 	a.recordFailure()
--- a/daemon/edge/buffered.go
+++ b/daemon/edge/buffered.go
@@ -32,6 +32,10 @@
 		return a.bodyFailed(ctx, err)
 	}
 	if len(body) > maxBufferedBytes {
+		if answer.Status >= http.StatusInternalServerError && answer.Length < 0 {
+			// Errors are short; this one may have no end.
+			return a.rejectAnswer()
+		}
 		return a.streamBody(ctx, answer, body)
 	}
 	a.finish()
--- a/daemon/edge/endless_test.go
+++ b/daemon/edge/endless_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
 	"geraniumstack.org/geraniumstack/daemon/edge"
+	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
 // endlessBody is a body that begins with first and goes on with rest again and again, each after a pause, until its
@@ -119,3 +121,51 @@
 		w.Equal(a.body.String(), eventText(1, 3))
 	})
 }
+
+// mostErrorBytes is how much a runner sends of a server error without end; the buffer for answers holds less.
+const mostErrorBytes = 8 << 20
+
+// Guards against a server error without end that is passed on for as long as its bytes come, although another runner may
+// answer.
+func TestErrorWithoutEndIsNotPassedOn(t *testing.T) {
+	withFleet(t, 1, config(1), func(w *testFleet) {
+		var bodies []*endlessBody
+		w.addRunner("sick", "app").setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+			body := &endlessBody{first: "oops", rest: "oops", most: mostErrorBytes}
+			bodies = append(bodies, body)
+			return endlessAnswer(ctx, 500, body), nil
+		})
+		time.Sleep(100 * time.Millisecond)
+		start := time.Now()
+		a := w.ask(w.daemons[0], "/pledge/1", key)
+		w.True(time.Since(start) < 100*time.Millisecond)
+		w.Equal(a.reason(), refusal.RunnerFailed)
+		w.Equal(a.refusal.Executed, refusal.ExecutedUnknown)
+		w.True(bodies[0].closed)
+		w.True(bodies[0].read < mostErrorBytes)
+
+		w.addRunner("sound", "app")
+		time.Sleep(100 * time.Millisecond)
+		for range 10 {
+			a = w.ask(w.daemons[0], "/read/1", key)
+			w.Equal(a.body.String(), "from sound")
+		}
+		// Three failures eject a runner.
+		w.Equal(len(bodies), 3)
+	})
+}
+
+// Guards against a long server error with a known length that isn't passed on.
+func TestLongErrorWithAnEndIsPassedOn(t *testing.T) {
+	withFleet(t, 1, config(1), func(w *testFleet) {
+		long := strings.Repeat("oops", 100<<10)
+		w.addRunner("r1", "app").setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+			return plainAnswer(500, long), nil
+		})
+		time.Sleep(100 * time.Millisecond)
+		a := w.ask(w.daemons[0], "/pledge/1", key)
+		w.Equal(a.status, 500)
+		w.True(a.finished)
+		w.Equal(a.body.String(), long)
+	})
+}
