Count long answers for and against their runners

What callers saw: long answers cut, one after the other, by a runner that went on getting requests: an answer beyond the buffer of 256 KiB that broke off counted only for the trial of a version, not against its runner.

Cause: the path of long answers recorded neither the failure nor the success that buffered answers record.

Evidence: TestLongBodyThatBreaksOffIsAFailure on the code before: 29 of 30 requests went to the runner that broke each answer off, target 3.

Change: a long answer that breaks off is recorded like any other that does, and a whole one as a success, since otherwise few failures among many whole answers would look like failures in a row.

Before: the first test failed; TestLongBodyThatIsWholeIsASuccess failed with the first half of the change alone. After: both pass.

--- a/daemon/edge/buffered.go
+++ b/daemon/edge/buffered.go
@@ -88,6 +88,9 @@
 				return nil
 			}
 			a.recordAnswered()
+			if a.helper == "" {
+				s.pool.observe(a.choice.Runner, health.Success)
+			}
 			a.took(time.Since(a.sent), false)
 			s.note("answered", decisions.F("runner", a.choice.Runner), decisions.F("status", answer.Status))
 			s.reply.Finish()
@@ -97,7 +100,7 @@
 			if ctx.Err() != nil {
 				s.exchange.RecordInterrupted()
 			} else {
-				a.recordFailure()
+				a.recordBroken()
 			}
 			return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: ctx.Err() == nil}
 		}
--- a/daemon/edge/endless_test.go
+++ b/daemon/edge/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -169,3 +170,65 @@
 		w.Equal(a.body.String(), long)
 	})
 }
+
+// countingReply is a caller's reply that counts the body's bytes and drops them.
+type countingReply struct {
+	recordedReply
+	bytes int64
+}
+
+func (r *countingReply) Write(p []byte) error {
+	r.bytes += int64(len(p))
+	return nil
+}
+
+// askCounting sends a request to the first daemon.
+func (w *testFleet) askCounting(path string) *countingReply {
+	a := &countingReply{}
+	w.daemons[0].Serve(w.t.Context(), &edge.Request{
+		ID: "r1", Host: host, Path: path, Method: http.MethodPost, Target: path, Header: http.Header{}, Key: key, Received: time.Now(),
+	}, a)
+	return a
+}
+
+// Guards against a long answer that breaks off without counting against its runner.
+func TestLongBodyThatBreaksOffIsAFailure(t *testing.T) {
+	withFleet(t, 1, config(1), func(w *testFleet) {
+		sick := w.addRunner("sick", "app")
+		sick.setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+			answer := plainAnswer(200, "")
+			answer.Body, answer.Length = eventAnswer(strings.Repeat("x", 1<<20), io.ErrUnexpectedEOF).Body, -1
+			return answer, nil
+		})
+		w.addRunner("sound", "app")
+		time.Sleep(100 * time.Millisecond)
+		for range 30 {
+			w.askCounting("/read/1")
+		}
+		w.Equal(sick.count(), 3)
+	})
+}
+
+// Guards against whole long answers that don't count for their runner, so that few that break off eject it.
+func TestLongBodyThatIsWholeIsASuccess(t *testing.T) {
+	withFleet(t, 1, config(1), func(w *testFleet) {
+		r := w.addRunner("r1", "app")
+		sent := 0
+		r.setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+			sent++
+			end := io.EOF
+			if sent%3 == 0 {
+				end = io.ErrUnexpectedEOF
+			}
+			answer := plainAnswer(200, "")
+			answer.Body, answer.Length = eventAnswer(strings.Repeat("x", 1<<20), end).Body, -1
+			return answer, nil
+		})
+		w.addRunner("r2", "app")
+		time.Sleep(100 * time.Millisecond)
+		for range 30 {
+			w.askCounting("/read/1")
+		}
+		w.True(r.count() > 20)
+	})
+}
