Cut answers that are larger than any answer

What callers saw: an answer whose bytes came until their deadline and was then cut, while one such request kept a processor of the daemon busy for all that time. Its runner went on getting requests: an end at the deadline is none of its failures.

Cause: a body without a length, or with an absurd one, was passed on until its end or the deadline. It can't be told from a long one by its bytes.

Evidence: TestBodyWithoutEndIsCut and TestAnswerWithAnAbsurdLengthIsNotPassedOn on the code before: over 256 MiB were passed on, and the second was begun.

Change: an answer of more than 256 MiB, which no answer comes near, is cut there, or not begun if it states such a length; that counts as the runner's failure. Nothing of a cut answer looks whole to its caller.

Why it works: the count lies below everything that reads the body, so that it holds for buffered, long and event bodies. Three such answers eject the runner, after which the other one answers.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -248,6 +248,10 @@
 		// Passed on, this body would look like the end of a complete stream.
 		return a.rejectAnswer()
 	}
+	if answer.Length > MaxAnswerBytes {
+		return a.rejectAnswer()
+	}
+	answer.Body = &sizedBody{ReadCloser: answer.Body, left: MaxAnswerBytes}
 	answer.Body = &watchedBody{ReadCloser: answer.Body, attempt: a}
 	if answer.Unframed {
 		answer.Body = &unframedBody{ReadCloser: answer.Body, attempt: a, needsData: answer.Events}
--- a/daemon/edge/endless_test.go
+++ b/daemon/edge/endless_test.go
@@ -232,3 +232,55 @@
 		w.True(r.count() > 20)
 	})
 }
+
+// Guards against a body without end that is passed on for as long as its bytes come, and keeps the processor busy.
+func TestBodyWithoutEndIsCut(t *testing.T) {
+	for _, path := range []string{"/read/1", "/match/1"} {
+		withFleet(t, 1, config(1), func(w *testFleet) {
+			sick := w.addRunner("sick", "app")
+			var bodies []*endlessBody
+			sick.setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+				body := &endlessBody{first: "data: 1\n\n", rest: "data: " + strings.Repeat("word", 500) + "\n\n", most: 2 * edge.MaxAnswerBytes}
+				bodies = append(bodies, body)
+				answer := endlessAnswer(ctx, 200, body)
+				answer.Events = path == "/match/1"
+				return answer, nil
+			})
+			w.addRunner("sound", "app")
+			time.Sleep(100 * time.Millisecond)
+			start := time.Now()
+			for range 20 {
+				a := w.askCounting(path)
+				w.True(a.finished != a.aborted)
+				w.True(a.finished == (a.bytes == int64(len("from sound"))))
+				w.True(a.bytes <= edge.MaxAnswerBytes)
+			}
+			w.True(time.Since(start) < time.Second)
+			w.Equal(len(bodies), 3)
+			for _, body := range bodies {
+				w.True(body.closed)
+			}
+		})
+	}
+}
+
+// Guards against an answer whose stated length is beyond any answer's, which is passed on and cut.
+func TestAnswerWithAnAbsurdLengthIsNotPassedOn(t *testing.T) {
+	withFleet(t, 1, config(1), func(w *testFleet) {
+		w.addRunner("sick", "app").setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+			answer := endlessAnswer(ctx, 200, &endlessBody{first: "x", rest: "x", most: 2 * edge.MaxAnswerBytes})
+			answer.Length = 1 << 50
+			return answer, nil
+		})
+		time.Sleep(100 * time.Millisecond)
+		a := w.askCounting("/pledge/1")
+		w.Equal(a.reason(), refusal.RunnerFailed)
+		w.Equal(a.refusal.Executed, refusal.ExecutedUnknown)
+		w.addRunner("sound", "app")
+		time.Sleep(100 * time.Millisecond)
+		for range 10 {
+			a := w.askCounting("/read/1")
+			w.True(a.finished)
+		}
+	})
+}
