--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -38,6 +38,9 @@
 	// cutOffMemory is how long a daemon's statement that it reaches no runner of a service is
 	// believed.
 	cutOffMemory = peers.RelayedAliveFor
+	// maxHelperPartBytes bounds a part of a helper's answer. The largest holds the bytes of one read and an event that
+	// they end.
+	maxHelperPartBytes = 2 * forward.MaxEventBytes
 )
 
 // unreachableServices lists the services of which this daemon reaches no runner.
@@ -221,7 +224,7 @@
 // callHelper sends the request to another daemon and returns its answer once it begins.
 func (e *Edge) callHelper(ctx context.Context, address string, s *requestHandler) (*Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	client := delegationv1connect.NewDelegationServiceClient(e.deps.Delegation, "http://"+address)
+	client := delegationv1connect.NewDelegationServiceClient(e.deps.Delegation, "http://"+address, connect.WithReadMaxBytes(maxHelperPartBytes))
 	stream, err := client.Serve(ctx, connect.NewRequest(encodeDelegated(s)))
 	if err != nil {
 		cancel()
--- a/daemon/edge/endless_test.go
+++ b/daemon/edge/endless_test.go
@@ -8,8 +8,13 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"geraniumstack.org/geraniumstack/daemon/edge"
+	delegationv1 "geraniumstack.org/geraniumstack/gen/geranium/delegation/v1"
+	"geraniumstack.org/geraniumstack/gen/geranium/delegation/v1/delegationv1connect"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/peerhttp"
 )
 
 // endlessBody is a body that begins with first and goes on with rest again and again, each after a pause, until its
@@ -284,3 +289,40 @@
 		}
 	})
 }
+
+// absurdHelper is a daemon that answers a delegated request with one part beyond any.
+type absurdHelper struct{ data, calls int }
+
+func (h *absurdHelper) Serve(_ context.Context, _ *connect.Request[delegationv1.ServeRequest], stream *connect.ServerStream[delegationv1.ServeResponse]) error {
+	h.calls++
+	start := &delegationv1.ServeResponse_Start{Start: &delegationv1.Start{Status: 200, Length: -1}}
+	if err := stream.Send(&delegationv1.ServeResponse{Part: start}); err != nil {
+		return err
+	}
+	return stream.Send(&delegationv1.ServeResponse{Part: &delegationv1.ServeResponse_Data{Data: make([]byte, h.data)}})
+}
+
+// Guards against a part of a helper's answer that is read into memory whatever its size.
+func TestAnswerPartOfAHelperIsBounded(t *testing.T) {
+	withFleet(t, 2, config(1), func(w *testFleet) {
+		w.addServingRunner("r1")
+		time.Sleep(500 * time.Millisecond)
+		w.cutOff(w.daemons[0])
+		w.daemons[1].kill()
+		listener, err := w.calls.Listen(w.daemons[1].address)
+		w.NoErr(err)
+		helper := &absurdHelper{data: 32 << 20}
+		mux := http.NewServeMux()
+		mux.Handle(delegationv1connect.NewDelegationServiceHandler(helper))
+		server := peerhttp.NewServer(mux)
+		go func() { _ = server.Serve(listener) }()
+		defer server.Close()
+		// The connection to the daemon that has ended is given up.
+		w.askCounting("/pledge/1")
+		a := w.askCounting("/pledge/1")
+		w.Equal(helper.calls, 1)
+		w.Equal(a.status, 0)
+		w.Equal(a.reason(), refusal.RunnerFailed)
+		w.Equal(a.refusal.Executed, refusal.ExecutedUnknown)
+	})
+}
