Quote only the beginning of an answer in an error

What operators saw: nothing yet. An error of the key-value service or the cloud with a body without end, of which 64 MiB are read, would have filled the log with each call.

Cause: the text of an error quoted the answer's whole body.

Evidence: TestStoreAnswerWithoutEndIsGivenUp on the code before: the text of the error was beyond 1 KiB. Its other cases passed before: net/http bounds the heads that its client reads, and a body is read up to 64 MiB within the call's deadline of a second; the connection is closed then.

Change: an error's text quotes 256 bytes. The body itself stays whole for those who decode it.

Before: the case of an error failed. After: all nine pass.

--- a/transport/jsoncall/jsoncall.go
+++ b/transport/jsoncall/jsoncall.go
@@ -14,7 +14,9 @@
 
 const (
 	maxAnswerBytes = 64 << 20
-	contentType    = "application/json"
+	// maxErrorTextBytes bounds what an error's text quotes of an answer, since the text is logged.
+	maxErrorTextBytes = 256
+	contentType       = "application/json"
 )
 
 // StatusError says that the service answered with a status other than 200.
@@ -25,7 +27,7 @@
 }
 
 func (e *StatusError) Error() string {
-	return fmt.Sprintf("%s: status %d: %s", e.Path, e.Status, e.Body)
+	return fmt.Sprintf("%s: status %d: %s", e.Path, e.Status, e.Body[:min(len(e.Body), maxErrorTextBytes)])
 }
 
 // NoAnswerError says that no answer arrived or that the answer couldn't be read. The call may have
