--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -39,6 +39,11 @@
 	Hang Fault = "hang"
 	// EndlessHead sends header lines until the connection is closed.
 	EndlessHead Fault = "endless_head"
+	// EndlessBody sends a body without a length until the connection is closed, EndlessError such a body of status 500.
+	EndlessBody  Fault = "endless_body"
+	EndlessError Fault = "endless_error"
+	// EndlessEvent sends bytes of a stream's third event until the connection is closed.
+	EndlessEvent Fault = "endless_event"
 )
 
 // Execution is one request that the runner began to execute.
@@ -382,6 +387,12 @@
 	case EndlessHead:
 		r.writeEndlessly(c, run, r.responseHeader(200, run.ID), "X-Filler: filler\r\n")
 		return false
+	case EndlessBody:
+		r.writeEndlessly(c, run, r.responseHeader(200, run.ID)+"\r\n", "filler")
+		return false
+	case EndlessError:
+		r.writeEndlessly(c, run, r.responseHeader(500, run.ID)+"Transfer-Encoding: chunked\r\n\r\n", "6\r\nfiller\r\n")
+		return false
 	case InternalError:
 		fmt.Fprintf(c, "%sContent-Length: 4\r\n\r\noops", r.responseHeader(500, run.ID))
 		return true
@@ -441,6 +452,10 @@
 		if data != "" {
 			event = fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)
 		}
+		if fault == EndlessEvent && i == lastEventID+3 {
+			r.writeEndlessly(c, run, "3\r\nid:\r\n", "6\r\nfiller\r\n")
+			return false
+		}
 		if fault == TruncateStream && i == lastEventID+3 {
 			event = event[:7]
 			fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
