--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -37,6 +37,13 @@
 	TruncateStream Fault = "cut_stream"
 	// Hang never responds.
 	Hang Fault = "hang"
+	// EndlessHead sends header lines until the connection is closed.
+	EndlessHead Fault = "endless_head"
+	// EndlessBody sends a body without a length until the connection is closed, EndlessError such a body of status 500.
+	EndlessBody  Fault = "endless_body"
+	EndlessError Fault = "endless_error"
+	// EndlessEvent sends bytes of a stream's third event until the connection is closed.
+	EndlessEvent Fault = "endless_event"
 )
 
 // Execution is one request that the runner began to execute.
@@ -377,6 +384,15 @@
 	case TruncateBody:
 		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", r.responseHeader(200, run.ID), len(body), body[:4])
 		return false
+	case EndlessHead:
+		r.writeEndlessly(c, run, r.responseHeader(200, run.ID), "X-Filler: filler\r\n")
+		return false
+	case EndlessBody:
+		r.writeEndlessly(c, run, r.responseHeader(200, run.ID)+"\r\n", "filler")
+		return false
+	case EndlessError:
+		r.writeEndlessly(c, run, r.responseHeader(500, run.ID)+"Transfer-Encoding: chunked\r\n\r\n", "6\r\nfiller\r\n")
+		return false
 	case InternalError:
 		fmt.Fprintf(c, "%sContent-Length: 4\r\n\r\noops", r.responseHeader(500, run.ID))
 		return true
@@ -393,6 +409,24 @@
 	return true
 }
 
+// maxEndlessBytes bounds what a runner sends where it sends without end; then it waits until the connection is closed.
+const maxEndlessBytes = 64 << 20
+
+// writeEndlessly sends first, and then rest again and again until the connection is closed.
+func (r *Runner) writeEndlessly(c net.Conn, run *Execution, first, rest string) {
+	defer r.markDisconnected(run)
+	rest = strings.Repeat(rest, 1+(32<<10)/len(rest))
+	sent := 0
+	for piece := first; sent < maxEndlessBytes; piece = rest {
+		n, err := io.WriteString(c, piece)
+		sent += n
+		if err != nil {
+			return
+		}
+	}
+	_, _ = io.Copy(io.Discard, c)
+}
+
 func (r *Runner) markDisconnected(run *Execution) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -418,6 +452,10 @@
 		if data != "" {
 			event = fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)
 		}
+		if fault == EndlessEvent && i == lastEventID+3 {
+			r.writeEndlessly(c, run, "3\r\nid:\r\n", "6\r\nfiller\r\n")
+			return false
+		}
 		if fault == TruncateStream && i == lastEventID+3 {
 			event = event[:7]
 			fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
