Keep room in the log's queue for lines about cut answers

What operators saw: none of the lines of a request whose answer was cut. When many answers are cut at once, more lines are noted than at any other time, and the queue of 4,096 lines drops whatever doesn't fit, the reasons included.

Cause: all lines had the same room in the queue.

Change: Log.NoteLoss queues the lines that say why an answer isn't whole (broken_off, caller_left, attempt_failed without another attempt, refused if the request may have run). For these the same queue has 2,048 places more, which ordinary lines don't take.

Why it works: it is still one queue, so the lines keep their order, are bounded (1.8 MB) and never block a request. A failed write order or a second writer isn't needed.

--- a/daemon/decisions/decisions.go
+++ b/daemon/decisions/decisions.go
@@ -4,7 +4,7 @@
 // A single writer goroutine takes the lines from a bounded queue and writes them to standard
 // output. A slow writer, or a pipe that nobody reads, never delays a request: lines that don't
 // fit into the queue are dropped, and a line with the number of dropped lines precedes the next
-// one.
+// one. The last part of the queue is reserved for the lines that say why an answer isn't whole.
 package decisions
 
 import (
@@ -19,8 +19,11 @@
 )
 
 const (
-	// maxQueuedLines bounds the queue; at 300 bytes a line, a full queue holds 1.2 MB.
+	// maxQueuedLines bounds the queue of ordinary lines; at 300 bytes a line, they hold 1.2 MB.
 	maxQueuedLines = 4096
+	// reservedLines is the room in the queue for lines about answers that aren't whole: two for each of
+	// the thousand requests that a daemon may have in progress when they all end.
+	reservedLines = 2048
 	// writeBufferBytes is the size of the output buffer.
 	writeBufferBytes = 32 << 10
 	// flushInterval is how long a written line may stay in the output buffer, so that a busy
@@ -59,7 +62,7 @@
 // running.
 func New(registry metrics.Registry) *Log {
 	return &Log{
-		lines:        make(chan line, maxQueuedLines),
+		lines:        make(chan line, maxQueuedLines+reservedLines),
 		registry:     registry,
 		droppedTotal: metrics.GetOrRegisterCounter("log.dropped_lines", registry),
 	}
@@ -67,13 +70,28 @@
 
 // Note counts an event and queues its line.
 func (l *Log) Note(event Event, fields ...Field) {
-	l.Count(string(event))
-	select {
-	case l.lines <- line{event, fields}:
-	default:
-		l.dropped.Add(1)
-		l.droppedTotal.Inc(1)
+	l.queue(line{event, fields}, maxQueuedLines)
+}
+
+// NoteLoss is Note for an event that says why an answer isn't whole. Its line still fits into the queue
+// when there is no room for ordinary lines.
+func (l *Log) NoteLoss(event Event, fields ...Field) {
+	l.queue(line{event, fields}, maxQueuedLines+reservedLines)
+}
+
+// queue queues a line unless the queue holds the given number of lines. Concurrent calls may exceed
+// that by one line each.
+func (l *Log) queue(next line, limit int) {
+	l.Count(string(next.event))
+	if len(l.lines) < limit {
+		select {
+		case l.lines <- next:
+			return
+		default:
+		}
 	}
+	l.dropped.Add(1)
+	l.droppedTotal.Inc(1)
 }
 
 // Count increments a counter without writing a line.
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -177,7 +177,11 @@
 	var end *refusal.Refusal
 	s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.HandleFailure(time.Now(), p, failed.FailedAttempt) })
 	a := failed.attempt
-	s.note("attempt_failed", decisions.F("runner", a.runner()), decisions.F("reason", failed.Reason),
+	note := s.note
+	if end != nil {
+		note = s.noteLoss
+	}
+	note("attempt_failed", decisions.F("runner", a.runner()), decisions.F("reason", failed.Reason),
 		decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", fmt.Sprint(s.parts)),
 		causeField(s.content()), decisions.F("may_have_run", failed.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
 		decisions.F("kept", s.hedge != nil), decisions.F("again", end == nil), decisions.F("wait", wait))
@@ -214,7 +218,7 @@
 
 // abortForLeftCaller ends a request whose caller has disconnected.
 func (s *requestHandler) abortForLeftCaller() {
-	s.note("caller_left", decisions.F("begun", s.exchange.AnswerBegun), decisions.F("events", s.eventsSent()))
+	s.noteLoss("caller_left", decisions.F("begun", s.exchange.AnswerBegun), decisions.F("events", s.eventsSent()))
 	s.reply.Abort()
 }
 
@@ -230,7 +234,7 @@
 // the refusal. If a part of the answer has already been sent, the answer can only be aborted.
 func (s *requestHandler) end(r *refusal.Refusal) {
 	if s.exchange.AnswerBegun {
-		s.note("broken_off", decisions.F("reason", r.Reason), decisions.F("detail", r.Detail), decisions.F("events", s.eventsSent()))
+		s.noteLoss("broken_off", decisions.F("reason", r.Reason), decisions.F("detail", r.Detail), decisions.F("events", s.eventsSent()))
 		s.edge.log.Count("broken_off." + string(r.Reason))
 		s.reply.Abort()
 		return
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -108,10 +108,12 @@
 // refuse sends the final answer of a request that isn't served. The quota charged for a request
 // that certainly wasn't executed is returned.
 func (s *requestHandler) refuse(r *refusal.Refusal) {
+	note := s.noteLoss
 	if r.Executed == refusal.ExecutedNo {
+		note = s.note
 		s.returnCharge()
 	}
-	s.note("refused", decisions.F("reason", r.Reason), decisions.F("executed", r.Executed),
+	note("refused", decisions.F("reason", r.Reason), decisions.F("executed", r.Executed),
 		decisions.F("retry_after", r.RetryAfter), decisions.F("detail", r.Detail))
 	s.edge.log.Count("refused." + string(r.Reason))
 	s.reply.Refuse(r, s.connectionClosing())
@@ -119,6 +121,16 @@
 
 // note logs an event of the request, together with the fields common to all such events.
 func (s *requestHandler) note(event decisions.Event, fields ...decisions.Field) {
+	s.edge.log.Note(event, s.withCommonFields(fields)...)
+}
+
+// noteLoss is note for an event that says why the answer isn't whole.
+func (s *requestHandler) noteLoss(event decisions.Event, fields ...decisions.Field) {
+	s.edge.log.NoteLoss(event, s.withCommonFields(fields)...)
+}
+
+// withCommonFields puts the fields common to all events of the request before others.
+func (s *requestHandler) withCommonFields(fields []decisions.Field) []decisions.Field {
 	name, version := "", ident.Generation(0)
 	if s.route != nil {
 		name = s.route.Name
@@ -126,11 +138,10 @@
 	if s.table != nil {
 		version = s.table.Version()
 	}
-	all := append([]decisions.Field{
+	return append([]decisions.Field{
 		decisions.F("request", s.req.ID), decisions.F("route", name), decisions.F("workspace", s.workspace),
 		decisions.F("config", version), decisions.F("age", time.Since(s.req.Received)),
 	}, fields...)
-	s.edge.log.Note(event, all...)
 }
 
 // connectionClosing reports whether the caller should be asked to use another daemon from now
