Go on writing the log after a failed write

What operators see: a daemon that serves and logs nothing any more until it is started again, so that no line names any of its requests. Found by reading the code; whether the users' stretch without lines was this can't be told from their record.

Cause: bufio.Writer keeps the first error of a write for good. One failed write to standard output (a full disk, a reset of what reads it) discarded all later lines, also when the failure had passed, and log_dropped_lines did not count them.

Change: a flush that fails discards what the buffer holds, counts its lines as dropped and starts a new line, so that the next lines are written.

Why it works: nothing of the failed write's error is kept. What is lost is bounded by the flush interval and said in the next line.

TestLogGoesOnAfterFailedWrite found no later line before and passes now.

--- a/daemon/decisions/decisions.go
+++ b/daemon/decisions/decisions.go
@@ -8,7 +8,6 @@
 package decisions
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"sync/atomic"
@@ -116,39 +115,39 @@
 // Run writes the queued lines to w until the context ends, and then those that are still queued.
 // It redirects the output of klog, a process-wide logger, to w.
 func (l *Log) Run(ctx context.Context, w io.Writer) {
-	buffer := bufio.NewWriterSize(w, writeBufferBytes)
-	klog.SetOutput(buffer)
-	defer l.flush(buffer)
+	out := newOutput(w)
+	klog.SetOutput(out.buffer)
+	defer l.flush(out)
 	var due <-chan time.Time
 	for {
 		select {
 		case next := <-l.lines:
-			l.write(next)
+			l.write(out, next)
 			if due == nil {
 				due = time.After(flushInterval)
 			}
 		case <-due:
-			l.flush(buffer)
+			l.flush(out)
 			due = nil
 		case <-ctx.Done():
-			l.drain()
+			l.drain(out)
 			return
 		}
 	}
 }
 
-func (l *Log) drain() {
+func (l *Log) drain(out *output) {
 	for {
 		select {
 		case next := <-l.lines:
-			l.write(next)
+			l.write(out, next)
 		default:
 			return
 		}
 	}
 }
 
-func (l *Log) write(next line) {
+func (l *Log) write(out *output, next line) {
 	if n := l.dropped.Swap(0); n > 0 {
 		klog.InfoS("log lines dropped", "lines", n)
 	}
@@ -157,10 +156,14 @@
 		pairs = append(pairs, f.Name, f.Value)
 	}
 	klog.InfoS(string(next.event), pairs...)
+	out.unflushed++
 }
 
-// flush flushes klog and the buffer. A failure to write the log can't be reported anywhere.
-func (l *Log) flush(buffer *bufio.Writer) {
+// flush writes what klog and the output hold. If that fails, the lines count as dropped.
+func (l *Log) flush(out *output) {
 	klog.Flush()
-	_ = buffer.Flush()
+	if lost := out.flush(); lost > 0 {
+		l.dropped.Add(lost)
+		l.droppedTotal.Inc(lost)
+	}
 }
--- a/daemon/decisions/decisions_test.go
+++ b/daemon/decisions/decisions_test.go
@@ -7,7 +7,10 @@
 	"fmt"
 	"os"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
@@ -50,6 +53,58 @@
 	is.True(strings.Contains(out, fmt.Sprintf("lines=%d", maxQueuedLines)))
 }
 
+// failingWriter fails to write while it is full, after the first bytes of the data.
+type failingWriter struct {
+	full atomic.Bool
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+type diskFullError struct{}
+
+func (*diskFullError) Error() string { return "disk full" }
+
+const writtenByFullDisk = 10
+
+func (w *failingWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.full.Load() {
+		n, _ := w.data.Write(p[:min(len(p), writtenByFullDisk)])
+		return n, &diskFullError{}
+	}
+	return w.data.Write(p)
+}
+
+func (w *failingWriter) contains(text string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return strings.Contains(w.data.String(), text)
+}
+
+// Guards against a log that writes nothing any more once a write has failed, though the failure has passed.
+func TestLogGoesOnAfterFailedWrite(t *testing.T) {
+	is := is.New(t)
+	l := New(metrics.NewRegistry())
+	w := &failingWriter{}
+	w.full.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { l.Run(ctx, w); close(done) }()
+	l.Note("lost")
+	for start := time.Now(); l.droppedTotal.Count() == 0 && time.Since(start) < 2*time.Second; time.Sleep(time.Millisecond) {
+	}
+	w.full.Store(false)
+	l.NoteLoss("broken_off", F("request", "r1"))
+	time.Sleep(3 * flushInterval)
+	isWritten := w.contains("] \"broken_off\" request=\"r1\"\n")
+	cancel()
+	<-done
+	is.True(isWritten)
+	is.True(w.contains("] \"log lines dropped\" lines=1\n"))
+	is.True(!w.contains("lost"))
+}
+
 // Guards against a queue that grows, or blocks requests, when many answers are cut and nobody reads the log.
 func TestLinesAboutCutAnswersAreBounded(t *testing.T) {
 	is := is.New(t)
