Keep a daemon running when the reader of its log ends

What callers and operators saw: all daemons on a machine end in the same moment and begin anew, their requests in progress are cut, and no line says why. The users' record has daemons that began anew together after a stretch without lines; whether this was why, it doesn't tell.

Cause: the runtime ends a Go process that writes to standard output after its reader has gone (SIGPIPE on descriptors 1 and 2). So the end of what collects the logs ended each daemon at its next line.

Change: the daemon ignores SIGPIPE.

--- a/cmd/geraniumd/main.go
+++ b/cmd/geraniumd/main.go
@@ -69,6 +69,8 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
 	}
+	// Without this the daemon would end with the process that reads its log.
+	signal.Ignore(syscall.SIGPIPE)
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(reload, syscall.SIGHUP)
