Report a crash of the daemon on standard output

What operators saw: a log that ends in the middle, and the start of the next process. The report of a crash goes to standard error, which they don't have (docs/OPERATIONS.md: all there is to go by are standard output and metrics).

Change: the runtime writes the report of a crash to standard output, too (debug.SetCrashOutput). Lines that were still queued are lost.

TestCrashIsReportedOnStandardOutput found nothing on standard output before and passes now.

--- a/cmd/geraniumd/main.go
+++ b/cmd/geraniumd/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"k8s.io/klog/v2"
@@ -69,6 +70,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
 	}
+	reportCrashes()
 	// Without this the daemon would end with the process that reads its log.
 	signal.Ignore(syscall.SIGPIPE)
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
@@ -92,6 +94,13 @@
 	return exitFailure
 }
 
+// reportCrashes lets the runtime report a crash on standard output, too, where operators find the log.
+func reportCrashes() {
+	if err := debug.SetCrashOutput(os.Stdout, debug.CrashOptions{}); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
 // reportSettingsError prints every problem of the settings with its path and
 // returns the exit status.
 func reportSettingsError(err error) int {
--- a/cmd/geraniumd/main_test.go
+++ b/cmd/geraniumd/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -22,11 +23,23 @@
 // modeEnv says what the test binary does in place of running tests.
 const modeEnv = "GERANIUMD_TEST_MODE"
 
-const modeServe = "serve"
+const (
+	modeServe = "serve"
+	modeCrash = "crash"
+)
+
+type testCrash struct{}
+
+func (testCrash) Error() string { return "test crash" }
 
 func TestMain(m *testing.M) {
-	if os.Getenv(modeEnv) == modeServe {
+	switch os.Getenv(modeEnv) {
+	case modeServe:
 		os.Exit(run())
+	case modeCrash:
+		reportCrashes()
+		go panic(testCrash{})
+		select {}
 	}
 	os.Exit(m.Run())
 }
@@ -85,3 +98,13 @@
 	}
 	is.True(d.Ready(context.Background(), client))
 }
+
+// Guards against a daemon that crashes without a word in the only output that operators have.
+func TestCrashIsReportedOnStandardOutput(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	c := command(modeCrash)
+	c.Stdout = &out
+	is.True(c.Run() != nil)
+	is.True(strings.Contains(out.String(), "test crash"))
+}
