Give each request that ends with its daemon a line, and a refusal

What operators saw: requests that a stopping daemon cut at the end of its grace period have the line caller_left, as if their callers had gone, or none. A daemon that ended by an error cut all its requests without a line, and named the error on standard error only. Callers whose answer had not begun got a closed connection.

Cause: at the end of the grace period the connections were closed, which to the requests looks like callers that leave; nothing waited for their lines. After an error nobody ended the requests at all.

Change: Edge.EndRequests ends them with the reason draining: an answer that has begun is broken off, with the events that were passed on; the others are refused, as possibly executed if a runner had them.

Why it works: each request's own goroutine writes the line, so it has the state of the request; the log ends after them. stop in_flight=N says how many had not ended even then.

Not tested: the end by an error.

--- a/cmd/geraniumd/main_test.go
+++ b/cmd/geraniumd/main_test.go
@@ -1,15 +1,16 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -51,52 +52,138 @@
 	return c
 }
 
-// startDaemon starts a daemon process with a store and a cloud that answer, and returns it once it is ready.
-func startDaemon(t *testing.T) (d site.Daemon, stdout *os.File) {
-	is := is.New(t)
+// testDaemon is a daemon process with a store, a cloud and a runner that answer.
+type testDaemon struct {
+	site.Daemon
+	is      *is.I
+	t       *testing.T
+	command *exec.Cmd
+	stdout  *os.File
+	runner  *site.Runner
+	client  *http.Client
+	// exited is closed when the process has ended.
+	exited chan struct{}
+}
+
+// startDaemon starts a daemon and returns it once it is ready.
+func startDaemon(t *testing.T) *testDaemon {
+	d := &testDaemon{is: is.New(t), t: t, client: &http.Client{}, exited: make(chan struct{})}
 	store, cloud := site.NewStore(), site.NewCloud()
 	t.Cleanup(store.Close)
 	t.Cleanup(cloud.Close)
-	is.NoErr(store.PutConfig(1, []site.Route{{Name: "open", Kind: site.Idempotent, TimeoutMillis: 1000, Attempts: 1, Public: true}}, 1000, "k1"))
+	d.is.NoErr(store.PutConfig(1, []site.Route{
+		{Name: "read", Kind: site.Idempotent, TimeoutMillis: 20000, Attempts: 1, Public: true},
+		{Name: "draft", Kind: site.Stream, TimeoutMillis: 20000, Attempts: 1, Public: true},
+	}, 1000, "k1"))
+	var err error
+	d.runner, err = site.NewRunner("i-1")
+	d.is.NoErr(err)
+	t.Cleanup(d.runner.Close)
+	d.is.NoErr(store.RegisterRunner(d.runner.ID, d.runner.Address, site.Ready))
 	// Tests that run at the same time on one machine must not share addresses.
-	d = site.Daemon{IP: fmt.Sprintf("127.%d.%d.9", 1+os.Getpid()%250, 1+os.Getpid()/250%250)}
+	d.IP = fmt.Sprintf("127.%d.%d.9", 1+os.Getpid()%250, 1+os.Getpid()/250%250)
 	settings := filepath.Join(t.TempDir(), "settings.conf")
-	text := d.Settings(store.Address(), cloud.Address(), d.IP+":1", "bounds.grace_s=4", "bounds.revoke_ms=5000")
-	is.NoErr(os.WriteFile(settings, []byte(text), 0o600))
-	stdout, write, err := os.Pipe()
-	is.NoErr(err)
-	c := command(modeServe, platform.SettingsEnv+"="+settings)
-	c.Stdout = write
-	is.NoErr(c.Start())
+	text := d.Settings(store.Address(), cloud.Address(), d.IP+":1", fmt.Sprintf("bounds.grace_s=%d", int(grace.Seconds())), "bounds.revoke_ms=5000")
+	d.is.NoErr(os.WriteFile(settings, []byte(text), 0o600))
+	d.command = command(modeServe, platform.SettingsEnv+"="+settings)
+	var write *os.File
+	d.stdout, write, err = os.Pipe()
+	d.is.NoErr(err)
+	d.command.Stdout = write
+	d.is.NoErr(d.command.Start())
 	write.Close()
+	go func() {
+		// The process has ended, successfully or not.
+		_ = d.command.Wait()
+		close(d.exited)
+	}()
 	t.Cleanup(func() {
-		_ = c.Process.Signal(syscall.SIGTERM)
-		_ = c.Wait()
+		_ = d.command.Process.Signal(syscall.SIGTERM)
+		<-d.exited
+		d.stdout.Close()
 	})
-	line, err := bufio.NewReader(stdout).ReadString('\n')
-	is.NoErr(err)
-	is.True(strings.Contains(line, `"start"`))
-	client := &http.Client{Timeout: time.Second}
-	for start := time.Now(); !d.Ready(context.Background(), client); time.Sleep(10 * time.Millisecond) {
-		is.True(time.Since(start) < 10*time.Second)
+	d.waitUntil("ready", func() bool { return d.Ready(context.Background(), d.client) })
+	return d
+}
+
+const grace = 4 * time.Second
+
+func (d *testDaemon) waitUntil(description string, condition func() bool) {
+	const limit = 10 * time.Second
+	for start := time.Now(); !condition(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(start) > limit {
+			d.t.Fatalf("condition not met within %v: %s", limit, description)
+		}
 	}
-	return d, stdout
+}
+
+// send sends a request and waits for its whole answer.
+func (d *testDaemon) send(id, path string) (*site.CallerResponse, error) {
+	return site.SendRequest(context.Background(), d.client, d.CallerAddress(), &site.CallerRequest{
+		ID: id, Method: http.MethodGet, Host: site.Host, Path: path, Timeout: 20 * time.Second,
+	})
+}
+
+// lineOf returns the line of an event about a request; empty if there is none.
+func lineOf(log, event, id string) string {
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, fmt.Sprintf("] %q request=%q ", event, id)) {
+			return line
+		}
+	}
+	return ""
 }
 
 // Guards against a daemon that ends, and cuts all its answers, because the reader of its log has ended.
 func TestDaemonOutlivesReaderOfItsLog(t *testing.T) {
 	is := is.New(t)
-	d, stdout := startDaemon(t)
-	stdout.Close()
-	client := &http.Client{Timeout: time.Second}
+	d := startDaemon(t)
+	d.stdout.Close()
 	for range 20 {
-		// Each request has a line. The requests may fail, since the daemon has no runners.
-		_, _ = site.SendRequest(context.Background(), client, d.CallerAddress(), &site.CallerRequest{
-			ID: "r1", Method: http.MethodGet, Host: site.Host, Path: "/open/1", Timeout: time.Second,
-		})
+		// Each request has lines.
+		answer, err := d.send("r1", "/read/1")
+		is.NoErr(err)
+		is.Equal(answer.Status, http.StatusOK)
 		time.Sleep(20 * time.Millisecond)
 	}
-	is.True(d.Ready(context.Background(), client))
+}
+
+// Guards against requests that end with their daemon and have no line, or one that blames their callers.
+func TestRequestsCutByEndOfDaemonHaveLines(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t)
+	log := make(chan string, 1)
+	go func() {
+		data, _ := io.ReadAll(d.stdout)
+		log <- string(data)
+	}()
+	var sending sync.WaitGroup
+	var stream, plain *site.CallerResponse
+	var streamErr, plainErr error
+	d.runner.SetWorkload(100*time.Millisecond, 1000)
+	sending.Go(func() { stream, streamErr = d.send("stream", "/draft/stream/1") })
+	d.waitUntil("a stream in progress", func() bool { return len(d.runner.Executions()) == 1 })
+	d.runner.SetWorkload(time.Minute, 1)
+	sending.Go(func() { plain, plainErr = d.send("plain", "/read/1") })
+	d.waitUntil("both in progress", func() bool { return len(d.runner.Executions()) == 2 })
+	start := time.Now()
+	is.NoErr(d.command.Process.Signal(syscall.SIGTERM))
+	<-d.exited
+	is.True(time.Since(start) < grace)
+	sending.Wait()
+	text := <-log
+	is.NoErr(streamErr)
+	is.True(stream.Truncated)
+	cut := lineOf(text, "broken_off", "stream")
+	is.True(strings.Contains(cut, `route="draft"`))
+	is.True(strings.Contains(cut, `reason="draining"`))
+	is.True(!strings.Contains(cut, "events=0"))
+	is.NoErr(plainErr)
+	is.Equal(plain.Status, http.StatusBadGateway)
+	refused := lineOf(text, "refused", "plain")
+	is.True(strings.Contains(refused, `reason="draining"`))
+	is.True(strings.Contains(refused, `executed="unknown"`))
+	is.True(strings.Contains(text, `"stop" daemon="`+d.Name()+`" in_flight=0`))
 }
 
 // Guards against a daemon that crashes without a word in the only output that operators have.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -164,6 +164,9 @@
 	// stopProbes ends it.
 	probing    context.Context
 	stopProbes context.CancelFunc
+	// ending ends when the requests in progress must end; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// healthCheckedAt is when the runners' health was last checked; only tickLoop uses it.
 	healthCheckedAt time.Duration
 }
@@ -208,6 +211,7 @@
 		fleetFound:       make(chan struct{}),
 	}
 	e.probing, e.stopProbes = context.WithCancel(context.Background())
+	e.ending, e.endRequests = context.WithCancel(context.Background())
 	e.dir.init(self)
 	e.trials.init()
 	e.reported.init()
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -162,6 +162,10 @@
 		return &failedAttempt{FailedAttempt: *failure}
 	}
 	ctx := a.parent
+	if a.s.isEnding() {
+		// The connection check could outlast the process.
+		return &failedAttempt{*failure, a}
+	}
 	if a.s.hedge == nil {
 		// What became of the runner counts also if the caller leaves meanwhile.
 		ctx = context.WithoutCancel(ctx)
@@ -202,22 +206,29 @@
 	return nil
 }
 
-// endIfCanceled ends a request whose caller has disconnected or whose deadline has passed, and
-// reports whether it did.
+// endIfCanceled ends a request whose caller has disconnected, whose deadline has passed or which this daemon
+// ends, and reports whether it did.
 func (s *requestHandler) endIfCanceled(ctx context.Context) bool {
 	switch {
 	case ctx.Err() == nil:
 		return false
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		s.end(s.exchange.DeadlineRefusal().After(notReadyRetryAfter))
+	case s.isEnding():
+		s.end(s.endingRefusal())
 	default:
 		s.abortForLeftCaller()
 	}
 	return true
 }
 
-// abortForLeftCaller ends a request whose caller has disconnected.
+// abortForLeftCaller ends a request whose caller has disconnected, or doesn't read the answer until this daemon
+// closes the connection.
 func (s *requestHandler) abortForLeftCaller() {
+	if s.isEnding() {
+		s.breakOff(s.endingRefusal())
+		return
+	}
 	s.noteLoss("caller_left", decisions.F("begun", s.exchange.AnswerBegun), decisions.F("events", s.eventsSent()))
 	s.reply.Abort()
 }
@@ -234,9 +245,7 @@
 // the refusal. If a part of the answer has already been sent, the answer can only be aborted.
 func (s *requestHandler) end(r *refusal.Refusal) {
 	if s.exchange.AnswerBegun {
-		s.noteLoss("broken_off", decisions.F("reason", r.Reason), decisions.F("detail", r.Detail), decisions.F("events", s.eventsSent()))
-		s.edge.log.Count("broken_off." + string(r.Reason))
-		s.reply.Abort()
+		s.breakOff(r)
 		return
 	}
 	if s.buffered != nil {
@@ -245,3 +254,10 @@
 	}
 	s.refuse(r)
 }
+
+// breakOff ends an answer that has begun and can't become whole.
+func (s *requestHandler) breakOff(r *refusal.Refusal) {
+	s.noteLoss("broken_off", decisions.F("reason", r.Reason), decisions.F("detail", r.Detail), decisions.F("events", s.eventsSent()))
+	s.edge.log.Count("broken_off." + string(r.Reason))
+	s.reply.Abort()
+}
