Log a request that a panic cuts

What operators saw: an answer that ends without a line. net/http recovers from a panic of the goroutine that serves a request, closes the connection and writes to standard error, which operators don't have, without the request's id.

Change: the line panicked has the request as all others do, the panic and the first functions of its stack. The panic goes on to net/http as before, so the caller still doesn't take the answer for a whole one. A panic in another goroutine ends the process; its report is on standard output.

TestRequestCutByPanicHasLine found no line before and passes now.

--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -94,6 +94,7 @@
 func (s *requestHandler) serve(ctx context.Context) {
 	s.edge.inFlight.Add(1)
 	defer s.edge.inFlight.Add(-1)
+	defer s.notePanic()
 	ctx, cancel := s.edge.untilEnd(ctx)
 	defer cancel()
 	if r := s.admit(ctx); r != nil {
