End a daemon though nobody reads its log

What operators saw: a stopped daemon that stays until it is killed at the end of its grace period, if the pipe of its standard output is full.

Cause: the process waited for its log without a bound, and flushed klog once more, which waits for the same write.

--- a/cmd/geraniumd/main.go
+++ b/cmd/geraniumd/main.go
@@ -37,10 +37,10 @@
 	disabled := flag.String("without", "", "mechanisms to leave out on the users' platform, separated by commas, to measure what they are worth")
 	directFleet := flag.Int("direct-fleet", relays.DirectFleet, "daemons up to which all of a fleet on the users' platform tell each other directly; the same for all of them")
 	flag.Parse()
-	defer klog.Flush()
 	if platformSettings := os.Getenv(platform.SettingsEnv); *path == "" && platformSettings != "" {
 		return runOnPlatform(platformSettings, *disabled, *directFleet)
 	}
+	defer klog.Flush()
 	s, err := settings.Load(*path)
 	if err != nil {
 		return reportSettingsError(err)
--- a/cmd/geraniumd/main_test.go
+++ b/cmd/geraniumd/main_test.go
@@ -148,6 +148,26 @@
 	}
 }
 
+// Guards against a daemon that doesn't end because nobody reads its log.
+func TestDaemonEndsThoughNobodyReadsItsLog(t *testing.T) {
+	// More bytes of lines than a pipe and the output buffer hold, at 300 bytes or more for each request.
+	const requests = 1000
+	is := is.New(t)
+	d := startDaemon(t)
+	for range requests {
+		_, err := d.send("r1", "/read/1")
+		is.NoErr(err)
+	}
+	is.NoErr(d.command.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-d.exited:
+		is.True(d.command.ProcessState.Success())
+	case <-time.After(grace):
+		is.NoErr(d.command.Process.Kill())
+		t.Error("the daemon has not ended within its grace period")
+	}
+}
+
 // Guards against requests that end with their daemon and have no line, or one that blames their callers.
 func TestRequestsCutByEndOfDaemonHaveLines(t *testing.T) {
 	is := is.New(t)
