Let explain lead from a cut answer to what cut it

What operators saw: the summary of geraniumctl explain took the last line for the end of a request.

Change: the summary takes the last event that ends a request, of a delegated one that with the greatest age, and adds the last failure or silent runner. geraniumctl causes counts panicked and request_unread, too.

TestExplainNamesRunnerOfCutAnswer, TestExplainTakesEndAtCallersDaemon and TestExplainOtherEnds failed before and pass now.

--- a/ctl/causes.go
+++ b/ctl/causes.go
@@ -57,7 +57,7 @@
 
 // failureEvents lists the events that end a request or an attempt without an
 // answer.
-var failureEvents = []string{"refused", "broken_off", "caller_left", "attempt_failed"}
+var failureEvents = []string{"refused", "broken_off", "caller_left", "attempt_failed", "panicked", "request_unread"}
 
 // groupings lists the properties by which causes can be grouped.
 var groupings = []string{"reason", "route", "workspace", "runner", "daemon", "second"}
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -8,7 +8,9 @@
 	"io"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/google/subcommands"
 )
@@ -117,30 +119,81 @@
 	return d
 }
 
-// summary describes the last decision and its reasons.
+// endings are the events that end a request at a daemon.
+var endings = []string{"answered", "refused", "broken_off", "caller_left", "panicked", "request_unread"}
+
+// summary describes how the request ended and why.
 func (e *Explanation) summary() string {
 	if len(e.Decisions) == 0 {
 		return "no line about this request: it reached none of these daemons, or lines were dropped (see log_dropped_lines)"
 	}
-	last := e.Decisions[len(e.Decisions)-1]
-	f := last.Fields
-	switch last.Event {
+	end := e.ending()
+	if end == nil {
+		last := e.Decisions[len(e.Decisions)-1]
+		return fmt.Sprintf("last seen: %s; the daemon was killed before the request ended, or lines were dropped", last.Event) + e.lastFailure()
+	}
+	f := end.Fields
+	switch end.Event {
 	case "answered":
 		return fmt.Sprintf("answered by %s after %s", f["runner"], f["age"])
 	case "refused":
-		return fmt.Sprintf("refused after %s: %s (%s); executed: %s; come back after %s", f["age"], f["reason"], f["detail"], f["executed"], f["retry_after"])
+		return fmt.Sprintf("refused after %s: %s (%s); executed: %s; come back after %s", f["age"], f["reason"], f["detail"], f["executed"], f["retry_after"]) + e.lastFailure()
 	case "broken_off":
-		return fmt.Sprintf("broken off after %s and %s events: %s (%s)", f["age"], f["events"], f["reason"], f["detail"])
-	case "caller_left":
-		return fmt.Sprintf("its caller left after %s", f["age"])
+		return fmt.Sprintf("broken off after %s and %s events: %s (%s)", f["age"], f["events"], f["reason"], f["detail"]) + e.lastFailure()
+	case "panicked":
+		return fmt.Sprintf("cut after %s and %s events by a panic: %s", f["age"], f["events"], f["error"])
+	case "request_unread":
+		return fmt.Sprintf("never read: its connection ended after %s bytes of a malformed, too long or incomplete header", f["bytes"])
+	}
+	return fmt.Sprintf("its caller left after %s", f["age"]) + e.lastFailure()
+}
+
+// ending returns the decision that ended the request; nil if there is none. Of a request that was delegated, which
+// several daemons have ended, it is the oldest's, since the logs may come in any order.
+func (e *Explanation) ending() *Decision {
+	var end *Decision
+	delegated := slices.ContainsFunc(e.Decisions, func(d Decision) bool { return d.Event == "delegated" || d.Event == "accepted_for" })
+	for i := range e.Decisions {
+		d := &e.Decisions[i]
+		if !slices.Contains(endings, d.Event) {
+			continue
+		}
+		if end == nil || !delegated || d.age() >= end.age() {
+			end = d
+		}
+	}
+	return end
+}
+
+// age returns the request's age at the decision; zero if the line doesn't tell.
+func (d *Decision) age() time.Duration {
+	age, err := time.ParseDuration(d.Fields["age"])
+	if err != nil {
+		return 0
+	}
+	return age
+}
+
+// lastFailure describes the last runner that failed the request or fell silent under it; empty if none did.
+func (e *Explanation) lastFailure() string {
+	for _, d := range slices.Backward(e.Decisions) {
+		f := d.Fields
+		switch {
+		case d.Event == "attempt_failed" && f["runner"] != "":
+			return fmt.Sprintf("; last failure: %s at %s after %s", f["reason"], f["runner"], f["age"])
+		case d.Event == "attempt_failed":
+			return fmt.Sprintf("; last failure: %s at a helper after %s", f["reason"], f["age"])
+		case d.Event == "hedged":
+			return fmt.Sprintf("; runner %s was silent: %s", f["runner"], f["why"])
+		}
 	}
-	return fmt.Sprintf("last seen: %s; the daemon ended before the request did, or lines were dropped", last.Event)
+	return ""
 }
 
 func (e Explanation) write(w io.Writer) {
 	for _, d := range e.Decisions {
 		fmt.Fprintf(w, "%s\n  %s", d.Source, d.Event)
-		for _, name := range []string{"age", "route", "workspace", "config", "runner", "attempt", "estimate", "uncached", "reason", "why", "by", "helper", "kept", "may_have_run", "again", "executed", "detail", "events", "status"} {
+		for _, name := range []string{"age", "route", "workspace", "config", "runner", "attempt", "estimate", "uncached", "reason", "why", "by", "heard", "helper", "kept", "begun", "may_have_run", "again", "executed", "detail", "error", "events", "bytes", "status"} {
 			if v, ok := d.Fields[name]; ok && v != "" {
 				fmt.Fprintf(w, " %s=%s", name, v)
 			}
--- a/ctl/explain_test.go
+++ b/ctl/explain_test.go
@@ -41,6 +41,53 @@
 	is.Equal(execute(t, &explainCmd{common{out: &out, errs: &out}}, "cc", log), subcommands.ExitFailure)
 }
 
+// explained returns the summary of a request in logs with the given lines.
+func explained(t *testing.T, request string, logs ...string) string {
+	t.Helper()
+	is := is.New(t)
+	args := []string{request}
+	for _, lines := range logs {
+		log := filepath.Join(t.TempDir(), "log")
+		is.NoErr(os.WriteFile(log, []byte(lines), 0o600))
+		args = append(args, log)
+	}
+	var out bytes.Buffer
+	is.Equal(execute(t, &explainCmd{common{out: &out, errs: &out}}, args...), subcommands.ExitSuccess)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	return lines[len(lines)-1]
+}
+
+// Guards against a summary that doesn't lead from a cut answer to the runner that failed it.
+func TestExplainNamesRunnerOfCutAnswer(t *testing.T) {
+	is := is.New(t)
+	is.True(strings.HasSuffix(explained(t, "aa", logLines), "(answer broke off: silent); last failure: silent at i-1~5 after 3.416s"))
+}
+
+// Guards against taking a helper's part in a request for its end.
+func TestExplainTakesEndAtCallersDaemon(t *testing.T) {
+	is := is.New(t)
+	const caller = `I0305 15:48:57.100000 1 decisions.go:131] "delegated" request="aa" age="2ms" helper="d2"
+I0305 15:48:59.100000 1 decisions.go:131] "attempt_failed" request="aa" age="2.002s" runner="" reason="broken"
+I0305 15:48:59.100000 1 decisions.go:131] "broken_off" request="aa" age="2.002s" reason="runner_failed" detail="answer broke off: broken" events=4
+`
+	const helper = `I0305 15:48:57.100000 1 decisions.go:131] "accepted_for" request="aa" age="3ms" daemon="10.0.0.1:2"
+I0305 15:48:59.100000 1 decisions.go:131] "answered" request="aa" age="2.001s" runner="i-1"
+`
+	const summary = "broken off after 2.002s and 4 events: runner_failed (answer broke off: broken); last failure: broken at a helper after 2.002s"
+	is.Equal(explained(t, "aa", caller, helper), summary)
+	is.Equal(explained(t, "aa", helper, caller), summary)
+}
+
+// Guards against a summary that doesn't say that requests were cut by a panic, never read, or had no end.
+func TestExplainOtherEnds(t *testing.T) {
+	is := is.New(t)
+	is.Equal(explained(t, "aa", `I0305 15:48:57.100000 1 decisions.go:131] "panicked" request="aa" age="2ms" error="nil map" events=3`),
+		"cut after 2ms and 3 events by a panic: nil map")
+	is.True(strings.HasPrefix(explained(t, "aa", `I0305 15:48:57.100000 1 decisions.go:131] "request_unread" request="aa" bytes=70`), "never read"))
+	is.True(strings.HasPrefix(explained(t, "aa", `I0305 15:48:57.100000 1 decisions.go:131] "hedged" request="aa" runner="i-1" why="paths_lost"`),
+		"last seen: hedged; the daemon was killed"))
+}
+
 // When many requests fail within seconds, an operator must be able to find out
 // from the merged logs of all daemons which ones failed, at which runner and
 // why. Lines that report no failure must not be counted.
