--- a/cmd/geraniumd/main_test.go
+++ b/cmd/geraniumd/main_test.go
@@ -58,9 +58,11 @@
 	is      *is.I
 	t       *testing.T
 	command *exec.Cmd
-	stdout  *os.File
-	runner  *site.Runner
-	client  *http.Client
+	// settings is the path of the settings file.
+	settings string
+	stdout   *os.File
+	runner   *site.Runner
+	client   *http.Client
 	// exited is closed when the process has ended.
 	exited chan struct{}
 }
@@ -82,10 +84,10 @@
 	d.is.NoErr(store.RegisterRunner(d.runner.ID, d.runner.Address, site.Ready))
 	// Tests that run at the same time on one machine must not share addresses.
 	d.IP = fmt.Sprintf("127.%d.%d.9", 1+os.Getpid()%250, 1+os.Getpid()/250%250)
-	settings := filepath.Join(t.TempDir(), "settings.conf")
+	d.settings = filepath.Join(t.TempDir(), "settings.conf")
 	text := d.Settings(store.Address(), cloud.Address(), d.IP+":1", fmt.Sprintf("bounds.grace_s=%d", int(grace.Seconds())), "bounds.revoke_ms=5000")
-	d.is.NoErr(os.WriteFile(settings, []byte(text), 0o600))
-	d.command = command(modeServe, platform.SettingsEnv+"="+settings)
+	d.is.NoErr(os.WriteFile(d.settings, []byte(text), 0o600))
+	d.command = command(modeServe, platform.SettingsEnv+"="+d.settings)
 	var write *os.File
 	d.stdout, write, err = os.Pipe()
 	d.is.NoErr(err)
@@ -206,6 +208,22 @@
 	is.True(strings.Contains(text, `"stop" daemon="`+d.Name()+`" in_flight=0`))
 }
 
+// Guards against a daemon that doesn't start and leaves nothing in the only output that operators have.
+func TestFailedStartIsReportedOnStandardOutput(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t)
+	var out bytes.Buffer
+	second := command(modeServe, platform.SettingsEnv+"="+d.settings)
+	second.Stdout = &out
+	is.True(second.Run() != nil)
+	is.True(strings.Contains(out.String(), `] "daemon_failed" error="listen`))
+	out.Reset()
+	second = command(modeServe, platform.SettingsEnv+"="+d.settings+".missing")
+	second.Stdout = &out
+	is.True(second.Run() != nil)
+	is.True(strings.Contains(out.String(), `] "daemon_failed" error=`))
+}
+
 // Guards against a daemon that crashes without a word in the only output that operators have.
 func TestCrashIsReportedOnStandardOutput(t *testing.T) {
 	is := is.New(t)
