--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -73,6 +73,7 @@
 type daemon struct {
 	*edge.Edge
 	store *faultyStore
+	log   *decisions.Log
 	// runners is the daemon's access to the runners.
 	runners *daemonRunners
 	// address is the daemon's peer address.
@@ -134,7 +135,8 @@
 	}
 	access := &daemonRunners{runners: w.runners}
 	transport := peerhttp.NewTransport(w.calls.Dial)
-	d := &daemon{store: store, runners: access, address: address, cancel: cancel, done: make(chan struct{})}
+	log := decisions.New(metrics.NewRegistry())
+	d := &daemon{store: store, log: log, runners: access, address: address, cancel: cancel, done: make(chan struct{})}
 	domain := ident.FailureDomain("north")
 	if n := len(w.domains); n > 0 {
 		domain = w.domains[i%n]
@@ -152,7 +154,7 @@
 	}, edge.Deps{
 		Store: store, Codec: jsonCodec{}, Runners: access, Cloud: w.cloud,
 		Datagrams: w.network.listen(address), Delegation: &http.Client{Transport: transport}, Steady: w.steady,
-		Log: decisions.New(metrics.NewRegistry()),
+		Log: log,
 	})
 	listener, err := w.calls.Listen(address)
 	w.NoErr(err)
