--- a/cmd/geraniumd/main.go
+++ b/cmd/geraniumd/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"k8s.io/klog/v2"
@@ -36,10 +37,10 @@
 	disabled := flag.String("without", "", "mechanisms to leave out on the users' platform, separated by commas, to measure what they are worth")
 	directFleet := flag.Int("direct-fleet", relays.DirectFleet, "daemons up to which all of a fleet on the users' platform tell each other directly; the same for all of them")
 	flag.Parse()
-	defer klog.Flush()
 	if platformSettings := os.Getenv(platform.SettingsEnv); *path == "" && platformSettings != "" {
 		return runOnPlatform(platformSettings, *disabled, *directFleet)
 	}
+	defer klog.Flush()
 	s, err := settings.Load(*path)
 	if err != nil {
 		return reportSettingsError(err)
@@ -69,6 +70,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
 	}
+	reportCrashes()
+	// Without this the daemon would end with the process that reads its log.
+	signal.Ignore(syscall.SIGPIPE)
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -90,6 +94,13 @@
 	return exitFailure
 }
 
+// reportCrashes lets the runtime report a crash on standard output, too, where operators find the log.
+func reportCrashes() {
+	if err := debug.SetCrashOutput(os.Stdout, debug.CrashOptions{}); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
 // reportSettingsError prints every problem of the settings with its path and
 // returns the exit status.
 func reportSettingsError(err error) int {
--- a/daemon/decisions/decisions.go
+++ b/daemon/decisions/decisions.go
@@ -4,11 +4,10 @@
 // A single writer goroutine takes the lines from a bounded queue and writes them to standard
 // output. A slow writer, or a pipe that nobody reads, never delays a request: lines that don't
 // fit into the queue are dropped, and a line with the number of dropped lines precedes the next
-// one.
+// one. The last part of the queue is reserved for the lines that say why an answer isn't whole.
 package decisions
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"sync/atomic"
@@ -19,14 +18,17 @@
 )
 
 const (
-	// maxQueuedLines bounds the queue; at 300 bytes a line, a full queue holds 1.2 MB.
+	// maxQueuedLines bounds the queue of ordinary lines; at 300 bytes a line, they hold 1.2 MB.
 	maxQueuedLines = 4096
+	// reservedLines is the room in the queue for lines about answers that aren't whole: two for each of
+	// the thousand requests that a daemon may have in progress when they all end.
+	reservedLines = 2048
 	// writeBufferBytes is the size of the output buffer.
 	writeBufferBytes = 32 << 10
 	// flushInterval is how long a written line may stay in the output buffer, so that a busy
-	// daemon makes a few system calls a second and not one for each request. The lines of this
+	// daemon makes a hundred system calls a second and not one for each request. The lines of this
 	// interval are lost if the daemon is killed.
-	flushInterval = 100 * time.Millisecond
+	flushInterval = 10 * time.Millisecond
 )
 
 // Event names a kind of decision. It is the message of the line and the name of the counter.
@@ -59,7 +61,7 @@
 // running.
 func New(registry metrics.Registry) *Log {
 	return &Log{
-		lines:        make(chan line, maxQueuedLines),
+		lines:        make(chan line, maxQueuedLines+reservedLines),
 		registry:     registry,
 		droppedTotal: metrics.GetOrRegisterCounter("log.dropped_lines", registry),
 	}
@@ -67,13 +69,28 @@
 
 // Note counts an event and queues its line.
 func (l *Log) Note(event Event, fields ...Field) {
-	l.Count(string(event))
-	select {
-	case l.lines <- line{event, fields}:
-	default:
-		l.dropped.Add(1)
-		l.droppedTotal.Inc(1)
+	l.queue(line{event, fields}, maxQueuedLines)
+}
+
+// NoteLoss is Note for an event that says why an answer isn't whole. Its line still fits into the queue
+// when there is no room for ordinary lines.
+func (l *Log) NoteLoss(event Event, fields ...Field) {
+	l.queue(line{event, fields}, maxQueuedLines+reservedLines)
+}
+
+// queue queues a line unless the queue holds the given number of lines. Concurrent calls may exceed
+// that by one line each.
+func (l *Log) queue(next line, limit int) {
+	l.Count(string(next.event))
+	if len(l.lines) < limit {
+		select {
+		case l.lines <- next:
+			return
+		default:
+		}
 	}
+	l.dropped.Add(1)
+	l.droppedTotal.Inc(1)
 }
 
 // Count increments a counter without writing a line.
@@ -98,39 +115,39 @@
 // Run writes the queued lines to w until the context ends, and then those that are still queued.
 // It redirects the output of klog, a process-wide logger, to w.
 func (l *Log) Run(ctx context.Context, w io.Writer) {
-	buffer := bufio.NewWriterSize(w, writeBufferBytes)
-	klog.SetOutput(buffer)
-	defer l.flush(buffer)
+	out := newOutput(w)
+	klog.SetOutput(out.buffer)
+	defer l.flush(out)
 	var due <-chan time.Time
 	for {
 		select {
 		case next := <-l.lines:
-			l.write(next)
+			l.write(out, next)
 			if due == nil {
 				due = time.After(flushInterval)
 			}
 		case <-due:
-			l.flush(buffer)
+			l.flush(out)
 			due = nil
 		case <-ctx.Done():
-			l.drain()
+			l.drain(out)
 			return
 		}
 	}
 }
 
-func (l *Log) drain() {
+func (l *Log) drain(out *output) {
 	for {
 		select {
 		case next := <-l.lines:
-			l.write(next)
+			l.write(out, next)
 		default:
 			return
 		}
 	}
 }
 
-func (l *Log) write(next line) {
+func (l *Log) write(out *output, next line) {
 	if n := l.dropped.Swap(0); n > 0 {
 		klog.InfoS("log lines dropped", "lines", n)
 	}
@@ -139,10 +156,14 @@
 		pairs = append(pairs, f.Name, f.Value)
 	}
 	klog.InfoS(string(next.event), pairs...)
+	out.unflushed++
 }
 
-// flush flushes klog and the buffer. A failure to write the log can't be reported anywhere.
-func (l *Log) flush(buffer *bufio.Writer) {
+// flush writes what klog and the output hold. If that fails, the lines count as dropped.
+func (l *Log) flush(out *output) {
 	klog.Flush()
-	_ = buffer.Flush()
+	if lost := out.flush(); lost > 0 {
+		l.dropped.Add(lost)
+		l.droppedTotal.Inc(lost)
+	}
 }
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -164,6 +164,10 @@
 		return &failedAttempt{FailedAttempt: *failure}
 	}
 	ctx := a.parent
+	if a.s.isEnding() {
+		// The connection check could outlast the process.
+		return &failedAttempt{*failure, a}
+	}
 	if a.s.hedge == nil {
 		// What became of the runner counts also if the caller leaves meanwhile.
 		ctx = context.WithoutCancel(ctx)
@@ -182,7 +186,11 @@
 	if a != nil {
 		a.counted = a.counted || failed.Sent
 	}
-	s.note("attempt_failed", decisions.F("runner", a.runner()), decisions.F("reason", failed.Reason),
+	note := s.note
+	if end != nil {
+		note = s.noteLoss
+	}
+	note("attempt_failed", decisions.F("runner", a.runner()), decisions.F("reason", failed.Reason),
 		decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", fmt.Sprint(s.parts)),
 		causeField(s.content()), decisions.F("may_have_run", failed.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
 		decisions.F("kept", s.hedge != nil), decisions.F("again", end == nil), decisions.F("wait", wait))
@@ -203,23 +211,30 @@
 	return failed.Sent, nil
 }
 
-// endIfCanceled ends a request whose caller has disconnected or whose deadline has passed, and
-// reports whether it did.
+// endIfCanceled ends a request whose caller has disconnected, whose deadline has passed or which this daemon
+// ends, and reports whether it did.
 func (s *requestHandler) endIfCanceled(ctx context.Context) bool {
 	switch {
 	case ctx.Err() == nil:
 		return false
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		s.end(s.exchange.DeadlineRefusal().After(notReadyRetryAfter))
+	case s.isEnding():
+		s.end(s.endingRefusal())
 	default:
 		s.abortForLeftCaller()
 	}
 	return true
 }
 
-// abortForLeftCaller ends a request whose caller has disconnected.
+// abortForLeftCaller ends a request whose caller has disconnected, or doesn't read the answer until this daemon
+// closes the connection.
 func (s *requestHandler) abortForLeftCaller() {
-	s.note("caller_left", decisions.F("begun", s.exchange.AnswerBegun), decisions.F("events", s.eventsSent()))
+	if s.isEnding() {
+		s.breakOff(s.endingRefusal())
+		return
+	}
+	s.noteLoss("caller_left", decisions.F("begun", s.exchange.AnswerBegun), decisions.F("events", s.eventsSent()))
 	s.reply.Abort()
 }
 
@@ -235,9 +250,7 @@
 // the refusal. If a part of the answer has already been sent, the answer can only be aborted.
 func (s *requestHandler) end(r *refusal.Refusal) {
 	if s.exchange.AnswerBegun {
-		s.note("broken_off", decisions.F("reason", r.Reason), decisions.F("detail", r.Detail), decisions.F("events", s.eventsSent()))
-		s.edge.log.Count("broken_off." + string(r.Reason))
-		s.reply.Abort()
+		s.breakOff(r)
 		return
 	}
 	if s.buffered != nil {
@@ -246,3 +259,10 @@
 	}
 	s.refuse(r)
 }
+
+// breakOff ends an answer that has begun and can't become whole.
+func (s *requestHandler) breakOff(r *refusal.Refusal) {
+	s.noteLoss("broken_off", decisions.F("reason", r.Reason), decisions.F("detail", r.Detail), decisions.F("events", s.eventsSent()))
+	s.edge.log.Count("broken_off." + string(r.Reason))
+	s.reply.Abort()
+}
