Let streams of any age go on at another daemon

Callers saw: an answer that had been streaming for more than two seconds was cut when their daemon lost its paths to the runners, although other daemons reached them.

The daemon that had delegated it asked again every 100 ms, in vain, until the deadline. The belief that the caller has left is disproved by the events that it has got.

Why it works: the call names a software version only of a stream that has begun. For such a one the bound is the deadline, as it already is at the daemon that the caller has called.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -145,12 +145,18 @@
 // waits past the deadline.
 func (s *requestHandler) maxFirstTokenWait(now time.Time) time.Duration {
 	left := s.deadline.Sub(now)
-	if s.route.Kind != route.Stream || s.exchange.AnswerBegun {
+	if s.route.Kind != route.Stream || s.streamBegun() {
 		return left
 	}
 	return min(left, abandonAfter(s.route)-now.Sub(s.req.Received))
 }
 
+// streamBegun reports whether the caller has a part of the answer, maybe from the daemon that has delegated the
+// request: that names a version only of a stream that has begun.
+func (s *requestHandler) streamBegun() bool {
+	return s.exchange.AnswerBegun || s.delegated && s.bound.known
+}
+
 // Callers abandon a silent stream after the longest of minFirstTokenWait, targetLatencyFactor
 // times the route's target latency, and maxPauseFactor times its longest allowed pause.
 const (
--- a/daemon/edge/delegate_test.go
+++ b/daemon/edge/delegate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -131,6 +132,50 @@
 	}
 }
 
+// Guards against a stream that can't go on at another daemon because it is older than callers wait for a first event.
+func TestOldStreamContinuesAtAnotherDaemon(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		for _, id := range []string{"r1", "r2", "r3"} {
+			w.addOldStreamRunner(id)
+		}
+		time.Sleep(500 * time.Millisecond)
+		a := &timedReply{}
+		ended := make(chan struct{})
+		go func() {
+			w.serveTimed(context.Background(), w.daemons[0], "/draft/1", a)
+			close(ended)
+		}()
+		time.Sleep(oldStreamEvents / 2 * silenceEventInterval)
+		w.daemons[0].runners.cut(refusing)
+		<-ended
+		t.Logf("%d events, longest pause %v", len(a.writes), slices.Max(a.writes[1:]))
+		w.True(a.finished)
+		w.Equal(a.body.String(), eventText(1, oldStreamEvents))
+		w.True(slices.Max(a.writes[1:]) < time.Second)
+	})
+}
+
+// oldStreamEvents is a number of events that takes longer than callers wait for the first one.
+const oldStreamEvents = 60
+
+// addOldStreamRunner adds a runner with streams of oldStreamEvents events.
+func (w *testFleet) addOldStreamRunner(id string) {
+	w.addRunner(id, "app").setScript(func(_ context.Context, a *edge.Attempt) (*edge.Answer, error) {
+		from := 0
+		fmt.Sscanf(a.LastEventID, "%d", &from)
+		body := &slowEvents{next: from + 1, last: oldStreamEvents, interval: silenceEventInterval}
+		return &edge.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Events: true, Body: body}, nil
+	})
+}
+
+// serveTimed sends a request to a daemon, whose answer goes to a reply of the test's.
+func (w *testFleet) serveTimed(ctx context.Context, d *daemon, path string, reply edge.Reply) {
+	d.Serve(ctx, &edge.Request{
+		ID: fmt.Sprintf("r%d", lastRequestID.Add(1)), Host: host, Path: path, Method: http.MethodPost, Target: path,
+		Header: http.Header{}, Key: key, Received: time.Now(),
+	}, reply)
+}
+
 // Guards against a way around the check of keys through the calls between daemons.
 func TestDelegatedRequestNeedsItsKey(t *testing.T) {
 	withFleet(t, 3, config(1), func(w *testFleet) {
