--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -265,10 +265,11 @@
 	for _, f := range a.onRelease {
 		f()
 	}
+	a.cancel()
 	if a.helper != "" {
+		a.s.edge.helperCalls.end(a)
 		return
 	}
-	a.cancel()
 	a.s.pool.endAttempt(a)
 	a.s.edge.returnPermit(a.permit, a.rejected)
 }
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -123,17 +123,21 @@
 			s.returnCharge()
 		}
 		a := &attempt{s: s, sent: time.Now(), activity: &activity{}, helper: m.ID, parent: ctx}
+		a.recordHeard()
 		s.note("delegated", decisions.F("helper", m.ID), decisions.F("attempts", s.exchange.Sent()), decisions.F("may_have_run", s.exchange.MayHaveRun()))
-		answer, err := s.edge.callHelper(ctx, m.PeerAddress, s)
+		answer, err := a.call(ctx, &m)
+		if t := a.takenOver; t != nil {
+			return t.open, nil, t.end
+		}
 		var refusedBy *helperRefusalError
 		switch {
 		case err == nil:
-			a.helperBody, _ = answer.Body.(*helperBody)
+			open := &openAnswer{a, answer}
 			if !answer.Events && s.exchange.AnswerBegun {
-				answer.Body.Close()
+				open.close()
 				return nil, a.failed(a.callBroke(ctx)), nil
 			}
-			return &openAnswer{a, answer}, nil, nil
+			return open, nil, nil
 		case errors.As(err, &refusedBy):
 			if refused = refusedBy.Refusal; !mayServeElsewhere(refused) {
 				return nil, nil, s.orUnknown(refused)
@@ -153,6 +157,36 @@
 	return nil, nil, s.orUnknown(refused)
 }
 
+// call sends the request to a helper and returns its answer once it begins. If it fails, another attempt may have
+// taken over.
+func (a *attempt) call(ctx context.Context, helper *peers.Member) (*Answer, error) {
+	callCtx, cancel := context.WithCancel(ctx)
+	a.cancel = cancel
+	if a.s.exchange.Terms.Repeatable {
+		a.s.edge.helperCalls.begin(a, helper.Incarnation)
+	}
+	// A hedge may change the request's state once the wait has begun.
+	request := encodeDelegated(a.s)
+	a.beginWait()
+	answer, err := a.s.edge.callHelper(callCtx, helper.PeerAddress, request)
+	var refusedBy *helperRefusalError
+	a.endWait(err == nil || errors.As(err, &refusedBy))
+	if err != nil || a.takenOver != nil {
+		if err == nil {
+			answer.Body.Close()
+		}
+		a.release()
+		return nil, err
+	}
+	a.recordHeard()
+	a.helperBody, _ = answer.Body.(*helperBody)
+	answer.Body = &watchedBody{ReadCloser: answer.Body, attempt: a}
+	return answer, nil
+}
+
+// helperFailed reports whether a helper has said that its answer breaks off.
+func (a *attempt) helperFailed() bool { return a.helperBody != nil && a.helperBody.runnerFailed }
+
 // mayServeElsewhere reports whether another daemon may serve a request that a helper has refused.
 func mayServeElsewhere(r *refusal.Refusal) bool {
 	if r.Executed != refusal.ExecutedNo {
@@ -182,7 +216,7 @@
 // passOnHelper passes the answer of a helper on to the caller.
 func (a *attempt) passOnHelper(ctx context.Context, answer *Answer) *forward.FailedAttempt {
 	failure := a.passOnHelperBody(ctx, answer)
-	if a.helperBody.runnerFailed {
+	if a.helperFailed() {
 		// The helper has repeated the request if that may be done at all.
 		a.s.exchange.Terms.Repeatable, a.s.exchange.Terms.Resumable = false, false
 	}
@@ -195,6 +229,9 @@
 		return a.stream(ctx, answer)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
+	if a.takenOver != nil {
+		return nil
+	}
 	if err != nil {
 		return a.callBroke(ctx)
 	}
@@ -219,10 +256,10 @@
 type helperRefusalError struct{ *refusal.Refusal }
 
 // callHelper sends the request to another daemon and returns its answer once it begins.
-func (e *Edge) callHelper(ctx context.Context, address string, s *requestHandler) (*Answer, error) {
+func (e *Edge) callHelper(ctx context.Context, address string, request *delegationv1.ServeRequest) (*Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	client := delegationv1connect.NewDelegationServiceClient(e.deps.Delegation, "http://"+address)
-	stream, err := client.Serve(ctx, connect.NewRequest(encodeDelegated(s)))
+	stream, err := client.Serve(ctx, connect.NewRequest(request))
 	if err != nil {
 		cancel()
 		return nil, err
@@ -319,7 +356,8 @@
 		Attempts: uint32(s.exchange.Sent()), MayHaveRun: s.exchange.MayHaveRun(),
 	}
 	if s.bound.known {
-		m.StreamVersion = (*string)(&s.bound.version)
+		version := string(s.bound.version)
+		m.StreamVersion = &version
 	}
 	return m
 }
--- a/daemon/edge/delegate_test.go
+++ b/daemon/edge/delegate_test.go
@@ -226,10 +226,16 @@
 	recordedReply
 	last   time.Time
 	writes []time.Duration
+	// left ends the call of a caller that leaves after its patience without an event; nil for none.
+	left     *time.Timer
+	patience time.Duration
 }
 
 func (a *timedReply) Write(p []byte) error {
 	a.writes = append(a.writes, time.Since(a.last))
 	a.last = time.Now()
+	if a.left != nil {
+		a.left.Reset(a.patience)
+	}
 	return a.recordedReply.Write(p)
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -110,6 +110,8 @@
 	// cutOffUntil holds the services of which other daemons have stated that they reach no
 	// runner, with the time until which they are believed.
 	cutOffUntil map[ident.Incarnation]map[string]time.Duration
+	// helperCalls are the calls to helpers in progress.
+	helperCalls helperCalls
 	// rosterRequesters are the addresses of daemons that have asked for the relays' addresses,
 	// or that wrongly consider themselves relays.
 	rosterRequesters map[ident.Incarnation]string
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -53,6 +53,7 @@
 	network *network
 	// calls carries the calls between daemons.
 	calls   *pipe.Network
+	held    *heldCalls
 	runners *runners
 	cloud   *cloud
 	daemons []*daemon
@@ -86,7 +87,7 @@
 // daemon is a relay.
 func withFleet(t *testing.T, n int, c route.Config, f func(w *testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &testFleet{I: is.New(t), t: t, start: time.Now(), store: kvserver.New(), network: newNetwork(), calls: pipe.NewNetwork(), runners: newRunners(), cloud: &cloud{}, directFleet: relays.AllWatchFleet}
+		w := &testFleet{I: is.New(t), t: t, start: time.Now(), store: kvserver.New(), network: newNetwork(), calls: pipe.NewNetwork(), held: newHeldCalls(), runners: newRunners(), cloud: &cloud{}, directFleet: relays.AllWatchFleet}
 		w.configure(c)
 		for range n {
 			w.addDaemon()
@@ -133,7 +134,7 @@
 		w.NoErr(err)
 	}
 	access := &daemonRunners{runners: w.runners}
-	transport := peerhttp.NewTransport(w.calls.Dial)
+	transport := peerhttp.NewTransport(w.held.dial(w.calls.Dial))
 	d := &daemon{store: store, runners: access, address: address, cancel: cancel, done: make(chan struct{})}
 	domain := ident.FailureDomain("north")
 	if n := len(w.domains); n > 0 {
--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -252,7 +252,7 @@
 func (b *watchedBody) Read(p []byte) (int, error) {
 	b.attempt.beginWait()
 	n, err := b.ReadCloser.Read(p)
-	received := n > 0 || errors.Is(err, io.EOF)
+	received := n > 0 || errors.Is(err, io.EOF) || b.attempt.helperFailed()
 	if n > 0 {
 		b.attempt.recordHeard()
 	}
--- /dev/null
+++ b/daemon/edge/silent_helpers_test.go
@@ -0,0 +1,114 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+const (
+	// callerPatience is how long callers wait for the next event of a stream.
+	callerPatience = 2 * time.Second
+	// darkHelperStreams are so few that the retry budget is enough for those of one helper.
+	darkHelperStreams = 16
+)
+
+// playAt begins streams at one daemon, evenly over 5 s, and waits for their ends. Callers leave after
+// their patience without an event.
+func (w *testFleet) playAt(d *daemon, path string, streams int, patience time.Duration) (result silenceResult, longest time.Duration) {
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	for range streams {
+		callers.Go(func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			a := &timedReply{patience: patience, left: time.AfterFunc(patience, cancel)}
+			w.serveTimed(ctx, d, path, a)
+			a.left.Stop()
+			mu.Lock()
+			defer mu.Unlock()
+			result.add(&a.recordedReply)
+			for _, pause := range a.writes[min(1, len(a.writes)):] {
+				longest = max(longest, pause)
+			}
+		})
+		time.Sleep(5 * time.Second / time.Duration(streams))
+	}
+	callers.Wait()
+	return result, longest
+}
+
+// withHelpers runs a test with a daemon that reaches no runner and two others that serve its requests.
+func withHelpers(t *testing.T, f func(w *testFleet, cutOff *daemon, helpers []*daemon, runners []*silentRunner)) {
+	withFleet(t, 0, config(1), func(w *testFleet) {
+		w.domains = []ident.FailureDomain{"a", "b", "c"}
+		for range 3 {
+			w.addDaemon()
+		}
+		var runners []*silentRunner
+		for i := range 4 {
+			runners = append(runners, w.addSilentRunner(fmt.Sprintf("r%d", i)))
+		}
+		time.Sleep(3 * time.Second)
+		w.cutOff(w.daemons[0])
+		f(w, w.daemons[0], w.daemons[1:], runners)
+	})
+}
+
+// Guards against streams that stay at a helper that has gone dark, until their callers give up.
+func TestDarkHelperLosesItsStreams(t *testing.T) {
+	withHelpers(t, func(w *testFleet, d *daemon, helpers []*daemon, _ []*silentRunner) {
+		go func() {
+			time.Sleep(2 * time.Second)
+			w.goDark(helpers[0])
+		}()
+		result, longest := w.playAt(d, "/draft/1", darkHelperStreams, callerPatience)
+		t.Logf("%+v, longest pause %v", result, longest)
+		w.Equal(result.cut, 0)
+		w.Equal(result.whole, darkHelperStreams)
+	})
+}
+
+// Guards against events that a caller gets twice or never, and runners that go on working for nobody, where a
+// helper falls silent and wakes at any moment while a second one is tried.
+func TestRandomSilencesOfHelpersLeaveAnswersWhole(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			withHelpers(t, func(w *testFleet, d *daemon, helpers []*daemon, runners []*silentRunner) {
+				random := rand.New(rand.NewPCG(seed, 56))
+				var naps []time.Duration
+				for range 5 {
+					naps = append(naps, aboutHelperHedgeTime(random))
+				}
+				var sleeping sync.WaitGroup
+				sleeping.Go(func() {
+					for _, nap := range naps {
+						time.Sleep(nap / 2)
+						w.sleep(helpers[0])
+						time.Sleep(nap)
+						w.wake(helpers[0])
+					}
+				})
+				result, longest := w.playAt(d, "/draft/1", 60, silenceDeadline)
+				sleeping.Wait()
+				t.Logf("%+v, longest pause %v", result, longest)
+				w.Equal(result.mixed, 0)
+				w.Equal(result.cut, 0)
+				time.Sleep(time.Second)
+				for _, r := range runners {
+					w.Equal(r.working.Load(), int64(0))
+				}
+			})
+		})
+	}
+}
+
+// aboutHelperHedgeTime returns a time between 0.8 and 1.2 seconds: after about 0.9 a second helper is tried.
+func aboutHelperHedgeTime(random *rand.Rand) time.Duration {
+	return 800*time.Millisecond + time.Duration(random.Int64N(int64(400*time.Millisecond)))
+}
--- a/daemon/edge/silent_runners_test.go
+++ b/daemon/edge/silent_runners_test.go
@@ -133,6 +133,19 @@
 // silenceResult counts the answers that callers got.
 type silenceResult struct{ whole, cut, mixed, refused int }
 
+func (r *silenceResult) add(a *recordedReply) {
+	switch {
+	case a.refusal != nil:
+		r.refused++
+	case !strings.HasPrefix(eventText(1, silenceEvents), a.body.String()):
+		r.mixed++
+	case a.aborted || a.body.String() != eventText(1, silenceEvents):
+		r.cut++
+	default:
+		r.whole++
+	}
+}
+
 // playThroughSilence begins streams at all daemons in turn, evenly over a time, and waits for their ends.
 func (w *testFleet) playThroughSilence(path string, streams int, span time.Duration) silenceResult {
 	var mu sync.Mutex
@@ -144,16 +157,7 @@
 			a := w.askWithin(context.Background(), d, path, key, silenceDeadline)
 			mu.Lock()
 			defer mu.Unlock()
-			switch {
-			case a.refusal != nil:
-				result.refused++
-			case !strings.HasPrefix(eventText(1, silenceEvents), a.body.String()):
-				result.mixed++
-			case a.aborted || a.body.String() != eventText(1, silenceEvents):
-				result.cut++
-			default:
-				result.whole++
-			}
+			result.add(a)
 		})
 		time.Sleep(span / time.Duration(streams))
 	}
