Keep calls to daemons that are silent for two seconds

Callers saw: when a daemon that served requests for another one was silent for just over two seconds, all those requests ended at once. What can't be resumed was cut, the rest had to share the retry budget or was cut at its deadline.

Cause: the one connection between the two is closed, with all calls on it, when a ping has not been answered for a second, after a second without data.

Change: the ping may take 1.5 s. The connection is closed after 2.5 s, as the kernel closes those to runners (platform/dial.go).

Evidence: TestAnswersOutliveASilenceOfTheirHelpers, 100 streams (whole, cut, refused), one of three runs each, before and after. Not resumable: 73, 18, 9 and 100, 0, 0. Not resumable: 29, 24, 47 and 70, 0, 30. Silences of 1.2 s cut nothing before, either.

--- a/daemon/edge/silent_helpers_test.go
+++ b/daemon/edge/silent_helpers_test.go
@@ -60,6 +60,40 @@
 	})
 }
 
+// Guards against answers that are cut because the daemons that serve them for another one are silent for a second or two.
+func TestAnswersOutliveASilenceOfTheirHelpers(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		helpers    int
+		span       time.Duration
+	}{
+		{"one_for_1.2_s", "/draft/1", 1, 1200 * time.Millisecond},
+		{"one_for_2.2_s", "/draft/1", 1, 2200 * time.Millisecond},
+		{"all_for_2.2_s", "/draft/1", 2, 2200 * time.Millisecond},
+		{"one_for_2.2_s_not_resumable", "/match/1", 1, 2200 * time.Millisecond},
+		{"all_for_2.2_s_not_resumable", "/match/1", 2, 2200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withHelpers(t, func(w *testFleet, d *daemon, helpers []*daemon, _ []*silentRunner) {
+				go func() {
+					time.Sleep(2 * time.Second)
+					for _, h := range helpers[:c.helpers] {
+						w.sleep(h)
+					}
+					time.Sleep(c.span)
+					for _, h := range helpers[:c.helpers] {
+						w.wake(h)
+					}
+				}()
+				result, longest := w.playAt(d, c.path, 100, silenceDeadline)
+				t.Logf("%+v, longest pause %v", result, longest)
+				w.Equal(result.mixed, 0)
+				w.Equal(result.cut, 0)
+			})
+		})
+	}
+}
+
 // Guards against streams that stay at a helper that has gone dark, until their callers give up.
 func TestDarkHelperLosesItsStreams(t *testing.T) {
 	withHelpers(t, func(w *testFleet, d *daemon, helpers []*daemon, _ []*silentRunner) {
--- a/transport/peerhttp/peerhttp.go
+++ b/transport/peerhttp/peerhttp.go
@@ -15,9 +15,10 @@
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = 30 * time.Second
 	// A connection over which nothing arrives is checked by a ping after pingAfter and closed if
-	// there is no response within pingTimeout: the other daemon has lost its power or network.
+	// there is no response within pingTimeout: the other daemon has lost its power or network. All
+	// calls to it end with the connection, and it may be silent for a second or two and go on.
 	pingAfter   = time.Second
-	pingTimeout = time.Second
+	pingTimeout = 1500 * time.Millisecond
 	// headerTimeout bounds the time to read a request's header.
 	headerTimeout = time.Second
 )
