--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -184,8 +184,11 @@
 	if h.alone.Load() {
 		return true
 	}
-	if h.why == pathsLost {
+	switch h.why {
+	case pathsLost:
 		return h.silent.s.pool.paths.lost.Load()
+	case helperSilent:
+		return h.silent.s.edge.helperIsSilent(h.silent)
 	}
 	return h.silent.activity.silent.Load()
 }
@@ -194,7 +197,7 @@
 func (h *hedge) keptRunners() []ident.RunnerID {
 	var ids []ident.RunnerID
 	for ; h != nil; h = h.outer {
-		if !h.alone.Load() {
+		if h.silent.helper == "" && !h.alone.Load() {
 			ids = append(ids, h.silent.choice.Runner)
 		}
 	}
@@ -293,7 +296,7 @@
 func (b *watchedBody) Read(p []byte) (int, error) {
 	b.attempt.beginWait()
 	n, err := b.ReadCloser.Read(p)
-	received := n > 0 || errors.Is(err, io.EOF)
+	received := n > 0 || errors.Is(err, io.EOF) || b.attempt.helperFailed()
 	if n > 0 {
 		b.attempt.recordHeard()
 	}
