Take bytes that are no answer for a sign that a runner is reached

What callers saw: requests handed to other daemons, which reached the same runners, when the runners of a small service were in trouble and answered with bytes that are no answer; while a daemon takes its paths for lost it also sends no second request beside a silent one's.

Cause: an attempt or health check without an answer counted as a failure of the path, also if bytes of the runner had arrived.

Change: the client says whether bytes of the runner have arrived (SendError.Heard, HealthAnswer.Heard); the failure counts against the runner as before, and the path counts as working.

TestBytesThatAreNoAnswerShowThatARunnerIsReached failed before: the daemon sent 9 of 10 requests itself, target 10.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -348,14 +348,16 @@
 func (a *attempt) handleSendError(ctx context.Context, err error) *forward.FailedAttempt {
 	failure := &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
 	var send *SendError
+	heard := false
 	if errors.As(err, &send) {
+		heard = send.Heard
 		failure.Reason, failure.Sent, failure.MayHaveRun = send.Reason, send.Sent, send.Sent
 	}
 	if ctx.Err() != nil {
 		a.endInterrupted(failure.Sent)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			a.recordFailure()
-			a.s.pool.recordPathFailure(a.choice.Runner)
+			a.s.pool.recordNoAnswer(a.choice.Runner, heard)
 		}
 		return failure
 	}
@@ -374,7 +376,7 @@
 		return failure
 	}
 	a.s.pool.observe(a.choice.Runner, health.Failure)
-	a.s.pool.recordPathFailure(a.choice.Runner)
+	a.s.pool.recordNoAnswer(a.choice.Runner, heard)
 	return failure
 }
 
--- a/daemon/edge/endless_test.go
+++ b/daemon/edge/endless_test.go
@@ -13,6 +13,7 @@
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	delegationv1 "geraniumstack.org/geraniumstack/gen/geranium/delegation/v1"
 	"geraniumstack.org/geraniumstack/gen/geranium/delegation/v1/delegationv1connect"
+	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/transport/peerhttp"
 )
@@ -326,3 +327,25 @@
 		w.Equal(a.refusal.Executed, refusal.ExecutedUnknown)
 	})
 }
+
+// Guards against a daemon that takes its paths to the runners for lost, and lets others serve its callers, although bytes
+// of the runners arrive.
+func TestBytesThatAreNoAnswerShowThatARunnerIsReached(t *testing.T) {
+	const requests = 10
+	withFleet(t, 2, config(1), func(w *testFleet) {
+		for _, id := range []string{"r1", "r2", "r3"} {
+			w.addRunner(id, "app").setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+				return nil, &edge.SendError{Reason: retry.Broken, Sent: true, Heard: true, Err: io.ErrUnexpectedEOF}
+			})
+			w.runners.babble(id)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for range requests {
+			a := w.ask(w.daemons[0], "/pledge/1", key)
+			w.Equal(a.reason(), refusal.RunnerFailed)
+			time.Sleep(400 * time.Millisecond)
+		}
+		w.Equal(w.daemons[0].runners.sends(), requests)
+		w.Equal(w.daemons[1].runners.sends(), 0)
+	})
+}
--- a/daemon/edge/paths.go
+++ b/daemon/edge/paths.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// recordNoAnswer records that a call to a runner brought no answer. heard says that bytes of the runner have arrived,
+// which shows that it is reached.
+func (p *pool) recordNoAnswer(id ident.RunnerID, heard bool) {
+	if heard {
+		p.recordHeard()
+		return
+	}
+	p.recordPathFailure(id)
+}
+
 // recordPathFailure records that a connection to a runner could not be opened, broke, or went
 // silent.
 func (p *pool) recordPathFailure(id ident.RunnerID) {
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -139,7 +139,7 @@
 	p.mu.Unlock()
 	answer := p.edge.deps.Runners.CheckHealth(ctx, r.Address, path, r.ID)
 	if answer.Health == NoAnswer {
-		p.recordPathFailure(r.ID)
+		p.recordNoAnswer(r.ID, answer.Heard)
 		return NoAnswer
 	}
 	permit.accepted = answer.Health == Healthy
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -230,7 +230,9 @@
 	Reason retry.Reason
 	// Sent is false if no byte of the request was sent.
 	Sent bool
-	Err  error
+	// Heard says that bytes of the runner have arrived, so that it was reached.
+	Heard bool
+	Err   error
 }
 
 func (e *SendError) Error() string { return fmt.Sprintf("%s: %v", e.Reason, e.Err) }
@@ -253,7 +255,9 @@
 
 // HealthAnswer is what came of a health check: the result, and what the runner says of itself in the answer.
 type HealthAnswer struct {
-	Health     Health
+	Health Health
+	// Heard says that bytes of the runner have arrived, so that it was reached, also without an answer.
+	Heard      bool
 	Leaving    bool
 	RetryAfter time.Duration
 }
