--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -98,3 +98,10 @@
 	defer e.mu.Unlock()
 	return e.relayPlan.WatchesStore
 }
+
+// QuotaTaken returns what the daemon has taken out of a workspace's quota and not given back.
+func (e *Edge) QuotaTaken(ws ident.Workspace) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.limiter.Uses(e.deps.Steady())[ws].Taken
+}
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -137,6 +137,9 @@
 func (s *requestHandler) passOn(ctx context.Context, open *openAnswer) (*failedAttempt, *refusal.Refusal) {
 	for {
 		a := open.attempt
+		if a.helper != "" {
+			s.returnCharge()
+		}
 		failure := a.passOn(ctx, open.answer)
 		open.close()
 		next := a.takenOver
@@ -149,9 +152,6 @@
 			return nil, next.end
 		}
 		open = next.open
-		if open.attempt.helper != "" {
-			s.returnCharge()
-		}
 	}
 }
 
--- a/daemon/edge/silent_helpers_test.go
+++ b/daemon/edge/silent_helpers_test.go
@@ -4,11 +4,15 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"geraniumstack.org/geraniumstack/daemon/edge"
+	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/route"
 )
 
 const (
@@ -142,6 +146,41 @@
 	}
 }
 
+// Guards against a quota that is charged by both daemons for a request that a helper takes over from a silent runner.
+func TestTakenOverRequestIsChargedOnce(t *testing.T) {
+	c := config(1)
+	c.Workspaces[0].Quota = route.Quota{PerSecond: 10, Burst: 30}
+	c.Routes[0].Timeout = 5 * time.Second
+	withFleet(t, 3, c, func(w *testFleet) {
+		d := w.daemons[0]
+		for _, id := range []string{"r1", "r2", "r3"} {
+			w.addRunner(id, "app").setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+				if ctx.Value(senderKey{}) != d.runners {
+					return plainAnswer(http.StatusOK, "from "+id), nil
+				}
+				a.Connected()
+				return nil, &edge.SendError{Reason: retry.Broken, Sent: true, Err: hang(ctx, time.Minute)}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		var asking sync.WaitGroup
+		for range takenOverRequests {
+			asking.Go(func() { w.Equal(w.ask(d, "/read/1", key).status, http.StatusOK) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		d.runners.cut(silent)
+		asking.Wait()
+		taken := 0.0
+		for _, d := range w.daemons {
+			taken += d.QuotaTaken(workspace)
+		}
+		w.Equal(taken, float64(takenOverRequests))
+	})
+}
+
+// takenOverRequests are so few that the retry budget is enough for them.
+const takenOverRequests = 6
+
 // aboutHelperHedgeTime returns a time between 0.8 and 1.2 seconds: after about 0.9 a second helper is tried.
 func aboutHelperHedgeTime(random *rand.Rand) time.Duration {
 	return 800*time.Millisecond + time.Duration(random.Int64N(int64(400*time.Millisecond)))
