--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -53,7 +53,7 @@
 	return names
 }
 
-// helpers returns ready daemons that have not stated that they reach no runner of the service, in
+// helpers returns ready daemons that aren't silent and have not stated that they reach no runner of the service, in
 // random order but the first ones each of another failure domain: a whole one may be cut off.
 func (e *Edge) helpers(service string) []peers.Member {
 	if e.deps.Delegation == nil {
@@ -64,7 +64,7 @@
 	defer e.mu.Unlock()
 	var candidates []peers.Member
 	for _, m := range e.alive {
-		if m.Phase == peers.Ready && now >= e.cutOffUntil[m.Incarnation][service] {
+		if m.Phase == peers.Ready && now >= e.cutOffUntil[m.Incarnation][service] && !e.helperCalls.isSilent(m.Incarnation) {
 			candidates = append(candidates, m)
 		}
 	}
@@ -122,8 +122,7 @@
 			// The silent attempt of a hedge stays charged.
 			s.returnCharge()
 		}
-		a := &attempt{s: s, sent: time.Now(), activity: &activity{}, helper: m.ID, parent: ctx}
-		a.recordHeard()
+		a := &attempt{s: s, sent: time.Now(), helper: m.ID, parent: ctx}
 		s.note("delegated", decisions.F("helper", m.ID), decisions.F("attempts", s.exchange.Sent()), decisions.F("may_have_run", s.exchange.MayHaveRun()))
 		answer, err := a.call(ctx, &m)
 		if t := a.takenOver; t != nil {
@@ -162,15 +161,17 @@
 func (a *attempt) call(ctx context.Context, helper *peers.Member) (*Answer, error) {
 	callCtx, cancel := context.WithCancel(ctx)
 	a.cancel = cancel
-	if a.s.exchange.Terms.Repeatable {
-		a.s.edge.helperCalls.begin(a, helper.Incarnation)
-	}
+	a.s.edge.helperCalls.begin(a, helper)
 	// A hedge may change the request's state once the wait has begun.
 	request := encodeDelegated(a.s)
 	a.beginWait()
 	answer, err := a.s.edge.callHelper(callCtx, helper.PeerAddress, request)
 	var refusedBy *helperRefusalError
-	a.endWait(err == nil || errors.As(err, &refusedBy))
+	received := err == nil || errors.As(err, &refusedBy)
+	if received {
+		a.recordHeard()
+	}
+	a.endWait(received)
 	if err != nil || a.takenOver != nil {
 		if err == nil {
 			answer.Body.Close()
@@ -178,7 +179,6 @@
 		a.release()
 		return nil, err
 	}
-	a.recordHeard()
 	a.helperBody, _ = answer.Body.(*helperBody)
 	answer.Body = &watchedBody{ReadCloser: answer.Body, attempt: a}
 	return answer, nil
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -60,7 +60,7 @@
 		round += roundsPerMessage
 		round -= round % roundsPerMessage
 		e.tickPeers()
-		e.suspectSilentHelpers()
+		e.probeSilentHelpers()
 		e.sendRound(round)
 		e.publishLateRunners()
 		e.observeVersions()
--- a/daemon/edge/silent_helpers_test.go
+++ b/daemon/edge/silent_helpers_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -112,6 +114,38 @@
 	})
 }
 
+// Guards against streams that stay at a dark helper in a large fleet, whose daemons learn late of each other's end.
+func TestDarkHelperOfALargeFleetLosesItsStreams(t *testing.T) {
+	for round := range 5 {
+		t.Run(fmt.Sprint(round), func(t *testing.T) {
+			withRelayFleet(t, relays.AllWatchFleet+2, config(1), func(w *testFleet) {
+				w.addSilentRunner("r1")
+				w.addSilentRunner("r2")
+				time.Sleep(3 * time.Second)
+				d := w.daemons[0]
+				w.cutOff(d)
+				a := &timedReply{patience: callerPatience}
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				a.left = time.AfterFunc(callerPatience, leave)
+				ended := make(chan struct{})
+				go func() {
+					w.serveTimed(ctx, d, "/draft/1", a)
+					close(ended)
+				}()
+				time.Sleep(4 * silenceEventInterval)
+				helper := slices.IndexFunc(w.daemons, func(h *daemon) bool { return h != d && h.InFlight() > 0 })
+				w.goDark(w.daemons[helper])
+				<-ended
+				t.Logf("%d events, longest pause %v", len(a.writes), slices.Max(a.writes[1:]))
+				w.True(a.finished)
+				w.Equal(a.body.String(), eventText(1, silenceEvents))
+				w.True(slices.Max(a.writes[1:]) < 3*callerPatience/4)
+			})
+		})
+	}
+}
+
 // Guards against events that a caller gets twice or never, and runners that go on working for nobody, where a
 // helper falls silent and wakes at any moment while a second one is tried.
 func TestRandomSilencesOfHelpersLeaveAnswersWhole(t *testing.T) {
@@ -121,7 +155,7 @@
 				random := rand.New(rand.NewPCG(seed, 56))
 				var naps []time.Duration
 				for range 5 {
-					naps = append(naps, aboutHelperHedgeTime(random))
+					naps = append(naps, aboutHedgeTime(random))
 				}
 				var sleeping sync.WaitGroup
 				sleeping.Go(func() {
@@ -180,8 +214,3 @@
 
 // takenOverRequests are so few that the retry budget is enough for them.
 const takenOverRequests = 6
-
-// aboutHelperHedgeTime returns a time between 0.8 and 1.2 seconds: after about 0.9 a second helper is tried.
-func aboutHelperHedgeTime(random *rand.Rand) time.Duration {
-	return 800*time.Millisecond + time.Duration(random.Int64N(int64(400*time.Millisecond)))
-}
