--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -184,11 +184,8 @@
 	if h.alone.Load() {
 		return true
 	}
-	switch h.why {
-	case pathsLost:
+	if h.why == pathsLost {
 		return h.silent.s.pool.paths.lost.Load()
-	case helperSilent:
-		return h.silent.s.edge.helperIsSilent(h.silent)
 	}
 	return h.silent.activity.silent.Load()
 }
