Let a second attempt take a stream over with a whole event only

What callers saw: a stream that was cut although its silent runner went on two seconds later: the second runner beside it sent bytes that were no event.

Cause: the first byte of the second attempt closed the silent one's connection. When the bytes then turned out to be no event, no attempt was left.

Evidence: a trial in virtual time, then TestBytesThatAreNoEventTakeNoStreamOver: with two attempts allowed, a silence of 2.5 s and a second runner that sends filler, fast or slowly, the stream was cut after its second event; beside a second runner that sent nothing it was whole.

Change: the second attempt of a stream has begun once it has a whole event, within the bounds on events' bytes and time. If it breaks off before, it has failed, and the silent one's connection is still open.

Why it works: nothing of less than an event could be passed on anyway, so waiting for one delays no caller.

--- a/daemon/edge/endless_test.go
+++ b/daemon/edge/endless_test.go
@@ -349,3 +349,52 @@
 		w.Equal(w.daemons[1].runners.sends(), 0)
 	})
 }
+
+// pausedBody is the body of a stream whose runner pauses before its last part.
+type pausedBody struct {
+	ctx   context.Context
+	parts []string
+	pause time.Duration
+}
+
+func (b *pausedBody) Read(p []byte) (int, error) {
+	switch len(b.parts) {
+	case 0:
+		return 0, io.EOF
+	case 1:
+		if !pauseFor(b.ctx, b.pause) {
+			return 0, b.ctx.Err()
+		}
+	}
+	n := copy(p, b.parts[0])
+	b.parts = b.parts[1:]
+	return n, nil
+}
+
+// Guards against a stream whose silent runner is given up for bytes of a second one that are no event.
+func TestBytesThatAreNoEventTakeNoStreamOver(t *testing.T) {
+	for _, pause := range []time.Duration{0, 100 * time.Millisecond} {
+		withFleet(t, 1, config(1), func(w *testFleet) {
+			w.addRunner("silent", "app").setScript(func(ctx context.Context, _ *edge.Attempt) (*edge.Answer, error) {
+				w.runners.unresponsive("silent", true)
+				answer := eventAnswer("", io.EOF)
+				answer.Body = io.NopCloser(&pausedBody{ctx, []string{eventText(1, 2), eventText(3, 6)}, 2500 * time.Millisecond})
+				return answer, nil
+			})
+			time.Sleep(300 * time.Millisecond)
+			answered := make(chan *recordedReply)
+			go func() { answered <- w.ask(w.daemons[0], "/draft/1", key) }()
+			time.Sleep(100 * time.Millisecond)
+			sick := w.addRunner("sick", "app")
+			sick.setScript(func(ctx context.Context, _ *edge.Attempt) (*edge.Answer, error) {
+				answer := endlessAnswer(ctx, 200, &endlessBody{first: "x", rest: "x", pause: pause, most: 8 << 20})
+				answer.Events = true
+				return answer, nil
+			})
+			a := <-answered
+			w.Equal(sick.count(), 1)
+			w.True(a.finished)
+			w.Equal(a.body.String(), eventText(1, 6))
+		})
+	}
+}
--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -248,7 +248,7 @@
 	return ctx.Err() == nil && (s.hedge == nil || s.hedge.stands())
 }
 
-// peek waits until something of the body has arrived, or of that of the attempt that has taken over. Otherwise it
+// peek waits until something of the body can be passed on, or of that of the attempt that has taken over. Otherwise it
 // returns what is known about the failure.
 func (o *openAnswer) peek(ctx context.Context) (*openAnswer, *failedAttempt) {
 	a := o.attempt
@@ -259,9 +259,8 @@
 		o.close()
 		return nil, a.failed(&forward.FailedAttempt{Reason: retry.ServerError, MayHaveRun: true, Sent: true})
 	}
-	first := make([]byte, copyBufferBytes)
-	n, err := o.answer.Body.Read(first)
-	if err != nil && !errors.Is(err, io.EOF) && n == 0 {
+	first, err := o.readBeginning()
+	if err != nil && !errors.Is(err, io.EOF) && len(first) == 0 {
 		failure := a.bodyFailed(ctx, err)
 		o.close()
 		if next := a.takenOver; next != nil {
@@ -274,7 +273,7 @@
 		o.close()
 		return nil, a.failed(failure)
 	}
-	o.answer.Body = &peekedBody{ReadCloser: o.answer.Body, first: first[:n], err: err}
+	o.answer.Body = &peekedBody{ReadCloser: o.answer.Body, first: first, err: err}
 	return o, nil
 }
 
