--- a/soak/cut_excuses_test.go
+++ b/soak/cut_excuses_test.go
@@ -73,18 +73,18 @@
 		{"stopped within the grace", func(sent time.Time, _ *attempt, d *daemon) { d.termAt = []time.Time{after(sent, 100)} }, ""},
 		{"stopped past the grace", func(sent time.Time, _ *attempt, d *daemon) { d.termAt = []time.Time{after(sent, -1700)} }, graceOver},
 		{"former process stopped", func(sent time.Time, _ *attempt, d *daemon) { d.termAt = []time.Time{after(sent, -4100)} }, ""},
-		{"paused", func(sent time.Time, _ *attempt, d *daemon) { d.paused.list = []period{{sent, after(sent, 1950)}} }, ""},
+		{"paused", func(sent time.Time, _ *attempt, d *daemon) { d.paused.list = []period{{sent, after(sent, 2450)}} }, ""},
 		{"paused while helped", func(sent time.Time, _ *attempt, d *daemon) {
 			logHelper(d, "s1-1")
-			d.paused.list = []period{{sent, after(sent, 1950)}}
+			d.paused.list = []period{{sent, after(sent, 2450)}}
 		}, callPaused},
 		{"helper paused", func(sent time.Time, _ *attempt, d *daemon) {
 			logHelper(d, "s1-1")
-			d.fleet.daemons[1].paused.list = []period{{sent, after(sent, 1950)}}
+			d.fleet.daemons[1].paused.list = []period{{sent, after(sent, 2450)}}
 		}, callPaused},
 		{"helper paused for a moment", func(sent time.Time, _ *attempt, d *daemon) {
 			logHelper(d, "s1-1")
-			d.fleet.daemons[1].paused.list = []period{{sent, after(sent, 1000)}}
+			d.fleet.daemons[1].paused.list = []period{{sent, after(sent, 2300)}}
 		}, ""},
 		{"helper paused before", func(sent time.Time, _ *attempt, d *daemon) {
 			logHelper(d, "s1-1")
