Count interrupted attempts in one place

Nothing follows such an attempt, so no caller saw it. The end of an attempt in whose place another goes on stood twice, and stands once.

No test of its own.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -48,8 +48,8 @@
 	permit          permit
 	rejected, rests bool
 	sent            time.Time
-	// begun says that the runner's answer has begun, events that it is an event stream. eventsBefore is the number of events that earlier
-	// attempts have brought.
+	// begun says that the runner's answer has begun, events that it is an event stream. eventsBefore is the
+	// number of events that earlier attempts have brought.
 	begun, events bool
 	eventsBefore  int
 	// partsAnswered says that the answer has gone so far that the prompt's parts did not make the
@@ -193,8 +193,7 @@
 		if err == nil {
 			answer.Body.Close()
 		}
-		a.finish()
-		a.recordFailure()
+		a.endTakenOver()
 		a.release()
 		return next, nil
 	}
@@ -388,6 +387,12 @@
 	a.finish()
 }
 
+// endTakenOver ends an attempt in whose place another one goes on.
+func (a *attempt) endTakenOver() {
+	a.finish()
+	a.recordFailure()
+}
+
 // recordInterrupted counts an attempt that this side cut off after the request was sent.
 func (a *attempt) recordInterrupted() {
 	if !a.counted {
--- a/daemon/edge/buffered.go
+++ b/daemon/edge/buffered.go
@@ -98,7 +98,7 @@
 		}
 		if err != nil {
 			if ctx.Err() != nil {
-				s.exchange.RecordInterrupted()
+				a.recordInterrupted()
 			} else {
 				a.recordBroken()
 			}
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -251,7 +251,7 @@
 	if ctx.Err() == nil {
 		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
 	}
-	a.s.exchange.RecordInterrupted()
+	a.recordInterrupted()
 	return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
 }
 
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -163,11 +163,11 @@
 	if a.helper != "" {
 		return &failedAttempt{FailedAttempt: *failure}
 	}
-	ctx := a.parent
 	if a.s.isEnding() {
 		// The connection check could outlast the process.
 		return &failedAttempt{*failure, a}
 	}
+	ctx := a.parent
 	if a.s.hedge == nil {
 		// What became of the runner counts also if the caller leaves meanwhile.
 		ctx = context.WithoutCancel(ctx)
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -41,12 +41,13 @@
 // bodyFailed ends an attempt whose answer has begun and isn't whole. It returns nil if another attempt has taken
 // over.
 func (a *attempt) bodyFailed(ctx context.Context, err error) *forward.FailedAttempt {
+	if a.takenOver != nil {
+		a.endTakenOver()
+		return nil
+	}
 	a.finish()
 	var mismatch *versionMismatchError
 	switch {
-	case a.takenOver != nil:
-		a.recordFailure()
-		return nil
 	case ctx.Err() != nil:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			a.recordFailure()
