--- a/daemon/edge/policy.go
+++ b/daemon/edge/policy.go
@@ -49,13 +49,19 @@
 	Retries Mechanism = "retries"
 	// RefuseEarly immediately refuses a request whose answer is expected to come too late.
 	RefuseEarly Mechanism = "refuse-early"
+	// RunnerSpeeds learns the speed of each runner where a service's runners differ.
+	RunnerSpeeds Mechanism = "runner-speeds"
+	// FairShare keeps workspaces within their shares while a service has too little capacity.
+	FairShare Mechanism = "fair-share"
+	// Spillover decides how much traffic leaves a failure domain.
+	Spillover Mechanism = "spillover"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		PlaceByPrefix, CopyParts, TellPlacements, TrustHomes, LearnSpeed, RoomForStreams, RoomForChance, SpareRunners,
-		TwoReclaims, Scarcity, AskOften, TellLeaving, Ejection, ProbeSilent, Retries, RefuseEarly,
+		TwoReclaims, Scarcity, AskOften, TellLeaving, Ejection, ProbeSilent, Retries, RefuseEarly, RunnerSpeeds, FairShare, Spillover,
 	}
 }
 
