Tell requests over a quota to return one after the other

Change: a daemon that finds a quota used up schedules the returns of the requests that it refuses, at half of its share of the refill, 5 s ahead at most. The first refusal after a while is told what it was told before. Mechanism fair-share switches it off.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -139,6 +139,9 @@
 	uninformedBudgetUsed bool
 	// recentUsage is the recent use by this daemon's own requests.
 	recentUsage decayingSum
+	// returnsUntil is the time at which the next refused request is told to return at the
+	// earliest; see ReturnAfter.
+	returnsUntil time.Duration
 }
 
 // decayingSum is an amount that decays exponentially with time constant usageDecay.
@@ -188,6 +191,8 @@
 	// synced is set once this daemon has heard a daemon whose Age was at least syncPeriod
 	// and whose bucket levels it could therefore take over.
 	synced bool
+	// orderedReturns is set by SetOrderedReturns.
+	orderedReturns bool
 }
 
 // New returns a limiter without workspaces and peers. The time now is the start of this
