Make the subcommands of geraniumctl easier to read

Cause: read as a newcomer, ctl repeated a closure of 150 columns for each admin call, the printing of a run's summary (demo, load), the parsing of flags after an argument (bench, check-config), the list of groupings (causes) and the form of a document's problem (also in state/document). Change: call takes the client's method and the request. The fields of common say which commands set them. No behaviour changes. Tests of ctl, state/document, state/manifest, state/configcheck and platform's of the configuration pass with the race detector; vet, staticcheck and the layer check are clean.

--- a/ctl/admin.go
+++ b/ctl/admin.go
@@ -7,12 +7,11 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
-	"sort"
+	"maps"
+	"slices"
 	"text/tabwriter"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/google/subcommands"
 
 	adminv1 "geraniumstack.org/geraniumstack/gen/geranium/admin/v1"
@@ -40,27 +39,6 @@
 	return data, nil
 }
 
-func readFile(name string) ([]byte, error) {
-	if name == "-" {
-		data, err := io.ReadAll(os.Stdin)
-		if err != nil {
-			return nil, fmt.Errorf("read standard input: %w", err)
-		}
-		return data, nil
-	}
-	data, err := os.ReadFile(name)
-	if err != nil {
-		return nil, fmt.Errorf("read file: %w", err)
-	}
-	return data, nil
-}
-
-// UsageError reports invalid command-line arguments and what the command
-// expects.
-type UsageError struct{ Expected string }
-
-func (e *UsageError) Error() string { return "usage: " + e.Expected }
-
 // submission holds the flags of the commands that submit a configuration.
 type submission struct {
 	common
@@ -98,11 +76,9 @@
 		return p.reportError(err)
 	}
 	p.fillDefaults()
-	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.ApplyResponse], error) {
-		return c.Apply(ctx, connect.NewRequest(&adminv1.ApplyRequest{
-			Manifest: data, ExpectedGeneration: p.expected,
-			SubmissionId: p.id, WaitMs: p.wait.Milliseconds(),
-		}))
+	resp, err := call(ctx, &p.common, adminv1connect.AdminServiceClient.Apply, &adminv1.ApplyRequest{
+		Manifest: data, ExpectedGeneration: p.expected,
+		SubmissionId: p.id, WaitMs: p.wait.Milliseconds(),
 	})
 	if err != nil {
 		return p.reportError(err)
@@ -158,9 +134,7 @@
 	if err != nil {
 		return p.reportError(err)
 	}
-	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.DiffResponse], error) {
-		return c.Diff(ctx, connect.NewRequest(&adminv1.DiffRequest{Manifest: data}))
-	})
+	resp, err := call(ctx, &p.common, adminv1connect.AdminServiceClient.Diff, &adminv1.DiffRequest{Manifest: data})
 	if err != nil {
 		return p.reportError(err)
 	}
@@ -186,9 +160,7 @@
 func (p *statusCmd) SetFlags(f *flag.FlagSet) { p.setAdminFlags(f) }
 
 func (p *statusCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.StatusResponse], error) {
-		return c.Status(ctx, connect.NewRequest(&adminv1.StatusRequest{}))
-	})
+	resp, err := call(ctx, &p.common, adminv1connect.AdminServiceClient.Status, &adminv1.StatusRequest{})
 	if err != nil {
 		return p.reportError(err)
 	}
@@ -238,9 +210,7 @@
 }
 
 func (p *historyCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.HistoryResponse], error) {
-		return c.History(ctx, connect.NewRequest(&adminv1.HistoryRequest{Limit: int32(p.limit)}))
-	})
+	resp, err := call(ctx, &p.common, adminv1connect.AdminServiceClient.History, &adminv1.HistoryRequest{Limit: int32(p.limit)})
 	if err != nil {
 		return p.reportError(err)
 	}
@@ -263,9 +233,7 @@
 func (p *usageCmd) SetFlags(f *flag.FlagSet) { p.setAdminFlags(f) }
 
 func (p *usageCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.UsageResponse], error) {
-		return c.Usage(ctx, connect.NewRequest(&adminv1.UsageRequest{}))
-	})
+	resp, err := call(ctx, &p.common, adminv1connect.AdminServiceClient.Usage, &adminv1.UsageRequest{})
 	if err != nil {
 		return p.reportError(err)
 	}
@@ -282,14 +250,10 @@
 	t.Flush()
 }
 
+// joinCounts lists the counts by name, each followed by a space.
 func joinCounts(counts map[string]int64) string {
-	names := make([]string, 0, len(counts))
-	for name := range counts {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	text := ""
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		text += fmt.Sprintf("%s=%d ", name, counts[name])
 	}
 	return text
@@ -306,9 +270,7 @@
 	if f.NArg() != 1 {
 		return p.reportError(&UsageError{Expected: "the id of a daemon or a runner"})
 	}
-	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.DrainResponse], error) {
-		return c.Drain(ctx, connect.NewRequest(&adminv1.DrainRequest{Target: f.Arg(0)}))
-	})
+	resp, err := call(ctx, &p.common, adminv1connect.AdminServiceClient.Drain, &adminv1.DrainRequest{Target: f.Arg(0)})
 	if err != nil {
 		return p.reportError(err)
 	}
--- a/ctl/bench.go
+++ b/ctl/bench.go
@@ -48,7 +48,7 @@
 		return p.reportUsageError(err)
 	}
 	// Flags may also follow the experiment's name.
-	if err := f.Parse(f.Args()[1:]); err != nil || f.NArg() > 0 {
+	if !parseFlagsAfterArgument(f) {
 		return p.reportUsageError(&UsageError{Expected: "one experiment and flags before or behind it"})
 	}
 	options, err := p.options()
@@ -105,22 +105,24 @@
 	return options, nil
 }
 
+// parseSeeds parses a list of seeds and ranges of seeds, such as 1,2,5-9.
 func parseSeeds(text string) ([]uint64, error) {
+	usage := &UsageError{Expected: "seeds like 1,2,5-9"}
 	var seeds []uint64
 	for _, part := range strings.Split(text, ",") {
 		low, high, isRange := strings.Cut(part, "-")
 		if !isRange {
 			high = low
 		}
-		from, err := strconv.ParseUint(low, 10, 64)
+		first, err := strconv.ParseUint(low, 10, 64)
 		if err != nil {
-			return nil, &UsageError{Expected: "seeds like 1,2,5-9"}
+			return nil, usage
 		}
-		to, err := strconv.ParseUint(high, 10, 64)
-		if err != nil || to < from {
-			return nil, &UsageError{Expected: "seeds like 1,2,5-9"}
+		last, err := strconv.ParseUint(high, 10, 64)
+		if err != nil || last < first {
+			return nil, usage
 		}
-		for s := from; s <= to; s++ {
+		for s := first; s <= last; s++ {
 			seeds = append(seeds, s)
 		}
 	}
--- a/ctl/causes.go
+++ b/ctl/causes.go
@@ -33,7 +33,7 @@
 
 func (p *causesCmd) SetFlags(f *flag.FlagSet) {
 	p.setFlags(f)
-	f.StringVar(&p.by, "by", "reason,route", "what to tell apart beside the event: reason, route, workspace, runner, daemon, second")
+	f.StringVar(&p.by, "by", "reason,route", "what to tell apart beside the event: "+strings.Join(groupings, ", "))
 	f.IntVar(&p.limit, "most", defaultCauseLimit, "how many causes to show, the most frequent first")
 }
 
@@ -88,7 +88,8 @@
 
 // causeCounter counts failures by event and grouping values.
 type causeCounter struct {
-	by     []string
+	by []string
+	// counts holds the causes by their event and key, joined by null bytes.
 	counts map[string]*Cause
 	total  int
 }
--- a/ctl/checkconfig.go
+++ b/ctl/checkconfig.go
@@ -43,22 +43,14 @@
 }
 
 func (p *checkConfigCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	file, err := parseOneFile(f)
-	if err != nil {
-		return p.reportUnusable(err)
+	file := f.Arg(0)
+	if f.NArg() == 0 || !parseFlagsAfterArgument(f) {
+		return p.reportUnusable(&UsageError{Expected: "check-config FILE [-against FILE]"})
 	}
-	document, err := readConfig(file)
+	document, inForce, err := p.readConfigs(file)
 	if err != nil {
 		return p.reportUnusable(err)
 	}
-	var inForce *route.Config
-	if p.against != "" {
-		other, err := readConfig(p.against)
-		if err != nil {
-			return p.reportUnusable(err)
-		}
-		inForce = &other.Config
-	}
 	findings := configcheck.Check(&document.Config, inForce)
 	p.printFindings(document, findings)
 	switch configcheck.MaxSeverity(findings) {
@@ -71,17 +63,17 @@
 	}
 }
 
-// parseOneFile returns the only argument. Flags may also follow it.
-func parseOneFile(f *flag.FlagSet) (string, error) {
-	usage := &UsageError{Expected: "check-config FILE [-against FILE]"}
-	if f.NArg() == 0 {
-		return "", usage
+// readConfigs reads the configuration to check and, if -against is set, the one in force.
+func (p *checkConfigCmd) readConfigs(file string) (*platform.ConfigDocument, *route.Config, error) {
+	document, err := readConfig(file)
+	if err != nil || p.against == "" {
+		return document, nil, err
 	}
-	file := f.Arg(0)
-	if err := f.Parse(f.Args()[1:]); err != nil || f.NArg() > 0 {
-		return "", usage
+	inForce, err := readConfig(p.against)
+	if err != nil {
+		return nil, nil, err
 	}
-	return file, nil
+	return document, &inForce.Config, nil
 }
 
 // reportUnusable reports that the arguments or the files don't allow a check.
@@ -105,7 +97,9 @@
 func (p *checkConfigCmd) printFindings(document *platform.ConfigDocument, findings []configcheck.Finding) {
 	list := make([]ConfigFinding, 0, len(findings))
 	for _, f := range findings {
-		list = append(list, ConfigFinding{Location: document.Location(f.Location), Severity: f.Severity.String(), Kind: f.Kind, Message: f.Message})
+		list = append(list, ConfigFinding{
+			Location: document.Location(f.Location), Severity: f.Severity.String(), Kind: f.Kind, Message: f.Message,
+		})
 	}
 	p.print(list, func(w io.Writer) {
 		for _, f := range list {
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -64,7 +64,7 @@
 	c.Register(&checkConfigCmd{common: base}, groupLocal)
 	c.Register(&explainCmd{common: base}, groupLocal)
 	c.Register(&causesCmd{common: base}, groupLocal)
-	c.Register(&trialsCmd{base}, groupLocal)
+	c.Register(&trialsCmd{common: base}, groupLocal)
 	c.Register(&schemaCmd{common: base}, groupLocal)
 	c.Register(&demoCmd{common: base}, groupLocal)
 	c.Register(&loadCmd{common: base}, groupAdmin)
@@ -74,17 +74,24 @@
 // common holds the outputs and flags that most commands share.
 type common struct {
 	out, errs io.Writer
-	admin     string
-	ca        string
-	key       string
-	output    string
-	timeout   time.Duration
+	// output is outputText or outputJSON.
+	output string
+	// The fields below are set by the flags of the commands that call daemons.
+	//
+	// admin holds the base URLs of admin listeners, separated by commas, ca names
+	// a file with certificate authorities, and key is the operator's bearer key.
+	admin   string
+	ca      string
+	key     string
+	timeout time.Duration
 }
 
+// setFlags registers the flags of commands that don't call daemons.
 func (c *common) setFlags(f *flag.FlagSet) {
 	f.StringVar(&c.output, "o", outputText, "output: text or json")
 }
 
+// setAdminFlags registers the flags of commands that call daemons.
 func (c *common) setAdminFlags(f *flag.FlagSet) {
 	c.setFlags(f)
 	f.StringVar(&c.admin, "admin", envOr(adminEnv, adminURL), "admin listeners' base URLs, separated by commas; the first that answers is used")
@@ -113,6 +120,8 @@
 	}
 }
 
+// reportError prints an error, or each problem of an invalid document, and
+// returns the exit status.
 func (c *common) reportError(err error) subcommands.ExitStatus {
 	var invalid *document.InvalidError
 	if errors.As(err, &invalid) {
@@ -129,14 +138,12 @@
 		return
 	}
 	for _, p := range problems {
-		path := p.Path
-		if path == "" {
-			path = "/"
-		}
-		fmt.Fprintf(c.errs, "%s: %s\n", path, p.Reason)
+		fmt.Fprintln(c.errs, p)
 	}
 }
 
+// statusOf returns the exit status for an error of an admin call; any other
+// error is a plain failure.
 func statusOf(err error) subcommands.ExitStatus {
 	switch connect.CodeOf(err) {
 	case connect.CodeInvalidArgument:
@@ -149,11 +156,14 @@
 	return subcommands.ExitFailure
 }
 
+// adminMethod is a method of the admin client, e.g. adminv1connect.AdminServiceClient.Status.
+type adminMethod[Req, Resp any] func(adminv1connect.AdminServiceClient, context.Context, *connect.Request[Req]) (*connect.Response[Resp], error)
+
 // call makes an admin call to the first daemon that answers. If a daemon does
 // not answer, the call may have reached it anyway. Trying the next daemon is
 // safe nevertheless, because all admin calls may be repeated; Apply and
 // Rollback are made so by their submission ID.
-func call[Resp any](ctx context.Context, c *common, do func(context.Context, adminv1connect.AdminServiceClient) (*connect.Response[Resp], error)) (*Resp, error) {
+func call[Req, Resp any](ctx context.Context, c *common, method adminMethod[Req, Resp], req *Req) (*Resp, error) {
 	httpClient, err := c.httpClient()
 	if err != nil {
 		return nil, err
@@ -162,7 +172,7 @@
 	for _, base := range strings.Split(c.admin, ",") {
 		client := adminv1connect.NewAdminServiceClient(httpClient, strings.TrimSpace(base), connect.WithInterceptors(bearer(c.key)))
 		callCtx, cancel := context.WithTimeout(ctx, c.timeout)
-		resp, err := do(callCtx, client)
+		resp, err := method(client, callCtx, connect.NewRequest(req))
 		cancel()
 		if err == nil {
 			return resp.Msg, nil
--- a/ctl/demo.go
+++ b/ctl/demo.go
@@ -47,9 +47,14 @@
 	if err != nil {
 		return p.reportError(err)
 	}
-	p.print(summary, func(w io.Writer) {
+	return p.printSummary(summary)
+}
+
+// printSummary prints what a run showed, and returns the exit status.
+func (c *common) printSummary(summary demo.Summary) subcommands.ExitStatus {
+	c.print(summary, func(w io.Writer) {
 		if err := summary.Write(w); err != nil {
-			fmt.Fprintln(p.errs, err)
+			fmt.Fprintln(c.errs, err)
 		}
 	})
 	if !summary.PromisesKept {
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -105,6 +105,8 @@
 	fieldPattern = regexp.MustCompile(`([a-z_]+)=("(?:[^"\\]|\\.)*"|\S+)`)
 )
 
+// parseDecision parses a structured log line of klog. The whole text of any other
+// line is its source.
 func parseDecision(line string) Decision {
 	d := Decision{Fields: map[string]string{}}
 	m := eventPattern.FindStringSubmatch(line)
@@ -190,10 +192,18 @@
 	return ""
 }
 
+// explainedFields lists the log fields that are shown of a decision, in this
+// order.
+var explainedFields = []string{
+	"age", "route", "workspace", "config", "runner", "attempt", "estimate", "uncached",
+	"reason", "why", "by", "heard", "helper", "kept", "begun", "may_have_run",
+	"again", "executed", "detail", "error", "events", "bytes", "status",
+}
+
 func (e Explanation) write(w io.Writer) {
 	for _, d := range e.Decisions {
 		fmt.Fprintf(w, "%s\n  %s", d.Source, d.Event)
-		for _, name := range []string{"age", "route", "workspace", "config", "runner", "attempt", "estimate", "uncached", "reason", "why", "by", "heard", "helper", "kept", "begun", "may_have_run", "again", "executed", "detail", "error", "events", "bytes", "status"} {
+		for _, name := range explainedFields {
 			if v, ok := d.Fields[name]; ok && v != "" {
 				fmt.Fprintf(w, " %s=%s", name, v)
 			}
--- a/ctl/load.go
+++ b/ctl/load.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -45,13 +43,5 @@
 	if err != nil {
 		return p.reportError(err)
 	}
-	p.print(summary, func(w io.Writer) {
-		if err := summary.Write(w); err != nil {
-			fmt.Fprintln(p.errs, err)
-		}
-	})
-	if !summary.PromisesKept {
-		return subcommands.ExitFailure
-	}
-	return subcommands.ExitSuccess
+	return p.printSummary(summary)
 }
--- a/ctl/rollback.go
+++ b/ctl/rollback.go
@@ -5,7 +5,6 @@
 	"flag"
 	"strconv"
 
-	"connectrpc.com/connect"
 	"github.com/google/subcommands"
 
 	adminv1 "geraniumstack.org/geraniumstack/gen/geranium/admin/v1"
@@ -27,11 +26,9 @@
 		return p.reportError(&UsageError{Expected: "one generation, a number that history lists"})
 	}
 	p.fillDefaults()
-	resp, err := call(ctx, &p.common, func(ctx context.Context, c adminv1connect.AdminServiceClient) (*connect.Response[adminv1.RollbackResponse], error) {
-		return c.Rollback(ctx, connect.NewRequest(&adminv1.RollbackRequest{
-			ToGeneration: generation, ExpectedGeneration: p.expected,
-			SubmissionId: p.id, WaitMs: p.wait.Milliseconds(),
-		}))
+	resp, err := call(ctx, &p.common, adminv1connect.AdminServiceClient.Rollback, &adminv1.RollbackRequest{
+		ToGeneration: generation, ExpectedGeneration: p.expected,
+		SubmissionId: p.id, WaitMs: p.wait.Milliseconds(),
 	})
 	if err != nil {
 		return p.reportError(err)
--- a/state/document/document.go
+++ b/state/document/document.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"path"
@@ -27,24 +28,19 @@
 	Reason string `json:"reason"`
 }
 
+func (p Problem) String() string { return cmp.Or(p.Path, "/") + ": " + p.Reason }
+
 // InvalidError lists all errors found in a document.
 type InvalidError struct{ Problems []Problem }
 
 func (e *InvalidError) Error() string {
 	lines := make([]string, 0, len(e.Problems))
 	for _, p := range e.Problems {
-		lines = append(lines, fmt.Sprintf("%s: %s", displayPath(p.Path), p.Reason))
+		lines = append(lines, p.String())
 	}
 	return "invalid document: " + strings.Join(lines, "; ")
 }
 
-func displayPath(path string) string {
-	if path == "" {
-		return "/"
-	}
-	return path
-}
-
 // Checker is implemented by documents that have rules across several fields.
 type Checker interface {
 	// Check returns all violations of these rules.
