Learn the speeds of runners that differ, and place requests by them

Cause: daemons take the runners of a service for equally fast. Runners on larger and smaller VMs get as many requests each, and streams at slow ones pause for too long while a prompt is read. Change: coordination/runnerspeed learns a factor for each runner from the time between the events of streams. Daemons send each other their observations (Hello.paces), and relays their estimates to followers (Hello.speeds). While a service's runners differ, the factors scale the rates of load reports, the samples of the prefill rate, the demand and the order of release, and the risk of a long pause adds to the expected time to first token where runners are compared. Mechanism runner-speeds switches it off. An estimate is the median of a runner's quantiles at five updates, and the switch needs five updates in turn: with the quantile of the first few streams alone, a play of equal runners was taken for uneven in its first seconds.

--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -13,7 +13,8 @@
 // Candidate is a runner that a request may be sent to.
 type Candidate struct {
 	Runner ident.RunnerID
-	// IdleEstimate is the time to first token to expect if the runner had no other requests.
+	// IdleEstimate is the time to first token to expect if the runner had no other requests, with the
+	// cost of its pause risk for the request.
 	IdleEstimate time.Duration
 	// Uncached is the number of prompt tokens that the runner would have to compute.
 	Uncached int
@@ -39,7 +40,7 @@
 	for _, i := range slots[:min(n, len(slots))] {
 		list = append(list, Candidate{
 			Runner:       t.slots[i].runner.ID,
-			IdleEstimate: secondsToDuration(t.scores[i].remotePenalty + float64(t.uncached(i, r))*t.scores[i].prefillSecondsPerToken),
+			IdleEstimate: secondsToDuration(t.scores[i].remotePenalty + float64(t.uncached(i, r))*t.scores[i].prefillSecondsPerToken + r.PauseWeight*t.scores[i].pauseRisk),
 			Uncached:     max(1, r.PromptTokens-t.cachedTokens(i, r)),
 		})
 	}
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -34,6 +34,9 @@
 	// Fetchable says that a runner can copy the KV cache of the shared prefix from
 	// another runner.
 	Fetchable bool
+	// PauseWeight is the time in seconds that a stream which pauses for too long is worth. A choice adds
+	// it, times the runner's pause risk, to the expected time to first token.
+	PauseWeight float64
 	// Exclude holds the runners that must not be chosen; see Table.Exclude.
 	Exclude prefix.Set
 }
@@ -42,7 +45,7 @@
 type Choice struct {
 	Runner  ident.RunnerID
 	Address string
-	// Estimate is the expected time to first token.
+	// Estimate is the expected time to first token, without Request.PauseWeight.
 	Estimate time.Duration
 	// CachedBlocks is the number of elements of Prefix that the runner is expected to
 	// have cached.
@@ -133,7 +136,7 @@
 	if !t.trustHomes {
 		t.homeSlot = noHome
 	}
-	estimate := t.estimate(i, r)
+	estimate := t.firstToken(i, r)
 	s := &t.slots[i]
 	uncached, from := t.uncached(i, r), t.fetchSource(i, r)
 	if from != "" {
@@ -275,10 +278,16 @@
 	return best
 }
 
-// estimate returns the expected time to first token in seconds: the prefill time of the
+// estimate returns the seconds by which runners are compared: the expected time to first token
+// and the cost of the risk that the stream pauses for too long.
+func (t *Table) estimate(i int, r *Request) float64 {
+	return t.firstToken(i, r) + r.PauseWeight*t.scores[i].pauseRisk
+}
+
+// firstToken returns the expected time to first token in seconds: the prefill time of the
 // queued tokens and of the request's uncached tokens, the wait for a slot in the batch
 // and for free KV cache, and the penalty for a remote failure domain.
-func (t *Table) estimate(i int, r *Request) float64 {
+func (t *Table) firstToken(i int, r *Request) float64 {
 	s := &t.scores[i]
 	seconds := s.remotePenalty + s.batchWait + (s.queuedTokens+float64(t.uncached(i, r)))*s.prefillSecondsPerToken
 	if missing := float64(r.PromptTokens+r.OutputTokens) - s.freeTokens; missing > 0 {
--- a/coordination/routing/score.go
+++ b/coordination/routing/score.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"geraniumstack.org/geraniumstack/state/ident"
 )
 
 // defaultMeanOutput is the initial value of Table.meanOutput, the moving average of the output
@@ -60,6 +62,16 @@
 	// probability that weighs as much: Config.PriceWeight for the highest price in the table.
 	hazard    float64
 	priceRisk float64
+	// pauseRisk is the probability that a stream at the runner pauses for too long.
+	pauseRisk float64
+}
+
+// SetPauseRisks sets each runner's probability that a stream there pauses for too long; see
+// Request.PauseWeight. It is zero for runners that are added later.
+func (t *Table) SetPauseRisks(risk func(ident.RunnerID) float64) {
+	for i := range t.used.All() {
+		t.scores[i].pauseRisk = risk(t.slots[i].runner.ID)
+	}
 }
 
 // sumChangesSinceReport recomputes the sums of this gateway's load changes after the AsOf time of
--- /dev/null
+++ b/coordination/runnerspeed/runnerspeed_test.go
@@ -0,0 +1,132 @@
+package runnerspeed_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"geraniumstack.org/geraniumstack/coordination/runnerspeed"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
+)
+
+const fastStep, slowStep = 15 * time.Millisecond, 32 * time.Millisecond
+
+// Guards against an observation that follows a prompt which the runner reads meanwhile, events that
+// arrive together, or a caller that takes them slowly.
+func TestObservationIsTheRunnersStep(t *testing.T) {
+	is := is.New(t)
+	var s runnerspeed.Stream
+	now, observed := time.Duration(0), time.Duration(0)
+	arrive := func(after time.Duration, n int) {
+		now += after
+		if interval, ok := s.Arrived(now, n); ok {
+			is.Equal(observed, time.Duration(0)) // once
+			observed = interval
+		}
+	}
+	arrive(time.Second, 1)
+	arrive(100*time.Millisecond, 1) // a prompt
+	arrive(0, 2)
+	for range 8 {
+		arrive(fastStep, 1)
+	}
+	is.Equal(s.LongestPause(), 100*time.Millisecond)
+	now += time.Second
+	s.Waiting(now) // the caller took a second
+	arrive(fastStep, 30)
+	for range 20 {
+		arrive(2*fastStep, 2)
+	}
+	is.Equal(observed, fastStep)
+	is.Equal(s.LongestPause(), 100*time.Millisecond)
+}
+
+// service is a table of eight runners, one in four of them fast, with an observation of each by
+// eight daemons.
+func service(now time.Duration, steps ...time.Duration) *runnerspeed.Table {
+	table := runnerspeed.New()
+	live := map[runnerspeed.Runner]bool{}
+	for r := range runnerspeed.Runner(8) {
+		live[r] = true
+	}
+	table.SetRunners(live)
+	for range 10 {
+		for r := range live {
+			for by := range runnerspeed.Observer(8) {
+				table.Observe(now, r, by, steps[int(r)%len(steps)])
+			}
+		}
+		table.Update(now)
+	}
+	return table
+}
+
+func TestFactorsFollowTheRunnersSteps(t *testing.T) {
+	is := is.New(t)
+	table := service(0, fastStep, slowStep, slowStep, slowStep)
+	is.True(table.Uneven())
+	ratio := table.Factor(0) / table.Factor(1)
+	is.True(ratio > 1.8 && ratio < 2.2) // 2.13, shrunk
+	is.Equal(len(table.ForFollowers(0, 5)), 5)
+	is.Equal(len(table.ForFollowers(0, 5)), 3) // the other runners
+	is.Equal(len(table.ForFollowers(0, 5)), 0) // all sent a moment ago
+	table.SetRunners(map[runnerspeed.Runner]bool{0: true, 1: true, 9: true})
+	table.Update(0)
+	is.Equal(table.Factor(9), 1.0)                         // nothing is known of it
+	is.True(!table.Observe(0, 2, 1, slowStep))             // an earlier incarnation
+	is.True(!table.Observe(0, 1, 1, 100*time.Microsecond)) // out of range
+	is.True(!table.Receive(0, runnerspeed.Estimate{Runner: 1, Interval: slowStep, Observations: 17}))
+	is.True(!table.Update(runnerspeed.MaxAge) && table.Uneven())
+	is.True(table.Update(runnerspeed.MaxAge+1) && !table.Uneven())
+	is.Equal(table.Factor(0), 1.0) // observations are too old
+}
+
+// Guards against factors where runners differ by no more than their batches make them.
+func TestEvenRunnersHaveNoFactors(t *testing.T) {
+	is := is.New(t)
+	table := service(0, 20*time.Millisecond, 34*time.Millisecond)
+	is.True(!table.Uneven())
+	is.Equal(table.Factor(0), 1.0)
+	is.Equal(len(table.ForFollowers(0, 5)), 0)
+}
+
+// Guards against an estimate that false observations of one daemon move beyond those of the others,
+// and against factors out of bounds.
+func TestFalseObservationsOfOneDaemonAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		table := runnerspeed.New()
+		table.SetRunners(map[runnerspeed.Runner]bool{0: true})
+		lowest, highest := time.Hour, time.Duration(0)
+		step := rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(10, 30).Draw(t, "ms")) * time.Millisecond
+		})
+		for by := range runnerspeed.Observer(12) {
+			honest := step.Draw(t, "honest")
+			lowest, highest = min(lowest, honest), max(highest, honest)
+			table.Observe(time.Second, 0, 20+by, honest)
+		}
+		for range rapid.IntRange(4, 20).Draw(t, "false") {
+			table.Observe(time.Second, 0, 99, time.Duration(rapid.Int64Range(-1, int64(time.Minute)).Draw(t, "interval")))
+		}
+		table.Update(time.Second)
+		s := table.Summary()
+		is.True(s.Slowest >= lowest && s.Slowest <= highest)
+	})
+}
+
+func TestPauseRiskIsLearnedByBandAndForgotten(t *testing.T) {
+	is := is.New(t)
+	var p runnerspeed.PauseRisk
+	is.Equal(p.Risk(0, 0.7), 0.0)
+	for i := range 20 {
+		p.Observe(0, 0.7, i%2 == 0)
+		p.Observe(0, 1, false)
+	}
+	is.Equal(p.Risk(0, 0.7), 0.25) // 10 of 20, with 20 in time assumed
+	is.Equal(p.Risk(0, 1), 0.0)
+	is.Equal(p.Risk(0, 1.2), 0.0)
+	is.True(p.Risk(2*time.Minute, 0.7) < 0.02)
+}
--- /dev/null
+++ b/coordination/runnerspeed/table.go
@@ -0,0 +1,326 @@
+package runnerspeed
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// resendInterval is the time between two sends of a runner's estimate to followers: a quarter of the time
+// for which they keep it, so that lost messages don't end it.
+const resendInterval = MaxAge / 4
+
+// Estimate is the estimated time between events at a runner, from a number of observations.
+type Estimate struct {
+	Runner       Runner
+	Interval     time.Duration
+	Observations int
+}
+
+// valid reports whether a daemon may have made the estimate.
+func (e Estimate) valid() bool {
+	return Valid(e.Interval) && e.Observations > 0 && e.Observations <= MaxObservations
+}
+
+type observation struct {
+	at       time.Duration
+	by       Observer
+	interval time.Duration
+}
+
+type quantileAt struct {
+	at       time.Duration
+	interval time.Duration
+}
+
+// entry is what a table knows of one runner.
+type entry struct {
+	live         bool
+	observations []observation
+	// quantiles are those of the observations at the last updates that had new ones; only the last if few
+	// says that it is of fewer than fewObservations.
+	quantiles []quantileAt
+	few       bool
+	own       Estimate
+	// relayed is the estimate that a relay has sent, at relayedAt.
+	relayed   Estimate
+	relayedAt time.Duration
+	// observed says that there are new observations, changed that own must be recomputed. logInterval is the logarithm of the interval in use.
+	observed    bool
+	changed     bool
+	inUse       Estimate
+	logInterval float64
+	// sent says that own has been sent to followers, at sentAt.
+	sent   bool
+	sentAt time.Duration
+}
+
+// Table learns the speeds of the runners of one service.
+type Table struct {
+	entries map[Runner]*entry
+	// order holds the runners, for the rotation of the estimates that are sent; next is the position to
+	// continue at.
+	order  []Runner
+	next   int
+	uneven bool
+	// differFor is the number of consecutive updates at which the runners differed.
+	differFor int
+	factors   map[Runner]float64
+	summary   Summary
+}
+
+// Summary describes what a table knows of the live runners.
+type Summary struct {
+	// Known is the number of the Runners with an estimate.
+	Runners, Known int
+	// Fastest and Slowest are the least and the greatest estimate.
+	Fastest, Slowest time.Duration
+	Uneven           bool
+	// Oldest is the age of the oldest observation.
+	Oldest time.Duration
+}
+
+// New returns a table without runners.
+func New() *Table { return &Table{entries: map[Runner]*entry{}} }
+
+// SetRunners replaces the list of the service's runners. The value says whether a runner is live; the
+// speeds of others don't affect the reference.
+func (t *Table) SetRunners(live map[Runner]bool) {
+	for r := range t.entries {
+		if _, listed := live[r]; !listed {
+			delete(t.entries, r)
+		}
+	}
+	t.order = t.order[:0]
+	for r, l := range live {
+		e, ok := t.entries[r]
+		if !ok {
+			e = &entry{}
+			t.entries[r] = e
+		}
+		e.live = l
+		t.order = append(t.order, r)
+	}
+	slices.Sort(t.order)
+}
+
+// Observe records the observation of one stream. It returns false if the runner is not one of the
+// service's or the interval is out of range.
+func (t *Table) Observe(now time.Duration, r Runner, by Observer, interval time.Duration) bool {
+	e, ok := t.entries[r]
+	if !ok || !Valid(interval) {
+		return false
+	}
+	byObserver, oldest := 0, 0
+	for i, o := range e.observations {
+		if o.by == by {
+			if byObserver == 0 {
+				oldest = i
+			}
+			byObserver++
+		}
+	}
+	switch {
+	case byObserver >= maxPerObserver:
+		e.observations = slices.Delete(e.observations, oldest, oldest+1)
+	case len(e.observations) >= MaxObservations:
+		e.observations = slices.Delete(e.observations, 0, 1)
+	}
+	e.observations = append(e.observations, observation{now, by, interval})
+	e.observed, e.changed = true, true
+	return true
+}
+
+// Receive records the estimate of a relay. It returns false if the runner is not one of the service's or
+// the estimate is out of range.
+func (t *Table) Receive(now time.Duration, relayed Estimate) bool {
+	e, ok := t.entries[relayed.Runner]
+	if !ok || !relayed.valid() {
+		return false
+	}
+	e.relayed, e.relayedAt, e.changed = relayed, now, true
+	return true
+}
+
+// update recomputes the estimate in use of a runner.
+func (e *entry) update(now time.Duration, r Runner) {
+	if n := len(e.observations); n > 0 && now-e.observations[0].at > MaxAge {
+		e.observations = slices.DeleteFunc(e.observations, func(o observation) bool { return now-o.at > MaxAge })
+		e.changed = true
+	}
+	if e.relayed.Observations > 0 && now-e.relayedAt > MaxAge {
+		e.relayed, e.changed = Estimate{}, true
+	}
+	if !e.changed {
+		return
+	}
+	if e.observed {
+		if e.few {
+			e.quantiles = e.quantiles[:0]
+		}
+		e.few = len(e.observations) < fewObservations
+		if len(e.quantiles) >= smoothedUpdates {
+			e.quantiles = slices.Delete(e.quantiles, 0, 1)
+		}
+		e.quantiles = append(e.quantiles, quantileAt{now, e.quantile()})
+	}
+	e.quantiles = slices.DeleteFunc(e.quantiles, func(q quantileAt) bool { return now-q.at > MaxAge || len(e.observations) == 0 })
+	e.changed, e.observed, e.own = false, false, Estimate{}
+	if n := len(e.observations); n > 0 {
+		e.own = Estimate{r, e.smoothed(), n}
+	}
+	e.inUse = e.own
+	if e.relayed.Observations > e.own.Observations {
+		e.inUse = e.relayed
+	}
+	if e.inUse.Observations > 0 {
+		e.logInterval = math.Log(e.inUse.Interval.Seconds())
+	}
+}
+
+// quantile returns the quantile of the runner's observations.
+func (e *entry) quantile() time.Duration {
+	var intervals [MaxObservations]time.Duration
+	for i, o := range e.observations {
+		intervals[i] = o.interval
+	}
+	sorted := intervals[:len(e.observations)]
+	slices.Sort(sorted)
+	return quantile(sorted, estimateQuantile)
+}
+
+// smoothed returns the median of the last quantiles.
+func (e *entry) smoothed() time.Duration {
+	var intervals [smoothedUpdates]time.Duration
+	for i, q := range e.quantiles {
+		intervals[i] = q.interval
+	}
+	sorted := intervals[:len(e.quantiles)]
+	slices.Sort(sorted)
+	return quantile(sorted, 0.5)
+}
+
+// comparable reports whether enough is known of a runner to compare it with others. The estimate of a
+// relay is: the relay sends it only if its runners differ.
+func (e *entry) comparable() bool {
+	return e.inUse != e.own || len(e.quantiles) >= minQuantiles
+}
+
+// oldestAge returns the age of the oldest information in use.
+func (e *entry) oldestAge(now time.Duration) time.Duration {
+	if e.inUse == e.own && len(e.observations) > 0 {
+		return now - e.observations[0].at
+	}
+	return now - e.relayedAt
+}
+
+// Update recomputes the estimates, whether the runners differ, and the factors. It reports whether a
+// factor has changed.
+func (t *Table) Update(now time.Duration) bool {
+	s := Summary{}
+	sum := 0.0
+	var compared []time.Duration
+	for r, e := range t.entries {
+		e.update(now, r)
+		if !e.live {
+			continue
+		}
+		s.Runners++
+		if e.inUse.Observations == 0 {
+			continue
+		}
+		s.Known++
+		sum += e.logInterval
+		s.Slowest, s.Oldest = max(s.Slowest, e.inUse.Interval), max(s.Oldest, e.oldestAge(now))
+		if s.Fastest == 0 || e.inUse.Interval < s.Fastest {
+			s.Fastest = e.inUse.Interval
+		}
+		if e.comparable() {
+			compared = append(compared, e.inUse.Interval)
+		}
+	}
+	if !differ(compared, s.Runners, t.uneven) {
+		t.differFor, t.uneven = 0, false
+	} else if t.differFor++; t.differFor >= startUpdates {
+		t.uneven = true
+	}
+	s.Uneven = t.uneven
+	t.summary = s
+	return t.setFactors(math.Exp(sum / float64(max(1, s.Known))))
+}
+
+// differ reports whether runners differ by their estimates. before says whether they did so far; then a
+// new runner of a small service, of which nothing is known yet, doesn't end that.
+func differ(estimates []time.Duration, runners int, before bool) bool {
+	if len(estimates) < 2 || !before && len(estimates) < min(minRunners, runners) {
+		return false
+	}
+	slices.Sort(estimates)
+	ratio := float64(quantile(estimates, slowQuantile)) / float64(quantile(estimates, fastQuantile))
+	return ratio >= startRatio || before && ratio >= endRatio
+}
+
+// setFactors computes the factors by the interval that is the reference, in seconds.
+func (t *Table) setFactors(reference float64) bool {
+	if !t.uneven {
+		changed := len(t.factors) > 0
+		t.factors = nil
+		return changed
+	}
+	before := t.factors
+	t.factors = make(map[Runner]float64, len(before))
+	changed := false
+	for r, e := range t.entries {
+		factor := 1.0
+		if e.inUse.Observations > 0 {
+			factor = factorOf(reference, e.inUse.Interval.Seconds(), e.inUse.Observations)
+		}
+		if factor != 1 {
+			t.factors[r] = factor
+		}
+		changed = changed || factor != cmp.Or(before[r], 1)
+	}
+	return changed || len(t.factors) < len(before)
+}
+
+// Uneven reports whether the service's runners differ.
+func (t *Table) Uneven() bool { return t.uneven }
+
+// Factor returns how many times as fast as the reference a runner is: one while the runners don't differ,
+// and for a runner of which nothing is known.
+func (t *Table) Factor(r Runner) float64 { return cmp.Or(t.factors[r], 1) }
+
+// Summary returns what the last Update has found.
+func (t *Table) Summary() Summary { return t.summary }
+
+// ForFollowers returns at most limit estimates to send to followers: first those of runners that have not
+// been sent yet, then the others in rotation. There are none while the runners don't differ. The estimates
+// are those of the last Update.
+func (t *Table) ForFollowers(now time.Duration, limit int) []Estimate {
+	if !t.uneven {
+		return nil
+	}
+	var list []Estimate
+	add := func(r Runner) {
+		e := t.entries[r]
+		e.sent, e.sentAt = true, now
+		list = append(list, e.own)
+	}
+	for _, r := range t.order {
+		if e := t.entries[r]; len(list) < limit && e.own.Observations > 0 && !e.sent {
+			add(r)
+		}
+	}
+	for range t.order {
+		if len(list) >= limit {
+			break
+		}
+		t.next = (t.next + 1) % len(t.order)
+		r := t.order[t.next]
+		if e := t.entries[r]; e.own.Observations > 0 && now-e.sentAt >= resendInterval {
+			add(r)
+		}
+	}
+	return list
+}
--- a/daemon/edge/demand.go
+++ b/daemon/edge/demand.go
@@ -47,17 +47,23 @@
 	if p.service.Engine != nil {
 		w.SlotsPerRunner = p.service.Engine.Slots
 	}
+	var factors float64
 	for _, own := range p.table.OwnLoads(nil) {
 		r, ok := p.runners[own.Runner]
 		if !ok || r.State == view.Leaving {
 			continue
 		}
 		w.Runners++
+		factors += p.speeds.factor(own.Runner)
 		if p.service.Engine == nil {
 			w.SlotsPerRunner = max(w.SlotsPerRunner, r.Slots)
 		}
 		w.Requests += own.Requests + p.peerLoads[own.Runner].Requests
 	}
+	if p.speeds.factors != nil && w.Runners > 0 {
+		// The capacity of runners of unequal speed is the sum of their rates.
+		w.PrefillRate *= factors / float64(w.Runners)
+	}
 	p.demand.Sample(now, w)
 	p.work = w
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -156,6 +156,7 @@
 	grantRequests     pendingGrants
 	recommended       recommendations
 	runnerLimits      runnerLimits
+	runnerSpeeds      runnerSpeeds
 	streams           streamVersions
 	failureCauses     failureCauses
 	rests             rests
@@ -219,6 +220,7 @@
 	e.reported.init()
 	e.grantRequests.init()
 	e.runnerLimits.init()
+	e.runnerSpeeds.init()
 	e.streams.init(now, settings.FleetNeverServed)
 	e.failureCauses.init()
 	e.rests.init()
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -159,12 +159,12 @@
 		if len(d.Stops) == 0 {
 			// Until the reclaimable runners on order serve, only as many full-price runners are
 			// kept as are needed to replace them.
-			d.Stops = fleet.Releasable(vms, offers, needed.Runners, needed.MinPerDomain)
+			d.Stops = fleet.Releasable(vms, f.pricesBySpeed(offers), needed.Runners, needed.MinPerDomain)
 		}
 		return d, plenty
 	}
 	d := f.planner.Decide(now, needed, offers, vms)
-	d.Stops = fleet.Releasable(vms, offers, int(math.Ceil(scarcityHeadroom*float64(needed.Runners))), needed.MinPerDomain)
+	d.Stops = fleet.Releasable(vms, f.pricesBySpeed(offers), int(math.Ceil(scarcityHeadroom*float64(needed.Runners))), needed.MinPerDomain)
 	if len(d.Starts) == 0 {
 		remaining := plenty
 		remaining.Runners = needed.Runners
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -103,6 +103,8 @@
 	work                 fleet.Work
 	countedOfferedTokens float64
 	sampledOfferedTokens float64
+	// speeds is what is used of the runners' learned speeds.
+	speeds poolSpeeds
 }
 
 func newPool(e *Edge, s route.Service) *pool {
@@ -232,6 +234,7 @@
 	p.table.SetRunners(now, list)
 	clear(p.reportedIdle)
 	p.tracker.SetRunners(ids)
+	p.edge.runnerSpeeds.setRunners(p.name, p.service.Engine != nil && p.edge.settings.Policy.Uses(RunnerSpeeds), runners)
 	p.updateLoadsLocked(now)
 }
 
@@ -334,6 +337,7 @@
 	} else {
 		rep.KVBlocksTotal = p.service.Engine.KVTokens / prefix.BlockTokens
 		rep.PrefillRate = p.prefillModel.Rate()
+		p.speeds.scale(r.ID, &rep)
 	}
 	return rep
 }
@@ -397,7 +401,7 @@
 		return
 	}
 	if c.FetchFrom == "" && p.edge.settings.Policy.Uses(LearnSpeed) {
-		p.prefillModel.Observe(prefill.Sample{Tokens: c.Uncached, Ahead: c.QueuedAhead, TTFT: took})
+		p.prefillModel.Observe(prefill.Sample{Tokens: c.Uncached, Ahead: c.QueuedAhead, TTFT: p.speeds.normalise(c.Runner, took)})
 	}
 }
 
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -142,6 +142,7 @@
 	e.receiveVersionHistory(now, h)
 	e.receiveCauses(h.Causes)
 	e.receiveWork(id, h, source)
+	e.receiveSpeeds(id, h, source)
 	e.receivePlacements(h.Placed, source == sourceFollower)
 }
 
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -44,6 +44,7 @@
 	for _, p := range e.pools {
 		p.setRetryShare(e.settings.Bounds, size)
 		p.tick(time.Now())
+		p.updateSpeeds(e.deps.Steady())
 		if e.settings.Policy.Uses(ProbeSilent) {
 			p.probeSilentRunners(time.Now())
 		}
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -190,6 +190,7 @@
 	} else if sendsRoster(messageNumber) {
 		c.hello.Introduced = rotatingSubset(e.introductions(now), messageNumber/2, maxIntroducedRelays)
 	}
+	c.hello.Paces = e.runnerSpeeds.takePaces(now, !e.relayPlan.Direct)
 	counts := e.countsForRelays(now, messageNumber)
 	for i, r := range e.relayPlan.OtherRelays {
 		own := e.relayReply(now, r)
@@ -226,6 +227,9 @@
 		}
 		own := e.stampReply(r.Incarnation)
 		own.Primary = i == 0
+		if own.Primary {
+			own.Paces = e.runnerSpeeds.takePaces(now, false)
+		}
 		e.dir.askForFeed(own)
 		c.to = append(c.to, recipient{address: r.PeerAddress, own: own})
 	}
@@ -235,6 +239,7 @@
 // followerMessages builds the message to the daemons that follow this one.
 func (e *Edge) followerMessages(now time.Duration, round uint64, w workSummaries) multicast {
 	c := multicast{}
+	speeds := e.runnerSpeeds.forFollowers(now, e.followers)
 	for id, f := range e.followers {
 		if now-f.lastHeard > e.peers.AliveFor() {
 			delete(e.followers, id)
@@ -246,6 +251,9 @@
 		own := e.stampReply(id)
 		own.IncludedSeq = f.includedSeq
 		own.Feed = e.feedAfter(now, f.feed)
+		if f.primary {
+			own.Speeds = speeds
+		}
 		c.to = append(c.to, recipient{address: f.address, own: own})
 	}
 	if len(c.to) == 0 {
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -198,6 +198,7 @@
 	}
 	s.routingRequest = routingRequestOf(s.req)
 	s.routingRequest.Fetchable = s.pool.canFetchPrefix()
+	s.routingRequest.PauseWeight = pauseWeight(s.route)
 	s.routingRequest.Exclude = s.excludedRunners()
 	if s.gate = s.edge.trials.gate(s.pool.name); s.gate != nil {
 		s.pool.excludeByPlacement(&s.routingRequest, s.routingRequest.Exclude, s.gate, s.edge.placeRepeat(s.gate))
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -119,6 +119,7 @@
 	buffer := make([]byte, copyBufferBytes)
 	var out []byte
 	var timer eventTimer
+	measured := a.measureSpeed()
 	first := true
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -134,6 +135,7 @@
 		if pushErr != nil {
 			return pushErr
 		}
+		measured.arrived(s.events.Events())
 		if a.eventCount() > maxEventsAtFailure {
 			a.recordPartsAnswered()
 		}
@@ -142,6 +144,7 @@
 			if writeErr := s.reply.Write(out); writeErr != nil {
 				return &callerLeftError{writeErr}
 			}
+			measured.waiting()
 		}
 		if timerErr := timer.check(s.events); timerErr != nil {
 			return timerErr
@@ -150,6 +153,7 @@
 			if s.events.HasPartialEvent() {
 				return &truncatedEventError{}
 			}
+			measured.ended()
 			return nil
 		}
 		if err != nil {
