--- a/coordination/runnerspeed/table.go
+++ b/coordination/runnerspeed/table.go
@@ -202,7 +202,7 @@
 }
 
 // comparable reports whether enough is known of a runner to compare it with others. The estimate of a
-// relay is: the relay sends it only if its runners differ.
+// relay always is.
 func (e *entry) comparable() bool {
 	return e.inUse != e.own || len(e.quantiles) >= minQuantiles
 }
@@ -220,6 +220,7 @@
 func (t *Table) Update(now time.Duration) bool {
 	s := Summary{}
 	sum := 0.0
+	relayed := 0
 	var compared []time.Duration
 	for r, e := range t.entries {
 		e.update(now, r)
@@ -238,11 +239,15 @@
 		}
 		if e.comparable() {
 			compared = append(compared, e.inUse.Interval)
+			if e.inUse != e.own {
+				relayed++
+			}
 		}
 	}
 	if !differ(compared, s.Runners, t.uneven) {
 		t.differFor, t.uneven = 0, false
-	} else if t.differFor++; t.differFor >= startUpdates {
+	} else if t.differFor++; t.differFor >= startUpdates || 2*relayed > len(compared) {
+		// A relay sends estimates only once it has found that its runners differ.
 		t.uneven = true
 	}
 	s.Uneven = t.uneven
