Count the typical runner's speed in the demand, and let followers judge with their relay

Change: the demand is counted in runners of the median factor, since a further prompt is read by one of those and an order brings one. A relay sends estimates from the first update at which the runners differ.

--- a/coordination/runnerspeed/table.go
+++ b/coordination/runnerspeed/table.go
@@ -300,10 +300,11 @@
 func (t *Table) Summary() Summary { return t.summary }
 
 // ForFollowers returns at most limit estimates to send to followers: first those of runners that have not
-// been sent yet, then the others in rotation. There are none while the runners don't differ. The estimates
-// are those of the last Update.
+// been sent yet, then the others in rotation. There are none while the runners don't differ. They are sent
+// from the first Update at which the runners differ, so that followers judge at the same time as their
+// relay. The estimates are those of the last Update.
 func (t *Table) ForFollowers(now time.Duration, limit int) []Estimate {
-	if !t.uneven {
+	if t.differFor == 0 {
 		return nil
 	}
 	var list []Estimate
--- a/daemon/edge/demand.go
+++ b/daemon/edge/demand.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/fleet"
@@ -47,22 +48,21 @@
 	if p.service.Engine != nil {
 		w.SlotsPerRunner = p.service.Engine.Slots
 	}
-	var factors float64
+	var factors []float64
 	for _, own := range p.table.OwnLoads(nil) {
 		r, ok := p.runners[own.Runner]
 		if !ok || r.State == view.Leaving {
 			continue
 		}
 		w.Runners++
-		factors += p.speeds.factor(own.Runner)
+		factors = append(factors, p.speeds.factor(own.Runner))
 		if p.service.Engine == nil {
 			w.SlotsPerRunner = max(w.SlotsPerRunner, r.Slots)
 		}
 		w.Requests += own.Requests + p.peerLoads[own.Runner].Requests
 	}
 	if p.speeds.factors != nil && w.Runners > 0 {
-		// The capacity of runners of unequal speed is the sum of their rates.
-		w.PrefillRate *= factors / float64(w.Runners)
+		w.PrefillRate *= typicalFactor(factors)
 	}
 	p.demand.Sample(now, w)
 	p.work = w
@@ -74,3 +74,11 @@
 	defer p.mu.Unlock()
 	return p.work, p.demand.Estimate()
 }
+
+// typicalFactor returns the median of the factors. The mean would count the fast runners' capacity as if it
+// could be ordered: what comes on top of the present load is read by a typical runner, since the fast
+// ones are in use already, and an order brings a typical one.
+func typicalFactor(factors []float64) float64 {
+	slices.Sort(factors)
+	return factors[len(factors)/2]
+}
