Keep a runner's observations spread over ten seconds, and test the messages

Cause: the latest sixteen observations of a busy runner are all of one moment, which a slow period or a queue of prompts covers: equal engines two thirds busy were taken for uneven in a play. The wiring of the runners' speeds was tested only in the play without a network. Change: when a runner has sixteen observations, the one that leaves the smallest gap goes, not the oldest; the median of several updates is gone. The switch counts runners with four observations over two seconds, at five updates in turn. A follower that has its relay's estimates for most of its runners takes up their difference at once. A stream's times are read from the runtime's monotonic clock, in place of a system call for each event.

--- a/coordination/routing/routing_test.go
+++ b/coordination/routing/routing_test.go
@@ -484,3 +484,22 @@
 		}
 	}
 }
+
+// Guards against a risk of pauses that doesn't move a choice, or that makes a request look too late to serve.
+func TestPauseRiskMovesChoicesOnly(t *testing.T) {
+	is := is.New(t)
+	tb := newTable(2)
+	tb.Report(start.Add(time.Second), "r00000", report(start.Add(time.Second), 1000))
+	r := &Request{Model: "m", PromptTokens: 5000, OutputTokens: 10, PauseWeight: 1}
+	tb.SetPauseRisks(func(id ident.RunnerID) float64 { return map[ident.RunnerID]float64{"r00001": 0.2}[id] })
+	c, err := tb.Pick(start, r)
+	is.NoErr(err)
+	is.Equal(c.Runner, ident.RunnerID("r00000"))
+	is.Equal(c.Estimate, 600*time.Millisecond)
+	list, _ := tb.Candidates(r, 2)
+	is.Equal(list[0].Runner, c.Runner)
+	r.PauseWeight = 0 // a route without a longest pause
+	c, _ = tb.Pick(start, r)
+	is.Equal(c.Runner, ident.RunnerID("r00001"))
+	is.Equal(c.Estimate, 504*time.Millisecond) // in another failure domain
+}
--- a/coordination/runnerspeed/placement_test.go
+++ b/coordination/runnerspeed/placement_test.go
@@ -29,45 +29,36 @@
 )
 
 // engine reads one prompt after the other, and its streams wait while it reads one. In 15% of the time it
-// takes 2.5 times as long, in periods of 300 ms.
+// takes 2.5 times as long, in periods of 300 ms. ends are the times at which it has read its prompts.
 type engine struct {
-	mu    sync.Mutex
-	slow  float64
-	index int
-	start time.Time
-	ends  []time.Time
+	slow float64
+	hash runnerspeed.Runner
+	ends []time.Time
 }
 
 func (e *engine) slowness() float64 {
-	period := uint64(time.Since(e.start) / (300 * time.Millisecond))
-	if rand.New(rand.NewPCG(period, uint64(e.index))).Float64() < 0.15 {
+	period := uint64(time.Now().UnixMilli() / 300)
+	if rand.New(rand.NewPCG(period, uint64(e.hash))).Float64() < 0.15 {
 		return 2.5 * e.slow
 	}
 	return e.slow
 }
 
-func (e *engine) read(tokens int) {
-	e.mu.Lock()
+func (e *engine) read(tokens int, sleep func(time.Duration)) {
 	begins := time.Now()
 	if n := len(e.ends); n > 0 && e.ends[n-1].After(begins) {
 		begins = e.ends[n-1]
 	}
 	end := begins.Add(time.Duration(float64(tokens) / nominalRate * e.slowness() * float64(time.Second)))
 	e.ends = append(e.ends, end)
-	e.mu.Unlock()
-	time.Sleep(time.Until(end))
+	sleep(time.Until(end))
 }
 
-func (e *engine) step() {
-	time.Sleep(time.Duration(float64(nominalStep) * e.slowness()))
-	e.mu.Lock()
-	i, _ := slices.BinarySearchFunc(e.ends, time.Now(), time.Time.Compare)
-	wait := time.Duration(0)
-	if i < len(e.ends) {
-		wait = time.Until(e.ends[i])
+func (e *engine) step(sleep func(time.Duration)) {
+	sleep(time.Duration(float64(nominalStep) * e.slowness()))
+	if i, _ := slices.BinarySearchFunc(e.ends, time.Now(), time.Time.Compare); i < len(e.ends) {
+		sleep(time.Until(e.ends[i]))
 	}
-	e.mu.Unlock()
-	time.Sleep(wait)
 }
 
 // outcome counts the late streams of a play. chosen are the runners of the requests in turn.
@@ -77,93 +68,80 @@
 	uneven               bool
 }
 
-// play serves the same draws of requests with or without learned speeds.
+// play serves the same draws of requests with or without learned speeds, as a daemon with all others'
+// observations does.
 func play(t *testing.T, slow func(i int) float64, learn bool) (o outcome) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
 		now := func() time.Duration { return time.Since(start) }
 		cfg := routing.Default("d", "north")
-		cfg.Samples, cfg.LoadBound, cfg.PrefillRate, cfg.DecodeRate, cfg.InitialBatchSize = 0, 0, nominalRate, 150, 64
+		cfg.Samples, cfg.LoadBound, cfg.InitialBatchSize = 0, 0, 64
 		table, speeds, pauses := routing.New(cfg), runnerspeed.New(), runnerspeed.PauseRisk{}
 		var list []view.Runner
-		engines, hashes, live := map[ident.RunnerID]*engine{}, map[ident.RunnerID]runnerspeed.Runner{}, map[runnerspeed.Runner]bool{}
-		for i := range playedRunners {
-			id := ident.RunnerID(fmt.Sprintf("r%02d", i))
+		engines, live := map[ident.RunnerID]*engine{}, map[runnerspeed.Runner]bool{}
+		for i := range runnerspeed.Runner(playedRunners) {
+			id := ident.RunnerID(fmt.Sprint(i))
 			list = append(list, view.Runner{ID: id, FailureDomain: "north", State: view.Live})
-			engines[id], hashes[id], live[runnerspeed.Runner(i)] = &engine{slow: slow(i), index: i, start: start}, runnerspeed.Runner(i), true
+			engines[id], live[i] = &engine{slow: slow(int(i)), hash: i}, true
 		}
 		table.SetRunners(start, list)
 		speeds.SetRunners(live)
+		factor := func(id ident.RunnerID) float64 { return speeds.Factor(engines[id].hash) }
 		report := func() {
-			var reports []routing.RunnerReport
 			for _, own := range table.OwnLoads(nil) {
-				f := speeds.Factor(hashes[own.Runner])
-				reports = append(reports, routing.RunnerReport{Runner: own.Runner, Report: load.Report{
-					AsOf: time.Now(), Running: own.Requests, QueuedTokens: own.Prefill, MaxRunning: 64, PrefillRate: nominalRate * f, DecodeRate: 150 * f, Models: []load.Model{{}},
-				}})
+				table.Report(time.Now(), own.Runner, load.Report{
+					AsOf: time.Now(), Running: own.Requests, QueuedTokens: own.Prefill, MaxRunning: 64,
+					PrefillRate: nominalRate * factor(own.Runner), DecodeRate: 150 * factor(own.Runner), Models: []load.Model{{}},
+				})
+			}
+			if speeds.Uneven() {
+				table.SetPauseRisks(func(id ident.RunnerID) float64 { return pauses.Risk(now(), factor(id)) })
 			}
-			table.ReportAll(time.Now(), reports)
-			table.SetPauseRisks(func(id ident.RunnerID) float64 {
-				if !speeds.Uneven() {
-					return 0
-				}
-				return pauses.Risk(now(), speeds.Factor(hashes[id]))
-			})
 		}
 		report()
 		var mu sync.Mutex
 		var wg sync.WaitGroup
 		serve := func(by runnerspeed.Observer, tokens int) {
+			mu.Lock()
+			defer mu.Unlock()
 			asked := time.Now()
 			r := &routing.Request{PromptTokens: tokens, OutputTokens: 100, PauseWeight: targetLatency.Seconds()}
-			mu.Lock()
-			c, err := table.Pick(asked, r)
-			if err != nil {
-				t.Error(err)
-			}
+			c, _ := table.Pick(asked, r)
 			k := table.Dispatch(asked, c, r)
 			o.chosen = append(o.chosen, c.Runner)
-			mu.Unlock()
+			sleep := func(d time.Duration) { mu.Unlock(); time.Sleep(d); mu.Lock() }
 			runner := engines[c.Runner]
-			runner.read(tokens)
-			var stream runnerspeed.Stream
+			runner.read(tokens, sleep)
+			table.FirstToken(time.Now(), &k)
 			lateFirst := time.Since(asked) > targetLatency
-			for i := range 100 {
-				mu.Lock()
-				if i == 0 {
-					table.FirstToken(time.Now(), &k)
-				}
+			var stream runnerspeed.Stream
+			for range 100 {
 				if interval, ok := stream.Arrived(now(), 1); ok && learn {
-					speeds.Observe(now(), hashes[c.Runner], by, interval)
+					speeds.Observe(now(), runner.hash, by, interval)
 				}
-				mu.Unlock()
-				runner.step()
+				runner.step(sleep)
 			}
-			mu.Lock()
-			defer mu.Unlock()
 			table.Finished(time.Now(), &k)
 			tooLong := stream.LongestPause() > maxPause
 			if speeds.Uneven() {
-				pauses.Observe(now(), speeds.Factor(hashes[c.Runner]), tooLong)
+				pauses.Observe(now(), factor(c.Runner), tooLong)
 			}
-			switch {
-			case lateFirst:
+			if lateFirst {
 				o.lateFirst++
-			case tooLong:
+			} else if tooLong {
 				o.latePause++
 			}
 		}
 		rng := rand.New(rand.NewPCG(1, 2))
-		for at, updated := time.Duration(0), time.Duration(0); at < 25*time.Second; at = now() {
-			if learn && at-updated >= 400*time.Millisecond {
-				mu.Lock()
-				updated = at
-				if speeds.Update(at) || speeds.Uneven() {
+		for i := 0; now() < 25*time.Second; i++ {
+			mu.Lock()
+			if learn && i%(perSecond/3) == 0 {
+				if speeds.Update(now()) || speeds.Uneven() {
 					report()
 				}
 				o.uneven = o.uneven || speeds.Uneven()
-				mu.Unlock()
 			}
+			mu.Unlock()
 			tokens := 300 + rng.IntN(2000)
 			if rng.IntN(30) == 0 {
 				tokens = 6_000
--- a/coordination/runnerspeed/runnerspeed.go
+++ b/coordination/runnerspeed/runnerspeed.go
@@ -31,10 +31,9 @@
 type Observer uint64
 
 const (
-	// MaxAge is how long an observation or a received estimate counts; through the median of
-	// smoothedUpdates, a few updates longer.
+	// MaxAge is how long an observation or a received estimate counts.
 	MaxAge = 10 * time.Second
-	// MaxObservations is the number of a runner's latest observations that count.
+	// MaxObservations is the number of a runner's observations that count, spread over MaxAge.
 	MaxObservations = 16
 	// maxPerObserver is less than 0.3 of MaxObservations, so that the quantile of a runner's observations
 	// remains one that another daemon has made.
@@ -49,22 +48,18 @@
 	// estimateQuantile is the quantile of a runner's observations that is its estimate. Half of a runner's
 	// streams may begin while it is slow or reads a prompt.
 	estimateQuantile = 0.3
-	// An estimate is the median of the quantiles at the last smoothedUpdates updates that had at least
-	// fewObservations. At a busy runner the last observations are of the same moment, which one slow
-	// period covers, and the quantile of fewer is that of a single stream.
-	smoothedUpdates = 5
-	fewObservations = 4
 	// The runners differ when the slowQuantile of their estimates is at least startRatio times the
 	// fastQuantile, until the ratio is under endRatio. Differences below result from the load of the batch.
 	slowQuantile, fastQuantile = 0.9, 0.1
 	startRatio, endRatio       = 1.75, 1.5
 	// minRunners is the number of runners with estimates that the comparison needs; all if the service has
-	// fewer. Only runners with minQuantiles count, and the runners must differ at startUpdates updates in
-	// turn: the first streams differ by more than startRatio without a difference of the runners, since a
-	// slow period of some hundred milliseconds covers all their intervals.
-	minRunners   = 8
-	minQuantiles = 3
-	startUpdates = 5
+	// fewer. Only runners with minObservations over minSpan count, and the runners must differ at
+	// startUpdates updates in turn: single streams differ by more than startRatio without a difference of
+	// the runners, since a slow period of some hundred milliseconds covers all the intervals of one.
+	minRunners      = 8
+	minObservations = 4
+	minSpan         = MaxAge / 5
+	startUpdates    = 5
 	// maxFactor bounds the effect of an estimate. factorStep is the ratio of two adjacent factors.
 	maxFactor  = 4
 	factorStep = 1.05
--- a/coordination/runnerspeed/runnerspeed_test.go
+++ b/coordination/runnerspeed/runnerspeed_test.go
@@ -43,53 +43,36 @@
 	is.Equal(s.LongestPause(), 100*time.Millisecond)
 }
 
-// service is a table of eight runners, one in four of them fast, with an observation of each by
-// eight daemons.
-func service(now time.Duration, steps ...time.Duration) *runnerspeed.Table {
-	table := runnerspeed.New()
-	live := map[runnerspeed.Runner]bool{}
+// Guards against factors that don't follow the runners' steps, or outlive a runner or its observations.
+func TestFactorsFollowTheRunnersSteps(t *testing.T) {
+	is := is.New(t)
+	table, live, last := runnerspeed.New(), map[runnerspeed.Runner]bool{}, 4*time.Second
 	for r := range runnerspeed.Runner(8) {
 		live[r] = true
 	}
 	table.SetRunners(live)
-	for range 10 {
+	for at := time.Duration(0); at <= last; at += last / 10 {
 		for r := range live {
-			for by := range runnerspeed.Observer(8) {
-				table.Observe(now, r, by, steps[int(r)%len(steps)])
-			}
+			table.Observe(at, r, runnerspeed.Observer(at), []time.Duration{fastStep, slowStep, slowStep, slowStep}[r%4])
 		}
-		table.Update(now)
+		is.True(!table.Update(at) || at >= 3*time.Second) // single streams are not enough
 	}
-	return table
-}
-
-func TestFactorsFollowTheRunnersSteps(t *testing.T) {
-	is := is.New(t)
-	table := service(0, fastStep, slowStep, slowStep, slowStep)
 	is.True(table.Uneven())
 	ratio := table.Factor(0) / table.Factor(1)
-	is.True(ratio > 1.8 && ratio < 2.2) // 2.13, shrunk
-	is.Equal(len(table.ForFollowers(0, 5)), 5)
-	is.Equal(len(table.ForFollowers(0, 5)), 3) // the other runners
-	is.Equal(len(table.ForFollowers(0, 5)), 0) // all sent a moment ago
+	is.True(ratio > 1.8 && ratio < 2.2)  // 2.13, shrunk
+	for _, due := range []int{5, 3, 0} { // all in turn, then none again for a while
+		is.Equal(len(table.ForFollowers(last, 5)), due)
+	}
 	table.SetRunners(map[runnerspeed.Runner]bool{0: true, 1: true, 9: true})
-	table.Update(0)
-	is.Equal(table.Factor(9), 1.0)                         // nothing is known of it
-	is.True(!table.Observe(0, 2, 1, slowStep))             // an earlier incarnation
-	is.True(!table.Observe(0, 1, 1, 100*time.Microsecond)) // out of range
-	is.True(!table.Receive(0, runnerspeed.Estimate{Runner: 1, Interval: slowStep, Observations: 17}))
-	is.True(!table.Update(runnerspeed.MaxAge) && table.Uneven())
-	is.True(table.Update(runnerspeed.MaxAge+1) && !table.Uneven())
-	is.Equal(table.Factor(0), 1.0) // observations are too old
-}
-
-// Guards against factors where runners differ by no more than their batches make them.
-func TestEvenRunnersHaveNoFactors(t *testing.T) {
-	is := is.New(t)
-	table := service(0, 20*time.Millisecond, 34*time.Millisecond)
-	is.True(!table.Uneven())
+	table.Update(last)
+	is.Equal(table.Factor(9), 1.0)                            // nothing is known of it
+	is.True(!table.Observe(last, 2, 1, slowStep))             // an earlier incarnation
+	is.True(!table.Observe(last, 1, 1, 100*time.Microsecond)) // out of range
+	is.True(!table.Receive(last, runnerspeed.Estimate{Runner: 1, Interval: slowStep, Observations: 17}))
+	table.Update(last + runnerspeed.MaxAge/2)
+	is.True(table.Uneven() && table.Factor(0) > 1)
+	is.True(table.Update(last+runnerspeed.MaxAge+1) && !table.Uneven())
 	is.Equal(table.Factor(0), 1.0)
-	is.Equal(len(table.ForFollowers(0, 5)), 0)
 }
 
 // Guards against an estimate that false observations of one daemon move beyond those of the others,
@@ -103,15 +86,17 @@
 		step := rapid.Custom(func(t *rapid.T) time.Duration {
 			return time.Duration(rapid.IntRange(10, 30).Draw(t, "ms")) * time.Millisecond
 		})
-		for by := range runnerspeed.Observer(12) {
+		now := time.Duration(0)
+		for by := range runnerspeed.Observer(rapid.IntRange(12, 40).Draw(t, "daemons")) {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond
 			honest := step.Draw(t, "honest")
 			lowest, highest = min(lowest, honest), max(highest, honest)
-			table.Observe(time.Second, 0, 20+by, honest)
-		}
-		for range rapid.IntRange(4, 20).Draw(t, "false") {
-			table.Observe(time.Second, 0, 99, time.Duration(rapid.Int64Range(-1, int64(time.Minute)).Draw(t, "interval")))
+			table.Observe(now, 0, 1+by, honest)
+			for range rapid.IntRange(0, 6).Draw(t, "false") {
+				table.Observe(now, 0, 0, time.Duration(rapid.Int64Range(-1, int64(time.Minute)).Draw(t, "interval")))
+			}
 		}
-		table.Update(time.Second)
+		table.Update(now)
 		s := table.Summary()
 		is.True(s.Slowest >= lowest && s.Slowest <= highest)
 	})
--- a/coordination/runnerspeed/table.go
+++ b/coordination/runnerspeed/table.go
@@ -29,25 +29,15 @@
 	interval time.Duration
 }
 
-type quantileAt struct {
-	at       time.Duration
-	interval time.Duration
-}
-
 // entry is what a table knows of one runner.
 type entry struct {
 	live         bool
 	observations []observation
-	// quantiles are those of the observations at the last updates that had new ones; only the last if few
-	// says that it is of fewer than fewObservations.
-	quantiles []quantileAt
-	few       bool
-	own       Estimate
+	own          Estimate
 	// relayed is the estimate that a relay has sent, at relayedAt.
 	relayed   Estimate
 	relayedAt time.Duration
-	// observed says that there are new observations, changed that own must be recomputed. logInterval is the logarithm of the interval in use.
-	observed    bool
+	// changed says that own must be recomputed. logInterval is the logarithm of the interval in use.
 	changed     bool
 	inUse       Estimate
 	logInterval float64
@@ -125,13 +115,25 @@
 	case byObserver >= maxPerObserver:
 		e.observations = slices.Delete(e.observations, oldest, oldest+1)
 	case len(e.observations) >= MaxObservations:
-		e.observations = slices.Delete(e.observations, 0, 1)
+		e.thin()
 	}
 	e.observations = append(e.observations, observation{now, by, interval})
-	e.observed, e.changed = true, true
+	e.changed = true
 	return true
 }
 
+// thin removes the observation that leaves the smallest gap, so that the others remain spread over MaxAge.
+// At a busy runner the latest ones are all of one moment, which a slow period or a long prompt covers.
+func (e *entry) thin() {
+	closest, smallest := 1, time.Duration(math.MaxInt64)
+	for i := 1; i < len(e.observations)-1; i++ {
+		if gap := e.observations[i+1].at - e.observations[i-1].at; gap < smallest {
+			closest, smallest = i, gap
+		}
+	}
+	e.observations = slices.Delete(e.observations, closest, closest+1)
+}
+
 // Receive records the estimate of a relay. It returns false if the runner is not one of the service's or
 // the estimate is out of range.
 func (t *Table) Receive(now time.Duration, relayed Estimate) bool {
@@ -155,20 +157,9 @@
 	if !e.changed {
 		return
 	}
-	if e.observed {
-		if e.few {
-			e.quantiles = e.quantiles[:0]
-		}
-		e.few = len(e.observations) < fewObservations
-		if len(e.quantiles) >= smoothedUpdates {
-			e.quantiles = slices.Delete(e.quantiles, 0, 1)
-		}
-		e.quantiles = append(e.quantiles, quantileAt{now, e.quantile()})
-	}
-	e.quantiles = slices.DeleteFunc(e.quantiles, func(q quantileAt) bool { return now-q.at > MaxAge || len(e.observations) == 0 })
-	e.changed, e.observed, e.own = false, false, Estimate{}
+	e.changed, e.own = false, Estimate{}
 	if n := len(e.observations); n > 0 {
-		e.own = Estimate{r, e.smoothed(), n}
+		e.own = Estimate{r, e.quantile(), n}
 	}
 	e.inUse = e.own
 	if e.relayed.Observations > e.own.Observations {
@@ -190,21 +181,11 @@
 	return quantile(sorted, estimateQuantile)
 }
 
-// smoothed returns the median of the last quantiles.
-func (e *entry) smoothed() time.Duration {
-	var intervals [smoothedUpdates]time.Duration
-	for i, q := range e.quantiles {
-		intervals[i] = q.interval
-	}
-	sorted := intervals[:len(e.quantiles)]
-	slices.Sort(sorted)
-	return quantile(sorted, 0.5)
-}
-
 // comparable reports whether enough is known of a runner to compare it with others. The estimate of a
-// relay is: the relay sends it only if its runners differ.
+// relay always is.
 func (e *entry) comparable() bool {
-	return e.inUse != e.own || len(e.quantiles) >= minQuantiles
+	n := len(e.observations)
+	return e.inUse != e.own || n >= minObservations && e.observations[n-1].at-e.observations[0].at >= minSpan
 }
 
 // oldestAge returns the age of the oldest information in use.
@@ -220,6 +201,7 @@
 func (t *Table) Update(now time.Duration) bool {
 	s := Summary{}
 	sum := 0.0
+	relayed := 0
 	var compared []time.Duration
 	for r, e := range t.entries {
 		e.update(now, r)
@@ -238,11 +220,15 @@
 		}
 		if e.comparable() {
 			compared = append(compared, e.inUse.Interval)
+			if e.inUse != e.own {
+				relayed++
+			}
 		}
 	}
 	if !differ(compared, s.Runners, t.uneven) {
 		t.differFor, t.uneven = 0, false
-	} else if t.differFor++; t.differFor >= startUpdates {
+	} else if t.differFor++; t.differFor >= startUpdates || 2*relayed > len(compared) {
+		// A relay sends estimates only once it has found that its runners differ.
 		t.uneven = true
 	}
 	s.Uneven = t.uneven
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/route"
 	"geraniumstack.org/geraniumstack/transport/kv"
@@ -113,3 +114,33 @@
 	defer e.mu.Unlock()
 	return e.limiter.Uses(e.deps.Steady())[ws].Taken
 }
+
+// SpeedFactor returns how many times as fast as the others a daemon takes a runner to be.
+func (e *Edge) SpeedFactor(service string, id ident.RunnerID) float64 {
+	p := e.pool(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.speeds.factor(id)
+}
+
+// PauseRisk returns the share of streams that a daemon expects to pause for too long at a runner.
+func (e *Edge) PauseRisk(service string, id ident.RunnerID) float64 {
+	p := e.pool(service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.speeds.pauses.Risk(e.deps.Steady(), p.speeds.factor(id))
+}
+
+// ReceiveSpeeds handles the speeds in a message of each kind of sender, and returns how many
+// observations wait to be sent.
+func (e *Edge) ReceiveSpeeds(h *peersv1.Hello) int {
+	for _, from := range []workSource{sourceIgnored, sourceFollower, sourceRelay, sourcePrimary} {
+		e.receiveSpeeds(ident.Incarnation(h.Incarnation), h, from)
+	}
+	e.runnerSpeeds.mu.Lock()
+	defer e.runnerSpeeds.mu.Unlock()
+	return len(e.runnerSpeeds.fresh)
+}
+
+// RunnerHash returns the hash that identifies a runner in messages.
+func RunnerHash(id ident.RunnerID) uint64 { return runnerHash(id) }
--- a/daemon/edge/runner_speeds.go
+++ b/daemon/edge/runner_speeds.go
@@ -348,8 +348,8 @@
 	e := m.a.s.edge
 	n := events - m.events
 	m.events = events
-	now := e.deps.Steady()
-	if interval, ok := m.stream.Arrived(now, n); ok {
+	if interval, ok := m.stream.Arrived(m.now(), n); ok {
+		now := e.deps.Steady()
 		p := freshPace{at: now, runner: runnerspeed.Runner(runnerHash(m.a.choice.Runner)), interval: interval, own: true}
 		if e.runnerSpeeds.observe(now, observerOf(e.self), p, true) {
 			e.log.Count("speeds.observed")
@@ -361,10 +361,14 @@
 	}
 }
 
+// now returns the time since the attempt was sent. Unlike Deps.Steady it doesn't count the time in which this
+// VM was suspended, which is no pause of the runner's.
+func (m *streamSpeed) now() time.Duration { return time.Since(m.a.sent) }
+
 // waiting records that the caller has taken what had arrived.
 func (m *streamSpeed) waiting() {
 	if m != nil {
-		m.stream.Waiting(m.a.s.edge.deps.Steady())
+		m.stream.Waiting(m.now())
 	}
 }
 
