--- a/coordination/runnerspeed/table.go
+++ b/coordination/runnerspeed/table.go
@@ -201,7 +201,6 @@
 func (t *Table) Update(now time.Duration) bool {
 	s := Summary{}
 	sum := 0.0
-	relayed := 0
 	var compared []time.Duration
 	for r, e := range t.entries {
 		e.update(now, r)
@@ -220,15 +219,11 @@
 		}
 		if e.comparable() {
 			compared = append(compared, e.inUse.Interval)
-			if e.inUse != e.own {
-				relayed++
-			}
 		}
 	}
 	if !differ(compared, s.Runners, t.uneven) {
 		t.differFor, t.uneven = 0, false
-	} else if t.differFor++; t.differFor >= startUpdates || 2*relayed > len(compared) {
-		// A relay sends estimates only once it has found that its runners differ.
+	} else if t.differFor++; t.differFor >= startUpdates {
 		t.uneven = true
 	}
 	s.Uneven = t.uneven
