--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -137,8 +137,9 @@
 	// uninformedBudgetUsed is set when the budget was raised by uninformedShare, and reset
 	// once all peers that are not silent have been heard again.
 	uninformedBudgetUsed bool
-	// recentUsage is the recent use by this daemon's own requests.
-	recentUsage decayingSum
+	// recentUsage is the recent use by this daemon's own requests, netUsage the same less what was
+	// released.
+	recentUsage, netUsage decayingSum
 }
 
 // decayingSum is an amount that decays exponentially with time constant usageDecay.
@@ -298,6 +299,7 @@
 	b.level -= cost
 	b.taken += cost
 	b.recentUsage.add(now, cost)
+	b.netUsage.add(now, cost)
 	return 0, true
 }
 
@@ -347,6 +349,7 @@
 func (l *Limiter) Release(ws ident.Workspace, cost float64) {
 	b := l.bucket(ws)
 	b.taken -= cost
+	b.netUsage.valueAtUpdate = max(0, b.netUsage.valueAtUpdate-cost)
 	b.budget += cost
 	if b.limit.PerSecond > 0 {
 		b.level = min(l.capacity(b.limit), b.level+cost)
