Share the capacity of a service that is short among workspaces

Cause: a workspace that rises to its quota slowed down all others, and the daemons refused urgent requests for a queue of less urgent ones that engines would read later.

Change: while a service is short, requests of workspaces over their share go to engines behind their class; Grant.over_share tells followers. The expected wait counts what is ahead by priority. A refused caller gets a time of its own, which Hello.returns tells to the other daemons.

--- a/coordination/fairshare/fairshare_test.go
+++ b/coordination/fairshare/fairshare_test.go
@@ -54,23 +54,34 @@
 	}
 }
 
-// Demotion must never put a request ahead of its own class or behind a class other than the next.
+// Demotion must put no request ahead of its own class or behind another one, and numbering by rank must not change the order.
 func TestDemotedStaysBeforeOtherClasses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
 		priorities := rapid.SliceOfN(rapid.IntRange(-1, 12), 1, 8).Draw(t, "priorities")
-		classes := fairshare.NewClasses(priorities)
+		classes, ranked := fairshare.NewClasses(priorities), rapid.Bool().Draw(t, "ranked")
 		for _, p := range priorities {
-			demoted, ok := classes.Demoted(p)
-			is.Equal(ok, demoted != p)
-			is.True(demoted >= p && (!ok || demoted <= fairshare.LastPriority))
-			for _, other := range priorities {
-				is.True(other <= p || demoted <= other)
+			kept, _ := classes.EnginePriority(p, false, ranked)
+			lower, demoted := classes.EnginePriority(p, true, ranked)
+			is.True(kept == p || ranked)
+			is.True(demoted && lower == kept+1 && lower <= fairshare.LastPriority || !demoted && lower == kept)
+			for _, q := range priorities {
+				if min(p, fairshare.LastPriority) >= min(q, fairshare.LastPriority) {
+					continue
+				}
+				other, _ := classes.EnginePriority(q, false, ranked)
+				is.True(kept < other && lower < other)
 			}
 		}
 	})
-	_, ok := fairshare.NewClasses([]int{0, 1, 2, 3, 4, 5}).Demoted(0)
-	is.New(t).True(!ok) // more classes than engines' priorities hold twice
+	is := is.New(t)
+	dense := fairshare.NewClasses([]int{1, 0, 2, 0})
+	for p := range 3 {
+		lower, demoted := dense.EnginePriority(p, true, true)
+		is.True(demoted && lower == 2*p+1)
+	}
+	_, demoted := fairshare.NewClasses([]int{0, 1, 2, 3, 4, 5}).EnginePriority(5, true, true)
+	is.True(!demoted) // more classes than the engines' priorities hold twice
 }
 
 // A service must count as short only while a quarter of the requests wait, and one second longer.
@@ -137,26 +148,34 @@
 	})
 }
 
-// Each place must be in three messages, and no message larger than its bound.
+// Each place must be in three messages, no message may be larger than its bound, and new places must be told although
+// more come than can be.
 func TestAnnouncementsAreRepeated(t *testing.T) {
 	is := is.New(t)
 	var a fairshare.Announcements
-	room := 0
-	for i := range 1000 {
-		if a.Add(fairshare.Place{Request: uint64(i)}) {
-			room++
-		}
-	}
 	told := map[uint64]int{}
-	for range 1000 {
-		places := a.Next()
-		is.True(len(places) <= fairshare.MaxAnnounced)
-		for _, p := range places {
-			told[p.Request]++
+	tell := func(places, messages int) {
+		for i := range places {
+			a.Add(fairshare.Place{Request: uint64(i), At: time.Minute})
+		}
+		for range messages {
+			next := a.Next(time.Second)
+			is.True(len(next) <= fairshare.MaxAnnounced)
+			for _, p := range next {
+				told[p.Request]++
+			}
 		}
 	}
-	is.True(room < 1000 && len(told) == room)
+	tell(100, 3*100/fairshare.MaxAnnounced+3)
+	is.Equal(len(told), 100)
 	for _, n := range told {
 		is.Equal(n, 3)
 	}
+	clear(told)
+	for range 100 {
+		tell(fairshare.MaxAnnounced, 1)
+	}
+	is.Equal(len(told), fairshare.MaxAnnounced)
+	tell(1000, 0)
+	is.Equal(len(a.Next(time.Hour)), 0) // nobody returns any more
 }
--- a/coordination/fairshare/returns.go
+++ b/coordination/fairshare/returns.go
@@ -1,6 +1,10 @@
 package fairshare
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// maxSpacing is the longest time between two callers that return, and applies while a class is hardly served: half a
@@ -19,7 +23,7 @@
 	// known up to the delay of a message.
 	returnTolerance = 50 * time.Millisecond
 	// MaxAnnounced is the number of places in a message, and announceRepeats the number of messages that tell of
-	// each. maxQueued bounds the places that wait to be told; further ones are not told.
+	// each. maxQueued bounds the places that wait to be told.
 	MaxAnnounced    = 16
 	announceRepeats = 3
 	maxQueued       = 8 * MaxAnnounced
@@ -128,29 +132,29 @@
 	sent int
 }
 
-// Add queues a place, and reports whether there was room for it.
-func (a *Announcements) Add(p Place) bool {
-	if len(a.queue) >= maxQueued {
-		return false
-	}
+// Add queues a place. If there is no room, one that was told already makes way, or the latest.
+func (a *Announcements) Add(p Place) {
 	a.queue = append(a.queue, announcement{Place: p})
-	return true
+	if len(a.queue) > maxQueued {
+		a.sort()
+		a.queue = a.queue[:maxQueued]
+	}
 }
 
-// Next returns the places for the next message, the ones that were told least often first.
-func (a *Announcements) Next() []Place {
+// sort puts the places that were told least often first.
+func (a *Announcements) sort() {
+	slices.SortStableFunc(a.queue, func(x, y announcement) int { return cmp.Compare(x.sent, y.sent) })
+}
+
+// Next returns the places for the next message.
+func (a *Announcements) Next(now time.Duration) []Place {
+	a.queue = slices.DeleteFunc(a.queue, func(q announcement) bool { return now > q.At+placeMemory })
+	a.sort()
 	var next []Place
-	var later, again []announcement
-	for _, q := range a.queue {
-		if len(next) == MaxAnnounced {
-			later = append(later, q)
-			continue
-		}
-		next = append(next, q.Place)
-		if q.sent++; q.sent < announceRepeats {
-			again = append(again, q)
-		}
+	for i := range a.queue[:min(MaxAnnounced, len(a.queue))] {
+		next = append(next, a.queue[i].Place)
+		a.queue[i].sent++
 	}
-	a.queue = append(later, again...)
+	a.queue = slices.DeleteFunc(a.queue, func(q announcement) bool { return q.sent == announceRepeats })
 	return next
 }
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -64,10 +64,12 @@
 	cancel          context.CancelFunc
 	abandoned, dark atomic.Bool
 	trial           trialAttribution
-	// parent is the context that the attempt was made with. onRelease is called at its end.
-	parent    context.Context
-	onRelease []func()
-	watch     watch
+	// parent is the context that the attempt was made with. onRelease is called at its end, and recordRead when the
+	// runner has read the prompt, unless it is nil.
+	parent     context.Context
+	onRelease  []func()
+	recordRead func()
+	watch      watch
 	// takenOver is what has taken the attempt over; nil if nothing has. counted says that the attempt counts as
 	// a send already.
 	takenOver *openAnswer
@@ -119,8 +121,9 @@
 	a := &attempt{s: s, choice: choice, eventsBefore: s.eventsSent(), entry: entry, permit: permit, sent: now, trial: s.trialAttributionOf(entry.Version)}
 	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
 	s.countTrialDispatch()
+	a.recordShareDispatch()
 	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", a.entry.Version), decisions.F("estimate", choice.Estimate),
-		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("cost", s.cost),
+		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("cost", s.cost), decisions.F("rank", s.enginePriority()),
 		decisions.F("list_age", s.pool.listAge()))
 	return a, nil
 }
@@ -170,9 +173,9 @@
 }
 
 // refuseTooLate refuses a request that would wait too long. The retry time is how long the
-// queue will take to become short enough.
+// queue will take to become short enough, or the time of the request's place.
 func (s *requestHandler) refuseTooLate(late time.Duration, c routing.Choice) *refusal.Refusal {
-	return s.orUnknown(refusal.New(refusal.DeadlineUnreachable, "first token expected in %v", c.Estimate).After(late + notReadyRetryAfter))
+	return s.orUnknown(refusal.New(refusal.DeadlineUnreachable, "first token expected in %v", c.Estimate).After(s.returnAfter(late)))
 }
 
 // exclusionOf returns the set that excludes runners from a choice; see routing.Request.Exclude.
@@ -341,7 +344,7 @@
 	if !s.pool.hasEngine() {
 		return -1
 	}
-	return s.priority
+	return s.sharePriority()
 }
 
 func (a *attempt) handleSendError(ctx context.Context, err error) *forward.FailedAttempt {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -159,6 +159,7 @@
 	streams           streamVersions
 	failureCauses     failureCauses
 	rests             rests
+	fair              fairShare
 	resolvedAddresses udpAddresses
 	configCheck       configChecker
 	duties            duties
@@ -222,6 +223,7 @@
 	e.streams.init(now, settings.FleetNeverServed)
 	e.failureCauses.init()
 	e.rests.init()
+	e.fair.init()
 	e.duties.init(e)
 	// Until it hears from other daemons, a daemon plans as if it were alone.
 	e.relayPlan = relays.Elect(relays.View{Self: e.peers.Self(), DirectFleet: settings.Policy.DirectFleet()})
--- a/daemon/edge/failure_causes.go
+++ b/daemon/edge/failure_causes.go
@@ -267,6 +267,7 @@
 // recordAnswered records that the request has been answered in full.
 func (a *attempt) recordAnswered() {
 	a.recordPartsAnswered()
+	a.recordShareAnswer()
 	if a.helper == "" && !a.s.edge.failureCauses.isEmpty() {
 		a.s.edge.recordAnswer([]quarantine.Cause{a.s.content()})
 	}
--- a/daemon/edge/grants.go
+++ b/daemon/edge/grants.go
@@ -116,11 +116,11 @@
 }
 
 // takeQuota takes the cost of a request out of its workspace's quota. It returns the answer of
-// the relay that granted it, an empty answer if this daemon granted it itself, or a refusal.
+// the relay that granted it, one without a relay if this daemon granted it itself, or a refusal.
 func (e *Edge) takeQuota(ctx context.Context, ws ident.Workspace, cost float64, lister candidateLister) (grantAnswer, *refusal.Refusal) {
 	own, elsewhere, addresses := e.takeFromOwnShare(ws, cost)
 	if own != nil && (own.Taken || !elsewhere) {
-		return grantAnswer{}, quotaRefusal(own, cost)
+		return grantAnswer{Grant: own}, quotaRefusal(own, cost)
 	}
 	service, candidates := lister.candidates()
 	answers := make(chan grantAnswer, maxAskedRelays)
@@ -185,7 +185,7 @@
 // too small, the result says whether other relays' shares may suffice. The caller must hold e.mu.
 func (e *Edge) takeFromLimiter(now time.Duration, ws ident.Workspace, cost float64) *peersv1.Grant {
 	wait, ok := e.limiter.Take(now, ws, cost)
-	return &peersv1.Grant{Taken: ok, WaitNs: int64(wait), Elsewhere: !ok && e.limiter.Covers(now, ws, cost)}
+	return &peersv1.Grant{Taken: ok, WaitNs: int64(wait), Elsewhere: !ok && e.limiter.Covers(now, ws, cost), OverShare: ok && e.overShare(now, ws)}
 }
 
 // relaysToAsk returns the addresses of the relays to ask for quota: the granters of this
--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -50,6 +50,7 @@
 	h.Limits = e.runnerLimits.statements(now, e.seq)
 	e.addVersionHistory(now, h)
 	h.Causes = e.failureCauses.statements(now, e.seq)
+	h.Ranks = e.ranksWithFollowers()
 	if e.relayPlan.Direct {
 		h.Addresses = rotatingSubset(e.peers.Addresses(), e.seq, maxAddresses)
 	}
--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -64,7 +64,7 @@
 		case err != nil:
 			return routing.Choice{}, permit{}, s.refuseWithoutRunner(err)
 		}
-		if late := choice.Estimate - s.maxFirstTokenWait(now); late > 0 && s.edge.settings.Policy.Uses(RefuseEarly) {
+		if late := s.judgeShare(choice) - s.acceptableWait(now); late > 0 && s.edge.settings.Policy.Uses(RefuseEarly) {
 			return routing.Choice{}, permit{}, s.refuseTooLate(late, choice)
 		}
 		p, granted := s.pool.takePermit(ctx, choice.Runner, s.deadline.Sub(now))
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -120,6 +120,7 @@
 	e.updateMembers(now, id, h, ended)
 	e.stamps[id] = freshness.Stamp{Sent: time.Duration(h.StampNs), Received: now}
 	e.wallClock.Receive(id, time.Unix(0, h.TimeUnixNs), now)
+	e.fair.ranks[id] = h.Ranks
 	e.updateQuotaUses(now, id, h)
 	e.handleCounts(now, id, h)
 	e.receiveUnreachable(now, id, h.Unreachable)
@@ -141,6 +142,7 @@
 	e.receiveRunnerLimits(h.PeerAddress, h.Limits)
 	e.receiveVersionHistory(now, h)
 	e.receiveCauses(h.Causes)
+	e.receiveReturns(now, h)
 	e.receiveWork(id, h, source)
 	e.receivePlacements(h.Placed, source == sourceFollower)
 }
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -68,6 +68,7 @@
 		e.removePeer(id, "silent")
 	}
 	e.electRelays(now)
+	e.updateRanked()
 	e.updateFallback(now)
 	e.reported.updateMostRelaysReported(now, len(e.relayPlan.OtherRelays))
 	e.limiter.SetExpectedDaemons(now, e.countQuotaGranters(now))
@@ -201,6 +202,7 @@
 	e.limiter.PeerEnded(id)
 	e.wallClock.PeerEnded(id)
 	delete(e.stamps, id)
+	delete(e.fair.ranks, id)
 	delete(e.followers, id)
 	delete(e.fedRelays, id)
 	delete(e.cutOffUntil, id)
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -61,6 +61,7 @@
 		round -= round % roundsPerMessage
 		e.tickPeers()
 		e.probeSilentHelpers()
+		e.tickFairShare()
 		e.sendRound(round)
 		e.publishLateRunners()
 		e.observeVersions()
@@ -179,6 +180,7 @@
 func (e *Edge) completeRelayMessages(now time.Duration, messageNumber uint64, w workSummaries) multicast {
 	period := e.relayMessageRounds()
 	c := multicast{hello: e.baseHello(now), quotaUses: e.quotaUses(now)}
+	c.hello.Returns = e.fair.nextReturns(now, &e.fair.toRelays)
 	if e.relayPlan.Direct || period >= followerRounds || !sendsRoster(messageNumber) {
 		addWork(c.hello, w.ownAndFollowers)
 	}
@@ -217,6 +219,7 @@
 func (e *Edge) followedRelayMessages(now time.Duration, round uint64, w workSummaries) multicast {
 	c := multicast{hello: e.baseHello(now)}
 	c.hello.Follows = true
+	c.hello.Returns = e.fair.nextReturns(now, &e.fair.toFollowed)
 	addWork(c.hello, w.own)
 	e.addOwnCounts(now, c.hello)
 	e.reported.rememberSent(c.hello.Seq, w.own.loads)
@@ -253,6 +256,8 @@
 	}
 	c.hello = e.baseHello(now)
 	c.hello.TimeUnixNs = e.wallClock.At(now).UnixNano()
+	c.hello.Returns = e.fair.nextReturns(now, &e.fair.toFollowers)
+	c.hello.Ranks = e.fair.ranked.Load()
 	addWork(c.hello, w.all)
 	if w.roster {
 		c.hello.Roster = e.domainRoster(now)
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -83,6 +83,7 @@
 	usageCounted bool
 	// buffered is a runner's server error, which is passed on if no later attempt succeeds.
 	buffered *bufferedAnswer
+	share    requestShare
 }
 
 // Serve answers one request. The context must end when the caller has disconnected.
@@ -300,6 +301,7 @@
 	s.cost, s.grantingRelay = cost, granted.relay
 	if granted.Grant != nil {
 		s.recommended = ident.RunnerID(granted.Runner)
+		s.share.over = granted.OverShare
 	}
 	return nil
 }
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -161,6 +161,7 @@
 func (a *attempt) firstToken() {
 	took := time.Since(a.sent)
 	a.firstEventAfter = took
+	a.recordShareAnswer()
 	if a.helper == "" {
 		a.s.pool.firstToken(&a.ticket, a.choice, took)
 	}
