--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/route"
 	"geraniumstack.org/geraniumstack/transport/kv"
@@ -113,3 +114,11 @@
 	defer e.mu.Unlock()
 	return e.limiter.Uses(e.deps.Steady())[ws].Taken
 }
+
+// ReceiveReturns takes up the places in another daemon's message, and returns the number of places that the daemon knows.
+func (e *Edge) ReceiveReturns(returns []*peersv1.Returning) int {
+	e.receiveReturns(e.deps.Steady(), &peersv1.Hello{Returns: returns})
+	e.fair.mu.Lock()
+	defer e.fair.mu.Unlock()
+	return e.fair.places.Len()
+}
--- a/daemon/edge/fair_share.go
+++ b/daemon/edge/fair_share.go
@@ -211,7 +211,7 @@
 		return c.Estimate
 	}
 	own := time.Duration(float64(c.Estimate) * float64(max(1, c.Uncached)) / float64(max(1, c.Uncached)+c.QueuedAhead))
-	return service.backlog.Wait(now, rank, c.Estimate-own, own, demoted || s.share.promoted)
+	return service.backlog.Wait(rank, c.Estimate-own) + own
 }
 
 // enginePriorityLocked returns the request's priority at an engine, and whether it is demoted by it. The caller must hold
@@ -295,7 +295,7 @@
 	if s.exchange.Sent() == 0 {
 		f.throughput.Send(now, max(1, s.cost))
 	}
-	service.backlog.Send(now, rank, tokens)
+	service.backlog.Send(rank, tokens)
 	a.recordRead = sync.OnceFunc(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
