--- a/coordination/fairshare/fairshare.go
+++ b/coordination/fairshare/fairshare.go
@@ -4,9 +4,10 @@
 //
 //   - A workspace that uses no more for its weight than the mean of all workspaces is never over its share.
 //   - Only requests of workspaces over their share are demoted, and only while a service is short. They stay
-//     ahead of all classes but the next one, and of that one, too, if the configuration leaves a number free.
-//   - A request that isn't demoted keeps the engine priority that the configuration gives it. Its order
-//     relative to others is the same at daemons that judge otherwise or run a version without this package.
+//     ahead of the next class, and are not refused for it.
+//   - Requests that aren't demoted keep their order, also beside daemons that judge otherwise. Unless all daemons
+//     number priorities by rank, they keep the priorities that the configuration gives them.
+//   - No request is refused that would not be if engines read in the order of arrival.
 //   - The callers that are refused are asked to return at times of their own, in the order of their refusals, at
 //     the rate at which their class is served. One that returns at its time is not refused again for its wait
 //     while it can still be served.
