Judge the share of a request in the pure package

The load test repeated the decisions that the daemon made in its wiring; both now call fairshare.Service.

--- a/coordination/fairshare/load_test.go
+++ b/coordination/fairshare/load_test.go
@@ -57,11 +57,9 @@
 
 // daemon is what one daemon knows.
 type daemon struct {
+	fairshare.Service
 	limiter    *quota.Limiter
-	shortage   fairshare.Shortage
-	schedules  [3]fairshare.Schedule
 	throughput fairshare.Throughput
-	backlog    fairshare.Backlog
 }
 
 // over reports whether a workspace is over its share, as daemons that grant quota do.
@@ -120,8 +118,8 @@
 				}
 				d := &fleet[a.daemon]
 				d.throughput.Answer(now, 1)
-				d.backlog.Done(a.priority, float64(a.cost))
-				d.schedules[a.class].Served(now)
+				d.Backlog.Done(a.priority, float64(a.cost))
+				d.Served(now, a.class)
 				if now-a.first <= target {
 					count(*a, result{inTime: 1})
 				}
@@ -149,19 +147,20 @@
 				}
 			}
 			queue, own := time.Duration(float64(tokens[best])/rate*float64(time.Second)), time.Duration(float64(a.cost)/rate*float64(time.Second))
-			d.shortage.Observe(now, queue+own, target)
-			short, promoted, longest := part && d.shortage.Short(now), part && places.Take(now, a.id), givesUpAfter
-			a.priority, _ = classes.EnginePriority(a.class, short && !promoted && d.over(now, ws), part)
+			d.Shortage.Observe(now, queue+own, target)
+			promoted, longest, honoured := part && places.Take(now, a.id), givesUpAfter, (a.first+callerTimeout-now)/3
 			if promoted {
 				longest = a.first + callerTimeout - now
 			}
-			if short {
-				queue = d.backlog.Wait(a.priority, queue)
+			v := fairshare.Verdict{Priority: a.class, Wait: queue + own}
+			if part {
+				v = d.Judge(now, classes, true, fairshare.Request{Priority: a.class, Over: d.over(now, ws), Promoted: promoted, Queue: queue, Own: own})
 			}
-			late, honoured := queue+own-longest, (a.first+callerTimeout-now)/3
+			a.priority = v.Priority
+			late := v.Wait - longest
 			if late <= 0 {
 				d.throughput.Send(now, 1)
-				d.backlog.Send(a.priority, float64(a.cost))
+				d.Backlog.Send(a.priority, float64(a.cost))
 				i, _ := slices.BinarySearchFunc(queues[best], a.priority, func(q request, p int) int { return 2*(q.priority-p) - 1 })
 				queues[best], tokens[best] = slices.Insert(queues[best], i, a), tokens[best]+a.cost
 				continue
@@ -171,8 +170,8 @@
 				count(a, result{again: 1})
 			}
 			after := late + 500*time.Millisecond
-			if short {
-				at, kept := d.schedules[a.class].Next(now, now+max(late, 100*time.Millisecond), now+honoured)
+			if v.Short {
+				at, kept := d.Return(now, a.class, late, honoured)
 				if after = at - now; kept {
 					places.Add(now, a.id, at)
 				}
--- a/daemon/edge/fair_share.go
+++ b/daemon/edge/fair_share.go
@@ -24,9 +24,6 @@
 	// levelInterval is the time for which the level is used before it is computed again: half of the time
 	// between two messages with other daemons' use.
 	levelInterval = gossipInterval / 2
-	// minReturnTime is the shortest time after which a caller is asked to return. By then the other daemons
-	// of its failure domain know its place.
-	minReturnTime = gossipInterval
 	// honouredFraction is the part of the time that callers have left within which they return.
 	honouredFraction = 3
 	// shareNoteInterval is the shortest time between two log lines about one service.
@@ -59,9 +56,7 @@
 
 // sharedService is what this daemon knows of one service.
 type sharedService struct {
-	shortage  fairshare.Shortage
-	backlog   fairshare.Backlog
-	schedules map[int]*fairshare.Schedule
+	fairshare.Service
 	// short is the latest judgement; notedShort, notedOver and notedAt are those of the latest log line.
 	short, notedShort bool
 	notedOver         string
@@ -128,19 +123,12 @@
 func (f *fairShare) serviceLocked(name string) *sharedService {
 	s, ok := f.services[name]
 	if !ok {
-		s = &sharedService{schedules: map[int]*fairshare.Schedule{}}
+		s = &sharedService{}
 		f.services[name] = s
 	}
 	return s
 }
 
-func (s *sharedService) schedule(class int) *fairshare.Schedule {
-	if s.schedules[class] == nil {
-		s.schedules[class] = &fairshare.Schedule{}
-	}
-	return s.schedules[class]
-}
-
 // overShare reports whether a workspace is over its share by what this daemon, which grants quota, knows of the use over
 // all daemons. The caller must hold e.mu.
 func (e *Edge) overShare(now time.Duration, ws ident.Workspace) bool {
@@ -197,28 +185,19 @@
 	service := f.serviceLocked(s.pool.name)
 	if !s.share.judged {
 		s.share.judged = true
-		service.shortage.Observe(now, c.Estimate, s.route.TargetLatency)
+		service.Shortage.Observe(now, c.Estimate, s.route.TargetLatency)
 		if f.places.Take(now, content) {
 			s.share.promoted = true
 			e.log.Count("share.promoted")
 		}
 	}
 	e.noteRoomLocked(now, s.pool.name, service)
-	s.share.short = service.short
-	rank, demoted := s.enginePriorityLocked(service.short && s.share.over && !s.share.promoted)
-	s.share.demoted = demoted
-	if !service.short {
-		return c.Estimate
-	}
 	own := time.Duration(float64(c.Estimate) * float64(max(1, c.Uncached)) / float64(max(1, c.Uncached)+c.QueuedAhead))
-	return service.backlog.Wait(rank, c.Estimate-own) + own
-}
-
-// enginePriorityLocked returns the request's priority at an engine, and whether it is demoted by it. The caller must hold
-// fair.mu.
-func (s *requestHandler) enginePriorityLocked(demote bool) (int, bool) {
-	f := &s.edge.fair
-	return f.termsLocked(s.table).classes[s.pool.name].EnginePriority(s.priority, demote, f.ranked.Load())
+	v := service.Judge(now, f.termsLocked(s.table).classes[s.pool.name], f.ranked.Load(), fairshare.Request{
+		Priority: s.priority, Over: s.share.over, Promoted: s.share.promoted, Queue: c.Estimate - own, Own: own,
+	})
+	s.share.short, s.share.demoted = v.Short, v.Demoted
+	return v.Wait
 }
 
 // sharePriority returns the request's priority at an engine.
@@ -226,9 +205,10 @@
 	if !s.sharesApply() {
 		return s.priority
 	}
-	s.edge.fair.mu.Lock()
-	defer s.edge.fair.mu.Unlock()
-	priority, _ := s.enginePriorityLocked(s.share.demoted)
+	f := &s.edge.fair
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	priority, _ := f.termsLocked(s.table).classes[s.pool.name].EnginePriority(s.priority, s.share.demoted, f.ranked.Load())
 	return priority
 }
 
@@ -248,7 +228,7 @@
 // hold fair.mu.
 func (e *Edge) noteRoomLocked(now time.Duration, name string, s *sharedService) {
 	before := s.short
-	s.short = s.shortage.Short(now)
+	s.short = s.Shortage.Short(now)
 	if s.short && !before {
 		e.log.Count("share.short")
 	}
@@ -265,7 +245,7 @@
 		return
 	}
 	s.notedShort, s.notedOver, s.notedAt = s.short, names, now
-	e.log.Note("room", decisions.F("service", name), decisions.F("short", s.short), decisions.F("waiting", s.shortage.Waiting(now)),
+	e.log.Note("room", decisions.F("service", name), decisions.F("short", s.short), decisions.F("waiting", s.Shortage.Waiting(now)),
 		decisions.F("over", names), decisions.F("over_count", len(over)), decisions.F("level", e.fair.level))
 }
 
@@ -295,11 +275,11 @@
 	if s.exchange.Sent() == 0 {
 		f.throughput.Send(now, max(1, s.cost))
 	}
-	service.backlog.Send(rank, tokens)
+	service.Backlog.Send(rank, tokens)
 	a.recordRead = sync.OnceFunc(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		service.backlog.Done(rank, tokens)
+		service.Backlog.Done(rank, tokens)
 	})
 	a.onRelease = append(a.onRelease, a.recordRead)
 }
@@ -319,7 +299,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.throughput.Answer(now, max(1, s.cost))
-	f.serviceLocked(s.pool.name).schedule(s.priority).Served(now)
+	f.serviceLocked(s.pool.name).Served(now, s.priority)
 }
 
 // returnAfter returns the time after which a request should come back that would get its first token too late by
@@ -337,8 +317,7 @@
 	if at, known := f.places.At(request); known && at > now {
 		return at - now
 	}
-	honoured := now + time.Until(s.deadline)/honouredFraction
-	at, kept := f.serviceLocked(s.pool.name).schedule(s.priority).Next(now, now+max(late, minReturnTime), honoured)
+	at, kept := f.serviceLocked(s.pool.name).Return(now, s.priority, late, time.Until(s.deadline)/honouredFraction)
 	if kept && f.places.Add(now, request, at) {
 		e.announceLocked(fairshare.Place{Request: request, At: at}, true)
 	}
