--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -144,3 +144,11 @@
 
 // RunnerHash returns the hash that identifies a runner in messages.
 func RunnerHash(id ident.RunnerID) uint64 { return runnerHash(id) }
+
+// ReceiveReturns takes up the places in another daemon's message, and returns the number of places that the daemon knows.
+func (e *Edge) ReceiveReturns(returns []*peersv1.Returning) int {
+	e.receiveReturns(e.deps.Steady(), &peersv1.Hello{Returns: returns})
+	e.fair.mu.Lock()
+	defer e.fair.mu.Unlock()
+	return e.fair.places.Len()
+}
