Soak: play unequal runners, surges and cuts between failure domains

The soak checked its promises with equal runners, one workspace, one failure domain and callers that never came back.

- every second runner is twice as fast; runners start anew with the same name and the other speed;
- the runners are engines with few slots, three workspaces have quotas in tokens, and one sends 4 to 7 times its usual at all daemons;
- daemons are in two failure domains of unequal size, and the links between them are cut.
A view of the store names another proxy of each runner to the daemons of the other domain.

Refused callers come back when Retry-After says so. New checks: "not run" is true for every kind of request (it was checked for those that may not be repeated), a request that comes back as told is refused at six returns at most without faults, and the most urgent class is served in time as often as the least urgent one, less 5 of 100 and chance.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -21,6 +22,8 @@
 	stream     bool
 	// patience is how long a caller waits for the answer, and the deadline that it states; zero for callerTimeout.
 	patience time.Duration
+	// promptTokens is the stated size of the prompt; zero for none.
+	promptTokens int
 }
 
 var requestKinds = []requestKind{
@@ -50,10 +53,19 @@
 	requestKind
 	id, key, body string
 	daemonAddress string
-	sent, ended   time.Time
-	status        int
-	signature     string
-	answer        string
+	// workspace owns the key.
+	workspace   string
+	sent, ended time.Time
+	// first is the ID of the request of which this one is a return, by its number of returns; its own if it is none.
+	first   string
+	returns int
+	// timeLeft is what is left at a return of the time for all of them; zero if this is none.
+	timeLeft time.Duration
+	// retryAfter is when a refused caller comes back.
+	retryAfter time.Duration
+	status     int
+	signature  string
+	answer     string
 	// truncated is set if the answer failed or ended before it was complete.
 	truncated bool
 	// left is set if the caller had left when the answer ended.
@@ -67,17 +79,48 @@
 	seq  int
 }
 
+// timeout returns how long the caller waits for the answer, and states that it will.
+func (a *attempt) timeout() time.Duration {
+	return cmp.Or(a.timeLeft, max(callerTimeout, a.patience))
+}
+
+// isRefused reports whether the answer says that the request has not run.
+func (a *attempt) isRefused() bool {
+	switch a.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 func (r *attemptLog) add(seed int64, k requestKind, key, daemonAddress string) *attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seq++
-	id := fmt.Sprintf("s%d-%d", seed, r.seq)
-	c := &attempt{requestKind: k, id: id, key: key, daemonAddress: daemonAddress, sent: time.Now()}
+	a := &attempt{requestKind: k, key: key, workspace: site.Workspace, daemonAddress: daemonAddress}
+	r.addLocked(seed, a)
+	a.first = a.id
 	if k.method == http.MethodPost {
-		c.body = "body of " + id
+		a.body = "body of " + a.id
 	}
-	r.byID[id] = c
-	return c
+	return a
+}
+
+// addReturn adds the return of a refused request.
+func (r *attemptLog) addReturn(seed int64, refused *attempt, daemonAddress string, timeLeft time.Duration) *attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := &attempt{
+		requestKind: refused.requestKind, key: refused.key, workspace: refused.workspace, body: refused.body, daemonAddress: daemonAddress,
+		first: refused.first, returns: refused.returns + 1, timeLeft: timeLeft,
+	}
+	r.addLocked(seed, a)
+	return a
+}
+
+func (r *attemptLog) addLocked(seed int64, a *attempt) {
+	r.seq++
+	a.id, a.sent = fmt.Sprintf("s%d-%d", seed, r.seq), time.Now()
+	r.byID[a.id] = a
 }
 
 // caller sends one request after the other until the context ends. Like the callers of
@@ -91,39 +134,75 @@
 	client          *http.Client
 	addresses       []string
 	addressesExpire time.Time
-	// longStreams is set if the caller sends only requests for long streams.
+	// longStreams is set if the caller sends only requests for long streams. Otherwise it sends kinds.
 	longStreams bool
+	kinds       []requestKind
+	workspace   string
+	// pinned is the daemon to which the caller sends; nil for those that the directory names.
+	pinned *daemon
 }
 
 const (
 	callerTimeout = 3 * time.Second
 	// addressTTL is how long a caller uses the addresses that the directory returned.
 	addressTTL = 2 * time.Second
+	// unstatedReturn is when a caller comes back that isn't told when.
+	unstatedReturn = 500 * time.Millisecond
+
+	// Numbers of the callers of a seed, by what they send.
+	longStreamCallerNumbers = 100
+	steadyCallerNumbers     = 200
+	surgeCallerNumbers      = 300
 )
 
 func newCaller(f *fleet, r *attemptLog, seed int64, n int) *caller {
 	return &caller{
-		fleet: f, attemptLog: r, seed: seed, rng: rand.New(rand.NewPCG(uint64(seed), uint64(100+n))),
+		fleet: f, attemptLog: r, seed: seed, kinds: requestKinds, workspace: site.Workspace, rng: rand.New(rand.NewPCG(uint64(seed), uint64(100+n))),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}},
 	}
 }
 
-func (c *caller) run(ctx context.Context) {
+// run sends requests until accepting ends. Those that are being sent then go on until ctx ends.
+func (c *caller) run(accepting, ctx context.Context) {
 	defer c.client.CloseIdleConnections()
-	for ctx.Err() == nil {
+	for accepting.Err() == nil {
 		address := c.address(ctx)
 		if address != "" {
 			k := c.nextKind()
-			c.send(ctx, c.attemptLog.add(c.seed, k, c.fleet.pickKey(c.rng.IntN(8)), address))
+			c.sendUntilServed(ctx, c.nextAttempt(k, address))
 		}
 		time.Sleep(time.Duration(c.rng.IntN(30)) * time.Millisecond)
 	}
 }
 
+func (c *caller) nextAttempt(k requestKind, address string) *attempt {
+	if c.workspace == site.Workspace {
+		return c.attemptLog.add(c.seed, k, c.fleet.pickKey(c.rng.IntN(8)), address)
+	}
+	a := c.attemptLog.add(c.seed, k, keyOf(c.workspace), address)
+	a.workspace = c.workspace
+	return a
+}
+
+// sendUntilServed sends a request and, where callers honour Retry-After, its returns, unless its time is over.
+func (c *caller) sendUntilServed(ctx context.Context, a *attempt) {
+	deadline := a.sent.Add(a.timeout())
+	c.send(ctx, a)
+	for c.fleet.with.returns && a.isRefused() && time.Until(deadline) > a.retryAfter {
+		time.Sleep(a.retryAfter)
+		address := c.address(ctx)
+		if address == "" || ctx.Err() != nil {
+			return
+		}
+		a = c.attemptLog.addReturn(c.seed, a, address, time.Until(deadline))
+		c.send(ctx, a)
+	}
+}
+
 // nextKind draws the kind of the caller's next request.
 func (c *caller) nextKind() requestKind {
 	if !c.longStreams {
-		return requestKinds[c.rng.IntN(len(requestKinds))]
+		return c.kinds[c.rng.IntN(len(c.kinds))]
 	}
 	k := longStreamKinds[c.rng.IntN(len(longStreamKinds))]
 	k.path += fmt.Sprintf("?event_ms=%d", durationBetween(c.rng, leastEventTime, mostEventTime).Milliseconds())
@@ -133,6 +212,9 @@
 // address returns one of the addresses from the directory, and resolves them anew
 // when they have expired. It returns "" if there are none.
 func (c *caller) address(ctx context.Context) string {
+	if c.pinned != nil {
+		return c.pinned.CallerAddress()
+	}
 	if time.Now().After(c.addressesExpire) {
 		d := c.fleet.daemons[c.rng.IntN(len(c.fleet.daemons))]
 		if found := c.resolve(ctx, d); len(found) > 0 {
@@ -156,7 +238,7 @@
 }
 
 func (c *caller) send(ctx context.Context, a *attempt) {
-	stated := max(callerTimeout, a.patience)
+	stated := a.timeout()
 	timeout := stated
 	if c.rng.IntN(20) == 0 {
 		timeout = time.Duration(1+c.rng.IntN(60)) * time.Millisecond
@@ -165,7 +247,7 @@
 	defer cancel()
 	answer, err := site.SendRequest(ctx, c.client, a.daemonAddress, &site.CallerRequest{
 		ID: a.id, Method: a.method, Host: site.Host, Path: a.path, Body: a.body, APIKey: a.key,
-		Timeout: stated, SpoofedWorkspace: "forged",
+		Timeout: stated, SpoofedWorkspace: "forged", PromptTokens: a.promptTokens, OutputTokens: min(a.promptTokens, streamEvents),
 	})
 	c.attemptLog.mu.Lock()
 	defer c.attemptLog.mu.Unlock()
@@ -175,4 +257,8 @@
 		return
 	}
 	a.status, a.signature, a.answer, a.truncated = answer.Status, answer.Signature(), answer.Body, answer.Truncated
+	var told bool
+	if a.retryAfter, told = answer.RetryAfter(); !told {
+		a.retryAfter = unstatedReturn
+	}
 }
--- a/soak/cut_excuses_test.go
+++ b/soak/cut_excuses_test.go
@@ -18,7 +18,7 @@
 
 // testRun returns a run that the runner received and last sent an event of at the given milliseconds; 0 for no event.
 func testRun(sent time.Time, received, lastSent int, why excuse) runnerRun {
-	run := runnerRun{Execution: site.Execution{Received: after(sent, received)}, excuse: why}
+	run := runnerRun{Execution: site.Execution{Received: after(sent, received)}, runner: &proxiedRunner{}, excuse: why}
 	if lastSent > 0 {
 		run.LastSent = after(sent, lastSent)
 	}
--- a/soak/cuts_test.go
+++ b/soak/cuts_test.go
@@ -47,7 +47,7 @@
 // runnerRun is one run of a request at a runner, and why it may have ended early; empty if the runner went on.
 type runnerRun struct {
 	site.Execution
-	runner string
+	runner *proxiedRunner
 	excuse excuse
 }
 
@@ -72,7 +72,7 @@
 		if !run.LastSent.IsZero() {
 			sent = fmt.Sprintf("last event at %v", run.LastSent.Sub(a.sent))
 		}
-		lines = append(lines, fmt.Sprintf("%s received at %v, %s %s", run.runner, run.Received.Sub(a.sent), sent, run.excuse))
+		lines = append(lines, fmt.Sprintf("%s received at %v, %s %s", run.runner.ID, run.Received.Sub(a.sent), sent, run.excuse))
 	}
 	return strings.Join(lines, "; ")
 }
@@ -80,21 +80,28 @@
 // runsByRequest lists the runs of each request that began before its answer ended.
 func (f *fleet) runsByRequest(r *attemptLog) map[string][]runnerRun {
 	runs := map[string][]runnerRun{}
-	f.mu.Lock()
-	all := slices.Concat(f.runners, f.removedRunners)
-	f.mu.Unlock()
-	for _, b := range all {
+	for _, b := range f.allRunners() {
 		for _, e := range b.Executions() {
 			a, known := r.byID[e.ID]
-			if known && e.Received.Before(a.ended) {
-				runs[e.ID] = append(runs[e.ID], runnerRun{e, b.ID, b.excuseOf(&e, a)})
+			if !known || !e.Received.Before(a.ended) {
+				continue
 			}
+			runs[e.ID] = append(runs[e.ID], runnerRun{e, b, f.excuseOfRun(b, &e, a)})
 		}
 	}
 	return runs
 }
 
-// excuseOf returns why a run may have ended before its answer was whole. Silence is no reason, nor is a slow link.
+// excuseOfRun returns why a run may have ended before its answer was whole.
+func (f *fleet) excuseOfRun(b *proxiedRunner, e *site.Execution, a *attempt) excuse {
+	why := b.excuseOf(e, a)
+	if why == "" && f.isFar(b, f.daemonAt(a.daemonAddress)) && b.far.cutOff.overlap(e.Received, a.ended) {
+		return runnerCutOff
+	}
+	return why
+}
+
+// excuseOf returns why a run may have ended before its answer was whole, the link between the domains apart. Silence is no reason, nor is a slow link.
 func (b *proxiedRunner) excuseOf(e *site.Execution, a *attempt) excuse {
 	switch {
 	case e.Fault != "" && e.LastSent.Before(a.ended):
@@ -116,7 +123,7 @@
 	case a.left:
 		// The caller has closed the connection itself.
 		return callerLeft
-	case a.ended.Sub(a.sent) >= max(callerTimeout, a.patience):
+	case a.ended.Sub(a.sent) >= a.timeout():
 		// The request is worth nothing any more. The routes' timeouts are longer.
 		return deadlinePassed
 	}
@@ -131,7 +138,7 @@
 	if why := runsExcuse(runs); why != "" {
 		return why
 	}
-	return f.helperExcuse(d, a)
+	return f.helperExcuse(d, a, runs)
 }
 
 // runsExcuse returns why the answer that the runs made may be cut: no run of it could go on. A run that could is
@@ -178,7 +185,7 @@
 
 // helperExcuse returns why an answer that came from another daemon may have been cut; empty if none helped. A daemon
 // that was paused alone is no reason: the runners' connections stay open meanwhile.
-func (f *fleet) helperExcuse(d *daemon, a *attempt) excuse {
+func (f *fleet) helperExcuse(d *daemon, a *attempt, runs []runnerRun) excuse {
 	for _, helper := range f.helpersOf(d, a) {
 		switch {
 		case helper.disturbance(a.sent, a.ended) != "":
@@ -187,6 +194,10 @@
 		case helper.paused.overlapFor(closesCallsAfter, a.sent, a.ended), d.paused.overlapFor(closesCallsAfter, a.sent, a.ended):
 			// Each of two daemons closes its calls to the other when that has been silent for too long.
 			return callPaused
+		case slices.ContainsFunc(runs, func(run runnerRun) bool {
+			return f.isFar(run.runner, helper) && run.runner.far.cutOff.overlap(run.Received, a.ended)
+		}):
+			return runnerCutOff
 		}
 	}
 	return ""
@@ -212,14 +223,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	runs := f.runsByRequest(r)
-	silent := f.silences()
 	met, whole := 0, 0
 	cuts := map[excuse]int{}
 	for _, a := range r.byID {
 		if a.isCut() {
 			cuts[f.excuseOf(a, runs[a.id])]++
 		}
-		if !slices.ContainsFunc(runs[a.id], func(run runnerRun) bool { return silent[run.runner].overlap(run.Received, a.ended) }) {
+		if !slices.ContainsFunc(runs[a.id], func(run runnerRun) bool { return run.runner.silent.overlap(run.Received, a.ended) }) {
 			continue
 		}
 		met++
@@ -229,14 +239,3 @@
 	}
 	return fmt.Sprintf("%d answers met a silence of their runner, %d of them whole; cuts: %v", met, whole, cuts)
 }
-
-// silences returns the silences of each runner.
-func (f *fleet) silences() map[string]*periods {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	silent := map[string]*periods{}
-	for _, b := range slices.Concat(f.runners, f.removedRunners) {
-		silent[b.ID] = &b.silent
-	}
-	return silent
-}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -24,7 +24,7 @@
 // drawFaults returns the faults for a seed. The same seed gives the same faults at the
 // same times; the scheduling of the processes between faults is not reproducible.
 func drawFaults(seed int64, length time.Duration, daemons int) []fault {
-	rng := rand.New(rand.NewPCG(uint64(seed), 7))
+	rng := generator(seed, faultDraws)
 	kinds := []func(*rand.Rand, int) fault{
 		killOne, killOne, pauseOne, pauseOverRevocation, stopOne, stopOne, killAll, rollingRestart, reloadSettings,
 		storeFault, storeFault, storeLink, storeLink, cloudLink, runnerLink, runnerLink,
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -7,7 +7,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,6 +36,14 @@
 	daemons    []*daemon
 	seed       int64
 	attemptLog *attemptLog
+	with       conditions
+	// views are the store as the daemons of each failure domain see it; only in fleets with two.
+	views map[string]*site.Store
+	// calling are the callers.
+	calling sync.WaitGroup
+	// calm is the time of the surge without faults. quietSince is when all faults and surges were over.
+	calm       periods
+	quietSince time.Time
 
 	// configureMu serializes the operator's writes, so that versions grow in the order
 	// in which the store accepts them.
@@ -53,10 +63,14 @@
 	resumedAt map[string]time.Time
 }
 
-// proxiedRunner is a runner that daemons reach through a proxy.
+// proxiedRunner is a runner that daemons reach through a proxy, daemons of other failure domains through far. It is
+// nil in fleets with one domain.
 type proxiedRunner struct {
 	*site.Runner
-	proxy *proxy
+	proxy, far *proxy
+	zone       string
+	// number and starts identify the runner; starts counts the former runners of its name.
+	number, starts int
 	// ended is the time since which the runner has ended, silent are its silences.
 	ended, silent periods
 }
@@ -116,11 +130,20 @@
 	return bytes.Contains(b.Bytes()[from:], []byte(text))
 }
 
-func newFleet(t *testing.T, binary string, seed int64, daemons, runners int) (*fleet, error) {
+// fleetsStarted counts the fleets of this process.
+var fleetsStarted atomic.Int32
+
+func newFleet(t *testing.T, binary string, seed int64, daemons, runners int, with conditions) (*fleet, error) {
 	f := &fleet{
-		t: t, seed: seed, attemptLog: &attemptLog{byID: map[string]*attempt{}},
+		t: t, seed: seed, with: with, attemptLog: &attemptLog{byID: map[string]*attempt{}},
 		dir: t.TempDir(), binary: binary, store: site.NewStore(), cloud: site.NewCloud(),
 		revokedAt: map[string]time.Time{}, resumedAt: map[string]time.Time{}, keys: []string{"k0"},
+		views: map[string]*site.Store{},
+	}
+	if with.domains {
+		for _, zone := range zones {
+			f.views[zone] = f.store.View(f.addressesSeenFrom(zone))
+		}
 	}
 	f.configure()
 	for range runners {
@@ -128,10 +151,11 @@
 			return nil, err
 		}
 	}
+	fleetNumber := fleetsStarted.Add(1)
 	for i := range daemons {
-		// Soaks that run at the same time on one machine, even with the same seed,
+		// Fleets that run at the same time on one machine, even with the same seed,
 		// must not share addresses.
-		d, err := f.newDaemon(fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+seed%250, 11+i))
+		d, err := f.newDaemon(fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+fleetNumber%250, 11+i), f.daemonZone(i))
 		if err != nil {
 			return nil, err
 		}
@@ -143,8 +167,12 @@
 	return f, nil
 }
 
-func (f *fleet) newDaemon(ip string) (*daemon, error) {
-	storeProxy, err := newProxy(f.store.Address())
+func (f *fleet) newDaemon(ip, zone string) (*daemon, error) {
+	store := f.store
+	if view, ok := f.views[zone]; ok {
+		store = view
+	}
+	storeProxy, err := newProxy(store.Address())
 	if err != nil {
 		return nil, err
 	}
@@ -152,7 +180,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{Daemon: site.Daemon{IP: ip}, fleet: f, storeProxy: storeProxy, cloudProxy: cloudProxy, settings: filepath.Join(f.dir, ip), output: &syncBuffer{}}
+	d := &daemon{Daemon: site.Daemon{IP: ip, Zone: zone}, fleet: f, storeProxy: storeProxy, cloudProxy: cloudProxy, settings: filepath.Join(f.dir, ip), output: &syncBuffer{}}
 	return d, d.writeSettings("127.0.0.1:1")
 }
 
@@ -270,13 +298,17 @@
 	for _, d := range f.daemons {
 		d.close()
 	}
-	f.mu.Lock()
-	all := append(append([]*proxiedRunner{}, f.runners...), f.removedRunners...)
-	f.mu.Unlock()
-	for _, r := range all {
+	for _, r := range f.allRunners() {
 		r.proxy.close()
+		if r.far != nil {
+			r.far.close()
+		}
 		r.Close()
 	}
+	for _, view := range f.views {
+		view.CloseClientConnections()
+		view.Close()
+	}
 	f.store.CloseClientConnections()
 	f.store.Close()
 	f.cloud.CloseClientConnections()
@@ -298,7 +330,12 @@
 	f.version += 3
 	version, keys := f.version, append([]string{stableKey}, f.keys...)
 	f.mu.Unlock()
-	f.retryUntilAccepted(func() error { return f.store.PutConfig(version, routes, 10_000, keys...) })
+	f.retryUntilAccepted(func() error {
+		if f.with.surges {
+			return f.store.PutConfigOf(version, routesWithClasses(), surgeSlots, tenants(keys)...)
+		}
+		return f.store.PutConfig(version, routes, 10_000, keys...)
+	})
 }
 
 // routes has one route for each kind of request.
@@ -340,19 +377,43 @@
 	return stableKey
 }
 
+// allRunners lists the runners, also those that have ended.
+func (f *fleet) allRunners() []*proxiedRunner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.allRunnersLocked()
+}
+
+func (f *fleet) allRunnersLocked() []*proxiedRunner {
+	return slices.Concat(f.runners, f.removedRunners)
+}
+
 func (f *fleet) addRunner() error {
 	f.mu.Lock()
-	id := fmt.Sprintf("i-%d", len(f.runners)+len(f.removedRunners)+1)
+	number := len(f.runners) + len(f.removedRunners) + 1
 	f.mu.Unlock()
-	r, err := site.NewRunner(id)
+	return f.startRunner(number, 0)
+}
+
+// startRunner starts the runner of a number after a number of former ones of the same name.
+func (f *fleet) startRunner(number, starts int) error {
+	r, err := site.NewRunner(fmt.Sprintf("i-%d", number))
 	if err != nil {
 		return err
 	}
-	p, err := newProxy(r.Address)
-	if err != nil {
+	r.SetTimeFactor(f.timeFactor(number, starts))
+	b := &proxiedRunner{Runner: r, zone: f.runnerZone(number), number: number, starts: starts}
+	if b.proxy, err = newProxy(r.Address); err != nil {
 		return err
 	}
-	b := &proxiedRunner{Runner: r, proxy: p}
+	if f.with.domains {
+		if b.far, err = newProxy(r.Address); err != nil {
+			return err
+		}
+	}
+	if f.with.surges {
+		r.SetSlots(surgeSlots)
+	}
 	f.mu.Lock()
 	f.runners = append(f.runners, b)
 	f.mu.Unlock()
@@ -361,7 +422,21 @@
 }
 
 func (f *fleet) announce(b *proxiedRunner, state string) {
-	f.retryUntilAccepted(func() error { return f.store.RegisterRunner(b.ID, b.proxy.address(), state) })
+	r := site.Registration{Address: b.proxy.address(), State: state, Version: "v1", Zone: b.zone, Starts: b.starts}
+	if f.with.surges {
+		r.Slots = surgeSlots
+	}
+	f.retryUntilAccepted(func() error { return f.store.Register(b.ID, r) })
+}
+
+// end ends a runner as a crash does.
+func (b *proxiedRunner) end() {
+	b.ended.begin()
+	b.Close()
+	b.proxy.set(resetting)
+	if b.far != nil {
+		b.far.set(resetting)
+	}
 }
 
 // drainAndRemove announces that a runner drains, keeps it serving for 3 s, and then
@@ -370,9 +445,7 @@
 	f.announce(b, site.Draining)
 	time.Sleep(3 * time.Second)
 	f.retryUntilAccepted(func() error { return f.store.DeregisterRunner(b.ID) })
-	b.ended.begin()
-	b.Close()
-	b.proxy.set(resetting)
+	b.end()
 }
 
 // removeRunner takes a runner out of the set that faults choose from. It returns nil
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -27,6 +27,7 @@
 	}
 	f.checkCuts(r, b)
 	f.checkUsageReports(b)
+	f.checkClasses(r, b)
 	return b.list
 }
 
@@ -54,7 +55,7 @@
 	runs := map[string]int{}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, proxiedRunner := range append(append([]*proxiedRunner{}, f.runners...), f.removedRunners...) {
+	for _, proxiedRunner := range f.allRunnersLocked() {
 		for _, run := range proxiedRunner.Executions() {
 			runs[run.ID]++
 			c, known := r.byID[run.ID]
@@ -65,7 +66,7 @@
 			if run.Method != c.method || run.Target != c.path || run.Body != "" && run.Body != c.body {
 				b.add("changed request", "%s ran as %s %s %q", c.id, run.Method, run.Target, run.Body)
 			}
-			if run.Workspace() != site.Workspace || run.HasAPIKey() {
+			if run.Workspace() != c.workspace || run.HasAPIKey() {
 				b.add("workspace or key passed on", "%s with %q and its key: %v", c.id, run.Workspace(), run.HasAPIKey())
 			}
 			if at, ok := f.revokedAt[c.key]; ok && c.sent.After(at.Add(revokeWithin)) {
@@ -81,15 +82,14 @@
 	if !c.repeatable && runs > 1 {
 		b.add("run twice", "%s %s ran %d times", c.path, c.id, runs)
 	}
+	if c.saysNotRun() && runs > 0 {
+		b.add("refused and run", "%s %s was answered %d by %s and ran", c.path, c.id, c.status, c.daemonAddress)
+	}
 	switch c.status {
 	case http.StatusOK:
 		c.checkAnswer(b)
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if !c.repeatable && runs > 0 {
-			b.add("refused and run", "%s %s was answered %d by %s and ran", c.path, c.id, c.status, c.daemonAddress)
-		}
 	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusBadRequest:
-		if c.key == stableKey {
+		if c.key == stableKey || c.workspace != site.Workspace {
 			b.add("denied", "%s %s was answered %d by %s", c.path, c.id, c.status, c.daemonAddress)
 		}
 	case http.StatusInternalServerError:
@@ -99,6 +99,11 @@
 	}
 }
 
+// saysNotRun reports whether the answer says that the request has not run, by its status or by its body.
+func (c *attempt) saysNotRun() bool {
+	return c.isRefused() || c.signature == "" && strings.Contains(c.answer, `"executed":"no"`)
+}
+
 // checkAnswer checks that a successful answer is complete and belongs to this request.
 func (c *attempt) checkAnswer(b *findings) {
 	if !strings.HasSuffix(c.signature, "."+c.id) {
@@ -107,7 +112,7 @@
 	want := "answer to " + c.id
 	if c.stream {
 		want = ""
-		for i := 1; i <= 5; i++ {
+		for i := 1; i <= streamEvents; i++ {
 			want += fmt.Sprintf("id: %d\ndata: word%d\n\n", i, i)
 		}
 	}
--- a/soak/silences_test.go
+++ b/soak/silences_test.go
@@ -22,7 +22,7 @@
 // drawSilences returns the silences of runners for a seed. They have a generator of their own, so that the other
 // faults of a seed don't depend on them.
 func drawSilences(seed int64, length time.Duration) []fault {
-	rng := rand.New(rand.NewPCG(uint64(seed), 8))
+	rng := generator(seed, silenceDraws)
 	var silences []fault
 	for at := firstSilence; at < length; at += durationBetween(rng, 0, mostSilenceGap) {
 		f := silence(rng)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,23 +68,38 @@
 }
 
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	first := *firstSeed
 	if first == 0 {
 		first = time.Now().Unix()
 	}
 	for i := range int64(*seeds) {
-		t.Run(fmt.Sprint(first+i), func(t *testing.T) { runSeed(t, first+i, *length, *daemons, true) })
+		t.Run(fmt.Sprint(first+i), func(t *testing.T) { runSeed(t, first+i, *length, *daemons, drawConditions(first+i)) })
 	}
 }
 
-// runSeed runs the soak for one seed and checks the result. With silences, runners fall silent, too, and more callers
-// send requests for long streams.
-func runSeed(t *testing.T, seed int64, length time.Duration, daemons int, silences bool) {
+// runSeed runs the soak for one seed under the conditions and checks the result, the returns of refused callers in a
+// test of their own, so that KNOWN-RED.txt can name it.
+func runSeed(t *testing.T, seed int64, length time.Duration, daemons int, with conditions) {
+	var f *fleet
+	t.Run("faults", func(t *testing.T) { f = playSeed(t, seed, length, daemons, with) })
+	t.Run("returns", func(t *testing.T) {
+		if f == nil {
+			t.Skip("the fleet did not start")
+		}
+		for _, b := range f.checkReturns(f.attemptLog) {
+			t.Error(b)
+		}
+	})
+}
+
+// playSeed runs one seed and checks everything else. It returns nil if the fleet can't be started.
+func playSeed(t *testing.T, seed int64, length time.Duration, daemons int, with conditions) *fleet {
 	binary, err := build()
 	if err != nil {
 		t.Fatal(err)
 	}
-	f, err := newFleet(t, binary, seed, daemons, runners)
+	f, err := newFleet(t, binary, seed, daemons, runners, with)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,38 +108,57 @@
 	r := f.attemptLog
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var asking sync.WaitGroup
-	for n := range callers {
-		c := newCaller(f, r, seed, n)
-		asking.Go(func() { c.run(ctx) })
-	}
-	faults := drawFaults(seed, length, daemons)
-	if silences {
-		faults = merge(faults, drawSilences(seed, length))
-		for n := range longStreamCallers {
-			// Callers of other streams have smaller numbers or much larger ones.
-			c := newCaller(f, r, seed, 100+n)
-			c.longStreams = true
-			asking.Go(func() { c.run(ctx) })
-		}
-	}
+	accepting, stopAccepting := context.WithCancel(ctx)
+	defer stopAccepting()
+	f.startCallers(accepting, ctx)
+	faults := with.draw(seed, length, daemons)
 	f.inject(faults)
 	f.clearFaults()
 	f.waitReady(recoverWithin)
 	f.waitServing(r, seed)
-	cancel()
-	asking.Wait()
+	f.playCalm()
+	stopAccepting()
+	if !with.returns {
+		cancel()
+	}
+	f.calling.Wait()
 	// Requests that are still running end within the callers' timeout.
 	time.Sleep(callerTimeout)
 	violations := f.violations(r)
 	for _, b := range violations {
 		t.Error(b)
 	}
-	t.Logf("%d attempts, %d faults; %s", len(r.byID), len(faults), f.summarizeCuts(r))
+	t.Logf("%d attempts, %d faults, %+v; %s; %s", len(r.byID), len(faults), with, f.summarizeCuts(r), f.summarizeLoad(r))
 	if t.Failed() {
 		t.Logf("seed %d:\n%s", seed, describe(faults))
 		f.saveLogs(seed)
 	}
+	return f
+}
+
+// startCallers starts the callers of the fleet's conditions, which send new requests while accepting.
+func (f *fleet) startCallers(accepting, ctx context.Context) {
+	start := func(c *caller) { f.calling.Go(func() { c.run(accepting, ctx) }) }
+	for n := range callers {
+		start(newCaller(f, f.attemptLog, f.seed, n))
+	}
+	if f.with.silences {
+		for n := range longStreamCallers {
+			c := newCaller(f, f.attemptLog, f.seed, longStreamCallerNumbers+n)
+			c.longStreams = true
+			start(c)
+		}
+	}
+	if !f.with.surges {
+		return
+	}
+	for n := range steadyCallers {
+		// Each caller sends requests of one class, so that the slower class doesn't delay the other one's.
+		start(f.workspaceCaller(steadyWorkspace, steadyCallerNumbers+n, []requestKind{urgentKind, leastUrgentKind}[n%2]))
+	}
+	for n := range surgingCallers {
+		start(f.workspaceCaller(surgingWorkspace, steadyCallerNumbers+steadyCallers+n, urgentKind, leastUrgentKind))
+	}
 }
 
 // inject injects the faults at their times and returns when all of them are over.
@@ -146,6 +180,9 @@
 	for _, b := range f.runners {
 		b.SetNextFaults()
 		b.proxy.set(linkUp)
+		if b.far != nil {
+			b.far.set(linkUp)
+		}
 		b.wake()
 	}
 	for _, d := range f.daemons {
--- a/standin/site/caller.go
+++ b/standin/site/caller.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -24,6 +25,9 @@
 	Resumes, LastEventID string
 	// PromptPrefix lists the parts of the prompt unless it is empty.
 	PromptPrefix string
+	// PromptTokens and OutputTokens are the stated sizes of the prompt and of the answer; none is stated
+	// where both are zero.
+	PromptTokens, OutputTokens int
 }
 
 // CallerResponse is the response that a caller received.
@@ -39,6 +43,12 @@
 // for responses that a daemon made itself.
 func (a *CallerResponse) Signature() string { return a.Header.Get("X-Server-Signature") }
 
+// RetryAfter returns the time after which a refused caller is asked to come back, and whether one is stated.
+func (a *CallerResponse) RetryAfter() (time.Duration, bool) {
+	seconds, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+	return time.Duration(seconds * float64(time.Second)), err == nil
+}
+
 // SendRequest sends a request to a daemon's address and reads the response as far as it
 // arrives. It returns an error only if no response header arrived.
 func SendRequest(ctx context.Context, client *http.Client, address string, a *CallerRequest) (*CallerResponse, error) {
@@ -61,6 +71,9 @@
 	if a.PromptPrefix != "" {
 		req.Header.Set("X-Prompt-Prefix", a.PromptPrefix)
 	}
+	if a.PromptTokens+a.OutputTokens > 0 {
+		req.Header.Set("X-Token-Usage", fmt.Sprintf("%d,%d", a.PromptTokens, a.OutputTokens))
+	}
 	if a.APIKey != "" {
 		req.Header.Set("Authorization", "Token "+a.APIKey)
 	}
--- a/standin/site/daemon.go
+++ b/standin/site/daemon.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -17,7 +18,11 @@
 
 // Daemon is a client's view of a daemon under test, which listens on its own IP address
 // of the loopback interface.
-type Daemon struct{ IP string }
+type Daemon struct {
+	IP string
+	// Zone is its failure domain; empty for DefaultZone.
+	Zone string
+}
 
 // Name returns the node name in the daemon's settings.
 func (d Daemon) Name() string { return "edge-" + d.IP }
@@ -29,7 +34,7 @@
 // of a test.
 func (d Daemon) Settings(store, cloud, seeds string, extra ...string) string {
 	lines := []string{
-		"node_name=" + d.Name(), "zone=north", "ip=" + d.IP, "bootstrap=true", "port_range=17600,17601", "seeds=" + seeds,
+		"node_name=" + d.Name(), "zone=" + cmp.Or(d.Zone, DefaultZone), "ip=" + d.IP, "bootstrap=true", "port_range=17600,17601", "seeds=" + seeds,
 		"listen.front=" + d.CallerAddress(), fmt.Sprintf("listen.readiness=%s:%d", d.IP, readyPort),
 		fmt.Sprintf("listen.directory=%s:%d", d.IP, directoryPort),
 		"platform.address=" + store, "cloud.address=" + cloud,
@@ -53,7 +58,7 @@
 // ResolveHost asks the daemon's directory endpoint which addresses a caller should use for
 // a host.
 func (d Daemon) ResolveHost(ctx context.Context, client *http.Client, host string) ([]string, error) {
-	url := fmt.Sprintf("http://%s:%d/v1/resolve?name=%s&region=x&zone=north", d.IP, directoryPort, host)
+	url := fmt.Sprintf("http://%s:%d/v1/resolve?name=%s&region=x&zone=%s", d.IP, directoryPort, host, cmp.Or(d.Zone, DefaultZone))
 	answer, err := get(ctx, client, url)
 	if err != nil {
 		return nil, err
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -103,7 +103,8 @@
 	failingPart, failingBody string
 	failed                   func()
 	// awake is closed while the runner isn't silent.
-	awake chan struct{}
+	awake    chan struct{}
+	capacity capacity
 }
 
 // NewRunner starts a runner.
@@ -346,6 +347,8 @@
 	if err != nil {
 		return false
 	}
+	r.capacity.acquire(req.Header)
+	defer r.capacity.release()
 	run := r.recordExecution(req, string(body), received)
 	if strings.Contains(req.URL.Path, "/stream/") {
 		return r.writeStream(c, req, run, nextFault, work, events)
@@ -386,7 +389,7 @@
 }
 
 func (r *Runner) writeResponse(c net.Conn, run *Execution, fault Fault, work time.Duration) bool {
-	time.Sleep(work)
+	time.Sleep(r.capacity.scaled(work))
 	r.waitAwake()
 	if r.failsUnder(run.Body) {
 		return false
@@ -468,6 +471,7 @@
 	if pace, ok := eventTime(req); ok {
 		work = pace
 	}
+	work = r.capacity.scaled(work)
 	lastEventID := 0
 	fmt.Sscanf(req.Header.Get("Last-Event-Id"), "%d", &lastEventID)
 	fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.responseHeader(200, run.ID))
