Soak: runners that start during a cut between domains are cut off, too

A runner that came while the links between the failure domains were cut could be reached from the other domain at once. Its link now has the state of the others.

--- a/soak/domains_test.go
+++ b/soak/domains_test.go
@@ -48,6 +48,9 @@
 func (f *fleet) setFarLinks(to []string, l link) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for _, zone := range to {
+		f.farLinks[zone] = l
+	}
 	for _, b := range f.runners {
 		if slices.Contains(to, b.zone) {
 			b.far.set(l)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -52,7 +52,10 @@
 	mu             sync.Mutex
 	runners        []*proxiedRunner
 	removedRunners []*proxiedRunner
-	version        int
+	// farLinks is the state of the links from other failure domains to the runners of each; runners that start
+	// have it, too.
+	farLinks map[string]link
+	version  int
 	// keys are the valid keys. revokedAt holds the time at which the store had
 	// accepted the version that revoked a key.
 	keys      []string
@@ -138,7 +141,7 @@
 		t: t, seed: seed, with: with, attemptLog: &attemptLog{byID: map[string]*attempt{}},
 		dir: t.TempDir(), binary: binary, store: site.NewStore(), cloud: site.NewCloud(),
 		revokedAt: map[string]time.Time{}, resumedAt: map[string]time.Time{}, keys: []string{"k0"},
-		views: map[string]*site.Store{},
+		views: map[string]*site.Store{}, farLinks: map[string]link{},
 	}
 	if with.domains {
 		for _, zone := range zones {
@@ -416,6 +419,9 @@
 	}
 	f.mu.Lock()
 	f.runners = append(f.runners, b)
+	if b.far != nil {
+		b.far.set(f.farLinks[b.zone])
+	}
 	f.mu.Unlock()
 	f.announce(b, site.Ready)
 	return nil
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -175,14 +175,14 @@
 // clearFaults clears faults that are still in effect.
 func (f *fleet) clearFaults() {
 	f.store.KV.SetFaults(kvserver.Faults{})
+	if f.with.domains {
+		f.setFarLinks(zones, linkUp)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, b := range f.runners {
 		b.SetNextFaults()
 		b.proxy.set(linkUp)
-		if b.far != nil {
-			b.far.set(linkUp)
-		}
 		b.wake()
 	}
 	for _, d := range f.daemons {
