Soak: count unanswered requests when comparing classes

The comparison of the classes left out requests whose caller had waited to the end of its time, so that a class that nobody serves would have counted as one without requests. They count as not served now, and so do those that were sent before the calm part and still waited in it. TestUnansweredRequestsCountAsNotServed fails on the former code.

--- a/soak/load_checks_test.go
+++ b/soak/load_checks_test.go
@@ -79,6 +79,24 @@
 	}
 }
 
+// Guards against a comparison that leaves out requests that nobody answered, or counts those that their caller abandoned.
+func TestUnansweredRequestsCountAsNotServed(t *testing.T) {
+	is := is.New(t)
+	r := &attemptLog{byID: map[string]*attempt{}}
+	f := &fleet{}
+	begun := time.Now()
+	f.calm.list = []period{{begun, begun.Add(calmSurge)}}
+	for _, took := range []time.Duration{100 * time.Millisecond, classPatience, 30 * time.Millisecond} {
+		a := r.add(1, urgentKind, "", "")
+		a.workspace, a.sent, a.ended = steadyWorkspace, begun, begun.Add(took)
+		a.left = took != 100*time.Millisecond
+		if !a.left {
+			a.status = http.StatusOK
+		}
+	}
+	is.Equal(f.countServed(r, urgentKind), servedCount{served: 1, all: 2})
+}
+
 // Guards against a check that misses a caller who is refused at each return, or counts refusals of before.
 func TestCallerRefusedAtEachReturnIsFound(t *testing.T) {
 	is := is.New(t)
--- a/soak/surges_test.go
+++ b/soak/surges_test.go
@@ -160,11 +160,13 @@
 	}
 }
 
-// countServed counts the requests of a kind that steadyWorkspace sent first in the calm part, returns left out.
+// countServed counts the requests of a kind that steadyWorkspace sent or waited for in the calm part. Returns are left
+// out, and requests that their caller abandoned before its time was over.
 func (f *fleet) countServed(r *attemptLog, kind requestKind) servedCount {
 	var n servedCount
 	for _, a := range r.byID {
-		if a.workspace != steadyWorkspace || a.path != kind.path || a.left || a.returns > 0 || !f.calm.overlap(a.sent, a.sent) {
+		abandoned := a.left && a.ended.Sub(a.sent) < a.timeout()
+		if a.workspace != steadyWorkspace || a.path != kind.path || abandoned || a.returns > 0 || !f.calm.overlap(a.sent, a.ended) {
 			continue
 		}
 		n.all++
