Soak: tell far connections by the kernel's socket table

Daemons of two failure domains reached a runner by two addresses, one in each view of the store. That was a fault of the soak, not of the product. A runner has one address again, and its proxy asks the kernel (sock_diag) which daemon has the other end of a connection. The view of the store is gone.

The buffer of a daemon's output was embedded, so that io.Copy wrote to it by bytes.Buffer.ReadFrom without the lock: the race detector found it at the saving of logs. It is a field now.

--- a/soak/cuts_test.go
+++ b/soak/cuts_test.go
@@ -95,7 +95,7 @@
 // excuseOfRun returns why a run may have ended before its answer was whole.
 func (f *fleet) excuseOfRun(b *proxiedRunner, e *site.Execution, a *attempt) excuse {
 	why := b.excuseOf(e, a)
-	if why == "" && f.isFar(b, f.daemonAt(a.daemonAddress)) && b.far.cutOff.overlap(e.Received, a.ended) {
+	if why == "" && isFar(b, f.daemonAt(a.daemonAddress)) && b.proxy.far.cutOff.overlap(e.Received, a.ended) {
 		return runnerCutOff
 	}
 	return why
@@ -195,7 +195,7 @@
 			// Each of two daemons closes its calls to the other when that has been silent for too long.
 			return callPaused
 		case slices.ContainsFunc(runs, func(run runnerRun) bool {
-			return f.isFar(run.runner, helper) && run.runner.far.cutOff.overlap(run.Received, a.ended)
+			return isFar(run.runner, helper) && run.runner.proxy.far.cutOff.overlap(run.Received, a.ended)
 		}):
 			return runnerCutOff
 		}
@@ -205,9 +205,7 @@
 
 // helpersOf lists the daemons that a daemon let serve a request.
 func (f *fleet) helpersOf(d *daemon, a *attempt) []*daemon {
-	d.output.mu.Lock()
-	lines := helperLine.FindAllStringSubmatch(d.output.String(), -1)
-	d.output.mu.Unlock()
+	lines := helperLine.FindAllStringSubmatch(d.output.text(), -1)
 	var helpers []*daemon
 	for _, line := range lines {
 		i := slices.IndexFunc(f.daemons, func(h *daemon) bool { return h.Name() == line[2] })
--- a/soak/daemon_test.go
+++ b/soak/daemon_test.go
@@ -47,41 +47,45 @@
 }
 
 // syncBuffer collects the output of a daemon's successive processes. It is safe for
-// concurrent use.
+// concurrent use. The buffer is not embedded, since its ReadFrom, which io.Copy prefers
+// to Write, doesn't hold mu.
 type syncBuffer struct {
-	mu sync.Mutex
-	bytes.Buffer
+	mu     sync.Mutex
+	buffer bytes.Buffer
 }
 
 func (b *syncBuffer) Write(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Buffer.Write(p)
+	return b.buffer.Write(p)
 }
 
 func (b *syncBuffer) length() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Len()
+	return b.buffer.Len()
+}
+
+// text returns a copy of the output so far.
+func (b *syncBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
 }
 
 // containsFrom reports whether the output contains text at or after an offset.
 func (b *syncBuffer) containsFrom(from int, text string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return bytes.Contains(b.Bytes()[from:], []byte(text))
+	return bytes.Contains(b.buffer.Bytes()[from:], []byte(text))
 }
 
 func (f *fleet) newDaemon(ip, zone string) (*daemon, error) {
-	store := f.store
-	if view, ok := f.views[zone]; ok {
-		store = view
-	}
-	storeProxy, err := newProxy(store.Address())
+	storeProxy, err := newProxy(f.store.Address(), nil)
 	if err != nil {
 		return nil, err
 	}
-	cloudProxy, err := newProxy(f.cloud.Address())
+	cloudProxy, err := newProxy(f.cloud.Address(), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/domains_test.go
+++ b/soak/domains_test.go
@@ -1,12 +1,18 @@
 package soak_test
 
 import (
-	"bytes"
+	"encoding/binary"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"geraniumstack.org/geraniumstack/standin/site"
 )
 
@@ -53,29 +59,84 @@
 	}
 	for _, b := range f.runners {
 		if slices.Contains(to, b.zone) {
-			b.far.set(l)
+			b.proxy.far.set(l)
 		}
 	}
 }
 
-// addressesSeenFrom replaces the addresses of other domains' runners by those of the proxies between the domains.
-func (f *fleet) addressesSeenFrom(zone string) func(string, []byte) []byte {
-	return func(_ string, value []byte) []byte {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		for _, b := range f.allRunnersLocked() {
-			if b.far != nil && b.zone != zone {
-				value = bytes.Replace(value, quoted(b.proxy), quoted(b.far), 1)
-			}
+// isFar reports whether a daemon reaches a runner by way of the links between the domains.
+func isFar(b *proxiedRunner, d *daemon) bool { return d.Zone != b.zone }
+
+// isFarClient reports whether a connection to the proxy of a runner is from a daemon of another failure domain than
+// the runner's. A daemon doesn't bind its connections to its own address, and gets runners' addresses from other
+// daemons, so that neither tells the connection's daemon; the kernel's table of sockets does.
+func (f *fleet) isFarClient(c net.Conn, zone string) bool {
+	inode := clientInode(c)
+	f.mu.Lock()
+	daemons := f.daemons
+	f.mu.Unlock()
+	for _, d := range daemons {
+		if d.Zone != zone && d.hasSocket(inode) {
+			return true
 		}
-		return value
 	}
+	return false
 }
 
-func quoted(p *proxy) []byte { return fmt.Appendf(nil, "%q", p.address()) }
+// clientInode returns the inode of a connection's other end, which is on this machine; zero if it is closed. It asks
+// for one socket only: the table of all sockets is long, and takes too long to read for each connection.
+func clientInode(c net.Conn) uint32 {
+	client, server := c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr)
+	socket, err := unix.Socket(unix.AF_NETLINK, unix.SOCK_RAW|unix.SOCK_CLOEXEC, unix.NETLINK_SOCK_DIAG)
+	if err != nil {
+		return 0
+	}
+	defer unix.Close(socket)
+	const (
+		// The sizes of nlmsghdr and inet_diag_req_v2, and where the answer has the inode (sock_diag(7)).
+		headerSize, requestSize = 16, 56
+		inodeAt                 = headerSize + 68
+	)
+	request := make([]byte, headerSize, headerSize+requestSize)
+	binary.NativeEndian.PutUint32(request, headerSize+requestSize)
+	binary.NativeEndian.PutUint16(request[4:], unix.SOCK_DIAG_BY_FAMILY)
+	binary.NativeEndian.PutUint16(request[6:], unix.NLM_F_REQUEST)
+	request = append(request, unix.AF_INET, unix.IPPROTO_TCP, 0, 0)
+	request = binary.NativeEndian.AppendUint32(request, math.MaxUint32) // in all states
+	request = binary.BigEndian.AppendUint16(request, uint16(client.Port))
+	request = binary.BigEndian.AppendUint16(request, uint16(server.Port))
+	for _, ip := range []net.IP{client.IP, server.IP} {
+		request = append(request, ip.To4()...)
+		request = append(request, make([]byte, net.IPv6len-net.IPv4len)...)
+	}
+	request = binary.NativeEndian.AppendUint32(request, 0)              // at any interface
+	request = binary.NativeEndian.AppendUint64(request, math.MaxUint64) // without a cookie
+	answer := make([]byte, 4096)
+	if err := unix.Sendto(socket, request, 0, &unix.SockaddrNetlink{Family: unix.AF_NETLINK}); err != nil {
+		return 0
+	}
+	n, _, err := unix.Recvfrom(socket, answer, 0)
+	if err != nil || n < inodeAt+4 || binary.NativeEndian.Uint16(answer[4:]) != unix.SOCK_DIAG_BY_FAMILY {
+		return 0
+	}
+	return binary.NativeEndian.Uint32(answer[inodeAt:])
+}
 
-// isFar reports whether a daemon reaches a runner by way of the links between the domains.
-func (*fleet) isFar(b *proxiedRunner, d *daemon) bool { return b.far != nil && d.Zone != b.zone }
+// hasSocket reports whether the daemon's current process has a socket.
+func (d *daemon) hasSocket(inode uint32) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if inode == 0 || d.cmd == nil || d.cmd.Process == nil {
+		return false
+	}
+	dir, want := fmt.Sprintf("/proc/%d/fd", d.cmd.Process.Pid), fmt.Sprintf("socket:[%d]", inode)
+	// A process that has ended has no files, and a file that is closed meanwhile is not this socket.
+	files, _ := os.ReadDir(dir)
+	return slices.ContainsFunc(files, func(file os.DirEntry) bool {
+		target, _ := os.Readlink(filepath.Join(dir, file.Name()))
+		return target == want
+	})
+}
 
 // countCrossings counts the runs of requests that callers sent to a daemon of another domain than the runner's, and
 // those among them that met a cut between the domains.
@@ -83,11 +144,11 @@
 	for id, list := range runs {
 		a := f.attemptLog.byID[id]
 		for _, run := range list {
-			if !f.isFar(run.runner, f.daemonAt(a.daemonAddress)) {
+			if !isFar(run.runner, f.daemonAt(a.daemonAddress)) {
 				continue
 			}
 			crossed++
-			if run.runner.far.cutOff.overlap(run.Received, a.ended) {
+			if run.runner.proxy.far.cutOff.overlap(run.Received, a.ended) {
 				cut++
 			}
 		}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -23,8 +23,6 @@
 	seed       int64
 	attemptLog *attemptLog
 	with       conditions
-	// views are the store as the daemons of each failure domain see it; only in fleets with two.
-	views map[string]*site.Store
 	// calling are the callers.
 	calling sync.WaitGroup
 	// calm is the time of the surge without faults. quietSince is when all faults and surges were over.
@@ -60,12 +58,7 @@
 		t: t, seed: seed, with: with, attemptLog: &attemptLog{seed: seed, byID: map[string]*attempt{}},
 		dir: t.TempDir(), binary: binary, store: site.NewStore(), cloud: site.NewCloud(),
 		revokedAt: map[string]time.Time{}, resumedAt: map[string]time.Time{}, keys: []string{"k0"},
-		views: map[string]*site.Store{}, farLinks: map[string]link{},
-	}
-	if with.domains {
-		for _, zone := range zones {
-			f.views[zone] = f.store.View(f.addressesSeenFrom(zone))
-		}
+		farLinks: map[string]link{},
 	}
 	f.configure()
 	for range runners {
@@ -81,7 +74,9 @@
 		if err != nil {
 			return nil, err
 		}
+		f.mu.Lock()
 		f.daemons = append(f.daemons, d)
+		f.mu.Unlock()
 	}
 	for _, d := range f.daemons {
 		d.start()
@@ -95,15 +90,8 @@
 	}
 	for _, r := range f.allRunners() {
 		r.proxy.close()
-		if r.far != nil {
-			r.far.close()
-		}
 		r.Close()
 	}
-	for _, view := range f.views {
-		view.CloseClientConnections()
-		view.Close()
-	}
 	f.store.CloseClientConnections()
 	f.store.Close()
 	f.cloud.CloseClientConnections()
--- a/soak/load_checks_test.go
+++ b/soak/load_checks_test.go
@@ -1,7 +1,10 @@
 package soak_test
 
 import (
+	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -150,8 +153,8 @@
 	for _, zone := range zones {
 		sent := time.Now()
 		d := &daemon{Daemon: site.Daemon{IP: "127.0.0.1", Zone: zone}}
-		b := &proxiedRunner{Runner: &site.Runner{}, proxy: &proxy{}, far: &proxy{}, zone: zones[0]}
-		b.far.cutOff.list = []period{{after(sent, 100), after(sent, 400)}}
+		b := &proxiedRunner{Runner: &site.Runner{}, proxy: &proxy{}, zone: zones[0]}
+		b.proxy.far.cutOff.list = []period{{after(sent, 100), after(sent, 400)}}
 		f := &fleet{daemons: []*daemon{d}, runners: []*proxiedRunner{b}}
 		a := &attempt{daemonAddress: d.CallerAddress(), sent: sent, ended: sent.Add(cutAt)}
 		got := f.excuseOfRun(b, &site.Execution{Received: after(sent, 1)}, a)
@@ -160,3 +163,26 @@
 		}
 	}
 }
+
+// Guards against cuts between domains that meet connections within one, or that miss those between them.
+func TestProxyKnowsWhichConnectionsAreFar(t *testing.T) {
+	is := is.New(t)
+	runner, err := site.NewRunner("i-1")
+	is.NoErr(err)
+	defer runner.Close()
+	self := &daemon{cmd: &exec.Cmd{Process: &os.Process{Pid: os.Getpid()}}}
+	f := &fleet{daemons: []*daemon{self}}
+	for _, zone := range zones {
+		self.Zone = zone
+		p, err := newProxy(runner.Address, func(c net.Conn) bool { return f.isFarClient(c, zones[0]) })
+		is.NoErr(err)
+		defer p.close()
+		p.far.set(resetting)
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		response, err := client.Get("http://" + p.address() + "/healthz")
+		if err == nil {
+			response.Body.Close()
+		}
+		is.Equal(err != nil, zone != zones[0]) // only the other domain's daemon is cut off
+	}
+}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,119 +34,157 @@
 
 const linkDelay = 150 * time.Millisecond
 
-// proxy forwards TCP connections on the loopback interface to one server.
-type proxy struct {
-	listener net.Listener
-	target   string
-	mode     atomic.Int32
-	// cutOff are the times in which connections through the proxy may have lost data.
+// linkState is the state of the link that some of a proxy's connections go over.
+type linkState struct {
+	mode atomic.Int32
+	// cutOff are the times in which the connections may have lost data.
 	cutOff periods
 
 	mu   sync.Mutex
 	open map[net.Conn]bool
 }
 
-func newProxy(target string) (*proxy, error) {
+// set changes the treatment of all connections over the link, including open ones.
+func (s *linkState) set(l link) {
+	if l.cutsOff() {
+		s.cutOff.begin()
+	}
+	s.mode.Store(int32(l))
+	if l == resetting {
+		s.resetAll()
+	}
+	if !l.cutsOff() {
+		s.cutOff.end()
+	}
+}
+
+func (s *linkState) link() link { return link(s.mode.Load()) }
+
+func (s *linkState) resetAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		reset(c)
+	}
+	clear(s.open)
+}
+
+// reset closes a connection. Without SO_LINGER 0, Close would first deliver buffered data instead of sending a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (s *linkState) add(connections ...net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = map[net.Conn]bool{}
+	}
+	for _, c := range connections {
+		s.open[c] = true
+	}
+}
+
+func (s *linkState) remove(connections ...net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range connections {
+		delete(s.open, c)
+	}
+}
+
+// proxy forwards TCP connections on the loopback interface to one server.
+type proxy struct {
+	// linkState is that of all connections. Those that isFar names, if it is set, also go over far.
+	linkState
+	far   linkState
+	isFar func(net.Conn) bool
+
+	listener net.Listener
+	target   string
+}
+
+// newProxy starts a proxy before a server. isFar may be nil.
+func newProxy(target string, isFar func(net.Conn) bool) (*proxy, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, open: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: target, isFar: isFar}
 	go p.accept()
 	return p, nil
 }
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
-// set changes the treatment of all connections, including open ones.
-func (p *proxy) set(l link) {
-	if l.cutsOff() {
-		p.cutOff.begin()
-	}
-	p.mode.Store(int32(l))
-	if l == resetting {
-		p.resetAll()
-	}
-	if !l.cutsOff() {
-		p.cutOff.end()
-	}
-}
-
 func (p *proxy) close() {
 	p.listener.Close()
 	p.resetAll()
 }
 
-func (p *proxy) resetAll() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.open {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			// Without SO_LINGER 0, Close would first deliver buffered data instead of
-			// sending a reset.
-			_ = tcp.SetLinger(0)
-		}
-		c.Close()
-	}
-	clear(p.open)
-}
-
 func (p *proxy) accept() {
 	for {
 		c, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
-		if link(p.mode.Load()) == resetting {
-			_ = c.(*net.TCPConn).SetLinger(0)
-			c.Close()
-			continue
-		}
 		go p.connect(c)
 	}
 }
 
 func (p *proxy) connect(client net.Conn) {
+	states := []*linkState{&p.linkState}
+	if p.isFar != nil && p.isFar(client) {
+		states = append(states, &p.far)
+	}
 	server, err := net.Dial("tcp4", p.target)
 	if err != nil {
 		client.Close()
 		return
 	}
-	p.mu.Lock()
-	p.open[client], p.open[server] = true, true
-	p.mu.Unlock()
-	go p.copy(server, client, dropToServer)
-	p.copy(client, server, dropFromServer)
+	for _, s := range states {
+		s.add(client, server)
+		defer s.remove(client, server)
+	}
+	if slices.ContainsFunc(states, func(s *linkState) bool { return s.link() == resetting }) {
+		// Checked once the connection is in the list that a reset closes.
+		reset(client)
+		server.Close()
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { forward(server, client, dropToServer, states) })
+	both.Go(func() { forward(client, server, dropFromServer, states) })
+	both.Wait()
 }
 
-// copy forwards one direction. Once it has dropped any data, it drops everything that
+// forward forwards one direction under the states of its links. Once it has dropped any data, it drops everything that
 // follows on this connection, because the receiver must not see a stream with a gap.
-func (p *proxy) copy(to, from net.Conn, dropMode link) {
-	defer func() {
-		to.Close()
-		from.Close()
-		p.mu.Lock()
-		delete(p.open, to)
-		delete(p.open, from)
-		p.mu.Unlock()
-	}()
+func forward(to, from net.Conn, dropMode link, states []*linkState) {
+	// The end of one direction closes both: no peer here uses half-open connections.
+	defer to.Close()
+	defer from.Close()
 	buffer := make([]byte, 32<<10)
 	dropping := false
 	for {
 		n, err := from.Read(buffer)
-		switch mode := link(p.mode.Load()); {
-		case mode == delayed:
+		late := false
+		for _, s := range states {
+			mode := s.link()
+			late = late || mode == delayed
+			dropping = dropping || mode == dropMode || mode == blackhole
+		}
+		if late {
 			time.Sleep(linkDelay)
-		case mode == dropMode || mode == blackhole:
-			dropping = true
 		}
 		if !dropping {
 			_, failed := to.Write(buffer[:n])
 			dropping = failed != nil
 		}
 		if err != nil {
-			// The end of one direction closes both: no peer here uses half-open
-			// connections.
 			return
 		}
 	}
--- a/soak/runners_test.go
+++ b/soak/runners_test.go
@@ -2,18 +2,18 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/standin/site"
 )
 
-// proxiedRunner is a runner that daemons reach through a proxy, daemons of other failure domains through far. It is
-// nil in fleets with one domain.
+// proxiedRunner is a runner that daemons reach through a proxy.
 type proxiedRunner struct {
 	*site.Runner
-	proxy, far *proxy
-	zone       string
+	proxy *proxy
+	zone  string
 	// number and starts identify the runner; starts counts the former runners of its name.
 	number, starts int
 	// ended is the time since which the runner has ended, silent are its silences.
@@ -46,22 +46,19 @@
 	}
 	r.SetTimeFactor(f.timeFactor(number, starts))
 	b := &proxiedRunner{Runner: r, zone: f.runnerZone(number), number: number, starts: starts}
-	if b.proxy, err = newProxy(r.Address); err != nil {
-		return err
-	}
+	var isFar func(net.Conn) bool
 	if f.with.domains {
-		if b.far, err = newProxy(r.Address); err != nil {
-			return err
-		}
+		isFar = func(c net.Conn) bool { return f.isFarClient(c, b.zone) }
+	}
+	if b.proxy, err = newProxy(r.Address, isFar); err != nil {
+		return err
 	}
 	if f.with.surges {
 		r.SetSlots(surgeSlots)
 	}
 	f.mu.Lock()
 	f.runners = append(f.runners, b)
-	if b.far != nil {
-		b.far.set(f.farLinks[b.zone])
-	}
+	b.proxy.far.set(f.farLinks[b.zone])
 	f.mu.Unlock()
 	f.announce(b, site.Ready)
 	return nil
@@ -80,9 +77,6 @@
 	r.ended.begin()
 	r.Close()
 	r.proxy.set(resetting)
-	if r.far != nil {
-		r.far.set(resetting)
-	}
 }
 
 // drainAndRemove announces that a runner drains, keeps it serving for 3 s, and then
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -240,10 +240,7 @@
 		return
 	}
 	for _, d := range f.daemons {
-		d.output.mu.Lock()
-		err := os.WriteFile(filepath.Join(*logDir, fmt.Sprintf("%d-%s.log", seed, d.IP)), d.output.Bytes(), 0o600)
-		d.output.mu.Unlock()
-		if err != nil {
+		if err := os.WriteFile(filepath.Join(*logDir, fmt.Sprintf("%d-%s.log", seed, d.IP)), []byte(d.output.text()), 0o600); err != nil {
 			f.t.Errorf("save the log of %s: %v", d.Name(), err)
 		}
 	}
--- a/standin/site/runner_capacity_test.go
+++ b/standin/site/runner_capacity_test.go
@@ -42,18 +42,3 @@
 	r.SetTimeFactor(2)
 	is.Equal(r.capacity.scaled(time.Second), 2*time.Second)
 }
-
-// Guards against a view that shows the former addresses, or that hides what the store holds otherwise.
-func TestViewRewritesValues(t *testing.T) {
-	is := is.New(t)
-	s := NewStore()
-	defer s.Close()
-	view := s.View(func(key string, value []byte) []byte { return append(value, key...) })
-	defer view.Close()
-	is.NoErr(s.PutBytes("a", []byte("1")))
-	entry, err := s.KV.Get(t.Context(), "a")
-	is.NoErr(err)
-	is.Equal(string(s.wireItem(entry).Value), "1")
-	is.Equal(string(view.wireItem(entry).Value), "1a")
-	is.Equal(view.KV, s.KV)
-}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -24,8 +24,6 @@
 	KV *kvserver.Store
 	// PageSize is the maximum number of items in one page of a list.
 	PageSize int
-	// rewrite changes the values that are read through a view; nil for none.
-	rewrite func(key string, value []byte) []byte
 }
 
 const (
@@ -38,19 +36,6 @@
 // NewStore starts a store on the loopback interface.
 func NewStore() *Store {
 	s := &Store{KV: kvserver.New(), PageSize: defaultPageSize}
-	s.start()
-	return s
-}
-
-// View starts a second server of the same store, whose readers get each value as rewrite changes it.
-// It stands for a network in which clients reach the same server by another address.
-func (s *Store) View(rewrite func(key string, value []byte) []byte) *Store {
-	view := &Store{KV: s.KV, PageSize: s.PageSize, rewrite: rewrite}
-	view.start()
-	return view
-}
-
-func (s *Store) start() {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.get)
 	mux.HandleFunc("GET /v1/kv-range", s.list)
@@ -60,6 +45,7 @@
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.keepLeaseAlive)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.revokeLease)
 	s.Server = httptest.NewServer(mux)
+	return s
 }
 
 // Address returns the store's IP address and port.
@@ -109,12 +95,8 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
-func (s *Store) wireItem(e kv.Entry) wireItem {
-	value := e.Value
-	if s.rewrite != nil && len(value) > 0 {
-		value = s.rewrite(e.Key, value)
-	}
-	return wireItem{Key: e.Key, Value: value, Revision: uint64(e.Revision), Lease: uint64(e.Lease)}
+func toWireItem(e kv.Entry) wireItem {
+	return wireItem{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: uint64(e.Lease)}
 }
 
 func (s *Store) currentRevision(ctx context.Context) uint64 {
@@ -135,7 +117,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, s.wireItem(entry))
+	writeJSON(w, http.StatusOK, toWireItem(entry))
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
@@ -147,7 +129,7 @@
 	more := len(entries) > s.PageSize
 	items := []wireItem{}
 	for _, e := range entries[:min(len(entries), s.PageSize)] {
-		items = append(items, s.wireItem(e))
+		items = append(items, toWireItem(e))
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "store_revision": s.currentRevision(r.Context())})
 }
@@ -167,7 +149,7 @@
 	}
 	items := []wireItem{}
 	for _, c := range changes {
-		item := s.wireItem(c.Entry)
+		item := toWireItem(c.Entry)
 		item.Deleted = c.Deleted
 		items = append(items, item)
 	}
@@ -207,7 +189,7 @@
 	var expired *kv.LeaseExpiredError
 	switch {
 	case errors.As(err, &conflict):
-		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"items": []wireItem{s.wireItem(conflict.Current)}})
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"items": []wireItem{toWireItem(conflict.Current)}})
 	case errors.As(err, &expired):
 		w.WriteHeader(http.StatusNotFound)
 	case !writeFailure(w, err):
