Bound what a relay tells the others of runners' speeds

Cause: a relay sends up to 64 observations in each message to each other relay, 74 KB/s at 1,800 daemons by calculation. Change: with more than 8 other relays each gets less in proportion, at least 8. Measured: tests of the fleets pass; the bytes are worked out.

--- a/daemon/edge/runner_speeds.go
+++ b/daemon/edge/runner_speeds.go
@@ -29,6 +29,9 @@
 	// to 17 and 19 bytes each.
 	maxPaces  = 64
 	maxSpeeds = 32
+	// Up to fullPacesRelays other relays are sent maxPaces each, more are sent less, but at least minPaces.
+	fullPacesRelays = 8
+	minPaces        = 8
 	// minSpeedUpdate is the least time between two updates of a service's estimates, speedUpdatePerRunner
 	// the same for each runner: an update of 10,000 runners takes some milliseconds.
 	minSpeedUpdate       = 400 * time.Millisecond
@@ -116,14 +119,29 @@
 	return true
 }
 
-// takePaces returns the observations that have not been sent yet, newest first, and counts them as sent.
-// Those of followers are left out unless followers is set.
-func (l *runnerSpeeds) takePaces(now time.Duration, followers bool) []*peersv1.RunnerPace {
+// pacesToRelays returns how many observations a message to the other relays contains at most; a direct
+// fleet is small. The caller must hold e.mu.
+func (e *Edge) pacesToRelays() int {
+	if e.relayPlan.Direct {
+		return maxPaces
+	}
+	return pacesToEach(len(e.relayPlan.OtherRelays))
+}
+
+// pacesToEach returns how many observations a message to each of a number of other relays contains at
+// most, so that a relay's bytes don't grow with their number.
+func pacesToEach(otherRelays int) int {
+	return max(minPaces, maxPaces*fullPacesRelays/max(fullPacesRelays, otherRelays))
+}
+
+// takePaces returns the observations that have not been sent yet, newest first and at most limit, and counts
+// all of them as sent. Those of followers are left out unless followers is set.
+func (l *runnerSpeeds) takePaces(now time.Duration, followers bool, limit int) []*peersv1.RunnerPace {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var paces []*peersv1.RunnerPace
 	for _, p := range slices.Backward(l.fresh) {
-		if now-p.at <= runnerspeed.MaxAge && (followers || p.own) {
+		if len(paces) < limit && now-p.at <= runnerspeed.MaxAge && (followers || p.own) {
 			paces = append(paces, &peersv1.RunnerPace{Runner: uint64(p.runner), IntervalUs: uint32(p.interval.Microseconds())})
 		}
 	}
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -192,7 +192,7 @@
 	} else if sendsRoster(messageNumber) {
 		c.hello.Introduced = rotatingSubset(e.introductions(now), messageNumber/2, maxIntroducedRelays)
 	}
-	c.hello.Paces = e.runnerSpeeds.takePaces(now, !e.relayPlan.Direct)
+	c.hello.Paces = e.runnerSpeeds.takePaces(now, !e.relayPlan.Direct, e.pacesToRelays())
 	counts := e.countsForRelays(now, messageNumber)
 	for i, r := range e.relayPlan.OtherRelays {
 		own := e.relayReply(now, r)
@@ -231,7 +231,7 @@
 		own := e.stampReply(r.Incarnation)
 		own.Primary = i == 0
 		if own.Primary {
-			own.Paces = e.runnerSpeeds.takePaces(now, false)
+			own.Paces = e.runnerSpeeds.takePaces(now, false, maxPaces)
 		}
 		e.dir.askForFeed(own)
 		c.to = append(c.to, recipient{address: r.PeerAddress, own: own})
