Decide when requests leave their failure domain

Cause: a runner in another failure domain counted as 5 ms slower, whatever the request carries and however its own callers are served there. Change: coordination/spillover decides by the cost of crossing, the free capacity of the other domain and the loads that all daemons know; daemon/edge/spillover.go gives it the loads, round trips and sizes. Relays from 11 daemons on and the price of traffic in orders belong to it. It is off without spillover.wait_ms_per_mb. The wiring has no test yet.

--- a/cmd/geraniumd/main.go
+++ b/cmd/geraniumd/main.go
@@ -36,9 +36,10 @@
 	path := flag.String("settings", "", "the settings file (JSON)")
 	disabled := flag.String("without", "", "mechanisms to leave out on the users' platform, separated by commas, to measure what they are worth")
 	directFleet := flag.Int("direct-fleet", relays.DirectFleet, "daemons up to which all of a fleet on the users' platform tell each other directly; the same for all of them")
+	spilloverWait := flag.Float64("spillover-wait-ms-per-mb", 0, "milliseconds of waiting that a megabyte between failure domains is worth on the users' platform, if the settings don't say; 0: unknown, the same for all daemons of a fleet")
 	flag.Parse()
 	if platformSettings := os.Getenv(platform.SettingsEnv); *path == "" && platformSettings != "" {
-		return runOnPlatform(platformSettings, *disabled, *directFleet)
+		return runOnPlatform(platformSettings, *disabled, *directFleet, *spilloverWait)
 	}
 	defer klog.Flush()
 	s, err := settings.Load(*path)
@@ -61,7 +62,7 @@
 
 // runOnPlatform serves on the users' platform until SIGTERM or an interrupt. It
 // writes the log to standard output.
-func runOnPlatform(path, disabled string, directFleet int) int {
+func runOnPlatform(path, disabled string, directFleet int, spilloverWait float64) int {
 	policy, err := edge.Without(disabled)
 	if err == nil {
 		policy, err = policy.WithDirectFleet(directFleet)
@@ -70,6 +71,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
 	}
+	price, ok := platform.SpilloverPrice(spilloverWait)
+	if !ok {
+		fmt.Fprintln(os.Stderr, "invalid -spillover-wait-ms-per-mb:", spilloverWait)
+		return exitInvalid
+	}
 	reportCrashes()
 	// Without this the daemon would end with the process that reads its log.
 	signal.Ignore(syscall.SIGPIPE)
@@ -82,7 +88,7 @@
 			return exitFailure
 		}
 	}
-	err = platform.Run(path, platform.Signals{Stop: stop, Reload: reload}, policy)
+	err = platform.Run(path, platform.Signals{Stop: stop, Reload: reload}, platform.Flags{Policy: policy, Spillover: price})
 	if err == nil {
 		return 0
 	}
--- a/coordination/fleet/cheapest.go
+++ b/coordination/fleet/cheapest.go
@@ -10,9 +10,11 @@
 
 const unlimited = int(^uint(0) >> 1)
 
-// candidate is an offer with the number of VMs that a plan may place in it.
+// candidate is an offer with the number of VMs that a plan may place in it. An offer whose traffic has
+// a price is two candidates: one for the callers of its failure domain (local), one for others'.
 type candidate struct {
 	Offer
+	local         bool
 	expectedPrice float64
 	maxVMs        int
 	domainIndex   int
@@ -38,7 +40,7 @@
 		if s, ok := p.pools[o.Pool]; ok && now < s.backoffUntil {
 			c.maxVMs = have[o.Pool]
 		}
-		sorted = append(sorted, c)
+		sorted = append(sorted, c.split()...)
 	}
 	slices.SortStableFunc(sorted, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.expectedPrice, b.expectedPrice), cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.Class, b.Class))
@@ -46,6 +48,20 @@
 	return candidates{sortedOffers: sorted, domainCount: len(domainIndexes)}
 }
 
+// split divides a candidate whose traffic has a price.
+func (c candidate) split() []candidate {
+	if c.TrafficPrice <= 0 {
+		return []candidate{c}
+	}
+	local, others := c, c
+	local.local, local.maxVMs = true, min(c.maxVMs, c.LocalVMs)
+	others.expectedPrice += c.TrafficPrice
+	if c.maxVMs < unlimited {
+		others.maxVMs = max(0, c.maxVMs-c.LocalVMs)
+	}
+	return []candidate{local, others}
+}
+
 // allocation is a tentative number of VMs for each offer. One allocation is reused for all
 // attempts, because planning a large service takes thousands of them.
 type allocation struct {
@@ -96,6 +112,9 @@
 	for i := range f.sortedOffers {
 		c := &f.sortedOffers[i]
 		n := min(total-f.allocated, maxPerDomain-f.vmsByDomain[c.domainIndex], c.maxVMs-f.counts[i])
+		if c.local {
+			n = min(n, c.LocalVMs-f.vmsByDomain[c.domainIndex])
+		}
 		if f.lostWithDomain(c) {
 			n = min(n, maxAtRisk-f.atRisk[c.domainIndex])
 		}
--- a/coordination/fleet/fleet.go
+++ b/coordination/fleet/fleet.go
@@ -32,6 +32,10 @@
 	Pool
 	Reclaimable  bool
 	PricePerHour float64
+	// TrafficPrice is what the traffic of one VM costs an hour that serves callers of other failure
+	// domains. The callers of this domain need LocalVMs VMs; further ones serve others.
+	TrafficPrice float64
+	LocalVMs     int
 }
 
 // VM is a VM of the service, as known from the VM list and the record of starts.
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -27,6 +27,8 @@
 	SharedTokens int
 	// OutputTokens is the expected number of output tokens.
 	OutputTokens int
+	// Bytes is the size of the request.
+	Bytes int
 	// Long requests go to the runners with the lowest risk (see Table.risk) among those whose
 	// expected time to first token is at most Slack above that of the fastest runner.
 	Long  bool
--- a/daemon/decisions/decisions.go
+++ b/daemon/decisions/decisions.go
@@ -98,6 +98,11 @@
 	metrics.GetOrRegisterCounter(name, l.registry).Inc(1)
 }
 
+// Add adds n to a counter without writing a line.
+func (l *Log) Add(name string, n int) {
+	metrics.GetOrRegisterCounter(name, l.registry).Inc(int64(n))
+}
+
 // Time adds a duration to the histogram of the given name, which counts in microseconds.
 func (l *Log) Time(name string, d time.Duration) {
 	h := l.registry.GetOrRegister(name, newHistogram).(metrics.Histogram)
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -235,6 +235,7 @@
 		a.connected.Store(true)
 		a.recordHeard()
 	}
+	a.meterCrossing(answer, err)
 	// An answer that the caller won't get is no reason to end a hedge.
 	a.endWait(err == nil && !answer.NotRun && !answer.Misdirected && !answer.isPlainError())
 	return answer, err
@@ -315,6 +316,7 @@
 func (a *attempt) handleConnected() bool {
 	e := a.s.edge
 	state := a.s.pool.entryOf(a.choice.Runner).State
+	a.observeConnection(time.Since(a.sent))
 	if took := time.Since(a.sent); took >= slowConnect {
 		a.s.note("connected_late", decisions.F("runner", a.choice.Runner), decisions.F("after", took), decisions.F("state", state),
 			decisions.F("list_age", a.s.pool.listAge()))
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -159,6 +159,7 @@
 	streams           streamVersions
 	failureCauses     failureCauses
 	rests             rests
+	spill             edgeSpillover
 	resolvedAddresses udpAddresses
 	configCheck       configChecker
 	duties            duties
@@ -224,7 +225,7 @@
 	e.rests.init()
 	e.duties.init(e)
 	// Until it hears from other daemons, a daemon plans as if it were alone.
-	e.relayPlan = relays.Elect(relays.View{Self: e.peers.Self(), DirectFleet: settings.Policy.DirectFleet()})
+	e.relayPlan = relays.Elect(relays.View{Self: e.peers.Self(), DirectFleet: settings.directFleet()})
 	e.relayConfirmation.Start(now)
 	e.granterConfirmation.Start(now)
 	e.directMode.Store(e.relayPlan.Direct)
@@ -251,7 +252,7 @@
 // Run runs the daemon until the context ends. For a graceful shutdown, call Drain first.
 func (e *Edge) Run(ctx context.Context) error {
 	e.log.Note("start", decisions.F("daemon", e.settings.ID), decisions.F("incarnation", e.self),
-		decisions.F("failure_domain", e.settings.FailureDomain), decisions.F("first_start", e.settings.FleetNeverServed), decisions.F("without", e.settings.Policy), decisions.F("direct_fleet", e.settings.Policy.DirectFleet()))
+		decisions.F("failure_domain", e.settings.FailureDomain), decisions.F("first_start", e.settings.FleetNeverServed), decisions.F("without", e.settings.Policy), decisions.F("direct_fleet", e.settings.directFleet()))
 	defer e.stopProbes()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.receiveDatagrams(ctx) })
--- a/daemon/edge/loads.go
+++ b/daemon/edge/loads.go
@@ -67,6 +67,8 @@
 	// of the latest of this daemon's messages whose loads are part of that total, so these loads
 	// are subtracted to get the load of the other daemons.
 	includedOwnSeq uint64
+	// domain is the failure domain of the reporting daemon. A relay's followers are in its own one.
+	domain ident.FailureDomain
 }
 
 // offeredTally counts the uncached prompt tokens of one service that callers brought to this
@@ -103,10 +105,11 @@
 	if from == sourceFollower {
 		e.recommended.reported(h.PeerAddress, now-minMessageAge)
 	}
-	load := peerLoad{receivedAt: now, runnerLoads: loads, follower: from == sourceFollower, includedOwnSeq: h.IncludedSeq}
+	load := peerLoad{receivedAt: now, runnerLoads: loads, follower: from == sourceFollower, includedOwnSeq: h.IncludedSeq, domain: ident.FailureDomain(h.FailureDomain)}
 	for _, o := range h.Offered {
 		e.reported.receiveOffered(now, id, o, from, !e.directMode.Load())
 	}
+	e.spill.receiveWork(now, id, h, from, !e.directMode.Load())
 	if from == sourcePrimary {
 		e.reported.primaryTotal = load
 		return
--- a/daemon/edge/order.go
+++ b/daemon/edge/order.go
@@ -36,7 +36,7 @@
 			})
 		}
 	}
-	return offers
+	return f.withTrafficPrice(offers)
 }
 
 // applyDecision converts a decision into one order for each class and failure domain. If the
--- a/daemon/edge/paths.go
+++ b/daemon/edge/paths.go
@@ -66,6 +66,7 @@
 // recordPathFailure records that a connection to a runner could not be opened, broke, or went
 // silent.
 func (p *pool) recordPathFailure(id ident.RunnerID) {
+	p.recordLinkFailure(id)
 	now := p.edge.deps.Steady()
 	heardAt := time.Duration(p.paths.heardAt.Load())
 	p.mu.Lock()
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -103,6 +103,8 @@
 	work                 fleet.Work
 	countedOfferedTokens float64
 	sampledOfferedTokens float64
+	// spill decides which requests leave the failure domain; nil if none of that is decided.
+	spill *poolSpillover
 }
 
 func newPool(e *Edge, s route.Service) *pool {
@@ -121,6 +123,7 @@
 		prefillModel: prefill.New(firstPrefillRate),
 		serviceTime:  servicetime.New(initialServiceTime),
 		demand:       fleet.NewDemand(demandConfig(e.settings.Policy), e.settings.FleetNeverServed),
+		spill:        newPoolSpillover(e),
 	}
 }
 
@@ -348,7 +351,7 @@
 	c, ok := p.table.PickCandidate(recommendedRunner, r)
 	var err error
 	if !ok {
-		c, err = p.table.Pick(now, r)
+		c, err = p.pickInDomain(now, r)
 	}
 	if first && err == nil {
 		p.offeredTokens += float64(c.Uncached)
@@ -365,6 +368,7 @@
 	if n := len(r.Prefix); n > 1 {
 		p.edge.notePlacement(p.name, c.Runner, r.Prefix[:n-1])
 	}
+	p.recordCrossing(c, r)
 	return p.table.Dispatch(now, c, r)
 }
 
--- a/daemon/edge/recommendations.go
+++ b/daemon/edge/recommendations.go
@@ -139,7 +139,7 @@
 func (p *pool) candidates(r *routing.Request) []*peersv1.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	best, err := p.table.Candidates(r, maxCandidatesPerAsk)
+	best, err := p.candidatesInDomain(r, maxCandidatesPerAsk)
 	if err != nil {
 		// Without a suitable runner the request is refused later, by chooseRunner.
 		return nil
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -86,7 +86,7 @@
 	}
 	e.peers.SetAliveFor(alive)
 	e.alive = e.peers.Alive(now)
-	v := relays.View{Self: e.peers.Self(), Alive: e.alive, FleetSize: e.peers.FleetSize(), DomainCount: e.peers.Domains(now), DirectFleet: e.settings.Policy.DirectFleet()}
+	v := relays.View{Self: e.peers.Self(), Alive: e.alive, FleetSize: e.peers.FleetSize(), DomainCount: e.peers.Domains(now), DirectFleet: e.settings.directFleet()}
 	previous := e.relayPlan
 	e.relayPlan = relays.Elect(v)
 	e.directMode.Store(e.relayPlan.Direct)
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -65,6 +65,7 @@
 		e.publishLateRunners()
 		e.observeVersions()
 		e.applyPeerLoads()
+		e.stepSpillover()
 		e.reportTrials(e.deps.Steady())
 		if e.healthDue() {
 			e.tickHealth()
@@ -408,6 +409,7 @@
 	if _, err := e.deps.Datagrams.WriteTo(message, to); err != nil {
 		e.log.Count("peers.send_failed")
 	}
+	e.countMessage(address, len(message))
 }
 
 // udpAddresses caches parsed peer addresses, each of which is used several times a second.
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -214,6 +214,7 @@
 		Model:        r.Prompt.Model,
 		PromptTokens: max(1, r.Prompt.PromptTokens),
 		OutputTokens: max(1, r.Prompt.ExpectedOutput),
+		Bytes:        len(r.Body),
 	}
 	// The last part of a prompt belongs to this request alone; the parts before it may be
 	// shared with other requests.
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -54,6 +54,7 @@
 	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/quota"
 	"geraniumstack.org/geraniumstack/coordination/runnerlimit"
+	"geraniumstack.org/geraniumstack/coordination/spillover"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -77,6 +78,9 @@
 	FleetNeverServed bool
 	Bounds           Bounds
 	Policy           Policy
+	// Spillover is the waiting time that a megabyte of traffic between failure domains is worth.
+	// Zero means that nothing is known about its price. All daemons of a fleet must use the same.
+	Spillover spillover.Price
 }
 
 // Bounds are the operator's limits on the daemon's behavior.
