Bound what other domains' callers lose, and test spillover under load

Cause: the formula of waits assumes that requests find a free runner, but daemons know the loads late; and relays count a request twice that they recommended a runner for. Callers of other domains waited 35% longer, not 10%. Change: waits are fitted to the loads by Little's law (an effective number of servers), and counts to the work that callers bring. Shares aim at three quarters of the bound.

--- a/coordination/spillover/controller.go
+++ b/coordination/spillover/controller.go
@@ -13,9 +13,12 @@
 // domainLoad is the smoothed load of one domain.
 type domainLoad struct {
 	Load
-	// busy and backlog are means of Load.Busy and Load.Backlog. growth is the rate at which the
-	// backlog grows.
-	busy, backlog, growth float64
+	// countedBusy and countedBacklog are means of Load.Busy and Load.Backlog; busy and backlog are
+	// the same without requests that are counted twice. growth is the rate at which the backlog grows.
+	countedBusy, countedBacklog float64
+	busy, backlog, growth       float64
+	// servers is the effective number of servers.
+	servers float64
 	// flows are the means of the requests in progress here by the domain of their callers.
 	flows map[ident.FailureDomain]float64
 }
@@ -50,6 +53,8 @@
 	steppedAt       time.Duration
 	// withFlows says that the latest loads came with flows.
 	withFlows bool
+	// offered is the mean of the work that the callers of all domains bring in a second.
+	offered float64
 }
 
 // New returns a controller whose shares are zero.
@@ -105,13 +110,14 @@
 
 // Step updates the shares from the loads of all domains that have runners. It must be called
 // every StepInterval, also if no new loads are known. roundTrip returns the round trip to a domain.
-func (c *Controller) Step(now time.Duration, loads map[ident.FailureDomain]Load, flows Flows, roundTrip func(ident.FailureDomain) time.Duration) {
+// offered is the work that the callers of all domains bring in a second; zero if it is not known.
+func (c *Controller) Step(now time.Duration, loads map[ident.FailureDomain]Load, flows Flows, offered float64, roundTrip func(ident.FailureDomain) time.Duration) {
 	elapsed := now - c.steppedAt
 	if c.steppedAt == 0 || elapsed <= 0 {
 		elapsed = StepInterval
 	}
 	c.steppedAt = now
-	c.smooth(elapsed, loads, flows)
+	c.smooth(elapsed, loads, flows, offered)
 	for to := range c.loads {
 		if _, ok := c.pairs[to]; !ok && to != c.self {
 			c.pairs[to] = &pair{}
@@ -134,8 +140,12 @@
 	}
 }
 
+// The waits of a domain are compared with those of the formula while its utilisation is between
+// minCalibration and maxCalibration: below there are hardly any, above they depend on the past.
+const minCalibration, maxCalibration = 0.1, 0.95
+
 // smooth updates the means of the loads, and forgets a part of the recorded work.
-func (c *Controller) smooth(elapsed time.Duration, loads map[ident.FailureDomain]Load, flows Flows) {
+func (c *Controller) smooth(elapsed time.Duration, loads map[ident.FailureDomain]Load, flows Flows, offered float64) {
 	kept := math.Exp(-elapsed.Seconds() / loadTime.Seconds())
 	c.recorded *= kept
 	for _, p := range c.pairs {
@@ -145,13 +155,13 @@
 	for domain, l := range loads {
 		d, known := c.loads[domain]
 		if !known {
-			d = &domainLoad{busy: l.Busy, backlog: l.Backlog, flows: map[ident.FailureDomain]float64{}}
+			d = &domainLoad{countedBusy: l.Busy, countedBacklog: l.Backlog, servers: max(1, l.Servers), flows: map[ident.FailureDomain]float64{}}
 			c.loads[domain] = d
 		}
 		d.Load = l
-		d.busy += (1 - kept) * (l.Busy - d.busy)
-		d.backlog += (1 - kept) * (l.Backlog - d.backlog)
-		d.growth = (l.Backlog - d.backlog) / loadTime.Seconds()
+		d.countedBusy += (1 - kept) * (l.Busy - d.countedBusy)
+		d.countedBacklog += (1 - kept) * (l.Backlog - d.countedBacklog)
+		d.growth = (l.Backlog - d.countedBacklog) / loadTime.Seconds()
 		for from := range d.flows {
 			d.flows[from] *= kept
 		}
@@ -159,6 +169,46 @@
 			d.flows[from] += (1 - kept) * to[domain]
 		}
 	}
+	if c.offered == 0 {
+		c.offered = offered
+	}
+	c.offered += (1 - kept) * (offered - c.offered)
+	times := c.timesCounted()
+	for _, d := range c.loads {
+		d.busy, d.backlog, d.growth = d.busyOnce(times), d.countedBacklog/times, d.growth/times
+		if d.busy >= minCalibration && d.busy <= maxCalibration && d.ServiceTime > 0 {
+			// By Little's law requests take as long as the backlog needs to pass.
+			took := d.backlog / (d.busy * d.Capacity)
+			n := effectiveServers(d.busy, took/d.ServiceTime.Seconds()-1, d.Servers)
+			d.servers += (1 - kept) * (n - d.servers)
+		}
+		d.Servers = d.servers
+	}
+}
+
+// busyOnce returns the part of the capacity in use if each request is counted the given number of
+// times: a runner then looks idle only if none of its counts shows a request.
+func (d *domainLoad) busyOnce(times float64) float64 {
+	return 1 - math.Pow(1-min(1, d.countedBusy), 1/times)
+}
+
+// maxTimesCounted bounds the result of timesCounted.
+const maxTimesCounted = 4
+
+// timesCounted returns how many times requests are counted in the loads. A relay adds the requests
+// for which it has recommended a runner to those that its followers report late, so that many are
+// counted twice. The work that callers bring is counted once.
+func (c *Controller) timesCounted() float64 {
+	if c.offered <= 0 {
+		return 1
+	}
+	return largest(1, maxTimesCounted, func(times float64) bool {
+		work := 0.0
+		for _, d := range c.loads {
+			work += d.busyOnce(times)*d.Capacity + d.growth/times
+		}
+		return work >= c.offered
+	})
 }
 
 // traffic is the work that the callers of each domain bring in a second, and how much of that its
@@ -265,8 +315,8 @@
 			continue
 		}
 		n := c.need(d, t[other].total, wait)
-		if !c.withFlows && d.busy >= filled*utilisationAt(wait, &d.Load) {
-			// What leaves a domain is not known, but one that sends requests away is filled itself.
+		if !c.withFlows && max(d.Wait, expectedWait(d.utilisation(), &d.Load)) >= wait {
+			// What leaves a domain is not known, but one that sends requests away has long waits itself.
 			n = max(n, need*d.Capacity/c.loads[c.self].Capacity)
 		}
 		sum += n
--- a/coordination/spillover/spillover.go
+++ b/coordination/spillover/spillover.go
@@ -46,6 +46,8 @@
 	Reserve = 0.1
 	// MaxLoss is the part by which the waits of a domain's own callers may grow because of others.
 	MaxLoss = 0.1
+	// plannedLoss is what the shares aim at, so that MaxLoss holds in spite of errors in the loads.
+	plannedLoss = 0.75 * MaxLoss
 	// MaxAge is the age up to which loads are used. Daemons are taken for silent after the same time
 	// (peers.RelayedAliveFor).
 	MaxAge = 1600 * time.Millisecond
@@ -57,8 +59,6 @@
 	// minShare is the least share that a pair in need asks for. Waits at home can be long although
 	// the capacity there would do, for example if few runners hold the prompts' cached parts.
 	minShare = 0.02
-	// filled is the part of its useful utilisation from which a domain counts as filled.
-	filled = 0.9
 	// maxWait stands for the wait in a domain whose callers bring more than its runners can serve.
 	maxWait = time.Minute
 )
@@ -101,10 +101,10 @@
 // same for all domains of a service, for example prompt tokens.
 type Load struct {
 	// Capacity is the work that all runners together do in a second, Busy the part of it that is
-	// in use, from 0 to 1, and Backlog the work that waits.
+	// in use, from 0 to 1, and Backlog the work that has arrived and isn't done.
 	Capacity, Busy, Backlog float64
 	// Servers is the number of requests that the domain serves at a time without slowing them down.
-	Servers int
+	Servers float64
 	// Wait is the expected wait at the best runner, ServiceTime the time that a request takes there
 	// after it.
 	Wait, ServiceTime time.Duration
@@ -119,12 +119,18 @@
 
 // queueFactor returns the mean time that a request waits for one of several servers, as a
 // multiple of its service time, by Sakasegawa's approximation for random arrivals.
-func queueFactor(utilisation float64, servers int) float64 {
-	n := float64(max(1, servers))
+func queueFactor(utilisation, servers float64) float64 {
 	if utilisation >= 1 {
 		return math.Inf(1)
 	}
-	return math.Pow(max(0, utilisation), math.Sqrt(2*(n+1))-1) / (n * (1 - utilisation))
+	return math.Pow(max(0, utilisation), math.Sqrt(2*(servers+1))-1) / (servers * (1 - utilisation))
+}
+
+// effectiveServers returns the number of servers, up to the given one, with which requests wait as
+// long as they do: factor times their service time. Daemons know the loads late, so that one request
+// waits while another runner is idle, as if the runners were fewer.
+func effectiveServers(utilisation, factor, servers float64) float64 {
+	return largest(1, max(1, servers), func(n float64) bool { return queueFactor(utilisation, n) >= factor })
 }
 
 // expectedWait returns the wait in a domain at a utilisation, at most maxWait.
@@ -165,11 +171,11 @@
 // Free returns the part of a domain's capacity that others may use while its own callers use the
 // part own: at most what is left beside Reserve, and so much that the wait and service of its own
 // callers grow by at most MaxLoss.
-func Free(own float64, servers int) float64 {
+func Free(own, servers float64) float64 {
 	limit := 1 - Reserve - own
 	if limit <= 0 {
 		return 0
 	}
-	bound := (1 + MaxLoss) * (1 + queueFactor(own, servers))
+	bound := (1 + plannedLoss) * (1 + queueFactor(own, servers))
 	return largest(0, limit, func(others float64) bool { return 1+queueFactor(own+others, servers) <= bound })
 }
--- a/coordination/spillover/spillover_test.go
+++ b/coordination/spillover/spillover_test.go
@@ -17,7 +17,7 @@
 	roundTrip   = 4 * time.Millisecond
 	price       = spillover.Price(50 * time.Millisecond)
 	serviceTime = 50 * time.Millisecond
-	servers     = 8
+	servers     = 8.0
 	daemons     = 4
 )
 
@@ -72,7 +72,7 @@
 				if !w.withFlows {
 					flows = nil
 				}
-				c.Step(w.now, w.history[known].loads, flows, func(ident.FailureDomain) time.Duration { return roundTrip })
+				c.Step(w.now, w.history[known].loads, flows, w.offered(), func(ident.FailureDomain) time.Duration { return roundTrip })
 			}
 			for _, status := range c.Statuses() {
 				s.shares[i] += status.Share / daemons
@@ -92,7 +92,7 @@
 		done := min(w.capacity*dt, w.backlog[i]+arriving[i]*dt)
 		w.backlog[i] += arriving[i]*dt - done
 		s.loads[domain(i)] = spillover.Load{
-			Capacity: w.capacity, Busy: done / (w.capacity * dt), Backlog: w.backlog[i], Servers: servers,
+			Capacity: w.capacity, Busy: done / (w.capacity * dt), Backlog: w.backlog[i] + done/dt*serviceTime.Seconds(), Servers: servers,
 			Wait: time.Duration(w.backlog[i] / w.capacity * float64(time.Second)), ServiceTime: serviceTime,
 		}
 	}
@@ -100,6 +100,14 @@
 	return s
 }
 
+func (w *world) offered() float64 {
+	sum := 0.0
+	for _, demand := range w.demand {
+		sum += demand * w.capacity
+	}
+	return sum
+}
+
 // choose decides about one request: each other domain, in random order, may take it.
 func (w *world) choose(from int, c *spillover.Controller) int {
 	draw := w.rng.Float64()
@@ -193,7 +201,7 @@
 	is.True(spillover.Free(0.3, 100) > 0.5) // many runners
 	is.True(spillover.Free(0.5, 1) < 0.06)  // one runner: each further request delays the others
 	rapid.Check(t, func(t *rapid.T) {
-		own, n := rapid.Float64Range(0, 1).Draw(t, "own"), rapid.IntRange(1, 500).Draw(t, "servers")
+		own, n := rapid.Float64Range(0, 1).Draw(t, "own"), rapid.Float64Range(1, 500).Draw(t, "servers")
 		if f := spillover.Free(own, n); f < 0 || f > 0 && own+f > 1-spillover.Reserve+1e-9 {
 			t.Fatal(f)
 		}
@@ -219,7 +227,7 @@
 		c.Step(now, map[ident.FailureDomain]spillover.Load{
 			domain(0): {Capacity: 1000, Busy: 1, Backlog: 1000, Servers: servers, Wait: time.Second, ServiceTime: serviceTime},
 			domain(1): {Capacity: 1000, Busy: 0.1, Servers: servers, ServiceTime: serviceTime, Age: age},
-		}, nil, func(ident.FailureDomain) time.Duration { return roundTrip })
+		}, nil, 0, func(ident.FailureDomain) time.Duration { return roundTrip })
 	}
 	for range 10 {
 		step(0)
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -18,6 +18,7 @@
 	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/quota"
 	"geraniumstack.org/geraniumstack/coordination/relays"
+	"geraniumstack.org/geraniumstack/coordination/spillover"
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/daemon/edge"
@@ -69,6 +70,10 @@
 	// directFleet is the size of the largest fleet whose daemons all send messages to each other,
 	// without relays; zero stands for the program's default.
 	directFleet int
+	// spillover is the price of traffic between failure domains for daemons started from now on,
+	// without the mechanisms that they leave out.
+	spillover spillover.Price
+	without   string
 }
 
 type daemon struct {
@@ -128,9 +133,9 @@
 	if i > 0 {
 		seeds = []string{peerAddress(0)}
 	}
-	policy := edge.Policy{}
+	policy, err := edge.Without(w.without)
+	w.NoErr(err)
 	if w.directFleet > 0 {
-		var err error
 		policy, err = policy.WithDirectFleet(w.directFleet)
 		w.NoErr(err)
 	}
@@ -144,7 +149,7 @@
 	}
 	d.Edge = edge.New(edge.Settings{
 		ID: ident.DaemonID(fmt.Sprintf("d%d", i+1)), FailureDomain: domain,
-		CallerAddress: fmt.Sprintf("%s:80", daemonIP(i)), PeerAddress: address, Seeds: seeds, FleetNeverServed: !w.servedBefore, Policy: policy,
+		CallerAddress: fmt.Sprintf("%s:80", daemonIP(i)), PeerAddress: address, Seeds: seeds, FleetNeverServed: !w.servedBefore, Policy: policy, Spillover: w.spillover,
 		Bounds: edge.Bounds{
 			Grace: 8 * time.Second, ConfigWithin: 2 * time.Second, DrainWithin: drainBound, RevokeWithin: 5 * time.Second, StrictRevocation: true,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, QuotaWindow: 8 * time.Second, QuotaTolerance: w.tolerance,
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -48,7 +48,7 @@
 			p.probeSilentRunners(time.Now())
 		}
 		p.probePaths()
-		if p.isScaled() {
+		if p.isScaled() || p.spill != nil {
 			p.measureDemand(e.deps.Steady())
 		}
 	}
--- a/daemon/edge/spillover.go
+++ b/daemon/edge/spillover.go
@@ -45,6 +45,9 @@
 	// offeredRateTime is the time constant of the demand by domain: that with which the demand for
 	// runners falls.
 	offeredRateTime = 5 * time.Second
+	// totalRateInterval is the time over which the tokens that callers bring are counted: several
+	// messages of a relay.
+	totalRateInterval = time.Second
 	// minSpilloverLogInterval is the least time between two log lines about a service's shares, and
 	// loggedShareChange the change of a share that is logged.
 	minSpilloverLogInterval = time.Second
@@ -243,6 +246,10 @@
 	// offered at offeredAt.
 	offeredRates, offered map[ident.FailureDomain]float64
 	offeredAt             time.Duration
+	// totalRate are the tokens that callers bring to all domains in a second, from the total at
+	// totalAt.
+	totalRate, total float64
+	totalAt          time.Duration
 	// loggedShares are the shares as last logged, at loggedAt.
 	loggedShares map[ident.FailureDomain]float64
 	loggedAt     time.Duration
@@ -484,16 +491,22 @@
 		}
 	}
 	offered[p.edge.settings.FailureDomain] += p.offeredTokens
-	s.updateOffered(now, offered)
+	s.updateOffered(now, offered, p.work.PromptTokens)
 	for i := range steps {
 		at := now - time.Duration(steps-1-i)*spillover.StepInterval
-		s.controller.Step(at, s.loads, s.flows, p.edge.spill.roundTrip)
+		s.controller.Step(at, s.loads, s.flows, s.totalRate, p.edge.spill.roundTrip)
 	}
 	p.logSpillover(now)
 }
 
 // updateOffered updates the rates at which callers bring tokens to the domains.
-func (s *poolSpillover) updateOffered(now time.Duration, totals map[ident.FailureDomain]float64) {
+func (s *poolSpillover) updateOffered(now time.Duration, totals map[ident.FailureDomain]float64, total float64) {
+	if s.totalAt == 0 || now-s.totalAt >= totalRateInterval {
+		if s.totalAt != 0 {
+			s.totalRate = (total - s.total) / (now - s.totalAt).Seconds()
+		}
+		s.total, s.totalAt = total, now
+	}
 	elapsed := (now - s.offeredAt).Seconds()
 	if s.offered != nil && elapsed > 0 {
 		weight := 1 - math.Exp(-elapsed/offeredRateTime.Seconds())
@@ -533,7 +546,7 @@
 		if p.service.Engine == nil {
 			// A request counts as one token of work. report.PrefillRate favours runners with free slots.
 			l.Capacity += slots * report.DecodeRate
-			l.Backlog += max(0, float64(report.Running)-slots)
+			l.Backlog += float64(report.Running)
 		} else {
 			l.Capacity += report.PrefillRate
 			l.Backlog += float64(report.QueuedTokens)
@@ -550,11 +563,11 @@
 			continue
 		}
 		l.Busy = max(s.busyRate/l.Capacity, s.running/s.slots)
-		l.Servers = int(s.runners)
+		l.Servers = s.runners
 		if p.service.Engine == nil {
-			l.Servers = int(s.slots)
+			l.Servers = s.slots
 		}
-		l.ServiceTime = time.Duration(float64(l.Servers) * p.spill.meanWork / l.Capacity * float64(time.Second))
+		l.ServiceTime = time.Duration(l.Servers * p.spill.meanWork / l.Capacity * float64(time.Second))
 		loads[domain] = l
 	}
 	return loads
