Test spillover with a cut link, old loads, no store and even load

Cause: only the load of a crowded domain was tested. Change: the baseline keeps all callers at home, and the failures have tests. Daemons that know only sums aim at 85% of the bound, since they leave a part unused already.

--- a/coordination/fleet/fleet_test.go
+++ b/coordination/fleet/fleet_test.go
@@ -270,3 +270,22 @@
 		is.Equal(s.Pool.Class, "spot")
 	}
 }
+
+// Guards against runners that are ordered far from the callers to save less than their traffic costs.
+func TestRunnersElsewhereMustSaveMoreThanTheirTraffic(t *testing.T) {
+	is := is.New(t)
+	for price, elsewhere := range map[float64]int{0.95: 0, 0.85: 4} {
+		home, other := offer("a", "on-demand", 1, false), offer("b", "on-demand", price, false)
+		home.LocalVMs, home.TrafficPrice = 4, 0.1
+		other.LocalVMs, other.TrafficPrice = 1, 0.1
+		d := fleet.New(fleet.DefaultLimits()).Decide(0, fleet.Target{Runners: 5}, []fleet.Offer{home, other}, nil)
+		n := 0
+		for _, s := range d.Starts {
+			if s.Pool.FailureDomain == "b" {
+				n++
+			}
+		}
+		is.Equal(len(d.Starts), 5)
+		is.Equal(n, 1+elsewhere) // b's own callers need one
+	}
+}
--- a/coordination/spillover/controller.go
+++ b/coordination/spillover/controller.go
@@ -348,6 +348,10 @@
 func (c *Controller) targets(t traffic) map[ident.FailureDomain]float64 {
 	own, targets := t[c.self].total, map[ident.FailureDomain]float64{}
 	var offers []offer
+	loss := plannedLoss
+	if !c.withFlows {
+		loss = sumsLoss
+	}
 	for to, p := range c.pairs {
 		targets[to] = 0
 		if !p.on || own <= 0 {
@@ -357,7 +361,7 @@
 		need := max(minShare*own, c.need(c.loads[c.self], own, p.away+p.cost))
 		o := offer{to: to, load: d, cost: p.cost, atHome: c.othersAtHome(p, d, to, t)}
 		o.portion = need / (need + c.needOfOthers(t, to, p.away+p.cost, need))
-		o.free = o.portion * Free(o.atHome/d.Capacity, d.Servers) * d.Capacity
+		o.free = o.portion * free(o.atHome/d.Capacity, d.Servers, loss) * d.Capacity
 		offers = append(offers, o)
 	}
 	if len(offers) == 0 {
--- a/coordination/spillover/spillover.go
+++ b/coordination/spillover/spillover.go
@@ -47,7 +47,10 @@
 	// MaxLoss is the part by which the waits of a domain's own callers may grow because of others.
 	MaxLoss = 0.1
 	// plannedLoss is what the shares aim at, so that MaxLoss holds in spite of errors in the loads.
+	// Daemons that know only sums aim at sumsLoss: they take others' requests for those of the domain's
+	// own callers, and leave a part unused for that.
 	plannedLoss = 0.75 * MaxLoss
+	sumsLoss    = 0.85 * MaxLoss
 	// MaxAge is the age up to which loads are used. Daemons are taken for silent after the same time
 	// (peers.RelayedAliveFor).
 	MaxAge = 1600 * time.Millisecond
@@ -171,11 +174,14 @@
 // Free returns the part of a domain's capacity that others may use while its own callers use the
 // part own: at most what is left beside Reserve, and so much that the wait and service of its own
 // callers grow by at most MaxLoss.
-func Free(own, servers float64) float64 {
+func Free(own, servers float64) float64 { return free(own, servers, plannedLoss) }
+
+// free is Free for a part by which the waits may grow.
+func free(own, servers, loss float64) float64 {
 	limit := 1 - Reserve - own
 	if limit <= 0 {
 		return 0
 	}
-	bound := (1 + plannedLoss) * (1 + queueFactor(own, servers))
+	bound := (1 + loss) * (1 + queueFactor(own, servers))
 	return largest(0, limit, func(others float64) bool { return 1+queueFactor(own+others, servers) <= bound })
 }
--- a/coordination/spillover/spillover_test.go
+++ b/coordination/spillover/spillover_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"geraniumstack.org/geraniumstack/coordination/spillover"
+	_ "geraniumstack.org/geraniumstack/internal/fixedseed"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -113,3 +113,7 @@
 	defer e.mu.Unlock()
 	return e.limiter.Uses(e.deps.Steady())[ws].Taken
 }
+
+// DecidesSpillover reports whether the daemon decides which requests of a service leave its failure
+// domain.
+func (e *Edge) DecidesSpillover(service string) bool { return e.pool(service).spill != nil }
--- a/daemon/edge/spillover_test.go
+++ b/daemon/edge/spillover_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/coordination/spillover"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/protocol/retry"
@@ -29,6 +31,9 @@
 	daemons     int
 	northFactor float64
 	quota       bool
+	// perSecond replaces domainCallers, and runners northRunners, unless they are zero.
+	perSecond float64
+	runners   int
 	// during is called beside the load.
 	during func(*domainLoad)
 
@@ -57,8 +62,10 @@
 	domainMeasured  = 20 * time.Second
 	// domainCallers is the number of requests a second of each domain but north; its runners are in
 	// use for five eighths of the time.
-	domainCallers   = 100.0
-	defaultPrice    = spillover.Price(200 * time.Millisecond)
+	domainCallers = 100.0
+	defaultPrice  = spillover.Price(200 * time.Millisecond)
+	// highestPrice keeps all callers at home.
+	highestPrice    = spillover.Price(time.Minute)
 	requestedDomain = "Domain"
 	fakeCutConnect  = 50 * time.Millisecond
 )
@@ -112,7 +119,7 @@
 		for _, domain := range domains {
 			runners := domainRunners
 			if domain == domains[0] {
-				runners = northRunners
+				runners = cmp.Or(l.runners, northRunners)
 			}
 			for i := range runners {
 				l.addEngine(fmt.Sprintf("%s%d", domain, i), domain)
@@ -144,7 +151,7 @@
 
 // callers sends the requests of one domain's callers, at random times that are the same in each run.
 func (l *domainLoad) callers(domain int) {
-	perSecond := domainCallers
+	perSecond := cmp.Or(l.perSecond, domainCallers)
 	if domain == 0 {
 		perSecond *= l.northFactor
 	}
@@ -210,7 +217,7 @@
 	is := is.New(t)
 	today := (&domainLoad{northFactor: 1.4, price: defaultPrice, without: "spillover"}).run(t)
 	with := (&domainLoad{northFactor: 1.4, price: defaultPrice}).run(t)
-	quiet := (&domainLoad{price: defaultPrice}).run(t)
+	quiet := (&domainLoad{price: highestPrice}).run(t)
 	logCounts(t, "today", today)
 	logCounts(t, "with", with)
 	logCounts(t, "quiet", quiet)
@@ -227,10 +234,139 @@
 func TestCrowdedDomainOfFollowersSendsWithinBound(t *testing.T) {
 	is := is.New(t)
 	with := (&domainLoad{northFactor: 1.4, price: defaultPrice, daemons: 24, quota: true}).run(t)
-	quiet := (&domainLoad{price: defaultPrice, daemons: 24, quota: true}).run(t)
+	quiet := (&domainLoad{price: highestPrice, daemons: 24, quota: true}).run(t)
 	logCounts(t, "with", with)
 	logCounts(t, "quiet", quiet)
 	is.True(with["north"].away > 0)
 	others, alone := sumOf(with, false), sumOf(quiet, false)
 	is.True(float64(others.mean()) <= (1+spillover.MaxLoss)*float64(alone.mean()))
 }
+
+// separate cuts the messages between north's daemons and the others, or lets them pass again.
+func (l *domainLoad) separate(cut bool) {
+	for i := 0; i < len(l.w.daemons); i += len(domains) {
+		for other := range l.w.daemons {
+			if other%len(domains) != 0 {
+				l.w.network.partition(peerAddress(i), peerAddress(other), cut)
+			}
+		}
+	}
+}
+
+// awayNow returns how many of north's requests have left, and how many have tried to over a cut link.
+func (l *domainLoad) awayNow() (away, tried int) {
+	l.count("north", func(c *domainCounts) { away, tried = c.away, c.tried })
+	return away, tried
+}
+
+// Guards against requests that go on to be sent over a cut link, against callers who are refused for
+// it, and against a share that doesn't come back.
+func TestNothingLeavesOverCutLink(t *testing.T) {
+	is := is.New(t)
+	const cutAfter, cutFor = domainWarmup + 3*time.Second, 5 * time.Second
+	before, during := 0, 0
+	counts := (&domainLoad{northFactor: 1.4, price: defaultPrice, during: func(l *domainLoad) {
+		time.Sleep(cutAfter)
+		l.mu.Lock()
+		l.cut = true
+		l.mu.Unlock()
+		l.separate(true)
+		before, _ = l.awayNow()
+		time.Sleep(cutFor)
+		l.mu.Lock()
+		l.cut = false
+		l.mu.Unlock()
+		l.separate(false)
+		during, _ = l.awayNow()
+	}}).run(t)
+	logCounts(t, "cut", counts)
+	north := counts["north"]
+	t.Log(before, during, north.tried)
+	is.True(before > 0)
+	is.Equal(during, before)
+	is.True(north.away > during)
+	is.Equal(sumOf(counts, true).refused, 0)
+	// Each of two daemons learns of it from two runners of each of three domains, while a few more
+	// requests are on their way.
+	is.True(north.tried <= 2*len(domains)*4)
+}
+
+// Guards against requests that are sent to other domains by loads that are too old: the runners there
+// look idle to daemons that hear nothing of their callers.
+func TestNothingLeavesByOldLoads(t *testing.T) {
+	is := is.New(t)
+	const apartAfter, fallen = domainWarmup + 3*time.Second, spillover.MaxAge + 12*spillover.StepInterval
+	before, after, end := 0, 0, 0
+	counts := (&domainLoad{northFactor: 1.4, price: defaultPrice, during: func(l *domainLoad) {
+		time.Sleep(apartAfter)
+		l.separate(true)
+		before, _ = l.awayNow()
+		time.Sleep(fallen)
+		after, _ = l.awayNow()
+		time.Sleep(3 * time.Second)
+		end, _ = l.awayNow()
+		l.separate(false)
+	}}).run(t)
+	logCounts(t, "apart", counts)
+	t.Log(before, after, end)
+	is.True(before > 0)
+	is.Equal(end, after)
+	is.True(counts["north"].away > end)
+}
+
+// Guards against a share that depends on the key-value service.
+func TestSpilloverNeedsNoStore(t *testing.T) {
+	is := is.New(t)
+	before, during := 0, 0
+	counts := (&domainLoad{northFactor: 1.4, price: defaultPrice, during: func(l *domainLoad) {
+		time.Sleep(domainWarmup + 3*time.Second)
+		before, _ = l.awayNow()
+		for _, d := range l.w.daemons {
+			d.store.setFaults(true, false)
+		}
+		time.Sleep(2 * time.Second) // daemons soon refuse requests, as their configuration isn't proved
+		during, _ = l.awayNow()
+		for _, d := range l.w.daemons {
+			d.store.setFaults(false, false)
+		}
+	}}).run(t)
+	logCounts(t, "no store", counts)
+	is.True(during > before)
+	is.Equal(sumOf(counts, true).refused, 0)
+}
+
+// Guards against an effect on a service whose runners and load are even.
+func TestNothingLeavesEvenDomains(t *testing.T) {
+	is := is.New(t)
+	even := (&domainLoad{northFactor: 1, runners: domainRunners, perSecond: 60, price: defaultPrice}).run(t)
+	logCounts(t, "even", even)
+	is.Equal(sumOf(even, true).away, 0)
+	is.Equal(sumOf(even, true).late, 0)
+}
+
+// Guards against an effect where the operator states no price, or switches the mechanism off: all
+// daemons send to each other as before, and nothing is decided about the traffic between domains.
+func TestSpilloverIsOffByDefault(t *testing.T) {
+	const daemons = relays.AllWatchFleet + 2
+	for name, c := range map[string]struct {
+		price   spillover.Price
+		without string
+		decides bool
+	}{
+		"off": {0, "", false}, "left out": {defaultPrice, string(edge.Spillover), false}, "on": {defaultPrice, "", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 0, config(1), func(w *testFleet) {
+				w.spillover, w.without, w.directFleet, w.domains = c.price, c.without, relays.DirectFleet, domains[:2]
+				for range daemons {
+					w.addDaemon()
+				}
+				time.Sleep(settleTime)
+				w.Equal(w.relayCount() < daemons, c.decides)
+				for _, d := range w.daemons {
+					w.Equal(d.DecidesSpillover("app"), c.decides)
+				}
+			})
+		})
+	}
+}
