--- a/daemon/edge/loads.go
+++ b/daemon/edge/loads.go
@@ -109,7 +109,9 @@
 	for _, o := range h.Offered {
 		e.reported.receiveOffered(now, id, o, from, !e.directMode.Load())
 	}
-	e.spill.receiveWork(now, id, h, from, !e.directMode.Load())
+	if e.settings.decidesSpillover() {
+		e.spill.receiveWork(now, id, h, from, !e.directMode.Load())
+	}
 	if from == sourcePrimary {
 		e.reported.primaryTotal = load
 		return
