--- a/daemon/edge/spillover.go
+++ b/daemon/edge/spillover.go
@@ -401,7 +401,7 @@
 	if crosses {
 		a.s.edge.spill.observe(a.entry.FailureDomain, time.Since(a.sent), false)
 		p.mu.Lock()
-		p.spill.controller.LinkWorks(a.entry.FailureDomain)
+		p.spill.controller.LinkWorks(a.entry.FailureDomain, a.s.edge.deps.Steady()-time.Since(a.sent))
 		p.mu.Unlock()
 	}
 	answer.Body = &meteredBody{ReadCloser: answer.Body, attempt: a, crosses: crosses}
