--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -152,3 +152,7 @@
 	defer e.fair.mu.Unlock()
 	return e.fair.places.Len()
 }
+
+// DecidesSpillover reports whether the daemon decides which requests of a service leave its failure
+// domain.
+func (e *Edge) DecidesSpillover(service string) bool { return e.pool(service).spill != nil }
