Take back the order of returns over a quota

Cause: callers whose workspace asks for a multiple of its quota were told to return one after the other. Those who return late then take the tokens of requests that could be answered in time. Change: reverted; requests are told again when the quota would suffice for one of them.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -140,9 +140,6 @@
 	// recentUsage is the recent use by this daemon's own requests, netUsage the same less what was
 	// released.
 	recentUsage, netUsage decayingSum
-	// returnsUntil is the time at which the next refused request is told to return at the
-	// earliest; see ReturnAfter.
-	returnsUntil time.Duration
 }
 
 // decayingSum is an amount that decays exponentially with time constant usageDecay.
@@ -192,8 +189,6 @@
 	// synced is set once this daemon has heard a daemon whose Age was at least syncPeriod
 	// and whose bucket levels it could therefore take over.
 	synced bool
-	// orderedReturns is set by SetOrderedReturns.
-	orderedReturns bool
 }
 
 // New returns a limiter without workspaces and peers. The time now is the start of this
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -207,7 +207,7 @@
 		usageLedger: accounting.NewLedger(self, accounting.Timing{
 			Length: settings.Bounds.UsageWindow, ReportWithin: settings.Bounds.UsageDue, SettleTime: accounting.SettleAfter,
 		}),
-		limiter: newQuotaLimiter(&settings, now, settings.FleetNeverServed),
+		limiter: quota.New(now, settings.Bounds.QuotaWindow, settings.Bounds.QuotaTolerance, settings.FleetNeverServed),
 		// Each daemon begins to send the usage counts of ended daemons after its own incarnation,
 		// so that all daemons together have sent those of all ended daemons within a few messages.
 		lastEndedSent:    self,
--- a/daemon/edge/grants.go
+++ b/daemon/edge/grants.go
@@ -185,11 +185,7 @@
 // too small, the result says whether other relays' shares may suffice. The caller must hold e.mu.
 func (e *Edge) takeFromLimiter(now time.Duration, ws ident.Workspace, cost float64) *peersv1.Grant {
 	wait, ok := e.limiter.Take(now, ws, cost)
-	elsewhere := !ok && e.limiter.Covers(now, ws, cost)
-	if !ok && !elsewhere {
-		wait = e.limiter.ReturnAfter(now, ws, cost, wait)
-	}
-	return &peersv1.Grant{Taken: ok, WaitNs: int64(wait), Elsewhere: elsewhere, OverShare: ok && e.overShare(now, ws)}
+	return &peersv1.Grant{Taken: ok, WaitNs: int64(wait), Elsewhere: !ok && e.limiter.Covers(now, ws, cost), OverShare: ok && e.overShare(now, ws)}
 }
 
 // relaysToAsk returns the addresses of the relays to ask for quota: the granters of this
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -119,20 +119,12 @@
 // the quotas, since the state of an earlier such period is out of date.
 func (e *Edge) resetLimiter(now time.Duration) {
 	first := e.settings.FleetNeverServed && now-e.startedAt < firstStartPeriod
-	e.limiter = newQuotaLimiter(&e.settings, now, first)
+	e.limiter = quota.New(now, e.settings.Bounds.QuotaWindow, e.settings.Bounds.QuotaTolerance, first)
 	if t := e.table.Load(); t != nil {
 		e.limiter.SetLimits(now, limitsOf(t))
 	}
 }
 
-// newQuotaLimiter returns a limiter without workspaces. firstFleetStart says that the fleet has never
-// served before.
-func newQuotaLimiter(s *Settings, now time.Duration, firstFleetStart bool) *quota.Limiter {
-	l := quota.New(now, s.Bounds.QuotaWindow, s.Bounds.QuotaTolerance, firstFleetStart)
-	l.SetOrderedReturns(s.Policy.Uses(FairShare))
-	return l
-}
-
 // countQuotaGranters returns the number of daemons that may grant quota, including this one.
 func (e *Edge) countQuotaGranters(now time.Duration) int {
 	if e.relayPlan.Direct {
