--- a/soak/conditions_test.go
+++ b/soak/conditions_test.go
@@ -12,7 +12,8 @@
 	silences bool
 	// returns makes refused callers come back when Retry-After says so, until their time is over.
 	returns bool
-	// unequalRunners makes every second runner twice as fast as the others, and restarts runners, each of which has the other speed then.
+	// unequalRunners makes every second runner twice as fast as the others, and restarts runners, each of which has
+	// the other speed then.
 	unequalRunners bool
 	// surges makes the runners engines with few slots, adds workspaces with quotas in tokens, and multiplies the
 	// requests of one of them for a while.
