Split the files of the pools and of spillover by what they do

Change: pool_runners.go, pool_loads.go and spillover_loads.go; functions are moved, none is changed. A comment told measured figures that stand in the design note.

--- a/coordination/spillover/spillover.go
+++ b/coordination/spillover/spillover.go
@@ -46,10 +46,9 @@
 	Reserve = 0.1
 	// MaxLoss is the part by which the waits of a domain's own callers may grow because of others.
 	MaxLoss = 0.1
-	// plannedLoss is what the shares aim at, so that MaxLoss holds in spite of errors in the loads: at
-	// 0.75 of it, waits grew by 8.6% to 10.1%. Daemons that know only sums aim at sumsLoss (at 0.85:
-	// 5.5% to 9.5%): they take others' requests for those of the domain's own callers, and leave a part
-	// unused for that.
+	// plannedLoss is what the shares aim at, so that MaxLoss holds in spite of errors in the loads.
+	// Daemons that know only sums aim at sumsLoss: they take others' requests for those of the domain's
+	// own callers, and leave a part unused for that.
 	plannedLoss = 0.6 * MaxLoss
 	sumsLoss    = 0.75 * MaxLoss
 	// MaxAge is the age up to which loads are used. Daemons are taken for silent after the same time
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -1,10 +1,6 @@
 package edge
 
 import (
-	"cmp"
-	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,11 +13,8 @@
 	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/servicetime"
-	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
-	"geraniumstack.org/geraniumstack/state/load"
-	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/route"
 )
 
@@ -201,150 +194,6 @@
 	return largeFleetSamples
 }
 
-// setRunners replaces the list of runners, unless the pool has a newer one already. Runners that were
-// withdrawn after the list was copied are leaving or gone, whatever it says.
-func (p *pool) setRunners(now time.Time, from *runnerList) {
-	runners := from.byService[p.name]
-	slices.SortFunc(runners, func(a, b Runner) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if from.number < p.listed {
-		p.edge.log.Count("runners.older_list")
-		return
-	}
-	p.listed, p.listedAt = from.number, from.copiedAt
-	maps.DeleteFunc(p.withdrawn, func(_ ident.RunnerID, withdrawn publication) bool { return withdrawn < from.number })
-	for i := range runners {
-		if _, withdrawn := p.withdrawn[runners[i].ID]; withdrawn {
-			runners[i].State = view.Leaving
-		}
-	}
-	list := make([]view.Runner, 0, len(runners))
-	ids := make([]ident.RunnerID, 0, len(runners))
-	p.runners = make(map[ident.RunnerID]Runner, len(runners))
-	p.versions = nil
-	for _, r := range runners {
-		list = append(list, r.Runner)
-		ids = append(ids, r.ID)
-		p.runners[r.ID] = r
-		if !slices.Contains(p.versions, r.Version) {
-			p.versions = append(p.versions, r.Version)
-		}
-	}
-	if len(list) > routing.MaxRunners && len(p.versions) > 1 {
-		list = chooseOfEachVersion(p.edge.settings.ID, runners)
-	}
-	p.table.SetRunners(now, list)
-	clear(p.reportedIdle)
-	p.tracker.SetRunners(ids)
-	p.edge.runnerSpeeds.setRunners(p.name, p.service.Engine != nil && p.edge.settings.Policy.Uses(RunnerSpeeds), runners)
-	p.updateLoadsLocked(now)
-}
-
-// minRunnersOfVersion is the number of runners of each software version that a daemon uses if there are
-// as many.
-const minRunnersOfVersion = 16
-
-// chooseOfEachVersion returns the runners that a daemon uses, at most routing.MaxRunners. Of a version with
-// few runners it keeps some: streams that they have begun can go on nowhere else.
-func chooseOfEachVersion(self ident.DaemonID, runners []Runner) []view.Runner {
-	byVersion := map[canary.Version][]view.Runner{}
-	for _, r := range runners {
-		if r.State != view.Leaving {
-			byVersion[r.Version] = append(byVersion[r.Version], r.Runner)
-		}
-	}
-	versions := slices.SortedFunc(maps.Keys(byVersion), func(a, b canary.Version) int {
-		return cmp.Or(cmp.Compare(len(byVersion[a]), len(byVersion[b])), cmp.Compare(a, b))
-	})
-	chosen := make([]view.Runner, 0, routing.MaxRunners)
-	for i, v := range versions {
-		room := routing.MaxRunners - len(chosen)
-		share := max(minRunnersOfVersion, len(byVersion[v])*routing.MaxRunners/len(runners))
-		if i == len(versions)-1 {
-			share = room
-		}
-		chosen = append(chosen, routing.Subset(self, byVersion[v], min(room, share))...)
-	}
-	return chosen
-}
-
-// withdraw stops the use of runners until setRunners is called with a list that was copied later, which
-// says what became of them.
-func (p *pool) withdraw(now time.Time, w withdrawal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if w.number < p.listed {
-		p.edge.log.Count("runners.older_withdrawal")
-		return
-	}
-	for _, id := range w.runners {
-		p.withdrawn[id] = max(p.withdrawn[id], w.number)
-		if r, ok := p.runners[id]; ok {
-			r.State = view.Leaving
-			p.runners[id] = r
-		}
-	}
-	p.table.Withdraw(now, w.runners)
-}
-
-// setPeerLoads sets the other daemons' load at this pool's runners.
-func (p *pool) setPeerLoads(now time.Time, peerLoads map[ident.RunnerID]routing.OwnLoad) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.peerLoads, p.peerLoadsAt = peerLoads, p.edge.deps.Steady()
-	p.updateLoadsLocked(now)
-}
-
-// updateLoadsLocked updates each runner's total load, this daemon's own included, in the
-// routing table. The runners' own load reports are not used: all of their work comes from these
-// daemons, whose counts are more recent. The caller must hold mu.
-func (p *pool) updateLoadsLocked(now time.Time) {
-	var reports []routing.RunnerReport
-	for _, own := range p.table.OwnLoads(nil) {
-		r, ok := p.runners[own.Runner]
-		if !ok {
-			continue
-		}
-		other := p.peerLoads[own.Runner]
-		report := p.loadReport(now, r, own, other)
-		idle := report.Running == 0 && report.QueuedTokens == 0 && report.RunningTokens == 0
-		if rate, reported := p.reportedIdle[own.Runner]; idle && reported && rate == report.PrefillRate {
-			continue
-		}
-		delete(p.reportedIdle, own.Runner)
-		if idle {
-			p.reportedIdle[own.Runner] = report.PrefillRate
-		}
-		reports = append(reports, routing.RunnerReport{Runner: own.Runner, Report: report})
-	}
-	p.table.ReportAll(now, reports)
-}
-
-func (p *pool) loadReport(now time.Time, r Runner, own, other routing.OwnLoad) load.Report {
-	rep := load.Report{
-		AsOf:          now,
-		Running:       own.Requests + other.Requests,
-		MaxRunning:    r.Slots,
-		QueuedTokens:  own.Prefill + other.Prefill,
-		RunningTokens: own.KV + other.KV,
-		Models:        r.Models,
-	}
-	if len(rep.Models) == 0 {
-		// Requests to a plain service name no model.
-		rep.Models = []load.Model{{}}
-	}
-	if p.service.Engine == nil {
-		rep.DecodeRate = 1 / p.serviceTime.Seconds()
-		rep.PrefillRate = plainPrefillFactor * float64(p.slotsOf(r.ID)) * rep.DecodeRate
-	} else {
-		rep.KVBlocksTotal = p.service.Engine.KVTokens / prefix.BlockTokens
-		rep.PrefillRate = p.prefillModel.Rate()
-		p.speeds.scale(r.ID, &rep)
-	}
-	return rep
-}
-
 // pick chooses a runner: the one that a relay has recommended if it still accepts new work,
 // otherwise the best one by this daemon's own routing table. first says that this is the
 // request's first attempt.
@@ -418,29 +267,6 @@
 	}
 }
 
-// slotsOf returns how many requests a runner works on at the same time. The caller must hold
-// mu.
-func (p *pool) slotsOf(id ident.RunnerID) int {
-	if n := p.runners[id].Slots; n > 0 {
-		return n
-	}
-	return defaultSlots
-}
-
-// entryOf returns a runner's entry, the zero value if there is none.
-func (p *pool) entryOf(id ident.RunnerID) Runner {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.runners[id]
-}
-
-// listAge returns how long ago the list of runners in use was copied.
-func (p *pool) listAge() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.edge.deps.Steady() - p.listedAt
-}
-
 // observeServiceTime updates the estimated service time of a plain service from one answer.
 func (p *pool) observeServiceTime(c routing.Choice, took time.Duration) {
 	p.mu.Lock()
@@ -465,13 +291,6 @@
 	return p.offeredTokens
 }
 
-// loads appends this daemon's own load at the pool's runners to dst.
-func (p *pool) loads(dst []routing.OwnLoad) []routing.OwnLoad {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.table.OwnLoads(dst)
-}
-
 func (e *Edge) pool(service string) *pool {
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
