Determine a request's engine priority once for each attempt

Cause: the priority was computed three times for each attempt, each time under two locks: for the log line, for the work ahead and at the send. A hedge that chose a second runner meanwhile could change it between them, so that the log and the engine had another number than the backlog. Change: the attempt keeps it. Spillover's maps are made at the start as those of the other parts are, in place of four places that looked for them; its step returns where nothing is due; the list of uses has the capacity that it needs; observations beyond a message's bound aren't looked at. The median in the demand has a test.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -42,6 +42,8 @@
 	ticket routing.Ticket
 	// entry is the runner's entry at the choice.
 	entry Runner
+	// priority is the request's priority at the runner, negative if it is told none.
+	priority int
 	// permit is the permission of a limited runner's owner. rejected says that the runner
 	// rejected the request for lack of room, rests that it has asked for rest, after which it may be
 	// chosen again.
@@ -121,9 +123,10 @@
 	a := &attempt{s: s, choice: choice, eventsBefore: s.eventsSent(), entry: entry, permit: permit, sent: now, trial: s.trialAttributionOf(entry.Version)}
 	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
 	s.countTrialDispatch()
+	a.priority = s.enginePriority()
 	a.recordShareDispatch()
 	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", a.entry.Version), decisions.F("estimate", choice.Estimate),
-		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("cost", s.cost), decisions.F("rank", s.enginePriority()),
+		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("cost", s.cost), decisions.F("rank", a.priority),
 		decisions.F("list_age", s.pool.listAge()))
 	return a, nil
 }
@@ -229,7 +232,7 @@
 		Address:     a.choice.Address,
 		Workspace:   s.workspace,
 		TimeLeft:    time.Until(s.deadline),
-		Priority:    s.enginePriority(),
+		Priority:    a.priority,
 		FetchFrom:   a.choice.FetchFrom,
 		LastEventID: s.lastEventID(),
 		Connected:   a.handleConnected,
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -227,6 +227,7 @@
 	e.failureCauses.init()
 	e.rests.init()
 	e.fair.init()
+	e.spill.init()
 	e.duties.init(e)
 	// Until it hears from other daemons, a daemon plans as if it were alone.
 	e.relayPlan = relays.Elect(relays.View{Self: e.peers.Self(), DirectFleet: settings.directFleet()})
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -142,6 +142,9 @@
 	return len(e.runnerSpeeds.fresh)
 }
 
+// TypicalFactor returns the factor of the runners in which the demand is counted.
+func TypicalFactor(factors []float64) float64 { return typicalFactor(factors) }
+
 // RunnerHash returns the hash that identifies a runner in messages.
 func RunnerHash(id ident.RunnerID) uint64 { return runnerHash(id) }
 
--- a/daemon/edge/fair_share.go
+++ b/daemon/edge/fair_share.go
@@ -143,9 +143,10 @@
 		return false
 	}
 	if now-f.levelAt >= levelInterval {
-		uses := map[ident.Workspace]fairshare.Use{}
-		list := make([]fairshare.Use, 0, len(uses))
-		for name, use := range e.limiter.RecentUses(now) {
+		recent := e.limiter.RecentUses(now)
+		uses := make(map[ident.Workspace]fairshare.Use, len(recent))
+		list := make([]fairshare.Use, 0, len(recent))
+		for name, use := range recent {
 			if w, ok := t.Workspace(name); ok && hasShare(w) {
 				uses[name] = fairshare.Use{PerSecond: use.PerSecond, Weight: use.Quota}
 				list = append(list, uses[name])
@@ -268,18 +269,18 @@
 	if s.share.demoted {
 		s.edge.log.Count("share.demoted")
 	}
-	now, f, rank, tokens := s.edge.deps.Steady(), &s.edge.fair, s.sharePriority(), float64(a.choice.Uncached)
+	now, f, tokens := s.edge.deps.Steady(), &s.edge.fair, float64(a.choice.Uncached)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	service := f.serviceLocked(s.pool.name)
 	if s.exchange.Sent() == 0 {
 		f.throughput.Send(now, max(1, s.cost))
 	}
-	service.Backlog.Send(rank, tokens)
+	service.Backlog.Send(a.priority, tokens)
 	a.recordRead = sync.OnceFunc(func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		service.Backlog.Done(rank, tokens)
+		service.Backlog.Done(a.priority, tokens)
 	})
 	a.onRelease = append(a.onRelease, a.recordRead)
 }
--- a/daemon/edge/runner_speeds.go
+++ b/daemon/edge/runner_speeds.go
@@ -141,7 +141,10 @@
 	defer l.mu.Unlock()
 	var paces []*peersv1.RunnerPace
 	for _, p := range slices.Backward(l.fresh) {
-		if len(paces) < limit && now-p.at <= runnerspeed.MaxAge && (followers || p.own) {
+		if len(paces) >= limit {
+			break
+		}
+		if now-p.at <= runnerspeed.MaxAge && (followers || p.own) {
 			paces = append(paces, &peersv1.RunnerPace{Runner: uint64(p.runner), IntervalUs: uint32(p.interval.Microseconds())})
 		}
 	}
--- a/daemon/edge/runner_speeds_test.go
+++ b/daemon/edge/runner_speeds_test.go
@@ -181,3 +181,11 @@
 		w.True(differ)
 	})
 }
+
+// Guards against a demand that counts on the fast runners' speed, for which too few runners are ordered.
+func TestDemandCountsTypicalRunners(t *testing.T) {
+	is := is.New(t)
+	is.Equal(edge.TypicalFactor([]float64{1.8, 0.8, 0.85, 0.8}), 0.85)
+	is.Equal(edge.TypicalFactor([]float64{1.8, 0.8, 0.8, 0.8, 1.8, 0.8, 0.8, 0.8}), 0.8)
+	is.Equal(edge.TypicalFactor([]float64{1}), 1.0)
+}
--- a/daemon/edge/spillover.go
+++ b/daemon/edge/spillover.go
@@ -88,6 +88,12 @@
 // and, as upper bounds, those to the first byte of an answer.
 type roundTrip struct{ setups, firstBytes []time.Duration }
 
+func (s *edgeSpillover) init() {
+	s.heardAt, s.seenAt = map[ident.FailureDomain]time.Duration{}, map[ident.FailureDomain]time.Duration{}
+	s.offeredTokens = map[string]map[ident.FailureDomain]*fleet.Tally{}
+	s.roundTrips = map[ident.FailureDomain]*roundTrip{}
+}
+
 func addSample(samples []time.Duration, d time.Duration) []time.Duration {
 	if len(samples) == keptRoundTrips {
 		samples = samples[1:]
@@ -110,9 +116,6 @@
 func (s *edgeSpillover) observe(domain ident.FailureDomain, took time.Duration, isSetup bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.roundTrips == nil {
-		s.roundTrips = map[ident.FailureDomain]*roundTrip{}
-	}
 	r, ok := s.roundTrips[domain]
 	if !ok {
 		r = &roundTrip{}
@@ -143,10 +146,6 @@
 		s.primaryAt = now
 		return
 	}
-	if s.heardAt == nil {
-		s.heardAt = map[ident.FailureDomain]time.Duration{}
-		s.offeredTokens = map[string]map[ident.FailureDomain]*fleet.Tally{}
-	}
 	domain := ident.FailureDomain(h.FailureDomain)
 	s.heardAt[domain] = now
 	for _, o := range h.Offered {
@@ -191,9 +190,6 @@
 func (s *edgeSpillover) updateMembers(now time.Duration, self ident.FailureDomain, alive []peers.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.seenAt == nil {
-		s.seenAt = map[ident.FailureDomain]time.Duration{}
-	}
 	for i := range alive {
 		s.seenAt[alive[i].FailureDomain] = now
 	}
@@ -452,12 +448,13 @@
 		e.spill.steppedAt = now
 	}
 	e.spill.mu.Unlock()
+	if steps <= 0 {
+		return
+	}
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
 	for _, p := range e.pools {
-		if steps > 0 {
-			p.stepSpillover(now, min(steps, maxSteps), follower)
-		}
+		p.stepSpillover(now, min(steps, maxSteps), follower)
 	}
 }
 
