--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -79,17 +79,21 @@
 			pause.For(ctx, gossipInterval)
 			continue
 		}
-		err := e.catchUp(ctx)
-		if err == nil {
+		answered := func() {
 			if !reachable {
 				e.log.Note("store_regained", decisions.F("revision", e.dir.revisionReached()))
 			}
 			reachable = true
 			backoff = firstBackoff
-			err = e.watchStore(ctx)
+		}
+		err := e.catchUp(ctx)
+		if err == nil {
+			err = e.watchStore(ctx, answered)
 		}
 		var compacted *kv.CompactedError
 		if errors.As(err, &compacted) {
+			answered()
+			e.log.Note("changes_missed", decisions.F("at", e.dir.revisionReached()), decisions.F("service_at", uint64(compacted.Current)))
 			e.dir.markIncomplete()
 		}
 		if err == nil || ctx.Err() != nil || compacted != nil {
@@ -142,6 +146,8 @@
 	if err != nil {
 		return err
 	}
+	e.log.Note("store_listed", decisions.F("entries", len(entries)), decisions.F("service_at", uint64(from)),
+		decisions.F("had", e.dir.revisionReached()))
 	e.replaceAll(entries, from, sent)
 	return nil
 }
@@ -203,8 +209,8 @@
 // service reports. A watch that temporarily misses changes ends without any while the revision
 // advances; continuing from that revision would lose the missed changes for good. Since all
 // keys are watched, a revision that advances without a change doesn't prove that the
-// configuration is the newest one either.
-func (e *Edge) watchStore(ctx context.Context) error {
+// configuration is the newest one either. It calls answered whenever the service has answered.
+func (e *Edge) watchStore(ctx context.Context, answered func()) error {
 	sawChanges := true
 	for ctx.Err() == nil && !e.feedIsCurrent() {
 		at := kv.Revision(e.dir.revisionReached())
@@ -214,6 +220,7 @@
 		if err != nil {
 			return err
 		}
+		answered()
 		switch {
 		case len(events) == 0 && next > at:
 			e.log.Note("watch_blind", decisions.F("at", uint64(at)), decisions.F("service_at", uint64(next)))
@@ -392,6 +399,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	before := e.table.Load()
+	if inForce := e.fresh.Revision(); uint64(event.Revision) < inForce {
+		e.log.Note("config_ignored", decisions.F("reason", "older"), decisions.F("version", config.Version),
+			decisions.F("revision", uint64(event.Revision)), decisions.F("in_force", before.Version()), decisions.F("in_force_revision", inForce))
+	}
 	changed := e.fresh.RecordRead(uint64(event.Revision), sent)
 	e.configUnreadable = e.configUnreadable && !changed
 	e.configs.Add(uint64(event.Revision), event.Value)
--- a/transport/jsoncall/jsoncall.go
+++ b/transport/jsoncall/jsoncall.go
@@ -57,9 +57,16 @@
 
 // DoWithHeader is like Do, with additional header fields.
 func (c *Client) DoWithHeader(ctx context.Context, header http.Header, method, path string, request, answer any) error {
+	_, err := c.DoForHeader(ctx, header, method, path, request, answer)
+	return err
+}
+
+// DoForHeader is like DoWithHeader, and returns the header of the answer, also of one with another
+// status than 200; nil if no answer arrived.
+func (c *Client) DoForHeader(ctx context.Context, header http.Header, method, path string, request, answer any) (http.Header, error) {
 	r, err := c.request(ctx, method, path, request)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for name, values := range header {
 		r.Header[name] = values
@@ -67,24 +74,24 @@
 	response, err := c.http.Do(r)
 	if err != nil {
 		c.dropIdleConnections(ctx)
-		return &NoAnswerError{Err: err}
+		return nil, &NoAnswerError{Err: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		c.dropIdleConnections(ctx)
-		return &NoAnswerError{Err: err}
+		return nil, &NoAnswerError{Err: err}
 	}
 	if response.StatusCode != http.StatusOK {
-		return &StatusError{Path: path, Status: response.StatusCode, Body: data}
+		return response.Header, &StatusError{Path: path, Status: response.StatusCode, Body: data}
 	}
 	if answer == nil {
-		return nil
+		return response.Header, nil
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
-		return &NoAnswerError{Err: fmt.Errorf("decode %s: %w", path, err)}
+		return response.Header, &NoAnswerError{Err: fmt.Errorf("decode %s: %w", path, err)}
 	}
-	return nil
+	return response.Header, nil
 }
 
 func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
