--- a/standin/kvserver/lease.go
+++ b/standin/kvserver/lease.go
@@ -8,7 +8,7 @@
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
-// Grant implements kv.Store. Every lease ID is higher than all earlier ones.
+// Grant implements kv.Store. Every lease ID is higher than all earlier ones, also after a Restore.
 func (s *Store) Grant(ctx context.Context, ttl time.Duration) (kv.LeaseID, error) {
 	if err := s.beforeCall(ctx, CallGrant); err != nil {
 		return 0, err
@@ -21,10 +21,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastLease++
-	l := &lease{id: s.lastLease, ttl: ttl, expires: time.Now().Add(ttl), keys: map[string]struct{}{}}
+	s.addLease(s.lastLease, s.epoch, ttl)
+	return s.lastLease
+}
+
+func (s *Store) addLease(id kv.LeaseID, epoch uint64, ttl time.Duration) {
+	l := &lease{id: id, epoch: epoch, ttl: ttl, expires: time.Now().Add(ttl), keys: map[string]struct{}{}}
 	l.timer = time.AfterFunc(ttl, func() { s.expireIfDue(l) })
-	s.leases[l.id] = l
-	return l.id
+	s.leases[id] = l
 }
 
 // KeepAlive implements kv.Store.
@@ -32,17 +36,29 @@
 	if err := s.beforeCall(ctx, CallKeepAlive); err != nil {
 		return err
 	}
-	if err := s.renew(id); err != nil {
+	if err := s.renew(id, false); err != nil {
 		return err
 	}
 	return s.afterWrite(ctx, "")
 }
 
-func (s *Store) renew(id kv.LeaseID) error {
+// KeepAliveAnyHistory is like KeepAlive, but also renews a lease that was granted in an earlier history.
+// The platform's service does, and leaves it to its client to end such leases.
+func (s *Store) KeepAliveAnyHistory(ctx context.Context, id kv.LeaseID) error {
+	if err := s.beforeCall(ctx, CallKeepAlive); err != nil {
+		return err
+	}
+	if err := s.renew(id, true); err != nil {
+		return err
+	}
+	return s.afterWrite(ctx, "")
+}
+
+func (s *Store) renew(id kv.LeaseID, anyHistory bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.leases[id]
-	if l == nil {
+	if l == nil || l.epoch != s.epoch && !anyHistory {
 		return &kv.LeaseExpiredError{Lease: id}
 	}
 	l.expires = time.Now().Add(l.ttl)
--- a/standin/kvserver/store.go
+++ b/standin/kvserver/store.go
@@ -34,6 +34,7 @@
 type Store struct {
 	mu                sync.Mutex
 	revision          kv.Revision
+	epoch             uint64 // number of the history
 	entries           map[string]kv.Entry
 	leases            map[kv.LeaseID]*lease
 	lastLease         kv.LeaseID
@@ -53,6 +54,7 @@
 
 type lease struct {
 	id      kv.LeaseID
+	epoch   uint64 // the history in which it was granted
 	ttl     time.Duration
 	expires time.Time
 	timer   *time.Timer
@@ -136,7 +138,7 @@
 		return 0, &kv.ConflictError{Current: current}
 	}
 	s.detachFromLease(current)
-	s.revision++
+	s.revision = s.nextRevision()
 	e := kv.Entry{Key: key, Value: append([]byte(nil), value...), Revision: s.revision, Lease: id}
 	s.entries[key] = e
 	if attachedLease != nil {
@@ -210,7 +212,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watchers[w] = struct{}{}
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.revision || after != 0 && after.History() != s.epoch {
 		return nil, after, &kv.CompactedError{Oldest: s.compactedRevision, Current: s.revision}
 	}
 	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
@@ -220,7 +222,7 @@
 			events = append(events, e)
 		}
 	}
-	return events, max(after, s.revision), nil
+	return events, s.revision, nil
 }
 
 func (s *Store) removeWatcher(w *watcher) {
@@ -247,7 +249,7 @@
 func (s *Store) remove(e kv.Entry) {
 	s.detachFromLease(e)
 	delete(s.entries, e.Key)
-	s.revision++
+	s.revision = s.nextRevision()
 	s.publishEvent(kv.Event{Entry: kv.Entry{Key: e.Key, Revision: s.revision}, Deleted: true})
 }
 
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -44,7 +44,9 @@
 	mux.HandleFunc("POST /v1/kv-lease", s.grantLease)
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.keepLeaseAlive)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.revokeLease)
-	s.Server = httptest.NewServer(mux)
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mux.ServeHTTP(&historyWriter{ResponseWriter: w, store: s.KV}, r)
+	}))
 	return s
 }
 
@@ -87,6 +89,22 @@
 	return s.KV.Delete(ctx, key, entry.Revision)
 }
 
+// historyWriter states the number of the store's history in every response.
+type historyWriter struct {
+	http.ResponseWriter
+	store *kvserver.Store
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *historyWriter) WriteHeader(status int) {
+	w.Header().Set("Store-Era", strconv.FormatUint(w.store.History(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// revision returns the revision with a number in the store's present history: the protocol's numbers
+// don't say which history they belong to.
+func (s *Store) revision(number uint64) kv.Revision { return kv.RevisionIn(s.KV.History(), number) }
+
 type wireItem struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value"`
@@ -96,16 +114,11 @@
 }
 
 func toWireItem(e kv.Entry) wireItem {
-	return wireItem{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Lease: uint64(e.Lease)}
+	return wireItem{Key: e.Key, Value: e.Value, Revision: e.Revision.Number(), Lease: uint64(e.Lease)}
 }
 
-func (s *Store) currentRevision(ctx context.Context) uint64 {
-	_, next, err := s.KV.Watch(ctx, "no such key", 0, 0)
-	var compacted *kv.CompactedError
-	if errors.As(err, &compacted) {
-		next = compacted.Current
-	}
-	return uint64(next)
+func (s *Store) currentRevision() uint64 {
+	return s.KV.LastRevision().Number()
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
@@ -131,14 +144,14 @@
 	for _, e := range entries[:min(len(entries), s.PageSize)] {
 		items = append(items, toWireItem(e))
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "store_revision": s.currentRevision(r.Context())})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "store_revision": s.currentRevision()})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
-	changes, next, err := s.KV.Watch(r.Context(), q.Get("path_prefix"), kv.Revision(after), time.Duration(wait)*time.Millisecond)
+	changes, next, err := s.KV.Watch(r.Context(), q.Get("path_prefix"), s.revision(after), time.Duration(wait)*time.Millisecond)
 	var compacted *kv.CompactedError
 	if errors.As(err, &compacted) {
 		w.WriteHeader(http.StatusGone)
@@ -153,7 +166,7 @@
 		item.Deleted = c.Deleted
 		items = append(items, item)
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"events": items, "store_revision": uint64(next)})
+	writeJSON(w, http.StatusOK, map[string]any{"events": items, "store_revision": next.Number()})
 }
 
 type wireTransaction struct {
@@ -179,7 +192,7 @@
 	}
 	var revision kv.Revision
 	var err error
-	expected := kv.Revision(t.Expected[0].Revision)
+	expected := s.revision(t.Expected[0].Revision)
 	if len(t.Puts) == 1 {
 		revision, err = s.KV.CompareAndSwap(r.Context(), t.Puts[0].Key, expected, t.Puts[0].Value, kv.LeaseID(t.Puts[0].Lease))
 	} else {
@@ -193,7 +206,7 @@
 	case errors.As(err, &expired):
 		w.WriteHeader(http.StatusNotFound)
 	case !writeFailure(w, err):
-		writeJSON(w, http.StatusOK, map[string]uint64{"revision": uint64(revision)})
+		writeJSON(w, http.StatusOK, map[string]uint64{"revision": revision.Number()})
 	}
 }
 
@@ -212,7 +225,7 @@
 }
 
 func (s *Store) keepLeaseAlive(w http.ResponseWriter, r *http.Request) {
-	s.callWithLease(w, r, s.KV.KeepAlive)
+	s.callWithLease(w, r, s.KV.KeepAliveAnyHistory)
 }
 
 func (s *Store) revokeLease(w http.ResponseWriter, r *http.Request) {
--- a/transport/kv/kv.go
+++ b/transport/kv/kv.go
@@ -8,10 +8,6 @@
 	"time"
 )
 
-// Revision is a version number of the whole store, which grows with each change. Zero stands for a
-// missing key.
-type Revision uint64
-
 // LeaseID identifies a lease; zero stands for none. IDs are never reused and grow with each grant, so
 // they serve as fencing tokens: a receiver that remembers the largest ID seen can reject requests
 // that carry a smaller one, because they come from a holder whose lease has been replaced.
