Don't compare revisions of two histories of the store

Callers saw, after the platform's store had come back from a copy: the old configuration for seconds (revoked keys accepted, new routes denied), or for good if the next version got the number of the one in force; daemons that refused all for seconds though the store was up; no duties, no new runners.

Cause: a revision was compared as one number that only grows. After a return the numbers are given out again, so what is newer had a lower number and was left, and each watch from the old position got 410, a listing that didn't move the position, and 410 again.

--- a/standin/kvserver/store.go
+++ b/standin/kvserver/store.go
@@ -212,7 +212,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watchers[w] = struct{}{}
-	if after < s.compactedRevision || after > s.revision || after != 0 && after.History() != s.epoch {
+	if after < s.compactedRevision || after > s.revision || after.History() != s.epoch {
 		return nil, after, &kv.CompactedError{Oldest: s.compactedRevision, Current: s.revision}
 	}
 	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
--- a/transport/kv/kv.go
+++ b/transport/kv/kv.go
@@ -8,9 +8,8 @@
 	"time"
 )
 
-// LeaseID identifies a lease; zero stands for none. IDs are never reused and grow with each grant, so
-// they serve as fencing tokens: a receiver that remembers the largest ID seen can reject requests
-// that carry a smaller one, because they come from a holder whose lease has been replaced.
+// LeaseID identifies a lease; zero stands for none. A lease ends at the latest with the history in
+// which it was granted.
 type LeaseID uint64
 
 // Entry is a key with its value.
@@ -45,14 +44,15 @@
 	Delete(ctx context.Context, key string, expected Revision) error
 	// Grant creates a lease. When the lease expires, the service removes the lease's keys.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// KeepAlive renews a lease. If the lease has ended, the error is a *LeaseExpiredError.
+	// KeepAlive renews a lease. If the lease or its history has ended, the error is a
+	// *LeaseExpiredError.
 	KeepAlive(ctx context.Context, lease LeaseID) error
 	// Revoke ends a lease and removes its keys.
 	Revoke(ctx context.Context, lease LeaseID) error
 	// Watch waits at most wait for changes under prefix after the revision after. It returns the
 	// changes, if any, and the revision from which to continue. If the service no longer keeps all
-	// of these changes, the error is a *CompactedError: the caller then lists the prefix again and
-	// watches from the error's Current.
+	// of these changes, or after belongs to another history, the error is a *CompactedError: the
+	// caller then lists the prefix again and watches from the error's Current.
 	Watch(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Event, Revision, error)
 }
 
