Order configurations by the operator's version, not by the store's revision

Callers would see: between the store's return from a copy and the operator's next write, a daemon that starts takes the copy's older version, and accepts keys that were revoked, confirmed by daemons that have the newer one.

Cause: the store's revision stood for the configuration, in proofs, in statements to other daemons and in updates. The copy's older version has a later revision than the version in force, so a read of it renewed the proof of the newer one at daemons that kept that, and the two daemons proved each other.

A read proves the version that it shows, and nothing if that is older than the one in force; within one history an outdated write over the version in force proves that one, as before. A daemon that reads an older version than a peer has stated drops its proof, and asks the peers for the newer one. An idle watch proves only what was shown in the same history.

--- a/coordination/feed/config.go
+++ b/coordination/feed/config.go
@@ -12,8 +12,8 @@
 // A large fleet has a configuration of hundreds of kilobytes, of which a change touches a few
 // lines, so that only these are sent.
 type ConfigUpdate struct {
-	Revision uint64
-	// Base is the revision of the version that Packed builds on, zero if it builds on none.
+	Version uint64
+	// Base is the version that Packed builds on, zero if it builds on none.
 	Base   uint64
 	Packed []byte
 }
@@ -21,39 +21,39 @@
 // ConfigHistory holds the latest versions of the operator's configuration. The zero value is
 // empty.
 type ConfigHistory struct {
-	// versions is sorted by revision.
+	// versions is sorted by version number.
 	versions []configVersion
 	// packed holds the updates to the latest version that were made, by their base.
 	packed map[uint64]ConfigUpdate
 }
 
 type configVersion struct {
-	revision uint64
-	value    []byte
+	number uint64
+	value  []byte
 }
 
 // Add adds a version. It ignores one that is not newer than the latest.
-func (h *ConfigHistory) Add(revision uint64, value []byte) {
-	if revision <= h.Revision() {
+func (h *ConfigHistory) Add(version uint64, value []byte) {
+	if version <= h.Latest() {
 		return
 	}
-	h.versions = append(h.versions, configVersion{revision, bytes.Clone(value)})
+	h.versions = append(h.versions, configVersion{version, bytes.Clone(value)})
 	h.versions = slices.Delete(h.versions, 0, max(0, len(h.versions)-maxConfigs))
 	h.packed = map[uint64]ConfigUpdate{}
 }
 
-// Revision returns the revision of the latest version, or zero if there is none.
-func (h *ConfigHistory) Revision() uint64 {
+// Latest returns the number of the latest version, or zero if there is none.
+func (h *ConfigHistory) Latest() uint64 {
 	if len(h.versions) == 0 {
 		return 0
 	}
-	return h.versions[len(h.versions)-1].revision
+	return h.versions[len(h.versions)-1].number
 }
 
-// Update returns the update for a daemon whose configuration has the given revision, or false
-// if it has the latest one.
+// Update returns the update for a daemon that has the given version, or false if that is the
+// latest one.
 func (h *ConfigHistory) Update(from uint64) (ConfigUpdate, bool) {
-	if from >= h.Revision() {
+	if from >= h.Latest() {
 		return ConfigUpdate{}, false
 	}
 	base, known := h.value(from)
@@ -68,7 +68,7 @@
 	if err != nil {
 		return ConfigUpdate{}, false
 	}
-	u := ConfigUpdate{Revision: latest.revision, Base: from, Packed: packed}
+	u := ConfigUpdate{Version: latest.number, Base: from, Packed: packed}
 	h.packed[from] = u
 	return u, true
 }
@@ -83,9 +83,9 @@
 	return Unpack(u.Packed, base)
 }
 
-func (h *ConfigHistory) value(revision uint64) ([]byte, bool) {
+func (h *ConfigHistory) value(version uint64) ([]byte, bool) {
 	for _, v := range h.versions {
-		if v.revision == revision {
+		if v.number == version {
 			return v.value, true
 		}
 	}
--- a/coordination/feed/feed_test.go
+++ b/coordination/feed/feed_test.go
@@ -310,7 +310,7 @@
 	sender.Add(3, value)
 	receiver.Add(3, value)
 	sender.Add(5, changed)
-	u, ok := sender.Update(receiver.Revision())
+	u, ok := sender.Update(receiver.Latest())
 	is.True(ok)
 	is.True(len(u.Packed)*100 < len(value))
 	got, err := receiver.Apply(u)
--- a/coordination/freshness/freshness.go
+++ b/coordination/freshness/freshness.go
@@ -13,6 +13,11 @@
 // receipt. The proof is then no older than the stamp minus that time, on this daemon's own
 // clock.
 //
+// Configurations are told apart by the operator's version numbers, which only grow. The
+// service's revisions don't order them: a service that has come back from a copy shows an
+// older configuration at a later revision until the operator has written again. A daemon that
+// starts meanwhile takes that one, and learns from its peers' statements that it isn't the newest.
+//
 // Times are offsets of a monotonic clock that keeps running while the VM is suspended. The
 // package does no I/O. A Tracker is not safe for concurrent use.
 package freshness
@@ -22,31 +27,45 @@
 // Never is the time of an event that has not happened, such as a missing proof.
 const Never = time.Duration(-1 << 62)
 
-// Tracker keeps the revision of the configuration and the time of its latest proof.
+// Tracker keeps the version of the configuration and the time of its latest proof.
 type Tracker struct {
-	revision uint64
+	version  uint64
 	provedAt time.Duration
+	// newest is the newest version that exists as far as this daemon knows, stated by a peer
+	// first at newestAt. lost says that the service has shown an older one since.
+	newest   uint64
+	newestAt time.Duration
+	lost     bool
 }
 
 // New returns a Tracker without a proof.
 func New() *Tracker { return &Tracker{provedAt: Never} }
 
 // RecordRead records a read of the service that this daemon sent at the given time and that
-// found the configuration at the given revision. It reports whether the revision is new.
-func (t *Tracker) RecordRead(revision uint64, sent time.Duration) bool {
-	if revision < t.revision {
-		// A stale answer proves nothing about the newer revision.
+// found the given version. It reports whether the version is new.
+func (t *Tracker) RecordRead(version uint64, sent time.Duration) bool {
+	if version < t.version {
+		// A stale answer proves nothing about the newer version.
 		return false
 	}
-	changed := revision > t.revision
-	t.revision = revision
+	changed := version > t.version
+	t.version = version
+	if version < t.newest && sent > t.newestAt {
+		t.lost = true
+	}
+	if version >= t.newest {
+		t.newest, t.lost = version, false
+	}
 	t.provedAt = max(t.provedAt, sent)
+	if t.lost {
+		t.provedAt = Never
+	}
 	return changed
 }
 
 // Statement is what a peer reports about its configuration.
 type Statement struct {
-	Revision uint64
+	Version uint64
 	// Echo is the time at which the receiver of the statement sent the last stamp that
 	// reached the peer, on the receiver's clock.
 	Echo time.Duration
@@ -61,12 +80,15 @@
 
 // Receive applies a peer's statement. It reports whether the peer has a newer configuration
 // than this daemon.
-func (t *Tracker) Receive(statement Statement) bool {
-	if statement.Revision > t.revision {
+func (t *Tracker) Receive(now time.Duration, statement Statement) bool {
+	if statement.Version > t.newest {
+		t.newest, t.newestAt = statement.Version, now
+	}
+	if statement.Version > t.version {
 		return true
 	}
 	// A peer with an older configuration proves nothing about this daemon's.
-	if statement.Proved && statement.Revision == t.revision {
+	if statement.Proved && statement.Version == t.version && !t.lost {
 		t.provedAt = max(t.provedAt, statement.Echo-statement.Lag)
 	}
 	return false
@@ -83,7 +105,7 @@
 // StatementFor returns the statement for the peer whose last stamp is s; s is nil if none
 // was received.
 func (t *Tracker) StatementFor(s *Stamp) Statement {
-	statement := Statement{Revision: t.revision}
+	statement := Statement{Version: t.version}
 	if s == nil || t.provedAt == Never {
 		return statement
 	}
@@ -102,5 +124,9 @@
 	return max(0, now-t.provedAt)
 }
 
-// Revision returns the revision of the configuration, or zero if there is none.
-func (t *Tracker) Revision() uint64 { return t.revision }
+// Lost reports whether the service shows an older version than one that a peer has, so that only
+// peers can provide the newest one.
+func (t *Tracker) Lost() bool { return t.lost }
+
+// Version returns the version of the configuration, or zero if there is none.
+func (t *Tracker) Version() uint64 { return t.version }
--- a/coordination/freshness/freshness_test.go
+++ b/coordination/freshness/freshness_test.go
@@ -18,16 +18,34 @@
 	is.True(f.RecordRead(5, 10*time.Second))
 	is.True(!f.RecordRead(4, 20*time.Second)) // a stale answer, although sent later
 	is.Equal(f.Age(21*time.Second), 11*time.Second)
-	is.Equal(f.Revision(), uint64(5))
+	is.Equal(f.Version(), uint64(5))
 }
 
 func TestPeerWithNewerConfiguration(t *testing.T) {
 	is := is.New(t)
 	f := freshness.New()
 	f.RecordRead(5, 0)
-	newer := f.Receive(freshness.Statement{Revision: 6, Proved: true, Echo: 9 * time.Second})
+	newer := f.Receive(9*time.Second, freshness.Statement{Version: 6, Proved: true, Echo: 9 * time.Second})
 	is.True(newer)
-	is.Equal(f.Age(10*time.Second), 10*time.Second) // the peer's proof is of revision 6; for revision 5 only the read at time 0 counts
+	is.Equal(f.Age(10*time.Second), 10*time.Second) // the peer's proof is of version 6; for version 5 only the read at time 0 counts
+}
+
+// Guards against an older version that counts as proved because the service shows it, having lost the newer one.
+func TestVersionThatServiceHasLost(t *testing.T) {
+	is := is.New(t)
+	f := freshness.New()
+	f.RecordRead(21, time.Second)
+	is.True(f.Receive(2*time.Second, freshness.Statement{Version: 28, Proved: true, Echo: time.Second}))
+	is.True(!f.Lost())
+	is.True(!f.RecordRead(21, 3*time.Second))
+	is.True(f.Lost())
+	f.Receive(4*time.Second, freshness.Statement{Version: 21, Proved: true, Echo: 4 * time.Second})
+	is.True(f.Age(4*time.Second) > time.Hour)
+	is.True(f.RecordRead(28, 5*time.Second))
+	is.True(!f.Lost())
+	is.Equal(f.Age(6*time.Second), time.Second)
+	is.True(!f.RecordRead(21, 7*time.Second))
+	is.Equal(f.Age(8*time.Second), 3*time.Second)
 }
 
 // A daemon is suspended while a peer's statement waits in its socket. If the statement were
@@ -41,7 +59,7 @@
 	// The daemon's stamp, sent at 0.9 s, reaches the peer at 1 s. The peer answers with
 	// its statement. Then the daemon is suspended until 9 s.
 	w := peer.StatementFor(&freshness.Stamp{Sent: 900 * time.Millisecond, Received: time.Second})
-	f.Receive(w)
+	f.Receive(9*time.Second, w)
 	is.True(f.Age(9*time.Second) >= 8*time.Second)
 }
 
@@ -62,7 +80,7 @@
 			clockOffsets [n]time.Duration
 			stamps       [n][n]*freshness.Stamp
 			pending      []message
-			// changedAt is when each revision was created.
+			// changedAt is when each version was created.
 			changedAt = []time.Duration{0, 0}
 		)
 		for i := range n {
@@ -89,7 +107,7 @@
 					continue
 				}
 				stamps[m.to][m.from] = &freshness.Stamp{Sent: m.sent, Received: now + clockOffsets[m.to]}
-				trackers[m.to].Receive(m.statement)
+				trackers[m.to].Receive(now+clockOffsets[m.to], m.statement)
 			}
 			pending = undelivered
 			for i := range n {
@@ -97,9 +115,9 @@
 				if age > time.Hour {
 					continue
 				}
-				nextRevision := int(trackers[i].Revision()) + 1
-				if nextRevision < len(changedAt) && changedAt[nextRevision] < now-age {
-					t.Fatalf("daemon %d at %v considers revision %d proved %v ago, but revision %d was created at %v", i, now, nextRevision-1, age, nextRevision, changedAt[nextRevision])
+				nextVersion := int(trackers[i].Version()) + 1
+				if nextVersion < len(changedAt) && changedAt[nextVersion] < now-age {
+					t.Fatalf("daemon %d at %v considers version %d proved %v ago, but version %d was created at %v", i, now, nextVersion-1, age, nextVersion, changedAt[nextVersion])
 				}
 			}
 		}
--- a/daemon/edge/confirm.go
+++ b/daemon/edge/confirm.go
@@ -141,12 +141,3 @@
 		e.applyConfig(kv.Event{Entry: entry}, sent)
 	}
 }
-
-// markConfirmed records that the configuration with the given revision was the newest one at the
-// given time.
-func (e *Edge) markConfirmed(revision uint64, at time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.fresh.RecordRead(revision, at)
-	e.refreshPhase(e.deps.Steady())
-}
--- a/daemon/edge/duties_test.go
+++ b/daemon/edge/duties_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 	}
 	last := received[len(received)-1].duty.Holder
 	for i, d := range w.daemons {
-		if last == ident.DaemonID([]string{"d1", "d2", "d3"}[i]) {
+		if last == ident.DaemonID(fmt.Sprintf("d%d", i+1)) {
 			return d
 		}
 	}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -119,8 +119,8 @@
 	// After such a change, rosters (lists of daemons) are sent in rosterSendsLeft more rounds.
 	rosterHash      uint64
 	rosterSendsLeft int
-	// configUnreadable says that the newest configuration could not be decoded.
-	configUnreadable bool
+	// configShown is what the key-value service last showed of the configuration.
+	configShown shownConfig
 	// lastEndedSent is the ended daemon whose usage counts this daemon sent last, lastFollowerSent
 	// the follower whose counts it sent last. The next message continues with the daemons after
 	// these in the order of incarnations.
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -15,7 +15,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	during()
-	e.fresh.RecordRead(uint64(revision), e.deps.Steady())
+	e.fresh.RecordRead(uint64(c.Version), e.deps.Steady())
 	e.activateConfig(route.NewTable(c), revision)
 }
 
--- a/daemon/edge/feed.go
+++ b/daemon/edge/feed.go
@@ -46,14 +46,14 @@
 
 // feedRequest is what a daemon that gets its changes from this one has.
 type feedRequest struct {
-	wanted         bool
-	position       feed.Position
-	configRevision uint64
+	wanted        bool
+	position      feed.Position
+	configVersion uint64
 }
 
 func feedRequestOf(h *peersv1.Hello) feedRequest {
 	return feedRequest{
-		wanted: h.FeedWanted, position: feed.Position{At: h.FeedAt, Log: h.FeedLog, Floor: h.FeedFloor}, configRevision: h.ConfigRevision,
+		wanted: h.FeedWanted, position: feed.Position{At: h.FeedAt, Log: h.FeedLog, Floor: h.FeedFloor}, configVersion: h.ConfigVersion,
 	}
 }
 
@@ -119,12 +119,24 @@
 	}
 	encoded := e.encodedChanges(now, request.position)
 	encoded.After, encoded.AfterLog, encoded.AfterFloor = request.position.At, request.position.Log, request.position.Floor
-	if u, newer := e.configs.Update(request.configRevision); newer && len(u.Packed) <= maxPackedBytes {
-		encoded.Config = &peersv1.ConfigUpdate{Revision: u.Revision, BaseRevision: u.Base, Packed: u.Packed}
-	}
+	encoded.Config = e.configAfter(request.configVersion)
 	return encoded
 }
 
+// configAfter returns the configuration for a daemon that has a given version; nil if that isn't older
+// or if a message can't hold the update. The caller must hold e.mu.
+func (e *Edge) configAfter(version uint64) *peersv1.ConfigUpdate {
+	u, newer := e.configs.Update(version)
+	if !newer || len(u.Packed) > maxPackedBytes {
+		return nil
+	}
+	message := &peersv1.ConfigUpdate{Version: u.Version, BaseVersion: u.Base, Packed: u.Packed}
+	if e.configShown.version == u.Version {
+		message.Revision = uint64(e.configShown.revision)
+	}
+	return message
+}
+
 // encodedChanges returns the changes after a position. Most receivers have the same position, so
 // their changes are packed once.
 func (e *Edge) encodedChanges(now time.Duration, after feed.Position) *peersv1.Feed {
@@ -273,14 +285,14 @@
 // read it is unknown; how recent it is follows from the time stamps in the relay's message.
 func (e *Edge) applyConfigUpdate(u *peersv1.ConfigUpdate) {
 	e.mu.Lock()
-	if u.Revision <= e.configs.Revision() {
+	if u.Version <= e.configs.Latest() {
 		e.mu.Unlock()
 		return
 	}
-	value, err := e.configs.Apply(feed.ConfigUpdate{Revision: u.Revision, Base: u.BaseRevision, Packed: u.Packed})
+	value, err := e.configs.Apply(feed.ConfigUpdate{Version: u.Version, Base: u.BaseVersion, Packed: u.Packed})
 	e.mu.Unlock()
 	if err != nil {
-		e.log.Note("config_ignored", decisions.F("reason", err.Error()), decisions.F("revision", u.Revision))
+		e.log.Note("config_ignored", decisions.F("reason", err.Error()), decisions.F("version", u.Version))
 		return
 	}
 	e.applyConfig(kv.Event{Entry: kv.Entry{Key: e.deps.Codec.ConfigKey(), Value: value, Revision: kv.Revision(u.Revision)}}, freshness.Never)
--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -87,7 +87,7 @@
 }
 
 // stampReply returns the fields by which one daemon learns how recent its configuration is: the
-// echo of its last time stamp and this daemon's configuration revision. The caller must hold
+// echo of its last time stamp and this daemon's configuration version. The caller must hold
 // e.mu.
 func (e *Edge) stampReply(to ident.Incarnation) *peersv1.Hello {
 	var stamp *freshness.Stamp
@@ -95,7 +95,7 @@
 		stamp = &s
 	}
 	w := e.fresh.StatementFor(stamp)
-	return &peersv1.Hello{EchoNs: int64(w.Echo), LagNs: int64(w.Lag), Proved: w.Proved, ConfigRevision: w.Revision}
+	return &peersv1.Hello{EchoNs: int64(w.Echo), LagNs: int64(w.Lag), Proved: w.Proved, ConfigVersion: w.Version, ConfigWanted: e.fresh.Lost()}
 }
 
 func encodeRow(r peers.Row) *peersv1.Row {
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -124,15 +124,15 @@
 	e.updateQuotaUses(now, id, h)
 	e.handleCounts(now, id, h)
 	e.receiveUnreachable(now, id, h.Unreachable)
-	if e.fresh.Receive(freshness.Statement{
-		Revision: h.ConfigRevision, Echo: time.Duration(h.EchoNs), Lag: time.Duration(h.LagNs), Proved: h.Proved,
+	if e.fresh.Receive(now, freshness.Statement{
+		Version: h.ConfigVersion, Echo: time.Duration(h.EchoNs), Lag: time.Duration(h.LagNs), Proved: h.Proved,
 	}) && e.configBehindSince == 0 {
 		e.configBehindSince = max(1, now)
 	}
 	readConfig := e.shouldReadConfig(now)
 	e.refreshPhase(now)
 	source := e.workSourceOf(id, h)
-	reply := e.snapshotReply(now, id, h)
+	reply := e.replyAtOnce(now, id, h)
 	e.mu.Unlock()
 	e.sendMulticast(reply)
 	if readConfig {
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -274,15 +274,21 @@
 	return c
 }
 
-// snapshotReply builds the answer to a daemon that waits for the content of the key-value service;
-// it is sent at once. The caller must hold e.mu.
-func (e *Edge) snapshotReply(now time.Duration, id ident.Incarnation, h *peersv1.Hello) multicast {
+// replyAtOnce builds the answer to a daemon that waits for the content of the key-value service, or
+// for a configuration that the service has lost; it is sent at once. The caller must hold e.mu.
+func (e *Edge) replyAtOnce(now time.Duration, id ident.Incarnation, h *peersv1.Hello) multicast {
 	request := feedRequestOf(h)
-	if !request.wanted || request.position.Complete() {
+	var content *peersv1.Feed
+	switch {
+	case request.wanted && !request.position.Complete():
+		content = e.feedAfter(now, request)
+	case h.ConfigWanted:
+		content = &peersv1.Feed{Config: e.configAfter(request.configVersion)}
+	default:
 		return multicast{}
 	}
 	own := e.stampReply(id)
-	own.Feed = e.feedAfter(now, request)
+	own.Feed = content
 	return multicast{hello: e.baseHello(now), to: []recipient{{address: h.PeerAddress, own: own}}}
 }
 
@@ -316,7 +322,7 @@
 func (e *Edge) newcomerMessages(now time.Duration, round uint64) multicast {
 	c := multicast{}
 	for _, address := range e.unheardAddresses(now, round) {
-		c.to = append(c.to, recipient{address: address, own: &peersv1.Hello{ConfigRevision: e.fresh.Revision()}})
+		c.to = append(c.to, recipient{address: address, own: &peersv1.Hello{ConfigVersion: e.fresh.Version()}})
 	}
 	if !e.relayPlan.Direct && len(e.rosterRequesters) > 0 {
 		introductions := e.introductions(now)
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -225,7 +225,7 @@
 		case len(events) == 0 && next > at:
 			e.log.Note("watch_blind", decisions.F("at", uint64(at)), decisions.F("service_at", uint64(next)))
 		case len(events) == 0:
-			e.confirmedByIdleWatch(sent, wait)
+			e.confirmedByIdleWatch(at, sent, wait)
 			e.applyChanges(nil, feed.Position{At: uint64(at)}, sent)
 		default:
 			e.applyChanges(events, feed.Position{At: uint64(max(at, events[len(events)-1].Revision))}, sent)
@@ -234,7 +234,7 @@
 		if sawChanges {
 			// Watches return changes without gaps. So when the service answered, which was
 			// after the call, there was no configuration newer than those among the changes.
-			e.confirmedByWatch(sent)
+			e.confirmedByWatch(at, sent)
 			// Changes come in groups, since runners start and leave together.
 			pause.For(ctx, e.batchDelay())
 		}
@@ -281,27 +281,29 @@
 // confirmedByIdleWatch dates the proof that an empty answer of a watch gives. A service that
 // answered after the full timeout had found no change up to its end. An earlier answer proves
 // only the state at the time of the call.
-func (e *Edge) confirmedByIdleWatch(sent, wait time.Duration) {
+func (e *Edge) confirmedByIdleWatch(after kv.Revision, sent, wait time.Duration) {
 	at := sent
 	if e.deps.Steady()-sent >= wait {
 		at = sent + wait
 	}
-	e.confirmedByWatch(at)
+	e.confirmedByWatch(after, at)
 }
 
-// confirmedByWatch records that a watch has proved the active configuration to be the newest one
-// at the given time, unless the watch has returned a newer one that could not be decoded.
-func (e *Edge) confirmedByWatch(at time.Duration) {
+// confirmedByWatch records that a watch that began after a revision has proved the version that
+// the service showed last to be the newest one at the given time. It proves nothing if that was in
+// an earlier history of the service, or if another daemon has a newer version.
+func (e *Edge) confirmedByWatch(after kv.Revision, at time.Duration) {
 	e.dir.mu.Lock()
 	e.dir.currentAt = max(e.dir.currentAt, at)
 	e.dir.mu.Unlock()
 	e.mu.Lock()
-	revision := e.fresh.Revision()
-	newest := !e.configUnreadable
-	e.mu.Unlock()
-	if revision > 0 && newest {
-		e.markConfirmed(revision, at)
+	defer e.mu.Unlock()
+	shown := e.configShown
+	if shown.version == 0 || shown.revision.History() != after.History() || e.configBehindSince != 0 {
+		return
 	}
+	e.fresh.RecordRead(shown.version, at)
+	e.refreshPhase(e.deps.Steady())
 }
 
 // batchDelay returns how long to wait before the next watch so that it returns several changes.
@@ -380,9 +382,37 @@
 	e.dir.dutyHolder = newHolder
 }
 
-// applyConfig activates an operator's configuration unless it is older than the active one. The
-// operator's version numbers and the service's revisions only grow; an outdated answer must not
-// restore what has been removed.
+// shownConfig is the newest version of the configuration by the word of the key-value service, which
+// showed it last at a revision; zero if it can't be decoded.
+type shownConfig struct {
+	revision kv.Revision
+	version  uint64
+}
+
+// note takes up what the service showed, unless it has shown something later. It reports whether
+// that is new. A version that was written over the one in force, in the same history, is outdated:
+// the one in force remains the newest. In a later history nothing says so.
+func (s *shownConfig) note(revision kv.Revision, version, inForce uint64) bool {
+	if revision <= s.revision {
+		return false
+	}
+	if s.version == inForce && s.revision.History() == revision.History() {
+		version = max(version, inForce)
+	}
+	*s = shownConfig{revision, version}
+	return true
+}
+
+// noteUnreadable takes up that the service showed a value that can't be decoded.
+func (s *shownConfig) noteUnreadable(revision kv.Revision) {
+	if revision > s.revision {
+		*s = shownConfig{revision: revision}
+	}
+}
+
+// applyConfig activates an operator's configuration unless it is older than the active one. Only the
+// operator's version numbers tell: an outdated answer, or a service that has come back from a copy,
+// must not restore what has been removed.
 func (e *Edge) applyConfig(event kv.Event, sent time.Duration) {
 	if event.Deleted {
 		e.log.Note("config_ignored", decisions.F("reason", "deleted"), decisions.F("revision", uint64(event.Revision)))
@@ -392,24 +422,25 @@
 	if err != nil {
 		e.log.Note("config_ignored", decisions.F("reason", err.Error()), decisions.F("revision", uint64(event.Revision)))
 		e.mu.Lock()
-		e.configUnreadable = true
+		e.configShown.noteUnreadable(event.Revision)
 		e.mu.Unlock()
 		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	before := e.table.Load()
-	if inForce := e.fresh.Revision(); uint64(event.Revision) < inForce {
-		e.log.Note("config_ignored", decisions.F("reason", "older"), decisions.F("version", config.Version),
-			decisions.F("revision", uint64(event.Revision)), decisions.F("in_force", before.Version()), decisions.F("in_force_revision", inForce))
-	}
-	changed := e.fresh.RecordRead(uint64(event.Revision), sent)
-	e.configUnreadable = e.configUnreadable && !changed
-	e.configs.Add(uint64(event.Revision), event.Value)
-	if changed {
+	version := uint64(config.Version)
+	inForce := e.fresh.Version()
+	if e.configShown.note(event.Revision, version, inForce) && version < inForce {
+		e.log.Note("config_ignored", decisions.F("reason", "older"), decisions.F("version", version),
+			decisions.F("revision", event.Revision), decisions.F("in_force", inForce))
+	}
+	newest := version
+	if event.Revision == e.configShown.revision {
+		newest = e.configShown.version
+	}
+	if e.fresh.RecordRead(newest, sent) {
+		e.configs.Add(version, event.Value)
 		e.configBehindSince = 0
-	}
-	if changed && (before == nil || config.Version > before.Version()) {
 		e.activateConfig(route.NewTable(config), event.Revision)
 	}
 	e.refreshPhase(e.deps.Steady())
@@ -430,7 +461,7 @@
 	e.limiter.SetLimits(e.deps.Steady(), limitsOf(t))
 	e.table.Store(t)
 	e.setServices(t)
-	e.log.Note("config_in_force", decisions.F("version", t.Version()), decisions.F("revision", uint64(revision)),
+	e.log.Note("config_in_force", decisions.F("version", t.Version()), decisions.F("revision", revision),
 		decisions.F("routes", len(t.Config().Routes)), decisions.F("workspaces", len(t.Config().Workspaces)))
 }
 
