Don't use runners again whose entries come back with the store's copy

Callers would see: requests sent to a runner that has left, or to its address, which another service uses by now, for as long as its entry stands in the copy.

Cause: an entry that was removed after the copy was made is there again after the return, at a later revision, and a daemon took it for a runner that had joined.

A daemon remembers the removals it was shown. An entry of the same incarnation that a later history shows is held back until the runner has written anew (a higher seq), or until the entry has stayed for longer than the platform keeps that of a silent runner. A runner that is known to be leaving is told to the other daemons again when its older entry shows up, since daemons that start read that one.

--- a/daemon/edge/directory.go
+++ b/daemon/edge/directory.go
@@ -39,10 +39,10 @@
 	revisions map[string]kv.Revision
 	// runners is indexed by the key of the runner's entry.
 	runners map[string]Runner
-	// lapsed holds the runners that are still used although their entry has expired, with the
-	// time until which they are used.
-	lapsed  map[string]time.Duration
+	// lapsed holds the runners that are still used although their entry has expired.
+	lapsed  map[string]lapsedRunner
 	leaving leavingRunners
+	removed removedRunners
 	// withdrawn are the runners that were found to be leaving or gone since the pools were told.
 	// unpublished says that the pools lack other changes, too; they were last told a long list
 	// at publishedAt.
@@ -65,8 +65,9 @@
 	f.currentAt = freshness.Never
 	f.revisions = map[string]kv.Revision{}
 	f.runners = map[string]Runner{}
-	f.lapsed = map[string]time.Duration{}
+	f.lapsed = map[string]lapsedRunner{}
 	f.leaving.marks = map[uint64]leavingMark{}
+	f.removed = newRemovedRunners()
 }
 
 // hasCopy reports whether this daemon has a copy without missed changes and isn't collecting a new
--- a/daemon/edge/leaving.go
+++ b/daemon/edge/leaving.go
@@ -39,6 +39,13 @@
 	return true
 }
 
+// tellAgain makes learnedSince list a runner anew.
+func (l *leavingRunners) tellAgain(now time.Duration, runner uint64) {
+	mark := l.marks[runner]
+	mark.since = now
+	l.marks[runner] = mark
+}
+
 func (l *leavingRunners) has(runner uint64) bool {
 	_, known := l.marks[runner]
 	return known
@@ -93,6 +100,7 @@
 	e.dir.mu.Lock()
 	defer e.dir.mu.Unlock()
 	e.dir.leaving.expire(e.deps.Steady(), e.dir.runners)
+	e.dir.removed.expire(e.deps.Steady())
 }
 
 // receiveLeaving marks runners that another daemon has found to be leaving. This daemon may read their entries
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -34,6 +34,7 @@
 // pools: retry budgets, ejections and measured demand.
 func (e *Edge) tickHealth() {
 	e.expireLapsed()
+	e.useRevivedRunners()
 	e.expireLeaving()
 	e.expireRunnerLimits()
 	e.expireRests()
--- a/daemon/edge/runners.go
+++ b/daemon/edge/runners.go
@@ -21,6 +21,13 @@
 // was unreachable, and a runner that is alive registers again once the service is back.
 const lapsedGrace = 1500 * time.Millisecond
 
+// lapsedRunner is a runner whose entry has expired: until when it is still used, and in which history of
+// the service its entry has expired.
+type lapsedRunner struct {
+	until   time.Duration
+	history uint64
+}
+
 // publishInterval is the least time between two passes of a long list of runners to the pools.
 const publishInterval = time.Second
 
@@ -52,6 +59,11 @@
 		e.log.Note("runner_ignored", decisions.F("key", entry.Key), decisions.F("reason", err.Error()))
 		return
 	}
+	if e.dir.removed.holdBack(e.deps.Steady(), entry, r) {
+		e.log.Note("runner_ignored", decisions.F("key", entry.Key), decisions.F("reason", "removed before the service came back"),
+			decisions.F("seq", r.Seq), decisions.F("revision", entry.Revision))
+		return
+	}
 	delete(e.dir.lapsed, entry.Key)
 	before, known := e.dir.runners[entry.Key]
 	switch hash := runnerHash(r.ID); {
@@ -59,8 +71,10 @@
 		e.dir.leaving.learn(e.deps.Steady(), hash)
 	case e.dir.leaving.has(hash):
 		// The runner or another daemon has said so before this older entry was read, or the service has
-		// not taken the newer one. A runner that is leaving never returns to another state.
+		// not taken the newer one or has lost it. A runner that is leaving never returns to another state.
+		// Daemons that start now read the older entry, too, and need to be told.
 		r.State = view.Leaving
+		e.dir.leaving.tellAgain(e.deps.Steady(), hash)
 	}
 	if r.State == view.Leaving && (!known || before.State != view.Leaving) {
 		e.dir.withdrawn = append(e.dir.withdrawn, r.ID)
@@ -68,12 +82,14 @@
 	e.dir.runners[entry.Key] = r
 	if !known || before.State != r.State || before.ID != r.ID {
 		e.log.Note("runner", decisions.F("runner", r.ID), decisions.F("service", r.Service), decisions.F("failure_domain", r.FailureDomain),
-			decisions.F("state", r.State), decisions.F("version", r.Version), decisions.F("reclaimable", r.Reclaimable), decisions.F("revision", uint64(entry.Revision)), source)
+			decisions.F("state", r.State), decisions.F("version", r.Version), decisions.F("reclaimable", r.Reclaimable), decisions.F("revision", entry.Revision), source)
 	}
 }
 
-// removeRunner applies the removal of a runner's entry. The caller must hold dir.mu.
-func (e *Edge) removeRunner(key string) {
+// removeRunner applies the removal of a runner's entry, which the service has shown in a history. The
+// caller must hold dir.mu.
+func (e *Edge) removeRunner(key string, history uint64) {
+	delete(e.dir.removed.revived, key)
 	r, known := e.dir.runners[key]
 	if !known {
 		return
@@ -82,11 +98,12 @@
 	if r.State == view.Live && e.dir.storeFailedAt != 0 && now-e.dir.storeFailedAt < lapsedGrace {
 		r.State = view.Suspect
 		e.dir.runners[key] = r
-		e.dir.lapsed[key] = now + lapsedGrace
+		e.dir.lapsed[key] = lapsedRunner{until: now + lapsedGrace, history: history}
 		e.log.Note("runner_lapsed", decisions.F("runner", r.ID), decisions.F("since_store_trouble", now-e.dir.storeFailedAt))
 		return
 	}
 	delete(e.dir.runners, key)
+	e.dir.removed.add(now, key, r, history)
 	e.dir.withdrawn = append(e.dir.withdrawn, r.ID)
 	e.log.Note("runner_gone", decisions.F("runner", r.ID), decisions.F("service", r.Service))
 }
@@ -96,10 +113,11 @@
 	now := e.deps.Steady()
 	e.dir.mu.Lock()
 	expired := false
-	for key, until := range e.dir.lapsed {
-		if now < until {
+	for key, l := range e.dir.lapsed {
+		if now < l.until {
 			continue
 		}
+		e.dir.removed.add(now, key, e.dir.runners[key], l.history)
 		delete(e.dir.lapsed, key)
 		delete(e.dir.runners, key)
 		expired = true
--- /dev/null
+++ b/daemon/edge/store_copy_runners_test.go
@@ -0,0 +1,66 @@
+package edge_test
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a runner that the store's copy shows as usable although it was leaving, or its entry had been removed.
+func TestRunnerThatLeftBeforeReturnGetsNoRequests(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		kept, leaving, removed := w.addRunner("kept", "app"), w.addRunner("leaving", "app"), w.addRunner("removed", "app")
+		time.Sleep(time.Second)
+		copied := w.store.Copy()
+		w.leaving("leaving", "app")
+		w.deleteEntry("removed")
+		time.Sleep(time.Second)
+		w.store.Restore(copied)
+		before := leaving.count() + removed.count()
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			for _, d := range w.daemons {
+				w.Equal(w.ask(d, "/read/1", key).status, 200)
+			}
+		}
+		w.Equal(leaving.count()+removed.count(), before)
+		w.True(kept.count() > 0)
+		// An entry that stays is that of a runner that is alive.
+		time.Sleep(3 * time.Second)
+		for range 20 {
+			for _, d := range w.daemons {
+				w.Equal(w.ask(d, "/read/1", key).status, 200)
+			}
+		}
+		w.True(removed.count() > 0)
+	})
+}
+
+// Guards against a runner that is kept away although it has written its entry again after the return, and against
+// requests to the address of a runner that is gone, which another service uses.
+func TestRunnersThatWriteAgainAfterReturn(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addRunner("kept", "app")
+		const address = "used again"
+		reused := w.runners.add(address)
+		w.put(runnerPrefix+"gone", runnerEntry("gone", address))
+		time.Sleep(500 * time.Millisecond)
+		copied := w.store.Copy()
+		w.deleteEntry("gone")
+		joined := w.addRunner("joined", "app")
+		time.Sleep(time.Second)
+		w.store.Restore(copied)
+		time.Sleep(500 * time.Millisecond)
+		w.put(runnerPrefix+"joined", runnerEntry("joined", "joined"))
+		ofOther := runnerEntry("of other", address)
+		ofOther.Service = "other"
+		w.put(runnerPrefix+"of other", ofOther)
+		time.Sleep(500 * time.Millisecond)
+		for range 30 {
+			for _, d := range w.daemons {
+				w.Equal(w.ask(d, "/read/1", key).status, 200)
+			}
+		}
+		w.True(joined.count() > 0)
+		w.Equal(reused.count(), 0)
+	})
+}
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -180,7 +180,7 @@
 	for key := range missing {
 		// A relay may have sent an entry that was written after the listing.
 		if from == 0 || e.dir.revisions[key] <= from {
-			e.removeRunner(key)
+			e.removeRunner(key, from.History())
 		}
 	}
 	e.noteDutyHolder(newHolder)
@@ -333,7 +333,7 @@
 		case strings.HasPrefix(event.Key, e.deps.Codec.RunnerPrefix()):
 			changed = true
 			if event.Deleted {
-				e.removeRunner(event.Key)
+				e.removeRunner(event.Key, event.Revision.History())
 			} else {
 				e.setRunner(event.Entry, now, learnedFrom(sent))
 			}
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -285,6 +285,8 @@
 	Slots  int
 	// Version is the runner's software version.
 	Version canary.Version
+	// Seq grows with each write of the entry by one incarnation of the runner.
+	Seq uint64
 }
 
 // Codec decodes the entries that others write into the key-value service and encodes those that
