Let a successor wait until a forgotten holder of the duties has given up

Cause: the lease of the duties was lost with what the store had acknowledged since the copy. A daemon that read the new history took it at once, while the former holder, cut off from the store but not from the cloud, goes on until its lease ends by its own clock. TestDutiesAfterReturnFromCopy/no_holder_in_copy_cut_off failed before (two daemons may act at one time); all eight cases pass.

A holder performs no duty until it has known the present history for the duration of a lease. The former holder's last renewal was answered in the former history, hence before that. A daemon that starts waits, too, since it doesn't know how old the history is; the first start of a fleet doesn't. The former holder that hears of the return gives up with its next renewal: the adapter ends leases with their history.

--- a/daemon/edge/directory.go
+++ b/daemon/edge/directory.go
@@ -26,9 +26,13 @@
 	batchesHead uint64
 	// position says which changes of the key-value service this copy has, unless incomplete is
 	// set. justListed is set from a listing until the next watch was answered.
-	position   feed.Position
-	incomplete bool
-	justListed bool
+	position feed.Position
+	// historySince is when this daemon first had a copy of the service's present history; Never if
+	// that is the fleet's first one.
+	historySince     time.Duration
+	fleetNeverServed bool
+	incomplete       bool
+	justListed       bool
 	// snapshot collects the whole content from relays; nil if that isn't needed.
 	// snapshotProgressAt is when the last part of it arrived.
 	snapshot           *feed.Snapshot
@@ -60,7 +64,8 @@
 	leaseFreeSince time.Duration
 }
 
-func (f *directory) init(self ident.Incarnation) {
+func (f *directory) init(self ident.Incarnation, fleetNeverServed bool) {
+	f.fleetNeverServed = fleetNeverServed
 	f.changeLog = feed.NewLog(max(1, xxhash.Sum64String(string(self))))
 	f.currentAt = freshness.Never
 	f.revisions = map[string]kv.Revision{}
@@ -70,6 +75,28 @@
 	f.removed = newRemovedRunners()
 }
 
+// advance sets the position unless the copy has come further. The caller must hold dir.mu.
+func (f *directory) advance(now time.Duration, p feed.Position) {
+	if p.At < f.position.At {
+		return
+	}
+	isFirst := f.position.At == 0
+	switch {
+	case isFirst && f.fleetNeverServed:
+		f.historySince = freshness.Never
+	case isFirst, kv.Revision(p.At).History() != kv.Revision(f.position.At).History():
+		f.historySince = now
+	}
+	f.position = p
+}
+
+// inHistoryFor returns how long this daemon has known the service's present history.
+func (f *directory) inHistoryFor(now time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now - f.historySince
+}
+
 // hasCopy reports whether this daemon has a copy without missed changes and isn't collecting a new
 // one. The caller must hold dir.mu.
 func (f *directory) hasCopy() bool {
--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -158,8 +158,12 @@
 }
 
 // permit returns the identity to use for a call to the cloud, or false if no call may start
-// now.
+// now. A service that has come back from a copy may have forgotten a holder that hasn't heard of
+// it. That one's lease ends by its own clock, so its successor waits for the duration of a lease
+// from when it has read the new history. A daemon that starts doesn't know how old the history is.
 func (e *Edge) permit() (DutyLease, bool) {
 	token, ok := e.duties.holder.Permit(false)
+	formerLease := e.settings.Bounds.LeaseTTL + time.Duration(clockDrift*float64(e.settings.Bounds.LeaseTTL))
+	ok = ok && e.dir.inHistoryFor(e.deps.Steady()) >= formerLease
 	return DutyLease{Holder: e.settings.ID, Token: token}, ok
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -217,7 +217,7 @@
 	}
 	e.probing, e.stopProbes = context.WithCancel(context.Background())
 	e.ending, e.endRequests = context.WithCancel(context.Background())
-	e.dir.init(self)
+	e.dir.init(self, settings.FleetNeverServed)
 	e.trials.init()
 	e.reported.init()
 	e.grantRequests.init()
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -57,6 +57,12 @@
 // HoldsDuties reports whether the daemon holds the lease of the duties.
 func (e *Edge) HoldsDuties() bool { return e.duties.holder.Token() != 0 }
 
+// MayAct returns the fencing token if the daemon may perform a duty now.
+func (e *Edge) MayAct() (uint64, bool) {
+	duty, ok := e.permit()
+	return duty.Token, ok
+}
+
 // FleetSize returns the number of daemons among which the daemon divides the retry budget.
 func (e *Edge) FleetSize() int { return e.fleetSize() }
 
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -74,6 +74,8 @@
 	// without the mechanisms that they leave out.
 	spillover spillover.Price
 	without   string
+	// lastToken is the highest fencing token seen so far.
+	lastToken uint64
 }
 
 type daemon struct {
--- /dev/null
+++ b/daemon/edge/store_copy_duties_test.go
@@ -0,0 +1,120 @@
+package edge_test
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against two holders of the duties, against fencing tokens that go back, and against a window that is reported
+// with two counts, after the store has lost what its daemons wrote.
+func TestDutiesAfterReturnFromCopy(t *testing.T) {
+	for name, c := range map[string]dutyCase{
+		"no_holder_in_copy":            {age: 9 * time.Second},
+		"no_holder_in_copy_cut_off":    {age: 9 * time.Second, cutOff: true},
+		"no_holder_in_copy_holder_end": {age: 9 * time.Second, holderEnds: true},
+		"young_copy":                   {age: 500 * time.Millisecond, every: true},
+		"young_copy_cut_off":           {age: 500 * time.Millisecond, every: true, cutOff: true},
+		"old_copy":                     {age: 7 * time.Second, every: true},
+		"old_copy_cut_off":             {age: 7 * time.Second, every: true, cutOff: true},
+		"old_copy_holder_end":          {age: 7 * time.Second, every: true, holderEnds: true},
+	} {
+		t.Run(name, func(t *testing.T) { checkDutiesAfterReturn(t, c) })
+	}
+}
+
+// dutyCase describes the returns of the store from a copy of an age: one, of a copy in which there was no holder, or
+// several. At the return the holder ends, or is cut off from the store for a while.
+type dutyCase struct {
+	age                       time.Duration
+	every, cutOff, holderEnds bool
+}
+
+func checkDutiesAfterReturn(t *testing.T, c dutyCase) {
+	withFleet(t, 0, config(1), func(w *testFleet) {
+		copied := w.store.Copy()
+		for range 4 {
+			w.addDaemon()
+		}
+		w.addRunner("r1", "app")
+		returns := 1
+		if c.every {
+			w.watchDuties(6 * time.Second)
+			returns = 4
+		}
+		for range returns {
+			if c.every {
+				copied = w.store.Copy()
+			}
+			w.watchDuties(c.age)
+			holder := w.dutyHolder()
+			w.store.Restore(copied)
+			w.configure(config(1))
+			w.put(runnerPrefix+"r1", runnerEntry("r1", "r1"))
+			switch {
+			case c.holderEnds && holder != nil:
+				i := w.indexOf(holder)
+				holder.kill()
+				w.watchDuties(time.Second)
+				w.restart(i)
+			case c.cutOff && holder != nil:
+				holder.store.setFaults(true, false)
+				w.watchDuties(5 * time.Second)
+				holder.store.setFaults(false, false)
+			}
+			w.watchDuties(6 * time.Second)
+		}
+		w.watchDuties(16 * time.Second)
+		reported := w.checkReports()
+		t.Logf("%d windows reported in %v", len(reported), time.Since(w.start))
+		w.True(len(reported) >= int(time.Since(w.start)/(5*time.Second))-4)
+	})
+}
+
+// watchDuties sends requests to the running daemons for some time, and checks that at most one daemon at a time may
+// perform the duties, with a fencing token that never goes back.
+func (w *testFleet) watchDuties(span time.Duration) {
+	for start := time.Now(); time.Since(start) < span; time.Sleep(50 * time.Millisecond) {
+		actors := 0
+		for _, d := range w.daemons {
+			if !d.isRunning() {
+				continue
+			}
+			w.ask(d, "/read/1", key)
+			if token, ok := d.MayAct(); ok {
+				actors++
+				w.True(token >= w.lastToken)
+				w.lastToken = max(w.lastToken, token)
+			}
+		}
+		w.True(actors <= 1)
+	}
+}
+
+// dutyHolder returns the running daemon that holds the duties, nil if none does.
+func (w *testFleet) dutyHolder() *daemon {
+	for _, d := range w.daemons {
+		if d.isRunning() && d.HoldsDuties() {
+			return d
+		}
+	}
+	return nil
+}
+
+func (d *daemon) isRunning() bool {
+	select {
+	case <-d.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (w *testFleet) indexOf(d *daemon) int {
+	for i := range w.daemons {
+		if w.daemons[i] == d {
+			return i
+		}
+	}
+	w.t.Fatal("no such daemon")
+	return 0
+}
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -186,9 +186,7 @@
 	e.noteDutyHolder(newHolder)
 	e.dir.changeLog.Reset(e.feedChanges(events), uint64(from))
 	e.dir.unlogged = nil
-	if uint64(from) >= e.dir.position.At {
-		e.dir.position = feed.Position{At: uint64(from)}
-	}
+	e.dir.advance(e.deps.Steady(), feed.Position{At: uint64(from)})
 	e.dir.incomplete, e.dir.snapshot, e.dir.justListed = false, nil, true
 	e.dir.mu.Unlock()
 	for _, entry := range entries {
@@ -348,9 +346,7 @@
 		e.dir.changeLog.Apply(e.dir.unlogged, next.At)
 		e.dir.unlogged, e.dir.batches = nil, nil
 	}
-	if next.At >= e.dir.position.At {
-		e.dir.position = next
-	}
+	e.dir.advance(e.deps.Steady(), next)
 	e.dir.justListed = false
 	e.dir.mu.Unlock()
 	for _, event := range events {
