Don't report a window again of which the store has lost the note

Cause: a holder writes each report to the store before it sends it, so that a successor repeats the same counts. A store that comes back from a copy may have lost that note, and the next holder reports the window anew, with counts that have arrived since. TestWindowIsReportedOnceAfterReturn failed before (220 and 221 requests in one window) and passes.

Daemons now tell each other the latest window of which a report was sent, from the moment of sending. A holder starts no report of that window or of earlier ones; it still repeats the report that the store holds. If a holder ends within the tenth of a second before it has told anybody, and the store returns from a copy as well, the fault can still occur.

--- a/coordination/accounting/accounting.go
+++ b/coordination/accounting/accounting.go
@@ -56,8 +56,10 @@
 	timing Timing
 	self   ident.Incarnation
 	counts map[ident.Incarnation]map[Window]Counts
-	// reported holds the windows that are known to have been reported.
-	reported map[Window]bool
+	// reported holds the windows that are known to have been reported. sentThrough is the latest
+	// window of which any daemon is known to have sent a report, zero if none is.
+	reported    map[Window]bool
+	sentThrough Window
 	// workspaces caches the workspaces that occur in counts; nil means that the cache is
 	// invalid.
 	workspaces []ident.Workspace
@@ -224,6 +226,14 @@
 // MarkReported records that the platform has accepted the report of a window.
 func (l *Ledger) MarkReported(w Window) { l.reported[w] = true }
 
+// MarkSent records that a report of a window was sent, by this daemon or another one. Windows are
+// reported in order, so no daemon may send another report of this one or of an earlier one: the
+// counts could differ. Only the same report may be repeated.
+func (l *Ledger) MarkSent(w Window) { l.sentThrough = max(l.sentThrough, w) }
+
+// SentThrough returns the latest window that was passed to MarkSent, zero if none was.
+func (l *Ledger) SentThrough() Window { return l.sentThrough }
+
 // TimeSinceEnd returns how long ago a window ended.
 func (l *Ledger) TimeSinceEnd(now time.Time, w Window) time.Duration { return now.Sub(l.end(w)) }
 
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"geraniumstack.org/geraniumstack/coordination/accounting"
 	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/freshness"
 	"geraniumstack.org/geraniumstack/coordination/peers"
@@ -123,6 +124,7 @@
 	e.fair.ranks[id] = h.Ranks
 	e.updateQuotaUses(now, id, h)
 	e.handleCounts(now, id, h)
+	e.usageLedger.MarkSent(accounting.Window(h.UsageSentThrough))
 	e.receiveUnreachable(now, id, h.Unreachable)
 	if e.fresh.Receive(now, freshness.Statement{
 		Version: h.ConfigVersion, Echo: time.Duration(h.EchoNs), Lag: time.Duration(h.LagNs), Proved: h.Proved,
--- a/daemon/edge/store_copy_duties_test.go
+++ b/daemon/edge/store_copy_duties_test.go
@@ -118,3 +118,26 @@
 	w.t.Fatal("no such daemon")
 	return 0
 }
+
+// Guards against a window that another holder reports again with other counts: the store has lost the note of the first
+// report, and the counts of a daemon that was cut off have arrived since.
+func TestWindowIsReportedOnceAfterReturn(t *testing.T) {
+	withFleet(t, 4, config(1), func(w *testFleet) {
+		w.addRunner("r1", "app")
+		w.watchDuties(12 * time.Second)
+		holder := w.dutyHolder()
+		late := w.daemons[(w.indexOf(holder)+1)%len(w.daemons)]
+		w.network.isolate(late.address, true)
+		copied := w.store.Copy()
+		before := len(w.cloud.received())
+		for len(w.cloud.received()) < before+2 {
+			w.watchDuties(100 * time.Millisecond)
+		}
+		w.network.isolate(late.address, false)
+		w.watchDuties(300 * time.Millisecond)
+		holder.kill()
+		w.store.Restore(copied)
+		w.watchDuties(15 * time.Second)
+		w.checkReports()
+	})
+}
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -70,9 +70,10 @@
 	}
 	e.mu.Lock()
 	due := e.usageLedger.WindowsDue(e.wallClock.At(e.deps.Steady()))
+	sentThrough := e.usageLedger.SentThrough()
 	e.mu.Unlock()
 	for _, w := range due {
-		if w <= u.lastWindow {
+		if w <= max(u.lastWindow, sentThrough) {
 			continue
 		}
 		if e.shouldDelayReport(w) {
@@ -212,6 +213,9 @@
 	if !ok {
 		return false
 	}
+	e.mu.Lock()
+	e.usageLedger.MarkSent(u.pending.Window)
+	e.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := e.deps.Cloud.ReportUsage(callCtx, duty, u.pending.Window, u.pending.Counts); err != nil {
