Don't try a version again whose verdict the store has lost

Callers would see: requests sent to a version that was found bad and rolled back, for a second trial, or for good if the second verdict differs.

Cause: an order is identified by its revision. After a return from a copy the same order stands at a later revision, or is written again at one, so daemons took it for a new order; and the copy's older record of the trial, at a later revision, replaced the verdict.

An order with the same content in a later history, or written within seconds of its begin, keeps its identity; a daemon that starts takes the identity from the trial's record. A record never goes back, and the holder of the duties writes a record again that the store has lost.

--- a/coordination/canary/order.go
+++ b/coordination/canary/order.go
@@ -19,6 +19,12 @@
 	Revision uint64
 }
 
+// SameContent reports whether two orders ask for the same.
+func (o Order) SameContent(other Order) bool {
+	o.Revision = other.Revision
+	return o == other
+}
+
 // State is the progress of an order.
 type State string
 
@@ -37,6 +43,17 @@
 // Final reports whether the order is decided.
 func (s State) Final() bool { return s == Completed || s == RolledBack }
 
+// progress orders the states: a record of one order never goes back.
+func (s State) progress() int {
+	switch s {
+	case Promoting:
+		return 1
+	case Completed, RolledBack:
+		return 2
+	}
+	return 0
+}
+
 // Record is the stored state of an order in the key-value service.
 type Record struct {
 	Service string  `json:"service"`
@@ -85,6 +102,19 @@
 	return avoid && reflect.DeepEqual(r, other)
 }
 
+// IsBehind reports whether another record of the service is a later one: that of a later order, or of
+// the same one with more progress. The key-value service may show an earlier record after a later one if
+// it comes back from a copy.
+func (r Record) IsBehind(other Record) bool {
+	if r.Order != other.Order {
+		return r.Order < other.Order
+	}
+	if r.State != other.State {
+		return r.State.progress() <= other.State.progress()
+	}
+	return r.Reserved < other.Reserved
+}
+
 // versionsToAvoid returns the versions whose runners must get no requests once an order with the
 // given target replaces r's order: those in r.Avoid and, unless r's order is completed, r.Target. The
 // given target itself is left out.
--- a/daemon/edge/trialcontroller.go
+++ b/daemon/edge/trialcontroller.go
@@ -17,6 +17,8 @@
 	order  canary.Order
 	// revision is the revision of the trial's record; zero if there is none.
 	revision kv.Revision
+	// isLost says that the key-value service has lost the record, which must be written again.
+	isLost bool
 	// reportedState is the last state that was published to the operator.
 	reportedState canary.State
 }
@@ -69,6 +71,11 @@
 		return nil
 	}
 	d = &trialController{order: o, revision: entry.Revision}
+	e.trials.mu.Lock()
+	if known := e.trials.records[o.Service].Record; found.IsBehind(known) {
+		found, d.isLost = known, true
+	}
+	e.trials.mu.Unlock()
 	d.holder = canary.NewHolder(e.settings.Bounds.Trials, o, found, e.settings.PeerAddress, e.unixMillis())
 	e.trials.mu.Lock()
 	e.trials.controllers[o.Service] = d
@@ -93,7 +100,7 @@
 	unix := e.unixMillis()
 	e.trials.mu.Lock()
 	next := d.holder.Tick(e.deps.Steady(), unix, e.settings.PeerAddress, fleet)
-	due := d.holder.FirstRecordUnwritten() || !next.Equal(d.holder.Record())
+	due := d.isLost || d.holder.FirstRecordUnwritten() || !next.Equal(d.holder.Record())
 	sent := d.holder.Sent()
 	answers, failed := d.holder.Answers()
 	e.trials.mu.Unlock()
@@ -117,6 +124,7 @@
 	}
 	e.log.Count("trials." + string(next.State) + "." + string(next.Reason))
 	d.holder.SetWritten(next)
+	d.isLost = false
 	d.revision = revision
 	return true
 }
--- a/daemon/edge/trials.go
+++ b/daemon/edge/trials.go
@@ -36,6 +36,9 @@
 	// minEstimate is the least expected time to a stream's first event that latencies are
 	// compared with.
 	minEstimate = 10 * time.Millisecond
+	// writtenAgainWithin is the time from the return of a key-value service that has lost an order
+	// within which the operator has written it again.
+	writtenAgainWithin = 5 * time.Second
 	// maxReporters is the number of daemons that report on a trial in a large fleet; they serve
 	// enough requests for a decision.
 	maxReporters = 64
@@ -48,9 +51,12 @@
 	hasOrders atomic.Bool
 
 	// If both locks are needed, mu is taken after the pool's lock.
-	mu      sync.Mutex
-	gates   map[string]*canary.Gate
-	records map[string]storedRecord
+	mu    sync.Mutex
+	gates map[string]*canary.Gate
+	// ordersShown holds the revisions at which the key-value service showed the gates' orders last.
+	// An order that was written again keeps the revision by which it is identified.
+	ordersShown map[string]kv.Revision
+	records     map[string]storedRecord
 	// lastReportedAt is when the last reports were made. controllers are used by the duty holder
 	// only.
 	lastReportedAt time.Duration
@@ -65,6 +71,7 @@
 
 func (t *trials) init() {
 	t.gates = map[string]*canary.Gate{}
+	t.ordersShown = map[string]kv.Revision{}
 	t.records = map[string]storedRecord{}
 	t.controllers = map[string]*trialController{}
 }
@@ -101,18 +108,49 @@
 		return
 	}
 	o.Revision = uint64(entry.Revision)
-	now := e.deps.Steady()
+	known := e.dir.inHistoryFor(e.deps.Steady())
 	e.trials.mu.Lock()
 	defer e.trials.mu.Unlock()
-	if g, known := e.trials.gates[o.Service]; known && g.Order().Revision >= o.Revision {
+	shown := e.trials.ordersShown[o.Service]
+	if entry.Revision <= shown {
+		return
+	}
+	e.trials.ordersShown[o.Service] = entry.Revision
+	g := e.trials.gates[o.Service]
+	isNewHistory := entry.Revision.History() != shown.History() || known < writtenAgainWithin
+	if g != nil && isNewHistory && g.Order().SameContent(o) {
+		e.log.Note("trial_order_again", decisions.F("service", o.Service), decisions.F("order", kv.Revision(g.Order().Revision)),
+			decisions.F("revision", entry.Revision))
 		return
 	}
+	e.setTrialOrder(o)
+}
+
+// setTrialOrder begins to limit the requests to the version that an order names. The caller must hold
+// trials.mu.
+func (e *Edge) setTrialOrder(o canary.Order) {
 	g := canary.NewGate(o)
-	g.SetRecord(now, e.trials.records[o.Service].Record)
+	g.SetRecord(e.deps.Steady(), e.trials.records[o.Service].Record)
 	e.trials.gates[o.Service] = g
 	e.trials.hasOrders.Store(true)
 	e.log.Note("trial_ordered", decisions.F("service", o.Service), decisions.F("target", o.Target),
-		decisions.F("within", o.Duration), decisions.F("order", o.Revision))
+		decisions.F("within", o.Duration), decisions.F("order", kv.Revision(o.Revision)))
+}
+
+// identifyOrder takes the identity of a service's order from the trial's record, if this daemon has got to
+// know the order only from a later history of the service than the one in which the trial began. The caller
+// must hold trials.mu.
+func (e *Edge) identifyOrder(r canary.Record) {
+	g := e.trials.gates[r.Service]
+	if g == nil || g.Order().Revision == r.Order || g.Order().Target != r.Target {
+		return
+	}
+	o := g.Order()
+	began, shown := kv.Revision(r.Order), e.trials.ordersShown[r.Service]
+	if began.History() < kv.Revision(o.Revision).History() || began == shown {
+		o.Revision = r.Order
+		e.setTrialOrder(o)
+	}
 }
 
 func (e *Edge) applyTrialRecord(entry kv.Entry) {
@@ -123,17 +161,18 @@
 	}
 	e.trials.mu.Lock()
 	defer e.trials.mu.Unlock()
-	if e.trials.records[r.Service].revision >= entry.Revision {
+	before := e.trials.records[r.Service]
+	if before.revision >= entry.Revision || r.IsBehind(before.Record) {
 		return
 	}
-	before := e.trials.records[r.Service]
 	e.trials.records[r.Service] = storedRecord{r, entry.Revision}
+	e.identifyOrder(r)
 	if g := e.trials.gates[r.Service]; g != nil {
 		g.SetRecord(e.deps.Steady(), r)
 	}
 	if before.State != r.State || before.Order != r.Order {
-		e.log.Note("trial", decisions.F("service", r.Service), decisions.F("target", r.Target), decisions.F("order", r.Order),
-			decisions.F("state", r.State), decisions.F("reason", r.Reason), decisions.F("route", r.Route), decisions.F("revision", uint64(entry.Revision)))
+		e.log.Note("trial", decisions.F("service", r.Service), decisions.F("target", r.Target), decisions.F("order", kv.Revision(r.Order)),
+			decisions.F("state", r.State), decisions.F("reason", r.Reason), decisions.F("route", r.Route), decisions.F("revision", entry.Revision))
 	}
 }
 
