Register daemons again at once when the store has come back from a copy

Daemons that start would see: no entries of daemons that run, or entries that vanish 30 s after the return, so that they find nobody if their seeds are gone.

Cause: a lease ends with its history, and the entry that the copy holds under it made each new registration conflict until it expired. TestDaemonsRegisterAgainAfterReturn/entries_in_copy failed before (an entry missing) and passes.

The entry's key is the daemon's own, so it writes over what it finds; and it looks each second whether the history has changed. Only relays register, so this is no herd.

--- a/daemon/edge/registration.go
+++ b/daemon/edge/registration.go
@@ -49,12 +49,26 @@
 				interval = earlyRegisterInterval
 			}
 		}
-		if !pause.For(ctx, interval) {
+		if !e.pauseWhileRegistered(ctx, interval, own.revision) {
 			return
 		}
 	}
 }
 
+// pauseWhileRegistered waits for an interval, at most until the key-value service has a later history than
+// that of the entry's revision: it may have lost the entry. It returns false if the context has ended.
+func (e *Edge) pauseWhileRegistered(ctx context.Context, interval time.Duration, revision kv.Revision) bool {
+	for waited := time.Duration(0); waited < interval; waited += registerCheckInterval {
+		if !pause.For(ctx, min(registerCheckInterval, interval-waited)) {
+			return false
+		}
+		if revision != 0 && kv.Revision(e.dir.revisionReached()).History() > revision.History() {
+			return true
+		}
+	}
+	return ctx.Err() == nil
+}
+
 // ownRegistration is what this daemon knows of its entry: the lease that it depends on, its
 // revision, zero if there is none, and the size of the fleet that it states.
 type ownRegistration struct {
@@ -97,7 +111,13 @@
 	if err != nil {
 		return fmt.Errorf("encode registration: %w", err)
 	}
-	revision, err := e.deps.Store.CompareAndSwap(ctx, daemonPrefix+string(e.self), own.revision, value, own.lease)
+	key := daemonPrefix + string(e.self)
+	revision, err := e.deps.Store.CompareAndSwap(ctx, key, own.revision, value, own.lease)
+	var conflict *kv.ConflictError
+	if errors.As(err, &conflict) {
+		// Only this daemon writes the key: the entry is an earlier one of its own.
+		revision, err = e.deps.Store.CompareAndSwap(ctx, key, conflict.Current.Revision, value, own.lease)
+	}
 	if err != nil {
 		*own = ownRegistration{}
 		return err
--- a/daemon/edge/store_copy_test.go
+++ b/daemon/edge/store_copy_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -99,3 +100,31 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 }
+
+// Guards against daemons that nobody finds: their entries are lost, or expire with leases that the store has forgotten.
+func TestDaemonsRegisterAgainAfterReturn(t *testing.T) {
+	for name, inCopy := range map[string]bool{"entries_in_copy": true, "no_entries_in_copy": false} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 0, config(1), func(w *testFleet) {
+				copied := w.store.Copy()
+				for range 4 {
+					w.addDaemon()
+				}
+				time.Sleep(2 * time.Second)
+				if inCopy {
+					copied = w.store.Copy()
+				}
+				time.Sleep(8 * time.Second)
+				w.store.Restore(copied)
+				w.configure(config(1))
+				time.Sleep(3 * time.Second)
+				for range 40 {
+					time.Sleep(time.Second)
+					entries, err := w.store.List(context.Background(), "daemons/", "", 0)
+					w.NoErr(err)
+					w.Equal(len(entries), len(w.daemons))
+				}
+			})
+		})
+	}
+}
