Write a configuration again that the key-value service has lost

Operators of the product's own interface would see: a configuration that was accepted and said to be in force everywhere is gone once the daemons have restarted, after the service has come back from a copy.

Cause: daemons kept the newer generation for themselves.

A daemon that is designated to watch the head, and reads one older than the configuration in force, stores the sections and the head again by compare-and-swap.

--- a/coordination/config/head.go
+++ b/coordination/config/head.go
@@ -76,6 +76,10 @@
 	return Accepted{}, false
 }
 
+// Restore returns the head in which a configuration that was accepted after h, and lost by the
+// key-value service, is the newest one again.
+func (h Head) Restore(lost Accepted) Head { return h.prepend(lost) }
+
 // prepend returns the head in which next is the newest configuration, followed by those of h.
 func (h Head) prepend(next Accepted) Head {
 	past := h.History()
--- a/daemon/control/control_test.go
+++ b/daemon/control/control_test.go
@@ -221,6 +221,33 @@
 	})
 }
 
+// Guards against a configuration that was accepted and in force, and that daemons which start don't find any more:
+// the key-value service has come back from a copy without it.
+func TestAcceptedConfigurationOutlivesReturnFromCopy(t *testing.T) {
+	t.Parallel()
+	runWithFleet(t, func(is *is.I, f *fleet) {
+		_, err := f.apply(0, 4, "first")
+		is.NoErr(err)
+		copied := f.store.Copy()
+		_, err = f.apply(1, 5, "second")
+		is.NoErr(err)
+		f.waitUntil(time.Second, "second in force", f.inForce(2))
+		f.store.Restore(copied)
+		time.Sleep(2 * time.Second)
+		for i := range f.daemons {
+			f.crash(i)
+		}
+		for i := range f.daemons {
+			f.restart(i)
+		}
+		f.waitUntil(5*time.Second, "second in force after restarts", f.inForce(2))
+		outcome, err := f.apply(2, 6, "third")
+		is.NoErr(err)
+		is.True(outcome.InForceEverywhere)
+		is.Equal(int(outcome.Accepted.Generation), 3)
+	})
+}
+
 // All watches stall at once: their connections stay open, but no event arrives.
 // A change must reach all daemons without them.
 func TestStalledWatches(t *testing.T) {
--- a/daemon/control/counters.go
+++ b/daemon/control/counters.go
@@ -9,6 +9,7 @@
 	probes           metrics.Counter
 	fetches          metrics.Counter
 	fetchesFailed    metrics.Counter
+	headsRewritten   metrics.Counter
 	activated        metrics.Counter
 	rejected         metrics.Counter
 	storeReads       metrics.Counter
@@ -32,6 +33,7 @@
 		probes:           counter("probes_asked"),
 		fetches:          counter("config_fetches"),
 		fetchesFailed:    counter("config_fetches_failed"),
+		headsRewritten:   counter("config_heads_rewritten"),
 		activated:        counter("config_enforced"),
 		rejected:         counter("config_rejected"),
 		storeReads:       counter("store_reads"),
--- a/daemon/control/follow.go
+++ b/daemon/control/follow.go
@@ -155,6 +155,7 @@
 		return err
 	}
 	c.learnHead(head)
+	c.rewriteLostHead(ctx, head, after)
 	for ctx.Err() == nil && c.isDesignated(fixedSlot) {
 		events, next, err := c.watchOnce(ctx, after)
 		if err != nil {
@@ -195,8 +196,9 @@
 // rereadLoop reads the head periodically, independently of any watch.
 func (c *Control) rereadLoop(ctx context.Context) {
 	for {
-		if head, _, err := c.readHead(ctx); err == nil {
+		if head, revision, err := c.readHead(ctx); err == nil {
 			c.learnHead(head)
+			c.rewriteLostHead(ctx, head, revision)
 		}
 		if !pause.For(ctx, c.jittered(c.rereadInterval())) {
 			return
