--- a/soak/conditions_test.go
+++ b/soak/conditions_test.go
@@ -21,6 +21,8 @@
 	// domains places the daemons in two failure domains with unequal numbers of runners, and cuts the links between
 	// the domains now and then.
 	domains bool
+	// copies makes the store be away and come back from an older copy now and then.
+	copies bool
 }
 
 // The generators of a seed. Each list of draws has its own, so that one doesn't shift another.
@@ -31,6 +33,7 @@
 	restartDraws
 	surgeDraws
 	domainCutDraws
+	copyDraws
 )
 
 func generator(seed int64, draws uint64) *rand.Rand {
@@ -59,6 +62,9 @@
 	if c.domains {
 		faults = merge(faults, drawRepeated(seed, domainCutDraws, length, cutDomains))
 	}
+	if c.copies {
+		faults = merge(faults, drawRepeated(seed, copyDraws, length, returnFromCopy))
+	}
 	return faults
 }
 
--- a/standin/kvserver/copy.go
+++ b/standin/kvserver/copy.go
@@ -1,6 +1,7 @@
 package kvserver
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 
@@ -32,8 +33,9 @@
 
 // Restore makes the store come back from a copy, in a new history: what was written since is gone,
 // leases too, and the revisions since are given out again. The copy's leases run once more and can't be
-// renewed. Watches from earlier histories get a *kv.CompactedError.
-func (s *Store) Restore(c *Copy) {
+// renewed. Watches from earlier histories get a *kv.CompactedError. Before the store answers, the
+// changes again are made, which others write again; only their keys, values and deletions count.
+func (s *Store) Restore(c *Copy, again ...kv.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.epoch++
@@ -49,11 +51,27 @@
 		s.historyBytes += len(e.Value)
 	}
 	s.restoreLeases(c)
+	for _, change := range again {
+		s.writeAgain(change)
+	}
 	for w := range s.watchers {
 		w.notify()
 	}
 }
 
+func (s *Store) writeAgain(change kv.Event) {
+	current, exists := s.entries[change.Key]
+	switch {
+	case change.Deleted && exists:
+		s.remove(current)
+	case !change.Deleted && !bytes.Equal(current.Value, change.Value):
+		s.revision = s.nextRevision()
+		e := kv.Entry{Key: change.Key, Value: change.Value, Revision: s.revision}
+		s.entries[change.Key] = e
+		s.publishEvent(kv.Event{Entry: e})
+	}
+}
+
 func (s *Store) restoreLeases(c *Copy) {
 	for _, l := range s.leases {
 		l.timer.Stop()
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -9,9 +9,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"geraniumstack.org/geraniumstack/standin/kvserver"
@@ -24,6 +27,11 @@
 	KV *kvserver.Store
 	// PageSize is the maximum number of items in one page of a list.
 	PageSize int
+
+	// written holds what the operator and the runners wrote last under each key. Their writes wait for mu
+	// while the store comes back from a copy.
+	mu      sync.Mutex
+	written map[string]kv.Event
 }
 
 const (
@@ -35,7 +43,7 @@
 
 // NewStore starts a store on the loopback interface.
 func NewStore() *Store {
-	s := &Store{KV: kvserver.New(), PageSize: defaultPageSize}
+	s := &Store{KV: kvserver.New(), PageSize: defaultPageSize, written: map[string]kv.Event{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.get)
 	mux.HandleFunc("GET /v1/kv-range", s.list)
@@ -64,6 +72,8 @@
 
 // PutBytes writes data without encoding it, so that tests can store invalid JSON.
 func (s *Store) PutBytes(key string, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), directCallTimeout)
 	defer cancel()
 	entry, err := s.KV.Get(ctx, key)
@@ -71,11 +81,24 @@
 		return err
 	}
 	_, err = s.KV.CompareAndSwap(ctx, key, entry.Revision, data, 0)
+	if err == nil {
+		s.written[key] = kv.Event{Entry: kv.Entry{Key: key, Value: data}}
+	}
 	return err
 }
 
+// ReturnFromCopy makes the store come back from a copy. What the operator and the runners wrote since is
+// written again before it answers.
+func (s *Store) ReturnFromCopy(c *kvserver.Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.KV.Restore(c, slices.Collect(maps.Values(s.written))...)
+}
+
 // Remove deletes a key, whatever its present revision. A missing key is no error.
 func (s *Store) Remove(key string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), directCallTimeout)
 	defer cancel()
 	entry, err := s.KV.Get(ctx, key)
@@ -84,9 +107,14 @@
 	}
 	if entry.Revision == 0 {
 		// The response to an earlier attempt to remove the key was lost.
+		s.written[key] = kv.Event{Entry: kv.Entry{Key: key}, Deleted: true}
 		return nil
 	}
-	return s.KV.Delete(ctx, key, entry.Revision)
+	err = s.KV.Delete(ctx, key, entry.Revision)
+	if err == nil {
+		s.written[key] = kv.Event{Entry: kv.Entry{Key: key}, Deleted: true}
+	}
+	return err
 }
 
 // historyWriter states the number of the store's history in every response.
