Don't let a whole fleet list the store after a long outage

The platform would see: a listing by each daemon of a large fleet within a second when the store comes back, having dropped or lost its changes: for 985 daemons and 3,000 runners some 900 MB, more than the store's link takes in the time of a call, so that its answers fail.

Cause: after 1.65 s without their relays' changes, all daemons watch the store themselves, and each that has missed changes lists it.

A daemon that relays pass changes on to waits for them, as it does after its start, and lists only if it still lacks the same history after that. The file's loop is split into the steps it takes.

--- a/daemon/edge/startup.go
+++ b/daemon/edge/startup.go
@@ -68,10 +68,7 @@
 // should wait until its relays have sent it.
 func (e *Edge) awaitsSnapshot() bool {
 	now := e.deps.Steady()
-	e.mu.Lock()
-	mayBeFed := !e.relayPlan.Direct && (!e.relayPlan.WatchesStore || e.mayBeMistaken(now))
-	e.mu.Unlock()
-	if !mayBeFed {
+	if !e.mayBeFed(now) {
 		return false
 	}
 	if e.dir.startFirstSnapshot(now) {
@@ -82,6 +79,25 @@
 	return e.dir.snapshot != nil && now-e.dir.snapshotProgressAt < e.snapshotPatience
 }
 
+// mayBeFed reports whether relays pass the content of the key-value service on to this daemon.
+func (e *Edge) mayBeFed(now time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.relayPlan.Direct && (!e.relayPlan.WatchesStore || e.mayBeMistaken(now))
+}
+
+// waitForFeed waits until relays pass changes on to this daemon again, and reports whether they do.
+func (e *Edge) waitForFeed(ctx context.Context) bool {
+	begun := e.deps.Steady()
+	for e.deps.Steady()-begun < e.snapshotPatience && ctx.Err() == nil {
+		if e.feedIsCurrent() {
+			return true
+		}
+		pause.For(ctx, gossipInterval)
+	}
+	return false
+}
+
 // mayBeMistaken reports whether this daemon has recently begun to consider itself a relay and no
 // other relay has confirmed it. It may just know too few other daemons yet. The caller must hold
 // e.mu.
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -62,14 +62,23 @@
 	daemonPrefix = "daemons/"
 )
 
+// storeAccess is what syncStore knows of its calls to the key-value service.
+type storeAccess struct {
+	reachable bool
+	// backoff is the time until the next call to a service that doesn't answer.
+	backoff time.Duration
+	// awaited is the revision of the service at which this daemon has waited in vain for its relays to
+	// pass on what it has missed; zero if it hasn't.
+	awaited kv.Revision
+}
+
 // syncStore keeps this daemon's copy of the key-value service up to date: from the relays that
 // it follows, or by a watch of its own if there are none. If a watch has missed changes, all
 // keys are listed again.
 func (e *Edge) syncStore(ctx context.Context) {
 	e.findFleet(ctx)
 	close(e.fleetFound)
-	backoff := firstBackoff
-	reachable := true
+	access := &storeAccess{reachable: true, backoff: firstBackoff}
 	for ctx.Err() == nil {
 		if e.feedIsCurrent() {
 			pause.For(ctx, feedCheckInterval)
@@ -79,36 +88,57 @@
 			pause.For(ctx, gossipInterval)
 			continue
 		}
-		answered := func() {
-			if !reachable {
-				e.log.Note("store_regained", decisions.F("revision", e.dir.revisionReached()))
-			}
-			reachable = true
-			backoff = firstBackoff
-		}
 		err := e.catchUp(ctx)
 		if err == nil {
-			err = e.watchStore(ctx, answered)
+			err = e.watchStore(ctx, access)
 		}
 		var compacted *kv.CompactedError
-		if errors.As(err, &compacted) {
-			answered()
-			e.log.Note("changes_missed", decisions.F("at", e.dir.revisionReached()), decisions.F("service_at", uint64(compacted.Current)))
-			e.dir.markIncomplete()
-		}
-		if err == nil || ctx.Err() != nil || compacted != nil {
-			// This also limits the rate of listings of a service that discards its history
-			// again and again.
+		switch {
+		case errors.As(err, &compacted):
+			e.noteAnswered(access)
+			e.handleMissedChanges(ctx, access, compacted.Current)
+			// This limits the rate of listings of a service that discards its history again and again.
 			pause.For(ctx, smallFleetBatchDelay)
-			continue
-		}
-		if reachable {
-			e.log.Note("store_lost", decisions.F("error", err.Error()))
+		case err == nil || ctx.Err() != nil:
+			pause.For(ctx, smallFleetBatchDelay)
+		default:
+			e.noteUnanswered(access, err)
+			pause.For(ctx, access.backoff)
+			access.backoff = min(2*access.backoff, maxBackoff)
 		}
-		reachable = false
-		e.noteStoreFailure()
-		pause.For(ctx, backoff)
-		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (e *Edge) noteAnswered(access *storeAccess) {
+	if !access.reachable {
+		e.log.Note("store_regained", decisions.F("revision", kv.Revision(e.dir.revisionReached())))
+	}
+	access.reachable, access.backoff = true, firstBackoff
+}
+
+func (e *Edge) noteUnanswered(access *storeAccess, err error) {
+	if access.reachable {
+		e.log.Note("store_lost", decisions.F("error", err.Error()))
+	}
+	access.reachable = false
+	e.dir.mu.Lock()
+	e.dir.storeFailedAt = e.deps.Steady()
+	e.dir.mu.Unlock()
+}
+
+// handleMissedChanges makes this daemon list all keys, unless relays can pass on what it has missed: after
+// an outage all daemons watch the service themselves, and would all list it at the same time.
+func (e *Edge) handleMissedChanges(ctx context.Context, access *storeAccess, current kv.Revision) {
+	e.log.Note("changes_missed", decisions.F("at", kv.Revision(e.dir.revisionReached())), decisions.F("service_at", current))
+	hasWaited := access.awaited != 0 && access.awaited.History() == current.History()
+	if hasWaited || !e.mayBeFed(e.deps.Steady()) {
+		access.awaited = 0
+		e.dir.markIncomplete()
+		return
+	}
+	access.awaited = current
+	if e.waitForFeed(ctx) {
+		access.awaited = 0
 	}
 }
 
@@ -123,12 +153,6 @@
 	return e.readAll(ctx)
 }
 
-func (e *Edge) noteStoreFailure() {
-	e.dir.mu.Lock()
-	e.dir.storeFailedAt = e.deps.Steady()
-	e.dir.mu.Unlock()
-}
-
 // readAll lists all keys. It first determines the service's revision, from which the following
 // watch continues.
 func (e *Edge) readAll(ctx context.Context) error {
@@ -146,8 +170,8 @@
 	if err != nil {
 		return err
 	}
-	e.log.Note("store_listed", decisions.F("entries", len(entries)), decisions.F("service_at", uint64(from)),
-		decisions.F("had", e.dir.revisionReached()))
+	e.log.Note("store_listed", decisions.F("entries", len(entries)), decisions.F("service_at", from),
+		decisions.F("had", kv.Revision(e.dir.revisionReached())))
 	e.replaceAll(entries, from, sent)
 	return nil
 }
@@ -207,8 +231,8 @@
 // service reports. A watch that temporarily misses changes ends without any while the revision
 // advances; continuing from that revision would lose the missed changes for good. Since all
 // keys are watched, a revision that advances without a change doesn't prove that the
-// configuration is the newest one either. It calls answered whenever the service has answered.
-func (e *Edge) watchStore(ctx context.Context, answered func()) error {
+// configuration is the newest one either.
+func (e *Edge) watchStore(ctx context.Context, access *storeAccess) error {
 	sawChanges := true
 	for ctx.Err() == nil && !e.feedIsCurrent() {
 		at := kv.Revision(e.dir.revisionReached())
@@ -218,10 +242,10 @@
 		if err != nil {
 			return err
 		}
-		answered()
+		e.noteAnswered(access)
 		switch {
 		case len(events) == 0 && next > at:
-			e.log.Note("watch_blind", decisions.F("at", uint64(at)), decisions.F("service_at", uint64(next)))
+			e.log.Note("watch_blind", decisions.F("at", at), decisions.F("service_at", next))
 		case len(events) == 0:
 			e.confirmedByIdleWatch(at, sent, wait)
 			e.applyChanges(nil, feed.Position{At: uint64(at)}, sent)
