Use runners whose entries the store has lost until they write again

Callers would see: refusals for want of runners (no_runner) for one or two seconds after the store has come back from a copy that is older than the runners' entries, if no call had failed before; otherwise their runners end 1.5 s after the last failure.

Cause: an entry that a listing lacks was removed at once unless the store had failed to answer within 1.5 s.

A removal that shows in another history than the entry may be a loss: the runner stays in use, with the lowest preference, for the two seconds within which it writes again and one more in which a large fleet learns of it.

--- a/daemon/edge/runners.go
+++ b/daemon/edge/runners.go
@@ -21,6 +21,10 @@
 // was unreachable, and a runner that is alive registers again once the service is back.
 const lapsedGrace = 1500 * time.Millisecond
 
+// lostGrace is the same for a runner whose entry the service may have lost when it came back from a
+// copy. The runner writes again within about two seconds, which a large fleet learns within another.
+const lostGrace = 3 * time.Second
+
 // lapsedRunner is a runner whose entry has expired: until when it is still used, and in which history of
 // the service its entry has expired.
 type lapsedRunner struct {
@@ -86,28 +90,41 @@
 	}
 }
 
-// removeRunner applies the removal of a runner's entry, which the service has shown in a history. The
-// caller must hold dir.mu.
-func (e *Edge) removeRunner(key string, history uint64) {
+// removeRunner applies the removal of a runner's entry, which was known at one revision and gone at a
+// later one. If that belongs to another history, the service may just have lost the entry. The caller must
+// hold dir.mu.
+func (e *Edge) removeRunner(key string, known, gone kv.Revision) {
 	delete(e.dir.removed.revived, key)
-	r, known := e.dir.runners[key]
-	if !known {
+	r, exists := e.dir.runners[key]
+	if !exists {
 		return
 	}
 	now := e.deps.Steady()
-	if r.State == view.Live && e.dir.storeFailedAt != 0 && now-e.dir.storeFailedAt < lapsedGrace {
+	if grace := e.graceOfRemoval(now, known, gone); r.State == view.Live && grace > 0 {
 		r.State = view.Suspect
 		e.dir.runners[key] = r
-		e.dir.lapsed[key] = lapsedRunner{until: now + lapsedGrace, history: history}
-		e.log.Note("runner_lapsed", decisions.F("runner", r.ID), decisions.F("since_store_trouble", now-e.dir.storeFailedAt))
+		e.dir.lapsed[key] = lapsedRunner{until: now + grace, history: gone.History()}
+		e.log.Note("runner_lapsed", decisions.F("runner", r.ID), decisions.F("since_store_trouble", now-e.dir.storeFailedAt), decisions.F("grace", grace))
 		return
 	}
 	delete(e.dir.runners, key)
-	e.dir.removed.add(now, key, r, history)
+	e.dir.removed.add(now, key, r, gone.History())
 	e.dir.withdrawn = append(e.dir.withdrawn, r.ID)
 	e.log.Note("runner_gone", decisions.F("runner", r.ID), decisions.F("service", r.Service))
 }
 
+// graceOfRemoval returns how long a runner is still used whose entry was known at one revision and gone at
+// a later one. The caller must hold dir.mu.
+func (e *Edge) graceOfRemoval(now time.Duration, known, gone kv.Revision) time.Duration {
+	switch {
+	case known.History() != gone.History():
+		return lostGrace
+	case e.dir.storeFailedAt != 0 && now-e.dir.storeFailedAt < lapsedGrace:
+		return lapsedGrace
+	}
+	return 0
+}
+
 // expireLapsed removes the runners whose expired entries have not come back in time.
 func (e *Edge) expireLapsed() {
 	now := e.deps.Steady()
--- a/daemon/edge/store_copy_runners_test.go
+++ b/daemon/edge/store_copy_runners_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -64,3 +65,36 @@
 		w.Equal(reused.count(), 0)
 	})
 }
+
+// Guards against callers that are refused because the store has lost the entries of runners, which write them again a
+// moment later.
+func TestRunnersStayInUseUntilTheyWriteAgain(t *testing.T) {
+	for _, daemons := range []int{3, 40} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) { checkRunnersThatWriteAgain(t, daemons) })
+	}
+}
+
+func checkRunnersThatWriteAgain(t *testing.T, daemons int) {
+	withFleet(t, 0, config(1), func(w *testFleet) {
+		w.spreadOverDomains()
+		for range daemons {
+			w.addDaemon()
+		}
+		time.Sleep(4 * time.Second)
+		copied := w.store.Copy()
+		for _, id := range []string{"r1", "r2"} {
+			w.addRunner(id, "app")
+		}
+		time.Sleep(2 * time.Second)
+		w.store.Restore(copied)
+		returned := time.Now()
+		time.AfterFunc(time.Second, func() {
+			w.put(runnerPrefix+"r1", runnerEntry("r1", "r1"))
+			w.put(runnerPrefix+"r2", runnerEntry("r2", "r2"))
+		})
+		for i := 0; time.Since(returned) < 4*time.Second; i++ {
+			time.Sleep(10 * time.Millisecond)
+			w.Equal(w.ask(w.daemons[i%len(w.daemons)], "/read/1", key).status, 200)
+		}
+	})
+}
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -202,9 +202,10 @@
 		}
 	}
 	for key := range missing {
+		known := e.dir.revisions[key]
 		// A relay may have sent an entry that was written after the listing.
-		if from == 0 || e.dir.revisions[key] <= from {
-			e.removeRunner(key, from.History())
+		if from == 0 || known <= from {
+			e.removeRunner(key, known, from)
 		}
 	}
 	e.noteDutyHolder(newHolder)
@@ -348,6 +349,7 @@
 	e.applyTrialChanges(events)
 	e.dir.mu.Lock()
 	for _, event := range events {
+		known := e.dir.revisions[event.Key]
 		if !e.fedToFollowers(event.Key) || !e.dir.recordRevision(event.Key, event.Revision) {
 			continue
 		}
@@ -355,7 +357,7 @@
 		case strings.HasPrefix(event.Key, e.deps.Codec.RunnerPrefix()):
 			changed = true
 			if event.Deleted {
-				e.removeRunner(event.Key, event.Revision.History())
+				e.removeRunner(event.Key, known, event.Revision)
 			} else {
 				e.setRunner(event.Entry, now, learnedFrom(sent))
 			}
