Bound what daemons take from a store's and a daemon's numbers

A daemon whose clock runs far ahead could end the fleet's usage reports by the window that it names as sent; windows that have not begun are ignored. Found by reading; tests of the store, of duties and of usage pass.

--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -124,7 +124,10 @@
 	e.fair.ranks[id] = h.Ranks
 	e.updateQuotaUses(now, id, h)
 	e.handleCounts(now, id, h)
-	e.usageLedger.MarkSent(accounting.Window(h.UsageSentThrough))
+	if sent := accounting.Window(h.UsageSentThrough); sent <= e.usageLedger.WindowAt(e.wallClock.At(now)) {
+		// A clock that runs far ahead must not end the reports of the fleet.
+		e.usageLedger.MarkSent(sent)
+	}
 	e.receiveUnreachable(now, id, h.Unreachable)
 	if e.fresh.Receive(now, freshness.Statement{
 		Version: h.ConfigVersion, Echo: time.Duration(h.EchoNs), Lag: time.Duration(h.LagNs), Proved: h.Proved,
--- a/transport/kv/revision.go
+++ b/transport/kv/revision.go
@@ -16,6 +16,9 @@
 // floating-point numbers, too.
 const numberBits = 40
 
+// MaxHistory is the highest number of a history.
+const MaxHistory = 1<<(64-numberBits) - 1
+
 // RevisionIn returns the revision with a number in a history. Number zero, which stands for a missing
 // key, is the same in every history.
 func RevisionIn(history, number uint64) Revision {
