--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -76,6 +76,8 @@
 	without   string
 	// lastToken is the highest fencing token seen so far.
 	lastToken uint64
+	// served counts the requests that watchDuties sent and that were served.
+	served int64
 }
 
 type daemon struct {
--- a/daemon/edge/store_copy_duties_test.go
+++ b/daemon/edge/store_copy_duties_test.go
@@ -63,10 +63,16 @@
 			}
 			w.watchDuties(6 * time.Second)
 		}
-		w.watchDuties(16 * time.Second)
+		w.watchDuties(6 * time.Second)
+		due := w.served
+		// A window of 5 s is due 10 s after its end at the latest.
+		w.watchDuties(15 * time.Second)
 		reported := w.checkReports()
-		t.Logf("%d windows reported in %v", len(reported), time.Since(w.start))
+		t.Logf("%d windows with %d requests reported in %v, %d requests served", len(reported), w.totalReported(), time.Since(w.start), w.served)
 		w.True(len(reported) >= int(time.Since(w.start)/(5*time.Second))-4)
+		const usageTolerance = 0.05
+		w.True(w.totalReported() <= w.served)
+		w.True(float64(w.totalReported()) >= (1-usageTolerance)*float64(due))
 	})
 }
 
@@ -79,7 +85,9 @@
 			if !d.isRunning() {
 				continue
 			}
-			w.ask(d, "/read/1", key)
+			if w.ask(d, "/read/1", key).status == 200 {
+				w.served++
+			}
 			if token, ok := d.MayAct(); ok {
 				actors++
 				w.True(token >= w.lastToken)
