--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,7 +29,8 @@
 	"crashing-part":    playCrashingPart,
 	"split-header":     playSplitHeader,
 	"failed-503":       playFailed503,
-	"large-bodies":     playLargeBodies,
+	"reclaimed-stream": playReclaimedStream,
+	"upgraded-runner":  playUpgradedRunner,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -41,6 +41,8 @@
 	born     int64
 	seq      int
 	up       bool
+	// leavesAt is when the runner is taken away; zero if it isn't.
+	leavesAt time.Time
 	conns    map[net.Conn]bool
 	runs     []execution
 }
@@ -81,6 +83,9 @@
 		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": 16, "state": "ready",
 		"cold_remaining_ms": 0, "born": r.born, "seq": r.seq,
 	}
+	if !r.leavesAt.IsZero() {
+		entry["state"], entry["spot"], entry["leaves_ms"] = "draining", true, time.Until(r.leavesAt).Milliseconds()
+	}
 	if r.engine {
 		entry["stage"], entry["models"] = "both", []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}
 	}
@@ -88,6 +93,29 @@
 	_ = r.w.store.Put(key, entry)
 }
 
+// restartAs starts the runner at its address again, under the name that it had, with a version of its software.
+func (r *runner) restartAs(version string) error {
+	l, err := net.Listen("tcp4", r.address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	r.mu.Lock()
+	r.version = version
+	r.starts--
+	r.mu.Unlock()
+	r.begin(l)
+	r.beat()
+	return nil
+}
+
+// announceEnd lets the runner say that it is taken away after a time, in its entry and in its answers.
+func (r *runner) announceEnd(after time.Duration) {
+	r.mu.Lock()
+	r.leavesAt = time.Now().Add(after)
+	r.mu.Unlock()
+	r.beat()
+}
+
 // crash ends the runner at once. It returns the number of channels that end, and false if the runner had ended before.
 func (r *runner) crash() (channels int, crashed bool) {
 	r.mu.Lock()
@@ -197,8 +225,14 @@
 // head returns the beginning of an answer.
 func (r *runner) head(status int, req *http.Request) string {
 	id := req.Header.Get("X-Request-Id")
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Server-Signature: sig.%s.%s\r\nKeep-Alive: timeout=5\r\n",
-		status, http.StatusText(status), id, r.currentName(), id)
+	leaving := ""
+	r.mu.Lock()
+	if !r.leavesAt.IsZero() {
+		leaving = "Server-Leaving: 1\r\n"
+	}
+	r.mu.Unlock()
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\nX-Server-Signature: sig.%s.%s\r\nKeep-Alive: timeout=5\r\n%s",
+		status, http.StatusText(status), id, r.currentName(), id, leaving)
 }
 
 // answerWhole reads the body, runs the request for a time and answers with a status.
@@ -224,12 +258,15 @@
 			return false
 		}
 		last, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+		r.mu.Lock()
+		version := r.version
+		r.mu.Unlock()
 		if _, err := fmt.Fprintf(c, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.head(http.StatusOK, req)); err != nil {
 			return false
 		}
 		for i := last + 1; i <= events; i++ {
 			time.Sleep(pace)
-			event := fmt.Sprintf("id: %d\ndata: %s word%d\n\n", i, r.version, i)
+			event := fmt.Sprintf("id: %d\ndata: %s word%d\n\n", i, version, i)
 			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event); err != nil {
 				return false
 			}
