--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,6 +30,7 @@
 	"split-header":     playSplitHeader,
 	"failed-503":       playFailed503,
 	"reclaimed-stream": playReclaimedStream,
+	"late-extra":       playLateExtra,
 	"upgraded-runner":  playUpgradedRunner,
 }
 
