--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 	echo "build target/geraniumd and review/build.sh first" >&2
 	exit 2
 }
-exec target/review/harness -case usage-after-copy -record review/2/record.txt
+exec target/review/harness -case usage-after-copy -record review/3/record.txt
