--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -31,6 +31,8 @@
 	"failed-503":       playFailed503,
 	"reclaimed-stream": playReclaimedStream,
 	"late-extra":       playLateExtra,
+	"quiet-rollout":    playQuietRollout,
+	"brittle":          playBrittle,
 	"upgraded-runner":  playUpgradedRunner,
 }
 
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -42,7 +42,9 @@
 	daemons []*daemon
 	runners []*runner
 	stop    chan struct{}
-	beats   sync.WaitGroup
+	// rollouts says that the contract on roll-outs is in force.
+	rollouts bool
+	beats    sync.WaitGroup
 }
 
 func newWorld(rec *record) (*world, error) {
@@ -207,6 +209,9 @@
 		"platform.value_bytes=1048576", "platform.ttl_min_ms=1000",
 		"cloud.address=" + d.w.cloud.Address(), "cloud.rate_per_s=50.0", "cloud.duties=usage,autoscale", "cloud.duty_per_s=50.0",
 	}
+	if d.w.rollouts {
+		lines = append(lines, "bounds.expose_share=0.1", "bounds.expose_slack=50", "bounds.rollback_ms=5000")
+	}
 	return strings.Join(lines, "\n") + "\n"
 }
 
