Don't report a window whose report neither the store nor any daemon remembers

Cause: a daemon that starts and a store that has lost its last seconds together remember less than the outside world does. The intent of the report was lost with the copy, and that it was sent stood in memory only; a new holder took zero and the copy's older intent for all there is.

An intent now names the store's history in which it was written, and a daemon knows whether it knows of all reports: from an intent of the present history, or from a daemon that knows. One that hears nobody, or was suspended, no longer does. A holder that has neither source gives up the windows that ended before its first copy of the present history, and writes that down: the intents of later windows are in that history. A report is sent one run of the duties after its intent, when the other daemons have been told; that closes the gap of a tenth of a second that docs/incidents/store-returned-from-copy.md left open.

--- a/coordination/accounting/accounting.go
+++ b/coordination/accounting/accounting.go
@@ -9,7 +9,8 @@
 // One daemon at a time, the holder of the reporting duty, reports each window once. Before
 // it reports, it stores what it is about to report (an intent). A successor that finds an
 // intent repeats it unchanged, because the first report may have been accepted and a second
-// report with different counts would contradict it.
+// report with different counts would contradict it. The key-value service may lose an intent,
+// so the daemons also tell each other which reports were sent (SentReports).
 //
 // The package does no I/O and reads no clock. Its types are not safe for concurrent use.
 package accounting
@@ -56,10 +57,10 @@
 	timing Timing
 	self   ident.Incarnation
 	counts map[ident.Incarnation]map[Window]Counts
-	// reported holds the windows that are known to have been reported. sentThrough is the latest
-	// window of which any daemon is known to have sent a report, zero if none is.
-	reported    map[Window]bool
-	sentThrough Window
+	// reported holds the windows that are known to have been reported, sent what is known of all
+	// reports that were sent.
+	reported map[Window]bool
+	sent     SentReports
 	// workspaces caches the workspaces that occur in counts; nil means that the cache is
 	// invalid.
 	workspaces []ident.Workspace
@@ -226,13 +227,11 @@
 // MarkReported records that the platform has accepted the report of a window.
 func (l *Ledger) MarkReported(w Window) { l.reported[w] = true }
 
-// MarkSent records that a report of a window was sent, by this daemon or another one. Windows are
-// reported in order, so no daemon may send another report of this one or of an earlier one: the
-// counts could differ. Only the same report may be repeated.
-func (l *Ledger) MarkSent(w Window) { l.sentThrough = max(l.sentThrough, w) }
+// Sent returns what this daemon knows of the reports that any daemon has sent. The caller may change it.
+func (l *Ledger) Sent() *SentReports { return &l.sent }
 
-// SentThrough returns the latest window that was passed to MarkSent, zero if none was.
-func (l *Ledger) SentThrough() Window { return l.sentThrough }
+// LastEnded returns the last window that had ended by a time of day.
+func (l *Ledger) LastEnded(at time.Time) Window { return l.WindowAt(at) - 1 }
 
 // TimeSinceEnd returns how long ago a window ended.
 func (l *Ledger) TimeSinceEnd(now time.Time, w Window) time.Duration { return now.Sub(l.end(w)) }
--- a/daemon/edge/directory.go
+++ b/daemon/edge/directory.go
@@ -97,6 +97,14 @@
 	return now - f.historySince
 }
 
+// presentHistory returns the number of the history of this daemon's copy, and when this daemon first had
+// a copy of that history; Never if that is the fleet's first one.
+func (f *directory) presentHistory() (number uint64, since time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return kv.Revision(f.position.At).History(), f.historySince
+}
+
 // hasCopy reports whether this daemon has a copy without missed changes and isn't collecting a new
 // one. The caller must hold dir.mu.
 func (f *directory) hasCopy() bool {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -70,9 +70,10 @@
 	peers     *peers.Table
 	stamps    map[ident.Incarnation]freshness.Stamp
 	wallClock *walltime.Estimate
-	// usageLedger counts requests for the usage reports. seq is the number of the latest
-	// message that this daemon has sent.
+	// usageLedger counts requests for the usage reports. tickedAt is when checkSentReports last ran. seq is
+	// the number of the latest message that this daemon has sent.
 	usageLedger *accounting.Ledger
+	tickedAt    time.Duration
 	limiter     *quota.Limiter
 	seq         uint64
 	// alive are the other daemons that are alive, as of the last check. relayPlan is derived
--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -51,7 +51,8 @@
 	e.addVersionHistory(now, h)
 	h.Causes = e.failureCauses.statements(now, e.seq)
 	h.Ranks = e.ranksWithFollowers()
-	h.UsageSentThrough = int64(e.usageLedger.SentThrough())
+	sent := e.usageLedger.Sent()
+	h.UsageSentThrough, h.UsageSentComplete = int64(sent.Through()), sent.Complete()
 	if e.relayPlan.Direct {
 		h.Addresses = rotatingSubset(e.peers.Addresses(), e.seq, maxAddresses)
 	}
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -126,7 +126,7 @@
 	e.handleCounts(now, id, h)
 	if sent := accounting.Window(h.UsageSentThrough); sent <= e.usageLedger.WindowAt(e.wallClock.At(now)) {
 		// A clock that runs far ahead must not end the reports of the fleet.
-		e.usageLedger.MarkSent(sent)
+		e.usageLedger.Sent().Learn(sent, h.UsageSentComplete)
 	}
 	e.receiveUnreachable(now, id, h.Unreachable)
 	if e.fresh.Receive(now, freshness.Statement{
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -75,6 +75,7 @@
 	e.limiter.SetIsolationShares(e.isolatedQuotaParts(now))
 	e.limiter.Tick(now)
 	e.usageLedger.Tick(e.wallClock.At(now))
+	e.checkSentReports(now)
 	e.refreshPhase(now)
 }
 
--- a/daemon/edge/store_copy_duties_test.go
+++ b/daemon/edge/store_copy_duties_test.go
@@ -149,3 +149,30 @@
 		w.checkReports()
 	})
 }
+
+// Guards against two holders of the duties, and against fencing tokens that go back, when all daemons are lost together
+// with what the store held: none of them knows of the former holder.
+func TestDutiesAfterLossOfAllAndReturnFromCopy(t *testing.T) {
+	for _, age := range []time.Duration{500 * time.Millisecond, 7 * time.Second} {
+		withFleet(t, 4, config(1), func(w *testFleet) {
+			w.addRunner("r1", "app")
+			for range 3 {
+				w.watchDuties(6 * time.Second)
+				copied := w.store.Copy()
+				w.watchDuties(age)
+				for _, d := range w.daemons {
+					w.isolateAndKill(d)
+				}
+				w.store.Restore(copied)
+				w.configure(config(1))
+				w.put(runnerPrefix+"r1", runnerEntry("r1", "r1"))
+				for i := range w.daemons {
+					w.restart(i)
+				}
+				w.watchDuties(9 * time.Second)
+				w.True(w.dutyHolder() != nil)
+			}
+			w.checkReports()
+		})
+	}
+}
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/accounting"
@@ -11,9 +9,6 @@
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
-// intentKey is the key of the report that was sent last or is about to be sent.
-const intentKey = "usage/last"
-
 // countsCompleteAfter is the time after its election in which a relay receives the counts of
 // all others: each sends all of its followers' counts within a second or two.
 const countsCompleteAfter = 3 * time.Second
@@ -23,12 +18,6 @@
 // have time to report.
 const reportMargin = time.Second
 
-// reportIntent is a report that the cloud may have accepted. Its counts must not change.
-type reportIntent struct {
-	Window accounting.Window `json:"window"`
-	Counts accounting.Counts `json:"counts"`
-}
-
 // usageReportState is what the holder of the duties knows of the usage reports during its tenure.
 type usageReportState struct {
 	// loaded says that intentKey has been read since the start of the tenure or the last failed
@@ -36,10 +25,13 @@
 	loaded bool
 	// revision is that of intentKey, zero if the key doesn't exist.
 	revision kv.Revision
+	// history is the number of the key-value service's history in which intentKey was read, historySince
+	// when this daemon first knew of that history. isOfHistory says that the intent was written in it.
+	history      uint64
+	historySince time.Duration
+	isOfHistory  bool
 	// pending is an intent that the cloud has not confirmed, or nil.
 	pending *reportIntent
-	// lastWindow is the newest window of any intent.
-	lastWindow accounting.Window
 	// delayed is the delay that was logged last.
 	delayed reportDelay
 }
@@ -56,7 +48,8 @@
 
 // reportUsage sends the reports that are due. Each is written to the key-value service first,
 // so that a successor repeats it unchanged: a second report with other counts would contradict
-// one that was accepted although its answer was lost.
+// one that was accepted although its answer was lost. It is sent in the next run of the duties, when
+// the other daemons have been told of it: the service may lose the intent while this daemon ends.
 func (e *Edge) reportUsage(ctx context.Context) {
 	u := &e.duties.usage
 	if !e.duties.saved.loaded {
@@ -68,21 +61,26 @@
 	if u.pending != nil && !e.sendIntent(ctx) {
 		return
 	}
+	if !u.isOfHistory && !e.writeSentReports(ctx) {
+		return
+	}
+	next, ok := e.nextDueWindow()
+	if ok && !e.shouldDelayReport(next) {
+		e.writeIntent(ctx, next)
+	}
+}
+
+// nextDueWindow returns the first window that is due and that no daemon has reported.
+func (e *Edge) nextDueWindow() (accounting.Window, bool) {
 	e.mu.Lock()
-	due := e.usageLedger.WindowsDue(e.wallClock.At(e.deps.Steady()))
-	sentThrough := e.usageLedger.SentThrough()
-	e.mu.Unlock()
-	for _, w := range due {
-		if w <= max(u.lastWindow, sentThrough) {
-			continue
-		}
-		if e.shouldDelayReport(w) {
-			return
-		}
-		if !e.writeIntent(ctx, w) || !e.sendIntent(ctx) {
-			return
+	defer e.mu.Unlock()
+	through := e.usageLedger.Sent().Through()
+	for _, w := range e.usageLedger.WindowsDue(e.wallClock.At(e.deps.Steady())) {
+		if w > through {
+			return w, true
 		}
 	}
+	return 0, false
 }
 
 // isNewRelay reports whether this daemon became a relay so recently that it may not have received
@@ -151,85 +149,6 @@
 	return entry, err == nil
 }
 
-func (e *Edge) readIntent(ctx context.Context) bool {
-	u := &e.duties.usage
-	entry, ok := e.readUsageKey(ctx, intentKey, "read")
-	if !ok {
-		return false
-	}
-	u.loaded = true
-	u.revision = entry.Revision
-	if entry.Revision == 0 {
-		return true
-	}
-	var pending reportIntent
-	if err := json.Unmarshal(entry.Value, &pending); err != nil {
-		// No other program writes the key. An intent that can't be decoded can't be repeated,
-		// so the reports go on without it.
-		e.logUsageFailure("decode", err)
-		return true
-	}
-	u.pending, u.lastWindow = &pending, pending.Window
-	return true
-}
-
-func (e *Edge) writeIntent(ctx context.Context, w accounting.Window) bool {
-	u := &e.duties.usage
-	e.mu.Lock()
-	next := &reportIntent{Window: w, Counts: e.usageLedger.Sum(w)}
-	e.mu.Unlock()
-	data, err := json.Marshal(next)
-	if err != nil {
-		e.logUsageFailure("encode", err)
-		return false
-	}
-	if _, ok := e.permit(); !ok {
-		return false
-	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	revision, err := e.deps.Store.CompareAndSwap(callCtx, intentKey, u.revision, data, 0)
-	if err != nil {
-		// It is unknown whether the write took effect, or who changed the key, so the key is
-		// read again.
-		u.loaded = false
-		var conflict *kv.ConflictError
-		e.logUsageFailure("write", err, decisions.F("window", int64(w)), decisions.F("conflict", errors.As(err, &conflict)))
-		return false
-	}
-	u.revision, u.pending, u.lastWindow = revision, next, w
-	return true
-}
-
-// sendIntent sends the pending report and returns whether the next one may follow.
-func (e *Edge) sendIntent(ctx context.Context) bool {
-	u := &e.duties.usage
-	if e.reportTooLate(u.pending.Window) {
-		e.log.Note("usage_missed", decisions.F("window", int64(u.pending.Window)))
-		u.pending = nil
-		return true
-	}
-	duty, ok := e.permit()
-	if !ok {
-		return false
-	}
-	e.mu.Lock()
-	e.usageLedger.MarkSent(u.pending.Window)
-	e.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := e.deps.Cloud.ReportUsage(callCtx, duty, u.pending.Window, u.pending.Counts); err != nil {
-		e.logUsageFailure("report", err, decisions.F("window", int64(u.pending.Window)))
-		return false
-	}
-	e.mu.Lock()
-	e.usageLedger.MarkReported(u.pending.Window)
-	e.mu.Unlock()
-	e.log.Note("usage_reported", decisions.F("window", int64(u.pending.Window)), decisions.F("workspaces", len(u.pending.Counts)), decisions.F("token", duty.Token))
-	u.pending = nil
-	return true
-}
-
 // reportTooLate reports whether a usage window's report is past its due time, UsageDue after the
 // end of the window.
 func (e *Edge) reportTooLate(w accounting.Window) bool {
