Send a request over a connection to a runner once at most

Cause: an answer is matched to its request by the id alone, and all sends of one request bear the same id. A connection that had carried a send which was refused was kept and carried the next send of the same request; the runner's second copy of the refusal came first there and was believed, and a third send followed the second, which had run. Not only refusals: a second copy of a 500, of a whole 200 and of a stream that broke off was believed, too.

A connection remembers the requests that it has carried, until their deadlines, and doesn't carry one of them again: another unused connection is taken, or a new one. The lines late_answers and two counters tell of answers that were skipped and of connections that were passed over.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -250,6 +250,7 @@
 // begin takes up the beginning of an answer. It returns a failure if the answer isn't one that the caller may
 // get.
 func (a *attempt) begin(answer *Answer) *forward.FailedAttempt {
+	a.observeConnectionUse(answer)
 	a.observeStatements(answer)
 	if answer.NotRun || answer.Misdirected {
 		return a.handleNotRun(answer)
@@ -308,6 +309,18 @@
 	a.observeRest(answer)
 }
 
+// observeConnectionUse records what the attempt's connection has carried beside its request and answer.
+func (a *attempt) observeConnectionUse(answer *Answer) {
+	log := a.s.edge.log
+	if answer.LateAnswers > 0 {
+		a.s.note("late_answers", decisions.F("runner", a.choice.Runner), decisions.F("number", answer.LateAnswers))
+		log.Add("late_answers", answer.LateAnswers)
+	}
+	if answer.PassedOver > 0 {
+		log.Add("connections_passed_over", answer.PassedOver)
+	}
+}
+
 // rejectAnswer fails an attempt whose answer can't be passed on.
 func (a *attempt) rejectAnswer() *forward.FailedAttempt {
 	a.finish()
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -224,6 +224,9 @@
 	RetryAfter time.Duration
 	// Limits are what the runner states about the load that it bears.
 	Limits runnerlimit.Limits
+	// LateAnswers is the number of answers to earlier requests that came first on the connection. PassedOver
+	// is the number of unused connections that were not taken because they had carried the request.
+	LateAnswers, PassedOver int
 }
 
 // isPlainError reports whether the answer is a runner's error of its own.
