Don't take the streams of callers that name none for one stream

Callers that take a stream up without naming the request that began it (Resumes) got events of two software versions, where another such stream had been taken up before while there was one version (ORDER).

Cause: the version of such a stream was recorded under the empty request id, which is that of all of them. TestUnnamedStreamsAreNotTakenForOne fails before (a stream of v1.1 goes on at v1) and passes. A request that names no stream reads no record and writes none: it goes on while there has been only one version, and is refused otherwise.

--- a/daemon/edge/stream_version_test.go
+++ b/daemon/edge/stream_version_test.go
@@ -358,6 +358,32 @@
 	})
 }
 
+// Guards against a caller that doesn't name the request that began its stream and gets events of another version: what
+// was found out for one such stream says nothing of another.
+func TestUnnamedStreamsAreNotTakenForOne(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addVersions(2, nil, "v1")
+		time.Sleep(500 * time.Millisecond)
+		unnamed := func(d *daemon) *streamCaller {
+			c := w.beginStreams(1, d)[0]
+			c.firstRequest = ""
+			return c
+		}
+		first := unnamed(w.daemons[0])
+		w.readStream(w.daemons[1], first, neverLeave)
+		w.True(first.isWhole()) // there has been one version only
+		w.addVersions(2, nil, "v1.1")
+		time.Sleep(3 * time.Second)
+		for range 20 {
+			for _, d := range w.daemons {
+				c := unnamed(w.daemons[0])
+				w.readStream(d, c, neverLeave)
+				w.True(!c.isMixed())
+			}
+		}
+	})
+}
+
 // Guards against a daemon that has just started and takes the only version that it sees for the one
 // that began a stream.
 func TestStartedDaemonDoesNotGuessAVersion(t *testing.T) {
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -106,7 +106,7 @@
 func (e *Edge) streamVersion(ctx context.Context, service, request string) (canary.Version, versionSource, bool) {
 	now := e.deps.Steady()
 	stream := streamversion.StreamOf(service, request)
-	if v, known := e.streams.get(now, stream); known {
+	if v, known := e.streams.get(now, stream); known && request != "" {
 		return v, fromOwnRecord, true
 	}
 	// Without contact to the key-value service, this daemon may miss a version that has started.
@@ -393,6 +393,9 @@
 	if s.req.LastEventID != "" {
 		first = s.req.Resumes
 	}
+	if first == "" {
+		return // the caller doesn't name its stream, so nothing may be recorded for it
+	}
 	stream := streamversion.StreamOf(s.pool.name, first)
 	if a.helper != "" {
 		s.edge.streams.put(s.edge.deps.Steady(), stream, s.bound.version)
