Don't guess a stream's version after a time in which versions may have been missed

Callers that took their streams up at a daemon that had been cut off from the store and all other daemons got events of two software versions, if a version had come and gone meanwhile and the daemons that knew of it were lost (ORDER).

Cause: a daemon counted itself as knowing all versions since its start, also for times in which it saw and heard nothing, or was suspended. TestDaemonThat- MissedAVersionDoesNotGuess fails before and passes. Such a time ends what a daemon knows; what others state brings it back.

--- a/coordination/streamversion/history.go
+++ b/coordination/streamversion/history.go
@@ -33,6 +33,9 @@
 	return h
 }
 
+// Interrupt records that versions may have come and gone up to now of which this daemon has seen and heard nothing.
+func (h *History) Interrupt(now time.Duration) { h.knownSince = now }
+
 func (h *History) service(name string) *versions {
 	v := h.services[name]
 	if v == nil {
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -51,6 +51,8 @@
 	asks    asks[canary.Version]
 	// sends holds the records that wait for an acknowledgement.
 	sends asks[struct{}]
+	// observedAt is when tickLoop last observed the versions.
+	observedAt time.Duration
 }
 
 func (v *streamVersions) init(now time.Duration, complete bool) {
@@ -58,6 +60,7 @@
 	v.history = streamversion.NewHistory(now, complete)
 	v.asks.init()
 	v.sends.init()
+	v.observedAt = now
 }
 
 func (v *streamVersions) get(now time.Duration, s streamversion.Stream) (canary.Version, bool) {
@@ -275,6 +278,12 @@
 // observeVersions records which versions the services' runners have.
 func (e *Edge) observeVersions() {
 	now := e.deps.Steady()
+	if e.mayHaveMissedVersions(now) {
+		e.streams.mu.Lock()
+		e.streams.history.Interrupt(now)
+		e.streams.mu.Unlock()
+	}
+	e.streams.observedAt = now
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
 	for name, p := range e.pools {
@@ -289,6 +298,18 @@
 	}
 }
 
+// mayHaveMissedVersions reports whether this daemon was suspended, or neither has a recent copy of the key-value service
+// nor hears a daemon that may have one.
+func (e *Edge) mayHaveMissedVersions(now time.Duration) bool {
+	if now-e.streams.observedAt > maxTickGap {
+		return true
+	}
+	age, _ := e.dir.freshness(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return age > maxTickGap && !e.hearsAny(now, e.alive)
+}
+
 // addVersionHistory adds what this daemon knows of the services' versions to a message.
 func (e *Edge) addVersionHistory(now time.Duration, h *peersv1.Hello) {
 	e.streams.mu.Lock()
--- a/daemon/edge/usage_intent.go
+++ b/daemon/edge/usage_intent.go
@@ -162,7 +162,8 @@
 	return true
 }
 
-// maxTickGap is the longest time between two checks in which other daemons may not have ended unnoticed.
+// maxTickGap is the longest time between two runs of tickLoop in which nothing that other daemons did or told can
+// have been missed.
 const maxTickGap = 2 * time.Second
 
 // checkSentReports notes that this daemon may not have been told of all usage reports: it hears no other daemon,
