Let streams go on after a loss of all daemons at once

Callers saw: for a minute after all daemons had been killed at once, every stream that was taken up was refused as stream_unknown, up to three times in turn, while new ones began; also where there was one software version only.

Cause: which stream had which version, and which versions there were, lay in the daemons' memory only. Guessing the only version that is left would join two versions, so a daemon that starts rightly refuses; it just can't know better.

The daemon that saves the usage counts now saves in the store which versions the services have had in the last minute, when that changes, and, of services that have had several, the records of streams, 2.5 times a second at most; the others send it theirs each tenth of a second. Relays that start read both. The list of versions counts only if it is of the store's present history.

--- a/coordination/streamversion/history.go
+++ b/coordination/streamversion/history.go
@@ -1,6 +1,8 @@
 package streamversion
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/canary"
@@ -33,9 +35,6 @@
 	return h
 }
 
-// Interrupt records that versions may have come and gone up to now of which this daemon has seen and heard nothing.
-func (h *History) Interrupt(now time.Duration) { h.knownSince = now }
-
 func (h *History) service(name string) *versions {
 	v := h.services[name]
 	if v == nil {
@@ -85,6 +84,35 @@
 	}
 }
 
+// Interrupt records that versions may have come and gone up to now of which this daemon has seen and heard nothing.
+func (h *History) Interrupt(now time.Duration) { h.knownSince = now }
+
+// KnownSince returns the time since which this daemon knows all versions.
+func (h *History) KnownSince() time.Duration { return h.knownSince }
+
+// Versions returns the versions that the runners of each service have had during Memory, sorted.
+func (h *History) Versions(now time.Duration) map[string][]canary.Version {
+	services := make(map[string][]canary.Version, len(h.services))
+	for name, v := range h.services {
+		v.lastSeveral(now)
+		if len(v.lastSeen) > 0 {
+			services[name] = slices.Sorted(maps.Keys(v.lastSeen))
+		}
+	}
+	return services
+}
+
+// Load records what daemons that have ended knew: all versions since a time. It isn't known when they last saw
+// them, so it counts as now.
+func (h *History) Load(now, knownSince time.Duration, services map[string][]canary.Version) {
+	h.knownSince = min(h.knownSince, knownSince)
+	for name, versions := range services {
+		for _, v := range versions {
+			h.Observe(now, name, v)
+		}
+	}
+}
+
 // Only returns the version of a service's runners if they have had no other one during Memory.
 func (h *History) Only(now time.Duration, service string) (canary.Version, bool) {
 	v := h.services[service]
--- a/coordination/streamversion/streamversion_test.go
+++ b/coordination/streamversion/streamversion_test.go
@@ -156,3 +156,52 @@
 		}
 	})
 }
+
+// For any records that savers add, write and take over from each other, what is stored holds each record that was
+// written, at its version, as long as a stream may last.
+func TestSavedRecordsOutliveTheirSavers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stored := map[int64]*streamversion.SavedPart{}
+		written := map[streamversion.Stream]time.Time{}
+		saver := streamversion.NewSaved()
+		now := time.UnixMilli(1_000_000)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			stream := streamversion.Stream(rapid.Uint64Range(1, 50).Draw(t, "stream"))
+			version := canary.Version(fmt.Sprintf("v%d", stream%3))
+			saver.Add(now, stream, version)
+			if rapid.IntRange(0, 9).Draw(t, "another saver") == 0 {
+				saver = streamversion.NewSaved()
+				for _, part := range stored {
+					saver.Merge(part)
+				}
+			}
+			for part := saver.TakeChanged(); part != nil && rapid.Bool().Draw(t, "write"); part = saver.TakeChanged() {
+				stored[part.Number%streamversion.SavedParts] = copyOf(part)
+				for s := range part.Records() {
+					written[s] = now
+				}
+			}
+		}
+		found := map[streamversion.Stream]canary.Version{}
+		for _, part := range stored {
+			for s, v := range part.Records() {
+				found[s] = v
+			}
+		}
+		for s, at := range written {
+			kept := now.Sub(at) < (streamversion.SavedParts-1)*streamversion.PartLength
+			if v := canary.Version(fmt.Sprintf("v%d", s%3)); kept && found[s] != v {
+				t.Fatalf("stream %d, written %v ago, is stored at %q", s, now.Sub(at), found[s])
+			}
+		}
+	})
+}
+
+func copyOf(p *streamversion.SavedPart) *streamversion.SavedPart {
+	c := &streamversion.SavedPart{Number: p.Number, Streams: map[canary.Version][]byte{}}
+	for v, streams := range p.Streams {
+		c.Streams[v] = append([]byte{}, streams...)
+	}
+	return c
+}
--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -96,6 +96,7 @@
 		_, draining := e.timeSinceDrain()
 		e.duties.holder.Tick(ctx, !draining && e.shouldHoldDuties())
 		e.saveCounts(ctx)
+		e.saveStreams(ctx)
 		if e.duties.holder.Token() != 0 {
 			e.performDuties(ctx)
 		}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -265,6 +265,7 @@
 	group.Go(func() error { e.tickLoop(ctx); return nil })
 	group.Go(func() error { e.syncStore(ctx); return nil })
 	group.Go(func() error { e.keepRegistered(ctx); return nil })
+	group.Go(func() error { e.loadSavedStreams(ctx); return nil })
 	if e.deps.Cloud != nil {
 		group.Go(func() error { e.runDuties(ctx); return nil })
 	}
--- a/daemon/edge/feed.go
+++ b/daemon/edge/feed.go
@@ -301,7 +301,7 @@
 // fedToFollowers reports whether changes of a key are passed on in order. The configuration is
 // passed on apart from them.
 func (e *Edge) fedToFollowers(key string) bool {
-	for _, prefix := range [...]string{e.deps.Codec.RunnerPrefix(), holder.KeyPrefix, e.deps.Codec.OrderPrefix(), trialPrefix} {
+	for _, prefix := range [...]string{e.deps.Codec.RunnerPrefix(), holder.KeyPrefix, e.deps.Codec.OrderPrefix(), trialPrefix, savedVersionsKey} {
 		if strings.HasPrefix(key, prefix) {
 			return true
 		}
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -312,8 +312,14 @@
 	kv.Store
 	mu sync.Mutex
 	// unavailable makes calls fail. missesEvents makes watches return no events though the
-	// revision advances.
-	unavailable, missesEvents bool
+	// revision advances. readOnly makes writes fail.
+	unavailable, missesEvents, readOnly bool
+}
+
+func (s *faultyStore) setReadOnly(readOnly bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readOnly = readOnly
 }
 
 func (s *faultyStore) setFaults(unavailable, missesEvents bool) {
@@ -349,6 +355,12 @@
 	if err := s.unavailableError(); err != nil {
 		return 0, err
 	}
+	s.mu.Lock()
+	readOnly := s.readOnly
+	s.mu.Unlock()
+	if readOnly {
+		return 0, &kv.UnavailableError{Err: &kvserver.OutageError{}}
+	}
 	return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
 }
 
--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -101,7 +101,7 @@
 
 // excludedRunners returns the runners that must not be chosen for the request's next attempt.
 func (s *requestHandler) excludedRunners() prefix.Set {
-	excluded := s.failedRunners.Or(s.heldRunners).Or(s.pool.otherVersions(s.bound))
+	excluded := s.failedRunners.Or(s.heldRunners).Or(s.otherVersions())
 	if s.patient() {
 		excluded = excluded.Or(s.pool.exclusionOf(append(s.pool.silentRunnerIDs(), s.hedge.keptRunners()...)...))
 	}
--- a/daemon/edge/receive.go
+++ b/daemon/edge/receive.go
@@ -82,6 +82,8 @@
 		e.handleStreamRecord(d.StreamRecord)
 	case d.StreamRecordAck != nil:
 		e.streams.sends.answer(d.StreamRecordAck.Id, struct{}{})
+	case d.StreamBatch != nil:
+		e.handleStreamBatch(d.StreamBatch)
 	case d.StreamAsk != nil:
 		e.handleStreamAsk(d.StreamAsk)
 	case d.StreamAnswer != nil:
--- /dev/null
+++ b/daemon/edge/saved_versions.go
@@ -0,0 +1,152 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/canary"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
+	"geraniumstack.org/geraniumstack/state/ident"
+	"geraniumstack.org/geraniumstack/state/prefix"
+	"geraniumstack.org/geraniumstack/transport/kv"
+)
+
+// This file saves which software versions the services have had lately, and keeps streams that may be
+// resumed from a new version until it is saved.
+
+const (
+	// savedVersionsKey is the key with the services' versions.
+	savedVersionsKey = savedStreamsPrefix + "versions"
+	// maxClockError is the time by which two daemons' estimates of the time of day may differ.
+	maxClockError = time.Second
+	// maxVersionWait is how long streams that may be resumed don't begin at runners of a new version while it isn't saved:
+	// if all daemons were lost meanwhile, nobody would know that there was one.
+	maxVersionWait = 2 * time.Second
+)
+
+// savedVersions is the value of savedVersionsKey.
+type savedVersions struct {
+	// History is the number of the key-value service's history in which the value was written. A later
+	// one of an earlier history may be lost.
+	History uint64 `json:"history,omitempty"`
+	// KnownSinceMillis is the Unix time since which Services lists all versions that requests were sent to.
+	KnownSinceMillis int64                       `json:"known_since_unix_ms"`
+	Services         map[string][]canary.Version `json:"services"`
+}
+
+// says reports whether two values say the same, but for the error of the time of day.
+func (v savedVersions) says(other savedVersions) bool {
+	apart := time.Duration(v.KnownSinceMillis-other.KnownSinceMillis) * time.Millisecond
+	return v.History == other.History && apart.Abs() <= maxClockError && maps.EqualFunc(v.Services, other.Services, slices.Equal)
+}
+
+// observe records which versions a service's runners have.
+func (s *streamSaver) observe(now time.Duration, service string, versions []canary.Version) {
+	seen := make(map[canary.Version]time.Duration, len(versions))
+	for _, v := range versions {
+		at, known := s.firstSeen[service][v]
+		if !known {
+			at = now
+		}
+		seen[v] = at
+	}
+	s.firstSeen[service] = seen
+}
+
+// isUnsaved reports whether a version came so lately that it may not be saved yet.
+func (s *streamSaver) isUnsaved(now time.Duration, service string, v canary.Version) bool {
+	saved := s.versionsSaved[service]
+	if len(saved) == 0 || slices.Contains(saved, v) {
+		return false
+	}
+	at, known := s.firstSeen[service][v]
+	return !known || now-at < maxVersionWait
+}
+
+// unsavedVersions returns the runners of versions that aren't saved yet, unless there are only such runners.
+func (p *pool) unsavedVersions() prefix.Set {
+	now := p.edge.deps.Steady()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.versions) < 2 {
+		return prefix.Set{}
+	}
+	streams := &p.edge.streams
+	streams.mu.Lock()
+	defer streams.mu.Unlock()
+	var unsaved []ident.RunnerID
+	saved := false
+	for id, r := range p.runners {
+		if streams.saver.isUnsaved(now, p.name, r.Version) {
+			unsaved = append(unsaved, id)
+		} else if r.State != view.Leaving {
+			saved = true
+		}
+	}
+	if !saved || len(unsaved) == 0 {
+		return prefix.Set{}
+	}
+	return p.table.Exclude(unsaved...)
+}
+
+// writeSavedVersions writes the services' versions if they have changed; false if that failed.
+func (e *Edge) writeSavedVersions(ctx context.Context) bool {
+	saver := &e.streams.saver
+	next := e.versionsToSave()
+	if next.says(saver.versions) {
+		return true
+	}
+	data, err := json.Marshal(next)
+	if err != nil {
+		e.log.Note("streams_unsaved", decisions.F("key", savedVersionsKey), decisions.F("error", err.Error()))
+		return true
+	}
+	if !e.writeSaved(ctx, savedVersionsKey, data) {
+		return false
+	}
+	saver.versions = next
+	return true
+}
+
+// versionsToSave returns the services' versions.
+func (e *Edge) versionsToSave() savedVersions {
+	now := e.deps.Steady()
+	history, _ := e.dir.presentHistory()
+	e.streams.mu.Lock()
+	knownSince, services := e.streams.history.KnownSince(), e.streams.history.Versions(now)
+	e.streams.mu.Unlock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	since := e.wallClock.At(knownSince).Add(maxClockError)
+	return savedVersions{History: history, KnownSinceMillis: since.UnixMilli(), Services: services}
+}
+
+// noteSavedVersions takes up which versions are saved, as the key-value service or a relay shows.
+func (e *Edge) noteSavedVersions(value []byte) (saved savedVersions, ok bool) {
+	if json.Unmarshal(value, &saved) != nil {
+		return savedVersions{}, false
+	}
+	e.streams.mu.Lock()
+	defer e.streams.mu.Unlock()
+	e.streams.saver.versionsSaved = saved.Services
+	return saved, true
+}
+
+// applySavedVersions reports whether the saved versions are the last ones that were written.
+func (e *Edge) applySavedVersions(now time.Duration, entry kv.Entry) bool {
+	saved, ok := e.noteSavedVersions(entry.Value)
+	if !ok || saved.History != entry.Revision.History() {
+		return false
+	}
+	e.mu.Lock()
+	knownFor := e.wallClock.At(now).Sub(time.UnixMilli(saved.KnownSinceMillis))
+	e.mu.Unlock()
+	e.streams.mu.Lock()
+	defer e.streams.mu.Unlock()
+	e.streams.history.Load(now, now-max(0, knownFor), saved.Services)
+	return true
+}
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -65,6 +65,7 @@
 		e.sendRound(round)
 		e.publishLateRunners()
 		e.observeVersions()
+		e.passOnUnsaved(e.deps.Steady())
 		e.applyPeerLoads()
 		e.stepSpillover()
 		e.reportTrials(e.deps.Steady())
--- a/daemon/edge/storesync.go
+++ b/daemon/edge/storesync.go
@@ -220,6 +220,8 @@
 			e.applyConfig(kv.Event{Entry: entry}, sent)
 		case strings.HasPrefix(entry.Key, daemonPrefix):
 			e.handleRegistration(entry.Key, entry.Value)
+		case entry.Key == savedVersionsKey:
+			e.noteSavedVersions(entry.Value)
 		}
 	}
 	e.publishRunners()
@@ -381,6 +383,8 @@
 			e.applyConfig(event, sent)
 		case strings.HasPrefix(event.Key, daemonPrefix) && !event.Deleted:
 			e.handleRegistration(event.Key, event.Value)
+		case event.Key == savedVersionsKey && !event.Deleted:
+			e.noteSavedVersions(event.Value)
 		}
 	}
 	if changed {
--- a/daemon/edge/stream_loss_test.go
+++ b/daemon/edge/stream_loss_test.go
@@ -2,13 +2,128 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/canary"
+	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/coordination/view"
 )
 
+// lossOfAll says what the versions of a service do around the loss of all daemons.
+type lossOfAll struct {
+	versions []canary.Version
+	// leaves is the version whose runners leave before the loss, while the daemons are down or after it.
+	leaves                                 canary.Version
+	leavesBefore, leavesWhile, leavesAfter bool
+}
+
+// Guards against streams that hold events of two versions, and against streams that don't go on at their version, after
+// all daemons are lost at once: which stream had which version is known to them only.
+func TestStreamsOutliveTheLossOfAllDaemons(t *testing.T) {
+	for name, c := range map[string]lossOfAll{
+		"one version":           {versions: []canary.Version{"v1"}},
+		"two versions":          {versions: []canary.Version{"v1", "v1.1"}},
+		"old one leaves before": {versions: []canary.Version{"v1", "v1.1"}, leaves: "v1", leavesBefore: true},
+		"old one leaves while":  {versions: []canary.Version{"v1", "v1.1"}, leaves: "v1", leavesWhile: true},
+		"old one leaves after":  {versions: []canary.Version{"v1", "v1.1"}, leaves: "v1", leavesAfter: true},
+	} {
+		for _, fleet := range []struct{ daemons, direct int }{{5, relays.DirectFleet}, {40, relays.AllWatchFleet}} {
+			t.Run(fmt.Sprintf("%s/%d daemons", name, fleet.daemons), func(t *testing.T) {
+				withSettledFleet(t, fleet.daemons, fleet.direct, config(1), func(w *testFleet) { checkStreamsAfterLoss(w, c) })
+			})
+		}
+	}
+}
+
+func checkStreamsAfterLoss(w *testFleet, c lossOfAll) {
+	const (
+		each = 3
+		// atOnce is the number of streams that begin together, so that some begin at each version.
+		atOnce = 12
+		// begunOver is the time before the loss in which the streams begin, down how long no daemon runs.
+		begunOver, down = 8 * time.Second, 2 * time.Second
+	)
+	w.addVersions(each, nil, c.versions...)
+	time.Sleep(2 * time.Second)
+	callers := make([]*streamCaller, callerStreams)
+	var reading sync.WaitGroup
+	for i := range callers {
+		callers[i] = &streamCaller{}
+		reading.Go(func() { w.readStream(w.daemons[i/atOnce%len(w.daemons)], callers[i], 3) })
+		if i%atOnce == atOnce-1 {
+			time.Sleep(begunOver * atOnce / callerStreams)
+		}
+	}
+	reading.Wait()
+	w.leaveIf(c.leavesBefore, c.leaves, each)
+	for _, d := range w.daemons {
+		w.isolateAndKill(d)
+	}
+	w.leaveIf(c.leavesWhile, c.leaves, each)
+	time.Sleep(down)
+	for i := range w.daemons {
+		w.restart(i)
+	}
+	time.Sleep(2 * time.Second)
+	w.leaveIf(c.leavesAfter, c.leaves, each)
+	var stay []*streamCaller
+	for _, caller := range callers {
+		if len(caller.versions) > 0 && (c.leaves == "" || caller.versions[0] != c.leaves) {
+			stay = append(stay, caller)
+			continue
+		}
+		w.readStream(w.daemons[0], caller, neverLeave)
+		w.True(!caller.isMixed())
+	}
+	w.checkTakenUp(w.takeUpAtOnce(stay, w.daemons), len(stay))
+}
+
+// Guards against streams of a version that came just before the loss of all daemons and is gone when they are back: they
+// must not go on at the only version that is left, which nobody has seen beside another.
+func TestStreamsOfAVersionThatCameBeforeTheLoss(t *testing.T) {
+	const each = 3
+	for _, fleet := range []struct{ daemons, direct int }{{5, relays.DirectFleet}, {40, relays.AllWatchFleet}} {
+		for after := 100 * time.Millisecond; after <= 1700*time.Millisecond; after += 400 * time.Millisecond {
+			// The saver can't write, or it can.
+			readOnly := int(after/(400*time.Millisecond))%2 == 1
+			t.Run(fmt.Sprintf("%d daemons/%v/read-only %v", fleet.daemons, after, readOnly), func(t *testing.T) {
+				withSettledFleet(t, fleet.daemons, fleet.direct, config(1), func(w *testFleet) {
+					w.addVersions(each, nil, "v1")
+					time.Sleep(2 * time.Second)
+					for _, d := range w.daemons {
+						d.store.setReadOnly(readOnly)
+					}
+					w.addVersions(each, nil, "v1.1")
+					var callers []*streamCaller
+					var reading sync.WaitGroup
+					for began := w.steady(); w.steady()-began < after; time.Sleep(50 * time.Millisecond) {
+						for range 4 {
+							c := &streamCaller{}
+							d := w.daemons[len(callers)%len(w.daemons)]
+							callers = append(callers, c)
+							reading.Go(func() { w.readStream(d, c, 1) })
+						}
+					}
+					reading.Wait()
+					for _, d := range w.daemons {
+						w.isolateAndKill(d)
+					}
+					w.leaveIf(true, "v1.1", each)
+					for i := range w.daemons {
+						w.restart(i)
+					}
+					time.Sleep(2 * time.Second)
+					o := w.takeUpAtOnce(callers, w.daemons)
+					t.Logf("%+v", o)
+					w.Equal(o.mixed, 0)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a daemon that was cut off from everything, or suspended, while a version came and went, and takes the
 // only one that it has seen for that of all streams, once those who know better are lost.
 func TestDaemonThatMissedAVersionDoesNotGuess(t *testing.T) {
@@ -39,6 +154,30 @@
 	})
 }
 
+// Guards against runners of a new version that get no streams: the version can't be saved while the store takes no
+// writes, and the runners of the others must not bear all of the load for long.
+func TestNewVersionIsUsedThoughItIsNotSaved(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addVersions(1, nil, "v1")
+		time.Sleep(2 * time.Second)
+		for _, d := range w.daemons {
+			d.store.setReadOnly(true)
+		}
+		w.addVersions(3, nil, "v1.1")
+		begun := map[canary.Version]int{}
+		for range 10 {
+			for _, c := range w.beginStreams(12, w.daemons[0]) {
+				if len(c.versions) > 0 {
+					begun[c.versions[0]]++
+				}
+			}
+		}
+		t.Logf("%v", begun)
+		w.True(begun["v1.1"] > 0)
+		w.Equal(begun["v1"]+begun["v1.1"], 120)
+	})
+}
+
 // leaveIf lets all runners of a version leave and their entries go.
 func (w *testFleet) leaveIf(leaves bool, version canary.Version, runners int) {
 	if !leaves {
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -51,6 +51,7 @@
 	asks    asks[canary.Version]
 	// sends holds the records that wait for an acknowledgement.
 	sends asks[struct{}]
+	saver streamSaver
 	// observedAt is when tickLoop last observed the versions.
 	observedAt time.Duration
 }
@@ -60,6 +61,7 @@
 	v.history = streamversion.NewHistory(now, complete)
 	v.asks.init()
 	v.sends.init()
+	v.saver.init()
 	v.observedAt = now
 }
 
@@ -275,7 +277,7 @@
 	return addresses
 }
 
-// observeVersions records which versions the services' runners have.
+// observeVersions records which versions the services' runners have, and since when.
 func (e *Edge) observeVersions() {
 	now := e.deps.Steady()
 	if e.mayHaveMissedVersions(now) {
@@ -294,6 +296,7 @@
 		for _, v := range versions {
 			e.streams.history.Observe(now, name, v)
 		}
+		e.streams.saver.observe(now, name, versions)
 		e.streams.mu.Unlock()
 	}
 }
@@ -332,6 +335,14 @@
 	e.streams.history.Merge(now, s)
 }
 
+// otherVersions returns the runners at which the request must not begin or go on because of their version.
+func (s *requestHandler) otherVersions() prefix.Set {
+	if !s.bound.known && s.exchange.Terms.Resumable {
+		return s.pool.unsavedVersions()
+	}
+	return s.pool.otherVersions(s.bound)
+}
+
 // otherVersions returns the runners whose version isn't the one at which a stream must go on.
 func (p *pool) otherVersions(b boundVersion) prefix.Set {
 	if !b.known {
@@ -423,4 +434,7 @@
 		return
 	}
 	s.edge.recordStream(stream, s.bound.version)
+	if _, only := s.edge.streams.only(s.edge.deps.Steady(), s.pool.name); !only {
+		s.edge.streams.addUnsaved(stream, s.bound.version)
+	}
 }
