Tell of a report before its intent, not between intent and report

The other daemons are now told in the run before the intent; intent and report follow each other at once, as before. Within one history of the store a successor goes by the intents alone, so a window that was announced and not written is reported.

--- a/coordination/accounting/sent.go
+++ b/coordination/accounting/sent.go
@@ -9,21 +9,21 @@
 // have lost its latest intents by coming back from a copy. Whoever reports must therefore know that the
 // knowledge is complete, or give up the windows that may have been reported.
 type SentReports struct {
-	// through is the latest window of which a report is known to have been sent.
+	// through is the latest window of which a report is known to have been sent, or to be about to be.
 	through Window
 	// complete says that no report of a later window was sent before this daemon learned so, and
 	// that it has been told of those sent since.
 	complete bool
 }
 
-// Through returns the latest window of which a report is known to have been sent or may have been sent,
-// zero if none is. No report of it or of an earlier window may be made.
+// Through returns the latest window of which a report may have been sent, zero if none is known. Unless the
+// intents in the key-value service say otherwise, no report of it or of an earlier window may be made.
 func (s *SentReports) Through() Window { return s.through }
 
 // Complete reports whether no report of a window after Through was sent.
 func (s *SentReports) Complete() bool { return s.complete }
 
-// Mark records that the report of a window is sent, by this daemon or another one.
+// Mark records that the report of a window is about to be sent, by this daemon or another one.
 func (s *SentReports) Mark(w Window) { s.through = max(s.through, w) }
 
 // Learn takes up what another daemon knows, or what an intent says that is known to be the latest one.
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -30,8 +30,12 @@
 	history      uint64
 	historySince time.Duration
 	isOfHistory  bool
-	// pending is an intent that the cloud has not confirmed, or nil.
-	pending *reportIntent
+	// through is the latest window of which no other report may be made. pending is an intent that the
+	// cloud has not confirmed, or nil. announced is the window whose report the other daemons have been
+	// told of, or are told of with this daemon's next messages.
+	through   accounting.Window
+	pending   *reportIntent
+	announced accounting.Window
 	// delayed is the delay that was logged last.
 	delayed reportDelay
 }
@@ -48,8 +52,8 @@
 
 // reportUsage sends the reports that are due. Each is written to the key-value service first,
 // so that a successor repeats it unchanged: a second report with other counts would contradict
-// one that was accepted although its answer was lost. It is sent in the next run of the duties, when
-// the other daemons have been told of it: the service may lose the intent while this daemon ends.
+// one that was accepted although its answer was lost. Before that, in the run before, the other
+// daemons are told of it, since the service may lose what was written while this daemon ends.
 func (e *Edge) reportUsage(ctx context.Context) {
 	u := &e.duties.usage
 	if !e.duties.saved.loaded {
@@ -64,9 +68,14 @@
 	if !u.isOfHistory && !e.writeSentReports(ctx) {
 		return
 	}
-	next, ok := e.nextDueWindow()
-	if ok && !e.shouldDelayReport(next) {
-		e.writeIntent(ctx, next)
+	for {
+		next, due := e.nextDueWindow()
+		if !due || e.shouldDelayReport(next) || !e.announceReport(next) {
+			return
+		}
+		if !e.writeIntent(ctx, next) || !e.sendIntent(ctx) {
+			return
+		}
 	}
 }
 
@@ -74,15 +83,28 @@
 func (e *Edge) nextDueWindow() (accounting.Window, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	through := e.usageLedger.Sent().Through()
 	for _, w := range e.usageLedger.WindowsDue(e.wallClock.At(e.deps.Steady())) {
-		if w > through {
+		if w > e.duties.usage.through {
 			return w, true
 		}
 	}
 	return 0, false
 }
 
+// announceReport reports whether the other daemons have been told that a window is about to be reported. Otherwise
+// they are told with this daemon's next messages.
+func (e *Edge) announceReport(w accounting.Window) bool {
+	u := &e.duties.usage
+	if u.announced >= w {
+		return true
+	}
+	u.announced = w
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.usageLedger.Sent().Mark(w)
+	return false
+}
+
 // isNewRelay reports whether this daemon became a relay so recently that it may not have received
 // the counts of the other relays' followers. In a direct fleet every daemon receives all counts.
 // The caller must hold e.mu.
--- a/daemon/edge/usage_intent.go
+++ b/daemon/edge/usage_intent.go
@@ -36,7 +36,7 @@
 	if entry.Revision != 0 && entry.Revision.History() != u.history {
 		return false // this daemon's copy is of an earlier history, or it has learned of a later one since
 	}
-	u.loaded, u.revision, u.pending, u.isOfHistory = true, entry.Revision, nil, false
+	u.loaded, u.revision, u.pending, u.isOfHistory, u.through = true, entry.Revision, nil, false, 0
 	if entry.Revision == 0 {
 		return true
 	}
@@ -47,7 +47,7 @@
 		e.logUsageFailure("decode", err)
 		return true
 	}
-	u.isOfHistory = last.History == u.history
+	u.isOfHistory, u.through = last.History == u.history, last.Window
 	if last.Counts != nil {
 		u.pending = &last
 	}
@@ -76,6 +76,7 @@
 	if !e.putIntent(ctx, &reportIntent{History: u.history, Window: through}) {
 		return false
 	}
+	u.through = through
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	sent.Learn(through, true)
@@ -86,19 +87,17 @@
 	return true
 }
 
-// writeIntent writes the report of a window, which is sent in the next run of the duties.
-func (e *Edge) writeIntent(ctx context.Context, w accounting.Window) {
+// writeIntent writes the report of a window, which becomes the pending one; false if that failed.
+func (e *Edge) writeIntent(ctx context.Context, w accounting.Window) bool {
 	u := &e.duties.usage
 	e.mu.Lock()
 	next := &reportIntent{History: u.history, Window: w, Counts: e.usageLedger.Sum(w)}
 	e.mu.Unlock()
 	if !e.putIntent(ctx, next) {
-		return
+		return false
 	}
-	u.pending = next
-	e.mu.Lock()
-	e.usageLedger.Sent().Mark(w)
-	e.mu.Unlock()
+	u.pending, u.through = next, w
+	return true
 }
 
 // putIntent writes an intent over the last one, and reports whether it is known to be there.
