Lose the daemons together with what the store held last in the soak

TestSoakOfPowerLosses draws that from a generator of its own, so the other seeds play what they played.

--- a/soak/conditions_test.go
+++ b/soak/conditions_test.go
@@ -23,6 +23,9 @@
 	domains bool
 	// copies makes the store be away and come back from an older copy now and then.
 	copies bool
+	// powerLosses kills all daemons now and then at the moment at which the store is lost, which comes back from an
+	// older copy.
+	powerLosses bool
 }
 
 // The generators of a seed. Each list of draws has its own, so that one doesn't shift another.
@@ -34,6 +37,7 @@
 	surgeDraws
 	domainCutDraws
 	copyDraws
+	powerLossDraws
 )
 
 func generator(seed int64, draws uint64) *rand.Rand {
@@ -65,6 +69,9 @@
 	if c.copies {
 		faults = merge(faults, drawRepeated(seed, copyDraws, length, returnFromCopy))
 	}
+	if c.powerLosses {
+		faults = merge(faults, drawRepeated(seed, powerLossDraws, length, losePower))
+	}
 	return faults
 }
 
--- a/soak/copies_test.go
+++ b/soak/copies_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"geraniumstack.org/geraniumstack/standin/kvserver"
@@ -26,3 +27,22 @@
 		f.store.KV.SetFaults(kvserver.Faults{})
 	}}
 }
+
+// losePower kills all daemons at the moment at which the store is lost. The store comes back from a copy of some seconds
+// before, and the daemons start before it or after.
+func losePower(rng *rand.Rand) fault {
+	age, away, down := durationBetween(rng, 200*time.Millisecond, 6*time.Second), durationBetween(rng, 0, 2*time.Second), durationBetween(rng, 0, 2*time.Second)
+	return fault{description: fmt.Sprintf("store and all daemons are lost, copy of %v before, away for %v and %v", age, away, down), apply: func(f *fleet) {
+		copied := f.store.KV.Copy()
+		time.Sleep(age)
+		f.store.KV.SetFaults(kvserver.Faults{Outage: true})
+		var all sync.WaitGroup
+		for _, d := range f.daemons {
+			all.Go(func() { restartAfter(d, d.kill, down) })
+		}
+		time.Sleep(away)
+		f.store.ReturnFromCopy(copied)
+		f.store.KV.SetFaults(kvserver.Faults{})
+		all.Wait()
+	}}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,7 @@
 var (
 	seeds        = flag.Int("seeds", 2, "how many seeds TestSoak plays")
 	copySeeds    = flag.Int("copy-seeds", 1, "how many seeds TestSoakOfReturningStore plays, from the first seed on")
+	lossSeeds    = flag.Int("loss-seeds", 1, "how many seeds TestSoakOfPowerLosses plays, from the first seed on")
 	firstSeed    = flag.Int64("first-seed", 1, "the first of them; 0 is one by the time of day")
 	length       = flag.Duration("length", 6*time.Second, "how long faults come in one seed")
 	daemons      = flag.Int("daemons", 4, "daemons of the fleet")
@@ -96,6 +97,16 @@
 	}
 }
 
+// TestSoakOfPowerLosses plays seeds in which the daemons and what the store held last are lost together.
+func TestSoakOfPowerLosses(t *testing.T) {
+	t.Parallel()
+	for i := range int64(*lossSeeds) {
+		with := drawConditions(*firstSeed + i)
+		with.powerLosses = true
+		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { runSeed(t, *firstSeed+i, *length, *daemons, with) })
+	}
+}
+
 // runSeed runs the soak for one seed under the conditions and checks the result, the returns of refused callers in a
 // test of their own, so that KNOWN-RED.txt can name it.
 func runSeed(t *testing.T, seed int64, length time.Duration, daemons int, with conditions) {
