--- a/daemon/edge/store_copy_trials_test.go
+++ b/daemon/edge/store_copy_trials_test.go
@@ -52,3 +52,45 @@
 		})
 	}
 }
+
+// Guards against a bad version that gets more requests than a trial may cost, because its verdict is lost together with
+// all daemons and it is tried once more.
+func TestTrialAfterLossOfAllAndReturnFromCopyKeepsItsBound(t *testing.T) {
+	for _, copiedAfter := range []time.Duration{0, 300 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(copiedAfter.String(), func(t *testing.T) {
+			withFleet(t, 5, config(1), func(w *testFleet) {
+				tw := newTrial(w)
+				tw.fails = func(string) float64 { return 0.4 }
+				tw.runLoad(3 * time.Second)
+				copied := tw.store.Copy()
+				tw.order(newVersion)
+				tw.runLoad(time.Second)
+				tw.startRunners(newVersion)
+				tw.runLoad(copiedAfter)
+				if copiedAfter > 0 {
+					copied = tw.store.Copy()
+				}
+				for tw.status().State != canary.RolledBack {
+					tw.runLoad(100 * time.Millisecond)
+				}
+				tw.runLoad(time.Second)
+				exposed := tw.exposed
+				for _, d := range tw.daemons {
+					tw.isolateAndKill(d)
+				}
+				tw.store.Restore(copied)
+				for i := range tw.daemons {
+					tw.restart(i)
+				}
+				tw.startRunners(oldVersion)
+				tw.startRunners(newVersion)
+				tw.configure(config(1))
+				tw.put(orderPrefix+"app", canary.Order{Service: "app", Target: newVersion, Duration: trialDuration})
+				tw.runLoad(20 * time.Second)
+				t.Logf("%d requests exposed before, %d after, of %d; %v", exposed, tw.exposed-exposed, tw.asked, tw.status())
+				tw.True(float64(tw.exposed) <= trialShare*float64(tw.asked)+trialSlack)
+				tw.Equal(tw.status(), orderStatus{newVersion, canary.RolledBack})
+			})
+		})
+	}
+}
