Tell of a report when its window ends

What a daemon has announced stands apart from what it knows to be sent, and is told only while the service shows an intent of its present history: the others' answers would otherwise look as if they knew of reports.

--- a/coordination/accounting/sent.go
+++ b/coordination/accounting/sent.go
@@ -9,8 +9,9 @@
 // have lost its latest intents by coming back from a copy. Whoever reports must therefore know that the
 // knowledge is complete, or give up the windows that may have been reported.
 type SentReports struct {
-	// through is the latest window of which a report is known to have been sent, or to be about to be.
-	through Window
+	// through is the latest window of which a report is known to have been sent, or was announced by
+	// another daemon. announced is the latest one that this daemon has announced.
+	through, announced Window
 	// complete says that no report of a later window was sent before this daemon learned so, and
 	// that it has been told of those sent since.
 	complete bool
@@ -23,9 +24,15 @@
 // Complete reports whether no report of a window after Through was sent.
 func (s *SentReports) Complete() bool { return s.complete }
 
-// Mark records that the report of a window is about to be sent, by this daemon or another one.
+// Mark records that the report of a window is sent.
 func (s *SentReports) Mark(w Window) { s.through = max(s.through, w) }
 
+// Announce records that this daemon is about to send the reports up to a window, which the others must know before.
+func (s *SentReports) Announce(w Window) { s.announced = max(s.announced, w) }
+
+// ToTell returns the latest window that the other daemons must take for reported.
+func (s *SentReports) ToTell() Window { return max(s.through, s.announced) }
+
 // Learn takes up what another daemon knows, or what an intent says that is known to be the latest one.
 func (s *SentReports) Learn(through Window, complete bool) {
 	s.Mark(through)
--- a/daemon/edge/hello.go
+++ b/daemon/edge/hello.go
@@ -52,7 +52,7 @@
 	h.Causes = e.failureCauses.statements(now, e.seq)
 	h.Ranks = e.ranksWithFollowers()
 	sent := e.usageLedger.Sent()
-	h.UsageSentThrough, h.UsageSentComplete = int64(sent.Through()), sent.Complete()
+	h.UsageSentThrough, h.UsageSentComplete = int64(sent.ToTell()), sent.Complete()
 	if e.relayPlan.Direct {
 		h.Addresses = rotatingSubset(e.peers.Addresses(), e.seq, maxAddresses)
 	}
--- a/daemon/edge/usage.go
+++ b/daemon/edge/usage.go
@@ -31,8 +31,8 @@
 	historySince time.Duration
 	isOfHistory  bool
 	// through is the latest window of which no other report may be made. pending is an intent that the
-	// cloud has not confirmed, or nil. announced is the window whose report the other daemons have been
-	// told of, or are told of with this daemon's next messages.
+	// cloud has not confirmed, or nil. announced is the latest window whose report the other daemons have
+	// been told of, or are told of with this daemon's next messages.
 	through   accounting.Window
 	pending   *reportIntent
 	announced accounting.Window
@@ -62,6 +62,10 @@
 	if !u.loaded && !e.readIntent(ctx) {
 		return
 	}
+	told := u.announced
+	if u.isOfHistory {
+		e.announceReports()
+	}
 	if u.pending != nil && !e.sendIntent(ctx) {
 		return
 	}
@@ -70,7 +74,7 @@
 	}
 	for {
 		next, due := e.nextDueWindow()
-		if !due || e.shouldDelayReport(next) || !e.announceReport(next) {
+		if !due || next > told || e.shouldDelayReport(next) {
 			return
 		}
 		if !e.writeIntent(ctx, next) || !e.sendIntent(ctx) {
@@ -91,18 +95,15 @@
 	return 0, false
 }
 
-// announceReport reports whether the other daemons have been told that a window is about to be reported. Otherwise
-// they are told with this daemon's next messages.
-func (e *Edge) announceReport(w accounting.Window) bool {
-	u := &e.duties.usage
-	if u.announced >= w {
-		return true
-	}
-	u.announced = w
+// announceReports tells the other daemons, with this daemon's next messages, that the windows that have ended are about to
+// be reported; they are due later than that. A new holder does so while it may not act yet, but only once the service
+// shows what was sent before: the others' answers would otherwise look as if they knew of reports.
+func (e *Edge) announceReports() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.usageLedger.Sent().Mark(w)
-	return false
+	ended := e.usageLedger.LastEnded(e.wallClock.At(e.deps.Steady()))
+	e.duties.usage.announced = max(e.duties.usage.announced, ended)
+	e.usageLedger.Sent().Announce(ended)
 }
 
 // isNewRelay reports whether this daemon became a relay so recently that it may not have received
--- a/daemon/edge/usage_intent.go
+++ b/daemon/edge/usage_intent.go
@@ -97,6 +97,9 @@
 		return false
 	}
 	u.pending, u.through = next, w
+	e.mu.Lock()
+	e.usageLedger.Sent().Mark(w)
+	e.mu.Unlock()
 	return true
 }
 
