Don't save versions as all there were when some are known by word only

Cause: found by reading. A daemon that started after a version had gone knows by others only that there were two; as the saver it wrote the one that it had seen and the time since which the others know all. After a loss of all daemons the streams of the one that had gone could go on at the other (ORDER).

The saved list now counts from when all that it names is all there was.

--- a/coordination/streamversion/history.go
+++ b/coordination/streamversion/history.go
@@ -87,8 +87,24 @@
 // Interrupt records that versions may have come and gone up to now of which this daemon has seen and heard nothing.
 func (h *History) Interrupt(now time.Duration) { h.knownSince = now }
 
-// KnownSince returns the time since which this daemon knows all versions.
-func (h *History) KnownSince() time.Duration { return h.knownSince }
+// maxStatementDelay covers the time by which another daemon may have seen a version later than this one.
+const maxStatementDelay = 2 * time.Second
+
+// NamedSince returns the time since which Versions names all versions. Of a version that had gone before this daemon
+// started, it may know by others only that there was one.
+func (h *History) NamedSince(now time.Duration) time.Duration {
+	since := h.knownSince
+	for _, v := range h.services {
+		at, several := v.lastSeveral(now)
+		if !several {
+			continue
+		}
+		if own, named := v.ownSeveral(); !named || own < at-maxStatementDelay {
+			since = max(since, at)
+		}
+	}
+	return since
+}
 
 // Versions returns the versions that the runners of each service have had during Memory, sorted.
 func (h *History) Versions(now time.Duration) map[string][]canary.Version {
@@ -128,21 +144,23 @@
 	return "", false
 }
 
-// lastSeveral returns when there were last runners of two versions, and forgets the versions that were
-// last seen before Memory.
-func (v *versions) lastSeveral(now time.Duration) (time.Duration, bool) {
+// ownSeveral returns when this daemon last saw runners of two versions.
+func (v *versions) ownSeveral() (time.Duration, bool) {
 	var latest, second time.Duration
-	for version, at := range v.lastSeen {
-		if now-at >= Memory {
-			delete(v.lastSeen, version)
-			continue
-		}
+	for _, at := range v.lastSeen {
 		if at >= latest {
 			latest, at = at, latest
 		}
 		second = max(second, at)
 	}
-	several := len(v.lastSeen) > 1
+	return second, len(v.lastSeen) > 1
+}
+
+// lastSeveral returns when there were last runners of two versions, and forgets the versions that were
+// last seen before Memory.
+func (v *versions) lastSeveral(now time.Duration) (time.Duration, bool) {
+	maps.DeleteFunc(v.lastSeen, func(_ canary.Version, at time.Duration) bool { return now-at >= Memory })
+	second, several := v.ownSeveral()
 	if v.several && now-v.severalUntil >= Memory {
 		v.several = false
 	}
--- a/coordination/streamversion/streamversion_test.go
+++ b/coordination/streamversion/streamversion_test.go
@@ -205,3 +205,74 @@
 	}
 	return c
 }
+
+// For any course of versions, starts of daemons and losses of all of them, a daemon that names the only version of a service
+// by what others had saved is right about all of Memory. A version is saved before any daemon uses it.
+func TestOnlyVersionIsNeverGuessedAfterALossOfAll(t *testing.T) {
+	type note struct {
+		since    time.Duration
+		versions map[string][]canary.Version
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		const service, step, daemons = "app", 5 * time.Second, 3
+		start := time.Duration(rapid.IntRange(0, 100).Draw(t, "start")) * time.Second
+		histories := make([]*streamversion.History, daemons)
+		for i := range histories {
+			histories[i] = streamversion.NewHistory(start, true)
+		}
+		saved := note{since: start}
+		// The saver has read what was saved; a daemon that starts reads it a step later.
+		saver := 0
+		used := map[canary.Version]time.Duration{}
+		for now := start; now < start+4*streamversion.Memory; now += step {
+			present := rapid.SampledFrom([][]canary.Version{{"v1"}, {"v1"}, {"v1"}, {"v2"}, {"v1", "v2"}}).Draw(t, "versions")
+			load := func(h *streamversion.History) { h.Load(now, saved.since, saved.versions) }
+			switch rapid.IntRange(0, 7).Draw(t, "what") {
+			case 0: // all are lost
+				for i := range histories {
+					histories[i] = streamversion.NewHistory(now, false)
+					load(histories[i])
+				}
+			case 1: // one starts, and knows what was saved only as the saver
+				i := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+				histories[i] = streamversion.NewHistory(now, false)
+				if i == saver {
+					saver = (i + 1) % daemons
+				}
+			case 2:
+				saver = rapid.IntRange(0, daemons-1).Draw(t, "saver")
+			}
+			for _, h := range histories {
+				for _, v := range present {
+					h.Observe(now, service, v)
+				}
+			}
+			for i, h := range histories {
+				for j, other := range histories {
+					if i != j && rapid.Bool().Draw(t, "hears") {
+						h.Merge(now, other.Statement(now))
+					}
+				}
+			}
+			if rapid.Bool().Draw(t, "reads") {
+				load(histories[saver])
+			}
+			h := histories[saver]
+			saved = note{h.NamedSince(now), h.Versions(now)}
+			for _, v := range present {
+				used[v] = now
+			}
+			for _, h := range histories {
+				v, known := h.Only(now, service)
+				if !known {
+					continue
+				}
+				for other, at := range used {
+					if other != v && now-at < streamversion.Memory {
+						t.Fatalf("%q counts as the only version %v after there was %q", v, now-at, other)
+					}
+				}
+			}
+		}
+	})
+}
--- a/daemon/edge/saved_streams.go
+++ b/daemon/edge/saved_streams.go
@@ -32,7 +32,7 @@
 // streamSaver holds the records that this daemon has not handed to the saver, and what it needs as the saver.
 type streamSaver struct {
 	// The fields up to the empty line are guarded by streamVersions.mu.
-	unsaved map[streamversion.Stream]canary.Version
+	records map[streamversion.Stream]canary.Version
 	saved   *streamversion.Saved
 	// versionsSaved are the services' versions that savedVersionsKey lists, as far as this daemon knows;
 	// firstSeen says since when their present runners have had their versions.
@@ -49,7 +49,7 @@
 }
 
 func (s *streamSaver) init() {
-	s.unsaved = map[streamversion.Stream]canary.Version{}
+	s.records = map[streamversion.Stream]canary.Version{}
 	s.saved = streamversion.NewSaved()
 	s.firstSeen = map[string]map[canary.Version]time.Duration{}
 }
--- a/daemon/edge/saved_versions.go
+++ b/daemon/edge/saved_versions.go
@@ -57,40 +57,51 @@
 	s.firstSeen[service] = seen
 }
 
-// isUnsaved reports whether a version came so lately that it may not be saved yet.
-func (s *streamSaver) isUnsaved(now time.Duration, service string, v canary.Version) bool {
+// unsaved returns those of a service's versions that came so lately that they may not be saved yet; none if no
+// version of the service is saved.
+func (s *streamSaver) unsaved(now time.Duration, service string, versions []canary.Version) []canary.Version {
 	saved := s.versionsSaved[service]
-	if len(saved) == 0 || slices.Contains(saved, v) {
-		return false
+	if len(saved) == 0 {
+		return nil
+	}
+	var unsaved []canary.Version
+	for _, v := range versions {
+		at, known := s.firstSeen[service][v]
+		if !slices.Contains(saved, v) && (!known || now-at < maxVersionWait) {
+			unsaved = append(unsaved, v)
+		}
 	}
-	at, known := s.firstSeen[service][v]
-	return !known || now-at < maxVersionWait
+	return unsaved
 }
 
-// unsavedVersions returns the runners of versions that aren't saved yet, unless there are only such runners.
+// unsavedVersions returns the runners of versions that aren't saved yet, unless no other runner takes requests.
 func (p *pool) unsavedVersions() prefix.Set {
+	streams := &p.edge.streams
 	now := p.edge.deps.Steady()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.versions) < 2 {
 		return prefix.Set{}
 	}
-	streams := &p.edge.streams
 	streams.mu.Lock()
-	defer streams.mu.Unlock()
-	var unsaved []ident.RunnerID
-	saved := false
+	unsaved := streams.saver.unsaved(now, p.name, p.versions)
+	streams.mu.Unlock()
+	if len(unsaved) == 0 {
+		return prefix.Set{}
+	}
+	var ids []ident.RunnerID
+	others := false
 	for id, r := range p.runners {
-		if streams.saver.isUnsaved(now, p.name, r.Version) {
-			unsaved = append(unsaved, id)
+		if slices.Contains(unsaved, r.Version) {
+			ids = append(ids, id)
 		} else if r.State != view.Leaving {
-			saved = true
+			others = true
 		}
 	}
-	if !saved || len(unsaved) == 0 {
+	if !others {
 		return prefix.Set{}
 	}
-	return p.table.Exclude(unsaved...)
+	return p.table.Exclude(ids...)
 }
 
 // writeSavedVersions writes the services' versions if they have changed; false if that failed.
@@ -117,7 +128,7 @@
 	now := e.deps.Steady()
 	history, _ := e.dir.presentHistory()
 	e.streams.mu.Lock()
-	knownSince, services := e.streams.history.KnownSince(), e.streams.history.Versions(now)
+	knownSince, services := e.streams.history.NamedSince(now), e.streams.history.Versions(now)
 	e.streams.mu.Unlock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/edge/stream_batches.go
+++ b/daemon/edge/stream_batches.go
@@ -24,8 +24,8 @@
 func (v *streamVersions) addUnsaved(s streamversion.Stream, version canary.Version) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if len(v.saver.unsaved) < maxUnsaved {
-		v.saver.unsaved[s] = version
+	if len(v.saver.records) < maxUnsaved {
+		v.saver.records[s] = version
 	}
 }
 
@@ -34,12 +34,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	taken := map[streamversion.Stream]canary.Version{}
-	for s, version := range v.saver.unsaved {
+	for s, version := range v.saver.records {
 		if len(taken) == n {
 			break
 		}
 		taken[s] = version
-		delete(v.saver.unsaved, s)
+		delete(v.saver.records, s)
 	}
 	return taken
 }
