Let two savers of streams agree, and keep a test at the case that it was written for

Cause: a saver that had to read the keys again wrote the versions anew although the store had them; with a daemon that is cut off from the others, which saves as well, each write was a conflict for the other. It takes what it has read for written.

--- a/daemon/edge/saved_streams.go
+++ b/daemon/edge/saved_streams.go
@@ -161,6 +161,9 @@
 	defer e.streams.mu.Unlock()
 	for _, entry := range entries {
 		saver.revisions[entry.Key] = entry.Revision
+		if entry.Key == savedVersionsKey && json.Unmarshal(entry.Value, &saver.versions) != nil {
+			saver.versions = savedVersions{}
+		}
 		if part := decodeSavedPart(entry); part != nil {
 			saver.saved.Merge(part)
 		}
--- a/daemon/edge/stream_version_test.go
+++ b/daemon/edge/stream_version_test.go
@@ -326,6 +326,7 @@
 		time.Sleep(500 * time.Millisecond)
 		callers := w.beginStreams(60, w.daemons[0]) // three of the four others keep each record
 		w.network.isolate(w.daemons[4].address, true)
+		w.daemons[4].store.setUnlisted(true) // it doesn't read the records that are saved
 		refused := 0
 		for _, c := range callers {
 			start := time.Now()
@@ -343,6 +344,22 @@
 	})
 }
 
+// Guards against refusing streams at a daemon that is cut off from all others, of which the key-value service has the
+// records.
+func TestDaemonThatIsCutOffReadsWhatIsSaved(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addVersions(3, nil, "v1", "v1.1")
+		time.Sleep(500 * time.Millisecond)
+		callers := w.beginStreams(callerStreams, w.daemons[0])
+		time.Sleep(time.Second)
+		w.network.isolate(w.daemons[4].address, true)
+		time.Sleep(3 * time.Second)
+		o := w.takeUpAtOnce(callers, w.daemons[4:])
+		w.checkTakenUp(o, callerStreams)
+		w.Equal(o.wentOn, callerStreams)
+	})
+}
+
 // Guards against refusing streams that nobody remembers although the service has had only one
 // version, also at a daemon that has just started.
 func TestUnknownStreamOfTheOnlyVersionGoesOn(t *testing.T) {
