--- a/daemon/edge/stream_loss_test.go
+++ b/daemon/edge/stream_loss_test.go
@@ -31,6 +31,7 @@
 	} {
 		for _, fleet := range []settledFleet{{5, relays.DirectFleet}, {40, relays.AllWatchFleet}} {
 			t.Run(fmt.Sprintf("%s/%d daemons", name, fleet.daemons), func(t *testing.T) {
+				t.Parallel()
 				withSettledFleet(t, fleet.daemons, fleet.direct, config(1), func(w *testFleet) { checkStreamsAfterLoss(w, c) })
 			})
 		}
@@ -89,6 +90,7 @@
 			// The saver can't write, or it can.
 			readOnly := int(after/(400*time.Millisecond))%2 == 1
 			t.Run(fmt.Sprintf("%d daemons/%v/read-only %v", fleet.daemons, after, readOnly), func(t *testing.T) {
+				t.Parallel()
 				withSettledFleet(t, fleet.daemons, fleet.direct, config(1), func(w *testFleet) {
 					w.addVersions(each, nil, "v1")
 					time.Sleep(2 * time.Second)
--- a/daemon/edge/usage_lost_intent_test.go
+++ b/daemon/edge/usage_lost_intent_test.go
@@ -52,6 +52,7 @@
 			for _, age := range ages {
 				for _, afterReport := range afterReports {
 					t.Run(fmt.Sprintf("%s/%d, direct up to %d/copy %v old/%v after report", name, fleet.daemons, fleet.direct, age, afterReport), func(t *testing.T) {
+						t.Parallel()
 						checkReportsAfterLoss(t, end, fleet, age, afterReport)
 					})
 				}
