Name the forgetting of old versions

Versions called lastSeveral only for its side effect, that it forgets the versions last seen before Memory. That step has a name now, and both call it. No behaviour changes; vet, staticcheck, layers, the tests of streamversion and the stream tests of daemon/edge pass, one run each.

--- a/coordination/streamversion/history.go
+++ b/coordination/streamversion/history.go
@@ -110,7 +110,7 @@
 func (h *History) Versions(now time.Duration) map[string][]canary.Version {
 	services := make(map[string][]canary.Version, len(h.services))
 	for name, v := range h.services {
-		v.lastSeveral(now)
+		v.forgetOld(now)
 		if len(v.lastSeen) > 0 {
 			services[name] = slices.Sorted(maps.Keys(v.lastSeen))
 		}
@@ -144,6 +144,11 @@
 	return "", false
 }
 
+// forgetOld forgets the versions that were last seen before Memory.
+func (v *versions) forgetOld(now time.Duration) {
+	maps.DeleteFunc(v.lastSeen, func(_ canary.Version, at time.Duration) bool { return now-at >= Memory })
+}
+
 // ownSeveral returns when this daemon last saw runners of two versions.
 func (v *versions) ownSeveral() (time.Duration, bool) {
 	var latest, second time.Duration
@@ -159,7 +164,7 @@
 // lastSeveral returns when there were last runners of two versions, and forgets the versions that were
 // last seen before Memory.
 func (v *versions) lastSeveral(now time.Duration) (time.Duration, bool) {
-	maps.DeleteFunc(v.lastSeen, func(_ canary.Version, at time.Duration) bool { return now-at >= Memory })
+	v.forgetOld(now)
 	second, several := v.ownSeveral()
 	if v.several && now-v.severalUntil >= Memory {
 		v.several = false
