--- a/coordination/streamversion/history.go
+++ b/coordination/streamversion/history.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// KnownFor returns how long this daemon has known all versions.
+func (h *History) KnownFor(now time.Duration) time.Duration { return now - h.knownSince }
+
 // Interrupt records that versions may have come and gone up to now of which this daemon has seen and heard nothing.
 func (h *History) Interrupt(now time.Duration) { h.knownSince = now }
 
--- a/coordination/streamversion/records.go
+++ b/coordination/streamversion/records.go
@@ -65,9 +65,9 @@
 	return &Records{newer: map[Stream]canary.Version{}, versions: map[canary.Version]canary.Version{}}
 }
 
-// Put records the version of a stream. A record that is there already is kept longer; its version
-// remains, because it is that of the first event.
-func (r *Records) Put(now time.Duration, s Stream, v canary.Version) {
+// Put records the version of a stream, and returns the one that is recorded then. A record that is there
+// already is kept longer; its version remains, because it is that of the first event.
+func (r *Records) Put(now time.Duration, s Stream, v canary.Version) canary.Version {
 	r.move(now)
 	if before, known := r.Get(now, s); known {
 		v = before
@@ -78,6 +78,7 @@
 		r.versions[v] = v
 	}
 	r.newer[s] = v
+	return v
 }
 
 // Get returns the version of a stream, or false if it isn't known.
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -80,8 +80,10 @@
 	// otherwise.
 	helper     ident.DaemonID
 	helperBody *helperBody
-	// connected says that there is a connection to the runner, so that the request may be sent.
-	connected atomic.Bool
+	// connected says that there is a connection to the runner, so that the request may be sent. incarnation is the
+	// one that the runner at the other end has said it is; empty if it wasn't asked or didn't say.
+	connected   atomic.Bool
+	incarnation ident.RunnerID
 }
 
 // runner returns the attempt's runner, empty if there is none.
@@ -235,6 +237,7 @@
 		Priority:    a.priority,
 		FetchFrom:   a.choice.FetchFrom,
 		LastEventID: s.lastEventID(),
+		Identified:  a.onIdentified(),
 		Connected:   a.handleConnected,
 	})
 	if err == nil {
--- a/daemon/edge/directory.go
+++ b/daemon/edge/directory.go
@@ -168,6 +168,12 @@
 	return now - f.currentAt, f.storeFailedAt > f.currentAt
 }
 
+// copyAge returns how long ago this daemon's copy of the key-value service was last known to be up to date.
+func (e *Edge) copyAge() time.Duration {
+	age, _ := e.dir.freshness(e.deps.Steady())
+	return age
+}
+
 // startSnapshot begins to collect the whole content of the service from relays. The copy stays in
 // use until then. The caller must hold dir.mu.
 func (f *directory) startSnapshot(now time.Duration) {
--- a/daemon/edge/saved_streams.go
+++ b/daemon/edge/saved_streams.go
@@ -186,7 +186,7 @@
 			continue
 		}
 		for s, v := range part.Records() {
-			e.streams.put(now, s, v)
+			e.putStream(s, v, fromSaved)
 			records++
 		}
 	}
--- a/daemon/edge/stream_records.go
+++ b/daemon/edge/stream_records.go
@@ -70,7 +70,7 @@
 
 // recordStream records the version that began a stream, here and at the holders.
 func (e *Edge) recordStream(stream streamversion.Stream, v canary.Version) {
-	e.streams.put(e.deps.Steady(), stream, v)
+	e.putStream(stream, v, fromFirstEvent)
 	for rank := range streamversion.Copies {
 		r := &peersv1.StreamRecord{Stream: uint64(stream), Version: string(v), PeerAddress: e.settings.PeerAddress, Copy: uint32(rank)}
 		acknowledged := e.sendStreamRecord(r)
@@ -125,7 +125,7 @@
 		e.forwardStreamRecord(r)
 		return
 	}
-	e.streams.put(e.deps.Steady(), streamversion.Stream(r.Stream), canary.Version(r.Version))
+	e.putStream(streamversion.Stream(r.Stream), canary.Version(r.Version), fromHolder)
 	e.sendTo(r.PeerAddress, &peersv1.Datagram{StreamRecordAck: &peersv1.StreamRecordAck{Id: r.Id}})
 }
 
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -29,6 +29,9 @@
 	fromOwnRecord   versionSource = "own_record"
 	fromHolder      versionSource = "holder"
 	fromOnlyVersion versionSource = "only_version"
+	// fromSaved is what the key-value service keeps, fromFirstEvent the runner of the first event.
+	fromSaved      versionSource = "saved"
+	fromFirstEvent versionSource = "first_event"
 )
 
 // streamVersions holds what this daemon knows of the versions of streams and services.
@@ -59,10 +62,22 @@
 	return v.records.Get(now, s)
 }
 
-func (v *streamVersions) put(now time.Duration, s streamversion.Stream, version canary.Version) {
+// knownFor returns how long this daemon has known all versions.
+func (v *streamVersions) knownFor(now time.Duration) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.records.Put(now, s, version)
+	return v.history.KnownFor(now)
+}
+
+// putStream records the version of a stream as something says it. Two records of a stream that differ show that a daemon
+// was wrong about a runner's version.
+func (e *Edge) putStream(s streamversion.Stream, version canary.Version, source versionSource) {
+	e.streams.mu.Lock()
+	kept := e.streams.records.Put(e.deps.Steady(), s, version)
+	e.streams.mu.Unlock()
+	if kept != version {
+		e.log.Note("stream_record_conflict", decisions.F("stream_hash", uint64(s)), decisions.F("version", version), decisions.F("source", source), decisions.F("recorded", kept))
+	}
 }
 
 func (v *streamVersions) only(now time.Duration, service string) (canary.Version, bool) {
@@ -86,7 +101,8 @@
 	start := time.Now()
 	version, source, known := s.edge.streamVersion(ctx, s.pool.name, s.req.Resumes)
 	s.note("resumes", decisions.F("stream", s.req.Resumes), decisions.F("last_event", s.req.LastEventID),
-		decisions.F("known", known), decisions.F("version", version), decisions.F("source", source), decisions.F("took", time.Since(start)))
+		decisions.F("known", known), decisions.F("version", version), decisions.F("source", source), decisions.F("took", time.Since(start)),
+		decisions.F("copy_age", s.edge.copyAge()), decisions.F("config_age", s.edge.configAge()), decisions.F("known_for", s.edge.streams.knownFor(s.edge.deps.Steady())))
 	if !known {
 		return refusal.New(refusal.StreamUnknown, "no daemon knows the software version of stream %q", s.req.Resumes).After(streamUnknownRetryAfter)
 	}
@@ -273,7 +289,7 @@
 	}
 	stream := streamversion.StreamOf(s.pool.name, first)
 	if a.helper != "" {
-		s.edge.streams.put(s.edge.deps.Steady(), stream, s.bound.version)
+		s.edge.putStream(stream, s.bound.version, fromFirstEvent)
 		return
 	}
 	s.edge.recordStream(stream, s.bound.version)
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -196,7 +196,10 @@
 	FetchFrom string
 	// LastEventID is the event after which a stream is resumed; empty for its beginning.
 	LastEventID string
-	// Connected is called when there is a connection, before anything is sent over it, and reports
+	// Identified, if it isn't nil, is called before Connected with the incarnation that the runner at the other
+	// end of the connection says it is; empty if it doesn't say.
+	Identified func(runner ident.RunnerID)
+	// Connected is called when there is a connection, before the request is sent over it, and reports
 	// whether the request may still be sent. If not, Send fails with the reason retry.Withdrawn.
 	Connected func() bool
 }
@@ -290,6 +293,8 @@
 	Version canary.Version
 	// Seq grows with each write of the entry by one incarnation of the runner.
 	Seq uint64
+	// SaysIncarnation is set if the runner, when it is asked over a connection, says which incarnation it is.
+	SaysIncarnation bool
 }
 
 // Codec decodes the entries that others write into the key-value service and encodes those that
