Show two ways to a stream of two versions that the code has today

What callers see: the text of a stream goes on at another software version, in a 200 that runs to its end (ORDER).

TestStreamsThroughKillsAndRollouts plays the draws that it played before.

--- /dev/null
+++ b/daemon/edge/restarted_runner_test.go
@@ -0,0 +1,102 @@
+package edge_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/coordination/canary"
+	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/daemon/edge"
+	"geraniumstack.org/geraniumstack/state/ident"
+)
+
+// incarnationOf returns the ID of a runner's nth start.
+func incarnationOf(name string, starts int) ident.RunnerID {
+	return ident.RunnerID(fmt.Sprintf("%s~%d", name, starts))
+}
+
+// registerIncarnation writes the entry of a runner's nth start.
+func (w *testFleet) registerIncarnation(name string, starts int, version canary.Version, state view.State) {
+	w.put(runnerPrefix+name, edge.Runner{Runner: view.Runner{
+		ID: incarnationOf(name, starts), Address: name, Service: "app", FailureDomain: "north", State: state,
+	}, Slots: 64, Version: version, SaysIncarnation: true})
+}
+
+// startIncarnation starts a runner for the nth time, with a version whose events name it. Its entry is another matter.
+func (w *testFleet) startIncarnation(name string, starts int, version canary.Version) {
+	w.runners.add(name).setScript(versionedScript(version, nil))
+	w.runners.setIncarnation(name, incarnationOf(name, starts))
+}
+
+// addIncarnations starts runners of a version and writes their entries.
+func (w *testFleet) addIncarnations(version canary.Version, names ...string) {
+	for _, name := range names {
+		w.startIncarnation(name, 1, version)
+		w.registerIncarnation(name, 1, version, view.Live)
+	}
+}
+
+// Guards against streams that a restarted runner begins and that go on at the version that its former entry names.
+func TestStreamBegunAtARestartedRunnerStaysAtItsVersion(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addIncarnations("v1", "r1", "r2", "r3")
+		time.Sleep(500 * time.Millisecond)
+		w.startIncarnation("r1", 2, "v1.1")
+		var callers []*streamCaller
+		for _, d := range w.daemons {
+			callers = append(callers, w.beginStreams(24, d)...)
+		}
+		w.checkTakenUp(w.takeUp(callers, w.daemons), len(callers))
+	})
+}
+
+// Guards against streams that go on at a runner which has started again with another version while its former entry
+// is still there.
+func TestStreamDoesNotGoOnAtARunnerWithAFormerEntry(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addIncarnations("v1", "r1", "r2", "r3")
+		time.Sleep(500 * time.Millisecond)
+		callers := w.beginStreams(callerStreams, w.daemons[0])
+		w.startIncarnation("r1", 2, "v1.1")
+		w.checkTakenUp(w.takeUp(callers, w.daemons), len(callers))
+	})
+}
+
+// Guards against the same at daemons that start after the runner has, and find its former entry.
+func TestStartedDaemonDoesNotBelieveAFormerEntry(t *testing.T) {
+	withFleet(t, 5, config(1), func(w *testFleet) {
+		w.addIncarnations("v1", "r1", "r2", "r3")
+		time.Sleep(500 * time.Millisecond)
+		callers := w.beginStreams(callerStreams, w.daemons[4])
+		for _, d := range w.daemons[:4] {
+			d.kill()
+		}
+		w.startIncarnation("r1", 2, "v1.1")
+		for i := range 4 {
+			w.restart(i)
+		}
+		time.Sleep(2 * time.Second)
+		callers = append(callers, w.beginStreams(callerStreams, w.daemons[0])...)
+		w.checkTakenUp(w.takeUp(callers, w.daemons[:4]), len(callers))
+	})
+}
+
+// Guards against a restarted runner that is never used again, and against its streams being refused once its entry is
+// there.
+func TestRestartedRunnerIsUsedOnceItsEntryIsRead(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		w.addIncarnations("v1", "r1")
+		time.Sleep(500 * time.Millisecond)
+		w.startIncarnation("r1", 2, "v1.1")
+		for _, d := range w.daemons {
+			w.beginStreams(4, d)
+		}
+		w.registerIncarnation("r1", 2, "v1.1", view.Live)
+		time.Sleep(500 * time.Millisecond)
+		callers := w.beginStreams(12, w.daemons[0])
+		o := w.takeUp(callers, w.daemons)
+		t.Logf("%+v", o)
+		w.Equal(o, streamOutcome{begun: 12, takenUp: 12, wentOn: 12, whole: 12})
+	})
+}
--- a/daemon/edge/runners_test.go
+++ b/daemon/edge/runners_test.go
@@ -45,6 +45,8 @@
 	babblingIDs map[string]bool
 	// fallenIDs are the runners that accept no connections.
 	fallenIDs map[string]bool
+	// incarnations are what the runners say they are; runners that it lacks don't say.
+	incarnations map[string]ident.RunnerID
 	// onProbe is called with the address of each health check, unless it is nil.
 	onProbe func(address string)
 	// connectDelay is the time until a connection is open.
@@ -58,7 +60,7 @@
 }
 
 func newRunners() *runners {
-	return &runners{byID: map[string]*runner{}, unresponsiveIDs: map[string]bool{}, babblingIDs: map[string]bool{}, fallenIDs: map[string]bool{}}
+	return &runners{byID: map[string]*runner{}, unresponsiveIDs: map[string]bool{}, babblingIDs: map[string]bool{}, fallenIDs: map[string]bool{}, incarnations: map[string]ident.RunnerID{}}
 }
 
 // fall lets a runner accept no connections, or accept them again. Its open connections are the script's.
@@ -68,6 +70,13 @@
 	s.fallenIDs[id] = fallen
 }
 
+// setIncarnation sets what a runner says it is.
+func (s *runners) setIncarnation(id string, says ident.RunnerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.incarnations[id] = says
+}
+
 func (s *runners) add(id string) *runner {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,6 +88,7 @@
 func (s *runners) Send(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
 	s.mu.Lock()
 	r, fallen, connectDelay := s.byID[a.Address], s.fallenIDs[a.Address], s.connectDelay
+	says := s.incarnations[a.Address]
 	s.mu.Unlock()
 	if connectDelay > 0 {
 		time.Sleep(connectDelay)
@@ -89,6 +99,12 @@
 	if r == nil || fallen {
 		return nil, &edge.SendError{Reason: retry.ConnectFailed, Err: net.ErrClosed}
 	}
+	if a.Identified != nil {
+		a.Identified(says)
+		if !a.Connected() {
+			return nil, &edge.SendError{Reason: retry.Withdrawn, Err: net.ErrClosed}
+		}
+	}
 	r.mu.Lock()
 	r.attempts = append(r.attempts, a)
 	script := r.script
--- a/daemon/edge/stream_storm_test.go
+++ b/daemon/edge/stream_storm_test.go
@@ -36,7 +36,10 @@
 	// runners holds the running runners by ID.
 	runners map[string]*stormRunner
 	started int
-	outcome stormOutcome
+	// saysIncarnation makes the runners say which incarnation they are, callersLeave half of the callers leave after some
+	// events and take their stream up elsewhere.
+	saysIncarnation, callersLeave bool
+	outcome                       stormOutcome
 }
 
 // daemonLife is one run of a daemon: ctx ends with it, and it is in touch contactTime after calmSince.
@@ -48,6 +51,8 @@
 
 type stormRunner struct {
 	version canary.Version
+	// starts counts how often it has started under its ID.
+	starts  int
 	ctx     context.Context
 	fail    context.CancelFunc
 	leaving bool
@@ -71,8 +76,27 @@
 	s.mu.Lock()
 	s.started++
 	id := fmt.Sprintf("storm-%d", s.started)
-	r := &stormRunner{version: v}
+	s.mu.Unlock()
+	s.register(id, s.begin(id, 1, v), view.Live)
+}
+
+// register writes a runner's entry.
+func (s *streamStorm) register(id string, r *stormRunner, state view.State) {
+	if s.saysIncarnation {
+		s.w.registerIncarnation(id, r.starts, r.version, state)
+		return
+	}
+	s.w.registerVersion(id, r.version, state)
+}
+
+// begin lets a runner run, without an entry.
+func (s *streamStorm) begin(id string, starts int, v canary.Version) *stormRunner {
+	r := &stormRunner{version: v, starts: starts}
 	r.ctx, r.fail = context.WithCancel(context.Background())
+	if s.saysIncarnation {
+		s.w.runners.setIncarnation(id, incarnationOf(id, starts))
+	}
+	s.mu.Lock()
 	s.runners[id] = r
 	s.mu.Unlock()
 	s.w.runners.add(id).setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
@@ -86,7 +110,7 @@
 		context.AfterFunc(r.ctx, cancel)
 		return &edge.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Events: true, Body: &versionedEventsBody{ctx: both, version: v, next: from + 1}}, nil
 	})
-	s.w.registerVersion(id, v, view.Live)
+	return r
 }
 
 // endRunner ends a runner: it fails, or it leaves and serves on for a while.
@@ -100,7 +124,7 @@
 	r.leaving = true
 	s.mu.Unlock()
 	if leaves {
-		s.w.registerVersion(id, r.version, view.Leaving)
+		s.register(id, r, view.Leaving)
 		time.Sleep(3 * time.Second)
 	}
 	r.fail()
@@ -245,7 +269,10 @@
 
 // readFrom sends one request for the rest of a stream, which ends with the daemon.
 func (s *streamStorm) readFrom(d *daemon, life context.Context, c *streamCaller) {
-	a := &mortalReply{life: life}
+	a := &mortalReply{life: life, leaveAfter: neverLeave}
+	if s.callersLeave && s.draw(2) == 0 {
+		a.leaveAfter = 1 + s.draw(5)
+	}
 	id := fmt.Sprintf("storm-%d", lastRequestID.Add(1))
 	req := &edge.Request{ID: id, Host: host, Path: "/draft/1", Method: http.MethodPost, Target: "/draft/1", Header: http.Header{}, Key: key, Received: time.Now()}
 	if len(c.versions) > 0 {
@@ -259,13 +286,17 @@
 // mortalReply is a reply that ends with its daemon.
 type mortalReply struct {
 	recordedReply
-	life context.Context
+	life               context.Context
+	events, leaveAfter int
 }
 
 func (a *mortalReply) Write(p []byte) error {
 	if a.life.Err() != nil {
 		return a.life.Err()
 	}
+	if a.events++; a.events > a.leaveAfter {
+		return io.ErrClosedPipe
+	}
 	return a.recordedReply.Write(p)
 }
 
@@ -276,44 +307,54 @@
 		seed += *firstStormSeed
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			withFleet(t, 5, config(1), func(w *testFleet) {
-				s := &streamStorm{w: w, rng: rand.New(rand.NewPCG(seed, 46)), runners: map[string]*stormRunner{}, outcome: stormOutcome{refused: map[refusal.Reason]int{}}}
-				for range w.daemons {
-					ctx, end := context.WithCancel(context.Background())
-					s.life = append(s.life, daemonLife{ctx: ctx, end: end, calmSince: time.Now().Add(-contactTime)})
-				}
-				w.servedBefore = true
-				for range 8 {
-					s.startRunner("v0")
-				}
-				time.Sleep(time.Second)
-				var reading sync.WaitGroup
-				done := make(chan struct{})
-				go func() {
-					defer close(done)
-					next := 1
-					for range 20 {
-						s.disturb(&next)
-						time.Sleep(time.Duration(500+s.draw(3000)) * time.Millisecond)
-					}
-				}()
-				for ended := false; !ended; {
-					reading.Go(s.read)
-					select {
-					case <-done:
-						ended = true
-					case <-time.After(15 * time.Millisecond):
-					}
-				}
-				reading.Wait()
-				time.Sleep(10 * time.Second)
-				// The lock orders what the disturbances wrote before the test ends its daemons.
-				s.mu.Lock()
-				o := s.outcome
-				s.mu.Unlock()
-				t.Logf("%+v", o)
+				s := newStreamStorm(w, seed)
+				o := s.play(s.disturb)
 				w.True(o.mixed <= maxMixedStreams)
 				w.True(o.takenUp < 12 || 2*o.wentOn*o.asked >= o.takenUp*o.begun)
 			})
 		})
 	}
 }
+
+func newStreamStorm(w *testFleet, seed uint64) *streamStorm {
+	s := &streamStorm{w: w, rng: rand.New(rand.NewPCG(seed, 46)), runners: map[string]*stormRunner{}, outcome: stormOutcome{refused: map[refusal.Reason]int{}}}
+	for range w.daemons {
+		ctx, end := context.WithCancel(context.Background())
+		s.life = append(s.life, daemonLife{ctx: ctx, end: end, calmSince: time.Now().Add(-contactTime)})
+	}
+	w.servedBefore = true
+	return s
+}
+
+// play reads streams all the time while it brings about twenty disturbances. The number of the next version is theirs.
+func (s *streamStorm) play(disturb func(next *int)) stormOutcome {
+	for range 8 {
+		s.startRunner("v0")
+	}
+	time.Sleep(time.Second)
+	var reading sync.WaitGroup
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		next := 1
+		for range 20 {
+			disturb(&next)
+			time.Sleep(time.Duration(500+s.draw(3000)) * time.Millisecond)
+		}
+	}()
+	for ended := false; !ended; {
+		reading.Go(s.read)
+		select {
+		case <-done:
+			ended = true
+		case <-time.After(15 * time.Millisecond):
+		}
+	}
+	reading.Wait()
+	time.Sleep(10 * time.Second)
+	// The lock orders what the disturbances wrote before the test ends its daemons.
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.w.t.Logf("%+v", s.outcome)
+	return s.outcome
+}
--- a/daemon/edge/stream_version_test.go
+++ b/daemon/edge/stream_version_test.go
@@ -63,7 +63,15 @@
 // breaks each stream that breaks selects off after some events.
 func (w *testFleet) addVersionedRunner(id string, version canary.Version, breaks func() bool) *runner {
 	r := w.runners.add(id)
-	r.setScript(func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
+	r.setScript(versionedScript(version, breaks))
+	w.registerVersion(id, version, view.Live)
+	return r
+}
+
+// versionedScript answers with a stream of events that name a version. It breaks each stream that breaks selects off after
+// some events.
+func versionedScript(version canary.Version, breaks func() bool) func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+	return func(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
 		from := 0
 		fmt.Sscanf(a.LastEventID, "%d", &from)
 		body := &versionedEventsBody{ctx: ctx, version: version, next: from + 1}
@@ -71,9 +79,7 @@
 			body.breakAfter = versionedEvents / 2
 		}
 		return &edge.Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Events: true, Body: body}, nil
-	})
-	w.registerVersion(id, version, view.Live)
-	return r
+	}
 }
 
 // registerVersion writes the entry of a runner of a software version.
