Let streams begin and go on only at the incarnation that a runner's entry describes

What callers saw: the rest of a stream from another software version than its first part, in a 200 that runs to its end (ORDER).

Cause: a runner that has started again under its ID and address is described by its former entry until the new one is read: 0.8 s and more, seconds while the store is away. Its version was taken from that entry, so what it began was recorded at the wrong version, and what another runner had begun went on at it. X-Target-Instance names the ID and doesn't tell lifetimes apart.

Change: the runner's own word over the connection (its report's born) decides. - A bound stream is sent only to the incarnation that was chosen. - A new one that may be resumed is sent elsewhere once another incarnation answers, and avoids that runner for five seconds, unless there is no other. - If the version isn't known (no other runner, or the runner doesn't say), the stream is served, goes on nowhere, and is recorded as unknown, so that no daemon takes it for one of the only version. Runners whose entries show no start time or no models are believed as before.

Why it holds: a connection leads to one incarnation as long as it is open, so what it says once holds for all requests over it, whatever is in the entries, and whoever started since.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -84,6 +84,8 @@
 	// one that the runner at the other end has said it is; empty if it wasn't asked or didn't say.
 	connected   atomic.Bool
 	incarnation ident.RunnerID
+	// foundRestarted says that another incarnation than the one that was chosen has answered.
+	foundRestarted bool
 }
 
 // runner returns the attempt's runner, empty if there is none.
@@ -334,7 +336,7 @@
 
 // handleConnected records that there is a connection to the runner, and reports whether the request may still
 // be sent: while the connection was being opened, runners may have failed under it, or this one may have
-// left or asked for rest.
+// left or asked for rest, or is another incarnation than the one that was chosen.
 func (a *attempt) handleConnected() bool {
 	e := a.s.edge
 	state := a.s.pool.entryOf(a.choice.Runner).State
@@ -343,7 +345,7 @@
 		a.s.note("connected_late", decisions.F("runner", a.choice.Runner), decisions.F("after", took), decisions.F("state", state),
 			decisions.F("list_age", a.s.pool.listAge()))
 	}
-	if len(a.s.blockingCauses()) > 0 || state == view.Leaving || state == "" || e.rests.resting(e.deps.Steady(), a.choice.Runner) {
+	if !a.mayBegin() || len(a.s.blockingCauses()) > 0 || state == view.Leaving || state == "" || e.rests.resting(e.deps.Steady(), a.choice.Runner) {
 		return false
 	}
 	// From here on a hedge may use the request's state.
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -161,6 +161,7 @@
 	streams           streamVersions
 	failureCauses     failureCauses
 	rests             rests
+	restarted         restartedRunners
 	fair              fairShare
 	spill             edgeSpillover
 	resolvedAddresses udpAddresses
--- a/daemon/edge/incarnations.go
+++ b/daemon/edge/incarnations.go
@@ -1,6 +1,10 @@
 package edge
 
 import (
+	"maps"
+	"sync"
+	"time"
+
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
@@ -9,6 +13,43 @@
 // address that it had is described by its former entry until its new one has been read, so it is asked over each
 // connection which incarnation it is.
 
+// restartedMemory is how long a runner counts as restarted after it has said so. Its entry is replaced or removed within
+// that time while the key-value service takes writes.
+const restartedMemory = revivalDelay
+
+// restartedRunners holds the incarnations in whose place another one has answered, and when it did.
+type restartedRunners struct {
+	mu sync.Mutex
+	at map[ident.RunnerID]time.Duration
+}
+
+func (r *restartedRunners) add(now time.Duration, id ident.RunnerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.at == nil {
+		r.at = map[ident.RunnerID]time.Duration{}
+	}
+	r.at[id] = now
+}
+
+func (r *restartedRunners) forget(id ident.RunnerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.at, id)
+}
+
+// list returns the incarnations in whose place another one has answered within restartedMemory.
+func (r *restartedRunners) list(now time.Duration) map[ident.RunnerID]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.at, func(_ ident.RunnerID, at time.Duration) bool { return now-at >= restartedMemory })
+	restarted := make(map[ident.RunnerID]bool, len(r.at))
+	for id := range r.at {
+		restarted[id] = true
+	}
+	return restarted
+}
+
 // asksIncarnation reports whether the runner has to say which incarnation it is before the request is sent: its
 // software version matters to streams that may be resumed.
 func (a *attempt) asksIncarnation() bool {
@@ -26,14 +67,30 @@
 // handleIdentified records which incarnation the runner at the other end of the connection says it is.
 func (a *attempt) handleIdentified(says ident.RunnerID) {
 	a.incarnation = says
-	log := a.s.edge.log
+	e := a.s.edge
 	switch says {
 	case a.choice.Runner:
-		log.Count("incarnations.entered")
+		e.log.Count("incarnations.entered")
+		e.restarted.forget(says)
 	case "":
-		log.Count("incarnations.unknown")
+		e.log.Count("incarnations.unknown")
 	default:
+		a.foundRestarted = true
+		e.restarted.add(e.deps.Steady(), a.choice.Runner)
 		a.s.note("runner_restarted", decisions.F("runner", a.choice.Runner), decisions.F("says", says), decisions.F("version", a.entry.Version),
 			decisions.F("list_age", a.s.pool.listAge()))
 	}
 }
+
+// mayBegin reports whether the request may be sent to the incarnation that answers at the runner's address. A stream goes on
+// only where the version is known. A new one begins at an incarnation without an entry only if there is no other runner, and
+// goes on nowhere then.
+func (a *attempt) mayBegin() bool {
+	switch {
+	case !a.asksIncarnation() || a.incarnation == a.choice.Runner:
+		return true
+	case a.s.bound.known:
+		return false
+	}
+	return a.incarnation == "" || !a.s.pool.hasFitToBegin()
+}
--- a/daemon/edge/restarted_runner_test.go
+++ b/daemon/edge/restarted_runner_test.go
@@ -100,3 +100,32 @@
 		w.Equal(o, streamOutcome{begun: 12, takenUp: 12, wentOn: 12, whole: 12})
 	})
 }
+
+// Guards against refusing new streams because the versions of all runners are unknown, and against streams that then go on
+// anywhere.
+func TestStreamsBeginAtRunnersOfUnknownVersion(t *testing.T) {
+	for name, says := range map[string]func(runner string) ident.RunnerID{
+		"all restarted": func(runner string) ident.RunnerID { return incarnationOf(runner, 2) },
+		"none says":     func(string) ident.RunnerID { return "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 3, config(1), func(w *testFleet) {
+				names := []string{"r1", "r2", "r3"}
+				w.addIncarnations("v1", names...)
+				time.Sleep(500 * time.Millisecond)
+				w.startIncarnation("r1", 2, "v1.1")
+				for _, name := range names {
+					w.runners.setIncarnation(name, says(name))
+				}
+				for range 3 {
+					callers := w.beginStreams(24, w.daemons[0])
+					time.Sleep(200 * time.Millisecond)
+					o := w.takeUpAtOnce(callers, w.daemons)
+					t.Logf("%+v", o)
+					w.Equal(o.begun, 24)
+					w.Equal(o.mixed, 0)
+				}
+			})
+		})
+	}
+}
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -205,7 +205,7 @@
 	if end != nil {
 		return false, s.withRetryAfter(end)
 	}
-	if pause.For(ctx, wait) && (a == nil || !a.rests) {
+	if pause.For(ctx, wait) && (a == nil || !a.rests && !a.foundRestarted) {
 		s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(a.runner()))
 	}
 	return failed.Sent, nil
--- a/daemon/edge/saved_versions.go
+++ b/daemon/edge/saved_versions.go
@@ -74,34 +74,54 @@
 	return unsaved
 }
 
-// unsavedVersions returns the runners of versions that aren't saved yet, unless no other runner takes requests.
-func (p *pool) unsavedVersions() prefix.Set {
-	streams := &p.edge.streams
-	now := p.edge.deps.Steady()
+// unfitToBegin returns the runners at which no stream that may be resumed should begin, unless no other runner takes
+// requests: those of versions that aren't saved yet, and restarted ones, whose version isn't known.
+func (p *pool) unfitToBegin() prefix.Set {
+	restarted := p.edge.restarted.list(p.edge.deps.Steady())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.versions) < 2 {
+	unfit, hasFit := p.unfitToBeginLocked(restarted)
+	if len(unfit) == 0 || !hasFit {
 		return prefix.Set{}
 	}
-	streams.mu.Lock()
-	unsaved := streams.saver.unsaved(now, p.name, p.versions)
-	streams.mu.Unlock()
-	if len(unsaved) == 0 {
-		return prefix.Set{}
+	return p.table.Exclude(unfit...)
+}
+
+// hasFitToBegin reports whether a runner takes requests that unfitToBegin doesn't return.
+func (p *pool) hasFitToBegin() bool {
+	restarted := p.edge.restarted.list(p.edge.deps.Steady())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, hasFit := p.unfitToBeginLocked(restarted)
+	return hasFit
+}
+
+// unfitToBeginLocked lists the runners of versions that aren't saved yet and restarted ones, and reports whether another one
+// takes requests. The caller must hold mu.
+func (p *pool) unfitToBeginLocked(restarted map[ident.RunnerID]bool) (unfit []ident.RunnerID, hasFit bool) {
+	unsaved := p.unsavedVersionsLocked(p.edge.deps.Steady())
+	if len(unsaved) == 0 && len(restarted) == 0 {
+		return nil, true
 	}
-	var ids []ident.RunnerID
-	others := false
 	for id, r := range p.runners {
-		if slices.Contains(unsaved, r.Version) {
-			ids = append(ids, id)
+		if slices.Contains(unsaved, r.Version) || restarted[id] {
+			unfit = append(unfit, id)
 		} else if r.State != view.Leaving {
-			others = true
+			hasFit = true
 		}
 	}
-	if !others {
-		return prefix.Set{}
+	return unfit, hasFit
+}
+
+// unsavedVersionsLocked returns the versions that aren't saved yet. The caller must hold mu.
+func (p *pool) unsavedVersionsLocked(now time.Duration) []canary.Version {
+	if len(p.versions) < 2 {
+		return nil
 	}
-	return p.table.Exclude(ids...)
+	streams := &p.edge.streams
+	streams.mu.Lock()
+	defer streams.mu.Unlock()
+	return streams.saver.unsaved(now, p.name, p.versions)
 }
 
 // writeSavedVersions writes the services' versions if they have changed; false if that failed.
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -22,6 +22,9 @@
 // reach the ones that do.
 const streamUnknownRetryAfter = 300 * time.Millisecond
 
+// unknownVersion stands for the version of a stream whose runner's version isn't known. No runner has it.
+const unknownVersion canary.Version = "\x00unknown"
+
 // versionSource says how a daemon has learned the version of a stream.
 type versionSource string
 
@@ -62,6 +65,13 @@
 	return v.records.Get(now, s)
 }
 
+// observe records that a service has runners of a version.
+func (v *streamVersions) observe(now time.Duration, service string, version canary.Version) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.history.Observe(now, service, version)
+}
+
 // knownFor returns how long this daemon has known all versions.
 func (v *streamVersions) knownFor(now time.Duration) time.Duration {
 	v.mu.Lock()
@@ -103,7 +113,7 @@
 	s.note("resumes", decisions.F("stream", s.req.Resumes), decisions.F("last_event", s.req.LastEventID),
 		decisions.F("known", known), decisions.F("version", version), decisions.F("source", source), decisions.F("took", time.Since(start)),
 		decisions.F("copy_age", s.edge.copyAge()), decisions.F("config_age", s.edge.configAge()), decisions.F("known_for", s.edge.streams.knownFor(s.edge.deps.Steady())))
-	if !known {
+	if !known || version == unknownVersion {
 		return refusal.New(refusal.StreamUnknown, "no daemon knows the software version of stream %q", s.req.Resumes).After(streamUnknownRetryAfter)
 	}
 	s.edge.log.Count("resumed_by." + string(source))
@@ -197,21 +207,22 @@
 // otherVersions returns the runners at which the request must not begin or go on because of their version.
 func (s *requestHandler) otherVersions() prefix.Set {
 	if !s.bound.known && s.exchange.Terms.Resumable {
-		return s.pool.unsavedVersions()
+		return s.pool.unfitToBegin()
 	}
 	return s.pool.otherVersions(s.bound)
 }
 
-// otherVersions returns the runners whose version isn't the one at which a stream must go on.
+// otherVersions returns the runners whose version isn't known to be the one at which a stream must go on.
 func (p *pool) otherVersions(b boundVersion) prefix.Set {
 	if !b.known {
 		return prefix.Set{}
 	}
+	restarted := p.edge.restarted.list(p.edge.deps.Steady())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var ids []ident.RunnerID
 	for id, r := range p.runners {
-		if r.Version != b.version {
+		if r.Version != b.version || restarted[id] {
 			ids = append(ids, id)
 		}
 	}
@@ -240,6 +251,9 @@
 	if a.helperBody != nil {
 		return a.helperBody.streamVersion.version, a.helperBody.streamVersion.known
 	}
+	if a.entry.SaysIncarnation {
+		return a.entry.Version, a.incarnation == a.choice.Runner
+	}
 	return a.entry.Version, a.s.pool.isCurrent(a.choice.Runner, a.choice.Address, a.entry.Version)
 }
 
@@ -277,9 +291,17 @@
 	}
 	if !s.bound.known {
 		s.exchange.Terms.Resumable = false
-		s.note("stream_version_doubtful", decisions.F("runner", a.choice.Runner), decisions.F("version", a.entry.Version))
+		s.note("stream_version_doubtful", decisions.F("runner", a.choice.Runner), decisions.F("version", a.entry.Version), decisions.F("says", a.incarnation))
+		s.edge.streams.observe(s.edge.deps.Steady(), s.pool.name, unknownVersion)
+		a.recordVersion(unknownVersion)
 		return
 	}
+	a.recordVersion(s.bound.version)
+}
+
+// recordVersion records the version of the stream whose first event the attempt brings.
+func (a *attempt) recordVersion(version canary.Version) {
+	s := a.s
 	first := s.req.ID
 	if s.req.LastEventID != "" {
 		first = s.req.Resumes
@@ -289,11 +311,11 @@
 	}
 	stream := streamversion.StreamOf(s.pool.name, first)
 	if a.helper != "" {
-		s.edge.putStream(stream, s.bound.version, fromFirstEvent)
+		s.edge.putStream(stream, version, fromFirstEvent)
 		return
 	}
-	s.edge.recordStream(stream, s.bound.version)
+	s.edge.recordStream(stream, version)
 	if _, only := s.edge.streams.only(s.edge.deps.Steady(), s.pool.name); !only {
-		s.edge.streams.addUnsaved(stream, s.bound.version)
+		s.edge.streams.addUnsaved(stream, version)
 	}
 }
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -96,6 +96,8 @@
 	turnedAway atomic.Int64
 	// rest are the values of the header by which it asks for rest.
 	rest []string
+	// report is the body of its report of its state; empty if it answers none.
+	report string
 	// eventData is the content of the events of its streams; empty for a word with the event's number.
 	eventData string
 	// failingPart is the prompt part that makes the runner fail when it begins to answer, failingBody the
@@ -212,6 +214,24 @@
 	r.rest = values
 }
 
+// SetReport sets the body of the runner's report of its state; without one it answers 404.
+func (r *Runner) SetReport(body string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report = body
+}
+
+// respondReport responds to a request for the runner's report.
+func (r *Runner) respondReport(c net.Conn) {
+	r.mu.Lock()
+	status, body := http.StatusOK, r.report
+	r.mu.Unlock()
+	if body == "" {
+		status = http.StatusNotFound
+	}
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), len(body), body)
+}
+
 // SetEventData changes the content of the events of the runner's streams.
 func (r *Runner) SetEventData(data string) {
 	r.mu.Lock()
@@ -326,6 +346,10 @@
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", r.ID)
 		return true
 	}
+	if req.URL.Path == "/v1/report" {
+		r.respondReport(c)
+		return true
+	}
 	r.mu.Lock()
 	nextFault, work, events := r.nextFault(), r.work, r.events
 	r.mu.Unlock()
