--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -84,6 +84,8 @@
 	// one that the runner at the other end has said it is; empty if it wasn't asked or didn't say.
 	connected   atomic.Bool
 	incarnation ident.RunnerID
+	// doesNotSay says that the runner has answered the question without saying which incarnation it is.
+	doesNotSay bool
 	// foundRestarted says that another incarnation than the one that was chosen has answered.
 	foundRestarted bool
 }
@@ -402,6 +404,7 @@
 	}
 	a.s.pool.observe(a.choice.Runner, health.Failure)
 	a.s.pool.recordNoAnswer(a.choice.Runner, heard)
+	a.recordMayHaveEnded()
 	return failure
 }
 
--- a/daemon/edge/incarnations.go
+++ b/daemon/edge/incarnations.go
@@ -13,17 +13,17 @@
 // address that it had is described by its former entry until its new one has been read, so it is asked over each
 // connection which incarnation it is.
 
-// restartedMemory is how long a runner counts as restarted after it has said so. Its entry is replaced or removed within
-// that time while the key-value service takes writes.
+// restartedMemory is how long a runner counts as restarted after another incarnation has answered or a connection has
+// failed. Its entry is replaced or removed within that time while the key-value service takes writes.
 const restartedMemory = revivalDelay
 
-// restartedRunners holds the incarnations in whose place another one has answered, and when it did.
-type restartedRunners struct {
+// recentRunners holds the incarnations of which something was found out within restartedMemory, and when that was.
+type recentRunners struct {
 	mu sync.Mutex
 	at map[ident.RunnerID]time.Duration
 }
 
-func (r *restartedRunners) add(now time.Duration, id ident.RunnerID) {
+func (r *recentRunners) add(now time.Duration, id ident.RunnerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.at == nil {
@@ -32,22 +32,22 @@
 	r.at[id] = now
 }
 
-func (r *restartedRunners) forget(id ident.RunnerID) {
+func (r *recentRunners) forget(id ident.RunnerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.at, id)
 }
 
-// list returns the incarnations in whose place another one has answered within restartedMemory.
-func (r *restartedRunners) list(now time.Duration) map[ident.RunnerID]bool {
+// list returns the incarnations of which it was found out within restartedMemory.
+func (r *recentRunners) list(now time.Duration) map[ident.RunnerID]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.at, func(_ ident.RunnerID, at time.Duration) bool { return now-at >= restartedMemory })
-	restarted := make(map[ident.RunnerID]bool, len(r.at))
+	recent := make(map[ident.RunnerID]bool, len(r.at))
 	for id := range r.at {
-		restarted[id] = true
+		recent[id] = true
 	}
-	return restarted
+	return recent
 }
 
 // asksIncarnation reports whether the runner has to say which incarnation it is before the request is sent: its
@@ -57,7 +57,7 @@
 }
 
 // onIdentified returns what is called with the runner's incarnation; nil if it need not say.
-func (a *attempt) onIdentified() func(ident.RunnerID) {
+func (a *attempt) onIdentified() func(ident.RunnerID, bool) {
 	if !a.asksIncarnation() {
 		return nil
 	}
@@ -65,8 +65,8 @@
 }
 
 // handleIdentified records which incarnation the runner at the other end of the connection says it is.
-func (a *attempt) handleIdentified(says ident.RunnerID) {
-	a.incarnation = says
+func (a *attempt) handleIdentified(says ident.RunnerID, answered bool) {
+	a.incarnation, a.doesNotSay = says, says == "" && answered
 	e := a.s.edge
 	switch says {
 	case a.choice.Runner:
@@ -82,12 +82,30 @@
 	}
 }
 
+// isEntered reports whether the incarnation that answers is known to be the one that its entry describes. Of a runner that
+// doesn't say, that is believed unless a connection to it has failed lately.
+func (a *attempt) isEntered() bool {
+	if !a.doesNotSay {
+		return a.incarnation == a.choice.Runner
+	}
+	e := a.s.edge
+	return !e.mayHaveEnded.list(e.deps.Steady())[a.choice.Runner] && a.s.pool.isCurrent(a.choice.Runner, a.choice.Address, a.entry.Version)
+}
+
+// recordMayHaveEnded records that a connection to the runner has failed, as it does when the runner ends.
+func (a *attempt) recordMayHaveEnded() {
+	if a.entry.SaysIncarnation {
+		e := a.s.edge
+		e.mayHaveEnded.add(e.deps.Steady(), a.choice.Runner)
+	}
+}
+
 // mayBegin reports whether the request may be sent to the incarnation that answers at the runner's address. A stream goes on
 // only where the version is known. A new one begins at an incarnation without an entry only if there is no other runner, and
 // goes on nowhere then.
 func (a *attempt) mayBegin() bool {
 	switch {
-	case !a.asksIncarnation() || a.incarnation == a.choice.Runner:
+	case !a.asksIncarnation() || a.isEntered():
 		return true
 	case a.s.bound.known:
 		return false
--- a/daemon/edge/restarted_runner_test.go
+++ b/daemon/edge/restarted_runner_test.go
@@ -106,7 +106,7 @@
 func TestStreamsBeginAtRunnersOfUnknownVersion(t *testing.T) {
 	for name, says := range map[string]func(runner string) ident.RunnerID{
 		"all restarted": func(runner string) ident.RunnerID { return incarnationOf(runner, 2) },
-		"none says":     func(string) ident.RunnerID { return "" },
+		"none answers":  func(string) ident.RunnerID { return "" },
 	} {
 		t.Run(name, func(t *testing.T) {
 			withFleet(t, 3, config(1), func(w *testFleet) {
@@ -129,3 +129,25 @@
 		})
 	}
 }
+
+// Guards against streams of runners that don't say which incarnation they are: they must go on, but not at one whose end this
+// daemon has seen.
+func TestRunnersThatDoNotSayTheirIncarnation(t *testing.T) {
+	withFleet(t, 2, config(1), func(w *testFleet) {
+		for _, name := range []string{"r1", "r2", "r3"} {
+			w.runners.add(name).setScript(versionedScript("v1", nil))
+			w.registerIncarnation(name, 1, "v1", view.Live)
+		}
+		time.Sleep(500 * time.Millisecond)
+		o := w.takeUpAtOnce(w.beginStreams(24, w.daemons[0]), w.daemons)
+		w.Equal(o, streamOutcome{begun: 24, takenUp: 24, wentOn: 24, whole: 24})
+		callers := w.beginStreams(24, w.daemons[0])
+		w.runners.fall("r1", true)
+		for _, d := range w.daemons {
+			w.beginStreams(24, d)
+		}
+		w.runners.add("r1").setScript(versionedScript("v1.1", nil))
+		w.runners.fall("r1", false)
+		w.checkTakenUp(w.takeUpAtOnce(callers, w.daemons), len(callers))
+	})
+}
--- a/daemon/edge/runners_test.go
+++ b/daemon/edge/runners_test.go
@@ -45,7 +45,7 @@
 	babblingIDs map[string]bool
 	// fallenIDs are the runners that accept no connections.
 	fallenIDs map[string]bool
-	// incarnations are what the runners say they are; runners that it lacks don't say.
+	// incarnations are what the runners say they are; empty for no answer, and runners that it lacks don't say.
 	incarnations map[string]ident.RunnerID
 	// onProbe is called with the address of each health check, unless it is nil.
 	onProbe func(address string)
@@ -88,7 +88,8 @@
 func (s *runners) Send(ctx context.Context, a *edge.Attempt) (*edge.Answer, error) {
 	s.mu.Lock()
 	r, fallen, connectDelay := s.byID[a.Address], s.fallenIDs[a.Address], s.connectDelay
-	says := s.incarnations[a.Address]
+	says, answers := s.incarnations[a.Address]
+	answers = !answers || says != ""
 	s.mu.Unlock()
 	if connectDelay > 0 {
 		time.Sleep(connectDelay)
@@ -100,7 +101,7 @@
 		return nil, &edge.SendError{Reason: retry.ConnectFailed, Err: net.ErrClosed}
 	}
 	if a.Identified != nil {
-		a.Identified(says)
+		a.Identified(says, answers)
 		if !a.Connected() {
 			return nil, &edge.SendError{Reason: retry.Withdrawn, Err: net.ErrClosed}
 		}
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -67,6 +67,7 @@
 		return
 	}
 	a.s.pool.observe(a.choice.Runner, health.Failure)
+	a.recordMayHaveEnded()
 	if a.events {
 		a.s.pool.recordPathFailure(a.choice.Runner)
 	}
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -252,7 +252,7 @@
 		return a.helperBody.streamVersion.version, a.helperBody.streamVersion.known
 	}
 	if a.entry.SaysIncarnation {
-		return a.entry.Version, a.incarnation == a.choice.Runner
+		return a.entry.Version, a.isEntered()
 	}
 	return a.entry.Version, a.s.pool.isCurrent(a.choice.Runner, a.choice.Address, a.entry.Version)
 }
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -197,8 +197,8 @@
 	// LastEventID is the event after which a stream is resumed; empty for its beginning.
 	LastEventID string
 	// Identified, if it isn't nil, is called before Connected with the incarnation that the runner at the other
-	// end of the connection says it is; empty if it doesn't say.
-	Identified func(runner ident.RunnerID)
+	// end of the connection says it is; empty if it doesn't say. answered is false if it has given no answer at all.
+	Identified func(says ident.RunnerID, answered bool)
 	// Connected is called when there is a connection, before the request is sent over it, and reports
 	// whether the request may still be sent. If not, Send fails with the reason retry.Withdrawn.
 	Connected func() bool
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -96,8 +96,10 @@
 	turnedAway atomic.Int64
 	// rest are the values of the header by which it asks for rest.
 	rest []string
-	// report is the body of its report of its state; empty if it answers none.
+	// report is the body of its report of its state; empty if it answers none. closes is the number of reports after
+	// which it closes the connection.
 	report string
+	closes int
 	// eventData is the content of the events of its streams; empty for a word with the event's number.
 	eventData string
 	// failingPart is the prompt part that makes the runner fail when it begins to answer, failingBody the
@@ -221,15 +223,28 @@
 	r.report = body
 }
 
-// respondReport responds to a request for the runner's report.
-func (r *Runner) respondReport(c net.Conn) {
+// CloseAfterReports makes the runner close the connection after each of its next n reports.
+func (r *Runner) CloseAfterReports(n int) {
 	r.mu.Lock()
-	status, body := http.StatusOK, r.report
-	r.mu.Unlock()
+	defer r.mu.Unlock()
+	r.closes = n
+}
+
+// respondReport responds to a request for the runner's report and reports whether the connection stays open.
+func (r *Runner) respondReport(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	status, body, connection := http.StatusOK, r.report, ""
 	if body == "" {
 		status = http.StatusNotFound
 	}
-	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), len(body), body)
+	closes := r.closes > 0
+	if closes {
+		r.closes--
+		connection = "Connection: close\r\n"
+	}
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), connection, len(body), body)
+	return !closes
 }
 
 // SetEventData changes the content of the events of the runner's streams.
@@ -347,8 +362,7 @@
 		return true
 	}
 	if req.URL.Path == "/v1/report" {
-		r.respondReport(c)
-		return true
+		return r.respondReport(c)
 	}
 	r.mu.Lock()
 	nextFault, work, events := r.nextFault(), r.work, r.events
