Take a version for a service's only one by the store's word, not by the age of the configuration

What callers saw: a stream that went on at another version (ORDER), at a daemon that had missed a version for less than two seconds and outlived the daemons that knew it.

Cause: that a service has had one version was believed if the configuration had been proved in the last half second, before any other daemon was asked, or in the last four seconds after that. The proof of the configuration (a read of its key, another daemon's word) says nothing of the copy of the runners: a watch may be silent, or the store away, while a version comes, is used and goes.

Change: the daemons that keep records are asked first. If none knows the stream, the only version counts if a read of the saved versions, sent after the request has come, shows no other. Versions that are new in the saved list count as seen, also if their runners have gone by then.

Why it holds: streams that may be resumed begin at a version once it is saved, so a later linearizable read shows it. Left: a version that was used unsaved, after two seconds without a write, or before the first list is written.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -161,6 +161,7 @@
 	streams       streamVersions
 	failureCauses failureCauses
 	rests         rests
+	versionReads  versionReads
 	// restarted are the incarnations in whose place another one has answered, mayHaveEnded those to which a
 	// connection has failed.
 	restarted, mayHaveEnded recentRunners
--- a/daemon/edge/saved_versions.go
+++ b/daemon/edge/saved_versions.go
@@ -156,13 +156,22 @@
 	return savedVersions{History: history, KnownSinceMillis: since.UnixMilli(), Services: services}
 }
 
-// noteSavedVersions takes up which versions are saved, as the key-value service or a relay shows.
+// noteSavedVersions takes up which versions are saved, as the key-value service or a relay shows. This daemon may have missed
+// the ones that are new among them.
 func (e *Edge) noteSavedVersions(value []byte) (saved savedVersions, ok bool) {
 	if json.Unmarshal(value, &saved) != nil {
 		return savedVersions{}, false
 	}
 	e.streams.mu.Lock()
 	defer e.streams.mu.Unlock()
+	now := e.deps.Steady()
+	for service, versions := range saved.Services {
+		for _, v := range versions {
+			if !slices.Contains(e.streams.saver.versionsSaved[service], v) {
+				e.streams.history.Observe(now, service, v)
+			}
+		}
+	}
 	e.streams.saver.versionsSaved = saved.Services
 	return saved, true
 }
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -128,22 +128,13 @@
 	if v, known := e.streams.get(now, stream); known && request != "" {
 		return v, fromOwnRecord, true
 	}
-	// Without contact to the key-value service, this daemon may miss a version that has started.
-	if e.configAge() <= confirmTimeout {
-		if v, known := e.streams.only(now, service); known {
-			return v, fromOnlyVersion, true
-		}
-	}
 	if request != "" {
 		if v, known := e.askHolders(ctx, stream); known {
 			return v, fromHolder, true
 		}
 	}
-	if e.configAge() > e.maxConfigAgeForKeys() {
-		return "", "", false
-	}
-	v, known := e.streams.only(e.deps.Steady(), service)
-	return v, fromOnlyVersion, known
+	v, only := e.streams.only(e.deps.Steady(), service)
+	return v, fromOnlyVersion, only && e.isOnlyVersion(ctx, service, v)
 }
 
 // observeVersions records which versions the services' runners have, and since when.
