Show that breaks within an answer and errors of the time of day don't lead to two versions

Errors of up to ten seconds in since when all versions are known: no version counts as the only one within 30 s after another was used.

--- a/coordination/streamversion/streamversion_test.go
+++ b/coordination/streamversion/streamversion_test.go
@@ -276,3 +276,21 @@
 		}
 	})
 }
+
+// Guards against an error of the time of day, by which daemons tell since when they know all versions, that makes a version count
+// as the only one while a stream of another one may still be taken up.
+func TestOnlyVersionBearsErrorsOfTheTimeOfDay(t *testing.T) {
+	const longestStream = 30 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		clockError := time.Duration(rapid.IntRange(-10_000, 10_000).Draw(t, "error in ms")) * time.Millisecond
+		lastUse := time.Hour // of a version that nobody alive has seen
+		h := streamversion.NewHistory(lastUse, false)
+		h.Load(lastUse, lastUse+clockError, map[string][]canary.Version{"app": {"v1"}})
+		for now := lastUse; now < lastUse+longestStream; now += time.Second {
+			h.Observe(now, "app", "v1")
+			if _, known := h.Only(now, "app"); known {
+				t.Fatalf("one version counts as the only one %v after another was used", now-lastUse)
+			}
+		}
+	})
+}
--- a/daemon/edge/restarted_runner_test.go
+++ b/daemon/edge/restarted_runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -151,3 +152,31 @@
 		w.checkTakenUp(w.takeUpAtOnce(callers, w.daemons), len(callers))
 	})
 }
+
+// Guards against a stream that breaks off and goes on, within one answer, at a runner which has started again with another
+// version.
+func TestBrokenStreamDoesNotGoOnAtARestartedRunner(t *testing.T) {
+	withFleet(t, 2, config(1), func(w *testFleet) {
+		w.addIncarnations("v1", "r1", "r2")
+		for _, name := range []string{"r1", "r2"} {
+			w.runners.add(name).setScript(versionedScript("v1", func() bool { return name == "r2" }))
+		}
+		time.Sleep(500 * time.Millisecond)
+		callers := make([]*streamCaller, 24)
+		var reading sync.WaitGroup
+		for i := range callers {
+			callers[i] = &streamCaller{}
+			reading.Go(func() { w.readStream(w.daemons[i%2], callers[i], neverLeave) })
+		}
+		time.Sleep(2 * versionedEventInterval)
+		w.startIncarnation("r1", 2, "v1.1")
+		reading.Wait()
+		var o streamOutcome
+		for _, c := range callers {
+			o.add(c, 0, false)
+		}
+		t.Logf("%+v", o)
+		w.Equal(o.mixed, 0)
+		w.Equal(o.whole, len(callers))
+	})
+}
