--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -356,14 +356,14 @@
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", r.ID, headerLines(leavingHeader, leaving))
 		return true
 	}
+	if req.URL.Path == "/v1/report" {
+		return r.respondReport(c)
+	}
 	if target := req.Header.Get("X-Target-Instance"); target != "" && target != r.ID {
 		io.Copy(io.Discard, req.Body)
-		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", r.ID)
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.ID)
 		return true
 	}
-	if req.URL.Path == "/v1/report" {
-		return r.respondReport(c)
-	}
 	r.mu.Lock()
 	nextFault, work, events := r.nextFault(), r.work, r.events
 	r.mu.Unlock()
