Let runners in the soak start again with another version before their entries say so

TestSoakOfUpgradedRunners: a runner ends and starts again at its address and under its name within 0.3 s, with the other version; the entry follows up to 3 s later. Events name the version, and an answer must be of one. A runner counts as one that says when it started if its entry shows a start time and a stage, since the soak's runners have no models.

--- a/daemon/edge/incarnations.go
+++ b/daemon/edge/incarnations.go
@@ -64,7 +64,8 @@
 	return a.handleIdentified
 }
 
-// handleIdentified records which incarnation the runner at the other end of the connection says it is.
+// handleIdentified records which incarnation the runner at the other end of the connection says it is. It may also be another
+// runner, which answers 421.
 func (a *attempt) handleIdentified(says ident.RunnerID, answered bool) {
 	a.incarnation, a.doesNotSay = says, says == "" && answered
 	e := a.s.edge
--- a/soak/conditions_test.go
+++ b/soak/conditions_test.go
@@ -26,6 +26,9 @@
 	// powerLosses kills all daemons now and then at the moment at which the store is lost, which comes back from an
 	// older copy.
 	powerLosses bool
+	// upgrades makes the events of streams name the software version of their runner, and lets runners start again at
+	// their addresses with another version, before their entries say so.
+	upgrades bool
 }
 
 // The generators of a seed. Each list of draws has its own, so that one doesn't shift another.
@@ -38,6 +41,7 @@
 	domainCutDraws
 	copyDraws
 	powerLossDraws
+	upgradeDraws
 )
 
 func generator(seed int64, draws uint64) *rand.Rand {
@@ -72,6 +76,9 @@
 	if c.powerLosses {
 		faults = merge(faults, drawRepeated(seed, powerLossDraws, length, losePower))
 	}
+	if c.upgrades {
+		faults = merge(faults, drawRepeated(seed, upgradeDraws, length, upgradeRunner))
+	}
 	return faults
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,7 @@
 	seeds        = flag.Int("seeds", 2, "how many seeds TestSoak plays")
 	copySeeds    = flag.Int("copy-seeds", 1, "how many seeds TestSoakOfReturningStore plays, from the first seed on")
 	lossSeeds    = flag.Int("loss-seeds", 1, "how many seeds TestSoakOfPowerLosses plays, from the first seed on")
+	upgradeSeeds = flag.Int("upgrade-seeds", 1, "how many seeds TestSoakOfUpgradedRunners plays, from the first seed on")
 	firstSeed    = flag.Int64("first-seed", 1, "the first of them; 0 is one by the time of day")
 	length       = flag.Duration("length", 6*time.Second, "how long faults come in one seed")
 	daemons      = flag.Int("daemons", 4, "daemons of the fleet")
@@ -107,6 +108,16 @@
 	}
 }
 
+// TestSoakOfUpgradedRunners plays seeds in which runners start again with another version before their entries say so.
+func TestSoakOfUpgradedRunners(t *testing.T) {
+	t.Parallel()
+	for i := range int64(*upgradeSeeds) {
+		with := drawConditions(*firstSeed + i)
+		with.upgrades = true
+		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { runSeed(t, *firstSeed+i, *length, *daemons, with) })
+	}
+}
+
 // runSeed runs the soak for one seed under the conditions and checks the result, the returns of refused callers in a
 // test of their own, so that KNOWN-RED.txt can name it.
 func runSeed(t *testing.T, seed int64, length time.Duration, daemons int, with conditions) {
--- a/standin/site/operator.go
+++ b/standin/site/operator.go
@@ -1,6 +1,9 @@
 package site
 
-import "cmp"
+import (
+	"cmp"
+	"fmt"
+)
 
 // Every route that PutConfig writes belongs to Host, and its API keys to Workspace.
 const (
@@ -97,6 +100,13 @@
 	Starts int
 	// Slots is the number of requests that it executes at once; zero for defaultSlots.
 	Slots int
+	// Stage is the part of a request that the runner works on, if it is an engine; empty otherwise.
+	Stage string
+}
+
+// Report returns the report that an engine gives of itself; see Runner.SetReport.
+func (r Registration) Report() string {
+	return fmt.Sprintf(`{"stage":%q,"busy":false,"seq":1,"born":%d}`, r.Stage, firstStart+r.Starts)
 }
 
 const (
@@ -121,10 +131,14 @@
 
 // Register writes a runner's registration.
 func (s *Store) Register(runner string, r Registration) error {
-	return s.Put("servers/"+runner, map[string]any{
+	entry := map[string]any{
 		"service": "app", "address": r.Address, "zone": cmp.Or(r.Zone, DefaultZone), "slots": cmp.Or(r.Slots, defaultSlots),
 		"state": r.State, "version": r.Version, "born": firstStart + r.Starts, "seq": 1,
-	})
+	}
+	if r.Stage != "" {
+		entry["stage"] = r.Stage
+	}
+	return s.Put("servers/"+runner, entry)
 }
 
 // DeregisterRunner removes a runner's registration.
