--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -152,24 +152,24 @@
 	// reported holds the load at the runners that the other daemons have reported. recommended
 	// holds the prompts for which this relay has recommended a runner to a follower; each counts
 	// as load until the runner should have read it or the follower reports it.
-	reported      peerLoadTable
-	placements    placements
-	grantRequests pendingGrants
-	recommended   recommendations
-	runnerLimits  runnerLimits
-	runnerSpeeds  runnerSpeeds
-	streams       streamVersions
-	failureCauses failureCauses
-	rests         rests
-	versionReads  versionReads
+	reported          peerLoadTable
+	placements        placements
+	grantRequests     pendingGrants
+	recommended       recommendations
+	runnerLimits      runnerLimits
+	runnerSpeeds      runnerSpeeds
+	streams           streamVersions
+	versionReads      versionReads
+	failureCauses     failureCauses
+	rests             rests
+	fair              fairShare
+	spill             edgeSpillover
+	resolvedAddresses udpAddresses
+	configCheck       configChecker
+	duties            duties
 	// restarted are the incarnations in whose place another one has answered, mayHaveEnded those to which a
 	// connection has failed.
 	restarted, mayHaveEnded recentRunners
-	fair                    fairShare
-	spill                   edgeSpillover
-	resolvedAddresses       udpAddresses
-	configCheck             configChecker
-	duties                  duties
 	// probing ends with Run, and with it the probes of runners and what waits for acknowledgements;
 	// stopProbes ends it.
 	probing    context.Context
--- a/daemon/edge/incarnations.go
+++ b/daemon/edge/incarnations.go
@@ -29,9 +29,14 @@
 	if r.at == nil {
 		r.at = map[ident.RunnerID]time.Duration{}
 	}
+	r.forgetOldLocked(now)
 	r.at[id] = now
 }
 
+func (r *recentRunners) forgetOldLocked(now time.Duration) {
+	maps.DeleteFunc(r.at, func(_ ident.RunnerID, at time.Duration) bool { return now-at >= restartedMemory })
+}
+
 func (r *recentRunners) forget(id ident.RunnerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -42,7 +47,10 @@
 func (r *recentRunners) list(now time.Duration) map[ident.RunnerID]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.at, func(_ ident.RunnerID, at time.Duration) bool { return now-at >= restartedMemory })
+	r.forgetOldLocked(now)
+	if len(r.at) == 0 {
+		return nil
+	}
 	recent := make(map[ident.RunnerID]bool, len(r.at))
 	for id := range r.at {
 		recent[id] = true
