--- a/standin/kvserver/store_test.go
+++ b/standin/kvserver/store_test.go
@@ -18,7 +18,8 @@
 	s := New()
 	server := httptest.NewServer(s.Handler())
 	defer server.Close()
-	c := kv.NewHTTPClient(server.URL, server.Client())
+	// The time that a call may take is tested in package kv.
+	c := kv.NewHTTPClient(server.URL, server.Client(), kv.WithCallTimeout(time.Minute))
 	ctx := context.Background()
 
 	first, err := c.CompareAndSwap(ctx, "a/1", 0, []byte("x"), 0)
