Write all records of streams that the store lacks as soon as it takes writes

Cause: the saver wrote one part of the records, of a second each, every 400 ms, the oldest first. After five seconds without writes it needed two seconds more until the newest were there.

Change: each time it writes all parts that have grown, the newest first. While several versions serve, that is one write more a second.

--- a/coordination/streamversion/saved.go
+++ b/coordination/streamversion/saved.go
@@ -65,18 +65,18 @@
 	p.Streams[v] = binary.BigEndian.AppendUint64(p.Streams[v], uint64(stream))
 }
 
-// TakeChanged returns the oldest part that has grown since it was returned last, nil if none has.
+// TakeChanged returns the newest part that has grown since it was returned last, nil if none has.
 func (s *Saved) TakeChanged() *SavedPart {
-	var oldest *SavedPart
+	var newest *SavedPart
 	for _, p := range s.parts {
-		if p.changed && (oldest == nil || p.Number < oldest.Number) {
-			oldest = p
+		if p.changed && (newest == nil || p.Number > newest.Number) {
+			newest = p
 		}
 	}
-	if oldest != nil {
-		oldest.changed = false
+	if newest != nil {
+		newest.changed = false
 	}
-	return oldest
+	return newest
 }
 
 // Retry makes TakeChanged return a part again.
--- a/daemon/edge/saved_streams.go
+++ b/daemon/edge/saved_streams.go
@@ -22,7 +22,7 @@
 const (
 	// savedStreamsPrefix is the prefix of all keys with what is saved.
 	savedStreamsPrefix = "streams/"
-	// streamSaveInterval is the time between two writes. Records that are younger are lost with the
+	// streamSaveInterval is the time between two times at which what has changed is written. Records that are younger are lost with the
 	// daemons, and most streams last for seconds.
 	streamSaveInterval = 400 * time.Millisecond
 	// loadStreamsInterval is the time between two attempts to read what is saved.
@@ -72,27 +72,36 @@
 	saver.loaded = saver.loaded && e.writeSavedVersions(ctx) && e.writeSavedRecords(ctx)
 }
 
-// writeSavedRecords writes the oldest part of the records that has grown; false if that failed.
+// writeSavedRecords writes all parts of the records that have grown, the newest first, whose streams are the likeliest to
+// be taken up; false if that failed. There are several after the service was away.
 func (e *Edge) writeSavedRecords(ctx context.Context) bool {
-	saver := &e.streams.saver
-	e.streams.mu.Lock()
-	part := saver.saved.TakeChanged()
-	var data []byte
-	var err error
-	if part != nil {
-		data, err = json.Marshal(part)
-	}
-	e.streams.mu.Unlock()
-	if part == nil || err != nil {
-		return true
-	}
-	if e.writeSaved(ctx, savedRecordsKey(part.Number), data) {
-		return true
+	for {
+		number, data := e.takeSavedPart()
+		if data == nil {
+			return true
+		}
+		if !e.writeSaved(ctx, savedRecordsKey(number), data) {
+			e.streams.mu.Lock()
+			defer e.streams.mu.Unlock()
+			e.streams.saver.saved.Retry(number)
+			return false
+		}
 	}
+}
+
+// takeSavedPart returns the newest part of the records that has grown, encoded; nil if none has.
+func (e *Edge) takeSavedPart() (number int64, data []byte) {
 	e.streams.mu.Lock()
 	defer e.streams.mu.Unlock()
-	saver.saved.Retry(part.Number)
-	return false
+	part := e.streams.saver.saved.TakeChanged()
+	if part == nil {
+		return 0, nil
+	}
+	data, err := json.Marshal(part)
+	if err != nil {
+		e.log.Note("streams_unsaved", decisions.F("key", savedRecordsKey(part.Number)), decisions.F("error", err.Error()))
+	}
+	return part.Number, data
 }
 
 func savedRecordsKey(part int64) string {
--- a/daemon/edge/stream_loss_test.go
+++ b/daemon/edge/stream_loss_test.go
@@ -126,6 +126,42 @@
 	}
 }
 
+// Guards against refusing the streams that began while the store took no writes, or just after that, when all daemons are
+// lost soon after that.
+func TestStreamsBegunWithoutWritesOutliveTheLossOfAll(t *testing.T) {
+	const each, readOnly, after = 3, 10 * time.Second, time.Second
+	withSettledFleet(t, 5, relays.DirectFleet, config(1), func(w *testFleet) {
+		w.addVersions(each, nil, "v1", "v1.1")
+		time.Sleep(2 * time.Second)
+		for _, d := range w.daemons {
+			d.store.setReadOnly(true)
+		}
+		var callers []*streamCaller
+		var reading sync.WaitGroup
+		for began := w.steady(); w.steady()-began < readOnly+after; time.Sleep(50 * time.Millisecond) {
+			c := &streamCaller{}
+			d := w.daemons[len(callers)%len(w.daemons)]
+			callers = append(callers, c)
+			reading.Go(func() { w.readStream(d, c, 1) })
+			if w.steady()-began > readOnly {
+				for _, d := range w.daemons {
+					d.store.setReadOnly(false)
+				}
+			}
+		}
+		reading.Wait()
+		for _, d := range w.daemons {
+			w.isolateAndKill(d)
+		}
+		for i := range w.daemons {
+			w.restart(i)
+		}
+		time.Sleep(2 * time.Second)
+		o := w.takeUpAtOnce(callers, w.daemons)
+		w.checkTakenUp(o, len(callers))
+	})
+}
+
 // Guards against a daemon that was cut off from everything, or suspended, while a version came and went, and takes the
 // only one that it has seen for that of all streams, once those who know better are lost.
 func TestDaemonThatMissedAVersionDoesNotGuess(t *testing.T) {
