Write the records of streams again at once if another daemon has written them meanwhile

Cause: after the store had been away, the former saver wrote once more beside the new one, whose next write conflicted; it read the keys again 400 ms later, after the loss (streams_unsaved conflict=true at 23.887 s).

Change: after a conflict it reads and writes at once, three times at most.

A test is owed: the two savers overlap by chance.

--- a/daemon/edge/saved_streams.go
+++ b/daemon/edge/saved_streams.go
@@ -25,6 +25,9 @@
 	// streamSaveInterval is the time between two times at which what has changed is written. Records that are younger are lost with the
 	// daemons, and most streams last for seconds.
 	streamSaveInterval = 400 * time.Millisecond
+	// maxSaveTries is how often it is tried at once if another daemon has written meanwhile, as the former saver does
+	// until it has heard of this one.
+	maxSaveTries = 3
 	// loadStreamsInterval is the time between two attempts to read what is saved.
 	loadStreamsInterval = 200 * time.Millisecond
 )
@@ -41,8 +44,10 @@
 
 	// passedOnAt is used by tickLoop only, all below by runDuties only. loaded says that revisions holds
 	// those of the keys, as they were read or written last.
+	// conflicted says that the last write failed because another daemon had written.
 	passedOnAt time.Duration
 	loaded     bool
+	conflicted bool
 	revisions  map[string]kv.Revision
 	versions   savedVersions
 	savedAt    time.Duration
@@ -66,10 +71,18 @@
 		return
 	}
 	saver.savedAt = now
-	if !saver.loaded {
-		saver.loaded = e.readSavedStreams(ctx)
+	for range maxSaveTries {
+		if !saver.loaded {
+			saver.loaded = e.readSavedStreams(ctx)
+		}
+		if !saver.loaded || e.writeSavedVersions(ctx) && e.writeSavedRecords(ctx) {
+			return
+		}
+		saver.loaded = false
+		if !saver.conflicted {
+			return
+		}
 	}
-	saver.loaded = saver.loaded && e.writeSavedVersions(ctx) && e.writeSavedRecords(ctx)
 }
 
 // writeSavedRecords writes all parts of the records that have grown, the newest first, whose streams are the likeliest to
@@ -114,9 +127,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	revision, err := e.deps.Store.CompareAndSwap(callCtx, key, saver.revisions[key], data, 0)
+	var conflict *kv.ConflictError
+	saver.conflicted = errors.As(err, &conflict)
 	if err != nil {
-		var conflict *kv.ConflictError
-		e.log.Note("streams_unsaved", decisions.F("key", key), decisions.F("conflict", errors.As(err, &conflict)), decisions.F("error", err.Error()))
+		e.log.Note("streams_unsaved", decisions.F("key", key), decisions.F("conflict", saver.conflicted), decisions.F("error", err.Error()))
 		return false
 	}
 	saver.revisions[key] = revision
