Skip equal entries when two versions of a configuration are compared

Cause: the check of a large configuration listed and sorted the fields of all entries of both versions, also of those that are the same in both, which are most.

--- a/state/configcheck/diff.go
+++ b/state/configcheck/diff.go
@@ -1,6 +1,7 @@
 package configcheck
 
 import (
+	"reflect"
 	"slices"
 
 	"geraniumstack.org/geraniumstack/state/route"
@@ -37,7 +38,10 @@
 			r.add(at, Added, "%s %q added", noun, name)
 			continue
 		}
-		compareEntry(at, unmatched[name][0], &current[i])
+		// Most entries of a large configuration are the same in both versions, and listing their fields takes long.
+		if before := unmatched[name][0]; !reflect.DeepEqual(before, &current[i]) {
+			compareEntry(at, before, &current[i])
+		}
 		unmatched[name] = unmatched[name][1:]
 	}
 	for name, entries := range unmatched {
