Take signals before the large packages of the daemon are initialized

Cause: signals were taken in main, after the initialization of all packages, which takes some 10 ms; until then the runtime ends the process. A package that depends on os/signal only is initialized first, and takes them.

What is left is the time of the program's loading and of the runtime's own start, in which it can't take signals.

--- a/cmd/geraniumd/main.go
+++ b/cmd/geraniumd/main.go
@@ -19,6 +19,7 @@
 	"geraniumstack.org/geraniumstack/daemon"
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/daemon/settings"
+	"geraniumstack.org/geraniumstack/internal/startsignals"
 	"geraniumstack.org/geraniumstack/platform"
 	"geraniumstack.org/geraniumstack/state/document"
 )
@@ -51,15 +52,25 @@
 		klog.ErrorS(err, "Starting the daemon failed")
 		return exitFailure
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := d.Run(ctx); err != nil {
+	// There is nothing to reload.
+	signal.Reset(syscall.SIGHUP)
+	if err := d.Run(untilStop()); err != nil {
 		klog.ErrorS(err, "Daemon failed")
 		return exitFailure
 	}
 	return 0
 }
 
+// untilStop returns a context that ends with SIGTERM or an interrupt.
+func untilStop() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-startsignals.Stop
+		cancel()
+	}()
+	return ctx
+}
+
 // runOnPlatform serves on the users' platform until SIGTERM or an interrupt. It
 // writes the log to standard output.
 func runOnPlatform(path, disabled string, directFleet int, spilloverWait float64) int {
@@ -79,16 +90,13 @@
 	reportCrashes()
 	// Without this the daemon would end with the process that reads its log.
 	signal.Ignore(syscall.SIGPIPE)
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(reload, syscall.SIGHUP)
 	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL"} {
 		if err := flag.Set(name, value); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return exitFailure
 		}
 	}
-	err = platform.Run(path, platform.Signals{Stop: stop, Reload: reload}, platform.Flags{Policy: policy, Spillover: price})
+	err = platform.Run(path, platform.Signals{Stop: startsignals.Stop, Reload: startsignals.Reload}, platform.Flags{Policy: policy, Spillover: price})
 	if err == nil {
 		return 0
 	}
--- a/cmd/geraniumd/main_test.go
+++ b/cmd/geraniumd/main_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -231,3 +233,23 @@
 	is.True(c.Run() != nil)
 	is.True(strings.Contains(out.String(), "test crash"))
 }
+
+// Guards against a daemon that ends by SIGHUP because other packages are initialized before signals are taken.
+func TestSignalsAreTakenBeforeLargePackagesAreInitialized(t *testing.T) {
+	is := is.New(t)
+	c := command(modeServe, platform.SettingsEnv+"=/does/not/exist", "GODEBUG=inittrace=1")
+	trace, err := c.CombinedOutput()
+	var exit *exec.ExitError
+	is.True(errors.As(err, &exit)) // there are no settings
+	var initialized []string
+	for line := range strings.Lines(string(trace)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "init" {
+			initialized = append(initialized, fields[1])
+		}
+	}
+	taken := slices.Index(initialized, "geraniumstack.org/geraniumstack/internal/startsignals")
+	is.True(taken >= 0)
+	for _, large := range []string{"net/http", "google.golang.org/protobuf/internal/filetype", "k8s.io/klog/v2"} {
+		is.True(taken < slices.Index(initialized, large)) // large packages come later
+	}
+}
