--- a/daemon/edge/stream_loss_test.go
+++ b/daemon/edge/stream_loss_test.go
@@ -1,6 +1,8 @@
 package edge_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -9,6 +11,7 @@
 	"geraniumstack.org/geraniumstack/coordination/canary"
 	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/coordination/view"
+	"geraniumstack.org/geraniumstack/internal/pause"
 )
 
 // lossOfAll says what the versions of a service do around the loss of all daemons.
@@ -231,3 +234,55 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 }
+
+// Guards against streams that are refused after the loss of all daemons because another daemon wrote what is saved just before
+// the saver did.
+func TestStreamsAreSavedWhileAnotherDaemonWrites(t *testing.T) {
+	const (
+		phases = 8
+		// savedWithin is the time in which records reach the saver and are written.
+		savedWithin = 600 * time.Millisecond
+	)
+	for phase := range phases {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			t.Parallel()
+			withSettledFleet(t, 5, relays.DirectFleet, config(1), func(w *testFleet) {
+				w.addVersions(3, nil, "v1", "v1.1")
+				time.Sleep(2*time.Second + time.Duration(phase)*100*time.Millisecond)
+				stop := w.rewriteSavedStreams()
+				w.beginBriefly(24, w.daemons[0])
+				time.Sleep(time.Second)
+				callers := w.beginBriefly(24, w.daemons[0])
+				time.Sleep(savedWithin)
+				stop()
+				for _, d := range w.daemons {
+					w.isolateAndKill(d)
+				}
+				for i := range w.daemons {
+					w.restart(i)
+				}
+				time.Sleep(2 * time.Second)
+				w.Equal(w.takeUpAtOnce(callers, w.daemons).wentOn, len(callers))
+			})
+		})
+	}
+}
+
+// rewriteSavedStreams writes all that is saved again and again, as another saver does, until stop is called.
+func (w *testFleet) rewriteSavedStreams() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var writing sync.WaitGroup
+	writing.Go(func() {
+		for pause.For(ctx, 100*time.Millisecond) {
+			entries, err := w.store.List(context.Background(), "streams/", "", 100)
+			w.NoErr(err)
+			for _, entry := range entries {
+				w.put(entry.Key, json.RawMessage(entry.Value))
+			}
+		}
+	})
+	return func() {
+		cancel()
+		writing.Wait()
+	}
+}
