Save streams beside the other duties, and soon when a dozen of them wait

Cause: what is saved was written every 400 ms at most, whatever came in, and by the goroutine that performs all duties: while the cloud is slow or away each of its calls holds it up for half a second.

Change: a goroutine of its own, woken by the same timer, writes as soon as twelve records wait (of twelve streams on the users count refusals as lost), else every 400 ms.

--- a/coordination/streamversion/saved.go
+++ b/coordination/streamversion/saved.go
@@ -34,8 +34,9 @@
 	// Streams holds eight bytes for each stream, by the version that began it.
 	Streams map[canary.Version][]byte `json:"streams"`
 
-	known   map[Stream]bool
-	changed bool
+	known map[Stream]bool
+	// unwritten is the number of records that have come since TakeChanged returned the part.
+	unwritten int
 }
 
 // NewSaved returns an empty set of records.
@@ -61,7 +62,8 @@
 	if p.known[stream] || len(p.known) >= maxPartStreams {
 		return
 	}
-	p.known[stream], p.changed = true, true
+	p.known[stream] = true
+	p.unwritten++
 	p.Streams[v] = binary.BigEndian.AppendUint64(p.Streams[v], uint64(stream))
 }
 
@@ -69,12 +71,12 @@
 func (s *Saved) TakeChanged() *SavedPart {
 	var newest *SavedPart
 	for _, p := range s.parts {
-		if p.changed && (newest == nil || p.Number > newest.Number) {
+		if p.unwritten > 0 && (newest == nil || p.Number > newest.Number) {
 			newest = p
 		}
 	}
 	if newest != nil {
-		newest.changed = false
+		newest.unwritten = 0
 	}
 	return newest
 }
@@ -82,18 +84,27 @@
 // Retry makes TakeChanged return a part again.
 func (s *Saved) Retry(number int64) {
 	if p := s.parts[number]; p != nil {
-		p.changed = true
+		p.unwritten = len(p.known)
 	}
 }
 
+// Unwritten returns the number of records that have come since TakeChanged returned their parts.
+func (s *Saved) Unwritten() int {
+	n := 0
+	for _, p := range s.parts {
+		n += p.unwritten
+	}
+	return n
+}
+
 // Merge takes up a part that another daemon has stored, which this daemon would otherwise write over.
 func (s *Saved) Merge(stored *SavedPart) {
 	p := s.part(stored.Number)
-	changed := p.changed
+	unwritten := p.unwritten
 	for stream, v := range stored.Records() {
 		p.add(stream, v)
 	}
-	p.changed = changed
+	p.unwritten = unwritten
 }
 
 // Records returns the records of a part. Of a damaged part the whole records count.
--- a/daemon/edge/duties.go
+++ b/daemon/edge/duties.go
@@ -39,20 +39,12 @@
 	// token is the fencing token of the tenure in which usage and fleets were created.
 	token uint64
 	// wakeup is signalled when it may be time to run the duties.
-	wakeup chan struct{}
-}
-
-// wake triggers a run of the duties, unless one is already pending.
-func (d *duties) wake() {
-	select {
-	case d.wakeup <- struct{}{}:
-	default:
-	}
+	wakeup wakeup
 }
 
 func (d *duties) init(e *Edge) {
 	d.fleets = map[string]*fleetScaler{}
-	d.wakeup = make(chan struct{}, 1)
+	d.wakeup = newWakeup()
 	ttl := e.settings.Bounds.LeaseTTL
 	d.holder = holder.New(holder.Options{
 		Name:  dutyName,
@@ -79,28 +71,22 @@
 // less often than a relay.
 func (e *Edge) runDuties(ctx context.Context) {
 	lastRun := -dutyInterval
-	for {
-		select {
-		case <-e.duties.wakeup:
-			now := e.deps.Steady()
-			if now-lastRun < dutyInterval {
-				continue
-			}
-			lastRun = now
-		case <-ctx.Done():
-			stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-			e.duties.holder.Stop(stopCtx)
-			cancel()
-			return
+	for e.duties.wakeup.wait(ctx) {
+		now := e.deps.Steady()
+		if now-lastRun < dutyInterval {
+			continue
 		}
+		lastRun = now
 		_, draining := e.timeSinceDrain()
 		e.duties.holder.Tick(ctx, !draining && e.shouldHoldDuties())
 		e.saveCounts(ctx)
-		e.saveStreams(ctx)
 		if e.duties.holder.Token() != 0 {
 			e.performDuties(ctx)
 		}
 	}
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	e.duties.holder.Stop(stopCtx)
 }
 
 // shouldHoldDuties reports whether this daemon should hold the lease of the duties. A holder
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -272,6 +272,7 @@
 	group.Go(func() error { e.loadSavedStreams(ctx); return nil })
 	if e.deps.Cloud != nil {
 		group.Go(func() error { e.runDuties(ctx); return nil })
+		group.Go(func() error { e.runStreamSaver(ctx); return nil })
 	}
 	err := group.Wait()
 	e.log.Note("stop", decisions.F("daemon", e.settings.ID), decisions.F("in_flight", e.inFlight.Load()))
--- a/daemon/edge/saved_streams.go
+++ b/daemon/edge/saved_streams.go
@@ -22,9 +22,10 @@
 const (
 	// savedStreamsPrefix is the prefix of all keys with what is saved.
 	savedStreamsPrefix = "streams/"
-	// streamSaveInterval is the time between two times at which what has changed is written. Records that are younger are lost with the
-	// daemons, and most streams last for seconds.
+	// streamSaveInterval is the time between two times at which what has changed is written, or less once maxUnwritten records
+	// wait, which would be lost with the daemons.
 	streamSaveInterval = 400 * time.Millisecond
+	maxUnwritten       = 12
 	// maxSaveTries is how often it is tried at once if another daemon has written meanwhile, as the former saver does
 	// until it has heard of this one.
 	maxSaveTries = 3
@@ -42,7 +43,9 @@
 	versionsSaved map[string][]canary.Version
 	firstSeen     map[string]map[canary.Version]time.Duration
 
-	// passedOnAt is used by tickLoop only, all below by runDuties only. loaded says that revisions holds
+	// wakeup is signalled when it may be time to save.
+	wakeup wakeup
+	// passedOnAt is used by tickLoop only, all below by runStreamSaver only. loaded says that revisions holds
 	// those of the keys, as they were read or written last.
 	// conflicted says that the last write failed because another daemon had written.
 	passedOnAt time.Duration
@@ -57,6 +60,15 @@
 	s.records = map[streamversion.Stream]canary.Version{}
 	s.saved = streamversion.NewSaved()
 	s.firstSeen = map[string]map[canary.Version]time.Duration{}
+	s.wakeup = newWakeup()
+}
+
+// runStreamSaver saves streams while that is this daemon's task. It doesn't wait for the other duties, whose calls to a cloud
+// that is slow or away take longer than streams last.
+func (e *Edge) runStreamSaver(ctx context.Context) {
+	for e.streams.saver.wakeup.wait(ctx) {
+		e.saveStreams(ctx)
+	}
 }
 
 // saveStreams writes what has changed, if that is due and this daemon's task.
@@ -67,7 +79,9 @@
 		saver.loaded = false // another daemon writes the keys from now on
 		return
 	}
-	if now-saver.savedAt < streamSaveInterval {
+	// After a failed call nothing is loaded.
+	isUrgent := e.streams.unwritten() >= maxUnwritten && saver.loaded
+	if now-saver.savedAt < streamSaveInterval && !isUrgent {
 		return
 	}
 	saver.savedAt = now
@@ -85,6 +99,13 @@
 	}
 }
 
+// unwritten returns the number of records that this daemon has taken up as the saver and not written.
+func (v *streamVersions) unwritten() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.saver.saved.Unwritten()
+}
+
 // writeSavedRecords writes all parts of the records that have grown, the newest first, whose streams are the likeliest to
 // be taken up; false if that failed. There are several after the service was away.
 func (e *Edge) writeSavedRecords(ctx context.Context) bool {
--- a/daemon/edge/send.go
+++ b/daemon/edge/send.go
@@ -72,7 +72,8 @@
 		if e.healthDue() {
 			e.tickHealth()
 		}
-		e.duties.wake()
+		e.duties.wakeup.wake()
+		e.streams.saver.wakeup.wake()
 		e.grantRequests.expire(e.deps.Steady())
 		if e.configAge() > e.confirmAfter() && e.table.Load() != nil {
 			go e.confirmConfig(ctx)
