Let a former saver write the records that it took up

Cause: daemons send their records to the saver and forget them. While the store is away the saver's lease lapses, and when it is back another daemon is the saver; what the former one hadn't written nobody wrote. The class: a hand-over that counts as done when it is sent.

Change: a daemon that has unwritten records writes them also when it isn't the saver; the list of versions it leaves to the saver. Both writers merge what the other has written.

--- a/daemon/edge/saved_streams.go
+++ b/daemon/edge/saved_streams.go
@@ -71,16 +71,18 @@
 	}
 }
 
-// saveStreams writes what has changed, if that is due and this daemon's task.
+// saveStreams writes what has changed, if that is due and this daemon's task. A daemon that isn't the saver any more writes
+// the records that it took up as the saver, as no other daemon will.
 func (e *Edge) saveStreams(ctx context.Context) {
 	saver := &e.streams.saver
 	now := e.deps.Steady()
-	if !e.shouldSaveCounts(now) {
+	isSaver, unwritten := e.shouldSaveCounts(now), e.streams.unwritten()
+	if !isSaver && unwritten == 0 {
 		saver.loaded = false // another daemon writes the keys from now on
 		return
 	}
 	// After a failed call nothing is loaded.
-	isUrgent := e.streams.unwritten() >= maxUnwritten && saver.loaded
+	isUrgent := unwritten >= maxUnwritten && saver.loaded
 	if now-saver.savedAt < streamSaveInterval && !isUrgent {
 		return
 	}
@@ -89,7 +91,7 @@
 		if !saver.loaded {
 			saver.loaded = e.readSavedStreams(ctx)
 		}
-		if !saver.loaded || e.writeSavedVersions(ctx) && e.writeSavedRecords(ctx) {
+		if !saver.loaded || (!isSaver || e.writeSavedVersions(ctx)) && e.writeSavedRecords(ctx) {
 			return
 		}
 		saver.loaded = false
--- a/daemon/edge/stream_loss_test.go
+++ b/daemon/edge/stream_loss_test.go
@@ -290,6 +290,34 @@
 	time.Sleep(2 * time.Second)
 }
 
+// Guards against streams that are refused after the loss of all daemons because the saver to which their records were sent lost
+// its lease before it could write them.
+func TestRecordsOfAFormerSaverAreSaved(t *testing.T) {
+	const streams, away = 48, 4 * time.Second
+	withSettledFleet(t, 5, relays.DirectFleet, config(1), func(w *testFleet) {
+		w.addVersions(3, nil, "v1", "v1.1")
+		// The first daemon takes the lease whenever it is free, so another one has it only if the first was away.
+		w.isolateAndKill(w.daemons[0])
+		time.Sleep(6 * time.Second)
+		w.restart(0)
+		time.Sleep(4 * time.Second)
+		for _, d := range w.daemons {
+			d.store.setFaults(true, false)
+		}
+		time.Sleep(time.Second)
+		callers := w.beginBriefly(streams, w.daemons[1])
+		time.Sleep(away)
+		for _, d := range w.daemons {
+			d.store.setFaults(false, false)
+		}
+		time.Sleep(time.Second)
+		w.loseAll(0)
+		o := w.takeUpAtOnce(callers, w.daemons)
+		t.Logf("%+v", o)
+		w.True(streams-o.wentOn < maxUnknown)
+	})
+}
+
 // hangCloud lets no call to the cloud be answered until stop is called.
 func (w *testFleet) hangCloud() (stop func()) {
 	w.cloud.setHangs(true)
