--- a/daemon/edge/stream_loss_test.go
+++ b/daemon/edge/stream_loss_test.go
@@ -65,15 +65,10 @@
 	}
 	reading.Wait()
 	w.leaveIf(c.leavesBefore, c.leaves, each)
-	for _, d := range w.daemons {
-		w.isolateAndKill(d)
-	}
-	w.leaveIf(c.leavesWhile, c.leaves, each)
-	time.Sleep(down)
-	for i := range w.daemons {
-		w.restart(i)
-	}
-	time.Sleep(2 * time.Second)
+	w.loseAll(func() {
+		w.leaveIf(c.leavesWhile, c.leaves, each)
+		time.Sleep(down)
+	})
 	w.leaveIf(c.leavesAfter, c.leaves, each)
 	var stay []*streamCaller
 	for _, caller := range callers {
@@ -115,14 +110,7 @@
 						}
 					}
 					reading.Wait()
-					for _, d := range w.daemons {
-						w.isolateAndKill(d)
-					}
-					w.leaveIf(true, "v1.1", each)
-					for i := range w.daemons {
-						w.restart(i)
-					}
-					time.Sleep(2 * time.Second)
+					w.loseAll(func() { w.leaveIf(true, "v1.1", each) })
 					o := w.takeUpAtOnce(callers, w.daemons)
 					t.Logf("%+v", o)
 					w.Equal(o.mixed, 0)
@@ -156,13 +144,7 @@
 			}
 		}
 		reading.Wait()
-		for _, d := range w.daemons {
-			w.isolateAndKill(d)
-		}
-		for i := range w.daemons {
-			w.restart(i)
-		}
-		time.Sleep(2 * time.Second)
+		w.loseAll(func() {})
 		o := w.takeUpAtOnce(callers, w.daemons)
 		w.checkTakenUp(o, len(callers))
 	})
@@ -272,18 +254,18 @@
 	callers := w.beginBriefly(streams, w.daemons[0])
 	time.Sleep(savedWithin)
 	stop()
-	w.loseAll(0)
+	w.loseAll(func() {})
 	o := w.takeUpAtOnce(callers, w.daemons)
 	w.t.Logf("%+v", o)
 	w.True(streams-o.wentOn < maxUnknown)
 }
 
-// loseAll ends all daemons at the same moment, and starts them after a time.
-func (w *testFleet) loseAll(down time.Duration) {
+// loseAll ends all daemons at the same moment, and starts them after whileDown. It returns once they are in touch.
+func (w *testFleet) loseAll(whileDown func()) {
 	for _, d := range w.daemons {
 		w.isolateAndKill(d)
 	}
-	time.Sleep(down)
+	whileDown()
 	for i := range w.daemons {
 		w.restart(i)
 	}
@@ -311,7 +293,7 @@
 			d.store.setFaults(false, false)
 		}
 		time.Sleep(time.Second)
-		w.loseAll(0)
+		w.loseAll(func() {})
 		o := w.takeUpAtOnce(callers, w.daemons)
 		t.Logf("%+v", o)
 		w.True(streams-o.wentOn < maxUnknown)
