--- a/daemon/edge/stream_batches.go
+++ b/daemon/edge/stream_batches.go
@@ -14,7 +14,7 @@
 	// streamBatchInterval is the time between two messages with records for the saver.
 	streamBatchInterval = gossipInterval
 	// maxSavedPerSecond bounds the records of the whole fleet that are saved. Each takes eight bytes of a
-	// message to the saver, and eleven of each of at most three writes.
+	// message to the saver, and eleven of each of at most ten writes, which every relay watches.
 	maxSavedPerSecond = 1000
 	// maxUnsaved bounds the records that wait while there is no saver.
 	maxUnsaved = 1000
