Start daemons of a storm, run seeds of the soak and look up a runner in one place each

killTogether repeated the end of killDaemon, three soak tests the loop of the fourth, and isEntered copied a whole map to look up one runner, for each event stream's first event.

--- a/daemon/edge/incarnations.go
+++ b/daemon/edge/incarnations.go
@@ -43,6 +43,14 @@
 	delete(r.at, id)
 }
 
+// contains reports whether something was found out of an incarnation within restartedMemory.
+func (r *recentRunners) contains(now time.Duration, id ident.RunnerID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, known := r.at[id]
+	return known && now-at < restartedMemory
+}
+
 // list returns the incarnations of which it was found out within restartedMemory.
 func (r *recentRunners) list(now time.Duration) map[ident.RunnerID]bool {
 	r.mu.Lock()
@@ -98,7 +106,7 @@
 		return a.incarnation == a.choice.Runner
 	}
 	e := a.s.edge
-	return !e.mayHaveEnded.list(e.deps.Steady())[a.choice.Runner] && a.s.pool.isCurrent(a.choice.Runner, a.choice.Address, a.entry.Version)
+	return !e.mayHaveEnded.contains(e.deps.Steady(), a.choice.Runner) && a.s.pool.isCurrent(a.choice.Runner, a.choice.Address, a.entry.Version)
 }
 
 // recordMayHaveEnded records that a connection to the runner has failed, as it does when the runner ends.
--- a/daemon/edge/restart_storm_test.go
+++ b/daemon/edge/restart_storm_test.go
@@ -1,7 +1,6 @@
 package edge_test
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -56,12 +55,7 @@
 	}
 	time.Sleep(down)
 	for _, i := range killed {
-		d := s.w.startDaemon(i)
-		s.mu.Lock()
-		s.w.daemons[i] = d
-		s.life[i].ctx, s.life[i].end = context.WithCancel(context.Background())
-		s.life[i].calmSince = time.Now()
-		s.mu.Unlock()
+		s.startDaemon(i)
 	}
 }
 
--- a/daemon/edge/stream_storm_test.go
+++ b/daemon/edge/stream_storm_test.go
@@ -163,10 +163,17 @@
 	s.mu.Unlock()
 	s.w.daemons[i].kill()
 	time.Sleep(2 * time.Second)
-	d := s.w.startDaemon(i)
+	s.startDaemon(i)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.disturbed--
+}
+
+// startDaemon starts a daemon that was killed.
+func (s *streamStorm) startDaemon(i int) {
+	d := s.w.startDaemon(i)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.w.daemons[i] = d
 	s.life[i].ctx, s.life[i].end = context.WithCancel(context.Background())
 	s.life[i].calmSince = time.Now()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -83,38 +83,33 @@
 	if first == 0 {
 		first = time.Now().Unix()
 	}
-	for i := range int64(*seeds) {
-		t.Run(fmt.Sprint(first+i), func(t *testing.T) { runSeed(t, first+i, *length, *daemons, drawConditions(first+i)) })
-	}
+	runSeeds(t, first, *seeds, func(*conditions) {})
 }
 
 // TestSoakOfReturningStore plays seeds in which the store also comes back from older copies.
 func TestSoakOfReturningStore(t *testing.T) {
 	t.Parallel()
-	for i := range int64(*copySeeds) {
-		with := drawConditions(*firstSeed + i)
-		with.copies = true
-		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { runSeed(t, *firstSeed+i, *length, *daemons, with) })
-	}
+	runSeeds(t, *firstSeed, *copySeeds, func(with *conditions) { with.copies = true })
 }
 
 // TestSoakOfPowerLosses plays seeds in which the daemons and what the store held last are lost together.
 func TestSoakOfPowerLosses(t *testing.T) {
 	t.Parallel()
-	for i := range int64(*lossSeeds) {
-		with := drawConditions(*firstSeed + i)
-		with.powerLosses = true
-		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { runSeed(t, *firstSeed+i, *length, *daemons, with) })
-	}
+	runSeeds(t, *firstSeed, *lossSeeds, func(with *conditions) { with.powerLosses = true })
 }
 
 // TestSoakOfUpgradedRunners plays seeds in which runners start again with another version before their entries say so.
 func TestSoakOfUpgradedRunners(t *testing.T) {
 	t.Parallel()
-	for i := range int64(*upgradeSeeds) {
-		with := drawConditions(*firstSeed + i)
-		with.upgrades = true
-		t.Run(fmt.Sprint(*firstSeed+i), func(t *testing.T) { runSeed(t, *firstSeed+i, *length, *daemons, with) })
+	runSeeds(t, *firstSeed, *upgradeSeeds, func(with *conditions) { with.upgrades = true })
+}
+
+// runSeeds runs the soak for n seeds, each under the conditions that it draws and those that change adds.
+func runSeeds(t *testing.T, first int64, n int, change func(with *conditions)) {
+	for seed := first; seed < first+int64(n); seed++ {
+		with := drawConditions(seed)
+		change(&with)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, *length, *daemons, with) })
 	}
 }
 
