Hold bodies of requests in pieces

A body was read by a buffer that doubles, so that its old and new halves lived at once, and copied once more to be sent. It is now a list of pieces that is hashed and sent as it is; only a delegated request is still joined.

--- a/daemon/edge/content.go
+++ b/daemon/edge/content.go
@@ -27,9 +27,11 @@
 	for _, part := range r.Prompt.Parts {
 		d.addNumber(part)
 	}
-	d.addNumber(uint64(len(r.Body)))
-	// Writing to a digest never fails.
-	_, _ = d.Write(r.Body)
+	d.addNumber(uint64(r.Body.Len()))
+	for _, piece := range r.Body {
+		// Writing to a digest never fails.
+		_, _ = d.Write(piece)
+	}
 	return contentHash(d.Sum64())
 }
 
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -353,7 +353,7 @@
 func encodeDelegated(s *requestHandler) *delegationv1.ServeRequest {
 	r := s.req
 	m := &delegationv1.ServeRequest{
-		RequestId: r.ID, Host: r.Host, Path: r.Path, Method: r.Method, Target: r.Target, Headers: encodeHeaders(r.Header), Body: r.Body, Key: r.Key,
+		RequestId: r.ID, Host: r.Host, Path: r.Path, Method: r.Method, Target: r.Target, Headers: encodeHeaders(r.Header), Body: r.Body.Bytes(), Key: r.Key,
 		AgeNs: int64(time.Since(r.Received)), CallerTimeoutNs: int64(r.CallerTimeout), LastEventId: s.lastEventID(), Resumes: r.Resumes,
 		Prompt:   encodePrompt(&r.Prompt),
 		Attempts: uint32(s.exchange.Sent()), MayHaveRun: s.exchange.MayHaveRun(),
--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -12,6 +12,7 @@
 	delegationv1 "geraniumstack.org/geraniumstack/gen/geranium/delegation/v1"
 	"geraniumstack.org/geraniumstack/gen/geranium/delegation/v1/delegationv1connect"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/state/segment"
 )
 
 // delegationService serves the requests that other daemons delegate to this one. It gives its
@@ -54,7 +55,7 @@
 
 func decodeDelegated(m *delegationv1.ServeRequest) *Request {
 	return &Request{
-		ID: m.RequestId, Host: m.Host, Path: m.Path, Method: m.Method, Target: m.Target, Header: decodeHeaders(m.Headers), Body: m.Body, Key: m.Key,
+		ID: m.RequestId, Host: m.Host, Path: m.Path, Method: m.Method, Target: m.Target, Header: decodeHeaders(m.Headers), Body: segment.Of(m.Body), Key: m.Key,
 		Received: time.Now().Add(-time.Duration(m.AgeNs)), CallerTimeout: time.Duration(m.CallerTimeoutNs), LastEventID: m.LastEventId, Resumes: m.Resumes,
 		Prompt: decodePrompt(m.Prompt),
 	}
--- a/daemon/edge/failing_request_test.go
+++ b/daemon/edge/failing_request_test.go
@@ -13,6 +13,7 @@
 
 	"geraniumstack.org/geraniumstack/daemon/edge"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/state/segment"
 )
 
 const (
@@ -24,7 +25,7 @@
 	reasonFailingRequest = refusal.Reason("failing_request")
 )
 
-func isFatalBody(r *edge.Request) bool { return string(r.Body) == fatalBody }
+func isFatalBody(r *edge.Request) bool { return string(r.Body.Bytes()) == fatalBody }
 
 // repeatingCaller sends one request again and again, each time with another ID.
 type repeatingCaller struct {
@@ -44,7 +45,7 @@
 	a = &recordedReply{}
 	req := &edge.Request{
 		ID: fmt.Sprintf("p%d", lastRequestID.Add(1)), Host: host, Path: c.path, Method: http.MethodPost, Target: c.path,
-		Header: http.Header{}, Key: key, Body: []byte(c.body), Received: time.Now(),
+		Header: http.Header{}, Key: key, Body: segment.Of([]byte(c.body)), Received: time.Now(),
 	}
 	if len(c.parts) > 0 {
 		req.Prompt = promptOf(c.parts...)
--- a/daemon/edge/fair_share_test.go
+++ b/daemon/edge/fair_share_test.go
@@ -15,6 +15,7 @@
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/state/route"
+	"geraniumstack.org/geraniumstack/state/segment"
 )
 
 // shareConfig is a service with two classes of streams and two workspaces with a quota in tokens.
@@ -48,7 +49,7 @@
 	a := &recordedReply{}
 	d.Serve(context.Background(), &edge.Request{
 		ID: fmt.Sprint(lastRequestID.Add(1)), Host: host, Path: path, Method: http.MethodPost, Target: path, Header: http.Header{},
-		Key: key, Received: time.Now(), Body: []byte(body), Prompt: edge.Prompt{PromptTokens: tokens, OutputTokens: 10, ExpectedOutput: 10},
+		Key: key, Received: time.Now(), Body: segment.Of([]byte(body)), Prompt: edge.Prompt{PromptTokens: tokens, OutputTokens: 10, ExpectedOutput: 10},
 	}, a)
 	return a
 }
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -216,7 +216,7 @@
 		Model:        r.Prompt.Model,
 		PromptTokens: max(1, r.Prompt.PromptTokens),
 		OutputTokens: max(1, r.Prompt.ExpectedOutput),
-		Bytes:        len(r.Body),
+		Bytes:        r.Body.Len(),
 	}
 	// The last part of a prompt belongs to this request alone; the parts before it may be
 	// shared with other requests.
--- a/daemon/edge/spillover.go
+++ b/daemon/edge/spillover.go
@@ -387,7 +387,7 @@
 	}
 	crosses := a.crosses()
 	if crosses && (err == nil || a.connected.Load()) {
-		a.s.edge.log.Add("bytes.away.request", len(a.s.req.Body))
+		a.s.edge.log.Add("bytes.away.request", a.s.req.Body.Len())
 	}
 	if err != nil {
 		return
--- a/daemon/edge/spillover_test.go
+++ b/daemon/edge/spillover_test.go
@@ -19,6 +19,7 @@
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/route"
+	"geraniumstack.org/geraniumstack/state/segment"
 )
 
 // domainLoad is a load in four failure domains whose runners read prompts one after the other.
@@ -86,7 +87,7 @@
 					c.tried++
 					return
 				}
-				c.away, c.awayBytes = c.away+1, c.awayBytes+len(a.Request.Body)
+				c.away, c.awayBytes = c.away+1, c.awayBytes+a.Request.Body.Len()
 			})
 			if cut {
 				time.Sleep(fakeCutConnect)
@@ -164,7 +165,7 @@
 	a, asked := &recordedReply{}, time.Now()
 	d.Serve(context.Background(), &edge.Request{
 		ID: fmt.Sprint("domain-", part), Host: host, Path: "/match/", Method: http.MethodPost, Target: "/match/",
-		Header: http.Header{}, Body: make([]byte, domainBody), Key: key, Received: asked,
+		Header: http.Header{}, Body: segment.Of(make([]byte, domainBody)), Key: key, Received: asked,
 		Prompt: edge.Prompt{PromptTokens: domainPrompt, OutputTokens: 10, ExpectedOutput: 10, Prefix: []prefix.Hash{part}, PrefixTokens: []int{domainPrompt}},
 	}, a)
 	took := time.Since(asked)
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -62,6 +62,7 @@
 	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/state/route"
+	"geraniumstack.org/geraniumstack/state/segment"
 )
 
 // Settings are the parameters that a daemon is started with.
@@ -150,7 +151,7 @@
 	Target string
 	// Header is forwarded to the runner. It contains no headers that this system sets itself.
 	Header http.Header
-	Body   []byte
+	Body   segment.List
 	// Key is the caller's API key; empty if there is none.
 	Key string
 	// Received is when the request had been read completely. CallerTimeout is how long the
