--- a/daemon/decisions/decisions.go
+++ b/daemon/decisions/decisions.go
@@ -103,6 +103,11 @@
 	metrics.GetOrRegisterCounter(name, l.registry).Inc(int64(n))
 }
 
+// Gauge sets the function that returns the present value of a gauge.
+func (l *Log) Gauge(name string, value func() int64) {
+	l.registry.GetOrRegister(name, metrics.NewFunctionalGauge(value))
+}
+
 // Time adds a duration to the histogram of the given name, which counts in microseconds.
 func (l *Log) Time(name string, d time.Duration) {
 	h := l.registry.GetOrRegister(name, newHistogram).(metrics.Histogram)
