Look up route and key before the body, and say truly that a late body has not run

Callers without a key or a route had their body read first, and each caller named the time for it: X-Deadline-Ms, up to an hour. A body that was late or cut off ended in 400, a 4xx of the daemon's own for a proper request, which callers don't repeat and which counts as denied.

Serve decides anew, as a key may be revoked while a body arrives.

--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -86,6 +86,27 @@
 	share    requestShare
 }
 
+// Terms are what the configuration says about a request.
+type Terms struct {
+	// Route is the name of the request's route, Workspace whose key the request has; empty for none.
+	Route     string
+	Workspace ident.Workspace
+	// Deadline is the end of the time that its caller and its route leave for the request.
+	Deadline time.Time
+}
+
+// Admit tells whether a request whose body hasn't been read may be served, as far as that is known without its body. The
+// refusal is nil if so. Serve decides anew, as the configuration may change while the body arrives.
+func (e *Edge) Admit(ctx context.Context, req *Request) (Terms, *refusal.Refusal) {
+	s := &requestHandler{edge: e, req: req}
+	refused := s.admit(ctx)
+	terms := Terms{Workspace: s.workspace, Deadline: s.deadline}
+	if s.route != nil {
+		terms.Route = s.route.Name
+	}
+	return terms, refused
+}
+
 // Serve answers one request. The context must end when the caller has disconnected.
 func (e *Edge) Serve(ctx context.Context, req *Request, reply Reply) {
 	s := &requestHandler{edge: e, req: req, reply: reply}
--- a/state/refusal/refusal.go
+++ b/state/refusal/refusal.go
@@ -31,8 +31,10 @@
 
 // Reasons for refusing requests of any kind.
 const (
-	BadRequest        Reason = "bad_request"
-	BodyTooLarge      Reason = "body_too_large"
+	BadRequest   Reason = "bad_request"
+	BodyTooLarge Reason = "body_too_large"
+	// BodyIncomplete means that the body was cut off, or had not arrived when the time for the request was over.
+	BodyIncomplete    Reason = "body_incomplete"
 	UnsupportedMethod Reason = "unsupported_method"
 	UnknownModel      Reason = "unknown_model"
 	UnknownService    Reason = "unknown_service"
