Read daemons' calls within the callers' budget

A call at the daemons' port may have 16 MiB, for any number of calls and without an end in time: 40 calls that stop 64 KiB short of 15 MiB took 786 MB (bound 96) on.

A call for which there is no room is answered with a refusal that says it has not run, and the daemon that made it asks the next one.

--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -196,7 +196,7 @@
 		return false
 	}
 	switch r.Reason {
-	case refusal.NoRunner, refusal.RunnersResting, refusal.Draining, refusal.NotReady, refusal.StaleConfiguration, refusal.QuotaUnknown:
+	case refusal.Overloaded, refusal.NoRunner, refusal.RunnersResting, refusal.Draining, refusal.NotReady, refusal.StaleConfiguration, refusal.QuotaUnknown:
 		return true
 	}
 	return false
--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -13,6 +13,7 @@
 	"geraniumstack.org/geraniumstack/gen/geranium/delegation/v1/delegationv1connect"
 	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/state/segment"
+	"geraniumstack.org/geraniumstack/transport/callerlimit"
 )
 
 // delegationService serves the requests that other daemons delegate to this one. It gives its
@@ -28,7 +29,8 @@
 
 // DelegationHandler returns the HTTP handler for the calls of other daemons and its path.
 func (e *Edge) DelegationHandler() (path string, h http.Handler) {
-	return delegationv1connect.NewDelegationServiceHandler(&delegationService{e}, connect.WithReadMaxBytes(maxDelegatedBytes))
+	path, h = delegationv1connect.NewDelegationServiceHandler(&delegationService{e}, connect.WithReadMaxBytes(maxDelegatedBytes))
+	return path, e.limitCalls(h)
 }
 
 // Serve serves a request on behalf of another daemon.
@@ -36,6 +38,10 @@
 	rep := &delegatedReply{stream: stream}
 	s := &requestHandler{edge: d.edge, req: decodeDelegated(r.Msg), reply: rep, delegated: true}
 	rep.handler = s
+	if ctx.Value(callUnreadKey{}) != nil {
+		rep.Refuse(callerlimit.NoRoom(), false)
+		return nil
+	}
 	if v := r.Msg.StreamVersion; v != nil {
 		s.bound = boundVersion{canary.Version(*v), true}
 	}
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -24,6 +24,7 @@
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/route"
+	"geraniumstack.org/geraniumstack/transport/callerlimit"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
@@ -39,6 +40,8 @@
 	// Delegation sends calls to other daemons, by HTTP/2 without TLS; nil if no requests are
 	// delegated to them.
 	Delegation connect.HTTPClient
+	// Requests limits the bytes that the calls of other daemons hold together with the callers' requests; nil for no limit.
+	Requests *callerlimit.Requests
 	// Steady returns the time since a fixed moment, by a clock that never jumps and keeps
 	// running while the VM is suspended.
 	Steady func() time.Duration
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -27,6 +27,7 @@
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/state/route"
+	"geraniumstack.org/geraniumstack/transport/callerlimit"
 	"geraniumstack.org/geraniumstack/transport/kv"
 	"geraniumstack.org/geraniumstack/transport/peerhttp"
 )
@@ -86,6 +87,8 @@
 	log   *decisions.Log
 	// runners is the daemon's access to the runners.
 	runners *daemonRunners
+	// requests limits the bytes of its requests.
+	requests *callerlimit.Requests
 	// address is the daemon's peer address.
 	address string
 	cancel  context.CancelFunc
@@ -146,7 +149,7 @@
 	access := &daemonRunners{runners: w.runners}
 	transport := peerhttp.NewTransport(w.held.dial(w.calls.Dial))
 	log := decisions.New(metrics.NewRegistry())
-	d := &daemon{store: store, log: log, runners: access, address: address, cancel: cancel, done: make(chan struct{})}
+	d := &daemon{store: store, log: log, runners: access, requests: callerlimit.NewRequests(requestBytes), address: address, cancel: cancel, done: make(chan struct{})}
 	domain := ident.FailureDomain("north")
 	if n := len(w.domains); n > 0 {
 		domain = w.domains[i%n]
@@ -164,7 +167,7 @@
 	}, edge.Deps{
 		Store: store, Codec: jsonCodec{}, Runners: access, Cloud: w.cloud,
 		Datagrams: w.network.listen(address), Delegation: &http.Client{Transport: transport}, Steady: w.steady,
-		Log: log,
+		Requests: d.requests, Log: log,
 	})
 	listener, err := w.calls.Listen(address)
 	w.NoErr(err)
@@ -183,6 +186,9 @@
 	return d
 }
 
+// requestBytes is what the requests of one daemon may hold.
+const requestBytes = 16 << 20
+
 func (d *daemon) kill() {
 	d.cancel()
 	<-d.done
