Count answers that callers don't read, and cut these when there is no room

A stream keeps 32 KiB of room between events.

TestCallerThatDoesNotReadIsEnded shows who is chosen.

--- a/coordination/callerbudget/bytes.go
+++ b/coordination/callerbudget/bytes.go
@@ -50,11 +50,24 @@
 	workspace ident.Workspace
 	// whole says that the request has been read, ending that it has been chosen to be ended.
 	whole, ending bool
+	// answer is the part of held that is a piece of the answer, which its caller has been sent since the time writing.
+	answer  int64
+	writing time.Duration
 }
 
+// unread reports whether the caller doesn't read its answer.
+func (r *request) unread(now time.Duration) bool { return r.answer > 0 && now-r.writing >= patience }
+
+// endable reports whether the request may be ended for others.
+func (r *request) endable(now time.Duration) bool { return !r.ending && (!r.whole || r.unread(now)) }
+
 // weight says how much a request has held for how long.
 func (r *request) weight(now time.Duration) float64 {
-	return float64(r.held) * (now - r.began + leastAge).Seconds()
+	since := r.began
+	if r.answer > 0 {
+		since = r.writing
+	}
+	return float64(r.held) * (now - since + leastAge).Seconds()
 }
 
 func largeOf(held int64) int64 { return max(0, held-SmallBytes) }
@@ -114,6 +127,13 @@
 	}
 }
 
+// Shrink takes n bytes back from a request.
+func (b *Bytes) Shrink(id ID, n int64) {
+	if r := b.requests[id]; r != nil {
+		b.add(r, -min(n, r.held))
+	}
+}
+
 // Decision is what follows from a request's need for more bytes.
 type Decision struct {
 	// Granted says that the request holds the bytes now. Otherwise, unless it is to be ended itself, it must ask again
@@ -164,26 +184,59 @@
 		default:
 			return end
 		}
-		if victim.whole {
+		if !victim.endable(now) {
 			// The request itself, which needs more although it has been read.
 			return end
 		}
-		held := victim.held
-		b.add(victim, -held)
-		victim.ending = true
-		b.add(victim, held)
+		b.end(victim)
 		end = append(end, victim.id)
 	}
 	return end
 }
 
+// end marks a request as chosen to be ended.
+func (b *Bytes) end(r *request) {
+	held := r.held
+	b.add(r, -held)
+	r.ending = true
+	b.add(r, held)
+}
+
+// BeginAnswer adds n bytes of an answer that the caller of a request is being sent. The requests to end are those of
+// callers that don't read their answers, if there is no room: an answer that is ready is delivered.
+func (b *Bytes) BeginAnswer(now time.Duration, id ID, n int64) (end []ID) {
+	r := b.requests[id]
+	if r == nil {
+		return nil
+	}
+	r.answer, r.writing = n, now
+	b.add(r, n)
+	for b.all.short(1) {
+		victim := b.heaviest(now, nil, func(o *request) bool { return o.unread(now) })
+		if victim == nil {
+			return end
+		}
+		b.end(victim)
+		end = append(end, victim.id)
+	}
+	return end
+}
+
+// EndAnswer gives the bytes back that BeginAnswer has added.
+func (b *Bytes) EndAnswer(id ID) {
+	if r := b.requests[id]; r != nil {
+		b.add(r, -r.answer)
+		r.answer = 0
+	}
+}
+
 // heaviest returns the request with the largest weight among those that may be ended and fulfill a condition; without
 // any, fallback.
 func (b *Bytes) heaviest(now time.Duration, fallback *request, condition func(*request) bool) *request {
 	heaviest := fallback
 	most := -1.0
 	for _, r := range b.requests {
-		if r.whole || r.ending || !condition(r) {
+		if !r.endable(now) || !condition(r) {
 			continue
 		}
 		if w := r.weight(now); w > most || w == most && r.id < heaviest.id {
--- a/coordination/callerbudget/bytes_test.go
+++ b/coordination/callerbudget/bytes_test.go
@@ -140,3 +140,22 @@
 		}
 	})
 }
+
+// Guards against callers that don't read their answers, which fill the memory.
+func TestCallerThatDoesNotReadIsEnded(t *testing.T) {
+	is := is.New(t)
+	b := callerbudget.NewBytes(budget)
+	for id := range callerbudget.ID(2) {
+		b.Begin(0, id+1)
+		b.Whole(id + 1)
+		is.Equal(len(b.BeginAnswer(0, id+1, 7<<20)), 0)
+	}
+	b.Begin(0, 3)
+	b.Whole(3)
+	is.Equal(len(b.BeginAnswer(time.Second/2, 3, 3<<20)), 0) // the others may still read
+	b.EndAnswer(3)
+	is.Equal(b.BeginAnswer(time.Second, 3, 3<<20), []callerbudget.ID{1})
+	b.EndAnswer(3)
+	b.Release(1)
+	is.Equal(b.Used(), int64(7<<20))
+}
--- a/coordination/callerbudget/connections.go
+++ b/coordination/callerbudget/connections.go
@@ -23,9 +23,6 @@
 	open  map[ID]*connection
 }
 
-// patience is the time that a connection has to get on before it counts as one that waits.
-const patience = time.Second
-
 type connection struct {
 	state State
 	since time.Duration
--- a/coordination/callerbudget/doc.go
+++ b/coordination/callerbudget/doc.go
@@ -6,8 +6,9 @@
 // those are ended that have held most of it for longest without giving the process anything to do:
 //
 //   - Of the requests that are still being read, the one with the largest product of bytes and time. Requests that have
-//     been read whole are never ended: they get an answer. What they hold may leave no room for others, so a part of
-//     the budget is kept for small requests, and no workspace gets more than a share for its large ones.
+//     been read whole are not ended, since they get an answer, unless their callers don't read it. What they hold may
+//     leave no room for others, so a part of the budget is kept for small requests, and no workspace gets more than a
+//     share for its large ones.
 //   - Of the connections that have waited for a while, the one that has waited longest: first of those that have never
 //     brought a request or whose header isn't complete, then of those between two requests, then of those whose body is
 //     being read. A connection whose request is being answered is never ended.
@@ -16,5 +17,10 @@
 // concurrent use.
 package callerbudget
 
+import "time"
+
+// patience is the time that a caller has to get on before it counts as one that waits, or that doesn't read its answer.
+const patience = time.Second
+
 // ID identifies a request or a connection within one process.
 type ID uint64
--- a/daemon/edge/stream.go
+++ b/daemon/edge/stream.go
@@ -113,6 +113,9 @@
 	return nil
 }
 
+// maxKeptBytes is how much room a stream keeps for its next events.
+const maxKeptBytes = 32 << 10
+
 // copyEvents passes events on until the runner's stream ends. It returns nil if the stream
 // ended after a whole event.
 func (a *attempt) copyEvents(answer *Answer) error {
@@ -146,6 +149,9 @@
 				return &callerLeftError{writeErr}
 			}
 			measured.waiting()
+			if cap(out) > maxKeptBytes {
+				out = nil
+			}
 		}
 		if timerErr := timer.check(s.events); timerErr != nil {
 			return timerErr
--- a/protocol/forward/events.go
+++ b/protocol/forward/events.go
@@ -72,10 +72,18 @@
 
 // keep keeps the last n of the pending bytes, as the beginning of an event.
 func (s *EventStream) keep(n int) {
-	s.pending = append(s.pending[:0], s.pending[len(s.pending)-n:]...)
+	rest := s.pending[len(s.pending)-n:]
+	if cap(s.pending) > maxKeptBytes {
+		// Otherwise each stream would keep the room of its largest event.
+		s.pending = nil
+	}
+	s.pending = append(s.pending[:0], rest...)
 	s.scanned = 0
 }
 
+// maxKeptBytes is how much room a stream keeps for its next event.
+const maxKeptBytes = 32 << 10
+
 // HasPartialEvent reports whether the stream ended within an event.
 func (s *EventStream) HasPartialEvent() bool { return len(bytes.TrimSpace(s.pending)) > 0 }
 
--- a/transport/callerlimit/limiter.go
+++ b/transport/callerlimit/limiter.go
@@ -106,6 +106,34 @@
 	return true
 }
 
+// Shrink gives back n of the bytes that the request holds.
+func (r *Request) Shrink(n int64) {
+	l := r.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.Shrink(r.id, n)
+	l.wake()
+}
+
+// BeginAnswer adds n bytes of an answer until EndAnswer, while the caller is sent them. Callers that don't read their
+// answers may be ended for it, maybe this one.
+func (r *Request) BeginAnswer(n int64) {
+	l := r.limiter
+	l.mu.Lock()
+	ends := l.take(l.budget.BeginAnswer(l.now(), r.id, n))
+	l.mu.Unlock()
+	ends.run()
+}
+
+// EndAnswer gives the bytes back that BeginAnswer has added.
+func (r *Request) EndAnswer() {
+	l := r.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.EndAnswer(r.id)
+	l.wake()
+}
+
 // IsWhole reports whether the request has been read.
 func (r *Request) IsWhole() bool { return r.whole.Load() }
 
