Bound what callers of the product's own interface hold together

100 connections with chats or pledges that stop 64 KiB short of 4 MiB took 994 and 973 MB (bound 256, the default) on; late bodies were told 400.

The gateway reads bodies within the same budget as the platform's frontend: limits.memory_mb (default 256) gives callers a sixth, a body counts three times while it is decoded. Late and cut bodies get 408, no room 503 with Retry-After. The limit lies below TLS.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"geraniumstack.org/geraniumstack/coordination/callerbudget"
 	"geraniumstack.org/geraniumstack/coordination/health"
 	"geraniumstack.org/geraniumstack/coordination/lease"
 	"geraniumstack.org/geraniumstack/coordination/view"
@@ -31,6 +32,7 @@
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/usage"
+	"geraniumstack.org/geraniumstack/transport/callerlimit"
 	"geraniumstack.org/geraniumstack/transport/cloudapi"
 	"geraniumstack.org/geraniumstack/transport/dispatch"
 	"geraniumstack.org/geraniumstack/transport/gateway"
@@ -74,6 +76,8 @@
 	services *services.Services
 	orders   *orders.Driver
 	gateway  *gateway.Gateway
+	// endedLines limits the lines about connections that were ended for others.
+	endedLines callerlimit.Rate
 	// aborted is closed by Abort, and draining when a graceful shutdown begins.
 	aborted  chan struct{}
 	draining chan struct{}
@@ -132,6 +136,12 @@
 	if d.admin, err = n.Listen(d.settings.Listen.Admin); err != nil {
 		return fmt.Errorf("admin listener: %w", err)
 	}
+	limits := d.callerLimits()
+	// As many requests may be in progress as the settings say, whatever their connections take.
+	concurrent := d.settings.Limits.MaxConcurrent
+	d.callers = d.limited(d.callers, max(limits.Callers, concurrent+concurrent/4), "callers")
+	d.peers = d.limited(d.peers, limits.Peers, "peers")
+	d.admin = d.limited(d.admin, limits.Checks, "admin")
 	return nil
 }
 
@@ -206,10 +216,23 @@
 	d.gateway = gateway.New(gateway.Config{
 		Configuration: configuration, Directory: d.control, Models: d.models,
 		Actions: d.actions, Services: d.services, NewRequestID: d.newRequestID,
-		Usage: d.usage, Metrics: d.metrics, Limits: d.limits(),
+		Usage: d.usage, Metrics: d.metrics, Limits: d.limits(), Requests: d.newRequests(),
 	})
 }
 
+// callerLimits returns the limits on what all callers hold together.
+func (d *Daemon) callerLimits() callerbudget.Limits {
+	return callerbudget.LimitsOf(int64(d.settings.Limits.MemoryMB)<<20, d.settings.Limits.MaxDescriptors)
+}
+
+// newRequests returns the limiter of the callers' requests, with its gauges.
+func (d *Daemon) newRequests() *callerlimit.Requests {
+	requests := callerlimit.NewRequests(d.callerLimits().Bytes)
+	d.metrics.GetOrRegister("callers.bytes", metrics.NewFunctionalGauge(func() int64 { used, _ := requests.Usage(); return used }))
+	d.metrics.GetOrRegister("callers.bytes_limit", metrics.NewFunctionalGauge(func() int64 { _, limit := requests.Usage(); return limit }))
+	return requests
+}
+
 func newWeightsClient(base string, client *http.Client) cloudapi.WeightStore {
 	if base == "" {
 		return nil
@@ -313,22 +336,35 @@
 
 func (d *Daemon) servers() []server {
 	return []server{
-		{d.newServer(d.gateway), d.callers},
-		{d.newServer(d.peerHandler()), d.peers},
-		{d.newServer(d.adminHandler()), d.admin},
+		{d.newServer(d.gateway, callerbudget.Receiving), d.callers},
+		{d.newServer(d.peerHandler(), callerbudget.Answering), d.peers},
+		{d.newServer(d.adminHandler(), callerbudget.Answering), d.admin},
 	}
 }
 
+// limited limits the connections of a listener.
+func (d *Daemon) limited(l net.Listener, connections int, name string) net.Listener {
+	ended := metrics.GetOrRegisterCounter("caller_ended.connection_of_"+name, d.metrics)
+	return callerlimit.NewListener(l, connections, func(remote net.Addr, e callerlimit.Ended) {
+		ended.Inc(1)
+		if skipped, ok := d.endedLines.Allow(time.Now()); ok {
+			klog.InfoS("Connection ended to make room for others", "listener", name, "remote", remote, "age", e.Age, "limit", e.Limit, "notLogged", skipped)
+		}
+	})
+}
+
 // newServer returns a server that bounds the time and header size of a request
 // before its handler runs. It sets no timeout for bodies and responses, because
 // that would end long streams; the handlers bound those.
-func (d *Daemon) newServer(h http.Handler) *http.Server {
-	return &http.Server{
+func (d *Daemon) newServer(h http.Handler, active callerbudget.State) *http.Server {
+	s := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: settings.Millis(d.settings.Limits.ReadTimeoutMillis),
 		IdleTimeout:       2 * idleConnTimeout,
 		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
 	}
+	callerlimit.Follow(s, active)
+	return s
 }
 
 func (d *Daemon) peerHandler() http.Handler {
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"geraniumstack.org/geraniumstack/coordination/callerbudget"
 	"geraniumstack.org/geraniumstack/coordination/owners"
 	"geraniumstack.org/geraniumstack/state/document"
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -64,6 +65,10 @@
 	// action tokens. Each of them keeps a journal that costs up to 30 key-value
 	// writes a second.
 	MaxTokenOwners int `json:"max_token_owners,omitempty" jsonschema:"minimum=0,maximum=64"`
+	// MemoryMB and MaxDescriptors are what the process may take. The requests of all callers together get a part of
+	// the memory, and their connections a part of the descriptors.
+	MemoryMB       int `json:"memory_mb,omitempty" jsonschema:"minimum=0"`
+	MaxDescriptors int `json:"max_descriptors,omitempty" jsonschema:"minimum=0"`
 }
 
 // Shutdown holds the settings of a graceful shutdown.
@@ -95,6 +100,8 @@
 	DefaultCallerHeartbeat   = 2 * time.Second
 	DefaultMaxServiceTimeout = 30 * time.Second
 	DefaultMaxTokenOwners    = owners.DefaultMax
+	DefaultMemoryMB          = callerbudget.DefaultMemoryBytes >> 20
+	DefaultMaxDescriptors    = callerbudget.DefaultDescriptors
 	DefaultGrace             = 20 * time.Second
 )
 
@@ -130,6 +137,8 @@
 	setMillis(&l.CallerHeartbeatMillis, DefaultCallerHeartbeat)
 	setMillis(&l.MaxServiceTimeoutMillis, DefaultMaxServiceTimeout)
 	setInt(&l.MaxTokenOwners, DefaultMaxTokenOwners)
+	setInt(&l.MemoryMB, DefaultMemoryMB)
+	setInt(&l.MaxDescriptors, DefaultMaxDescriptors)
 	setMillis(&s.Shutdown.GraceMillis, DefaultGrace)
 }
 
--- a/transport/callerlimit/listener.go
+++ b/transport/callerlimit/listener.go
@@ -1,6 +1,8 @@
 package callerlimit
 
 import (
+	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -8,12 +10,17 @@
 	"geraniumstack.org/geraniumstack/coordination/callerbudget"
 )
 
-// LimitServer limits the connections of a server: it returns the listener to serve, and follows what the connections
-// are at. active is what a connection with a request counts as. ended is called for each connection that is ended for
-// others.
-func LimitServer(s *http.Server, l net.Listener, limit int, active callerbudget.State, ended func(net.Addr, Ended)) net.Listener {
+// NewListener returns a listener with a limit on its open connections. ended is called for each one that is ended for
+// others. The server of the connections must be passed to Follow.
+func NewListener(l net.Listener, limit int, ended func(net.Addr, Ended)) net.Listener {
+	return &limitedListener{l, NewConnections(limit), ended}
+}
+
+// Follow lets a server record what the connections of a NewListener are at, also below TLS. active is what a connection
+// with a request counts as; see Answering.
+func Follow(s *http.Server, active callerbudget.State) {
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
-		c, ok := conn.(*limitedConn)
+		c, ok := limitedConnOf(conn)
 		if !ok {
 			return
 		}
@@ -24,7 +31,28 @@
 			c.connection.Set(callerbudget.Idle)
 		}
 	}
-	return &limitedListener{l, NewConnections(limit), ended}
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+}
+
+type connKey struct{}
+
+// Answering records that the request with the context has been read whole, so that its connection isn't ended for others
+// until it has been answered.
+func Answering(ctx context.Context) {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	if c, ok := limitedConnOf(conn); ok {
+		c.connection.Set(callerbudget.Answering)
+	}
+}
+
+func limitedConnOf(conn net.Conn) (*limitedConn, bool) {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+	c, ok := conn.(*limitedConn)
+	return c, ok
 }
 
 type limitedListener struct {
--- a/transport/gateway/errors.go
+++ b/transport/gateway/errors.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -14,6 +16,7 @@
 
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/callerlimit"
 )
 
 // ErrorBody is the JSON form of a refusal.
@@ -38,6 +41,7 @@
 var statusByReason = map[refusal.Reason]int{
 	refusal.BadRequest:           http.StatusBadRequest,
 	refusal.BodyTooLarge:         http.StatusRequestEntityTooLarge,
+	refusal.BodyIncomplete:       http.StatusRequestTimeout,
 	refusal.UnsupportedMethod:    http.StatusMethodNotAllowed,
 	refusal.UnknownModel:         http.StatusNotFound,
 	refusal.UnknownService:       http.StatusNotFound,
@@ -132,24 +136,52 @@
 // Unwrap returns the cause.
 func (e *BodyError) Unwrap() error { return e.Err }
 
-// readBody limits how long a slow caller may take to send its body. It removes the read deadline
-// afterwards, because a deadline that expires while the answer is streamed would cancel the
-// request's context.
+// decodedCopies is how many copies of its body a request takes while it is decoded, beside the one that was read.
+const decodedCopies = 2
+
+// readBody reads a body as far as there is room for it beside those of all other callers, and limits how long a slow
+// caller may take to send it. It removes the read deadline afterwards, because a deadline that expires while the answer is
+// streamed would cancel the request's context.
 func (g *Gateway) readBody(c *echo.Context) ([]byte, error) {
+	r := c.Request()
+	held := c.Get(heldKey).(*callerlimit.Request)
+	if ws, ok := c.Get(workspaceKey).(ident.Workspace); ok {
+		held.Identify(ws)
+	}
 	controller := http.NewResponseController(c.Response())
-	if err := controller.SetReadDeadline(time.Now().Add(g.Limits.ReadTimeout)); err != nil {
+	deadline := time.Now().Add(g.Limits.ReadTimeout)
+	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, fmt.Errorf("set read deadline: %w", err)
 	}
-	data, err := io.ReadAll(c.Request().Body)
+	body, err := held.ReadBody(r.Body, r.ContentLength, deadline)
 	if err == nil {
-		err = controller.SetReadDeadline(time.Time{})
+		err = held.Grow(decodedCopies*int64(body.Len()), deadline)
+	}
+	if err == nil && !held.Whole() {
+		err = &callerlimit.EndedError{}
 	}
 	if err == nil {
-		return data, nil
+		err = controller.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		return nil, bodyError(err)
 	}
+	callerlimit.Answering(r.Context())
+	return body.Bytes(), nil
+}
+
+// bodyError returns the refusal of a request whose body could not be read.
+func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &BodyError{Err: err}
+	var ended *callerlimit.EndedError
+	var connection *net.OpError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &BodyError{Err: err}
+	case errors.As(err, &ended):
+		return callerlimit.NoRoom()
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &connection):
+		return refusal.New(refusal.BodyIncomplete, "the body did not arrive: %v", err)
 	}
-	return nil, refusal.New(refusal.BadRequest, "the body ended early: %v", err)
+	return refusal.New(refusal.BadRequest, "the body can't be read: %v", err)
 }
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -10,12 +10,14 @@
 
 	"github.com/labstack/echo/v5"
 	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
 
 	"geraniumstack.org/geraniumstack/coordination/view"
 	"geraniumstack.org/geraniumstack/protocol/call"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/state/usage"
+	"geraniumstack.org/geraniumstack/transport/callerlimit"
 )
 
 // Config holds the components and settings of a Gateway. All fields are required.
@@ -30,6 +32,8 @@
 	Usage        *usage.Table
 	Metrics      metrics.Registry
 	Limits       Limits
+	// Requests limits the bytes that the requests of all callers hold together.
+	Requests *callerlimit.Requests
 }
 
 // Limits holds limits and timeouts of callers' requests.
@@ -49,6 +53,7 @@
 	echo        *echo.Echo
 	credentials credentials
 	inProgress  atomic.Int64
+	endedLines  callerlimit.Rate
 	draining    atomic.Bool
 }
 
@@ -61,7 +66,12 @@
 }
 
 // ServeHTTP serves one caller's request.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.echo.ServeHTTP(w, r) }
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		callerlimit.Answering(r.Context())
+	}
+	g.echo.ServeHTTP(w, r)
+}
 
 // StopAccepting makes the gateway refuse all new work from now on. The output of requests that were
 // already accepted can still be read.
@@ -90,12 +100,32 @@
 			return refusal.New(refusal.Overloaded, "too many requests in progress at this gateway").After(time.Second)
 		}
 		defer g.inProgress.Add(-1)
+		held := g.hold(c)
+		defer held.Release()
 		r := c.Request()
 		r.Body = http.MaxBytesReader(c.Response(), r.Body, g.Limits.MaxBodyBytes)
 		return next(c)
 	}
 }
 
+// heldKey is set in the context of a request to what it holds of the budget of all callers.
+const heldKey = "held"
+
+// hold begins to count what a request holds.
+func (g *Gateway) hold(c *echo.Context) *callerlimit.Request {
+	held := g.Requests.Begin(func(e callerlimit.Ended) {
+		g.incrementCounter("caller_ended.request")
+		if skipped, ok := g.endedLines.Allow(time.Now()); ok {
+			klog.InfoS("Request ended to make room for others", "path", c.Request().URL.Path, "workspace", c.Get(workspaceKey), "remote", c.Request().RemoteAddr,
+				"held", e.Held, "age", e.Age, "used", e.Used, "limit", e.Limit, "notLogged", skipped)
+		}
+		// If this fails, the connection has been closed.
+		_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Unix(0, 1))
+	})
+	c.Set(heldKey, held)
+	return held
+}
+
 func (g *Gateway) incrementCounter(name string) {
 	metrics.GetOrRegisterCounter(name, g.Metrics).Inc(1)
 }
--- a/transport/gateway/gateway_test.go
+++ b/transport/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"geraniumstack.org/geraniumstack/state/manifest"
 	"geraniumstack.org/geraniumstack/state/refusal"
 	"geraniumstack.org/geraniumstack/state/usage"
+	"geraniumstack.org/geraniumstack/transport/callerlimit"
 	"geraniumstack.org/geraniumstack/transport/gateway"
 )
 
@@ -124,7 +125,7 @@
 	return gateway.New(gateway.Config{
 		Configuration: f, Directory: f, Models: f, Actions: f, Services: f,
 		NewRequestID: func() ident.RequestID { n++; return ident.RequestID(fmt.Sprintf("r%d", n)) },
-		Usage:        usage.NewTable(), Metrics: registry,
+		Usage:        usage.NewTable(), Metrics: registry, Requests: callerlimit.NewRequests(1 << 20),
 		Limits: gateway.Limits{
 			MaxBodyBytes: 1000, MaxConcurrent: 2, ReadTimeout: time.Second, WriteTimeout: time.Second,
 			Heartbeat: time.Second, GatewayListTTL: time.Second, MaxServiceTimeout: time.Second,
--- a/transport/gateway/models.go
+++ b/transport/gateway/models.go
@@ -13,6 +13,7 @@
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/callerlimit"
 )
 
 const (
@@ -116,6 +117,7 @@
 	if err != nil {
 		return body, err
 	}
+	defer c.Get(heldKey).(*callerlimit.Request).Shrink(decodedCopies * int64(len(data)))
 	if err := json.Unmarshal(data, &body); err != nil {
 		return body, refusal.New(refusal.BadRequest, "the body is no completion request: %v", err)
 	}
