Keep the beginnings of long texts in log lines

A line keeps the request ID that its caller chose, up to the header limit; a full queue of 6,144 lines could hold 86 MB of them. Texts over 2 KiB are cut.

--- a/daemon/decisions/decisions.go
+++ b/daemon/decisions/decisions.go
@@ -25,6 +25,8 @@
 	reservedLines = 2048
 	// writeBufferBytes is the size of the output buffer.
 	writeBufferBytes = 32 << 10
+	// maxValueBytes is how much is kept of a text in a line. Callers choose some of them, such as request IDs.
+	maxValueBytes = 2 << 10
 	// flushInterval is how long a written line may stay in the output buffer, so that a busy
 	// daemon makes a hundred system calls a second and not one for each request. The lines of this
 	// interval are lost if the daemon is killed.
@@ -57,6 +59,15 @@
 	droppedTotal metrics.Counter
 }
 
+// shorten keeps the beginnings of long texts, so that the queue's memory is bounded whatever callers send.
+func (l *line) shorten() {
+	for i, f := range l.fields {
+		if text, ok := f.Value.(string); ok && len(text) > maxValueBytes {
+			l.fields[i].Value = text[:maxValueBytes] + "..."
+		}
+	}
+}
+
 // New returns a log whose counters are in the registry. Lines are written only while Run is
 // running.
 func New(registry metrics.Registry) *Log {
@@ -81,6 +92,7 @@
 // queue queues a line unless the queue holds the given number of lines. Concurrent calls may exceed
 // that by one line each.
 func (l *Log) queue(next line, limit int) {
+	next.shorten()
 	l.Count(string(next.event))
 	if len(l.lines) < limit {
 		select {
--- a/daemon/decisions/decisions_test.go
+++ b/daemon/decisions/decisions_test.go
@@ -135,3 +135,13 @@
 	is.Equal(strings.Count(written(l), "broken_off"), maxQueuedLines+reservedLines)
 	is.Equal(l.droppedTotal.Count(), int64(reservedLines))
 }
+
+// Guards against a queue that holds the long texts of callers.
+func TestLongTextsAreCut(t *testing.T) {
+	is := is.New(t)
+	l := New(metrics.NewRegistry())
+	l.Note("refused", F("request", strings.Repeat("i", 14<<10)), F("reason", "x"))
+	out := written(l)
+	is.True(len(out) < maxValueBytes+200)
+	is.True(strings.Contains(out, `iii..." reason="x"`))
+}
