--- a/coordination/callerbudget/connections.go
+++ b/coordination/callerbudget/connections.go
@@ -75,7 +75,7 @@
 		if id == added || conn.state == Answering {
 			continue
 		}
-		if best == nil || conn.before(best, now) || conn.since == best.since && conn.state == best.state && id < found {
+		if best == nil || conn.before(best, now) || !best.before(conn, now) && id < found {
 			found, best = id, conn
 		}
 	}
--- a/crowd/platform_test.go
+++ b/crowd/platform_test.go
@@ -28,8 +28,6 @@
 	reservedDescriptors = 200
 	// maxBody is the limit on bodies in the operator's configuration.
 	maxBody = 4 << 20
-	// answeredWithin only ends a test whose requests are never answered.
-	answeredWithin = 60 * time.Second
 	// settleTime is how long a crowd stays beside ordinary requests.
 	settleTime = 500 * time.Millisecond
 
@@ -69,15 +67,6 @@
 	return d
 }
 
-func (d *deployment) until(what string, done func() bool) {
-	d.t.Helper()
-	for start := time.Now(); !done(); time.Sleep(10 * time.Millisecond) {
-		if time.Since(start) > answeredWithin || !d.alive() {
-			d.t.Fatalf("not %s; process alive: %v", what, d.alive())
-		}
-	}
-}
-
 // checkAnswered sends an ordinary request, and again while it is refused, as callers do, each time over a connection of
 // its own, until a runner's answer has come.
 func (d *deployment) checkAnswered(what string, body []byte) {
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -47,6 +47,9 @@
 const (
 	// stopWithin is how long a process may take to end after SIGTERM.
 	stopWithin = 15 * time.Second
+	// answeredWithin only ends a test whose requests are never answered. retryInterval is the time between two tries.
+	answeredWithin = 60 * time.Second
+	retryInterval  = 20 * time.Millisecond
 	// sampleInterval is the time between two looks at a process's memory.
 	sampleInterval = 5 * time.Millisecond
 	// samplesPerDescriptorCount is the number of looks at the memory between two counts of the descriptors.
@@ -103,6 +106,16 @@
 	}
 }
 
+// until waits for a condition, and fails the test if the process ends before.
+func (p *process) until(what string, done func() bool) {
+	p.t.Helper()
+	for start := time.Now(); !done(); time.Sleep(retryInterval) {
+		if time.Since(start) > answeredWithin || !p.alive() {
+			p.t.Fatalf("not %s; process alive: %v", what, p.alive())
+		}
+	}
+}
+
 // stop ends the process as the platform does, and checks that it ends by that alone.
 func (p *process) stop() {
 	p.Helper()
--- a/crowd/product_test.go
+++ b/crowd/product_test.go
@@ -71,15 +71,6 @@
 
 func address(port int) string { return fmt.Sprintf("%s:%d", productIP, port) }
 
-func (p *product) until(what string, done func() bool) {
-	p.t.Helper()
-	for start := time.Now(); !done(); time.Sleep(50 * time.Millisecond) {
-		if time.Since(start) > answeredWithin || !p.alive() {
-			p.t.Fatalf("not %s; process alive: %v", what, p.alive())
-		}
-	}
-}
-
 // checkAnswered sends a pledge, and again while it is refused, until it is answered.
 func (p *product) checkAnswered(what string, bodyBytes int) {
 	p.t.Helper()
