Don't use a request's context after its end when it is ended for others

The call that ends a request may come when its handler has returned. Echo uses contexts again, so it could have set a read deadline for another request. It uses the connection now, which is closed after a request that was ended.

--- a/transport/callerlimit/listener.go
+++ b/transport/callerlimit/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/callerbudget"
 )
@@ -47,6 +48,14 @@
 	}
 }
 
+// EndReading makes the reading of the request with the context fail. Its connection must not be used for another one.
+func EndReading(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(net.Conn); ok {
+		// If this fails, the connection has been closed.
+		_ = conn.SetReadDeadline(time.Unix(0, 1))
+	}
+}
+
 func limitedConnOf(conn net.Conn) (*limitedConn, bool) {
 	if encrypted, ok := conn.(*tls.Conn); ok {
 		conn = encrypted.NetConn()
--- a/transport/gateway/errors.go
+++ b/transport/gateway/errors.go
@@ -164,6 +164,8 @@
 		err = controller.SetReadDeadline(time.Time{})
 	}
 	if err != nil {
+		// The rest of the body may not have been read, and reading may have been ended.
+		c.Response().Header().Set("Connection", "close")
 		return nil, bodyError(err)
 	}
 	callerlimit.Answering(r.Context())
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -113,14 +113,15 @@
 
 // hold begins to count what a request holds.
 func (g *Gateway) hold(c *echo.Context) *callerlimit.Request {
+	// The context c must not be used after its request, which may be when the end is called.
+	r := c.Request()
 	held := g.Requests.Begin(func(e callerlimit.Ended) {
 		g.incrementCounter("caller_ended.request")
 		if skipped, ok := g.endedLines.Allow(time.Now()); ok {
-			klog.InfoS("Request ended to make room for others", "path", c.Request().URL.Path, "workspace", c.Get(workspaceKey), "remote", c.Request().RemoteAddr,
+			klog.InfoS("Request ended to make room for others", "path", r.URL.Path, "remote", r.RemoteAddr,
 				"held", e.Held, "age", e.Age, "used", e.Used, "limit", e.Limit, "notLogged", skipped)
 		}
-		// If this fails, the connection has been closed.
-		_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Unix(0, 1))
+		callerlimit.EndReading(r.Context())
 	})
 	c.Set(heldKey, held)
 	return held
