Log callers that are ended in one place, and read bodies to decode in one place

Cause: the daemons' port wrote a line for each call that it ended, without the limit of ten a second that the other addresses have and docs/OPERATIONS.md promises, since it had its own copy of the code; it didn't count them by kind either.

What callers are told and what counts is as before.

--- a/coordination/callerbudget/limits.go
+++ b/coordination/callerbudget/limits.go
@@ -11,7 +11,7 @@
 
 	// bytesFraction is the part of the memory that requests may take while they are read and until they are answered.
 	// The rest is for what the process itself needs, for its connections, for answers, and for garbage that hasn't been
-	// collected yet, which is about as much again.
+	// collected yet.
 	bytesFraction = 1.0 / 6
 	// connectionBytesFraction is the part of the memory that callers' connections may take without their requests, at
 	// connectionBytes each.
--- a/daemon/edge/delegated_bytes.go
+++ b/daemon/edge/delegated_bytes.go
@@ -11,12 +11,8 @@
 	"geraniumstack.org/geraniumstack/transport/callerlimit"
 )
 
-const (
-	// callReadTimeout bounds the time in which the message of a call arrives. Daemons send it at once.
-	callReadTimeout = 5 * time.Second
-	// decodedCopies is how many copies of its message a call takes while it is decoded, beside the one that was read.
-	decodedCopies = 2
-)
+// callReadTimeout bounds the time in which the message of a call arrives. Daemons send it at once.
+const callReadTimeout = 5 * time.Second
 
 // callUnreadKey is the key of the context of a call whose message has not been read.
 type callUnreadKey struct{}
@@ -27,11 +23,11 @@
 	if e.deps.Requests == nil {
 		return next
 	}
+	endedCallers := NewEndedCallers(e.log)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
 		held := e.deps.Requests.Begin(func(ended callerlimit.Ended) {
-			e.log.Note("caller_ended", decisions.F("what", "delegated_request"), decisions.F("remote", r.RemoteAddr), decisions.F("held", ended.Held),
-				decisions.F("age", ended.Age), decisions.F("used", ended.Used), decisions.F("limit", ended.Limit))
+			endedCallers.Note("delegated_request", "", r.RemoteAddr, ended)
 			// If this fails, the call has ended.
 			_ = control.SetReadDeadline(time.Unix(0, 1))
 		})
@@ -57,15 +53,9 @@
 	if err := control.SetReadDeadline(deadline); err != nil {
 		return nil, err
 	}
-	message, err := held.ReadBody(http.MaxBytesReader(nil, r.Body, maxDelegatedBytes), r.ContentLength, deadline)
+	message, err := held.ReadToDecode(http.MaxBytesReader(nil, r.Body, maxDelegatedBytes), r.ContentLength, deadline)
 	if err != nil {
 		return nil, err
 	}
-	if err := held.Grow(decodedCopies*int64(message.Len()), deadline); err != nil {
-		return nil, err
-	}
-	if !held.Whole() {
-		return nil, &callerlimit.EndedError{}
-	}
 	return message.Reader(), control.SetReadDeadline(time.Time{})
 }
--- a/transport/callerlimit/limiter.go
+++ b/transport/callerlimit/limiter.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,8 @@
 	// known to be shorter, and of the largest; each piece is twice as long as the one before.
 	firstSegmentBytes = 4 << 10
 	maxSegmentBytes   = 32 << 10
+	// decodedCopies is how many copies of its body a request takes while it is decoded, beside the one that was read.
+	decodedCopies = 2
 )
 
 // Ended says what a request or connection that was ended for others held.
@@ -106,12 +109,12 @@
 	return true
 }
 
-// Shrink gives back n of the bytes that the request holds.
-func (r *Request) Shrink(n int64) {
+// ShrinkDecoded gives back what the request holds for the decoding of a body of n bytes.
+func (r *Request) ShrinkDecoded(n int) {
 	l := r.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.budget.Shrink(r.id, n)
+	l.budget.Shrink(r.id, decodedCopies*int64(n))
 	l.wake()
 }
 
@@ -274,6 +277,28 @@
 	}
 }
 
+// ReadToDecode is ReadBody for a body that will be decoded at once. It adds what the decoding takes, and the request is
+// whole.
+func (r *Request) ReadToDecode(body io.Reader, length int64, deadline time.Time) (segment.List, error) {
+	list, err := r.ReadBody(body, length, deadline)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.Grow(decodedCopies*int64(list.Len()), deadline); err != nil {
+		return nil, err
+	}
+	if !r.Whole() {
+		return nil, &EndedError{}
+	}
+	return list, nil
+}
+
+// IsIncomplete reports whether an error of ReadBody says that the body was late or cut off.
+func IsIncomplete(err error) bool {
+	var connection *net.OpError
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &connection)
+}
+
 // readEnd reads the end of a body of which all bytes have been read.
 func (r *Request) readEnd(body io.Reader) error {
 	var more [1]byte
--- a/transport/gateway/errors.go
+++ b/transport/gateway/errors.go
@@ -3,11 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math"
-	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -136,9 +133,6 @@
 // Unwrap returns the cause.
 func (e *BodyError) Unwrap() error { return e.Err }
 
-// decodedCopies is how many copies of its body a request takes while it is decoded, beside the one that was read.
-const decodedCopies = 2
-
 // readBody reads a body as far as there is room for it beside those of all other callers, and limits how long a slow
 // caller may take to send it. It removes the read deadline afterwards, because a deadline that expires while the answer is
 // streamed would cancel the request's context.
@@ -153,13 +147,7 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, fmt.Errorf("set read deadline: %w", err)
 	}
-	body, err := held.ReadBody(r.Body, r.ContentLength, deadline)
-	if err == nil {
-		err = held.Grow(decodedCopies*int64(body.Len()), deadline)
-	}
-	if err == nil && !held.Whole() {
-		err = &callerlimit.EndedError{}
-	}
+	body, err := held.ReadToDecode(r.Body, r.ContentLength, deadline)
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
 	}
@@ -176,13 +164,12 @@
 func bodyError(err error) error {
 	var tooLarge *http.MaxBytesError
 	var ended *callerlimit.EndedError
-	var connection *net.OpError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &BodyError{Err: err}
 	case errors.As(err, &ended):
 		return callerlimit.NoRoom()
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &connection):
+	case callerlimit.IsIncomplete(err):
 		return refusal.New(refusal.BodyIncomplete, "the body did not arrive: %v", err)
 	}
 	return refusal.New(refusal.BadRequest, "the body can't be read: %v", err)
--- a/transport/gateway/models.go
+++ b/transport/gateway/models.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return body, err
 	}
-	defer c.Get(heldKey).(*callerlimit.Request).Shrink(decodedCopies * int64(len(data)))
+	defer c.Get(heldKey).(*callerlimit.Request).ShrinkDecoded(len(data))
 	if err := json.Unmarshal(data, &body); err != nil {
 		return body, refusal.New(refusal.BadRequest, "the body is no completion request: %v", err)
 	}
