--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -218,6 +218,8 @@
 		if charged && open == nil && s.exchange.Sent() == sent {
 			// Nothing was sent for what the budget was charged.
 			s.pool.withRetryPolicy(func(p *retry.Policy) { p.Refund() })
+			s.edge.log.Count("retry.refunded")
+			s.note("retry_refunded", decisions.F("attempts", sent), decisions.F("failed", failed != nil), decisions.F("arrived", failed != nil && failed.Sent))
 		}
 		if open != nil {
 			open, failed = open.peek(ctx)
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -13,6 +13,7 @@
 	"geraniumstack.org/geraniumstack/coordination/relays"
 	"geraniumstack.org/geraniumstack/coordination/routing"
 	"geraniumstack.org/geraniumstack/coordination/servicetime"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/route"
@@ -181,6 +182,8 @@
 	}
 	p.budgetDaemons = budgetDaemons
 	p.retry.SetBudget(perFirst, perSecond, burst)
+	p.edge.log.Note("retry_share", decisions.F("service", p.name), decisions.F("daemons", budgetDaemons), decisions.F("per_request", perFirst),
+		decisions.F("per_second", perSecond), decisions.F("most", burst), decisions.F("balance", p.retry.Balance()))
 }
 
 // samplesFor returns how many random runners a choice considers in addition to those that hold
@@ -217,6 +220,7 @@
 	defer p.mu.Unlock()
 	if first {
 		p.retry.FirstAttempt(now)
+		p.edge.log.Count("retry.paid_in")
 	}
 	if n := len(r.Prefix); n > 1 {
 		p.edge.notePlacement(p.name, c.Runner, r.Prefix[:n-1])
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -193,7 +193,7 @@
 	note("attempt_failed", decisions.F("runner", a.runner()), decisions.F("reason", failed.Reason),
 		decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", fmt.Sprint(s.parts)),
 		causeField(s.content()), decisions.F("may_have_run", failed.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
-		decisions.F("kept", s.hedge != nil), decisions.F("again", end == nil), decisions.F("wait", wait))
+		decisions.F("kept", s.hedge != nil), decisions.F("again", end == nil), decisions.F("charged", end == nil && failed.Sent), decisions.F("wait", wait))
 	s.edge.log.Count("attempt_failed." + string(failed.Reason))
 	for end != nil && end.Reason == refusal.RetryBudgetExhausted && s.patient() {
 		s.edge.log.Count("looks_again." + string(end.Reason))
@@ -205,6 +205,9 @@
 	if end != nil {
 		return false, s.withRetryAfter(end)
 	}
+	if failed.Sent {
+		s.edge.log.Count("retry.charged")
+	}
 	if pause.For(ctx, wait) && (a == nil || !a.rests && !a.foundRestarted) {
 		s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(a.runner()))
 	}
