Judge the retry budget in the soak, and show two ways in which it is overrun

Nothing counted repeats per window over all daemons. Runners record what reaches them, also what they turn away; a proxy can refuse connections as the kernel does; daemons can be told that the fleet has served.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -246,6 +246,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	c.sendOnce(ctx, a, stated)
+}
+
+// sendOnce sends a request whose caller states how long it waits, and records the answer.
+func (c *caller) sendOnce(ctx context.Context, a *attempt, stated time.Duration) {
 	answer, err := site.SendRequest(ctx, c.client, a.daemonAddress, &site.CallerRequest{
 		ID: a.id, Method: a.method, Host: site.Host, Path: a.path, Body: a.body, APIKey: a.key,
 		Timeout: stated, SpoofedWorkspace: "forged", PromptTokens: a.promptTokens, OutputTokens: min(a.promptTokens, streamEvents),
--- a/soak/conditions_test.go
+++ b/soak/conditions_test.go
@@ -29,6 +29,8 @@
 	// upgrades makes the events of streams name the software version of their runner, and lets runners start again at
 	// their addresses with another version, before their entries say so.
 	upgrades bool
+	// attempts replaces the number of runners to which a request may be sent; zero for that of routes.
+	attempts int
 }
 
 // The generators of a seed. Each list of draws has its own, so that one doesn't shift another.
--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/standin/site"
@@ -34,7 +35,7 @@
 		if f.with.surges {
 			return f.store.PutConfigOf(version, routesWithClasses(), surgeSlots, tenants(keys)...)
 		}
-		return f.store.PutConfig(version, routes, 10_000, keys...)
+		return f.store.PutConfig(version, f.with.routes(), 10_000, keys...)
 	})
 }
 
@@ -46,6 +47,18 @@
 	{Name: "match", Kind: site.Stream, TimeoutMillis: 7000, TargetMillis: 200, Attempts: 2},
 }
 
+// routes returns the routes of a fleet under the conditions.
+func (c conditions) routes() []site.Route {
+	if c.attempts == 0 {
+		return routes
+	}
+	changed := slices.Clone(routes)
+	for i := range changed {
+		changed[i].Attempts = c.attempts
+	}
+	return changed
+}
+
 // rotateKey replaces the oldest key by a new one and returns the old key once the store
 // has accepted the change.
 func (f *fleet) rotateKey() string {
--- a/soak/daemon_test.go
+++ b/soak/daemon_test.go
@@ -98,9 +98,14 @@
 	d.settingsMu.Lock()
 	defer d.settingsMu.Unlock()
 	next := d.settings + ".next"
-	if err := os.WriteFile(next, []byte(d.Settings(d.storeProxy.address(), d.cloudProxy.address(), seeds,
+	extra := []string{
 		fmt.Sprintf("bounds.grace_s=%d", int(grace.Seconds())), fmt.Sprintf("bounds.revoke_ms=%d", revokeWithin.Milliseconds()),
-		"bounds.freeze_slack_ms=300")), 0o600); err != nil {
+		"bounds.freeze_slack_ms=300",
+	}
+	if d.fleet.hasServed.Load() {
+		extra = append(extra, "bootstrap=false")
+	}
+	if err := os.WriteFile(next, []byte(d.Settings(d.storeProxy.address(), d.cloudProxy.address(), seeds, extra...)), 0o600); err != nil {
 		return err
 	}
 	return os.Rename(next, d.settings)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -29,6 +29,9 @@
 	calm       periods
 	quietSince time.Time
 
+	// hasServed says in the settings that the fleet has served before, so that a start isn't its first.
+	hasServed atomic.Bool
+
 	// configureMu serializes the operator's writes, so that versions grow in the order
 	// in which the store accepts them.
 	configureMu sync.Mutex
@@ -84,6 +87,16 @@
 	return f, nil
 }
 
+// noteServed makes the settings of all daemons say that the fleet has served before.
+func (f *fleet) noteServed() {
+	f.hasServed.Store(true)
+	for _, d := range f.daemons {
+		if err := d.writeSettings(f.daemons[0].IP + ":17600"); err != nil {
+			f.t.Errorf("settings of %s: %v", d.Name(), err)
+		}
+	}
+}
+
 func (f *fleet) close() {
 	for _, d := range f.daemons {
 		d.close()
--- a/soak/promises_test.go
+++ b/soak/promises_test.go
@@ -27,6 +27,7 @@
 		a.check(found, runs[a.id])
 	}
 	f.checkCuts(found)
+	f.checkBudget(found)
 	f.checkUsageReports(found)
 	f.checkClasses(found)
 	return found.list
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -23,10 +23,13 @@
 	dropToServer
 	dropFromServer
 	blackhole
+	// refusing closes open connections with a reset, and the kernel refuses new ones, as where nothing listens. It is
+	// set with proxy.refuse.
+	refusing
 )
 
 func (l link) String() string {
-	return [...]string{"whole", "delayed", "resetting", "deaf", "mute", "silent"}[l]
+	return [...]string{"whole", "delayed", "resetting", "deaf", "mute", "silent", "refusing"}[l]
 }
 
 // cutsOff reports whether connections lose data or break. A delay loses nothing.
@@ -50,7 +53,7 @@
 		s.cutOff.begin()
 	}
 	s.mode.Store(int32(l))
-	if l == resetting {
+	if l == resetting || l == refusing {
 		s.resetAll()
 	}
 	if !l.cutsOff() {
@@ -103,7 +106,10 @@
 	far   linkState
 	isFar func(net.Conn) bool
 
-	listener net.Listener
+	// listenerMu guards listener and closed.
+	listenerMu sync.Mutex
+	listener   net.Listener
+	closed     bool
 	// target is the server's address.
 	target atomic.Value
 }
@@ -116,20 +122,66 @@
 	}
 	p := &proxy{listener: l, isFar: isFar}
 	p.target.Store(target)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// refuse makes the proxy refuse connections for a time.
+func (p *proxy) refuse(span time.Duration) error {
+	address := p.address()
+	p.closeListener(false)
+	p.set(refusing)
+	time.Sleep(span)
+	defer p.set(linkUp)
+	p.listenerMu.Lock()
+	defer p.listenerMu.Unlock()
+	if p.closed {
+		return nil
+	}
+	l, err := listenAgain(address)
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
+
+// listenAgain listens at an address that was free for a while, where a connection may have taken the port.
+func listenAgain(address string) (net.Listener, error) {
+	const tries = 100
+	var err error
+	for range tries {
+		var l net.Listener
+		if l, err = net.Listen("tcp4", address); err == nil {
+			return l, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, err
+}
+
+func (p *proxy) address() string {
+	p.listenerMu.Lock()
+	defer p.listenerMu.Unlock()
+	return p.listener.Addr().String()
+}
 
 func (p *proxy) close() {
-	p.listener.Close()
+	p.closeListener(true)
 	p.resetAll()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) closeListener(forGood bool) {
+	p.listenerMu.Lock()
+	defer p.listenerMu.Unlock()
+	p.closed = p.closed || forGood
+	p.listener.Close()
+}
+
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -151,7 +203,7 @@
 		s.add(client, server)
 		defer s.remove(client, server)
 	}
-	if slices.ContainsFunc(states, func(s *linkState) bool { return s.link() == resetting }) {
+	if slices.ContainsFunc(states, func(s *linkState) bool { return s.link() == resetting || s.link() == refusing }) {
 		// Checked once the connection is in the list that a reset closes.
 		reset(client)
 		server.Close()
--- /dev/null
+++ b/soak/storms_test.go
@@ -0,0 +1,166 @@
+package soak_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/standin/site"
+)
+
+const (
+	stormDaemons, stormRunners = 5, 10
+	// stormTime is the time of two windows of the retry budget.
+	stormTime = 2 * site.RetryWindow
+	// A storm's runners refuse connections and serve by turns, so many of them at a time.
+	refusalTime      = 1500 * time.Millisecond
+	refusingAtATime  = 6
+	stormFaultsDrawn = 5000
+)
+
+// storm describes requests that fail at many runners.
+type storm struct {
+	perSecond, attempts int
+	// faults come in a share of the requests of each runner.
+	fault site.Fault
+	share float64
+	// disturb goes on until its context ends.
+	disturb func(ctx context.Context, f *fleet)
+}
+
+// Guards against connections that are refused and add to the retry budget, each as a new request.
+func TestRefusedConnectionsDontAddToRetryBudget(t *testing.T) {
+	for name, s := range map[string]storm{
+		"connections closed": {perSecond: 130, attempts: 3, fault: site.DropResponse, share: 0.6, disturb: refuseByTurns},
+		"turned away":        {perSecond: 130, attempts: 4, fault: site.QueueFull, share: 0.7, disturb: refuseByTurns},
+	} {
+		t.Run(name, s.play)
+	}
+}
+
+// Guards against processes that start with a retry budget that their former lives have spent.
+func TestRestartsDontRenewRetryBudget(t *testing.T) {
+	for name, s := range map[string]storm{
+		"all":               {perSecond: 25, attempts: 4, fault: site.DropResponse, share: 0.8, disturb: killAllEvery(1500 * time.Millisecond)},
+		"one after another": {perSecond: 25, attempts: 4, fault: site.DropResponse, share: 0.8, disturb: killInTurnEvery(400 * time.Millisecond)},
+	} {
+		t.Run(name, s.play)
+	}
+}
+
+// play plays a storm and checks the budget.
+func (s storm) play(t *testing.T) {
+	t.Parallel()
+	binary, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := newFleet(t, binary, 1, stormDaemons, stormRunners, conditions{attempts: s.attempts})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.close()
+	f.waitReady(10 * time.Second)
+	f.noteServed()
+	s.setFaults(f)
+	ctx, cancel := context.WithTimeout(context.Background(), stormTime)
+	defer cancel()
+	f.calling.Go(func() { s.disturb(ctx, f) })
+	s.send(ctx, f)
+	f.calling.Wait()
+	f.attemptLog.mu.Lock()
+	defer f.attemptLog.mu.Unlock()
+	found := &findings{}
+	f.checkBudget(found)
+	for _, b := range found.list {
+		t.Error(b)
+	}
+	t.Logf("%d of %d answered, %v", f.answered(), len(f.attemptLog.byID), f.worstRepeatWindow(f.arrivalsByRequest()))
+	if t.Failed() {
+		f.saveLogs(f.seed)
+	}
+}
+
+func (s storm) setFaults(f *fleet) {
+	for i, r := range f.allRunners() {
+		rng := rand.New(rand.NewPCG(1, uint64(i)))
+		faults := make([]site.Fault, stormFaultsDrawn)
+		for n := range faults {
+			if rng.Float64() < s.share {
+				faults[n] = s.fault
+			}
+		}
+		r.SetNextFaults(faults...)
+	}
+}
+
+// send sends requests to the daemons in turn until the context ends.
+func (s storm) send(ctx context.Context, f *fleet) {
+	c := newCaller(f, callers)
+	defer c.client.CloseIdleConnections()
+	ticks := time.NewTicker(time.Second / time.Duration(s.perSecond))
+	defer ticks.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C:
+		}
+		a := f.attemptLog.add(requestKinds[0], stableKey, f.daemons[i%len(f.daemons)].CallerAddress())
+		f.calling.Go(func() {
+			answerCtx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+			defer cancel()
+			c.sendOnce(answerCtx, a, callerTimeout)
+		})
+	}
+}
+
+// answered counts the requests that were served. The caller must hold attemptLog.mu.
+func (f *fleet) answered() int {
+	n := 0
+	for _, a := range f.attemptLog.byID {
+		if a.status == 200 && !a.truncated {
+			n++
+		}
+	}
+	return n
+}
+
+// refuseByTurns makes the runners refuse connections for a while, some at a time, and serve for a while.
+func refuseByTurns(ctx context.Context, f *fleet) {
+	for first := 0; ctx.Err() == nil; first += refusingAtATime {
+		for i := range refusingAtATime {
+			r := f.runner(first + i)
+			f.calling.Go(func() {
+				if err := r.proxy.refuse(refusalTime); err != nil {
+					f.t.Errorf("serve again: %v", err)
+				}
+			})
+		}
+		time.Sleep(2 * refusalTime)
+	}
+}
+
+// killAllEvery kills all daemons again and again and starts them at once.
+func killAllEvery(interval time.Duration) func(context.Context, *fleet) {
+	return func(ctx context.Context, f *fleet) {
+		for ctx.Err() == nil {
+			time.Sleep(interval)
+			for _, d := range f.daemons {
+				f.calling.Go(func() { restartAfter(d, d.kill, 0) })
+			}
+		}
+	}
+}
+
+// killInTurnEvery kills one daemon after the other and starts it at once.
+func killInTurnEvery(interval time.Duration) func(context.Context, *fleet) {
+	return func(ctx context.Context, f *fleet) {
+		for i := 0; ctx.Err() == nil; i++ {
+			time.Sleep(interval)
+			d := f.daemons[i%len(f.daemons)]
+			f.calling.Go(func() { restartAfter(d, d.kill, 0) })
+		}
+	}
+}
--- a/standin/site/daemon.go
+++ b/standin/site/daemon.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // Ports on which a Daemon listens.
@@ -16,6 +17,14 @@
 	directoryPort = 18220
 )
 
+// The retry budget that Settings states: in any RetryWindow, the requests of a service that reach its runners beyond the
+// first arrival of each may be RetryRatio times the service's requests and LeastRetries more.
+const (
+	RetryRatio   = 0.2
+	RetryWindow  = 10 * time.Second
+	LeastRetries = 50
+)
+
 // Daemon is a client's view of a daemon under test, which listens on its own IP address
 // of the loopback interface.
 type Daemon struct {
@@ -38,7 +47,9 @@
 		"listen.front=" + d.CallerAddress(), fmt.Sprintf("listen.readiness=%s:%d", d.IP, readyPort),
 		fmt.Sprintf("listen.directory=%s:%d", d.IP, directoryPort),
 		"platform.address=" + store, "cloud.address=" + cloud,
-		"bounds.strict_revocation=true", "bounds.retry_budget_ratio=0.2", "bounds.budget_min_retries=50",
+		"bounds.strict_revocation=true",
+		fmt.Sprintf("bounds.retry_budget_ratio=%g", RetryRatio), fmt.Sprintf("bounds.budget_min_retries=%d", LeastRetries),
+		fmt.Sprintf("bounds.budget_window_s=%g", RetryWindow.Seconds()),
 		"bounds.usage_window_s=1", "bounds.usage_delay_s=5", "bounds.lease_ms=1500",
 	}
 	return strings.Join(append(lines, extra...), "\n")
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,6 +66,15 @@
 	Disconnected bool
 }
 
+// Arrival is one request that reached the runner, whatever it did with it.
+type Arrival struct {
+	ID string
+	// At is when the runner had read the request's header.
+	At time.Time
+	// TimeLeft is how long the caller waits from then on, as the daemon has stated it; zero if it has not.
+	TimeLeft time.Duration
+}
+
 // Workspace returns the workspace that the daemon set for the request.
 func (r *Execution) Workspace() string { return r.Header.Get("X-Tenant") }
 
@@ -82,6 +92,7 @@
 
 	mu         sync.Mutex
 	executions []*Execution
+	arrivals   []Arrival
 	faults     []Fault
 	// work is the time that a request takes, or one event of a stream. events is the
 	// number of events in a stream.
@@ -295,6 +306,20 @@
 	return executions
 }
 
+// Arrivals returns all arrivals so far.
+func (r *Runner) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.arrivals)
+}
+
+func (r *Runner) recordArrival(req *http.Request, received time.Time) {
+	millis, _ := strconv.ParseInt(req.Header.Get("X-Deadline-Ms"), 10, 64)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, Arrival{ID: req.Header.Get("X-Request-Id"), At: received, TimeLeft: time.Duration(millis) * time.Millisecond})
+}
+
 // AcceptedConnections returns the number of connections accepted so far.
 func (r *Runner) AcceptedConnections() int {
 	r.mu.Lock()
@@ -359,6 +384,7 @@
 	if req.URL.Path == "/v1/report" {
 		return r.respondReport(c)
 	}
+	r.recordArrival(req, received)
 	if target := req.Header.Get("X-Target-Instance"); target != "" && target != r.ID {
 		io.Copy(io.Discard, req.Body)
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.ID)
