Count each request of a caller once, whatever refuses it

Callers saw more repeats reach the runners than the retry budget allows: 573 in 10 s where 310 are allowed, while runners refuse connections.

Cause: exchange.Sent() == 0 stood for 'this is the request's first attempt'. It stays true as long as nothing reaches a runner, so each refused connection added its part to the budget again, and a daemon that helps another one added it a second time. The same condition counted such requests again for the demand by which runners are ordered, for the share of requests that are answered, and as new requests of a version trial.

Change: requestCounts says once what a request has been counted for; all four ask it. The policy's FirstAttempt is CountRequest now.

--- a/daemon/dispatch/grant.go
+++ b/daemon/dispatch/grant.go
@@ -164,7 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.grants[r.ID] = g
-	s.retry.FirstAttempt(time.Now())
+	s.retry.CountRequest(time.Now())
 	return func() { s.release(r, g) }, nil
 }
 
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -127,12 +127,12 @@
 	now = time.Now()
 	entry := s.pool.entryOf(choice.Runner)
 	a := &attempt{s: s, choice: choice, eventsBefore: s.eventsSent(), entry: entry, permit: permit, sent: now, trial: s.trialAttributionOf(entry.Version)}
-	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest, s.exchange.Sent() == 0)
-	s.countTrialDispatch()
+	a.ticket = s.pool.dispatch(now, choice, &s.routingRequest)
+	paidIn := s.countDispatch(now)
 	a.priority = s.enginePriority()
 	a.recordShareDispatch()
 	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", a.entry.Version), decisions.F("estimate", choice.Estimate),
-		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("paid_in", s.exchange.Sent() == 0), decisions.F("cost", s.cost), decisions.F("rank", a.priority),
+		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("paid_in", paidIn), decisions.F("cost", s.cost), decisions.F("rank", a.priority),
 		decisions.F("list_age", s.pool.listAge()))
 	return a, nil
 }
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -165,3 +165,13 @@
 // DecidesSpillover reports whether the daemon decides which requests of a service leave its failure
 // domain.
 func (e *Edge) DecidesSpillover(service string) bool { return e.pool(service).spill != nil }
+
+// OfferedTokens returns the number of uncached tokens that the daemon has counted for the demand of a service.
+func (e *Edge) OfferedTokens(service string) float64 { return e.pool(service).ownOfferedTokens() }
+
+// ServedShare returns the fraction of the tokens sent lately that was answered.
+func (e *Edge) ServedShare() float64 {
+	e.fair.mu.Lock()
+	defer e.fair.mu.Unlock()
+	return e.fair.throughput.Served(e.deps.Steady())
+}
--- a/daemon/edge/fair_share.go
+++ b/daemon/edge/fair_share.go
@@ -273,7 +273,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	service := f.serviceLocked(s.pool.name)
-	if s.exchange.Sent() == 0 {
+	if !s.counts.sent {
+		s.counts.sent = true
 		f.throughput.Send(now, max(1, s.cost))
 	}
 	service.Backlog.Send(a.priority, tokens)
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -198,30 +198,27 @@
 }
 
 // pick chooses a runner: the one that a relay has recommended if it still accepts new work,
-// otherwise the best one by this daemon's own routing table. first says that this is the
-// request's first attempt.
-func (p *pool) pick(now time.Time, r *routing.Request, recommendedRunner ident.RunnerID, first bool) (routing.Choice, error) {
+// otherwise the best one by this daemon's own routing table.
+func (p *pool) pick(now time.Time, r *routing.Request, recommendedRunner ident.RunnerID) (routing.Choice, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.table.TrustHomes(p.recentlyRestarted())
-	c, ok := p.table.PickCandidate(recommendedRunner, r)
-	var err error
-	if !ok {
-		c, err = p.pickInDomain(now, r)
+	if c, ok := p.table.PickCandidate(recommendedRunner, r); ok {
+		return c, nil
 	}
-	if first && err == nil {
-		p.offeredTokens += float64(c.Uncached)
-	}
-	return c, err
+	return p.pickInDomain(now, r)
 }
 
-func (p *pool) dispatch(now time.Time, c routing.Choice, r *routing.Request, first bool) routing.Ticket {
+// recordOffered records uncached prompt tokens that a request brings.
+func (p *pool) recordOffered(tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.offeredTokens += float64(tokens)
+}
+
+func (p *pool) dispatch(now time.Time, c routing.Choice, r *routing.Request) routing.Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if first {
-		p.retry.FirstAttempt(now)
-		p.edge.log.Count("retry.paid_in")
-	}
 	if n := len(r.Prefix); n > 1 {
 		p.edge.notePlacement(p.name, c.Runner, r.Prefix[:n-1])
 	}
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -78,7 +78,8 @@
 	// otherwise zero.
 	leavingRunner uint64
 	// hedge is the one that looks for another answer at present; nil if none does.
-	hedge *hedge
+	hedge  *hedge
+	counts requestCounts
 	// usageCounted says that the request has been counted for the usage report.
 	usageCounted bool
 	// buffered is a runner's server error, which is passed on if no later attempt succeeds.
--- a/daemon/edge/trials.go
+++ b/daemon/edge/trials.go
@@ -279,16 +279,12 @@
 // stopped without its knowledge; or the trial hasn't begun and the service has no other
 // version, which means that the target is already in use.
 func (s *requestHandler) pick(ctx context.Context, now time.Time) (routing.Choice, error) {
-	first := s.exchange.Sent() == 0
 	if s.gate == nil {
-		return s.pool.pick(now, &s.routingRequest, s.recommended, first)
-	}
-	trialPlacement := s.edge.placeRepeat(s.gate)
-	if first || s.bound.known {
-		trialPlacement = s.edge.placeNewRequest(s.gate, s.route.Name, s.bound)
+		return s.pickOffered(now)
 	}
+	trialPlacement := s.placeInTrial()
 	s.pool.excludeByPlacement(&s.routingRequest, s.excludedRunners(), s.gate, trialPlacement)
-	choice, err := s.pool.pick(now, &s.routingRequest, s.recommended, first)
+	choice, err := s.pickOffered(now)
 	late := err == nil && choice.Estimate > s.maxFirstTokenWait(now)
 	if err == nil && !late || trialPlacement == canary.AnyVersion {
 		return choice, err
@@ -301,7 +297,16 @@
 	default:
 		return choice, err
 	}
-	return s.pool.pick(now, &s.routingRequest, s.recommended, first)
+	return s.pickOffered(now)
+}
+
+// placeInTrial decides which versions' runners the request may use now. It counts as a new request of the trial once.
+func (s *requestHandler) placeInTrial() canary.Placement {
+	if s.counts.placed && !s.bound.known {
+		return s.edge.placeRepeat(s.gate)
+	}
+	s.counts.placed = true
+	return s.edge.placeNewRequest(s.gate, s.route.Name, s.bound)
 }
 
 // targetInUse reports whether all of the service's runners already run the order's target and
@@ -418,9 +423,9 @@
 	}
 }
 
-// countTrialDispatch counts a request for its trial when its first attempt is sent.
+// countTrialDispatch counts a request for its trial.
 func (s *requestHandler) countTrialDispatch() {
-	if s.gate == nil || s.exchange.Sent() > 0 {
+	if s.gate == nil {
 		return
 	}
 	s.edge.trials.mu.Lock()
--- a/daemon/services/services.go
+++ b/daemon/services/services.go
@@ -247,7 +247,7 @@
 		state.retry = retry.New(cfg)
 		s.services[name] = state
 	}
-	state.retry.FirstAttempt(time.Now())
+	state.retry.CountRequest(time.Now())
 	return state
 }
 
--- a/protocol/forward/forward_test.go
+++ b/protocol/forward/forward_test.go
@@ -132,7 +132,7 @@
 			made := 0
 			for _, p := range policies {
 				for range firsts {
-					p.FirstAttempt(now)
+					p.CountRequest(now)
 				}
 				for range 10 {
 					d := p.Decide(now, retry.Failure{Reason: retry.Busy, Attempts: 1, Repeatable: true})
--- a/protocol/retry/retry.go
+++ b/protocol/retry/retry.go
@@ -152,8 +152,9 @@
 	return &Policy{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)), balance: cfg.Burst}
 }
 
-// FirstAttempt adds Ratio retries to the budget for one first attempt.
-func (p *Policy) FirstAttempt(now time.Time) {
+// CountRequest adds Ratio retries to the budget for one request of a caller. It is called once for each, whatever
+// becomes of its attempts.
+func (p *Policy) CountRequest(now time.Time) {
 	p.accrue(now)
 	p.balance = min(p.cfg.Burst, p.balance+p.cfg.Ratio)
 }
--- a/protocol/retry/retry_test.go
+++ b/protocol/retry/retry_test.go
@@ -50,7 +50,7 @@
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "first") {
-				p.FirstAttempt(now)
+				p.CountRequest(now)
 				firstAttempts++
 				continue
 			}
@@ -81,7 +81,7 @@
 	attempts, answered := 0, 0
 	const firsts = 10000
 	for i := range firsts {
-		p.FirstAttempt(start)
+		p.CountRequest(start)
 		for n := 1; ; n++ {
 			attempts++
 			if (i+n)%4 != 0 {
