Charge the retry budget for each repeat that reaches a runner

Cause: a charge was given back if the exchange counted no further send when a hedge's attempt had failed. It counts a send in HandleFailure, a step later, so an attempt that had reached its runner and failed was refunded; and one that was refused a connection was refunded while the attempt after it, which did reach a runner, was not charged again.

Change: a charge stays with the request over attempts that reach no runner, goes to the attempt whose request is about to be written, and is given back only when the request, or its hedge, ends without one. Requests that end without using their charge give it back now, too.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -76,6 +76,8 @@
 	// a send already.
 	takenOver *openAnswer
 	counted   bool
+	// isRetry says that the retry budget was charged for the attempt, which reaches its runner.
+	isRetry bool
 	// helper is the daemon that serves the request in place of a runner, and helperBody its answer; empty
 	// otherwise.
 	helper     ident.DaemonID
@@ -350,6 +352,7 @@
 	if !a.mayBegin() || len(a.s.blockingCauses()) > 0 || state == view.Leaving || state == "" || e.rests.resting(e.deps.Steady(), a.choice.Runner) {
 		return false
 	}
+	a.useRetry()
 	// From here on a hedge may use the request's state.
 	a.connected.Store(true)
 	a.beginWait()
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -131,6 +131,9 @@
 		if next := a.takenOver; next != nil {
 			return next, nil, nil
 		}
+		if isRefusal(err) || neverSent(err) {
+			a.returnRetry()
+		}
 		var refusedBy *helperRefusalError
 		switch {
 		case err == nil:
@@ -167,6 +170,7 @@
 	a.s.edge.helperCalls.begin(a, helper)
 	// A hedge may change the request's state once the wait has begun.
 	request := encodeDelegated(a.s)
+	a.useRetry()
 	a.beginWait()
 	answer, err := a.s.edge.callHelper(callCtx, helper.PeerAddress, request)
 	var refusedBy *helperRefusalError
@@ -255,6 +259,12 @@
 	return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
 }
 
+// isRefusal reports whether an error is a helper's refusal.
+func isRefusal(err error) bool {
+	var refusedBy *helperRefusalError
+	return errors.As(err, &refusedBy)
+}
+
 // helperRefusalError says that a helper has refused the request.
 type helperRefusalError struct{ *refusal.Refusal }
 
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -85,6 +85,8 @@
 	*edge.Edge
 	store *faultyStore
 	log   *decisions.Log
+	// counters holds what the daemon has counted.
+	counters metrics.Registry
 	// runners is the daemon's access to the runners.
 	runners *daemonRunners
 	// requests limits the bytes of its requests.
@@ -148,8 +150,9 @@
 	}
 	access := &daemonRunners{runners: w.runners}
 	transport := peerhttp.NewTransport(w.held.dial(w.calls.Dial))
-	log := decisions.New(metrics.NewRegistry())
-	d := &daemon{store: store, log: log, runners: access, requests: callerlimit.NewRequests(requestBytes), address: address, cancel: cancel, done: make(chan struct{})}
+	counters := metrics.NewRegistry()
+	log := decisions.New(counters)
+	d := &daemon{store: store, log: log, counters: counters, runners: access, requests: callerlimit.NewRequests(requestBytes), address: address, cancel: cancel, done: make(chan struct{})}
 	domain := ident.FailureDomain("north")
 	if n := len(w.domains); n > 0 {
 		domain = w.domains[i%n]
@@ -189,6 +192,11 @@
 // requestBytes is what the requests of one daemon may hold.
 const requestBytes = 16 << 20
 
+// counted returns the value of one of the daemon's counters.
+func (d *daemon) counted(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, d.counters).Count()
+}
+
 func (d *daemon) kill() {
 	d.cancel()
 	<-d.done
--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -204,23 +204,17 @@
 // openInstead looks for another answer to a request whose attempt is silent. It returns nil if none may follow or
 // the context ends.
 func (s *requestHandler) openInstead(ctx context.Context, failed *failedAttempt) *openAnswer {
+	defer s.refundRetry()
 	for failed != nil && s.awaitPlace(ctx) {
-		charged, end := s.prepareRetry(ctx, failed)
+		end := s.prepareRetry(ctx, failed)
 		if end != nil {
 			return nil
 		}
 		failed = nil
-		sent := s.exchange.Sent()
 		var open *openAnswer
 		if s.goesOnLooking(ctx) {
 			open, failed, end = s.open(ctx)
 		}
-		if charged && open == nil && s.exchange.Sent() == sent {
-			// Nothing was sent for what the budget was charged.
-			s.pool.withRetryPolicy(func(p *retry.Policy) { p.Refund() })
-			s.edge.log.Count("retry.refunded")
-			s.note("retry_refunded", decisions.F("attempts", sent), decisions.F("failed", failed != nil), decisions.F("arrived", failed != nil && failed.Sent))
-		}
 		if open != nil {
 			open, failed = open.peek(ctx)
 		}
--- /dev/null
+++ b/daemon/edge/retry_charges_test.go
@@ -0,0 +1,110 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/daemon/edge"
+	"geraniumstack.org/geraniumstack/protocol/retry"
+)
+
+// arrivals counts the arrivals of requests at runners beyond the first of each.
+type arrivals struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	seen    map[string]bool
+	repeats int64
+}
+
+func (a *arrivals) add(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.seen[id] {
+		a.repeats++
+	}
+	a.seen[id] = true
+}
+
+// draw returns a random number below n.
+func (a *arrivals) draw(n int) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.rng.IntN(n)
+}
+
+// fail makes an attempt refused, broken, turned away, failed or answered late, or serves it.
+func (a *arrivals) fail(ctx context.Context, w *testFleet, runner string, attempt *edge.Attempt) (*edge.Answer, error) {
+	kind := a.draw(7)
+	if kind == 0 {
+		return nil, &edge.SendError{Reason: retry.ConnectFailed, Err: errRefused}
+	}
+	if !attempt.Connected() {
+		return nil, &edge.SendError{Reason: retry.Withdrawn, Err: errRefused}
+	}
+	a.add(attempt.Request.ID)
+	switch kind {
+	case 1:
+		return nil, brokenSend()
+	case 2:
+		return &edge.Answer{NotRun: true, Body: http.NoBody}, nil
+	case 3:
+		return plainAnswer(http.StatusInternalServerError, "failed"), nil
+	case 4, 5:
+		w.runners.unresponsive(runner, true)
+		defer w.runners.unresponsive(runner, false)
+		if !pauseFor(ctx, time.Duration(500+a.draw(2000))*time.Millisecond) || kind == 4 {
+			return nil, brokenSend()
+		}
+	}
+	return plainAnswer(http.StatusOK, "whole"), nil
+}
+
+// Guards against retries that reach a runner and that no budget is charged for, and against charges for those that don't.
+func TestEachRepeatedArrivalIsChargedOnce(t *testing.T) {
+	for seed := range uint64(4) {
+		for _, daemons := range []int{1} {
+			t.Run(fmt.Sprintf("%d daemons/%d", daemons, seed), func(t *testing.T) { playCharges(t, daemons, seed) })
+		}
+	}
+}
+
+func playCharges(t *testing.T, daemons int, seed uint64) {
+	const callers, requests = 5, 60
+	withFleet(t, daemons, tenSecondConfig(4), func(w *testFleet) {
+		a := &arrivals{rng: rand.New(rand.NewPCG(seed, 1)), seen: map[string]bool{}}
+		for i := range 8 {
+			id := fmt.Sprintf("r%d", i+1)
+			w.addRunner(id, "app").setScript(func(ctx context.Context, attempt *edge.Attempt) (*edge.Answer, error) {
+				return a.fail(ctx, w, id, attempt)
+			})
+		}
+		time.Sleep(10 * time.Second)
+		var calling sync.WaitGroup
+		for caller := range callers {
+			calling.Go(func() {
+				for range requests {
+					w.ask(w.daemons[caller%daemons], "/read/1", key)
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		calling.Wait()
+		time.Sleep(3 * time.Second)
+		var charged int64
+		for _, d := range w.daemons {
+			charged += d.counted("retry.charged") - d.counted("retry.refunded")
+		}
+		t.Logf("%d charged, %d arrivals beyond the first of their request", charged, a.repeats)
+		w.True(a.repeats > 0)
+		w.True(charged >= a.repeats)
+		if daemons == 1 {
+			// Of a call to a helper that breaks it isn't known whether its charge was used.
+			w.Equal(charged, a.repeats)
+		}
+	})
+}
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -41,6 +41,7 @@
 func (s *requestHandler) run(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, s.deadline)
 	defer cancel()
+	defer s.refundRetry()
 	for {
 		open, failed, end := s.open(ctx)
 		if open != nil {
@@ -52,7 +53,7 @@
 			return
 		}
 		if end == nil {
-			_, end = s.prepareRetry(ctx, failed)
+			end = s.prepareRetry(ctx, failed)
 		}
 		if end != nil {
 			s.end(end)
@@ -128,8 +129,14 @@
 	}
 	open, failure := a.open(ctx)
 	if failure == nil {
+		a.useRetry()
 		return open, nil, nil
 	}
+	if failure.Sent {
+		a.useRetry()
+	} else {
+		a.returnRetry()
+	}
 	if !failure.Sent && failure.Reason != retry.Withdrawn && ctx.Err() == nil {
 		s.connectFailures++
 	}
@@ -176,11 +183,11 @@
 	return &failedAttempt{*failure, a}
 }
 
-// prepareRetry decides whether another attempt follows a failed one, and waits until it is due. It returns whether the
-// retry budget was charged for that, and the refusal if none follows. It returns early if the request isn't to be sent
-// any more.
-func (s *requestHandler) prepareRetry(ctx context.Context, failed *failedAttempt) (charged bool, end *refusal.Refusal) {
+// prepareRetry decides whether another attempt follows a failed one, and waits until it is due. It returns the refusal if
+// none follows. It returns early if the request isn't to be sent any more.
+func (s *requestHandler) prepareRetry(ctx context.Context, failed *failedAttempt) *refusal.Refusal {
 	var wait time.Duration
+	var end *refusal.Refusal
 	s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.HandleFailure(time.Now(), p, failed.FailedAttempt) })
 	a := failed.attempt
 	if a != nil {
@@ -198,20 +205,41 @@
 	for end != nil && end.Reason == refusal.RetryBudgetExhausted && s.patient() {
 		s.edge.log.Count("looks_again." + string(end.Reason))
 		if !pause.For(ctx, lookAgainInterval) || !s.goesOnLooking(ctx) {
-			return false, nil
+			return nil
 		}
 		s.pool.withRetryPolicy(func(p *retry.Policy) { wait, end = s.exchange.Decide(time.Now(), p, failed.FailedAttempt) })
 	}
 	if end != nil {
-		return false, s.withRetryAfter(end)
+		return s.withRetryAfter(end)
 	}
 	if failed.Sent {
+		s.retryCharged = true
 		s.edge.log.Count("retry.charged")
 	}
 	if pause.For(ctx, wait) && (a == nil || !a.rests && !a.foundRestarted) {
 		s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(a.runner()))
 	}
-	return failed.Sent, nil
+	return nil
+}
+
+// useRetry makes the attempt the one that the retry budget was charged for, if it was charged for one.
+func (a *attempt) useRetry() { a.isRetry, a.s.retryCharged = a.s.retryCharged, false }
+
+// returnRetry leaves what the attempt was charged for to the request's next one, since it has not reached a runner.
+func (a *attempt) returnRetry() {
+	a.s.retryCharged = a.s.retryCharged || a.isRetry
+	a.isRetry = false
+}
+
+// refundRetry returns what the budget was charged for a retry that has not reached a runner.
+func (s *requestHandler) refundRetry() {
+	if !s.retryCharged {
+		return
+	}
+	s.retryCharged = false
+	s.pool.withRetryPolicy(func(p *retry.Policy) { p.Refund() })
+	s.edge.log.Count("retry.refunded")
+	s.note("retry_refunded", decisions.F("attempts", s.exchange.Sent()))
 }
 
 // endIfCanceled ends a request whose caller has disconnected, whose deadline has passed or which this daemon
