--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -131,10 +131,11 @@
 		if next := a.takenOver; next != nil {
 			return next, nil, nil
 		}
-		if isRefusal(err) || neverSent(err) {
+		var refusedBy *helperRefusalError
+		sentOn := errors.As(err, &refusedBy) && s.recordHelper(refusedBy)
+		if err != nil && !sentOn && (refusedBy != nil || neverSent(err)) {
 			a.returnRetry()
 		}
-		var refusedBy *helperRefusalError
 		switch {
 		case err == nil:
 			open := &openAnswer{a, answer}
@@ -143,13 +144,19 @@
 				return nil, a.failed(a.callBroke(ctx)), nil
 			}
 			return open, nil, nil
-		case errors.As(err, &refusedBy):
-			if refused = refusedBy.Refusal; !mayServeElsewhere(refused) {
-				return nil, nil, s.orUnknown(refused)
-			}
+		case refusedBy != nil:
+			refused = refusedBy.Refusal
 			if refused.Reason == refusal.NoRunner {
 				s.edge.avoidHelper(m.Incarnation, s.pool.name)
 			}
+			if sentOn && (mayServeElsewhere(refused) || s.patient() && isPassing(refused)) {
+				// The request may go to further runners only as after a failure here.
+				mayHaveRun := refused.Executed != refusal.ExecutedNo
+				return nil, a.failed(&forward.FailedAttempt{Reason: retry.Busy, MayHaveRun: mayHaveRun, Sent: true, Counted: true}), nil
+			}
+			if !mayServeElsewhere(refused) {
+				return nil, nil, s.orUnknown(refused)
+			}
 		case !neverSent(err):
 			s.edge.log.Count("delegation_failed")
 			return nil, a.failed(a.callBroke(ctx)), nil
@@ -259,14 +266,26 @@
 	return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
 }
 
-// isRefusal reports whether an error is a helper's refusal.
-func isRefusal(err error) bool {
-	var refusedBy *helperRefusalError
-	return errors.As(err, &refusedBy)
+// recordHelper records what a helper has done with the request that it has refused, and reports whether that has sent it
+// to a runner.
+func (s *requestHandler) recordHelper(r *helperRefusalError) bool {
+	s.counts.offered = s.counts.offered || r.counts.offered
+	s.counts.dispatched = s.counts.dispatched || r.counts.dispatched
+	if r.attempts <= s.exchange.Sent() {
+		return false
+	}
+	s.exchange.Continue(r.attempts, s.exchange.MayHaveRun())
+	return true
 }
 
 // helperRefusalError says that a helper has refused the request.
-type helperRefusalError struct{ *refusal.Refusal }
+type helperRefusalError struct {
+	*refusal.Refusal
+	// attempts is the number of runners to which the request has been sent by now, and counts what it has been
+	// counted for.
+	attempts int
+	counts   requestCounts
+}
 
 // callHelper sends the request to another daemon and returns its answer once it begins.
 func (e *Edge) callHelper(ctx context.Context, address string, request *delegationv1.ServeRequest) (*Answer, error) {
@@ -286,10 +305,14 @@
 	switch p := part.Part.(type) {
 	case *delegationv1.ServeResponse_Refusal:
 		body.Close()
-		return nil, &helperRefusalError{&refusal.Refusal{
-			Reason: refusal.Reason(p.Refusal.Reason), Executed: refusal.Executed(p.Refusal.Executed),
-			Detail: p.Refusal.Detail, RetryAfter: time.Duration(p.Refusal.RetryAfterNs),
-		}}
+		return nil, &helperRefusalError{
+			Refusal: &refusal.Refusal{
+				Reason: refusal.Reason(p.Refusal.Reason), Executed: refusal.Executed(p.Refusal.Executed),
+				Detail: p.Refusal.Detail, RetryAfter: time.Duration(p.Refusal.RetryAfterNs),
+			},
+			attempts: int(p.Refusal.Attempts),
+			counts:   requestCounts{offered: p.Refusal.Offered, dispatched: p.Refusal.Dispatched},
+		}
 	case *delegationv1.ServeResponse_Start:
 		if p.Start.LeavingRunner != 0 {
 			e.receiveLeaving([]uint64{p.Start.LeavingRunner})
--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -102,6 +102,7 @@
 func (r *delegatedReply) Refuse(f *refusal.Refusal, _ bool) {
 	r.send(&delegationv1.ServeResponse{Part: &delegationv1.ServeResponse_Refusal{Refusal: &delegationv1.Refusal{
 		Reason: string(f.Reason), Executed: string(f.Executed), Detail: f.Detail, RetryAfterNs: int64(f.RetryAfter),
+		Attempts: uint32(r.handler.exchange.Sent()), Offered: r.handler.counts.offered, Dispatched: r.handler.counts.dispatched,
 	}}})
 }
 
--- a/daemon/edge/retry_charges_test.go
+++ b/daemon/edge/retry_charges_test.go
@@ -67,7 +67,7 @@
 // Guards against retries that reach a runner and that no budget is charged for, and against charges for those that don't.
 func TestEachRepeatedArrivalIsChargedOnce(t *testing.T) {
 	for seed := range uint64(4) {
-		for _, daemons := range []int{1} {
+		for _, daemons := range []int{1, 3} {
 			t.Run(fmt.Sprintf("%d daemons/%d", daemons, seed), func(t *testing.T) { playCharges(t, daemons, seed) })
 		}
 	}
