Tell runners what is left of the time when the request is sent

Runners were told of more time than their callers had left: what a connection takes to open, and a question to the runner which incarnation it is (up to three times half a second), was not taken off.

Cause: the time left was computed when the attempt was made, not at the send.

Change: an attempt has the deadline, and the platform's client computes the time left when it writes the header.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -239,7 +239,7 @@
 		Runner:      a.choice.Runner,
 		Address:     a.choice.Address,
 		Workspace:   s.workspace,
-		TimeLeft:    time.Until(s.deadline),
+		Deadline:    s.deadline,
 		Priority:    a.priority,
 		FetchFrom:   a.choice.FetchFrom,
 		LastEventID: s.lastEventID(),
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -187,8 +187,8 @@
 	Runner    ident.RunnerID
 	Address   string
 	Workspace ident.Workspace
-	// TimeLeft is the time until the caller's or the route's timeout.
-	TimeLeft time.Duration
+	// Deadline is the end of the caller's or the route's timeout. The runner is told what is left of it at the send.
+	Deadline time.Time
 	// Priority is the request's priority at a model engine; 0 is the most urgent, a negative
 	// value means that none is set.
 	Priority int
