Let each daemon of a large fleet hold a whole retry

Callers of fleets of 300 and 985 daemons got failures of their first runner as they were: no daemon there has ever sent a request again that had reached a runner.

Cause: half of a daemon's part of the least number may be saved, 0.89 and 0.45 retries there, and a retry needs a whole one. It was found while looking at what is left unused of the budget.

Change: where half of a part is less than one, a daemon may save one and earns what is left of its part, as long as the least number has one for each daemon.

Measured: TestDaemonOfLargeFleetCanRetry fails without it; the bound holds for 20 to 60 daemons of 52 retries in TestShareHoldsBudgetWithoutTalking, with restarts.

--- a/protocol/forward/forward_test.go
+++ b/protocol/forward/forward_test.go
@@ -118,7 +118,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const ratio, slack, usedFraction = 0.2, 52, 0.9
 		window := 10 * time.Second
-		n := rapid.IntRange(1, 8).Draw(t, "daemons")
+		n := rapid.OneOf(rapid.IntRange(1, 8), rapid.IntRange(20, 60)).Draw(t, "daemons")
 		newPolicy := func(now time.Time) *retry.Policy {
 			cfg := retry.Default()
 			cfg.Ratio, cfg.PerSecond, cfg.Burst = 0, 0, 0
--- a/protocol/retry/retry.go
+++ b/protocol/retry/retry.go
@@ -246,9 +246,18 @@
 // each begins with an empty budget: at most one of its lives held a reserve when
 // the window began. usedFraction is the fraction of the budget that is distributed;
 // the rest covers retries that reach a runner later than they were decided on.
-func BudgetShare(ratio, slack, usedFraction float64, window time.Duration, daemons int) (perFirst, perSecond, burst float64) {
-	part := usedFraction * slack / float64(max(1, daemons))
-	return usedFraction * ratio, part / 2 / window.Seconds(), part / 2
+//
+// A daemon must be able to hold one retry to make any. Where half of its part is
+// less, it holds one and earns what is left of its part, as long as slack has one
+// for each daemon.
+func BudgetShare(ratio, slack, usedFraction float64, window time.Duration, daemons int) (perRequest, perSecond, burst float64) {
+	whole := slack / float64(max(1, daemons))
+	part := usedFraction * whole
+	burst = part / 2
+	if whole >= 1 {
+		burst = max(1, burst)
+	}
+	return usedFraction * ratio, max(0, part-burst) / window.Seconds(), burst
 }
 
 // delay returns a random part of an exponentially growing interval, added to
--- a/protocol/retry/retry_test.go
+++ b/protocol/retry/retry_test.go
@@ -38,6 +38,25 @@
 	is.Equal(p.Balance(), 2.0)
 }
 
+// Guards against a large fleet whose daemons never retry, since none can hold a whole retry.
+func TestDaemonOfLargeFleetCanRetry(t *testing.T) {
+	for _, c := range []struct {
+		daemons int
+		slack   float64
+	}{{5, 58}, {300, 630}, {985, 1040}} {
+		cfg := Default()
+		cfg.Ratio, cfg.PerSecond, cfg.Burst = 0, 0, 0
+		p := New(cfg)
+		perRequest, perSecond, burst := BudgetShare(0.2, c.slack, 0.85, 10*time.Second, c.daemons)
+		p.SetBudget(start, perRequest, perSecond, burst)
+		for range 10 {
+			p.CountRequest(start)
+		}
+		d := p.Decide(start, Failure{Reason: Broken, Repeatable: true, Attempts: 1})
+		is.New(t).Equal(d.Verdict, Again)
+	}
+}
+
 // TestBudgetIsNeverExceeded makes a random sequence of first attempts and
 // failures and checks that the retries stay within the budget.
 func TestBudgetIsNeverExceeded(t *testing.T) {
