Keep a daemon's part of the retry budget while it doesn't hear the others

Cause: the budget was divided by the daemons that are known, and those that aren't heard are forgotten after 30 s, although they may be cut off and serve their own callers: each took the whole budget then. With three daemons whose datagrams are cut, each held 21.25 retries after a minute, where all together may hold 25.

Change: it is divided by the largest number that was known within ten minutes, as long as addresses are kept for cuts that last for minutes. A fleet that shrinks has smaller parts for that long; what requests add is as before.

--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -444,6 +444,21 @@
 	return size
 }
 
+// LargestSize remembers the largest recent size of a fleet. Daemons that are no longer heard may be cut off and running,
+// so what is divided among all must not be divided among fewer as soon as they are forgotten.
+type LargestSize struct {
+	size       int
+	observedAt time.Duration
+}
+
+// Observe records the size that is known at a time, and returns the largest one that was known within AddressTTL.
+func (l *LargestSize) Observe(now time.Duration, size int) int {
+	if size >= l.size || now-l.observedAt > AddressTTL {
+		l.size, l.observedAt = size, now
+	}
+	return l.size
+}
+
 // UnheardAddresses returns the known addresses that belong to none of the given daemons,
 // sorted.
 func (t *Table) UnheardAddresses(daemons []Member) []string {
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -182,6 +182,8 @@
 	endRequests context.CancelFunc
 	// healthCheckedAt is when the runners' health was last checked; only tickLoop uses it.
 	healthCheckedAt time.Duration
+	// retryDaemons is the number of daemons that divide the retry budgets; only tickLoop uses it.
+	retryDaemons peers.LargestSize
 }
 
 const incarnationBytes = 6
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -39,7 +39,7 @@
 	e.expireRunnerLimits()
 	e.expireRests()
 	e.failureCauses.expire(e.deps.Steady())
-	size := e.fleetSize()
+	size := e.retryDaemons.Observe(e.deps.Steady(), e.fleetSize())
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
 	for _, p := range e.pools {
