Play storms of failed attempts in the soak

TestSoakOfStorms: runners refuse connections while the others lose or turn away many requests, beside all other faults, and the settings say that the fleet has served before: until now each restart in the soak was a fleet's first start. The last line of a seed has the worst window of the retry budget. Fleets with surges are judged by the attempts of their classes' routes, too.

--- a/soak/conditions_test.go
+++ b/soak/conditions_test.go
@@ -29,6 +29,9 @@
 	// upgrades makes the events of streams name the software version of their runner, and lets runners start again at
 	// their addresses with another version, before their entries say so.
 	upgrades bool
+	// storms makes runners refuse connections while others fail many requests now and then, and lets the daemons' settings
+	// say that the fleet has served before, as on the platform after its first start.
+	storms bool
 	// attempts replaces the number of runners to which a request may be sent; zero for that of routes.
 	attempts int
 }
@@ -44,6 +47,7 @@
 	copyDraws
 	powerLossDraws
 	upgradeDraws
+	stormDraws
 )
 
 func generator(seed int64, draws uint64) *rand.Rand {
@@ -81,6 +85,9 @@
 	if c.upgrades {
 		faults = merge(faults, drawRepeated(seed, upgradeDraws, length, upgradeRunner))
 	}
+	if c.storms {
+		faults = merge(faults, drawRepeated(seed, stormDraws, length, failAtManyRunners))
+	}
 	return faults
 }
 
--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -33,7 +33,7 @@
 	f.mu.Unlock()
 	f.retryUntilAccepted(func() error {
 		if f.with.surges {
-			return f.store.PutConfigOf(version, routesWithClasses(), surgeSlots, tenants(keys)...)
+			return f.store.PutConfigOf(version, f.with.routes(), surgeSlots, tenants(keys)...)
 		}
 		return f.store.PutConfig(version, f.with.routes(), 10_000, keys...)
 	})
@@ -49,14 +49,18 @@
 
 // routes returns the routes of a fleet under the conditions.
 func (c conditions) routes() []site.Route {
+	all := routes
+	if c.surges {
+		all = routesWithClasses()
+	}
 	if c.attempts == 0 {
-		return routes
+		return all
 	}
-	changed := slices.Clone(routes)
-	for i := range changed {
-		changed[i].Attempts = c.attempts
+	all = slices.Clone(all)
+	for i := range all {
+		all[i].Attempts = c.attempts
 	}
-	return changed
+	return all
 }
 
 // rotateKey replaces the oldest key by a new one and returns the old key once the store
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -106,6 +106,8 @@
 	far   linkState
 	isFar func(net.Conn) bool
 
+	// refusals allows one refusal at a time.
+	refusals sync.Mutex
 	// listenerMu guards listener and closed.
 	listenerMu sync.Mutex
 	listener   net.Listener
@@ -126,8 +128,12 @@
 	return p, nil
 }
 
-// refuse makes the proxy refuse connections for a time.
+// refuse makes the proxy refuse connections for a time, unless it does so already.
 func (p *proxy) refuse(span time.Duration) error {
+	if !p.refusals.TryLock() {
+		return nil
+	}
+	defer p.refusals.Unlock()
 	address := p.address()
 	p.closeListener(false)
 	p.set(refusing)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,8 +7,8 @@
 //
 // soak_test.go plays one seed. fleet_test.go, daemon_test.go, runners_test.go and
 // configuration_test.go set up and change the fleet, callers_test.go sends requests.
-// conditions_test.go, faults_test.go, silences_test.go, surges_test.go and
-// domains_test.go draw and inject faults. promises_test.go, cuts_test.go and
+// conditions_test.go, faults_test.go, silences_test.go, surges_test.go, storms_test.go and
+// domains_test.go draw and inject faults. promises_test.go, cuts_test.go, budget_test.go and
 // surges_test.go check the results; draws_test.go, cut_excuses_test.go,
 // load_checks_test.go and operator_test.go test the soak itself.
 package soak_test
@@ -33,6 +33,7 @@
 	copySeeds    = flag.Int("copy-seeds", 1, "how many seeds TestSoakOfReturningStore plays, from the first seed on")
 	lossSeeds    = flag.Int("loss-seeds", 1, "how many seeds TestSoakOfPowerLosses plays, from the first seed on")
 	upgradeSeeds = flag.Int("upgrade-seeds", 1, "how many seeds TestSoakOfUpgradedRunners plays, from the first seed on")
+	stormSeeds   = flag.Int("storm-seeds", 1, "how many seeds TestSoakOfStorms plays, from the first seed on")
 	firstSeed    = flag.Int64("first-seed", 1, "the first of them; 0 is one by the time of day")
 	length       = flag.Duration("length", 6*time.Second, "how long faults come in one seed")
 	daemons      = flag.Int("daemons", 4, "daemons of the fleet")
@@ -104,6 +105,12 @@
 	runSeeds(t, *firstSeed, *upgradeSeeds, func(with *conditions) { with.upgrades = true })
 }
 
+// TestSoakOfStorms plays seeds in which attempts fail at many runners at a time, so that the retry budget is used up.
+func TestSoakOfStorms(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, *firstSeed, *stormSeeds, func(with *conditions) { with.storms, with.attempts = true, 3 })
+}
+
 // runSeeds runs the soak for n seeds, each under the conditions that it draws and those that change adds.
 func runSeeds(t *testing.T, first int64, n int, change func(with *conditions)) {
 	for seed := first; seed < first+int64(n); seed++ {
@@ -140,6 +147,9 @@
 	}
 	defer f.close()
 	f.waitReady(10 * time.Second)
+	if with.storms {
+		f.noteServed()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	accepting, stopAccepting := context.WithCancel(ctx)
@@ -162,7 +172,8 @@
 	for _, b := range violations {
 		t.Error(b)
 	}
-	t.Logf("%d attempts, %d faults, %+v; %s; %s", len(f.attemptLog.byID), len(faults), with, f.summarizeCuts(), f.summarizeLoad())
+	t.Logf("%d attempts, %d faults, %+v; %s; %s; %v", len(f.attemptLog.byID), len(faults), with, f.summarizeCuts(), f.summarizeLoad(),
+		f.worstRepeatWindow(f.arrivalsByRequest()))
 	if t.Failed() {
 		t.Logf("seed %d:\n%s", seed, describe(faults))
 		f.saveLogs(seed)
--- a/soak/storms_test.go
+++ b/soak/storms_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -82,16 +85,48 @@
 	}
 }
 
+// failAtManyRunners makes one runner or half of them refuse connections for a while, and the others fail many requests.
+func failAtManyRunners(rng *rand.Rand) fault {
+	span, first := durationBetween(rng, 300*time.Millisecond, 2500*time.Millisecond), rng.IntN(1000)
+	share := []string{"one runner", "half of the runners"}[rng.IntN(2)]
+	next := drawStormFaults(rng, 20+rng.IntN(200), []site.Fault{site.DropResponse, site.QueueFull}[rng.IntN(2)], rng.Float64())
+	return fault{description: fmt.Sprintf("%s refuse connections for %v, from %d on, the others get %d faults", share, span, first, len(next)), apply: func(f *fleet) {
+		refusing := f.runnersFrom(first, share)
+		for _, r := range f.runnersFrom(0, "all runners") {
+			if !slices.Contains(refusing, r) {
+				r.SetNextFaults(next...)
+			}
+		}
+		var refusals sync.WaitGroup
+		for _, r := range refusing {
+			refusals.Go(func() { f.refuse(r, span) })
+		}
+		refusals.Wait()
+	}}
+}
+
+// refuse makes a runner refuse connections for a while.
+func (f *fleet) refuse(r *proxiedRunner, span time.Duration) {
+	if err := r.proxy.refuse(span); err != nil {
+		f.t.Errorf("%s does not serve again: %v", r.ID, err)
+	}
+}
+
+// drawStormFaults draws the faults of a runner's next n requests, of which about a share get the fault.
+func drawStormFaults(rng *rand.Rand, n int, one site.Fault, share float64) []site.Fault {
+	faults := make([]site.Fault, n)
+	for i := range faults {
+		if rng.Float64() < share {
+			faults[i] = one
+		}
+	}
+	return faults
+}
+
 func (s storm) setFaults(f *fleet) {
 	for i, r := range f.allRunners() {
 		rng := rand.New(rand.NewPCG(1, uint64(i)))
-		faults := make([]site.Fault, stormFaultsDrawn)
-		for n := range faults {
-			if rng.Float64() < s.share {
-				faults[n] = s.fault
-			}
-		}
-		r.SetNextFaults(faults...)
+		r.SetNextFaults(drawStormFaults(rng, stormFaultsDrawn, s.fault, s.share)...)
 	}
 }
 
@@ -132,11 +167,7 @@
 	for first := 0; ctx.Err() == nil; first += refusingAtATime {
 		for i := range refusingAtATime {
 			r := f.runner(first + i)
-			f.calling.Go(func() {
-				if err := r.proxy.refuse(refusalTime); err != nil {
-					f.t.Errorf("serve again: %v", err)
-				}
-			})
+			f.calling.Go(func() { f.refuse(r, refusalTime) })
 		}
 		time.Sleep(2 * refusalTime)
 	}
