--- a/daemon/edge/retry_charges_test.go
+++ b/daemon/edge/retry_charges_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -61,9 +64,22 @@
 			return nil, brokenSend()
 		}
 	}
+	if strings.HasPrefix(attempt.Request.Path, "/draft/") {
+		return a.events(attempt)
+	}
 	return plainAnswer(http.StatusOK, "whole"), nil
 }
 
+// events answers with the events that the caller lacks, all of them or some.
+func (a *arrivals) events(attempt *edge.Attempt) (*edge.Answer, error) {
+	const number = 8
+	last, _ := strconv.Atoi(attempt.LastEventID)
+	if a.draw(2) == 0 && last < number-1 {
+		return eventAnswer(eventText(last+1, last+1+a.draw(number-last-1)), io.ErrUnexpectedEOF), nil
+	}
+	return eventAnswer(eventText(last+1, number), io.EOF), nil
+}
+
 // Guards against retries that reach a runner and that no budget is charged for, and against charges for those that don't.
 func TestEachRepeatedArrivalIsChargedOnce(t *testing.T) {
 	for seed := range uint64(4) {
@@ -88,7 +104,7 @@
 		for caller := range callers {
 			calling.Go(func() {
 				for range requests {
-					w.ask(w.daemons[caller%daemons], "/read/1", key)
+					w.ask(w.daemons[caller%daemons], []string{"/read/1", "/draft/1"}[caller%2], key)
 					time.Sleep(100 * time.Millisecond)
 				}
 			})
