--- a/daemon/edge/retry_charges_test.go
+++ b/daemon/edge/retry_charges_test.go
@@ -89,6 +89,19 @@
 	}
 }
 
+// cutByTurns cuts the daemons off from the runners, one after the other.
+func (w *testFleet) cutByTurns(a *arrivals, calling *sync.WaitGroup) {
+	calling.Go(func() {
+		for i := range 12 {
+			d := w.daemons[i%len(w.daemons)]
+			d.runners.cut([]cutMode{refusing, silent}[a.draw(2)])
+			time.Sleep(time.Duration(a.draw(3000)) * time.Millisecond)
+			d.runners.cut(connected)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 func playCharges(t *testing.T, daemons int, seed uint64) {
 	const callers, requests = 5, 60
 	withFleet(t, daemons, tenSecondConfig(4), func(w *testFleet) {
@@ -104,11 +117,16 @@
 		for caller := range callers {
 			calling.Go(func() {
 				for range requests {
-					w.ask(w.daemons[caller%daemons], []string{"/read/1", "/draft/1"}[caller%2], key)
+					ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.draw(20_000))*time.Millisecond)
+					w.askWithin(ctx, w.daemons[caller%daemons], []string{"/read/1", "/draft/1"}[caller%2], key, 0)
+					cancel()
 					time.Sleep(100 * time.Millisecond)
 				}
 			})
 		}
+		if daemons > 1 {
+			w.cutByTurns(a, &calling)
+		}
 		calling.Wait()
 		time.Sleep(3 * time.Second)
 		var charged int64
