--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -146,15 +146,11 @@
 			return open, nil, nil
 		case refusedBy != nil:
 			refused = refusedBy.Refusal
-			if refused.Reason == refusal.NoRunner {
-				s.edge.avoidHelper(m.Incarnation, s.pool.name)
+			failed, final := s.handleHelperRefusal(&m, refused, sentOn)
+			if failed != nil {
+				return nil, a.failed(failed), nil
 			}
-			if sentOn && (mayServeElsewhere(refused) || s.patient() && isPassing(refused)) {
-				// The request may go to further runners only as after a failure here.
-				mayHaveRun := refused.Executed != refusal.ExecutedNo
-				return nil, a.failed(&forward.FailedAttempt{Reason: retry.Busy, MayHaveRun: mayHaveRun, Sent: true, Counted: true}), nil
-			}
-			if !mayServeElsewhere(refused) {
+			if final {
 				return nil, nil, s.orUnknown(refused)
 			}
 		case !neverSent(err):
@@ -169,6 +165,19 @@
 	return nil, nil, s.orUnknown(refused)
 }
 
+// handleHelperRefusal decides whether another daemon may serve a request that a helper has refused; final says that none
+// may. If the helper has sent it to runners, sentOn, another one may only as after a failure here, which is returned.
+func (s *requestHandler) handleHelperRefusal(helper *peers.Member, refused *refusal.Refusal, sentOn bool) (failed *forward.FailedAttempt, final bool) {
+	if refused.Reason == refusal.NoRunner {
+		s.edge.avoidHelper(helper.Incarnation, s.pool.name)
+	}
+	mayServe := mayServeElsewhere(refused)
+	if sentOn && (mayServe || s.patient() && isPassing(refused)) {
+		return &forward.FailedAttempt{Reason: retry.Busy, MayHaveRun: refused.Executed != refusal.ExecutedNo, Sent: true, Counted: true}, false
+	}
+	return nil, !mayServe
+}
+
 // call sends the request to a helper and returns its answer once it begins. If it fails, another attempt may have
 // taken over.
 func (a *attempt) call(ctx context.Context, helper *peers.Member) (*Answer, error) {
--- a/daemon/edge/request_counts.go
+++ b/daemon/edge/request_counts.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"geraniumstack.org/geraniumstack/coordination/routing"
+	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/protocol/retry"
 )
 
@@ -39,3 +40,32 @@
 	s.countTrialDispatch()
 	return true
 }
+
+// The retry budget is charged for an attempt when it is decided on, and each charge is used by one arrival at a runner. A
+// charge whose attempt reaches none is left to the request's next one, and given back when there is none.
+
+// chargeRetry records that the budget was charged for the request's next attempt.
+func (s *requestHandler) chargeRetry() {
+	s.retryCharged = true
+	s.edge.log.Count("retry.charged")
+}
+
+// useRetry makes the attempt the one that the retry budget was charged for, if it was charged for one.
+func (a *attempt) useRetry() { a.isRetry, a.s.retryCharged = a.s.retryCharged, false }
+
+// returnRetry leaves what the attempt was charged for to the request's next one, since it has not reached a runner.
+func (a *attempt) returnRetry() {
+	a.s.retryCharged = a.s.retryCharged || a.isRetry
+	a.isRetry = false
+}
+
+// refundRetry returns what the budget was charged for a retry that has not reached a runner.
+func (s *requestHandler) refundRetry() {
+	if !s.retryCharged {
+		return
+	}
+	s.retryCharged = false
+	s.pool.withRetryPolicy(func(p *retry.Policy) { p.Refund() })
+	s.edge.log.Count("retry.refunded")
+	s.note("retry_refunded", decisions.F("attempts", s.exchange.Sent()))
+}
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -128,15 +128,14 @@
 		return nil, nil, r
 	}
 	open, failure := a.open(ctx)
-	if failure == nil {
-		a.useRetry()
-		return open, nil, nil
-	}
-	if failure.Sent {
+	if failure == nil || failure.Sent {
 		a.useRetry()
 	} else {
 		a.returnRetry()
 	}
+	if failure == nil {
+		return open, nil, nil
+	}
 	if !failure.Sent && failure.Reason != retry.Withdrawn && ctx.Err() == nil {
 		s.connectFailures++
 	}
@@ -202,6 +201,7 @@
 		causeField(s.content()), decisions.F("may_have_run", failed.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
 		decisions.F("kept", s.hedge != nil), decisions.F("again", end == nil), decisions.F("charged", end == nil && failed.Sent), decisions.F("wait", wait))
 	s.edge.log.Count("attempt_failed." + string(failed.Reason))
+	waits := end != nil && end.Reason == refusal.RetryBudgetExhausted && s.patient()
 	for end != nil && end.Reason == refusal.RetryBudgetExhausted && s.patient() {
 		s.edge.log.Count("looks_again." + string(end.Reason))
 		if !pause.For(ctx, lookAgainInterval) || !s.goesOnLooking(ctx) {
@@ -212,9 +212,11 @@
 	if end != nil {
 		return s.withRetryAfter(end)
 	}
+	if waits {
+		s.note("retry_granted", decisions.F("reason", failed.Reason), decisions.F("attempts", s.exchange.Sent()))
+	}
 	if failed.Sent {
-		s.retryCharged = true
-		s.edge.log.Count("retry.charged")
+		s.chargeRetry()
 	}
 	if pause.For(ctx, wait) && (a == nil || !a.rests && !a.foundRestarted) {
 		s.failedRunners = s.failedRunners.Or(s.pool.exclusionOf(a.runner()))
@@ -222,26 +224,6 @@
 	return nil
 }
 
-// useRetry makes the attempt the one that the retry budget was charged for, if it was charged for one.
-func (a *attempt) useRetry() { a.isRetry, a.s.retryCharged = a.s.retryCharged, false }
-
-// returnRetry leaves what the attempt was charged for to the request's next one, since it has not reached a runner.
-func (a *attempt) returnRetry() {
-	a.s.retryCharged = a.s.retryCharged || a.isRetry
-	a.isRetry = false
-}
-
-// refundRetry returns what the budget was charged for a retry that has not reached a runner.
-func (s *requestHandler) refundRetry() {
-	if !s.retryCharged {
-		return
-	}
-	s.retryCharged = false
-	s.pool.withRetryPolicy(func(p *retry.Policy) { p.Refund() })
-	s.edge.log.Count("retry.refunded")
-	s.note("retry_refunded", decisions.F("attempts", s.exchange.Sent()))
-}
-
 // endIfCanceled ends a request whose caller has disconnected, whose deadline has passed or which this daemon
 // ends, and reports whether it did.
 func (s *requestHandler) endIfCanceled(ctx context.Context) bool {
--- a/daemon/edge/startup.go
+++ b/daemon/edge/startup.go
@@ -51,9 +51,10 @@
 		e.handleRegistration(entry.Key, entry.Value)
 	}
 	e.tickPeers() // elects relays among those that are registered
-	e.newAtAddress.Store(e.isDirect() && !slices.ContainsFunc(entries, func(entry kv.Entry) bool {
+	former := slices.ContainsFunc(entries, func(entry kv.Entry) bool {
 		return registeredAddress(entry.Value) == e.settings.PeerAddress
-	}))
+	})
+	e.newAtAddress.Store(!former && e.isDirect() && e.settings.Bounds.RetryWindow <= registrationTTL-registerInterval)
 }
 
 // isDirect reports whether all daemons of the fleet register, as far as this one knows.
