--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -123,10 +123,6 @@
 			return next, nil, nil
 		}
 		var refusedBy *helperRefusalError
-		sentOn := errors.As(err, &refusedBy) && s.recordHelper(refusedBy)
-		if err != nil && !sentOn && (refusedBy != nil || neverSent(err)) {
-			a.returnRetry()
-		}
 		switch {
 		case err == nil:
 			open := &openAnswer{a, answer}
@@ -135,16 +131,18 @@
 				return nil, a.failed(a.callBroke(ctx)), nil
 			}
 			return open, nil, nil
-		case refusedBy != nil:
+		case errors.As(err, &refusedBy):
 			refused = refusedBy.Refusal
-			failed, final := s.handleHelperRefusal(&m, refused, sentOn)
+			failed, final := a.handleRefusal(&m, refusedBy)
 			if failed != nil {
 				return nil, a.failed(failed), nil
 			}
 			if final {
 				return nil, nil, s.orUnknown(refused)
 			}
-		case !neverSent(err):
+		case neverSent(err):
+			a.returnRetry()
+		default:
 			s.edge.log.Count("delegation_failed")
 			return nil, a.failed(a.callBroke(ctx)), nil
 		}
@@ -156,15 +154,20 @@
 	return nil, nil, s.orUnknown(refused)
 }
 
-// handleHelperRefusal decides whether another daemon may serve a request that a helper has refused; final says that none
-// may. If the helper has sent it to runners, sentOn, another one may only as after a failure here, which is returned.
-func (s *requestHandler) handleHelperRefusal(helper *peers.Member, refused *refusal.Refusal, sentOn bool) (failed *forward.FailedAttempt, final bool) {
-	if refused.Reason == refusal.NoRunner {
+// handleRefusal decides whether another daemon may serve a request that the attempt's helper has refused; final says that
+// none may. If the helper has sent it to runners, another one may only as after a failure here, which is returned.
+func (a *attempt) handleRefusal(helper *peers.Member, r *helperRefusalError) (failed *forward.FailedAttempt, final bool) {
+	s := a.s
+	a.counted = s.recordHelper(r)
+	if !a.counted {
+		a.returnRetry()
+	}
+	if r.Reason == refusal.NoRunner {
 		s.edge.avoidHelper(helper.Incarnation, s.pool.name)
 	}
-	mayServe := mayServeElsewhere(refused)
-	if sentOn && (mayServe || s.patient() && isPassing(refused)) {
-		return &forward.FailedAttempt{Reason: retry.Busy, MayHaveRun: refused.Executed != refusal.ExecutedNo, Sent: true, Counted: true}, false
+	mayServe := mayServeElsewhere(r.Refusal)
+	if a.counted && (mayServe || s.patient() && isPassing(r.Refusal)) {
+		return &forward.FailedAttempt{Reason: retry.Busy, MayHaveRun: r.Executed != refusal.ExecutedNo, Sent: true}, false
 	}
 	return nil, !mayServe
 }
--- a/daemon/edge/delegate_test.go
+++ b/daemon/edge/delegate_test.go
@@ -239,3 +239,22 @@
 	}
 	return a.recordedReply.Write(p)
 }
+
+// Guards against a helper's sends that count for more of the route's attempts than they were.
+func TestHelpersSendCountsAsOneAttempt(t *testing.T) {
+	withFleet(t, 3, config(1), func(w *testFleet) {
+		r := w.addRunner("r1", "app")
+		time.Sleep(500 * time.Millisecond)
+		w.cutOff(w.daemons[0])
+		sends := 0
+		r.setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+			if sends++; sends == 1 {
+				return &edge.Answer{NotRun: true, RetryAfter: 10 * time.Second, Body: http.NoBody}, nil
+			}
+			return plainAnswer(http.StatusOK, "whole"), nil
+		})
+		// The first helper's only runner has asked it for rest, and the route allows a second attempt.
+		w.Equal(w.ask(w.daemons[0], "/read/1", key).body.String(), "whole")
+		w.Equal(sends, 2)
+	})
+}
