Decode the daemons' entries once at a start, and drop what the change had twice

A start decoded each entry a second time to look for its own address, and read the fleet's mode under a lock where directMode has it: handleRegistration returns the address now. prepareRetry asked the same condition twice. LargestSize says what it does. In the soak, arrivals had a runner that nothing read, three places killed all daemons by the same loop, and two asked for both kinds of resets.

--- a/coordination/peers/peers.go
+++ b/coordination/peers/peers.go
@@ -451,7 +451,8 @@
 	observedAt time.Duration
 }
 
-// Observe records the size that is known at a time, and returns the largest one that was known within AddressTTL.
+// Observe records the size that is known at a time, and returns the largest one until it has not been reached for
+// AddressTTL.
 func (l *LargestSize) Observe(now time.Duration, size int) int {
 	if size >= l.size || now-l.observedAt > AddressTTL {
 		l.size, l.observedAt = size, now
--- a/daemon/edge/registration.go
+++ b/daemon/edge/registration.go
@@ -143,22 +143,13 @@
 	Fleet int `json:"fleet,omitempty"`
 }
 
-// registeredAddress returns the peer address in a stored entry; empty if there is none.
-func registeredAddress(value []byte) string {
-	var r registration
-	if json.Unmarshal(value, &r) != nil {
-		return ""
-	}
-	return r.PeerAddress
-}
-
 // handleRegistration adds a daemon to the peer table by its entry. The entry may outlive the
-// daemon.
-func (e *Edge) handleRegistration(key string, value []byte) {
+// daemon. It returns the daemon's peer address; empty if the entry is invalid.
+func (e *Edge) handleRegistration(key string, value []byte) string {
 	var r registration
 	if err := json.Unmarshal(value, &r); err != nil {
 		e.log.Note("registration_ignored", decisions.F("key", key), decisions.F("reason", err.Error()))
-		return
+		return ""
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -167,4 +158,5 @@
 		ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain,
 		CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress, Phase: peers.Starting, Started: r.StartedMillis,
 	}})
+	return r.PeerAddress
 }
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -201,8 +201,9 @@
 		causeField(s.content()), decisions.F("may_have_run", failed.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
 		decisions.F("kept", s.hedge != nil), decisions.F("again", end == nil), decisions.F("charged", end == nil && failed.Sent), decisions.F("wait", wait))
 	s.edge.log.Count("attempt_failed." + string(failed.Reason))
-	waits := end != nil && end.Reason == refusal.RetryBudgetExhausted && s.patient()
+	waited := false
 	for end != nil && end.Reason == refusal.RetryBudgetExhausted && s.patient() {
+		waited = true
 		s.edge.log.Count("looks_again." + string(end.Reason))
 		if !pause.For(ctx, lookAgainInterval) || !s.goesOnLooking(ctx) {
 			return nil
@@ -212,7 +213,7 @@
 	if end != nil {
 		return s.withRetryAfter(end)
 	}
-	if waits {
+	if waited {
 		s.note("retry_granted", decisions.F("reason", failed.Reason), decisions.F("attempts", s.exchange.Sent()))
 	}
 	if failed.Sent {
--- a/daemon/edge/startup.go
+++ b/daemon/edge/startup.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/internal/pause"
-	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
 // This file decides how a daemon that has just started gets the content of the key-value service:
@@ -47,21 +45,13 @@
 		e.log.Note("registrations_unknown", decisions.F("error", err.Error()))
 		return
 	}
+	hadFormer := false
 	for _, entry := range entries {
-		e.handleRegistration(entry.Key, entry.Value)
+		hadFormer = e.handleRegistration(entry.Key, entry.Value) == e.settings.PeerAddress || hadFormer
 	}
 	e.tickPeers() // elects relays among those that are registered
-	former := slices.ContainsFunc(entries, func(entry kv.Entry) bool {
-		return registeredAddress(entry.Value) == e.settings.PeerAddress
-	})
-	e.newAtAddress.Store(!former && e.isDirect() && e.settings.Bounds.RetryWindow <= registrationTTL-registerInterval)
-}
-
-// isDirect reports whether all daemons of the fleet register, as far as this one knows.
-func (e *Edge) isDirect() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.relayPlan.Direct
+	// Only in a direct fleet do all daemons register.
+	e.newAtAddress.Store(!hadFormer && e.directMode.Load() && e.settings.Bounds.RetryWindow <= registrationTTL-registerInterval)
 }
 
 // waitForOthers waits until this daemon knows that the fleet has relays, or has heard of others and
--- a/soak/budget_test.go
+++ b/soak/budget_test.go
@@ -23,22 +23,16 @@
 	lateDeadlineShare = 0.2
 )
 
-// arrival is one arrival of a request at a runner.
-type arrival struct {
-	site.Arrival
-	runner *proxiedRunner
-}
-
 // arrivalsByRequest lists the arrivals of each request in their order.
-func (f *fleet) arrivalsByRequest() map[string][]arrival {
-	arrivals := map[string][]arrival{}
+func (f *fleet) arrivalsByRequest() map[string][]site.Arrival {
+	arrivals := map[string][]site.Arrival{}
 	for _, r := range f.allRunners() {
 		for _, one := range r.Arrivals() {
-			arrivals[one.ID] = append(arrivals[one.ID], arrival{one, r})
+			arrivals[one.ID] = append(arrivals[one.ID], one)
 		}
 	}
 	for _, list := range arrivals {
-		slices.SortFunc(list, func(a, b arrival) int { return a.At.Compare(b.At) })
+		slices.SortFunc(list, func(a, b site.Arrival) int { return a.At.Compare(b.At) })
 	}
 	return arrivals
 }
@@ -69,7 +63,7 @@
 	return fmt.Sprintf("%d repeats in %v, %.0f allowed", w.repeats, site.RetryWindow, w.allowed)
 }
 
-func (f *fleet) worstRepeatWindow(arrivals map[string][]arrival) repeatWindow {
+func (f *fleet) worstRepeatWindow(arrivals map[string][]site.Arrival) repeatWindow {
 	var sent, repeated []time.Time
 	for _, a := range f.attemptLog.byID {
 		sent = append(sent, a.sent)
@@ -141,7 +135,7 @@
 
 // lateDeadlines counts the arrivals of plain requests by which runners were told of more time than their callers had left,
 // and those by which they could have been. Requests during whose time a daemon was paused don't count.
-func (f *fleet) lateDeadlines(arrivals map[string][]arrival) (late, of int) {
+func (f *fleet) lateDeadlines(arrivals map[string][]site.Arrival) (late, of int) {
 	for _, a := range f.attemptLog.byID {
 		if a.stream || f.anyPaused(a) {
 			continue
--- a/soak/copies_test.go
+++ b/soak/copies_test.go
@@ -37,9 +37,7 @@
 		time.Sleep(age)
 		f.store.KV.SetFaults(kvserver.Faults{Outage: true})
 		var all sync.WaitGroup
-		for _, d := range f.daemons {
-			all.Go(func() { restartAfter(d, d.kill, down) })
-		}
+		all.Go(func() { f.killAll(down) })
 		time.Sleep(away)
 		f.store.ReturnFromCopy(copied)
 		f.store.KV.SetFaults(kvserver.Faults{})
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -91,13 +91,16 @@
 
 func killAll(rng *rand.Rand, _ int) fault {
 	down := durationBetween(rng, 0, time.Second)
-	return fault{description: fmt.Sprintf("kill all for %v", down), apply: func(f *fleet) {
-		var all sync.WaitGroup
-		for _, d := range f.daemons {
-			all.Go(func() { restartAfter(d, d.kill, down) })
-		}
-		all.Wait()
-	}}
+	return fault{description: fmt.Sprintf("kill all for %v", down), apply: func(f *fleet) { f.killAll(down) }}
+}
+
+// killAll kills all daemons and starts them again after a while.
+func (f *fleet) killAll(down time.Duration) {
+	var all sync.WaitGroup
+	for _, d := range f.daemons {
+		all.Go(func() { restartAfter(d, d.kill, down) })
+	}
+	all.Wait()
 }
 
 func rollingRestart(rng *rand.Rand, _ int) fault {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -35,6 +35,9 @@
 // cutsOff reports whether connections lose data or break. A delay loses nothing.
 func (l link) cutsOff() bool { return l != linkUp && l != delayed }
 
+// resets reports whether connections are reset.
+func (l link) resets() bool { return l == resetting || l == refusing }
+
 const linkDelay = 150 * time.Millisecond
 
 // linkState is the state of the link that some of a proxy's connections go over.
@@ -53,7 +56,7 @@
 		s.cutOff.begin()
 	}
 	s.mode.Store(int32(l))
-	if l == resetting || l == refusing {
+	if l.resets() {
 		s.resetAll()
 	}
 	if !l.cutsOff() {
@@ -209,7 +212,7 @@
 		s.add(client, server)
 		defer s.remove(client, server)
 	}
-	if slices.ContainsFunc(states, func(s *linkState) bool { return s.link() == resetting || s.link() == refusing }) {
+	if slices.ContainsFunc(states, func(s *linkState) bool { return s.link().resets() }) {
 		// Checked once the connection is in the list that a reset closes.
 		reset(client)
 		server.Close()
--- a/soak/storms_test.go
+++ b/soak/storms_test.go
@@ -178,9 +178,7 @@
 	return func(ctx context.Context, f *fleet) {
 		for ctx.Err() == nil {
 			time.Sleep(interval)
-			for _, d := range f.daemons {
-				f.calling.Go(func() { restartAfter(d, d.kill, 0) })
-			}
+			f.calling.Go(func() { f.killAll(0) })
 		}
 	}
 }
