--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -173,7 +173,6 @@
 	if budgetDaemons == p.budgetDaemons {
 		return
 	}
-	p.table.SetSamples(samplesFor(budgetDaemons))
 	perFirst, perSecond, burst := retry.BudgetShare(b.RetryRatio, b.RetrySlack, retryBudgetShare, b.RetryWindow, budgetDaemons)
 	first := p.budgetDaemons == 0
 	p.budgetDaemons = budgetDaemons
@@ -185,6 +184,13 @@
 		decisions.F("per_second", perSecond), decisions.F("most", burst), decisions.F("balance", p.retry.Balance()))
 }
 
+// setSamples sets how many random runners a choice considers in a fleet of the given size.
+func (p *pool) setSamples(daemons int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.SetSamples(samplesFor(daemons))
+}
+
 // samplesFor returns how many random runners a choice considers in addition to those that hold
 // the longest part of the prompt; zero means all. In a large fleet the daemons' knowledge of
 // each other's load is up to a second old. If they considered all runners, all daemons would
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -39,11 +39,13 @@
 	e.expireRunnerLimits()
 	e.expireRests()
 	e.failureCauses.expire(e.deps.Steady())
-	size := e.retryDaemons.Observe(e.deps.Steady(), e.fleetSize())
+	size := e.fleetSize()
+	retryDaemons := e.retryDaemons.Observe(e.deps.Steady(), size)
 	e.poolsMu.RLock()
 	defer e.poolsMu.RUnlock()
 	for _, p := range e.pools {
-		p.setRetryShare(e.settings.Bounds, size)
+		p.setSamples(size)
+		p.setRetryShare(e.settings.Bounds, retryDaemons)
 		p.tick(time.Now())
 		p.updateSpeeds(e.deps.Steady())
 		if e.settings.Policy.Uses(ProbeSilent) {
