--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -262,6 +262,7 @@
 // callBroke describes the failure of a call to a helper, which may have sent the request. If the
 // deadline has passed or the caller has left, nothing follows, so it is recorded at once.
 func (a *attempt) callBroke(ctx context.Context) *forward.FailedAttempt {
+	a.s.note("helper_lost", decisions.F("helper", a.helper), decisions.F("attempts", a.s.exchange.Sent()), decisions.F("after", time.Since(a.sent)))
 	if ctx.Err() == nil {
 		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
 	}
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -181,7 +181,8 @@
 		p.retry.Fill()
 	}
 	p.edge.log.Note("retry_share", decisions.F("service", p.name), decisions.F("daemons", budgetDaemons), decisions.F("per_request", perFirst),
-		decisions.F("per_second", perSecond), decisions.F("most", burst), decisions.F("balance", p.retry.Balance()))
+		decisions.F("per_second", perSecond), decisions.F("most", burst), decisions.F("balance", p.retry.Balance()),
+		decisions.F("new_at_address", p.edge.newAtAddress.Load()))
 }
 
 // setSamples sets how many random runners a choice considers in a fleet of the given size.
--- a/daemon/edge/request_counts.go
+++ b/daemon/edge/request_counts.go
@@ -8,6 +8,9 @@
 	"geraniumstack.org/geraniumstack/protocol/retry"
 )
 
+// lateRetry is how long after its charge to the budget a retry is logged that reaches its runner only then.
+const lateRetry = time.Second
+
 // requestCounts says what a request has been counted for already. A request counts once, however many runners are chosen
 // for it, refuse a connection or are denied to it, and however many daemons are asked to serve it.
 type requestCounts struct {
@@ -46,12 +49,22 @@
 
 // chargeRetry records that the budget was charged for the request's next attempt.
 func (s *requestHandler) chargeRetry() {
-	s.retryCharged = true
+	s.retryCharged, s.retryChargedAt = true, time.Now()
 	s.edge.log.Count("retry.charged")
 }
 
 // useRetry makes the attempt the one that the retry budget was charged for, if it was charged for one.
-func (a *attempt) useRetry() { a.isRetry, a.s.retryCharged = a.s.retryCharged, false }
+func (a *attempt) useRetry() {
+	s := a.s
+	if s.retryCharged {
+		age := time.Since(s.retryChargedAt)
+		s.edge.log.Time("retry.charge_age", age)
+		if age >= lateRetry {
+			s.note("retry_late", decisions.F("runner", a.runner()), decisions.F("helper", a.helper), decisions.F("charged_before", age))
+		}
+	}
+	a.isRetry, s.retryCharged = s.retryCharged, false
+}
 
 // returnRetry leaves what the attempt was charged for to the request's next one, since it has not reached a runner.
 func (a *attempt) returnRetry() {
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -80,8 +80,10 @@
 	// hedge is the one that looks for another answer at present; nil if none does.
 	hedge  *hedge
 	counts requestCounts
-	// retryCharged says that the retry budget was charged for an attempt that has not reached a runner yet.
-	retryCharged bool
+	// retryCharged says that the retry budget was charged for an attempt that has not reached a runner yet, retryChargedAt
+	// when.
+	retryCharged   bool
+	retryChargedAt time.Time
 	// usageCounted says that the request has been counted for the usage report.
 	usageCounted bool
 	// buffered is a runner's server error, which is passed on if no later attempt succeeds.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,6 +38,7 @@
 	length       = flag.Duration("length", 6*time.Second, "how long faults come in one seed")
 	daemons      = flag.Int("daemons", 4, "daemons of the fleet")
 	raceDetector = flag.Bool("detector", true, "build the program with the race detector")
+	daemonBinary = flag.String("daemon", "", "the program to play, such as one of an earlier commit; built if empty")
 	logDir       = flag.String("keep", "", "a directory for the daemons' logs of seeds that fail")
 )
 
@@ -51,8 +52,11 @@
 	recoverWithin = 12 * time.Second
 )
 
-// build compiles the program once for all seeds.
+// build compiles the program once for all seeds, unless one is given.
 var build = sync.OnceValues(func() (string, error) {
+	if *daemonBinary != "" {
+		return *daemonBinary, nil
+	}
 	dir, err := os.MkdirTemp("", "geraniumd")
 	if err != nil {
 		return "", err
@@ -72,7 +76,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	status := m.Run()
-	if binary, err := build(); err == nil {
+	if binary, err := build(); err == nil && *daemonBinary == "" {
 		os.RemoveAll(filepath.Dir(binary))
 	}
 	os.Exit(status)
