Play restarts with the settings of the first start, which break the retry budget

What callers see: none; runners get more repeats than the budget allows. A supervisor starts a process again with the settings that it had, in which bootstrap is still true, and the process begins with a full budget.

--- a/soak/storms_test.go
+++ b/soak/storms_test.go
@@ -28,6 +28,8 @@
 	// faults come in a share of the requests of each runner.
 	fault site.Fault
 	share float64
+	// firstStarts lets the settings say at each start that it is the fleet's first.
+	firstStarts bool
 	// disturb goes on until its context ends.
 	disturb func(ctx context.Context, f *fleet)
 }
@@ -52,6 +54,18 @@
 	}
 }
 
+// Guards against processes that start with a full retry budget because their settings say that the fleet has never served.
+func TestRestartsWithFirstSettingsDontRenewRetryBudget(t *testing.T) {
+	for name, disturb := range map[string]func(context.Context, *fleet){
+		"all":               killAllEvery(3 * time.Second),
+		"one after another": killInTurnEvery(400 * time.Millisecond),
+		"store away":        whileStoreIsAwayByTurns(killAllEvery(4 * time.Second)),
+	} {
+		s := storm{perSecond: 25, attempts: 4, fault: site.DropResponse, share: 0.8, firstStarts: true, disturb: disturb}
+		t.Run(name, s.play)
+	}
+}
+
 // play plays a storm and checks the budget.
 func (s storm) play(t *testing.T) {
 	t.Parallel()
@@ -65,7 +79,9 @@
 	}
 	defer f.close()
 	f.waitReady(10 * time.Second)
-	f.noteServed()
+	if !s.firstStarts {
+		f.noteServed()
+	}
 	s.setFaults(f)
 	ctx, cancel := context.WithTimeout(context.Background(), stormTime)
 	defer cancel()
@@ -183,6 +199,27 @@
 	}
 }
 
+// whileStoreIsAwayByTurns disturbs a fleet whose store resets its connections for a while and serves for a while.
+func whileStoreIsAwayByTurns(disturb func(context.Context, *fleet)) func(context.Context, *fleet) {
+	return func(ctx context.Context, f *fleet) {
+		f.calling.Go(func() {
+			for ctx.Err() == nil {
+				f.setStoreLinks(resetting)
+				time.Sleep(time.Second)
+				f.setStoreLinks(linkUp)
+				time.Sleep(3 * time.Second)
+			}
+		})
+		disturb(ctx, f)
+	}
+}
+
+func (f *fleet) setStoreLinks(l link) {
+	for _, d := range f.daemons {
+		d.storeProxy.set(l)
+	}
+}
+
 // killInTurnEvery kills one daemon after the other and starts it at once.
 func killInTurnEvery(interval time.Duration) func(context.Context, *fleet) {
 	return func(ctx context.Context, f *fleet) {
