Believe in a fleet's first start only what the key-value service confirms

What callers see: nothing; runners get more repeats than the budget allows, and workspaces more than their quota, where a supervisor starts processes again with the settings of the first start (bootstrap is still true).

Cause: the setting stood for 'nothing has been spent'. findFleet returned before it had read anything. Retry budgets and quotas began full at each start, and the versions of streams, the store's history and the demand for runners counted as known. Where the setting was false, the daemons' entries, which have a lease, stood for the same: they lapse while the service is away.

Change: a first start is confirmed by the service, once: it must have neither a key of a process at this address nor one that says that the fleet has served. Both have no lease. The right to begin with a full retry budget is taken from the service before it is used (first-starts/ADDRESS is created; a conflict, an error or a lost answer means that the budget begins empty). Everything else that used the setting asks firstStart. What isn't known counts as served.

TestRetryBudgetIsFullOnlyWhereNothingWasSpent expected a full budget 31 s after a kill, when the entry has lapsed. That is what lets an outage of the service renew a budget, so it is replaced by TestRetryBudgetIsFullOnlyAtFirstStart: full at the first start, as before, and at most one retry after each of six restarts, with either setting.

--- a/daemon/edge/directory.go
+++ b/daemon/edge/directory.go
@@ -29,10 +29,10 @@
 	position feed.Position
 	// historySince is when this daemon first had a copy of the service's present history; Never if
 	// that is the fleet's first one.
-	historySince     time.Duration
-	fleetNeverServed bool
-	incomplete       bool
-	justListed       bool
+	historySince time.Duration
+	firstStart   bool
+	incomplete   bool
+	justListed   bool
 	// snapshot collects the whole content from relays; nil if that isn't needed.
 	// snapshotProgressAt is when the last part of it arrived.
 	snapshot           *feed.Snapshot
@@ -64,8 +64,7 @@
 	leaseFreeSince time.Duration
 }
 
-func (f *directory) init(self ident.Incarnation, fleetNeverServed bool) {
-	f.fleetNeverServed = fleetNeverServed
+func (f *directory) init(self ident.Incarnation) {
 	f.changeLog = feed.NewLog(max(1, xxhash.Sum64String(string(self))))
 	f.currentAt = freshness.Never
 	f.revisions = map[string]kv.Revision{}
@@ -82,7 +81,7 @@
 	}
 	isFirst := f.position.At == 0
 	switch {
-	case isFirst && f.fleetNeverServed:
+	case isFirst && f.firstStart:
 		f.historySince = freshness.Never
 	case isFirst, kv.Revision(p.At).History() != kv.Revision(f.position.At).History():
 		f.historySince = now
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -184,8 +184,9 @@
 	healthCheckedAt time.Duration
 	// retryDaemons is the number of daemons that divide the retry budgets; only tickLoop uses it.
 	retryDaemons peers.LargestSize
-	// newAtAddress says that no former process at this daemon's address has ended lately.
-	newAtAddress atomic.Bool
+	// firstStart says that the fleet has never served, by the settings and by the key-value service. nothingSpent says
+	// that no process at this daemon's address has spent any retries before this one.
+	firstStart, nothingSpent atomic.Bool
 }
 
 const incarnationBytes = 6
@@ -219,7 +220,7 @@
 		usageLedger: accounting.NewLedger(self, accounting.Timing{
 			Length: settings.Bounds.UsageWindow, ReportWithin: settings.Bounds.UsageDue, SettleTime: accounting.SettleAfter,
 		}),
-		limiter: quota.New(now, settings.Bounds.QuotaWindow, settings.Bounds.QuotaTolerance, settings.FleetNeverServed),
+		limiter: quota.New(now, settings.Bounds.QuotaWindow, settings.Bounds.QuotaTolerance, false),
 		// Each daemon begins to send the usage counts of ended daemons after its own incarnation,
 		// so that all daemons together have sent those of all ended daemons within a few messages.
 		lastEndedSent:    self,
@@ -229,13 +230,13 @@
 	}
 	e.probing, e.stopProbes = context.WithCancel(context.Background())
 	e.ending, e.endRequests = context.WithCancel(context.Background())
-	e.dir.init(self, settings.FleetNeverServed)
+	e.dir.init(self)
 	e.trials.init()
 	e.reported.init()
 	e.grantRequests.init()
 	e.runnerLimits.init()
 	e.runnerSpeeds.init()
-	e.streams.init(now, settings.FleetNeverServed)
+	e.streams.init(now)
 	e.failureCauses.init()
 	e.rests.init()
 	e.fair.init()
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -106,6 +106,12 @@
 	return e.relayPlan.WatchesStore
 }
 
+// TakesFleetForNew waits until the daemon has found its fleet, and reports whether it considers this the fleet's first start.
+func (e *Edge) TakesFleetForNew() bool {
+	<-e.fleetFound
+	return e.firstStart.Load()
+}
+
 // RetryBalance returns the number of retries that the budget of a service allows at present.
 func (e *Edge) RetryBalance(service string) float64 {
 	p := e.pool(service)
--- a/daemon/edge/fleet.go
+++ b/daemon/edge/fleet.go
@@ -130,7 +130,7 @@
 		// It isn't known yet which version's runners would be given back.
 		d.Stops = nil
 	}
-	if !demand.Settled && (!f.edge.settings.FleetNeverServed || now < f.firstRunnerAt+registrationPeriod) {
+	if !demand.Settled && (!f.edge.firstStart.Load() || now < f.firstRunnerAt+registrationPeriod) {
 		d.Stops = nil
 	}
 	return d, w
--- a/daemon/edge/harness_test.go
+++ b/daemon/edge/harness_test.go
@@ -133,6 +133,13 @@
 	return w.daemons[i]
 }
 
+// restartAsFirst is like restart, but the daemon's settings say that its fleet has never served.
+func (w *testFleet) restartAsFirst(i int) *daemon {
+	w.servedBefore = false
+	w.daemons[i] = w.startDaemon(i)
+	return w.daemons[i]
+}
+
 // startDaemon starts the daemon with index i.
 func (w *testFleet) startDaemon(i int) *daemon {
 	address := peerAddress(i)
--- a/daemon/edge/placements.go
+++ b/daemon/edge/placements.go
@@ -169,5 +169,5 @@
 // homes, the runners that a hash of their shared parts selects. It returns false if the policy
 // doesn't use TrustHomes, and if the fleet has never served, since nothing is cached then.
 func (p *pool) recentlyRestarted() bool {
-	return p.edge.settings.Policy.Uses(TrustHomes) && !p.edge.settings.FleetNeverServed && p.edge.deps.Steady()-p.edge.startedAt < cacheLearningPeriod
+	return p.edge.settings.Policy.Uses(TrustHomes) && !p.edge.firstStart.Load() && p.edge.deps.Steady()-p.edge.startedAt < cacheLearningPeriod
 }
--- a/daemon/edge/pool.go
+++ b/daemon/edge/pool.go
@@ -86,8 +86,10 @@
 	// offeredTokens counts the uncached prompt tokens that callers of this service brought to
 	// this daemon since it started.
 	offeredTokens float64
-	// budgetDaemons is the number of daemons among which the retry budget is divided.
+	// budgetDaemons is the number of daemons among which the retry budget is divided. budgetFilled says that it was
+	// filled, which is done once at most.
 	budgetDaemons int
+	budgetFilled  bool
 	// demand estimates the number of runners needed from samples of work; work is the latest
 	// sample. countedOfferedTokens is the part of offeredTokens that came while this daemon was
 	// a relay. The part that came while it was a follower is left out because it is included in
@@ -118,7 +120,7 @@
 		activities:   map[ident.RunnerID]*activity{},
 		prefillModel: prefill.New(firstPrefillRate),
 		serviceTime:  servicetime.New(initialServiceTime),
-		demand:       fleet.NewDemand(demandConfig(e.settings.Policy), e.settings.FleetNeverServed),
+		demand:       fleet.NewDemand(demandConfig(e.settings.Policy), e.firstStart.Load()),
 		spill:        newPoolSpillover(e),
 	}
 }
@@ -170,19 +172,21 @@
 func (p *pool) setRetryShare(b Bounds, budgetDaemons int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if budgetDaemons == p.budgetDaemons {
+	// A pool that is new to a daemon which has run for a window hasn't spent anything in it either.
+	fills := !p.budgetFilled && (p.edge.nothingSpent.Load() || p.budgetDaemons == 0 && p.edge.deps.Steady()-p.edge.startedAt >= b.RetryWindow)
+	if budgetDaemons == p.budgetDaemons && !fills {
 		return
 	}
 	perFirst, perSecond, burst := retry.BudgetShare(b.RetryRatio, b.RetrySlack, retryBudgetShare, b.RetryWindow, budgetDaemons)
-	first := p.budgetDaemons == 0
 	p.budgetDaemons = budgetDaemons
 	p.retry.SetBudget(time.Now(), perFirst, perSecond, burst)
-	if first && (p.edge.newAtAddress.Load() || p.edge.deps.Steady()-p.edge.startedAt >= b.RetryWindow) {
+	if fills {
+		p.budgetFilled = true
 		p.retry.Fill()
 	}
 	p.edge.log.Note("retry_share", decisions.F("service", p.name), decisions.F("daemons", budgetDaemons), decisions.F("per_request", perFirst),
 		decisions.F("per_second", perSecond), decisions.F("most", burst), decisions.F("balance", p.retry.Balance()),
-		decisions.F("new_at_address", p.edge.newAtAddress.Load()))
+		decisions.F("filled", fills))
 }
 
 // setSamples sets how many random runners a choice considers in a fleet of the given size.
--- a/daemon/edge/registration.go
+++ b/daemon/edge/registration.go
@@ -16,9 +16,7 @@
 
 const (
 	// registrationTTL is the life of a daemon's entry, which serves daemons that can't reach any
-	// seed, and tells a process that starts whether a former one at its address has ended lately.
-	// It is long enough that single failed calls don't remove the entry, and less registerInterval
-	// it is longer than the window of the retry budget.
+	// seed. It is long enough that single failed calls don't remove the entry.
 	registrationTTL = 30 * time.Second
 	// registerInterval renews the entry several times during its life.
 	registerInterval = 10 * time.Second
@@ -38,6 +36,7 @@
 		return
 	}
 	var own ownRegistration
+	var served servedRecord
 	for {
 		interval := registerCheckInterval
 		if e.shouldRegister() {
@@ -45,6 +44,7 @@
 			if err := e.register(callCtx, &own); err != nil && ctx.Err() == nil {
 				e.log.Note("registration_failed", decisions.F("error", err.Error()))
 			}
+			served.write(callCtx, e)
 			cancel()
 			interval = registerInterval
 			if e.deps.Steady()-e.startedAt < registerInterval {
@@ -144,12 +144,12 @@
 }
 
 // handleRegistration adds a daemon to the peer table by its entry. The entry may outlive the
-// daemon. It returns the daemon's peer address; empty if the entry is invalid.
-func (e *Edge) handleRegistration(key string, value []byte) string {
+// daemon.
+func (e *Edge) handleRegistration(key string, value []byte) {
 	var r registration
 	if err := json.Unmarshal(value, &r); err != nil {
 		e.log.Note("registration_ignored", decisions.F("key", key), decisions.F("reason", err.Error()))
-		return ""
+		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -158,5 +158,4 @@
 		ID: r.ID, Incarnation: r.Incarnation, FailureDomain: r.FailureDomain,
 		CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress, Phase: peers.Starting, Started: r.StartedMillis,
 	}})
-	return r.PeerAddress
 }
--- a/daemon/edge/retry_share_test.go
+++ b/daemon/edge/retry_share_test.go
@@ -26,23 +26,59 @@
 	})
 }
 
-// Guards against processes that start with a retry budget that their former lives have spent, and against fleets whose
-// first failures reach their callers though nothing was spent.
-func TestRetryBudgetIsFullOnlyWhereNothingWasSpent(t *testing.T) {
+// Guards against fleets whose first failures reach their callers though nothing was spent, and against processes that
+// start with a retry budget that their former lives may have spent, whatever their settings say.
+func TestRetryBudgetIsFullOnlyAtFirstStart(t *testing.T) {
 	withFleet(t, 2, config(1), func(w *testFleet) {
 		const full = 0.85 * 50 / 2 / 2
 		w.addServingRunner("r1")
 		w.Equal(w.daemons[0].RetryBalance("app"), full)
-		for _, c := range []struct {
-			down time.Duration
-			most float64
-		}{{0, 1}, {5 * time.Second, 1}, {31 * time.Second, full}} {
-			w.daemons[0].kill()
-			time.Sleep(c.down)
-			d := w.restart(0)
-			time.Sleep(500 * time.Millisecond)
-			w.True(d.RetryBalance("app") <= c.most)
+		for _, down := range []time.Duration{0, 5 * time.Second, 31 * time.Second} {
+			for _, start := range []func(int) *daemon{w.restart, w.restartAsFirst} {
+				w.daemons[0].kill()
+				time.Sleep(down)
+				d := start(0)
+				time.Sleep(500 * time.Millisecond)
+				w.True(d.RetryBalance("app") <= 1)
+			}
 		}
-		w.Equal(w.daemons[0].RetryBalance("app"), full)
+	})
+}
+
+// Guards against processes that start with a full retry budget since the entry of their former life has lapsed with the
+// key-value service away.
+func TestOutageOfStoreDoesntRenewRetryBudget(t *testing.T) {
+	for name, start := range map[string]func(*testFleet, int) *daemon{"later start": (*testFleet).restart, "first start": (*testFleet).restartAsFirst} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 2, config(1), func(w *testFleet) {
+				w.addServingRunner("r1")
+				for _, d := range w.daemons {
+					d.store.setFaults(true, false)
+				}
+				time.Sleep(35 * time.Second)
+				for i, d := range w.daemons {
+					d.kill()
+					start(w, i)
+				}
+				time.Sleep(500 * time.Millisecond)
+				for _, d := range w.daemons {
+					w.True(d.RetryBalance("app") <= 1)
+				}
+			})
+		})
+	}
+}
+
+// Guards against daemons that begin with a full retry budget although the key-value service has not recorded that they did.
+func TestRetryBudgetIsEmptyWhereFirstStartIsNotRecorded(t *testing.T) {
+	withFleet(t, 0, config(1), func(w *testFleet) {
+		w.addServingRunner("r1")
+		w.storeUnavailable = true
+		d := w.addDaemon()
+		time.Sleep(2 * time.Second)
+		d.store.setFaults(false, false)
+		time.Sleep(2 * time.Second)
+		w.Equal(w.ask(d, "/read/1", key).status, 200)
+		w.True(d.RetryBalance("app") <= 2*0.85*50/2/10+1)
 	})
 }
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -119,7 +119,7 @@
 // resetLimiter creates a new quota limiter when this daemon becomes one of the relays that share
 // the quotas, since the state of an earlier such period is out of date.
 func (e *Edge) resetLimiter(now time.Duration) {
-	first := e.settings.FleetNeverServed && now-e.startedAt < firstStartPeriod
+	first := e.firstStart.Load() && now-e.startedAt < firstStartPeriod
 	e.limiter = quota.New(now, e.settings.Bounds.QuotaWindow, e.settings.Bounds.QuotaTolerance, first)
 	if t := e.table.Load(); t != nil {
 		e.limiter.SetLimits(now, limitsOf(t))
--- a/daemon/edge/startup.go
+++ b/daemon/edge/startup.go
@@ -30,14 +30,13 @@
 // findFleet finds out how large the fleet is, before this daemon reads the key-value service. In
 // a large fleet it gets the content from relays instead. At the first start of all no daemon is
 // registered yet, but there is time to hear from others.
-//
-// It also finds out whether a former process at this daemon's address may have run lately.
 func (e *Edge) findFleet(ctx context.Context) {
-	if e.settings.FleetNeverServed {
-		e.newAtAddress.Store(true)
+	if e.settings.FleetNeverServed && e.confirmFirstStart(ctx) {
+		e.assumeFirstStart()
 		if len(e.settings.Seeds) > 0 {
 			e.waitForOthers(ctx)
 		}
+		e.claimFullBudget(ctx)
 		return
 	}
 	entries, err := e.deps.Store.List(ctx, daemonPrefix, "", maxEntries)
@@ -45,13 +44,10 @@
 		e.log.Note("registrations_unknown", decisions.F("error", err.Error()))
 		return
 	}
-	hadFormer := false
 	for _, entry := range entries {
-		hadFormer = e.handleRegistration(entry.Key, entry.Value) == e.settings.PeerAddress || hadFormer
+		e.handleRegistration(entry.Key, entry.Value)
 	}
 	e.tickPeers() // elects relays among those that are registered
-	// Only in a direct fleet do all daemons register.
-	e.newAtAddress.Store(!hadFormer && e.directMode.Load() && e.settings.Bounds.RetryWindow <= registrationTTL-registerInterval)
 }
 
 // waitForOthers waits until this daemon knows that the fleet has relays, or has heard of others and
--- a/daemon/edge/stream_versions.go
+++ b/daemon/edge/stream_versions.go
@@ -50,15 +50,22 @@
 	observedAt time.Duration
 }
 
-func (v *streamVersions) init(now time.Duration, complete bool) {
+func (v *streamVersions) init(now time.Duration) {
 	v.records = streamversion.NewRecords()
-	v.history = streamversion.NewHistory(now, complete)
+	v.history = streamversion.NewHistory(now, false)
 	v.asks.init()
 	v.sends.init()
 	v.saver.init()
 	v.observedAt = now
 }
 
+// assumeComplete records that there have been no streams before this daemon's start.
+func (v *streamVersions) assumeComplete(startedAt time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.history = streamversion.NewHistory(startedAt, true)
+}
+
 func (v *streamVersions) get(now time.Duration, s streamversion.Stream) (canary.Version, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -74,8 +74,9 @@
 	PeerAddress string
 	// Seeds are peer addresses of other daemons; they may be out of date.
 	Seeds []string
-	// FleetNeverServed says that no daemon of this fleet has ever served a request, so that no
-	// quota has been used and no runner has any prompt cached.
+	// FleetNeverServed claims that no daemon of this fleet has ever served a request, so that no
+	// quota has been used and no runner has any prompt cached. The key-value service has to confirm it, since a
+	// process may be started again with the settings of the first start.
 	FleetNeverServed bool
 	Bounds           Bounds
 	Policy           Policy
