--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -77,8 +77,9 @@
 	isRetry bool
 	// helper is the daemon that serves the request in place of a runner, and helperBody its answer; empty
 	// otherwise.
-	helper     ident.DaemonID
-	helperBody *helperBody
+	helper      ident.DaemonID
+	helperBody  *helperBody
+	helperSends helperSends
 	// connected says that there is a connection to the runner, so that the request may be sent. incarnation is the
 	// one that the runner at the other end has said it is; empty if it wasn't asked or didn't say.
 	connected   atomic.Bool
@@ -342,6 +343,7 @@
 		return false
 	}
 	a.useRetry()
+	a.s.tellAttempt()
 	// From here on a hedge may use the request's state.
 	a.connected.Store(true)
 	a.beginWait()
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -158,7 +158,10 @@
 // none may. If the helper has sent it to runners, another one may only as after a failure here, which is returned.
 func (a *attempt) handleRefusal(helper *peers.Member, r *helperRefusalError) (failed *forward.FailedAttempt, final bool) {
 	s := a.s
-	a.counted = s.recordHelper(r)
+	s.counts.offered = s.counts.offered || r.counts.offered
+	s.counts.dispatched = s.counts.dispatched || r.counts.dispatched
+	a.helperSends.told.Store(uint32(r.attempts))
+	a.countHelperSends()
 	if !a.counted {
 		a.returnRetry()
 	}
@@ -180,9 +183,10 @@
 	a.s.edge.helperCalls.begin(a, helper)
 	// A hedge may change the request's state once the wait has begun.
 	request := encodeDelegated(a.s)
+	a.helperSends.before = request.Attempts
 	a.useRetry()
 	a.beginWait()
-	answer, err := a.s.edge.callHelper(callCtx, helper.PeerAddress, request)
+	answer, err := a.s.edge.callHelper(callCtx, helper.PeerAddress, request, &a.helperSends)
 	var refusedBy *helperRefusalError
 	received := err == nil || errors.As(err, &refusedBy)
 	if received {
@@ -262,22 +266,9 @@
 // callBroke describes the failure of a call to a helper, which may have sent the request. If the
 // deadline has passed or the caller has left, nothing follows, so it is recorded at once.
 func (a *attempt) callBroke(ctx context.Context) *forward.FailedAttempt {
-	a.s.note("helper_lost", decisions.F("helper", a.helper), decisions.F("attempts", a.s.exchange.Sent()), decisions.F("after", time.Since(a.sent)))
 	if ctx.Err() == nil {
 		return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
 	}
 	a.recordInterrupted()
 	return &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true}
 }
-
-// recordHelper records what a helper has done with the request that it has refused, and reports whether that has sent it
-// to a runner.
-func (s *requestHandler) recordHelper(r *helperRefusalError) bool {
-	s.counts.offered = s.counts.offered || r.counts.offered
-	s.counts.dispatched = s.counts.dispatched || r.counts.dispatched
-	if r.attempts <= s.exchange.Sent() {
-		return false
-	}
-	s.exchange.Continue(r.attempts, s.exchange.MayHaveRun())
-	return true
-}
--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -148,6 +148,7 @@
 	s.note("hedged", decisions.F("runner", a.choice.Runner), decisions.F("why", h.why), decisions.F("begun", a.begun),
 		decisions.F("events", a.eventCount()), decisions.F("heard", time.Since(time.Unix(0, a.activity.lastHeard.Load()))))
 	s.edge.log.Count("hedged." + string(h.why))
+	a.countHelperSends()
 	failed := &failedAttempt{forward.FailedAttempt{Reason: retry.Silent, MayHaveRun: true, Sent: true, Counted: a.counted}, a}
 	if h.why == noProbeAnswered {
 		a.recordRunnerFailure(ctx, &failed.FailedAttempt)
--- /dev/null
+++ b/daemon/edge/helper_attempts_test.go
@@ -0,0 +1,84 @@
+package edge_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"geraniumstack.org/geraniumstack/daemon/edge"
+)
+
+// helperAttempts is the number of runners to which a request of these tests may be sent.
+const helperAttempts = 3
+
+// withFailingRunners runs a test with a daemon that reaches no runner, two others that serve its requests, and runners
+// that answer by a script, whose arrivals are counted.
+func withFailingRunners(t *testing.T, script func(context.Context, *edge.Attempt) (*edge.Answer, error), f func(w *testFleet, arrivals func() int)) {
+	withFleet(t, 3, tenSecondConfig(helperAttempts), func(w *testFleet) {
+		var runners []*runner
+		for i := range 8 {
+			runners = append(runners, w.addServingRunner(fmt.Sprintf("r%d", i)))
+		}
+		time.Sleep(time.Second)
+		w.cutOff(w.daemons[0])
+		before := 0
+		for _, r := range runners {
+			before += r.count()
+			r.setScript(script)
+		}
+		f(w, func() int {
+			n := -before
+			for _, r := range runners {
+				n += r.count()
+			}
+			return n
+		})
+	})
+}
+
+// Guards against requests that reach more runners than their route allows since the daemon that served them for another
+// one ends after two of them have failed.
+func TestLostHelperCountsForAttempts(t *testing.T) {
+	const runnerFailsAfter = 300 * time.Millisecond
+	withFailingRunners(t, func(ctx context.Context, attempt *edge.Attempt) (*edge.Answer, error) {
+		attempt.Connected()
+		pauseFor(ctx, runnerFailsAfter)
+		return nil, brokenSend()
+	}, func(w *testFleet, arrivals func() int) {
+		answered := make(chan *recordedReply, 1)
+		go func() { answered <- w.ask(w.daemons[0], "/read/1", key) }()
+		for arrivals() < 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		helper := w.daemons[1]
+		if w.daemons[2].InFlight() > 0 {
+			helper = w.daemons[2]
+		}
+		helper.kill()
+		<-answered
+		w.True(arrivals() <= helperAttempts)
+	})
+}
+
+// Guards against streams that reach more runners than their route allows since a helper has tried all of them, and the
+// daemon that it served them for goes on.
+func TestBrokenStreamOfHelperCountsForAttempts(t *testing.T) {
+	withFailingRunners(t, func(_ context.Context, attempt *edge.Attempt) (*edge.Answer, error) {
+		attempt.Connected()
+		next := 1
+		if attempt.LastEventID != "" {
+			if _, err := fmt.Sscan(attempt.LastEventID, &next); err != nil {
+				return nil, errors.New("bad event ID")
+			}
+			next++
+		}
+		return eventAnswer(eventText(next, next), io.ErrUnexpectedEOF), nil
+	}, func(w *testFleet, arrivals func() int) {
+		w.ask(w.daemons[0], "/draft/1", key)
+		t.Logf("%d arrivals", arrivals())
+		w.True(arrivals() <= helperAttempts)
+	})
+}
--- a/daemon/edge/helper_call.go
+++ b/daemon/edge/helper_call.go
@@ -31,8 +31,9 @@
 	counts   requestCounts
 }
 
-// callHelper sends the request to another daemon and returns its answer once it begins.
-func (e *Edge) callHelper(ctx context.Context, address string, request *delegationv1.ServeRequest) (*Answer, error) {
+// callHelper sends the request to another daemon and returns its answer once it begins. It records in sends what the
+// daemon tells of its sends.
+func (e *Edge) callHelper(ctx context.Context, address string, request *delegationv1.ServeRequest, sends *helperSends) (*Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	client := delegationv1connect.NewDelegationServiceClient(e.deps.Delegation, "http://"+address, connect.WithReadMaxBytes(maxHelperPartBytes))
 	stream, err := client.Serve(ctx, connect.NewRequest(request))
@@ -40,7 +41,7 @@
 		cancel()
 		return nil, err
 	}
-	body := &helperBody{stream: stream, cancel: cancel}
+	body := &helperBody{stream: stream, cancel: cancel, sends: sends}
 	part, err := body.next()
 	if err != nil {
 		body.Close()
@@ -81,6 +82,7 @@
 type helperBody struct {
 	stream *connect.ServerStreamForClient[delegationv1.ServeResponse]
 	cancel context.CancelFunc
+	sends  *helperSends
 	rest   []byte
 	done   bool
 	// streamVersion is the software version of the runner that made the stream's events.
@@ -92,8 +94,12 @@
 
 // next returns the next part of the answer.
 func (b *helperBody) next() (*delegationv1.ServeResponse, error) {
-	if b.stream.Receive() {
-		return b.stream.Msg(), nil
+	for b.stream.Receive() {
+		part := b.stream.Msg()
+		if part.Attempts == 0 {
+			return part, nil
+		}
+		b.sends.told.Store(part.Attempts)
 	}
 	if err := b.stream.Err(); err != nil {
 		return nil, err
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -165,10 +165,14 @@
 
 // failed describes the failure of the attempt, and records what it says of the runner.
 func (a *attempt) failed(failure *forward.FailedAttempt) *failedAttempt {
-	failure.Counted = a.counted
 	if a.helper != "" {
+		a.countHelperSends()
+		failure.Counted = a.counted
+		a.s.note("helper_failed", decisions.F("helper", a.helper), decisions.F("reason", failure.Reason), decisions.F("told", a.helperSends.told.Load()),
+			decisions.F("attempts", a.s.exchange.Sent()), decisions.F("after", time.Since(a.sent)))
 		return &failedAttempt{FailedAttempt: *failure}
 	}
+	failure.Counted = a.counted
 	if a.s.isEnding() {
 		// The connection check could outlast the process.
 		return &failedAttempt{*failure, a}
--- a/protocol/forward/exchange.go
+++ b/protocol/forward/exchange.go
@@ -114,6 +114,9 @@
 	return x.finalRefusal(refusal.DeadlineExceeded, "no answer in time")
 }
 
+// RecordSent records sends to a number of runners that another daemon has made.
+func (x *Exchange) RecordSent(runners int) { x.sent += runners }
+
 // RecordInterrupted records an attempt that this side cut off after the
 // request was sent.
 func (x *Exchange) RecordInterrupted() {
