Let a runner's failures count in the choice, and spread requests evenly over equal runners

What callers see: where half of the runners of a service fail at once while their probes are good, nearly all requests fail, though the other half is idle.

Cause: nothing of a runner's failures counts in the choice once a third of the runners is ejected, and a runner that fails within a millisecond is always idle. Ties went to the first slot from a random one of 256 on, so with ten runners nearly all went to the first slot.

Change: health.Tracker keeps for each runner the chance that its next request isn't served, by failures and rejections; a choice adds it times a second to the expected time, also in a relay's recommendations and for other failure domains. It is forgotten within seconds, later after several failures in a row.

--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -35,8 +35,10 @@
 
 // Outcomes of calls.
 const (
-	// Success is any answer, including a refusal for lack of capacity.
+	// Success is an answer.
 	Success Outcome = "success"
+	// Rejection is a refusal for lack of capacity. The runner is sound, but it hasn't served the request.
+	Rejection Outcome = "rejection"
 	// Failure is a failed connection or an internal error of the runner.
 	Failure Outcome = "failure"
 	// SilentConnection is a connection on which nothing arrives. A device on the network
@@ -104,6 +106,7 @@
 	windowEnd           time.Time
 	phaseEnd            time.Time
 	ejectionDuration    time.Duration
+	outcomes            outcomes
 }
 
 // Tracker tracks the health of one service's runners. It is not safe for concurrent use.
@@ -143,7 +146,13 @@
 // HandleOutcome processes the outcome of a call and appends the resulting effects to dst.
 func (t *Tracker) HandleOutcome(now time.Time, id ident.RunnerID, o Outcome, dst []Effect) []Effect {
 	r, ok := t.runners[id]
-	if !ok || r.isEjected() {
+	if !ok {
+		return dst
+	}
+	if o != SilentConnection {
+		r.outcomes.add(now, o == Success)
+	}
+	if r.isEjected() {
 		return dst
 	}
 	if o == SilentConnection {
--- a/coordination/routing/candidates.go
+++ b/coordination/routing/candidates.go
@@ -14,7 +14,7 @@
 type Candidate struct {
 	Runner ident.RunnerID
 	// IdleEstimate is the time to first token to expect if the runner had no other requests, with the
-	// cost of its pause risk for the request.
+	// costs of its pause risk for the request and of the chance that it doesn't serve it.
 	IdleEstimate time.Duration
 	// Uncached is the number of prompt tokens that the runner would have to compute.
 	Uncached int
@@ -40,7 +40,7 @@
 	for _, i := range slots[:min(n, len(slots))] {
 		list = append(list, Candidate{
 			Runner:       t.slots[i].runner.ID,
-			IdleEstimate: secondsToDuration(t.scores[i].remotePenalty + float64(t.uncached(i, r))*t.scores[i].prefillSecondsPerToken + r.PauseWeight*t.scores[i].pauseRisk),
+			IdleEstimate: secondsToDuration(t.scores[i].remotePenalty + float64(t.uncached(i, r))*t.scores[i].prefillSecondsPerToken + t.scores[i].failureCost + r.PauseWeight*t.scores[i].pauseRisk),
 			Uncached:     max(1, r.PromptTokens-t.cachedTokens(i, r)),
 		})
 	}
@@ -59,6 +59,9 @@
 	return secondsToDuration(s.batchWait + (s.queuedTokens+float64(tokens))*s.prefillSecondsPerToken), true
 }
 
+// unlikelyToServe is the chance of a failure from which on a runner isn't taken on another gateway's recommendation.
+const unlikelyToServe = 0.5
+
 // maxEstimate caps estimates so that their conversion from seconds to a Duration can't
 // overflow.
 const maxEstimate = time.Hour
@@ -68,10 +71,11 @@
 }
 
 // PickCandidate returns the Choice for a runner that the caller selected among the
-// candidates. It returns false if the runner is no longer in the table or is excluded.
+// candidates. It returns false if the runner is no longer in the table, is excluded or is likely not to
+// serve the request.
 func (t *Table) PickCandidate(id ident.RunnerID, r *Request) (Choice, bool) {
 	i, ok := t.byID[id]
-	if !ok || r.Exclude.Has(i) || !t.live.Has(i) {
+	if !ok || r.Exclude.Has(i) || !t.live.Has(i) || t.slots[i].failureChance >= unlikelyToServe {
 		return Choice{}, false
 	}
 	t.matchPrefix(r)
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -47,8 +47,11 @@
 type Choice struct {
 	Runner  ident.RunnerID
 	Address string
-	// Estimate is the expected time to first token, without Request.PauseWeight.
+	// Estimate is the expected time to first token, without Request.PauseWeight and FailureCost.
 	Estimate time.Duration
+	// FailureChance is the chance that the runner doesn't serve the request, FailureCost its cost.
+	FailureChance float64
+	FailureCost   time.Duration
 	// CachedBlocks is the number of elements of Prefix that the runner is expected to
 	// have cached.
 	CachedBlocks int
@@ -145,16 +148,18 @@
 		uncached = max(1, r.PromptTokens-r.SharedTokens)
 	}
 	return Choice{
-		FetchFrom:    from,
-		Runner:       s.runner.ID,
-		Address:      s.runner.Address,
-		Estimate:     time.Duration(estimate * float64(time.Second)),
-		CachedBlocks: t.cachedBlocks(i),
-		Uncached:     uncached,
-		QueuedAhead:  int(t.scores[i].queuedTokens),
-		Running:      s.requestsInProgress(t.scores[i].inFlight),
-		slot:         i,
-		epoch:        s.epoch,
+		FetchFrom:     from,
+		Runner:        s.runner.ID,
+		Address:       s.runner.Address,
+		Estimate:      time.Duration(estimate * float64(time.Second)),
+		FailureChance: s.failureChance,
+		FailureCost:   secondsToDuration(t.scores[i].failureCost),
+		CachedBlocks:  t.cachedBlocks(i),
+		Uncached:      uncached,
+		QueuedAhead:   int(t.scores[i].queuedTokens),
+		Running:       s.requestsInProgress(t.scores[i].inFlight),
+		slot:          i,
+		epoch:         s.epoch,
 	}
 }
 
@@ -234,12 +239,7 @@
 // SetSamples changes how many random candidates a choice considers; see Config.Samples.
 func (t *Table) SetSamples(n int) { t.cfg.Samples = n }
 
-func (t *Table) random(from prefix.Set) int {
-	for skip := t.rng.IntN(from.Len()); skip > 0; skip-- {
-		from = from.Without(from.First())
-	}
-	return from.First()
-}
+func (t *Table) random(from prefix.Set) int { return from.At(t.rng.IntN(from.Len())) }
 
 // withinLoadBound removes runners that have far more of this gateway's requests than
 // the mean, regardless of their reports: a runner with a late or wrong report would
@@ -266,24 +266,48 @@
 }
 
 // fastest fills in the candidates' estimates and returns the slot with the lowest one.
-// Ties go to the first slot from a random position on, so that gateways don't all choose
-// the same one of several equal runners.
 func (t *Table) fastest(candidates prefix.Set, r *Request, estimates *[MaxRunners]float64) int {
-	tieBreak := t.rng.IntN(MaxRunners)
-	best := -1
+	var ties prefix.Set
+	lowest := math.Inf(1)
 	for i := range candidates.All() {
 		estimates[i] = t.estimate(i, r)
-		if best < 0 || estimates[i] < estimates[best] || estimates[i] == estimates[best] && best < tieBreak && i >= tieBreak {
-			best = i
+		switch {
+		case estimates[i] < lowest:
+			lowest = estimates[i]
+			ties = prefix.Set{}.With(i)
+		case estimates[i] == lowest:
+			ties = ties.With(i)
+		}
+	}
+	return t.breakTie(ties, r)
+}
+
+// breakTie returns one of several slots that are equally good for a request. A prompt goes where others that begin alike
+// go, also before it is known which parts they share; all else is spread evenly.
+func (t *Table) breakTie(ties prefix.Set, r *Request) int {
+	if len(r.Prefix) == 0 || t.cfg.IgnorePrefix {
+		return t.random(ties)
+	}
+	return t.rendezvous(uint64(r.Prefix[0]), ties)
+}
+
+// rendezvous returns the slot of a set with the highest rendezvous hash of a key and the slot's runner; noHome if the set is
+// empty.
+func (t *Table) rendezvous(key uint64, from prefix.Set) int {
+	best, bestHash := noHome, uint64(0)
+	for i := range from.All() {
+		if h := mix(key ^ t.slots[i].hash); best == noHome || h > bestHash {
+			best, bestHash = i, h
 		}
 	}
 	return best
 }
 
-// estimate returns the seconds by which runners are compared: the expected time to first token
-// and the cost of the risk that the stream pauses for too long.
+// estimate returns the seconds by which runners are compared: the expected time to first token,
+// the cost of the risk that the stream pauses for too long and that of the chance that the runner doesn't serve the
+// request.
 func (t *Table) estimate(i int, r *Request) float64 {
-	return t.firstToken(i, r) + r.PauseWeight*t.scores[i].pauseRisk
+	return t.firstToken(i, r) + t.scores[i].failureCost + r.PauseWeight*t.scores[i].pauseRisk
 }
 
 // firstToken returns the expected time to first token in seconds: the prefill time of the
@@ -350,13 +374,7 @@
 	if !t.index.Holders(r.Shared).And(known).Empty() {
 		return noHome
 	}
-	best, bestHash := noHome, uint64(0)
-	for i := range from.All() {
-		if h := mix(uint64(r.Shared) ^ t.slots[i].hash); best == noHome || h > bestHash {
-			best, bestHash = i, h
-		}
-	}
-	return best
+	return t.rendezvous(uint64(r.Shared), from)
 }
 
 // TrustHomes sets whether a shared prefix that no runner is known to hold counts as
--- a/coordination/routing/score.go
+++ b/coordination/routing/score.go
@@ -64,6 +64,8 @@
 	priceRisk float64
 	// pauseRisk is the probability that a stream at the runner pauses for too long.
 	pauseRisk float64
+	// failureCost is the cost in seconds of slot.failureChance.
+	failureCost float64
 }
 
 // SetPauseRisks sets each runner's probability that a stream there pauses for too long; see
@@ -74,6 +76,15 @@
 	}
 }
 
+// SetFailureChance sets the chance that a runner doesn't serve a request, from 0 to 1. It is zero for runners that are added
+// later.
+func (t *Table) SetFailureChance(id ident.RunnerID, chance float64) {
+	if i, ok := t.byID[id]; ok {
+		t.slots[i].failureChance = chance
+		t.scores[i].failureCost = chance * t.cfg.FailureCost.Seconds()
+	}
+}
+
 // sumChangesSinceReport recomputes the sums of this gateway's load changes after the AsOf time of
 // the last report of slot i.
 func (t *Table) sumChangesSinceReport(i int) {
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -51,6 +51,9 @@
 	// RemotePenalty is added to the expected time to first token of a runner in
 	// another failure domain.
 	RemotePenalty time.Duration
+	// FailureCost is the time that a request which its runner doesn't serve is worth. A choice adds it, times the
+	// chance of that, to the expected time to first token.
+	FailureCost time.Duration
 	// PriceWeight weighs a runner's price against the probability that its VM is reclaimed
 	// during a long request. The risk of a runner is that probability plus
 	// PriceWeight*price/(highest price in the table).
@@ -78,6 +81,7 @@
 		Samples:           2,
 		LoadBound:         2,
 		RemotePenalty:     4 * time.Millisecond,
+		FailureCost:       time.Second,
 		PriceWeight:       0.005,
 		PrefillRate:       8000,
 		DecodeRate:        50,
@@ -116,6 +120,8 @@
 	kvSinceReport       float64
 	requestsSinceReport int
 	hazard              float64
+	// failureChance is the chance that the runner doesn't serve a request.
+	failureChance float64
 }
 
 // modelKey identifies a model or, if adapter is not empty, one of its adapters.
--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -132,7 +132,7 @@
 	a.priority = s.enginePriority()
 	a.recordShareDispatch()
 	s.note("dispatched", decisions.F("runner", choice.Runner), decisions.F("version", a.entry.Version), decisions.F("estimate", choice.Estimate),
-		decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("paid_in", paidIn), decisions.F("cost", s.cost), decisions.F("rank", a.priority),
+		decisions.F("failure_chance", choice.FailureChance), decisions.F("uncached", choice.Uncached), decisions.F("ahead", choice.QueuedAhead), decisions.F("running", choice.Running), decisions.F("fetch_from", choice.FetchFrom), decisions.F("attempt", s.exchange.Sent()+1), decisions.F("paid_in", paidIn), decisions.F("cost", s.cost), decisions.F("rank", a.priority),
 		decisions.F("list_age", s.pool.listAge()))
 	return a, nil
 }
--- a/daemon/edge/attempt_failures.go
+++ b/daemon/edge/attempt_failures.go
@@ -91,6 +91,6 @@
 	if answer.Leaving {
 		failure.Reason = retry.Leaving
 	}
-	a.s.pool.observe(a.choice.Runner, health.Success)
+	a.s.pool.observe(a.choice.Runner, health.Rejection)
 	return failure
 }
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -77,7 +77,9 @@
 		return
 	}
 	p.mu.Lock()
-	effects := p.tracker.HandleOutcome(time.Now(), id, o, nil)
+	now := time.Now()
+	effects := p.tracker.HandleOutcome(now, id, o, nil)
+	p.table.SetFailureChance(id, p.tracker.FailureChance(now, id))
 	p.mu.Unlock()
 	p.applyHealthEffects(effects)
 }
@@ -85,6 +87,7 @@
 func (p *pool) tick(now time.Time) {
 	p.mu.Lock()
 	effects := p.tracker.Tick(now, nil)
+	p.tracker.FailureChances(now, p.table.SetFailureChance)
 	p.mu.Unlock()
 	p.applyHealthEffects(effects)
 }
--- a/daemon/edge/spillover.go
+++ b/daemon/edge/spillover.go
@@ -288,14 +288,14 @@
 		}
 		if c, ok := p.table.PickIn(now, s.To, r); ok {
 			cost := p.edge.settings.Spillover.Cost(p.edge.spill.roundTrip(s.To), p.spill.expectedBytes(r))
-			options = append(options, option{c, c.Estimate - remotePenalty, cost, s.Share})
+			options = append(options, option{c, c.Estimate + c.FailureCost - remotePenalty, cost, s.Share})
 		}
 	}
 	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.wait+a.cost, b.wait+b.cost) })
 	kept, draw := false, rand.Float64()
 	for i := range options {
 		o := &options[i]
-		switch spillover.Decide(home.Estimate, o.wait, o.cost, o.share, draw) {
+		switch spillover.Decide(home.Estimate+home.FailureCost, o.wait, o.cost, o.share, draw) {
 		case spillover.Leave:
 			return o.choice, nil
 		case spillover.Kept:
--- a/state/prefix/set.go
+++ b/state/prefix/set.go
@@ -81,6 +81,21 @@
 	return Slots
 }
 
+// At returns the slot at a position, from zero, in the order of slots; Slots if the set has no more than that.
+func (s Set) At(position int) int {
+	for i, word := range s {
+		if n := bits.OnesCount64(word); position >= n {
+			position -= n
+			continue
+		}
+		for ; position > 0; position-- {
+			word &= word - 1
+		}
+		return i*wordBits + bits.TrailingZeros64(word)
+	}
+	return Slots
+}
+
 // Not returns the complement of the set.
 func (s Set) Not() Set {
 	for i := range s {
