--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -39,6 +39,9 @@
 	Success Outcome = "success"
 	// Rejection is a refusal for lack of capacity. The runner is sound, but it hasn't served the request.
 	Rejection Outcome = "rejection"
+	// NoConnection is a connection that had not opened when it was given up. It doesn't count for ejections, as
+	// probes find out why, but the runner hasn't served the request.
+	NoConnection Outcome = "no_connection"
 	// Failure is a failed connection or an internal error of the runner.
 	Failure Outcome = "failure"
 	// SilentConnection is a connection on which nothing arrives. A device on the network
@@ -152,7 +155,7 @@
 	if o != SilentConnection {
 		r.outcomes.add(now, o == Success)
 	}
-	if r.isEjected() {
+	if r.isEjected() || o == NoConnection {
 		return dst
 	}
 	if o == SilentConnection {
--- a/daemon/edge/attempt_failures.go
+++ b/daemon/edge/attempt_failures.go
@@ -45,8 +45,11 @@
 	} else {
 		a.s.pool.recordNotStarted(&a.ticket, &a.s.routingRequest)
 	}
+	if failure.Reason == retry.Silent && !failure.Sent {
+		a.s.pool.observe(a.choice.Runner, health.NoConnection)
+	}
 	if failure.Reason == retry.Withdrawn || failure.Reason == retry.Silent {
-		// This daemon has ended the attempt itself, which says nothing of the runner.
+		// This daemon has ended the attempt itself, which doesn't prove that the runner is faulty.
 		return failure
 	}
 	a.s.pool.observe(a.choice.Runner, health.Failure)
--- a/daemon/edge/retry_share_test.go
+++ b/daemon/edge/retry_share_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
 // Guards against daemons that take the whole retry budget each once they have forgotten the others, which are only cut off.
@@ -82,3 +84,37 @@
 		w.True(d.RetryBalance("app") <= 2*0.85*50/2/10+1)
 	})
 }
+
+// Guards against daemons that start without hearing each other and take the whole retry budget each: they serve nobody before
+// they have read the service, where they find each other.
+func TestDaemonsThatStartUnheardKeepToTheirPartOfRetryBudget(t *testing.T) {
+	const daemons = 3
+	withFleet(t, daemons, config(1), func(w *testFleet) {
+		r := w.addRunner("r1", "app")
+		for i, d := range w.daemons {
+			d.kill()
+			for j := range i {
+				w.network.partition(peerAddress(i), peerAddress(j), true)
+			}
+		}
+		time.Sleep(35 * time.Second)
+		w.storeUnavailable = true
+		for i := range w.daemons {
+			w.restart(i)
+		}
+		time.Sleep(10 * time.Second)
+		for _, d := range w.daemons {
+			w.Equal(w.ask(d, "/read/1", key).reason(), refusal.NotReady)
+		}
+		w.Equal(r.count(), 0)
+		for _, d := range w.daemons {
+			d.store.setFaults(false, false)
+		}
+		time.Sleep(10 * time.Second)
+		balances := 0.0
+		for _, d := range w.daemons {
+			balances += d.RetryBalance("app")
+		}
+		w.True(balances <= 50.0/2)
+	})
+}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,11 +1,14 @@
 package soak_test
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // link is the way in which a proxy treats the connections through it.
@@ -109,8 +112,10 @@
 	far   linkState
 	isFar func(net.Conn) bool
 
-	// refusals allows one refusal at a time.
+	// refusals allows one refusal or stall at a time.
 	refusals sync.Mutex
+	// accepting is held while the proxy accepts no connections.
+	accepting sync.RWMutex
 	// listenerMu guards listener and closed.
 	listenerMu sync.Mutex
 	listener   net.Listener
@@ -156,6 +161,57 @@
 	return nil
 }
 
+// stall lets no connection to the proxy open for a time, unless it does so already. Connections that are open stay so.
+func (p *proxy) stall(span time.Duration) error {
+	if !p.refusals.TryLock() {
+		return nil
+	}
+	defer p.refusals.Unlock()
+	p.accepting.Lock()
+	defer p.accepting.Unlock()
+	if err := p.setBacklog(0); err != nil {
+		return err
+	}
+	defer func() { _ = p.setBacklog(unix.SOMAXCONN) }()
+	p.cutOff.begin()
+	defer p.cutOff.end()
+	// Connections that nobody accepts fill the queue; the kernel drops what comes then.
+	for {
+		c, err := net.DialTimeout("tcp4", p.address(), stallDialTimeout)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	time.Sleep(span)
+	return nil
+}
+
+// waitAccepting waits until no stall is in progress.
+func (p *proxy) waitAccepting() {
+	p.accepting.RLock()
+	defer p.accepting.RUnlock()
+}
+
+// stallDialTimeout is the time after which a connection on this machine that doesn't open has found the queue full.
+const stallDialTimeout = 50 * time.Millisecond
+
+func (p *proxy) setBacklog(n int) error {
+	p.listenerMu.Lock()
+	defer p.listenerMu.Unlock()
+	tcp, ok := p.listener.(*net.TCPListener)
+	if !ok {
+		return net.ErrClosed
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), n) })
+	return errors.Join(err, listenErr)
+}
+
 // listenAgain listens at an address that was free for a while, where a connection may have taken the port.
 func listenAgain(address string) (net.Listener, error) {
 	const tries = 100
@@ -194,6 +250,7 @@
 		if err != nil {
 			return
 		}
+		p.waitAccepting()
 		go p.connect(c)
 	}
 }
--- a/soak/storms_test.go
+++ b/soak/storms_test.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// Guards against retries that wait for connections which don't open, and reach runners together with those of a later window.
+func TestRetriesThatWaitDontPileUp(t *testing.T) {
+	for name, span := range map[string]time.Duration{"short": 2 * time.Second, "long": 12 * time.Second} {
+		s := storm{perSecond: 130, with: conditions{attempts: 4}, fault: site.DropResponse, share: 0.7, disturb: stallByTurns(span)}
+		t.Run(name, s.play)
+	}
+}
+
 // Guards against runners that fail at once and draw the requests, since they are always idle.
 func TestFailingRunnersDontDrawRequests(t *testing.T) {
 	for name, s := range map[string]storm{
@@ -206,6 +214,24 @@
 	return n
 }
 
+// stallByTurns makes half of the runners open no connection for a time, and then the other half.
+func stallByTurns(span time.Duration) func(context.Context, *fleet) {
+	return func(ctx context.Context, f *fleet) {
+		for first := 0; ctx.Err() == nil; first += stormRunners / 2 {
+			var stalls sync.WaitGroup
+			for i := range stormRunners / 2 {
+				r := f.runner(first + i)
+				stalls.Go(func() {
+					if err := r.proxy.stall(span); err != nil {
+						f.t.Errorf("%s does not stall: %v", r.ID, err)
+					}
+				})
+			}
+			stalls.Wait()
+		}
+	}
+}
+
 // refuseByTurns makes the runners refuse connections for a while, some at a time, and serve for a while.
 func refuseByTurns(ctx context.Context, f *fleet) {
 	for first := 0; ctx.Err() == nil; first += refusingAtATime {
