--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -35,7 +35,7 @@
 
 // Serve serves a request on behalf of another daemon.
 func (d *delegationService) Serve(ctx context.Context, r *connect.Request[delegationv1.ServeRequest], stream *connect.ServerStream[delegationv1.ServeResponse]) error {
-	rep := &delegatedReply{stream: stream}
+	rep := &delegatedReply{stream: stream, tellsAttempts: r.Msg.WantsAttempts}
 	s := &requestHandler{edge: d.edge, req: decodeDelegated(r.Msg), reply: rep, delegated: true}
 	rep.handler = s
 	if ctx.Value(callUnreadKey{}) != nil {
@@ -88,6 +88,8 @@
 	handler *requestHandler
 	stream  *connect.ServerStream[delegationv1.ServeResponse]
 	aborted bool
+	// tellsAttempts says that the other daemon wants to be told of each send.
+	tellsAttempts bool
 	// versionSent says that the version of the stream's runner has been sent.
 	versionSent bool
 }
--- a/daemon/edge/helper_attempts_test.go
+++ b/daemon/edge/helper_attempts_test.go
@@ -5,10 +5,16 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"geraniumstack.org/geraniumstack/daemon/edge"
+	delegationv1 "geraniumstack.org/geraniumstack/gen/geranium/delegation/v1"
+	"geraniumstack.org/geraniumstack/gen/geranium/delegation/v1/delegationv1connect"
+	"geraniumstack.org/geraniumstack/transport/peerhttp"
 )
 
 // helperAttempts is the number of runners to which a request of these tests may be sent.
@@ -82,3 +88,31 @@
 		w.True(arrivals() <= helperAttempts)
 	})
 }
+
+// Guards against a daemon of an earlier version that takes what a helper tells of its sends for a fault.
+func TestHelperTellsOfItsSendsOnlyIfAsked(t *testing.T) {
+	withFleet(t, 1, config(1), func(w *testFleet) {
+		w.addRunner("r1", "app").setScript(func(_ context.Context, attempt *edge.Attempt) (*edge.Answer, error) {
+			attempt.Connected()
+			return plainAnswer(http.StatusOK, "whole"), nil
+		})
+		time.Sleep(500 * time.Millisecond)
+		transport := peerhttp.NewTransport(w.calls.Dial)
+		defer transport.CloseIdleConnections()
+		client := delegationv1connect.NewDelegationServiceClient(&http.Client{Transport: transport}, "http://"+w.daemons[0].address)
+		for _, wants := range []bool{false, true} {
+			stream, err := client.Serve(w.t.Context(), connect.NewRequest(&delegationv1.ServeRequest{
+				RequestId: "r1", Host: host, Path: "/read/1", Method: http.MethodPost, Target: "/read/1", Key: key, WantsAttempts: wants,
+			}))
+			w.NoErr(err)
+			told := 0
+			for stream.Receive() {
+				if stream.Msg().Attempts > 0 {
+					told++
+				}
+			}
+			w.NoErr(stream.Err())
+			w.Equal(told > 0, wants)
+		}
+	})
+}
--- a/daemon/edge/helper_call.go
+++ b/daemon/edge/helper_call.go
@@ -140,7 +140,7 @@
 		AgeNs: int64(time.Since(r.Received)), CallerTimeoutNs: int64(r.CallerTimeout), LastEventId: s.lastEventID(), Resumes: r.Resumes,
 		Prompt:   encodePrompt(&r.Prompt),
 		Attempts: uint32(s.exchange.Sent()), MayHaveRun: s.exchange.MayHaveRun(),
-		Offered: s.counts.offered, Dispatched: s.counts.dispatched,
+		Offered: s.counts.offered, Dispatched: s.counts.dispatched, WantsAttempts: true,
 	}
 	if s.bound.known {
 		version := string(s.bound.version)
--- a/daemon/edge/helper_sends.go
+++ b/daemon/edge/helper_sends.go
@@ -21,7 +21,7 @@
 
 // tellAttempt tells the daemon that has delegated the request, if one has, that it is about to be sent to a runner.
 func (s *requestHandler) tellAttempt() {
-	if r, ok := s.reply.(*delegatedReply); ok {
+	if r, ok := s.reply.(*delegatedReply); ok && r.tellsAttempts {
 		r.send(&delegationv1.ServeResponse{Attempts: uint32(s.exchange.Sent() + 1)})
 	}
 }
