--- a/soak/storms_test.go
+++ b/soak/storms_test.go
@@ -33,6 +33,8 @@
 	fault site.Fault
 	share float64
 	sound int
+	// failsAfter is the time that the others take; zero for the runners' own.
+	failsAfter time.Duration
 	// served is the share of the requests that must be answered.
 	served float64
 	// disturb goes on until its context ends.
@@ -87,6 +89,8 @@
 		"rejected":        {perSecond: 25, fault: site.QueueFull, share: 1, sound: 5, served: 0.9},
 		"failed":          {perSecond: 25, fault: site.InternalError, share: 1, sound: 5, served: 0.9},
 		"seven sound":     {perSecond: 25, fault: site.DropResponse, share: 1, sound: 7, served: 0.97},
+		"failed slowly":   {perSecond: 25, fault: site.DropResponse, share: 1, sound: 5, failsAfter: 300 * time.Millisecond, served: 0.9},
+		"one sound":       {perSecond: 25, fault: site.DropResponse, share: 1, sound: 1, served: 0.9},
 		"failed at times": {perSecond: 25, fault: site.DropResponse, share: 0.4, sound: 5, served: 0.9},
 		"streams":         {perSecond: 25, kind: 2, fault: site.TruncateStream, share: 1, sound: 5, served: 0.9},
 	} {
@@ -178,6 +182,9 @@
 		rng := rand.New(rand.NewPCG(1, uint64(i)))
 		if i < stormRunners-s.sound {
 			r.SetNextFaults(drawStormFaults(rng, stormFaultsDrawn, s.fault, s.share)...)
+			if s.failsAfter > 0 {
+				r.SetWorkload(s.failsAfter, 1)
+			}
 		}
 	}
 }
