--- a/daemon/edge/first_start.go
+++ b/daemon/edge/first_start.go
@@ -22,7 +22,8 @@
 
 func (e *Edge) firstStartKey() string { return firstStartsPrefix + e.settings.PeerAddress }
 
-// confirmFirstStart reports whether the fleet has never served, as the settings say it, by the key-value service.
+// confirmFirstStart reports whether the key-value service knows of no earlier process at this address and of no fleet
+// that has served.
 func (e *Edge) confirmFirstStart(ctx context.Context) bool {
 	for _, key := range []string{e.firstStartKey(), fleetServedKey} {
 		entry, err := e.deps.Store.Get(ctx, key)
@@ -62,7 +63,7 @@
 
 // claimFullBudget records this daemon's first start at its address in the key-value service. If that succeeds, no
 // process at this address has spent any retries, and none that starts there later may think so again. Only the
-// daemons of a direct fleet record it; in a large one each has less than a few retries to begin with.
+// daemons of a direct fleet record it: in a large one the full budget of each is a few retries.
 func (e *Edge) claimFullBudget(ctx context.Context) {
 	if !e.directMode.Load() {
 		return
@@ -82,8 +83,8 @@
 	history uint64
 }
 
-// write writes the record once the daemon has run for firstStartPeriod, and again in a later history of the service,
-// which may lack it.
+// write writes the record once the daemon has run for firstStartPeriod, so that daemons that start together don't take each
+// other for earlier ones, and again in a later history of the service, which may lack it.
 func (r *servedRecord) write(ctx context.Context, e *Edge) {
 	history := kv.Revision(e.dir.revisionReached()).History()
 	if e.deps.Steady()-e.startedAt < firstStartPeriod || r.written && r.history == history {
--- a/daemon/edge/roles.go
+++ b/daemon/edge/roles.go
@@ -40,8 +40,8 @@
 	// demotionRepeats is the number of times that a former relay announces its demotion to the
 	// other relays. Until they know of it, they expect messages about its quota use.
 	demotionRepeats = 4
-	// firstStartPeriod is the time after the start of a daemon of a fleet that has never served
-	// in which a daemon that becomes a relay assumes that no quota has been used yet.
+	// firstStartPeriod is the time after the first start of a fleet in which a daemon that becomes
+	// a relay assumes that no quota has been used yet. Daemons that start later find that the fleet has served.
 	firstStartPeriod = 5 * time.Second
 )
 
