--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -155,10 +155,10 @@
 	if o != SilentConnection {
 		r.outcomes.add(now, o == Success)
 	}
-	if r.isEjected() || o == NoConnection {
+	switch {
+	case r.isEjected(), o == NoConnection:
 		return dst
-	}
-	if o == SilentConnection {
+	case o == SilentConnection:
 		return t.startVerification(now, id, r, dst)
 	}
 	r.count(now, t.cfg.Window, o == Failure)
--- a/coordination/routing/ties_test.go
+++ b/coordination/routing/ties_test.go
@@ -78,7 +78,7 @@
 		is.True(err)
 		is.Equal(c.Runner, sound)
 	}
-	tb.Report(start, sound, report(start, 6000)) // takes 0.6 s
+	tb.Report(start, sound, report(start, 6000)) // a wait that costs more than the chance of a failure
 	c, _ := tb.PickIn(start, "d0", r)
 	is.Equal(c.Runner, failing)
 	_, ok := tb.PickCandidate(failing, r)
--- a/daemon/edge/endless_test.go
+++ b/daemon/edge/endless_test.go
@@ -238,7 +238,7 @@
 			w.askCounting("/read/1")
 		}
 		for _, r := range runners {
-			// One that is ejected gets nine.
+			// One whose successes didn't count would be ejected.
 			w.True(r.count() > 20)
 		}
 	})
