Keep a failing request away that three or four callers send at the same moment

Cause: failures within 250 ms count half, since a whole failure domain may fail and the runners without the request may not be known yet. They counted half for ever, also when no other runner had failed: four at once came to five points of six.

Change: they count in full once 150 ms have passed, in which a failure is found (100 ms) and told to all daemons, if no runner without the request is known to have failed in that moment. A verdict therefore depends on the time; an answer clears it as before. The test plays three callers, too.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -41,8 +41,10 @@
 	begunWeight   = 2
 	waitingWeight = 1
 	// A further runner that fails under a request at the same moment counts togetherWeight if no runner without
-	// the request did. It is less than one that fails later, since the others may not be known yet.
+	// the request did, and as one that fails later once othersKnownAfter has passed.
 	togetherWeight = 1
+	// othersKnownAfter is the time within which a runner's failure is found and told to all daemons.
+	othersKnownAfter = 150 * time.Millisecond
 	// suspectScore and quarantineScore are the sums of these weights at which a cause is suspected and
 	// quarantined: two and three failures of runners that had begun to answer.
 	suspectScore    = 2 * begunWeight
@@ -166,9 +168,9 @@
 	if !known || len(s.Failures) == 0 {
 		return false
 	}
-	before, _ := t.verdict(s)
+	before, _ := t.verdict(now, s)
 	t.Merge(Statement{Cause: c, Answered: true, AnsweredAt: now})
-	after, _ := t.verdict(s)
+	after, _ := t.verdict(now, s)
 	return before != after
 }
 
@@ -254,7 +256,7 @@
 }
 
 // verdict returns the verdict about the cause, and since when it is quarantined if it is.
-func (t *Table) verdict(s *Statement) (Verdict, time.Duration) {
+func (t *Table) verdict(now time.Duration, s *Statement) (Verdict, time.Duration) {
 	score, weight := 0, 0
 	var last time.Duration
 	for i, f := range s.Failures {
@@ -263,7 +265,7 @@
 			weight, last = s.weight(f), f.At
 			score += weight
 		case s.Cause.Kind == Request && !t.othersFailed(s, last):
-			score += togetherWeight
+			score += s.togetherWeight(now, f)
 		default:
 			if w := s.weight(f); w > weight {
 				score += w - weight
@@ -291,6 +293,14 @@
 	return false
 }
 
+// togetherWeight returns what a failure counts in whose moment no runner without the cause is known to have failed.
+func (s *Statement) togetherWeight(now time.Duration, f Failure) int {
+	if now-f.At < othersKnownAfter {
+		return togetherWeight
+	}
+	return s.weight(f)
+}
+
 func (s *Statement) weight(f Failure) int {
 	if f.Begun || s.Cause.Kind == Request {
 		return begunWeight
@@ -298,23 +308,23 @@
 	return waitingWeight
 }
 
-// Verdict returns the verdict about a cause.
-func (t *Table) Verdict(c Cause) Verdict {
+// Verdict returns the verdict about a cause. It may change by time alone, while failures of the same moment become known.
+func (t *Table) Verdict(now time.Duration, c Cause) Verdict {
 	s, known := t.causes[c]
 	if !known {
 		return Sound
 	}
-	v, _ := t.verdict(s)
+	v, _ := t.verdict(now, s)
 	return v
 }
 
 // ProbeAt returns when a quarantined cause may be probed next, and false if it is not quarantined.
-func (t *Table) ProbeAt(c Cause) (time.Duration, bool) {
+func (t *Table) ProbeAt(now time.Duration, c Cause) (time.Duration, bool) {
 	s, known := t.causes[c]
 	if !known {
 		return 0, false
 	}
-	v, since := t.verdict(s)
+	v, since := t.verdict(now, s)
 	if v != Quarantined {
 		return 0, false
 	}
@@ -334,7 +344,7 @@
 // TakeProbe reports whether a quarantined cause may be probed now, and counts the probe. Of all daemons
 // only one decides about the probes of a cause.
 func (t *Table) TakeProbe(now time.Duration, c Cause) bool {
-	at, quarantined := t.ProbeAt(c)
+	at, quarantined := t.ProbeAt(now, c)
 	if !quarantined || now < at {
 		return false
 	}
@@ -361,7 +371,7 @@
 // failure follows.
 func (t *Table) Repeated(now time.Duration) []Statement {
 	return t.statements(func(s *Statement) bool {
-		v, _ := t.verdict(s)
+		v, _ := t.verdict(now, s)
 		return v != Sound || s.Answered || now < s.latest()+repeatNewsFor
 	})
 }
@@ -392,7 +402,7 @@
 	if s.Probes > 0 {
 		return s.latest() + quarantineMemory
 	}
-	v, _ := t.verdict(s)
+	v, _ := t.verdict(s.latest()+othersKnownAfter, s)
 	switch {
 	case v == Quarantined:
 		return s.latest() + quarantineMemory
--- a/coordination/quarantine/quarantine_test.go
+++ b/coordination/quarantine/quarantine_test.go
@@ -26,14 +26,14 @@
 func TestFailuresOfSeveralRunnersQuarantine(t *testing.T) {
 	is := is.New(t)
 	table := quarantine.New()
-	is.Equal(table.Verdict(part), quarantine.Sound)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Sound)
 	fail(table, 1, time.Second)
 	fail(table, 1, 5*time.Second)
-	is.Equal(table.Verdict(part), quarantine.Sound)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Sound)
 	fail(table, 2, 2*time.Second)
-	is.Equal(table.Verdict(part), quarantine.Suspected)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Suspected)
 	fail(table, 3, 3*time.Second)
-	is.Equal(table.Verdict(part), quarantine.Quarantined)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Quarantined)
 }
 
 // Guards against a failure domain that fails as a whole and counts as many failures.
@@ -43,7 +43,7 @@
 	for runner := range uint64(10) {
 		fail(table, runner, time.Second+time.Duration(runner)*time.Millisecond)
 	}
-	is.Equal(table.Verdict(part), quarantine.Sound)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Sound)
 }
 
 // Guards against a repeat that is slow to count because it fails soon after the first attempt.
@@ -54,7 +54,7 @@
 		at := time.Second + time.Duration(runner)*50*time.Millisecond
 		table.RecordFailure(part, quarantine.Failure{Runner: runner, At: at, Sent: at - 40*time.Millisecond, Begun: true})
 	}
-	is.Equal(table.Verdict(part), quarantine.Quarantined)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Quarantined)
 }
 
 // Guards against parts of which requests are answered and that count as the cause of failures.
@@ -65,11 +65,11 @@
 	fail(table, 2, 2*time.Second)
 	is.True(table.RecordAnswer(2500*time.Millisecond, part))
 	fail(table, 3, 3*time.Second)
-	is.Equal(table.Verdict(part), quarantine.Sound)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Sound)
 	// What others still tell of the failures before the answer is refuted, too.
 	fail(table, 1, 1*time.Second)
 	fail(table, 2, 2*time.Second)
-	is.Equal(table.Verdict(part), quarantine.Sound)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Sound)
 }
 
 // Guards against a part that is sound and stays in quarantine, and against one that is not and takes
@@ -93,9 +93,9 @@
 	}
 	is.True(first <= 6*time.Second)
 	is.True(probes <= 3)
-	is.Equal(table.Verdict(part), quarantine.Quarantined)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Quarantined)
 	is.True(table.RecordAnswer(31*time.Minute, part))
-	is.Equal(table.Verdict(part), quarantine.Sound)
+	is.Equal(table.Verdict(time.Minute, part), quarantine.Sound)
 }
 
 // Guards against an answer that refutes failures after it because each message makes it seem younger.
@@ -143,7 +143,7 @@
 				a.Merge(s)
 			}
 		}
-		if va, vb := a.Verdict(part), b.Verdict(part); va != vb {
+		if va, vb := a.Verdict(time.Minute, part), b.Verdict(time.Minute, part); va != vb {
 			t.Fatalf("verdicts %v and %v", va, vb)
 		}
 	})
@@ -193,7 +193,7 @@
 				return r == failed || domain && r%drawnDomains == failed%drawnDomains
 			})
 			for _, s := range d.table.Statements() {
-				if d.table.Verdict(s.Cause) == quarantine.Quarantined {
+				if d.table.Verdict(now, s.Cause) == quarantine.Quarantined {
 					caught[s.Cause] = true
 				}
 			}
@@ -268,7 +268,7 @@
 	var running []drawnRepeat
 	failures := uint64(0)
 	send := func(now time.Duration, r drawnRepeat) {
-		if d.table.Verdict(r.cause) == quarantine.Quarantined {
+		if d.table.Verdict(now, r.cause) == quarantine.Quarantined {
 			refused++
 			return
 		}
@@ -348,7 +348,7 @@
 		if otherFails {
 			want = quarantine.Sound
 		}
-		is.Equal(table.Verdict(request), want)
+		is.Equal(table.Verdict(time.Second+5*time.Millisecond, request), want)
 	}
 }
 
@@ -362,8 +362,31 @@
 		at := time.Duration(runner+1) * time.Second
 		table.RecordFailure(request, quarantine.Failure{Runner: runner, At: at, Sent: at - 10*time.Millisecond})
 	}
-	is.Equal(table.Verdict(request), quarantine.Quarantined)
+	is.Equal(table.Verdict(time.Minute, request), quarantine.Quarantined)
 	// Its caller waits less than half a minute; others who send the same are not kept waiting for longer.
 	is.True(!table.TakeProbe(32*time.Second, request))
 	is.True(table.TakeProbe(33*time.Second, request))
 }
+
+// Guards against a failing request that three or four callers send at the same moment, and that goes on being sent as
+// its failures never count enough.
+func TestFailuresAtOneMomentCountOnceOthersWouldBeKnown(t *testing.T) {
+	is := is.New(t)
+	const sent, moment = 970 * time.Millisecond, time.Second
+	request := quarantine.Cause{Kind: quarantine.Request, Hash: 1}
+	for callers := uint64(3); callers <= 4; callers++ {
+		for _, otherFails := range []bool{false, true} {
+			table := quarantine.New()
+			for runner := range callers {
+				table.RecordFailure(request, quarantine.Failure{Runner: runner, At: moment, Sent: sent})
+			}
+			is.True(table.Verdict(moment+100*time.Millisecond, request) != quarantine.Quarantined)
+			if otherFails {
+				other := quarantine.Cause{Kind: quarantine.Request, Hash: 2}
+				table.RecordFailure(other, quarantine.Failure{Runner: 99, At: moment + 100*time.Millisecond})
+			}
+			isCaught := table.Verdict(moment+200*time.Millisecond, request) == quarantine.Quarantined
+			is.Equal(isCaught, !otherFails)
+		}
+	}
+}
--- a/daemon/edge/failure_causes.go
+++ b/daemon/edge/failure_causes.go
@@ -100,7 +100,7 @@
 		reason, description = refusal.FailingRequest, "the request with content"
 	}
 	now := s.edge.deps.Steady()
-	probe, _ := s.edge.failureCauses.probeTime(blocked[0])
+	probe, _ := s.edge.failureCauses.probeTime(now, blocked[0])
 	wait := max(failingRetryAfter, probe-now)
 	return s.orUnknown(refusal.New(reason, "runners fail under %s %v", description, blocked[0]).After(wait))
 }
@@ -119,6 +119,7 @@
 	}
 	content := s.content()
 	var blocked []quarantine.Cause
+	now := s.edge.deps.Steady()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range append([]quarantine.Cause{content}, s.parts...) {
@@ -127,7 +128,7 @@
 			// Whatever became of an earlier attempt, it must not be the third runner that fails.
 			sawFailure = s.exchange.MayHaveRun()
 		}
-		v := f.table.Verdict(c)
+		v := f.table.Verdict(now, c)
 		if v == quarantine.Quarantined && (probed == nil || *probed != c) || v == quarantine.Suspected && sawFailure {
 			blocked = append(blocked, c)
 		}
@@ -136,17 +137,17 @@
 }
 
 // probeTime returns when a cause may be probed next, and false if it is not quarantined.
-func (f *failureCauses) probeTime(c quarantine.Cause) (time.Duration, bool) {
+func (f *failureCauses) probeTime(now time.Duration, c quarantine.Cause) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.table.ProbeAt(c)
+	return f.table.ProbeAt(now, c)
 }
 
 // mayProbe reports whether the request may be sent to a runner although it holds a quarantined cause. One
 // that has been sent before may not, and of one that is delegated the helper decides.
 func (s *requestHandler) mayProbe(ctx context.Context, c quarantine.Cause) bool {
 	e := s.edge
-	at, quarantined := e.failureCauses.probeTime(c)
+	at, quarantined := e.failureCauses.probeTime(s.edge.deps.Steady(), c)
 	if !quarantined || s.exchange.Sent() > 0 || s.delegates() || e.deps.Steady() < at || !e.askForProbe(ctx, c) {
 		return false
 	}
@@ -246,8 +247,9 @@
 func (e *Edge) recordFailure(causes []quarantine.Cause, f quarantine.Failure) {
 	e.failureCauses.mu.Lock()
 	defer e.failureCauses.mu.Unlock()
+	now := e.deps.Steady()
 	for _, c := range causes {
-		before := e.failureCauses.table.Verdict(c)
+		before := e.failureCauses.table.Verdict(now, c)
 		e.failureCauses.table.RecordFailure(c, f)
 		e.noteVerdictLocked(c, before)
 		e.spreadCauseLocked(c, false)
@@ -282,7 +284,7 @@
 	}
 	now := e.deps.Steady()
 	for _, c := range causes {
-		before := f.table.Verdict(c)
+		before := f.table.Verdict(now, c)
 		if f.table.RecordAnswer(now, c) {
 			e.noteVerdictLocked(c, before)
 			e.spreadCauseLocked(c, false)
@@ -292,7 +294,7 @@
 
 // noteVerdictLocked logs a change of the verdict about a cause. The caller must hold failureCauses.mu.
 func (e *Edge) noteVerdictLocked(c quarantine.Cause, before quarantine.Verdict) {
-	after := e.failureCauses.table.Verdict(c)
+	after := e.failureCauses.table.Verdict(e.deps.Steady(), c)
 	if after == before {
 		return
 	}
@@ -306,7 +308,7 @@
 // caller must hold failureCauses.mu.
 func (e *Edge) spreadCauseLocked(c quarantine.Cause, byRelay bool) {
 	e.failureCauses.news.add(c, byRelay, e.sendCauseNews)
-	if e.failureCauses.table.Verdict(c) != quarantine.Sound {
+	if e.failureCauses.table.Verdict(e.deps.Steady(), c) != quarantine.Sound {
 		time.AfterFunc(0, e.sendCauseNews)
 	}
 }
@@ -331,7 +333,7 @@
 
 // mayTellLocked reports whether a cause may be told of at once. The caller must hold mu.
 func (f *failureCauses) mayTellLocked(now time.Duration, c quarantine.Cause) bool {
-	if f.table.Verdict(c) != quarantine.Sound {
+	if f.table.Verdict(now, c) != quarantine.Sound {
 		return true
 	}
 	if now >= f.toldSince+time.Second {
@@ -371,7 +373,7 @@
 	var changed []quarantine.Cause
 	for _, m := range causes {
 		s := decodeCauseState(now, m)
-		before := e.failureCauses.table.Verdict(s.Cause)
+		before := e.failureCauses.table.Verdict(now, s.Cause)
 		if e.failureCauses.table.Merge(s) {
 			changed = append(changed, s.Cause)
 			e.noteVerdictLocked(s.Cause, before)
--- a/daemon/edge/simultaneous_failures_test.go
+++ b/daemon/edge/simultaneous_failures_test.go
@@ -52,7 +52,7 @@
 // Guards against a failing request that many callers send at the same moment, and that goes on being sent since
 // its first failures count as one.
 func TestFailingRequestOfManyCallersIsKeptAway(t *testing.T) {
-	for _, callers := range []int{10, 4} {
+	for _, callers := range []int{10, 4, 3} {
 		t.Run(fmt.Sprint(callers), func(t *testing.T) {
 			withSixteenRunners(t, func(w *testFleet, r *fragileRunners) {
 				_, asked, served := callAtOnce(w, callers, readCaller, func() {})
