Find a runner silent by its earliest request, also while it goes on getting others

Cause, traced by the lines of one failing run: the daemon that had sent the request probed its runner never. A runner counted as silent from the time at which the last of its attempts was due, and each new request that was sent to it moved that on. The first probe that would have ended this never came; after 2 s the entry had lapsed.

Change: the earliest attempt counts. A probe more may be the price while a runner reads a long prompt, as for a runner with one request.

--- a/daemon/edge/failing_request_test.go
+++ b/daemon/edge/failing_request_test.go
@@ -316,3 +316,30 @@
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(3, 0)) }
+
+// Guards against a silent runner that is never probed since it goes on getting requests, so that what waits for it waits until
+// its deadline and its failure counts for nothing.
+func TestRunnerThatIsLostIsFoundSilent(t *testing.T) {
+	for _, perSecond := range []int{10, 100} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			withFatalRequest(t, 1, false, func(w *testFleet, r *fragileRunners) {
+				r.failsAfter, r.goesDark = 11*failsAfter, true
+				stop := w.askOthers(perSecond, func(i int) *repeatingCaller {
+					return &repeatingCaller{path: "/draft/1", body: fmt.Sprintf("sound %d", i), parts: []uint64{1000, 2000}}
+				})
+				time.Sleep(time.Second)
+				var trying sync.WaitGroup
+				trying.Go(func() {
+					c := repeatingCaller{path: "/draft/1", body: fatalBody, parts: []uint64{1000, 2000, 3000}}
+					c.try(w.daemons[0])
+				})
+				// The first runner fails under the request, and the second one that it is sent to instead.
+				time.Sleep(failsAfter*11 + 2*time.Second)
+				failures, _ := r.counts()
+				stop()
+				trying.Wait()
+				w.Equal(failures, 2)
+			})
+		})
+	}
+}
--- a/daemon/edge/silent_runners.go
+++ b/daemon/edge/silent_runners.go
@@ -75,15 +75,7 @@
 func (p *pool) silentRunners(now time.Time) []ident.RunnerID {
 	var silentRunners []ident.RunnerID
 	for id, act := range p.activities {
-		since := time.Unix(0, act.lastHeard.Load())
-		for a := range act.attempts {
-			// The time that the runner was expected to need for an attempt doesn't count as
-			// silence.
-			if due := a.sent.Add(a.choice.Estimate); since.Before(due) {
-				since = due
-			}
-		}
-		if now.Sub(since) < silenceBeforeProbe || now.Sub(act.lastProbe) < silenceProbeInterval {
+		if now.Sub(act.silentSince()) < silenceBeforeProbe || now.Sub(act.lastProbe) < silenceProbeInterval {
 			continue
 		}
 		act.lastProbe = now
@@ -92,6 +84,22 @@
 	return silentRunners
 }
 
+// silentSince returns since when the runner has sent nothing though it was due to. The time that it was expected to need for
+// its earliest attempt doesn't count; later attempts don't extend that, or a runner that goes on getting requests would
+// never be found silent. The caller must hold pool.mu.
+func (act *activity) silentSince() time.Time {
+	var earliest time.Time
+	for a := range act.attempts {
+		if due := a.sent.Add(a.choice.Estimate); earliest.IsZero() || due.Before(earliest) {
+			earliest = due
+		}
+	}
+	if heard := time.Unix(0, act.lastHeard.Load()); heard.After(earliest) {
+		return heard
+	}
+	return earliest
+}
+
 // probeSilentRunners starts a probe of each runner that is due for one.
 func (p *pool) probeSilentRunners(now time.Time) {
 	p.mu.Lock()
