Probe a silent runner whose entry has lapsed, as requests still wait for it

What callers saw: a request whose runner was lost after its entry had lapsed, or that left, waited until its deadline.

Cause: only runners that new requests may be sent to are tracked, and the probe of a silent one went through the tracker, which ignored others.

Change: a silent runner that isn't tracked is probed as well, at the address that the attempt was sent to; what follows is as for the others. One that leaves and serves on answers the probe.

--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -141,6 +141,12 @@
 	t.runners = next
 }
 
+// Tracks reports whether a runner is in the set.
+func (t *Tracker) Tracks(id ident.RunnerID) bool {
+	_, ok := t.runners[id]
+	return ok
+}
+
 func (r *runner) isEjected() bool { return r.phase == phaseEjected || r.phase == phaseProbing }
 
 // Ejected returns the number of ejected runners.
--- a/daemon/edge/failing_part_test.go
+++ b/daemon/edge/failing_part_test.go
@@ -46,8 +46,8 @@
 	// constant of that name. With failsUnanswered the runner fails before the answer begins.
 	failsAfter      time.Duration
 	failsUnanswered bool
-	// goesDark says that a runner that fails answers nothing, and its connections stay open.
-	goesDark bool
+	// goesDark says that a runner that fails answers nothing, and its connections stay open, lapses that its entry lapses at once.
+	goesDark, lapses bool
 
 	mu sync.Mutex
 	// harmless says that the part makes no runner fail any more.
@@ -130,6 +130,13 @@
 	return !f.harmless
 }
 
+func (f *fragileRunners) removeEntry(id string) {
+	entry, err := f.w.store.Get(context.Background(), runnerPrefix+id)
+	if err == nil && entry.Revision != 0 {
+		_ = f.w.store.Delete(context.Background(), runnerPrefix+id, entry.Revision)
+	}
+}
+
 // fail ends a runner, which is back later as another one.
 func (f *fragileRunners) fail(name, id string, up context.Context, end context.CancelFunc, byPart bool) {
 	f.mu.Lock()
@@ -151,11 +158,11 @@
 	if failed {
 		return
 	}
+	if f.lapses {
+		f.removeEntry(id)
+	}
 	time.AfterFunc(restartsAfter, func() {
-		entry, err := f.w.store.Get(context.Background(), runnerPrefix+id)
-		if err == nil && entry.Revision != 0 {
-			_ = f.w.store.Delete(context.Background(), runnerPrefix+id, entry.Revision)
-		}
+		f.removeEntry(id)
 		f.start(name)
 	})
 }
--- a/daemon/edge/failing_request_test.go
+++ b/daemon/edge/failing_request_test.go
@@ -317,14 +317,17 @@
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(3, 0)) }
 
-// Guards against a silent runner that is never probed since it goes on getting requests, so that what waits for it waits until
-// its deadline and its failure counts for nothing.
+// Guards against a silent runner that is never probed since it goes on getting requests or its entry has lapsed, so that what
+// waits for it waits until its deadline and its failure counts for nothing.
 func TestRunnerThatIsLostIsFoundSilent(t *testing.T) {
-	for _, perSecond := range []int{10, 100} {
-		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+	for _, c := range []struct {
+		perSecond int
+		lapses    bool
+	}{{10, false}, {100, false}, {10, true}} {
+		t.Run(fmt.Sprintf("%d/%v", c.perSecond, c.lapses), func(t *testing.T) {
 			withFatalRequest(t, 1, false, func(w *testFleet, r *fragileRunners) {
-				r.failsAfter, r.goesDark = 11*failsAfter, true
-				stop := w.askOthers(perSecond, func(i int) *repeatingCaller {
+				r.failsAfter, r.goesDark, r.lapses = 11*failsAfter, true, c.lapses
+				stop := w.askOthers(c.perSecond, func(i int) *repeatingCaller {
 					return &repeatingCaller{path: "/draft/1", body: fmt.Sprintf("sound %d", i), parts: []uint64{1000, 2000}}
 				})
 				time.Sleep(time.Second)
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -109,9 +109,7 @@
 // probeRunner probes a runner, and suspects the attempts there if it answers none of several probes.
 func (p *pool) probeRunner(id ident.RunnerID) {
 	start := time.Now()
-	p.mu.Lock()
-	r, ok := p.runners[id]
-	p.mu.Unlock()
+	r, ok := p.entryToProbe(id)
 	health := NoAnswer
 	if ok {
 		health = p.checkHealth(r, healthConfig().ProbeTimeout)
--- a/daemon/edge/silent_runners.go
+++ b/daemon/edge/silent_runners.go
@@ -106,8 +106,35 @@
 	silentRunners := p.silentRunners(now)
 	p.mu.Unlock()
 	for _, id := range silentRunners {
-		p.observe(id, health.SilentConnection)
+		if p.isTracked(id) {
+			p.observe(id, health.SilentConnection)
+			continue
+		}
+		go p.probeRunner(id)
+	}
+}
+
+// isTracked reports whether the runner is one of those that new requests may be sent to.
+func (p *pool) isTracked(id ident.RunnerID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Tracks(id)
+}
+
+// entryToProbe returns the entry of a runner that is listed, or has been when an attempt in progress was sent to it: one whose
+// entry has lapsed may go on with its requests, or be lost.
+func (p *pool) entryToProbe(id ident.RunnerID) (Runner, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r, ok := p.runners[id]; ok {
+		return r, true
+	}
+	if act, ok := p.activities[id]; ok {
+		for a := range act.attempts {
+			return a.entry, true
+		}
 	}
+	return Runner{}, false
 }
 
 // heardSince reports whether a runner with work in progress has sent something since a time.
