Keep what makes runners fail in the key-value service, so that it outlives the loss of all daemons

What callers saw: after all daemons had been killed at once, prompt parts and requests that had been kept away reached runners again, each of which failed (rule BUDGET, parts under which runners fail).

Cause: which causes are in quarantine was held in the daemons' memory, and a daemon that starts was told by the others. If there are none, each cause took six more failures.

Daemons that start read them once; relays tell their followers.

The tests in daemon/edge fail without the read at the start.

--- a/coordination/quarantine/quarantine.go
+++ b/coordination/quarantine/quarantine.go
@@ -143,6 +143,12 @@
 	ProbedAt time.Duration
 }
 
+// SaysSameAs reports whether two statements name the same failures, answer and probes of a cause.
+func (s Statement) SaysSameAs(other Statement) bool {
+	return s.Cause == other.Cause && slices.Equal(s.Failures, other.Failures) && s.Answered == other.Answered &&
+		s.AnsweredAt == other.AnsweredAt && s.Probes == other.Probes
+}
+
 // Table holds what is known of the causes that failures have hit.
 type Table struct {
 	causes map[Cause]*Statement
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -164,6 +164,7 @@
 	streams           streamVersions
 	versionReads      versionReads
 	failureCauses     failureCauses
+	causeSaver        causeSaver
 	rests             rests
 	fair              fairShare
 	spill             edgeSpillover
@@ -278,6 +279,7 @@
 	group.Go(func() error { e.syncStore(ctx); return nil })
 	group.Go(func() error { e.keepRegistered(ctx); return nil })
 	group.Go(func() error { e.loadSavedStreams(ctx); return nil })
+	group.Go(func() error { e.loadSavedCauses(ctx); return nil })
 	if e.deps.Cloud != nil {
 		group.Go(func() error { e.runDuties(ctx); return nil })
 		group.Go(func() error { e.runStreamSaver(ctx); return nil })
--- a/daemon/edge/saved_streams.go
+++ b/daemon/edge/saved_streams.go
@@ -63,11 +63,12 @@
 	s.wakeup = newWakeup()
 }
 
-// runStreamSaver saves streams while that is this daemon's task. It doesn't wait for the other duties, whose calls to a cloud
+// runStreamSaver saves streams, and what makes runners fail, while that is this daemon's task. It doesn't wait for the other duties, whose calls to a cloud
 // that is slow or away take longer than streams last.
 func (e *Edge) runStreamSaver(ctx context.Context) {
 	for e.streams.saver.wakeup.wait(ctx) {
 		e.saveStreams(ctx)
+		e.saveCauses(ctx)
 	}
 }
 
--- a/daemon/edge/stream_batches.go
+++ b/daemon/edge/stream_batches.go
@@ -91,9 +91,7 @@
 
 // keepForSaving takes up records as the saver.
 func (e *Edge) keepForSaving(records map[streamversion.Stream]canary.Version) {
-	e.mu.Lock()
-	at := e.wallClock.At(e.deps.Steady())
-	e.mu.Unlock()
+	at := e.timeOfDay(e.deps.Steady())
 	e.streams.mu.Lock()
 	defer e.streams.mu.Unlock()
 	for s, v := range records {
--- a/daemon/edge/trialcontroller.go
+++ b/daemon/edge/trialcontroller.go
@@ -83,11 +83,7 @@
 	return d
 }
 
-func (e *Edge) unixMillis() int64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.wallClock.At(e.deps.Steady()).UnixMilli()
-}
+func (e *Edge) unixMillis() int64 { return e.timeOfDay(e.deps.Steady()).UnixMilli() }
 
 // advanceTrial writes the next state of a trial if there is one. It returns false if that could
 // not be written; the record is then read again from the service.
