Count the runners of a fleet's first start from the first ones that are seen

Cause: until there has been load, half of the runners that were seen within 4 s of the first sample of the demand are kept.

Change: the 4 s begin with the first sample that has runners. Nothing can be counted or ordered by runners before.

Measured: the unit test has 14 of 30 without the change.

--- a/coordination/fleet/demand.go
+++ b/coordination/fleet/demand.go
@@ -28,7 +28,7 @@
 	// progress and the last sample before the estimate relies on samples alone. Until then, the
 	// estimate for a service that has never served is at least InitialShare (for
 	// Estimate.Runners) or ComfortableInitialShare (for Estimate.Comfortable) of the
-	// largest number of runners seen within MinWorkTime after the first sample.
+	// largest number of runners seen within MinWorkTime after the first sample that has any.
 	MinWorkTime                           time.Duration
 	InitialShare, ComfortableInitialShare float64
 }
@@ -88,16 +88,16 @@
 	lastBlockEnd time.Duration
 	promptTokens float64
 	hasSample    bool
-	// firstSampleAt is the time of the first sample, firstWorkAt that of the first sample
-	// with requests in progress, lastSampleAt that of the last sample.
-	firstSampleAt time.Duration
-	firstWorkAt   time.Duration
-	lastSampleAt  time.Duration
+	// firstRunnersAt is the time of the first sample with runners, firstWorkAt that of the first
+	// one with requests in progress, both zero before; lastSampleAt is that of the last sample.
+	firstRunnersAt time.Duration
+	firstWorkAt    time.Duration
+	lastSampleAt   time.Duration
 	// resumesAt is when blocks are evaluated again after one that was longer than
 	// maxBlock.
 	resumesAt time.Duration
 	// initialRunners is the largest number of runners in any sample taken within
-	// MinWorkTime after the first sample.
+	// MinWorkTime after firstRunnersAt.
 	initialRunners int
 }
 
@@ -149,10 +149,10 @@
 // Sample records the work at the time now.
 func (d *Demand) Sample(now time.Duration, w Work) {
 	d.lastSampleAt, d.maxPromptWait, d.slotsPerRunner = now, w.MaxPromptWait, w.SlotsPerRunner
-	if !d.hasSample {
-		d.firstSampleAt = now
+	if d.firstRunnersAt == 0 && w.Runners > 0 {
+		d.firstRunnersAt = now
 	}
-	if now-d.firstSampleAt < d.cfg.MinWorkTime {
+	if now-d.firstRunnersAt < d.cfg.MinWorkTime {
 		// Only the runners from before any order could take effect count. Otherwise the
 		// runners that are ordered because of this minimum would raise the minimum.
 		d.initialRunners = max(d.initialRunners, w.Runners)
--- a/coordination/fleet/demand_test.go
+++ b/coordination/fleet/demand_test.go
@@ -176,3 +176,22 @@
 	}
 	is.Equal(tally.Total(), 980.0) // the first message only sets the starting value, the last one is lost
 }
+
+// Guards against a fleet's first start that gives back runners which register some seconds after their daemons have started,
+// as they come too late to be counted.
+func TestRunnersOfTheFirstStartAreCountedFromTheFirstOnes(t *testing.T) {
+	is := is.New(t)
+	d := fleet.NewDemand(fleet.DefaultDemand(), true)
+	const registered = 60
+	for now := 100 * time.Millisecond; now < 8*time.Second; now += 100 * time.Millisecond {
+		w := fleet.Work{PrefillRate: 40_000}
+		switch {
+		case now > 4500*time.Millisecond:
+			w.Runners = registered
+		case now > 2*time.Second:
+			w.Runners = 28
+		}
+		d.Sample(now, w)
+	}
+	is.Equal(d.Estimate().Runners, registered/2)
+}
