Choose the first candidate if no estimate can be compared

The set of the fastest runners was empty where every estimate is not a number, and a draw from it panics; before the even ties the first candidate was taken. No way to such an estimate is known. No other behaviour changes; the tests of coordination/routing pass.

--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -268,11 +268,11 @@
 // fastest fills in the candidates' estimates and returns the slot with the lowest one.
 func (t *Table) fastest(candidates prefix.Set, r *Request, estimates *[MaxRunners]float64) int {
 	var ties prefix.Set
-	lowest := math.Inf(1)
+	var lowest float64
 	for i := range candidates.All() {
 		estimates[i] = t.estimate(i, r)
 		switch {
-		case estimates[i] < lowest:
+		case ties.Empty() || estimates[i] < lowest:
 			lowest = estimates[i]
 			ties = prefix.Set{}.With(i)
 		case estimates[i] == lowest:
