--- a/daemon/edge/failing_part_test.go
+++ b/daemon/edge/failing_part_test.go
@@ -422,19 +422,29 @@
 // Guards against a part that stays in quarantine although it makes no runner fail any more.
 func TestHarmlessPartIsServedAgain(t *testing.T) {
 	withFragileRunners(t, 3, func(w *testFleet, f *fragileRunners) {
-		random := rand.New(rand.NewPCG(1, 0))
-		w.playPrompts(random, failingLoad, 6*time.Second)
-		f.mu.Lock()
-		f.harmless = true
-		f.mu.Unlock()
-		w.playPrompts(random, failingLoad, 30*time.Second)
-		for _, d := range w.daemons {
-			a, _ := w.askWithPart(d)
-			w.True(a.finished)
-		}
+		w.clearFailingPart(f)
+		w.checkPartIsServed()
 	})
 }
 
+// clearFailingPart plays a part that makes runners fail, and then none any more, until that is known.
+func (w *testFleet) clearFailingPart(f *fragileRunners) {
+	random := rand.New(rand.NewPCG(1, 0))
+	w.playPrompts(random, failingLoad, 6*time.Second)
+	f.mu.Lock()
+	f.harmless = true
+	f.mu.Unlock()
+	w.playPrompts(random, failingLoad, 30*time.Second)
+}
+
+// checkPartIsServed checks that each daemon sends a request with the part to a runner.
+func (w *testFleet) checkPartIsServed() {
+	for _, d := range w.daemons {
+		a, _ := w.askWithPart(d)
+		w.True(a.finished)
+	}
+}
+
 // Guards against sound requests that are refused because runners fail for other reasons, one or a whole
 // domain at a time.
 func TestSoundPartsAreServedWhileRunnersFail(t *testing.T) {
--- a/daemon/edge/first_start.go
+++ b/daemon/edge/first_start.go
@@ -48,6 +48,17 @@
 	}
 }
 
+// awaitServedFleet waits until it is known whether the fleet has served before, and reports whether it has; false if the
+// context ends.
+func (e *Edge) awaitServedFleet(ctx context.Context) bool {
+	select {
+	case <-e.fleetFound:
+		return !e.firstStart.Load()
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // assumeFirstStart makes this daemon use that the fleet has never served: no quota is used, no stream has been
 // begun, and the key-value service has its first history.
 func (e *Edge) assumeFirstStart() {
--- a/daemon/edge/saved_causes.go
+++ b/daemon/edge/saved_causes.go
@@ -123,12 +123,10 @@
 // loadSavedCauses takes up what is saved at the start of a daemon of a fleet that has served. Followers of relays are told
 // by these.
 func (e *Edge) loadSavedCauses(ctx context.Context) {
-	select {
-	case <-e.fleetFound:
-	case <-ctx.Done():
+	if !e.awaitServedFleet(ctx) {
 		return
 	}
-	for !e.firstStart.Load() && e.shouldRegister() {
+	for e.shouldRegister() {
 		if _, err := e.readSavedCauses(ctx); err == nil || !pause.For(ctx, loadCausesInterval) {
 			return
 		}
--- a/daemon/edge/saved_causes_test.go
+++ b/daemon/edge/saved_causes_test.go
@@ -53,16 +53,8 @@
 // Guards against a part that is refused after a loss of all daemons though it made no runner fail any more before.
 func TestClearedCauseIsNotTakenUpAgain(t *testing.T) {
 	withFragileRunners(t, 3, func(w *testFleet, f *fragileRunners) {
-		random := rand.New(rand.NewPCG(1, 0))
-		w.playPrompts(random, failingLoad, 6*time.Second)
-		f.mu.Lock()
-		f.harmless = true
-		f.mu.Unlock()
-		w.playPrompts(random, failingLoad, 30*time.Second)
+		w.clearFailingPart(f)
 		w.loseAll(func() {})
-		for _, d := range w.daemons {
-			a, _ := w.askWithPart(d)
-			w.True(a.finished)
-		}
+		w.checkPartIsServed()
 	})
 }
--- a/daemon/edge/saved_streams.go
+++ b/daemon/edge/saved_streams.go
@@ -165,12 +165,7 @@
 // loadSavedStreams reads what is saved at the start of a daemon of a fleet that has served. The daemons that are asked
 // about streams need it, which relays are.
 func (e *Edge) loadSavedStreams(ctx context.Context) {
-	select {
-	case <-e.fleetFound:
-	case <-ctx.Done():
-		return
-	}
-	if e.firstStart.Load() {
+	if !e.awaitServedFleet(ctx) {
 		return
 	}
 	for e.deps.Steady()-e.startedAt < streamversion.Memory {
