Save what makes runners fail again once the key-value service has come back from an older copy

What callers would see: a part that makes runners fail is sent again after the loss of all daemons, if the service had lost the key before; the daemon that saves it took it for written.

Cause: what was written counted in every later history of the service. Change: only in the one in which it was written.

--- a/daemon/edge/saved_causes.go
+++ b/daemon/edge/saved_causes.go
@@ -44,14 +44,20 @@
 	revision kv.Revision
 	written  []quarantine.Statement
 	triedAt  time.Duration
+	// history is that of the key-value service in which this is so; a later one may lack what was written.
+	history uint64
 }
 
 // saveCauses writes the causes that aren't sound by all that is known, if they have changed and that is this daemon's task.
 func (e *Edge) saveCauses(ctx context.Context) {
 	s := &e.causeSaver
 	now := e.deps.Steady()
-	if !e.shouldSaveCounts(now) {
-		*s = causeSaver{}
+	history := kv.Revision(e.dir.revisionReached()).History()
+	isSaver := e.shouldSaveCounts(now)
+	if !isSaver || history != s.history {
+		*s = causeSaver{history: history}
+	}
+	if !isSaver {
 		return
 	}
 	causes := e.failureCauses.unsound(now)
--- a/daemon/edge/saved_causes_test.go
+++ b/daemon/edge/saved_causes_test.go
@@ -50,6 +50,23 @@
 	})
 }
 
+// Guards against a failing prompt part that is forgotten with all daemons since the key-value service, which came back from an
+// older copy, had lost it before.
+func TestFailingCausesAreSavedAgainAfterReturnFromCopy(t *testing.T) {
+	withFragileRunners(t, 3, func(w *testFleet, f *fragileRunners) {
+		copied := w.store.Copy()
+		w.playPrompts(rand.New(rand.NewPCG(1, 0)), failingLoad, 12*time.Second)
+		w.store.Restore(copied)
+		time.Sleep(5 * time.Second)
+		failures, _ := f.counts()
+		w.loseAll(func() {})
+		a, _ := w.askWithPart(w.daemons[0])
+		w.Equal(a.reason(), refusal.FailingPart)
+		after, _ := f.counts()
+		w.Equal(after, failures)
+	})
+}
+
 // Guards against a part that is refused after a loss of all daemons though it made no runner fail any more before.
 func TestClearedCauseIsNotTakenUpAgain(t *testing.T) {
 	withFragileRunners(t, 3, func(w *testFleet, f *fragileRunners) {
