--- a/daemon/edge/saved_causes.go
+++ b/daemon/edge/saved_causes.go
@@ -39,7 +39,7 @@
 
 // causeSaver is what the saver knows of the saved causes. Only runStreamSaver uses it.
 type causeSaver struct {
-	// known says that the key has the revision and says what written holds.
+	// known says that revision is that of the key, and written is what this daemon has written there.
 	known    bool
 	revision kv.Revision
 	written  []quarantine.Statement
