List the failing causes for the saver only when a write may follow

The saver listed and sorted all causes in each tick, also within the second in which it writes nothing; it looks at the time first now. What is written, and when, stays as it was. A comment told a figure of the value's size, which is gone.

--- a/daemon/edge/saved_causes.go
+++ b/daemon/edge/saved_causes.go
@@ -24,7 +24,7 @@
 	savedCausesKey = "failure-causes"
 	// causeSaveInterval is the least time between two writes of savedCausesKey.
 	causeSaveInterval = time.Second
-	// maxSavedCauses bounds the value of savedCausesKey, to about 100 KB.
+	// maxSavedCauses bounds the value of savedCausesKey.
 	maxSavedCauses = 256
 	// loadCausesInterval is the time between two attempts to read what is saved.
 	loadCausesInterval = 200 * time.Millisecond
@@ -60,8 +60,11 @@
 	if !isSaver {
 		return
 	}
+	if now-s.triedAt < causeSaveInterval {
+		return
+	}
 	causes := e.failureCauses.unsound(now)
-	if slices.EqualFunc(causes, s.written, quarantine.Statement.SaysSameAs) || now-s.triedAt < causeSaveInterval {
+	if slices.EqualFunc(causes, s.written, quarantine.Statement.SaysSameAs) {
 		return
 	}
 	s.triedAt = now
