--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -88,6 +88,8 @@
 	doesNotSay bool
 	// foundRestarted says that another incarnation than the one that was chosen has answered.
 	foundRestarted bool
+	// broke is the error with which the send or the answer has ended; nil if there was none.
+	broke error
 }
 
 // runner returns the attempt's runner, empty if there is none.
@@ -273,7 +275,7 @@
 	}
 	answer.Body = &sizedBody{ReadCloser: answer.Body, left: MaxAnswerBytes}
 	if answer.Unframed {
-		answer.Body = &unframedBody{ReadCloser: answer.Body, attempt: a, needsData: answer.Events}
+		answer.Body = &unframedBody{ReadCloser: answer.Body, attempt: a, needsData: answer.Events, connectionEnd: answer.ConnectionEnd}
 	}
 	answer.Body = &watchedBody{ReadCloser: answer.Body, attempt: a}
 	return nil
--- a/daemon/edge/attempt_failures.go
+++ b/daemon/edge/attempt_failures.go
@@ -21,6 +21,7 @@
 
 func (a *attempt) handleSendError(ctx context.Context, err error) *forward.FailedAttempt {
 	failure := &forward.FailedAttempt{Reason: retry.Broken, MayHaveRun: true, Sent: true}
+	a.broke = err
 	var send *SendError
 	heard := false
 	if errors.As(err, &send) {
--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -149,7 +149,7 @@
 		decisions.F("events", a.eventCount()), decisions.F("heard", time.Since(time.Unix(0, a.activity.lastHeard.Load()))))
 	s.edge.log.Count("hedged." + string(h.why))
 	a.countHelperSends()
-	failed := &failedAttempt{forward.FailedAttempt{Reason: retry.Silent, MayHaveRun: true, Sent: true, Counted: a.counted}, a}
+	failed := &failedAttempt{FailedAttempt: forward.FailedAttempt{Reason: retry.Silent, MayHaveRun: true, Sent: true, Counted: a.counted}, attempt: a}
 	if h.why == noProbeAnswered {
 		a.recordRunnerFailure(ctx, &failed.FailedAttempt)
 	}
@@ -293,6 +293,9 @@
 	if n > 0 {
 		b.attempt.recordHeard()
 	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.attempt.broke = err
+	}
 	if b.attempt.endWait(received) {
 		return 0, &takenOverError{}
 	}
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -34,6 +34,8 @@
 type failedAttempt struct {
 	forward.FailedAttempt
 	attempt *attempt
+	// err is the error with which it has ended; nil if there was none.
+	err error
 }
 
 // run makes attempts until one succeeds, no further attempt is allowed or the caller
@@ -175,7 +177,7 @@
 	failure.Counted = a.counted
 	if a.s.isEnding() {
 		// The connection check could outlast the process.
-		return &failedAttempt{*failure, a}
+		return &failedAttempt{*failure, a, a.broke}
 	}
 	ctx := a.parent
 	if a.s.hedge == nil {
@@ -183,7 +185,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	a.recordRunnerFailure(ctx, failure)
-	return &failedAttempt{*failure, a}
+	return &failedAttempt{*failure, a, a.broke}
 }
 
 // prepareRetry decides whether another attempt follows a failed one, and waits until it is due. It returns the refusal if
@@ -203,7 +205,8 @@
 	note("attempt_failed", decisions.F("runner", a.runner()), decisions.F("reason", failed.Reason),
 		decisions.F("begun", a != nil && a.begun), decisions.F("events", a.eventCount()), decisions.F("parts", fmt.Sprint(s.parts)),
 		causeField(s.content()), decisions.F("may_have_run", failed.MayHaveRun), decisions.F("attempts", s.exchange.Sent()),
-		decisions.F("kept", s.hedge != nil), decisions.F("again", end == nil), decisions.F("charged", end == nil && failed.Sent), decisions.F("wait", wait))
+		decisions.F("kept", s.hedge != nil), decisions.F("again", end == nil), decisions.F("charged", end == nil && failed.Sent), decisions.F("wait", wait),
+		decisions.F("error", textOf(failed.err)))
 	s.edge.log.Count("attempt_failed." + string(failed.Reason))
 	waited := false
 	for end != nil && end.Reason == refusal.RetryBudgetExhausted && s.patient() {
@@ -229,6 +232,14 @@
 	return nil
 }
 
+// textOf returns the text of an error, empty for nil.
+func textOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // endIfCanceled ends a request whose caller has disconnected, whose deadline has passed or which this daemon
 // ends, and reports whether it did.
 func (s *requestHandler) endIfCanceled(ctx context.Context) bool {
--- a/daemon/edge/types.go
+++ b/daemon/edge/types.go
@@ -216,6 +216,9 @@
 	// the body ends with its connection, so that the end alone doesn't show that it is whole.
 	Body     io.ReadCloser
 	Unframed bool
+	// ConnectionEnd describes, for the log, how the connection stands once an unframed body has ended; nil if
+	// nothing is known of it.
+	ConnectionEnd func() string
 	// NotRun is set if the runner states that it didn't run the request. Misdirected is set if
 	// a different runner listens at the address.
 	NotRun      bool
--- a/daemon/edge/unframed.go
+++ b/daemon/edge/unframed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 
+	"geraniumstack.org/geraniumstack/daemon/decisions"
 	"geraniumstack.org/geraniumstack/state/ident"
 )
 
@@ -19,6 +20,8 @@
 	// needsData says that an answer without any byte is never whole.
 	needsData bool
 	read      bool
+	// connectionEnd describes how the connection stands; nil if nothing is known of it.
+	connectionEnd func() string
 }
 
 // fallenRunnerError says that an answer ended because its runner has failed.
@@ -33,8 +36,18 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if b.needsData && !b.read || b.attempt.runnerHasFallen(context.WithoutCancel(b.attempt.parent)) {
+	whole := !(b.needsData && !b.read) && !b.attempt.runnerHasFallen(context.WithoutCancel(b.attempt.parent))
+	b.noteEnd(whole)
+	if !whole {
 		return n, &fallenRunnerError{b.attempt.choice.Runner}
 	}
 	return n, err
 }
+
+func (b *unframedBody) noteEnd(whole bool) {
+	connection := ""
+	if b.connectionEnd != nil {
+		connection = b.connectionEnd()
+	}
+	b.attempt.s.note("unframed_ended", decisions.F("runner", b.attempt.choice.Runner), decisions.F("connection", connection), decisions.F("whole", whole))
+}
