Don't take a part of an answer for the whole whose connection was reset within the upload

Cause: the kernel tells of a reset once. Where the goroutine that writes gets the error, the one that reads gets io.EOF, and only the runner was asked whether it lives, not the connection how it ended.

At such an end the state of the connection is read from the kernel now: after an orderly end it is there, after a reset it is gone. A connection that is gone may have ended in order before (a reset follows when the rest of the upload meets a closed socket): then the write fails with EPIPE, otherwise with the error that the reader should have got. So the result of writing decides, which is there at once on a connection that is gone.

TestAnswerThatEndsInOrderWithinAnUploadIsComplete is served as before.

--- a/transport/httpanswer/end.go
+++ b/transport/httpanswer/end.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -47,3 +49,33 @@
 	}
 	return end
 }
+
+// CheckEnd returns an *Error if io.EOF, which was read from a connection, isn't the other end's word that its answer has
+// ended. written waits until nothing is being written to the connection any more, and returns the error of that.
+//
+// The kernel tells of a reset once: if a write has got the error, reads end with io.EOF. A write after an ordered end
+// fails with EPIPE; a write that failed otherwise was told of the end of a connection that had not been closed.
+func CheckEnd(conn net.Conn, written func() error) error {
+	if EndOf(conn) != Gone {
+		return nil
+	}
+	if err := written(); err != nil && !errors.Is(err, syscall.EPIPE) {
+		return &Error{Reset, fmt.Sprintf("answer without a length, write: %v", err)}
+	}
+	return nil
+}
+
+// IsUnframed reports whether the body of an answer ends with its connection.
+func IsUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
+
+// CheckBodyEnd returns an *Error if io.EOF, which was read from the body of an answer, isn't the end that the other end
+// has given it, or if the trailer is none. written is that of CheckEnd.
+func CheckBodyEnd(r *http.Response, conn net.Conn, written func() error) error {
+	if err := checkNames(r.Trailer); err != nil {
+		return err
+	}
+	if !IsUnframed(r) {
+		return nil
+	}
+	return CheckEnd(conn, written)
+}
