Keep as an action's result only what its runner has answered

Cause as at the platform's runners: net/http's transport is lenient, and takes the end of a connection that was reset for the end of the body.

httpanswer.Transport puts the same reader below net/http's transport and asks at the end of a body without a length how the connection stood when its end was read, and what became of writes.

--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"geraniumstack.org/geraniumstack/protocol/call"
 	"geraniumstack.org/geraniumstack/state/actionkey"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 const (
@@ -43,6 +44,8 @@
 	DialTimeout time.Duration
 	// MaxAnswerBytes limits the size of an answer's body.
 	MaxAnswerBytes int64
+	// Refused, if it isn't nil, is called for each answer of a runner that is none.
+	Refused func(*httpanswer.Error)
 
 	// ReuseConnections disables the protection against repeated execution. Only the test that
 	// demonstrates the resulting fault sets it.
@@ -61,7 +64,7 @@
 // Sender sends actions. It is safe for concurrent use.
 type Sender struct {
 	cfg             Config
-	sharedTransport *http.Transport
+	sharedTransport http.RoundTripper
 }
 
 // New returns a Sender.
@@ -69,7 +72,16 @@
 	if cfg.Dial == nil {
 		cfg.Dial = DefaultConfig().Dial
 	}
-	return &Sender{cfg: cfg, sharedTransport: &http.Transport{DialContext: cfg.Dial}}
+	s := &Sender{cfg: cfg}
+	s.sharedTransport = s.checked(&http.Transport{DialContext: cfg.Dial})
+	return s
+}
+
+// checked returns a round tripper over t that returns an answer only if it is one.
+func (s *Sender) checked(t *http.Transport) http.RoundTripper {
+	checked := httpanswer.NewTransport(t)
+	checked.Refused = s.cfg.Refused
+	return checked
 }
 
 // AnswerTooLargeError says that a runner's answer exceeds the size limit.
@@ -96,10 +108,10 @@
 		return s.roundTrip(s.sharedTransport, req, new(atomic.Bool))
 	}
 	var connected atomic.Bool
-	transport := &http.Transport{
+	transport := s.checked(&http.Transport{
 		DisableKeepAlives: true,
 		DialContext:       s.singleDialer(&connected),
-	}
+	})
 	return s.roundTrip(transport, req, &connected)
 }
 
@@ -127,7 +139,7 @@
 
 func (e *SecondDialError) Error() string { return "second connection to " + e.Address + " denied" }
 
-func (s *Sender) roundTrip(t *http.Transport, req *http.Request, connected *atomic.Bool) action.Result {
+func (s *Sender) roundTrip(t http.RoundTripper, req *http.Request, connected *atomic.Bool) action.Result {
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		if !connected.Load() && !s.cfg.ReuseConnections {
--- a/transport/httpanswer/end.go
+++ b/transport/httpanswer/end.go
@@ -50,16 +50,26 @@
 	return end
 }
 
-// CheckEnd returns an *Error if io.EOF, which was read from a connection, isn't the other end's word that its answer has
-// ended. written waits until nothing is being written to the connection any more, and returns the error of that.
+// Connection is a connection from which io.EOF was read.
+type Connection interface {
+	// End returns how it stood then.
+	End() End
+	// Written waits until nothing is being written to it any more, and returns the error of that. On a connection that
+	// is gone, writes end at once.
+	Written() error
+}
+
+// checkEnd returns an *Error if io.EOF, which was read from a connection, isn't the other end's word that its answer has
+// ended.
 //
 // The kernel tells of a reset once: if a write has got the error, reads end with io.EOF. A write after an ordered end
-// fails with EPIPE; a write that failed otherwise was told of the end of a connection that had not been closed.
-func CheckEnd(conn net.Conn, written func() error) error {
-	if EndOf(conn) != Gone {
+// fails with EPIPE, and one that this side's own close has ended was told nothing; a write that failed otherwise was told of
+// the end of a connection that had not been closed.
+func checkEnd(c Connection) error {
+	if c.End() != Gone {
 		return nil
 	}
-	if err := written(); err != nil && !errors.Is(err, syscall.EPIPE) {
+	if err := c.Written(); err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed) {
 		return &Error{Reset, fmt.Sprintf("answer without a length, write: %v", err)}
 	}
 	return nil
@@ -69,13 +79,13 @@
 func IsUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
 
 // CheckBodyEnd returns an *Error if io.EOF, which was read from the body of an answer, isn't the end that the other end
-// has given it, or if the trailer is none. written is that of CheckEnd.
-func CheckBodyEnd(r *http.Response, conn net.Conn, written func() error) error {
+// has given it, or if the trailer is none.
+func CheckBodyEnd(r *http.Response, c Connection) error {
 	if err := checkNames(r.Trailer); err != nil {
 		return err
 	}
 	if !IsUnframed(r) {
 		return nil
 	}
-	return CheckEnd(conn, written)
+	return checkEnd(c)
 }
--- a/transport/httpanswer/transport.go
+++ b/transport/httpanswer/transport.go
@@ -90,7 +90,7 @@
 	if !errors.Is(err, io.EOF) || b.conn == nil {
 		return n, err
 	}
-	if endErr := CheckBodyEnd(b.response, b.conn.Conn, b.conn.written); endErr != nil {
+	if endErr := CheckBodyEnd(b.response, b.conn); endErr != nil {
 		return n, b.transport.observe(endErr)
 	}
 	return n, err
@@ -107,8 +107,11 @@
 	finished *sync.Cond
 	writing  int
 	writeErr error
+	end      End
 }
 
+var _ Connection = (*watchedConn)(nil)
+
 func newWatchedConn(conn net.Conn, t *Transport) *watchedConn {
 	c := &watchedConn{Conn: conn, transport: t, heads: NewHeadReader(conn, maxHeadBytes)}
 	c.finished = sync.NewCond(&c.mu)
@@ -122,6 +125,13 @@
 	if errors.As(err, &refused) {
 		c.refused.Do(func() { _ = c.transport.observe(err) })
 	}
+	if errors.Is(err, io.EOF) {
+		// net/http may close the connection before its end is asked for.
+		end := EndOf(c.Conn)
+		c.mu.Lock()
+		c.end = end
+		c.mu.Unlock()
+	}
 	return n, err
 }
 
@@ -140,9 +150,15 @@
 	return n, err
 }
 
-// written waits until no write is in progress, and returns the first error of one. On a connection that is gone, writes
-// end at once.
-func (c *watchedConn) written() error {
+// End implements Connection.
+func (c *watchedConn) End() End {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.end
+}
+
+// Written implements Connection.
+func (c *watchedConn) Written() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.writing > 0 {
