--- a/transport/dispatch/broken_answers_test.go
+++ b/transport/dispatch/broken_answers_test.go
@@ -110,3 +110,15 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that is kept as an action's result, as its runner has failed and its kernel has ended the
+// connection.
+func TestAnswerOfAFailedRunnerIsNoResult(t *testing.T) {
+	is := is.New(t)
+	address := answerRaw(t, "HTTP/1.1 200 OK\r\n\r\npart", func(l net.Listener, _ *net.TCPConn, in io.Reader) {
+		_, _ = io.Copy(io.Discard, in)
+		_ = l.Close()
+	})
+	got := send(dispatch.New(dispatch.DefaultConfig()), address, "one", []byte("pledge"))
+	is.Equal(got.Executed(), refusal.ExecutedUnknown)
+}
--- a/transport/dispatch/dispatch.go
+++ b/transport/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -14,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"geraniumstack.org/geraniumstack/protocol/action"
@@ -154,6 +156,9 @@
 		return refusedResult(refusal.New(refusal.RunnerRefused, "runner answered %d and did not run it", resp.StatusCode))
 	}
 	body, err := s.readBody(resp.Body)
+	if err == nil && httpanswer.IsUnframed(resp) {
+		err = s.checkAlive(req)
+	}
 	if err != nil {
 		return refusedResult(refusal.New(refusal.RunnerFailed, "answer broke off: %v", err).Unknown())
 	}
@@ -164,6 +169,26 @@
 	}}
 }
 
+// FailedRunnerError says that an answer without a length ended because its runner has failed.
+type FailedRunnerError struct{ Address string }
+
+func (e *FailedRunnerError) Error() string { return e.Address + " refuses connections" }
+
+// checkAlive returns a *FailedRunnerError if the runner refuses connections. The kernel of one that has failed ends its
+// connections as one does that has ended its answer.
+func (s *Sender) checkAlive(req *http.Request) error {
+	ctx, cancel := context.WithTimeout(req.Context(), s.cfg.DialTimeout)
+	defer cancel()
+	conn, err := s.cfg.Dial(ctx, "tcp", req.URL.Host)
+	if err == nil {
+		return conn.Close()
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return &FailedRunnerError{Address: req.URL.Host}
+	}
+	return nil
+}
+
 func (s *Sender) readBody(r io.Reader) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, s.cfg.MaxAnswerBytes+1))
 	if err != nil {
