Read the answers of all services through the strict reader

All use httpanswer.Transport, or its check, now. A kept action's status that is none, from an earlier version, is an unknown outcome; it would panic net/http. Counters answers_refused.KIND tell what was refused, and the text of the error which runner sent what.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -18,6 +18,7 @@
 
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/transport/gateway"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 // Config holds the caller's credentials and the addresses of the first
@@ -73,7 +74,7 @@
 		c.RetryTimeout = defaultRetryTimeout
 	}
 	if c.HTTP == nil {
-		c.HTTP = &http.Client{}
+		c.HTTP = httpanswer.NewClient()
 	}
 	return &Client{c: c, bases: c.Gateways}
 }
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -20,6 +20,7 @@
 
 	"geraniumstack.org/geraniumstack/gen/geranium/admin/v1/adminv1connect"
 	"geraniumstack.org/geraniumstack/state/document"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 // Exit statuses in addition to those of package subcommands (0 success, 1
@@ -201,7 +202,7 @@
 
 func (c *common) httpClient() (*http.Client, error) {
 	if c.ca == "" {
-		return http.DefaultClient, nil
+		return httpanswer.NewClient(), nil
 	}
 	data, err := os.ReadFile(c.ca)
 	if err != nil {
@@ -211,5 +212,5 @@
 	if !pool.AppendCertsFromPEM(data) {
 		return nil, &AuthoritiesError{File: c.ca}
 	}
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}}, nil
+	return &http.Client{Transport: httpanswer.NewTransport(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}})}, nil
 }
--- a/ctl/gateways.go
+++ b/ctl/gateways.go
@@ -12,6 +12,7 @@
 	"github.com/google/subcommands"
 
 	"geraniumstack.org/geraniumstack/transport/gateway"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 type gatewaysCmd struct {
@@ -47,7 +48,7 @@
 	if err != nil {
 		return list, fmt.Errorf("make request: %w", err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := httpanswer.NewClient().Do(req)
 	if err != nil {
 		return list, fmt.Errorf("ask for gateways: %w", err)
 	}
--- a/ctl/load.go
+++ b/ctl/load.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"geraniumstack.org/geraniumstack/demo"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 const loadConnections = 64
@@ -38,7 +39,7 @@
 func (p *loadCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	summary, err := demo.Load(ctx, demo.LoadOptions{
 		Fleet: p.fleet, Gateways: strings.Split(p.gateways, ","), Seed: p.seed, For: p.duration, Progress: p.errs,
-		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: loadConnections}},
+		HTTP: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{MaxIdleConnsPerHost: loadConnections})},
 	})
 	if err != nil {
 		return p.reportError(err)
--- a/daemon/actions/actions.go
+++ b/daemon/actions/actions.go
@@ -26,6 +26,7 @@
 	"geraniumstack.org/geraniumstack/state/actionkey"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
@@ -158,7 +159,7 @@
 		cfg.Metrics = metrics.NewRegistry()
 	}
 	if cfg.Peers == nil {
-		cfg.Peers = &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}
+		cfg.Peers = &http.Client{Transport: httpanswer.NewTransport(&http.Transport{IdleConnTimeout: time.Minute})}
 	}
 	s := &Service{
 		cfg:         cfg,
--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -24,6 +24,7 @@
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
 	"geraniumstack.org/geraniumstack/transport/cloudapi"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 	"geraniumstack.org/geraniumstack/transport/kv"
 )
 
@@ -43,7 +44,7 @@
 	// nil, which disables that source.
 	Lister cloudapi.VMLister
 	Cloud  cloudapi.Cloud
-	// HTTPClient sends requests to peers; nil means http.DefaultClient.
+	// HTTPClient sends requests to peers; nil means a client over TCP.
 	HTTPClient connect.HTTPClient
 	// Scheme is the URL scheme of the peers' listeners; empty means "http".
 	Scheme string
@@ -107,7 +108,7 @@
 // New returns a Control that knows only its own daemon. Call Run to start it.
 func New(cfg Config) *Control {
 	if cfg.HTTPClient == nil {
-		cfg.HTTPClient = http.DefaultClient
+		cfg.HTTPClient = httpanswer.NewClient()
 	}
 	if cfg.Scheme == "" {
 		cfg.Scheme = "http"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"geraniumstack.org/geraniumstack/transport/cloudapi"
 	"geraniumstack.org/geraniumstack/transport/dispatch"
 	"geraniumstack.org/geraniumstack/transport/gateway"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 	"geraniumstack.org/geraniumstack/transport/kv"
 	"geraniumstack.org/geraniumstack/transport/tlsreload"
 )
@@ -166,13 +167,19 @@
 // settings enable it.
 func (d *Daemon) peerClient(n Network) *http.Client {
 	if d.tls == nil {
-		return newHTTPClient(n)
+		return newHTTPClient(n, d.countRefused)
 	}
-	return newHTTPClient(tlsNetwork{Network: n, config: d.tls.ClientConfig()})
+	return newHTTPClient(tlsNetwork{Network: n, config: d.tls.ClientConfig()}, d.countRefused)
+}
+
+// countRefused counts and logs an answer that is none.
+func (d *Daemon) countRefused(e *httpanswer.Error) {
+	metrics.GetOrRegisterCounter("answers_refused."+string(e.Kind), d.metrics).Inc(1)
+	klog.InfoS("answer refused", "kind", e.Kind, "detail", e.Detail)
 }
 
 func (d *Daemon) createComponents(n Network) {
-	client := newHTTPClient(n)
+	client := newHTTPClient(n, d.countRefused)
 	peers := d.peerClient(n)
 	p := d.settings.Platform
 	d.store = kv.NewHTTPClient(p.KeyValue, client)
@@ -185,7 +192,7 @@
 	})
 	configuration := d.control.ConfigView()
 	sender := dispatch.DefaultConfig()
-	sender.Dial = n.Dial
+	sender.Dial, sender.Refused = n.Dial, d.countRefused
 	d.services = services.New(services.Config{
 		Directory: d.control, Config: configuration, Sender: serviceSender{dispatch.New(sender)},
 		Probe: newDialProbe(n), Metrics: d.metrics, Retry: retry.Default(), Health: health.Default(),
--- a/daemon/dispatch/observe.go
+++ b/daemon/dispatch/observe.go
@@ -11,6 +11,7 @@
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/transport/engine"
 	"geraniumstack.org/geraniumstack/transport/engineapi"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 // observedEngines forwards calls to the engines and reports first tokens to the
@@ -63,7 +64,7 @@
 
 // Probe implements Prober.
 func (p FreshConnProber) Probe(ctx context.Context, address string) error {
-	transport := &http.Transport{DialContext: p.Dial, DisableKeepAlives: true}
+	transport := httpanswer.NewTransport(&http.Transport{DialContext: p.Dial, DisableKeepAlives: true})
 	defer transport.CloseIdleConnections()
 	if _, err := engine.New(address, &http.Client{Transport: transport}).Load(ctx); err != nil {
 		return fmt.Errorf("probe: %w", err)
--- a/daemon/edge/endless_test.go
+++ b/daemon/edge/endless_test.go
@@ -296,20 +296,29 @@
 	})
 }
 
-// absurdHelper is a daemon that answers a delegated request with one part beyond any.
-type absurdHelper struct{ data, calls int }
+// absurdHelper is a daemon that answers a delegated request with a start and one part of its choice, and says that they are all.
+type absurdHelper struct {
+	start *delegationv1.Start
+	data  int
+	calls int
+}
 
 func (h *absurdHelper) Serve(_ context.Context, _ *connect.Request[delegationv1.ServeRequest], stream *connect.ServerStream[delegationv1.ServeResponse]) error {
 	h.calls++
-	start := &delegationv1.ServeResponse_Start{Start: &delegationv1.Start{Status: 200, Length: -1}}
-	if err := stream.Send(&delegationv1.ServeResponse{Part: start}); err != nil {
-		return err
+	for _, part := range []*delegationv1.ServeResponse{
+		{Part: &delegationv1.ServeResponse_Start{Start: h.start}},
+		{Part: &delegationv1.ServeResponse_Data{Data: make([]byte, h.data)}},
+		{Part: &delegationv1.ServeResponse_Finished{Finished: true}},
+	} {
+		if err := stream.Send(part); err != nil {
+			return err
+		}
 	}
-	return stream.Send(&delegationv1.ServeResponse{Part: &delegationv1.ServeResponse_Data{Data: make([]byte, h.data)}})
+	return nil
 }
 
-// Guards against a part of a helper's answer that is read into memory whatever its size.
-func TestAnswerPartOfAHelperIsBounded(t *testing.T) {
+// checkNotPassedOn checks that what the helper says in place of a daemon is no answer for a caller.
+func (h *absurdHelper) checkNotPassedOn(t *testing.T) {
 	withFleet(t, 2, config(1), func(w *testFleet) {
 		w.addServingRunner("r1")
 		time.Sleep(500 * time.Millisecond)
@@ -317,23 +326,35 @@
 		w.daemons[1].kill()
 		listener, err := w.calls.Listen(w.daemons[1].address)
 		w.NoErr(err)
-		helper := &absurdHelper{data: 32 << 20}
 		mux := http.NewServeMux()
-		mux.Handle(delegationv1connect.NewDelegationServiceHandler(helper))
+		mux.Handle(delegationv1connect.NewDelegationServiceHandler(h))
 		server := peerhttp.NewServer(mux)
 		go func() { _ = server.Serve(listener) }()
 		defer server.Close()
 		// The connection to the daemon that has ended is given up.
 		w.askCounting("/pledge/1")
-		before := helper.calls
+		before := h.calls
 		a := w.askCounting("/pledge/1")
-		w.Equal(helper.calls-before, 1)
+		w.Equal(h.calls-before, 1)
 		w.Equal(a.status, 0)
 		w.Equal(a.reason(), refusal.RunnerFailed)
 		w.Equal(a.refusal.Executed, refusal.ExecutedUnknown)
 	})
 }
 
+// Guards against a part of a helper's answer that is read into memory whatever its size.
+func TestAnswerPartOfAHelperIsBounded(t *testing.T) {
+	(&absurdHelper{start: &delegationv1.Start{Status: 200, Length: -1}, data: 32 << 20}).checkNotPassedOn(t)
+}
+
+// Guards against a status or a header of a helper's that no answer may have, and that is passed on.
+func TestBrokenHeadOfAHelperIsNoAnswer(t *testing.T) {
+	(&absurdHelper{start: &delegationv1.Start{Status: 0, Length: 4}, data: 4}).checkNotPassedOn(t)
+	(&absurdHelper{start: &delegationv1.Start{Status: 101, Length: 4}, data: 4}).checkNotPassedOn(t)
+	odd := []*delegationv1.Header{{Name: "X Odd", Values: []string{"v"}}}
+	(&absurdHelper{start: &delegationv1.Start{Status: 200, Length: 4, Headers: odd}, data: 4}).checkNotPassedOn(t)
+}
+
 // Guards against a daemon that takes its paths to the runners for lost, and lets others serve its callers, although bytes
 // of the runners arrive.
 func TestBytesThatAreNoAnswerShowThatARunnerIsReached(t *testing.T) {
--- a/daemon/edge/helper_call.go
+++ b/daemon/edge/helper_call.go
@@ -13,6 +13,7 @@
 	"geraniumstack.org/geraniumstack/gen/geranium/delegation/v1/delegationv1connect"
 	"geraniumstack.org/geraniumstack/protocol/forward"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 // This file is the calling side of the daemons' protocol for requests that one serves for another; delegated.go is the
@@ -62,9 +63,12 @@
 		if p.Start.LeavingRunner != 0 {
 			e.receiveLeaving([]uint64{p.Start.LeavingRunner})
 		}
-		return &Answer{
-			Status: int(p.Start.Status), Header: decodeHeaders(p.Start.Headers), Length: p.Start.Length, Events: p.Start.Events, Body: body,
-		}, nil
+		status, header := int(p.Start.Status), decodeHeaders(p.Start.Headers)
+		if err := httpanswer.CheckFinal(status, header); err != nil {
+			body.Close()
+			return nil, err
+		}
+		return &Answer{Status: status, Header: header, Length: p.Start.Length, Events: p.Start.Events, Body: body}, nil
 	}
 	body.Close()
 	return nil, &unexpectedPartError{}
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -12,6 +12,7 @@
 	"geraniumstack.org/geraniumstack/protocol/retry"
 	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 // lookAgainInterval is the time after which a request that can't go on anywhere at the moment, and that
@@ -167,6 +168,10 @@
 
 // failed describes the failure of the attempt, and records what it says of the runner.
 func (a *attempt) failed(failure *forward.FailedAttempt) *failedAttempt {
+	var refused *httpanswer.Error
+	if errors.As(a.broke, &refused) {
+		a.s.edge.log.Count("answers_refused." + string(refused.Kind))
+	}
 	if a.helper != "" {
 		a.countHelperSends()
 		failure.Counted = a.counted
--- a/daemon/network.go
+++ b/daemon/network.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 // Network opens listeners and connections. Tests use an in-memory
@@ -77,11 +79,13 @@
 
 // newHTTPClient returns a client for the daemon's own calls. It sets no
 // timeout, because streams may last any time; callers bound their calls with
-// contexts.
-func newHTTPClient(n Network) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+// contexts. It calls refused for each answer that is none.
+func newHTTPClient(n Network, refused func(*httpanswer.Error)) *http.Client {
+	transport := httpanswer.NewTransport(&http.Transport{
 		DialContext:         n.Dial,
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-	}}
+	})
+	transport.Refused = refused
+	return &http.Client{Transport: transport}
 }
--- a/transport/gateway/services.go
+++ b/transport/gateway/services.go
@@ -13,6 +13,7 @@
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/manifest"
 	"geraniumstack.org/geraniumstack/state/refusal"
+	"geraniumstack.org/geraniumstack/transport/httpanswer"
 )
 
 const (
@@ -147,7 +148,11 @@
 	return out
 }
 
+// writeAnswer sends a runner's answer. One that was kept by an earlier version of the daemon may be none.
 func writeAnswer(c *echo.Context, a call.Answer) error {
+	if err := httpanswer.CheckFinal(a.Status, nil); err != nil {
+		return refusal.New(refusal.RunnerFailed, "%v", err).Unknown()
+	}
 	h := c.Response().Header()
 	contentType := ""
 	for _, f := range a.Headers {
--- a/transport/httpanswer/transport.go
+++ b/transport/httpanswer/transport.go
@@ -39,6 +39,11 @@
 	return t
 }
 
+// NewClient returns a client with a Transport of its own, set up as http.DefaultTransport is.
+func NewClient() *http.Client {
+	return &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+}
+
 // CloseIdleConnections closes the connections that aren't in use.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
