Ask a leaving runner, too, whether it has ended at the end of an unframed answer

Cause: a runner that is known to leave was taken for not fallen without being asked, since its end is no failure of what it was asked. That is a reason not to count the failure against requests and prompt parts; it says nothing about whether the answer is whole. Now only the counting looks at the leaving, and each unframed end asks for a new connection. A leaving runner accepts them until it exits.

TestUnframedStreamOfALeavingRunnerThatEndsIsNotComplete fails without the change. Price: the last unframed answer of a runner that exits within a moment of it counts as broken off.

--- a/daemon/edge/failed_runners.go
+++ b/daemon/edge/failed_runners.go
@@ -70,12 +70,12 @@
 	})
 }
 
-// checkRunnerOnce checks the attempt's runner with a few others to compare it with, unless it is leaving. The
-// entry of a failed runner lapses while requests still wait for it. All requests that it had ask at the same
-// moment; one check answers them. It reports false if the context ends before.
+// checkRunnerOnce checks the attempt's runner with a few others to compare it with. The entry of a failed runner
+// lapses while requests still wait for it. All requests that it had ask at the same moment; one check answers them. It
+// reports false if the context ends before.
 func (a *attempt) checkRunnerOnce(ctx context.Context, name string, check func(r Runner, others []Runner) bool) bool {
 	p := a.s.pool
-	if a.entry.ID == "" || p.edge.isLeaving(a.entry.ID) {
+	if a.entry.ID == "" {
 		return false
 	}
 	result := p.failureChecks.DoChan(name+" "+string(a.entry.ID), func() (any, error) {
--- a/daemon/edge/failure_causes.go
+++ b/daemon/edge/failure_causes.go
@@ -226,8 +226,12 @@
 		decisions.F("events", a.eventCount()), causeField(causes[0]), decisions.F("parts", fmt.Sprint(causes[1:])))
 }
 
-// runnerHasFailed reports whether the attempt's runner has failed, rather than its connection.
+// runnerHasFailed reports whether the attempt's runner has failed, rather than its connection. One that is leaving ends
+// whatever it is asked.
 func (a *attempt) runnerHasFailed(ctx context.Context, reason retry.Reason) bool {
+	if a.s.edge.isLeaving(a.entry.ID) {
+		return false
+	}
 	switch reason {
 	case retry.Broken:
 		return a.runnerHasFallen(ctx)
--- a/daemon/edge/unframed_test.go
+++ b/daemon/edge/unframed_test.go
@@ -70,6 +70,36 @@
 	})
 }
 
+// Guards against a stream that ends with its connection and counts as complete although the leaving runner that sends it
+// has ended.
+func TestUnframedStreamOfALeavingRunnerThatEndsIsNotComplete(t *testing.T) {
+	withFleet(t, 1, patientConfig(), func(w *testFleet) {
+		w.addFailingRunners(1, func() *edge.Answer {
+			w.leaving("r1", "app")
+			time.Sleep(100 * time.Millisecond)
+			return eventAnswer(eventText(1, 2), io.EOF)
+		})
+		a := w.ask(w.daemons[0], "/draft/1", key)
+		w.True(a.finished)
+		w.Equal(a.body.String(), eventText(1, 6))
+	})
+}
+
+// Guards against the last answers of a leaving runner that count as broken while it still accepts connections.
+func TestUnframedAnswerOfALeavingRunnerIsComplete(t *testing.T) {
+	withFleet(t, 1, config(1), func(w *testFleet) {
+		w.addRunner("r1", "app").setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+			w.leaving("r1", "app")
+			time.Sleep(100 * time.Millisecond)
+			return unframed(plainAnswer(http.StatusOK, "whole")), nil
+		})
+		time.Sleep(100 * time.Millisecond)
+		a := w.ask(w.daemons[0], "/pledge/1", key)
+		w.Equal(a.status, http.StatusOK)
+		w.Equal(a.body.String(), "whole")
+	})
+}
+
 // Guards against a stream without any event that counts as complete because its connection has ended.
 func TestUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
 	withFleet(t, 1, config(1), func(w *testFleet) {
