Tell of a request under which a runner has failed at once

Cause: the first failure under a request was told with the other news of the next 20 ms, so failures that came one after the other looked like ones of the same moment, which count half.

--- a/daemon/edge/cause_news.go
+++ b/daemon/edge/cause_news.go
@@ -19,12 +19,12 @@
 	maxNewSuspectsPerSecond = 128
 )
 
-// spreadCauseLocked tells other daemons of a cause: at once if it is suspected or quarantined, since its
-// request may come back at any of them, otherwise together with the other news of the next moment. The
+// spreadCauseLocked tells other daemons of a cause: at once if it is suspected or quarantined, or a request, since it
+// may come back at any of them within milliseconds, otherwise together with the other news of the next moment. The
 // caller must hold failureCauses.mu.
 func (e *Edge) spreadCauseLocked(c quarantine.Cause, byRelay bool) {
 	e.failureCauses.news.add(c, byRelay, e.sendCauseNews)
-	if e.failureCauses.table.Verdict(e.deps.Steady(), c) != quarantine.Sound {
+	if c.Kind == quarantine.Request || e.failureCauses.table.Verdict(e.deps.Steady(), c) != quarantine.Sound {
 		time.AfterFunc(0, e.sendCauseNews)
 	}
 }
