--- a/soak/conditions_test.go
+++ b/soak/conditions_test.go
@@ -31,6 +31,8 @@
 	upgrades bool
 	// storms makes runners refuse connections while others fail many requests now and then.
 	storms bool
+	// brokenAnswers makes runners answer many requests with bytes that are no answer now and then.
+	brokenAnswers bool
 	// firstStarts lets the settings say at each start of a daemon that it is the fleet's first, which is so on the
 	// platform only once.
 	firstStarts bool
@@ -50,6 +52,7 @@
 	powerLossDraws
 	upgradeDraws
 	stormDraws
+	brokenAnswerDraws
 )
 
 func generator(seed int64, draws uint64) *rand.Rand {
@@ -90,6 +93,9 @@
 	if c.storms {
 		faults = merge(faults, drawRepeated(seed, stormDraws, length, failAtManyRunners))
 	}
+	if c.brokenAnswers {
+		faults = merge(faults, drawRepeated(seed, brokenAnswerDraws, length, breakAnswers))
+	}
 	return faults
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,7 @@
 	lossSeeds    = flag.Int("loss-seeds", 1, "how many seeds TestSoakOfPowerLosses plays, from the first seed on")
 	upgradeSeeds = flag.Int("upgrade-seeds", 1, "how many seeds TestSoakOfUpgradedRunners plays, from the first seed on")
 	stormSeeds   = flag.Int("storm-seeds", 1, "how many seeds TestSoakOfStorms plays, from the first seed on")
+	answerSeeds  = flag.Int("answer-seeds", 1, "how many seeds TestSoakOfBrokenAnswers plays, from the first seed on")
 	firstSeed    = flag.Int64("first-seed", 1, "the first of them; 0 is one by the time of day")
 	length       = flag.Duration("length", 6*time.Second, "how long faults come in one seed")
 	daemons      = flag.Int("daemons", 4, "daemons of the fleet")
@@ -115,6 +116,12 @@
 	runSeeds(t, *firstSeed, *stormSeeds, func(with *conditions) { with.storms, with.attempts = true, 3 })
 }
 
+// TestSoakOfBrokenAnswers plays seeds in which runners answer with bytes that are no answer.
+func TestSoakOfBrokenAnswers(t *testing.T) {
+	t.Parallel()
+	runSeeds(t, *firstSeed, *answerSeeds, func(with *conditions) { with.brokenAnswers = true })
+}
+
 // runSeeds runs the soak for n seeds, each under the conditions that it draws and those that change adds.
 func runSeeds(t *testing.T, first int64, n int, change func(with *conditions)) {
 	for seed := first; seed < first+int64(n); seed++ {
--- a/soak/storms_test.go
+++ b/soak/storms_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,6 +39,8 @@
 	failsAfter time.Duration
 	// served is the share of the requests that must be answered.
 	served float64
+	// bodyBytes is added to the requests' bodies.
+	bodyBytes int
 	// disturb goes on until its context ends.
 	disturb func(ctx context.Context, f *fleet)
 }
@@ -99,6 +103,57 @@
 	}
 }
 
+// Guards against answers that are refused as none, and whose requests are sent again beyond the retry budget.
+func TestBrokenAnswersKeepToRetryBudget(t *testing.T) {
+	for name, s := range map[string]storm{
+		"no status":       {perSecond: 130, fault: site.NoStatus, share: 0.8},
+		"blank in a name": {perSecond: 130, kind: 2, fault: site.BlankInName, share: 0.8},
+		"half sound":      {perSecond: 130, fault: site.NoStatus, share: 1, sound: 5, served: 0.9},
+		"all killed":      {perSecond: 25, fault: site.NoStatus, share: 0.8, disturb: killAllEvery(1500 * time.Millisecond)},
+	} {
+		s.with = conditions{attempts: 4}
+		if s.disturb == nil {
+			s.disturb = waitForEnd
+		}
+		t.Run(name, s.play)
+	}
+}
+
+// Guards against daemons with little of a processor that tell runners of more time than is left, or send again beyond the retry budget.
+func TestSlowDaemonsTellOfTheTimeThatIsLeft(t *testing.T) {
+	for name, s := range map[string]storm{
+		"0.4 of a processor":          {perSecond: 300, fault: site.DropResponse, disturb: runForPartOf(20 * time.Millisecond)},
+		"0.1 of a processor":          {perSecond: 130, fault: site.DropResponse, disturb: runForPartOf(5 * time.Millisecond)},
+		"0.2 of a processor, uploads": {perSecond: 60, fault: site.DropResponse, bodyBytes: 256 << 10, disturb: runForPartOf(10 * time.Millisecond)},
+		"0.2 of a processor, streams": {perSecond: 130, kind: 2, fault: site.TruncateStream, disturb: runForPartOf(10 * time.Millisecond)},
+	} {
+		s.with, s.share = conditions{attempts: 4}, 0.5
+		t.Run(name, s.play)
+	}
+}
+
+// slowPeriod is so short that a daemon that is stopped for a part of each isn't paused, but slow.
+const slowPeriod = 50 * time.Millisecond
+
+// runForPartOf lets the daemons run for so long of each slowPeriod, one after the other.
+func runForPartOf(running time.Duration) func(context.Context, *fleet) {
+	return func(ctx context.Context, f *fleet) {
+		var slow sync.WaitGroup
+		for _, d := range f.daemons {
+			slow.Go(func() {
+				for ctx.Err() == nil {
+					// The process lives for the whole of the storm.
+					_ = d.cmd.Process.Signal(syscall.SIGSTOP)
+					time.Sleep(slowPeriod - running)
+					_ = d.cmd.Process.Signal(syscall.SIGCONT)
+					time.Sleep(running)
+				}
+			})
+		}
+		slow.Wait()
+	}
+}
+
 // play plays a storm and checks the budget.
 func (s storm) play(t *testing.T) {
 	t.Parallel()
@@ -202,6 +257,7 @@
 		case <-ticks.C:
 		}
 		a := f.attemptLog.add(requestKinds[s.kind], stableKey, f.daemons[i%len(f.daemons)].CallerAddress())
+		a.body += strings.Repeat("x", s.bodyBytes)
 		f.calling.Go(func() {
 			answerCtx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 			defer cancel()
@@ -294,3 +350,16 @@
 		}
 	}
 }
+
+// breakAnswers makes one runner or half of them answer many requests with bytes that are no answer.
+func breakAnswers(rng *rand.Rand) fault {
+	first := rng.IntN(1000)
+	share := []string{"one runner", "half of the runners"}[rng.IntN(2)]
+	one := []site.Fault{site.NoStatus, site.BlankInName}[rng.IntN(2)]
+	next := drawStormFaults(rng, 10+rng.IntN(50), one, rng.Float64())
+	return fault{description: fmt.Sprintf("%s answer with %s, from %d on, up to %d times", share, one, first, len(next)), apply: func(f *fleet) {
+		for _, r := range f.runnersFrom(first, share) {
+			r.SetNextFaults(next...)
+		}
+	}}
+}
--- a/standin/site/runner.go
+++ b/standin/site/runner.go
@@ -46,6 +46,9 @@
 	EndlessError Fault = "endless_error"
 	// EndlessEvent sends bytes of a stream's third event until the connection is closed.
 	EndlessEvent Fault = "endless_event"
+	// NoStatus executes the request and responds with status 000, BlankInName with a blank in the name of a field.
+	NoStatus    Fault = "no_status"
+	BlankInName Fault = "blank_in_name"
 )
 
 // Execution is one request that the runner began to execute.
@@ -424,6 +427,11 @@
 	r.capacity.acquire(req.Header)
 	defer r.capacity.release()
 	run := r.recordExecution(req, string(body), received)
+	if nextFault == NoStatus || nextFault == BlankInName {
+		r.recordFault(run, nextFault)
+		r.writeBrokenHead(c, run, nextFault)
+		return true
+	}
 	if strings.Contains(req.URL.Path, "/stream/") {
 		return r.writeStream(c, req, run, nextFault, work, events)
 	}
@@ -508,6 +516,20 @@
 	return true
 }
 
+// writeBrokenHead sends bytes that would be the response to the request but for one line.
+func (r *Runner) writeBrokenHead(c net.Conn, run *Execution, fault Fault) {
+	status := 200
+	if fault == NoStatus {
+		status = 0
+	}
+	head := strings.Replace(r.responseHeader(status, run.ID), "HTTP/1.1 0 ", "HTTP/1.1 000 ", 1)
+	if fault == BlankInName {
+		head += "X Odd: v\r\n"
+	}
+	body := "answer to " + run.ID
+	fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+}
+
 // maxEndlessBytes bounds what a runner sends where it sends without end; then it waits until the connection is closed.
 const maxEndlessBytes = 64 << 20
 
