Don't refuse a request as not run whose attempt has failed a moment before

Cause: a failed attempt was taken into account when the next one was decided on, and before that the daemon finds out whether the runner has failed, for 100 ms or more. A request whose time ended in between, whose caller left or whose daemon ended, ended as if nothing had been sent. The class: knowledge that a promise rests on is recorded after a wait.

A failed attempt is recorded as soon as it has failed, by Exchange.Record, and counts once.

--- a/daemon/edge/attempt_failures.go
+++ b/daemon/edge/attempt_failures.go
@@ -77,6 +77,7 @@
 func (a *attempt) recordInterrupted() {
 	if !a.counted {
 		a.s.exchange.RecordInterrupted()
+		a.counted = true
 	}
 }
 
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -175,11 +175,15 @@
 	if a.helper != "" {
 		a.countHelperSends()
 		failure.Counted = a.counted
+		a.s.exchange.Record(failure)
+		a.counted = failure.Counted
 		a.s.note("helper_failed", decisions.F("helper", a.helper), decisions.F("reason", failure.Reason), decisions.F("told", a.helperSends.told.Load()),
 			decisions.F("attempts", a.s.exchange.Sent()), decisions.F("after", time.Since(a.sent)))
 		return &failedAttempt{FailedAttempt: *failure}
 	}
 	failure.Counted = a.counted
+	a.s.exchange.Record(failure)
+	a.counted = failure.Counted
 	if a.s.isEnding() {
 		// The connection check could outlast the process.
 		return &failedAttempt{*failure, a, a.broke}
--- a/protocol/forward/exchange.go
+++ b/protocol/forward/exchange.go
@@ -72,11 +72,18 @@
 // policy's budget unless nothing of the failed attempt reached a runner: the
 // failed attempt then put no load on a runner.
 func (x *Exchange) HandleFailure(now time.Time, policy *retry.Policy, a FailedAttempt) (time.Duration, *refusal.Refusal) {
+	x.Record(&a)
+	return x.Decide(now, policy, a)
+}
+
+// Record takes up a failed attempt, and says in it that it counts. An attempt has to be recorded before anything else is
+// waited for: a request that ends meanwhile must not be refused as not executed.
+func (x *Exchange) Record(a *FailedAttempt) {
 	x.mayHaveRun = x.mayHaveRun || a.MayHaveRun
 	if a.Sent && !a.Counted {
 		x.sent++
+		a.Counted = true
 	}
-	return x.Decide(now, policy, a)
 }
 
 // Decide decides on a failed attempt that HandleFailure has processed, like HandleFailure.
