--- a/daemon/edge/helper_attempts_test.go
+++ b/daemon/edge/helper_attempts_test.go
@@ -116,3 +116,29 @@
 		}
 	})
 }
+
+// Guards against requests that reach more runners than their route allows since a helper goes on sending them while the link to it is
+// cut, so that what it tells of its sends is lost.
+func TestSilencedHelperCountsForAttempts(t *testing.T) {
+	const runnerFailsAfter = 300 * time.Millisecond
+	withFailingRunners(t, func(ctx context.Context, attempt *edge.Attempt) (*edge.Answer, error) {
+		attempt.Connected()
+		pauseFor(ctx, runnerFailsAfter)
+		return nil, brokenSend()
+	}, func(w *testFleet, arrivals func() int) {
+		answered := make(chan *recordedReply, 1)
+		go func() { answered <- w.ask(w.daemons[0], "/read/1", key) }()
+		for arrivals() < 1 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		helper := w.daemons[1]
+		if w.daemons[2].InFlight() > 0 {
+			helper = w.daemons[2]
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.True(w.calls.Silence(helper.address) > 0)
+		a := <-answered
+		t.Logf("%d arrivals, status %d", arrivals(), a.status)
+		w.True(arrivals() <= helperAttempts)
+	})
+}
