--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -174,16 +174,12 @@
 	}
 	if a.helper != "" {
 		a.countHelperSends()
-		failure.Counted = a.counted
-		a.s.exchange.Record(failure)
-		a.counted = failure.Counted
+		a.record(failure)
 		a.s.note("helper_failed", decisions.F("helper", a.helper), decisions.F("reason", failure.Reason), decisions.F("told", a.helperSends.told.Load()),
 			decisions.F("attempts", a.s.exchange.Sent()), decisions.F("after", time.Since(a.sent)))
-		return &failedAttempt{FailedAttempt: *failure}
+		return &failedAttempt{FailedAttempt: *failure, err: a.broke}
 	}
-	failure.Counted = a.counted
-	a.s.exchange.Record(failure)
-	a.counted = failure.Counted
+	a.record(failure)
 	if a.s.isEnding() {
 		// The connection check could outlast the process.
 		return &failedAttempt{*failure, a, a.broke}
@@ -197,6 +193,13 @@
 	return &failedAttempt{*failure, a, a.broke}
 }
 
+// record counts the failed attempt among the request's, unless it counts already.
+func (a *attempt) record(failure *forward.FailedAttempt) {
+	failure.Counted = a.counted
+	a.s.exchange.Record(failure)
+	a.counted = failure.Counted
+}
+
 // prepareRetry decides whether another attempt follows a failed one, and waits until it is due. It returns the refusal if
 // none follows. It returns early if the request isn't to be sent any more.
 func (s *requestHandler) prepareRetry(ctx context.Context, failed *failedAttempt) *refusal.Refusal {
--- a/transport/httpanswer/head.go
+++ b/transport/httpanswer/head.go
@@ -130,10 +130,10 @@
 
 // headCheck checks a head line by line.
 type headCheck struct {
-	lines    int
-	http1_0  bool
-	interim  bool
-	encoding bool
+	lines int
+	// http10 says that the version is HTTP/1.0, interim that another head follows, encoding that there is a
+	// Transfer-Encoding.
+	http10, interim, encoding bool
 }
 
 // next checks the next line, and reports whether the head ends with it.
@@ -175,7 +175,7 @@
 	if err != nil || status < minStatus || status > maxStatus {
 		return badStatusLine(line)
 	}
-	c.http1_0 = version == "HTTP/1.0"
+	c.http10 = version == "HTTP/1.0"
 	c.interim = status < minFinalStatus
 	if c.interim && !isKnownInterim(int(status)) {
 		return &Error{UnaskedInterim, "status " + digits}
@@ -194,7 +194,7 @@
 
 // checkFraming refuses chunks of HTTP/1.0, which doesn't have them: net/http would pass their framing on as the body.
 func (c *headCheck) checkFraming() error {
-	if c.http1_0 && c.encoding {
+	if c.http10 && c.encoding {
 		return &Error{BadFraming, "Transfer-Encoding in HTTP/1.0"}
 	}
 	return nil
