--- a/daemon/edge/helper_attempts_test.go
+++ b/daemon/edge/helper_attempts_test.go
@@ -48,6 +48,12 @@
 // Guards against requests that reach more runners than their route allows since the daemon that served them for another
 // one ends after two of them have failed.
 func TestLostHelperCountsForAttempts(t *testing.T) {
+	checkAttemptsOfLostHelper(t, 2, func(_ *testFleet, helper *daemon) { helper.kill() })
+}
+
+// checkAttemptsOfLostHelper checks that a request whose helper is lost after so many sends reaches no more runners than its route
+// allows.
+func checkAttemptsOfLostHelper(t *testing.T, sends int, lose func(w *testFleet, helper *daemon)) {
 	const runnerFailsAfter = 300 * time.Millisecond
 	withFailingRunners(t, func(ctx context.Context, attempt *edge.Attempt) (*edge.Answer, error) {
 		attempt.Connected()
@@ -56,15 +62,16 @@
 	}, func(w *testFleet, arrivals func() int) {
 		answered := make(chan *recordedReply, 1)
 		go func() { answered <- w.ask(w.daemons[0], "/read/1", key) }()
-		for arrivals() < 2 {
+		for arrivals() < sends {
 			time.Sleep(10 * time.Millisecond)
 		}
 		helper := w.daemons[1]
 		if w.daemons[2].InFlight() > 0 {
 			helper = w.daemons[2]
 		}
-		helper.kill()
+		lose(w, helper)
 		<-answered
+		t.Logf("%d arrivals", arrivals())
 		w.True(arrivals() <= helperAttempts)
 	})
 }
@@ -120,25 +127,8 @@
 // Guards against requests that reach more runners than their route allows since a helper goes on sending them while the link to it is
 // cut, so that what it tells of its sends is lost.
 func TestSilencedHelperCountsForAttempts(t *testing.T) {
-	const runnerFailsAfter = 300 * time.Millisecond
-	withFailingRunners(t, func(ctx context.Context, attempt *edge.Attempt) (*edge.Answer, error) {
-		attempt.Connected()
-		pauseFor(ctx, runnerFailsAfter)
-		return nil, brokenSend()
-	}, func(w *testFleet, arrivals func() int) {
-		answered := make(chan *recordedReply, 1)
-		go func() { answered <- w.ask(w.daemons[0], "/read/1", key) }()
-		for arrivals() < 1 {
-			time.Sleep(10 * time.Millisecond)
-		}
-		helper := w.daemons[1]
-		if w.daemons[2].InFlight() > 0 {
-			helper = w.daemons[2]
-		}
+	checkAttemptsOfLostHelper(t, 1, func(w *testFleet, helper *daemon) {
 		time.Sleep(100 * time.Millisecond)
 		w.True(w.calls.Silence(helper.address) > 0)
-		a := <-answered
-		t.Logf("%d arrivals, status %d", arrivals(), a.status)
-		w.True(arrivals() <= helperAttempts)
 	})
 }
