--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -160,7 +160,7 @@
 	s := a.s
 	s.counts.offered = s.counts.offered || r.counts.offered
 	s.counts.dispatched = s.counts.dispatched || r.counts.dispatched
-	a.helperSends.told.Store(uint32(r.attempts))
+	a.helperSends.settle(uint32(r.attempts))
 	a.countHelperSends()
 	if !a.counted {
 		a.returnRetry()
@@ -182,7 +182,7 @@
 	a.cancel = cancel
 	a.s.edge.helperCalls.begin(a, helper)
 	// A hedge may change the request's state once the wait has begun.
-	request := encodeDelegated(a.s)
+	request := encodeDelegated(a.s, a.helperSends.call)
 	a.helperSends.before = request.Attempts
 	a.useRetry()
 	a.beginWait()
--- a/daemon/edge/delegated.go
+++ b/daemon/edge/delegated.go
@@ -46,6 +46,7 @@
 		s.bound = boundVersion{canary.Version(*v), true}
 	}
 	s.exchange.Continue(int(r.Msg.Attempts), r.Msg.MayHaveRun)
+	s.delegator = delegator{call: r.Msg.Call, address: r.Msg.AllowsAt, allowed: int(r.Msg.Attempts) + 1}
 	s.counts = requestCounts{offered: r.Msg.Offered, dispatched: r.Msg.Dispatched || r.Msg.Attempts > 0}
 	s.note("accepted_for", decisions.F("daemon", r.Peer().Addr), decisions.F("attempts", r.Msg.Attempts), decisions.F("may_have_run", r.Msg.MayHaveRun))
 	s.serve(ctx)
--- a/daemon/edge/endless_test.go
+++ b/daemon/edge/endless_test.go
@@ -298,6 +298,7 @@
 
 // absurdHelper is a daemon that answers a delegated request with a start and one part of its choice, and says that they are all.
 type absurdHelper struct {
+	delegationv1connect.UnimplementedDelegationServiceHandler
 	start *delegationv1.Start
 	data  int
 	calls int
--- a/daemon/edge/helper_attempts_test.go
+++ b/daemon/edge/helper_attempts_test.go
@@ -48,12 +48,11 @@
 // Guards against requests that reach more runners than their route allows since the daemon that served them for another
 // one ends after two of them have failed.
 func TestLostHelperCountsForAttempts(t *testing.T) {
-	checkAttemptsOfLostHelper(t, 2, func(_ *testFleet, helper *daemon) { helper.kill() })
+	checkAttemptsOfLostHelper(t, 2, helperAttempts, func(_ *testFleet, helper *daemon) { helper.kill() })
 }
 
-// checkAttemptsOfLostHelper checks that a request whose helper is lost after so many sends reaches no more runners than its route
-// allows.
-func checkAttemptsOfLostHelper(t *testing.T, sends int, lose func(w *testFleet, helper *daemon)) {
+// checkAttemptsOfLostHelper checks that a request whose helper is lost after so many sends reaches at most a number of runners.
+func checkAttemptsOfLostHelper(t *testing.T, sends, most int, lose func(w *testFleet, helper *daemon)) {
 	const runnerFailsAfter = 300 * time.Millisecond
 	withFailingRunners(t, func(ctx context.Context, attempt *edge.Attempt) (*edge.Answer, error) {
 		attempt.Connected()
@@ -71,8 +70,10 @@
 		}
 		lose(w, helper)
 		<-answered
+		// A helper that is still at work could send the request again.
+		time.Sleep(5 * runnerFailsAfter)
 		t.Logf("%d arrivals", arrivals())
-		w.True(arrivals() <= helperAttempts)
+		w.True(arrivals() <= most)
 	})
 }
 
@@ -127,8 +128,26 @@
 // Guards against requests that reach more runners than their route allows since a helper goes on sending them while the link to it is
 // cut, so that what it tells of its sends is lost.
 func TestSilencedHelperCountsForAttempts(t *testing.T) {
-	checkAttemptsOfLostHelper(t, 1, func(w *testFleet, helper *daemon) {
+	checkAttemptsOfLostHelper(t, 1, helperAttempts, func(w *testFleet, helper *daemon) {
 		time.Sleep(100 * time.Millisecond)
 		w.True(w.calls.Silence(helper.address) > 0)
 	})
 }
+
+// Guards against a helper that sends a request again although it can't ask the daemon that has delegated it.
+func TestHelperThatCannotAskDoesNotSendAgain(t *testing.T) {
+	checkAttemptsOfLostHelper(t, 1, 1, func(w *testFleet, helper *daemon) {
+		w.goDark(helper)
+		w.goDark(w.daemons[0])
+	})
+}
+
+// Guards against requests that reach more runners than their route allows since a helper that was silent goes on with those that
+// other daemons serve meanwhile.
+func TestHelperThatWakesDoesNotSendAgain(t *testing.T) {
+	checkAttemptsOfLostHelper(t, 1, helperAttempts, func(w *testFleet, helper *daemon) {
+		w.sleep(helper)
+		time.Sleep(3 * time.Second)
+		w.wake(helper)
+	})
+}
--- a/daemon/edge/helper_call.go
+++ b/daemon/edge/helper_call.go
@@ -103,7 +103,7 @@
 		if part.Attempts == 0 {
 			return part, nil
 		}
-		b.sends.told.Store(part.Attempts)
+		b.sends.tell(part.Attempts)
 	}
 	if err := b.stream.Err(); err != nil {
 		return nil, err
@@ -137,7 +137,7 @@
 	return b.stream.Close()
 }
 
-func encodeDelegated(s *requestHandler) *delegationv1.ServeRequest {
+func encodeDelegated(s *requestHandler, call uint64) *delegationv1.ServeRequest {
 	r := s.req
 	m := &delegationv1.ServeRequest{
 		RequestId: r.ID, Host: r.Host, Path: r.Path, Method: r.Method, Target: r.Target, Headers: encodeHeaders(r.Header), Body: r.Body.Bytes(), Key: r.Key,
@@ -145,6 +145,7 @@
 		Prompt:   encodePrompt(&r.Prompt),
 		Attempts: uint32(s.exchange.Sent()), MayHaveRun: s.exchange.MayHaveRun(),
 		Offered: s.counts.offered, Dispatched: s.counts.dispatched, WantsAttempts: true,
+		Call: call, AllowsAt: s.edge.settings.PeerAddress,
 	}
 	if s.bound.known {
 		version := string(s.bound.version)
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -109,6 +109,9 @@
 	if r := s.checkCauses(ctx); r != nil {
 		return nil, nil, r
 	}
+	if r := s.askToSend(ctx); r != nil {
+		return nil, nil, r
+	}
 	if s.delegates() {
 		if open, failed, r := s.delegate(ctx); open != nil || failed != nil || r != nil {
 			return open, failed, r
@@ -175,7 +178,7 @@
 	if a.helper != "" {
 		a.countHelperSends()
 		a.record(failure)
-		a.s.note("helper_failed", decisions.F("helper", a.helper), decisions.F("reason", failure.Reason), decisions.F("told", a.helperSends.told.Load()),
+		a.s.note("helper_failed", decisions.F("helper", a.helper), decisions.F("reason", failure.Reason), decisions.F("told", a.helperSends.latest()),
 			decisions.F("attempts", a.s.exchange.Sent()), decisions.F("after", time.Since(a.sent)))
 		return &failedAttempt{FailedAttempt: *failure, err: a.broke}
 	}
@@ -288,9 +291,10 @@
 }
 
 // end gives the final answer: the buffered server error of a runner if there is one, otherwise
-// the refusal. If a part of the answer has already been sent, the answer can only be aborted.
+// the refusal. If a part of the answer has already been sent, or the daemon that has delegated the request goes on without
+// this one, the answer can only be aborted.
 func (s *requestHandler) end(r *refusal.Refusal) {
-	if s.exchange.AnswerBegun {
+	if s.exchange.AnswerBegun || r.Reason == refusal.Cancelled {
 		s.breakOff(r)
 		return
 	}
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -61,6 +61,7 @@
 	// connectFailures counts the attempts that found no connection to a runner.
 	prepared, delegated bool
 	connectFailures     int
+	delegator           delegator
 
 	events *forward.EventStream
 	// bound is the software version that began the stream. recorded says that it has been recorded.
--- a/daemon/edge/silent_helpers.go
+++ b/daemon/edge/silent_helpers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 type helperCalls struct {
 	mu      sync.Mutex
 	helpers map[ident.Incarnation]*helperActivity
+	// sends are those of the calls, by the calls' numbers.
+	sends map[uint64]*helperSends
 }
 
 // helperActivity tracks the calls to one helper. Its attempts are true if their requests may be repeated.
@@ -46,6 +49,18 @@
 	}
 	h.attempts[a] = a.s.exchange.Terms.Repeatable
 	a.activity = &h.activity
+	if c.sends == nil {
+		c.sends = map[uint64]*helperSends{}
+	}
+	a.helperSends.call = rand.Uint64()
+	c.sends[a.helperSends.call] = &a.helperSends
+}
+
+// sendsOf returns the helper's sends of a call in progress, nil if there is none of that number.
+func (c *helperCalls) sendsOf(call uint64) *helperSends {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sends[call]
 }
 
 // end removes a call that is no longer in progress.
@@ -53,6 +68,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(a.activity.attempts, a)
+	delete(c.sends, a.helperSends.call)
 	maps.DeleteFunc(c.helpers, func(_ ident.Incarnation, h *helperActivity) bool { return len(h.attempts) == 0 })
 }
 
--- a/gen/geranium/delegation/v1/delegationv1connect/delegation.connect.go
+++ b/gen/geranium/delegation/v1/delegationv1connect/delegation.connect.go
@@ -38,6 +38,9 @@
 const (
 	// DelegationServiceServeProcedure is the fully-qualified name of the DelegationService's Serve RPC.
 	DelegationServiceServeProcedure = "/geranium.delegation.v1.DelegationService/Serve"
+	// DelegationServiceAllowSendProcedure is the fully-qualified name of the DelegationService's
+	// AllowSend RPC.
+	DelegationServiceAllowSendProcedure = "/geranium.delegation.v1.DelegationService/AllowSend"
 )
 
 // DelegationServiceClient is a client for the geranium.delegation.v1.DelegationService service.
@@ -45,6 +48,9 @@
 	// Serve serves a caller's request. The receiver checks it like a request that a caller
 	// has sent to it, and never delegates it again.
 	Serve(context.Context, *connect.Request[v1.ServeRequest]) (*connect.ServerStreamForClient[v1.ServeResponse], error)
+	// AllowSend asks the daemon that has delegated a request whether it may be sent to one more runner. The daemon that serves
+	// it asks before each send but its first, so that none is made whose count is lost.
+	AllowSend(context.Context, *connect.Request[v1.AllowSendRequest]) (*connect.Response[v1.AllowSendResponse], error)
 }
 
 // NewDelegationServiceClient constructs a client for the geranium.delegation.v1.DelegationService
@@ -64,12 +70,19 @@
 			connect.WithSchema(delegationServiceMethods.ByName("Serve")),
 			connect.WithClientOptions(opts...),
 		),
+		allowSend: connect.NewClient[v1.AllowSendRequest, v1.AllowSendResponse](
+			httpClient,
+			baseURL+DelegationServiceAllowSendProcedure,
+			connect.WithSchema(delegationServiceMethods.ByName("AllowSend")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // delegationServiceClient implements DelegationServiceClient.
 type delegationServiceClient struct {
-	serve *connect.Client[v1.ServeRequest, v1.ServeResponse]
+	serve     *connect.Client[v1.ServeRequest, v1.ServeResponse]
+	allowSend *connect.Client[v1.AllowSendRequest, v1.AllowSendResponse]
 }
 
 // Serve calls geranium.delegation.v1.DelegationService.Serve.
@@ -77,12 +90,20 @@
 	return c.serve.CallServerStream(ctx, req)
 }
 
+// AllowSend calls geranium.delegation.v1.DelegationService.AllowSend.
+func (c *delegationServiceClient) AllowSend(ctx context.Context, req *connect.Request[v1.AllowSendRequest]) (*connect.Response[v1.AllowSendResponse], error) {
+	return c.allowSend.CallUnary(ctx, req)
+}
+
 // DelegationServiceHandler is an implementation of the geranium.delegation.v1.DelegationService
 // service.
 type DelegationServiceHandler interface {
 	// Serve serves a caller's request. The receiver checks it like a request that a caller
 	// has sent to it, and never delegates it again.
 	Serve(context.Context, *connect.Request[v1.ServeRequest], *connect.ServerStream[v1.ServeResponse]) error
+	// AllowSend asks the daemon that has delegated a request whether it may be sent to one more runner. The daemon that serves
+	// it asks before each send but its first, so that none is made whose count is lost.
+	AllowSend(context.Context, *connect.Request[v1.AllowSendRequest]) (*connect.Response[v1.AllowSendResponse], error)
 }
 
 // NewDelegationServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -98,10 +119,18 @@
 		connect.WithSchema(delegationServiceMethods.ByName("Serve")),
 		connect.WithHandlerOptions(opts...),
 	)
+	delegationServiceAllowSendHandler := connect.NewUnaryHandler(
+		DelegationServiceAllowSendProcedure,
+		svc.AllowSend,
+		connect.WithSchema(delegationServiceMethods.ByName("AllowSend")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/geranium.delegation.v1.DelegationService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case DelegationServiceServeProcedure:
 			delegationServiceServeHandler.ServeHTTP(w, r)
+		case DelegationServiceAllowSendProcedure:
+			delegationServiceAllowSendHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -114,3 +143,7 @@
 func (UnimplementedDelegationServiceHandler) Serve(context.Context, *connect.Request[v1.ServeRequest], *connect.ServerStream[v1.ServeResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("geranium.delegation.v1.DelegationService.Serve is not implemented"))
 }
+
+func (UnimplementedDelegationServiceHandler) AllowSend(context.Context, *connect.Request[v1.AllowSendRequest]) (*connect.Response[v1.AllowSendResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("geranium.delegation.v1.DelegationService.AllowSend is not implemented"))
+}
