--- a/soak/helpers_test.go
+++ b/soak/helpers_test.go
@@ -33,10 +33,10 @@
 // other daemons serve meanwhile, or since what it has told is lost.
 func TestDisturbedHelpersKeepToAttempts(t *testing.T) {
 	for name, p := range map[string]helperPlay{
-		"paused":              {0, site.DropResponse, pauseHelperFor(1700 * time.Millisecond)},
-		"paused for long":     {0, site.DropResponse, pauseHelperFor(2800 * time.Millisecond)},
-		"paused, stream":      {2, site.TruncateStream, pauseHelperFor(1700 * time.Millisecond)},
-		"killed":              {0, site.DropResponse, func(helper, _ *daemon) { restartAfter(helper, helper.kill, 0) }},
+		"paused":          {0, site.DropResponse, pauseHelperFor(1700 * time.Millisecond)},
+		"paused for long": {0, site.DropResponse, pauseHelperFor(2800 * time.Millisecond)},
+		"paused, stream":  {2, site.TruncateStream, pauseHelperFor(1700 * time.Millisecond)},
+		"killed":          {0, site.DropResponse, func(helper, _ *daemon) { restartAfter(helper, helper.kill, 0) }},
 		"both paused": {0, site.DropResponse, func(helper, d *daemon) {
 			d.signal(syscall.SIGSTOP)
 			helper.pauseFor(1700 * time.Millisecond)
