Try runners that may serve again one at a time

Cause: a failure is forgotten after 2.3 to 12 s, and then a runner is like one that serves. So the repeat of a request whose first runner had failed went to the next forgotten one as often as not, up to the route's attempts, and used up the retry budget; and requests found out about runners when there was no budget for their repeat.

Change: a runner whose latest request wasn't served, and while most fail one without any, keeps a chance of failure of a tenth (0.1 s of expected time), so that one known to serve is preferred where it isn't busy. One of them at a time goes without it, in turns of half a second, if the budget has a retry.

TestFailureChanceIsForgotten asks with a retry in the budget, as its runner has the only turn.

--- a/coordination/health/chances.go
+++ b/coordination/health/chances.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -18,14 +19,21 @@
 	// time doubles with each further failure in a row up to maxForgetting, so that the requests that find out are few.
 	firstForgetting = time.Second
 	maxForgetting   = 4 * time.Second
+	// unprovenChance is that of a runner that may serve again while others are known to serve. Each is tried in its turn, which
+	// ends after turnLength if no request comes to it.
+	unprovenChance = 0.1
+	turnLength     = 500 * time.Millisecond
 )
 
 // outcomes is what is remembered of a runner's recent requests: the chance that the next one isn't served, as of a time,
-// and the number of the latest ones in a row that were not.
+// and the number of the latest ones in a row that were not. remembered says that the chance that was told last may not be zero. At
+// turnEnd the runner's latest turn to be tried ends.
 type outcomes struct {
-	chance float64
-	streak int
-	at     time.Time
+	chance     float64
+	streak     int
+	at         time.Time
+	remembered bool
+	turnEnd    time.Time
 }
 
 // add takes up the outcome of a request.
@@ -38,9 +46,12 @@
 		chance += failureWeight * (1 - chance)
 		o.streak++
 	}
-	o.chance, o.at = chance, now
+	o.chance, o.at, o.remembered = chance, now, true
 }
 
+// unproven reports whether the runner hasn't served its latest request, or has had none while most of the others fail.
+func (o *outcomes) unproven(mostFail bool) bool { return o.streak > 0 || mostFail && o.at.IsZero() }
+
 // chanceAt returns the chance that a request isn't served; zero if it is less than minChance.
 func (o *outcomes) chanceAt(now time.Time) float64 {
 	if o.chance == 0 {
@@ -71,16 +82,61 @@
 	return r.outcomes.chanceAt(now)
 }
 
-// FailureChances calls f for each runner of which failures are remembered.
-func (t *Tracker) FailureChances(now time.Time, f func(ident.RunnerID, float64)) {
+// FailureChances calls f for each runner of which failures are remembered. A runner whose latest request wasn't served has
+// unprovenChance at least, however long ago that was, and so has one without any if most of the others are such. With mayTry one of
+// them at a time has not, in turn, so that a request finds out whether it serves.
+func (t *Tracker) FailureChances(now time.Time, mayTry bool, f func(ident.RunnerID, float64)) {
+	mostFail := t.mostFail()
+	tried := ident.RunnerID("")
+	if mayTry {
+		tried = t.nextTurn(now, mostFail)
+	}
 	for id, r := range t.runners {
-		if r.outcomes.chance == 0 {
-			continue
+		o := &r.outcomes
+		chance := o.chanceAt(now)
+		if o.unproven(mostFail) && id != tried {
+			chance = max(chance, unprovenChance)
 		}
-		chance := r.outcomes.chanceAt(now)
-		if chance == 0 {
-			r.outcomes.chance = 0
+		if chance == 0 && !o.remembered {
+			continue
 		}
+		o.remembered = chance > 0
 		f(id, chance)
 	}
 }
+
+// nextTurn returns the runner whose turn it is to be tried: the unproven one whose last turn is the longest ago; empty if there is
+// none.
+func (t *Tracker) nextTurn(now time.Time, mostFail bool) ident.RunnerID {
+	var next ident.RunnerID
+	for id, r := range t.runners {
+		o := &r.outcomes
+		if !o.unproven(mostFail) || o.chanceAt(now) >= unprovenChance {
+			continue
+		}
+		if now.Before(o.turnEnd) {
+			return id
+		}
+		if next == "" || cmp.Or(o.turnEnd.Compare(t.runners[next].outcomes.turnEnd), cmp.Compare(id, next)) < 0 {
+			next = id
+		}
+	}
+	if next != "" {
+		t.runners[next].outcomes.turnEnd = now.Add(turnLength)
+	}
+	return next
+}
+
+// mostFail reports whether more of the runners that have been tried haven't served their latest request than have.
+func (t *Tracker) mostFail() bool {
+	served, failing := 0, 0
+	for _, r := range t.runners {
+		switch {
+		case r.outcomes.streak > 0:
+			failing++
+		case !r.outcomes.at.IsZero():
+			served++
+		}
+	}
+	return failing > served
+}
--- a/coordination/health/chances_test.go
+++ b/coordination/health/chances_test.go
@@ -56,17 +56,54 @@
 			}
 			is.Equal(tr.FailureChance(start.Add(c.within), ids[0]), 0.0)
 			told := 0
-			tr.FailureChances(start.Add(c.within), func(_ ident.RunnerID, chance float64) {
+			tr.FailureChances(start.Add(c.within), true, func(_ ident.RunnerID, chance float64) {
 				is.Equal(chance, 0.0)
 				told++
 			})
 			is.Equal(told, 1)
-			tr.FailureChances(start.Add(c.within), func(ident.RunnerID, float64) { told++ })
+			tr.FailureChances(start.Add(c.within), true, func(ident.RunnerID, float64) { told++ })
 			is.Equal(told, 1) // that it is zero is told once
 		})
 	}
 }
 
+// Guards against requests that fail at all runners whose failures are forgotten, one after the other, while a sound one is known.
+func TestUnprovenRunnersAreTriedInTurn(t *testing.T) {
+	const failing = 9
+	for name, c := range map[string]struct {
+		mayTry         bool
+		avoided, tried int
+	}{
+		// Those without any request are avoided, too, as most fail.
+		"one at a time":        {true, 10, failing},
+		"none without a retry": {false, 11, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tr, ids := newTracker(12)
+			tr.HandleOutcome(start, ids[0], Success, nil)
+			for _, id := range ids[1 : 1+failing] {
+				tr.HandleOutcome(start, id, Failure, nil)
+			}
+			now := start.Add(20 * time.Second)
+			tried := map[ident.RunnerID]bool{}
+			for range failing {
+				avoided := 0
+				tr.FailureChances(now, c.mayTry, func(id ident.RunnerID, chance float64) {
+					if chance == unprovenChance {
+						avoided++
+					} else if id != ids[0] {
+						tried[id] = true
+					}
+				})
+				is.Equal(avoided, c.avoided)
+				now = now.Add(turnLength)
+			}
+			is.Equal(len(tried), c.tried)
+		})
+	}
+}
+
 // Guards against rejections that eject a runner, which is sound.
 func TestRejectionsDontEject(t *testing.T) {
 	is := is.New(t)
--- a/daemon/edge/runner_health.go
+++ b/daemon/edge/runner_health.go
@@ -87,7 +87,8 @@
 func (p *pool) tick(now time.Time) {
 	p.mu.Lock()
 	effects := p.tracker.Tick(now, nil)
-	p.tracker.FailureChances(now, p.table.SetFailureChance)
+	// A request that finds out whether a runner serves may need a retry.
+	p.tracker.FailureChances(now, p.retry.Affords(now), p.table.SetFailureChance)
 	p.mu.Unlock()
 	p.applyHealthEffects(effects)
 }
--- a/protocol/retry/retry.go
+++ b/protocol/retry/retry.go
@@ -173,6 +173,12 @@
 // Balance returns the number of retries that the budget still allows.
 func (p *Policy) Balance() float64 { return p.balance }
 
+// Affords reports whether the budget allows a retry now.
+func (p *Policy) Affords(now time.Time) bool {
+	p.accrue(now)
+	return p.balance >= 1
+}
+
 // Decide decides on a failure and charges the budget if another attempt
 // follows.
 //
