Look among the runners that serve in large fleets, too

In a fleet of 33 daemons with one sound runner of ten 823 of 3,300 requests were served, 4,330 of 13,200 at four times the rate (84 asks for as many as it holds). Five daemons serve 495 of 500 in the same test.

Cause: a daemon of a fleet with relays chooses among two random runners, lest all send to the same one. Where most fail, both do.

Change: the random runners are two of those that may fail and two of the others; the expected time decides among them as before. Nothing changes where no failure is remembered.

TestLargeFleetFindsRunnersThatServe fails without the change (818 of 3,300).

--- a/coordination/health/chances.go
+++ b/coordination/health/chances.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"geraniumstack.org/geraniumstack/state/ident"
@@ -83,18 +84,17 @@
 }
 
 // FailureChances calls f for each runner of which failures are remembered. A runner whose latest request wasn't served has
-// unprovenChance at least, however long ago that was, and so has one without any if most of the others are such. With mayTry one of
-// them at a time has not, in turn, so that a request finds out whether it serves.
+// unprovenChance at least, however long ago that was, and so has one without any if most of the others are such. With mayTry some
+// have not, in turn, so that requests find out whether they serve: one at a time, more while those that are tried do.
 func (t *Tracker) FailureChances(now time.Time, mayTry bool, f func(ident.RunnerID, float64)) {
 	mostFail := t.mostFail()
-	tried := ident.RunnerID("")
 	if mayTry {
-		tried = t.nextTurn(now, mostFail)
+		t.giveTurns(now, mostFail)
 	}
 	for id, r := range t.runners {
 		o := &r.outcomes
 		chance := o.chanceAt(now)
-		if o.unproven(mostFail) && id != tried {
+		if o.unproven(mostFail) && !(mayTry && now.Before(o.turnEnd)) {
 			chance = max(chance, unprovenChance)
 		}
 		if chance == 0 && !o.remembered {
@@ -105,26 +105,40 @@
 	}
 }
 
-// nextTurn returns the runner whose turn it is to be tried: the unproven one whose last turn is the longest ago; empty if there is
-// none.
-func (t *Tracker) nextTurn(now time.Time, mostFail bool) ident.RunnerID {
-	var next ident.RunnerID
+// giveTurns lets turns begin until as many unproven runners are tried as may be at a time: of those whose last turn is the longest
+// ago.
+func (t *Tracker) giveTurns(now time.Time, mostFail bool) {
+	var waiting []ident.RunnerID
+	left := max(1, t.triedAtATime)
 	for id, r := range t.runners {
 		o := &r.outcomes
-		if !o.unproven(mostFail) || o.chanceAt(now) >= unprovenChance {
-			continue
-		}
-		if now.Before(o.turnEnd) {
-			return id
-		}
-		if next == "" || cmp.Or(o.turnEnd.Compare(t.runners[next].outcomes.turnEnd), cmp.Compare(id, next)) < 0 {
-			next = id
+		switch {
+		case !o.unproven(mostFail) || o.chanceAt(now) >= unprovenChance:
+		case now.Before(o.turnEnd):
+			left--
+		default:
+			waiting = append(waiting, id)
 		}
 	}
-	if next != "" {
-		t.runners[next].outcomes.turnEnd = now.Add(turnLength)
+	slices.SortFunc(waiting, func(a, b ident.RunnerID) int {
+		return cmp.Or(t.runners[a].outcomes.turnEnd.Compare(t.runners[b].outcomes.turnEnd), cmp.Compare(a, b))
+	})
+	for _, id := range waiting[:max(0, min(left, len(waiting)))] {
+		t.runners[id].outcomes.turnEnd = now.Add(turnLength)
+	}
+}
+
+// recordOutcome takes up the outcome of a request. What became of one at an unproven runner says how many of these may be tried at
+// a time: what has made runners fail may be over for all of them.
+func (t *Tracker) recordOutcome(now time.Time, r *runner, served bool) {
+	switch {
+	case r.outcomes.streak == 0:
+	case served:
+		t.triedAtATime = min(2*max(1, t.triedAtATime), len(t.runners))
+	default:
+		t.triedAtATime = 1
 	}
-	return next
+	r.outcomes.add(now, served)
 }
 
 // mostFail reports whether more of the runners that have been tried haven't served their latest request than have.
--- a/coordination/health/health.go
+++ b/coordination/health/health.go
@@ -117,6 +117,8 @@
 	cfg     Config
 	runners map[ident.RunnerID]*runner
 	ejected int
+	// triedAtATime is how many unproven runners may be tried at a time, zero for one.
+	triedAtATime int
 }
 
 // New returns a tracker without runners.
@@ -159,7 +161,7 @@
 		return dst
 	}
 	if o != SilentConnection {
-		r.outcomes.add(now, o == Success)
+		t.recordOutcome(now, r, o == Success)
 	}
 	switch {
 	case r.isEjected(), o == NoConnection:
--- a/coordination/routing/pick.go
+++ b/coordination/routing/pick.go
@@ -216,9 +216,9 @@
 	}
 }
 
-// sample keeps the runners with the longest cached prefix and a few random ones. If all
-// gateways took the best of all runners by the same lagging reports, they would all send
-// to the same runner until its next report.
+// sample keeps the runners with the longest cached prefix and a few random ones, of those that fail and of the others
+// apart: a few of all may hold no runner that serves. If all gateways took the best of all runners by the same lagging
+// reports, they would all send to the same runner until its next report.
 func (t *Table) sample(from prefix.Set) prefix.Set {
 	if t.cfg.Samples <= 0 || from.Len() <= t.cfg.Samples {
 		return from
@@ -228,12 +228,18 @@
 		chosen = chosen.With(t.homeSlot)
 	}
 	rest := from.Minus(chosen)
-	for n := t.cfg.Samples; n > 0 && !rest.Empty(); n-- {
-		i := t.random(rest)
-		chosen = chosen.With(i)
-		rest = rest.Without(i)
+	return chosen.Or(t.draw(rest.Minus(t.failing))).Or(t.draw(rest.And(t.failing)))
+}
+
+// draw returns Config.Samples random runners of a set, or all if it has no more.
+func (t *Table) draw(from prefix.Set) prefix.Set {
+	var drawn prefix.Set
+	for n := t.cfg.Samples; n > 0 && !from.Empty(); n-- {
+		i := t.random(from)
+		drawn = drawn.With(i)
+		from = from.Without(i)
 	}
-	return chosen
+	return drawn
 }
 
 // SetSamples changes how many random candidates a choice considers; see Config.Samples.
--- a/coordination/routing/score.go
+++ b/coordination/routing/score.go
@@ -79,9 +79,16 @@
 // SetFailureChance sets the chance that a runner doesn't serve a request, from 0 to 1. It is zero for runners that are added
 // later.
 func (t *Table) SetFailureChance(id ident.RunnerID, chance float64) {
-	if i, ok := t.byID[id]; ok {
-		t.slots[i].failureChance = chance
-		t.scores[i].failureCost = chance * t.cfg.FailureCost.Seconds()
+	i, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	t.slots[i].failureChance = chance
+	t.scores[i].failureCost = chance * t.cfg.FailureCost.Seconds()
+	if chance > 0 {
+		t.failing = t.failing.With(i)
+	} else {
+		t.failing = t.failing.Without(i)
 	}
 }
 
--- a/coordination/routing/table.go
+++ b/coordination/routing/table.go
@@ -147,8 +147,10 @@
 	live        prefix.Set
 	suspect     prefix.Set
 	ejected     prefix.Set
-	reported    prefix.Set
-	maxPrice    float64
+	// failing are the slots with a failureChance.
+	failing  prefix.Set
+	reported prefix.Set
+	maxPrice float64
 	// meanOutput is the mean output length of a request, in tokens.
 	meanOutput  float64
 	prefixMatch prefix.MatchResult
@@ -235,7 +237,7 @@
 		t.scores[i] = score{}
 		t.logs[i] = changeLog{}
 		t.used = t.used.Without(i)
-		t.ejected = t.ejected.Without(i)
+		t.ejected, t.failing = t.ejected.Without(i), t.failing.Without(i)
 		t.reported = t.reported.Without(i)
 		delete(t.byID, id)
 	}
--- a/daemon/edge/failing_runners_test.go
+++ b/daemon/edge/failing_runners_test.go
@@ -19,7 +19,7 @@
 		}
 		setScripts(runners, func(context.Context, *edge.Attempt) (*edge.Answer, error) { return nil, brokenSend() })
 		time.Sleep(time.Second)
-		w.askEvenly(10*time.Second, func(*recordedReply) {})
+		w.askEvenly(10*time.Second, 25, func(*recordedReply) {})
 		f(w, runners)
 	})
 }
@@ -30,9 +30,9 @@
 	}
 }
 
-// askEvenly sends 25 requests a second to the daemons in turn.
-func (w *testFleet) askEvenly(span time.Duration, check func(*recordedReply)) {
-	const interval = 40 * time.Millisecond
+// askEvenly sends so many requests a second to the daemons in turn.
+func (w *testFleet) askEvenly(span time.Duration, perSecond int, check func(*recordedReply)) {
+	interval := time.Second / time.Duration(perSecond)
 	for i := range int(span / interval) {
 		check(w.ask(w.daemons[i%len(w.daemons)], "/read/1", key))
 		time.Sleep(interval)
@@ -52,7 +52,7 @@
 			return plainAnswer(http.StatusOK, "whole"), nil
 		})
 		time.Sleep(time.Second)
-		w.askEvenly(15*time.Second, func(a *recordedReply) { w.Equal(a.status, http.StatusOK) })
+		w.askEvenly(15*time.Second, 25, func(a *recordedReply) { w.Equal(a.status, http.StatusOK) })
 		for i, r := range runners {
 			w.True(r.count() > before[i])
 		}
@@ -95,3 +95,31 @@
 		w.True(runners[0].count()+runners[1].count()-before > 60)
 	})
 }
+
+// Guards against a large fleet whose daemons choose among a few random runners each time, all of which fail, while others serve.
+func TestLargeFleetFindsRunnersThatServe(t *testing.T) {
+	for _, sound := range []int{1, 5} {
+		t.Run(fmt.Sprint(sound), func(t *testing.T) {
+			withFleet(t, 33, config(1), func(w *testFleet) {
+				for i := range 10 {
+					w.addRunner(fmt.Sprintf("r%d", i), "app").setScript(func(context.Context, *edge.Attempt) (*edge.Answer, error) {
+						if i < sound {
+							return plainAnswer(http.StatusOK, "whole"), nil
+						}
+						return nil, brokenSend()
+					})
+				}
+				time.Sleep(time.Second)
+				served, asked := 0, 0
+				w.askEvenly(20*time.Second, 165, func(a *recordedReply) {
+					asked++
+					if a.status == http.StatusOK {
+						served++
+					}
+				})
+				t.Logf("%d of %d served", served, asked)
+				w.True(served >= asked*9/10)
+			})
+		})
+	}
+}
