Collect failures for a moment before a request is told of

Failures of one moment are told of one by one then, and a daemon takes the first ones for the request's before it knows of the others.

Change: a request is told of after 5 ms in place of none; the other news go on waiting for 20 ms.

--- a/daemon/edge/cause_news.go
+++ b/daemon/edge/cause_news.go
@@ -17,15 +17,21 @@
 	// known. When a failure domain is lost, each of thousands of requests has seen one failure, which says
 	// little of any of them.
 	maxNewSuspectsPerSecond = 128
+	// requestNewsDelay is the time for which runners' failures are collected that a request is told with: those of the same
+	// moment must be known together, or they look like several.
+	requestNewsDelay = 5 * time.Millisecond
 )
 
-// spreadCauseLocked tells other daemons of a cause: at once if it is suspected or quarantined, or a request, since it
-// may come back at any of them within milliseconds, otherwise together with the other news of the next moment. The
+// spreadCauseLocked tells other daemons of a cause: at once if it is suspected or quarantined, soon if it is a request, since
+// it may come back at any of them within milliseconds, otherwise together with the other news of the next moment. The
 // caller must hold failureCauses.mu.
 func (e *Edge) spreadCauseLocked(c quarantine.Cause, byRelay bool) {
 	e.failureCauses.news.add(c, byRelay, e.sendCauseNews)
-	if c.Kind == quarantine.Request || e.failureCauses.table.Verdict(e.deps.Steady(), c) != quarantine.Sound {
+	switch {
+	case e.failureCauses.table.Verdict(e.deps.Steady(), c) != quarantine.Sound:
 		go e.sendCauseNews()
+	case c.Kind == quarantine.Request:
+		time.AfterFunc(requestNewsDelay, e.sendCauseNews)
 	}
 }
 
