--- a/daemon/edge/helper_call.go
+++ b/daemon/edge/helper_call.go
@@ -32,12 +32,16 @@
 	counts   requestCounts
 }
 
+// delegationClient returns a client for the calls to another daemon, which bounds what it answers.
+func (e *Edge) delegationClient(address string) delegationv1connect.DelegationServiceClient {
+	return delegationv1connect.NewDelegationServiceClient(e.deps.Delegation, "http://"+address, connect.WithReadMaxBytes(maxHelperPartBytes))
+}
+
 // callHelper sends the request to another daemon and returns its answer once it begins. It records in sends what the
 // daemon tells of its sends.
 func (e *Edge) callHelper(ctx context.Context, address string, request *delegationv1.ServeRequest, sends *helperSends) (*Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	client := delegationv1connect.NewDelegationServiceClient(e.deps.Delegation, "http://"+address, connect.WithReadMaxBytes(maxHelperPartBytes))
-	stream, err := client.Serve(ctx, connect.NewRequest(request))
+	stream, err := e.delegationClient(address).Serve(ctx, connect.NewRequest(request))
 	if err != nil {
 		cancel()
 		return nil, err
--- a/daemon/edge/helper_sends.go
+++ b/daemon/edge/helper_sends.go
@@ -8,7 +8,6 @@
 
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	delegationv1 "geraniumstack.org/geraniumstack/gen/geranium/delegation/v1"
-	"geraniumstack.org/geraniumstack/gen/geranium/delegation/v1/delegationv1connect"
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
@@ -43,7 +42,7 @@
 func (h *helperSends) settle(attempts uint32) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.told, h.closed = attempts, true
+	h.told = attempts
 }
 
 // allow records a send that the helper asks for, and reports whether it may make it.
@@ -57,11 +56,12 @@
 	return true
 }
 
-// close ends the helper's right to send.
-func (h *helperSends) close() {
+// close ends the helper's right to send, and returns what it has told.
+func (h *helperSends) close() uint32 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.closed = true
+	return h.told
 }
 
 // latest returns what the helper has told.
@@ -81,8 +81,7 @@
 	if a.counted && sends.counted == 0 {
 		sends.counted = 1 // as the failure of the call
 	}
-	sends.close()
-	made := int(sends.latest()) - int(sends.before)
+	made := int(sends.close()) - int(sends.before)
 	if made <= sends.counted {
 		return
 	}
@@ -121,8 +120,7 @@
 		return nil
 	}
 	attempts := s.exchange.Sent() + 1
-	client := delegationv1connect.NewDelegationServiceClient(s.edge.deps.Delegation, "http://"+d.address)
-	answer, err := client.AllowSend(ctx, connect.NewRequest(&delegationv1.AllowSendRequest{Call: d.call, Attempts: uint32(attempts)}))
+	answer, err := s.edge.delegationClient(d.address).AllowSend(ctx, connect.NewRequest(&delegationv1.AllowSendRequest{Call: d.call, Attempts: uint32(attempts)}))
 	if err == nil && answer.Msg.Allowed {
 		d.allowed = attempts
 		return nil
--- a/protocol/retry/retry.go
+++ b/protocol/retry/retry.go
@@ -215,7 +215,7 @@
 	if f.Accepted && f.Reason == Reclaimed || f.NeverArrived {
 		return Decision{Verdict: Again, Delay: delay}
 	}
-	if p.balance >= 1 {
+	if p.Affords(now) {
 		p.balance--
 		return Decision{Verdict: Again, Delay: delay}
 	}
--- a/soak/daemon_test.go
+++ b/soak/daemon_test.go
@@ -177,6 +177,13 @@
 	d.signal(syscall.SIGCONT)
 }
 
+// pauseFor pauses the process for a while.
+func (d *daemon) pauseFor(span time.Duration) {
+	d.signal(syscall.SIGSTOP)
+	time.Sleep(span)
+	d.resume()
+}
+
 // stop sends SIGTERM and kills the process if it still runs after the grace period.
 func (d *daemon) stop() {
 	d.signal(syscall.SIGTERM)
--- a/soak/failing_parts_test.go
+++ b/soak/failing_parts_test.go
@@ -52,17 +52,7 @@
 
 func (p *partPlay) play(t *testing.T) {
 	t.Parallel()
-	binary, err := build()
-	if err != nil {
-		t.Fatal(err)
-	}
-	f, err := newFleet(t, binary, 1, stormDaemons, stormRunners, conditions{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.close()
-	f.waitReady(10 * time.Second)
-	f.noteServed()
+	f := startFleet(t, stormDaemons, stormRunners, conditions{})
 	p.sentBy = map[string]*daemon{}
 	for _, r := range f.allRunners() {
 		p.failUnderPart(f, r)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -117,12 +117,7 @@
 
 func pauseOne(rng *rand.Rand, daemons int) fault {
 	i, span := rng.IntN(daemons), durationBetween(rng, 200*time.Millisecond, 8*time.Second)
-	return fault{description: fmt.Sprintf("pause %d for %v", i, span), apply: func(f *fleet) {
-		d := f.daemons[i]
-		d.signal(syscall.SIGSTOP)
-		time.Sleep(span)
-		d.resume()
-	}}
+	return fault{description: fmt.Sprintf("pause %d for %v", i, span), apply: func(f *fleet) { f.daemons[i].pauseFor(span) }}
 }
 
 // pauseOverRevocation revokes a key while a daemon is paused and sends that daemon
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -90,6 +90,25 @@
 // noSeed is the address of a daemon that isn't there.
 const noSeed = "127.0.0.1:1"
 
+// startFleet builds the daemon and starts a fleet, which is closed with the test, and waits until it is ready.
+func startFleet(t *testing.T, daemons, runners int, with conditions) *fleet {
+	t.Helper()
+	binary, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := newFleet(t, binary, 1, daemons, runners, with)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.close)
+	f.waitReady(10 * time.Second)
+	if !with.firstStarts {
+		f.noteServed()
+	}
+	return f
+}
+
 // noteServed makes the settings of all daemons say that the fleet has served before.
 func (f *fleet) noteServed() {
 	f.hasServed.Store(true)
--- a/soak/helpers_test.go
+++ b/soak/helpers_test.go
@@ -51,25 +51,9 @@
 	return func(helper, _ *daemon) { helper.pauseFor(span) }
 }
 
-func (d *daemon) pauseFor(span time.Duration) {
-	d.signal(syscall.SIGSTOP)
-	time.Sleep(span)
-	d.resume()
-}
-
 func (p helperPlay) play(t *testing.T) {
 	t.Parallel()
-	binary, err := build()
-	if err != nil {
-		t.Fatal(err)
-	}
-	f, err := newFleet(t, binary, 1, 3, stormRunners, conditions{domains: true, attempts: helperAttempts})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.close()
-	f.waitReady(10 * time.Second)
-	f.noteServed()
+	f := startFleet(t, 3, stormRunners, conditions{domains: true, attempts: helperAttempts})
 	f.cutOffSecondDomain()
 	time.Sleep(pathsLostWithin)
 	for _, r := range f.allRunners() {
--- a/soak/storms_test.go
+++ b/soak/storms_test.go
@@ -157,19 +157,7 @@
 // play plays a storm and checks the budget.
 func (s storm) play(t *testing.T) {
 	t.Parallel()
-	binary, err := build()
-	if err != nil {
-		t.Fatal(err)
-	}
-	f, err := newFleet(t, binary, 1, stormDaemons, stormRunners, s.with)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.close()
-	f.waitReady(10 * time.Second)
-	if !s.with.firstStarts {
-		f.noteServed()
-	}
+	f := startFleet(t, stormDaemons, stormRunners, s.with)
 	s.setFaults(f)
 	ctx, cancel := context.WithTimeout(context.Background(), stormTime)
 	defer cancel()
