--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -121,7 +121,7 @@
 }
 
 // Leave takes the runner's entry away, without a word before, and returns when the store has accepted that. The runner
-// goes on serving until it is closed.
+// goes on serving until it is closed, and says in all its answers that it leaves.
 func (r *Runner) Leave() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -147,6 +147,11 @@
 	h := w.Header()
 	h["Date"] = nil
 	h.Set("X-Instance-Id", r.ID)
+	r.mu.Lock()
+	if r.left {
+		h.Set("Server-Leaving", "1")
+	}
+	r.mu.Unlock()
 	switch q.URL.Path {
 	case "/healthz":
 		return
