--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,13 +1,11 @@
-// Command 10 plays case 10: one request of a consumer states a number of tokens that no request has. It runs although it is
-// far beyond its tenant's quota, and all other consumers of the tenant are refused from then on.
+// Command 10 plays case 10: a version of the config takes the last tenant away, and with it the last key. From then on the
+// key still works, and so does any other.
 package main
 
 import (
 	"context"
 	"fmt"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,28 +13,17 @@
 )
 
 const (
-	daemons = 3
-	// before and after are how long ordinary consumers send requests before the odd request and after it.
-	before = 6 * time.Second
-	after  = 60 * time.Second
-	// settle is left out after the odd request: it is longer than the quota's window.
-	settle = 10 * time.Second
-	pace   = 200 * time.Millisecond
-	// leastShare is the part of all requests' share below which a tenant's share breaks the gate's rule (Starved).
-	leastShare = 0.25
-	// The bounds of the quota's rule.
-	window  = 8 * time.Second
-	overage = 0.1
-	slack   = 190000
-	// plainTokens is what a request without numbers of tokens counts.
-	plainTokens = 200
+	daemons, runners = 3, 3
+	tenant, key      = "hule930", "i9n73hh2b9wu3fexd9dn"
+	// unknownKey is a key that no config holds.
+	unknownKey = "x0000000000000000000"
+	// revoke is bounds.revoke_ms.
+	revoke = 5 * time.Second
+	before = 5 * time.Second
+	after  = 25 * time.Second
+	pace   = 100 * time.Millisecond
 )
 
-// oddUsage is what the odd request states: 500 tokens of a prompt, and the largest number of 32 bits for the answer.
-const oddUsage = "500,2147483647"
-
-var keys = map[string]string{"hule930": "i9n73hh2b9wu3fexd9dn", "fida11": "n2ctnfzs989anu6wsjnb"}
-
 func main() {
 	b, err := bed.New("review/10")
 	if err != nil {
@@ -48,25 +35,21 @@
 	os.Exit(status)
 }
 
+var routes = []map[string]any{
+	bed.Route("pledge", "non_idempotent", "app", 800, 100, 1, nil),
+	bed.Route("lookup", "idempotent", "app", 800, 100, 2, nil),
+}
+
 func start(b *bed.Bed) error {
-	routes := []map[string]any{
-		bed.Route("stream", "streaming", "llm", 10000, 800, 2, map[string]any{"sticky": true, "resumable": true, "gap_aim_ms": 250}),
-		bed.Route("pledge", "non_idempotent", "app", 800, 100, 1, nil),
-	}
-	var tenants []map[string]any
-	for name, key := range keys {
-		tenants = append(tenants, bed.Tenant(name, key))
-	}
-	if err := b.Store.Put("op/config", bed.Config(7, routes, tenants...)); err != nil {
+	if err := b.Store.Put("op/config", bed.Config(7, routes, bed.Tenant(tenant, key))); err != nil {
 		return err
 	}
-	for n := range daemons {
-		if _, err := b.AddRunner(fmt.Sprintf("i-llm%d", n), "llm", "north", bed.KVTokens); err != nil {
-			return err
-		}
+	for n := range runners {
 		if _, err := b.AddRunner(fmt.Sprintf("i-app%d", n), "app", "north", 0); err != nil {
 			return err
 		}
+	}
+	for range daemons {
 		if _, err := b.AddDaemon("north"); err != nil {
 			return err
 		}
@@ -79,67 +62,31 @@
 	return nil
 }
 
-// share counts the requests of a tenant.
-type share struct{ sent, served int }
-
-func (s share) part() float64 { return float64(s.served) / float64(max(1, s.sent)) }
-
-// attempts are the consumers' attempts by ID, with the tokens that each counts.
+// attempts are the consumers' attempts with the key that was taken away, and with one that never was.
 type attempts struct {
-	mu     sync.Mutex
-	tokens map[string]float64
-	sent   map[string]time.Time
+	mu      sync.Mutex
+	revoked map[string]*bed.Answer
+	unknown map[string]*bed.Answer
 }
 
-func (t *attempts) add(a *bed.Answer, usage string) {
-	tokens := 0.0
-	for size := range strings.SplitSeq(usage, ",") {
-		n, err := strconv.ParseFloat(size, 64)
-		if err == nil {
-			tokens += n
-		}
-	}
-	if usage == "" {
-		tokens = plainTokens
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.tokens[a.ID], t.sent[a.ID] = tokens, a.Sent
-}
-
-// traffic lets each tenant's ordinary consumers send requests of both kinds to all daemons in turn until the end.
-func traffic(b *bed.Bed, t *attempts, end time.Time) map[string]*share {
-	shares := map[string]*share{}
-	var mu sync.Mutex
+func (t *attempts) send(b *bed.Bed, until time.Time) {
+	client := bed.Client()
 	var all sync.WaitGroup
-	for tenant, key := range keys {
-		s := &share{}
-		shares[tenant] = s
-		all.Go(func() {
-			client := bed.Client()
-			for n := 0; time.Now().Before(end); n++ {
-				r := bed.Request{Path: "/stream/2f", Key: key, Usage: "1460,80", Prefix: "5c1e07a2:800,91bd3f06:410,e4402b7d:250", Body: "{}", Deadline: 10 * time.Second}
-				if n%2 == 1 {
-					r = bed.Request{Path: "/pledge/2f", Key: key, Body: "{}", Deadline: 1500 * time.Millisecond}
-				}
-				address := b.Daemons[n/2%daemons].Front()
-				all.Go(func() {
-					a := bed.Send(context.Background(), client, address, r)
-					t.add(a, r.Usage)
-					b.Note("%s %s %s: status %d retry-after %q error %v", tenant, r.Path, a.ID, a.Status, a.Header.Get("Retry-After"), a.Err)
-					mu.Lock()
-					defer mu.Unlock()
-					s.sent++
-					if a.Served() {
-						s.served++
-					}
-				})
-				time.Sleep(pace)
-			}
-		})
+	for n := 0; time.Now().Before(until); n++ {
+		path := []string{"/pledge/2f", "/lookup/2f"}[n%2]
+		address := b.Daemons[n/2%daemons].Front()
+		for k, list := range map[string]map[string]*bed.Answer{key: t.revoked, unknownKey: t.unknown} {
+			all.Go(func() {
+				a := bed.Send(context.Background(), client, address, bed.Request{Path: path, Key: k, Body: "{}", Deadline: 1500 * time.Millisecond})
+				b.Note("%s %s with key %s: status %d error %v", path, a.ID, k, a.Status, a.Err)
+				t.mu.Lock()
+				defer t.mu.Unlock()
+				list[a.ID] = a
+			})
+		}
+		time.Sleep(pace)
 	}
 	all.Wait()
-	return shares
 }
 
 func play(b *bed.Bed) int {
@@ -151,70 +98,48 @@
 		b.Note("the daemons are not ready")
 		return bed.CouldNot
 	}
-	t := &attempts{tokens: map[string]float64{}, sent: map[string]time.Time{}}
-	for tenant, s := range traffic(b, t, time.Now().Add(before)) {
-		b.Note("before: tenant %s: %d sent, %d served", tenant, s.sent, s.served)
-		if s.part() < 0.9 {
+	t := &attempts{revoked: map[string]*bed.Answer{}, unknown: map[string]*bed.Answer{}}
+	t.send(b, time.Now().Add(before))
+	for _, a := range t.revoked {
+		if !a.Served() {
 			b.Note("the deployment doesn't serve in calm")
 			return bed.CouldNot
 		}
 	}
-	usage := ""
+	var acknowledged time.Time
 	if b.Trouble {
-		usage = oddUsage
-	}
-	a := bed.Send(context.Background(), bed.Client(), b.Daemons[0].Front(), bed.Request{Path: "/pledge/2f", Key: keys["hule930"], Usage: usage, Body: "{}", Deadline: 1500 * time.Millisecond})
-	t.add(a, usage)
-	b.Note("the odd consumer's request %s with X-Token-Usage %q: status %d %q error %v", a.ID, usage, a.Status, a.Body, a.Err)
-	time.Sleep(settle)
-	shares := traffic(b, t, time.Now().Add(after))
-	return max(checkShares(b, shares), checkQuota(b, t))
-}
-
-// checkShares checks that no tenant is starved.
-func checkShares(b *bed.Bed, shares map[string]*share) int {
-	all := share{}
-	for _, s := range shares {
-		all.sent, all.served = all.sent+s.sent, all.served+s.served
-	}
-	status := bed.Held
-	for tenant, s := range shares {
-		b.Note("after: tenant %s: %d sent, %d served", tenant, s.sent, s.served)
-		if s.part() < leastShare*all.part() {
-			b.Note("broken: tenant %s is served %.3f of its requests, all tenants together %.3f", tenant, s.part(), all.part())
-			status = bed.Broken
+		if err := b.Store.Put("op/config", bed.Config(9, routes)); err != nil {
+			b.Note("config: %v", err)
+			return bed.CouldNot
 		}
+		acknowledged = time.Now()
+		b.Note("config 9 without the tenant is acknowledged")
 	}
-	return status
+	t.send(b, time.Now().Add(after))
+	return check(b, t, acknowledged)
 }
 
-// checkQuota checks that in no window a tenant's requests that were sent and run in it count more tokens than its quota
-// and the tolerance. Requests that ran in time for the window are those sent in it: they run within milliseconds.
-func checkQuota(b *bed.Bed, t *attempts) int {
-	bound := (bed.QuotaPerSecond*window.Seconds()+bed.QuotaBurst)*(1+overage) + slack
-	byTenant := map[string][]bed.Run{}
+func check(b *bed.Bed, t *attempts, acknowledged time.Time) int {
+	withRevoked, withUnknown, asTenant := 0, 0, 0
 	for _, r := range b.Runners {
 		for _, run := range r.Runs() {
-			byTenant[run.Tenant] = append(byTenant[run.Tenant], run)
-		}
-	}
-	status := bed.Held
-	for tenant, runs := range byTenant {
-		most := 0.0
-		for _, first := range runs {
-			sum := 0.0
-			for _, run := range runs {
-				if !run.At.Before(first.At) && run.At.Sub(first.At) < window && !t.sent[run.ID].Before(first.At.Add(-pace)) {
-					sum += t.tokens[run.ID]
-				}
+			if a := t.revoked[run.ID]; a != nil && !acknowledged.IsZero() && a.Sent.Sub(acknowledged) > revoke {
+				withRevoked++
+				b.Note("broken, CONFIG: %s ran at %s for tenant %q, sent %v after its key was taken away", run.ID, r.ID, run.Tenant, a.Sent.Sub(acknowledged))
+			}
+			if t.unknown[run.ID] != nil {
+				withUnknown++
+				b.Note("broken, ROUTE: %s ran at %s for tenant %q with a key that no config ever held", run.ID, r.ID, run.Tenant)
+			}
+			if run.Tenant != "" && run.Tenant != tenant {
+				asTenant++
 			}
-			most = max(most, sum)
-		}
-		b.Note("tenant %s: at most %.0f tokens run in %v, %.0f allowed", tenant, most, window, bound)
-		if most > bound {
-			b.Note("broken: QUOTA of tenant %s", tenant)
-			status = bed.Broken
 		}
 	}
-	return status
+	b.Note("%d attempts with the tenant's key, %d with an unknown one; %d ran too late with the first, %d with the second, %d for another tenant",
+		len(t.revoked), len(t.unknown), withRevoked, withUnknown, asTenant)
+	if withRevoked+withUnknown+asTenant > 0 {
+		return bed.Broken
+	}
+	return bed.Held
 }
--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,38 +1,29 @@
-// Command 6 plays a consumer whose one request states a number of prompt tokens that no prompt has. It is refused as not
-// run. The daemons count its tokens as demand for runners, and one after the other, as holder of the duties, never comes back
-// from planning them.
+// Command 6 plays case 6: a daemon is cut off from all runners and lets another one serve its requests. Some last until
+// their time is over; the daemon refuses part of them as not run, which have run.
 package main
 
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
-	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"geraniumstack.org/geraniumstack/review/bed"
 )
 
 const (
-	daemons, engines = 3, 6
-	key, oddKey      = "i9n73hh2b9wu3fexd9dn", "n2ctnfzs989anu6wsjnb"
-	// calm is long enough for the first usage reports, stuck for those that would follow.
-	calm  = 22 * time.Second
-	stuck = 45 * time.Second
-	pace  = 100 * time.Millisecond
-	// grace is bounds.grace_s.
-	grace = 8 * time.Second
-	// usageWindow is bounds.usage_window_s, usageDelay bounds.usage_delay_s.
-	usageWindow = 5 * time.Second
-	usageDelay  = 10 * time.Second
+	daemons, runners = 4, 4
+	tenant, key      = "hule930", "i9n73hh2b9wu3fexd9dn"
+	timeout          = 800
+	// cuts are how often a daemon is cut off, each time for cut, with calm between.
+	cuts = 6
+	cut  = 5 * time.Second
+	calm = 4 * time.Second
+	pace = 20 * time.Millisecond
 )
 
-// oddUsage is what the odd request states.
-const oddUsage = "100000000000000,80"
-
 func main() {
 	b, err := bed.New("review/6")
 	if err != nil {
@@ -45,24 +36,19 @@
 }
 
 func start(b *bed.Bed) error {
-	routes := []map[string]any{
-		bed.Route("stream", "streaming", "llm", 10000, 800, 2, map[string]any{"sticky": true, "resumable": true, "gap_aim_ms": 250}),
-	}
-	config := bed.Config(7, routes, bed.Tenant("hule930", key), bed.Tenant("fida11", oddKey))
-	config["services"].([]map[string]any)[0]["autoscale"] = map[string]any{
-		"min": 1, "max": 6, "boot_timeout_s": 4.0, "spot_price": 0.15, "zone_prices": map[string]any{"north": 1.0, "south": 0.8},
-	}
-	if err := b.Store.Put("op/config", config); err != nil {
+	routes := []map[string]any{bed.Route("pledge", "non_idempotent", "app", timeout, 100, 1, nil)}
+	if err := b.Store.Put("op/config", bed.Config(7, routes, bed.Tenant(tenant, key))); err != nil {
 		return err
 	}
-	zones := []string{"north", "south"}
-	for n := range engines {
-		if _, err := b.AddRunner(fmt.Sprintf("i-llm%d", n), "llm", zones[n%2], bed.KVTokens); err != nil {
+	for n := range runners {
+		r, err := b.AddRunner(fmt.Sprintf("i-app%d", n), "app", "north", 0)
+		if err != nil {
 			return err
 		}
+		r.Long = 2 * time.Second
 	}
-	for n := range daemons {
-		if _, err := b.AddDaemon(zones[n%2]); err != nil {
+	for range daemons {
+		if _, err := b.AddDaemon("north"); err != nil {
 			return err
 		}
 	}
@@ -74,40 +60,28 @@
 	return nil
 }
 
-// traffic lets ordinary consumers send requests until the context ends, and returns how many were sent and served.
-func traffic(ctx context.Context, b *bed.Bed) (sent, served int) {
+// attempts are the consumers' attempts by their IDs.
+type attempts struct {
+	mu   sync.Mutex
+	byID map[string]*bed.Answer
+}
+
+// send sends pledges to a daemon, of which one in three lasts longer than its route's timeout.
+func (t *attempts) send(b *bed.Bed, d *bed.Daemon, until time.Time) {
 	client := bed.Client()
-	var mu sync.Mutex
 	var all sync.WaitGroup
-	for n := 0; ctx.Err() == nil; n++ {
+	for n := 0; time.Now().Before(until); n++ {
+		path := []string{"/pledge/2f", "/pledge/2f", "/pledge/long"}[n%3]
 		all.Go(func() {
-			a := bed.Send(context.Background(), client, b.Daemons[n%daemons].Front(),
-				bed.Request{Path: "/stream/2f", Key: key, Usage: "1460,80", Prefix: "5c1e07a2:800,91bd3f06:410,e4402b7d:250", Body: "{}", Deadline: 5 * time.Second})
-			b.Note("ordinary request %s: status %d error %v after %v", a.ID, a.Status, a.Err, a.Took)
-			mu.Lock()
-			defer mu.Unlock()
-			sent++
-			if a.Served() {
-				served++
-			}
+			a := bed.Send(context.Background(), client, d.Front(), bed.Request{Path: path, Key: key, Body: "{}", Deadline: 1200 * time.Millisecond})
+			b.Note("%s %s to %s: status %d after %v, error %v", path, a.ID, d.IP, a.Status, a.Took, a.Err)
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.byID[a.ID] = a
 		})
 		time.Sleep(pace)
 	}
 	all.Wait()
-	return sent, served
-}
-
-// processorTime returns what a process has used.
-func processorTime(d *bed.Daemon) time.Duration {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", d.PID()))
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
-	user, _ := strconv.Atoi(fields[11])
-	system, _ := strconv.Atoi(fields[12])
-	const ticksPerSecond = 100
-	return time.Duration(user+system) * time.Second / ticksPerSecond
 }
 
 func play(b *bed.Bed) int {
@@ -119,68 +93,50 @@
 		b.Note("the daemons are not ready")
 		return bed.CouldNot
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	done := make(chan struct{})
-	go func() {
-		sent, served := traffic(ctx, b)
-		b.Note("ordinary consumers: %d sent, %d served", sent, served)
-		close(done)
-	}()
-	time.Sleep(calm)
-	before := len(b.Cloud.Calls("/usage"))
-	b.Note("%d usage reports in %v of calm", before, calm)
-	usage := "1460,80"
-	if b.Trouble {
-		usage = oddUsage
-	}
-	a := bed.Send(context.Background(), bed.Client(), b.Daemons[0].Front(), bed.Request{Path: "/stream/2f", Key: oddKey, Usage: usage, Body: "{}", Deadline: 5 * time.Second})
-	b.Note("odd request %s with X-Token-Usage %q: status %d %q error %v", a.ID, usage, a.Status, a.Body, a.Err)
-	var usedBefore []time.Duration
+	time.Sleep(2 * time.Second)
 	for _, d := range b.Daemons {
-		usedBefore = append(usedBefore, processorTime(d))
+		a := bed.Send(context.Background(), bed.Client(), d.Front(), bed.Request{Path: "/pledge/2f", Key: key, Body: "{}", Deadline: 1200 * time.Millisecond})
+		if !a.Served() {
+			b.Note("the deployment doesn't serve in calm: %d %v", a.Status, a.Err)
+			return bed.CouldNot
+		}
+	}
+	t := &attempts{byID: map[string]*bed.Answer{}}
+	for n := range cuts {
+		d := b.Daemons[n%daemons]
+		if b.Trouble {
+			b.Cut(d)
+			b.Note("%s is cut off from all runners", d.IP)
+		}
+		t.send(b, d, time.Now().Add(cut))
+		b.Heal()
+		b.Note("%s reaches the runners", d.IP)
+		t.send(b, d, time.Now().Add(calm))
 	}
-	at := time.Now()
-	time.Sleep(stuck)
-	return check(b, at, before, usedBefore, cancel, done)
+	return check(b, t)
 }
 
-func check(b *bed.Bed, at time.Time, before int, usedBefore []time.Duration, cancel context.CancelFunc, done <-chan struct{}) int {
-	calls := b.Cloud.Calls("/usage")
-	for _, c := range calls {
-		b.Note("usage report at %v by %s, token %s: %v", c.At.Sub(at), c.Holder, c.Fence, c.Body)
-	}
-	b.Note("%d usage reports in %v after the odd request", len(calls)-before, stuck)
-	status := bed.Held
-	// Of the windows that ended and were due in the time, at least half must have been reported.
-	due := int((stuck - usageDelay) / usageWindow)
-	if len(calls)-before < due/2 {
-		b.Note("broken: %d windows were due", due)
-		status = bed.Broken
-	}
-	for i, d := range b.Daemons {
-		used := processorTime(d) - usedBefore[i]
-		b.Note("%s has used %v of the processor in %v", d.IP, used, stuck)
-		if used > stuck/2 {
-			b.Note("broken: it doesn't hand back the processor")
-			status = bed.Broken
+func check(b *bed.Bed, t *attempts) int {
+	statuses, broken := map[int]int{}, 0
+	for _, a := range t.byID {
+		statuses[a.Status]++
+	}
+	for _, r := range b.Runners {
+		for _, run := range r.Runs() {
+			a := t.byID[run.ID]
+			if a == nil {
+				continue
+			}
+			switch a.Status {
+			case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+				broken++
+				b.Note("broken, REFUSED: %s ran at %s, and was answered %d: %s", run.ID, r.ID, a.Status, a.Body)
+			}
 		}
 	}
-	cancel()
-	<-done
-	for _, d := range b.Daemons {
-		d.Signal(syscall.SIGTERM)
-	}
-	end := time.After(grace)
-	for _, d := range b.Daemons {
-		select {
-		case <-d.Ended():
-			b.Note("%s has ended after SIGTERM: %v", d.IP, d.Err)
-		case <-end:
-			b.Note("broken: %s still runs %v after SIGTERM", d.IP, grace)
-			status = bed.Broken
-			end = time.After(0)
-		}
+	b.Note("%d pledges, by status %v; %d were refused as not run and had run", len(t.byID), statuses, broken)
+	if broken > 0 {
+		return bed.Broken
 	}
-	return status
+	return bed.Held
 }
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -48,6 +48,8 @@
 	begun  time.Time
 	mu     sync.Mutex
 	record *os.File
+	// cutOff is the daemon that reaches no runner; nil if none.
+	cutOff *Daemon
 }
 
 // New starts the store and the cloud, and begins record.txt in the folder of the case.
--- a/review/bed/runner.go
+++ b/review/bed/runner.go
@@ -24,17 +24,20 @@
 	// Tokens is the memory of an engine; zero for a plain service.
 	Tokens int
 	Work   time.Duration
+	// Long is how long a plain request works whose path ends with long; the runner answers it 504 at its time budget.
+	Long   time.Duration
 	Events int
 	Gap    time.Duration
 	// Stray, if it isn't nil, tells after each plain answer whether additional bytes follow it. They come late: when the next
 	// request on the channel has begun to run, before its answer.
 	Stray func() bool
 
-	bed     *Bed
-	server  *http.Server
-	born    int64
-	closing chan struct{}
-	closed  sync.Once
+	bed      *Bed
+	server   *http.Server
+	listener *cuttable
+	born     int64
+	closing  chan struct{}
+	closed   sync.Once
 
 	mu   sync.Mutex
 	seq  int
@@ -60,7 +63,8 @@
 			return context.WithValue(ctx, channelKey{}, &channel{})
 		},
 	}
-	go func() { _ = r.server.Serve(l) }()
+	r.listener = &cuttable{Listener: l, bed: b}
+	go func() { _ = r.server.Serve(r.listener) }()
 	b.Runners = append(b.Runners, r)
 	if err := r.beat(); err != nil {
 		return nil, err
@@ -181,6 +185,10 @@
 	r.runs = append(r.runs, Run{id, r.ID, q.URL.Path, q.Header.Get("X-Tenant"), q.Header.Get("Last-Event-Id"), time.Now()})
 	r.mu.Unlock()
 	h.Set("X-Server-Signature", "sig."+id)
+	if strings.HasSuffix(q.URL.Path, "/long") {
+		r.answerLong(w, q, id)
+		return
+	}
 	if !strings.Contains(q.URL.Path, "/stream/") {
 		r.answerPlain(w, q, id)
 		return
@@ -200,6 +208,22 @@
 	}
 }
 
+// answerLong works on a request for a long time, until its time budget is over or its channel closes.
+func (r *Runner) answerLong(w http.ResponseWriter, q *http.Request, id string) {
+	budget, err := strconv.ParseFloat(q.Header.Get("X-Deadline-Ms"), 64)
+	over := time.Duration(budget * float64(time.Millisecond))
+	if err != nil || over > r.Long {
+		over = time.Hour
+	}
+	select {
+	case <-q.Context().Done():
+	case <-time.After(over):
+		w.WriteHeader(http.StatusGatewayTimeout)
+	case <-time.After(r.Long):
+		fmt.Fprintf(w, "answer to %s", id)
+	}
+}
+
 // answerPlain answers a request that isn't a stream, after the additional bytes that are due on its channel.
 func (r *Runner) answerPlain(w http.ResponseWriter, q *http.Request, id string) {
 	ch := q.Context().Value(channelKey{}).(*channel)
