--- a/review/10/main.go
+++ b/review/10/main.go
@@ -25,7 +25,7 @@
 )
 
 func main() {
-	b, err := bed.New("review/10")
+	b, err := bed.New("review/10/record.txt")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(bed.CouldNot)
--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -52,13 +52,13 @@
 	cutOff *Daemon
 }
 
-// New starts the store and the cloud, and begins record.txt in the folder of the case.
-func New(folder string) (*Bed, error) {
+// New starts the store and the cloud, and begins the record of the case at a path.
+func New(recordPath string) (*Bed, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, fmt.Errorf("temporary folder: %w", err)
 	}
-	record, err := os.Create(filepath.Join(folder, "record.txt"))
+	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, fmt.Errorf("record: %w", err)
 	}
