--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -133,6 +133,7 @@
 			return open, nil, nil
 		case errors.As(err, &refusedBy):
 			refused = refusedBy.Refusal
+			a.noteHelperRefused(refusedBy)
 			failed, final := a.handleRefusal(&m, refusedBy)
 			if failed != nil {
 				return nil, a.failed(failed), nil
@@ -154,6 +155,14 @@
 	return nil, nil, s.orUnknown(refused)
 }
 
+// noteHelperRefused logs what the attempt's helper says of a request that it refuses, which the caller's daemon may answer
+// otherwise.
+func (a *attempt) noteHelperRefused(r *helperRefusalError) {
+	a.s.note("helper_refused", decisions.F("helper", a.helper), decisions.F("reason", r.Reason), decisions.F("executed", r.Executed),
+		decisions.F("attempts", r.attempts), decisions.F("before", a.helperSends.before), decisions.F("after", time.Since(a.sent)))
+	a.s.edge.log.Count("helper_refused." + string(r.Executed))
+}
+
 // handleRefusal decides whether another daemon may serve a request that the attempt's helper has refused; final says that
 // none may. If the helper has sent it to runners, another one may only as after a failure here, which is returned.
 func (a *attempt) handleRefusal(helper *peers.Member, r *helperRefusalError) (failed *forward.FailedAttempt, final bool) {
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -145,8 +145,10 @@
 		s.returnCharge()
 	}
 	note("refused", decisions.F("reason", r.Reason), decisions.F("executed", r.Executed),
+		decisions.F("attempts", s.exchange.Sent()), decisions.F("may_have_run", s.exchange.MayHaveRun()),
 		decisions.F("retry_after", r.RetryAfter), decisions.F("detail", r.Detail))
 	s.edge.log.Count("refused." + string(r.Reason))
+	s.edge.log.Count("refused_executed." + string(r.Executed))
 	s.reply.Refuse(r, s.connectionClosing())
 }
 
