Start no hedge of an attempt that has failed

Cause: where an attempt fails, endWait leaves watch.waiting set while it waits for its hedge to end, so that what the hedge finds may still take over. A hedge that gives up frees watch.hedge before it closes done, and a suspicion that comes just then (suspectAll, by the health checks) starts a second one. endWait then forgot it without an end or a wait, and it went on beside the goroutine that serves the request: two goroutines made attempts of one request, counted them and charged the budget. Change: the watch says that the attempt has failed, and no hedge starts from there on. Evidence: TestFailedAttemptIsHedgedNoMore forces that order; it fails with the new condition taken out, and passes with it.

--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -204,3 +204,29 @@
 	}
 	s.endIfCanceled(ctx)
 }
+
+// SuspectFailedAttempt lets an attempt fail whose hedge runs, and suspects its runner again when that hedge has given up but
+// the request has not gone on yet. It reports whether a hedge runs when the request goes on.
+func (e *Edge) SuspectFailedAttempt(ctx context.Context, req *Request) (hedged bool) {
+	s := &requestHandler{edge: e, req: req}
+	s.admit(ctx)
+	a := &attempt{s: s, parent: ctx, activity: &activity{}}
+	h := &hedge{silent: a, cancel: func() {}, done: make(chan struct{})}
+	a.watch.waiting, a.watch.hedge, s.hedge = true, h, h
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.endWait(false)
+	}()
+	for !h.alone.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	h.giveBack()
+	a.suspect(pathsLost)
+	a.watch.mu.Lock()
+	hedged = a.watch.hedge != nil
+	a.watch.mu.Unlock()
+	close(h.done)
+	<-ended
+	return hedged
+}
--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -37,6 +37,9 @@
 type watch struct {
 	mu      sync.Mutex
 	waiting bool
+	// failed says that the attempt has failed while it was waited for, so that no further hedge may start: the goroutine
+	// that serves the request goes on once the last one has ended.
+	failed bool
 	// suspected is a suspicion that came while nothing was waited for; empty for none.
 	suspected suspicion
 	// hedge is that of the present wait; nil if none. won is what has taken the attempt over.
@@ -68,9 +71,9 @@
 	a.startHedgeLocked(why)
 }
 
-// startHedgeLocked starts a hedge unless there is one. The caller must hold watch.mu.
+// startHedgeLocked starts a hedge unless there is one, or the attempt has failed. The caller must hold watch.mu.
 func (a *attempt) startHedgeLocked(why suspicion) {
-	if a.watch.hedge != nil {
+	if a.watch.hedge != nil || a.watch.failed {
 		return
 	}
 	ctx, cancel := context.WithCancel(a.parent)
@@ -99,18 +102,19 @@
 	if received || h == nil || a.watch.won != nil {
 		a.watch.waiting = false
 	}
-	waiting := a.watch.waiting
+	a.watch.failed = a.watch.waiting
+	failed := a.watch.failed
 	a.watch.mu.Unlock()
 	if h == nil {
 		return false
 	}
-	if waiting {
-		// The attempt has failed. What the hedge finds goes on in its place.
+	if failed {
+		// What the hedge finds goes on in the attempt's place.
 		h.alone.Store(true)
 		<-h.done
 	}
 	a.watch.mu.Lock()
-	a.watch.waiting = false
+	a.watch.waiting, a.watch.failed = false, false
 	a.takenOver = a.watch.won
 	a.watch.hedge = nil
 	a.watch.mu.Unlock()
@@ -168,8 +172,13 @@
 	}
 }
 
-// end gives the request's state back. A hedge that nothing came of may be followed by another one in the same wait.
 func (h *hedge) end() {
+	h.giveBack()
+	close(h.done)
+}
+
+// giveBack gives the request's state back. A hedge that nothing came of may be followed by another one in the same wait.
+func (h *hedge) giveBack() {
 	a := h.silent
 	a.s.hedge = h.outer
 	a.watch.mu.Lock()
@@ -177,7 +186,6 @@
 		a.watch.hedge = nil
 	}
 	a.watch.mu.Unlock()
-	close(h.done)
 }
 
 // stands reports whether what the hedge was begun for is still believed, or its attempt has failed meanwhile.
--- a/daemon/edge/hedge_test.go
+++ b/daemon/edge/hedge_test.go
@@ -85,6 +85,19 @@
 	secondAnswerTime = 800 * time.Millisecond
 )
 
+// Guards against a hedge that makes attempts beside the goroutine that serves its request: a suspicion comes when the attempt
+// has failed and its first hedge has given up.
+func TestFailedAttemptIsHedgedNoMore(t *testing.T) {
+	withFleet(t, 1, tenSecondConfig(2), func(w *testFleet) {
+		w.addServingRunner("r1")
+		time.Sleep(500 * time.Millisecond)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		req := &edge.Request{ID: "hedged", Host: host, Path: "/read/1", Method: http.MethodPost, Target: "/read/1", Key: key, Received: time.Now()}
+		w.True(!w.daemons[0].SuspectFailedAttempt(ctx, req))
+	})
+}
+
 // Guards against a second runner that is given up because the first one wakes, although it has no answer that the
 // caller can get.
 func TestSecondRunnerAnswersIfTheFirstWakesWithoutAnAnswer(t *testing.T) {
