Take an empty or null list of workspaces for one, and no key for none

Cause: Go's decoding makes one of absent, null and empty, and KeyRequired asked whether there is a workspace. The index of keys held the empty key, which is also what a request without one has. Change: the document says whether the list is there, and route.Config carries it (Keyless; its zero value asks for keys). "If the config contains tenants, a request carries a key": an empty or null list is contained, and no key is valid. The empty key and the keys of a workspace without a name are valid for nothing; a route without a host or prefix matches nothing (an empty prefix begins every path).

--- a/daemon/edge/config_in_force.go
+++ b/daemon/edge/config_in_force.go
@@ -120,7 +120,7 @@
 	e.table.Store(t)
 	e.setServices(t)
 	e.log.Note("config_in_force", decisions.F("version", t.Version()), decisions.F("revision", revision),
-		decisions.F("routes", len(t.Config().Routes)), decisions.F("workspaces", len(t.Config().Workspaces)))
+		decisions.F("routes", len(t.Config().Routes)), decisions.F("workspaces", len(t.Config().Workspaces)), decisions.F("keyless", t.Config().Keyless))
 }
 
 // setServices creates or updates the pools of a configuration's services. Pools of services
--- a/daemon/edge/serve.go
+++ b/daemon/edge/serve.go
@@ -292,7 +292,7 @@
 	s.route = found
 	s.priority = found.Priority
 	w, ok := s.table.WorkspaceOf(s.req.Key)
-	if !s.table.KeyRequired(found) {
+	if !s.table.KeyRequired(found, s.req.Key) {
 		if ok {
 			s.workspace = w.Name
 		}
--- a/state/configcheck/check.go
+++ b/state/configcheck/check.go
@@ -18,6 +18,7 @@
 	checkRoutesReachable,
 	checkHiddenRoutes,
 	checkUnusedServices,
+	checkWorkspacesListed,
 	checkMissingKeys,
 	checkSharedKeys,
 	checkRouteTimes,
@@ -145,7 +146,7 @@
 		if c.Routes[i].Host == "" {
 			r.add(at.field("Host"), UnreachableRoute, "the host is missing, so no request matches")
 		}
-		if prefix != "" && !strings.HasPrefix(prefix, "/") {
+		if !strings.HasPrefix(prefix, "/") {
 			r.add(at.field("PathPrefix"), UnreachableRoute, "%q does not start with a slash, so no request matches", prefix)
 		}
 	}
@@ -183,6 +184,17 @@
 	}
 }
 
+// checkWorkspacesListed reports a configuration with which requests need no key, and one with which none is valid. A list that
+// is missing and an empty one look alike to its writer.
+func checkWorkspacesListed(r *report, c *route.Config) {
+	switch {
+	case c.Keyless:
+		r.add(workspaces, NoKey, "the list is missing, so requests need no key; with an empty list none would be valid")
+	case len(c.Workspaces) == 0:
+		r.add(workspaces, NoKey, "the list is empty, so every request is refused but those on public routes")
+	}
+}
+
 func checkMissingKeys(r *report, c *route.Config) {
 	for i := range c.Workspaces {
 		w, at := &c.Workspaces[i], workspaces.element(i).field("Keys")
@@ -191,7 +203,7 @@
 		}
 		for j, key := range w.Keys {
 			if key == "" {
-				r.add(at.element(j), NoKey, "the key is empty, so no request presents it")
+				r.add(at.element(j), NoKey, "the key is empty, so no request is taken for one with it")
 			}
 		}
 	}
--- a/state/configcheck/check_test.go
+++ b/state/configcheck/check_test.go
@@ -247,3 +247,19 @@
 	c.Routes[1].MaxAttempts++
 	is.Equal(len(configcheck.Check(c, nil)), 1)
 }
+
+// Guards against a configuration that lets requests in without a key, or refuses all that need one, and of which nothing is
+// found.
+func TestMissingAndEmptyListsOfWorkspacesAreFound(t *testing.T) {
+	is := is.New(t)
+	empty := clean()
+	empty.Workspaces = nil
+	is.Equal(describe(t, configcheck.Check(empty, nil)), "Workspaces warning no_key")
+	missing := clean()
+	missing.Workspaces, missing.Keyless, missing.Version = nil, true, 8
+	is.Equal(describe(t, configcheck.Check(missing, nil)), "Workspaces warning no_key")
+	is.Equal(describe(t, configcheck.Check(missing, empty)), "Workspaces warning no_key; Workspaces difference changed")
+	unreachable := clean()
+	unreachable.Routes[1].PathPrefix = ""
+	is.Equal(describe(t, configcheck.Check(unreachable, nil)), "Routes[1].PathPrefix warning unreachable_route")
+}
--- a/state/configcheck/diff.go
+++ b/state/configcheck/diff.go
@@ -20,6 +20,9 @@
 		compareFields(r, workspaceFields(at, a), workspaceFields(at, b))
 		compareKeys(r, at.field("Keys"), a.Keys, b.Keys)
 	})
+	if old.Keyless != current.Keyless {
+		r.add(workspaces, Changed, "requests without a key are refused: changed from %v to %v", !old.Keyless, !current.Keyless)
+	}
 	compareFields(r, limitFields(limits, &old.Limits), limitFields(limits, &current.Limits))
 }
 
--- a/state/configcheck/finding.go
+++ b/state/configcheck/finding.go
@@ -50,7 +50,7 @@
 // Kinds of warnings.
 const (
 	// NoRoutes, UnreachableRoute, HiddenRoute, UnusedService, NoKey and SharedKey are entries that
-	// can never match a request.
+	// can never match a request. NoKey is a missing list of workspaces, too, with which requests need no key.
 	NoRoutes         Kind = "no_routes"
 	UnreachableRoute Kind = "unreachable_route"
 	HiddenRoute      Kind = "hidden_route"
--- a/state/route/route.go
+++ b/state/route/route.go
@@ -36,7 +36,7 @@
 type Route struct {
 	Name string
 	Host string
-	// PathPrefix starts and ends with a slash.
+	// PathPrefix starts and ends with a slash. A route without one, or without a host, matches no request.
 	PathPrefix string
 	Kind       Kind
 	Targets    []Target
@@ -147,5 +147,8 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// Keyless says that the configuration has no list of workspaces, so that requests need no key. An empty list is one:
+	// no key is valid then.
+	Keyless bool
+	Limits  Limits
 }
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -31,6 +31,10 @@
 	}
 	for i := range t.config.Routes {
 		r := &t.config.Routes[i]
+		if r.Host == "" || r.PathPrefix == "" {
+			// An empty prefix begins every path.
+			continue
+		}
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 		t.recordTargetLatency(r)
@@ -43,9 +47,7 @@
 	for i := range t.config.Workspaces {
 		w := &t.config.Workspaces[i]
 		t.workspaces[w.Name] = w
-		for _, key := range w.Keys {
-			t.byKey[key] = w
-		}
+		t.indexKeys(w)
 	}
 	for i := range t.config.Services {
 		t.services[t.config.Services[i].Name] = &t.config.Services[i]
@@ -53,6 +55,16 @@
 	return t
 }
 
+// indexKeys makes the keys of a workspace valid. The empty key is that of requests without one, and those of a workspace
+// without a name could not be told from requests of none.
+func (t *Table) indexKeys(w *Workspace) {
+	for _, key := range w.Keys {
+		if key != "" && w.Name != "" {
+			t.byKey[key] = w
+		}
+	}
+}
+
 // recordTargetLatency lowers the tightest target latency of the route's
 // services to that of the route.
 func (t *Table) recordTargetLatency(r *Route) {
@@ -97,12 +109,13 @@
 	return nil, false
 }
 
-// KeyRequired reports whether requests on the route must present a key.
-func (t *Table) KeyRequired(r *Route) bool {
-	return len(t.config.Workspaces) > 0 && !r.Public
+// KeyRequired reports whether a request on the route is served only with a workspace's key. key is the one that it
+// presents, empty for none. A key that no workspace holds is refused also where none is needed.
+func (t *Table) KeyRequired(r *Route, key string) bool {
+	return !r.Public && (!t.config.Keyless || key != "")
 }
 
-// WorkspaceOf returns the workspace that a key belongs to.
+// WorkspaceOf returns the workspace that a key belongs to. The empty key belongs to none.
 func (t *Table) WorkspaceOf(key string) (*Workspace, bool) {
 	w, ok := t.byKey[key]
 	return w, ok
--- a/state/route/table_test.go
+++ b/state/route/table_test.go
@@ -50,8 +50,8 @@
 	is.True(!ok)
 	public, _ := tab.Lookup("a.example", "/drafts/long/")
 	keyed, _ := tab.Lookup("a.example", "/drafts/")
-	is.True(!tab.KeyRequired(public))
-	is.True(tab.KeyRequired(keyed))
+	is.True(!tab.KeyRequired(public, ""))
+	is.True(tab.KeyRequired(keyed, ""))
 }
 
 // Each target must get requests in proportion to its weight, and a target of
@@ -79,3 +79,20 @@
 		}
 	})
 }
+
+// Guards against requests that an entry with a missing field lets in: one without a key, or to a path that no prefix begins.
+func TestIncompleteEntriesLetNothingIn(t *testing.T) {
+	is := is.New(t)
+	tab := route.NewTable(route.Config{
+		Routes:     []route.Route{{Name: "no prefix", Host: "a.example"}, {Name: "no host", PathPrefix: "/"}},
+		Workspaces: []route.Workspace{{Name: "w", Keys: []string{""}}, {Keys: []string{"k1"}}},
+	})
+	for _, key := range []string{"", "k1"} {
+		_, ok := tab.WorkspaceOf(key)
+		is.True(!ok)
+	}
+	for _, host := range []string{"a.example", "", ":80"} {
+		_, ok := tab.Lookup(host, "/draft/1")
+		is.True(!ok)
+	}
+}
