--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -351,25 +350,6 @@
 	return true
 }
 
-// beginHandover records that the request is about to be handed on, unless that is recorded already. It reports whether it
-// may be.
-func (a *attempt) beginHandover() bool {
-	if a.handover == nil {
-		a.handover = a.s.exchange.Executions.Begin()
-	}
-	return a.handover != nil
-}
-
-// settleSend records what the end of a send says of it: nothing was sent, or the runner had the request.
-func (a *attempt) settleSend(err error) {
-	var send *SendError
-	if errors.As(err, &send) && !send.Sent {
-		a.handover.ProveNotRun()
-		return
-	}
-	a.beginHandover()
-}
-
 func (s *requestHandler) lastEventID() string {
 	if s.events != nil && s.events.LastID() != "" {
 		return s.events.LastID()
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -168,9 +168,7 @@
 // none may. If the helper has sent it to runners, another one may only as after a failure here, which is returned.
 func (a *attempt) handleRefusal(helper *peers.Member, r *helperRefusalError) (failed *forward.FailedAttempt, final bool) {
 	s := a.s
-	if r.Executed == refusal.ExecutedNo {
-		a.handover.ProveNotRun()
-	}
+	a.settleHelperRefusal(r)
 	s.counts.offered = s.counts.offered || r.counts.offered
 	s.counts.dispatched = s.counts.dispatched || r.counts.dispatched
 	a.helperSends.settle(uint32(r.attempts))
--- a/daemon/edge/executed_test.go
+++ b/daemon/edge/executed_test.go
@@ -174,6 +174,9 @@
 	id := r.RequestId
 	p.hand(id)
 	p.pause(ctx)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	reason := []refusal.Reason{refusal.NoRunner, refusal.DeadlineExceeded, refusal.Overloaded}[p.draw(3)]
 	switch p.draw(5) {
 	case 0:
