--- a/daemon/edge/hedge.go
+++ b/daemon/edge/hedge.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,30 +22,6 @@
 // While a hedge runs, it alone uses the request's state: the goroutine that serves the request is blocked until the
 // first runner sends something, and then ends the hedge before it goes on.
 
-// suspicion is why an attempt's runner is believed not to go on with it.
-type suspicion string
-
-const (
-	// noProbeAnswered means that the runner has sent nothing and has answered no probe.
-	noProbeAnswered suspicion = "no_probe_answered"
-	// pathsLost means that this daemon seems to reach no runner of the service.
-	pathsLost suspicion = "paths_lost"
-)
-
-// watch follows the wait for the next data of an attempt's runner.
-type watch struct {
-	mu      sync.Mutex
-	waiting bool
-	// failed says that the attempt has failed while it was waited for, so that no further hedge may start: the goroutine
-	// that serves the request goes on once the last one has ended.
-	failed bool
-	// suspected is a suspicion that came while nothing was waited for; empty for none.
-	suspected suspicion
-	// hedge is that of the present wait; nil if none. won is what has taken the attempt over.
-	hedge *hedge
-	won   *openAnswer
-}
-
 // hedge looks for another answer to a request whose runner is silent. outer is the hedge whose own attempt this one
 // is for; nil if it is for the request's first.
 type hedge struct {
@@ -60,76 +35,6 @@
 	alone atomic.Bool
 }
 
-// suspect starts a hedge of an attempt whose runner is silent, unless it has one.
-func (a *attempt) suspect(why suspicion) {
-	a.watch.mu.Lock()
-	defer a.watch.mu.Unlock()
-	if !a.watch.waiting {
-		a.watch.suspected = why
-		return
-	}
-	a.startHedgeLocked(why)
-}
-
-// startHedgeLocked starts a hedge unless there is one, or the attempt has failed. The caller must hold watch.mu.
-func (a *attempt) startHedgeLocked(why suspicion) {
-	if a.watch.hedge != nil || a.watch.failed {
-		return
-	}
-	ctx, cancel := context.WithCancel(a.parent)
-	h := &hedge{silent: a, why: why, cancel: cancel, done: make(chan struct{})}
-	a.watch.hedge = h
-	go h.run(ctx)
-}
-
-// beginWait is called before a wait for the runner's next data.
-func (a *attempt) beginWait() {
-	a.watch.mu.Lock()
-	defer a.watch.mu.Unlock()
-	a.watch.waiting = true
-	if why := a.watch.suspected; why != "" {
-		a.watch.suspected = ""
-		a.startHedgeLocked(why)
-	}
-}
-
-// endWait is called after such a wait; received says that something has arrived. It reports whether another
-// answer has taken the attempt over. Otherwise no hedge runs on return.
-func (a *attempt) endWait(received bool) (takenOver bool) {
-	a.watch.mu.Lock()
-	a.watch.suspected = ""
-	h := a.watch.hedge
-	if received || h == nil || a.watch.won != nil {
-		a.watch.waiting = false
-	}
-	a.watch.failed = a.watch.waiting
-	failed := a.watch.failed
-	a.watch.mu.Unlock()
-	if h == nil {
-		return false
-	}
-	if failed {
-		// What the hedge finds goes on in the attempt's place.
-		h.alone.Store(true)
-		<-h.done
-	}
-	a.watch.mu.Lock()
-	a.watch.waiting, a.watch.failed = false, false
-	a.takenOver = a.watch.won
-	a.watch.hedge = nil
-	a.watch.mu.Unlock()
-	if a.takenOver != nil {
-		<-h.done
-		return true
-	}
-	h.cancel()
-	<-h.done
-	if received {
-		a.s.note("runner_went_on", decisions.F("runner", a.choice.Runner), decisions.F("events", a.eventCount()))
-	}
-	return false
-}
-
 // claim lets an answer take the silent attempt over, unless that has gone on. It reports whether it does.
 func (h *hedge) claim(open *openAnswer) bool {
 	a := h.silent
@@ -282,34 +187,6 @@
 	return o, nil
 }
 
-// takenOverError says that another attempt goes on in place of this one.
-type takenOverError struct{}
-
-func (*takenOverError) Error() string { return "another attempt has taken over" }
-
-// watchedBody is the body of an answer whose runner may fall silent.
-type watchedBody struct {
-	io.ReadCloser
-	attempt *attempt
-}
-
-// Read returns a *takenOverError if another attempt has taken over while it waited.
-func (b *watchedBody) Read(p []byte) (int, error) {
-	b.attempt.beginWait()
-	n, err := b.ReadCloser.Read(p)
-	received := n > 0 || errors.Is(err, io.EOF) || b.attempt.helperFailed()
-	if n > 0 {
-		b.attempt.recordHeard()
-	}
-	if err != nil && !errors.Is(err, io.EOF) {
-		b.attempt.broke = err
-	}
-	if b.attempt.endWait(received) {
-		return 0, &takenOverError{}
-	}
-	return n, err
-}
-
 // peekedBody is a body of which a part has been read.
 type peekedBody struct {
 	io.ReadCloser
