--- a/daemon/edge/executed_test.go
+++ b/daemon/edge/executed_test.go
@@ -135,8 +135,17 @@
 	p.proved[id] = time.Now()
 }
 
+// hasRun reports whether a request has run.
+func (p *orderPlay) hasRun(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ran[id]
+}
+
 // isProvedBefore reports whether each time that a request was handed on had been followed by a proof before a moment.
 func (p *orderPlay) isProvedBefore(id string, at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return !p.ran[id] && p.unproven[id] == 0 && p.proved[id].Before(at)
 }
 
@@ -261,7 +270,7 @@
 				case r == nil:
 				case r.Executed == refusal.ExecutedNo:
 					refusedNotRun++
-					if p.ran[id] {
+					if p.hasRun(id) {
 						t.Errorf("seed %d: %s has run and was refused as not run: %v", seed, id, r)
 					}
 				default:
