Settle a handed-on request in one place

RecordInterrupted was RecordSent(1), DeadlineRefusal used no state, and the tests of orders kept a field and a map that said nothing.

--- a/daemon/edge/attempt.go
+++ b/daemon/edge/attempt.go
@@ -121,7 +121,7 @@
 func (s *requestHandler) chooseRunner(ctx context.Context) (*attempt, *refusal.Refusal) {
 	now := time.Now()
 	if ctx.Err() != nil || !now.Before(s.deadline) {
-		return nil, s.exchange.DeadlineRefusal().After(notReadyRetryAfter)
+		return nil, forward.DeadlineRefusal().After(notReadyRetryAfter)
 	}
 	choice, permit, r := s.choosePermitted(ctx)
 	if r != nil {
@@ -204,7 +204,7 @@
 		Identified:  a.onIdentified(),
 		Connected:   a.handleConnected,
 	})
-	a.settleSend(err)
+	a.settleHandover(err)
 	if err == nil {
 		a.connected.Store(true)
 		a.recordHeard()
--- a/daemon/edge/attempt_failures.go
+++ b/daemon/edge/attempt_failures.go
@@ -76,7 +76,7 @@
 // recordInterrupted counts an attempt that this side cut off after the request was sent.
 func (a *attempt) recordInterrupted() {
 	if !a.counted {
-		a.s.exchange.RecordInterrupted()
+		a.s.exchange.RecordSent(1)
 		a.counted = true
 	}
 }
--- a/daemon/edge/delegate.go
+++ b/daemon/edge/delegate.go
@@ -142,7 +142,6 @@
 				return nil, nil, refused
 			}
 		case errors.As(err, &notHandedOver):
-			a.handover.ProveNotRun()
 			a.returnRetry()
 		default:
 			s.edge.log.Count("delegation_failed")
@@ -168,7 +167,6 @@
 // none may. If the helper has sent it to runners, another one may only as after a failure here, which is returned.
 func (a *attempt) handleRefusal(helper *peers.Member, r *helperRefusalError) (failed *forward.FailedAttempt, final bool) {
 	s := a.s
-	a.settleHelperRefusal(r)
 	s.counts.offered = s.counts.offered || r.counts.offered
 	s.counts.dispatched = s.counts.dispatched || r.counts.dispatched
 	a.helperSends.settle(uint32(r.attempts))
@@ -202,6 +200,7 @@
 	a.useRetry()
 	a.beginWait()
 	answer, err := a.s.edge.callHelper(callCtx, helper.PeerAddress, request, &a.helperSends)
+	a.settleHandover(err)
 	var refusedBy *helperRefusalError
 	received := err == nil || errors.As(err, &refusedBy)
 	if received {
--- a/daemon/edge/executed_test.go
+++ b/daemon/edge/executed_test.go
@@ -19,7 +19,7 @@
 	"geraniumstack.org/geraniumstack/state/refusal"
 )
 
-// scriptedHelper answers delegated requests by a script. A request that it has told to be sent counts as run.
+// scriptedHelper answers delegated requests by a script.
 type scriptedHelper struct {
 	delegationv1connect.UnimplementedDelegationServiceHandler
 	script func(ctx context.Context, r *delegationv1.ServeRequest, stream *connect.ServerStream[delegationv1.ServeResponse]) error
@@ -63,13 +63,10 @@
 				w.addServingRunner("r1")
 				time.Sleep(500 * time.Millisecond)
 				d, req := w.daemons[0], &edge.Request{ID: "late", Host: host, Path: "/pledge/1", Method: http.MethodPost, Target: "/pledge/1", Key: key, Received: time.Now()}
-				for executed, want := range map[refusal.Executed]refusal.Executed{
-					refusal.ExecutedUnknown: refusal.ExecutedUnknown,
-					refusal.ExecutedNo:      refusal.ExecutedNo,
-				} {
+				for _, executed := range []refusal.Executed{refusal.ExecutedUnknown, refusal.ExecutedNo} {
 					a := &recordedReply{}
 					d.EndAfterHelpersRefusal(req, a, &refusal.Refusal{Reason: refusal.DeadlineExceeded, Executed: executed}, 1, ending)
-					w.Equal(a.refusal.Executed, want)
+					w.Equal(a.refusal.Executed, executed)
 				}
 			})
 		}
@@ -97,7 +94,6 @@
 
 // orderPlay plays requests whose attempts, helpers, times and callers end in random orders, and knows which have run.
 type orderPlay struct {
-	w      *testFleet
 	random *rand.Rand
 	mu     sync.Mutex
 	// ran are the requests that have run, unproven the times that each was handed on without a proof since, and proved when
@@ -225,7 +221,7 @@
 			c.Routes[i].MaxAttempts, c.Routes[i].Timeout = 1+int(seed%2), 5*orderStep
 		}
 		withFleet(t, 4, c, func(w *testFleet) {
-			p := &orderPlay{w: w, random: rand.New(rand.NewPCG(seed, 0)), ran: map[string]bool{}, unproven: map[string]int{}, proved: map[string]time.Time{}}
+			p := &orderPlay{random: rand.New(rand.NewPCG(seed, 0)), ran: map[string]bool{}, unproven: map[string]int{}, proved: map[string]time.Time{}}
 			runners := []*runner{w.addServingRunner("r1"), w.addServingRunner("r2")}
 			time.Sleep(500 * time.Millisecond)
 			d := w.daemons[0]
--- a/daemon/edge/export_test.go
+++ b/daemon/edge/export_test.go
@@ -194,7 +194,9 @@
 	s.admit(context.Background())
 	a := &attempt{s: s, helper: "helper"}
 	a.beginHandover()
-	a.handleRefusal(&peers.Member{}, &helperRefusalError{Refusal: r, attempts: attempts})
+	refused := &helperRefusalError{Refusal: r, attempts: attempts}
+	a.settleHandover(refused)
+	a.handleRefusal(&peers.Member{}, refused)
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now())
 	defer cancel()
 	if ending {
--- a/daemon/edge/handover.go
+++ b/daemon/edge/handover.go
@@ -18,19 +18,16 @@
 	return a.handover != nil
 }
 
-// settleSend records what the end of a send says of it: nothing was sent, or the runner had the request.
-func (a *attempt) settleSend(err error) {
+// settleHandover records what the end of a send or of a call to a helper proves: nothing was sent, or the helper says that the
+// request has not run. What a runner's answer proves is recorded when the answer is taken up (handleNotRun).
+func (a *attempt) settleHandover(err error) {
 	var send *SendError
-	if errors.As(err, &send) && !send.Sent {
-		a.handover.ProveNotRun()
-		return
-	}
-	a.beginHandover()
-}
-
-// settleHelperRefusal records what a helper's refusal says of the request.
-func (a *attempt) settleHelperRefusal(r *helperRefusalError) {
-	if r.Executed == refusal.ExecutedNo {
+	var refusedBy *helperRefusalError
+	var notHandedOver *notHandedOverError
+	switch {
+	case errors.As(err, &send) && !send.Sent, errors.As(err, &refusedBy) && refusedBy.Executed == refusal.ExecutedNo, errors.As(err, &notHandedOver):
 		a.handover.ProveNotRun()
+	default:
+		a.beginHandover()
 	}
 }
--- a/daemon/edge/permits.go
+++ b/daemon/edge/permits.go
@@ -12,6 +12,7 @@
 	"geraniumstack.org/geraniumstack/daemon/decisions"
 	peersv1 "geraniumstack.org/geraniumstack/gen/geranium/peers/v1"
 	"geraniumstack.org/geraniumstack/internal/pause"
+	"geraniumstack.org/geraniumstack/protocol/forward"
 	"geraniumstack.org/geraniumstack/state/ident"
 	"geraniumstack.org/geraniumstack/state/prefix"
 	"geraniumstack.org/geraniumstack/state/refusal"
@@ -52,7 +53,7 @@
 		switch {
 		case err != nil && soonest.until > 0 && s.mayWait(now, soonest):
 			if !pause.For(ctx, soonest.until+rand.N(soonest.spread)) {
-				return routing.Choice{}, permit{}, s.exchange.DeadlineRefusal().After(notReadyRetryAfter)
+				return routing.Choice{}, permit{}, forward.DeadlineRefusal().After(notReadyRetryAfter)
 			}
 			if r := s.checkCauses(ctx); r != nil {
 				return routing.Choice{}, permit{}, r
--- a/daemon/edge/run.go
+++ b/daemon/edge/run.go
@@ -262,7 +262,7 @@
 	case ctx.Err() == nil:
 		return false
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		s.end(s.exchange.DeadlineRefusal().After(notReadyRetryAfter))
+		s.end(forward.DeadlineRefusal().After(notReadyRetryAfter))
 	case s.isEnding():
 		s.end(endingRefusal())
 	default:
--- a/protocol/forward/exchange.go
+++ b/protocol/forward/exchange.go
@@ -116,17 +116,14 @@
 }
 
 // DeadlineRefusal returns the refusal of a request whose deadline has passed.
-func (x *Exchange) DeadlineRefusal() *refusal.Refusal {
+func DeadlineRefusal() *refusal.Refusal {
 	return refusal.New(refusal.DeadlineExceeded, "no answer in time")
 }
 
-// RecordSent records sends to a number of runners that another daemon has made.
+// RecordSent counts sends to a number of runners beside those of failed attempts: another daemon has made them, or this side
+// has cut an attempt off after the request was sent.
 func (x *Exchange) RecordSent(runners int) { x.sent += runners }
 
-// RecordInterrupted counts an attempt that this side cut off after the
-// request was sent.
-func (x *Exchange) RecordInterrupted() { x.sent++ }
-
 // Final returns a refusal as it is given. It says that the request was not executed only if that is known of each time that
 // this daemon has handed it on, and the request is handed on no more then. A daemon that has delegated the request knows of
 // its own attempts.
--- a/protocol/forward/executions_test.go
+++ b/protocol/forward/executions_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 
@@ -16,7 +15,6 @@
 type orders struct {
 	exchange forward.Exchange
 	policy   *retry.Policy
-	now      time.Time
 	// open are the handovers without a proof.
 	open    []*forward.Handover
 	final   *refusal.Refusal
@@ -52,7 +50,7 @@
 	reasons := []retry.Reason{retry.Busy, retry.Broken, retry.Silent, retry.ConnectFailed, retry.Leaving, retry.ServerError}
 	a := forward.FailedAttempt{Reason: rapid.SampledFrom(reasons).Draw(t, "reason"), Sent: rapid.Bool().Draw(t, "sent")}
 	before := o.exchange.Sent()
-	_, r := o.exchange.HandleFailure(o.now, o.policy, a)
+	_, r := o.exchange.HandleFailure(start, o.policy, a)
 	if r != nil {
 		o.refused = r
 	}
@@ -66,7 +64,7 @@
 	if o.final != nil {
 		t.Skip("refused already")
 	}
-	r := rapid.SampledFrom([]*refusal.Refusal{o.exchange.DeadlineRefusal(), refusal.New(refusal.Draining, "this daemon ends"), o.refused}).Draw(t, "refusal")
+	r := rapid.SampledFrom([]*refusal.Refusal{forward.DeadlineRefusal(), refusal.New(refusal.Draining, "this daemon ends"), o.refused}).Draw(t, "refusal")
 	if r == nil {
 		t.Skip("no attempt has failed")
 	}
@@ -84,7 +82,7 @@
 // order of sends, proofs, failures and ends.
 func TestRefusalIsTrueInAnyOrderOfEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		o := &orders{policy: retry.New(retry.Default()), now: start}
+		o := &orders{policy: retry.New(retry.Default())}
 		o.exchange.Terms = newTerms(rapid.Bool().Draw(t, "repeatable"), rapid.IntRange(1, 2).Draw(t, "attempts"))
 		t.Repeat(map[string]func(*rapid.T){"hand on": o.handOn, "prove": o.prove, "fail": o.failAttempt, "refuse": o.refuse})
 	})
@@ -94,7 +92,7 @@
 func TestHelperSpeaksOfItsOwnSends(t *testing.T) {
 	x := forward.Exchange{Terms: newTerms(true, 2)}
 	x.Continue(1, true)
-	if r := x.Final(x.DeadlineRefusal()); !x.MayHaveRun() || r.Executed != refusal.ExecutedNo {
+	if r := x.Final(forward.DeadlineRefusal()); !x.MayHaveRun() || r.Executed != refusal.ExecutedNo {
 		t.Fatalf("may have run: %v, refused as executed %q", x.MayHaveRun(), r.Executed)
 	}
 }
